--- /dev/null
+++ b/src/connection/HttpClient.cpp
@@ -0,0 +1,280 @@
+#include "connection/HttpClient.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace galenaroute {
+
+namespace {
+
+/// Idle connections kept for one address.
+constexpr std::size_t MaxIdlePerAddress = 8;
+/// A path in the network forgets idle connections, so they are not kept long.
+constexpr auto MaxIdleAge = std::chrono::seconds(5);
+constexpr ev_ssize_t MaxResponseHeaderBytes = 64 << 10;
+
+evhttp_cmd_type methodOf(std::string_view Name) {
+  if (Name == "POST")
+    return EVHTTP_REQ_POST;
+  if (Name == "PUT")
+    return EVHTTP_REQ_PUT;
+  if (Name == "DELETE")
+    return EVHTTP_REQ_DELETE;
+  if (Name == "HEAD")
+    return EVHTTP_REQ_HEAD;
+  if (Name == "PATCH")
+    return EVHTTP_REQ_PATCH;
+  if (Name == "OPTIONS")
+    return EVHTTP_REQ_OPTIONS;
+  return EVHTTP_REQ_GET;
+}
+
+} // namespace
+
+class HttpClient::Exchange : public HttpExchange {
+public:
+  Exchange(HttpClient &Client, HttpCall Call, HttpCallbacks Callbacks)
+      : Client(Client), Call(std::move(Call)), Callbacks(std::move(Callbacks)) {
+  }
+
+  ~Exchange() override { this->release(false); }
+
+  void begin() {
+    this->Started = this->LastByte = EventLoop::now();
+    this->Connection = this->Client.connect(this->Call);
+    if (!this->Connection) {
+      this->finishLater(HttpEnd::ConnectFailed);
+      return;
+    }
+    bufferevent *Stream = evhttp_connection_get_bufferevent(this->Connection);
+    this->Sent = evbuffer_add_cb(
+        bufferevent_get_output(Stream),
+        [](evbuffer *, const evbuffer_cb_info *Info, void *Self) {
+          if (Info->n_deleted > 0)
+            static_cast<Exchange *>(Self)->Result.BytesSent = true;
+        },
+        this);
+    evhttp_request *Request = evhttp_request_new(&Exchange::onDone, this);
+    evhttp_request_set_header_cb(Request, &Exchange::onHead);
+    evhttp_request_set_chunked_cb(Request, &Exchange::onChunk);
+    evkeyvalq *Fields = evhttp_request_get_output_headers(Request);
+    evhttp_add_header(Fields, "Host", this->Call.To.toString().c_str());
+    for (const HttpHeaders::Field &Each : this->Call.Headers)
+      evhttp_add_header(Fields, Each.Name.c_str(), Each.Value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(Request),
+                 this->Call.Body.data(), this->Call.Body.size());
+    if (evhttp_make_request(this->Connection, Request,
+                            methodOf(this->Call.Method),
+                            this->Call.Path.c_str()) != 0) {
+      // evhttp has freed the request.
+      this->finishLater(HttpEnd::ConnectFailed);
+      return;
+    }
+    this->checkTimeouts();
+  }
+
+private:
+  /// Gives the connection back, or closes it.
+  void release(bool Reusable) {
+    this->Timer.disconnect();
+    if (!this->Connection)
+      return;
+    bufferevent *Stream = evhttp_connection_get_bufferevent(this->Connection);
+    if (this->Sent)
+      evbuffer_remove_cb_entry(bufferevent_get_output(Stream), this->Sent);
+    this->Sent = nullptr;
+    if (Reusable)
+      this->Client.keep(this->Call.To, this->Connection);
+    else
+      this->Client.dispose(this->Connection);
+    this->Connection = nullptr;
+  }
+
+  void finishLater(HttpEnd End) {
+    this->Timer = this->Client.Loop.timers().after(
+        Duration::zero(), [this, End] { this->finish(End); });
+  }
+
+  void finish(HttpEnd End) {
+    this->Result.End = End;
+    this->release(End == HttpEnd::Complete && this->Call.ReuseConnection);
+    // The callback may destroy this exchange, so nothing follows it.
+    const auto OnDone = std::move(this->Callbacks.OnDone);
+    const HttpResult Last = std::move(this->Result);
+    if (OnDone)
+      OnDone(Last);
+  }
+
+  void checkTimeouts() {
+    const TimePoint Now = EventLoop::now();
+    TimePoint Deadline = this->Result.BytesSent
+                             ? this->LastByte + this->Call.IdleTimeout
+                             : this->Started + this->Call.ConnectTimeout;
+    if (this->Call.TotalTimeout > Duration::zero())
+      Deadline = std::min(Deadline, this->Started + this->Call.TotalTimeout);
+    if (Now >= Deadline) {
+      this->finish(this->Result.BytesSent ? HttpEnd::TimedOut
+                                          : HttpEnd::ConnectFailed);
+      return;
+    }
+    // The idle limit may be the shorter one, and starts to count when the first
+    // byte is sent, so the next check is never further away than that.
+    const Duration Wait = std::min(Deadline - Now, this->Call.IdleTimeout);
+    this->Timer = this->Client.Loop.timers().after(
+        Wait, [this] { this->checkTimeouts(); });
+  }
+
+  static void copyHead(Exchange &Self, evhttp_request *Request) {
+    Self.Result.Status = evhttp_request_get_response_code(Request);
+    Self.Result.Headers = {};
+    const evkeyvalq *Fields = evhttp_request_get_input_headers(Request);
+    for (const evkeyval *Each = Fields->tqh_first; Each;
+         Each = Each->next.tqe_next)
+      Self.Result.Headers.add(Each->key, Each->value);
+  }
+
+  static int onHead(evhttp_request *Request, void *Arg) {
+    auto &Self = *static_cast<Exchange *>(Arg);
+    if (!Self.Connection)
+      return 0;
+    Self.LastByte = EventLoop::now();
+    copyHead(Self, Request);
+    if (Self.Callbacks.OnHead)
+      Self.Callbacks.OnHead(Self.Result.Status, Self.Result.Headers);
+    return 0;
+  }
+
+  static void onChunk(evhttp_request *Request, void *Arg) {
+    auto &Self = *static_cast<Exchange *>(Arg);
+    evbuffer *Input = evhttp_request_get_input_buffer(Request);
+    std::string Bytes(evbuffer_get_length(Input), '\0');
+    evbuffer_remove(Input, Bytes.data(), Bytes.size());
+    if (!Self.Connection)
+      return;
+    Self.LastByte = EventLoop::now();
+    if (Self.Callbacks.OnChunk)
+      Self.Callbacks.OnChunk(Bytes);
+    else
+      Self.Result.Body += Bytes;
+  }
+
+  static void onDone(evhttp_request *Request, void *Arg) {
+    auto &Self = *static_cast<Exchange *>(Arg);
+    if (!Self.Connection)
+      return;
+    if (!Request || evhttp_request_get_response_code(Request) == 0) {
+      Self.finish(Self.Result.BytesSent ? HttpEnd::Cut
+                                        : HttpEnd::ConnectFailed);
+      return;
+    }
+    copyHead(Self, Request);
+    evbuffer *Input = evhttp_request_get_input_buffer(Request);
+    if (evbuffer_get_length(Input) > 0)
+      onChunk(Request, Arg);
+    Self.finish(HttpEnd::Complete);
+  }
+
+  HttpClient &Client;
+  HttpCall Call;
+  HttpCallbacks Callbacks;
+  HttpResult Result;
+  evhttp_connection *Connection = nullptr;
+  evbuffer_cb_entry *Sent = nullptr;
+  TimePoint Started;
+  TimePoint LastByte;
+  sigc::connection Timer;
+};
+
+HttpClient::HttpClient(EventLoop &Loop) : Loop(Loop) {
+  this->IdleTimer = Loop.timers().every(std::chrono::seconds(1), [this] {
+    const TimePoint Oldest = EventLoop::now() - MaxIdleAge;
+    for (auto &[Address, Kept] : this->IdleConnections)
+      std::erase_if(Kept, [&](const Idle &Each) {
+        if (Each.Since >= Oldest)
+          return false;
+        this->dispose(Each.Connection);
+        return true;
+      });
+    std::erase_if(this->IdleConnections,
+                  [](const auto &Each) { return Each.second.empty(); });
+  });
+}
+
+HttpClient::~HttpClient() {
+  this->IdleTimer.disconnect();
+  this->Detached.clear();
+  for (auto &[Address, Kept] : this->IdleConnections)
+    for (const Idle &Each : Kept)
+      this->Disposed.push_back(Each.Connection);
+  this->collect();
+}
+
+std::unique_ptr<HttpExchange> HttpClient::start(HttpCall Call,
+                                                HttpCallbacks Callbacks) {
+  auto Started =
+      std::make_unique<Exchange>(*this, std::move(Call), std::move(Callbacks));
+  Started->begin();
+  return Started;
+}
+
+void HttpClient::startDetached(
+    HttpCall Call, std::function<void(const HttpResult &Result)> OnDone) {
+  const std::uint64_t Id = this->NextDetached++;
+  HttpCallbacks Callbacks;
+  Callbacks.OnDone = [this, Id,
+                      OnDone = std::move(OnDone)](const HttpResult &Result) {
+    // The exchange is kept alive until the callback returns.
+    const auto Ended = this->Detached.extract(Id);
+    OnDone(Result);
+  };
+  this->Detached.emplace(Id,
+                         this->start(std::move(Call), std::move(Callbacks)));
+}
+
+evhttp_connection *HttpClient::connect(const HttpCall &Call) {
+  const auto Kept = this->IdleConnections.find(Call.To);
+  if (Call.ReuseConnection && Kept != this->IdleConnections.end() &&
+      !Kept->second.empty()) {
+    evhttp_connection *Result = Kept->second.back().Connection;
+    Kept->second.pop_back();
+    return Result;
+  }
+  evhttp_connection *Result = evhttp_connection_base_new(
+      this->Loop.base(), nullptr, Call.To.Host.c_str(), Call.To.Port);
+  if (!Result)
+    return nullptr;
+  evhttp_connection_set_max_headers_size(Result, MaxResponseHeaderBytes);
+  evhttp_connection_set_max_body_size(
+      Result, static_cast<ev_ssize_t>(Call.MaxBodyBytes));
+  return Result;
+}
+
+void HttpClient::keep(const SocketAddress &To, evhttp_connection *Connection) {
+  std::vector<Idle> &Kept = this->IdleConnections[To];
+  if (Kept.size() >= MaxIdlePerAddress)
+    this->dispose(Connection);
+  else
+    Kept.push_back({Connection, EventLoop::now()});
+}
+
+void HttpClient::dispose(evhttp_connection *Connection) {
+  this->Disposed.push_back(Connection);
+  if (this->Disposed.size() == 1)
+    this->CollectTimer = this->Loop.timers().after(Duration::zero(),
+                                                   [this] { this->collect(); });
+}
+
+void HttpClient::collect() {
+  this->CollectTimer.disconnect();
+  for (evhttp_connection *Each : this->Disposed)
+    evhttp_connection_free(Each);
+  this->Disposed.clear();
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/connection/PlatformClient.cpp
@@ -0,0 +1,183 @@
+#include "connection/PlatformClient.h"
+
+#include "process/ErrorKind.h"
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+namespace {
+
+std::string objectPath(const ObjectKey &Key) {
+  return "/v1/objects/" + percentEncode(Key.Kind) + "/" +
+         percentEncode(Key.Name);
+}
+
+PlatformStatus statusOf(const HttpResult &Result) {
+  if (Result.End != HttpEnd::Complete)
+    return Result.BytesSent ? PlatformStatus::Unknown
+                            : PlatformStatus::Unavailable;
+  switch (Result.Status) {
+  case 200:
+    return PlatformStatus::Ok;
+  case 404:
+    return PlatformStatus::NotFound;
+  case 409:
+    return PlatformStatus::Conflict;
+  case 410:
+    return PlatformStatus::Expired;
+  case 429:
+  case 503:
+    // The platform answers with these before it acts.
+    return PlatformStatus::Unavailable;
+  default:
+    return PlatformStatus::Unknown;
+  }
+}
+
+/// Parses an answer; returns a discarded value when it is malformed.
+json parseBody(const HttpResult &Result) {
+  return json::parse(Result.Body, nullptr, /*allow_exceptions=*/false);
+}
+
+PlatformObject objectFrom(const json &Value) {
+  PlatformObject Result;
+  Result.Key = {Value.value("kind", ""), Value.value("name", "")};
+  Result.Version = Value.value("version", std::uint64_t{0});
+  Result.Deleted = Value.value("deleted", false);
+  if (const auto It = Value.find("value"); It != Value.end())
+    Result.Value = *It;
+  return Result;
+}
+
+PlatformResult resultFrom(const HttpResult &Http, const ObjectKey &Key) {
+  PlatformResult Result;
+  Result.Status = statusOf(Http);
+  if (Result.Status != PlatformStatus::Ok &&
+      Result.Status != PlatformStatus::Conflict)
+    return Result;
+  try {
+    Result.Object = objectFrom(parseBody(Http));
+  } catch (const json::exception &) {
+    if (Result.Status == PlatformStatus::Ok)
+      Result.Status = PlatformStatus::Unknown;
+  }
+  Result.Object.Key = Key;
+  return Result;
+}
+
+PlatformList listFrom(const HttpResult &Http) {
+  PlatformList Result;
+  Result.Status = statusOf(Http);
+  if (Result.Status != PlatformStatus::Ok)
+    return Result;
+  try {
+    const json Body = parseBody(Http);
+    Result.Revision = Body.at("revision");
+    Result.More = Body.value("more", false);
+    for (const json &Each : Body.at("objects"))
+      Result.Objects.push_back(objectFrom(Each));
+  } catch (const json::exception &) {
+    Result = {};
+    Result.Status = PlatformStatus::Unknown;
+  }
+  return Result;
+}
+
+} // namespace
+
+HttpPlatform::HttpPlatform(HttpClient &Client, SocketAddress Address,
+                           Duration CallTimeout)
+    : Client(Client), Address(std::move(Address)), CallTimeout(CallTimeout) {}
+
+void HttpPlatform::get(const ObjectKey &Key, OnResult Done) {
+  this->Client.startDetached(
+      HttpCallBuilder(this->Address)
+          .get(objectPath(Key))
+          .totalTimeout(this->CallTimeout)
+          .build(),
+      [Key, Done = std::move(Done)](const HttpResult &Result) {
+        Done(resultFrom(Result, Key));
+      });
+}
+
+void HttpPlatform::put(const ObjectKey &Key, const json &Value,
+                       std::uint64_t IfVersion, OnResult Done) {
+  const json Body = {{"value", Value}, {"if_version", IfVersion}};
+  this->Client.startDetached(
+      HttpCallBuilder(this->Address)
+          .put(objectPath(Key), Body.dump())
+          .totalTimeout(this->CallTimeout)
+          .build(),
+      [Key, Done = std::move(Done)](const HttpResult &Result) {
+        Done(resultFrom(Result, Key));
+      });
+}
+
+void HttpPlatform::remove(const ObjectKey &Key, std::uint64_t IfVersion,
+                          OnResult Done) {
+  this->Client.startDetached(
+      HttpCallBuilder(this->Address)
+          .method("DELETE",
+                  objectPath(Key) + "?if_version=" + std::to_string(IfVersion),
+                  {})
+          .totalTimeout(this->CallTimeout)
+          .build(),
+      [Key, Done = std::move(Done)](const HttpResult &Result) {
+        Done(resultFrom(Result, Key));
+      });
+}
+
+void HttpPlatform::list(const std::string &Kind, const std::string &Prefix,
+                        const std::string &After, OnList Done) {
+  this->Client.startDetached(
+      HttpCallBuilder(this->Address)
+          .get("/v1/objects/" + percentEncode(Kind) + "?prefix=" +
+               percentEncode(Prefix) + "&after=" + percentEncode(After))
+          .totalTimeout(this->CallTimeout)
+          .build(),
+      [Done = std::move(Done)](const HttpResult &Result) {
+        Done(listFrom(Result));
+      });
+}
+
+void HttpPlatform::watch(const std::string &Kind, std::uint64_t Since,
+                         Duration Wait, OnList Done) {
+  this->Client.startDetached(
+      HttpCallBuilder(this->Address)
+          .get("/v1/watch/" + percentEncode(Kind) +
+               "?since=" + std::to_string(Since) +
+               "&timeout_ms=" + std::to_string(toMilliseconds(Wait)))
+          .idleTimeout(Wait + this->CallTimeout)
+          .build(),
+      [Done = std::move(Done)](const HttpResult &Result) {
+        Done(listFrom(Result));
+      });
+}
+
+void HttpPlatform::listVms(OnVms Done) {
+  this->Client.startDetached(
+      HttpCallBuilder(this->Address)
+          .get("/v1/vms")
+          .totalTimeout(this->CallTimeout)
+          .build(),
+      [Done = std::move(Done)](const HttpResult &Http) {
+        VmList Result;
+        Result.Status = statusOf(Http);
+        if (Result.Status == PlatformStatus::Ok) {
+          try {
+            const json Body = parseBody(Http);
+            for (const json &Each : Body.at("vms"))
+              Result.Vms.push_back(
+                  {SocketAddress::parse(Each.at("address").get<std::string>()),
+                   Each.at("zone"), Each.at("role"),
+                   Each.at("state") == "leaving"});
+          } catch (const std::exception &) {
+            Result = {PlatformStatus::Unknown, {}};
+          }
+        }
+        Done(Result);
+      });
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/process/EventLoop.cpp
@@ -0,0 +1,121 @@
+#include "process/EventLoop.h"
+
+#include <event2/event.h>
+#include <stdexcept>
+
+namespace galenaroute {
+
+static timeval toTimeval(Duration Span) {
+  using namespace std::chrono;
+  const auto Micros =
+      std::max<std::int64_t>(0, ceil<microseconds>(Span).count());
+  return {static_cast<time_t>(Micros / 1000000),
+          static_cast<suseconds_t>(Micros % 1000000)};
+}
+
+TimerService::TimerService(event_base *Base) {
+  this->Event = event_new(
+      Base, -1, 0,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<TimerService *>(Self)->fire();
+      },
+      this);
+  if (!this->Event)
+    throw std::runtime_error("cannot create the timer event");
+}
+
+TimerService::~TimerService() { event_free(this->Event); }
+
+sigc::connection TimerService::after(Duration Delay, Slot Handler) {
+  return this->add(Delay, Duration::zero(), std::move(Handler));
+}
+
+sigc::connection TimerService::every(Duration Period, Slot Handler) {
+  return this->add(Period, Period, std::move(Handler));
+}
+
+sigc::connection TimerService::add(Duration Delay, Duration Period,
+                                   Slot Handler) {
+  auto Added = std::make_shared<Entry>();
+  Added->Period = Period;
+  sigc::connection Result = Added->Signal.connect(std::move(Handler));
+  this->Pending.emplace(Clock::now() + Delay, std::move(Added));
+  this->arm();
+  return Result;
+}
+
+void TimerService::fire() {
+  const TimePoint Now = Clock::now();
+  // Entries are taken out before their slots run, because slots add timers.
+  std::vector<std::shared_ptr<Entry>> Due;
+  auto End = this->Pending.upper_bound(Now);
+  for (auto It = this->Pending.begin(); It != End; ++It)
+    Due.push_back(It->second);
+  this->Pending.erase(this->Pending.begin(), End);
+  for (const auto &Each : Due) {
+    if (Each->Signal.empty())
+      continue;
+    // A late period is skipped instead of being made up for in a burst.
+    if (Each->Period > Duration::zero())
+      this->Pending.emplace(Now + Each->Period, Each);
+    Each->Signal.emit();
+  }
+  this->arm();
+}
+
+void TimerService::arm() {
+  // Cancelled entries at the front would only cause empty wake-ups.
+  while (!this->Pending.empty() &&
+         this->Pending.begin()->second->Signal.empty())
+    this->Pending.erase(this->Pending.begin());
+  if (this->Pending.empty()) {
+    event_del(this->Event);
+    return;
+  }
+  const timeval Wait = toTimeval(this->Pending.begin()->first - Clock::now());
+  event_add(this->Event, &Wait);
+}
+
+EventLoop::EventLoop() : Base(event_base_new()) {
+  if (!this->Base)
+    throw std::runtime_error("cannot create the event loop");
+  this->Timers = std::make_unique<TimerService>(this->Base);
+}
+
+EventLoop::~EventLoop() {
+  for (const auto &Each : this->Signals)
+    event_free(Each->Event);
+  this->Timers.reset();
+  event_base_free(this->Base);
+}
+
+void EventLoop::run() { event_base_loop(this->Base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+bool EventLoop::runUntil(const std::function<bool()> &Done, Duration Limit) {
+  const TimePoint End = Clock::now() + Limit;
+  // The poll bounds how late a change of Done is seen.
+  constexpr auto Poll = std::chrono::milliseconds(5);
+  while (!Done() && Clock::now() < End) {
+    const timeval Wait = toTimeval(Poll);
+    event_base_loopexit(this->Base, &Wait);
+    event_base_loop(this->Base, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+  }
+  return Done();
+}
+
+void EventLoop::stop() { event_base_loopbreak(this->Base); }
+
+void EventLoop::onSignal(int Signal, std::function<void()> Handler) {
+  auto Added = std::make_unique<SignalHandler>();
+  Added->Handler = std::move(Handler);
+  Added->Event = event_new(
+      this->Base, Signal, EV_SIGNAL | EV_PERSIST,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<SignalHandler *>(Self)->Handler();
+      },
+      Added.get());
+  event_add(Added->Event, nullptr);
+  this->Signals.push_back(std::move(Added));
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/tests/FakePlatform.h
@@ -0,0 +1,158 @@
+// An in-memory platform for tests, with faults that a test turns on.
+//
+// Calls are queued; step() carries out the oldest one and runs its callback,
+// so that a test decides the order of effects and replies. Faults apply to
+// calls as they are carried out.
+
+#ifndef GALENAROUTE_TESTS_FAKEPLATFORM_H
+#define GALENAROUTE_TESTS_FAKEPLATFORM_H
+
+#include "connection/PlatformClient.h"
+
+#include <deque>
+#include <map>
+
+namespace galenaroute::testing_support {
+
+class FakePlatform : public Platform {
+public:
+  /// While true, calls end as Unavailable and have no effect.
+  bool Outage = false;
+  /// This many of the next writes take effect but end as Unknown.
+  int LoseReplies = 0;
+  /// This many of the next writes are dropped and end as Unknown.
+  int LoseRequests = 0;
+  std::vector<VmRecord> Vms;
+  int Writes = 0; ///< Writes carried out, conflicts included.
+  int Reads = 0;
+
+  void get(const ObjectKey &Key, OnResult Done) override {
+    this->enqueue([this, Key, Done] {
+      ++this->Reads;
+      Done(this->Outage ? PlatformResult{} : this->read(Key));
+    });
+  }
+
+  void put(const ObjectKey &Key, const nlohmann::json &Value,
+           std::uint64_t IfVersion, OnResult Done) override {
+    this->enqueue([this, Key, Value, IfVersion, Done] {
+      Done(this->write(Key, IfVersion, &Value));
+    });
+  }
+
+  void remove(const ObjectKey &Key, std::uint64_t IfVersion,
+              OnResult Done) override {
+    this->enqueue([this, Key, IfVersion, Done] {
+      Done(this->write(Key, IfVersion, nullptr));
+    });
+  }
+
+  void list(const std::string &Kind, const std::string &Prefix,
+            const std::string &After, OnList Done) override {
+    this->enqueue([this, Kind, Prefix, After, Done] {
+      ++this->Reads;
+      PlatformList Result;
+      if (!this->Outage) {
+        Result.Status = PlatformStatus::Ok;
+        Result.Revision = this->Revision;
+        for (const auto &[Name, Object] : this->Objects[Kind])
+          if (!Object.Deleted && Name.starts_with(Prefix) && Name > After)
+            Result.Objects.push_back(Object);
+      }
+      Done(Result);
+    });
+  }
+
+  /// Answers at once, also when nothing has changed.
+  void watch(const std::string &Kind, std::uint64_t Since, Duration,
+             OnList Done) override {
+    this->enqueue([this, Kind, Since, Done] {
+      ++this->Reads;
+      PlatformList Result;
+      if (!this->Outage) {
+        Result.Status = PlatformStatus::Ok;
+        Result.Revision = this->Revision;
+        for (const auto &[Name, Object] : this->Objects[Kind])
+          if (Object.Version > Since)
+            Result.Objects.push_back(Object);
+      }
+      Done(Result);
+    });
+  }
+
+  void listVms(OnVms Done) override {
+    this->enqueue([this, Done] {
+      ++this->Reads;
+      Done(this->Outage ? VmList{} : VmList{PlatformStatus::Ok, this->Vms});
+    });
+  }
+
+  /// Carries out the oldest call; returns false when there is none.
+  bool step() {
+    if (this->Calls.empty())
+      return false;
+    const auto Call = std::move(this->Calls.front());
+    this->Calls.pop_front();
+    Call();
+    return true;
+  }
+
+  /// Carries out the call at \p Index, out of order.
+  void stepAt(std::size_t Index) {
+    const auto Call = std::move(this->Calls.at(Index));
+    this->Calls.erase(this->Calls.begin() + static_cast<std::ptrdiff_t>(Index));
+    Call();
+  }
+
+  /// Steps until no call is left, at most \p Limit times.
+  void drain(int Limit = 10000) {
+    while (Limit-- > 0 && this->step()) {
+    }
+  }
+
+  std::size_t pending() const { return this->Calls.size(); }
+
+  /// Reads an object past all faults.
+  PlatformResult read(const ObjectKey &Key) {
+    const auto &Kind = this->Objects[Key.Kind];
+    const auto It = Kind.find(Key.Name);
+    if (It == Kind.end() || It->second.Deleted)
+      return {PlatformStatus::NotFound, {}};
+    return {PlatformStatus::Ok, It->second};
+  }
+
+private:
+  void enqueue(std::function<void()> Call) {
+    this->Calls.push_back(std::move(Call));
+  }
+
+  PlatformResult write(const ObjectKey &Key, std::uint64_t IfVersion,
+                       const nlohmann::json *Value) {
+    if (this->Outage)
+      return {};
+    ++this->Writes;
+    if (this->LoseRequests > 0) {
+      --this->LoseRequests;
+      return {PlatformStatus::Unknown, {}};
+    }
+    const PlatformResult Old = this->read(Key);
+    if (Old.Object.Version != IfVersion)
+      return {PlatformStatus::Conflict, Old.Object};
+    PlatformObject &Stored = this->Objects[Key.Kind][Key.Name];
+    Stored = {Key, ++this->Revision, Value == nullptr,
+              Value ? *Value : nlohmann::json()};
+    if (this->LoseReplies > 0) {
+      --this->LoseReplies;
+      return {PlatformStatus::Unknown, {}};
+    }
+    return {PlatformStatus::Ok, {Key, Stored.Version, false, {}}};
+  }
+
+  std::map<std::string, std::map<std::string, PlatformObject>> Objects;
+  std::deque<std::function<void()>> Calls;
+  std::uint64_t Revision = 0;
+};
+
+} // namespace galenaroute::testing_support
+
+#endif // GALENAROUTE_TESTS_FAKEPLATFORM_H
