--- /dev/null
+++ b/src/request/UpstreamTracker.cpp
@@ -0,0 +1,320 @@
+#include "request/UpstreamTracker.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace galenaroute {
+
+/// Bounds the changes kept per upstream while no report arrives; the oldest
+/// ones are then merged.
+static constexpr std::size_t MaxWorkChanges = 1024;
+
+static double average(double Old, double Sample, double Weight) {
+  return Old > 0 ? Old + Weight * (Sample - Old) : Sample;
+}
+
+static UpstreamRecord *find(UpstreamTracker &Tracker, std::string_view Name) {
+  const auto It = Tracker.Upstreams.find(Name);
+  return It == Tracker.Upstreams.end() ? nullptr : &It->second;
+}
+
+void setUpstreams(UpstreamTracker &Tracker, const ServiceConfig &Service,
+                  std::string_view Cell, std::string_view OwnZone,
+                  const std::set<std::string> &Leaving) {
+  std::vector<std::string> Names;
+  Names.reserve(Service.Upstreams.size());
+  for (const UpstreamConfig &Upstream : Service.Upstreams)
+    Names.push_back(Upstream.Name);
+  std::map<std::string, UpstreamRecord, std::less<>> Kept;
+  for (const std::size_t I :
+       rendezvousSubset(Cell, Names, Tracker.Options.SubsetLimit)) {
+    const UpstreamConfig &Upstream = Service.Upstreams[I];
+    UpstreamRecord Record;
+    if (UpstreamRecord *Old = find(Tracker, Upstream.Name))
+      Record = std::move(*Old);
+    Record.Zone = Upstream.Zone;
+    Record.Slots = Service.Slots;
+    Record.Live = Upstream.State == UpstreamState::Live &&
+                  !Leaving.contains(Upstream.Name) &&
+                  !Leaving.contains(Upstream.Address.toString());
+    if (!Record.NetworkMeasured)
+      Record.NetworkDelay = Upstream.Zone == OwnZone
+                                ? Tracker.Options.SameZoneDelay
+                                : Tracker.Options.OtherZoneDelay;
+    Kept.emplace(Upstream.Name, std::move(Record));
+  }
+  Tracker.Upstreams = std::move(Kept);
+}
+
+static void addChange(UpstreamRecord &Record, WorkChange Change) {
+  Record.TokensSinceReport += Change.Tokens;
+  Record.RequestsSinceReport += Change.Requests;
+  Record.SinceReport.push_back(Change);
+  if (Record.SinceReport.size() > MaxWorkChanges) {
+    WorkChange Oldest = Record.SinceReport.front();
+    Record.SinceReport.pop_front();
+    Record.SinceReport.front().Tokens += Oldest.Tokens;
+    Record.SinceReport.front().Requests += Oldest.Requests;
+  }
+}
+
+void noteSent(UpstreamTracker &Tracker, const SentAttempt &Sent,
+              TimePoint Now) {
+  UpstreamRecord *Record = find(Tracker, Sent.Upstream);
+  if (!Record || Tracker.Attempts.contains(Sent.Attempt))
+    return;
+  const UpstreamView View =
+      viewOf(Sent.Upstream, *Record, Tracker.Options, Now);
+  AttemptInFlight Flight{
+      .Upstream = Sent.Upstream,
+      .Serial = Tracker.NextSerial++,
+      .Class = Sent.Class,
+      .SentAt = Now,
+      .UncachedTokens = Sent.UncachedTokens,
+      .TokensAhead = tokensAhead(View, Sent.Class, Tracker.Route),
+      .WaitedForSlot = std::max(View.Outstanding,
+                                View.HasReport ? View.ReportedRequests +
+                                                     View.RequestsSinceReport
+                                               : 0) >= View.Slots};
+  Record->OwnPending[static_cast<std::size_t>(Sent.Class)] +=
+      Sent.UncachedTokens;
+  ++Record->OwnOutstanding;
+  addChange(*Record, {Now, Sent.UncachedTokens, 1});
+  Record->Waiting.emplace(Flight.Serial, Flight);
+  Tracker.Attempts.emplace(Sent.Attempt, std::move(Flight));
+}
+
+/// Takes the attempt out of those without a first token.
+static void endWaiting(UpstreamRecord &Record, const AttemptInFlight &Flight) {
+  if (Record.Waiting.erase(Flight.Serial) == 0)
+    return;
+  double &Pending = Record.OwnPending[static_cast<std::size_t>(Flight.Class)];
+  Pending -= Flight.UncachedTokens;
+  // Sums of floating-point numbers drift; an empty queue is exactly empty.
+  if (Record.Waiting.empty())
+    Record.OwnPending = {};
+  else
+    Pending = std::max(Pending, 0.0);
+}
+
+void noteFirstToken(UpstreamTracker &Tracker, const std::string &Attempt,
+                    std::optional<double> UncachedTokens, TimePoint Now) {
+  const auto It = Tracker.Attempts.find(Attempt);
+  if (It == Tracker.Attempts.end() || It->second.FirstTokenAt)
+    return;
+  AttemptInFlight &Flight = It->second;
+  Flight.FirstTokenAt = Now;
+  UpstreamRecord *Record = find(Tracker, Flight.Upstream);
+  if (!Record)
+    return;
+  endWaiting(*Record, Flight);
+  Record->FailuresInRow = 0;
+  // A wrong cache hint would otherwise be learned as a wrong speed.
+  const double Own = UncachedTokens.value_or(Flight.UncachedTokens);
+  const double Tokens = Flight.TokensAhead + Own;
+  // The sample calibrates the estimate itself: it is the speed at which the
+  // estimate would have been right.
+  if (!Flight.WaitedForSlot && Tokens >= Tracker.Options.MinSampleTokens) {
+    const Duration Elapsed =
+        std::max<Duration>(Now - Flight.SentAt - 2 * Record->NetworkDelay,
+                           std::chrono::microseconds(100));
+    Record->ObservedPrefill =
+        average(Record->ObservedPrefill, Tokens / toSeconds(Elapsed),
+                Tracker.Options.Smoothing);
+    Record->PrefillObservedAt = Now;
+  }
+}
+
+static void
+end(UpstreamTracker &Tracker, const std::string &Attempt, TimePoint Now,
+    const std::function<void(UpstreamRecord &, const AttemptInFlight &)>
+        &Observe) {
+  const auto It = Tracker.Attempts.find(Attempt);
+  if (It == Tracker.Attempts.end())
+    return;
+  const AttemptInFlight Flight = std::move(It->second);
+  Tracker.Attempts.erase(It);
+  UpstreamRecord *Record = find(Tracker, Flight.Upstream);
+  if (!Record)
+    return;
+  endWaiting(*Record, Flight);
+  Record->OwnOutstanding = std::max(Record->OwnOutstanding - 1, 0);
+  addChange(*Record, {Now, 0, -1});
+  Observe(*Record, Flight);
+}
+
+void noteFinished(UpstreamTracker &Tracker, const std::string &Attempt,
+                  double GeneratedTokens, TimePoint Now) {
+  const double Weight = Tracker.Options.Smoothing;
+  end(Tracker, Attempt, Now,
+      [&](UpstreamRecord &Record, const AttemptInFlight &Flight) {
+        Record.FailuresInRow = 0;
+        Record.PausedUntil = {};
+        Record.MeanService = fromSeconds(
+            average(toSeconds(Record.MeanService),
+                    std::max(toSeconds(Now - Flight.SentAt), 1e-6), Weight));
+        if (!Flight.FirstTokenAt || GeneratedTokens < 2)
+          return;
+        const double Seconds = toSeconds(Now - *Flight.FirstTokenAt);
+        if (Seconds > 0) {
+          Record.ObservedDecode = average(
+              Record.ObservedDecode, (GeneratedTokens - 1) / Seconds, Weight);
+          Record.DecodeObservedAt = Now;
+        }
+      });
+}
+
+void noteFailed(UpstreamTracker &Tracker, const std::string &Attempt,
+                AttemptFailure Failure, TimePoint Now) {
+  const TrackerOptions &Options = Tracker.Options;
+  end(Tracker, Attempt, Now,
+      [&](UpstreamRecord &Record, const AttemptInFlight &) {
+        if (Failure == AttemptFailure::Cancelled)
+          return;
+        if (Failure == AttemptFailure::Refused) {
+          Record.PausedUntil =
+              std::max(Record.PausedUntil, Now + Options.RefusedPause);
+          return;
+        }
+        ++Record.FailuresInRow;
+        const int Beyond = Record.FailuresInRow - Options.FailuresBeforePause;
+        if (Beyond < 0)
+          return;
+        const Duration Pause =
+            std::min<Duration>(Options.FirstPause * (1 << std::min(Beyond, 16)),
+                               Options.LongestPause);
+        Record.PausedUntil = std::max(Record.PausedUntil, Now + Pause);
+      });
+}
+
+void noteLoadReport(UpstreamTracker &Tracker, std::string_view Upstream,
+                    LoadReport Report, TimePoint Now) {
+  UpstreamRecord *Record = find(Tracker, Upstream);
+  // Two polls may overtake each other.
+  if (!Record ||
+      (Record->Report && Record->Report->SampledAt > Report.SampledAt))
+    return;
+  Report.SampledAt = std::min(Report.SampledAt, Now);
+  // What was sent a network delay before the sample had not arrived by then.
+  const TimePoint Covered = Report.SampledAt - Record->NetworkDelay;
+  while (!Record->SinceReport.empty() &&
+         Record->SinceReport.front().At <= Covered) {
+    Record->TokensSinceReport -= Record->SinceReport.front().Tokens;
+    Record->RequestsSinceReport -= Record->SinceReport.front().Requests;
+    Record->SinceReport.pop_front();
+  }
+  if (Record->SinceReport.empty()) {
+    Record->TokensSinceReport = 0;
+    Record->RequestsSinceReport = 0;
+  }
+  Record->Report = std::move(Report);
+}
+
+void noteRoundTrip(UpstreamTracker &Tracker, std::string_view Upstream,
+                   Duration RoundTrip) {
+  UpstreamRecord *Record = find(Tracker, Upstream);
+  if (!Record || RoundTrip < Duration::zero())
+    return;
+  if (!Record->NetworkMeasured || RoundTrip / 2 < Record->NetworkDelay)
+    Record->NetworkDelay = RoundTrip / 2;
+  Record->NetworkMeasured = true;
+}
+
+void notePeerDigest(UpstreamTracker &Tracker, std::string_view Peer,
+                    std::span<const UpstreamWork> Work, TimePoint Now) {
+  forgetPeer(Tracker, Peer);
+  for (const UpstreamWork &Part : Work) {
+    UpstreamRecord *Record = find(Tracker, Part.Upstream);
+    if (!Record || Record->Peers.size() >= Tracker.Options.MaxPeers)
+      continue;
+    Record->Peers.insert_or_assign(
+        std::string(Peer),
+        PeerShare{Now, Part.PendingTokens, Part.Outstanding});
+  }
+}
+
+void forgetPeer(UpstreamTracker &Tracker, std::string_view Peer) {
+  for (auto &[Name, Record] : Tracker.Upstreams)
+    if (const auto It = Record.Peers.find(Peer); It != Record.Peers.end())
+      Record.Peers.erase(It);
+}
+
+std::vector<UpstreamWork> ownWork(const UpstreamTracker &Tracker) {
+  std::vector<UpstreamWork> Work;
+  for (const auto &[Name, Record] : Tracker.Upstreams)
+    if (Record.OwnOutstanding > 0)
+      Work.push_back({Name, Record.OwnPending, Record.OwnOutstanding});
+  return Work;
+}
+
+UpstreamView viewOf(std::string_view Name, const UpstreamRecord &Record,
+                    const TrackerOptions &Options, TimePoint Now) {
+  UpstreamView View{.Name = Name,
+                    .Zone = Record.Zone,
+                    .TakesNewWork = Record.Live && Record.PausedUntil <= Now,
+                    .Slots = Record.Slots,
+                    .PendingTokens = Record.OwnPending,
+                    .Outstanding = Record.OwnOutstanding,
+                    .DecodeTokensPerSecond = Record.ObservedDecode,
+                    .MeanService = Record.MeanService,
+                    .NetworkDelay = Record.NetworkDelay,
+                    .Share = Record.Share};
+  for (const auto &[Peer, Part] : Record.Peers) {
+    if (Now - Part.ReceivedAt > Options.MaxDigestAge)
+      continue;
+    for (std::size_t I = 0; I < PromptClassCount; ++I)
+      View.PendingTokens[I] += Part.PendingTokens[I];
+    View.Outstanding += Part.Outstanding;
+  }
+  double Speed = 0;
+  if (Record.ObservedPrefill > 0 &&
+      Now - Record.PrefillObservedAt <= Options.MaxSpeedAge)
+    Speed = Record.ObservedPrefill;
+  if (Record.Report) {
+    const LoadReport &Report = *Record.Report;
+    View.WeightVersion = Report.WeightVersion;
+    if (Report.Slots > 0)
+      View.Slots = Report.Slots;
+    View.ReportAge = Now - Report.SampledAt;
+    View.HasReport = View.ReportAge <= Options.MaxReportAge;
+    if (View.HasReport) {
+      View.ReportedTokens = Report.QueuedTokens;
+      View.ReportedRequests = Report.Running + Report.Queued;
+      View.TokensSinceReport = Record.TokensSinceReport;
+      View.RequestsSinceReport = Record.RequestsSinceReport;
+      if (Speed <= 0)
+        Speed = Report.PrefillTokensPerSecond;
+    }
+  }
+  if (Speed <= 0)
+    Speed = Record.ObservedPrefill;
+  // A stalled upstream yields no samples, so the wait of its oldest attempt
+  // bounds its speed from above.
+  if (Speed > 0 && !Record.Waiting.empty()) {
+    const AttemptInFlight &Oldest = Record.Waiting.begin()->second;
+    const double Waited =
+        toSeconds(Now - Oldest.SentAt - 2 * Record.NetworkDelay);
+    const double Tokens = Oldest.TokensAhead + Oldest.UncachedTokens;
+    if (!Oldest.WaitedForSlot && Waited > 0.1 && Tokens > 0)
+      Speed = std::min(Speed, std::max(Tokens / Waited, 1.0));
+  }
+  View.PrefillTokensPerSecond = Speed;
+  return View;
+}
+
+void viewsOf(const UpstreamTracker &Tracker, TimePoint Now,
+             std::vector<UpstreamView> &Views) {
+  Views.clear();
+  bool Any = false;
+  for (const auto &[Name, Record] : Tracker.Upstreams) {
+    Views.push_back(viewOf(Name, Record, Tracker.Options, Now));
+    Any = Any || Views.back().TakesNewWork;
+  }
+  if (Any)
+    return;
+  std::size_t I = 0;
+  for (const auto &[Name, Record] : Tracker.Upstreams)
+    Views[I++].TakesNewWork = Record.Live;
+}
+
+} // namespace galenaroute
