Add the daemon and the path of a request through it

Cause: requests need one program from the caller's connection to an engine or plain service and back. Ruled out: a stall deadline in the HTTP client, since only the request knows whether it can resume; counting a stream as alive after its response head: a resumed stream that ended without text was then resumed again without delay, about 10,000 times a second in a test, so only text resets the count. Change: DaemonSettings, Daemon, Log, Metrics, the Engine interface, the attempt state machine, ModelRun and PlainRun, the caller API. HttpExchange can pause reading; HttpServer counts answers that the kernel has not taken; the event loop ignores SIGPIPE, which ended the test program when a caller left. Conclusion: serves prompts and plain calls by least outstanding work; claims are refused until the peers' gate is wired in.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -45,6 +46,22 @@
 
   ~Exchange() override { this->release(false); }
 
+  void pauseReading() override {
+    if (!this->Connection || this->Paused)
+      return;
+    this->Paused = true;
+    this->applyPause();
+  }
+
+  void resumeReading() override {
+    if (!this->Connection || !this->Paused)
+      return;
+    this->Paused = false;
+    this->LastByte = EventLoop::now();
+    bufferevent_enable(evhttp_connection_get_bufferevent(this->Connection),
+                       EV_READ);
+  }
+
   void begin() {
     this->Started = this->LastByte = EventLoop::now();
     this->Connection = this->Client.connect(this->Call);
@@ -96,6 +113,14 @@
     this->Connection = nullptr;
   }
 
+  /// evhttp starts to read by itself when it has sent the call, so a pause is
+  /// applied again as bytes come in.
+  void applyPause() {
+    if (this->Paused)
+      bufferevent_disable(evhttp_connection_get_bufferevent(this->Connection),
+                          EV_READ);
+  }
+
   void finishLater(HttpEnd End) {
     this->Timer = this->Client.Loop.timers().after(
         Duration::zero(), [this, End] { this->finish(End); });
@@ -113,6 +138,8 @@
 
   void checkTimeouts() {
     const TimePoint Now = EventLoop::now();
+    if (this->Paused)
+      this->LastByte = Now;
     TimePoint Deadline = this->Result.BytesSent
                              ? this->LastByte + this->Call.IdleTimeout
                              : this->Started + this->Call.ConnectTimeout;
@@ -144,6 +171,7 @@
     if (!Self.Connection)
       return 0;
     Self.LastByte = EventLoop::now();
+    Self.applyPause();
     copyHead(Self, Request);
     if (Self.Callbacks.OnHead)
       Self.Callbacks.OnHead(Self.Result.Status, Self.Result.Headers);
@@ -158,6 +186,7 @@
     if (!Self.Connection)
       return;
     Self.LastByte = EventLoop::now();
+    Self.applyPause();
     if (Self.Callbacks.OnChunk)
       Self.Callbacks.OnChunk(Bytes);
     else
@@ -186,6 +215,7 @@
   HttpResult Result;
   evhttp_connection *Connection = nullptr;
   evbuffer_cb_entry *Sent = nullptr;
+  bool Paused = false;
   TimePoint Started;
   TimePoint LastByte;
   sigc::connection Timer;
--- a/src/connection/HttpClient.h
+++ b/src/connection/HttpClient.h
@@ -126,6 +126,14 @@
 class HttpExchange {
 public:
   virtual ~HttpExchange() = default;
+
+  /// Stops reading the answer, so that the other end is slowed by TCP flow
+  /// control. At most the bytes already received are still handed on; the idle
+  /// limit does not count meanwhile.
+  virtual void pauseReading() = 0;
+
+  /// Reads on after pauseReading().
+  virtual void resumeReading() = 0;
 };
 
 /// Starts calls and keeps idle connections.
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -68,6 +68,24 @@
 
 } // namespace
 
+/// Counts one finished answer as unsent until the kernel has taken it or its
+/// connection is gone.
+struct HttpReply::FlushWatch {
+  std::shared_ptr<std::size_t> Unsent;
+
+  static void onComplete(evhttp_request *Request, void *Self) {
+    evhttp_connection_set_closecb(evhttp_request_get_connection(Request),
+                                  nullptr, nullptr);
+    end(Self);
+  }
+  static void onClose(evhttp_connection *, void *Self) { end(Self); }
+  static void end(void *Self) {
+    auto *Watch = static_cast<FlushWatch *>(Self);
+    --*Watch->Unsent;
+    delete Watch;
+  }
+};
+
 HttpReply::HttpReply(evhttp_request *Request) : Request(Request) {
   evhttp_connection *Connection = evhttp_request_get_connection(Request);
   bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
@@ -111,6 +129,16 @@
   this->Request = nullptr;
 }
 
+void HttpReply::watchFlush(evhttp_request *Answered) {
+  if (!this->Unsent)
+    return;
+  ++*this->Unsent;
+  auto *Watch = new FlushWatch{this->Unsent};
+  evhttp_request_set_on_complete_cb(Answered, &FlushWatch::onComplete, Watch);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(Answered),
+                                &FlushWatch::onClose, Watch);
+}
+
 void HttpReply::connectionLost() {
   if (this->isClosed())
     return;
@@ -133,6 +161,7 @@
   this->addHeaders(Headers);
   evhttp_request *Answered = this->Request;
   this->detach();
+  this->watchFlush(Answered);
   evhttp_send_reply(Answered, Status, nullptr, makeBuffer(Body).get());
 }
 
@@ -155,6 +184,7 @@
     return;
   evhttp_request *Answered = this->Request;
   this->detach();
+  this->watchFlush(Answered);
   evhttp_send_reply_end(Answered);
 }
 
@@ -171,6 +201,7 @@
     return;
   evhttp_request *Answered = this->Request;
   this->detach();
+  this->watchFlush(Answered);
   evhttp_send_reply_chunk_with_cb(
       Answered, makeBuffer(LastChunk).get(),
       [](evhttp_connection *Connection, void *) {
@@ -238,6 +269,7 @@
   setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(Connection)),
              IPPROTO_TCP, TCP_NODELAY, &Enable, sizeof(Enable));
   auto Reply = std::make_shared<HttpReply>(Request);
+  Reply->Unsent = Server->Unsent;
   try {
     Server->Handle(readRequest(Request), Reply);
   } catch (const Error &Failure) {
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -82,13 +82,16 @@
 
 private:
   friend class HttpServer;
+  struct FlushWatch;
   void connectionLost();
   void detach();
+  void watchFlush(evhttp_request *Answered);
   void addHeaders(const HttpHeaders &Headers);
 
   evhttp_request *Request;
   event *CloseEvent = nullptr;
   bool Streaming = false;
+  std::shared_ptr<std::size_t> Unsent; ///< Of the server; may be null.
 };
 
 /// Limits on what callers may send.
@@ -119,6 +122,10 @@
   /// Accepts no more connections; open ones go on.
   void stopListening();
 
+  /// Returns the number of finished answers that the kernel has not taken
+  /// completely; a process that ends earlier cuts them.
+  std::size_t unsentReplies() const { return *this->Unsent; }
+
 private:
   static void dispatch(evhttp_request *Request, void *Self);
 
@@ -126,6 +133,7 @@
   evhttp *Http;
   evhttp_bound_socket *Socket = nullptr;
   Handler Handle;
+  std::shared_ptr<std::size_t> Unsent = std::make_shared<std::size_t>(0);
 };
 
 /// Answers with the table row of \p Kind. An open stream gets an error event
--- a/src/process/DaemonMain.cpp
+++ b/src/process/DaemonMain.cpp
@@ -1,23 +1,34 @@
-#include "connection/HttpServer.h"
+#include "process/Daemon.h"
+#include "process/Log.h"
 
-#include <CLI/CLI.hpp>
 #include <csignal>
+#include <iostream>
 
-int main(int Argc, char **Argv) {
-  CLI::App App("galenarouted: the galenaroute daemon");
-  std::string Listen = "127.0.0.1:8080";
-  App.add_option("--listen", Listen, "IP:PORT for callers")
-      ->envname("GALENAROUTE_LISTEN");
-  CLI11_PARSE(App, Argc, Argv);
-  using namespace galenaroute;
+using namespace galenaroute;
+
+static int serve(const DaemonSettings &Settings) {
   EventLoop Loop;
-  HttpServer Server(Loop, {});
-  Server.handle(
-      [](const HttpRequest &, const std::shared_ptr<HttpReply> &Reply) {
-        Reply->send(200, {}, "{}");
-      });
-  Server.listen(SocketAddress::parse(Listen));
-  Loop.onSignal(SIGTERM, [&] { Loop.stop(); });
+  const auto Node = DaemonBuilder(Loop, Settings).build();
+  Node->Stopped.connect([&] { Loop.stop(); });
+  Loop.onSignal(SIGTERM, [&] { Node->drain(); });
+  Loop.onSignal(SIGINT, [&] { Node->drain(); });
+  Node->start();
   Loop.run();
   return 0;
 }
+
+int main(int Argc, char **Argv) {
+  const std::vector<std::string> Arguments(Argv + 1, Argv + Argc);
+  const SettingsResult Read = readSettings(Arguments);
+  if (!Read.Settings) {
+    (Read.ExitCode == 0 ? std::cout : std::cerr) << Read.Text;
+    return Read.ExitCode;
+  }
+  startLog(Read.Settings->LogLevel);
+  try {
+    return serve(*Read.Settings);
+  } catch (const std::exception &Failure) {
+    log(LogLevel::Error, "daemon.failed", {{"message", Failure.what()}});
+    return 1;
+  }
+}
--- a/src/process/EventLoop.cpp
+++ b/src/process/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "process/EventLoop.h"
 
+#include <csignal>
 #include <event2/event.h>
 #include <stdexcept>
 
@@ -79,6 +80,9 @@
 EventLoop::EventLoop() : Base(event_base_new()) {
   if (!this->Base)
     throw std::runtime_error("cannot create the event loop");
+  // Writing to a connection that the other end closed raises SIGPIPE, which
+  // would end the process; the failed write is enough.
+  std::signal(SIGPIPE, SIG_IGN);
   this->Timers = std::make_unique<TimerService>(this->Base);
 }
 
--- /dev/null
+++ b/src/process/Metrics.cpp
@@ -0,0 +1,105 @@
+#include "process/Metrics.h"
+
+#include <prometheus/text_serializer.h>
+#include <sstream>
+
+namespace galenaroute {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using prometheus::Histogram;
+
+/// Bounds around the targets of 1.2 s to the first token and 48 ms between
+/// tokens, in seconds.
+static const Histogram::BucketBoundaries &requestBounds() {
+  static const Histogram::BucketBoundaries Bounds = {
+      0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 15, 30, 60, 300};
+  return Bounds;
+}
+static const Histogram::BucketBoundaries &gapBounds() {
+  static const Histogram::BucketBoundaries Bounds = {
+      0.005, 0.01, 0.02, 0.03, 0.048, 0.08, 0.15, 0.3, 1, 3};
+  return Bounds;
+}
+
+Metrics::Metrics() : Metrics(std::make_shared<prometheus::Registry>()) {}
+
+Metrics::Metrics(std::shared_ptr<prometheus::Registry> Given)
+    : OpenRequests(BuildGauge()
+                       .Name("galenaroute_open_requests")
+                       .Help("Requests that have not ended")
+                       .Register(*Given)
+                       .Add({})),
+      ConfigEpoch(BuildGauge()
+                      .Name("galenaroute_config_epoch")
+                      .Help("Epoch of the configuration in force")
+                      .Register(*Given)
+                      .Add({})),
+      Draining(BuildGauge()
+                   .Name("galenaroute_draining")
+                   .Help("1 while the daemon is stopping")
+                   .Register(*Given)
+                   .Add({})),
+      Registry(Given), Requests(BuildCounter()
+                                    .Name("galenaroute_requests_total")
+                                    .Help("Requests that ended, by outcome")
+                                    .Register(*Given)),
+      RequestSeconds(BuildHistogram()
+                         .Name("galenaroute_request_seconds")
+                         .Help("From arrival to the end of the answer")
+                         .Register(*Given)),
+      FirstTokenSeconds(BuildHistogram()
+                            .Name("galenaroute_first_token_seconds")
+                            .Help("From arrival to the first token")
+                            .Register(*Given)),
+      TokenGapSeconds(BuildHistogram()
+                          .Name("galenaroute_token_gap_seconds")
+                          .Help("Between two tokens of an answer")
+                          .Register(*Given)),
+      PromptTokens(BuildCounter()
+                       .Name("galenaroute_prompt_tokens_total")
+                       .Help("Prompt tokens of finished answers, by whether "
+                             "they were cached")
+                       .Register(*Given)),
+      Decisions(BuildCounter()
+                    .Name("galenaroute_decisions_total")
+                    .Help("Events of the time line, by kind")
+                    .Register(*Given)) {}
+
+void Metrics::requestEnded(const std::string &Service,
+                           const std::string &Outcome, Duration Elapsed) {
+  this->Requests.Add({{"service", Service}, {"outcome", Outcome}}).Increment();
+  this->RequestSeconds.Add({{"service", Service}}, requestBounds())
+      .Observe(toSeconds(Elapsed));
+}
+
+void Metrics::firstToken(const std::string &Service, Duration Elapsed) {
+  this->FirstTokenSeconds.Add({{"service", Service}}, requestBounds())
+      .Observe(toSeconds(Elapsed));
+}
+
+void Metrics::tokenGap(const std::string &Service, Duration Gap) {
+  this->TokenGapSeconds.Add({{"service", Service}}, gapBounds())
+      .Observe(toSeconds(Gap));
+}
+
+void Metrics::promptTokens(const std::string &Service, double Total,
+                           double Cached) {
+  this->PromptTokens.Add({{"service", Service}, {"source", "cached"}})
+      .Increment(Cached);
+  this->PromptTokens.Add({{"service", Service}, {"source", "computed"}})
+      .Increment(std::max(0.0, Total - Cached));
+}
+
+void Metrics::decision(const std::string &Kind) {
+  this->Decisions.Add({{"kind", Kind}}).Increment();
+}
+
+std::string Metrics::toText() const {
+  std::ostringstream Out;
+  prometheus::TextSerializer().Serialize(Out, this->Registry->Collect());
+  return Out.str();
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/ModelRun.cpp
@@ -0,0 +1,216 @@
+#include "request/ModelRun.h"
+
+#include "process/Sha256.h"
+
+#include <chrono>
+
+namespace galenaroute {
+
+/// How often a stream that waits for its caller looks whether it may go on.
+static constexpr auto BufferPoll = std::chrono::milliseconds(20);
+
+/// Without a tokenizer, 4 bytes of text count as one token.
+static std::uint64_t tokensOf(std::string_view Text) {
+  return (Text.size() + 3) / 4;
+}
+
+static AttemptPolicy policyOf(const RequestContext &Context,
+                              const RequestInfo &Info, bool Streaming) {
+  const DaemonSettings &Settings = Context.Settings;
+  AttemptPolicy Policy;
+  Policy.Streaming = Streaming;
+  Policy.MaxSends = Settings.MaxSends;
+  Policy.Stall = Settings.StallTimeout;
+  Policy.Linger = Settings.Linger;
+  Policy.Deadline =
+      Info.Arrived + Info.Config->findService(Info.Service)->Deadline;
+  Policy.LastEnd = Info.Arrived + Settings.MaxStream;
+  Policy.MaxPause = Settings.MaxCallerPause;
+  Policy.MaxAnswerBytes = Settings.MaxAnswerBytes;
+  return Policy;
+}
+
+static AttemptState stateOf(const RequestContext &Context,
+                            const RequestInfo &Info,
+                            const PromptRequest &Prompt,
+                            const std::optional<ResumePoint> &From) {
+  const AttemptPolicy Policy = policyOf(Context, Info, Prompt.Stream);
+  if (From)
+    return resumedAttempt(Policy, From->Upstream, From->Attempt, From->Offset);
+  return newAttempt(Policy);
+}
+
+ModelRun::ModelRun(RequestContext &Context, RequestInfo Given,
+                   PromptRequest Asked, const std::optional<ResumePoint> &From)
+    : RequestRun(Context, Given, stateOf(Context, Given, Asked, From)),
+      Prompt(std::move(Asked)) {
+  this->Head = {
+      this->Prompt.Api, this->Info.id(), this->service().Model,
+      std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())};
+  this->End.PromptTokens = tokensOf(this->Prompt.Prompt);
+}
+
+ModelRun::~ModelRun() {
+  this->ClosedTimer.disconnect();
+  this->BufferTimer.disconnect();
+  this->endAttempt();
+}
+
+void ModelRun::execute(const AttemptAction &Action) {
+  using Kind = AttemptAction::Kind;
+  switch (Action.What) {
+  case Kind::Choose:
+    return this->choose();
+  case Kind::Send:
+    return this->send(Action);
+  case Kind::Resume:
+    return this->resume(Action);
+  case Kind::Close:
+    return this->close();
+  case Kind::Cancel:
+    if (const SocketAddress *To = this->addressOf(Action.Upstream))
+      this->Context.Engines.cancel(*To, Action.Attempt);
+    return;
+  case Kind::GiveText:
+    return this->giveText(Action);
+  case Kind::Whole:
+    return this->finish(Action);
+  default:
+    return;
+  }
+}
+
+void ModelRun::choose() {
+  this->endAttempt();
+  const auto Name =
+      this->Context.Pool.choose(this->service(), this->State.Avoid);
+  if (Name)
+    this->post(attempt::Chosen{*Name, randomId()});
+  else
+    this->post(attempt::NoneAvailable{});
+}
+
+void ModelRun::send(const AttemptAction &Action) {
+  this->close();
+  this->NotedAttempt = Action.Attempt;
+  this->Context.Pool.noteSent(Action.Attempt, Action.Upstream);
+  const ServiceConfig &Service = this->service();
+  this->Stream =
+      this->Context.Engines.generate(*this->addressOf(Action.Upstream),
+                                     {.Attempt = Action.Attempt,
+                                      .Customer = this->Info.Customer,
+                                      .Prompt = this->Prompt.Prompt,
+                                      .PromptTokens = this->End.PromptTokens,
+                                      .MaxTokens = this->Prompt.MaxTokens,
+                                      .WeightVersion = Service.WeightVersion,
+                                      .Adapter = this->Prompt.Adapter},
+                                     this->callbacks(Action.Connection));
+}
+
+void ModelRun::resume(const AttemptAction &Action) {
+  this->close();
+  this->Stream = this->Context.Engines.resume(
+      *this->addressOf(Action.Upstream), Action.Attempt, this->Info.Customer,
+      Action.Offset, this->callbacks(Action.Connection));
+  if (this->State.Paused)
+    this->Stream->pauseReading();
+}
+
+EngineCallbacks ModelRun::callbacks(std::uint64_t Connection) {
+  return {.OnHead =
+              [this, Connection](int Status) {
+                this->post(attempt::Head{Connection, Status});
+              },
+          .OnLine =
+              [this, Connection](std::optional<EngineLine> Line) {
+                this->onLine(Connection, std::move(Line));
+              },
+          .OnEnd =
+              [this, Connection](const HttpResult &Result) {
+                this->post(attempt::Ended{Connection,
+                                          Result.End == HttpEnd::Complete,
+                                          Result.BytesSent, Result.Status});
+              }};
+}
+
+void ModelRun::onLine(std::uint64_t Connection,
+                      std::optional<EngineLine> Line) {
+  if (!Line)
+    return this->post(attempt::BadLine{Connection});
+  if (!Line->IsDone)
+    return this->post(attempt::Line{Connection, std::move(Line->Attempt),
+                                    Line->Offset, std::move(Line->Text)});
+  if (Line->Attempt == this->State.Attempt) {
+    this->End.Tokens = Line->Tokens;
+    this->End.CachedTokens = Line->CachedTokens;
+    this->End.Finish = std::move(Line->Finish);
+  }
+  this->post(attempt::Done{Connection, std::move(Line->Attempt), Line->Tokens});
+}
+
+void ModelRun::close() {
+  if (!this->Stream)
+    return;
+  this->Closed.push_back(std::move(this->Stream));
+  if (this->Closed.size() == 1)
+    this->ClosedTimer = this->Context.Loop.timers().after(
+        Duration::zero(), [this] { this->Closed.clear(); });
+}
+
+void ModelRun::giveText(const AttemptAction &Action) {
+  const TimePoint Now = EventLoop::now();
+  if (this->LastTokenAt == TimePoint{})
+    this->Context.Stats.firstToken(this->Info.Service,
+                                   Now - this->Info.Arrived);
+  else
+    this->Context.Stats.tokenGap(this->Info.Service, Now - this->LastTokenAt);
+  this->LastTokenAt = Now;
+  this->Info.Reply.event(
+      toString(ResumePoint{Action.Upstream, Action.Attempt, Action.Offset}),
+      textEvent(this->Head, Action.Text));
+  if (this->State.Paused || this->Info.Reply.bufferedBytes() <=
+                                this->Context.Settings.MaxCallerBufferBytes)
+    return;
+  // The caller reads more slowly than the engine generates. The engine is
+  // slowed through its connection instead of keeping the text here.
+  this->post(attempt::Paused{});
+  if (this->Stream)
+    this->Stream->pauseReading();
+  this->BufferTimer = this->Context.Loop.timers().every(
+      BufferPoll, [this] { this->checkBuffer(); });
+}
+
+void ModelRun::checkBuffer() {
+  if (this->Info.Reply.bufferedBytes() >
+      this->Context.Settings.MaxCallerBufferBytes / 2)
+    return;
+  this->BufferTimer.disconnect();
+  if (this->Stream)
+    this->Stream->resumeReading();
+  this->post(attempt::Unpaused{});
+}
+
+void ModelRun::finish(const AttemptAction &Action) {
+  this->Context.Engines.finish(std::move(this->Stream));
+  this->endAttempt();
+  this->Context.Stats.promptTokens(this->Info.Service,
+                                   static_cast<double>(this->End.PromptTokens),
+                                   static_cast<double>(this->End.CachedTokens));
+  if (!this->Prompt.Stream) {
+    this->Info.Reply.send(200, "application/json",
+                          wholeBody(this->Head, Action.Text, this->End));
+    return;
+  }
+  this->Info.Reply.event(
+      toString(ResumePoint{Action.Upstream, Action.Attempt, Action.Offset}),
+      endEvent(this->Head, this->End));
+  this->Info.Reply.finishEvents();
+}
+
+void ModelRun::endAttempt() {
+  if (!this->NotedAttempt.empty())
+    this->Context.Pool.noteEnded(this->NotedAttempt);
+  this->NotedAttempt.clear();
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/ModelRun.h
@@ -0,0 +1,49 @@
+// One prompt on its way through model engines.
+
+#ifndef GALENAROUTE_REQUEST_MODELRUN_H
+#define GALENAROUTE_REQUEST_MODELRUN_H
+
+#include "request/AnswerFormat.h"
+#include "request/PromptRequest.h"
+#include "request/RequestRun.h"
+
+#include <optional>
+
+namespace galenaroute {
+
+class ModelRun : public RequestRun {
+public:
+  /// With \p From the stream goes on after what the caller has.
+  ModelRun(RequestContext &Context, RequestInfo Info, PromptRequest Prompt,
+           const std::optional<ResumePoint> &From);
+  ~ModelRun() override;
+
+private:
+  void execute(const AttemptAction &Action) override;
+  void choose();
+  void send(const AttemptAction &Action);
+  void resume(const AttemptAction &Action);
+  EngineCallbacks callbacks(std::uint64_t Connection);
+  void onLine(std::uint64_t Connection, std::optional<EngineLine> Line);
+  void close();
+  void giveText(const AttemptAction &Action);
+  void finish(const AttemptAction &Action);
+  void checkBuffer();
+  /// Reports the current attempt as ended to the pool, once.
+  void endAttempt();
+
+  PromptRequest Prompt;
+  AnswerHead Head;
+  AnswerEnd End;
+  std::unique_ptr<EngineStream> Stream;
+  std::string NotedAttempt; ///< Sent and not reported as ended.
+  TimePoint LastTokenAt{};
+  // Streams must outlive their own callbacks, so closed ones are freed later.
+  std::vector<std::unique_ptr<EngineStream>> Closed;
+  sigc::connection ClosedTimer;
+  sigc::connection BufferTimer;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_REQUEST_MODELRUN_H
--- /dev/null
+++ b/src/request/PlainRun.cpp
@@ -0,0 +1,198 @@
+#include "request/PlainRun.h"
+
+#include "process/Sha256.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace galenaroute {
+
+/// Header fields that belong to one connection, and those that this program
+/// sets itself.
+static bool isOwnField(std::string_view Name) {
+  static constexpr std::array<std::string_view, 12> Names = {
+      "connection",
+      "keep-alive",
+      "proxy-authenticate",
+      "proxy-connection",
+      "te",
+      "trailer",
+      "transfer-encoding",
+      "upgrade",
+      "content-length",
+      "host",
+      "x-request-id",
+      "expect"};
+  std::string Lower(Name);
+  std::transform(Lower.begin(), Lower.end(), Lower.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  return Lower == "authorization" ||
+         std::find(Names.begin(), Names.end(), Lower) != Names.end();
+}
+
+HttpHeaders forwardedHeaders(const HttpHeaders &Headers) {
+  HttpHeaders Result;
+  for (const HttpHeaders::Field &Each : Headers)
+    if (!isOwnField(Each.Name))
+      Result.add(Each.Name, Each.Value);
+  return Result;
+}
+
+std::string declaredPath(std::string_view Path) {
+  std::string Result;
+  std::string Decoded = percentDecode(Path);
+  std::string_view Rest = Decoded;
+  while (!Rest.empty()) {
+    const std::size_t End = Rest.find('/');
+    const std::string_view Segment = Rest.substr(0, End);
+    if (Segment == "." || Segment == "..")
+      throw Error(ErrorKind::BadRequest,
+                  "the path must not contain '.' or '..' segments");
+    if (!Segment.empty())
+      Result.append("/").append(Segment);
+    if (End == std::string_view::npos)
+      break;
+    Rest.remove_prefix(End + 1);
+  }
+  return Result.empty() ? "/" : Result;
+}
+
+static AttemptState stateOf(const RequestContext &Context,
+                            const RequestInfo &Info, const PlainCall &Call) {
+  AttemptPolicy Policy;
+  Policy.Model = false;
+  Policy.Repeatable = Call.Repeatable;
+  Policy.NeedsClaim = !Call.Repeatable && !Call.Key.empty();
+  Policy.MaxSends = Context.Settings.MaxSends;
+  Policy.Stall = Context.Settings.StallTimeout;
+  Policy.Deadline =
+      Info.Arrived + Info.Config->findService(Info.Service)->Deadline;
+  return newAttempt(Policy);
+}
+
+PlainRun::PlainRun(RequestContext &Context, RequestInfo Given, PlainCall Asked)
+    : RequestRun(Context, Given, stateOf(Context, Given, Asked)),
+      Call(std::move(Asked)) {}
+
+PlainRun::~PlainRun() { this->endAttempt(); }
+
+void PlainRun::execute(const AttemptAction &Action) {
+  using Kind = AttemptAction::Kind;
+  switch (Action.What) {
+  case Kind::Claim:
+    return this->claim();
+  case Kind::Release:
+    return this->release();
+  case Kind::StoreOutcome:
+    return this->storeOutcome(Action.MayHaveRun);
+  case Kind::Choose:
+    return this->choose();
+  case Kind::Send:
+    return this->send(Action);
+  case Kind::Close:
+    this->endAttempt();
+    this->Exchange.reset();
+    return;
+  case Kind::Whole:
+    this->Info.Reply.send(this->Result.Status,
+                          forwardedHeaders(this->Result.Headers),
+                          this->Result.Body);
+    return;
+  case Kind::Replay:
+    if (!this->Claim.Outcome.BodyKept) {
+      this->Info.Reply.fail(
+          Error(ErrorKind::DuplicateRan,
+                "the call ran with status " +
+                    std::to_string(this->Claim.Outcome.Status) +
+                    "; its answer was too large to be kept"));
+      return;
+    }
+    this->Info.Reply.send(this->Claim.Outcome.Status,
+                          this->Claim.Outcome.ContentType,
+                          this->Claim.Outcome.Body);
+    return;
+  default:
+    return;
+  }
+}
+
+void PlainRun::claim() {
+  // The run stays open until the gate has answered, so `this` stays valid.
+  this->Context.Claims.claim(
+      {this->Info.Customer, this->Info.Service, this->Call.Key},
+      sha256Hex(this->Call.Method + "\n" + this->Call.Target + "\n" +
+                this->Call.Body),
+      [this](const ClaimAnswer &Answer) {
+        this->Claim = Answer;
+        this->post(attempt::ClaimAnswered{Answer.Status});
+      });
+}
+
+void PlainRun::release() {
+  // Without a caller nobody waits for the release, and the run may be gone.
+  if (this->State.Phase != AttemptPhase::Releasing)
+    return this->Context.Claims.release(this->Claim.Token, [](bool) {});
+  this->Context.Claims.release(this->Claim.Token, [this](bool Durable) {
+    this->post(attempt::Released{Durable});
+  });
+}
+
+void PlainRun::storeOutcome(bool MayHaveRun) {
+  ClaimOutcome Outcome;
+  Outcome.Ran = !MayHaveRun;
+  if (Outcome.Ran) {
+    Outcome.Status = this->Result.Status;
+    Outcome.ContentType =
+        this->Result.Headers.find("Content-Type").value_or("");
+    Outcome.Body = this->Result.Body;
+  }
+  this->Context.Claims.finish(this->Claim.Token, Outcome);
+}
+
+void PlainRun::choose() {
+  this->endAttempt();
+  const auto Name =
+      this->Context.Pool.choose(this->service(), this->State.Avoid);
+  if (Name)
+    this->post(attempt::Chosen{*Name, randomId()});
+  else
+    this->post(attempt::NoneAvailable{});
+}
+
+void PlainRun::send(const AttemptAction &Action) {
+  this->NotedAttempt = Action.Attempt;
+  this->Context.Pool.noteSent(Action.Attempt, Action.Upstream);
+  HttpCallBuilder Builder(*this->addressOf(Action.Upstream));
+  Builder.method(this->Call.Method, this->Call.Target, this->Call.Body)
+      .header("X-Request-Id", this->Info.id())
+      .header("X-Customer", this->Info.Customer)
+      .connectTimeout(this->Context.Settings.ConnectTimeout);
+  for (const HttpHeaders::Field &Each : this->Call.Headers)
+    Builder.header(Each.Name, Each.Value);
+  // The decision about silence is made by stepAttempt() for repeatable calls;
+  // for others, only the end of the exchange tells whether a byte was sent.
+  const Duration Left = std::max<Duration>(
+      this->State.Policy.Deadline - EventLoop::now(), Milliseconds(1));
+  Builder.totalTimeout(Left).idleTimeout(Left);
+  if (!this->Call.Repeatable)
+    Builder.newConnection();
+  HttpCall Sent = Builder.build();
+  Sent.MaxBodyBytes = this->Context.Settings.MaxAnswerBytes;
+  this->Exchange = this->Context.Http.start(
+      std::move(Sent), {.OnDone = [this, Connection = Action.Connection](
+                                      const HttpResult &Ended) {
+        this->endAttempt();
+        this->Result = Ended;
+        this->post(attempt::Ended{Connection, Ended.End == HttpEnd::Complete,
+                                  Ended.BytesSent, Ended.Status});
+      }});
+}
+
+void PlainRun::endAttempt() {
+  if (!this->NotedAttempt.empty())
+    this->Context.Pool.noteEnded(this->NotedAttempt);
+  this->NotedAttempt.clear();
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/PromptRequest.cpp
@@ -0,0 +1,99 @@
+#include "request/PromptRequest.h"
+
+#include "process/ErrorKind.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+[[noreturn]] static void reject(const std::string &Message) {
+  throw Error(ErrorKind::BadRequest, Message);
+}
+
+static std::string textField(const json &Body, const char *Name) {
+  const auto It = Body.find(Name);
+  if (It == Body.end() || It->is_null())
+    return {};
+  if (!It->is_string())
+    reject(std::string("field '") + Name + "' must be a string");
+  return *It;
+}
+
+/// Joins \p Messages into one text in which each turn starts with its role, so
+/// that a chat that goes on has the earlier turns as its prefix.
+static std::string joinMessages(const json &Messages) {
+  if (!Messages.is_array() || Messages.empty())
+    reject("field 'messages' must be a list that is not empty");
+  std::string Result;
+  for (const json &Each : Messages) {
+    if (!Each.is_object())
+      reject("each of 'messages' must be an object");
+    const std::string Role = textField(Each, "role");
+    if (Role.empty())
+      reject("each of 'messages' needs a 'role'");
+    Result += "<|" + Role + "|>\n" + textField(Each, "content") + "\n";
+  }
+  return Result + "<|assistant|>\n";
+}
+
+PromptRequest parsePromptRequest(PromptApi Api, std::string_view Body) {
+  const json Parsed = json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  if (!Parsed.is_object())
+    reject("the body must be a JSON object");
+  PromptRequest Result;
+  Result.Api = Api;
+  Result.Model = textField(Parsed, "model");
+  Result.Adapter = textField(Parsed, "adapter");
+  if (Api == PromptApi::Chat) {
+    Result.Prompt = joinMessages(Parsed.value("messages", json()));
+  } else {
+    Result.Prompt = textField(Parsed, "prompt");
+    if (Result.Prompt.empty())
+      reject("field 'prompt' must be a string that is not empty");
+  }
+  const json Stream = Parsed.value("stream", json(false));
+  if (!Stream.is_boolean())
+    reject("field 'stream' must be true or false");
+  Result.Stream = Stream;
+  const json MaxTokens = Parsed.value("max_tokens", json(DefaultMaxTokens));
+  if (!MaxTokens.is_number_unsigned() || MaxTokens < 1U ||
+      MaxTokens > LargestMaxTokens)
+    reject("field 'max_tokens' must be a whole number from 1 to " +
+           std::to_string(LargestMaxTokens));
+  Result.MaxTokens = MaxTokens;
+  return Result;
+}
+
+ResumePoint parseResumePoint(std::string_view Text) {
+  const auto Fail = [] {
+    reject("Last-Event-ID must be UPSTREAM~ATTEMPT~OFFSET");
+  };
+  const std::size_t Second = Text.rfind('~');
+  if (Second == std::string_view::npos || Second == 0)
+    Fail();
+  const std::size_t First = Text.rfind('~', Second - 1);
+  if (First == std::string_view::npos || First == 0)
+    Fail();
+  ResumePoint Result;
+  Result.Upstream = Text.substr(0, First);
+  Result.Attempt = Text.substr(First + 1, Second - First - 1);
+  const char *End = Text.data() + Text.size();
+  const auto Read =
+      std::from_chars(Text.data() + Second + 1, End, Result.Offset);
+  if (Result.Attempt.size() != 32 ||
+      Result.Attempt.find_first_not_of("0123456789abcdef") !=
+          std::string::npos ||
+      Read.ec != std::errc() || Read.ptr != End)
+    Fail();
+  return Result;
+}
+
+std::string toString(const ResumePoint &Point) {
+  return Point.Upstream + "~" + Point.Attempt + "~" +
+         std::to_string(Point.Offset);
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/RequestRun.h
@@ -0,0 +1,144 @@
+// The shell around the attempt decision: one open request.
+//
+// A run turns what happens to the caller, the upstream and the clock into
+// events of stepAttempt() and carries out its actions. ModelRun and PlainRun
+// add what differs between model engines and plain services.
+//
+// Guarantees: every run ends; one that ended is destroyed later, never inside
+// its own callbacks. A run keeps the configuration with which it began.
+
+#ifndef GALENAROUTE_REQUEST_REQUESTRUN_H
+#define GALENAROUTE_REQUEST_REQUESTRUN_H
+
+#include "connection/Engine.h"
+#include "process/DaemonSettings.h"
+#include "process/EventLoop.h"
+#include "process/Metrics.h"
+#include "process/Timeline.h"
+#include "process/UpstreamPool.h"
+#include "request/Attempt.h"
+#include "request/CallerReply.h"
+#include "request/ClaimGate.h"
+#include "request/RetryBudget.h"
+#include "version/Configuration.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace galenaroute {
+
+class OpenRequests;
+
+/// What requests use of the process; outlives them all.
+struct RequestContext {
+  const DaemonSettings &Settings;
+  EventLoop &Loop;
+  HttpClient &Http;
+  Engine &Engines;
+  UpstreamPool &Pool;
+  ClaimGate &Claims;
+  Timeline &Events;
+  Metrics &Stats;
+  OpenRequests &Open;
+  RetryBudget &Retries;
+};
+
+/// One authenticated request to a service.
+struct RequestInfo {
+  ConfigurationPtr Config;
+  std::string Customer;
+  std::string Service;
+  TimePoint Arrived;
+  CallerReply Reply;
+
+  const std::string &id() const { return this->Reply.requestId(); }
+};
+
+class RequestRun {
+public:
+  virtual ~RequestRun();
+  RequestRun(const RequestRun &) = delete;
+  RequestRun &operator=(const RequestRun &) = delete;
+
+  /// Starts the run; called once.
+  void start() { this->post(attempt::Start{}); }
+
+  const std::string &customer() const { return this->Info.Customer; }
+
+  /// Returns whether the run streams \p Attempt.
+  bool hasAttempt(std::string_view Attempt) const {
+    return this->State.Attempt == Attempt;
+  }
+
+  /// Ends the run, whose stream goes on in another request of its caller.
+  void takeOver();
+
+protected:
+  RequestRun(RequestContext &Context, RequestInfo Info, AttemptState State);
+
+  /// Handles \p Event now, or after the one being handled.
+  void post(AttemptEvent Event);
+
+  /// Carries out an action that depends on the kind of service.
+  virtual void execute(const AttemptAction &Action) = 0;
+
+  /// Returns the address of the upstream \p Name of this request's service, or
+  /// null.
+  const SocketAddress *addressOf(std::string_view Name) const;
+
+  const ServiceConfig &service() const {
+    return *this->Info.Config->findService(this->Info.Service);
+  }
+
+  RequestContext &Context;
+  RequestInfo Info;
+  AttemptState State;
+
+private:
+  void handle(const AttemptAction &Action);
+  void record(const AttemptAction &Action);
+  void fail(ErrorKind Kind);
+  void arm();
+  void endIfOver();
+
+  std::deque<AttemptEvent> Queue;
+  bool IsStepping = false;
+  bool HasEnded = false;
+  std::string Outcome = "caller_left";
+  sigc::connection Timer;
+  sigc::connection CallerClosed;
+};
+
+/// The open requests of the process.
+class OpenRequests {
+public:
+  OpenRequests(EventLoop &Loop, Metrics &Stats) : Loop(Loop), Stats(Stats) {}
+  ~OpenRequests();
+
+  void add(std::unique_ptr<RequestRun> Run);
+
+  /// Destroys \p Run once the loop is out of its callbacks.
+  void remove(const RequestRun *Run);
+
+  /// Returns the run of \p Customer that streams \p Attempt, or null.
+  RequestRun *findStream(std::string_view Customer, std::string_view Attempt);
+
+  std::size_t count() const { return this->Runs.size(); }
+  int countOf(const std::string &Customer) const;
+
+  /// Emitted when the last request has ended.
+  sigc::signal<void()> Emptied;
+
+private:
+  EventLoop &Loop;
+  Metrics &Stats;
+  std::map<const RequestRun *, std::unique_ptr<RequestRun>> Runs;
+  std::map<std::string, int> ByCustomer;
+  std::vector<std::unique_ptr<RequestRun>> Ended;
+  sigc::connection Collect;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_REQUEST_REQUESTRUN_H
