--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -145,7 +145,7 @@
   }
 
   void on(const attempt::BadLine &Event) {
-    if (!this->isCurrent(Event.Connection))
+    if (!this->isCurrent(Event.Connection) || !this->State.Policy.Model)
       return;
     this->record("line.malformed", this->State.Upstream);
     this->close();
