Add the emulators of the platform, engine, store, weight store and service

Ruled out: writing the engine's text at random, because a test could then not tell a lost or foreign token; it is a function of prompt and offset. A timer per token, because a loaded machine would stretch the engine's speed; steps are made up for from elapsed time, up to a bound.

The engine remembers what each cache block was computed from and counts uses under the wrong key, so that tests can check that no customer gets another's state.

--- /dev/null
+++ b/tests/EmulatorTest.cpp
@@ -0,0 +1,322 @@
+// Tests of the emulators: what the other tests rely on when they use them.
+
+#include "EngineEmulator.h"
+#include "GeneratedText.h"
+#include "PlatformEmulator.h"
+#include "ServiceEmulator.h"
+#include "StoreEmulator.h"
+#include "WeightStoreEmulator.h"
+
+#include "connection/PlatformClient.h"
+
+#include <gtest/gtest.h>
+
+namespace galenaroute::emulator {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+class EmulatorTest : public testing::Test {
+protected:
+  SocketAddress serve(Emulator &System) {
+    this->Servers.push_back(std::make_unique<EmulatorServer>(
+        this->Loop, System, SocketAddress{"127.0.0.1", 0}));
+    return this->Servers.back()->address();
+  }
+
+  HttpResult call(HttpCall Call) {
+    std::optional<HttpResult> Last;
+    const auto Exchange = this->Client.start(
+        std::move(Call),
+        {.OnDone = [&](const HttpResult &Result) { Last = Result; }});
+    EXPECT_TRUE(this->Loop.runUntil([&] { return Last.has_value(); }, 10s));
+    return Last.value_or(HttpResult{});
+  }
+  HttpResult get(const SocketAddress &To, const std::string &Path) {
+    return this->call(HttpCallBuilder(To).get(Path).build());
+  }
+  HttpResult post(const SocketAddress &To, const std::string &Path,
+                  const json &Body) {
+    return this->call(HttpCallBuilder(To).post(Path, Body.dump()).build());
+  }
+
+  EventLoop Loop;
+  HttpClient Client{Loop};
+  std::vector<std::unique_ptr<EmulatorServer>> Servers;
+};
+
+EngineSettings fastEngine() {
+  EngineSettings Result;
+  Result.DecodeStep = 2ms;
+  Result.EventDelay = 0ms;
+  Result.LoadLag = 0ms;
+  return Result;
+}
+
+json prompt(const std::string &Attempt, const std::string &Text, int Tokens) {
+  return {{"attempt", Attempt},
+          {"customer", "a"},
+          {"prompt", Text},
+          {"max_tokens", Tokens},
+          {"weight_version", "v1"}};
+}
+
+/// Joins the text of the lines and returns the last line in \p Done.
+std::string joinLines(const std::string &Body, json &Done) {
+  std::istringstream Lines(Body);
+  std::string Result;
+  for (std::string Line; std::getline(Lines, Line);) {
+    Done = json::parse(Line);
+    Result += Done.value("text", "");
+  }
+  return Result;
+}
+
+// Guards against an answer that depends on more than the prompt, with which
+// no test could tell whether a caller got the whole right answer.
+TEST_F(EmulatorTest, EngineAnswersWithTheTextOfThePrompt) {
+  EngineEmulator Engine(this->Loop, this->Client, fastEngine());
+  const SocketAddress To = this->serve(Engine);
+  const HttpResult Result =
+      this->post(To, "/v1/generate", prompt("x", "hello", 20));
+  json Done;
+  EXPECT_EQ(joinLines(Result.Body, Done), wholeAnswer("hello", 20));
+  EXPECT_EQ(Done.value("finish", ""), "stop");
+  EXPECT_EQ(Done.value("tokens", 0), 20);
+}
+
+// Guards against a stream that cannot be resumed, or by another customer.
+TEST_F(EmulatorTest, EngineResumesAStreamForItsCustomerOnly) {
+  EngineEmulator Engine(this->Loop, this->Client, fastEngine());
+  const SocketAddress To = this->serve(Engine);
+  auto First = this->Client.start(
+      HttpCallBuilder(To)
+          .post("/v1/generate", prompt("x", "hello", 30).dump())
+          .build(),
+      {});
+  this->Loop.runUntil([] { return false; }, 30ms);
+  First.reset();
+  EXPECT_EQ(this->get(To, "/v1/attempts/x?offset=7&customer=b").Status, 404);
+  const HttpResult Rest = this->get(To, "/v1/attempts/x?offset=7&customer=a");
+  json Done;
+  const std::string Head = wholeAnswer("hello", 7);
+  EXPECT_EQ(Head + joinLines(Rest.Body, Done), wholeAnswer("hello", 30));
+}
+
+// Guards against reused blocks of other content going unnoticed.
+TEST_F(EmulatorTest, EngineCachesPrefixesAndReportsEvents) {
+  EngineSettings Settings = fastEngine();
+  Settings.CacheBlocks = 3;
+  EngineEmulator Engine(this->Loop, this->Client, Settings);
+  const SocketAddress To = this->serve(Engine);
+  const std::string Text(8200, 'p');
+  json Body = prompt("x", Text, 1);
+  Body["block_keys"] = {"k1", "k2"};
+  json Done;
+  joinLines(this->post(To, "/v1/generate", Body).Body, Done);
+  EXPECT_EQ(Done.value("cached_tokens", -1), 0);
+  Body["attempt"] = "y";
+  joinLines(this->post(To, "/v1/generate", Body).Body, Done);
+  EXPECT_EQ(Done.value("cached_tokens", -1), 2000);
+  // Two more blocks evict one of the first two.
+  Body["attempt"] = "z";
+  Body["prompt"] = std::string(8000, 'q');
+  Body["block_keys"] = {"k3", "k4"};
+  this->post(To, "/v1/generate", Body);
+  const json Events = json::parse(this->get(To, "/v1/cache/events").Body);
+  EXPECT_EQ(Events["events"].size(), 5U);
+  // The same keys with another customer's prompt are a violation.
+  Body["attempt"] = "v";
+  Body["customer"] = "b";
+  this->post(To, "/v1/generate", Body);
+  const json Stats = json::parse(this->get(To, "/admin/stats").Body);
+  EXPECT_GT(Stats["cache_violations"], 0);
+}
+
+// Guards against orders of a superseded holder taking effect.
+TEST_F(EmulatorTest, EngineLoadsWeightsAndChecksFences) {
+  WeightStoreEmulator Weights(this->Loop, {.LoadTime = 100ms, .FreeLoads = 1});
+  EngineSettings Settings = fastEngine();
+  Settings.Orders.WeightStore = this->serve(Weights);
+  EngineEmulator Engine(this->Loop, this->Client, Settings);
+  const SocketAddress To = this->serve(Engine);
+  EXPECT_EQ(
+      this->post(To, "/v1/orders", {{"fence", 5}, {"weight_version", "v2"}})
+          .Status,
+      200);
+  EXPECT_EQ(this->post(To, "/v1/orders", {{"fence", 4}}).Status, 412);
+  EXPECT_EQ(this->post(To, "/v1/generate", prompt("x", "p", 1)).Status, 409);
+  EXPECT_TRUE(this->Loop.runUntil(
+      [&] {
+        return json::parse(
+                   this->get(To, "/v1/orders").Body)["weight_version"] == "v2";
+      },
+      5s));
+}
+
+// Guards against a crash that leaves connections or memory behind.
+TEST_F(EmulatorTest, EngineCrashesOnAMarkedPromptAndComesBack) {
+  EngineEmulator Engine(this->Loop, this->Client, fastEngine());
+  const SocketAddress To = this->serve(Engine);
+  this->post(To, "/admin/fault",
+             {{"crash_marker", "boom"},
+              {"crash_delay_ms", 5},
+              {"crash_restart_ms", 100}});
+  EXPECT_EQ(this->post(To, "/v1/generate", prompt("x", "boom", 500)).End,
+            HttpEnd::Cut);
+  EXPECT_FALSE(this->get(To, "/v1/load").isSuccess());
+  EXPECT_TRUE(this->Loop.runUntil(
+      [&] { return this->get(To, "/v1/load").isSuccess(); }, 5s));
+  EXPECT_TRUE(this->post(To, "/v1/generate", prompt("x", "ok", 5)).isSuccess());
+}
+
+// Guards against one short prompt waiting for the whole of a long one.
+TEST(BatchTest, SharesPrefillAndStartsByPriority) {
+  BatchState State{.Slots = 2, .MaxQueued = 2};
+  EXPECT_TRUE(enqueue(State, {.Id = "long", .Uncached = 1000, .MaxTokens = 1}));
+  EXPECT_TRUE(enqueue(State, {.Id = "short", .Uncached = 10, .MaxTokens = 2}));
+  startWaiting(State);
+  EXPECT_TRUE(enqueue(
+      State, {.Id = "late", .Priority = 2, .Uncached = 10, .MaxTokens = 1}));
+  EXPECT_TRUE(enqueue(
+      State, {.Id = "early", .Priority = 1, .Uncached = 10, .MaxTokens = 1}));
+  EXPECT_FALSE(enqueue(State, {.Id = "over"}));
+  const std::vector<BatchEvent> Events = step(State, 100);
+  ASSERT_EQ(Events.size(), 2U);
+  EXPECT_EQ(Events[1].Id, "short");
+  EXPECT_DOUBLE_EQ(findRunning(State, "long")->Uncached, 910);
+  step(State, 100);
+  EXPECT_EQ(startWaiting(State), std::vector<std::string>{"early"});
+}
+
+// Guards against a torn block entering an engine's cache.
+TEST_F(EmulatorTest, KvBlocksMoveThroughAStore) {
+  EngineSettings Settings = fastEngine();
+  EngineEmulator Source(this->Loop, this->Client, Settings);
+  EngineEmulator Target(this->Loop, this->Client, Settings);
+  StoreEmulator Store(this->Loop, {});
+  const SocketAddress From = this->serve(Source);
+  const SocketAddress To = this->serve(Target);
+  const SocketAddress At = this->serve(Store);
+  json Body = prompt("x", std::string(8000, 'p'), 1);
+  Body["block_keys"] = {"k1", "k2"};
+  this->post(From, "/v1/generate", Body);
+  // The second block is torn in the store, and must not be imported.
+  const json Transfer = {{"store", At.toString()}, {"keys", {"k1"}}};
+  this->post(From, "/v1/kv/export", Transfer);
+  this->post(At, "/admin/fault", {{"partial_writes", 1}});
+  this->post(From, "/v1/kv/export",
+             {{"store", At.toString()}, {"keys", {"k2"}}});
+  const json Result = json::parse(
+      this->post(To, "/v1/kv/import",
+                 {{"store", At.toString()}, {"keys", {"k1", "k2", "k3"}}})
+          .Body);
+  EXPECT_EQ(Result["imported"], json({"k1"}));
+  EXPECT_EQ(Result["bad"], json({"k2"}));
+  EXPECT_EQ(Result["missing"], json({"k3"}));
+}
+
+// Guards against a store that keeps a block whose digest does not match.
+TEST_F(EmulatorTest, StoreChecksDigestsAndFills) {
+  StoreEmulator Store(this->Loop, {.MemoryBytes = 10, .DiskBytes = 10});
+  const SocketAddress To = this->serve(Store);
+  const auto Put = [&](const std::string &Key, const std::string &Content,
+                       const std::string &Digest) {
+    return this
+        ->call(HttpCallBuilder(To)
+                   .put("/v1/blocks/" + Key, Content)
+                   .header("X-Length", std::to_string(Content.size()))
+                   .header("X-Digest", Digest)
+                   .header("X-Generation", "1")
+                   .build())
+        .Status;
+  };
+  const std::string Content = "12345678";
+  EXPECT_EQ(Put("a", Content, "bad"), 400);
+  for (const char *Key : {"a", "b", "c"})
+    EXPECT_EQ(Put(Key, Content, sha256Hex(Content)), 200);
+  EXPECT_EQ(this->get(To, "/v1/blocks/a").Status, 404);
+  EXPECT_EQ(this->get(To, "/v1/blocks/b").Body, Content);
+  this->post(To, "/admin/fault", {{"fill", true}});
+  EXPECT_EQ(Put("d", Content, sha256Hex(Content)), 507);
+}
+
+class PlatformEmulatorTest : public EmulatorTest {
+protected:
+  PlatformResult put(const ObjectKey &Key, const json &Value,
+                     std::uint64_t IfVersion) {
+    std::optional<PlatformResult> Last;
+    this->Api.put(Key, Value, IfVersion,
+                  [&](const PlatformResult &Result) { Last = Result; });
+    EXPECT_TRUE(this->Loop.runUntil([&] { return Last.has_value(); }, 5s));
+    return Last.value_or(PlatformResult{});
+  }
+
+  PlatformEmulator System{this->Loop, {.ReplyDelay = 0ms}};
+  SocketAddress At = this->serve(this->System);
+  HttpPlatform Api{this->Client, this->At};
+};
+
+// Guards against two writers both believing that their write won.
+TEST_F(PlatformEmulatorTest, ChecksVersions) {
+  const ObjectKey Key{"config", "a/b"};
+  const PlatformResult First = this->put(Key, "v", Platform::MustNotExist);
+  EXPECT_EQ(First.Status, PlatformStatus::Ok);
+  EXPECT_EQ(this->put(Key, "w", Platform::MustNotExist).Status,
+            PlatformStatus::Conflict);
+  EXPECT_EQ(this->put(Key, "w", First.Object.Version).Status,
+            PlatformStatus::Ok);
+  EXPECT_EQ(this->put(Key, std::string(1 << 20, 'x'), First.Object.Version + 1)
+                .Status,
+            PlatformStatus::Unknown);
+}
+
+// Guards against a watch that misses a deletion or answers without cause.
+TEST_F(PlatformEmulatorTest, WatchHoldsUntilAChange) {
+  const auto First = this->put({"k", "a"}, 1, 0);
+  std::optional<PlatformList> Seen;
+  this->Api.watch("k", First.Object.Version, 5s,
+                  [&](const PlatformList &Result) { Seen = Result; });
+  this->Loop.runUntil([] { return false; }, 60ms);
+  EXPECT_FALSE(Seen.has_value());
+  std::optional<PlatformResult> Removed;
+  this->Api.remove({"k", "a"}, First.Object.Version,
+                   [&](const PlatformResult &Result) { Removed = Result; });
+  ASSERT_TRUE(this->Loop.runUntil([&] { return Seen.has_value(); }, 2s));
+  ASSERT_EQ(Seen->Objects.size(), 1U);
+  EXPECT_TRUE(Seen->Objects[0].Deleted);
+}
+
+// Guards against faults that look alike: a lost reply has taken effect, an
+// outage and a rate limit have not.
+TEST_F(PlatformEmulatorTest, FaultsEndAsTheyShould) {
+  this->post(this->At, "/admin/fault", {{"lose_replies", 1}});
+  EXPECT_EQ(this->put({"k", "a"}, 1, 0).Status, PlatformStatus::Unknown);
+  EXPECT_EQ(this->put({"k", "a"}, 1, 0).Status, PlatformStatus::Conflict);
+  this->post(this->At, "/admin/fault", {{"writes_per_second", 0}});
+  EXPECT_EQ(this->put({"k", "b"}, 1, 0).Status, PlatformStatus::Unavailable);
+  this->post(this->At, "/admin/fault", {{"outage_ms", 10000}});
+  EXPECT_EQ(this->put({"k", "b"}, 1, 0).Status, PlatformStatus::Unavailable);
+}
+
+// Guards against a count of runs that misses a repeated payment.
+TEST_F(EmulatorTest, ServiceCountsRunsByKeyAlsoWhenTheReplyIsLost) {
+  ServiceEmulator Service(this->Loop, {});
+  const SocketAddress To = this->serve(Service);
+  const auto Pay = [&] {
+    return this->call(HttpCallBuilder(To)
+                          .post("/payments", "{}")
+                          .header("Idempotency-Key", "k")
+                          .build());
+  };
+  this->post(To, "/admin/fault", {{"lose_replies", 1}, {"drop", 1}});
+  EXPECT_FALSE(Pay().isSuccess());
+  EXPECT_FALSE(Pay().isSuccess());
+  EXPECT_TRUE(Pay().isSuccess());
+  const json Runs = json::parse(this->get(To, "/admin/runs?key=k").Body);
+  EXPECT_EQ(Runs["runs"]["k"], 2);
+}
+
+} // namespace
+} // namespace galenaroute::emulator
