Add the listing parser, the configuration store and the watcher

Cause: operators need one text file that becomes the configuration of every daemon, with a conditional apply that reports its outcome truthfully.

Change: Listing reads TOML into a Configuration and reports all errors with line, column, key and allowed values. ConfigObjects spreads the records over content-addressed objects, so that one change rewrites one small object. ConfigStore applies with a writer token and settles lost replies from the manifest's history. ConfigWatcher holds the version in force.

Ruled out: one object per record (a manifest of 0.5 MB at 7,000 upstreams) and one object per service (0.8 MB rewritten for one upstream). Collection by age alone was ruled out because it depends on the clocks of operators' machines; the manifest is rewritten first, and its version fences applies in flight.

--- /dev/null
+++ b/src/version/ConfigDiff.h
@@ -0,0 +1,35 @@
+// The difference between two configurations, for operators.
+//
+//   for (const ConfigChange &Each : diffConfigurations(InForce, Wanted))
+//     std::cout << toText(Each) << "\n";
+
+#ifndef GALENAROUTE_VERSION_CONFIGDIFF_H
+#define GALENAROUTE_VERSION_CONFIGDIFF_H
+
+#include "version/ConfigObjects.h"
+
+namespace galenaroute {
+
+enum class ChangeKind { Added, Removed, Changed };
+
+/// One difference. Added and removed records have no field.
+struct ConfigChange {
+  ChangeKind Kind = ChangeKind::Changed;
+  std::string Record; ///< Key of the record, such as `store/photo-cache`.
+  std::string Field;
+  nlohmann::json Before; ///< Null for an added record.
+  nlohmann::json After;  ///< Null for a removed record.
+};
+
+/// Returns what turns \p Before into \p After, by record and field.
+std::vector<ConfigChange> diffConfigurations(const Configuration &Before,
+                                             const Configuration &After);
+
+/// Returns one line, such as `~ customer/marshals weight: 4 -> 5`.
+std::string toText(const ConfigChange &Change);
+
+nlohmann::json toJson(const ConfigChange &Change);
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_VERSION_CONFIGDIFF_H
--- /dev/null
+++ b/src/version/ConfigFetch.h
@@ -0,0 +1,63 @@
+// Reading the current configuration version from the platform.
+//
+//   fetchVersion(Api, Known, Known ? Known->Names.Epoch : 0,
+//                [](const FetchResult &Result) { ... });
+//
+// Guarantees: the callback runs exactly once; only objects that Known does not
+// hold are read; at most FetchParallel reads are open at a time; every object
+// is checked against its hash.
+
+#ifndef GALENAROUTE_VERSION_CONFIGFETCH_H
+#define GALENAROUTE_VERSION_CONFIGFETCH_H
+
+#include "connection/PlatformClient.h"
+#include "version/ConfigObjects.h"
+
+#include <optional>
+#include <random>
+
+namespace galenaroute {
+
+/// Kind and name of the manifest, and the kind of the data objects.
+inline const ObjectKey ManifestKey{"config", "manifest"};
+inline const std::string ConfigDataKind = "config-data";
+
+/// Reads of data objects that are open at a time.
+constexpr std::size_t FetchParallel = 8;
+
+/// What was read.
+struct FetchResult {
+  /// Ok, also when there is no manifest yet; otherwise why the read failed. An
+  /// object that went missing or is damaged gives Unknown: reading again
+  /// helps when the manifest was replaced in between.
+  PlatformStatus Status = PlatformStatus::Unavailable;
+  std::string Problem;              ///< Set when Status is not Ok.
+  std::uint64_t Revision = 0;       ///< Where a watch can go on.
+  std::uint64_t ManifestVersion = 0; ///< 0: there is no manifest.
+  std::optional<Manifest> Names;
+  ConfigVersionPtr Version; ///< Null when the epoch is not above the bound.
+};
+
+using OnFetched = std::function<void(const FetchResult &Result)>;
+
+/// Reads the manifest and, when its epoch is above \p AboveEpoch, the objects
+/// that \p Known (may be null) lacks.
+void fetchVersion(Platform &Api, ConfigVersionPtr Known,
+                  std::uint64_t AboveEpoch, OnFetched Done);
+
+/// Reads the objects of the manifest that \p Result already has.
+void fetchObjects(Platform &Api, const ConfigVersionPtr &Known,
+                  FetchResult Result, OnFetched Done);
+
+/// The stored form of a data object.
+nlohmann::json dataObjectValue(const std::string &Text,
+                               std::int64_t WrittenMillis);
+
+/// Returns the delay before attempt \p Attempt (from 0): doubled each time up
+/// to \p Max, and drawn from the upper half so that readers spread out.
+Duration configBackoff(unsigned Attempt, Duration First, Duration Max,
+                       std::mt19937_64 &Random);
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_VERSION_CONFIGFETCH_H
--- /dev/null
+++ b/src/version/ConfigObjects.h
@@ -0,0 +1,101 @@
+// How a Configuration is stored: records in content-addressed objects, and a
+// manifest that names them.
+//
+// Each declared thing is one record: `deployment`, `service/NAME`,
+// `upstream/SERVICE/NAME`, `store/NAME`, `customer/NAME`. Records are spread by
+// the hash of their key over a number of objects that follows their count, so
+// that a change rewrites one small object whatever the size of the listing,
+// and the manifest stays small as well. An object is named by the SHA-256 of
+// its text.
+//
+//   ConfigVersionPtr Version = encodeVersion(Config, 8, Writer);
+//   ConfigVersionPtr Same = assembleVersion(Version->Names, Version->Objects);
+//
+// Guarantees: assembleVersion() accepts only texts that match their hashes and
+// records of the right shape; it throws Error(BadRequest) on anything else.
+
+#ifndef GALENAROUTE_VERSION_CONFIGOBJECTS_H
+#define GALENAROUTE_VERSION_CONFIGOBJECTS_H
+
+#include "version/Configuration.h"
+
+#include <nlohmann/json.hpp>
+
+namespace galenaroute {
+
+/// Records by key. Equal configurations have equal records.
+using ConfigRecords = std::map<std::string, nlohmann::json>;
+
+ConfigRecords toRecords(const Configuration &Config);
+
+/// Throws Error(BadRequest) when a record is malformed or refers to nothing.
+Configuration fromRecords(const ConfigRecords &Records);
+
+/// Who wrote an epoch.
+struct EpochWriter {
+  std::uint64_t Epoch = 0;
+  std::string Writer; ///< Random token of one apply.
+  bool operator==(const EpochWriter &) const = default;
+};
+
+/// The object `config/manifest`.
+struct Manifest {
+  std::uint64_t Epoch = 0;
+  std::string Writer;
+  std::vector<std::string> Objects; ///< Hashes, by position.
+  /// The latest writers with this one last. An apply whose reply was lost
+  /// finds its outcome here even after further epochs.
+  std::vector<EpochWriter> History;
+  bool operator==(const Manifest &) const = default;
+};
+
+/// Epochs kept in Manifest::History.
+constexpr std::size_t MaxManifestHistory = 64;
+/// Objects of one manifest; 4096 hashes make a manifest of 0.3 MB.
+constexpr std::size_t MaxConfigObjects = 4096;
+/// The platform refuses values over 1 MB; the rest is left for JSON escapes.
+constexpr std::size_t MaxConfigObjectBytes = 512 << 10;
+
+nlohmann::json toJson(const Manifest &Value);
+
+/// Throws Error(BadRequest) on a malformed or oversized manifest.
+Manifest manifestFromJson(const nlohmann::json &Value);
+
+/// Returns the SHA-256 of \p Text as 64 lower-case hex digits.
+std::string contentHash(std::string_view Text);
+
+/// Returns whether \p Text has the form of a contentHash().
+bool isContentHash(std::string_view Text);
+
+/// Returns the hash over epoch, writer and object hashes. The history is left
+/// out, because daemons do not pass it on.
+std::string manifestHash(const Manifest &Value);
+
+using ObjectText = std::shared_ptr<const std::string>;
+using ObjectMap = std::map<std::string, ObjectText>; ///< By hash.
+
+/// A configuration together with the objects that it was made from.
+struct ConfigVersion {
+  Manifest Names;
+  std::string Hash; ///< manifestHash(Names).
+  ObjectMap Objects;
+  ConfigurationPtr Config;
+};
+
+using ConfigVersionPtr = std::shared_ptr<const ConfigVersion>;
+
+/// Throws Error(TooLarge) when an object would exceed its bound.
+ConfigVersionPtr encodeVersion(const Configuration &Config, std::uint64_t Epoch,
+                               const std::string &Writer);
+
+/// Returns the hashes of \p Names that \p Objects does not hold, each once.
+std::vector<std::string> missingObjects(const Manifest &Names,
+                                        const ObjectMap &Objects);
+
+/// Builds the version of \p Names out of \p Objects, which may hold more.
+ConfigVersionPtr assembleVersion(const Manifest &Names,
+                                 const ObjectMap &Objects);
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_VERSION_CONFIGOBJECTS_H
--- /dev/null
+++ b/src/version/ConfigStore.cpp
@@ -0,0 +1,376 @@
+#include "version/ConfigStore.h"
+
+#include <algorithm>
+#include <set>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+namespace {
+
+std::string randomToken(std::mt19937_64 &Random) {
+  return contentHash(std::to_string(Random()) + "/" + std::to_string(Random()))
+      .substr(0, 32);
+}
+
+/// Repeats steps with back-off until a deadline. Derived runs keep themselves
+/// alive through their callbacks.
+class RetryingRun {
+protected:
+  RetryingRun(Platform &Api, TimerService &Timers,
+              const ConfigStoreOptions &Options, std::uint64_t Seed)
+      : Api(Api), Timers(Timers), Options(Options), Random(Seed) {}
+
+  /// Starts the deadline; \p Self is kept alive no longer than needed.
+  void startDeadline(std::weak_ptr<RetryingRun> Self) {
+    this->Timers.after(this->Options.Deadline, [Self = std::move(Self)] {
+      if (const auto Run = Self.lock())
+        Run->Expired = true;
+    });
+  }
+
+  /// Runs \p Step after a back-off; returns false when the deadline passed.
+  bool retryLater(std::function<void()> Step) {
+    if (this->Expired)
+      return false;
+    this->Timers.after(configBackoff(this->Attempt++,
+                                     this->Options.FirstBackoff,
+                                     this->Options.MaxBackoff, this->Random),
+                       std::move(Step));
+    return true;
+  }
+
+  Platform &Api;
+  TimerService &Timers;
+  ConfigStoreOptions Options;
+  std::mt19937_64 Random;
+  unsigned Attempt = 0;
+  bool Expired = false;
+};
+
+class LoadRun : RetryingRun, public std::enable_shared_from_this<LoadRun> {
+public:
+  LoadRun(Platform &Api, TimerService &Timers,
+          const ConfigStoreOptions &Options, std::uint64_t Seed, OnFetched Done)
+      : RetryingRun(Api, Timers, Options, Seed), Done(std::move(Done)) {}
+
+  void start() {
+    this->startDeadline(std::shared_ptr<RetryingRun>(
+        this->shared_from_this(), static_cast<RetryingRun *>(this)));
+    this->load();
+  }
+
+private:
+  void load() {
+    fetchVersion(this->Api, nullptr, 0,
+                 [Self = this->shared_from_this()](const FetchResult &Result) {
+                   if (Result.Status == PlatformStatus::Ok ||
+                       !Self->retryLater([Self] { Self->load(); }))
+                     Self->Done(Result);
+                 });
+  }
+
+  OnFetched Done;
+};
+
+class ApplyRun : RetryingRun, public std::enable_shared_from_this<ApplyRun> {
+public:
+  ApplyRun(Platform &Api, TimerService &Timers,
+           const ConfigStoreOptions &Options, std::uint64_t Seed,
+           const Configuration &Wanted, std::optional<std::uint64_t> SeenEpoch,
+           ConfigStore::OnApplied Done)
+      : RetryingRun(Api, Timers, Options, Seed), Wanted(Wanted),
+        SeenEpoch(SeenEpoch), Done(std::move(Done)),
+        Token(randomToken(this->Random)) {}
+
+  void start() {
+    this->startDeadline(std::shared_ptr<RetryingRun>(
+        this->shared_from_this(), static_cast<RetryingRun *>(this)));
+    this->load();
+  }
+
+private:
+  std::uint64_t baseEpoch() const {
+    return this->Base.Names ? this->Base.Names->Epoch : 0;
+  }
+
+  void finish(ApplyEnd End, std::uint64_t Epoch, std::string Message) {
+    this->Done({End, Epoch, std::move(Message), this->Base.Version});
+  }
+
+  void retryLoad(const std::string &Problem) {
+    if (this->retryLater([Self = this->shared_from_this()] { Self->load(); }))
+      return;
+    if (this->MayBeWritten)
+      this->finish(ApplyEnd::OutcomeUnknown, this->baseEpoch(),
+                   "the change may have been accepted: " + Problem);
+    else
+      this->finish(ApplyEnd::Unavailable, this->baseEpoch(),
+                   "nothing was applied: " + Problem);
+  }
+
+  void load() {
+    fetchVersion(this->Api, this->Base.Version, 0,
+                 [Self = this->shared_from_this()](const FetchResult &Result) {
+                   if (Result.Status != PlatformStatus::Ok) {
+                     Self->retryLoad(Result.Problem);
+                     return;
+                   }
+                   Self->Base = Result;
+                   Self->decide();
+                 });
+  }
+
+  /// Returns who wrote \p Epoch, as far as the manifest remembers.
+  std::optional<std::string> writerOf(std::uint64_t Epoch) const {
+    if (this->Base.Names)
+      for (const EpochWriter &Each : this->Base.Names->History)
+        if (Each.Epoch == Epoch)
+          return Each.Writer;
+    return std::nullopt;
+  }
+
+  /// Decides on the manifest just read. All puts of this run have the same
+  /// epoch, one above SeenEpoch.
+  void decide() {
+    if (!this->SeenEpoch)
+      this->SeenEpoch = this->baseEpoch();
+    const std::uint64_t Epoch = *this->SeenEpoch + 1;
+    const std::optional<std::string> Writer = this->writerOf(Epoch);
+    if (Writer == this->Token) {
+      this->finish(ApplyEnd::Applied, Epoch, "accepted");
+    } else if (this->baseEpoch() != *this->SeenEpoch) {
+      if (this->MayBeWritten && !Writer)
+        this->finish(ApplyEnd::OutcomeUnknown, this->baseEpoch(),
+                     "the change may have been accepted and replaced since");
+      else
+        this->finish(ApplyEnd::Conflict, this->baseEpoch(),
+                     "epoch " + std::to_string(this->baseEpoch()) +
+                         " is in force instead of epoch " +
+                         std::to_string(*this->SeenEpoch));
+    } else if (this->Base.Version &&
+               toRecords(*this->Base.Version->Config) ==
+                   toRecords(this->Wanted)) {
+      this->finish(ApplyEnd::Unchanged, this->baseEpoch(), "nothing to change");
+    } else {
+      this->prepare(Epoch);
+    }
+  }
+
+  void prepare(std::uint64_t Epoch) {
+    this->Next = encodeVersion(this->Wanted, Epoch, this->Token);
+    // Objects written before the manifest was last touched may have been
+    // collected, so they are written again.
+    if (this->WrittenAt != this->Base.ManifestVersion) {
+      this->ToWrite = missingObjects(
+          this->Next->Names,
+          this->Base.Version ? this->Base.Version->Objects : ObjectMap{});
+    }
+    this->WrittenAt = this->Base.ManifestVersion;
+    this->writeNext(Platform::MustNotExist);
+  }
+
+  /// Writes the last of ToWrite. An object that exists already is rewritten
+  /// at its version, because it may be about to be collected.
+  void writeNext(std::uint64_t IfVersion) {
+    if (this->ToWrite.empty()) {
+      this->swap();
+      return;
+    }
+    const std::string Hash = this->ToWrite.back();
+    const std::int64_t Now = this->Options.WallMillis();
+    this->Api.put({ConfigDataKind, Hash},
+                  dataObjectValue(*this->Next->Objects.at(Hash), Now),
+                  IfVersion,
+                  [Self = this->shared_from_this()](const PlatformResult &Put) {
+                    Self->written(Put);
+                  });
+  }
+
+  void written(const PlatformResult &Put) {
+    switch (Put.Status) {
+    case PlatformStatus::Ok:
+      this->ToWrite.pop_back();
+      this->writeNext(Platform::MustNotExist);
+      return;
+    case PlatformStatus::Conflict:
+      if (!this->Expired) {
+        this->writeNext(Put.Object.Version);
+        return;
+      }
+      [[fallthrough]];
+    default:
+      this->WrittenAt.reset();
+      this->retryLoad("the platform does not accept configuration objects");
+    }
+  }
+
+  void swap() {
+    Manifest Names = this->Next->Names;
+    if (this->Base.Names)
+      Names.History = this->Base.Names->History;
+    Names.History.push_back({Names.Epoch, Names.Writer});
+    if (Names.History.size() > MaxManifestHistory)
+      Names.History.erase(Names.History.begin());
+    this->Api.put(ManifestKey, toJson(Names), this->Base.ManifestVersion,
+                  [Self = this->shared_from_this()](const PlatformResult &Put) {
+                    Self->swapped(Put);
+                  });
+  }
+
+  void swapped(const PlatformResult &Put) {
+    switch (Put.Status) {
+    case PlatformStatus::Ok:
+      this->Base.Version = this->Next;
+      this->finish(ApplyEnd::Applied, this->Next->Names.Epoch, "accepted");
+      return;
+    case PlatformStatus::Conflict:
+      this->retryLoad("the manifest keeps changing");
+      return;
+    case PlatformStatus::Unavailable:
+      this->retryLoad("the platform does not accept writes");
+      return;
+    default:
+      this->MayBeWritten = true;
+      this->retryLoad("the platform did not answer the write");
+    }
+  }
+
+  Configuration Wanted;
+  std::optional<std::uint64_t> SeenEpoch;
+  ConfigStore::OnApplied Done;
+  std::string Token;
+  FetchResult Base;
+  ConfigVersionPtr Next;
+  std::vector<std::string> ToWrite;
+  std::optional<std::uint64_t> WrittenAt; ///< Manifest version of ToWrite.
+  bool MayBeWritten = false; ///< A swap ended without an answer.
+};
+
+/// One collection; any failure ends it, and a later one goes on.
+class CollectRun : public std::enable_shared_from_this<CollectRun> {
+public:
+  CollectRun(Platform &Api, const ConfigStoreOptions &Options,
+             ConfigStore::OnCollected Done)
+      : Api(Api), Options(Options), Done(std::move(Done)) {}
+
+  void start() {
+    this->Api.get(ManifestKey, [Self = this->shared_from_this()](
+                                   const PlatformResult &Got) {
+      if (Got.Status != PlatformStatus::Ok) {
+        Self->Done(std::nullopt);
+        return;
+      }
+      try {
+        const Manifest Names = manifestFromJson(Got.Object.Value);
+        Self->Used.insert(Names.Objects.begin(), Names.Objects.end());
+      } catch (const std::exception &) {
+        Self->Done(std::nullopt);
+        return;
+      }
+      Self->touch(Got.Object);
+    });
+  }
+
+private:
+  void touch(const PlatformObject &Current) {
+    this->Api.put(ManifestKey, Current.Value, Current.Version,
+                  [Self = this->shared_from_this()](const PlatformResult &Put) {
+                    if (Put.Status != PlatformStatus::Ok) {
+                      Self->Done(std::nullopt);
+                      return;
+                    }
+                    Self->Fence = Put.Object.Version;
+                    Self->list("");
+                  });
+  }
+
+  void list(const std::string &After) {
+    this->Api.list(ConfigDataKind, "", After,
+                   [Self = this->shared_from_this()](const PlatformList &Got) {
+                     if (Got.Status != PlatformStatus::Ok) {
+                       Self->Done(std::nullopt);
+                       return;
+                     }
+                     for (const PlatformObject &Each : Got.Objects)
+                       Self->consider(Each);
+                     if (Got.More && !Got.Objects.empty())
+                       Self->list(Got.Objects.back().Key.Name);
+                     else
+                       Self->removeNext();
+                   });
+  }
+
+  void consider(const PlatformObject &Object) {
+    if (this->Used.contains(Object.Key.Name) || Object.Version >= this->Fence)
+      return;
+    std::int64_t Written = 0;
+    if (Object.Value.is_object() && Object.Value.contains("written_ms") &&
+        Object.Value["written_ms"].is_number_integer())
+      Written = Object.Value["written_ms"];
+    if (this->Options.WallMillis() - Written >=
+        this->Options.CollectAge.count())
+      this->Garbage.push_back({Object.Key, Object.Version, false, {}});
+  }
+
+  void removeNext() {
+    if (this->Garbage.empty()) {
+      this->Done(this->Removed);
+      return;
+    }
+    const PlatformObject Next = std::move(this->Garbage.back());
+    this->Garbage.pop_back();
+    this->Api.remove(
+        Next.Key, Next.Version,
+        [Self = this->shared_from_this()](const PlatformResult &Result) {
+          Self->Removed += Result.Status == PlatformStatus::Ok ? 1 : 0;
+          Self->removeNext();
+        });
+  }
+
+  Platform &Api;
+  ConfigStoreOptions Options;
+  ConfigStore::OnCollected Done;
+  std::set<std::string> Used;
+  std::uint64_t Fence = 0;
+  std::vector<PlatformObject> Garbage;
+  std::size_t Removed = 0;
+};
+
+} // namespace
+
+ConfigStore::ConfigStore(Platform &Api, TimerService &Timers,
+                         ConfigStoreOptions Options)
+    : Api(Api), Timers(Timers), Options(std::move(Options)),
+      Random(this->Options.Seed) {
+  if (!this->Options.WallMillis)
+    this->Options.WallMillis = [] {
+      using namespace std::chrono;
+      return duration_cast<milliseconds>(
+                 system_clock::now().time_since_epoch())
+          .count();
+    };
+}
+
+void ConfigStore::load(OnFetched Done) {
+  std::make_shared<LoadRun>(this->Api, this->Timers, this->Options,
+                            this->Random(), std::move(Done))
+      ->start();
+}
+
+void ConfigStore::apply(const Configuration &Wanted,
+                        std::optional<std::uint64_t> SeenEpoch,
+                        OnApplied Done) {
+  std::make_shared<ApplyRun>(this->Api, this->Timers, this->Options,
+                             this->Random(), Wanted, SeenEpoch,
+                             std::move(Done))
+      ->start();
+}
+
+void ConfigStore::collect(OnCollected Done) {
+  std::make_shared<CollectRun>(this->Api, this->Options, std::move(Done))
+      ->start();
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/version/ConfigStore.h
@@ -0,0 +1,87 @@
+// Applying a configuration to the platform, as an operator's tool does.
+//
+//   ConfigStore Store(Api, Loop.timers(), {});
+//   Store.apply(Wanted, /*SeenEpoch=*/7, [](const ApplyResult &Result) {...});
+//
+// An apply reads the manifest, writes the data objects that the manifest does
+// not name, and swaps the manifest on condition of the version read. Each
+// apply puts its own random token into the manifest.
+//
+// Guarantees: Applied is reported only when the change was accepted, Conflict
+// and Unavailable only when it was not and never will be. A lost reply is
+// settled by reading the manifest back and looking for the token; while that
+// cannot be done the end is OutcomeUnknown. An apply ends within Deadline plus
+// the time limit of one call.
+
+#ifndef GALENAROUTE_VERSION_CONFIGSTORE_H
+#define GALENAROUTE_VERSION_CONFIGSTORE_H
+
+#include "version/ConfigFetch.h"
+
+namespace galenaroute {
+
+/// How an apply ended.
+enum class ApplyEnd {
+  Applied,        ///< Accepted as ApplyResult::Epoch.
+  Unchanged,      ///< The configuration in force is already equal.
+  Conflict,       ///< Another change was accepted first; nothing was applied.
+  Unavailable,    ///< The platform did not answer; nothing was applied.
+  OutcomeUnknown, ///< The platform stopped answering; may have been applied.
+};
+
+/// The end of an apply.
+struct ApplyResult {
+  ApplyEnd End = ApplyEnd::Unavailable;
+  std::uint64_t Epoch = 0; ///< Of the change, or in force where not applied.
+  std::string Message;
+  ConfigVersionPtr InForce; ///< What won, on a conflict.
+};
+
+/// Limits of an apply.
+struct ConfigStoreOptions {
+  Duration Deadline = std::chrono::seconds(15);
+  Duration FirstBackoff = std::chrono::milliseconds(100);
+  Duration MaxBackoff = std::chrono::seconds(2);
+  /// Unreferenced objects younger than this are kept for slow readers.
+  std::chrono::milliseconds CollectAge = std::chrono::hours(1);
+  std::uint64_t Seed = std::random_device{}();
+  /// Wall-clock time in milliseconds since the Unix epoch.
+  std::function<std::int64_t()> WallMillis;
+};
+
+/// The operator's side of the configuration objects.
+class ConfigStore {
+public:
+  using OnApplied = std::function<void(const ApplyResult &Result)>;
+  /// Receives the number of objects removed, or nothing on failure.
+  using OnCollected = std::function<void(std::optional<std::size_t> Removed)>;
+
+  ConfigStore(Platform &Api, TimerService &Timers, ConfigStoreOptions Options);
+
+  /// Reads the configuration in force; retries until the deadline.
+  void load(OnFetched Done);
+
+  /// Applies \p Wanted on condition that \p SeenEpoch is in force; without it,
+  /// the epoch found first is the condition.
+  void apply(const Configuration &Wanted,
+             std::optional<std::uint64_t> SeenEpoch, OnApplied Done);
+
+  /// Removes data objects that no manifest can refer to any more.
+  ///
+  /// The manifest is first rewritten unchanged. This makes every apply that
+  /// read an earlier version fail its swap, and an apply that reads the new
+  /// version writes its objects again, with versions above it. So an
+  /// unreferenced object with a lower version is garbage whatever the clocks
+  /// say; the age only spares slow readers.
+  void collect(OnCollected Done);
+
+private:
+  Platform &Api;
+  TimerService &Timers;
+  ConfigStoreOptions Options;
+  std::mt19937_64 Random;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_VERSION_CONFIGSTORE_H
--- /dev/null
+++ b/src/version/ConfigWatcher.cpp
@@ -0,0 +1,117 @@
+#include "version/ConfigWatcher.h"
+
+#include "process/ErrorKind.h"
+
+namespace galenaroute {
+
+ConfigWatcher::ConfigWatcher(Platform &Api, TimerService &Timers,
+                             const ConfigWatcherOptions &Options)
+    : Api(Api), Timers(Timers), Options(Options), Random(Options.Seed) {}
+
+ConfigWatcher::~ConfigWatcher() { this->Timer.disconnect(); }
+
+ConfigurationPtr ConfigWatcher::current() const {
+  return this->InForce ? this->InForce->Config : nullptr;
+}
+
+std::uint64_t ConfigWatcher::epoch() const {
+  return this->InForce ? this->InForce->Names.Epoch : 0;
+}
+
+bool ConfigWatcher::adopt(ConfigVersionPtr Next) {
+  if (!Next || Next->Names.Epoch <= this->epoch())
+    return false;
+  this->InForce = std::move(Next);
+  // A slot may adopt a further version, so the argument is held on its own.
+  const ConfigurationPtr Now = this->InForce->Config;
+  this->Changed.emit(Now);
+  return true;
+}
+
+void ConfigWatcher::setWatching(bool Watch) {
+  if (Watch == (this->Round != nullptr))
+    return;
+  this->Timer.disconnect();
+  this->Round = Watch ? std::make_shared<int>(0) : nullptr;
+  this->Attempt = 0;
+  if (Watch)
+    this->read();
+}
+
+void ConfigWatcher::schedule(Duration Delay, std::function<void()> Step) {
+  this->Timer.disconnect();
+  this->Timer = this->Timers.after(Delay, this->guarded(std::move(Step)));
+}
+
+void ConfigWatcher::retry(std::string Why) {
+  this->Problem = std::move(Why);
+  this->schedule(configBackoff(this->Attempt++, this->Options.FirstBackoff,
+                               this->Options.MaxBackoff, this->Random),
+                 [this] { this->read(); });
+}
+
+void ConfigWatcher::read() {
+  fetchVersion(this->Api, this->InForce, this->epoch(),
+               this->guarded([this](const FetchResult &Result) {
+                 this->fetched(Result);
+               }));
+}
+
+void ConfigWatcher::fetched(const FetchResult &Result) {
+  if (Result.Status != PlatformStatus::Ok) {
+    this->retry(Result.Problem);
+    return;
+  }
+  this->Answered = true;
+  this->Attempt = 0;
+  this->Problem.clear();
+  const std::weak_ptr<int> Before = this->Round;
+  this->adopt(Result.Version);
+  // A slot of Changed may have ended this round.
+  if (!Before.expired())
+    this->watch(Result.Revision);
+}
+
+void ConfigWatcher::watch(std::uint64_t Revision) {
+  this->Api.watch(ManifestKey.Kind, Revision, this->Options.WatchWait,
+                  this->guarded([this, Revision](const PlatformList &Result) {
+                    this->watched(Revision, Result);
+                  }));
+}
+
+void ConfigWatcher::watched(std::uint64_t Since, const PlatformList &Result) {
+  if (Result.Status == PlatformStatus::Expired) {
+    this->schedule(this->Options.MinWatchGap, [this] { this->read(); });
+    return;
+  }
+  if (Result.Status != PlatformStatus::Ok) {
+    this->retry("the platform does not answer the watch");
+    return;
+  }
+  this->Attempt = 0;
+  this->Problem.clear();
+  FetchResult Next;
+  Next.Status = PlatformStatus::Ok;
+  Next.Revision = std::max(Since, Result.Revision);
+  for (const PlatformObject &Each : Result.Objects) {
+    if (Each.Deleted || Each.Key.Name != ManifestKey.Name)
+      continue;
+    try {
+      Next.Names = manifestFromJson(Each.Value);
+    } catch (const Error &Failure) {
+      this->retry(Failure.what());
+      return;
+    }
+  }
+  if (Next.Names && Next.Names->Epoch > this->epoch()) {
+    fetchObjects(this->Api, this->InForce, std::move(Next),
+                 this->guarded([this](const FetchResult &Fetched) {
+                   this->fetched(Fetched);
+                 }));
+    return;
+  }
+  this->schedule(this->Options.MinWatchGap,
+                 [this, Revision = Next.Revision] { this->watch(Revision); });
+}
+
+} // namespace galenaroute
--- a/src/version/Configuration.cpp
+++ b/src/version/Configuration.cpp
@@ -54,14 +54,17 @@
       {"name", Value.Name}, {"region", Value.Region}, {"zones", Value.Zones}};
 }
 
+json toJson(const UpstreamConfig &Value) {
+  return {{"name", Value.Name},
+          {"address", Value.Address.toString()},
+          {"zone", Value.Zone},
+          {"state", Value.State == UpstreamState::Live ? "live" : "leaving"}};
+}
+
 json toJson(const ServiceConfig &Value) {
   json Upstreams = json::array();
   for (const UpstreamConfig &Each : Value.Upstreams)
-    Upstreams.push_back(
-        {{"name", Each.Name},
-         {"address", Each.Address.toString()},
-         {"zone", Each.Zone},
-         {"state", Each.State == UpstreamState::Live ? "live" : "leaving"}});
+    Upstreams.push_back(toJson(Each));
   json Calls = json::array();
   for (const CallConfig &Each : Value.Calls)
     Calls.push_back({{"method", Each.Method},
@@ -113,6 +116,17 @@
   });
 }
 
+UpstreamConfig upstreamFromJson(const json &Value) {
+  return converting("upstream", [&] {
+    return UpstreamConfig{
+        Value.at("name"),
+        SocketAddress::parse(Value.at("address").get<std::string>()),
+        Value.at("zone"),
+        Value.at("state") == "leaving" ? UpstreamState::Leaving
+                                       : UpstreamState::Live};
+  });
+}
+
 ServiceConfig serviceFromJson(const json &Value) {
   return converting("service", [&] {
     ServiceConfig Result;
@@ -123,12 +137,7 @@
     Result.WeightVersion = Value.at("weight_version");
     Value.at("adapters").get_to(Result.Adapters);
     for (const json &Each : Value.at("upstreams"))
-      Result.Upstreams.push_back(
-          {Each.at("name"),
-           SocketAddress::parse(Each.at("address").get<std::string>()),
-           Each.at("zone"),
-           Each.at("state") == "leaving" ? UpstreamState::Leaving
-                                         : UpstreamState::Live});
+      Result.Upstreams.push_back(upstreamFromJson(Each));
     Value.at("depends_on").get_to(Result.DependsOn);
     for (const json &Each : Value.at("calls"))
       Result.Calls.push_back(
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -109,6 +109,8 @@
 
   /// Returns the customer whose key has the digest \p KeySha256, or null.
   const CustomerConfig *findCustomerByDigest(std::string_view KeySha256) const;
+
+  bool operator==(const Configuration &) const = default;
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
@@ -120,12 +122,14 @@
                   std::string_view Path);
 
 nlohmann::json toJson(const DeploymentConfig &Value);
+nlohmann::json toJson(const UpstreamConfig &Value);
 nlohmann::json toJson(const ServiceConfig &Value);
 nlohmann::json toJson(const StoreConfig &Value);
 nlohmann::json toJson(const CustomerConfig &Value);
 
 /// These throw Error(BadRequest) when \p Value does not have the right shape.
 DeploymentConfig deploymentFromJson(const nlohmann::json &Value);
+UpstreamConfig upstreamFromJson(const nlohmann::json &Value);
 ServiceConfig serviceFromJson(const nlohmann::json &Value);
 StoreConfig storeFromJson(const nlohmann::json &Value);
 CustomerConfig customerFromJson(const nlohmann::json &Value);
--- /dev/null
+++ b/src/version/ListingReader.cpp
@@ -0,0 +1,347 @@
+#include "version/ListingReader.h"
+
+#include "process/ErrorKind.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+
+namespace galenaroute {
+
+static constexpr std::string_view NameRule =
+    "a letter or digit, then letters, digits, '.', '_' or '-'; at most 63 "
+    "characters";
+static constexpr std::string_view AddressRule =
+    "IPv4 address and port, such as \"127.0.0.1:9101\"";
+
+void ListingErrors::add(const ListingPlace &Place, std::string Message,
+                        std::string Allowed) {
+  if (this->Errors.size() >= MaxListingErrors - 1) {
+    ++this->Omitted;
+    return;
+  }
+  this->Errors.push_back({Place.Line, Place.Column, Place.Key,
+                          std::move(Message), std::move(Allowed)});
+}
+
+std::vector<ListingError> ListingErrors::take() {
+  std::stable_sort(this->Errors.begin(), this->Errors.end(),
+                   [](const ListingError &A, const ListingError &B) {
+                     return std::tie(A.Line, A.Column) <
+                            std::tie(B.Line, B.Column);
+                   });
+  if (this->Omitted > 0)
+    this->Errors.push_back(
+        {0, 0, "", std::to_string(this->Omitted) + " further errors", ""});
+  return std::move(this->Errors);
+}
+
+static bool isName(std::string_view Text) {
+  const auto Alnum = [](char C) {
+    return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+           (C >= '0' && C <= '9');
+  };
+  return !Text.empty() && Text.size() <= 63 && Alnum(Text.front()) &&
+         std::all_of(Text.begin(), Text.end(), [&](char C) {
+           return Alnum(C) || C == '.' || C == '_' || C == '-';
+         });
+}
+
+/// Returns whether \p Text can be printed on one line of a terminal.
+static bool isPrintable(std::string_view Text) {
+  return std::none_of(Text.begin(), Text.end(), [](char C) {
+    return static_cast<unsigned char>(C) < 0x20 || C == 0x7f;
+  });
+}
+
+static std::string_view typeName(const toml::node &Node) {
+  switch (Node.type()) {
+  case toml::node_type::table:
+    return "a table";
+  case toml::node_type::array:
+    return "an array";
+  case toml::node_type::string:
+    return "a string";
+  case toml::node_type::integer:
+    return "an integer";
+  case toml::node_type::floating_point:
+    return "a float";
+  case toml::node_type::boolean:
+    return "a boolean";
+  default:
+    return "a date or time";
+  }
+}
+
+/// Returns \p Text quoted for a message, shortened and without control bytes.
+static std::string quoted(std::string_view Text) {
+  std::string Result = "\"";
+  for (const char C : Text.substr(0, 80))
+    Result += static_cast<unsigned char>(C) < 0x20 || C == 0x7f ? '?' : C;
+  return Result + (Text.size() > 80 ? "...\"" : "\"");
+}
+
+static std::string wrongType(const toml::node &Node,
+                             std::string_view Expected) {
+  return "is " + std::string(typeName(Node)) + " instead of " +
+         std::string(Expected);
+}
+
+TableReader::TableReader(const toml::table &Table, ListingPlace Place,
+                         ListingErrors &Errors)
+    : Table(&Table), Place(std::move(Place)), Errors(&Errors) {}
+
+const toml::node *TableReader::find(std::string_view Key) {
+  this->Known.emplace(Key);
+  return this->Table->get(Key);
+}
+
+ListingPlace TableReader::placeOf(std::string_view Key,
+                                  const toml::node &Node) const {
+  const toml::source_position At = Node.source().begin;
+  return {At.line, At.column,
+          this->Place.Key.empty() ? std::string(Key)
+                                  : this->Place.Key + "." + std::string(Key)};
+}
+
+const toml::node *TableReader::require(std::string_view Key,
+                                       std::string_view Allowed) {
+  const toml::node *Node = this->find(Key);
+  if (!Node) {
+    ListingPlace Missing = this->Place;
+    Missing.Key += (Missing.Key.empty() ? "" : ".") + std::string(Key);
+    this->Errors->add(Missing, "is missing", std::string(Allowed));
+  }
+  return Node;
+}
+
+Located<std::string> TableReader::name(std::string_view Key) {
+  const toml::node *Node = this->require(Key, NameRule);
+  if (!Node)
+    return {{}, this->Place};
+  Located<std::string> Result{{}, this->placeOf(Key, *Node)};
+  const auto Text = Node->value_exact<std::string_view>();
+  if (!Text)
+    this->Errors->add(Result.Place, wrongType(*Node, "a string"),
+                      std::string(NameRule));
+  else if (!isName(*Text))
+    this->Errors->add(Result.Place, quoted(*Text) + " is not a name",
+                      std::string(NameRule));
+  else
+    Result.Value = *Text;
+  return Result;
+}
+
+Located<std::string> TableReader::text(std::string_view Key,
+                                       std::optional<std::string> Default,
+                                       std::size_t MaxBytes) {
+  const std::string Allowed =
+      "a printable string of 1 to " + std::to_string(MaxBytes) + " bytes";
+  const toml::node *Node =
+      Default ? this->find(Key) : this->require(Key, Allowed);
+  if (!Node)
+    return {Default.value_or(""), this->Place};
+  Located<std::string> Result{{}, this->placeOf(Key, *Node)};
+  const auto Text = Node->value_exact<std::string_view>();
+  if (!Text)
+    this->Errors->add(Result.Place, wrongType(*Node, "a string"), Allowed);
+  else if (Text->empty() || Text->size() > MaxBytes || !isPrintable(*Text))
+    this->Errors->add(Result.Place, quoted(*Text) + " is not valid", Allowed);
+  else
+    Result.Value = *Text;
+  return Result;
+}
+
+std::string TableReader::choice(std::string_view Key,
+                                std::span<const std::string_view> Allowed,
+                                std::optional<std::string> Default) {
+  std::string Rule;
+  for (const std::string_view Each : Allowed)
+    Rule += (Rule.empty() ? "" : ", ") + quoted(Each);
+  const toml::node *Node = Default ? this->find(Key) : this->require(Key, Rule);
+  if (!Node)
+    return Default.value_or("");
+  const auto Text = Node->value_exact<std::string_view>();
+  if (!Text)
+    this->Errors->add(this->placeOf(Key, *Node), wrongType(*Node, "a string"),
+                      Rule);
+  else if (std::find(Allowed.begin(), Allowed.end(), *Text) == Allowed.end())
+    this->Errors->add(this->placeOf(Key, *Node),
+                      quoted(*Text) + " is not allowed", Rule);
+  else
+    return std::string(*Text);
+  return Default.value_or("");
+}
+
+std::int64_t TableReader::integer(std::string_view Key, std::int64_t Default,
+                                  Range<std::int64_t> Bounds) {
+  const toml::node *Node = this->find(Key);
+  if (!Node)
+    return Default;
+  const std::string Rule = "integer from " + std::to_string(Bounds.Min) +
+                           " to " + std::to_string(Bounds.Max);
+  const auto Value = Node->value_exact<std::int64_t>();
+  if (!Value)
+    this->Errors->add(this->placeOf(Key, *Node), wrongType(*Node, "an integer"),
+                      Rule);
+  else if (*Value < Bounds.Min || *Value > Bounds.Max)
+    this->Errors->add(this->placeOf(Key, *Node),
+                      std::to_string(*Value) + " is out of range", Rule);
+  else
+    return *Value;
+  return Default;
+}
+
+static std::string formatNumber(double Value) {
+  std::ostringstream Out;
+  Out << Value;
+  return Out.str();
+}
+
+double TableReader::number(std::string_view Key, double Default,
+                           Range<double> Bounds) {
+  const toml::node *Node = this->find(Key);
+  if (!Node)
+    return Default;
+  const std::string Rule = "number from " + formatNumber(Bounds.Min) + " to " +
+                           formatNumber(Bounds.Max);
+  if (!Node->is_number()) {
+    this->Errors->add(this->placeOf(Key, *Node), wrongType(*Node, "a number"),
+                      Rule);
+    return Default;
+  }
+  const double Value = Node->value<double>().value_or(Default);
+  // The negated form also refuses NaN.
+  if (!(Value >= Bounds.Min && Value <= Bounds.Max)) {
+    this->Errors->add(this->placeOf(Key, *Node),
+                      formatNumber(Value) + " is out of range", Rule);
+    return Default;
+  }
+  return Value;
+}
+
+bool TableReader::boolean(std::string_view Key, std::optional<bool> Default) {
+  const toml::node *Node =
+      Default ? this->find(Key) : this->require(Key, "true, false");
+  if (!Node)
+    return Default.value_or(false);
+  const auto Value = Node->value_exact<bool>();
+  if (!Value)
+    this->Errors->add(this->placeOf(Key, *Node), wrongType(*Node, "a boolean"),
+                      "true, false");
+  return Value.value_or(Default.value_or(false));
+}
+
+Located<SocketAddress> TableReader::address(std::string_view Key) {
+  const toml::node *Node = this->require(Key, AddressRule);
+  if (!Node)
+    return {{}, this->Place};
+  Located<SocketAddress> Result{{}, this->placeOf(Key, *Node)};
+  const auto Text = Node->value_exact<std::string_view>();
+  if (!Text) {
+    this->Errors->add(Result.Place, wrongType(*Node, "a string"),
+                      std::string(AddressRule));
+    return Result;
+  }
+  try {
+    Result.Value = SocketAddress::parse(*Text);
+  } catch (const Error &) {
+    Result.Value = {};
+  }
+  in_addr Parsed;
+  if (inet_pton(AF_INET, Result.Value.Host.c_str(), &Parsed) != 1) {
+    Result.Value = {};
+    this->Errors->add(Result.Place, quoted(*Text) + " is not an address",
+                      std::string(AddressRule));
+  }
+  return Result;
+}
+
+std::vector<Located<std::string>> TableReader::names(std::string_view Key,
+                                                     bool Required) {
+  const toml::node *Node =
+      Required ? this->require(Key, "array of names") : this->find(Key);
+  if (!Node)
+    return {};
+  const ListingPlace Whole = this->placeOf(Key, *Node);
+  const toml::array *Array = Node->as_array();
+  if (!Array) {
+    this->Errors->add(Whole, wrongType(*Node, "an array"), "array of names");
+    return {};
+  }
+  if (Required && Array->empty())
+    this->Errors->add(Whole, "is empty", "at least one name");
+  std::vector<Located<std::string>> Result;
+  std::set<std::string_view> Seen;
+  for (std::size_t I = 0; I < Array->size(); ++I) {
+    const toml::node &Each = *Array->get(I);
+    const ListingPlace At = this->placeOf(
+        std::string(Key) + "[" + std::to_string(I) + "]", Each);
+    const auto Text = Each.value_exact<std::string_view>();
+    if (!Text)
+      this->Errors->add(At, wrongType(Each, "a string"), std::string(NameRule));
+    else if (!isName(*Text))
+      this->Errors->add(At, quoted(*Text) + " is not a name",
+                        std::string(NameRule));
+    else if (!Seen.insert(*Text).second)
+      this->Errors->add(At, quoted(*Text) + " is given twice");
+    else
+      Result.push_back({std::string(*Text), At});
+  }
+  return Result;
+}
+
+std::vector<TableReader> TableReader::tables(std::string_view Key) {
+  const toml::node *Node = this->find(Key);
+  if (!Node)
+    return {};
+  const toml::array *Array = Node->as_array();
+  if (!Array) {
+    this->Errors->add(this->placeOf(Key, *Node),
+                      wrongType(*Node, "an array of tables"));
+    return {};
+  }
+  std::vector<TableReader> Result;
+  for (std::size_t I = 0; I < Array->size(); ++I) {
+    const toml::node &Each = *Array->get(I);
+    ListingPlace At = this->placeOf(
+        std::string(Key) + "[" + std::to_string(I) + "]", Each);
+    if (const toml::table *Inner = Each.as_table())
+      Result.emplace_back(*Inner, std::move(At), *this->Errors);
+    else
+      this->Errors->add(At, wrongType(Each, "a table"));
+  }
+  return Result;
+}
+
+std::optional<TableReader> TableReader::table(std::string_view Key) {
+  const toml::node *Node = this->require(Key, "a table");
+  if (!Node)
+    return std::nullopt;
+  if (const toml::table *Inner = Node->as_table())
+    return TableReader(*Inner, this->placeOf(Key, *Node), *this->Errors);
+  this->Errors->add(this->placeOf(Key, *Node), wrongType(*Node, "a table"));
+  return std::nullopt;
+}
+
+void TableReader::forbid(std::string_view Key, const std::string &Reason) {
+  if (const toml::node *Node = this->find(Key))
+    this->Errors->add(this->placeOf(Key, *Node), Reason);
+}
+
+void TableReader::finish() {
+  std::string Allowed;
+  for (const std::string &Each : this->Known)
+    Allowed += (Allowed.empty() ? "" : ", ") + Each;
+  for (auto &&[Key, Node] : *this->Table) {
+    if (this->Known.contains(Key.str()))
+      continue;
+    const toml::source_position At = Key.source().begin;
+    this->Errors->add(
+        {At.line, At.column,
+         (this->Place.Key.empty() ? "" : this->Place.Key + ".") +
+             std::string(Key.str().substr(0, 80))},
+        "is not a known key", Allowed);
+  }
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/tests/ConfigHistoryTest.cpp
@@ -0,0 +1,267 @@
+// History checks of racing applies, collections and watchers against a
+// platform with outages, lost replies and reordered calls.
+
+#include "FakePlatform.h"
+#include "version/ConfigStore.h"
+#include "version/ConfigWatcher.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::FakePlatform;
+
+Configuration configNamed(const std::string &Name) {
+  Configuration Result;
+  Result.Deployment = {Name, "r", {"z"}};
+  Result.Customers["c"] = {"c", std::string(64, 'a'), 1, 64};
+  return Result;
+}
+
+/// Everything that takes part in one history.
+class History {
+public:
+  explicit History(std::uint64_t Seed) : Random(Seed) {
+    for (int I = 0; I < 3; ++I)
+      this->addWatcher();
+  }
+
+  void addWatcher() {
+    ConfigWatcherOptions Options;
+    Options.FirstBackoff = 100us;
+    Options.MaxBackoff = 1ms;
+    Options.MinWatchGap = 100us;
+    Options.Seed = this->Random();
+    this->Watchers.push_back(std::make_unique<ConfigWatcher>(
+        this->Api, this->Loop.timers(), Options));
+    auto Last = std::make_shared<std::uint64_t>(0);
+    this->Watchers.back()->Changed.connect(
+        [this, Last](const ConfigurationPtr &Config) {
+          if (Config->Epoch <= *Last ||
+              this->Accepted[Config->Epoch] != Config->Deployment.Name)
+            this->Faults.push_back("epoch " + std::to_string(Config->Epoch) +
+                                   " came into force wrongly");
+          *Last = Config->Epoch;
+        });
+    this->Watchers.back()->start();
+  }
+
+  void restartWatcher(std::size_t Index) {
+    this->Watchers.erase(this->Watchers.begin() +
+                         static_cast<std::ptrdiff_t>(Index));
+    this->addWatcher();
+  }
+
+  /// Starts an apply with a name of its own, by an operator who saw the
+  /// newest epoch or, for \p Stale, the one before.
+  void apply(bool Stale) {
+    const std::string Name = "d" + std::to_string(this->Results.size());
+    const std::uint64_t Newest =
+        this->Accepted.empty() ? 0 : this->Accepted.rbegin()->first;
+    this->Results[Name] = std::nullopt;
+    this->store().apply(configNamed(Name), Stale && Newest ? Newest - 1 : Newest,
+                        [this, Name](const ApplyResult &Result) {
+                          this->Results[Name] = Result;
+                        });
+  }
+
+  void collect() { this->store().collect([](std::optional<std::size_t>) {}); }
+
+  /// Carries out one call, and notes any manifest that it made.
+  void step() {
+    if (this->Api.pending() == 0)
+      return;
+    this->Api.stepAt(this->Random() % this->Api.pending());
+    const PlatformResult Got = this->Api.read(ManifestKey);
+    if (Got.Status != PlatformStatus::Ok)
+      return;
+    const Manifest Names = manifestFromJson(Got.Object.Value);
+    ObjectMap Objects;
+    for (const std::string &Hash : Names.Objects) {
+      const PlatformResult Data = this->Api.read({ConfigDataKind, Hash});
+      if (Data.Status != PlatformStatus::Ok) {
+        this->Faults.push_back("a collected object is still in use");
+        return;
+      }
+      Objects[Hash] =
+          std::make_shared<const std::string>(Data.Object.Value["data"]);
+    }
+    const std::string Name =
+        assembleVersion(Names, Objects)->Config->Deployment.Name;
+    const auto [It, IsNew] = this->Accepted.emplace(Names.Epoch, Name);
+    if (It->second != Name || It != std::prev(this->Accepted.end()))
+      this->Faults.push_back("an accepted epoch was replaced");
+  }
+
+  void pump() {
+    this->Loop.runUntil([] { return false; }, 500us);
+  }
+
+  bool settled() const {
+    for (const auto &[Name, Result] : this->Results)
+      if (!Result)
+        return false;
+    for (const auto &Each : this->Watchers)
+      if (!this->Accepted.empty() &&
+          (!Each->current() ||
+           Each->current()->Epoch != this->Accepted.rbegin()->first))
+        return false;
+    return true;
+  }
+
+  /// Lets everything communicate; returns whether it came to rest.
+  bool settle() {
+    this->Api.Outage = false;
+    this->Api.LoseReplies = this->Api.LoseRequests = 0;
+    for (int Round = 0; Round < 3000 && !this->settled(); ++Round) {
+      for (int I = 0; I < 20; ++I)
+        this->step();
+      this->pump();
+    }
+    return this->settled();
+  }
+
+  bool wasAccepted(const std::string &Name) const {
+    for (const auto &[Epoch, Each] : this->Accepted)
+      if (Each == Name)
+        return true;
+    return false;
+  }
+
+  EventLoop Loop;
+  FakePlatform Api;
+  std::map<std::uint64_t, std::string> Accepted; ///< By epoch.
+  std::map<std::string, std::optional<ApplyResult>> Results;
+  std::vector<std::string> Faults;
+
+private:
+  ConfigStore &store() {
+    ConfigStoreOptions Options;
+    Options.Deadline = 20ms;
+    Options.FirstBackoff = 100us;
+    Options.MaxBackoff = 1ms;
+    // With no safe age, only the version fence protects objects in use.
+    Options.CollectAge = 0ms;
+    Options.Seed = this->Random();
+    this->Stores.push_back(std::make_unique<ConfigStore>(
+        this->Api, this->Loop.timers(), Options));
+    return *this->Stores.back();
+  }
+
+  std::mt19937_64 Random;
+  std::vector<std::unique_ptr<ConfigStore>> Stores;
+  std::vector<std::unique_ptr<ConfigWatcher>> Watchers;
+};
+
+// Guards against: an apply that reports success or conflict wrongly, an epoch
+// in force that goes down or was never accepted, collection of an object in
+// use, and a daemon that does not reach the newest epoch after the faults.
+RC_GTEST_PROP(ConfigHistoryProperties, RacesOutagesAndLostReplies, ()) {
+  History Run(*rc::gen::arbitrary<std::uint64_t>());
+  const auto Script =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40));
+  for (const int Command : Script) {
+    switch (Command) {
+    case 0:
+      Run.Api.Outage = !Run.Api.Outage;
+      break;
+    case 1:
+    case 2:
+      ++Run.Api.LoseReplies;
+      break;
+    case 3:
+      ++Run.Api.LoseRequests;
+      break;
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+      Run.apply(/*Stale=*/false);
+      break;
+    case 8:
+      Run.apply(/*Stale=*/true);
+      break;
+    case 9:
+    case 10:
+      Run.collect();
+      break;
+    case 11:
+      Run.restartWatcher(0);
+      break;
+    case 12:
+    case 13:
+      Run.pump();
+      break;
+    default:
+      for (int I = 0; I < 4; ++I)
+        Run.step();
+    }
+  }
+  RC_ASSERT(Run.settle());
+  RC_ASSERT(Run.Faults == std::vector<std::string>{});
+  for (const auto &[Name, Result] : Run.Results) {
+    RC_LOG() << Name << " ended as " << static_cast<int>(Result->End) << ": "
+             << Result->Message << "\n";
+    if (Result->End == ApplyEnd::Applied)
+      RC_ASSERT(Run.wasAccepted(Name));
+    else if (Result->End != ApplyEnd::OutcomeUnknown)
+      RC_ASSERT(!Run.wasAccepted(Name));
+  }
+}
+
+class ConfigApplyTest : public testing::Test {
+protected:
+  ApplyResult apply(const std::string &Name, std::uint64_t Seen) {
+    this->Run.Results.clear();
+    std::optional<ApplyResult> Last;
+    ConfigStoreOptions Options;
+    Options.Deadline = 50ms;
+    Options.FirstBackoff = 1ms;
+    ConfigStore Store(this->Run.Api, this->Run.Loop.timers(), Options);
+    Store.apply(configNamed(Name), Seen,
+                [&](const ApplyResult &Result) { Last = Result; });
+    for (int I = 0; I < 1000 && !Last; ++I) {
+      this->Run.Api.drain(50);
+      this->Run.pump();
+    }
+    return Last.value_or(ApplyResult{ApplyEnd::OutcomeUnknown, 0, "stuck", {}});
+  }
+
+  History Run{1};
+};
+
+// Guards against the error of an outage that passes for success or never ends.
+TEST_F(ConfigApplyTest, AnOutageEndsWithAClearError) {
+  this->Run.Api.Outage = true;
+  const ApplyResult Result = this->apply("a", 0);
+  EXPECT_EQ(Result.End, ApplyEnd::Unavailable);
+  EXPECT_EQ(Result.Message,
+            "nothing was applied: the platform does not answer");
+}
+
+// Guards against an accepted change that is reported as a conflict because
+// its reply was lost.
+TEST_F(ConfigApplyTest, ALostReplyOfTheSwapIsSettled) {
+  ASSERT_EQ(this->apply("a", 0).End, ApplyEnd::Applied);
+  // Writes: one data object, then the manifest.
+  this->Run.Api.LoseReplies = 2;
+  const ApplyResult Result = this->apply("b", 1);
+  EXPECT_EQ(Result.End, ApplyEnd::Applied);
+  EXPECT_EQ(Result.Epoch, 2U);
+}
+
+// Guards against an operator overwriting a change that they have not seen.
+TEST_F(ConfigApplyTest, AStaleEpochIsAConflictThatShowsWhatIsInForce) {
+  ASSERT_EQ(this->apply("a", 0).End, ApplyEnd::Applied);
+  const ApplyResult Result = this->apply("b", 0);
+  EXPECT_EQ(Result.End, ApplyEnd::Conflict);
+  ASSERT_TRUE(Result.InForce);
+  EXPECT_EQ(Result.InForce->Config->Deployment.Name, "a");
+  EXPECT_EQ(this->apply("a", 1).End, ApplyEnd::Unchanged);
+}
+
+} // namespace
+} // namespace galenaroute
