--- /dev/null
+++ b/src/process/PeerNetwork.cpp
@@ -0,0 +1,300 @@
+#include "process/PeerNetwork.h"
+
+#include "process/ErrorKind.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+/// Types that keep a link alive but are no use of it.
+static bool isHousekeeping(const std::string &Type) {
+  return Type == "ping" || Type == "pong" || Type == "gossip" ||
+         Type == "hello" || Type == "bye";
+}
+
+PeerNetwork::PeerNetwork(EventLoop &Loop, Timeline &Events, Platform &Api,
+                         PeerSettings Settings)
+    : Loop(Loop), Events(Events), Api(Api), Settings(std::move(Settings)) {
+  this->State.Settings = this->Settings.Membership;
+  this->State.Self = this->Settings.Self;
+  this->handle("gossip", [this](const std::string &, const json &Body) {
+    GossipReceived Event;
+    const json &Records = Body.at("members");
+    if (!Records.is_array() ||
+        Records.size() > this->Settings.Membership.MaxGossipItems * 2)
+      throw Error(ErrorKind::BadRequest, "malformed gossip");
+    for (const json &Each : Records)
+      Event.Records.push_back(memberInfoFromJson(Each));
+    this->step(Event);
+  });
+  const auto OnLoad = [this](const std::string &From, const json &Body) {
+    const json &Load = Body.at("load");
+    if (!Load.is_number_unsigned())
+      throw Error(ErrorKind::BadRequest, "malformed load");
+    this->step(LoadReported{From, Load.get<std::uint32_t>()});
+  };
+  this->handle("ping", OnLoad);
+  this->handle("pong", OnLoad);
+}
+
+PeerNetwork::~PeerNetwork() {
+  *this->Alive = false;
+  this->TickTimer.disconnect();
+  this->VmTimer.disconnect();
+  if (this->Listener)
+    evconnlistener_free(this->Listener);
+}
+
+void PeerNetwork::start() {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(this->Settings.Listen.Port);
+  if (inet_pton(AF_INET, this->Settings.Listen.Host.c_str(),
+                &Address.sin_addr) == 1)
+    this->Listener = evconnlistener_new_bind(
+        this->Loop.base(),
+        [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
+           void *Self) { static_cast<PeerNetwork *>(Self)->accept(Socket); },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, /*backlog=*/128,
+        reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+  if (!this->Listener)
+    throw Error(ErrorKind::Internal, "cannot listen for peers at " +
+                                         this->Settings.Listen.toString());
+  MemberInfo &Self = this->State.Self;
+  if (Self.PeerAddress.Port == 0) {
+    socklen_t Size = sizeof(Address);
+    getsockname(evconnlistener_get_fd(this->Listener),
+                reinterpret_cast<sockaddr *>(&Address), &Size);
+    Self.PeerAddress.Port = ntohs(Address.sin_port);
+  }
+  if (Self.Id.empty())
+    Self.Id = Self.PeerAddress.toString();
+  if (Self.Incarnation == 0)
+    Self.Incarnation = static_cast<std::uint64_t>(this->Events.stamp().Micros);
+  this->step(SeedsKnown{this->Settings.Seeds});
+  this->TickTimer = this->Loop.timers().every(this->Settings.TickPeriod,
+                                              [this] { this->tick(); });
+  this->VmTimer = this->Loop.timers().every(this->Settings.VmListPeriod,
+                                            [this] { this->readVms(); });
+  this->readVms();
+  this->tick();
+}
+
+void PeerNetwork::handle(const std::string &Type, Handler Handle) {
+  this->Handlers[Type] = std::move(Handle);
+}
+
+void PeerNetwork::readVms() {
+  this->Api.listVms([this, Alive = this->Alive](const VmList &Result) {
+    if (!*Alive || Result.Status != PlatformStatus::Ok)
+      return;
+    this->step(VmsListed{Result.Vms});
+    this->VmsRead.emit(Result.Vms);
+  });
+}
+
+void PeerNetwork::accept(int Socket) {
+  if (this->Links.size() >= this->Settings.MaxLinks) {
+    evutil_closesocket(Socket);
+    return;
+  }
+  this->add(
+      PeerLink::accept(this->Loop, this->Events, Socket, this->Settings.Link));
+}
+
+PeerNetwork::Link &PeerNetwork::add(std::unique_ptr<PeerLink> Wire) {
+  const LinkId Id = this->NextLink++;
+  Link &Added = this->Links[Id];
+  Added.Wire = std::move(Wire);
+  Added.LastUse = EventLoop::now();
+  PeerLink &Peer = *Added.Wire;
+  Peer.PingBody = [this] { return json{{"load", this->SelfLoad}}; };
+  Peer.Opened.connect([this, &Peer] {
+    PeerMessage Hello{"hello", toJson(this->State.Self)};
+    Hello.Body["deployment"] = this->Settings.Deployment;
+    Peer.send(Hello);
+  });
+  Peer.Received.connect(
+      [this, Id](const PeerMessage &Message) { this->onMessage(Id, Message); });
+  Peer.Closed.connect(
+      [this, Id](const std::string &Reason) { this->onClosed(Id, Reason); });
+  return Added;
+}
+
+PeerNetwork::Link *PeerNetwork::connect(const std::string &Wanted,
+                                        const SocketAddress &To) {
+  for (auto &[Id, Each] : this->Links)
+    if (Each.Outbound && Each.To == To && !Each.Released &&
+        !Each.Wire->isClosed()) {
+      if (Each.Wanted.empty())
+        Each.Wanted = Wanted;
+      return &Each;
+    }
+  if (this->Links.size() >= this->Settings.MaxLinks)
+    return nullptr;
+  Link &Added = this->add(
+      PeerLink::connect(this->Loop, this->Events, To, this->Settings.Link));
+  Added.Outbound = true;
+  Added.Wanted = Wanted;
+  Added.To = To;
+  return &Added;
+}
+
+PeerNetwork::Link *PeerNetwork::openLinkTo(const std::string &Id) {
+  Link *Found = nullptr;
+  for (auto &[Key, Each] : this->Links)
+    if (Each.PeerId == Id && !Each.Released && Each.Wire->isOpen())
+      Found = &Each; // The last one is the youngest.
+  return Found;
+}
+
+bool PeerNetwork::send(const std::string &To, const PeerMessage &Message) {
+  if (Link *Over = this->openLinkTo(To)) {
+    if (!isHousekeeping(Message.Type))
+      Over->LastUse = EventLoop::now();
+    return Over->Wire->send(Message);
+  }
+  const auto It = this->State.Members.find(To);
+  if (It == this->State.Members.end() ||
+      It->second.Info.State == MemberState::Dead)
+    return false;
+  Link *Over = this->connect(To, It->second.Info.PeerAddress);
+  if (!Over || Over->Waiting.size() >= this->Settings.MaxWaiting)
+    return false;
+  Over->Waiting.push_back(Message);
+  return true;
+}
+
+void PeerNetwork::sendToNeighbours(const PeerMessage &Message) {
+  for (const std::string &Id : neighbours(this->State))
+    if (Link *Over = this->openLinkTo(Id))
+      Over->Wire->send(Message);
+}
+
+void PeerNetwork::leave() { this->step(SelfLeaving{}); }
+
+std::size_t PeerNetwork::openLinks() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Links.begin(), this->Links.end(),
+      [](const auto &Each) { return Each.second.Wire->isOpen(); }));
+}
+
+void PeerNetwork::onMessage(LinkId Id, const PeerMessage &Message) {
+  const auto It = this->Links.find(Id);
+  if (It == this->Links.end())
+    return;
+  Link &Over = It->second;
+  try {
+    if (Over.PeerId.empty()) {
+      if (Message.Type != "hello")
+        throw Error(ErrorKind::BadRequest, "the first message is not hello");
+      this->onHello(Over, Message.Body);
+      return;
+    }
+    if (Message.Type == "bye") {
+      Over.Released = true;
+      Over.Wire->close("idle");
+      return;
+    }
+    if (!isHousekeeping(Message.Type))
+      Over.LastUse = EventLoop::now();
+    const auto Handle = this->Handlers.find(Message.Type);
+    if (Handle != this->Handlers.end())
+      Handle->second(Over.PeerId, Message.Body);
+  } catch (const std::exception &Failure) {
+    Over.Wire->close("message '" + Message.Type.substr(0, 32) +
+                     "' refused: " + Failure.what());
+  }
+}
+
+void PeerNetwork::onHello(Link &Over, const json &Body) {
+  MemberInfo From = memberInfoFromJson(Body);
+  if (Body.at("deployment") != this->Settings.Deployment)
+    throw Error(ErrorKind::BadRequest, "the peer is of another deployment");
+  if (From.Id == this->State.Self.Id)
+    throw Error(ErrorKind::BadRequest, "the peer has this daemon's own id");
+  // A process that speaks is alive, whatever it was told about itself.
+  From.State = MemberState::Alive;
+  // The peer replaced its connection; the old one is silent.
+  for (auto &[Id, Each] : this->Links)
+    if (&Each != &Over && Each.PeerId == From.Id && !Each.Outbound &&
+        !Over.Outbound) {
+      Each.Released = true;
+      Each.Wire->close("replaced by the peer");
+    }
+  Over.PeerId = From.Id;
+  this->Events.record("peer.link_up", "", From.Id);
+  const std::string Wanted = Over.Wanted;
+  std::deque<PeerMessage> Waiting = std::move(Over.Waiting);
+  this->step(LinkOpened{From});
+  if (Wanted.empty() || Wanted == From.Id) {
+    for (const PeerMessage &Each : Waiting)
+      Over.Wire->send(Each);
+  } else {
+    // Another process runs at that address now.
+    this->step(ConnectFailed{Wanted});
+  }
+  this->LinkUp.emit(From.Id);
+}
+
+void PeerNetwork::onClosed(LinkId Id, const std::string &Reason) {
+  const auto It = this->Links.find(Id);
+  if (It == this->Links.end())
+    return;
+  Link Gone = std::move(It->second);
+  this->Links.erase(It);
+  // The link is still emitting its signal.
+  this->Finished.push_back(std::move(Gone.Wire));
+  this->Loop.timers().after(Duration::zero(), [this, Alive = this->Alive] {
+    if (*Alive)
+      this->Finished.clear();
+  });
+  const std::string &Peer = Gone.PeerId.empty() ? Gone.Wanted : Gone.PeerId;
+  if (!Peer.empty())
+    this->Events.record("peer.link_down", "", Peer + ": " + Reason);
+  if (Peer.empty() || this->openLinkTo(Peer))
+    return;
+  if (Gone.PeerId.empty())
+    this->step(ConnectFailed{Peer});
+  else if (Gone.Released)
+    this->step(LinkReleased{Peer});
+  else
+    this->step(LinkLost{Peer});
+}
+
+void PeerNetwork::step(const MembershipEvent &Event) {
+  const MembershipActions Actions = apply(this->State, Event, EventLoop::now());
+  for (const auto &Each : Actions.Connects)
+    this->connect(Each.Id, Each.To);
+  for (const auto &Each : Actions.Gossips) {
+    json Records = json::array();
+    for (const MemberInfo &Record : Each.Records)
+      Records.push_back(toJson(Record));
+    if (Link *Over = this->openLinkTo(Each.To))
+      Over->Wire->send({"gossip", {{"members", std::move(Records)}}});
+  }
+  if (Actions.MembersChanged)
+    this->MembersChanged.emit();
+}
+
+void PeerNetwork::tick() {
+  this->step(MembershipTick{});
+  const std::vector<std::string> Kept = neighbours(this->State);
+  const TimePoint Now = EventLoop::now();
+  for (auto &[Id, Each] : this->Links) {
+    if (!Each.Outbound || Each.PeerId.empty() || Each.Released ||
+        Now - Each.LastUse < this->Settings.IdleLimit ||
+        std::binary_search(Kept.begin(), Kept.end(), Each.PeerId))
+      continue;
+    // The peer closes the connection when it reads this.
+    Each.Wire->send({"bye"});
+    Each.Released = true;
+  }
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/tests/MuteRelay.h
@@ -0,0 +1,112 @@
+// A TCP relay between two peers that a test can make silent: its connections
+// stay open but carry no more bytes, as after a firewall lost their state.
+
+#ifndef GALENAROUTE_TESTS_MUTERELAY_H
+#define GALENAROUTE_TESTS_MUTERELAY_H
+
+#include "connection/HttpTypes.h"
+#include "process/EventLoop.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <stdexcept>
+
+namespace galenaroute::testing_support {
+
+class MuteRelay {
+public:
+  explicit MuteRelay(EventLoop &Loop) : Loop(Loop) {
+    sockaddr_in Any = numeric({"127.0.0.1", 0});
+    this->Listener = evconnlistener_new_bind(
+        Loop.base(),
+        [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
+           void *Self) { static_cast<MuteRelay *>(Self)->accept(Socket); },
+        this, LEV_OPT_CLOSE_ON_FREE, 16, reinterpret_cast<sockaddr *>(&Any),
+        sizeof(Any));
+    if (!this->Listener)
+      throw std::runtime_error("cannot listen on the loopback interface");
+    socklen_t Size = sizeof(Any);
+    getsockname(evconnlistener_get_fd(this->Listener),
+                reinterpret_cast<sockaddr *>(&Any), &Size);
+    this->Address = {"127.0.0.1", ntohs(Any.sin_port)};
+  }
+
+  ~MuteRelay() {
+    this->cut();
+    evconnlistener_free(this->Listener);
+  }
+  MuteRelay(const MuteRelay &) = delete;
+  MuteRelay &operator=(const MuteRelay &) = delete;
+
+  /// Silences the connections that are open now; later ones work.
+  void mute() {
+    for (const auto &Each : this->Pairs) {
+      bufferevent_disable(Each->Near, EV_READ | EV_WRITE);
+      bufferevent_disable(Each->Far, EV_READ | EV_WRITE);
+    }
+  }
+
+  /// Closes all connections.
+  void cut() {
+    for (const auto &Each : this->Pairs) {
+      bufferevent_free(Each->Near);
+      bufferevent_free(Each->Far);
+    }
+    this->Pairs.clear();
+  }
+
+  std::size_t accepted() const { return this->Pairs.size(); }
+
+  SocketAddress Address;
+  SocketAddress Target;
+
+private:
+  struct Pair {
+    bufferevent *Near;
+    bufferevent *Far;
+  };
+
+  static sockaddr_in numeric(const SocketAddress &From) {
+    sockaddr_in Result{};
+    Result.sin_family = AF_INET;
+    Result.sin_port = htons(From.Port);
+    inet_pton(AF_INET, From.Host.c_str(), &Result.sin_addr);
+    return Result;
+  }
+
+  void accept(int Socket) {
+    auto Added = std::make_unique<Pair>();
+    Added->Near = bufferevent_socket_new(this->Loop.base(), Socket,
+                                         BEV_OPT_CLOSE_ON_FREE);
+    Added->Far =
+        bufferevent_socket_new(this->Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    sockaddr_in To = numeric(this->Target);
+    bufferevent_socket_connect(Added->Far, reinterpret_cast<sockaddr *>(&To),
+                               sizeof(To));
+    connectPair(Added->Near, Added->Far);
+    connectPair(Added->Far, Added->Near);
+    this->Pairs.push_back(std::move(Added));
+  }
+
+  static void connectPair(bufferevent *From, bufferevent *To) {
+    bufferevent_setcb(
+        From,
+        [](bufferevent *Source, void *Other) {
+          evbuffer_add_buffer(
+              bufferevent_get_output(static_cast<bufferevent *>(Other)),
+              bufferevent_get_input(Source));
+        },
+        nullptr, nullptr, To);
+    bufferevent_enable(From, EV_READ | EV_WRITE);
+  }
+
+  EventLoop &Loop;
+  evconnlistener *Listener;
+  std::vector<std::unique_ptr<Pair>> Pairs;
+};
+
+} // namespace galenaroute::testing_support
+
+#endif // GALENAROUTE_TESTS_MUTERELAY_H
