--- a/tests/PeerNetworkTest.cpp
+++ b/tests/PeerNetworkTest.cpp
@@ -58,6 +58,7 @@
 TEST_F(PeerNetworkTest, FindsAllDaemonsFromOneSeedAndDeliversMessages) {
   const auto First = this->start(this->settings("a", {}));
   std::vector<std::unique_ptr<PeerNetwork>> Rest;
+  Rest.reserve(5);
   for (int I = 0; I < 5; ++I)
     Rest.push_back(this->start(
         this->settings(I % 2 == 0 ? "a" : "b", {First->self().PeerAddress})));
