--- a/src/version/Lease.h
+++ b/src/version/Lease.h
@@ -54,7 +54,8 @@
 
 /// What the holder or contender knows.
 struct LeaseState {
-  explicit LeaseState(LeaseSettings Settings) : Settings(std::move(Settings)) {}
+  explicit LeaseState(LeaseSettings Settings)
+      : Settings(std::move(Settings)) {}
 
   LeaseSettings Settings;
   bool Known = false; ///< Whether the object was read at least once.
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -14,9 +14,9 @@
 std::unique_ptr<OrderController> OrderControllerBuilder::build() {
   if (this->Settings.Self.empty())
     throw Error(ErrorKind::Internal, "the lease holder needs a name");
-  return std::unique_ptr<OrderController>(
-      new OrderController(this->Loop, this->Store, this->Orders, this->Settings,
-                          std::move(this->IsPreferred), this->Events));
+  return std::unique_ptr<OrderController>(new OrderController(
+      this->Loop, this->Store, this->Orders, this->Settings,
+      std::move(this->IsPreferred), this->Events));
 }
 
 OrderController::OrderController(EventLoop &Loop, Platform &Store,
@@ -24,8 +24,8 @@
                                  Preferred IsPreferred, Timeline *Events)
     : Store(Store), Orders(Orders), Settings(std::move(Settings)),
       IsPreferred(std::move(IsPreferred)), Events(Events) {
-  this->Timer =
-      Loop.timers().every(TickPeriod, [this] { this->tick(EventLoop::now()); });
+  this->Timer = Loop.timers().every(
+      TickPeriod, [this] { this->tick(EventLoop::now()); });
 }
 
 OrderController::~OrderController() { this->Timer.disconnect(); }
@@ -76,8 +76,8 @@
 void OrderController::stepLease(const std::string &Service, TimePoint Now) {
   LeaseState &Lease = this->find(Service)->Lease;
   const bool Wanted = !this->Resigned && this->IsPreferred(Service);
-  const auto Answered = [this, Service,
-                         Alive = std::weak_ptr(this->Alive)](auto TakeIn) {
+  const auto Answered = [this, Service, Alive = std::weak_ptr(this->Alive)](
+                            auto TakeIn) {
     return [this, Service, Alive, TakeIn](const PlatformResult &Result) {
       if (Alive.expired())
         return;
@@ -104,7 +104,8 @@
   }
 }
 
-void OrderController::stepRollout(const ServiceConfig &Service, TimePoint Now) {
+void OrderController::stepRollout(const ServiceConfig &Service,
+                                  TimePoint Now) {
   ServiceState &State = *this->find(Service.Name);
   const bool Held = holdsLease(State.Lease, Now);
   if (Held != State.WasHeld) {
@@ -132,23 +133,25 @@
           if (Alive.expired())
             return;
           if (ServiceState *State = this->find(Name))
-            onOrderAnswered(State->Rollout, Upstream, Answer, EventLoop::now());
+            onOrderAnswered(State->Rollout, Upstream, Answer,
+                            EventLoop::now());
         });
   }
 }
 
 void OrderController::observeAll(const ServiceConfig &Service) {
   for (const UpstreamConfig &Each : Service.Upstreams)
-    this->Orders.observe(Each.Address,
-                         [this, Name = Service.Name, Upstream = Each.Name,
-                          Alive = std::weak_ptr(this->Alive)](
-                             std::optional<UpstreamObservation> Observed) {
-                           if (Alive.expired() || !Observed)
-                             return;
-                           if (ServiceState *State = this->find(Name))
-                             onObserved(State->Rollout, Upstream,
-                                        std::move(*Observed), EventLoop::now());
-                         });
+    this->Orders.observe(
+        Each.Address,
+        [this, Name = Service.Name, Upstream = Each.Name,
+         Alive = std::weak_ptr(this->Alive)](
+            std::optional<UpstreamObservation> Observed) {
+          if (Alive.expired() || !Observed)
+            return;
+          if (ServiceState *State = this->find(Name))
+            onObserved(State->Rollout, Upstream, std::move(*Observed),
+                       EventLoop::now());
+        });
 }
 
 } // namespace galenaroute
--- a/src/version/Orders.cpp
+++ b/src/version/Orders.cpp
@@ -38,9 +38,9 @@
   }
   Entry.OrderedAt.reset();
   const int Doublings = std::min(Entry.Failures, 5);
-  Entry.NotBefore =
-      Now + std::min(State.Settings.MaxBackoff,
-                     State.Settings.FirstBackoff * (1 << Doublings));
+  Entry.NotBefore = Now + std::min(State.Settings.MaxBackoff,
+                                   State.Settings.FirstBackoff *
+                                       (1 << Doublings));
   ++Entry.Failures;
 }
 
@@ -75,15 +75,16 @@
   return Entry.OrderedAt || (Entry.Observed && Entry.Observed->Loading);
 }
 
-std::vector<Order> planOrders(const ServiceConfig &Service, RolloutState &State,
-                              std::uint64_t Fence, TimePoint Now) {
+std::vector<Order> planOrders(const ServiceConfig &Service,
+                              RolloutState &State, std::uint64_t Fence,
+                              TimePoint Now) {
   std::vector<Order> Result;
   prune(Service, State, Now);
   if (State.Fenced)
     return Result;
-  auto Loading =
-      std::count_if(State.Upstreams.begin(), State.Upstreams.end(),
-                    [](const auto &Each) { return mayBeLoading(Each.second); });
+  auto Loading = std::count_if(
+      State.Upstreams.begin(), State.Upstreams.end(),
+      [](const auto &Each) { return mayBeLoading(Each.second); });
   for (const UpstreamConfig &Upstream : Service.Upstreams) {
     if (Loading >= Service.MaxConcurrentLoads)
       break;
@@ -91,8 +92,9 @@
     if (It == State.Upstreams.end())
       continue;
     UpstreamRollout &Entry = It->second;
-    const bool Fresh = Entry.Observed && Now - Entry.ObservedAt <=
-                                             State.Settings.MaxObservationAge;
+    const bool Fresh =
+        Entry.Observed &&
+        Now - Entry.ObservedAt <= State.Settings.MaxObservationAge;
     if (!Fresh || mayBeLoading(Entry) || Now < Entry.NotBefore ||
         matches(Service, *Entry.Observed))
       continue;
--- a/src/version/Orders.h
+++ b/src/version/Orders.h
@@ -4,9 +4,8 @@
 //
 //   RolloutState State;
 //   onObserved(State, "steward-1", Observation, Now);
-//   for (const Order &Each : planOrders(Service, State, Fence, Now))
-//   send(Each); onOrderAnswered(State, "steward-1", OrderAnswer::Accepted,
-//   Now);
+//   for (const Order &Each : planOrders(Service, State, Fence, Now)) send(Each);
+//   onOrderAnswered(State, "steward-1", OrderAnswer::Accepted, Now);
 //
 // Orders state what an upstream should have, not steps, so that sending one
 // twice does no harm. Guarantees: at any time at most
@@ -90,8 +89,9 @@
 bool matches(const ServiceConfig &Service, const UpstreamObservation &Observed);
 
 /// Returns the orders to send now and notes them as under way.
-std::vector<Order> planOrders(const ServiceConfig &Service, RolloutState &State,
-                              std::uint64_t Fence, TimePoint Now);
+std::vector<Order> planOrders(const ServiceConfig &Service,
+                              RolloutState &State, std::uint64_t Fence,
+                              TimePoint Now);
 
 } // namespace galenaroute
 
--- a/src/version/UpstreamOrders.cpp
+++ b/src/version/UpstreamOrders.cpp
@@ -6,7 +6,8 @@
 
 using nlohmann::json;
 
-HttpUpstreamOrders::HttpUpstreamOrders(HttpClient &Client, Duration CallTimeout)
+HttpUpstreamOrders::HttpUpstreamOrders(HttpClient &Client,
+                                       Duration CallTimeout)
     : Client(Client), CallTimeout(CallTimeout) {}
 
 static std::optional<UpstreamObservation>
@@ -15,10 +16,10 @@
     return std::nullopt;
   try {
     const json Body = json::parse(Result.Body);
-    return UpstreamObservation{
-        Body.at("weight_version"),
-        Body.value("adapters", std::vector<std::string>()),
-        Body.value("loading", false)};
+    return UpstreamObservation{Body.at("weight_version"),
+                               Body.value("adapters",
+                                          std::vector<std::string>()),
+                               Body.value("loading", false)};
   } catch (const json::exception &) {
     return std::nullopt;
   }
@@ -54,15 +55,14 @@
                      {"role", "serve"}};
   // A kept connection may have gone silent, and the order would count as a
   // load under way until its timeout.
-  this->Client.startDetached(
-      HttpCallBuilder(Order.Address)
-          .post("/v1/orders", Body.dump())
-          .totalTimeout(this->CallTimeout)
-          .newConnection()
-          .build(),
-      [Done = std::move(Done)](const HttpResult &Result) {
-        Done(answerFrom(Result));
-      });
+  this->Client.startDetached(HttpCallBuilder(Order.Address)
+                                 .post("/v1/orders", Body.dump())
+                                 .totalTimeout(this->CallTimeout)
+                                 .newConnection()
+                                 .build(),
+                             [Done = std::move(Done)](const HttpResult &Result) {
+                               Done(answerFrom(Result));
+                             });
 }
 
 } // namespace galenaroute
--- a/tests/LeaseTest.cpp
+++ b/tests/LeaseTest.cpp
@@ -1,7 +1,7 @@
 // Histories of contenders for one lease over a platform with faults.
 
-#include "version/Lease.h"
 #include "FakePlatform.h"
+#include "version/Lease.h"
 
 #include <gtest/gtest.h>
 #include <map>
@@ -128,8 +128,8 @@
 // Guards against a lease that nobody can take again after faults.
 RC_GTEST_PROP(LeaseTest, SomeoneHoldsItOnceThePlatformAnswers, ()) {
   LeaseHistory History(3);
-  const auto Script =
-      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+  const auto Script = *rc::gen::container<std::vector<int>>(
+      rc::gen::inRange(0, 6));
   for (const int Each : Script) {
     if (Each < 3)
       History.act(static_cast<std::size_t>(Each));
--- a/tests/OrdersTest.cpp
+++ b/tests/OrdersTest.cpp
@@ -19,10 +19,10 @@
   Result.WeightVersion = "v2";
   Result.MaxConcurrentLoads = MaxLoads;
   for (int I = 0; I < Upstreams; ++I)
-    Result.Upstreams.push_back(
-        {"steward-" + std::to_string(I),
-         {"127.0.0.1", static_cast<std::uint16_t>(9000 + I)},
-         "derwent"});
+    Result.Upstreams.push_back({"steward-" + std::to_string(I),
+                                {"127.0.0.1", static_cast<std::uint16_t>(
+                                                  9000 + I)},
+                                "derwent"});
   return Result;
 }
 
@@ -166,9 +166,8 @@
 // within its term, at upstreams that do not check the fencing number.
 TEST_F(OrderControllerTest, WaitsOutItsPredecessorWhereNobodyChecksTheFence) {
   this->Service.ChecksFence = false;
-  this->Store.put({"lease", "steward-models"},
-                  toJson(LeaseRecord{"other", 4, 1}), Platform::MustNotExist,
-                  [](const PlatformResult &) {});
+  this->Store.put({"lease", "steward-models"}, toJson(LeaseRecord{"other", 4, 1}),
+                  Platform::MustNotExist, [](const PlatformResult &) {});
   this->Store.drain();
   auto Controller = this->make("entry-1#1");
   // Taking over lasts one term, and the wait for the predecessor another.
