Add admission, retry budgets, slow-upstream shares and crash guard

Cause: requests need queues, refusals and protection against upstreams and requests that misbehave. Property tests for each. Conclusion: decisions complete; not wired to the daemon yet.

--- a/src/request/Routing.cpp
+++ b/src/request/Routing.cpp
@@ -37,7 +37,7 @@
 static Duration slotWait(const UpstreamView &View,
                          const RouteOptions &Options) {
   const int Requests = std::max(
-      View.Outstanding,
+      View.outstanding(),
       View.HasReport ? View.ReportedRequests + View.RequestsSinceReport : 0);
   const int Slots = std::max(View.Slots, 1);
   if (Requests < Slots)
@@ -64,14 +64,45 @@
                                  ? View.MeanService
                                  : Options.DefaultService;
     // A plain call has no prefill; concurrent calls share the machine.
-    Time += Service + Service * View.Outstanding / std::max(View.Slots, 1);
+    Time += Service + Service * View.outstanding() / std::max(View.Slots, 1);
   }
   // Dividing by the share makes a slow upstream's turn correspondingly rarer.
   return fromSeconds(toSeconds(Time) / std::clamp(View.Share, 0.01, 1.0));
 }
 
+int UpstreamView::outstanding() const {
+  return std::accumulate(this->OutstandingByClass.begin(),
+                         this->OutstandingByClass.end(), 0);
+}
+
+int placesFor(const UpstreamView &View, PromptClass Class,
+              const SlotLimits &Limits) {
+  const auto Of = [&View](PromptClass Which) {
+    return View.OutstandingByClass[static_cast<std::size_t>(Which)];
+  };
+  const int Slots = std::max(View.Slots, 1);
+  int Free = Slots - View.outstanding();
+  if (Class != PromptClass::Short) {
+    // With a single slot a reserve would shut all other work out.
+    const int Reserve =
+        Slots == 1 ? 0
+                   : std::clamp(static_cast<int>(
+                                    std::ceil(Slots * Limits.ShortReserve)),
+                                1, Slots - 1);
+    Free = std::min(Free, Slots - Reserve - Of(PromptClass::Normal) -
+                              Of(PromptClass::Long));
+  }
+  if (Class == PromptClass::Long)
+    Free =
+        std::min(Free, std::max(static_cast<int>(Slots * Limits.LongShare), 1) -
+                           Of(PromptClass::Long));
+  return std::max(Free, 0);
+}
+
 bool isEligible(const UpstreamView &View, const RouteRequest &Request) {
   return View.TakesNewWork &&
+         (!Request.NeedsRoom ||
+          placesFor(View, Request.Class, Request.Limits) > 0) &&
          (Request.WeightVersion.empty() || View.WeightVersion.empty() ||
           View.WeightVersion == Request.WeightVersion);
 }
@@ -88,7 +119,7 @@
   case RoutePolicy::ExpectedTime:
     return toSeconds(expectedFirstToken(View, Request, Options));
   case RoutePolicy::LeastOutstanding:
-    return View.Outstanding;
+    return View.outstanding();
   case RoutePolicy::Affinity: {
     const std::string_view Hash(
         reinterpret_cast<const char *>(&Request.AffinityHash),
--- a/src/request/Routing.h
+++ b/src/request/Routing.h
@@ -62,8 +62,8 @@
   /// Uncached tokens sent by this entry and its peers for which no first token
   /// was seen, by class.
   std::array<double, PromptClassCount> PendingTokens{};
-  /// Requests sent by this entry and its peers and not seen to end.
-  int Outstanding = 0;
+  /// Requests sent by this entry and its peers and not seen to end, by class.
+  std::array<int, PromptClassCount> OutstandingByClass{};
   /// Uncached tokens that this entry sent since the report was sampled.
   double TokensSinceReport = 0;
   /// Requests that this entry sent since then, less those that ended.
@@ -77,6 +77,17 @@
   double CachedTokens = 0;
   /// From 0 to 1: below 1 while the upstream is weighted down as slow.
   double Share = 1;
+
+  int outstanding() const;
+};
+
+/// How the slots of an upstream are divided among the classes.
+struct SlotLimits {
+  /// Part of the slots that only short work may take. Running work can't be
+  /// preempted, so this part is never lent out.
+  double ShortReserve = 0.25;
+  /// Part of the slots that long work may take, which confines stragglers.
+  double LongShare = 0.375;
 };
 
 /// The request to route.
@@ -89,6 +100,9 @@
   std::uint64_t AffinityHash = 0;
   /// Names of upstreams that this request has failed at.
   std::span<const std::string> Excluded;
+  /// Whether only upstreams with a free place for the class are eligible.
+  bool NeedsRoom = false;
+  SlotLimits Limits;
 };
 
 /// State of the policies that keep any.
@@ -125,6 +139,10 @@
                             const RouteRequest &Request,
                             const RouteOptions &Options);
 
+/// Returns how many more requests of \p Class may be sent to \p View now.
+int placesFor(const UpstreamView &View, PromptClass Class,
+              const SlotLimits &Limits);
+
 /// Returns whether \p View may run \p Request at all.
 bool isEligible(const UpstreamView &View, const RouteRequest &Request);
 
--- a/src/request/UpstreamTracker.cpp
+++ b/src/request/UpstreamTracker.cpp
@@ -46,6 +46,13 @@
   Tracker.Upstreams = std::move(Kept);
 }
 
+/// Returns whether a slow upstream may get one request at full share. Only an
+/// idle one may, so that no second request is put at risk.
+static bool isProbeDue(const UpstreamRecord &Record, TimePoint Now) {
+  return Record.Share < 1 && Record.ProbeAt <= Now &&
+         Record.OwnOutstanding == std::array<int, PromptClassCount>{};
+}
+
 static void addChange(UpstreamRecord &Record, WorkChange Change) {
   Record.TokensSinceReport += Change.Tokens;
   Record.RequestsSinceReport += Change.Requests;
@@ -72,13 +79,18 @@
       .SentAt = Now,
       .UncachedTokens = Sent.UncachedTokens,
       .TokensAhead = tokensAhead(View, Sent.Class, Tracker.Route),
-      .WaitedForSlot = std::max(View.Outstanding,
+      .WaitedForSlot = std::max(View.outstanding(),
                                 View.HasReport ? View.ReportedRequests +
                                                      View.RequestsSinceReport
                                                : 0) >= View.Slots};
+  if (isProbeDue(*Record, Now)) {
+    Record->ProbeInterval =
+        std::min(2 * Record->ProbeInterval, Record->LongestProbe);
+    Record->ProbeAt = Now + Record->ProbeInterval;
+  }
   Record->OwnPending[static_cast<std::size_t>(Sent.Class)] +=
       Sent.UncachedTokens;
-  ++Record->OwnOutstanding;
+  ++Record->OwnOutstanding[static_cast<std::size_t>(Sent.Class)];
   addChange(*Record, {Now, Sent.UncachedTokens, 1});
   Record->Waiting.emplace(Flight.Serial, Flight);
   Tracker.Attempts.emplace(Sent.Attempt, std::move(Flight));
@@ -138,7 +150,9 @@
   if (!Record)
     return;
   endWaiting(*Record, Flight);
-  Record->OwnOutstanding = std::max(Record->OwnOutstanding - 1, 0);
+  int &Outstanding =
+      Record->OwnOutstanding[static_cast<std::size_t>(Flight.Class)];
+  Outstanding = std::max(Outstanding - 1, 0);
   addChange(*Record, {Now, 0, -1});
   Observe(*Record, Flight);
 }
@@ -242,7 +256,7 @@
 std::vector<UpstreamWork> ownWork(const UpstreamTracker &Tracker) {
   std::vector<UpstreamWork> Work;
   for (const auto &[Name, Record] : Tracker.Upstreams)
-    if (Record.OwnOutstanding > 0)
+    if (Record.OwnOutstanding != std::array<int, PromptClassCount>{})
       Work.push_back({Name, Record.OwnPending, Record.OwnOutstanding});
   return Work;
 }
@@ -254,7 +268,7 @@
                     .TakesNewWork = Record.Live && Record.PausedUntil <= Now,
                     .Slots = Record.Slots,
                     .PendingTokens = Record.OwnPending,
-                    .Outstanding = Record.OwnOutstanding,
+                    .OutstandingByClass = Record.OwnOutstanding,
                     .DecodeTokensPerSecond = Record.ObservedDecode,
                     .MeanService = Record.MeanService,
                     .NetworkDelay = Record.NetworkDelay,
@@ -262,9 +276,10 @@
   for (const auto &[Peer, Part] : Record.Peers) {
     if (Now - Part.ReceivedAt > Options.MaxDigestAge)
       continue;
-    for (std::size_t I = 0; I < PromptClassCount; ++I)
+    for (std::size_t I = 0; I < PromptClassCount; ++I) {
       View.PendingTokens[I] += Part.PendingTokens[I];
-    View.Outstanding += Part.Outstanding;
+      View.OutstandingByClass[I] += Part.Outstanding[I];
+    }
   }
   double Speed = 0;
   if (Record.ObservedPrefill > 0 &&
@@ -299,6 +314,11 @@
       Speed = std::min(Speed, std::max(Tokens / Waited, 1.0));
   }
   View.PrefillTokensPerSecond = Speed;
+  if (isProbeDue(Record, Now)) {
+    View.Share = 1;
+    if (Record.ProbeSpeed > 0)
+      View.PrefillTokensPerSecond = std::max(Speed, Record.ProbeSpeed);
+  }
   return View;
 }
 
--- a/src/request/UpstreamTracker.h
+++ b/src/request/UpstreamTracker.h
@@ -43,7 +43,7 @@
 struct UpstreamWork {
   std::string Upstream;
   std::array<double, PromptClassCount> PendingTokens{};
-  int Outstanding = 0;
+  std::array<int, PromptClassCount> Outstanding{};
 };
 
 /// An attempt at the moment it is sent.
@@ -103,7 +103,7 @@
 struct PeerShare {
   TimePoint ReceivedAt;
   std::array<double, PromptClassCount> PendingTokens{};
-  int Outstanding = 0;
+  std::array<int, PromptClassCount> Outstanding{};
 };
 
 /// A change of this entry's work, kept until a report covers it.
@@ -124,7 +124,7 @@
   int RequestsSinceReport = 0;
 
   std::array<double, PromptClassCount> OwnPending{};
-  int OwnOutstanding = 0;
+  std::array<int, PromptClassCount> OwnOutstanding{};
   /// Attempts without a first token, by serial.
   std::map<std::uint64_t, AttemptInFlight> Waiting;
   std::map<std::string, PeerShare, std::less<>> Peers;
@@ -139,7 +139,13 @@
 
   int FailuresInRow = 0;
   TimePoint PausedUntil;
-  double Share = 1; ///< Set by updateShares(), see SlowUpstreams.h.
+
+  // Set by updateShares(), see SlowUpstreams.h.
+  double Share = 1;
+  TimePoint ProbeAt;
+  Duration ProbeInterval{}; ///< Doubles with each probe.
+  Duration LongestProbe{};
+  double ProbeSpeed = 0; ///< Prefill speed assumed for a probe.
 };
 
 /// The state of all upstreams of one service in this entry's subset.
--- /dev/null
+++ b/tests/FailureDecisionsTest.cpp
@@ -0,0 +1,185 @@
+// Tests of retry budgets and of the guard against requests that crash
+// upstreams.
+
+#include "request/CrashGuard.h"
+#include "request/Retry.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{1000s};
+
+// Guards against retries and hedges multiplying the load of an upstream that
+// fails: never more than the share of calls plus the burst.
+RC_GTEST_PROP(RetryProperty, ExtraAttemptsStayWithinTheBudget, ()) {
+  RetryBudget Budget;
+  int Calls = 0, Retries = 0, Hedges = 0;
+  for (const int Event :
+       *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3))) {
+    if (Event == 0) {
+      noteCall(Budget);
+      ++Calls;
+    } else if (Event == 1) {
+      Retries += takeRetry(Budget) ? 1 : 0;
+    } else {
+      Hedges += takeHedge(Budget) ? 1 : 0;
+    }
+    RC_ASSERT(Retries <= Calls * Budget.Options.RetryShare +
+                             Budget.Options.RetryBurst + 1e-6);
+    RC_ASSERT(Hedges <= Calls * Budget.Options.HedgeShare +
+                            Budget.Options.HedgeBurst + 1e-6);
+  }
+}
+
+// Guards against hedging calls that may not repeat, and against hedging so
+// early that ordinary requests are doubled.
+TEST(RetryTest, HedgesOnlyRepeatableCallsPastTheQuantile) {
+  HedgeState State;
+  RandomGenerator Generator(5);
+  std::exponential_distribution<double> Times(1);
+  for (int I = 0; I < 20000; ++I)
+    noteFirstTokenRatio(State, 100ms, fromSeconds(0.1 * Times(Generator)));
+  // The 95th percentile of the exponential distribution is 3.0 means.
+  EXPECT_NEAR(State.Ratio, 3.0, 0.6);
+  RetryBudget Budget;
+  EXPECT_FALSE(hedgeDelay(State, Budget, false, 100ms));
+  EXPECT_GE(hedgeDelay(State, Budget, true, 100ms), 200ms);
+  while (takeHedge(Budget)) {
+  }
+  EXPECT_FALSE(hedgeDelay(State, Budget, true, 100ms));
+  for (int Attempt = 1; Attempt < 40; ++Attempt)
+    EXPECT_LE(retryDelay(Attempt, Budget.Options, Generator), 500ms);
+}
+
+class CrashGuardTest : public testing::Test {
+protected:
+  /// Runs \p Contents at \p Upstream, which then crashes.
+  void crash(CrashGuard &Guard, const std::string &Upstream,
+             const std::vector<Digest> &Contents) {
+    std::vector<std::string> Attempts;
+    for (const Digest &Content : Contents) {
+      Attempts.push_back("a" + std::to_string(this->Next++));
+      noteRunning(Guard, Attempts.back(), Content, Upstream, this->Now);
+    }
+    this->Now += 10ms;
+    for (const std::string &Attempt : Attempts)
+      noteBroken(Guard, Attempt, this->Now);
+    detectCrashes(Guard, this->Now);
+    // Later than the window, so that crashes count one by one.
+    this->Now += 1s;
+  }
+  void run(CrashGuard &Guard, const std::string &Upstream,
+           const Digest &Content) {
+    noteRunning(Guard, "ok", Content, Upstream, this->Now);
+    noteEnded(Guard, "ok", this->Now);
+  }
+
+  CrashGuard Entry, Peer;
+  TimePoint Now = Start;
+  int Next = 0;
+  const Digest Killer = contentDigest("m", "bad");
+  const Digest Innocent = contentDigest("m", "good");
+};
+
+// Guards against a request taking down one upstream after another, also when
+// its caller sends it again at another entry.
+TEST_F(CrashGuardTest, RefusesEverywhereAfterCrashesAtTwoUpstreams) {
+  this->crash(this->Entry, "u1", {this->Killer, this->Innocent});
+  EXPECT_FALSE(isRefused(this->Entry, this->Killer, this->Now));
+  importSignatures(this->Peer, exportSignatures(this->Entry, 10, this->Now),
+                   this->Now);
+  this->crash(this->Peer, "u2", {this->Killer});
+  EXPECT_TRUE(isRefused(this->Peer, this->Killer, this->Now));
+  importSignatures(this->Entry, exportSignatures(this->Peer, 10, this->Now),
+                   this->Now);
+  EXPECT_TRUE(isRefused(this->Entry, this->Killer, this->Now));
+  EXPECT_FALSE(isRefused(this->Entry, this->Innocent, this->Now));
+}
+
+// Guards against an innocent request being blamed after it has finished, also
+// through an older signature that a peer still sends.
+TEST_F(CrashGuardTest, ClearsContentsThatFinish) {
+  this->crash(this->Entry, "u1", {this->Killer, this->Innocent});
+  const auto Old = exportSignatures(this->Entry, 10, this->Now);
+  importSignatures(this->Peer, Old, this->Now);
+  this->Now += 1s;
+  this->run(this->Entry, "u2", this->Innocent);
+  importSignatures(this->Entry, Old, this->Now - 1s);
+  EXPECT_TRUE(upstreamsToAvoid(this->Entry, this->Innocent).empty());
+  importSignatures(this->Peer, exportSignatures(this->Entry, 10, this->Now),
+                   this->Now);
+  EXPECT_TRUE(upstreamsToAvoid(this->Peer, this->Innocent).empty());
+  EXPECT_FALSE(upstreamsToAvoid(this->Peer, this->Killer).empty());
+}
+
+// Guards against two suspects running together, so that the innocent one would
+// be blamed for the second crash as well; and against many copies of one
+// content crashing many upstreams.
+TEST_F(CrashGuardTest, KeepsSuspectsApartAndCopiesTogether) {
+  this->crash(this->Entry, "u1", {this->Killer, this->Innocent});
+  noteRunning(this->Entry, "k", this->Killer, "u2", this->Now);
+  const auto Avoid = upstreamsToAvoid(this->Entry, this->Innocent);
+  EXPECT_NE(std::find(Avoid.begin(), Avoid.end(), "u1"), Avoid.end());
+  EXPECT_NE(std::find(Avoid.begin(), Avoid.end(), "u2"), Avoid.end());
+  EXPECT_EQ(upstreamOfSuspect(this->Entry, this->Killer), "u2");
+  EXPECT_FALSE(upstreamOfSuspect(this->Entry, this->Innocent));
+}
+
+// Guards against single broken connections or a network fault counting as
+// crashes.
+TEST_F(CrashGuardTest, DoesNotBlameRequestsForNetworkFaults) {
+  noteRunning(this->Entry, "x", this->Killer, "u1", this->Now);
+  noteRunning(this->Entry, "y", this->Innocent, "u1", this->Now);
+  noteBroken(this->Entry, "x", this->Now);
+  EXPECT_TRUE(detectCrashes(this->Entry, this->Now).empty());
+  EXPECT_TRUE(detectCrashes(this->Entry, this->Now + 1s).empty());
+  noteCancelled(this->Entry, "y");
+  for (const char *Upstream : {"u1", "u2", "u3"}) {
+    noteRunning(this->Entry, Upstream, this->Killer, Upstream, this->Now);
+    noteBroken(this->Entry, Upstream, this->Now + 1ms);
+    detectCrashes(this->Entry, this->Now + 1ms);
+  }
+  EXPECT_FALSE(isRefused(this->Entry, this->Killer, this->Now + 2ms));
+  EXPECT_TRUE(this->Entry.Suspects.empty());
+  EXPECT_TRUE(this->Entry.Attempts.empty());
+}
+
+// Guards against a refusal that never ends for a content that was only unlucky,
+// and against one that crashes upstreams getting more than one try at a time.
+TEST_F(CrashGuardTest, RefusalsEndAndGrowWithFurtherCrashes) {
+  this->crash(this->Entry, "u1", {this->Killer});
+  this->crash(this->Entry, "u2", {this->Killer});
+  EXPECT_TRUE(isRefused(this->Entry, this->Killer, this->Now + 50s));
+  this->Now += 61s;
+  EXPECT_FALSE(isRefused(this->Entry, this->Killer, this->Now));
+  noteRunning(this->Entry, "try", this->Killer, "u3", this->Now);
+  EXPECT_TRUE(isRefused(this->Entry, this->Killer, this->Now));
+  noteBroken(this->Entry, "try", this->Now);
+  detectCrashes(this->Entry, this->Now);
+  EXPECT_TRUE(isRefused(this->Entry, this->Killer, this->Now + 100s));
+  EXPECT_FALSE(isRefused(this->Entry, this->Killer, this->Now + 130s));
+  detectCrashes(this->Entry, this->Now + 2h);
+  EXPECT_TRUE(this->Entry.Suspects.empty());
+}
+
+// Guards against memory that grows with the number of crashes or messages.
+TEST_F(CrashGuardTest, MemoryIsBounded) {
+  this->Entry.Options.MaxSuspects = 20;
+  std::vector<CrashSignature> Many;
+  for (int I = 0; I < 100; ++I)
+    Many.push_back({contentDigest("m", std::to_string(I)),
+                    {"u1", "u2", "u3"},
+                    Milliseconds(I)});
+  importSignatures(this->Entry, Many, this->Now);
+  EXPECT_EQ(this->Entry.Suspects.size(), 20U);
+  EXPECT_TRUE(isRefused(this->Entry, Many[0].Content, this->Now));
+  EXPECT_EQ(exportSignatures(this->Entry, 5, this->Now).size(), 5U);
+}
+
+} // namespace
+} // namespace galenaroute
