--- a/src/request/Routing.cpp
+++ b/src/request/Routing.cpp
@@ -55,10 +55,13 @@
   // There and back: the first token has to return.
   Duration Time = 2 * View.NetworkDelay + slotWait(View, Options);
   if (Request.PromptTokens > 0) {
-    const double Uncached =
-        std::max(Request.PromptTokens - View.CachedTokens, 0.0);
-    Time += fromSeconds((tokensAhead(View, Request.Class, Options) + Uncached) /
-                        prefillSpeed(View, Options));
+    const double Speed = prefillSpeed(View, Options);
+    const double Uncached = std::max(
+        Request.PromptTokens - View.CachedTokens - View.ImportedTokens, 0.0);
+    Time +=
+        std::max(fromSeconds(tokensAhead(View, Request.Class, Options) / Speed),
+                 View.ImportTime);
+    Time += fromSeconds(Uncached / Speed);
   } else {
     const Duration Service = View.MeanService > Duration::zero()
                                  ? View.MeanService
--- a/src/request/Routing.h
+++ b/src/request/Routing.h
@@ -8,7 +8,8 @@
 // The policy ExpectedTime compares the expected time to first token:
 //
 //   network delay + wait for a free slot
-//     + (tokens ahead + uncached tokens of the request) / prefill speed
+//     + max(tokens ahead / prefill speed, import of cached blocks)
+//     + uncached tokens of the request / prefill speed
 //
 // Affinity to cached blocks therefore gives way to load without a separate
 // rule. The other policies are baselines.
@@ -75,6 +76,10 @@
   Duration NetworkDelay{};           ///< One way.
   /// Cached tokens of the prompt being routed; a hint. Set by the caller.
   double CachedTokens = 0;
+  /// Tokens that are imported from a store while the prompt waits, and the time
+  /// until they have arrived. Set by planReuse().
+  double ImportedTokens = 0;
+  Duration ImportTime{};
   /// From 0 to 1: below 1 while the upstream is weighted down as slow.
   double Share = 1;
 
