--- a/emulator/PlatformEmulator.cpp
+++ b/emulator/PlatformEmulator.cpp
@@ -104,8 +104,8 @@
     const json Body = parseObject(Request.Body);
     const Duration Lag = Milliseconds(
         Body.value("lag_ms", toMilliseconds(this->Settings.VmLag)));
-    this->Timers.push_back(
-        this->Loop.timers().after(Lag, [this, List] { this->Vms = List; }));
+    this->Timers.push_back(this->Loop.timers().after(
+        Lag, [this, Vms = Body.at("vms")] { this->Vms = Vms; }));
     sendJson(Reply, 200, json::object());
   } else if (Request.Path == "/admin/stats") {
     json Body = this->Counts;
