Take the text of a run that was ended early as not whole

Cause: an engine ends a cancelled run with a done line whose finish is 'cancelled'; it was answered as a whole answer with [DONE]. Change: only the finishes 'stop' and 'length' end an answer as whole.

--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -129,6 +129,11 @@
         !this->isOwn(Event.Attempt))
       return;
     const bool Wanted = this->State.Phase == AttemptPhase::Connected;
+    if (Wanted && !Event.Whole) {
+      this->record("attempt.ended_early", this->State.Upstream);
+      this->close();
+      return this->attemptLost();
+    }
     if (Wanted && Event.Tokens != this->State.Offset) {
       this->record("line.gap", std::to_string(this->State.Offset) + " of " +
                                    std::to_string(Event.Tokens));
--- a/src/request/Attempt.h
+++ b/src/request/Attempt.h
@@ -125,6 +125,7 @@
   std::uint64_t Connection;
   std::string Attempt;
   std::uint64_t Tokens; ///< Of the whole answer.
+  bool Whole = true;    ///< False: the run was ended early, as by a cancel.
 };
 /// A reply line that is none of the above.
 struct BadLine {
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -143,9 +143,11 @@
   if (Line->Attempt == this->State.Attempt) {
     this->End.Tokens = Line->Tokens;
     this->End.CachedTokens = Line->CachedTokens;
-    this->End.Finish = std::move(Line->Finish);
+    this->End.Finish = Line->Finish;
   }
-  this->post(attempt::Done{Connection, std::move(Line->Attempt), Line->Tokens});
+  const bool Whole = Line->Finish == "stop" || Line->Finish == "length";
+  this->post(
+      attempt::Done{Connection, std::move(Line->Attempt), Line->Tokens, Whole});
 }
 
 void ModelRun::close() {
--- a/tests/AttemptTest.cpp
+++ b/tests/AttemptTest.cpp
@@ -189,7 +189,8 @@
         attempt::Line{Connection, Attempt, Offset, tokenOf(Attempt, Offset)});
   case 7:
   case 8:
-    return Run.post(attempt::Done{Connection, Attempt, AnswerTokens});
+    return Run.post(
+        attempt::Done{Connection, Attempt, AnswerTokens, A % 8 != 0});
   case 9:
   case 10:
     return Run.post(attempt::Ended{Connection, A % 2 == 0, B % 2 == 0,
@@ -281,6 +282,16 @@
   EXPECT_TRUE(Run.has(Kind::Resume));
 }
 
+// Guards against the text of a cancelled run being taken for a whole answer.
+TEST(AttemptTest, ARunThatEndedEarlyIsNotWhole) {
+  Driver Run(newAttempt(policyOf(true, true)));
+  Run.choose("u");
+  Run.line(0);
+  Run.post(attempt::Done{Run.State.Connection, Run.State.Attempt, 1, false});
+  EXPECT_FALSE(Run.has(Kind::Whole));
+  EXPECT_EQ(Run.failure(), ErrorKind::StreamLost);
+}
+
 // Guards against a busy loop at an engine that accepts a resume and ends it.
 TEST(AttemptTest, ResumesThatBringNothingAreBounded) {
   Driver Run(newAttempt(policyOf(true, false)));
