--- a/emulator/Batch.cpp
+++ b/emulator/Batch.cpp
@@ -33,7 +33,7 @@
   const auto Position =
       std::upper_bound(State.Queued.begin(), State.Queued.end(), Run,
                        [](const BatchRun &A, const BatchRun &B) {
-                         return A.Priority < B.Priority;
+                         return A.Priority > B.Priority;
                        });
   State.Queued.insert(Position, std::move(Run));
   return true;
--- a/emulator/Batch.h
+++ b/emulator/Batch.h
@@ -22,7 +22,7 @@
 /// One run in the queue or in a slot.
 struct BatchRun {
   std::string Id;
-  int Priority = 0;    ///< Lower values start first.
+  int Priority = 0;    ///< Higher values start first.
   double Uncached = 0; ///< Prompt tokens that prefill still has to process.
   std::uint64_t MaxTokens = 0;
   std::uint64_t Generated = 0;
--- a/emulator/Emulator.cpp
+++ b/emulator/Emulator.cpp
@@ -2,9 +2,7 @@
 
 #include "process/ErrorKind.h"
 
-#include <array>
 #include <charconv>
-#include <openssl/evp.h>
 
 namespace galenaroute::emulator {
 
@@ -93,18 +91,4 @@
   return Result;
 }
 
-std::string sha256Hex(std::string_view Bytes) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
-  unsigned Size = 0;
-  EVP_Digest(Bytes.data(), Bytes.size(), Digest.data(), &Size, EVP_sha256(),
-             nullptr);
-  static constexpr std::string_view Hex = "0123456789abcdef";
-  std::string Result;
-  for (unsigned I = 0; I < Size; ++I) {
-    Result += Hex[Digest[I] >> 4];
-    Result += Hex[Digest[I] & 15];
-  }
-  return Result;
-}
-
 } // namespace galenaroute::emulator
--- a/emulator/Emulator.h
+++ b/emulator/Emulator.h
@@ -11,6 +11,7 @@
 #define GALENAROUTE_EMULATOR_EMULATOR_H
 
 #include "connection/HttpServer.h"
+#include "process/Sha256.h"
 
 #include <nlohmann/json.hpp>
 
@@ -71,9 +72,6 @@
 std::uint64_t queryNumber(std::string_view Query, std::string_view Key,
                           std::uint64_t Default);
 
-/// Returns the SHA-256 digest of \p Bytes in lower-case hex.
-std::string sha256Hex(std::string_view Bytes);
-
 } // namespace galenaroute::emulator
 
 #endif // GALENAROUTE_EMULATOR_EMULATOR_H
--- a/emulator/EngineEmulator.h
+++ b/emulator/EngineEmulator.h
@@ -5,7 +5,7 @@
 // The text is a function of the prompt and the offset (GeneratedText.h), and
 // an answer has exactly min(max_tokens, the engine's limit) tokens. Offsets
 // count tokens; each line of a stream carries one token, so the offset after
-// a line is its own plus one. Lower priority values start first.
+// a line is its own plus one. Higher priority values start first.
 //
 // Faults are set by POST /admin/fault, each field optional:
 //   slow_factor, slow_ms     run slower by a factor for this long
