tests: cover long outages and objects that come back in the apply histories

Cause: trial mutations of ConfigStore (an unknown swap taken as not written) passed the history test, because no script outlasted the deadline. Change: scripts contain long outages, and configurations share objects.

--- a/tests/ConfigHistoryTest.cpp
+++ b/tests/ConfigHistoryTest.cpp
@@ -14,10 +14,16 @@
 using namespace std::chrono_literals;
 using testing_support::FakePlatform;
 
+/// Returns a configuration of several objects. Only one of them is unique to
+/// \p Name; the others come back with every second name, so that applies
+/// meet objects that exist already and may be collected.
 Configuration configNamed(const std::string &Name) {
   Configuration Result;
   Result.Deployment = {Name, "r", {"z"}};
-  Result.Customers["c"] = {"c", std::string(64, 'a'), 1, 64};
+  for (int I = 0; I < 40; ++I) {
+    const std::string Customer = "c" + std::to_string(I);
+    Result.Customers[Customer] = {Customer, "", 1.0 + Name.back() % 2, 64};
+  }
   return Result;
 }
 
@@ -62,13 +68,16 @@
     const std::uint64_t Newest =
         this->Accepted.empty() ? 0 : this->Accepted.rbegin()->first;
     this->Results[Name] = std::nullopt;
-    this->store().apply(configNamed(Name), Stale && Newest ? Newest - 1 : Newest,
+    this->store().apply(configNamed(Name),
+                        Stale && Newest ? Newest - 1 : Newest,
                         [this, Name](const ApplyResult &Result) {
                           this->Results[Name] = Result;
                         });
   }
 
-  void collect() { this->store().collect([](std::optional<std::size_t>) {}); }
+  void collect() {
+    this->store().collect([](std::optional<std::size_t>) {});
+  }
 
   /// Carries out one call, and notes any manifest that it made.
   void step() {
@@ -96,6 +105,16 @@
       this->Faults.push_back("an accepted epoch was replaced");
   }
 
+  /// Fails every call for longer than the deadline of an apply.
+  void longOutage() {
+    this->Api.Outage = true;
+    for (int I = 0; I < 12; ++I) {
+      this->step();
+      this->pump();
+    }
+    this->Api.Outage = false;
+  }
+
   void pump() {
     this->Loop.runUntil([] { return false; }, 500us);
   }
@@ -140,14 +159,14 @@
 private:
   ConfigStore &store() {
     ConfigStoreOptions Options;
-    Options.Deadline = 20ms;
+    Options.Deadline = 5ms;
     Options.FirstBackoff = 100us;
     Options.MaxBackoff = 1ms;
     // With no safe age, only the version fence protects objects in use.
     Options.CollectAge = 0ms;
     Options.Seed = this->Random();
-    this->Stores.push_back(std::make_unique<ConfigStore>(
-        this->Api, this->Loop.timers(), Options));
+    this->Stores.push_back(
+        std::make_unique<ConfigStore>(this->Api, this->Loop.timers(), Options));
     return *this->Stores.back();
   }
 
@@ -192,7 +211,10 @@
       Run.restartWatcher(0);
       break;
     case 12:
+      Run.longOutage();
+      break;
     case 13:
+    case 14:
       Run.pump();
       break;
     default:
@@ -253,6 +275,29 @@
   EXPECT_EQ(Result.Epoch, 2U);
 }
 
+// Guards against "nothing was applied" for a change that did take effect.
+TEST_F(ConfigApplyTest, ALostReplyBeforeAnOutageLeavesTheOutcomeOpen) {
+  ConfigStoreOptions Options;
+  Options.Deadline = 5ms;
+  Options.FirstBackoff = 1ms;
+  ConfigStore Store(this->Run.Api, this->Run.Loop.timers(), Options);
+  std::optional<ApplyResult> Last;
+  Store.apply(configNamed("a"), 0,
+              [&](const ApplyResult &Result) { Last = Result; });
+  const auto Objects = encodeVersion(configNamed("a"), 1, "w")->Objects.size();
+  for (int I = 0; I < 1000 && this->Run.Accepted.empty(); ++I) {
+    // Only the reply of the swap, the last write, is lost.
+    if (this->Run.Api.Writes == static_cast<int>(Objects))
+      this->Run.Api.LoseReplies = 1;
+    this->Run.step();
+    this->Run.pump();
+  }
+  ASSERT_FALSE(this->Run.Accepted.empty());
+  this->Run.longOutage();
+  ASSERT_TRUE(Last);
+  EXPECT_EQ(Last->End, ApplyEnd::OutcomeUnknown);
+}
+
 // Guards against an operator overwriting a change that they have not seen.
 TEST_F(ConfigApplyTest, AStaleEpochIsAConflictThatShowsWhatIsInForce) {
   ASSERT_EQ(this->apply("a", 0).End, ApplyEnd::Applied);
