--- a/tests/ConfigHistoryTest.cpp
+++ b/tests/ConfigHistoryTest.cpp
@@ -14,10 +14,16 @@
 using namespace std::chrono_literals;
 using testing_support::FakePlatform;
 
+/// Returns a configuration of several objects. Only one of them is unique to
+/// \p Name; the others come back with every second name, so that applies
+/// meet objects that exist already and may be collected.
 Configuration configNamed(const std::string &Name) {
   Configuration Result;
   Result.Deployment = {Name, "r", {"z"}};
-  Result.Customers["c"] = {"c", std::string(64, 'a'), 1, 64};
+  for (int I = 0; I < 40; ++I) {
+    const std::string Customer = "c" + std::to_string(I);
+    Result.Customers[Customer] = {Customer, "", 1.0 + Name.back() % 2, 64};
+  }
   return Result;
 }
 
@@ -99,6 +105,16 @@
       this->Faults.push_back("an accepted epoch was replaced");
   }
 
+  /// Fails every call for longer than the deadline of an apply.
+  void longOutage() {
+    this->Api.Outage = true;
+    for (int I = 0; I < 12; ++I) {
+      this->step();
+      this->pump();
+    }
+    this->Api.Outage = false;
+  }
+
   void pump() {
     this->Loop.runUntil([] { return false; }, 500us);
   }
@@ -143,7 +159,7 @@
 private:
   ConfigStore &store() {
     ConfigStoreOptions Options;
-    Options.Deadline = 20ms;
+    Options.Deadline = 5ms;
     Options.FirstBackoff = 100us;
     Options.MaxBackoff = 1ms;
     // With no safe age, only the version fence protects objects in use.
@@ -195,7 +211,10 @@
       Run.restartWatcher(0);
       break;
     case 12:
+      Run.longOutage();
+      break;
     case 13:
+    case 14:
       Run.pump();
       break;
     default:
@@ -256,6 +275,29 @@
   EXPECT_EQ(Result.Epoch, 2U);
 }
 
+// Guards against "nothing was applied" for a change that did take effect.
+TEST_F(ConfigApplyTest, ALostReplyBeforeAnOutageLeavesTheOutcomeOpen) {
+  ConfigStoreOptions Options;
+  Options.Deadline = 5ms;
+  Options.FirstBackoff = 1ms;
+  ConfigStore Store(this->Run.Api, this->Run.Loop.timers(), Options);
+  std::optional<ApplyResult> Last;
+  Store.apply(configNamed("a"), 0,
+              [&](const ApplyResult &Result) { Last = Result; });
+  const auto Objects = encodeVersion(configNamed("a"), 1, "w")->Objects.size();
+  for (int I = 0; I < 1000 && this->Run.Accepted.empty(); ++I) {
+    // Only the reply of the swap, the last write, is lost.
+    if (this->Run.Api.Writes == static_cast<int>(Objects))
+      this->Run.Api.LoseReplies = 1;
+    this->Run.step();
+    this->Run.pump();
+  }
+  ASSERT_FALSE(this->Run.Accepted.empty());
+  this->Run.longOutage();
+  ASSERT_TRUE(Last);
+  EXPECT_EQ(Last->End, ApplyEnd::OutcomeUnknown);
+}
+
 // Guards against an operator overwriting a change that they have not seen.
 TEST_F(ConfigApplyTest, AStaleEpochIsAConflictThatShowsWhatIsInForce) {
   ASSERT_EQ(this->apply("a", 0).End, ApplyEnd::Applied);
