Add the at-most-once claims: ClaimLog, ClaimService and history checks

Cause: a payment ran twice last year. A call that must not repeat needs a durable claim before it is sent, with several daemons, a platform that loses replies and processes that act long after they lost their range.

Change: ClaimRecord (segments in the platform), ClaimLog (pure decision; the version of the current segment is the fence, every lost or conflicting write is followed by a read and a new decision) and ClaimService (the shell behind ClaimGate). A claim that is found unfinished is passed on only when the daemon that made it answers that it will never send; this settles refused claims whose write lands late.

Ruled out: a writer token to recognise an own write (the holder in the record already does that, and a new decision is the same for a lost reply and for a conflict); exclusive ownership (any daemon may act as owner at any time); forgetting an unsettled outcome after the retention (its holder would then be reported as never sent).

--- /dev/null
+++ b/src/request/ClaimLog.cpp
@@ -0,0 +1,467 @@
+#include "request/ClaimLog.h"
+
+#include <algorithm>
+
+namespace galenaroute {
+
+namespace {
+
+std::size_t sizeOf(const ClaimRecord &Record) {
+  return toJson(Record).dump().size() + 1;
+}
+
+/// What is known about a key.
+struct Lookup {
+  const ClaimRecord *Newest = nullptr; ///< Null: the key was never claimed.
+  std::uint64_t FetchFrom = 0; ///< Not zero: this segment must be read first.
+};
+
+/// Applies one event; holds what all handlers need.
+class Transition {
+public:
+  Transition(ClaimLog &Log, const ClaimTime &Time)
+      : Log(Log), Now(Time.Now), WallMs(Time.WallMs) {}
+
+  void operator()(const ClaimArrived &Event) {
+    if (this->Log.Queue.size() >= this->Log.Settings.MaxWaiting ||
+        this->isPlatformDown()) {
+      this->reply(Event.Request, ClaimVerdict::Unavailable);
+      return;
+    }
+    this->Log.Queue.push_back({Event.Request, this->Now, {}, {}});
+  }
+
+  void operator()(const ClaimOpDone &Event) {
+    if (!this->Log.Op)
+      return;
+    const ClaimOp Op = std::move(*this->Log.Op);
+    this->Log.Op.reset();
+    switch (Op.What) {
+    case ClaimOp::Kind::List:
+      return this->onListed(Op, Event);
+    case ClaimOp::Kind::Get:
+      return this->onFetched(Op, Event);
+    case ClaimOp::Kind::Put:
+      return this->onWritten(Op, Event);
+    case ClaimOp::Kind::Remove:
+      return this->onRemoved(Op, Event);
+    }
+  }
+
+  void operator()(const HolderAnswered &Event) {
+    for (ClaimLog::Waiting &Each : this->Log.Queue)
+      if (Each.Asked == Event.Holder)
+        Each.Answer = Event.State;
+  }
+
+  void operator()(const ClaimWake &) {}
+
+  /// Does what can be done now, after each event.
+  void advance() {
+    this->expire();
+    if (!this->Log.Op && this->Now >= this->Log.RetryAt)
+      this->startOp();
+    this->scheduleWake();
+  }
+
+  ClaimActions Actions;
+
+private:
+  void reply(const ClaimRequest &To, ClaimVerdict Verdict) {
+    this->Actions.Replies.push_back({To.Id, Verdict, {}});
+  }
+
+  // Failures of the platform.
+
+  bool isPlatformDown() const {
+    return this->Log.Backoff > this->Log.Settings.MinBackoff &&
+           this->Now < this->Log.RetryAt;
+  }
+
+  void succeeded() {
+    this->Log.Backoff = {};
+    this->Log.RetryAt = {};
+  }
+
+  /// The first failure may be a short overload of the platform and is tried
+  /// again; after the second one all that wait are refused at once.
+  void failed() {
+    const auto &Settings = this->Log.Settings;
+    const bool First = this->Log.Backoff == Duration::zero();
+    this->Log.Backoff =
+        First ? Settings.MinBackoff
+              : std::min(this->Log.Backoff * 2, Settings.MaxBackoff);
+    this->Log.RetryAt = this->Now + this->Log.Backoff;
+    if (First)
+      return;
+    for (const ClaimLog::Waiting &Each : this->Log.Queue)
+      this->reply(Each.Request, ClaimVerdict::Unavailable);
+    this->Log.Queue.clear();
+  }
+
+  void expire() {
+    std::erase_if(this->Log.Queue, [this](const ClaimLog::Waiting &Each) {
+      if (Each.Request.Deadline > this->Now)
+        return false;
+      this->reply(Each.Request, ClaimVerdict::Unavailable);
+      return true;
+    });
+  }
+
+  // Choosing the next call to the platform.
+
+  void start(ClaimOp Op) {
+    this->Log.OpStarted = this->Now;
+    this->Actions.Op = Op;
+    this->Log.Op = std::move(Op);
+  }
+
+  void startOp() {
+    ClaimLog &Log = this->Log;
+    if (Log.NeedsCreate && !Log.Queue.empty()) {
+      this->start({ClaimOp::Kind::Put, Log.LastSealed + 1, 0, {}});
+      return;
+    }
+    if (Log.Queue.empty()) {
+      if (Log.Loaded)
+        this->startRetention();
+      return;
+    }
+    if (!Log.Loaded) {
+      this->startList(Log.LastSealed);
+      return;
+    }
+    if (this->Now >= this->groupAt())
+      this->decideGroup();
+  }
+
+  TimePoint groupAt() const {
+    return std::max(this->Log.NextWrite, this->Log.Queue.front().Arrived +
+                                             this->Log.Settings.GroupDelay);
+  }
+
+  void startList(std::uint64_t After) {
+    this->Log.Tail.reset();
+    this->Log.ListStarted = this->Now;
+    this->start({ClaimOp::Kind::List, After, 0, {}});
+  }
+
+  void startRetention() {
+    if (this->Log.Sealed.empty())
+      return;
+    const auto &[Segment, Info] = *this->Log.Sealed.begin();
+    const auto RetentionMs = toMilliseconds(this->Log.Settings.Retention);
+    if (Info.SealedMs + RetentionMs <= this->WallMs)
+      this->start({ClaimOp::Kind::Remove, Segment, Info.Version, {}});
+  }
+
+  void scheduleWake() {
+    const ClaimLog &Log = this->Log;
+    if (Log.Op || Log.Queue.empty())
+      return;
+    // Requests that wait for a holder's answer need no wake-up before their
+    // deadline.
+    TimePoint At = TimePoint::max();
+    for (const ClaimLog::Waiting &Each : Log.Queue) {
+      At = std::min(At, Each.Request.Deadline);
+      if (Each.Asked.empty() || Each.Answer)
+        At = std::min(At, std::max(this->groupAt(), Log.RetryAt));
+    }
+    this->Actions.WakeAt = std::max(At, this->Now);
+  }
+
+  // Keeping the view.
+
+  void indexSealed(const ClaimOpDone::Object &Object) {
+    for (const ClaimRecord &Each : Object.Value.Records) {
+      this->Log.SealedIndex[Each.Key] = Object.Segment;
+      this->Log.Cache.erase(Each.Key);
+    }
+    // A segment below the highest one that was never sealed is empty, and
+    // counts as sealed now.
+    this->Log.Sealed[Object.Segment] = {
+        Object.Version,
+        Object.Value.SealedMs ? Object.Value.SealedMs : this->WallMs};
+    this->Log.LastSealed = std::max(this->Log.LastSealed, Object.Segment);
+  }
+
+  void forgetSegment(std::uint64_t Segment) {
+    this->Log.Sealed.erase(Segment);
+    this->Log.Cache.clear();
+    std::erase_if(this->Log.SealedIndex, [Segment](const auto &Each) {
+      return Each.second == Segment;
+    });
+  }
+
+  void adoptCurrent(ClaimOpDone::Object Object) {
+    ClaimLog &Log = this->Log;
+    Log.Segment = Object.Segment;
+    Log.Version = Object.Version;
+    Log.Current = std::move(Object.Value);
+    Log.CurrentBytes = 0;
+    Log.CurrentIndex.clear();
+    for (std::size_t I = 0; I < Log.Current.Records.size(); ++I) {
+      Log.CurrentIndex[Log.Current.Records[I].Key] = I;
+      Log.CurrentBytes += sizeOf(Log.Current.Records[I]);
+    }
+    Log.Loaded = true;
+    Log.ViewAsOf = Log.ListStarted;
+  }
+
+  void onListed(const ClaimOp &Op, const ClaimOpDone &Event) {
+    ClaimLog &Log = this->Log;
+    if (Event.End != ClaimOpEnd::Ok) {
+      this->failed();
+      return;
+    }
+    this->succeeded();
+    std::uint64_t Last = Op.Segment;
+    for (const ClaimOpDone::Object &Each : Event.Objects) {
+      if (Log.Tail)
+        this->indexSealed(*Log.Tail);
+      Log.Tail = Each;
+      Last = Each.Segment;
+    }
+    if (Event.More && !Event.Objects.empty()) {
+      this->start({ClaimOp::Kind::List, Last, 0, {}});
+      return;
+    }
+    if (Log.Tail && Log.Tail->Value.SealedMs == 0) {
+      this->adoptCurrent(std::move(*Log.Tail));
+    } else {
+      if (Log.Tail)
+        this->indexSealed(*Log.Tail);
+      Log.NeedsCreate = true;
+    }
+    Log.Tail.reset();
+  }
+
+  void onFetched(const ClaimOp &Op, const ClaimOpDone &Event) {
+    if (Event.End == ClaimOpEnd::Refused) {
+      // Retention by another daemon.
+      this->forgetSegment(Op.Segment);
+      return;
+    }
+    if (Event.End != ClaimOpEnd::Ok || Event.Objects.empty()) {
+      this->failed();
+      return;
+    }
+    this->succeeded();
+    std::set<std::string> Wanted;
+    for (const ClaimLog::Waiting &Each : this->Log.Queue)
+      Wanted.insert(Each.Request.Record.Key);
+    if (this->Log.Cache.size() >= this->Log.Settings.MaxCachedRecords)
+      this->Log.Cache.clear();
+    for (const ClaimRecord &Each : Event.Objects[0].Value.Records) {
+      const auto It = this->Log.SealedIndex.find(Each.Key);
+      if (Wanted.contains(Each.Key) && It != this->Log.SealedIndex.end() &&
+          It->second == Op.Segment)
+        this->Log.Cache[Each.Key] = Each;
+    }
+  }
+
+  void onWritten(const ClaimOp &Op, const ClaimOpDone &Event) {
+    ClaimLog &Log = this->Log;
+    auto Group = std::move(Log.Group);
+    Log.Group.clear();
+    if (Log.NeedsCreate) {
+      // Whether this daemon or another created it, a read must show that it is
+      // the highest: a segment of that number may have existed long ago and
+      // have been removed by retention.
+      Log.NeedsCreate = false;
+      if (Event.End == ClaimOpEnd::Unavailable)
+        this->failed();
+      return;
+    }
+    if (Event.End == ClaimOpEnd::Ok) {
+      this->succeeded();
+      const std::size_t Old = Log.Current.Records.size();
+      Log.Version = Event.Version;
+      Log.Current = Op.Value;
+      Log.ViewAsOf = Log.OpStarted;
+      for (std::size_t I = Old; I < Log.Current.Records.size(); ++I) {
+        Log.CurrentIndex[Log.Current.Records[I].Key] = I;
+        Log.CurrentBytes += sizeOf(Log.Current.Records[I]);
+      }
+      for (const ClaimLog::Grouped &Each : Group)
+        this->Actions.Replies.push_back(Each.Reply);
+      if (Log.Current.SealedMs != 0) {
+        this->indexSealed({Log.Segment, Log.Version, Log.Current});
+        Log.Loaded = false;
+        Log.NeedsCreate = true;
+      }
+      return;
+    }
+    // Lost, conflicting or refused: everything is decided anew from what a
+    // read shows, which also tells whether a lost write took effect.
+    for (auto It = Group.rbegin(); It != Group.rend(); ++It)
+      Log.Queue.push_front(std::move(It->From));
+    Log.Loaded = false;
+    if (Event.End == ClaimOpEnd::Unavailable)
+      this->failed();
+  }
+
+  void onRemoved(const ClaimOp &Op, const ClaimOpDone &Event) {
+    if (Event.End == ClaimOpEnd::Unavailable ||
+        Event.End == ClaimOpEnd::Unknown) {
+      this->failed();
+      return;
+    }
+    this->succeeded();
+    this->forgetSegment(Op.Segment);
+  }
+
+  // Deciding.
+
+  Lookup find(const std::string &Key,
+              const std::vector<ClaimRecord> &Added) const {
+    for (auto It = Added.rbegin(); It != Added.rend(); ++It)
+      if (It->Key == Key)
+        return {&*It, 0};
+    const ClaimLog &Log = this->Log;
+    if (const auto It = Log.CurrentIndex.find(Key);
+        It != Log.CurrentIndex.end())
+      return {&Log.Current.Records[It->second], 0};
+    if (const auto It = Log.Cache.find(Key); It != Log.Cache.end())
+      return {&It->second, 0};
+    if (const auto It = Log.SealedIndex.find(Key); It != Log.SealedIndex.end())
+      return {nullptr, It->second};
+    return {};
+  }
+
+  /// What to do with one request.
+  struct Decision {
+    std::optional<ClaimVerdict> Verdict; ///< None: it goes on waiting.
+    bool Append = false;  ///< The request's record must become durable first.
+    bool Refresh = false; ///< The view must be read again first.
+  };
+
+  Decision decide(ClaimLog::Waiting &Each, const ClaimRecord *Newest) {
+    const ClaimRecord &Own = Each.Request.Record;
+    const bool IsOwn = Newest && Newest->Holder == Own.Holder;
+    if (Each.Request.Ask != ClaimAsk::Claim) {
+      if (IsOwn && Newest->State == ClaimState::Claimed)
+        return {ClaimVerdict::Stored, true};
+      // The claim is durable, so a view from before the request may only lack
+      // it because another daemon wrote it.
+      if (!IsOwn && this->Log.ViewAsOf < Each.Arrived)
+        return {{}, false, /*Refresh=*/true};
+      // A holder that releases has not sent; when another request holds the
+      // key by now, the release has nothing left to undo.
+      return {IsOwn || Each.Request.Ask == ClaimAsk::Release
+                  ? ClaimVerdict::Stored
+                  : ClaimVerdict::Superseded};
+    }
+    if (IsOwn) {
+      // A repeated message of the same claim.
+      return {Newest->State == ClaimState::Claimed ? ClaimVerdict::Granted
+                                                   : ClaimVerdict::Unavailable};
+    }
+    if (!Newest) {
+      const bool Full =
+          this->Log.SealedIndex.size() + this->Log.CurrentIndex.size() >=
+          this->Log.Settings.MaxIndexedKeys;
+      if (Full)
+        return {ClaimVerdict::Unavailable};
+      return {ClaimVerdict::Granted, true};
+    }
+    if (Newest->State == ClaimState::Released)
+      return {ClaimVerdict::Granted, true};
+    if (Newest->State == ClaimState::Claimed)
+      return this->decideHeld(Each, *Newest);
+    if (Newest->Digest != Own.Digest)
+      return {ClaimVerdict::Mismatch};
+    return {Newest->Outcome.Ran ? ClaimVerdict::Ran : ClaimVerdict::MayHaveRun};
+  }
+
+  /// The key is claimed by another request that has not finished.
+  Decision decideHeld(ClaimLog::Waiting &Each, const ClaimRecord &Newest) {
+    if (Each.Asked != Newest.Holder) {
+      Each.Asked = Newest.Holder;
+      Each.Answer.reset();
+      this->Actions.AskHolders.insert(Newest.Holder);
+    }
+    if (!Each.Answer)
+      return {};
+    if (*Each.Answer == HolderState::NotHeld)
+      // The append is conditional on the version of this view, so it fails if
+      // the holder's finish became durable after it.
+      return {ClaimVerdict::Granted, true};
+    // The holder may have finished after this view was read.
+    if (*Each.Answer != HolderState::Held && this->Log.ViewAsOf < Each.Arrived)
+      return {{}, false, /*Refresh=*/true};
+    if (Newest.Digest != Each.Request.Record.Digest)
+      return {ClaimVerdict::Mismatch};
+    return {*Each.Answer == HolderState::Gone ? ClaimVerdict::MayHaveRun
+                                              : ClaimVerdict::InProgress};
+  }
+
+  void decideGroup() {
+    ClaimLog &Log = this->Log;
+    std::vector<ClaimRecord> Added;
+    std::size_t AddedBytes = 0;
+    std::vector<ClaimLog::Grouped> Group;
+    std::deque<ClaimLog::Waiting> Later;
+    std::uint64_t FetchFrom = 0;
+    bool Refresh = false;
+    for (ClaimLog::Waiting &Each : Log.Queue) {
+      const Lookup Found = this->find(Each.Request.Record.Key, Added);
+      if (Found.FetchFrom != 0) {
+        FetchFrom = Found.FetchFrom;
+        Later.push_back(std::move(Each));
+        continue;
+      }
+      const Decision Made = AddedBytes < Log.Settings.MaxGroupBytes
+                                ? this->decide(Each, Found.Newest)
+                                : Decision{};
+      Refresh = Refresh || Made.Refresh;
+      if (!Made.Verdict) {
+        Later.push_back(std::move(Each));
+        continue;
+      }
+      ClaimReply Answer{Each.Request.Id, *Made.Verdict, {}};
+      if (*Made.Verdict == ClaimVerdict::Ran)
+        Answer.Outcome = Found.Newest->Outcome;
+      if (Made.Append) {
+        Added.push_back(Each.Request.Record);
+        AddedBytes += sizeOf(Added.back());
+      }
+      Group.push_back({std::move(Each), std::move(Answer)});
+    }
+    Log.Queue = std::move(Later);
+    if (!Added.empty()) {
+      ClaimSegment Next = Log.Current;
+      Next.Records.insert(Next.Records.end(), Added.begin(), Added.end());
+      if (Log.CurrentBytes + AddedBytes >= Log.Settings.SegmentBytes)
+        Next.SealedMs = this->WallMs;
+      Log.Group = std::move(Group);
+      Log.NextWrite = this->Now + Log.Settings.WriteInterval;
+      this->start(
+          {ClaimOp::Kind::Put, Log.Segment, Log.Version, std::move(Next)});
+      return;
+    }
+    // Without a write these answers rest on what was read.
+    for (const ClaimLog::Grouped &Each : Group)
+      this->Actions.Replies.push_back(Each.Reply);
+    if (FetchFrom != 0)
+      this->start({ClaimOp::Kind::Get, FetchFrom, 0, {}});
+    else if (Refresh)
+      this->startList(Log.LastSealed);
+  }
+
+  ClaimLog &Log;
+  TimePoint Now;
+  std::int64_t WallMs;
+};
+
+} // namespace
+
+ClaimActions apply(ClaimLog &Log, const ClaimEvent &Event,
+                   const ClaimTime &Time) {
+  Transition Step(Log, Time);
+  std::visit(Step, Event);
+  Step.advance();
+  return std::move(Step.Actions);
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/ClaimService.cpp
@@ -0,0 +1,504 @@
+#include "request/ClaimService.h"
+
+#include "process/ErrorKind.h"
+#include "process/Rendezvous.h"
+
+#include <algorithm>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *ClaimKind = "claims";
+constexpr Milliseconds RetryInProgress{500};
+constexpr Milliseconds RetryUnavailable{1000};
+
+template <typename Enum> Enum enumFrom(const json &Value, Enum Last) {
+  if (!Value.is_number_unsigned() ||
+      Value.get<std::uint64_t>() > static_cast<std::uint64_t>(Last))
+    throw Error(ErrorKind::BadRequest, "malformed enumerator in a claim");
+  return static_cast<Enum>(Value.get<int>());
+}
+
+std::string textFrom(const json &Value) {
+  constexpr std::size_t MaxBytes = 256;
+  auto Result = Value.get<std::string>();
+  if (Result.empty() || Result.size() > MaxBytes)
+    throw Error(ErrorKind::BadRequest, "malformed text in a claim");
+  // The text is written to the platform as JSON.
+  for (const char C : Result)
+    if (C < ' ' || C > '~')
+      throw Error(ErrorKind::BadRequest, "malformed text in a claim");
+  return Result;
+}
+
+std::string daemonOf(const std::string &Holder) {
+  return Holder.substr(0, Holder.find('|'));
+}
+
+ClaimStatus statusOf(ClaimVerdict Verdict) {
+  switch (Verdict) {
+  case ClaimVerdict::Granted:
+    return ClaimStatus::Granted;
+  case ClaimVerdict::InProgress:
+    return ClaimStatus::InProgress;
+  case ClaimVerdict::MayHaveRun:
+    return ClaimStatus::MayHaveRun;
+  case ClaimVerdict::Ran:
+    return ClaimStatus::Ran;
+  case ClaimVerdict::Mismatch:
+    return ClaimStatus::Mismatch;
+  default:
+    return ClaimStatus::Unavailable;
+  }
+}
+
+} // namespace
+
+ClaimService::ClaimService(Platform &Api, ClaimPorts Ports,
+                           ClaimServiceSettings Settings, std::string Nonce)
+    : Api(Api), Ports(std::move(Ports)), Settings(std::move(Settings)),
+      Nonce(std::move(Nonce)) {}
+
+ClaimService::~ClaimService() { *this->Alive = false; }
+
+// The entry part.
+
+void ClaimService::claim(const ClaimKey &Key, std::string_view RequestDigest,
+                         OnClaim Done) {
+  if (this->Attempts.size() >= this->Settings.MaxAttempts) {
+    this->defer([Done = std::move(Done)] {
+      Done({ClaimStatus::Unavailable, {}, {}, RetryUnavailable});
+    });
+    return;
+  }
+  const std::string Holder = this->Ports.SelfId() + "|" + this->Nonce + "|" +
+                             std::to_string(this->NextHolder++);
+  Attempt &Added = this->Attempts[Holder];
+  Added.Record = {claimKeyDigest(Key),
+                  Holder,
+                  std::string(RequestDigest),
+                  ClaimState::Claimed,
+                  {}};
+  Added.Key = Key;
+  Added.ClaimDone = std::move(Done);
+  Added.Deadline = this->Ports.Time().Now + this->Settings.ClaimTimeout;
+  this->send(Holder, Added);
+}
+
+void ClaimService::finish(const ClaimToken &Token,
+                          const ClaimOutcome &Outcome) {
+  const auto It = this->Attempts.find(Token.Holder);
+  if (It == this->Attempts.end() || !It->second.Held)
+    return;
+  Attempt &Done = It->second;
+  Done.Ask = ClaimAsk::Finish;
+  Done.Record.State = ClaimState::Finished;
+  Done.Record.Outcome = boundedOutcome(Outcome);
+  Done.Sends = 0;
+  // It is kept until it is durable: once it is forgotten here, other daemons
+  // are told that the holder will not send.
+  Done.Deadline = TimePoint::max();
+  this->send(Token.Holder, Done);
+}
+
+void ClaimService::release(const ClaimToken &Token, OnRelease Done) {
+  const auto It = this->Attempts.find(Token.Holder);
+  if (It == this->Attempts.end() || !It->second.Held) {
+    this->defer([Done = std::move(Done)] { Done(false); });
+    return;
+  }
+  Attempt &Given = It->second;
+  // From here on other daemons are told that the call will not be sent.
+  Given.Held = false;
+  Given.Ask = ClaimAsk::Release;
+  Given.Record.State = ClaimState::Released;
+  Given.ReleaseDone = std::move(Done);
+  Given.Sends = 0;
+  Given.Deadline = this->Ports.Time().Now + this->Settings.ClaimTimeout;
+  this->send(Token.Holder, Given);
+}
+
+void ClaimService::send(const std::string &Holder, Attempt &What) {
+  const TimePoint Now = this->Ports.Time().Now;
+  const Duration Wait = What.Ask == ClaimAsk::Finish
+                            ? this->Settings.FinishRetry
+                            : this->Settings.OwnerTimeout;
+  What.NextSend = Now + Wait;
+  this->NextCheck = std::min({this->NextCheck, What.NextSend, What.Deadline});
+  this->wakeAt(this->NextCheck);
+  const std::string Owner = this->ownerOf(this->rangeOf(What.Record.Key));
+  // Every second time this daemon acts as owner itself.
+  if (Owner != this->Ports.SelfId() && What.Sends++ % 2 == 0) {
+    PeerMessage Message{What.Ask == ClaimAsk::Finish ? "outcome" : "claim"};
+    Message.Body = {{"ask", static_cast<unsigned>(What.Ask)},
+                    {"k", What.Record.Key},
+                    {"h", Holder},
+                    {"d", What.Record.Digest}};
+    if (What.Ask == ClaimAsk::Finish)
+      Message.Body["o"] = toJson(What.Record.Outcome);
+    if (this->Ports.Send(Owner, Message))
+      return;
+  }
+  this->submit(this->Ports.SelfId(), What.Ask, What.Record,
+               std::min(What.Deadline - Now, this->Settings.ClaimTimeout));
+}
+
+void ClaimService::checkAttempts() {
+  const TimePoint Now = this->Ports.Time().Now;
+  if (Now < this->NextCheck)
+    return;
+  this->NextCheck = TimePoint::max();
+  std::vector<std::string> Late;
+  std::vector<std::string> Due;
+  for (const auto &[Holder, Each] : this->Attempts) {
+    if (Each.Held && Each.Ask == ClaimAsk::Claim)
+      continue; // The call is underway.
+    if (Now >= Each.Deadline)
+      Late.push_back(Holder);
+    else if (Now >= Each.NextSend)
+      Due.push_back(Holder);
+    else
+      this->NextCheck =
+          std::min({this->NextCheck, Each.NextSend, Each.Deadline});
+  }
+  for (const std::string &Holder : Late)
+    this->onReply(Holder, this->Attempts.at(Holder).Ask,
+                  ClaimVerdict::Unavailable, {});
+  for (const std::string &Holder : Due)
+    if (const auto It = this->Attempts.find(Holder); It != this->Attempts.end())
+      this->send(Holder, It->second);
+  if (this->NextCheck != TimePoint::max())
+    this->wakeAt(this->NextCheck);
+}
+
+void ClaimService::onReply(const std::string &Holder, ClaimAsk Ask,
+                           ClaimVerdict Verdict, const ClaimOutcome &Outcome) {
+  const auto It = this->Attempts.find(Holder);
+  if (It == this->Attempts.end() || It->second.Ask != Ask)
+    return; // A late answer.
+  Attempt &What = It->second;
+  const bool Failed = Verdict == ClaimVerdict::Unavailable;
+  const bool Expired = this->Ports.Time().Now >= What.Deadline;
+  switch (Ask) {
+  case ClaimAsk::Claim: {
+    if (What.Held)
+      return;
+    ClaimAnswer Answer{statusOf(Verdict), {What.Key, Holder}, Outcome, {}};
+    if (Answer.Status == ClaimStatus::InProgress)
+      Answer.RetryAfter = RetryInProgress;
+    if (Answer.Status == ClaimStatus::Unavailable)
+      Answer.RetryAfter = RetryUnavailable;
+    const OnClaim Done = std::move(What.ClaimDone);
+    if (Answer.Status == ClaimStatus::Granted)
+      What.Held = true;
+    else
+      this->Attempts.erase(It);
+    Done(Answer);
+    return;
+  }
+  case ClaimAsk::Finish:
+    if (!Failed)
+      this->Attempts.erase(It);
+    return;
+  case ClaimAsk::Release: {
+    if (Failed && !Expired)
+      return;
+    const OnRelease Done = std::move(What.ReleaseDone);
+    this->Attempts.erase(It);
+    Done(Verdict == ClaimVerdict::Stored);
+    return;
+  }
+  }
+}
+
+HolderState ClaimService::holderState(const std::string &Holder) const {
+  const std::string Own = this->Ports.SelfId() + "|" + this->Nonce + "|";
+  if (!Holder.starts_with(Own))
+    return HolderState::Gone; // Made by an earlier process at this id.
+  const auto It = this->Attempts.find(Holder);
+  if (It == this->Attempts.end() || It->second.Ask == ClaimAsk::Release)
+    return HolderState::NotHeld;
+  return HolderState::Held;
+}
+
+// The owner part.
+
+unsigned ClaimService::rangeOf(const std::string &KeyDigest) const {
+  return static_cast<unsigned>(stableHash(KeyDigest) % this->Settings.Ranges);
+}
+
+std::string ClaimService::ownerOf(unsigned Range) const {
+  const std::string Name = "claims/" + std::to_string(Range);
+  std::string Best;
+  std::uint64_t BestWeight = 0;
+  for (std::string &Each : this->Ports.LiveIds()) {
+    const std::uint64_t Weight = rendezvousWeight(Name, Each);
+    if (Best.empty() || Weight > BestWeight) {
+      Best = std::move(Each);
+      BestWeight = Weight;
+    }
+  }
+  return Best.empty() ? this->Ports.SelfId() : Best;
+}
+
+void ClaimService::submit(const std::string &From, ClaimAsk Ask,
+                          ClaimRecord Record, Duration Limit) {
+  const unsigned Index = this->rangeOf(Record.Key);
+  const std::uint64_t Id = this->NextRequest++;
+  this->Origins[Id] = {From, Record.Holder, Ask};
+  this->step(Index, ClaimArrived{{Id, Ask, std::move(Record),
+                                  this->Ports.Time().Now + Limit}});
+}
+
+void ClaimService::step(unsigned Index, const ClaimEvent &Event) {
+  const ClaimTime Time = this->Ports.Time();
+  const auto [It, Added] = this->Ranges.try_emplace(Index);
+  Range &At = It->second;
+  if (Added) {
+    At.Log.Settings = this->Settings.Log;
+    At.Log.Range = Index;
+    At.NextRetention = Time.Now + this->Settings.RetentionPeriod;
+    this->wakeAt(At.NextRetention);
+  }
+  if (std::holds_alternative<ClaimArrived>(Event))
+    At.LastUse = Time.Now;
+  const ClaimActions Actions = apply(At.Log, Event, Time);
+  At.WakeAt = Actions.WakeAt.value_or(TimePoint::max());
+  if (Actions.WakeAt)
+    this->wakeAt(*Actions.WakeAt);
+  if (Actions.Op)
+    this->startOp(Index, *Actions.Op);
+  for (const std::string &Holder : Actions.AskHolders)
+    this->askHolder(Index, Holder);
+  for (const ClaimReply &Reply : Actions.Replies)
+    this->answer(Reply);
+}
+
+static ClaimOpEnd endOf(PlatformStatus Status) {
+  switch (Status) {
+  case PlatformStatus::Ok:
+    return ClaimOpEnd::Ok;
+  case PlatformStatus::NotFound:
+  case PlatformStatus::Conflict:
+    return ClaimOpEnd::Refused;
+  case PlatformStatus::Unavailable:
+    return ClaimOpEnd::Unavailable;
+  default:
+    return ClaimOpEnd::Unknown;
+  }
+}
+
+/// Adds \p Object to what \p Done found. A value that cannot be read makes the
+/// whole call fail, since claims in it would be missed.
+static void addObject(ClaimOpDone &Done, const PlatformObject &Object) {
+  try {
+    Done.Objects.push_back({claimSegmentNumber(Object.Key.Name), Object.Version,
+                            claimSegmentFromJson(Object.Value)});
+  } catch (const std::exception &) {
+    Done.End = ClaimOpEnd::Unavailable;
+  }
+}
+
+void ClaimService::startOp(unsigned Index, const ClaimOp &Op) {
+  const ObjectKey Key{ClaimKind, claimSegmentName(Index, Op.Segment)};
+  const auto OnResult = [this, Index, Alive = this->Alive,
+                         What = Op.What](const PlatformResult &Result) {
+    if (!*Alive)
+      return;
+    ClaimOpDone Done{endOf(Result.Status), Result.Object.Version, {}, false};
+    if (What == ClaimOp::Kind::Get && Done.End == ClaimOpEnd::Ok)
+      addObject(Done, Result.Object);
+    this->step(Index, Done);
+  };
+  switch (Op.What) {
+  case ClaimOp::Kind::Get:
+    this->Api.get(Key, OnResult);
+    return;
+  case ClaimOp::Kind::Put:
+    this->Api.put(Key, toJson(Op.Value), Op.IfVersion, OnResult);
+    return;
+  case ClaimOp::Kind::Remove:
+    this->Api.remove(Key, Op.IfVersion, OnResult);
+    return;
+  case ClaimOp::Kind::List:
+    this->Api.list(
+        ClaimKind, claimSegmentPrefix(Index), Key.Name,
+        [this, Index, Alive = this->Alive](const PlatformList &Result) {
+          if (!*Alive)
+            return;
+          ClaimOpDone Done{endOf(Result.Status), 0, {}, Result.More};
+          for (const PlatformObject &Each : Result.Objects)
+            addObject(Done, Each);
+          this->step(Index, Done);
+        });
+    return;
+  }
+}
+
+void ClaimService::answer(const ClaimReply &Reply) {
+  const auto It = this->Origins.find(Reply.Id);
+  if (It == this->Origins.end())
+    return;
+  const Origin To = std::move(It->second);
+  this->Origins.erase(It);
+  if (To.From == this->Ports.SelfId()) {
+    this->defer([this, To, Reply] {
+      this->onReply(To.Holder, To.Ask, Reply.Verdict, Reply.Outcome);
+    });
+    return;
+  }
+  PeerMessage Message{"claim-reply",
+                      {{"h", To.Holder},
+                       {"ask", static_cast<unsigned>(To.Ask)},
+                       {"v", static_cast<unsigned>(Reply.Verdict)}}};
+  if (Reply.Verdict == ClaimVerdict::Ran)
+    Message.Body["o"] = toJson(Reply.Outcome);
+  this->Ports.Send(To.From, Message);
+}
+
+void ClaimService::askHolder(unsigned Index, const std::string &Holder) {
+  const std::string Daemon = daemonOf(Holder);
+  std::optional<HolderState> Known;
+  if (Daemon == this->Ports.SelfId())
+    Known = this->holderState(Holder);
+  else if (this->Ports.IsGone(Daemon))
+    Known = HolderState::Gone;
+  else if (!this->Ports.Send(Daemon, {"claim-query", {{"h", Holder}}}))
+    Known = HolderState::Unreachable;
+  if (Known) {
+    this->defer([this, Index, Holder, State = *Known] {
+      this->step(Index, HolderAnswered{Holder, State});
+    });
+    return;
+  }
+  const TimePoint Deadline =
+      this->Ports.Time().Now + this->Settings.HolderTimeout;
+  this->Queries.emplace(Holder, Query{Index, Deadline});
+  this->wakeAt(Deadline);
+}
+
+void ClaimService::dropIdle() {
+  const TimePoint Now = this->Ports.Time().Now;
+  std::erase_if(this->Ranges, [&](const auto &Each) {
+    return isIdle(Each.second.Log) &&
+           Now - Each.second.LastUse >= this->Settings.IdleDrop &&
+           this->ownerOf(Each.first) != this->Ports.SelfId();
+  });
+}
+
+// Messages and time.
+
+std::vector<std::string> ClaimService::messageTypes() {
+  return {"claim", "outcome", "claim-reply", "claim-query",
+          "claim-query-reply"};
+}
+
+void ClaimService::onMessage(const std::string &Type, const std::string &From,
+                             const json &Body) {
+  const std::string Holder = textFrom(Body.at("h"));
+  if (Type == "claim" || Type == "outcome") {
+    const ClaimAsk Ask = enumFrom(Body.at("ask"), ClaimAsk::Release);
+    ClaimRecord Record{textFrom(Body.at("k")),
+                       Holder,
+                       textFrom(Body.at("d")),
+                       ClaimState::Claimed,
+                       {}};
+    if (Ask == ClaimAsk::Release)
+      Record.State = ClaimState::Released;
+    if (Ask == ClaimAsk::Finish) {
+      Record.State = ClaimState::Finished;
+      Record.Outcome = boundedOutcome(claimOutcomeFromJson(Body.at("o")));
+    }
+    this->submit(From, Ask, std::move(Record), this->Settings.ClaimTimeout);
+  } else if (Type == "claim-reply") {
+    const ClaimVerdict Verdict =
+        enumFrom(Body.at("v"), ClaimVerdict::Superseded);
+    ClaimOutcome Outcome;
+    if (Verdict == ClaimVerdict::Ran)
+      Outcome = claimOutcomeFromJson(Body.at("o"));
+    this->onReply(Holder, enumFrom(Body.at("ask"), ClaimAsk::Release), Verdict,
+                  Outcome);
+  } else if (Type == "claim-query") {
+    this->Ports.Send(
+        From, {"claim-query-reply",
+               {{"h", Holder},
+                {"s", static_cast<unsigned>(this->holderState(Holder))}}});
+  } else if (Type == "claim-query-reply") {
+    const HolderState State = enumFrom(Body.at("s"), HolderState::Unreachable);
+    // Only the daemon that made a claim knows about it.
+    if (From != daemonOf(Holder))
+      return;
+    std::set<unsigned> Asking;
+    const auto [Begin, End] = this->Queries.equal_range(Holder);
+    for (auto It = Begin; It != End; ++It)
+      Asking.insert(It->second.Range);
+    this->Queries.erase(Begin, End);
+    for (const unsigned Index : Asking)
+      this->step(Index, HolderAnswered{Holder, State});
+  }
+}
+
+void ClaimService::run() {
+  this->ScheduledAt = TimePoint::max();
+  const TimePoint Now = this->Ports.Time().Now;
+  // Calls that are added meanwhile wait for the next run.
+  std::deque<std::function<void()>> Calls;
+  Calls.swap(this->Deferred);
+  for (const auto &Each : Calls)
+    Each();
+
+  std::vector<std::pair<std::string, unsigned>> Silent;
+  TimePoint NextQuery = TimePoint::max();
+  for (const auto &[Holder, Each] : this->Queries)
+    if (Now >= Each.Deadline)
+      Silent.emplace_back(Holder, Each.Range);
+    else
+      NextQuery = std::min(NextQuery, Each.Deadline);
+  std::erase_if(this->Queries, [Now](const auto &Each) {
+    return Now >= Each.second.Deadline;
+  });
+  for (const auto &[Holder, Index] : Silent)
+    this->step(Index, HolderAnswered{Holder, HolderState::Unreachable});
+
+  std::vector<unsigned> Due;
+  TimePoint NextWake = NextQuery;
+  bool CheckIdle = false;
+  for (auto &[Index, Each] : this->Ranges) {
+    if (Now >= Each.NextRetention) {
+      Each.NextRetention = Now + this->Settings.RetentionPeriod;
+      CheckIdle = true;
+      Due.push_back(Index);
+    } else if (Now >= Each.WakeAt) {
+      Due.push_back(Index);
+    }
+    NextWake = std::min({NextWake, Each.NextRetention, Each.WakeAt});
+  }
+  for (const unsigned Index : Due)
+    this->step(Index, ClaimWake{});
+  this->checkAttempts();
+  if (CheckIdle)
+    this->dropIdle();
+  if (!this->Deferred.empty())
+    NextWake = Now;
+  NextWake = std::min(NextWake, this->NextCheck);
+  if (NextWake != TimePoint::max())
+    this->wakeAt(NextWake);
+}
+
+void ClaimService::wakeAt(TimePoint At) {
+  if (At >= this->ScheduledAt)
+    return;
+  this->ScheduledAt = At;
+  this->Ports.WakeAfter(
+      std::max(At - this->Ports.Time().Now, Duration::zero()));
+}
+
+void ClaimService::defer(std::function<void()> Call) {
+  this->Deferred.push_back(std::move(Call));
+  this->wakeAt(this->Ports.Time().Now);
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/tests/ClaimFleet.h
@@ -0,0 +1,424 @@
+// A fleet of daemons in memory that claim keys over one fake platform, for
+// checking histories.
+//
+// A run draws from one seed the order of all messages, platform calls and
+// replies, and these faults: lost and repeated messages, lost replies, writes
+// that are dropped or land late, outages, daemons that are paused, killed and
+// restarted, and daemons that disagree about who is alive and so act as owners
+// of one range at the same time.
+
+#ifndef GALENAROUTE_TESTS_CLAIMFLEET_H
+#define GALENAROUTE_TESTS_CLAIMFLEET_H
+
+#include "FakePlatform.h"
+
+#include "request/ClaimService.h"
+
+#include <random>
+
+namespace galenaroute::testing_support {
+
+/// What went wrong in a history; empty when nothing did.
+using Violations = std::vector<std::string>;
+
+class ClaimFleet {
+public:
+  ClaimFleet(std::size_t Count, unsigned Keys, std::uint64_t Seed)
+      : Keys(Keys), Random(Seed) {
+    for (std::size_t I = 0; I < Count; ++I)
+      this->Nodes.push_back(std::make_unique<Node>());
+    for (std::size_t I = 0; I < Count; ++I)
+      this->startNode(I);
+  }
+
+  /// Does \p Steps random things.
+  void run(int Steps) {
+    for (int I = 0; I < Steps; ++I)
+      this->randomStep();
+  }
+
+  /// Ends all faults, lets everything settle, and repeats each key.
+  void healAndRepeatAll() {
+    this->Healing = true;
+    this->Api.Outage = false;
+    for (const auto &Each : this->Nodes)
+      Each->Paused = false;
+    this->settle(std::chrono::seconds(20));
+    std::vector<unsigned> Used;
+    for (const auto &[Key, History] : this->History)
+      Used.push_back(Key);
+    for (const unsigned Key : Used)
+      this->repeat(Key);
+  }
+
+  /// Makes the platform ignore versions, to show that the check would see it.
+  bool IgnoreVersions = false;
+
+  Violations Found;
+  int Granted = 0;
+  int Executed = 0;
+  int RanAnswers = 0;
+  int Unavailable = 0;
+  FakePlatform Api;
+
+private:
+  /// The platform as one process sees it.
+  class View : public Platform {
+  public:
+    View(ClaimFleet &Fleet, std::size_t Node, int Process)
+        : Fleet(Fleet), Node(Node), Process(Process) {}
+
+    void get(const ObjectKey &Key, OnResult Done) override {
+      this->Fleet.Api.get(Key, this->later(std::move(Done)));
+    }
+    void put(const ObjectKey &Key, const nlohmann::json &Value,
+             std::uint64_t IfVersion, OnResult Done) override {
+      if (this->Fleet.IgnoreVersions)
+        IfVersion = this->Fleet.Api.read(Key).Object.Version;
+      this->write(std::move(Done), [&](OnResult Reply) {
+        this->Fleet.Api.put(Key, Value, IfVersion, std::move(Reply));
+      });
+    }
+    void remove(const ObjectKey &Key, std::uint64_t IfVersion,
+                OnResult Done) override {
+      this->write(std::move(Done), [&](OnResult Reply) {
+        this->Fleet.Api.remove(Key, IfVersion, std::move(Reply));
+      });
+    }
+    void list(const std::string &Kind, const std::string &Prefix,
+              const std::string &After, OnList Done) override {
+      this->Fleet.Api.list(
+          Kind, Prefix, After,
+          [Reply = this->later(std::move(Done))](PlatformList Result) {
+            constexpr std::size_t PageSize = 3;
+            if (Result.Objects.size() > PageSize) {
+              Result.Objects.resize(PageSize);
+              Result.More = true;
+            }
+            Reply(Result);
+          });
+    }
+    void watch(const std::string &, std::uint64_t, Duration, OnList) override {}
+    void listVms(OnVms) override {}
+
+  private:
+    /// Wraps \p Done so that it runs at a later step, if the process lives.
+    template <typename Argument>
+    std::function<void(const Argument &)>
+    later(std::function<void(const Argument &)> Done) {
+      return [this, Done = std::move(Done), &Fleet = this->Fleet,
+              Node = this->Node, Process = this->Process](const Argument &A) {
+        Fleet.Replies.push_back({Node, Process, [Done, A] { Done(A); }});
+      };
+    }
+
+    void write(OnResult Done, const std::function<void(OnResult)> &Call) {
+      const PlatformResult Lost{PlatformStatus::Unknown, {}};
+      const auto Reply = this->later(std::move(Done));
+      const auto Draw = this->Fleet.Healing ? 100 : this->Fleet.draw(100);
+      if (Draw < 8) {
+        // It takes effect; the reply is lost.
+        Call([Reply, Lost](const PlatformResult &) { Reply(Lost); });
+      } else if (Draw < 16) {
+        // The client gives up; it takes effect at some later time.
+        Call([](const PlatformResult &) {});
+        Reply(Lost);
+      } else if (Draw < 20) {
+        Reply(Lost);
+      } else {
+        Call(Reply);
+      }
+    }
+
+    ClaimFleet &Fleet;
+    std::size_t Node;
+    int Process;
+  };
+
+  struct Node {
+    int Process = 0; ///< Counts restarts.
+    bool Paused = false;
+    std::set<std::size_t> Trusted; ///< Whom it takes for alive.
+    std::unique_ptr<View> Api;
+    std::unique_ptr<ClaimService> Claims;
+    std::vector<std::function<void()>> Tasks; ///< Of its request path.
+  };
+  struct Message {
+    std::size_t From;
+    std::size_t To;
+    PeerMessage Body;
+  };
+  struct Reply {
+    std::size_t Node;
+    int Process;
+    std::function<void()> Call;
+  };
+  struct KeyHistory {
+    int Executions = 0;
+    std::string Body;     ///< Of the execution.
+    std::size_t Node = 0; ///< That stored the outcome ...
+    int Process = -1;     ///< ... in this process; -1: none did.
+  };
+
+  std::size_t draw(std::size_t Below) { return this->Random() % Below; }
+
+  /// New keys replace old ones as time goes on; each gets several attempts.
+  unsigned drawKey() {
+    constexpr unsigned AttemptsPerKey = 8;
+    return static_cast<unsigned>(this->NextAttempt) / AttemptsPerKey +
+           static_cast<unsigned>(this->draw(this->Keys));
+  }
+
+  static std::string idOf(std::size_t Index) {
+    return "node" + std::to_string(Index);
+  }
+  std::size_t indexOf(const std::string &Id) const {
+    std::size_t Result = 0;
+    while (idOf(Result) != Id)
+      ++Result;
+    return Result;
+  }
+
+  void startNode(std::size_t Index) {
+    Node &At = *this->Nodes[Index];
+    At.Claims.reset();
+    At.Tasks.clear();
+    At.Paused = false;
+    ++At.Process;
+    At.Api = std::make_unique<View>(*this, Index, At.Process);
+    ClaimPorts Ports;
+    Ports.SelfId = [Index] { return idOf(Index); };
+    Ports.Send = [this, Index](const std::string &To, const PeerMessage &Body) {
+      this->Messages.push_back({Index, this->indexOf(To), Body});
+      return true;
+    };
+    Ports.LiveIds = [this, Index] {
+      std::vector<std::string> Result{idOf(Index)};
+      for (std::size_t I = 0; I < this->Nodes.size(); ++I)
+        if (I != Index &&
+            (this->Healing || this->Nodes[Index]->Trusted.contains(I)))
+          Result.push_back(idOf(I));
+      return Result;
+    };
+    Ports.IsGone = [this, Index](const std::string &Id) {
+      return !this->Healing &&
+             !this->Nodes[Index]->Trusted.contains(this->indexOf(Id));
+    };
+    Ports.Time = [this] { return ClaimTime{this->Now, 1000}; };
+    Ports.WakeAfter = [](Duration) {};
+    ClaimServiceSettings Settings;
+    Settings.Ranges = 2;
+    Settings.Log.SegmentBytes = 700; // Seals after a few records.
+    Settings.Log.MaxCachedRecords = 2;
+    Settings.IdleDrop = std::chrono::seconds(1);
+    Settings.RetentionPeriod = std::chrono::seconds(2);
+    At.Claims = std::make_unique<ClaimService>(
+        *At.Api, std::move(Ports), Settings, "p" + std::to_string(At.Process));
+  }
+
+  void randomStep() {
+    this->Now += std::chrono::milliseconds(this->draw(15));
+    const std::size_t Index = this->draw(this->Nodes.size());
+    Node &At = *this->Nodes[Index];
+    switch (this->draw(40)) {
+    case 0:
+      if (this->draw(3) == 0)
+        this->startNode(Index);
+      return;
+    case 1:
+      At.Paused = this->draw(2) == 0;
+      return;
+    case 2:
+      this->Api.Outage = this->draw(8) == 0;
+      return;
+    case 3:
+    case 4:
+      At.Trusted.clear();
+      for (std::size_t I = 0; I < this->Nodes.size(); ++I)
+        if (this->draw(4) != 0)
+          At.Trusted.insert(I);
+      return;
+    case 5:
+      // Time enough for deadlines to pass.
+      if (this->draw(4) == 0)
+        this->Now += std::chrono::milliseconds(this->draw(4000));
+      return;
+    case 6:
+    case 7:
+    case 8:
+      if (!At.Paused)
+        this->startAttempt(Index, this->drawKey());
+      return;
+    default:
+      break;
+    }
+    switch (this->draw(5)) {
+    case 0:
+      this->deliverMessage();
+      break;
+    case 1:
+      if (this->Api.pending() > 0)
+        this->Api.stepAt(this->draw(this->Api.pending()));
+      break;
+    case 2:
+      this->deliverReply();
+      break;
+    case 3:
+      if (!At.Paused)
+        At.Claims->run();
+      break;
+    default:
+      this->runTask(Index);
+    }
+  }
+
+  void deliverMessage() {
+    if (this->Messages.empty())
+      return;
+    const std::size_t I = this->draw(this->Messages.size());
+    const Message Each = this->Messages[I];
+    if (this->Nodes[Each.To]->Paused)
+      return;
+    const auto Fate = this->Healing ? 100 : this->draw(100);
+    if (Fate >= 5) // Else it is delivered again later.
+      this->Messages.erase(this->Messages.begin() +
+                           static_cast<std::ptrdiff_t>(I));
+    if (Fate >= 10)
+      this->Nodes[Each.To]->Claims->onMessage(Each.Body.Type, idOf(Each.From),
+                                              Each.Body.Body);
+  }
+
+  void deliverReply() {
+    if (this->Replies.empty())
+      return;
+    const std::size_t I = this->draw(this->Replies.size());
+    const Reply Each = this->Replies[I];
+    if (this->Nodes[Each.Node]->Paused)
+      return;
+    this->Replies.erase(this->Replies.begin() + static_cast<std::ptrdiff_t>(I));
+    if (this->Nodes[Each.Node]->Process == Each.Process)
+      Each.Call();
+  }
+
+  void runTask(std::size_t Index) {
+    Node &At = *this->Nodes[Index];
+    if (At.Paused || At.Tasks.empty())
+      return;
+    const std::size_t I = this->draw(At.Tasks.size());
+    const auto Task = std::move(At.Tasks[I]);
+    At.Tasks.erase(At.Tasks.begin() + static_cast<std::ptrdiff_t>(I));
+    Task();
+  }
+
+  void startAttempt(std::size_t Index, unsigned Key) {
+    Node &At = *this->Nodes[Index];
+    const int Attempt = this->NextAttempt++;
+    auto Answered = std::make_shared<bool>(false);
+    At.Claims->claim(
+        {"customer", "service", std::to_string(Key)}, "digest",
+        [this, Index, Key, Attempt, Answered](const ClaimAnswer &Answer) {
+          if (*Answered)
+            this->violation(Key, "an attempt was answered twice");
+          *Answered = true;
+          this->onAnswer(Index, Key, Attempt, Answer);
+        });
+  }
+
+  void onAnswer(std::size_t Index, unsigned Key, int Attempt,
+                const ClaimAnswer &Answer) {
+    this->LastAnswer = Answer;
+    KeyHistory &History = this->History[Key];
+    if (Answer.Status == ClaimStatus::Unavailable)
+      ++this->Unavailable;
+    if (Answer.Status == ClaimStatus::Ran) {
+      ++this->RanAnswers;
+      if (History.Executions != 1 || Answer.Outcome.Body != History.Body)
+        this->violation(Key, "a repeat got another answer than the first");
+    }
+    if (Answer.Status != ClaimStatus::Granted)
+      return;
+    ++this->Granted;
+    if (this->Healing && History.Executions > 0)
+      this->violation(Key, "granted again after it ran");
+    const ClaimToken Token = Answer.Token;
+    this->Nodes[Index]->Tasks.push_back([this, Index, Key, Attempt, Token] {
+      this->onGranted(Index, Key, Attempt, Token);
+    });
+  }
+
+  void onGranted(std::size_t Index, unsigned Key, int Attempt,
+                 const ClaimToken &Token) {
+    ClaimService &Claims = *this->Nodes[Index]->Claims;
+    if (this->draw(4) == 0) {
+      Claims.release(Token, [](bool) {});
+      return;
+    }
+    KeyHistory &History = this->History[Key];
+    ++this->Executed;
+    if (++History.Executions > 1)
+      this->violation(Key, "executed twice");
+    History.Body = "answer of attempt " + std::to_string(Attempt);
+    const int Process = this->Nodes[Index]->Process;
+    this->Nodes[Index]->Tasks.push_back([this, Index, Key, Process, Token,
+                                         Body = History.Body] {
+      this->Nodes[Index]->Claims->finish(Token,
+                                         {true, 200, "text/plain", Body, true});
+      this->History[Key].Node = Index;
+      this->History[Key].Process = Process;
+    });
+  }
+
+  void settle(Duration Time) {
+    const TimePoint End = this->Now + Time;
+    while (this->Now < End) {
+      this->Now += std::chrono::milliseconds(20);
+      this->Api.drain();
+      for (int I = 0; I < 50; ++I) {
+        this->deliverMessage();
+        this->deliverReply();
+      }
+      for (std::size_t I = 0; I < this->Nodes.size(); ++I) {
+        this->Nodes[I]->Claims->run();
+        this->runTask(I);
+      }
+    }
+  }
+
+  void repeat(unsigned Key) {
+    const KeyHistory Before = this->History[Key];
+    this->LastAnswer = {};
+    for (int Try = 0; Try < 5; ++Try) {
+      this->startAttempt(this->draw(this->Nodes.size()), Key);
+      this->settle(std::chrono::seconds(3));
+      if (this->LastAnswer.Status != ClaimStatus::Unavailable &&
+          this->LastAnswer.Status != ClaimStatus::InProgress)
+        break;
+    }
+    if (this->LastAnswer.Status == ClaimStatus::Unavailable ||
+        this->LastAnswer.Status == ClaimStatus::InProgress)
+      this->violation(Key, "not settled after all faults have ended");
+    const bool Stored = Before.Process >= 0 &&
+                        this->Nodes[Before.Node]->Process == Before.Process;
+    if (Stored && this->LastAnswer.Status != ClaimStatus::Ran)
+      this->violation(Key, "a repeat did not get the first answer");
+  }
+
+  void violation(unsigned Key, const std::string &What) {
+    this->Found.push_back("key " + std::to_string(Key) + ": " + What);
+  }
+
+  unsigned Keys;
+  std::mt19937_64 Random;
+  bool Healing = false;
+  TimePoint Now = TimePoint() + std::chrono::hours(1);
+  std::vector<std::unique_ptr<Node>> Nodes;
+  std::deque<Message> Messages;
+  std::deque<Reply> Replies;
+  std::map<unsigned, KeyHistory> History;
+  ClaimAnswer LastAnswer;
+  int NextAttempt = 0;
+};
+
+} // namespace galenaroute::testing_support
+
+#endif // GALENAROUTE_TESTS_CLAIMFLEET_H
