Queue and route requests by the admission and routing decisions

Cause: the interim choice by least outstanding work knew neither classes, shares nor the state of the engines. Ruled out: an expected run that counts all of max_tokens at an assumed decode speed; it refused every prompt with the default of 256 tokens under a deadline of 3 s. Decode time now counts once a speed was observed, scaled by the mean part of max_tokens that answers used. Change: ServicePool holds the states of one service, UpstreamPools those of all and polls /v1/load. During a change of weights the version that an engine reported is used for its block keys. A refusal for another version is retried outside the retry budget. Prompts carry block keys and a priority.

--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -29,6 +29,17 @@
   EventLoop &Loop;
 };
 
+PoolOptions poolOptions(const DaemonSettings &Settings) {
+  static const std::map<std::string_view, RoutePolicy> Policies = {
+      {"expected-time", RoutePolicy::ExpectedTime},
+      {"random", RoutePolicy::Random},
+      {"round-robin", RoutePolicy::RoundRobin},
+      {"least-outstanding", RoutePolicy::LeastOutstanding},
+      {"affinity", RoutePolicy::Affinity}};
+  return {Policies.at(Settings.RoutingPolicy), Settings.NodeId, Settings.Zone,
+          Settings.Zone, Settings.RetryShare};
+}
+
 } // namespace
 
 Daemon::Daemon(Parts Parts)
@@ -36,11 +47,11 @@
       Events(this->Given.Settings.NodeId, this->Given.Settings.TimelineEvents),
       Http(this->Given.Loop), Engines(this->Given.Loop, this->Http,
                                       this->Given.Settings.ConnectTimeout),
+      Pools(this->Given.Loop, this->Http, poolOptions(this->Given.Settings)),
       Open(this->Given.Loop, this->Stats),
       Context{this->Given.Settings, this->Given.Loop, this->Http,
-              this->Engines,        this->Pool,       *this->Given.Claims,
-              this->Events,         this->Stats,      this->Open,
-              this->Retries},
+              this->Engines,        this->Pools,      *this->Given.Claims,
+              this->Events,         this->Stats,      this->Open},
       Api(this->Context, *this->Given.Config,
           {.Entries = [this] { return this->entries(); },
            .State = [this] { return this->State; },
@@ -48,7 +59,6 @@
       Server(this->Given.Loop,
              {.MaxBodyBytes = this->Given.Settings.MaxBodyBytes,
               .MaxHeaderBytes = this->Given.Settings.MaxHeaderBytes}) {
-  this->Retries.Share = this->Given.Settings.RetryShare;
   this->Server.handle(
       [this](HttpRequest Request, const std::shared_ptr<HttpReply> &Reply) {
         this->Api.handle(std::move(Request), Reply);
@@ -58,6 +68,7 @@
     this->Events.record("config.in_force", {}, std::to_string(Next->Epoch));
     log(LogLevel::Info, "config.in_force",
         {{"epoch", std::to_string(Next->Epoch)}});
+    this->Pools.setConfiguration(Next);
   };
   this->ConfigChanged = this->Given.Config->Changed.connect(NoteEpoch);
   if (const ConfigurationPtr Current = this->Given.Config->current())
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -54,8 +54,7 @@
   Metrics Stats;
   HttpClient Http;
   HttpEngine Engines;
-  UpstreamPool Pool;
-  RetryBudget Retries;
+  UpstreamPools Pools;
   OpenRequests Open;
   RequestContext Context;
   CallerApi Api;
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -367,7 +367,10 @@
     if (isEngineRefusal(Event.Status)) {
       this->State.Refused = true;
       this->record("attempt.refused", this->State.Upstream);
-      return this->retryElsewhere();
+      // During a change of weights many calls meet another version than the
+      // one reported. That is no sign of overload, so the budget is kept for
+      // other failures.
+      return this->retryElsewhere(/*IsFree=*/Event.Status == 409);
     }
     if (Event.Status == 400 || Event.Status == 413)
       return this->fail(ErrorKind::BadRequest);
@@ -415,7 +418,7 @@
     this->retryElsewhere();
   }
 
-  void retryElsewhere() {
+  void retryElsewhere(bool IsFree = false) {
     this->State.Avoid.push_back(this->State.Upstream);
     // Another run gives another text, so none of this one may have been seen.
     if (this->State.TextGiven)
@@ -423,9 +426,11 @@
     this->State.Text.clear();
     this->State.Offset = 0;
     // A call that must not repeat gets here only when no byte of it was sent.
-    if (!this->mayRetry() || this->State.CallerGone)
+    const bool HasSends = this->State.Sends < this->State.Policy.MaxSends;
+    if (!HasSends || !(IsFree || this->RetryAllowed) || this->State.CallerGone)
       return this->giveUp();
-    this->act(Kind::SpendRetry);
+    if (!IsFree)
+      this->act(Kind::SpendRetry);
     this->record("retry", "after " + this->State.Upstream);
     this->choose();
   }
--- a/src/request/CallerApi.cpp
+++ b/src/request/CallerApi.cpp
@@ -166,11 +166,6 @@
                 "needed");
   if (this->Context.Open.count() >= this->Context.Settings.MaxOpenRequests)
     throw Error(ErrorKind::Overloaded, "too many requests are open");
-  if (this->Context.Open.countOf(Customer->Name) >= Customer->MaxInFlight)
-    throw Error(ErrorKind::CustomerLimit,
-                "the customer has its limit of " +
-                    std::to_string(Customer->MaxInFlight) +
-                    " requests in flight");
   return {std::move(Current), Customer->Name, {}, EventLoop::now(), Reply};
 }
 
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -1,6 +1,6 @@
 #include "request/ModelRun.h"
 
-#include "process/Sha256.h"
+#include "request/BlockChain.h"
 
 #include <chrono>
 
@@ -9,11 +9,6 @@
 /// How often a stream that waits for its caller looks whether it may go on.
 static constexpr auto BufferPoll = std::chrono::milliseconds(20);
 
-/// Without a tokenizer, 4 bytes of text count as one token.
-static std::uint64_t tokensOf(std::string_view Text) {
-  return (Text.size() + 3) / 4;
-}
-
 static AttemptPolicy policyOf(const RequestContext &Context,
                               const RequestInfo &Info, bool Streaming) {
   const DaemonSettings &Settings = Context.Settings;
@@ -47,20 +42,39 @@
   this->Head = {
       this->Prompt.Api, this->Info.id(), this->service().Model,
       std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())};
-  this->End.PromptTokens = tokensOf(this->Prompt.Prompt);
+  const double Tokens = estimateTokens(this->Prompt.Prompt);
+  this->End.PromptTokens = static_cast<std::uint64_t>(Tokens);
+  this->Work.PromptTokens = Tokens;
+  this->Work.RequestedTokens = static_cast<double>(this->Prompt.MaxTokens);
+  this->Work.Class = classifyPrompt({Tokens, this->Work.RequestedTokens}, {});
+  this->Work.WeightVersion = this->service().WeightVersion;
+  this->computeKeys(this->Work.WeightVersion);
+  // Prompts that share their first block belong together.
+  this->Work.AffinityHash = std::hash<std::string_view>()(
+      this->BlockKeys.empty() ? std::string_view(this->Prompt.Prompt)
+                              : std::string_view(this->BlockKeys.front()));
+}
+
+void ModelRun::computeKeys(const std::string &WeightVersion) {
+  if (this->KeysVersion == WeightVersion && !this->BlockKeys.empty())
+    return;
+  this->KeysVersion = WeightVersion;
+  this->BlockKeys.clear();
+  for (const BlockKey &Each :
+       blockKeys({this->Info.Customer, this->service().Model, WeightVersion,
+                  this->Prompt.Adapter},
+                 this->Prompt.Prompt))
+    this->BlockKeys.push_back(toHex(Each));
 }
 
 ModelRun::~ModelRun() {
   this->ClosedTimer.disconnect();
   this->BufferTimer.disconnect();
-  this->endAttempt();
 }
 
 void ModelRun::execute(const AttemptAction &Action) {
   using Kind = AttemptAction::Kind;
   switch (Action.What) {
-  case Kind::Choose:
-    return this->choose();
   case Kind::Send:
     return this->send(Action);
   case Kind::Resume:
@@ -80,31 +94,27 @@
   }
 }
 
-void ModelRun::choose() {
-  this->endAttempt();
-  const auto Name =
-      this->Context.Pool.choose(this->service(), this->State.Avoid);
-  if (Name)
-    this->post(attempt::Chosen{*Name, randomId()});
-  else
-    this->post(attempt::NoneAvailable{});
-}
-
 void ModelRun::send(const AttemptAction &Action) {
   this->close();
-  this->NotedAttempt = Action.Attempt;
-  this->Context.Pool.noteSent(Action.Attempt, Action.Upstream);
-  const ServiceConfig &Service = this->service();
-  this->Stream =
-      this->Context.Engines.generate(*this->addressOf(Action.Upstream),
-                                     {.Attempt = Action.Attempt,
-                                      .Customer = this->Info.Customer,
-                                      .Prompt = this->Prompt.Prompt,
-                                      .PromptTokens = this->End.PromptTokens,
-                                      .MaxTokens = this->Prompt.MaxTokens,
-                                      .WeightVersion = Service.WeightVersion,
-                                      .Adapter = this->Prompt.Adapter},
-                                     this->callbacks(Action.Connection));
+  this->noteSent(Action);
+  // The keys must be those of the weights that will run the prompt; the engine
+  // refuses the call if it has other weights by then.
+  const std::string &Version = this->Chosen.WeightVersion.empty()
+                                   ? this->service().WeightVersion
+                                   : this->Chosen.WeightVersion;
+  this->computeKeys(Version);
+  this->Stream = this->Context.Engines.generate(
+      *this->addressOf(Action.Upstream),
+      {.Attempt = Action.Attempt,
+       .Customer = this->Info.Customer,
+       .Prompt = this->Prompt.Prompt,
+       .BlockKeys = this->BlockKeys,
+       .PromptTokens = this->End.PromptTokens,
+       .MaxTokens = this->Prompt.MaxTokens,
+       .Priority = static_cast<int>(this->Work.Class),
+       .WeightVersion = Version,
+       .Adapter = this->Prompt.Adapter},
+      this->callbacks(Action.Connection));
 }
 
 void ModelRun::resume(const AttemptAction &Action) {
@@ -127,6 +137,8 @@
               },
           .OnEnd =
               [this, Connection](const HttpResult &Result) {
+                if (Connection == this->State.Connection)
+                  this->Failure = failureOf(Result);
                 this->post(attempt::Ended{Connection,
                                           Result.End == HttpEnd::Complete,
                                           Result.BytesSent, Result.Status});
@@ -137,9 +149,12 @@
                       std::optional<EngineLine> Line) {
   if (!Line)
     return this->post(attempt::BadLine{Connection});
-  if (!Line->IsDone)
+  if (!Line->IsDone) {
+    if (Line->Attempt == this->State.Attempt && Line->Offset == 0)
+      this->pool().noteFirstToken(Line->Attempt);
     return this->post(attempt::Line{Connection, std::move(Line->Attempt),
                                     Line->Offset, std::move(Line->Text)});
+  }
   if (Line->Attempt == this->State.Attempt) {
     this->End.Tokens = Line->Tokens;
     this->End.CachedTokens = Line->CachedTokens;
@@ -194,7 +209,7 @@
 
 void ModelRun::finish(const AttemptAction &Action) {
   this->Context.Engines.finish(std::move(this->Stream));
-  this->endAttempt();
+  this->noteFinished(static_cast<double>(this->End.Tokens));
   this->Context.Stats.promptTokens(this->Info.Service,
                                    static_cast<double>(this->End.PromptTokens),
                                    static_cast<double>(this->End.CachedTokens));
@@ -209,10 +224,4 @@
   this->Info.Reply.finishEvents();
 }
 
-void ModelRun::endAttempt() {
-  if (!this->NotedAttempt.empty())
-    this->Context.Pool.noteEnded(this->NotedAttempt);
-  this->NotedAttempt.clear();
-}
-
 } // namespace galenaroute
--- a/src/request/ModelRun.h
+++ b/src/request/ModelRun.h
@@ -20,8 +20,8 @@
 
 private:
   void execute(const AttemptAction &Action) override;
-  void choose();
   void send(const AttemptAction &Action);
+  void computeKeys(const std::string &WeightVersion);
   void resume(const AttemptAction &Action);
   EngineCallbacks callbacks(std::uint64_t Connection);
   void onLine(std::uint64_t Connection, std::optional<EngineLine> Line);
@@ -29,14 +29,13 @@
   void giveText(const AttemptAction &Action);
   void finish(const AttemptAction &Action);
   void checkBuffer();
-  /// Reports the current attempt as ended to the pool, once.
-  void endAttempt();
 
   PromptRequest Prompt;
   AnswerHead Head;
   AnswerEnd End;
+  std::vector<std::string> BlockKeys; ///< In hex, for KeysVersion.
+  std::string KeysVersion;
   std::unique_ptr<EngineStream> Stream;
-  std::string NotedAttempt; ///< Sent and not reported as ended.
   TimePoint LastTokenAt{};
   // Streams must outlive their own callbacks, so closed ones are freed later.
   std::vector<std::unique_ptr<EngineStream>> Closed;
--- a/src/request/PlainRun.cpp
+++ b/src/request/PlainRun.cpp
@@ -75,8 +75,6 @@
     : RequestRun(Context, Given, stateOf(Context, Given, Asked)),
       Call(std::move(Asked)) {}
 
-PlainRun::~PlainRun() { this->endAttempt(); }
-
 void PlainRun::execute(const AttemptAction &Action) {
   using Kind = AttemptAction::Kind;
   switch (Action.What) {
@@ -86,12 +84,9 @@
     return this->release();
   case Kind::StoreOutcome:
     return this->storeOutcome(Action.MayHaveRun);
-  case Kind::Choose:
-    return this->choose();
   case Kind::Send:
     return this->send(Action);
   case Kind::Close:
-    this->endAttempt();
     this->Exchange.reset();
     return;
   case Kind::Whole:
@@ -150,19 +145,8 @@
   this->Context.Claims.finish(this->Claim.Token, Outcome);
 }
 
-void PlainRun::choose() {
-  this->endAttempt();
-  const auto Name =
-      this->Context.Pool.choose(this->service(), this->State.Avoid);
-  if (Name)
-    this->post(attempt::Chosen{*Name, randomId()});
-  else
-    this->post(attempt::NoneAvailable{});
-}
-
 void PlainRun::send(const AttemptAction &Action) {
-  this->NotedAttempt = Action.Attempt;
-  this->Context.Pool.noteSent(Action.Attempt, Action.Upstream);
+  this->noteSent(Action);
   HttpCallBuilder Builder(*this->addressOf(Action.Upstream));
   Builder.method(this->Call.Method, this->Call.Target, this->Call.Body)
       .header("X-Request-Id", this->Info.id())
@@ -182,17 +166,13 @@
   this->Exchange = this->Context.Http.start(
       std::move(Sent), {.OnDone = [this, Connection = Action.Connection](
                                       const HttpResult &Ended) {
-        this->endAttempt();
+        this->Failure = failureOf(Ended);
+        if (this->Failure == AttemptFailure::Cancelled)
+          this->noteFinished(0);
         this->Result = Ended;
         this->post(attempt::Ended{Connection, Ended.End == HttpEnd::Complete,
                                   Ended.BytesSent, Ended.Status});
       }});
 }
 
-void PlainRun::endAttempt() {
-  if (!this->NotedAttempt.empty())
-    this->Context.Pool.noteEnded(this->NotedAttempt);
-  this->NotedAttempt.clear();
-}
-
 } // namespace galenaroute
--- a/src/request/RequestRun.cpp
+++ b/src/request/RequestRun.cpp
@@ -1,6 +1,9 @@
 #include "request/RequestRun.h"
 
 #include "process/Log.h"
+#include "process/Sha256.h"
+
+#include <utility>
 
 namespace galenaroute {
 
@@ -39,7 +42,15 @@
     : Context(Context), Info(std::move(Given)), State(std::move(State)) {
   this->CallerClosed = this->Info.Reply.closed().connect(
       [this] { this->post(attempt::CallerLeft{}); });
-  noteCall(this->Context.Retries);
+  static std::uint64_t NextId = 0;
+  const CustomerConfig &Customer =
+      this->Info.Config->Customers.at(this->Info.Customer);
+  this->Work.Id = ++NextId;
+  this->Work.Customer = Customer.Name;
+  this->Work.Weight = Customer.Weight;
+  this->Work.MaxInFlight = Customer.MaxInFlight;
+  this->Work.Deadline = this->State.Policy.Deadline;
+  this->Work.Streaming = this->State.Policy.Streaming;
 }
 
 RequestRun::~RequestRun() {
@@ -47,6 +58,69 @@
   this->CallerClosed.disconnect();
 }
 
+void RequestRun::begin() {
+  if (!this->State.Attempt.empty())
+    return this->post(attempt::Start{});
+  this->pool().offer(
+      this->Work,
+      {.OnAdmitted =
+           [this] {
+             this->Context.Events.record("request.admitted", this->Info.id(),
+                                         toString(this->Work.Class));
+             this->post(attempt::Start{});
+           },
+       .OnRefused =
+           [this](const AdmissionRefusal &Refusal) {
+             this->Context.Events.record("request.refused", this->Info.id(),
+                                         Refusal.Message);
+             this->State.Phase = AttemptPhase::Finished;
+             this->fail(
+                 Error(Refusal.Kind, Refusal.Message, Refusal.RetryAfter));
+             this->endIfOver();
+           }});
+}
+
+void RequestRun::choose() {
+  // The attempt before did not bring the answer.
+  this->noteFailed(this->Failure == AttemptFailure::Cancelled
+                       ? AttemptFailure::Broken
+                       : this->Failure);
+  const auto Found = this->pool().choose(this->Work, this->State.Avoid);
+  if (!Found || !this->addressOf(Found->Name))
+    return this->post(attempt::NoneAvailable{});
+  this->Chosen = *Found;
+  this->post(attempt::Chosen{Found->Name, randomId()});
+}
+
+void RequestRun::noteSent(const AttemptAction &Action) {
+  this->NotedAttempt = Action.Attempt;
+  this->Failure = AttemptFailure::Cancelled;
+  this->pool().noteSent(Action.Attempt, Action.Upstream, this->Work);
+}
+
+void RequestRun::noteFinished(double Tokens) {
+  if (!this->NotedAttempt.empty())
+    this->pool().noteFinished(std::exchange(this->NotedAttempt, {}), Tokens,
+                              this->Work);
+}
+
+void RequestRun::noteFailed(AttemptFailure Failure) {
+  if (!this->NotedAttempt.empty())
+    this->pool().noteFailed(std::exchange(this->NotedAttempt, {}), Failure);
+}
+
+AttemptFailure RequestRun::failureOf(const HttpResult &Result) {
+  if (!Result.BytesSent)
+    return AttemptFailure::Connect;
+  if (Result.End != HttpEnd::Complete)
+    return AttemptFailure::Broken;
+  if (Result.Status == 429 || Result.Status == 503)
+    return AttemptFailure::Refused;
+  // Another weight version, for instance, says nothing about its health.
+  return Result.Status >= 500 ? AttemptFailure::Broken
+                              : AttemptFailure::Cancelled;
+}
+
 void RequestRun::takeOver() {
   this->post(attempt::TakenOver{});
   if (this->State.Phase == AttemptPhase::Finished)
@@ -63,7 +137,7 @@
     this->Queue.pop_front();
     AttemptStep Step =
         stepAttempt(std::move(this->State), Next, EventLoop::now(),
-                    hasRetry(this->Context.Retries));
+                    this->pool().retries().Retries >= 1);
     this->State = std::move(Step.State);
     for (const AttemptAction &Each : Step.Actions)
       this->handle(Each);
@@ -79,9 +153,12 @@
   case Kind::Record:
     return this->record(Action);
   case Kind::SpendRetry:
-    return spendRetry(this->Context.Retries);
+    takeRetry(this->pool().retries());
+    return;
   case Kind::Fail:
-    return this->fail(Action.Error);
+    return this->fail(Error(Action.Error, messageOf(Action.Error)));
+  case Kind::Choose:
+    return this->choose();
   case Kind::Whole:
   case Kind::Replay:
     this->Outcome = "ok";
@@ -98,11 +175,11 @@
       {{"request", this->Info.id()}, {"detail", Action.Text}});
 }
 
-void RequestRun::fail(ErrorKind Kind) {
-  const std::string Code(describeError(Kind).Code);
+void RequestRun::fail(const Error &Failure) {
+  const std::string Code(describeError(Failure.Kind).Code);
   this->Outcome = Code;
   this->Context.Events.record("request.failed", this->Info.id(), Code);
-  this->Info.Reply.fail(Error(Kind, messageOf(Kind)));
+  this->Info.Reply.fail(Failure);
 }
 
 const SocketAddress *RequestRun::addressOf(std::string_view Name) const {
@@ -125,6 +202,8 @@
       this->State.ClaimPending)
     return;
   this->HasEnded = true;
+  this->noteFailed(this->Failure);
+  this->pool().leave(this->Work.Id);
   const Duration Elapsed = EventLoop::now() - this->Info.Arrived;
   this->Context.Stats.requestEnded(this->Info.Service, this->Outcome, Elapsed);
   this->Context.Events.record("request.finished", this->Info.id(),
@@ -143,19 +222,15 @@
 
 void OpenRequests::add(std::unique_ptr<RequestRun> Run) {
   RequestRun *Added = Run.get();
-  ++this->ByCustomer[Added->customer()];
   this->Runs.emplace(Added, std::move(Run));
   this->Stats.OpenRequests.Set(static_cast<double>(this->Runs.size()));
-  Added->start();
+  Added->begin();
 }
 
 void OpenRequests::remove(const RequestRun *Run) {
   auto Node = this->Runs.extract(Run);
   if (!Node)
     return;
-  const auto Count = this->ByCustomer.find(Run->customer());
-  if (--Count->second == 0)
-    this->ByCustomer.erase(Count);
   this->Stats.OpenRequests.Set(static_cast<double>(this->Runs.size()));
   this->Ended.push_back(std::move(Node.mapped()));
   if (this->Ended.size() > 1)
@@ -176,9 +251,4 @@
   return nullptr;
 }
 
-int OpenRequests::countOf(const std::string &Customer) const {
-  const auto It = this->ByCustomer.find(Customer);
-  return It == this->ByCustomer.end() ? 0 : It->second;
-}
-
 } // namespace galenaroute
--- a/src/request/RequestRun.h
+++ b/src/request/RequestRun.h
@@ -15,11 +15,10 @@
 #include "process/EventLoop.h"
 #include "process/Metrics.h"
 #include "process/Timeline.h"
-#include "process/UpstreamPool.h"
+#include "process/UpstreamPools.h"
 #include "request/Attempt.h"
 #include "request/CallerReply.h"
 #include "request/ClaimGate.h"
-#include "request/RetryBudget.h"
 #include "version/Configuration.h"
 
 #include <deque>
@@ -36,12 +35,11 @@
   EventLoop &Loop;
   HttpClient &Http;
   Engine &Engines;
-  UpstreamPool &Pool;
+  UpstreamPools &Pools;
   ClaimGate &Claims;
   Timeline &Events;
   Metrics &Stats;
   OpenRequests &Open;
-  RetryBudget &Retries;
 };
 
 /// One authenticated request to a service.
@@ -61,8 +59,9 @@
   RequestRun(const RequestRun &) = delete;
   RequestRun &operator=(const RequestRun &) = delete;
 
-  /// Starts the run; called once.
-  void start() { this->post(attempt::Start{}); }
+  /// Queues the run, which starts when it is admitted. The rest of a stream
+  /// that already runs starts at once.
+  void begin();
 
   const std::string &customer() const { return this->Info.Customer; }
 
@@ -83,6 +82,19 @@
   /// Carries out an action that depends on the kind of service.
   virtual void execute(const AttemptAction &Action) = 0;
 
+  ServicePool &pool() { return this->Context.Pools.of(this->Info.Service); }
+
+  /// Chooses an upstream for the next attempt and posts the answer.
+  void choose();
+
+  /// Reports the current attempt to the pool: it was sent, and how it ended.
+  void noteSent(const AttemptAction &Action);
+  void noteFinished(double Tokens);
+  void noteFailed(AttemptFailure Failure);
+
+  /// Returns what the end of a connection says about its upstream.
+  static AttemptFailure failureOf(const HttpResult &Result);
+
   /// Returns the address of the upstream \p Name of this request's service, or
   /// null.
   const SocketAddress *addressOf(std::string_view Name) const;
@@ -94,11 +106,15 @@
   RequestContext &Context;
   RequestInfo Info;
   AttemptState State;
+  RequestWork Work; ///< Filled in by the derived class.
+  ChosenUpstream Chosen;
+  /// What ended the connection of the current attempt, if anything did.
+  AttemptFailure Failure = AttemptFailure::Cancelled;
 
 private:
   void handle(const AttemptAction &Action);
   void record(const AttemptAction &Action);
-  void fail(ErrorKind Kind);
+  void fail(const Error &Failure);
   void arm();
   void endIfOver();
 
@@ -106,6 +122,7 @@
   bool IsStepping = false;
   bool HasEnded = false;
   std::string Outcome = "caller_left";
+  std::string NotedAttempt; ///< Sent, and its end not reported to the pool.
   sigc::connection Timer;
   sigc::connection CallerClosed;
 };
@@ -125,7 +142,6 @@
   RequestRun *findStream(std::string_view Customer, std::string_view Attempt);
 
   std::size_t count() const { return this->Runs.size(); }
-  int countOf(const std::string &Customer) const;
 
   /// Emitted when the last request has ended.
   sigc::signal<void()> Emptied;
@@ -134,7 +150,6 @@
   EventLoop &Loop;
   Metrics &Stats;
   std::map<const RequestRun *, std::unique_ptr<RequestRun>> Runs;
-  std::map<std::string, int> ByCustomer;
   std::vector<std::unique_ptr<RequestRun>> Ended;
   sigc::connection Collect;
 };
--- a/tests/DaemonFixture.h
+++ b/tests/DaemonFixture.h
@@ -21,6 +21,8 @@
 
   explicit ScriptedUpstream(EventLoop &Loop) : Server(Loop, {}) {
     this->Server.handle([this](HttpRequest Request, ReplyPtr Reply) {
+      if (Request.Path == "/v1/load")
+        return Reply->send(404, {}, "");
       this->Requests.push_back(Request);
       if (this->Answer)
         this->Answer(Request, Reply);
@@ -140,6 +142,8 @@
     this->Settings.Listen = {"127.0.0.1", 0};
     this->Settings.Advertise = {"127.0.0.1", 9};
     this->Settings.Zone = "a";
+    // Makes the choice predictable: the first call goes to One.
+    this->Settings.RoutingPolicy = "round-robin";
     this->Settings.StallTimeout = Milliseconds(100);
     this->Settings.Linger = Milliseconds(100);
     this->Settings.KeepEntries = Milliseconds(100);
