--- a/src/connection/Engine.h
+++ b/src/connection/Engine.h
@@ -33,7 +33,7 @@
   std::span<const std::string> BlockKeys; ///< Hex, in the order of the blocks.
   std::uint64_t PromptTokens = 0;
   std::uint64_t MaxTokens = 0;
-  int Priority = 0; ///< Lower values start first.
+  int Priority = 0; ///< Higher values start first.
   std::string_view WeightVersion;
   std::string_view Adapter;
 };
--- a/src/process/ServicePool.cpp
+++ b/src/process/ServicePool.cpp
@@ -16,7 +16,7 @@
 ServicePool::ServicePool(EventLoop &Loop, const PoolOptions &Options)
     : Loop(Loop), Options(Options) {
   this->Admission.Self = Options.Node;
-  this->Retries.Options.RetryShare = Options.RetryShare;
+  this->Retries.Share = Options.RetryShare;
   this->TickTimer = Loop.timers().every(TickPeriod, [this] { this->tick(); });
 }
 
--- a/src/process/ServicePool.h
+++ b/src/process/ServicePool.h
@@ -19,7 +19,7 @@
 
 #include "process/EventLoop.h"
 #include "request/Admission.h"
-#include "request/Retry.h"
+#include "request/RetryBudget.h"
 #include "request/SlowUpstreams.h"
 #include "request/UpstreamTracker.h"
 
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -111,7 +111,7 @@
        .BlockKeys = this->BlockKeys,
        .PromptTokens = this->End.PromptTokens,
        .MaxTokens = this->Prompt.MaxTokens,
-       .Priority = static_cast<int>(this->Work.Class),
+       .Priority = enginePriority(this->Work.Class),
        .WeightVersion = Version,
        .Adapter = this->Prompt.Adapter},
       this->callbacks(Action.Connection));
--- a/src/request/RequestRun.cpp
+++ b/src/request/RequestRun.cpp
@@ -137,7 +137,7 @@
     this->Queue.pop_front();
     AttemptStep Step =
         stepAttempt(std::move(this->State), Next, EventLoop::now(),
-                    this->pool().retries().Retries >= 1);
+                    hasRetry(this->pool().retries()));
     this->State = std::move(Step.State);
     for (const AttemptAction &Each : Step.Actions)
       this->handle(Each);
@@ -153,7 +153,7 @@
   case Kind::Record:
     return this->record(Action);
   case Kind::SpendRetry:
-    takeRetry(this->pool().retries());
+    spendRetry(this->pool().retries());
     return;
   case Kind::Fail:
     return this->fail(Error(Action.Error, messageOf(Action.Error)));
