--- a/src/request/CacheIndex.cpp
+++ b/src/request/CacheIndex.cpp
@@ -90,12 +90,13 @@
   CacheHolder *Holder = findHolder(Index, Name);
   if (!Holder)
     return;
-  if (Batch.Seq < Holder->LastSeq) {
+  if (Batch.Seq < Holder->EventSeq) {
     // The holder has started anew; nothing of what it held is left.
     ++Holder->Generation;
     Holder->LastSeq = 0;
     Holder->NeedsListing = true;
   }
+  Holder->EventSeq = Batch.Seq;
   if (Batch.First > Holder->LastSeq + 1)
     Holder->NeedsListing = true;
   for (const CacheEvent &Event : Batch.Events) {
@@ -109,8 +110,9 @@
     else
       remove(Index, *Holder, Event.Key);
   }
-  // Events missing at the end arrive with the next answer, unless the holder
-  // no longer has them, and then its next `first` shows the gap.
+  // The last events that the answer covers were lost.
+  if (Holder->LastSeq < Batch.Seq)
+    Holder->NeedsListing = true;
 }
 
 void applyListing(CacheIndex &Index, std::string_view Name, std::uint64_t Seq,
@@ -120,6 +122,7 @@
     return;
   ++Holder->Generation;
   Holder->LastSeq = Seq;
+  Holder->EventSeq = std::min(Holder->EventSeq, Seq);
   Holder->NeedsListing = false;
   for (const BlockKey &Key : Keys)
     add(Index, *Holder, Key);
--- a/src/request/CacheIndex.h
+++ b/src/request/CacheIndex.h
@@ -52,7 +52,10 @@
   /// Holdings of older generations are void. Starting a new one drops all of
   /// them without visiting the keys.
   std::uint32_t Generation = 0;
-  std::uint64_t LastSeq = 0;
+  std::uint64_t LastSeq = 0; ///< Up to which events or a listing are applied.
+  /// The highest number that the events had reached. Listings run ahead of the
+  /// events, which are late, so a lower one than this shows a restart.
+  std::uint64_t EventSeq = 0;
   bool NeedsListing = true;
 };
 
