Wire routing, admission, crash guard and cache plans into requests

Cause: requests were sent to the upstream with the least outstanding work, at once and without regard to cache, queues or crashes. Change: Dispatcher and DispatchTicket replace UpstreamPool; a request's first choice goes through admission, its later ones keep the place. Refusals carry their kind, message and retry time to the caller. The fixture of the daemon tests answers polls itself and fixes the order of upstreams, which it relied on; equal ones are chosen at random by default. Conclusion: load and crash digests have signals and handlers in Dispatcher; the links between daemons are not connected to them yet.

--- /dev/null
+++ b/src/process/CacheTransfers.cpp
@@ -0,0 +1,113 @@
+#include "process/CacheTransfers.h"
+
+#include <nlohmann/json.hpp>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+/// The first guess at the size of a block, until a transfer tells it. It is
+/// low, because with a high one nothing would ever be transferred.
+static constexpr double FirstBlockBytes = 1e6;
+
+CacheTransfers::CacheTransfers(HttpClient &Http, CacheIndex &Index,
+                               LinkMap &Links)
+    : Http(Http), Index(Index), Links(Links) {
+  this->Plan.BlockBytes = FirstBlockBytes;
+}
+
+void CacheTransfers::import(std::string_view Customer,
+                            const TransferEnd &Engine, const TransferEnd &Store,
+                            std::span<const BlockKey> Keys, Duration Limit,
+                            const std::function<void()> &Done) {
+  this->transfer(Direction::Import, Customer, Engine, Store, Keys, Limit, Done);
+}
+
+void CacheTransfers::exportTo(std::string_view Customer,
+                              const TransferEnd &Engine,
+                              const TransferEnd &Store,
+                              std::span<const BlockKey> Keys) {
+  this->transfer(Direction::Export, Customer, Engine, Store, Keys,
+                 std::chrono::seconds(30), [] {});
+}
+
+void CacheTransfers::transfer(Direction Way, std::string_view Customer,
+                              const TransferEnd &Engine,
+                              const TransferEnd &Store,
+                              std::span<const BlockKey> Keys, Duration Limit,
+                              const std::function<void()> &Done) {
+  const auto Reservation =
+      reserveLink(this->Links, Store.Name, Customer,
+                  static_cast<double>(Keys.size()) * this->Plan.BlockBytes,
+                  EventLoop::now());
+  if (!Reservation)
+    return Done();
+  json List = json::array();
+  for (const BlockKey &Key : Keys)
+    List.push_back(toHex(Key));
+  const json Body = {{"store", Store.Address.toString()},
+                     {"keys", std::move(List)}};
+  this->Http.startDetached(
+      HttpCallBuilder(Engine.Address)
+          .post(Way == Direction::Import ? "/v1/kv/import" : "/v1/kv/export",
+                Body.dump())
+          .idleTimeout(Limit)
+          .totalTimeout(Limit)
+          .build(),
+      [this, Guard = std::weak_ptr<bool>(this->Alive), Way, Engine, Store,
+       Reservation = *Reservation, Done](const HttpResult &Result) {
+        if (Guard.expired())
+          return;
+        this->ended(Way, Engine, Store, Reservation, Result);
+        Done();
+      });
+}
+
+void CacheTransfers::ended(Direction Way, const TransferEnd &Engine,
+                           const TransferEnd &Store,
+                           const LinkReservation &Reservation,
+                           const HttpResult &Result) {
+  const json Body =
+      Result.isSuccess() ? json::parse(Result.Body, nullptr, false) : json();
+  // Calls Each with every block key in the list \p Name.
+  const auto ForEach = [&Body](const char *Name, const auto &Each) {
+    std::size_t Count = 0;
+    const auto It = Body.find(Name);
+    if (It == Body.end() || !It->is_array())
+      return Count;
+    for (const json &Key : *It)
+      if (Key.is_string())
+        if (const auto Parsed =
+                digestFromHex(Key.get_ref<const std::string &>())) {
+          Each(*Parsed);
+          ++Count;
+        }
+    return Count;
+  };
+  std::size_t Moved = 0;
+  double Bytes = 0;
+  if (Body.is_object()) {
+    const TransferEnd &To = Way == Direction::Import ? Engine : Store;
+    const TransferEnd &From = Way == Direction::Import ? Store : Engine;
+    Moved = ForEach(
+        Way == Direction::Import ? "imported" : "exported",
+        [&](const BlockKey &Key) { noteHeld(this->Index, To.Name, Key); });
+    for (const char *Name : {"missing", "bad"})
+      ForEach(Name, [&](const BlockKey &Key) {
+        noteNotHeld(this->Index, From.Name, Key);
+      });
+    if (const auto It = Body.find("bytes"); It != Body.end() && It->is_number())
+      Bytes = It->get<double>();
+  }
+  // Time for blocks that were missing says nothing about the link.
+  const bool IsWhole = Moved > 0 && Bytes > 0 && Bytes >= Reservation.Bytes / 2;
+  releaseLink(this->Links, Reservation, IsWhole, EventLoop::now());
+  if (Moved > 0 && Bytes > 0) {
+    this->Plan.BlockBytes +=
+        (this->IsSizeKnown ? 0.5 : 1) *
+        (Bytes / static_cast<double>(Moved) - this->Plan.BlockBytes);
+    this->IsSizeKnown = true;
+  }
+}
+
+} // namespace galenaroute
--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "process/Log.h"
 
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace galenaroute {
 
@@ -31,14 +32,26 @@
 
 } // namespace
 
+static DispatcherSettings dispatcherSettings(const DaemonSettings &Settings) {
+  DispatcherSettings Result;
+  Result.Self = Settings.NodeId;
+  Result.Zone = Settings.Zone;
+  Result.Policy = routePolicyFromName(Settings.RoutingPolicy)
+                      .value_or(RoutePolicy::ExpectedTime);
+  return Result;
+}
+
 Daemon::Daemon(Parts Parts)
     : Given(std::move(Parts)),
       Events(this->Given.Settings.NodeId, this->Given.Settings.TimelineEvents),
       Http(this->Given.Loop), Engines(this->Given.Loop, this->Http,
                                       this->Given.Settings.ConnectTimeout),
+      Dispatch(this->Given.Loop, this->Http, this->Events,
+               dispatcherSettings(this->Given.Settings),
+               std::random_device()()),
       Open(this->Given.Loop, this->Stats),
       Context{this->Given.Settings, this->Given.Loop, this->Http,
-              this->Engines,        this->Pool,       *this->Given.Claims,
+              this->Engines,        this->Dispatch,   *this->Given.Claims,
               this->Events,         this->Stats,      this->Open,
               this->Retries},
       Api(this->Context, *this->Given.Config,
@@ -54,6 +67,7 @@
         this->Api.handle(std::move(Request), Reply);
       });
   const auto NoteEpoch = [this](const ConfigurationPtr &Next) {
+    this->Dispatch.setConfig(Next);
     this->Stats.ConfigEpoch.Set(static_cast<double>(Next->Epoch));
     this->Events.record("config.in_force", {}, std::to_string(Next->Epoch));
     log(LogLevel::Info, "config.in_force",
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -54,7 +54,7 @@
   Metrics Stats;
   HttpClient Http;
   HttpEngine Engines;
-  UpstreamPool Pool;
+  Dispatcher Dispatch;
   RetryBudget Retries;
   OpenRequests Open;
   RequestContext Context;
--- /dev/null
+++ b/src/process/DispatcherDigests.cpp
@@ -0,0 +1,119 @@
+// The messages between the dispatchers of peers, and their status.
+
+#include "process/Dispatcher.h"
+
+#include <nlohmann/json.hpp>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+/// Bounds the parts of one message, which peers have to decode.
+static constexpr std::size_t MaxDigestParts = 1024;
+static constexpr std::size_t MaxSignatures = 64;
+
+/// Reads a count that a peer reports; throws on anything but a number and
+/// brings it into range.
+static int readCount(const json &Value) {
+  return static_cast<int>(std::clamp(Value.get<double>(), 0.0, 1e6));
+}
+
+json Dispatcher::loadDigest() const {
+  json Services = json::object();
+  for (const auto &[Name, Of] : this->Services) {
+    json Work = json::array(), Use = json::array();
+    for (const UpstreamWork &Part : ownWork(Of.Tracker))
+      if (Work.size() < MaxDigestParts)
+        Work.push_back({Part.Upstream, Part.PendingTokens, Part.Outstanding});
+    for (const CustomerUse &Part : ownUse(Of.Admission, EventLoop::now()))
+      if (Use.size() < MaxDigestParts)
+        Use.push_back({Part.Customer, Part.InFlight, Part.Queued, Part.WaitMs});
+    Services[Name] = {{"work", std::move(Work)}, {"use", std::move(Use)}};
+  }
+  return {{"services", std::move(Services)}};
+}
+
+void Dispatcher::onLoadDigest(const std::string &Peer, const json &Body) {
+  const TimePoint Now = EventLoop::now();
+  // Decoded as a whole first, so that a malformed message changes nothing.
+  struct Digest {
+    std::vector<UpstreamWork> Work;
+    std::vector<CustomerUse> Use;
+  };
+  std::map<std::string, Digest> Digests;
+  for (const auto &[Name, Parts] : Body.at("services").items()) {
+    if (!this->Services.contains(Name))
+      continue;
+    Digest &Into = Digests[Name];
+    for (const json &Part : Parts.at("work")) {
+      UpstreamWork Work{.Upstream = Part.at(0).get<std::string>()};
+      for (std::size_t I = 0; I < PromptClassCount; ++I) {
+        Work.PendingTokens[I] =
+            std::clamp(Part.at(1).at(I).get<double>(), 0.0, 1e9);
+        Work.Outstanding[I] = readCount(Part.at(2).at(I));
+      }
+      if (Into.Work.size() < MaxDigestParts)
+        Into.Work.push_back(std::move(Work));
+    }
+    for (const json &Part : Parts.at("use"))
+      if (Into.Use.size() < MaxDigestParts)
+        Into.Use.push_back({Part.at(0).get<std::string>(),
+                            readCount(Part.at(1)), readCount(Part.at(2)),
+                            readCount(Part.at(3))});
+  }
+  for (const auto &[Name, From] : Digests) {
+    Service &Of = this->Services[Name];
+    notePeerDigest(Of.Tracker, Peer, From.Work, Now);
+    notePeerUse(Of.Admission, Peer, From.Use, Now);
+  }
+}
+
+json Dispatcher::crashDigest() const {
+  json Signatures = json::array();
+  for (const CrashSignature &Each :
+       exportSignatures(this->Guard, MaxSignatures, EventLoop::now()))
+    Signatures.push_back(
+        {toHex(Each.Content), Each.Upstreams, Each.Age.count()});
+  return {{"signatures", std::move(Signatures)}};
+}
+
+void Dispatcher::onCrashDigest(const json &Body) {
+  std::vector<CrashSignature> Signatures;
+  for (const json &Each : Body.at("signatures")) {
+    const auto Content = digestFromHex(Each.at(0).get<std::string>());
+    if (!Content)
+      throw Error(ErrorKind::BadRequest, "a crash signature is no digest");
+    CrashSignature Signature{*Content,
+                             {},
+                             Milliseconds(static_cast<std::int64_t>(std::clamp(
+                                 Each.at(2).get<double>(), 0.0, 1e9)))};
+    for (const json &Name : Each.at(1))
+      if (Signature.Upstreams.size() <
+          this->Guard.Options.MaxUpstreamsPerSuspect)
+        Signature.Upstreams.push_back(Name.get<std::string>());
+    if (Signatures.size() < MaxSignatures)
+      Signatures.push_back(std::move(Signature));
+  }
+  importSignatures(this->Guard, Signatures, EventLoop::now());
+}
+
+json Dispatcher::status() const {
+  json Result = json::object();
+  std::vector<UpstreamView> Current;
+  for (const auto &[Name, Of] : this->Services) {
+    viewsOf(Of.Tracker, EventLoop::now(), Current);
+    json Upstreams = json::object();
+    for (const UpstreamView &View : Current)
+      Upstreams[std::string(View.Name)] = {
+          {"takes_new_work", View.TakesNewWork},
+          {"outstanding", View.outstanding()},
+          {"prefill_tokens_per_second", View.PrefillTokensPerSecond},
+          {"share", View.Share},
+          {"weight_version", View.WeightVersion}};
+    Result[Name] = {{"queued", Of.Admission.QueuedCount},
+                    {"upstreams", std::move(Upstreams)}};
+  }
+  return Result;
+}
+
+} // namespace galenaroute
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -88,9 +88,9 @@
     this->record("attempt.start", Event.Attempt + " at " + Event.Upstream);
   }
 
-  void on(const attempt::NoneAvailable &) {
+  void on(const attempt::NoneAvailable &Event) {
     if (this->State.Phase == AttemptPhase::Choosing)
-      this->giveUp();
+      this->giveUp(Event.Kind);
   }
 
   void on(const attempt::Head &Event) {
@@ -425,11 +425,14 @@
     this->choose();
   }
 
-  void giveUp() {
+  void giveUp(ErrorKind Reason = ErrorKind::NoUpstream) {
+    // Sending the request again can't help, so its caller has to know.
+    if (Reason == ErrorKind::CrashesUpstreams)
+      return this->fail(Reason);
     if (this->State.MayHaveRun)
       return this->fail(ErrorKind::UpstreamFailed);
-    const ErrorKind Failure = this->State.Refused ? ErrorKind::UpstreamRefused
-                                                  : ErrorKind::NoUpstream;
+    const ErrorKind Failure =
+        this->State.Refused ? ErrorKind::UpstreamRefused : Reason;
     if (!this->State.ClaimHeld)
       return this->fail(Failure);
     this->State.FailureAfterRelease = Failure;
--- a/src/request/Attempt.h
+++ b/src/request/Attempt.h
@@ -108,7 +108,9 @@
   std::string Upstream;
   std::string Attempt; ///< 128 random bits in hex.
 };
-struct NoneAvailable {};
+struct NoneAvailable {
+  ErrorKind Kind = ErrorKind::NoUpstream;
+};
 struct Head {
   std::uint64_t Connection;
   int Status;
--- a/src/request/BlockChain.cpp
+++ b/src/request/BlockChain.cpp
@@ -87,8 +87,9 @@
 }
 
 double estimateTokens(std::string_view Prompt) {
-  return static_cast<double>((Prompt.size() + BytesPerToken - 1) /
-                             BytesPerToken);
+  const std::size_t Tokens =
+      (Prompt.size() + BytesPerToken - 1) / BytesPerToken;
+  return static_cast<double>(Tokens);
 }
 
 std::string toHex(const Digest &Value) {
--- a/src/request/CachePlan.cpp
+++ b/src/request/CachePlan.cpp
@@ -51,10 +51,13 @@
     Link.OutstandingBytes = 0;
   const double Seconds = toSeconds(Now - Reservation.BeganAt);
   // What was outstanding when the transfer began has passed the link with it.
-  if (Completed && Seconds > 0)
-    Link.BytesPerSecond +=
-        Link.Smoothing *
-        (Reservation.OutstandingBytes / Seconds - Link.BytesPerSecond);
+  if (!Completed || Seconds <= 0)
+    return;
+  const double Sample = Reservation.OutstandingBytes / Seconds;
+  // A short transfer takes mostly the round trip, so it can show that a link is
+  // faster than thought, but not that it is slower.
+  if (Sample > Link.BytesPerSecond || Seconds >= 0.02)
+    Link.BytesPerSecond += Link.Smoothing * (Sample - Link.BytesPerSecond);
 }
 
 /// Returns the time until \p Blocks have been imported over \p Link.
--- a/src/request/CrashGuard.cpp
+++ b/src/request/CrashGuard.cpp
@@ -55,6 +55,11 @@
   clear(Guard, Content, Now);
 }
 
+void noteContentFinished(CrashGuard &Guard, const Digest &Content,
+                         TimePoint Now) {
+  clear(Guard, Content, Now);
+}
+
 void noteBroken(CrashGuard &Guard, const std::string &Attempt, TimePoint Now) {
   const auto It = Guard.Attempts.find(Attempt);
   if (It != Guard.Attempts.end() && !It->second.BrokenAt)
--- a/src/request/CrashGuard.h
+++ b/src/request/CrashGuard.h
@@ -103,6 +103,10 @@
 /// The attempt has finished; its content did not crash the upstream.
 void noteEnded(CrashGuard &Guard, const std::string &Attempt, TimePoint Now);
 
+/// A request of this content has finished, whichever attempt it was.
+void noteContentFinished(CrashGuard &Guard, const Digest &Content,
+                         TimePoint Now);
+
 /// The connection of the attempt broke before the answer was complete.
 void noteBroken(CrashGuard &Guard, const std::string &Attempt, TimePoint Now);
 
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -40,10 +40,30 @@
   return newAttempt(Policy);
 }
 
+static DispatchRequest dispatchOf(const RequestInfo &Info,
+                                  const PromptRequest &Prompt) {
+  const ServiceConfig &Service = *Info.Config->findService(Info.Service);
+  const CacheScope Scope{Info.Customer, Service.Model, Service.WeightVersion,
+                         Prompt.Adapter};
+  return {.Config = Info.Config,
+          .RequestId = Info.id(),
+          .Service = Info.Service,
+          .Customer = Info.Customer,
+          // An empty prompt is still a prompt.
+          .PromptTokens = std::max(estimateTokens(Prompt.Prompt), 1.0),
+          .RequestedTokens = static_cast<double>(Prompt.MaxTokens),
+          .Keys = blockKeys(Scope, Prompt.Prompt),
+          .Content = contentDigest(Service.Model + "/" + Prompt.Adapter,
+                                   Prompt.Prompt),
+          .Deadline = Info.Arrived + Service.Deadline,
+          .Streaming = Prompt.Stream};
+}
+
 ModelRun::ModelRun(RequestContext &Context, RequestInfo Given,
                    PromptRequest Asked, const std::optional<ResumePoint> &From)
     : RequestRun(Context, Given, stateOf(Context, Given, Asked, From)),
-      Prompt(std::move(Asked)) {
+      Prompt(std::move(Asked)),
+      Ticket(Context.Dispatch, dispatchOf(this->Info, this->Prompt)) {
   this->Head = {
       this->Prompt.Api, this->Info.id(), this->service().Model,
       std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())};
@@ -53,14 +73,13 @@
 ModelRun::~ModelRun() {
   this->ClosedTimer.disconnect();
   this->BufferTimer.disconnect();
-  this->endAttempt();
 }
 
 void ModelRun::execute(const AttemptAction &Action) {
   using Kind = AttemptAction::Kind;
   switch (Action.What) {
   case Kind::Choose:
-    return this->choose();
+    return this->choose(this->Ticket);
   case Kind::Send:
     return this->send(Action);
   case Kind::Resume:
@@ -80,28 +99,21 @@
   }
 }
 
-void ModelRun::choose() {
-  this->endAttempt();
-  const auto Name =
-      this->Context.Pool.choose(this->service(), this->State.Avoid);
-  if (Name)
-    this->post(attempt::Chosen{*Name, randomId()});
-  else
-    this->post(attempt::NoneAvailable{});
-}
-
 void ModelRun::send(const AttemptAction &Action) {
   this->close();
-  this->NotedAttempt = Action.Attempt;
-  this->Context.Pool.noteSent(Action.Attempt, Action.Upstream);
+  std::vector<std::string> Keys;
+  for (const BlockKey &Key : this->Ticket.keys())
+    Keys.push_back(toHex(Key));
   const ServiceConfig &Service = this->service();
   this->Stream =
       this->Context.Engines.generate(*this->addressOf(Action.Upstream),
                                      {.Attempt = Action.Attempt,
                                       .Customer = this->Info.Customer,
                                       .Prompt = this->Prompt.Prompt,
+                                      .BlockKeys = Keys,
                                       .PromptTokens = this->End.PromptTokens,
                                       .MaxTokens = this->Prompt.MaxTokens,
+                                      .Priority = this->Priority,
                                       .WeightVersion = Service.WeightVersion,
                                       .Adapter = this->Prompt.Adapter},
                                      this->callbacks(Action.Connection));
@@ -127,6 +139,8 @@
               },
           .OnEnd =
               [this, Connection](const HttpResult &Result) {
+                if (Connection == this->State.Connection)
+                  report(this->Ticket, Result);
                 this->post(attempt::Ended{Connection,
                                           Result.End == HttpEnd::Complete,
                                           Result.BytesSent, Result.Status});
@@ -137,6 +151,9 @@
                       std::optional<EngineLine> Line) {
   if (!Line)
     return this->post(attempt::BadLine{Connection});
+  if (Connection == this->State.Connection &&
+      Line->Attempt == this->State.Attempt)
+    this->Ticket.firstToken();
   if (!Line->IsDone)
     return this->post(attempt::Line{Connection, std::move(Line->Attempt),
                                     Line->Offset, std::move(Line->Text)});
@@ -192,7 +209,7 @@
 
 void ModelRun::finish(const AttemptAction &Action) {
   this->Context.Engines.finish(std::move(this->Stream));
-  this->endAttempt();
+  this->Ticket.finished(static_cast<double>(this->End.Tokens));
   this->Context.Stats.promptTokens(this->Info.Service,
                                    static_cast<double>(this->End.PromptTokens),
                                    static_cast<double>(this->End.CachedTokens));
@@ -207,10 +224,4 @@
   this->Info.Reply.finishEvents();
 }
 
-void ModelRun::endAttempt() {
-  if (!this->NotedAttempt.empty())
-    this->Context.Pool.noteEnded(this->NotedAttempt);
-  this->NotedAttempt.clear();
-}
-
 } // namespace galenaroute
--- a/src/request/ModelRun.h
+++ b/src/request/ModelRun.h
@@ -20,7 +20,6 @@
 
 private:
   void execute(const AttemptAction &Action) override;
-  void choose();
   void send(const AttemptAction &Action);
   void resume(const AttemptAction &Action);
   EngineCallbacks callbacks(std::uint64_t Connection);
@@ -29,14 +28,12 @@
   void giveText(const AttemptAction &Action);
   void finish(const AttemptAction &Action);
   void checkBuffer();
-  /// Reports the current attempt as ended to the pool, once.
-  void endAttempt();
 
   PromptRequest Prompt;
   AnswerHead Head;
   AnswerEnd End;
   std::unique_ptr<EngineStream> Stream;
-  std::string NotedAttempt; ///< Sent and not reported as ended.
+  DispatchTicket Ticket;
   TimePoint LastTokenAt{};
   // Streams must outlive their own callbacks, so closed ones are freed later.
   std::vector<std::unique_ptr<EngineStream>> Closed;
--- a/src/request/PlainRun.cpp
+++ b/src/request/PlainRun.cpp
@@ -73,9 +73,12 @@
 
 PlainRun::PlainRun(RequestContext &Context, RequestInfo Given, PlainCall Asked)
     : RequestRun(Context, Given, stateOf(Context, Given, Asked)),
-      Call(std::move(Asked)) {}
-
-PlainRun::~PlainRun() { this->endAttempt(); }
+      Call(std::move(Asked)),
+      Ticket(Context.Dispatch, {.Config = this->Info.Config,
+                                .RequestId = this->Info.id(),
+                                .Service = this->Info.Service,
+                                .Customer = this->Info.Customer,
+                                .Deadline = this->State.Policy.Deadline}) {}
 
 void PlainRun::execute(const AttemptAction &Action) {
   using Kind = AttemptAction::Kind;
@@ -87,11 +90,11 @@
   case Kind::StoreOutcome:
     return this->storeOutcome(Action.MayHaveRun);
   case Kind::Choose:
-    return this->choose();
+    return this->choose(this->Ticket);
   case Kind::Send:
     return this->send(Action);
   case Kind::Close:
-    this->endAttempt();
+    this->Ticket.failed(AttemptFailure::Cancelled);
     this->Exchange.reset();
     return;
   case Kind::Whole:
@@ -150,19 +153,7 @@
   this->Context.Claims.finish(this->Claim.Token, Outcome);
 }
 
-void PlainRun::choose() {
-  this->endAttempt();
-  const auto Name =
-      this->Context.Pool.choose(this->service(), this->State.Avoid);
-  if (Name)
-    this->post(attempt::Chosen{*Name, randomId()});
-  else
-    this->post(attempt::NoneAvailable{});
-}
-
 void PlainRun::send(const AttemptAction &Action) {
-  this->NotedAttempt = Action.Attempt;
-  this->Context.Pool.noteSent(Action.Attempt, Action.Upstream);
   HttpCallBuilder Builder(*this->addressOf(Action.Upstream));
   Builder.method(this->Call.Method, this->Call.Target, this->Call.Body)
       .header("X-Request-Id", this->Info.id())
@@ -182,17 +173,14 @@
   this->Exchange = this->Context.Http.start(
       std::move(Sent), {.OnDone = [this, Connection = Action.Connection](
                                       const HttpResult &Ended) {
-        this->endAttempt();
+        if (Ended.End == HttpEnd::Complete && Ended.Status != 429)
+          this->Ticket.finished(0);
+        else
+          report(this->Ticket, Ended);
         this->Result = Ended;
         this->post(attempt::Ended{Connection, Ended.End == HttpEnd::Complete,
                                   Ended.BytesSent, Ended.Status});
       }});
 }
 
-void PlainRun::endAttempt() {
-  if (!this->NotedAttempt.empty())
-    this->Context.Pool.noteEnded(this->NotedAttempt);
-  this->NotedAttempt.clear();
-}
-
 } // namespace galenaroute
--- a/src/request/PlainRun.h
+++ b/src/request/PlainRun.h
@@ -35,22 +35,19 @@
 class PlainRun : public RequestRun {
 public:
   PlainRun(RequestContext &Context, RequestInfo Info, PlainCall Call);
-  ~PlainRun() override;
 
 private:
   void execute(const AttemptAction &Action) override;
   void claim();
   void release();
   void storeOutcome(bool MayHaveRun);
-  void choose();
   void send(const AttemptAction &Action);
-  void endAttempt();
 
   PlainCall Call;
   ClaimAnswer Claim;
   HttpResult Result; ///< Of the last connection that ended.
   std::unique_ptr<HttpExchange> Exchange;
-  std::string NotedAttempt; ///< Sent and not reported as ended.
+  DispatchTicket Ticket;
 };
 
 } // namespace galenaroute
--- a/src/request/RequestRun.cpp
+++ b/src/request/RequestRun.cpp
@@ -102,7 +102,31 @@
   const std::string Code(describeError(Kind).Code);
   this->Outcome = Code;
   this->Context.Events.record("request.failed", this->Info.id(), Code);
-  this->Info.Reply.fail(Error(Kind, messageOf(Kind)));
+  if (this->Refusal && this->Refusal->Kind == Kind)
+    this->Info.Reply.fail(
+        Error(Kind, this->Refusal->Message, this->Refusal->RetryAfter));
+  else
+    this->Info.Reply.fail(Error(Kind, messageOf(Kind)));
+}
+
+void RequestRun::choose(DispatchTicket &Ticket) {
+  Ticket.choose(this->State.Avoid, [this](const DispatchAnswer &Answer) {
+    this->Refusal = Answer.Refusal;
+    this->Priority = Answer.Priority;
+    if (Answer.Refusal)
+      this->post(attempt::NoneAvailable{Answer.Refusal->Kind});
+    else
+      this->post(attempt::Chosen{Answer.Upstream, Answer.Attempt});
+  });
+}
+
+void RequestRun::report(DispatchTicket &Ticket, const HttpResult &Result) {
+  if (Result.End == HttpEnd::ConnectFailed)
+    Ticket.failed(AttemptFailure::Connect);
+  else if (Result.End == HttpEnd::Complete && Result.Status == 429)
+    Ticket.failed(AttemptFailure::Refused);
+  else if (Result.End != HttpEnd::Complete && Result.BytesSent)
+    Ticket.broke();
 }
 
 const SocketAddress *RequestRun::addressOf(std::string_view Name) const {
--- a/src/request/RequestRun.h
+++ b/src/request/RequestRun.h
@@ -12,10 +12,10 @@
 
 #include "connection/Engine.h"
 #include "process/DaemonSettings.h"
+#include "process/Dispatcher.h"
 #include "process/EventLoop.h"
 #include "process/Metrics.h"
 #include "process/Timeline.h"
-#include "process/UpstreamPool.h"
 #include "request/Attempt.h"
 #include "request/CallerReply.h"
 #include "request/ClaimGate.h"
@@ -36,7 +36,7 @@
   EventLoop &Loop;
   HttpClient &Http;
   Engine &Engines;
-  UpstreamPool &Pool;
+  Dispatcher &Dispatch;
   ClaimGate &Claims;
   Timeline &Events;
   Metrics &Stats;
@@ -83,6 +83,12 @@
   /// Carries out an action that depends on the kind of service.
   virtual void execute(const AttemptAction &Action) = 0;
 
+  /// Chooses an upstream through \p Ticket and posts the answer.
+  void choose(DispatchTicket &Ticket);
+
+  /// Reports to \p Ticket how a connection to an upstream ended.
+  static void report(DispatchTicket &Ticket, const HttpResult &Result);
+
   /// Returns the address of the upstream \p Name of this request's service, or
   /// null.
   const SocketAddress *addressOf(std::string_view Name) const;
@@ -94,6 +100,7 @@
   RequestContext &Context;
   RequestInfo Info;
   AttemptState State;
+  int Priority = 0; ///< For the engine; of the last choice.
 
 private:
   void handle(const AttemptAction &Action);
@@ -106,6 +113,8 @@
   bool IsStepping = false;
   bool HasEnded = false;
   std::string Outcome = "caller_left";
+  /// Why nothing was chosen, for the answer to the caller.
+  std::optional<AdmissionRefusal> Refusal;
   sigc::connection Timer;
   sigc::connection CallerClosed;
 };
--- a/tests/DaemonFixture.h
+++ b/tests/DaemonFixture.h
@@ -21,6 +21,9 @@
 
   explicit ScriptedUpstream(EventLoop &Loop) : Server(Loop, {}) {
     this->Server.handle([this](HttpRequest Request, ReplyPtr Reply) {
+      // Reports are polled in the background and are no part of the scripts.
+      if (Request.Path == "/v1/load" || Request.Path.starts_with("/v1/cache/"))
+        return Reply->send(404, {}, "");
       this->Requests.push_back(Request);
       if (this->Answer)
         this->Answer(Request, Reply);
@@ -140,6 +143,9 @@
     this->Settings.Listen = {"127.0.0.1", 0};
     this->Settings.Advertise = {"127.0.0.1", 9};
     this->Settings.Zone = "a";
+    // The tests rely on the order in which upstreams are tried; by expected
+    // time, equal ones are chosen at random.
+    this->Settings.RoutingPolicy = "round-robin";
     this->Settings.StallTimeout = Milliseconds(100);
     this->Settings.Linger = Milliseconds(100);
     this->Settings.KeepEntries = Milliseconds(100);
