--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "process/Log.h"
 
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace galenaroute {
 
@@ -29,29 +30,30 @@
   EventLoop &Loop;
 };
 
-PoolOptions poolOptions(const DaemonSettings &Settings) {
-  static const std::map<std::string_view, RoutePolicy> Policies = {
-      {"expected-time", RoutePolicy::ExpectedTime},
-      {"random", RoutePolicy::Random},
-      {"round-robin", RoutePolicy::RoundRobin},
-      {"least-outstanding", RoutePolicy::LeastOutstanding},
-      {"affinity", RoutePolicy::Affinity}};
-  return {Policies.at(Settings.RoutingPolicy), Settings.NodeId, Settings.Zone,
-          Settings.Zone, Settings.RetryShare};
-}
-
 } // namespace
 
+static DispatcherSettings dispatcherSettings(const DaemonSettings &Settings) {
+  DispatcherSettings Result;
+  Result.Self = Settings.NodeId;
+  Result.Zone = Settings.Zone;
+  Result.Policy = routePolicyFromName(Settings.RoutingPolicy)
+                      .value_or(RoutePolicy::ExpectedTime);
+  return Result;
+}
+
 Daemon::Daemon(Parts Parts)
     : Given(std::move(Parts)),
       Events(this->Given.Settings.NodeId, this->Given.Settings.TimelineEvents),
       Http(this->Given.Loop), Engines(this->Given.Loop, this->Http,
                                       this->Given.Settings.ConnectTimeout),
-      Pools(this->Given.Loop, this->Http, poolOptions(this->Given.Settings)),
+      Dispatch(this->Given.Loop, this->Http, this->Events,
+               dispatcherSettings(this->Given.Settings),
+               std::random_device()()),
       Open(this->Given.Loop, this->Stats),
       Context{this->Given.Settings, this->Given.Loop, this->Http,
-              this->Engines,        this->Pools,      *this->Given.Claims,
-              this->Events,         this->Stats,      this->Open},
+              this->Engines,        this->Dispatch,   *this->Given.Claims,
+              this->Events,         this->Stats,      this->Open,
+              this->Retries},
       Api(this->Context, *this->Given.Config,
           {.Entries = [this] { return this->entries(); },
            .State = [this] { return this->State; },
@@ -59,16 +61,17 @@
       Server(this->Given.Loop,
              {.MaxBodyBytes = this->Given.Settings.MaxBodyBytes,
               .MaxHeaderBytes = this->Given.Settings.MaxHeaderBytes}) {
+  this->Retries.Share = this->Given.Settings.RetryShare;
   this->Server.handle(
       [this](HttpRequest Request, const std::shared_ptr<HttpReply> &Reply) {
         this->Api.handle(std::move(Request), Reply);
       });
   const auto NoteEpoch = [this](const ConfigurationPtr &Next) {
+    this->Dispatch.setConfig(Next);
     this->Stats.ConfigEpoch.Set(static_cast<double>(Next->Epoch));
     this->Events.record("config.in_force", {}, std::to_string(Next->Epoch));
     log(LogLevel::Info, "config.in_force",
         {{"epoch", std::to_string(Next->Epoch)}});
-    this->Pools.setConfiguration(Next);
   };
   this->ConfigChanged = this->Given.Config->Changed.connect(NoteEpoch);
   if (const ConfigurationPtr Current = this->Given.Config->current())
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -54,7 +54,8 @@
   Metrics Stats;
   HttpClient Http;
   HttpEngine Engines;
-  UpstreamPools Pools;
+  Dispatcher Dispatch;
+  RetryBudget Retries;
   OpenRequests Open;
   RequestContext Context;
   CallerApi Api;
--- a/src/request/PlainRun.cpp
+++ b/src/request/PlainRun.cpp
@@ -73,7 +73,12 @@
 
 PlainRun::PlainRun(RequestContext &Context, RequestInfo Given, PlainCall Asked)
     : RequestRun(Context, Given, stateOf(Context, Given, Asked)),
-      Call(std::move(Asked)) {}
+      Call(std::move(Asked)),
+      Ticket(Context.Dispatch, {.Config = this->Info.Config,
+                                .RequestId = this->Info.id(),
+                                .Service = this->Info.Service,
+                                .Customer = this->Info.Customer,
+                                .Deadline = this->State.Policy.Deadline}) {}
 
 void PlainRun::execute(const AttemptAction &Action) {
   using Kind = AttemptAction::Kind;
@@ -84,9 +89,12 @@
     return this->release();
   case Kind::StoreOutcome:
     return this->storeOutcome(Action.MayHaveRun);
+  case Kind::Choose:
+    return this->choose(this->Ticket);
   case Kind::Send:
     return this->send(Action);
   case Kind::Close:
+    this->Ticket.failed(AttemptFailure::Cancelled);
     this->Exchange.reset();
     return;
   case Kind::Whole:
@@ -146,7 +154,6 @@
 }
 
 void PlainRun::send(const AttemptAction &Action) {
-  this->noteSent(Action);
   HttpCallBuilder Builder(*this->addressOf(Action.Upstream));
   Builder.method(this->Call.Method, this->Call.Target, this->Call.Body)
       .header("X-Request-Id", this->Info.id())
@@ -166,9 +173,10 @@
   this->Exchange = this->Context.Http.start(
       std::move(Sent), {.OnDone = [this, Connection = Action.Connection](
                                       const HttpResult &Ended) {
-        this->Failure = failureOf(Ended);
-        if (this->Failure == AttemptFailure::Cancelled)
-          this->noteFinished(0);
+        if (Ended.End == HttpEnd::Complete && Ended.Status != 429)
+          this->Ticket.finished(0);
+        else
+          report(this->Ticket, Ended);
         this->Result = Ended;
         this->post(attempt::Ended{Connection, Ended.End == HttpEnd::Complete,
                                   Ended.BytesSent, Ended.Status});
--- a/src/request/PlainRun.h
+++ b/src/request/PlainRun.h
@@ -47,6 +47,7 @@
   ClaimAnswer Claim;
   HttpResult Result; ///< Of the last connection that ended.
   std::unique_ptr<HttpExchange> Exchange;
+  DispatchTicket Ticket;
 };
 
 } // namespace galenaroute
