Wire the peers, the entries and the claims into the daemon

Cause: a daemon answered GET /v1/entries with its own address only and refused every claim.

Change: PeerServices joins PeerNetwork, chooseEntries and ClaimService and follows the daemon: the others learn when it leaves and its load, it leaves when the VM list says so, and a stop waits up to 5 s for outcomes to become durable. The daemon shares its time line. A daemon without links looks for others every 300 ms instead of every 3 s: three daemons that were started together by hand knew only themselves after 2 s, because the first attempts met sockets that were not bound yet.

--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -9,6 +9,10 @@
 /// How often a daemon that is stopping looks whether all answers are sent.
 static constexpr auto IdlePoll = std::chrono::milliseconds(10);
 
+/// How long a daemon that is stopping waits for outcomes to become durable. A
+/// platform outage may last longer than anyone waits for a stop.
+static constexpr auto SettleLimit = std::chrono::seconds(5);
+
 namespace {
 
 /// Refuses all claims. Without a place to keep claims, a call that must not
@@ -32,8 +36,7 @@
 } // namespace
 
 Daemon::Daemon(Parts Parts)
-    : Given(std::move(Parts)),
-      Events(this->Given.Settings.NodeId, this->Given.Settings.TimelineEvents),
+    : Given(std::move(Parts)), Events(*this->Given.Events),
       Http(this->Given.Loop), Engines(this->Given.Loop, this->Http,
                                       this->Given.Settings.ConnectTimeout),
       Open(this->Given.Loop, this->Stats),
@@ -94,6 +97,7 @@
   this->State = ServingState::Withdrawn;
   this->Stats.Draining.Set(1);
   this->Events.record("drain.withdrawn", {}, {});
+  this->Withdrawn.emit();
   log(LogLevel::Info, "drain.withdrawn",
       {{"keep_ms", std::to_string(this->Given.Settings.KeepEntries.count())}});
   this->DrainTimer = this->Given.Loop.timers().after(
@@ -102,6 +106,7 @@
 
 void Daemon::finish() {
   this->State = ServingState::Finishing;
+  this->FinishingSince = EventLoop::now();
   this->Server.stopListening();
   this->Events.record("drain.finishing", {},
                       std::to_string(this->Open.count()));
@@ -114,14 +119,22 @@
 void Daemon::stopIfIdle() {
   if (this->Open.count() > 0 || this->Server.unsentReplies() > 0)
     return;
+  if (this->Given.IsSettled && !this->Given.IsSettled() &&
+      EventLoop::now() - this->FinishingSince < SettleLimit)
+    return;
   this->DrainTimer.disconnect();
   log(LogLevel::Info, "daemon.stopped");
   this->Stopped.emit();
 }
 
 DaemonBuilder::DaemonBuilder(EventLoop &Loop, DaemonSettings Settings)
-    : Parts{Loop, std::move(Settings), std::make_shared<FixedConfig>(),
-            std::make_shared<RefusingClaimGate>(Loop), nullptr} {}
+    : Parts{Loop,
+            std::move(Settings),
+            std::make_shared<FixedConfig>(),
+            std::make_shared<RefusingClaimGate>(Loop),
+            nullptr,
+            nullptr,
+            nullptr} {}
 
 DaemonBuilder &DaemonBuilder::config(std::shared_ptr<ConfigSource> Source) {
   this->Parts.Config = std::move(Source);
@@ -139,7 +152,20 @@
   return *this;
 }
 
+DaemonBuilder &DaemonBuilder::settled(std::function<bool()> IsSettled) {
+  this->Parts.IsSettled = std::move(IsSettled);
+  return *this;
+}
+
+DaemonBuilder &DaemonBuilder::timeline(std::shared_ptr<Timeline> Events) {
+  this->Parts.Events = std::move(Events);
+  return *this;
+}
+
 std::unique_ptr<Daemon> DaemonBuilder::build() {
+  if (!this->Parts.Events)
+    this->Parts.Events = std::make_shared<Timeline>(
+        this->Parts.Settings.NodeId, this->Parts.Settings.TimelineEvents);
   return std::unique_ptr<Daemon>(new Daemon(std::move(this->Parts)));
 }
 
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -31,6 +31,12 @@
   /// Begins a graceful stop; further calls change nothing.
   void drain();
 
+  /// Returns the number of requests in progress.
+  std::size_t openRequests() const { return this->Open.count(); }
+
+  /// Emitted when a graceful stop begins.
+  sigc::signal<void()> Withdrawn;
+
   /// Emitted when a graceful stop is complete.
   sigc::signal<void()> Stopped;
 
@@ -42,6 +48,8 @@
     std::shared_ptr<ConfigSource> Config;
     std::shared_ptr<ClaimGate> Claims;
     std::function<std::vector<EntryAddress>()> Entries;
+    std::function<bool()> IsSettled;
+    std::shared_ptr<Timeline> Events;
   };
   explicit Daemon(Parts Given);
   void finish();
@@ -50,7 +58,7 @@
 
   Parts Given;
   ServingState State = ServingState::Serving;
-  Timeline Events;
+  Timeline &Events;
   Metrics Stats;
   HttpClient Http;
   HttpEngine Engines;
@@ -60,6 +68,7 @@
   RequestContext Context;
   CallerApi Api;
   HttpServer Server;
+  TimePoint FinishingSince;
   sigc::connection DrainTimer;
   sigc::connection ConfigChanged;
 };
@@ -75,6 +84,11 @@
   /// \p Entries returns the addresses for callers while this daemon serves; by
   /// default only its own.
   DaemonBuilder &entries(std::function<std::vector<EntryAddress>()> Entries);
+  /// \p IsSettled returns whether all outcomes of calls are durable; a stop
+  /// waits for it, for a bounded time.
+  DaemonBuilder &settled(std::function<bool()> IsSettled);
+  /// Shares the time line with parts that are outside of the daemon.
+  DaemonBuilder &timeline(std::shared_ptr<Timeline> Events);
   std::unique_ptr<Daemon> build();
 
 private:
--- a/src/process/DaemonMain.cpp
+++ b/src/process/DaemonMain.cpp
@@ -1,5 +1,6 @@
 #include "process/Daemon.h"
 #include "process/Log.h"
+#include "process/PeerServices.h"
 
 #include <csignal>
 #include <iostream>
@@ -8,11 +9,23 @@
 
 static int serve(const DaemonSettings &Settings) {
   EventLoop Loop;
-  const auto Node = DaemonBuilder(Loop, Settings).build();
+  HttpClient PlatformHttp(Loop);
+  HttpPlatform Api(PlatformHttp, Settings.Platform);
+  const auto Events =
+      std::make_shared<Timeline>(Settings.NodeId, Settings.TimelineEvents);
+  PeerServices Peers(Loop, *Events, Api, peerSettings(Settings));
+  const auto Node = DaemonBuilder(Loop, Settings)
+                        .timeline(Events)
+                        .claims(Peers.claims())
+                        .entries([&] { return Peers.entries(); })
+                        .settled([&] { return Peers.isSettled(); })
+                        .build();
+  Peers.attach(*Node);
   Node->Stopped.connect([&] { Loop.stop(); });
   Loop.onSignal(SIGTERM, [&] { Node->drain(); });
   Loop.onSignal(SIGINT, [&] { Node->drain(); });
   Node->start();
+  Peers.start();
   Loop.run();
   return 0;
 }
--- a/src/process/Entries.cpp
+++ b/src/process/Entries.cpp
@@ -22,9 +22,10 @@
 
 } // namespace
 
-EntriesAnswer chooseEntries(const Membership &Members, std::uint32_t SelfLoad,
-                            const EntriesSettings &Settings,
-                            std::mt19937_64 &Random) {
+std::vector<Entry> chooseEntries(const Membership &Members,
+                                 std::uint32_t SelfLoad,
+                                 const EntriesSettings &Settings,
+                                 std::mt19937_64 &Random) {
   const std::string &Zone = Members.Self.Zone;
   std::vector<Candidate> Ordered;
   if (!Members.Self.Leaving && !isSelfListedLeaving(Members))
@@ -57,19 +58,10 @@
     Ordered.resize(Settings.MaxEntries);
   }
 
-  EntriesAnswer Result;
-  Result.Keep = Settings.Keep;
+  std::vector<Entry> Result;
   for (const Candidate &Each : Ordered)
-    Result.Entries.push_back({Each.Info->CallerAddress, Each.Info->Zone});
+    Result.push_back({Each.Info->CallerAddress, Each.Info->Zone});
   return Result;
 }
 
-nlohmann::json toJson(const EntriesAnswer &Answer) {
-  nlohmann::json List = nlohmann::json::array();
-  for (const Entry &Each : Answer.Entries)
-    List.push_back({{"address", Each.Address.toString()}, {"zone", Each.Zone}});
-  return {{"entries", std::move(List)},
-          {"keep_seconds", static_cast<double>(Answer.Keep.count()) / 1000.0}};
-}
-
 } // namespace galenaroute
--- a/src/process/Entries.h
+++ b/src/process/Entries.h
@@ -20,7 +20,6 @@
 
 struct EntriesSettings {
   std::size_t MaxEntries = 4;
-  Milliseconds Keep = std::chrono::seconds(5);
 };
 
 /// One address for callers.
@@ -29,19 +28,13 @@
   std::string Zone;
 };
 
-struct EntriesAnswer {
-  std::vector<Entry> Entries; ///< In the order to try them.
-  Milliseconds Keep{};        ///< How long callers may keep the answer.
-};
-
-/// Chooses the entries of one answer. \p SelfLoad counts the requests in
-/// progress at this daemon.
-EntriesAnswer chooseEntries(const Membership &Members, std::uint32_t SelfLoad,
-                            const EntriesSettings &Settings,
-                            std::mt19937_64 &Random);
-
-/// Returns `{"entries":[{"address","zone"}],"keep_seconds"}`.
-nlohmann::json toJson(const EntriesAnswer &Answer);
+/// Chooses the entries of one answer, in the order to try them. \p SelfLoad
+/// counts the requests in progress at this daemon. How long callers may keep
+/// the answer is a setting of the daemon (`--keep-ms`).
+std::vector<Entry> chooseEntries(const Membership &Members,
+                                 std::uint32_t SelfLoad,
+                                 const EntriesSettings &Settings,
+                                 std::mt19937_64 &Random);
 
 } // namespace galenaroute
 
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -224,7 +224,6 @@
   void probe() {
     if (this->Now < this->State.NextProbe)
       return;
-    this->State.NextProbe = this->Now + this->State.Settings.ProbePeriod;
     std::set<SocketAddress> Candidates(this->State.Seeds.begin(),
                                        this->State.Seeds.end());
     Candidates.insert(this->State.Listed.begin(), this->State.Listed.end());
@@ -239,6 +238,9 @@
       Candidates.erase(Each.Info.PeerAddress);
       Alone = Alone && !Each.Linked;
     }
+    const auto &Settings = this->State.Settings;
+    this->State.NextProbe = this->Now + (Alone ? Settings.AloneProbePeriod
+                                               : Settings.ProbePeriod);
     if (Candidates.empty())
       return;
     // A daemon without links tries a few at once, so that it starts quickly
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -66,6 +66,9 @@
   Duration MaxReconnectDelay = std::chrono::seconds(30);
   /// How often an address that is not a live member is tried.
   Duration ProbePeriod = std::chrono::seconds(3);
+  /// The same while this daemon has no link at all, so that a fleet whose
+  /// daemons all start at once finds together quickly.
+  Duration AloneProbePeriod = std::chrono::milliseconds(300);
   std::size_t MaxGossipItems = 32;
   std::size_t MaxMembers = 4096;
 };
--- a/src/request/ClaimRecord.cpp
+++ b/src/request/ClaimRecord.cpp
@@ -1,9 +1,10 @@
 #include "request/ClaimRecord.h"
 
+#include "process/Sha256.h"
+
 #include <array>
 #include <charconv>
 #include <cstdio>
-#include <openssl/evp.h>
 #include <stdexcept>
 
 namespace galenaroute {
@@ -12,7 +13,8 @@
 
 namespace {
 
-constexpr std::size_t KeyBytes = 16;
+/// Of the digest of a key; 128 bits.
+constexpr std::size_t KeyDigits = 32;
 constexpr std::size_t MaxContentType = 128;
 /// Far above any holder and digest of our own making.
 constexpr std::size_t MaxFieldBytes = 256;
@@ -66,11 +68,7 @@
   const std::string Text = std::to_string(Key.Customer.size()) + ":" +
                            Key.Customer + std::to_string(Key.Service.size()) +
                            ":" + Key.Service + Key.Key;
-  std::array<unsigned char, EVP_MAX_MD_SIZE> Bytes{};
-  if (EVP_Digest(Text.data(), Text.size(), Bytes.data(), nullptr, EVP_sha256(),
-                 nullptr) != 1)
-    throw std::runtime_error("SHA-256 is not available");
-  return toHex({reinterpret_cast<const char *>(Bytes.data()), KeyBytes});
+  return sha256Hex(Text).substr(0, KeyDigits);
 }
 
 ClaimOutcome boundedOutcome(ClaimOutcome Outcome) {
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -216,11 +216,11 @@
     All.pass();
   for (const auto &[Index, Each] : All.Nodes) {
     RC_ASSERT(liveIds(Each->State) == Expected);
-    const EntriesAnswer Answer = chooseEntries(Each->State, 0, {}, Random);
-    for (const Entry &Returned : Answer.Entries)
+    const std::vector<Entry> Answer = chooseEntries(Each->State, 0, {}, Random);
+    for (const Entry &Returned : Answer)
       for (const std::size_t Left : Leaving)
         RC_ASSERT(Returned.Address.Host != Fleet::addressOf(Left).Host);
-    RC_ASSERT(Answer.Entries.size() ==
+    RC_ASSERT(Answer.size() ==
               std::min(Expected.size(), EntriesSettings().MaxEntries));
   }
 }
@@ -264,11 +264,11 @@
   std::mt19937_64 Random(7);
   std::map<std::string, int> First;
   for (int I = 0; I < 3000; ++I) {
-    const EntriesAnswer Answer = chooseEntries(Fleet, 4, {}, Random);
-    ASSERT_EQ(Answer.Entries.size(), 4U);
-    EXPECT_EQ(Answer.Entries[0].Zone, "zone-0");
-    EXPECT_NE(Answer.Entries[3].Zone, "zone-0");
-    ++First[Answer.Entries[0].Address.toString()];
+    const std::vector<Entry> Answer = chooseEntries(Fleet, 4, {}, Random);
+    ASSERT_EQ(Answer.size(), 4U);
+    EXPECT_EQ(Answer[0].Zone, "zone-0");
+    EXPECT_NE(Answer[3].Zone, "zone-0");
+    ++First[Answer[0].Address.toString()];
   }
   EXPECT_LT(First[Busy], 3000 / 7 / 5);
 }
@@ -281,9 +281,9 @@
     Event.Vms.push_back({Each.Info.PeerAddress, "zone-0", "entry", true});
   EXPECT_TRUE(apply(Fleet, Event, {}).MembersChanged);
   std::mt19937_64 Random(7);
-  const EntriesAnswer Answer = chooseEntries(Fleet, 0, {}, Random);
-  ASSERT_EQ(Answer.Entries.size(), 1U);
-  EXPECT_EQ(Answer.Entries[0].Address, Fleet.Self.CallerAddress);
+  const std::vector<Entry> Answer = chooseEntries(Fleet, 0, {}, Random);
+  ASSERT_EQ(Answer.size(), 1U);
+  EXPECT_EQ(Answer[0].Address, Fleet.Self.CallerAddress);
 }
 
 } // namespace
