Add the load tool and the demo script

Ruled out: closed-loop load, which slows down with the system and hides its delays; times count from the planned arrival.

Change: galenaroute-bench plans Poisson arrivals from a seed, starts its own daemons and emulators, and writes a table, one SVG plot per measure and the raw values. tools/run-demo checks a streamed prompt that returns and a payment that is sent twice; galenaroute-emulator answer prints the right answer.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,10 @@
 run: build
 	./tools/run-demo $(BUILD)
 
+# BENCH passes flags, such as BENCH='--seeds 5 --seconds 20'.
+bench: build
+	./$(BUILD)/galenaroute-bench $(BENCH)
+
 format:
 	git ls-files '*.cpp' '*.h' | xargs clang-format -i
 
--- a/emulator/EmulatorMain.cpp
+++ b/emulator/EmulatorMain.cpp
@@ -1,6 +1,7 @@
 // galenaroute-emulator: emulators of the external systems.
 
 #include "EngineEmulator.h"
+#include "GeneratedText.h"
 #include "PlatformEmulator.h"
 #include "ServiceEmulator.h"
 #include "StoreEmulator.h"
@@ -8,7 +9,9 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 using namespace galenaroute;
 using namespace galenaroute::emulator;
@@ -128,6 +131,13 @@
                          1000000, "Requests that wait; more get 503");
 }
 
+/// Prints the whole right answer of the engine emulator to a prompt.
+void printAnswer(const std::string &PromptFile, std::uint64_t Tokens) {
+  std::ostringstream Prompt;
+  Prompt << std::ifstream(PromptFile).rdbuf();
+  std::cout << wholeAnswer(Prompt.str(), Tokens) << "\n";
+}
+
 int runEmulator(int Argc, char **Argv) {
   CLI::App App("galenaroute-emulator: emulators of the external systems");
   App.require_subcommand(1);
@@ -144,6 +154,15 @@
   CLI::App *Store = App.add_subcommand("store", "KV cache store VM");
   CLI::App *WeightStore = App.add_subcommand("weights", "Weight store");
   CLI::App *Service = App.add_subcommand("service", "Plain service");
+  CLI::App *Answer = App.add_subcommand(
+      "answer", "Print the whole right answer of an engine to a prompt");
+  std::string PromptFile;
+  std::uint64_t Tokens = 16;
+  Answer->add_option("--prompt-file", PromptFile, "File with the prompt")
+      ->required()
+      ->check(CLI::ExistingFile);
+  Answer->add_option("--tokens", Tokens, "max_tokens of the call")
+      ->check(CLI::Range(1, 1000000));
   for (CLI::App *Each : {Platform, Engine, Store, WeightStore, Service}) {
     Each->add_option("--listen", Listen, "IP:PORT to listen at")->required();
     Each->add_option("--seed", Seed, "Seed of the random numbers")
@@ -155,6 +174,10 @@
   addWeightStoreFlags(*WeightStore, ForWeights);
   addServiceFlags(*Service, ForService);
   CLI11_PARSE(App, Argc, Argv);
+  if (*Answer) {
+    printAnswer(PromptFile, Tokens);
+    return 0;
+  }
 
   EventLoop Loop;
   for (const int Signal : {SIGTERM, SIGINT})
