--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -88,6 +88,7 @@
                                    std::uint64_t Seed, std::size_t Customers) {
   Random Generator(Seed);
   std::vector<std::string> LongPrompts;
+  LongPrompts.reserve(static_cast<std::size_t>(Settings.LongPrompts));
   std::uniform_int_distribution<int> Blocks(Settings.LongBlocksLeast,
                                             Settings.LongBlocksMost);
   for (int I = 0; I < Settings.LongPrompts; ++I)
