Test payments with repeated keys through real daemons under faults

Cause: the history checks run in one process; kills, freezes and lost replies of real processes go through sockets, the membership and the request path.

Change: AtMostOnceTest starts three daemons, two plain services and the platform; one daemon is killed and restarted, one is frozen for longer than it takes to be declared dead, the platform loses replies and has a silent and an answered outage, a service loses replies. DaemonMain reads the configuration through ConfigWatcher, which the test needs.

--- a/src/process/DaemonMain.cpp
+++ b/src/process/DaemonMain.cpp
@@ -1,20 +1,43 @@
 #include "process/Daemon.h"
 #include "process/Log.h"
 #include "process/PeerServices.h"
+#include "version/ConfigWatcher.h"
 
 #include <csignal>
 #include <iostream>
 
 using namespace galenaroute;
 
+namespace {
+
+/// The configuration as the watcher reads it from the platform.
+class WatchedConfig : public ConfigSource {
+public:
+  WatchedConfig(Platform &Api, TimerService &Timers)
+      : Watcher(Api, Timers, {}) {
+    this->Watcher.Changed.connect(
+        [this](const ConfigurationPtr &Next) { this->Changed.emit(Next); });
+  }
+
+  ConfigurationPtr current() const override { return this->Watcher.current(); }
+  void start() { this->Watcher.start(); }
+
+private:
+  ConfigWatcher Watcher;
+};
+
+} // namespace
+
 static int serve(const DaemonSettings &Settings) {
   EventLoop Loop;
   HttpClient PlatformHttp(Loop);
   HttpPlatform Api(PlatformHttp, Settings.Platform);
+  const auto Config = std::make_shared<WatchedConfig>(Api, Loop.timers());
   const auto Events =
       std::make_shared<Timeline>(Settings.NodeId, Settings.TimelineEvents);
   PeerServices Peers(Loop, *Events, Api, peerSettings(Settings));
   const auto Node = DaemonBuilder(Loop, Settings)
+                        .config(Config)
                         .timeline(Events)
                         .claims(Peers.claims())
                         .entries([&] { return Peers.entries(); })
@@ -26,6 +49,7 @@
   Loop.onSignal(SIGINT, [&] { Node->drain(); });
   Node->start();
   Peers.start();
+  Config->start();
   Loop.run();
   return 0;
 }
--- /dev/null
+++ b/tests/process/AtMostOnceTest.cpp
@@ -0,0 +1,242 @@
+// Payments with repeated keys through several daemons, while daemons are
+// killed, restarted and frozen, and the platform has outages and loses
+// replies.
+
+#include "process/ListingText.h"
+#include "process/ProcessHarness.h"
+
+#include "connection/PlatformClient.h"
+#include "version/ConfigStore.h"
+#include "version/Listing.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace galenaroute::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+/// The answers that callers got for one key.
+struct KeyAnswers {
+  int Pending = 0;
+  int NotRun = 0;
+  int Other = 0;                ///< May have run, or cut.
+  std::set<std::string> Bodies; ///< Of answers with success.
+};
+
+class AtMostOnceTest : public testing::Test {
+protected:
+  AtMostOnceTest() : Platform(Harness.startEmulator("platform", {})) {
+    for (int I = 0; I < 2; ++I)
+      this->Services.push_back(&this->Harness.startEmulator(
+          "service", {"--name", "desk-" + std::to_string(I)}));
+    this->apply();
+    for (int I = 0; I < 3; ++I) {
+      this->Callers.push_back(ProcessHarness::freeAddress());
+      this->Peers.push_back(ProcessHarness::freeAddress());
+    }
+    this->Daemons.resize(3);
+    for (std::size_t I = 0; I < 3; ++I)
+      this->startDaemon(I);
+    for (std::size_t I = 0; I < 3; ++I)
+      this->Harness.waitFor("three live daemons", [&] {
+        const json Answer =
+            this->Harness.getJson(this->Callers[I], "/v1/entries");
+        return Answer.is_object() && Answer["entries"].size() == 3 &&
+               this->Harness.get(this->Callers[I], "/healthz").isSuccess();
+      });
+  }
+
+  void apply() {
+    ListingParts Parts;
+    Parts.Engines = {{"steward-1", ProcessHarness::freeAddress(), "derwent"}};
+    for (Program *Each : this->Services)
+      Parts.PlainServers.push_back(
+          {"desk-" + std::to_string(Parts.PlainServers.size()), Each->address(),
+           "derwent"});
+    const ListingResult Read = parseListing(listingText(Parts));
+    HttpPlatform Api(this->Harness.client(), this->Platform.address());
+    ConfigStore Store(Api, this->Harness.loop().timers(), {});
+    std::optional<ApplyEnd> End;
+    Store.apply(Read.Config, {},
+                [&](const ApplyResult &Result) { End = Result.End; });
+    this->Harness.waitFor("the apply", [&] { return End.has_value(); });
+    ASSERT_EQ(End, ApplyEnd::Applied);
+  }
+
+  void startDaemon(std::size_t Index) {
+    std::string Seeds;
+    for (const SocketAddress &Each : this->Peers)
+      Seeds += (Seeds.empty() ? "" : ",") + Each.toString();
+    const std::array<std::string, 3> Zones = {"derwent", "wellington", "huon"};
+    this->Daemons[Index] = &this->Harness.start(
+        "galenarouted", {"--listen", this->Callers[Index].toString(),
+                         "--peer-listen", this->Peers[Index].toString(),
+                         "--platform", this->Platform.address().toString(),
+                         "--zone", Zones.at(Index), "--seeds", Seeds});
+    this->Daemons[Index]->setAddress(this->Callers[Index]);
+  }
+
+  void pay(std::size_t Daemon, const std::string &Key) {
+    KeyAnswers &Answers = this->Keys[Key];
+    ++Answers.Pending;
+    this->Harness.client().startDetached(
+        HttpCallBuilder(this->Callers[Daemon])
+            .post("/services/entries-desk/payments", "{\"amount\":5}")
+            .header("Authorization", "Bearer marshals-key")
+            .header("Idempotency-Key", Key)
+            .totalTimeout(10s)
+            .build(),
+        [&Answers](const HttpResult &Result) {
+          --Answers.Pending;
+          if (Result.isSuccess()) {
+            Answers.Bodies.insert(Result.Body);
+            return;
+          }
+          const json Body = json::parse(Result.Body, nullptr, false);
+          const bool NotRun = Result.End == HttpEnd::Complete &&
+                              Body.is_object() &&
+                              Body["error"]["run"] == "not_run";
+          ++(NotRun || Result.End == HttpEnd::ConnectFailed ? Answers.NotRun
+                                                            : Answers.Other);
+        });
+  }
+
+  void fault(Program &Of, const json &Fault) {
+    this->Harness.client().startDetached(HttpCallBuilder(Of.address())
+                                             .post("/admin/fault", Fault.dump())
+                                             .build(),
+                                         [](const HttpResult &) {});
+  }
+
+  void pass(Duration Time) {
+    this->Harness.loop().runUntil([] { return false; }, Time);
+  }
+
+  bool isQuiet() const {
+    return std::all_of(
+        this->Keys.begin(), this->Keys.end(),
+        [](const auto &Each) { return Each.second.Pending == 0; });
+  }
+
+  /// Returns the runs of each key over all services.
+  std::map<std::string, int> runs() {
+    std::map<std::string, int> Result;
+    for (Program *Each : this->Services) {
+      const json Body = this->Harness.getJson(Each->address(), "/admin/runs");
+      for (const auto &[Key, Count] : Body.at("runs").items())
+        Result[Key] += Count.get<int>();
+    }
+    return Result;
+  }
+
+  ProcessHarness Harness{GALENAROUTE_BUILD_DIR};
+  Program &Platform;
+  std::vector<Program *> Services;
+  std::vector<SocketAddress> Callers;
+  std::vector<SocketAddress> Peers;
+  std::vector<Program *> Daemons;
+  std::map<std::string, KeyAnswers> Keys;
+};
+
+// Guards against a payment that is taken twice, or taken after "not run".
+TEST_F(AtMostOnceTest, NoPaymentRunsTwiceUnderFaults) {
+  constexpr int Rounds = 150;
+  std::mt19937_64 Random(20240229);
+  bool IsFrozen = false;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    switch (Round) {
+    case 20:
+    case 100:
+      this->fault(this->Platform, {{"lose_replies", 5}});
+      break;
+    case 30:
+      this->fault(*this->Services[0], {{"lose_replies", 3}, {"drop", 2}});
+      break;
+    case 40:
+      this->Daemons[0]->signal(SIGKILL);
+      break;
+    case 55:
+      this->startDaemon(0);
+      break;
+    case 60:
+      this->Daemons[1]->signal(SIGSTOP);
+      IsFrozen = true;
+      break;
+    case 95:
+      // Long after the others have taken over its ranges.
+      this->Daemons[1]->signal(SIGCONT);
+      IsFrozen = false;
+      break;
+    case 110:
+      this->fault(this->Platform, {{"outage_ms", 1000}});
+      break;
+    case 130:
+      this->fault(this->Platform,
+                  {{"outage_ms", 500}, {"outage_silent", true}});
+      break;
+    default:
+      break;
+    }
+    // Each key is used by about four calls, some of them at the same time.
+    for (int I = 0; I < 3; ++I) {
+      const std::size_t Daemon = Random() % 3;
+      if (Daemon != 1 || !IsFrozen || Random() % 4 == 0)
+        this->pay(Daemon,
+                  "pay-" + std::to_string(Round * 3 / 4 +
+                                          static_cast<int>(Random() % 4)));
+    }
+    this->pass(80ms);
+  }
+  this->Harness.waitFor(
+      "all answers", [&] { return this->isQuiet(); }, 30s);
+  this->pass(3s);
+
+  int Ran = 0;
+  int Refused = 0;
+  std::map<std::string, int> Runs = this->runs();
+  for (const auto &[Key, Answers] : this->Keys) {
+    EXPECT_LE(Runs[Key], 1) << Key;
+    Ran += Runs[Key];
+    Refused += Answers.NotRun;
+    // All callers that got an answer got the same one.
+    EXPECT_LE(Answers.Bodies.size(), 1U) << Key;
+    if (!Answers.Bodies.empty()) {
+      EXPECT_EQ(Runs[Key], 1) << Key;
+    } else if (Answers.Other == 0) {
+      EXPECT_EQ(Runs[Key], 0) << Key << " ran after \"not run\"";
+    }
+  }
+  // The faults must not have stopped the payments altogether.
+  EXPECT_GT(Ran, Rounds / 4);
+  EXPECT_GT(Refused, 0);
+
+  // After the faults a repeat gets the first answer, or is told that the call
+  // may have run where the entry died with the outcome.
+  std::vector<std::string> Sample;
+  for (const auto &[Key, Answers] : this->Keys)
+    Sample.push_back(Key);
+  for (const std::string &Key : Sample)
+    this->pay(Random() % 3, Key);
+  this->Harness.waitFor(
+      "all answers", [&] { return this->isQuiet(); }, 30s);
+  this->pass(500ms);
+  std::size_t Answered = 0;
+  for (const auto &[Key, Count] : this->runs())
+    EXPECT_EQ(Count, 1) << Key;
+  for (const auto &[Key, Answers] : this->Keys) {
+    EXPECT_LE(Answers.Bodies.size(), 1U) << Key;
+    Answered += Answers.Bodies.size();
+  }
+  EXPECT_GT(Answered, this->Keys.size() / 2);
+  RecordProperty("keys", static_cast<int>(this->Keys.size()));
+  RecordProperty("ran_under_faults", Ran);
+  RecordProperty("refused", Refused);
+  RecordProperty("answered", static_cast<int>(Answered));
+}
+
+} // namespace
+} // namespace galenaroute::testing_support
