Connect the parts of the daemon in DaemonProcess

Cause: the daemon did not follow the platform, give orders to upstreams or hear of leaving VMs. Ruled out: wiring in main(), which no test could reach. Change: DaemonProcess owns Daemon, PeerServices, ConfigWatcher and OrderController; the daemon that rendezvous hashing prefers for a service asks for its lease; leaving upstreams of the VM list reach the dispatcher.

--- /dev/null
+++ b/src/process/DaemonProcess.h
@@ -0,0 +1,67 @@
+// All parts of one daemon process, connected to each other.
+//
+//   EventLoop Loop;
+//   DaemonProcess Process(Loop, Settings);
+//   Process.Stopped.connect([&] { Loop.stop(); });
+//   Process.start();
+//   Loop.run();
+//
+// Daemon serves callers; PeerServices works with the other daemons;
+// ConfigWatcher follows the configuration; OrderController gives orders to
+// upstreams. This class owns them and carries what one learns to the others.
+
+#ifndef GALENAROUTE_PROCESS_DAEMONPROCESS_H
+#define GALENAROUTE_PROCESS_DAEMONPROCESS_H
+
+#include "process/Daemon.h"
+#include "process/PeerServices.h"
+#include "version/ConfigWatcher.h"
+#include "version/OrderController.h"
+
+namespace galenaroute {
+
+/// The configuration as the watcher reads it from the platform.
+class WatchedConfig : public ConfigSource {
+public:
+  WatchedConfig(Platform &Api, TimerService &Timers);
+
+  ConfigurationPtr current() const override { return this->Watcher.current(); }
+  ConfigWatcher &watcher() { return this->Watcher; }
+
+private:
+  ConfigWatcher Watcher;
+};
+
+class DaemonProcess {
+public:
+  DaemonProcess(EventLoop &Loop, const DaemonSettings &Settings);
+  ~DaemonProcess();
+  DaemonProcess(const DaemonProcess &) = delete;
+  DaemonProcess &operator=(const DaemonProcess &) = delete;
+
+  /// Listens for callers and peers and begins to follow the platform.
+  void start();
+
+  /// Begins a graceful stop.
+  void drain() { this->Node->drain(); }
+
+  /// Emitted when a graceful stop is complete.
+  sigc::signal<void()> Stopped;
+
+private:
+  bool isPreferredFor(std::string_view Service) const;
+  void onVms(const std::vector<VmRecord> &Vms);
+
+  HttpClient PlatformHttp;
+  HttpPlatform Api;
+  std::shared_ptr<Timeline> Events;
+  std::shared_ptr<WatchedConfig> Config;
+  PeerServices Peers;
+  std::unique_ptr<Daemon> Node;
+  HttpUpstreamOrders UpstreamCalls;
+  std::unique_ptr<OrderController> Orders;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_PROCESS_DAEMONPROCESS_H
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -239,8 +239,8 @@
       Alone = Alone && !Each.Linked;
     }
     const auto &Settings = this->State.Settings;
-    this->State.NextProbe = this->Now + (Alone ? Settings.AloneProbePeriod
-                                               : Settings.ProbePeriod);
+    this->State.NextProbe =
+        this->Now + (Alone ? Settings.AloneProbePeriod : Settings.ProbePeriod);
     if (Candidates.empty())
       return;
     // A daemon without links tries a few at once, so that it starts quickly
--- a/src/process/PeerServices.h
+++ b/src/process/PeerServices.h
@@ -40,6 +40,7 @@
   std::shared_ptr<ClaimGate> claims() { return this->Claims; }
   bool isSettled() const { return this->Claims->isSettled(); }
   PeerNetwork &network() { return this->Network; }
+  const PeerNetwork &network() const { return this->Network; }
 
 private:
   ClaimPorts claimPorts();
