--- a/src/cli/CliMain.cpp
+++ b/src/cli/CliMain.cpp
@@ -1,7 +1,14 @@
-#include <CLI/CLI.hpp>
+#include "cli/Cli.h"
+
+#include <iostream>
 
 int main(int Argc, char **Argv) {
-  CLI::App App("galenaroute: command-line tool of the galenaroute system");
-  CLI11_PARSE(App, Argc, Argv);
-  return 0;
+  try {
+    galenaroute::EventLoop Loop;
+    return galenaroute::runCli({Argv + 1, Argv + Argc}, Loop, std::cout,
+                               std::cerr);
+  } catch (const std::exception &Failure) {
+    std::cerr << "galenaroute: " << Failure.what() << "\n";
+    return galenaroute::ExitInternal;
+  }
 }
--- a/src/version/ConfigFetch.cpp
+++ b/src/version/ConfigFetch.cpp
@@ -27,13 +27,12 @@
       const std::string Hash = std::move(this->Missing.back());
       this->Missing.pop_back();
       ++this->Open;
-      this->Api.get({ConfigDataKind, Hash},
-                    [Self = this->shared_from_this(),
-                     Hash](const PlatformResult &Got) {
-                      --Self->Open;
-                      Self->receive(Hash, Got);
-                      Self->proceed();
-                    });
+      this->Api.get({ConfigDataKind, Hash}, [Self = this->shared_from_this(),
+                                             Hash](const PlatformResult &Got) {
+        --Self->Open;
+        Self->receive(Hash, Got);
+        Self->proceed();
+      });
     }
     if (this->Open == 0 && this->Done)
       this->finish();
--- a/src/version/ConfigFetch.h
+++ b/src/version/ConfigFetch.h
@@ -31,8 +31,8 @@
   /// object that went missing or is damaged gives Unknown: reading again
   /// helps when the manifest was replaced in between.
   PlatformStatus Status = PlatformStatus::Unavailable;
-  std::string Problem;              ///< Set when Status is not Ok.
-  std::uint64_t Revision = 0;       ///< Where a watch can go on.
+  std::string Problem;               ///< Set when Status is not Ok.
+  std::uint64_t Revision = 0;        ///< Where a watch can go on.
   std::uint64_t ManifestVersion = 0; ///< 0: there is no manifest.
   std::optional<Manifest> Names;
   ConfigVersionPtr Version; ///< Null when the epoch is not above the bound.
--- a/src/version/ConfigObjects.cpp
+++ b/src/version/ConfigObjects.cpp
@@ -1,10 +1,10 @@
 #include "version/ConfigObjects.h"
 
 #include "process/ErrorKind.h"
+#include "process/Sha256.h"
 
 #include <algorithm>
 #include <bit>
-#include <openssl/evp.h>
 #include <set>
 
 namespace galenaroute {
@@ -131,32 +131,19 @@
   }
 }
 
-std::string contentHash(std::string_view Text) {
-  unsigned char Digest[EVP_MAX_MD_SIZE];
-  unsigned Length = 0;
-  if (EVP_Digest(Text.data(), Text.size(), Digest, &Length, EVP_sha256(),
-                 nullptr) != 1)
-    throw Error(ErrorKind::Internal, "SHA-256 is not available");
-  static constexpr std::string_view Digits = "0123456789abcdef";
-  std::string Result;
-  for (unsigned I = 0; I < Length; ++I) {
-    Result += Digits[Digest[I] >> 4];
-    Result += Digits[Digest[I] & 15];
-  }
-  return Result;
-}
+std::string contentHash(std::string_view Text) { return sha256Hex(Text); }
 
 bool isContentHash(std::string_view Text) {
-  return Text.size() == 64 && Text.find_first_not_of("0123456789abcdef") ==
-                                  std::string_view::npos;
+  return Text.size() == 64 &&
+         Text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
 }
 
 std::string manifestHash(const Manifest &Value) {
-  return contentHash(json{{"epoch", Value.Epoch},
-                          {"writer", Value.Writer},
-                          {"objects", Value.Objects}}
-                         .dump(-1, ' ', false,
-                               json::error_handler_t::replace));
+  return contentHash(json{
+      {"epoch", Value.Epoch},
+      {"writer", Value.Writer},
+      {"objects",
+       Value.Objects}}.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 ConfigVersionPtr encodeVersion(const Configuration &Config, std::uint64_t Epoch,
--- a/src/version/ConfigStore.cpp
+++ b/src/version/ConfigStore.cpp
@@ -149,9 +149,8 @@
                      "epoch " + std::to_string(this->baseEpoch()) +
                          " is in force instead of epoch " +
                          std::to_string(*this->SeenEpoch));
-    } else if (this->Base.Version &&
-               toRecords(*this->Base.Version->Config) ==
-                   toRecords(this->Wanted)) {
+    } else if (this->Base.Version && toRecords(*this->Base.Version->Config) ==
+                                         toRecords(this->Wanted)) {
       this->finish(ApplyEnd::Unchanged, this->baseEpoch(), "nothing to change");
     } else {
       this->prepare(Epoch);
@@ -245,7 +244,7 @@
   ConfigVersionPtr Next;
   std::vector<std::string> ToWrite;
   std::optional<std::uint64_t> WrittenAt; ///< Manifest version of ToWrite.
-  bool MayBeWritten = false; ///< A swap ended without an answer.
+  bool MayBeWritten = false;              ///< A swap ended without an answer.
 };
 
 /// One collection; any failure ends it, and a later one goes on.
@@ -347,8 +346,7 @@
   if (!this->Options.WallMillis)
     this->Options.WallMillis = [] {
       using namespace std::chrono;
-      return duration_cast<milliseconds>(
-                 system_clock::now().time_since_epoch())
+      return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
           .count();
     };
 }
@@ -363,8 +361,7 @@
                         std::optional<std::uint64_t> SeenEpoch,
                         OnApplied Done) {
   std::make_shared<ApplyRun>(this->Api, this->Timers, this->Options,
-                             this->Random(), Wanted, SeenEpoch,
-                             std::move(Done))
+                             this->Random(), Wanted, SeenEpoch, std::move(Done))
       ->start();
 }
 
--- a/src/version/ConfigWatcher.h
+++ b/src/version/ConfigWatcher.h
@@ -16,6 +16,7 @@
 #define GALENAROUTE_VERSION_CONFIGWATCHER_H
 
 #include "version/ConfigFetch.h"
+#include "version/ConfigSource.h"
 
 namespace galenaroute {
 
@@ -31,11 +32,11 @@
 };
 
 /// Holds the configuration in force and follows the manifest.
-class ConfigWatcher {
+class ConfigWatcher : public ConfigSource {
 public:
   ConfigWatcher(Platform &Api, TimerService &Timers,
                 const ConfigWatcherOptions &Options);
-  ~ConfigWatcher();
+  ~ConfigWatcher() override;
   ConfigWatcher(const ConfigWatcher &) = delete;
   ConfigWatcher &operator=(const ConfigWatcher &) = delete;
 
@@ -46,7 +47,7 @@
   void setWatching(bool Watch);
 
   /// Returns the configuration in force, null before the first one.
-  ConfigurationPtr current() const;
+  ConfigurationPtr current() const override;
 
   /// Returns the version in force with its objects, null before the first.
   const ConfigVersionPtr &version() const { return this->InForce; }
@@ -61,9 +62,6 @@
   /// Returns what went wrong last; empty when the last read succeeded.
   const std::string &problem() const { return this->Problem; }
 
-  /// Emitted when a higher epoch has come into force.
-  sigc::signal<void(ConfigurationPtr)> Changed;
-
 private:
   std::uint64_t epoch() const;
   void read();
--- a/src/version/Listing.cpp
+++ b/src/version/Listing.cpp
@@ -10,7 +10,7 @@
 
 /// Names and references of a listing, checked once all tables are read.
 struct References {
-  std::vector<Located<std::string>> Zones; ///< Uses of zones.
+  std::vector<Located<std::string>> Zones;   ///< Uses of zones.
   std::vector<Located<std::string>> Targets; ///< Names of services and stores.
   std::vector<Located<std::string>> Upstreams;
   std::vector<Located<std::string>> Customers;
@@ -21,8 +21,8 @@
 
 constexpr std::string_view Kinds[] = {"model", "plain"};
 constexpr std::string_view States[] = {"live", "leaving"};
-constexpr std::string_view Methods[] = {"GET",   "HEAD",   "OPTIONS", "POST",
-                                        "PUT",   "PATCH",  "DELETE"};
+constexpr std::string_view Methods[] = {"GET", "HEAD",  "OPTIONS", "POST",
+                                        "PUT", "PATCH", "DELETE"};
 
 std::vector<std::string> valuesOf(const std::vector<Located<std::string>> &In) {
   std::vector<std::string> Result;
@@ -70,17 +70,16 @@
   Service.WeightVersion = Reader.name("weight_version").Value;
   Service.Adapters = valuesOf(Reader.names("adapters", /*Required=*/false));
   Service.ChecksFence = Reader.boolean("checks_fence", false);
-  Service.MaxConcurrentLoads = static_cast<int>(
-      Reader.integer("max_concurrent_loads", 1, {1, 1000}));
+  Service.MaxConcurrentLoads =
+      static_cast<int>(Reader.integer("max_concurrent_loads", 1, {1, 1000}));
   Reader.forbid("calls", "applies only to services of kind \"plain\"");
 }
 
 void readPlainKeys(TableReader &Reader, ServiceConfig &Service,
                    ListingErrors &Errors) {
   Service.Calls = readCalls(Reader, Errors);
-  for (const std::string_view Key :
-       {"model", "weight_version", "adapters", "checks_fence",
-        "max_concurrent_loads"})
+  for (const std::string_view Key : {"model", "weight_version", "adapters",
+                                     "checks_fence", "max_concurrent_loads"})
     Reader.forbid(Key, "applies only to services of kind \"model\"");
 }
 
@@ -100,8 +99,7 @@
   else // Which keys belong here is unknown without the kind.
     Reader.skip({"model", "weight_version", "adapters", "checks_fence",
                  "max_concurrent_loads", "calls"});
-  Service.Slots =
-      static_cast<int>(Reader.integer("slots", 8, {1, 10000}));
+  Service.Slots = static_cast<int>(Reader.integer("slots", 8, {1, 10000}));
   Service.Deadline =
       Milliseconds(Reader.integer("deadline_ms", 30000, {100, 3600000}));
   for (const auto &Each : Reader.names("depends_on", /*Required=*/false)) {
@@ -145,10 +143,9 @@
   if (!Key.Value.empty() && !IsDigest)
     Errors.add(Key.Place, "is not a SHA-256 digest",
                "64 lower-case hexadecimal digits");
-  CustomerConfig Result{Name.Value, Key.Value,
-                        Reader.number("weight", 1, {0.01, 1000}),
-                        static_cast<int>(Reader.integer(
-                            "max_in_flight", 64, {1, 1000000}))};
+  CustomerConfig Result{
+      Name.Value, Key.Value, Reader.number("weight", 1, {0.01, 1000}),
+      static_cast<int>(Reader.integer("max_in_flight", 64, {1, 1000000}))};
   Reader.finish();
   Refs.Customers.push_back(Name);
   Refs.Keys.push_back(Key);
@@ -267,8 +264,8 @@
 std::string ListingError::toString(std::string_view File) const {
   std::string Result(File);
   if (this->Line > 0)
-    Result += ":" + std::to_string(this->Line) + ":" +
-              std::to_string(this->Column);
+    Result +=
+        ":" + std::to_string(this->Line) + ":" + std::to_string(this->Column);
   if (!this->Key.empty())
     Result += ": " + this->Key;
   Result += ": " + this->Message;
--- a/src/version/ListingReader.cpp
+++ b/src/version/ListingReader.cpp
@@ -274,8 +274,8 @@
   std::set<std::string_view> Seen;
   for (std::size_t I = 0; I < Array->size(); ++I) {
     const toml::node &Each = *Array->get(I);
-    const ListingPlace At = this->placeOf(
-        std::string(Key) + "[" + std::to_string(I) + "]", Each);
+    const ListingPlace At =
+        this->placeOf(std::string(Key) + "[" + std::to_string(I) + "]", Each);
     const auto Text = Each.value_exact<std::string_view>();
     if (!Text)
       this->Errors->add(At, wrongType(Each, "a string"), std::string(NameRule));
@@ -303,8 +303,8 @@
   std::vector<TableReader> Result;
   for (std::size_t I = 0; I < Array->size(); ++I) {
     const toml::node &Each = *Array->get(I);
-    ListingPlace At = this->placeOf(
-        std::string(Key) + "[" + std::to_string(I) + "]", Each);
+    ListingPlace At =
+        this->placeOf(std::string(Key) + "[" + std::to_string(I) + "]", Each);
     if (const toml::table *Inner = Each.as_table())
       Result.emplace_back(*Inner, std::move(At), *this->Errors);
     else
@@ -336,11 +336,10 @@
     if (this->Known.contains(Key.str()))
       continue;
     const toml::source_position At = Key.source().begin;
-    this->Errors->add(
-        {At.line, At.column,
-         (this->Place.Key.empty() ? "" : this->Place.Key + ".") +
-             std::string(Key.str().substr(0, 80))},
-        "is not a known key", Allowed);
+    this->Errors->add({At.line, At.column,
+                       (this->Place.Key.empty() ? "" : this->Place.Key + ".") +
+                           std::string(Key.str().substr(0, 80))},
+                      "is not a known key", Allowed);
   }
 }
 
