--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -8,6 +8,10 @@
 
 /// How often a daemon that is stopping looks whether all answers are sent.
 static constexpr auto IdlePoll = std::chrono::milliseconds(10);
+static constexpr auto LoadPeriod = std::chrono::milliseconds(200);
+/// How long a stop waits for the outcomes of claims to become durable, which
+/// takes long while the platform is down.
+static constexpr auto MaxSettling = std::chrono::seconds(10);
 
 namespace {
 
@@ -48,14 +52,24 @@
       Http(this->Given.Loop), Engines(this->Given.Loop, this->Http,
                                       this->Given.Settings.ConnectTimeout),
       Pools(this->Given.Loop, this->Http, poolOptions(this->Given.Settings)),
+      Fleet(this->Given.Config ? nullptr
+                               : std::make_unique<Cluster>(
+                                     this->Given.Loop, this->Http, this->Events,
+                                     this->Pools, this->Given.Settings)),
       Open(this->Given.Loop, this->Stats),
       Context{this->Given.Settings, this->Given.Loop, this->Http,
-              this->Engines,        this->Pools,      *this->Given.Claims,
+              this->Engines,        this->Pools,      this->claims(),
               this->Events,         this->Stats,      this->Open},
-      Api(this->Context, *this->Given.Config,
+      Api(this->Context, this->config(),
           {.Entries = [this] { return this->entries(); },
            .State = [this] { return this->State; },
-           .Drain = [this] { this->drain(); }}),
+           .Drain = [this] { this->drain(); },
+           .AddStatus =
+               [this](nlohmann::json &Status) {
+                 Status["queued"] = this->Pools.queued();
+                 if (this->Fleet)
+                   this->Fleet->addStatus(Status);
+               }}),
       Server(this->Given.Loop,
              {.MaxBodyBytes = this->Given.Settings.MaxBodyBytes,
               .MaxHeaderBytes = this->Given.Settings.MaxHeaderBytes}) {
@@ -70,19 +84,33 @@
         {{"epoch", std::to_string(Next->Epoch)}});
     this->Pools.setConfiguration(Next);
   };
-  this->ConfigChanged = this->Given.Config->Changed.connect(NoteEpoch);
-  if (const ConfigurationPtr Current = this->Given.Config->current())
+  this->ConfigChanged = this->config().Changed.connect(NoteEpoch);
+  if (const ConfigurationPtr Current = this->config().current())
     NoteEpoch(Current);
 }
 
 Daemon::~Daemon() {
   this->DrainTimer.disconnect();
+  this->LoadTimer.disconnect();
   this->ConfigChanged.disconnect();
 }
 
+ConfigSource &Daemon::config() const {
+  return this->Fleet ? this->Fleet->config() : *this->Given.Config;
+}
+
+ClaimGate &Daemon::claims() const {
+  return this->Fleet ? this->Fleet->claims() : *this->Given.Claims;
+}
+
 std::uint16_t Daemon::start() {
   const DaemonSettings &Settings = this->Given.Settings;
   const std::uint16_t Port = this->Server.listen(Settings.Listen);
+  if (this->Fleet) {
+    this->Fleet->start();
+    this->LoadTimer = this->Given.Loop.timers().every(
+        LoadPeriod, [this] { this->Fleet->setLoad(this->Open.count()); });
+  }
   log(LogLevel::Info, "daemon.started",
       {{"node", Settings.NodeId},
        {"zone", Settings.Zone},
@@ -91,8 +119,12 @@
 }
 
 std::vector<EntryAddress> Daemon::entries() const {
-  if (this->Given.Entries)
-    return this->Given.Entries();
+  if (this->Fleet) {
+    std::vector<EntryAddress> Result;
+    for (const Entry &Each : this->Fleet->entries().Entries)
+      Result.push_back({Each.Address.toString(), Each.Zone});
+    return Result;
+  }
   if (this->State != ServingState::Serving)
     return {};
   return {
@@ -104,6 +136,8 @@
     return;
   this->State = ServingState::Withdrawn;
   this->Stats.Draining.Set(1);
+  if (this->Fleet)
+    this->Fleet->leave();
   this->Events.record("drain.withdrawn", {}, {});
   log(LogLevel::Info, "drain.withdrawn",
       {{"keep_ms", std::to_string(this->Given.Settings.KeepEntries.count())}});
@@ -113,6 +147,7 @@
 
 void Daemon::finish() {
   this->State = ServingState::Finishing;
+  this->FinishingSince = EventLoop::now();
   this->Server.stopListening();
   this->Events.record("drain.finishing", {},
                       std::to_string(this->Open.count()));
@@ -125,14 +160,18 @@
 void Daemon::stopIfIdle() {
   if (this->Open.count() > 0 || this->Server.unsentReplies() > 0)
     return;
+  // An outcome that is lost with the process counts as "may have run".
+  if (this->Fleet && !this->Fleet->isSettled() &&
+      EventLoop::now() < this->FinishingSince + MaxSettling)
+    return;
   this->DrainTimer.disconnect();
   log(LogLevel::Info, "daemon.stopped");
   this->Stopped.emit();
 }
 
 DaemonBuilder::DaemonBuilder(EventLoop &Loop, DaemonSettings Settings)
-    : Parts{Loop, std::move(Settings), std::make_shared<FixedConfig>(),
-            std::make_shared<RefusingClaimGate>(Loop), nullptr} {}
+    : Parts{Loop, std::move(Settings), nullptr,
+            std::make_shared<RefusingClaimGate>(Loop)} {}
 
 DaemonBuilder &DaemonBuilder::config(std::shared_ptr<ConfigSource> Source) {
   this->Parts.Config = std::move(Source);
@@ -144,12 +183,6 @@
   return *this;
 }
 
-DaemonBuilder &
-DaemonBuilder::entries(std::function<std::vector<EntryAddress>()> Entries) {
-  this->Parts.Entries = std::move(Entries);
-  return *this;
-}
-
 std::unique_ptr<Daemon> DaemonBuilder::build() {
   return std::unique_ptr<Daemon>(new Daemon(std::move(this->Parts)));
 }
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -13,6 +13,7 @@
 #ifndef GALENAROUTE_PROCESS_DAEMON_H
 #define GALENAROUTE_PROCESS_DAEMON_H
 
+#include "process/Cluster.h"
 #include "request/CallerApi.h"
 
 #include <memory>
@@ -41,9 +42,10 @@
     DaemonSettings Settings;
     std::shared_ptr<ConfigSource> Config;
     std::shared_ptr<ClaimGate> Claims;
-    std::function<std::vector<EntryAddress>()> Entries;
   };
   explicit Daemon(Parts Given);
+  ConfigSource &config() const;
+  ClaimGate &claims() const;
   void finish();
   void stopIfIdle();
   std::vector<EntryAddress> entries() const;
@@ -55,25 +57,27 @@
   HttpClient Http;
   HttpEngine Engines;
   UpstreamPools Pools;
+  /// Null when the configuration was given to the builder.
+  std::unique_ptr<Cluster> Fleet;
   OpenRequests Open;
   RequestContext Context;
   CallerApi Api;
   HttpServer Server;
+  TimePoint FinishingSince{};
   sigc::connection DrainTimer;
+  sigc::connection LoadTimer;
   sigc::connection ConfigChanged;
 };
 
-/// Builds a Daemon. Parts that are not given are replaced by ones that are safe
-/// but serve nothing: no configuration, and no claim is granted.
+/// Builds a Daemon. By default it follows the platform and its peers. With a
+/// configuration from config() it stands alone, and grants no claims unless a
+/// gate is given too.
 class DaemonBuilder {
 public:
   DaemonBuilder(EventLoop &Loop, DaemonSettings Settings);
 
   DaemonBuilder &config(std::shared_ptr<ConfigSource> Source);
   DaemonBuilder &claims(std::shared_ptr<ClaimGate> Gate);
-  /// \p Entries returns the addresses for callers while this daemon serves; by
-  /// default only its own.
-  DaemonBuilder &entries(std::function<std::vector<EntryAddress>()> Entries);
   std::unique_ptr<Daemon> build();
 
 private:
--- a/src/process/ServicePool.h
+++ b/src/process/ServicePool.h
@@ -102,6 +102,9 @@
 
   std::vector<std::string> upstreams() const;
   std::size_t queued() const { return this->Admission.Queued.size(); }
+  bool hasWork() const {
+    return !this->Admission.Queued.empty() || !this->Admission.Running.empty();
+  }
   RetryBudget &retries() { return this->Retries; }
 
 private:
--- a/src/process/UpstreamPools.cpp
+++ b/src/process/UpstreamPools.cpp
@@ -1,5 +1,6 @@
 #include "process/UpstreamPools.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace galenaroute {
@@ -85,6 +86,11 @@
   return Sum;
 }
 
+bool UpstreamPools::hasWork() const {
+  return std::any_of(this->Pools.begin(), this->Pools.end(),
+                     [](const auto &Each) { return Each.second->hasWork(); });
+}
+
 void UpstreamPools::poll() {
   if (!this->Current)
     return;
--- a/src/process/UpstreamPools.h
+++ b/src/process/UpstreamPools.h
@@ -42,6 +42,9 @@
 
   std::size_t queued() const;
 
+  /// Returns whether any request is queued or running.
+  bool hasWork() const;
+
 private:
   void update();
   void poll();
