--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -3,15 +3,16 @@
 #include "process/Log.h"
 
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace galenaroute {
 
 /// How often a daemon that is stopping looks whether all answers are sent.
 static constexpr auto IdlePoll = std::chrono::milliseconds(10);
-static constexpr auto LoadPeriod = std::chrono::milliseconds(200);
-/// How long a stop waits for the outcomes of claims to become durable, which
-/// takes long while the platform is down.
-static constexpr auto MaxSettling = std::chrono::seconds(10);
+
+/// How long a daemon that is stopping waits for outcomes to become durable. A
+/// platform outage may last longer than anyone waits for a stop.
+static constexpr auto SettleLimit = std::chrono::seconds(5);
 
 namespace {
 
@@ -33,84 +34,61 @@
   EventLoop &Loop;
 };
 
-PoolOptions poolOptions(const DaemonSettings &Settings) {
-  static const std::map<std::string_view, RoutePolicy> Policies = {
-      {"expected-time", RoutePolicy::ExpectedTime},
-      {"random", RoutePolicy::Random},
-      {"round-robin", RoutePolicy::RoundRobin},
-      {"least-outstanding", RoutePolicy::LeastOutstanding},
-      {"affinity", RoutePolicy::Affinity}};
-  return {Policies.at(Settings.RoutingPolicy), Settings.NodeId, Settings.Zone,
-          Settings.Zone, Settings.RetryShare};
-}
-
 } // namespace
 
+static DispatcherSettings dispatcherSettings(const DaemonSettings &Settings) {
+  DispatcherSettings Result;
+  Result.Self = Settings.NodeId;
+  Result.Zone = Settings.Zone;
+  Result.Policy = routePolicyFromName(Settings.RoutingPolicy)
+                      .value_or(RoutePolicy::ExpectedTime);
+  return Result;
+}
+
 Daemon::Daemon(Parts Parts)
-    : Given(std::move(Parts)),
-      Events(this->Given.Settings.NodeId, this->Given.Settings.TimelineEvents),
+    : Given(std::move(Parts)), Events(*this->Given.Events),
       Http(this->Given.Loop), Engines(this->Given.Loop, this->Http,
                                       this->Given.Settings.ConnectTimeout),
-      Pools(this->Given.Loop, this->Http, poolOptions(this->Given.Settings)),
-      Fleet(this->Given.Config ? nullptr
-                               : std::make_unique<Cluster>(
-                                     this->Given.Loop, this->Http, this->Events,
-                                     this->Pools, this->Given.Settings)),
+      Dispatch(this->Given.Loop, this->Http, this->Events,
+               dispatcherSettings(this->Given.Settings),
+               std::random_device()()),
       Open(this->Given.Loop, this->Stats),
       Context{this->Given.Settings, this->Given.Loop, this->Http,
-              this->Engines,        this->Pools,      this->claims(),
-              this->Events,         this->Stats,      this->Open},
-      Api(this->Context, this->config(),
+              this->Engines,        this->Dispatch,   *this->Given.Claims,
+              this->Events,         this->Stats,      this->Open,
+              this->Retries},
+      Api(this->Context, *this->Given.Config,
           {.Entries = [this] { return this->entries(); },
            .State = [this] { return this->State; },
-           .Drain = [this] { this->drain(); },
-           .AddStatus =
-               [this](nlohmann::json &Status) {
-                 Status["queued"] = this->Pools.queued();
-                 if (this->Fleet)
-                   this->Fleet->addStatus(Status);
-               }}),
+           .Drain = [this] { this->drain(); }}),
       Server(this->Given.Loop,
              {.MaxBodyBytes = this->Given.Settings.MaxBodyBytes,
               .MaxHeaderBytes = this->Given.Settings.MaxHeaderBytes}) {
+  this->Retries.Share = this->Given.Settings.RetryShare;
   this->Server.handle(
       [this](HttpRequest Request, const std::shared_ptr<HttpReply> &Reply) {
         this->Api.handle(std::move(Request), Reply);
       });
   const auto NoteEpoch = [this](const ConfigurationPtr &Next) {
+    this->Dispatch.setConfig(Next);
     this->Stats.ConfigEpoch.Set(static_cast<double>(Next->Epoch));
     this->Events.record("config.in_force", {}, std::to_string(Next->Epoch));
     log(LogLevel::Info, "config.in_force",
         {{"epoch", std::to_string(Next->Epoch)}});
-    this->Pools.setConfiguration(Next);
   };
-  this->ConfigChanged = this->config().Changed.connect(NoteEpoch);
-  if (const ConfigurationPtr Current = this->config().current())
+  this->ConfigChanged = this->Given.Config->Changed.connect(NoteEpoch);
+  if (const ConfigurationPtr Current = this->Given.Config->current())
     NoteEpoch(Current);
 }
 
 Daemon::~Daemon() {
   this->DrainTimer.disconnect();
-  this->LoadTimer.disconnect();
   this->ConfigChanged.disconnect();
 }
 
-ConfigSource &Daemon::config() const {
-  return this->Fleet ? this->Fleet->config() : *this->Given.Config;
-}
-
-ClaimGate &Daemon::claims() const {
-  return this->Fleet ? this->Fleet->claims() : *this->Given.Claims;
-}
-
 std::uint16_t Daemon::start() {
   const DaemonSettings &Settings = this->Given.Settings;
   const std::uint16_t Port = this->Server.listen(Settings.Listen);
-  if (this->Fleet) {
-    this->Fleet->start();
-    this->LoadTimer = this->Given.Loop.timers().every(
-        LoadPeriod, [this] { this->Fleet->setLoad(this->Open.count()); });
-  }
   log(LogLevel::Info, "daemon.started",
       {{"node", Settings.NodeId},
        {"zone", Settings.Zone},
@@ -119,12 +97,8 @@
 }
 
 std::vector<EntryAddress> Daemon::entries() const {
-  if (this->Fleet) {
-    std::vector<EntryAddress> Result;
-    for (const Entry &Each : this->Fleet->entries().Entries)
-      Result.push_back({Each.Address.toString(), Each.Zone});
-    return Result;
-  }
+  if (this->Given.Entries)
+    return this->Given.Entries();
   if (this->State != ServingState::Serving)
     return {};
   return {
@@ -136,9 +110,8 @@
     return;
   this->State = ServingState::Withdrawn;
   this->Stats.Draining.Set(1);
-  if (this->Fleet)
-    this->Fleet->leave();
   this->Events.record("drain.withdrawn", {}, {});
+  this->Withdrawn.emit();
   log(LogLevel::Info, "drain.withdrawn",
       {{"keep_ms", std::to_string(this->Given.Settings.KeepEntries.count())}});
   this->DrainTimer = this->Given.Loop.timers().after(
@@ -160,9 +133,8 @@
 void Daemon::stopIfIdle() {
   if (this->Open.count() > 0 || this->Server.unsentReplies() > 0)
     return;
-  // An outcome that is lost with the process counts as "may have run".
-  if (this->Fleet && !this->Fleet->isSettled() &&
-      EventLoop::now() < this->FinishingSince + MaxSettling)
+  if (this->Given.IsSettled && !this->Given.IsSettled() &&
+      EventLoop::now() - this->FinishingSince < SettleLimit)
     return;
   this->DrainTimer.disconnect();
   log(LogLevel::Info, "daemon.stopped");
@@ -170,8 +142,13 @@
 }
 
 DaemonBuilder::DaemonBuilder(EventLoop &Loop, DaemonSettings Settings)
-    : Parts{Loop, std::move(Settings), nullptr,
-            std::make_shared<RefusingClaimGate>(Loop)} {}
+    : Parts{Loop,
+            std::move(Settings),
+            std::make_shared<FixedConfig>(),
+            std::make_shared<RefusingClaimGate>(Loop),
+            nullptr,
+            nullptr,
+            nullptr} {}
 
 DaemonBuilder &DaemonBuilder::config(std::shared_ptr<ConfigSource> Source) {
   this->Parts.Config = std::move(Source);
@@ -183,7 +160,26 @@
   return *this;
 }
 
+DaemonBuilder &
+DaemonBuilder::entries(std::function<std::vector<EntryAddress>()> Entries) {
+  this->Parts.Entries = std::move(Entries);
+  return *this;
+}
+
+DaemonBuilder &DaemonBuilder::settled(std::function<bool()> IsSettled) {
+  this->Parts.IsSettled = std::move(IsSettled);
+  return *this;
+}
+
+DaemonBuilder &DaemonBuilder::timeline(std::shared_ptr<Timeline> Events) {
+  this->Parts.Events = std::move(Events);
+  return *this;
+}
+
 std::unique_ptr<Daemon> DaemonBuilder::build() {
+  if (!this->Parts.Events)
+    this->Parts.Events = std::make_shared<Timeline>(
+        this->Parts.Settings.NodeId, this->Parts.Settings.TimelineEvents);
   return std::unique_ptr<Daemon>(new Daemon(std::move(this->Parts)));
 }
 
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -13,7 +13,6 @@
 #ifndef GALENAROUTE_PROCESS_DAEMON_H
 #define GALENAROUTE_PROCESS_DAEMON_H
 
-#include "process/Cluster.h"
 #include "request/CallerApi.h"
 
 #include <memory>
@@ -32,6 +31,12 @@
   /// Begins a graceful stop; further calls change nothing.
   void drain();
 
+  /// Returns the number of requests in progress.
+  std::size_t openRequests() const { return this->Open.count(); }
+
+  /// Emitted when a graceful stop begins.
+  sigc::signal<void()> Withdrawn;
+
   /// Emitted when a graceful stop is complete.
   sigc::signal<void()> Stopped;
 
@@ -42,42 +47,48 @@
     DaemonSettings Settings;
     std::shared_ptr<ConfigSource> Config;
     std::shared_ptr<ClaimGate> Claims;
+    std::function<std::vector<EntryAddress>()> Entries;
+    std::function<bool()> IsSettled;
+    std::shared_ptr<Timeline> Events;
   };
   explicit Daemon(Parts Given);
-  ConfigSource &config() const;
-  ClaimGate &claims() const;
   void finish();
   void stopIfIdle();
   std::vector<EntryAddress> entries() const;
 
   Parts Given;
   ServingState State = ServingState::Serving;
-  Timeline Events;
+  Timeline &Events;
   Metrics Stats;
   HttpClient Http;
   HttpEngine Engines;
-  UpstreamPools Pools;
-  /// Null when the configuration was given to the builder.
-  std::unique_ptr<Cluster> Fleet;
+  Dispatcher Dispatch;
+  RetryBudget Retries;
   OpenRequests Open;
   RequestContext Context;
   CallerApi Api;
   HttpServer Server;
-  TimePoint FinishingSince{};
+  TimePoint FinishingSince;
   sigc::connection DrainTimer;
-  sigc::connection LoadTimer;
   sigc::connection ConfigChanged;
 };
 
-/// Builds a Daemon. By default it follows the platform and its peers. With a
-/// configuration from config() it stands alone, and grants no claims unless a
-/// gate is given too.
+/// Builds a Daemon. Parts that are not given are replaced by ones that are safe
+/// but serve nothing: no configuration, and no claim is granted.
 class DaemonBuilder {
 public:
   DaemonBuilder(EventLoop &Loop, DaemonSettings Settings);
 
   DaemonBuilder &config(std::shared_ptr<ConfigSource> Source);
   DaemonBuilder &claims(std::shared_ptr<ClaimGate> Gate);
+  /// \p Entries returns the addresses for callers while this daemon serves; by
+  /// default only its own.
+  DaemonBuilder &entries(std::function<std::vector<EntryAddress>()> Entries);
+  /// \p IsSettled returns whether all outcomes of calls are durable; a stop
+  /// waits for it, for a bounded time.
+  DaemonBuilder &settled(std::function<bool()> IsSettled);
+  /// Shares the time line with parts that are outside of the daemon.
+  DaemonBuilder &timeline(std::shared_ptr<Timeline> Events);
   std::unique_ptr<Daemon> build();
 
 private:
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -1,6 +1,6 @@
 #include "request/ModelRun.h"
 
-#include "request/BlockChain.h"
+#include "process/Sha256.h"
 
 #include <chrono>
 
@@ -9,6 +9,11 @@
 /// How often a stream that waits for its caller looks whether it may go on.
 static constexpr auto BufferPoll = std::chrono::milliseconds(20);
 
+/// Without a tokenizer, 4 bytes of text count as one token.
+static std::uint64_t tokensOf(std::string_view Text) {
+  return (Text.size() + 3) / 4;
+}
+
 static AttemptPolicy policyOf(const RequestContext &Context,
                               const RequestInfo &Info, bool Streaming) {
   const DaemonSettings &Settings = Context.Settings;
@@ -35,36 +40,34 @@
   return newAttempt(Policy);
 }
 
+static DispatchRequest dispatchOf(const RequestInfo &Info,
+                                  const PromptRequest &Prompt) {
+  const ServiceConfig &Service = *Info.Config->findService(Info.Service);
+  const CacheScope Scope{Info.Customer, Service.Model, Service.WeightVersion,
+                         Prompt.Adapter};
+  return {.Config = Info.Config,
+          .RequestId = Info.id(),
+          .Service = Info.Service,
+          .Customer = Info.Customer,
+          // An empty prompt is still a prompt.
+          .PromptTokens = std::max(estimateTokens(Prompt.Prompt), 1.0),
+          .RequestedTokens = static_cast<double>(Prompt.MaxTokens),
+          .Keys = blockKeys(Scope, Prompt.Prompt),
+          .Content = contentDigest(Service.Model + "/" + Prompt.Adapter,
+                                   Prompt.Prompt),
+          .Deadline = Info.Arrived + Service.Deadline,
+          .Streaming = Prompt.Stream};
+}
+
 ModelRun::ModelRun(RequestContext &Context, RequestInfo Given,
                    PromptRequest Asked, const std::optional<ResumePoint> &From)
     : RequestRun(Context, Given, stateOf(Context, Given, Asked, From)),
-      Prompt(std::move(Asked)) {
+      Prompt(std::move(Asked)),
+      Ticket(Context.Dispatch, dispatchOf(this->Info, this->Prompt)) {
   this->Head = {
       this->Prompt.Api, this->Info.id(), this->service().Model,
       std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())};
-  const double Tokens = estimateTokens(this->Prompt.Prompt);
-  this->End.PromptTokens = static_cast<std::uint64_t>(Tokens);
-  this->Work.PromptTokens = Tokens;
-  this->Work.RequestedTokens = static_cast<double>(this->Prompt.MaxTokens);
-  this->Work.Class = classifyPrompt({Tokens, this->Work.RequestedTokens}, {});
-  this->Work.WeightVersion = this->service().WeightVersion;
-  this->computeKeys(this->Work.WeightVersion);
-  // Prompts that share their first block belong together.
-  this->Work.AffinityHash = std::hash<std::string_view>()(
-      this->BlockKeys.empty() ? std::string_view(this->Prompt.Prompt)
-                              : std::string_view(this->BlockKeys.front()));
-}
-
-void ModelRun::computeKeys(const std::string &WeightVersion) {
-  if (this->KeysVersion == WeightVersion && !this->BlockKeys.empty())
-    return;
-  this->KeysVersion = WeightVersion;
-  this->BlockKeys.clear();
-  for (const BlockKey &Each :
-       blockKeys({this->Info.Customer, this->service().Model, WeightVersion,
-                  this->Prompt.Adapter},
-                 this->Prompt.Prompt))
-    this->BlockKeys.push_back(toHex(Each));
+  this->End.PromptTokens = tokensOf(this->Prompt.Prompt);
 }
 
 ModelRun::~ModelRun() {
@@ -75,6 +78,8 @@
 void ModelRun::execute(const AttemptAction &Action) {
   using Kind = AttemptAction::Kind;
   switch (Action.What) {
+  case Kind::Choose:
+    return this->choose(this->Ticket);
   case Kind::Send:
     return this->send(Action);
   case Kind::Resume:
@@ -96,25 +101,22 @@
 
 void ModelRun::send(const AttemptAction &Action) {
   this->close();
-  this->noteSent(Action);
-  // The keys must be those of the weights that will run the prompt; the engine
-  // refuses the call if it has other weights by then.
-  const std::string &Version = this->Chosen.WeightVersion.empty()
-                                   ? this->service().WeightVersion
-                                   : this->Chosen.WeightVersion;
-  this->computeKeys(Version);
-  this->Stream = this->Context.Engines.generate(
-      *this->addressOf(Action.Upstream),
-      {.Attempt = Action.Attempt,
-       .Customer = this->Info.Customer,
-       .Prompt = this->Prompt.Prompt,
-       .BlockKeys = this->BlockKeys,
-       .PromptTokens = this->End.PromptTokens,
-       .MaxTokens = this->Prompt.MaxTokens,
-       .Priority = enginePriority(this->Work.Class),
-       .WeightVersion = Version,
-       .Adapter = this->Prompt.Adapter},
-      this->callbacks(Action.Connection));
+  std::vector<std::string> Keys;
+  for (const BlockKey &Key : this->Ticket.keys())
+    Keys.push_back(toHex(Key));
+  const ServiceConfig &Service = this->service();
+  this->Stream =
+      this->Context.Engines.generate(*this->addressOf(Action.Upstream),
+                                     {.Attempt = Action.Attempt,
+                                      .Customer = this->Info.Customer,
+                                      .Prompt = this->Prompt.Prompt,
+                                      .BlockKeys = Keys,
+                                      .PromptTokens = this->End.PromptTokens,
+                                      .MaxTokens = this->Prompt.MaxTokens,
+                                      .Priority = this->Priority,
+                                      .WeightVersion = Service.WeightVersion,
+                                      .Adapter = this->Prompt.Adapter},
+                                     this->callbacks(Action.Connection));
 }
 
 void ModelRun::resume(const AttemptAction &Action) {
@@ -138,7 +140,7 @@
           .OnEnd =
               [this, Connection](const HttpResult &Result) {
                 if (Connection == this->State.Connection)
-                  this->Failure = failureOf(Result);
+                  report(this->Ticket, Result);
                 this->post(attempt::Ended{Connection,
                                           Result.End == HttpEnd::Complete,
                                           Result.BytesSent, Result.Status});
@@ -149,12 +151,12 @@
                       std::optional<EngineLine> Line) {
   if (!Line)
     return this->post(attempt::BadLine{Connection});
-  if (!Line->IsDone) {
-    if (Line->Attempt == this->State.Attempt && Line->Offset == 0)
-      this->pool().noteFirstToken(Line->Attempt);
+  if (Connection == this->State.Connection &&
+      Line->Attempt == this->State.Attempt)
+    this->Ticket.firstToken();
+  if (!Line->IsDone)
     return this->post(attempt::Line{Connection, std::move(Line->Attempt),
                                     Line->Offset, std::move(Line->Text)});
-  }
   if (Line->Attempt == this->State.Attempt) {
     this->End.Tokens = Line->Tokens;
     this->End.CachedTokens = Line->CachedTokens;
@@ -209,7 +211,7 @@
 
 void ModelRun::finish(const AttemptAction &Action) {
   this->Context.Engines.finish(std::move(this->Stream));
-  this->noteFinished(static_cast<double>(this->End.Tokens));
+  this->Ticket.finished(static_cast<double>(this->End.Tokens));
   this->Context.Stats.promptTokens(this->Info.Service,
                                    static_cast<double>(this->End.PromptTokens),
                                    static_cast<double>(this->End.CachedTokens));
--- a/src/request/RequestRun.h
+++ b/src/request/RequestRun.h
@@ -12,13 +12,14 @@
 
 #include "connection/Engine.h"
 #include "process/DaemonSettings.h"
+#include "process/Dispatcher.h"
 #include "process/EventLoop.h"
 #include "process/Metrics.h"
 #include "process/Timeline.h"
-#include "process/UpstreamPools.h"
 #include "request/Attempt.h"
 #include "request/CallerReply.h"
 #include "request/ClaimGate.h"
+#include "request/RetryBudget.h"
 #include "version/Configuration.h"
 
 #include <deque>
@@ -35,11 +36,12 @@
   EventLoop &Loop;
   HttpClient &Http;
   Engine &Engines;
-  UpstreamPools &Pools;
+  Dispatcher &Dispatch;
   ClaimGate &Claims;
   Timeline &Events;
   Metrics &Stats;
   OpenRequests &Open;
+  RetryBudget &Retries;
 };
 
 /// One authenticated request to a service.
@@ -59,9 +61,8 @@
   RequestRun(const RequestRun &) = delete;
   RequestRun &operator=(const RequestRun &) = delete;
 
-  /// Queues the run, which starts when it is admitted. The rest of a stream
-  /// that already runs starts at once.
-  void begin();
+  /// Starts the run; called once.
+  void start() { this->post(attempt::Start{}); }
 
   const std::string &customer() const { return this->Info.Customer; }
 
@@ -82,18 +83,11 @@
   /// Carries out an action that depends on the kind of service.
   virtual void execute(const AttemptAction &Action) = 0;
 
-  ServicePool &pool() { return this->Context.Pools.of(this->Info.Service); }
+  /// Chooses an upstream through \p Ticket and posts the answer.
+  void choose(DispatchTicket &Ticket);
 
-  /// Chooses an upstream for the next attempt and posts the answer.
-  void choose();
-
-  /// Reports the current attempt to the pool: it was sent, and how it ended.
-  void noteSent(const AttemptAction &Action);
-  void noteFinished(double Tokens);
-  void noteFailed(AttemptFailure Failure);
-
-  /// Returns what the end of a connection says about its upstream.
-  static AttemptFailure failureOf(const HttpResult &Result);
+  /// Reports to \p Ticket how a connection to an upstream ended.
+  static void report(DispatchTicket &Ticket, const HttpResult &Result);
 
   /// Returns the address of the upstream \p Name of this request's service, or
   /// null.
@@ -106,15 +100,12 @@
   RequestContext &Context;
   RequestInfo Info;
   AttemptState State;
-  RequestWork Work; ///< Filled in by the derived class.
-  ChosenUpstream Chosen;
-  /// What ended the connection of the current attempt, if anything did.
-  AttemptFailure Failure = AttemptFailure::Cancelled;
+  int Priority = 0; ///< For the engine; of the last choice.
 
 private:
   void handle(const AttemptAction &Action);
   void record(const AttemptAction &Action);
-  void fail(const Error &Failure);
+  void fail(ErrorKind Kind);
   void arm();
   void endIfOver();
 
@@ -122,7 +113,8 @@
   bool IsStepping = false;
   bool HasEnded = false;
   std::string Outcome = "caller_left";
-  std::string NotedAttempt; ///< Sent, and its end not reported to the pool.
+  /// Why nothing was chosen, for the answer to the caller.
+  std::optional<AdmissionRefusal> Refusal;
   sigc::connection Timer;
   sigc::connection CallerClosed;
 };
@@ -142,6 +134,7 @@
   RequestRun *findStream(std::string_view Customer, std::string_view Attempt);
 
   std::size_t count() const { return this->Runs.size(); }
+  int countOf(const std::string &Customer) const;
 
   /// Emitted when the last request has ended.
   sigc::signal<void()> Emptied;
@@ -150,6 +143,7 @@
   EventLoop &Loop;
   Metrics &Stats;
   std::map<const RequestRun *, std::unique_ptr<RequestRun>> Runs;
+  std::map<std::string, int> ByCustomer;
   std::vector<std::unique_ptr<RequestRun>> Ended;
   sigc::connection Collect;
 };
