--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -32,7 +32,8 @@
   AtMostOnceTest() : Platform(Harness.startEmulator("platform", {})) {
     for (int I = 0; I < 2; ++I)
       this->Services.push_back(&this->Harness.startEmulator(
-          "service", {"--name", "desk-" + std::to_string(I)}));
+          "service", {"--name", "desk-" + std::to_string(I), "--run-ms", "200",
+                      "--slots", "32"}));
     this->apply();
     for (int I = 0; I < 3; ++I) {
       this->Callers.push_back(ProcessHarness::freeAddress());
@@ -112,6 +113,43 @@
                                          [](const HttpResult &) {});
   }
 
+  /// Causes the failures of one round.
+  void induce(int Round) {
+    // Daemons 0 and 2 are killed in turn, with calls underway.
+    const std::size_t Victim = Round / 25 % 2 == 0 ? 0 : 2;
+    if (Round % 25 == 15)
+      this->Daemons[Victim]->signal(SIGKILL);
+    if (Round % 25 == 22)
+      this->startDaemon(Victim);
+    switch (Round) {
+    case 20:
+    case 100:
+      this->fault(this->Platform, {{"lose_replies", 5}});
+      break;
+    case 30:
+      this->fault(*this->Services[0], {{"lose_replies", 3}, {"drop", 2}});
+      break;
+    case 55:
+      this->Daemons[1]->signal(SIGSTOP);
+      this->IsFrozen = true;
+      break;
+    case 105:
+      // Long after the others declared it dead and took over its ranges.
+      this->Daemons[1]->signal(SIGCONT);
+      this->IsFrozen = false;
+      break;
+    case 118:
+      this->fault(this->Platform, {{"outage_ms", 1000}});
+      break;
+    case 133:
+      this->fault(this->Platform,
+                  {{"outage_ms", 500}, {"outage_silent", true}});
+      break;
+    default:
+      break;
+    }
+  }
+
   void pass(Duration Time) {
     this->Harness.loop().runUntil([] { return false; }, Time);
   }
@@ -140,51 +178,19 @@
   std::vector<SocketAddress> Peers;
   std::vector<Program *> Daemons;
   std::map<std::string, KeyAnswers> Keys;
+  bool IsFrozen = false;
 };
 
 // Guards against a payment that is taken twice, or taken after "not run".
 TEST_F(AtMostOnceTest, NoPaymentRunsTwiceUnderFaults) {
   constexpr int Rounds = 150;
   std::mt19937_64 Random(20240229);
-  bool IsFrozen = false;
   for (int Round = 0; Round < Rounds; ++Round) {
-    switch (Round) {
-    case 20:
-    case 100:
-      this->fault(this->Platform, {{"lose_replies", 5}});
-      break;
-    case 30:
-      this->fault(*this->Services[0], {{"lose_replies", 3}, {"drop", 2}});
-      break;
-    case 40:
-      this->Daemons[0]->signal(SIGKILL);
-      break;
-    case 55:
-      this->startDaemon(0);
-      break;
-    case 60:
-      this->Daemons[1]->signal(SIGSTOP);
-      IsFrozen = true;
-      break;
-    case 95:
-      // Long after the others have taken over its ranges.
-      this->Daemons[1]->signal(SIGCONT);
-      IsFrozen = false;
-      break;
-    case 110:
-      this->fault(this->Platform, {{"outage_ms", 1000}});
-      break;
-    case 130:
-      this->fault(this->Platform,
-                  {{"outage_ms", 500}, {"outage_silent", true}});
-      break;
-    default:
-      break;
-    }
+    this->induce(Round);
     // Each key is used by about four calls, some of them at the same time.
     for (int I = 0; I < 3; ++I) {
       const std::size_t Daemon = Random() % 3;
-      if (Daemon != 1 || !IsFrozen || Random() % 4 == 0)
+      if (Daemon != 1 || !this->IsFrozen || Random() % 4 == 0)
         this->pay(Daemon,
                   "pay-" + std::to_string(Round * 3 / 4 +
                                           static_cast<int>(Random() % 4)));
