--- a/src/request/ModelRun.h
+++ b/src/request/ModelRun.h
@@ -21,7 +21,6 @@
 private:
   void execute(const AttemptAction &Action) override;
   void send(const AttemptAction &Action);
-  void computeKeys(const std::string &WeightVersion);
   void resume(const AttemptAction &Action);
   EngineCallbacks callbacks(std::uint64_t Connection);
   void onLine(std::uint64_t Connection, std::optional<EngineLine> Line);
@@ -33,9 +32,8 @@
   PromptRequest Prompt;
   AnswerHead Head;
   AnswerEnd End;
-  std::vector<std::string> BlockKeys; ///< In hex, for KeysVersion.
-  std::string KeysVersion;
   std::unique_ptr<EngineStream> Stream;
+  DispatchTicket Ticket;
   TimePoint LastTokenAt{};
   // Streams must outlive their own callbacks, so closed ones are freed later.
   std::vector<std::unique_ptr<EngineStream>> Closed;
