--- a/src/connection/UpstreamReports.cpp
+++ b/src/connection/UpstreamReports.cpp
@@ -48,8 +48,10 @@
     return std::nullopt;
   Report.SampledAt = SentAt - fromSeconds(AgeMs / 1000);
   if (const auto It = Body.find("weight_version");
-      It != Body.end() && It->is_string())
+      It != Body.end() && It->is_string()) {
     Report.WeightVersion = It->get<std::string>().substr(0, 256);
+    Report.HasWeights = !Report.WeightVersion.empty();
+  }
   return Report;
 }
 
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -31,6 +31,9 @@
   /// Begins a graceful stop; further calls change nothing.
   void drain();
 
+  /// The decisions on where requests run, to connect to peers.
+  Dispatcher &dispatcher() { return this->Dispatch; }
+
   /// Emitted when a graceful stop is complete.
   sigc::signal<void()> Stopped;
 
--- a/src/process/Dispatcher.cpp
+++ b/src/process/Dispatcher.cpp
@@ -440,8 +440,14 @@
         {{"upstream", Crash.Upstream},
          {"requests", std::to_string(Crash.Contents.size())}});
   }
-  if (!Crashes.empty())
-    this->CrashDigest.emit(this->crashDigest());
+  this->sendCrashDigest();
+}
+
+void Dispatcher::sendCrashDigest() {
+  if (this->SentRevision == this->Guard.Revision)
+    return;
+  this->SentRevision = this->Guard.Revision;
+  this->CrashDigest.emit(this->crashDigest());
 }
 
 } // namespace galenaroute
--- a/src/process/Dispatcher.h
+++ b/src/process/Dispatcher.h
@@ -138,6 +138,8 @@
   TransferEnd storeEnd(const std::string &Store) const;
   void tick();
   void checkCrashes();
+  /// Sends the signatures if they have changed since they were last sent.
+  void sendCrashDigest();
   nlohmann::json loadDigest() const;
   nlohmann::json crashDigest() const;
   std::vector<PollTarget> pollTargets() const;
@@ -157,6 +159,7 @@
   CacheTransfers Transfers;
   std::vector<UpstreamView> Views; ///< Reused, to save allocations.
   std::uint64_t NextId = 1;
+  std::uint64_t SentRevision = 0; ///< Of the guard.
   TimePoint NextExchange{};
   TimePoint NextShares{};
   sigc::connection Timer;
--- a/src/process/DispatcherDigests.cpp
+++ b/src/process/DispatcherDigests.cpp
@@ -95,6 +95,7 @@
       Signatures.push_back(std::move(Signature));
   }
   importSignatures(this->Guard, Signatures, EventLoop::now());
+  this->sendCrashDigest();
 }
 
 json Dispatcher::status() const {
--- /dev/null
+++ b/src/process/PeerDigests.cpp
@@ -0,0 +1,24 @@
+#include "process/PeerDigests.h"
+
+#include <nlohmann/json.hpp>
+
+namespace galenaroute {
+
+void connectDigests(Dispatcher &Dispatch, PeerNetwork &Peers) {
+  Dispatch.LoadDigest.connect([&Peers](const nlohmann::json &Body) {
+    Peers.sendToNeighbours({"load", Body});
+  });
+  Dispatch.CrashDigest.connect([&Peers](const nlohmann::json &Body) {
+    Peers.sendToNeighbours({"crash", Body});
+  });
+  Peers.handle(
+      "load", [&Dispatch](const std::string &From, const nlohmann::json &Body) {
+        Dispatch.onLoadDigest(From, Body);
+      });
+  Peers.handle("crash",
+               [&Dispatch](const std::string &, const nlohmann::json &Body) {
+                 Dispatch.onCrashDigest(Body);
+               });
+}
+
+} // namespace galenaroute
--- a/src/request/CrashGuard.cpp
+++ b/src/request/CrashGuard.cpp
@@ -41,6 +41,7 @@
 static void clear(CrashGuard &Guard, const Digest &Content, TimePoint At) {
   if (Guard.Suspects.erase(Content) == 0)
     return;
+  ++Guard.Revision;
   Guard.Cleared.insert_or_assign(Content, At);
   dropOldest(Guard.Cleared, Guard.Options.MaxSuspects,
              [](TimePoint Time) { return Time; });
@@ -79,8 +80,11 @@
     Guard.Cleared.erase(Cleared);
   }
   Suspicion &Entry = Guard.Suspects[Content];
-  if (Entry.Upstreams.size() < Guard.Options.MaxUpstreamsPerSuspect)
-    Entry.Upstreams.insert(Upstream);
+  // The age of a signature that went round differs by its time on the way;
+  // that alone is no news.
+  if (Entry.Upstreams.size() < Guard.Options.MaxUpstreamsPerSuspect &&
+      Entry.Upstreams.insert(Upstream).second)
+    ++Guard.Revision;
   Entry.LastCrash = std::max(Entry.LastCrash, At);
   dropOldest(Guard.Suspects, Guard.Options.MaxSuspects,
              [](const Suspicion &Item) { return Item.LastCrash; });
@@ -242,9 +246,10 @@
   return Signatures;
 }
 
-void importSignatures(CrashGuard &Guard,
+bool importSignatures(CrashGuard &Guard,
                       std::span<const CrashSignature> Signatures,
                       TimePoint Now) {
+  const std::uint64_t Before = Guard.Revision;
   for (const CrashSignature &Signature : Signatures) {
     // A wrong age must not make a suspicion last longer than it may.
     const TimePoint At = Now - std::max(Signature.Age, Milliseconds(0));
@@ -257,6 +262,7 @@
     for (const std::string &Upstream : Signature.Upstreams)
       addSuspect(Guard, Signature.Content, Upstream, At);
   }
+  return Guard.Revision != Before;
 }
 
 } // namespace galenaroute
--- a/src/request/CrashGuard.h
+++ b/src/request/CrashGuard.h
@@ -91,6 +91,8 @@
   std::unordered_map<Digest, TimePoint> Cleared;
   /// Crashes within the last window, which may turn out to be a network fault.
   std::vector<DetectedCrash> Recent;
+  /// Grows with every change of what exportSignatures() returns, but for ages.
+  std::uint64_t Revision = 0;
 };
 
 /// Identifies the content of a request: the same for all customers.
@@ -137,8 +139,8 @@
 std::vector<CrashSignature> exportSignatures(const CrashGuard &Guard,
                                              std::size_t Limit, TimePoint Now);
 
-/// Takes over signatures of a peer.
-void importSignatures(CrashGuard &Guard,
+/// Takes over signatures of a peer; returns whether any of them was news.
+bool importSignatures(CrashGuard &Guard,
                       std::span<const CrashSignature> Signatures,
                       TimePoint Now);
 
--- a/src/request/PromptClass.cpp
+++ b/src/request/PromptClass.cpp
@@ -13,7 +13,9 @@
   return PromptClass::Long;
 }
 
-int enginePriority(PromptClass Class) { return static_cast<int>(Class); }
+int enginePriority(PromptClass Class) {
+  return static_cast<int>(PromptClass::Long) - static_cast<int>(Class);
+}
 
 std::string_view toString(PromptClass Class) {
   switch (Class) {
--- a/src/request/PromptClass.h
+++ b/src/request/PromptClass.h
@@ -39,7 +39,7 @@
 PromptClass classifyPrompt(const PromptSize &Size,
                            const PromptClassLimits &Limits);
 
-/// Returns the priority that engines are given; a lower number runs first.
+/// Returns the priority that engines are given; a higher number runs first.
 int enginePriority(PromptClass Class);
 
 /// Returns `short`, `normal` or `long`.
--- a/src/request/UpstreamTracker.cpp
+++ b/src/request/UpstreamTracker.cpp
@@ -265,7 +265,8 @@
                     const TrackerOptions &Options, TimePoint Now) {
   UpstreamView View{.Name = Name,
                     .Zone = Record.Zone,
-                    .TakesNewWork = Record.Live && Record.PausedUntil <= Now,
+                    .TakesNewWork = Record.Live && (Options.IgnorePauses ||
+                                                    Record.PausedUntil <= Now),
                     .Slots = Record.Slots,
                     .PendingTokens = Record.OwnPending,
                     .OutstandingByClass = Record.OwnOutstanding,
@@ -293,6 +294,7 @@
     View.ReportAge = Now - Report.SampledAt;
     View.HasReport = View.ReportAge <= Options.MaxReportAge;
     if (View.HasReport) {
+      View.TakesNewWork = View.TakesNewWork && Report.HasWeights;
       View.ReportedTokens = Report.QueuedTokens;
       View.ReportedRequests = Report.Running + Report.Queued;
       View.TokensSinceReport = Record.TokensSinceReport;
@@ -337,9 +339,11 @@
   }
   if (Any)
     return;
-  std::size_t I = 0;
+  TrackerOptions Unpaused = Tracker.Options;
+  Unpaused.IgnorePauses = true;
+  Views.clear();
   for (const auto &[Name, Record] : Tracker.Upstreams)
-    Views[I++].TakesNewWork = Record.Live;
+    Views.push_back(viewOf(Name, Record, Unpaused, Now));
 }
 
 } // namespace galenaroute
--- a/src/request/UpstreamTracker.h
+++ b/src/request/UpstreamTracker.h
@@ -35,6 +35,7 @@
   double QueuedTokens = 0;
   int FreeBlocks = 0;
   std::string WeightVersion;
+  bool HasWeights = true; ///< False while an engine loads new ones.
   double PrefillTokensPerSecond = 0;
   int Slots = 0; ///< Zero: as configured.
 };
@@ -82,6 +83,7 @@
   Duration FirstPause = Milliseconds(200);
   Duration LongestPause = std::chrono::seconds(5);
   Duration RefusedPause = Milliseconds(50);
+  bool IgnorePauses = false;
   /// Delays assumed until a round trip was measured.
   Duration SameZoneDelay = std::chrono::microseconds(300);
   Duration OtherZoneDelay = Milliseconds(3);
