Serve on either weight version while weights are replaced

Cause: during a change of weights new requests waited for an upstream that had the new ones. With 12 servers and 2 loads at a time the first 2 s had no server at all and the next ten only a part of them. Ruled out: sending the declared version everywhere; engines with another one answer 409. Change: a request runs on whatever version its upstream reported, with block keys computed for that version, so it never uses blocks of another one. Imports and exports are only for the declared version. Conclusion: a change of weights refuses nothing for want of the new version.

--- a/src/process/DispatchTicket.cpp
+++ b/src/process/DispatchTicket.cpp
@@ -58,10 +58,20 @@
   this->Attempt = Answer.Attempt;
   this->HasBroken = false;
   this->Upstream = Answer.Upstream;
+  this->WeightVersion = Answer.WeightVersion;
   if (this->FirstSentAt == TimePoint{})
     this->FirstSentAt = EventLoop::now();
 }
 
+const std::vector<BlockKey> &DispatchTicket::keys() const {
+  const ServiceConfig *Declared =
+      this->Request.Config->findService(this->Request.Service);
+  if (!this->Request.OtherKeys ||
+      this->WeightVersion == Declared->WeightVersion)
+    return this->Request.Keys;
+  return this->Request.OtherKeys->of(this->WeightVersion);
+}
+
 void DispatchTicket::firstToken(std::optional<double> UncachedTokens) {
   // Text after a break shows that the attempt was resumed.
   this->HasBroken = false;
@@ -83,7 +93,10 @@
   if (Tokens > 0)
     Service.MeanTokens +=
         (Service.MeanTokens > 0 ? 0.1 : 1) * (Tokens - Service.MeanTokens);
-  if (this->Request.Keys.size() >= Service.Prefetch.Options.MinBlocks)
+  const ServiceConfig *Declared =
+      this->Request.Config->findService(this->Request.Service);
+  if (this->Request.Keys.size() >= Service.Prefetch.Options.MinBlocks &&
+      this->WeightVersion == Declared->WeightVersion)
     this->Of.exportBlocks(Service, this->Request, this->Upstream);
   this->Attempt.clear();
   this->Of.schedulePump();
--- a/src/process/Dispatcher.cpp
+++ b/src/process/Dispatcher.cpp
@@ -219,12 +219,6 @@
   Of.IsPumping = true;
   while (!Of.Queue.empty()) {
     viewsOf(Of.Tracker, EventLoop::now(), this->Views);
-    // While weights are being loaded, requests wait for the first upstream
-    // that has them, within their patience.
-    for (UpstreamView &View : this->Views)
-      if (!View.WeightVersion.empty() && !Of.WeightVersion.empty() &&
-          View.WeightVersion != Of.WeightVersion)
-        View.TakesNewWork = false;
     const auto Next =
         takeNext(Of.Admission, roomOf(this->Views, this->Settings.Slots),
                  EventLoop::now());
@@ -246,6 +240,23 @@
   });
 }
 
+static PromptToPlan promptToPlan(const DispatchRequest &Request,
+                                 PromptClass Class) {
+  return {.Customer = Request.Customer,
+          .Class = Class,
+          .PromptTokens = Request.PromptTokens,
+          .Blocks = Request.Keys.size()};
+}
+
+const std::vector<BlockKey> &PromptKeys::of(std::string_view WeightVersion) {
+  auto It = this->Known.find(WeightVersion);
+  if (It == this->Known.end())
+    It = this->Known
+             .emplace(std::string(WeightVersion), this->Compute(WeightVersion))
+             .first;
+  return It->second;
+}
+
 std::vector<ReusePlan> Dispatcher::prepareViews(Service &Of,
                                                 const DispatchRequest &Request,
                                                 PromptClass Class) {
@@ -266,13 +277,36 @@
   if (const auto Only = upstreamOfSuspect(this->Guard, Request.Content))
     for (UpstreamView &View : this->Views)
       View.TakesNewWork = View.TakesNewWork && View.Name == *Only;
-  return planReuse(heldPrefixes(this->Index, Request.Keys),
-                   {.Customer = Request.Customer,
-                    .Class = Class,
-                    .PromptTokens = Request.PromptTokens,
-                    .Blocks = Request.Keys.size()},
-                   this->Links, this->Views, this->Transfers.plan(),
-                   Of.Tracker.Route);
+  std::vector<ReusePlan> Plans = planReuse(
+      heldPrefixes(this->Index, Request.Keys), promptToPlan(Request, Class),
+      this->Links, this->Views, this->Transfers.plan(), Of.Tracker.Route);
+  this->planOtherVersions(Of, Request, Class, Plans);
+  return Plans;
+}
+
+void Dispatcher::planOtherVersions(const Service &Of,
+                                   const DispatchRequest &Request,
+                                   PromptClass Class,
+                                   std::span<ReusePlan> Plans) {
+  if (!Request.OtherKeys)
+    return;
+  const std::string &Declared =
+      Request.Config->findService(Request.Service)->WeightVersion;
+  for (std::size_t I = 0; I < Plans.size(); ++I) {
+    UpstreamView &View = this->Views[I];
+    if (View.WeightVersion.empty() || View.WeightVersion == Declared)
+      continue;
+    std::vector<HeldPrefix> Held =
+        heldPrefixes(this->Index, Request.OtherKeys->of(View.WeightVersion));
+    // Blocks of a version that is about to go are not worth an import.
+    std::erase_if(Held, [](const HeldPrefix &Each) {
+      return Each.Kind != HolderKind::Engine;
+    });
+    Plans[I] =
+        planReuse(Held, promptToPlan(Request, Class), {}, std::span(&View, 1),
+                  this->Transfers.plan(), Of.Tracker.Route)
+            .front();
+  }
 }
 
 void Dispatcher::route(Service &Of, const Waiting &Entry, bool NeedsRoom) {
@@ -287,7 +321,8 @@
       .Class = Entry.Class,
       .PromptTokens = Request.PromptTokens,
       .RequestedTokens = Request.RequestedTokens,
-      .WeightVersion = Declared->WeightVersion,
+      // While weights are replaced, upstreams of either version serve: waiting
+      // for the new one would leave only those that are done.
       .AffinityHash = std::hash<Digest>()(
           Request.Keys.empty() ? Request.Content : Request.Keys.front()),
       .Excluded = Avoid,
@@ -311,7 +346,10 @@
   const TimePoint Now = EventLoop::now();
   DispatchAnswer Answer{.Upstream = std::string(View.Name),
                         .Attempt = randomId(),
-                        .Priority = enginePriority(Entry.Class)};
+                        .Priority = enginePriority(Entry.Class),
+                        .WeightVersion = View.WeightVersion.empty()
+                                             ? Declared->WeightVersion
+                                             : std::string(View.WeightVersion)};
   noteSent(
       Of.Tracker,
       {.Attempt = Answer.Attempt,
--- a/src/process/Dispatcher.h
+++ b/src/process/Dispatcher.h
@@ -28,6 +28,23 @@
 
 namespace galenaroute {
 
+/// The block keys of one prompt for each weight version, computed when first
+/// asked for. Upstreams run different versions while weights are replaced.
+class PromptKeys {
+public:
+  using Hash =
+      std::function<std::vector<BlockKey>(std::string_view WeightVersion)>;
+
+  PromptKeys() = default;
+  explicit PromptKeys(Hash Compute) : Compute(std::move(Compute)) {}
+
+  const std::vector<BlockKey> &of(std::string_view WeightVersion);
+
+private:
+  Hash Compute;
+  std::map<std::string, std::vector<BlockKey>, std::less<>> Known;
+};
+
 /// A request as the decisions see it.
 struct DispatchRequest {
   ConfigurationPtr Config;
@@ -36,7 +53,8 @@
   std::string Customer;
   double PromptTokens = 0; ///< Zero for calls of plain services.
   double RequestedTokens = 0;
-  std::vector<BlockKey> Keys;
+  std::vector<BlockKey> Keys;            ///< For the declared weight version.
+  std::shared_ptr<PromptKeys> OtherKeys; ///< Null for plain services.
   Digest Content; ///< For the crash guard; only of prompts.
   /// For the first token of a stream, or for the whole answer.
   TimePoint Deadline;
@@ -49,6 +67,8 @@
   std::string Upstream;
   std::string Attempt; ///< A new attempt id.
   int Priority = 0;
+  /// What the upstream runs; the block keys sent there must be of it.
+  std::string WeightVersion;
 };
 
 struct DispatcherSettings {
@@ -125,6 +145,10 @@
   /// Fills Views for \p Request and returns its reuse plan at each.
   std::vector<ReusePlan>
   prepareViews(Service &Of, const DispatchRequest &Request, PromptClass Class);
+  /// Replaces the plans of upstreams that run another weight version than the
+  /// declared one.
+  void planOtherVersions(const Service &Of, const DispatchRequest &Request,
+                         PromptClass Class, std::span<ReusePlan> Plans);
   void route(Service &Of, const Waiting &Entry, bool NeedsRoom);
   /// Returns the slots of all upstreams that this entry can expect to use.
   double slotsOf(const Service &Of) const;
@@ -179,7 +203,9 @@
   void choose(std::span<const std::string> Avoid,
               const Dispatcher::OnChosen &Done);
 
-  const std::vector<BlockKey> &keys() const { return this->Request.Keys; }
+  /// The weight version of the chosen upstream, and the keys for it.
+  const std::string &weightVersion() const { return this->WeightVersion; }
+  const std::vector<BlockKey> &keys() const;
 
   /// \p UncachedTokens is what the engine says it had to compute, if it does.
   void firstToken(std::optional<double> UncachedTokens = {});
@@ -198,6 +224,7 @@
   bool Admitted = false;
   std::string Attempt; ///< Of the attempt in flight; empty: none.
   std::string Upstream;
+  std::string WeightVersion;
   PromptClass Class = PromptClass::Normal;
   TimePoint FirstSentAt{};
   bool HasBroken = false; ///< The connection of the current attempt.
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -43,8 +43,11 @@
 static DispatchRequest dispatchOf(const RequestInfo &Info,
                                   const PromptRequest &Prompt) {
   const ServiceConfig &Service = *Info.Config->findService(Info.Service);
-  const CacheScope Scope{Info.Customer, Service.Model, Service.WeightVersion,
-                         Prompt.Adapter};
+  // The run owns both and outlives its ticket.
+  const auto KeysOf = [&Info, &Prompt, &Service](std::string_view Version) {
+    return blockKeys({Info.Customer, Service.Model, Version, Prompt.Adapter},
+                     Prompt.Prompt);
+  };
   return {.Config = Info.Config,
           .RequestId = Info.id(),
           .Service = Info.Service,
@@ -52,7 +55,8 @@
           // An empty prompt is still a prompt.
           .PromptTokens = std::max(estimateTokens(Prompt.Prompt), 1.0),
           .RequestedTokens = static_cast<double>(Prompt.MaxTokens),
-          .Keys = blockKeys(Scope, Prompt.Prompt),
+          .Keys = KeysOf(Service.WeightVersion),
+          .OtherKeys = std::make_shared<PromptKeys>(KeysOf),
           .Content = contentDigest(Service.Model + "/" + Prompt.Adapter,
                                    Prompt.Prompt),
           .Deadline = Info.Arrived + Service.Deadline,
@@ -104,19 +108,18 @@
   std::vector<std::string> Keys;
   for (const BlockKey &Key : this->Ticket.keys())
     Keys.push_back(toHex(Key));
-  const ServiceConfig &Service = this->service();
-  this->Stream =
-      this->Context.Engines.generate(*this->addressOf(Action.Upstream),
-                                     {.Attempt = Action.Attempt,
-                                      .Customer = this->Info.Customer,
-                                      .Prompt = this->Prompt.Prompt,
-                                      .BlockKeys = Keys,
-                                      .PromptTokens = this->End.PromptTokens,
-                                      .MaxTokens = this->Prompt.MaxTokens,
-                                      .Priority = this->Priority,
-                                      .WeightVersion = Service.WeightVersion,
-                                      .Adapter = this->Prompt.Adapter},
-                                     this->callbacks(Action.Connection));
+  this->Stream = this->Context.Engines.generate(
+      *this->addressOf(Action.Upstream),
+      {.Attempt = Action.Attempt,
+       .Customer = this->Info.Customer,
+       .Prompt = this->Prompt.Prompt,
+       .BlockKeys = Keys,
+       .PromptTokens = this->End.PromptTokens,
+       .MaxTokens = this->Prompt.MaxTokens,
+       .Priority = this->Priority,
+       .WeightVersion = this->Ticket.weightVersion(),
+       .Adapter = this->Prompt.Adapter},
+      this->callbacks(Action.Connection));
 }
 
 void ModelRun::resume(const AttemptAction &Action) {
