Read the observation of engines that name what they load

Cause: a daemon ordered nothing: the emulator reports 'loading' as the version that it loads, the observation expected a boolean and was dropped. The tests of each side used their own shape.

--- a/src/version/UpstreamOrders.cpp
+++ b/src/version/UpstreamOrders.cpp
@@ -9,6 +9,15 @@
 HttpUpstreamOrders::HttpUpstreamOrders(HttpClient &Client, Duration CallTimeout)
     : Client(Client), CallTimeout(CallTimeout) {}
 
+/// Engines report what they load, which is empty when they load nothing, or
+/// only whether they do.
+static bool isLoading(const json &Body) {
+  const auto It = Body.find("loading");
+  if (It == Body.end() || It->is_null())
+    return false;
+  return It->is_string() ? !It->get<std::string>().empty() : It->get<bool>();
+}
+
 static std::optional<UpstreamObservation>
 observationFrom(const HttpResult &Result) {
   if (!Result.isSuccess())
@@ -17,8 +26,7 @@
     const json Body = json::parse(Result.Body);
     return UpstreamObservation{
         Body.at("weight_version"),
-        Body.value("adapters", std::vector<std::string>()),
-        Body.value("loading", false)};
+        Body.value("adapters", std::vector<std::string>()), isLoading(Body)};
   } catch (const json::exception &) {
     return std::nullopt;
   }
