--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -65,9 +65,10 @@
                                         this->PlainServers.back()->address(),
                                         this->Parts.Zones[I]});
   }
-  this->Daemons = this->Harness.startDaemons(
-      Platform.address(), this->Parts.Zones,
-      {"--routing-policy", Settings.Policy, "--log-level", "error"});
+  this->Daemons =
+      this->Harness.startDaemons(Platform.address(), this->Parts.Zones,
+                                 {"--routing-policy", Settings.Policy,
+                                  "--log-level", "error", "--keep-ms", "0"});
   this->Harness.applyListing(Platform.address(),
                              testing_support::listingText(this->Parts));
   for (const Program *Each : this->Daemons)
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -234,6 +234,7 @@
     Arguments.insert(Arguments.end(), Extra.begin(), Extra.end());
     Result.push_back(&this->start("galenarouted", Arguments));
     Result.back()->setAddress(At);
+    this->Entries.push_back(At);
   }
   for (Program *Each : Result)
     this->waitUntilAnswers(*Each, "/v1/status");
@@ -252,9 +253,15 @@
                                   const std::string &Listing) {
   const std::string Path = this->Folder + "/listing.toml";
   std::ofstream(Path) << Listing;
-  const auto [Code, Output] =
-      this->run("galenaroute",
-                {"apply", "--platform", Platform.toString(), "--wait", Path});
+  std::vector<std::string> Arguments = {"apply", "--platform",
+                                        Platform.toString(), "--wait", Path};
+  if (!this->Entries.empty()) {
+    std::string List;
+    for (const SocketAddress &Each : this->Entries)
+      List += (List.empty() ? "" : ",") + Each.toString();
+    Arguments.insert(Arguments.end(), {"--entries", List});
+  }
+  const auto [Code, Output] = this->run("galenaroute", Arguments);
   if (Code != 0)
     throw std::runtime_error("apply failed with " + std::to_string(Code) +
                              ":\n" + Output);
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -108,7 +108,7 @@
                                   Duration Limit = std::chrono::seconds(30));
 
   /// Writes \p Listing to a file and applies it with `galenaroute apply
-  /// --wait`; throws when that fails.
+  /// --wait` at all daemons started; throws when that fails.
   void applyListing(const SocketAddress &Platform, const std::string &Listing);
 
   HttpResult call(HttpCall Call);
@@ -134,6 +134,7 @@
   EventLoop Loop;
   HttpClient Client{Loop};
   std::vector<std::unique_ptr<Program>> Programs;
+  std::vector<SocketAddress> Entries; ///< Of all daemons started.
 };
 
 } // namespace galenaroute::testing_support
--- /dev/null
+++ b/tests/process/WholePathTest.cpp
@@ -0,0 +1,121 @@
+// Tests of the whole path through real daemons and emulators.
+
+#include "GeneratedText.h"
+#include "process/ListingText.h"
+#include "process/ProcessHarness.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+
+namespace galenaroute::testing_support {
+namespace {
+
+using namespace std::chrono_literals;
+using emulator::wholeAnswer;
+using nlohmann::json;
+
+class WholePathTest : public testing::Test {
+protected:
+  /// Starts everything that a small deployment has and applies its listing.
+  void deploy(const std::vector<std::string> &EngineFlags = {}) {
+    this->Platform = &this->Harness.startEmulator("platform", {});
+    ListingParts Parts;
+    for (std::size_t I = 0; I < 2; ++I) {
+      this->Engines.push_back(
+          &this->Harness.startEmulator("engine", EngineFlags));
+      Parts.Engines.push_back({"steward-" + std::to_string(I + 1),
+                               this->Engines.back()->address(),
+                               Parts.Zones[I]});
+    }
+    this->Desk = &this->Harness.startEmulator("service", {});
+    Parts.PlainServers = {{"desk-1", this->Desk->address(), Parts.Zones[0]}};
+    Program &Store = this->Harness.startEmulator("store", {});
+    Parts.Stores = {{"handbook-cache", Store.address(), Parts.Zones[0]}};
+    this->Daemons = this->Harness.startDaemons(
+        this->Platform->address(), Parts.Zones, {"--keep-ms", "200"});
+    this->Harness.applyListing(this->Platform->address(), listingText(Parts));
+    for (const Program *Each : this->Daemons)
+      this->Harness.waitFor("a ready daemon", [&] {
+        return this->Harness.getJson(Each->address(), "/v1/status")
+            .value("ready", false);
+      });
+  }
+
+  static HttpCallBuilder prompt(const Program &Entry, const std::string &Text,
+                                int Tokens) {
+    const json Body = {
+        {"prompt", Text}, {"max_tokens", Tokens}, {"stream", true}};
+    return HttpCallBuilder(Entry.address())
+        .post("/v1/completions", Body.dump())
+        .header("Authorization", "Bearer marshals-key");
+  }
+
+  HttpResult pay(const Program &Entry, const std::string &Key) {
+    return this->Harness.call(
+        HttpCallBuilder(Entry.address())
+            .post("/services/entries-desk/payments", "{}")
+            .header("Authorization", "Bearer marshals-key")
+            .header("Idempotency-Key", Key)
+            .build());
+  }
+
+  ProcessHarness Harness{GALENAROUTE_BUILD_DIR};
+  Program *Platform = nullptr;
+  Program *Desk = nullptr;
+  std::vector<Program *> Engines;
+  std::vector<Program *> Daemons;
+};
+
+// Guards against an answer that is not the one to the caller's own prompt, and
+// against a payment that runs again when its caller asks another entry.
+TEST_F(WholePathTest, StreamsAnswersAndRunsAPaymentOnce) {
+  this->deploy();
+  for (const Program *Each : this->Daemons) {
+    const std::string Text = "which bib at " + Each->address().toString();
+    const HttpResult Result =
+        this->Harness.call(prompt(*Each, Text, 40).build());
+    EXPECT_TRUE(Result.isSuccess());
+    const std::vector<StreamEvent> Events = parseEvents(Result.Body);
+    EXPECT_EQ(eventText(Events), wholeAnswer(Text, 40));
+    ASSERT_FALSE(Events.empty());
+    EXPECT_EQ(Events.back().Data, "[DONE]");
+  }
+  const HttpResult First = this->pay(*this->Daemons[0], "order-1");
+  const HttpResult Again = this->pay(*this->Daemons[1], "order-1");
+  EXPECT_EQ(First.Status, 200) << First.Body;
+  EXPECT_EQ(Again.Status, 200) << Again.Body;
+  EXPECT_EQ(First.Body, Again.Body);
+  const json Runs = this->Harness.getJson(this->Desk->address(), "/admin/runs");
+  EXPECT_EQ(Runs["total"], 1);
+}
+
+// Guards against a caller losing or repeating text when its entry dies.
+TEST_F(WholePathTest, ResumesAtAnotherEntryAfterAKill) {
+  this->deploy({"--decode-ms", "20"});
+  const std::string Text = "the whole handbook";
+  std::string Body;
+  std::optional<HttpResult> End;
+  const auto Exchange = this->Harness.client().start(
+      prompt(*this->Daemons[0], Text, 100).build(),
+      {.OnChunk = [&](std::string_view Bytes) { Body += Bytes; },
+       .OnDone = [&](const HttpResult &Result) { End = Result; }});
+  this->Harness.waitFor("the first events",
+                        [&] { return parseEvents(Body).size() >= 10; });
+  this->Daemons[0]->signal(SIGKILL);
+  this->Harness.waitFor("the end", [&] { return End.has_value(); });
+  EXPECT_NE(End->End, HttpEnd::Complete);
+  const std::vector<StreamEvent> Head = parseEvents(Body);
+  ASSERT_LT(Head.size(), 100U);
+  const HttpResult Rest =
+      this->Harness.call(prompt(*this->Daemons[1], Text, 100)
+                             .header("Last-Event-ID", Head.back().Id)
+                             .build());
+  EXPECT_TRUE(Rest.isSuccess()) << Rest.Body;
+  const std::vector<StreamEvent> Tail = parseEvents(Rest.Body);
+  EXPECT_EQ(eventText(Head) + eventText(Tail), wholeAnswer(Text, 100));
+  ASSERT_FALSE(Tail.empty());
+  EXPECT_EQ(Tail.back().Data, "[DONE]");
+}
+
+} // namespace
+} // namespace galenaroute::testing_support
