Retry a refused weight version at the same upstream with the declared one

Ruled out: waiting for the next report, which lets requests wait for nothing. Change: a refusal for the version clears the reported one and lets the request try the same upstream once more with the declared version. Conclusion: a stale report costs one round trip.

--- a/src/process/DispatchTicket.cpp
+++ b/src/process/DispatchTicket.cpp
@@ -116,6 +116,12 @@
   this->Of.schedulePump();
 }
 
+void DispatchTicket::versionMismatch() {
+  noteVersionMismatch(this->Of.serviceOf(this->Request.Service).Tracker,
+                      this->Upstream);
+  this->failed(AttemptFailure::Cancelled);
+}
+
 void DispatchTicket::broke() {
   if (this->Attempt.empty())
     return;
--- a/src/process/Dispatcher.h
+++ b/src/process/Dispatcher.h
@@ -212,6 +212,8 @@
   /// The current attempt has given its whole answer.
   void finished(double Tokens);
   void failed(AttemptFailure Failure);
+  /// The upstream refused the attempt since it runs another weight version.
+  void versionMismatch();
   /// The connection of the current attempt broke; it may be resumed.
   void broke();
 
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -419,7 +419,12 @@
   }
 
   void retryElsewhere(bool IsFree = false) {
-    this->State.Avoid.push_back(this->State.Upstream);
+    // After a refusal for its weight version the same upstream is worth one
+    // more try: the version that it was thought to have is known to be old.
+    if (IsFree && this->State.Mismatched != this->State.Upstream)
+      this->State.Mismatched = this->State.Upstream;
+    else
+      this->State.Avoid.push_back(this->State.Upstream);
     // Another run gives another text, so none of this one may have been seen.
     if (this->State.TextGiven)
       return this->fail(ErrorKind::StreamLost);
--- a/src/request/Attempt.h
+++ b/src/request/Attempt.h
@@ -88,6 +88,7 @@
   bool CallerGone = false;
   bool Paused = false; ///< The caller does not take text.
   ErrorKind FailureAfterRelease = ErrorKind::NoUpstream;
+  std::string Mismatched; ///< Upstream that last refused the weight version.
   std::vector<std::string> Avoid; ///< Upstreams that failed this request.
   TimePoint LastProgress{};
   TimePoint PausedSince{};
--- a/src/request/RequestRun.cpp
+++ b/src/request/RequestRun.cpp
@@ -123,8 +123,9 @@
 void RequestRun::report(DispatchTicket &Ticket, const HttpResult &Result) {
   if (Result.End == HttpEnd::ConnectFailed)
     Ticket.failed(AttemptFailure::Connect);
-  else if (Result.End == HttpEnd::Complete &&
-           (Result.Status == 429 || Result.Status == 409))
+  else if (Result.End == HttpEnd::Complete && Result.Status == 409)
+    Ticket.versionMismatch();
+  else if (Result.End == HttpEnd::Complete && Result.Status == 429)
     Ticket.failed(AttemptFailure::Refused);
   else if (Result.End != HttpEnd::Complete && Result.BytesSent)
     Ticket.broke();
--- a/src/request/UpstreamTracker.cpp
+++ b/src/request/UpstreamTracker.cpp
@@ -201,6 +201,12 @@
       });
 }
 
+void noteVersionMismatch(UpstreamTracker &Tracker, std::string_view Upstream) {
+  const auto It = Tracker.Upstreams.find(std::string(Upstream));
+  if (It != Tracker.Upstreams.end() && It->second.Report)
+    It->second.Report->WeightVersion.clear();
+}
+
 void noteLoadReport(UpstreamTracker &Tracker, std::string_view Upstream,
                     LoadReport Report, TimePoint Now) {
   UpstreamRecord *Record = find(Tracker, Upstream);
--- a/src/request/UpstreamTracker.h
+++ b/src/request/UpstreamTracker.h
@@ -178,6 +178,10 @@
 void noteFailed(UpstreamTracker &Tracker, const std::string &Attempt,
                 AttemptFailure Failure, TimePoint Now);
 
+/// Forgets the reported weight version of \p Upstream, which has refused it;
+/// until the next report it is taken to have the declared one.
+void noteVersionMismatch(UpstreamTracker &Tracker, std::string_view Upstream);
+
 void noteLoadReport(UpstreamTracker &Tracker, std::string_view Upstream,
                     LoadReport Report, TimePoint Now);
 
