Serve prompts with the loaded weights during a change of weights

Cause: after a change of weight_version, only servers that had loaded the new weights were chosen; the others idled, and prompts were refused while the first ones loaded. Ruled out: queueing until the new weights are there; one load takes seconds, and a fleet changes a few servers at a time. Change: a server with the declared weights comes first, then any that reports a version. Its version goes into the block keys and the call. Imports and exports are left out for such a run, since they are planned for the declared keys. A server that reports no version is loading and gets nothing.

--- a/src/process/DispatchTicket.cpp
+++ b/src/process/DispatchTicket.cpp
@@ -57,6 +57,9 @@
     return;
   this->Attempt = Answer.Attempt;
   this->HasBroken = false;
+  this->HasOwnKeys =
+      Answer.WeightVersion ==
+      this->Request.Config->findService(this->Request.Service)->WeightVersion;
   this->Upstream = Answer.Upstream;
   if (this->FirstSentAt == TimePoint{})
     this->FirstSentAt = EventLoop::now();
@@ -83,7 +86,8 @@
   if (Tokens > 0)
     Service.MeanTokens +=
         (Service.MeanTokens > 0 ? 0.1 : 1) * (Tokens - Service.MeanTokens);
-  if (this->Request.Keys.size() >= Service.Prefetch.Options.MinBlocks)
+  if (this->HasOwnKeys &&
+      this->Request.Keys.size() >= Service.Prefetch.Options.MinBlocks)
     this->Of.exportBlocks(Service, this->Request, this->Upstream);
   this->Attempt.clear();
   this->Of.schedulePump();
--- a/src/process/Dispatcher.cpp
+++ b/src/process/Dispatcher.cpp
@@ -263,6 +263,14 @@
       View.TakesNewWork = View.TakesNewWork && IsKnown;
     }
   }
+  // An engine that is loading reports no version, and would refuse the prompt.
+  const bool HasVersions = std::any_of(
+      this->Views.begin(), this->Views.end(),
+      [](const UpstreamView &View) { return !View.WeightVersion.empty(); });
+  if (HasVersions && Request.PromptTokens > 0)
+    for (UpstreamView &View : this->Views)
+      View.TakesNewWork =
+          View.TakesNewWork && !(View.HasReport && View.WeightVersion.empty());
   if (const auto Only = upstreamOfSuspect(this->Guard, Request.Content))
     for (UpstreamView &View : this->Views)
       View.TakesNewWork = View.TakesNewWork && View.Name == *Only;
@@ -293,13 +301,26 @@
       .Excluded = Avoid,
       .NeedsRoom = NeedsRoom,
       .Limits = this->Settings.Slots};
-  auto Choice = chooseUpstream(this->Settings.Policy, Wanted, this->Views,
-                               Of.Route, this->Generator, Of.Tracker.Route);
-  // Room elsewhere may be of no use to this request; engines queue, too.
-  Wanted.NeedsRoom = false;
-  if (!Choice)
+  // Room elsewhere may be of no use to this request; engines queue, too. While
+  // new weights are being loaded, servers that still run the old ones serve
+  // what has no place at the others, so that a change refuses nothing.
+  struct Try {
+    std::string_view WeightVersion;
+    bool NeedsRoom;
+  };
+  const std::array<Try, 4> Tries = {{{Declared->WeightVersion, NeedsRoom},
+                                     {{}, NeedsRoom},
+                                     {Declared->WeightVersion, false},
+                                     {{}, false}}};
+  std::optional<RouteChoice> Choice;
+  for (const Try &Each : Tries) {
+    if (Choice)
+      break;
+    Wanted.WeightVersion = Each.WeightVersion;
+    Wanted.NeedsRoom = Each.NeedsRoom;
     Choice = chooseUpstream(this->Settings.Policy, Wanted, this->Views,
                             Of.Route, this->Generator, Of.Tracker.Route);
+  }
   const bool IsAvoided =
       Choice && std::find(Entry.Avoid.begin(), Entry.Avoid.end(),
                           this->Views[Choice->Index].Name) != Entry.Avoid.end();
@@ -311,7 +332,10 @@
   const TimePoint Now = EventLoop::now();
   DispatchAnswer Answer{.Upstream = std::string(View.Name),
                         .Attempt = randomId(),
-                        .Priority = enginePriority(Entry.Class)};
+                        .Priority = enginePriority(Entry.Class),
+                        .WeightVersion = std::string(
+                            View.WeightVersion.empty() ? Declared->WeightVersion
+                                                       : View.WeightVersion)};
   noteSent(
       Of.Tracker,
       {.Attempt = Answer.Attempt,
@@ -324,7 +348,8 @@
   if (Request.PromptTokens > 0)
     noteRunning(this->Guard, Answer.Attempt, Request.Content, Answer.Upstream,
                 Now);
-  if (Plan.Store.empty())
+  // The blocks that were planned for are those of the declared weights.
+  if (Plan.Store.empty() || Answer.WeightVersion != Declared->WeightVersion)
     return Entry.Done(Answer);
   const auto Keys =
       std::span(Request.Keys)
--- a/src/process/Dispatcher.h
+++ b/src/process/Dispatcher.h
@@ -49,6 +49,9 @@
   std::string Upstream;
   std::string Attempt; ///< A new attempt id.
   int Priority = 0;
+  /// The weights that will run the prompt, for its block keys: those that the
+  /// upstream reported, or the declared ones while it has not reported any.
+  std::string WeightVersion;
 };
 
 struct DispatcherSettings {
@@ -201,6 +204,8 @@
   PromptClass Class = PromptClass::Normal;
   TimePoint FirstSentAt{};
   bool HasBroken = false; ///< The connection of the current attempt.
+  /// Whether the current attempt runs on the weights that Request.Keys are for.
+  bool HasOwnKeys = true;
   /// Guards answers that arrive after this ticket is destroyed.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -101,10 +101,17 @@
 
 void ModelRun::send(const AttemptAction &Action) {
   this->close();
+  // The keys must be those of the weights that will run the prompt; an engine
+  // that has other weights by then refuses the call.
+  const ServiceConfig &Service = this->service();
   std::vector<std::string> Keys;
-  for (const BlockKey &Key : this->Ticket.keys())
+  for (const BlockKey &Key :
+       this->WeightVersion == Service.WeightVersion
+           ? this->Ticket.keys()
+           : blockKeys({this->Info.Customer, Service.Model, this->WeightVersion,
+                        this->Prompt.Adapter},
+                       this->Prompt.Prompt))
     Keys.push_back(toHex(Key));
-  const ServiceConfig &Service = this->service();
   this->Stream =
       this->Context.Engines.generate(*this->addressOf(Action.Upstream),
                                      {.Attempt = Action.Attempt,
@@ -114,7 +121,7 @@
                                       .PromptTokens = this->End.PromptTokens,
                                       .MaxTokens = this->Prompt.MaxTokens,
                                       .Priority = this->Priority,
-                                      .WeightVersion = Service.WeightVersion,
+                                      .WeightVersion = this->WeightVersion,
                                       .Adapter = this->Prompt.Adapter},
                                      this->callbacks(Action.Connection));
 }
--- a/src/request/RequestRun.cpp
+++ b/src/request/RequestRun.cpp
@@ -113,6 +113,7 @@
   Ticket.choose(this->State.Avoid, [this](const DispatchAnswer &Answer) {
     this->Refusal = Answer.Refusal;
     this->Priority = Answer.Priority;
+    this->WeightVersion = Answer.WeightVersion;
     if (Answer.Refusal)
       this->post(attempt::NoneAvailable{Answer.Refusal->Kind});
     else
--- a/src/request/RequestRun.h
+++ b/src/request/RequestRun.h
@@ -100,7 +100,8 @@
   RequestContext &Context;
   RequestInfo Info;
   AttemptState State;
-  int Priority = 0; ///< For the engine; of the last choice.
+  int Priority = 0;          ///< For the engine; of the last choice.
+  std::string WeightVersion; ///< That runs the prompt; of the last choice.
 
 private:
   void handle(const AttemptAction &Action);
--- a/tests/ClusterTest.cpp
+++ b/tests/ClusterTest.cpp
@@ -34,8 +34,7 @@
       this->Servers.push_back(std::make_unique<EmulatorServer>(
           this->Loop, *this->Engines.back(), AnyPort));
     }
-    Configuration Wanted;
-    Wanted.Deployment = {"harwood", "tas-south", {"a", "b"}};
+    this->Wanted.Deployment = {"harwood", "tas-south", {"a", "b"}};
     ServiceConfig Model;
     Model.Name = Model.Model = "steward";
     Model.WeightVersion = "v1";
@@ -48,11 +47,15 @@
     Desk.Kind = ServiceKind::Plain;
     Desk.Upstreams = {{"desk-1", this->DeskServer.address(), "a"}};
     Desk.Deadline = Milliseconds(5000);
-    Wanted.Services = {{"steward", Model}, {"desk", Desk}};
-    Wanted.Customers = {
+    this->Wanted.Services = {{"steward", Model}, {"desk", Desk}};
+    this->Wanted.Customers = {
         {"marshals", {"marshals", sha256Hex("marshal-key"), 1, 64}}};
+    this->apply();
+  }
+
+  void apply() {
     std::optional<ApplyResult> Applied;
-    this->Store.apply(Wanted, std::nullopt,
+    this->Store.apply(this->Wanted, std::nullopt,
                       [&](const ApplyResult &Result) { Applied = Result; });
     EXPECT_TRUE(this->Loop.runUntil([&] { return Applied.has_value(); }, 5s));
     EXPECT_EQ(Applied->End, ApplyEnd::Applied) << Applied->Message;
@@ -80,13 +83,15 @@
     for (const SocketAddress &Each : this->Addresses)
       this->waitFor([&] { return this->get(Each, "/healthz").Status == 200; });
     // Engines are told what to load by the holder of the service's lease.
-    this->waitFor([&] {
-      return std::all_of(
-          this->Servers.begin(), this->Servers.end(), [&](const auto &Each) {
-            const HttpResult Load = this->get(Each->address(), "/v1/load");
-            return json::parse(Load.Body)["weight_version"] == "v1";
-          });
-    });
+    this->waitFor([&] { return this->allLoaded("v1"); });
+  }
+
+  bool allLoaded(const std::string &Version) {
+    return std::all_of(
+        this->Servers.begin(), this->Servers.end(), [&](const auto &Each) {
+          const HttpResult Load = this->get(Each->address(), "/v1/load");
+          return json::parse(Load.Body)["weight_version"] == Version;
+        });
   }
 
   static SocketAddress freeAddress() {
@@ -131,6 +136,7 @@
   std::vector<std::unique_ptr<EmulatorServer>> Servers;
   HttpPlatform Api{Client, PlatformServer.address()};
   ConfigStore Store{Api, Loop.timers(), {}};
+  Configuration Wanted;
   std::vector<std::unique_ptr<DaemonProcess>> Daemons;
   std::vector<SocketAddress> Addresses;
 };
@@ -148,6 +154,27 @@
   }
 }
 
+// Guards against a change of weights that refuses prompts while servers load,
+// and against blocks of the old weights that a prompt finds after the change.
+TEST_F(ClusterTest, AChangeOfWeightsRefusesNothing) {
+  this->startDaemons(1);
+  const std::string Prompt(9000, 'x');
+  const auto Ask = [&] {
+    return this->post(0, "/v1/completions",
+                      json{{"prompt", Prompt}, {"max_tokens", 3}}.dump());
+  };
+  this->Wanted.Services.at("steward").WeightVersion = "v2";
+  this->Wanted.Services.at("steward").MaxConcurrentLoads = 1;
+  this->apply();
+  this->waitFor([&] {
+    const HttpResult Result = Ask();
+    EXPECT_EQ(Result.Status, 200) << Result.Body;
+    EXPECT_EQ(json::parse(Result.Body)["choices"][0]["text"],
+              emulator::wholeAnswer(Prompt, 3));
+    return this->allLoaded("v2");
+  });
+}
+
 // Guards against a second entry that runs a payment which the first one ran.
 TEST_F(ClusterTest, ADuplicateAtAnotherEntryGetsTheFirstAnswer) {
   this->startDaemons(2);
