--- a/src/process/DispatchTicket.cpp
+++ b/src/process/DispatchTicket.cpp
@@ -57,14 +57,21 @@
     return;
   this->Attempt = Answer.Attempt;
   this->HasBroken = false;
-  this->HasOwnKeys =
-      Answer.WeightVersion ==
-      this->Request.Config->findService(this->Request.Service)->WeightVersion;
   this->Upstream = Answer.Upstream;
+  this->WeightVersion = Answer.WeightVersion;
   if (this->FirstSentAt == TimePoint{})
     this->FirstSentAt = EventLoop::now();
 }
 
+const std::vector<BlockKey> &DispatchTicket::keys() const {
+  const ServiceConfig *Declared =
+      this->Request.Config->findService(this->Request.Service);
+  if (!this->Request.OtherKeys ||
+      this->WeightVersion == Declared->WeightVersion)
+    return this->Request.Keys;
+  return this->Request.OtherKeys->of(this->WeightVersion);
+}
+
 void DispatchTicket::firstToken(std::optional<double> UncachedTokens) {
   // Text after a break shows that the attempt was resumed.
   this->HasBroken = false;
@@ -86,8 +93,10 @@
   if (Tokens > 0)
     Service.MeanTokens +=
         (Service.MeanTokens > 0 ? 0.1 : 1) * (Tokens - Service.MeanTokens);
-  if (this->HasOwnKeys &&
-      this->Request.Keys.size() >= Service.Prefetch.Options.MinBlocks)
+  const ServiceConfig *Declared =
+      this->Request.Config->findService(this->Request.Service);
+  if (this->Request.Keys.size() >= Service.Prefetch.Options.MinBlocks &&
+      this->WeightVersion == Declared->WeightVersion)
     this->Of.exportBlocks(Service, this->Request, this->Upstream);
   this->Attempt.clear();
   this->Of.schedulePump();
--- a/src/process/Dispatcher.cpp
+++ b/src/process/Dispatcher.cpp
@@ -219,12 +219,6 @@
   Of.IsPumping = true;
   while (!Of.Queue.empty()) {
     viewsOf(Of.Tracker, EventLoop::now(), this->Views);
-    // While weights are being loaded, requests wait for the first upstream
-    // that has them, within their patience.
-    for (UpstreamView &View : this->Views)
-      if (!View.WeightVersion.empty() && !Of.WeightVersion.empty() &&
-          View.WeightVersion != Of.WeightVersion)
-        View.TakesNewWork = false;
     const auto Next =
         takeNext(Of.Admission, roomOf(this->Views, this->Settings.Slots),
                  EventLoop::now());
@@ -246,6 +240,23 @@
   });
 }
 
+static PromptToPlan promptToPlan(const DispatchRequest &Request,
+                                 PromptClass Class) {
+  return {.Customer = Request.Customer,
+          .Class = Class,
+          .PromptTokens = Request.PromptTokens,
+          .Blocks = Request.Keys.size()};
+}
+
+const std::vector<BlockKey> &PromptKeys::of(std::string_view WeightVersion) {
+  auto It = this->Known.find(WeightVersion);
+  if (It == this->Known.end())
+    It = this->Known
+             .emplace(std::string(WeightVersion), this->Compute(WeightVersion))
+             .first;
+  return It->second;
+}
+
 std::vector<ReusePlan> Dispatcher::prepareViews(Service &Of,
                                                 const DispatchRequest &Request,
                                                 PromptClass Class) {
@@ -263,24 +274,39 @@
       View.TakesNewWork = View.TakesNewWork && IsKnown;
     }
   }
-  // An engine that is loading reports no version, and would refuse the prompt.
-  const bool HasVersions = std::any_of(
-      this->Views.begin(), this->Views.end(),
-      [](const UpstreamView &View) { return !View.WeightVersion.empty(); });
-  if (HasVersions && Request.PromptTokens > 0)
-    for (UpstreamView &View : this->Views)
-      View.TakesNewWork =
-          View.TakesNewWork && !(View.HasReport && View.WeightVersion.empty());
   if (const auto Only = upstreamOfSuspect(this->Guard, Request.Content))
     for (UpstreamView &View : this->Views)
       View.TakesNewWork = View.TakesNewWork && View.Name == *Only;
-  return planReuse(heldPrefixes(this->Index, Request.Keys),
-                   {.Customer = Request.Customer,
-                    .Class = Class,
-                    .PromptTokens = Request.PromptTokens,
-                    .Blocks = Request.Keys.size()},
-                   this->Links, this->Views, this->Transfers.plan(),
-                   Of.Tracker.Route);
+  std::vector<ReusePlan> Plans = planReuse(
+      heldPrefixes(this->Index, Request.Keys), promptToPlan(Request, Class),
+      this->Links, this->Views, this->Transfers.plan(), Of.Tracker.Route);
+  this->planOtherVersions(Of, Request, Class, Plans);
+  return Plans;
+}
+
+void Dispatcher::planOtherVersions(const Service &Of,
+                                   const DispatchRequest &Request,
+                                   PromptClass Class,
+                                   std::span<ReusePlan> Plans) {
+  if (!Request.OtherKeys)
+    return;
+  const std::string &Declared =
+      Request.Config->findService(Request.Service)->WeightVersion;
+  for (std::size_t I = 0; I < Plans.size(); ++I) {
+    UpstreamView &View = this->Views[I];
+    if (View.WeightVersion.empty() || View.WeightVersion == Declared)
+      continue;
+    std::vector<HeldPrefix> Held =
+        heldPrefixes(this->Index, Request.OtherKeys->of(View.WeightVersion));
+    // Blocks of a version that is about to go are not worth an import.
+    std::erase_if(Held, [](const HeldPrefix &Each) {
+      return Each.Kind != HolderKind::Engine;
+    });
+    Plans[I] =
+        planReuse(Held, promptToPlan(Request, Class), {}, std::span(&View, 1),
+                  this->Transfers.plan(), Of.Tracker.Route)
+            .front();
+  }
 }
 
 void Dispatcher::route(Service &Of, const Waiting &Entry, bool NeedsRoom) {
@@ -295,32 +321,20 @@
       .Class = Entry.Class,
       .PromptTokens = Request.PromptTokens,
       .RequestedTokens = Request.RequestedTokens,
-      .WeightVersion = Declared->WeightVersion,
+      // While weights are replaced, upstreams of either version serve: waiting
+      // for the new one would leave only those that are done.
       .AffinityHash = std::hash<Digest>()(
           Request.Keys.empty() ? Request.Content : Request.Keys.front()),
       .Excluded = Avoid,
       .NeedsRoom = NeedsRoom,
       .Limits = this->Settings.Slots};
-  // Room elsewhere may be of no use to this request; engines queue, too. While
-  // new weights are being loaded, servers that still run the old ones serve
-  // what has no place at the others, so that a change refuses nothing.
-  struct Try {
-    std::string_view WeightVersion;
-    bool NeedsRoom;
-  };
-  const std::array<Try, 4> Tries = {{{Declared->WeightVersion, NeedsRoom},
-                                     {{}, NeedsRoom},
-                                     {Declared->WeightVersion, false},
-                                     {{}, false}}};
-  std::optional<RouteChoice> Choice;
-  for (const Try &Each : Tries) {
-    if (Choice)
-      break;
-    Wanted.WeightVersion = Each.WeightVersion;
-    Wanted.NeedsRoom = Each.NeedsRoom;
+  auto Choice = chooseUpstream(this->Settings.Policy, Wanted, this->Views,
+                               Of.Route, this->Generator, Of.Tracker.Route);
+  // Room elsewhere may be of no use to this request; engines queue, too.
+  Wanted.NeedsRoom = false;
+  if (!Choice)
     Choice = chooseUpstream(this->Settings.Policy, Wanted, this->Views,
                             Of.Route, this->Generator, Of.Tracker.Route);
-  }
   const bool IsAvoided =
       Choice && std::find(Entry.Avoid.begin(), Entry.Avoid.end(),
                           this->Views[Choice->Index].Name) != Entry.Avoid.end();
@@ -333,9 +347,9 @@
   DispatchAnswer Answer{.Upstream = std::string(View.Name),
                         .Attempt = randomId(),
                         .Priority = enginePriority(Entry.Class),
-                        .WeightVersion = std::string(
-                            View.WeightVersion.empty() ? Declared->WeightVersion
-                                                       : View.WeightVersion)};
+                        .WeightVersion = View.WeightVersion.empty()
+                                             ? Declared->WeightVersion
+                                             : std::string(View.WeightVersion)};
   noteSent(
       Of.Tracker,
       {.Attempt = Answer.Attempt,
@@ -348,8 +362,7 @@
   if (Request.PromptTokens > 0)
     noteRunning(this->Guard, Answer.Attempt, Request.Content, Answer.Upstream,
                 Now);
-  // The blocks that were planned for are those of the declared weights.
-  if (Plan.Store.empty() || Answer.WeightVersion != Declared->WeightVersion)
+  if (Plan.Store.empty())
     return Entry.Done(Answer);
   const auto Keys =
       std::span(Request.Keys)
