Connect the exchange of configurations to the daemon

Cause: daemons watched the platform each on its own. Change: ConfigPeers attaches ConfigExchange to PeerNetwork, and DaemonProcess uses it; ConfigWatcher is the daemon's ConfigSource, which replaces the forwarding class. Tests for an object that comes back into use during a collection, and for a stale peer that is heard first, were added after trial mutations showed that the histories alone did not find these faults.

--- /dev/null
+++ b/src/process/ConfigPeers.h
@@ -0,0 +1,42 @@
+// Connects the exchange of configurations to the links between daemons.
+//
+//   ConfigPeers Configs(Loop, Network, Watcher);
+//   Network.start();
+//   Configs.start();  // begins to follow the platform as well
+
+#ifndef GALENAROUTE_PROCESS_CONFIGPEERS_H
+#define GALENAROUTE_PROCESS_CONFIGPEERS_H
+
+#include "process/PeerNetwork.h"
+#include "version/ConfigExchange.h"
+
+namespace galenaroute {
+
+class ConfigPeers {
+public:
+  /// \p Network and \p Watcher must outlive this, and the loop must not run
+  /// messages of \p Network after this is destroyed.
+  ConfigPeers(EventLoop &Loop, PeerNetwork &Network, ConfigWatcher &Watcher);
+  ~ConfigPeers();
+  ConfigPeers(const ConfigPeers &) = delete;
+  ConfigPeers &operator=(const ConfigPeers &) = delete;
+
+  /// Must be called after the network has started, because the id of this
+  /// daemon may follow from the port that was bound.
+  void start();
+
+private:
+  void updateMembers();
+
+  EventLoop &Loop;
+  PeerNetwork &Network;
+  ConfigWatcher &Watcher;
+  std::unique_ptr<ConfigExchange> Exchange;
+  sigc::connection LinkUp;
+  sigc::connection MembersChanged;
+  sigc::connection TickTimer;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_PROCESS_CONFIGPEERS_H
--- a/src/process/DaemonProcess.cpp
+++ b/src/process/DaemonProcess.cpp
@@ -9,18 +9,14 @@
 /// lease ends.
 static constexpr auto OrderTimeout = std::chrono::milliseconds(1000);
 
-WatchedConfig::WatchedConfig(Platform &Api, TimerService &Timers)
-    : Watcher(Api, Timers, {}) {
-  this->Watcher.Changed.connect(
-      [this](const ConfigurationPtr &Next) { this->Changed.emit(Next); });
-}
-
 DaemonProcess::DaemonProcess(EventLoop &Loop, const DaemonSettings &Settings)
     : PlatformHttp(Loop), Api(PlatformHttp, Settings.Platform),
       Events(
           std::make_shared<Timeline>(Settings.NodeId, Settings.TimelineEvents)),
-      Config(std::make_shared<WatchedConfig>(Api, Loop.timers())),
+      Config(std::make_shared<ConfigWatcher>(Api, Loop.timers(),
+                                             ConfigWatcherOptions{})),
       Peers(Loop, *Events, Api, peerSettings(Settings)),
+      ConfigsOfPeers(Loop, Peers.network(), *Config),
       Node(DaemonBuilder(Loop, Settings)
                .config(Config)
                .timeline(Events)
@@ -51,7 +47,7 @@
 void DaemonProcess::start() {
   this->Node->start();
   this->Peers.start();
-  this->Config->watcher().start();
+  this->ConfigsOfPeers.start();
 }
 
 bool DaemonProcess::isPreferredFor(std::string_view Service) const {
--- a/src/process/DaemonProcess.h
+++ b/src/process/DaemonProcess.h
@@ -7,31 +7,20 @@
 //   Loop.run();
 //
 // Daemon serves callers; PeerServices works with the other daemons;
-// ConfigWatcher follows the configuration; OrderController gives orders to
+// ConfigWatcher holds the configuration, from the platform or through
+// ConfigPeers; OrderController gives orders to
 // upstreams. This class owns them and carries what one learns to the others.
 
 #ifndef GALENAROUTE_PROCESS_DAEMONPROCESS_H
 #define GALENAROUTE_PROCESS_DAEMONPROCESS_H
 
+#include "process/ConfigPeers.h"
 #include "process/Daemon.h"
 #include "process/PeerServices.h"
-#include "version/ConfigWatcher.h"
 #include "version/OrderController.h"
 
 namespace galenaroute {
 
-/// The configuration as the watcher reads it from the platform.
-class WatchedConfig : public ConfigSource {
-public:
-  WatchedConfig(Platform &Api, TimerService &Timers);
-
-  ConfigurationPtr current() const override { return this->Watcher.current(); }
-  ConfigWatcher &watcher() { return this->Watcher; }
-
-private:
-  ConfigWatcher Watcher;
-};
-
 class DaemonProcess {
 public:
   DaemonProcess(EventLoop &Loop, const DaemonSettings &Settings);
@@ -55,8 +44,9 @@
   HttpClient PlatformHttp;
   HttpPlatform Api;
   std::shared_ptr<Timeline> Events;
-  std::shared_ptr<WatchedConfig> Config;
+  std::shared_ptr<ConfigWatcher> Config;
   PeerServices Peers;
+  ConfigPeers ConfigsOfPeers;
   std::unique_ptr<Daemon> Node;
   HttpUpstreamOrders UpstreamCalls;
   std::unique_ptr<OrderController> Orders;
--- a/tests/ConfigExchangeTest.cpp
+++ b/tests/ConfigExchangeTest.cpp
@@ -207,7 +207,7 @@
   ASSERT_TRUE(this->Run.settle(100));
   // The stale daemon is cut off from both before the next epochs.
   this->Run.CutOff.insert("stale");
-  const std::unique_ptr<Node> Stale = std::move(this->Run.Nodes["stale"]);
+  std::unique_ptr<Node> Stale = std::move(this->Run.Nodes["stale"]);
   Stale->Watcher.setWatching(false);
   this->Run.Nodes.erase("stale");
   this->Run.publish();
@@ -217,12 +217,18 @@
   this->Run.Messages.clear();
   this->Run.CutOff.clear();
 
+  this->Run.Nodes["stale"] = std::move(Stale);
   this->Run.start("new", "z1");
-  Node &New = *this->Run.Nodes["new"];
-  const ConfigVersionPtr &Old = Stale->Watcher.version();
-  New.Exchange->receive("stale", "config-offer",
-                        toJson(ConfigOffer{1, Old->Hash, false}),
-                        this->Run.Now);
+  const Node &New = *this->Run.Nodes["new"];
+  // At first only the messages from and to the stale daemon get through.
+  for (std::size_t I = 0; I < this->Run.Messages.size();) {
+    if (this->Run.Messages[I].From == "stale" ||
+        this->Run.Messages[I].To == "stale")
+      this->Run.deliver(I, false);
+    else
+      ++I;
+  }
+  EXPECT_EQ(New.Exchange->state().Answered, std::set<std::string>{"stale"});
   EXPECT_TRUE(New.Epochs.empty());
   ASSERT_TRUE(this->Run.settle(100));
   EXPECT_EQ(New.Epochs, std::vector<std::uint64_t>{3});
--- a/tests/ConfigHistoryTest.cpp
+++ b/tests/ConfigHistoryTest.cpp
@@ -234,6 +234,43 @@
   }
 }
 
+// Guards against an apply that relies on an object which a collection already
+// counts as unused.
+TEST(ConfigCollectTest, AnObjectThatComesBackIntoUseIsKept) {
+  EventLoop Loop;
+  FakePlatform Api;
+  ConfigStoreOptions Options;
+  Options.CollectAge = 0ms;
+  ConfigStore Store(Api, Loop.timers(), Options);
+  int Applied = 0;
+  const auto Count = [&](const ApplyResult &Result) {
+    Applied += Result.End == ApplyEnd::Applied ? 1 : 0;
+  };
+  for (const char *Name : {"d0", "d1"}) {
+    Store.apply(configNamed(Name), std::nullopt, Count);
+    Api.drain();
+  }
+  std::optional<std::size_t> Removed;
+  Store.collect([&](std::optional<std::size_t> Result) { Removed = Result; });
+  // After the get, the rewrite and the list, the first removal is waiting.
+  for (int I = 0; I < 3; ++I)
+    Api.step();
+  ASSERT_EQ(Api.pending(), 1U);
+  // d2 shares objects with d0 that d1 does not use.
+  Store.apply(configNamed("d2"), std::nullopt, Count);
+  while (Api.pending() > 1)
+    Api.stepAt(1);
+  ASSERT_EQ(Applied, 3);
+  Api.drain();
+  EXPECT_TRUE(Removed.has_value());
+  std::optional<FetchResult> Read;
+  fetchVersion(Api, nullptr, 0,
+               [&](const FetchResult &Result) { Read = Result; });
+  Api.drain();
+  ASSERT_TRUE(Read && Read->Version) << Read->Problem;
+  EXPECT_EQ(Read->Version->Config->Deployment.Name, "d2");
+}
+
 class ConfigApplyTest : public testing::Test {
 protected:
   ApplyResult apply(const std::string &Name, std::uint64_t Seen) {
