Refuse claims at once while a probe of the platform is underway

Cause: with a platform that accepts calls and never answers, all claims that arrived during a probe waited for it, up to 2.5 s each, although the platform was known to be down.

--- a/src/request/ClaimLog.cpp
+++ b/src/request/ClaimLog.cpp
@@ -73,9 +73,11 @@
 
   // Failures of the platform.
 
+  /// While the platform is down, one request at a time waits to find out
+  /// whether it is back; the others are refused at once.
   bool isPlatformDown() const {
     return this->Log.Backoff > this->Log.Settings.MinBackoff &&
-           this->Now < this->Log.RetryAt;
+           (this->Now < this->Log.RetryAt || this->Log.Op);
   }
 
   void succeeded() {
