Connect digests to the peers; wait for imports as long as they pay

Cause: under load an import of 20 blocks was given up after 57 ms with half of them moved, although recomputing took 2 s; its speed was then never learned. Load and crash digests reached no peer. Change: an import may take up to half of the time that recomputing would. The daemon process connects the dispatcher to its peers, under the same name that they see. The test counts cached tokens (all 20 blocks) instead of the time of the answer, which depends on the load of the machine and allowed half of the blocks to be missing. Conclusion: the digest exchange between processes has no test of its own yet.

--- a/bench/MicroBenchmarks.cpp
+++ b/bench/MicroBenchmarks.cpp
@@ -108,6 +108,7 @@
     Links[Store].BytesPerSecond = 1e9;
   }
   std::vector<std::string> Names;
+  Names.reserve(20);
   for (int I = 0; I < 20; ++I)
     Names.push_back("u" + std::to_string(I));
   std::vector<UpstreamView> Views;
@@ -184,6 +185,7 @@
     if (Now >= NextReport) {
       NextReport = Now + Lag;
       std::vector<double> Queued;
+      Queued.reserve(Servers);
       for (int S = 0; S < Servers; ++S)
         Queued.push_back(std::max(FreeAt[S] - Now, 0.0) * SpeedAt(S, Now));
       Samples.emplace_back(Now, Queued);
@@ -202,6 +204,7 @@
         // Fills the lowest queues first, as far as one entry's part of the
         // arrivals until the next report reaches, and interleaves the result.
         std::vector<double> Levels;
+        Levels.reserve(Servers);
         for (int S = 0; S < Servers; ++S)
           Levels.push_back(Tokens[S] / SpeedAt(S, Sampled));
         Patterns[E].clear();
--- a/src/process/DaemonProcess.cpp
+++ b/src/process/DaemonProcess.cpp
@@ -1,5 +1,6 @@
 #include "process/DaemonProcess.h"
 
+#include "process/PeerDigests.h"
 #include "process/Rendezvous.h"
 #include "process/Sha256.h"
 
@@ -37,6 +38,7 @@
                  .events(*Events)
                  .build()) {
   this->Peers.attach(*this->Node);
+  connectDigests(this->Node->dispatcher(), this->Peers.network());
   this->Peers.network().VmsRead.connect(
       sigc::mem_fun(*this, &DaemonProcess::onVms));
   this->Config->Changed.connect([this](const ConfigurationPtr &Next) {
--- a/src/process/Dispatcher.cpp
+++ b/src/process/Dispatcher.cpp
@@ -62,6 +62,12 @@
   this->applyConfig();
 }
 
+void Dispatcher::setSelf(const std::string &Name) {
+  this->Settings.Self = Name;
+  for (auto &[Service, Of] : this->Services)
+    Of.Admission.Self = Name;
+}
+
 void Dispatcher::setLeaving(std::set<std::string> Names) {
   this->Leaving = std::move(Names);
   this->applyConfig();
@@ -332,9 +338,16 @@
   this->Events.record("cache.import", Request.RequestId,
                       std::to_string(Keys.size()) + " blocks from " +
                           Plan.Store);
+  // Giving up loses what was transferred and teaches nothing about the link, so
+  // an import may take up to half of the time that recomputing would.
+  const Duration Recompute = fromSeconds(
+      View.ImportedTokens / (View.PrefillTokensPerSecond > 0
+                                 ? View.PrefillTokensPerSecond
+                                 : Of.Tracker.Route.DefaultPrefill));
   this->Transfers.import(
       Request.Customer, this->endOf(*Declared, Answer.Upstream),
-      this->storeEnd(Plan.Store), Keys, 2 * Plan.ImportTime + Milliseconds(50),
+      this->storeEnd(Plan.Store), Keys,
+      std::max<Duration>(2 * Plan.ImportTime + Milliseconds(50), Recompute / 2),
       [Done = Entry.Done, Answer] { Done(Answer); });
 }
 
--- a/src/process/Dispatcher.h
+++ b/src/process/Dispatcher.h
@@ -79,6 +79,9 @@
   /// Takes over the names and addresses of leaving VMs.
   void setLeaving(std::set<std::string> Leaving);
 
+  /// Sets this entry's name among its peers, by which they agree on shares.
+  void setSelf(const std::string &Name);
+
   /// Emitted every DigestPeriod with the body of a `load` message for peers.
   sigc::signal<void(const nlohmann::json &Body)> LoadDigest;
   /// Takes over the `load` message of a peer; throws on a malformed one.
--- a/src/process/PeerDigests.cpp
+++ b/src/process/PeerDigests.cpp
@@ -5,7 +5,9 @@
 namespace galenaroute {
 
 void connectDigests(Dispatcher &Dispatch, PeerNetwork &Peers) {
-  Dispatch.LoadDigest.connect([&Peers](const nlohmann::json &Body) {
+  Dispatch.LoadDigest.connect([&Dispatch, &Peers](const nlohmann::json &Body) {
+    // The id may depend on the port, which is bound when the network starts.
+    Dispatch.setSelf(Peers.self().Id);
     Peers.sendToNeighbours({"load", Body});
   });
   Dispatch.CrashDigest.connect([&Peers](const nlohmann::json &Body) {
--- a/src/request/BlockChain.h
+++ b/src/request/BlockChain.h
@@ -14,7 +14,6 @@
 #define GALENAROUTE_REQUEST_BLOCKCHAIN_H
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <cstring>
 #include <functional>
@@ -34,7 +33,10 @@
 /// A SHA-256 digest.
 struct Digest {
   std::array<std::uint8_t, 32> Bytes{};
-  auto operator<=>(const Digest &) const = default;
+  bool operator==(const Digest &) const = default;
+  bool operator<(const Digest &Other) const {
+    return this->Bytes < Other.Bytes;
+  }
 };
 
 using BlockKey = Digest;
--- a/src/request/CallerApi.cpp
+++ b/src/request/CallerApi.cpp
@@ -206,8 +206,8 @@
   }
   this->Context.Events.record("request.arrived", Info.id(),
                               Info.Customer + " " + Info.Service);
-  this->Context.Open.add(std::make_unique<ModelRun>(
-      this->Context, std::move(Info), std::move(Prompt), From));
+  this->Context.Open.add(
+      std::make_unique<ModelRun>(this->Context, Info, std::move(Prompt), From));
 }
 
 void CallerApi::service(HttpRequest &Request, CallerReply &Reply, bool OwnId) {
@@ -240,8 +240,8 @@
   this->Context.Events.record("request.arrived", Info.id(),
                               Info.Customer + " " + Info.Service + " " +
                                   Call.Method + " " + Call.Target);
-  this->Context.Open.add(std::make_unique<PlainRun>(
-      this->Context, std::move(Info), std::move(Call)));
+  this->Context.Open.add(
+      std::make_unique<PlainRun>(this->Context, Info, std::move(Call)));
 }
 
 void CallerApi::checkOperator(const HttpRequest &Request) const {
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -59,7 +59,7 @@
           .Streaming = Prompt.Stream};
 }
 
-ModelRun::ModelRun(RequestContext &Context, RequestInfo Given,
+ModelRun::ModelRun(RequestContext &Context, const RequestInfo &Given,
                    PromptRequest Asked, const std::optional<ResumePoint> &From)
     : RequestRun(Context, Given, stateOf(Context, Given, Asked, From)),
       Prompt(std::move(Asked)),
--- a/src/request/ModelRun.h
+++ b/src/request/ModelRun.h
@@ -14,8 +14,8 @@
 class ModelRun : public RequestRun {
 public:
   /// With \p From the stream goes on after what the caller has.
-  ModelRun(RequestContext &Context, RequestInfo Info, PromptRequest Prompt,
-           const std::optional<ResumePoint> &From);
+  ModelRun(RequestContext &Context, const RequestInfo &Info,
+           PromptRequest Prompt, const std::optional<ResumePoint> &From);
   ~ModelRun() override;
 
 private:
--- a/src/request/PlainRun.cpp
+++ b/src/request/PlainRun.cpp
@@ -71,7 +71,8 @@
   return newAttempt(Policy);
 }
 
-PlainRun::PlainRun(RequestContext &Context, RequestInfo Given, PlainCall Asked)
+PlainRun::PlainRun(RequestContext &Context, const RequestInfo &Given,
+                   PlainCall Asked)
     : RequestRun(Context, Given, stateOf(Context, Given, Asked)),
       Call(std::move(Asked)),
       Ticket(Context.Dispatch, {.Config = this->Info.Config,
--- a/src/request/PlainRun.h
+++ b/src/request/PlainRun.h
@@ -34,7 +34,7 @@
 
 class PlainRun : public RequestRun {
 public:
-  PlainRun(RequestContext &Context, RequestInfo Info, PlainCall Call);
+  PlainRun(RequestContext &Context, const RequestInfo &Info, PlainCall Call);
 
 private:
   void execute(const AttemptAction &Action) override;
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -44,7 +44,8 @@
   for (int C = 0; C < Customers; ++C) {
     Weights.push_back(*rc::gen::inRange(1, 6));
     for (int I = 0; I < 30; ++I) {
-      AdmissionRequest Request = requestOf(++Id, std::string(1, 'a' + C));
+      AdmissionRequest Request =
+          requestOf(++Id, std::string(1, static_cast<char>('a' + C)));
       Request.Weight = Weights[C];
       Request.Cost = *rc::gen::inRange(1, 100) / 10.0;
       Largest[C] = std::max(Largest[C], Request.Cost);
@@ -91,7 +92,7 @@
     case 1: {
       const auto Id = static_cast<std::uint64_t>(Step);
       AdmissionRequest Request =
-          requestOf(Id, std::string(1, 'a' + *rc::gen::inRange(0, 3)),
+          requestOf(Id, std::string(1, *rc::gen::element('a', 'b', 'c')),
                     static_cast<PromptClass>(*rc::gen::inRange(0, 3)));
       Request.MaxInFlight = 3;
       Request.ExpectedRun = 100ms;
--- a/tests/CacheDecisionsTest.cpp
+++ b/tests/CacheDecisionsTest.cpp
@@ -143,8 +143,10 @@
                         *rc::gen::inRange(1000, 20000) * 1.0};
   View.PendingTokens[0] = *rc::gen::inRange(0, 20000);
   const std::size_t Blocks = *rc::gen::inRange<std::size_t>(1, 40);
-  const PromptToPlan Prompt{
-      .Customer = "c", .PromptTokens = Blocks * 1000.0 + 300, .Blocks = Blocks};
+  const PromptToPlan Prompt{.Customer = "c",
+                            .PromptTokens =
+                                static_cast<double>(Blocks) * 1000 + 300,
+                            .Blocks = Blocks};
   const RouteRequest Request{.PromptTokens = Prompt.PromptTokens};
   std::vector<UpstreamView> Views{View};
   const ReusePlan Plan = planReuse(Held, Prompt, Links, Views, Options)[0];
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -208,17 +208,16 @@
   for (const auto &System : this->Systems)
     System->crash(0ms);
   this->Loop.runUntil([] { return false; }, 1s);
-  const TimePoint Before = EventLoop::now();
-  const HttpResult Again = this->prompt(Handbook + "second");
-  EXPECT_EQ(Again.Status, 200);
-  // Computing 20,000 tokens takes 2 s.
-  EXPECT_LT(EventLoop::now() - Before, 1s) << this->timeline();
-  std::uint64_t Violations = 0;
-  for (std::size_t I = 0; I < 2; ++I)
-    Violations +=
-        json::parse(
-            this->get(this->Model.Upstreams[I].Address, "/admin/stats").Body)
-            .value("cache_violations", 0);
+  EXPECT_EQ(this->prompt(Handbook + "second").Status, 200);
+  std::uint64_t Violations = 0, Cached = 0;
+  for (const UpstreamConfig &Each : this->Model.Upstreams) {
+    const json Stats =
+        json::parse(this->get(Each.Address, "/admin/stats").Body);
+    Violations += Stats.value("cache_violations", 0);
+    Cached += Stats.value("cached_tokens", 0);
+  }
+  // The first run found nothing; the second one computes no whole block.
+  EXPECT_EQ(Cached, 20000U) << this->timeline();
   EXPECT_EQ(Violations, 0U);
 }
 
--- a/tests/FailureDecisionsTest.cpp
+++ b/tests/FailureDecisionsTest.cpp
@@ -173,6 +173,7 @@
 TEST_F(CrashGuardTest, MemoryIsBounded) {
   this->Entry.Options.MaxSuspects = 20;
   std::vector<CrashSignature> Many;
+  Many.reserve(100);
   for (int I = 0; I < 100; ++I)
     Many.push_back({contentDigest("m", std::to_string(I)),
                     {"u1", "u2", "u3"},
--- a/tests/LoadPollerTest.cpp
+++ b/tests/LoadPollerTest.cpp
@@ -77,7 +77,7 @@
   std::vector<BlockKey> prompt(const SocketAddress &To, const std::string &Id,
                                char Letter) {
     const std::string Text(3 * BlockBytes, Letter);
-    const auto Keys = blockKeys({"c", "m", "v1", ""}, Text);
+    auto Keys = blockKeys({"c", "m", "v1", ""}, Text);
     json Hex = json::array();
     for (const BlockKey &Key : Keys)
       Hex.push_back(toHex(Key));
@@ -198,6 +198,7 @@
   LoadPoller Poller(this->Loop, this->Http, this->Index, this->Generator,
                     this->Settings);
   std::vector<PollTarget> Targets;
+  Targets.reserve(50);
   for (int I = 0; I < 50; ++I)
     Targets.push_back({"p" + std::to_string(I), To, PollKind::Plain});
   Poller.setTargets(Targets);
--- a/tests/RoutingTest.cpp
+++ b/tests/RoutingTest.cpp
@@ -85,6 +85,7 @@
   const int Count = *rc::gen::inRange(1, 9);
   std::vector<UpstreamView> Views;
   std::vector<std::string> Names;
+  Names.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Names.push_back("u" + std::to_string(I));
   for (int I = 0; I < Count; ++I) {
