bench: print the time line of a payment that ran twice

Cause: under load, single payments ran at two upstreams; the table showed the count and nothing to trace it by.

The load is three times higher by default, and the links are narrower, because the first settings left all policies idle.

Each time the daemon recorded the first attempt as `cut not sent` 0.12 to 0.18 ms after its start and tried another upstream, while the first upstream had run the call. The daemon's HTTP client or its caller reports bytes as not sent that reached the upstream; a client alone did not show it in 20000 calls on new connections.

--- a/bench/BenchMain.cpp
+++ b/bench/BenchMain.cpp
@@ -18,7 +18,8 @@
   std::string OutDir;
   double Seconds = 6;
   double Scale = 0.5;
-  double Load = 1;
+  double Load = 3;
+  double PaymentsPerSecond = -1; ///< Negative: as the workload has it.
   std::uint64_t Seeds = 3;
   std::uint64_t FirstSeed = 1;
   std::size_t MaxCalls = 5000;
@@ -38,6 +39,8 @@
           : harwoodWorkload(Settings.Scale * Settings.Load);
   Result.Length = fromSeconds(Settings.Seconds);
   Result.MaxCalls = Settings.MaxCalls;
+  if (Settings.PaymentsPerSecond >= 0)
+    Result.PaymentsPerSecond = Settings.PaymentsPerSecond;
   return Result;
 }
 
@@ -132,6 +135,10 @@
   App.add_option("--load", Settings.Load, "Factor on the load alone")
       ->capture_default_str()
       ->check(CLI::Range(0.01, 100.0));
+  App.add_option("--payments-per-second", Settings.PaymentsPerSecond,
+                 "Rate of calls that must not repeat, in place of the "
+                 "workload's")
+      ->check(CLI::Range(0.0, 1000.0));
   App.add_option("--seeds", Settings.Seeds, "Number of seeds")
       ->capture_default_str()
       ->check(CLI::Range(1, 100));
--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iostream>
 
 namespace galenaroute::bench {
 
@@ -54,11 +55,11 @@
                   : std::vector<std::string>{"handbook-cache", "photo-cache"};
   for (std::size_t I = 0; I < 2; ++I) {
     this->Stores.push_back(
-        &this->Harness.startEmulator("store", {"--link-mbps", "100"}));
+        &this->Harness.startEmulator("store", {"--link-mbps", "60"}));
     this->Parts.Stores.push_back(
         {StoreNames[I], this->Stores.back()->address(), this->Parts.Zones[I]});
   }
-  this->Parts.StoreLinkMbps = 100;
+  this->Parts.StoreLinkMbps = 60;
   for (std::size_t I = 0; I < 3; ++I) {
     this->PlainServers.push_back(&this->Harness.startEmulator("service", {}));
     this->Parts.PlainServers.push_back({"desk-" + std::to_string(I + 1),
@@ -81,11 +82,11 @@
 void Fleet::startEngines(std::size_t Count) {
   for (std::size_t I = 0; I < Count; ++I) {
     this->Engines.push_back(&this->Harness.startEmulator(
-        "engine",
-        {"--seed", std::to_string(this->Settings.Seed * 100 + I), "--decode-ms",
-         "10", "--cache-blocks", std::string(CacheBlocks),
-         "--prefill-tokens-per-second", std::string(PrefillTokensPerSecond),
-         "--kv-link-mbps", "200", "--event-gap-share", "0.01"}));
+        "engine", {"--seed", std::to_string(this->Settings.Seed * 100 + I),
+                   "--decode-ms", "10", "--cache-blocks",
+                   std::string(CacheBlocks), "--prefill-tokens-per-second",
+                   std::string(PrefillTokensPerSecond), "--kv-link-mbps", "40",
+                   "--block-bytes", "65536", "--event-gap-share", "0.01"}));
     this->Parts.Engines.push_back({"engine-" + std::to_string(I + 1),
                                    this->Engines.back()->address(),
                                    this->Parts.Zones[I % 3]});
@@ -106,6 +107,28 @@
         [](const HttpResult &) {});
 }
 
+void Fleet::printTimeline(const std::string &Request) {
+  std::cerr << "time line of " << Request << ":\n";
+  for (std::size_t I = 0; I < this->PlainServers.size(); ++I)
+    std::cerr << "  runs at " << this->Parts.PlainServers[I].Name << ": "
+              << this->Harness
+                     .get(this->PlainServers[I]->address(),
+                          "/admin/runs?key=" + Request)
+                     .Body
+              << "\n";
+  for (const Program *Each : this->Daemons) {
+    const json Body = this->Harness.getJson(Each->address(),
+                                            "/v1/timeline?request=" + Request);
+    if (!Body.is_object())
+      continue;
+    for (const json &Event : Body.value("events", json::array()))
+      std::cerr << "  " << Body.value("process", "") << " "
+                << Event.value("micros", std::int64_t{0}) << " "
+                << Event.value("kind", "") << " " << Event.value("detail", "")
+                << "\n";
+  }
+}
+
 FleetCounts Fleet::counts() {
   FleetCounts Result;
   for (const Program *Each : this->Engines) {
@@ -132,8 +155,12 @@
       if (Key.starts_with("pay-"))
         Runs[Key] += Count.get<int>();
   }
-  for (const auto &[Key, Count] : Runs)
-    Result.RepeatedPayments += Count > 1 ? 1 : 0;
+  for (const auto &[Key, Count] : Runs) {
+    if (Count <= 1)
+      continue;
+    ++Result.RepeatedPayments;
+    this->printTimeline(Key);
+  }
   return Result;
 }
 
--- a/bench/Fleet.h
+++ b/bench/Fleet.h
@@ -49,6 +49,9 @@
 
 private:
   void startEngines(std::size_t Count);
+  /// Prints what the daemons recorded of \p Request, so that a fault that a
+  /// run shows can be traced.
+  void printTimeline(const std::string &Request);
 
   FleetSettings Settings;
   testing_support::ProcessHarness Harness;
--- a/bench/LoadRun.cpp
+++ b/bench/LoadRun.cpp
@@ -58,7 +58,8 @@
       Builder.get(Plain + Parts.ReadPath + "/7");
     } else if (Call.Class == CallClass::Payment) {
       Builder.post(Plain + Parts.PaidPath, "{}")
-          .header("Idempotency-Key", Call.Key);
+          .header("Idempotency-Key", Call.Key)
+          .header("X-Request-Id", Call.Key);
     } else {
       const json Body = {{"model", Parts.Model},
                          {"prompt", Call.Prompt},
