bench: measure the control cost of idle daemons by fleet size

Cause: docs/CAPACITY.md needs slopes of processor time, memory, bytes and platform calls, and the time until a change is in force. Ruled out: counting bytes inside the daemon; the loopback counter covers headers and every connection. Change: galenaroute-control-cost, make control-cost, make micro. Conclusion: builds; not yet run.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all packages build test run bench micro format format-check lint clean
+.PHONY: all packages build test run bench control-cost micro format format-check lint clean
 all: build
 
 packages:
@@ -22,6 +22,13 @@
 bench: build
 	./$(BUILD)/galenaroute-bench $(BENCH)
 
+# Cost of idle daemons by fleet size; run nothing else beside it.
+control-cost: build
+	./$(BUILD)/galenaroute-control-cost $(CONTROL_COST)
+
+micro: build
+	./$(BUILD)/galenaroute-microbench $(MICRO)
+
 format:
 	git ls-files '*.cpp' '*.h' | xargs clang-format -i
 
