--- a/src/version/ConfigStore.cpp
+++ b/src/version/ConfigStore.cpp
@@ -31,13 +31,13 @@
   }
 
   /// Runs \p Step after a back-off; returns false when the deadline passed.
-  bool retryLater(std::function<void()> Step) {
+  bool retryLater(const std::function<void()> &Step) {
     if (this->Expired)
       return false;
     this->Timers.after(configBackoff(this->Attempt++,
                                      this->Options.FirstBackoff,
                                      this->Options.MaxBackoff, this->Random),
-                       std::move(Step));
+                       Step);
     return true;
   }
 
--- a/src/version/Listing.cpp
+++ b/src/version/Listing.cpp
@@ -26,6 +26,7 @@
 
 std::vector<std::string> valuesOf(const std::vector<Located<std::string>> &In) {
   std::vector<std::string> Result;
+  Result.reserve(In.size());
   for (const auto &Each : In)
     Result.push_back(Each.Value);
   return Result;
--- a/src/version/ListingReader.cpp
+++ b/src/version/ListingReader.cpp
@@ -131,9 +131,10 @@
   return Result;
 }
 
-Located<std::string> TableReader::text(std::string_view Key,
-                                       std::optional<std::string> Default,
-                                       std::size_t MaxBytes) {
+Located<std::string>
+TableReader::text(std::string_view Key,
+                  const std::optional<std::string> &Default,
+                  std::size_t MaxBytes) {
   const std::string Allowed =
       "a printable string of 1 to " + std::to_string(MaxBytes) + " bytes";
   const toml::node *Node =
@@ -153,7 +154,7 @@
 
 std::string TableReader::choice(std::string_view Key,
                                 std::span<const std::string_view> Allowed,
-                                std::optional<std::string> Default) {
+                                const std::optional<std::string> &Default) {
   std::string Rule;
   for (const std::string_view Each : Allowed)
     Rule += (Rule.empty() ? "" : ", ") + quoted(Each);
--- a/src/version/ListingReader.h
+++ b/src/version/ListingReader.h
@@ -64,13 +64,13 @@
   /// Reads a printable string of at most \p MaxBytes; required when
   /// \p Default is empty.
   Located<std::string> text(std::string_view Key,
-                            std::optional<std::string> Default,
+                            const std::optional<std::string> &Default,
                             std::size_t MaxBytes = 256);
 
   /// Reads one of \p Allowed; required when \p Default is empty.
   std::string choice(std::string_view Key,
                      std::span<const std::string_view> Allowed,
-                     std::optional<std::string> Default);
+                     const std::optional<std::string> &Default);
 
   std::int64_t integer(std::string_view Key, std::int64_t Default,
                        Range<std::int64_t> Bounds);
