Keep cancelled calls of the HTTP client from reaching later calls

Cause: a cancelled exchange left its request on the connection until a timer freed it. Events in between called back with the address of the destroyed exchange, where the allocator had often put the next one: that call got the answer of the other one, or was reported as not sent while its request still went out, and a payment then ran at a second upstream.

Ruled out: a timeout of the connect, since the time line shows the end 0.12 to 0.18 ms after the start; the plain service's count, since it named both upstreams; the client without cancels, with 20000 calls and no failure.

Change: an abandoned request calls nothing, and its socket is shut down at once, so that no byte goes out after the call was reported as not sent.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -78,6 +78,7 @@
         },
         this);
     evhttp_request *Request = evhttp_request_new(&Exchange::onDone, this);
+    this->Request = Request;
     evhttp_request_set_header_cb(Request, &Exchange::onHead);
     evhttp_request_set_chunked_cb(Request, &Exchange::onChunk);
     evkeyvalq *Fields = evhttp_request_get_output_headers(Request);
@@ -90,6 +91,7 @@
                             methodOf(this->Call.Method),
                             this->Call.Path.c_str()) != 0) {
       // evhttp has freed the request.
+      this->Request = nullptr;
       this->finishLater(HttpEnd::ConnectFailed);
       return;
     }
@@ -106,6 +108,7 @@
     if (this->Sent)
       evbuffer_remove_cb_entry(bufferevent_get_output(Stream), this->Sent);
     this->Sent = nullptr;
+    this->abandonRequest();
     if (Reusable)
       this->Client.keep(this->Call.To, this->Connection);
     else
@@ -113,6 +116,22 @@
     this->Connection = nullptr;
   }
 
+  /// Keeps a connection that is about to be closed from calling back and from
+  /// sending. It is freed later, and its events come in until then: they would
+  /// reach whatever exchange has the address of this one by that time, and a
+  /// call that was reported as not sent would still go out.
+  void abandonRequest() {
+    if (!this->Request)
+      return;
+    this->Request->cb = [](evhttp_request *, void *) {};
+    evhttp_request_set_header_cb(this->Request, nullptr);
+    evhttp_request_set_chunked_cb(this->Request, nullptr);
+    this->Request = nullptr;
+    shutdown(
+        bufferevent_getfd(evhttp_connection_get_bufferevent(this->Connection)),
+        SHUT_RDWR);
+  }
+
   /// evhttp starts to read by itself when it has sent the call, so a pause is
   /// applied again as bytes come in.
   void applyPause() {
@@ -195,6 +214,8 @@
 
   static void onDone(evhttp_request *Request, void *Arg) {
     auto &Self = *static_cast<Exchange *>(Arg);
+    // evhttp frees the request when this returns.
+    Self.Request = nullptr;
     if (!Self.Connection)
       return;
     if (!Request || evhttp_request_get_response_code(Request) == 0) {
@@ -214,6 +235,7 @@
   HttpCallbacks Callbacks;
   HttpResult Result;
   evhttp_connection *Connection = nullptr;
+  evhttp_request *Request = nullptr; ///< While evhttp has it.
   evbuffer_cb_entry *Sent = nullptr;
   bool Paused = false;
   TimePoint Started;
--- /dev/null
+++ b/tests/HttpClientCancelTest.cpp
@@ -0,0 +1,84 @@
+// Tests of what a cancelled call of the HTTP client leaves behind.
+
+#include "connection/HttpClient.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A server that only does what a test tells it to, outside of the loop.
+class RawServer {
+public:
+  RawServer() : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Bound{};
+    Bound.sin_family = AF_INET;
+    Bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(Bound);
+    bind(this->Socket, reinterpret_cast<sockaddr *>(&Bound), Size);
+    listen(this->Socket, 8);
+    getsockname(this->Socket, reinterpret_cast<sockaddr *>(&Bound), &Size);
+    this->Address = {"127.0.0.1", ntohs(Bound.sin_port)};
+  }
+  ~RawServer() { close(this->Socket); }
+  RawServer(const RawServer &) = delete;
+  RawServer &operator=(const RawServer &) = delete;
+
+  int accept() const { return ::accept(this->Socket, nullptr, nullptr); }
+
+  SocketAddress Address;
+
+private:
+  int Socket;
+};
+
+// Guards against the answer to a cancelled call reaching the call that was
+// started next: another caller's answer, and "not sent" for a call that was.
+TEST(HttpClientCancelTest, DropsAnAnswerThatWasAlreadyThere) {
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  const RawServer Server;
+  auto First = Client.start(
+      HttpCallBuilder(Server.Address).get("/a").newConnection().build(), {});
+  Loop.runUntil([] { return false; }, 50ms);
+  const int Peer = Server.accept();
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  ASSERT_EQ(write(Peer, Answer.data(), Answer.size()),
+            static_cast<ssize_t>(Answer.size()));
+  std::this_thread::sleep_for(20ms);
+  First.reset();
+  bool HasEnded = false;
+  // The allocator tends to give the second exchange the address of the first.
+  const auto Second = Client.start(
+      HttpCallBuilder(Server.Address).post("/b", "").newConnection().build(),
+      {.OnDone = [&](const HttpResult &) { HasEnded = true; }});
+  Loop.runUntil([&] { return HasEnded; }, 100ms);
+  EXPECT_FALSE(HasEnded);
+  close(Peer);
+}
+
+// Guards against a cancelled call going out after all.
+TEST(HttpClientCancelTest, SendsNothingAfterACancel) {
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  const RawServer Server;
+  auto First = Client.start(
+      HttpCallBuilder(Server.Address).post("/a", "").newConnection().build(),
+      {});
+  // The connection is made by the kernel; the loop has not seen it yet.
+  First.reset();
+  Loop.runUntil([] { return false; }, 50ms);
+  const int Peer = Server.accept();
+  char Byte = 0;
+  EXPECT_LE(read(Peer, &Byte, 1), 0);
+  close(Peer);
+}
+
+} // namespace
+} // namespace galenaroute
