--- a/tests/CliTest.cpp
+++ b/tests/CliTest.cpp
@@ -49,8 +49,8 @@
   }
 
   std::string listing(double Weight) {
-    const std::string File = testing::TempDir() + "galenaroute-" +
-                             std::to_string(getpid()) + ".toml";
+    std::string File = testing::TempDir() + "galenaroute-" +
+                       std::to_string(getpid()) + ".toml";
     Configuration Config;
     Config.Deployment = {"d", "r", {"z"}};
     Config.Customers["c"] = {"c", std::string(64, 'a'), Weight, 64};
--- a/tests/ConfigObjectsTest.cpp
+++ b/tests/ConfigObjectsTest.cpp
@@ -34,8 +34,8 @@
                 *rc::gen::inRange<std::ptrdiff_t>(0, std::ssize(Objects)))
           ->second;
   std::string Text = *Victim;
-  Text[*rc::gen::inRange<std::size_t>(0, Text.size())] ^=
-      static_cast<char>(*rc::gen::inRange(1, 256));
+  char &Byte = Text[*rc::gen::inRange<std::size_t>(0, Text.size())];
+  Byte = static_cast<char>(Byte ^ *rc::gen::inRange(1, 256));
   Victim = std::make_shared<const std::string>(Text);
   RC_ASSERT_THROWS_AS(assembleVersion(Stored->Names, Objects), Error);
 
--- a/tests/ListingTest.cpp
+++ b/tests/ListingTest.cpp
@@ -73,7 +73,9 @@
   std::string Key, Message, Allowed;
 };
 
-void PrintTo(const BadCase &Case, std::ostream *Out) { *Out << Case.Name; }
+std::ostream &operator<<(std::ostream &Out, const BadCase &Case) {
+  return Out << Case.Name;
+}
 
 class BadListingTest : public testing::TestWithParam<BadCase> {};
 
