--- a/bench/ControlCostMain.cpp
+++ b/bench/ControlCostMain.cpp
@@ -44,7 +44,7 @@
   double CpuPercent = 0; ///< Of one core.
   double MeanMegabytes = 0;
   double MaxMegabytes = 0;
-  double BytesPerSecond = 0;        ///< Sent, with all headers.
+  double BytesPerSecond = 0;         ///< Sent, with all headers.
   double PlatformCallsPerSecond = 0; ///< Of the whole fleet.
   double MedianChangeSeconds = 0;
   double WorstChangeSeconds = 0;
@@ -94,9 +94,9 @@
     std::vector<std::string> Zones;
     for (std::size_t I = 0; I < Size; ++I)
       Zones.push_back(this->Parts.Zones[I % this->Parts.Zones.size()]);
-    this->Daemons = this->Harness.startDaemons(
-        this->Platform->address(), Zones,
-        {"--log-level", "error", "--keep-ms", "0"});
+    this->Daemons =
+        this->Harness.startDaemons(this->Platform->address(), Zones,
+                                   {"--log-level", "error", "--keep-ms", "0"});
     this->Harness.applyListing(this->Platform->address(),
                                testing_support::listingText(this->Parts));
     this->waitForEpoch(1);
@@ -168,11 +168,11 @@
     this->Harness.waitFor(
         "epoch " + std::to_string(Epoch),
         [&] {
-          while (Reached < this->Daemons.size() &&
-                 this->Harness
-                         .getJson(this->Daemons[Reached]->address(),
-                                  "/v1/status")
-                         .value("epoch", std::uint64_t{0}) >= Epoch)
+          while (
+              Reached < this->Daemons.size() &&
+              this->Harness
+                      .getJson(this->Daemons[Reached]->address(), "/v1/status")
+                      .value("epoch", std::uint64_t{0}) >= Epoch)
             ++Reached;
           return Reached == this->Daemons.size();
         },
