--- a/tests/PeerNetworkTest.cpp
+++ b/tests/PeerNetworkTest.cpp
@@ -127,14 +127,14 @@
   const auto Reader = this->start(this->settings("a", {}));
   this->Api.drain();
   FakePlatform Silent;
-  const auto startSilent = [&] {
+  const auto StartSilent = [&] {
     auto Result = std::make_unique<PeerNetwork>(
         this->Loop, this->Events, Silent,
         this->settings("a", {Reader->self().PeerAddress}));
     Result->start();
     return Result;
   };
-  const auto First = startSilent();
+  const auto First = StartSilent();
   ASSERT_TRUE(this->waitFor([&] { return liveCount(*First) == 2; }));
   std::vector<VmRecord> Seen;
   const auto Note = [&](const std::vector<VmRecord> &Vms) { Seen = Vms; };
@@ -152,7 +152,7 @@
   EXPECT_EQ(liveCount(*First), 1U);
   EXPECT_TRUE(isSelfListedLeaving(Reader->members()));
   Seen.clear();
-  const auto Second = startSilent();
+  const auto Second = StartSilent();
   Second->VmsRead.connect(Note);
   EXPECT_TRUE(this->waitFor(IsPassedOn));
 }
