Poll seldom and send no load digests while an entry is idle

Cause: idle daemons sent 15 to 22 KB/s each, against a budget of 3 KB/s: load digests went to all neighbours every 100 ms, changed or not, and each engine was polled 14 times a second by each daemon. Ruled out: growth with the fleet (bytes and processor time are flat from 6 to 96 daemons); a longer period also under load, since routing by old reports is what the digests are for. Change: an unchanged digest is repeated once a second, an empty one not at all; 2 s after its last request an entry polls once a second.

--- a/src/process/DispatchTicket.cpp
+++ b/src/process/DispatchTicket.cpp
@@ -3,9 +3,14 @@
 namespace galenaroute {
 
 DispatchTicket::DispatchTicket(Dispatcher &Of, DispatchRequest Request)
-    : Of(Of), Request(std::move(Request)), Id(Of.newId()) {}
+    : Of(Of), Request(std::move(Request)), Id(Of.newId()) {
+  ++Of.OpenTickets;
+  Of.LastRequestAt = EventLoop::now();
+  Of.Poller.setActive(true);
+}
 
 DispatchTicket::~DispatchTicket() {
+  --this->Of.OpenTickets;
   this->failed(AttemptFailure::Cancelled);
   Dispatcher::Service &Service = this->Of.serviceOf(this->Request.Service);
   if (!this->Admitted) {
--- a/src/process/Dispatcher.cpp
+++ b/src/process/Dispatcher.cpp
@@ -479,7 +479,10 @@
     this->NextExchange = Now + this->Settings.DigestPeriod;
     for (auto &[Name, Of] : this->Services)
       refreshGrants(Of.Admission, Now);
-    this->LoadDigest.emit(this->loadDigest());
+    this->sendLoadDigest(Now);
+    if (this->OpenTickets == 0 &&
+        Now - this->LastRequestAt > this->Settings.IdleAfter)
+      this->Poller.setActive(false);
   }
 }
 
--- a/src/process/Dispatcher.h
+++ b/src/process/Dispatcher.h
@@ -79,6 +79,10 @@
   PromptClassLimits Classes;
   LoadPollerSettings Polls;
   Duration DigestPeriod = Milliseconds(100);
+  /// An unchanged digest is repeated before peers drop it as old.
+  Duration DigestRepeat = Milliseconds(1000);
+  /// This long after the last request the entry counts as idle.
+  Duration IdleAfter = std::chrono::seconds(2);
 };
 
 /// Returns the policy called \p Name, such as `expected-time`; nothing when
@@ -102,7 +106,9 @@
   /// Sets this entry's name among its peers, by which they agree on shares.
   void setSelf(const std::string &Name);
 
-  /// Emitted every DigestPeriod with the body of a `load` message for peers.
+  /// Emitted with the body of a `load` message for peers: at most once in a
+  /// DigestPeriod when it has changed, every DigestRepeat when it has not, and
+  /// not at all while there is nothing to tell.
   sigc::signal<void(const nlohmann::json &Body)> LoadDigest;
   /// Takes over the `load` message of a peer; throws on a malformed one.
   void onLoadDigest(const std::string &Peer, const nlohmann::json &Body);
@@ -116,6 +122,9 @@
   /// Returns `{"SERVICE":{"queued":[..],"upstreams":{NAME:{...}}}}`.
   nlohmann::json status() const;
 
+  /// Returns the number of reports asked for so far.
+  std::uint64_t polls() const { return this->Poller.calls(); }
+
   using OnChosen = std::function<void(const DispatchAnswer &)>;
 
 private:
@@ -164,6 +173,7 @@
                     const std::string &Upstream) const;
   TransferEnd storeEnd(const std::string &Store) const;
   void tick();
+  void sendLoadDigest(TimePoint Now);
   void checkCrashes();
   /// Sends the signatures if they have changed since they were last sent.
   void sendCrashDigest();
@@ -188,6 +198,10 @@
   std::uint64_t NextId = 1;
   std::uint64_t SentRevision = 0; ///< Of the guard.
   TimePoint NextExchange{};
+  std::vector<std::uint8_t> SentDigest; ///< CBOR of the last one.
+  TimePoint DigestSentAt{};
+  TimePoint LastRequestAt{};
+  std::size_t OpenTickets = 0;
   TimePoint NextShares{};
   sigc::connection Timer;
   sigc::connection PumpTimer;
--- a/src/process/DispatcherDigests.cpp
+++ b/src/process/DispatcherDigests.cpp
@@ -33,6 +33,26 @@
   return {{"services", std::move(Services)}};
 }
 
+/// Returns whether a digest tells of no work and no use.
+static bool isEmptyDigest(const json &Body) {
+  const json &Services = Body.at("services");
+  return std::all_of(Services.begin(), Services.end(), [](const json &Each) {
+    return Each.at("work").empty() && Each.at("use").empty();
+  });
+}
+
+void Dispatcher::sendLoadDigest(TimePoint Now) {
+  const json Body = this->loadDigest();
+  std::vector<std::uint8_t> Bytes = json::to_cbor(Body);
+  const bool Unchanged = Bytes == this->SentDigest;
+  if (Unchanged && (isEmptyDigest(Body) ||
+                    Now < this->DigestSentAt + this->Settings.DigestRepeat))
+    return;
+  this->SentDigest = std::move(Bytes);
+  this->DigestSentAt = Now;
+  this->LoadDigest.emit(Body);
+}
+
 void Dispatcher::onLoadDigest(const std::string &Peer, const json &Body) {
   const TimePoint Now = EventLoop::now();
   // Decoded as a whole first, so that a malformed message changes nothing.
--- a/src/process/LoadPoller.cpp
+++ b/src/process/LoadPoller.cpp
@@ -52,11 +52,16 @@
 }
 
 Duration LoadPoller::period(const Target &Of, Question What) const {
+  const auto Stretched = [this](Duration Period) {
+    return std::max(fromSeconds(toSeconds(Period) * this->Stretch),
+                    this->Active ? Duration::zero()
+                                 : this->Settings.IdlePeriod);
+  };
   switch (What) {
   case Question::Load:
-    return fromSeconds(toSeconds(this->Settings.LoadPeriod) * this->Stretch);
+    return Stretched(this->Settings.LoadPeriod);
   case Question::Events:
-    return fromSeconds(toSeconds(this->Settings.EventPeriod) * this->Stretch);
+    return Stretched(this->Settings.EventPeriod);
   case Question::Blocks:
     return Of.Config.Kind == PollKind::Store ? this->Settings.StorePeriod
                                              : this->Settings.ListPeriod;
@@ -64,6 +69,20 @@
   return this->Settings.ListPeriod;
 }
 
+void LoadPoller::setActive(bool Value) {
+  if (Value == this->Active)
+    return;
+  this->Active = Value;
+  if (!Value)
+    return;
+  const TimePoint Now = EventLoop::now();
+  for (auto &[Name, Each] : this->Targets)
+    for (auto &[What, Waiting] : Each.Questions)
+      if (What != Question::Blocks)
+        Waiting.DueAt = std::min(
+            Waiting.DueAt, Now + this->withJitter(this->period(Each, What)));
+}
+
 Duration LoadPoller::withJitter(Duration Period) {
   return fromSeconds(toSeconds(Period) * std::uniform_real_distribution<double>(
                                              0.75, 1.25)(this->Generator));
--- a/src/process/LoadPoller.h
+++ b/src/process/LoadPoller.h
@@ -35,6 +35,9 @@
 struct LoadPollerSettings {
   Duration LoadPeriod = Milliseconds(100);
   Duration EventPeriod = Milliseconds(250);
+  /// For loads and events while the entry has no requests. Shorter than the
+  /// age at which a report counts for nothing.
+  Duration IdlePeriod = Milliseconds(1000);
   /// Listings also bound how long a wrong hint lasts.
   Duration ListPeriod = std::chrono::seconds(30);
   Duration StorePeriod = std::chrono::seconds(5);
@@ -59,6 +62,10 @@
   /// Replaces the targets; the state of those that stay is kept.
   void setTargets(const std::vector<PollTarget> &Targets);
 
+  /// Polls at the periods for an entry with requests, or at the idle one.
+  /// Becoming active asks for all loads and events soon.
+  void setActive(bool Value);
+
   /// Emitted for each load report.
   sigc::signal<void(const std::string &Name, const LoadReport &Report,
                     Duration RoundTrip)>
@@ -98,6 +105,7 @@
   std::map<std::string, Target> Targets;
   /// At least 1: by how much the periods of loads and events are stretched.
   double Stretch = 1;
+  bool Active = true;
   std::uint64_t Calls = 0;
   std::uint64_t Malformed = 0;
   // Exchanges must outlive their own callbacks, so ended ones are freed later.
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -25,7 +25,7 @@
 
 Metrics::Metrics() : Metrics(std::make_shared<prometheus::Registry>()) {}
 
-Metrics::Metrics(std::shared_ptr<prometheus::Registry> Given)
+Metrics::Metrics(const std::shared_ptr<prometheus::Registry> &Given)
     : OpenRequests(BuildGauge()
                        .Name("galenaroute_open_requests")
                        .Help("Requests that have not ended")
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -46,7 +46,7 @@
   std::string toText() const;
 
 private:
-  explicit Metrics(std::shared_ptr<prometheus::Registry> Registry);
+  explicit Metrics(const std::shared_ptr<prometheus::Registry> &Registry);
 
   std::shared_ptr<prometheus::Registry> Registry;
   prometheus::Family<prometheus::Counter> &Requests;
