--- a/bench/ControlCostMain.cpp
+++ b/bench/ControlCostMain.cpp
@@ -2,7 +2,7 @@
 // long a change of configuration takes, by the number of daemons.
 //
 // For each fleet size it starts that many real daemons, an emulated platform
-// and two engines, waits until all is quiet, and measures over some seconds:
+// and some engines, waits until all is quiet, and measures over some seconds:
 // processor time and memory of the daemons, bytes on the loopback device and
 // calls to the platform. Then it applies changes one after the other and takes
 // the time until every daemon reports the new epoch. Nothing else may use the
@@ -27,6 +27,7 @@
 struct ControlCostSettings {
   std::string BuildDir;
   std::vector<std::size_t> Sizes = {3, 6, 12, 24, 48, 96};
+  std::size_t Engines = 2;
   double Seconds = 10;
   int Changes = 5;
 };
@@ -86,11 +87,11 @@
   ControlCostRun(const ControlCostSettings &Settings, std::size_t Size)
       : Settings(Settings), Harness(Settings.BuildDir) {
     this->Platform = &this->Harness.startEmulator("platform", {});
-    for (std::size_t I = 0; I < 2; ++I)
+    for (std::size_t I = 0; I < Settings.Engines; ++I)
       this->Parts.Engines.push_back(
           {"engine-" + std::to_string(I),
            this->Harness.startEmulator("engine", {}).address(),
-           this->Parts.Zones[I]});
+           this->Parts.Zones[I % this->Parts.Zones.size()]});
     std::vector<std::string> Zones;
     for (std::size_t I = 0; I < Size; ++I)
       Zones.push_back(this->Parts.Zones[I % this->Parts.Zones.size()]);
@@ -202,6 +203,9 @@
       ->delimiter(',')
       ->capture_default_str()
       ->check(CLI::Range(1, 200));
+  App.add_option("--engines", Settings.Engines, "Number of engines")
+      ->capture_default_str()
+      ->check(CLI::Range(1, 200));
   App.add_option("--seconds", Settings.Seconds, "Length of one measurement")
       ->capture_default_str()
       ->check(CLI::Range(1.0, 600.0));
--- a/tests/process/WholePathTest.cpp
+++ b/tests/process/WholePathTest.cpp
@@ -19,21 +19,23 @@
   /// Starts everything that a small deployment has and applies its listing.
   void deploy(const std::vector<std::string> &EngineFlags = {}) {
     this->Platform = &this->Harness.startEmulator("platform", {});
-    ListingParts Parts;
     for (std::size_t I = 0; I < 2; ++I) {
       this->Engines.push_back(
           &this->Harness.startEmulator("engine", EngineFlags));
-      Parts.Engines.push_back({"steward-" + std::to_string(I + 1),
-                               this->Engines.back()->address(),
-                               Parts.Zones[I]});
+      this->Parts.Engines.push_back({"steward-" + std::to_string(I + 1),
+                                     this->Engines.back()->address(),
+                                     this->Parts.Zones[I]});
     }
     this->Desk = &this->Harness.startEmulator("service", {});
-    Parts.PlainServers = {{"desk-1", this->Desk->address(), Parts.Zones[0]}};
-    Program &Store = this->Harness.startEmulator("store", {});
-    Parts.Stores = {{"handbook-cache", Store.address(), Parts.Zones[0]}};
+    this->Parts.PlainServers = {
+        {"desk-1", this->Desk->address(), this->Parts.Zones[0]}};
+    const Program &Store = this->Harness.startEmulator("store", {});
+    this->Parts.Stores = {
+        {"handbook-cache", Store.address(), this->Parts.Zones[0]}};
     this->Daemons = this->Harness.startDaemons(
-        this->Platform->address(), Parts.Zones, {"--keep-ms", "200"});
-    this->Harness.applyListing(this->Platform->address(), listingText(Parts));
+        this->Platform->address(), this->Parts.Zones, {"--keep-ms", "200"});
+    this->Harness.applyListing(this->Platform->address(),
+                               listingText(this->Parts));
     for (const Program *Each : this->Daemons)
       this->Harness.waitFor("a ready daemon", [&] {
         return this->Harness.getJson(Each->address(), "/v1/status")
@@ -59,7 +61,36 @@
             .build());
   }
 
+  /// A streamed call that goes on while a test does something else.
+  struct OpenStream {
+    std::string Body;
+    std::optional<HttpResult> End;
+    std::unique_ptr<HttpExchange> Call;
+  };
+
+  /// Starts a stream and waits until its first events have come.
+  std::unique_ptr<OpenStream> open(const Program &Entry,
+                                   const std::string &Text, int Tokens) {
+    auto Result = std::make_unique<OpenStream>();
+    Result->Call = this->Harness.client().start(
+        prompt(Entry, Text, Tokens).build(),
+        {.OnChunk =
+             [To = Result.get()](std::string_view Bytes) { To->Body += Bytes; },
+         .OnDone = [To = Result.get()](
+                       const HttpResult &Ended) { To->End = Ended; }});
+    this->Harness.waitFor("the first events", [&] {
+      return parseEvents(Result->Body).size() >= 5;
+    });
+    return Result;
+  }
+
+  std::uint64_t accepted(const Program &Engine) {
+    return this->Harness.getJson(Engine.address(), "/admin/stats")
+        .value("accepted", std::uint64_t{0});
+  }
+
   ProcessHarness Harness{GALENAROUTE_BUILD_DIR};
+  ListingParts Parts;
   Program *Platform = nullptr;
   Program *Desk = nullptr;
   std::vector<Program *> Engines;
@@ -117,5 +148,54 @@
   EXPECT_EQ(Tail.back().Data, "[DONE]");
 }
 
+// Guards against a graceful stop that cuts streams, refuses calls while the
+// address may still be in use, or never ends.
+TEST_F(WholePathTest, AStoppedDaemonFinishesItsStreams) {
+  this->deploy({"--decode-ms", "20"});
+  const auto Stream = this->open(*this->Daemons[0], "the rules", 100);
+  this->Daemons[0]->signal(SIGTERM);
+  const HttpResult Late =
+      this->Harness.call(prompt(*this->Daemons[0], "quick", 5).build());
+  EXPECT_EQ(eventText(parseEvents(Late.Body)), wholeAnswer("quick", 5));
+  this->Harness.waitFor("the end of the stream",
+                        [&] { return Stream->End.has_value(); });
+  EXPECT_EQ(Stream->End->End, HttpEnd::Complete);
+  const std::vector<StreamEvent> Events = parseEvents(Stream->Body);
+  EXPECT_EQ(eventText(Events), wholeAnswer("the rules", 100));
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  EXPECT_EQ(this->Daemons[0]->wait(10s), 0);
+}
+
+// Guards against new work for an upstream that the platform lists as leaving,
+// and against cutting what runs there already.
+TEST_F(WholePathTest, ALeavingEngineGetsNoNewWorkAndFinishesItsOwn) {
+  this->deploy({"--decode-ms", "20"});
+  const auto Stream = this->open(*this->Daemons[0], "the handbook", 200);
+  const std::size_t Leaving = this->accepted(*this->Engines[0]) > 0 ? 0 : 1;
+  const json Vms = {
+      {"vms",
+       {{{"address", this->Engines[Leaving]->address().toString()},
+         {"zone", this->Parts.Zones[Leaving]},
+         {"role", "upstream"},
+         {"state", "leaving"}}}},
+      {"lag_ms", 0}};
+  this->Harness.post(this->Platform->address(), "/admin/vms", Vms);
+  // Two daemons of each zone read the list every 2 s and tell the others.
+  this->Harness.loop().runUntil([] { return false; }, 4s);
+  const std::uint64_t Before = this->accepted(*this->Engines[Leaving]);
+  for (int I = 0; I < 12; ++I) {
+    const std::string Text = "question " + std::to_string(I);
+    const HttpResult Result = this->Harness.call(
+        prompt(*this->Daemons[static_cast<std::size_t>(I) % 3], Text, 5)
+            .build());
+    EXPECT_EQ(eventText(parseEvents(Result.Body)), wholeAnswer(Text, 5));
+  }
+  EXPECT_EQ(this->accepted(*this->Engines[Leaving]), Before);
+  this->Harness.waitFor("the end of the stream",
+                        [&] { return Stream->End.has_value(); });
+  EXPECT_EQ(eventText(parseEvents(Stream->Body)),
+            wholeAnswer("the handbook", 200));
+}
+
 } // namespace
 } // namespace galenaroute::testing_support
