--- a/tests/DaemonFixture.h
+++ b/tests/DaemonFixture.h
@@ -28,7 +28,7 @@
       this->Requests.push_back(Request);
       if (this->Answer)
         this->Answer(Request, Reply);
-      this->Held.push_back(std::move(Reply));
+      this->Held.push_back(Reply);
     });
     this->Address = {"127.0.0.1", this->Server.listen({"127.0.0.1", 0})};
   }
