Share the rule of who is first by rendezvous hashing; remove dead code

Cause: readers of the VM list, watchers of the configuration and preferred lease holders each counted the nodes above themselves in a loop of their own; nextExpiry() and heldServices() had no caller; each reading of the VM list rebuilt the dispatcher's upstreams and poll targets, though it seldom differs. Ruled out: merging the lists of members themselves; they differ in zone and type. Change: isAmongFirst() in Rendezvous.h serves all three; the two functions are gone; Dispatcher::setLeaving() returns early on an unchanged set. Conclusion: behaviour is the same.

--- a/src/process/DaemonProcess.cpp
+++ b/src/process/DaemonProcess.cpp
@@ -54,12 +54,9 @@
 
 bool DaemonProcess::isPreferredFor(std::string_view Service) const {
   const PeerNetwork &Network = this->Peers.network();
-  const std::string &Self = Network.self().Id;
-  const std::uint64_t Own = rendezvousWeight(Service, Self);
-  for (const MemberInfo &Each : liveMembers(Network.members()))
-    if (Each.Id != Self && rendezvousWeight(Service, Each.Id) > Own)
-      return false;
-  return true;
+  return isAmongFirst(
+      Service, Network.self().Id, 1, liveMembers(Network.members()),
+      [](const MemberInfo &Each) -> std::string_view { return Each.Id; });
 }
 
 void DaemonProcess::onVms(const std::vector<VmRecord> &Vms) {
--- a/src/process/Dispatcher.cpp
+++ b/src/process/Dispatcher.cpp
@@ -69,6 +69,9 @@
 }
 
 void Dispatcher::setLeaving(std::set<std::string> Names) {
+  // The list of VMs is read every 2 s and seldom differs.
+  if (Names == this->Leaving)
+    return;
   this->Leaving = std::move(Names);
   this->applyConfig();
 }
--- a/src/process/PeerNetwork.cpp
+++ b/src/process/PeerNetwork.cpp
@@ -97,12 +97,12 @@
 
 bool PeerNetwork::isVmReader() const {
   const MemberInfo &Self = this->State.Self;
-  const std::uint64_t Own = rendezvousWeight("vms", Self.Id);
-  std::size_t Before = 0;
-  for (const MemberInfo &Each : liveMembers(this->State))
-    if (Each.Zone == Self.Zone && rendezvousWeight("vms", Each.Id) > Own)
-      ++Before;
-  return Before < this->Settings.VmReadersPerZone;
+  auto OfZone = liveMembers(this->State);
+  std::erase_if(OfZone,
+                [&](const MemberInfo &Each) { return Each.Zone != Self.Zone; });
+  return isAmongFirst(
+      "vms", Self.Id, this->Settings.VmReadersPerZone, OfZone,
+      [](const MemberInfo &Each) -> std::string_view { return Each.Id; });
 }
 
 void PeerNetwork::readVms() {
--- a/src/process/Rendezvous.h
+++ b/src/process/Rendezvous.h
@@ -7,6 +7,7 @@
 #ifndef GALENAROUTE_PROCESS_RENDEZVOUS_H
 #define GALENAROUTE_PROCESS_RENDEZVOUS_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -32,6 +33,22 @@
   return Hash ^ (Hash >> 33);
 }
 
+/// Returns whether \p Self is among the \p Count nodes with the highest
+/// weights for \p Key. \p Nodes are all live nodes, with or without \p Self;
+/// \p IdOf returns the id of one.
+template <typename Range, typename Projection>
+bool isAmongFirst(std::string_view Key, std::string_view Self,
+                  std::size_t Count, const Range &Nodes, Projection IdOf) {
+  const std::uint64_t Own = rendezvousWeight(Key, Self);
+  std::size_t Above = 0;
+  for (const auto &Each : Nodes) {
+    const std::string_view Id = IdOf(Each);
+    if (Id != Self && rendezvousWeight(Key, Id) > Own)
+      ++Above;
+  }
+  return Above < Count;
+}
+
 } // namespace galenaroute
 
 #endif // GALENAROUTE_PROCESS_RENDEZVOUS_H
--- a/src/request/Admission.cpp
+++ b/src/request/Admission.cpp
@@ -313,10 +313,4 @@
   return Refusals;
 }
 
-std::optional<TimePoint> nextExpiry(const AdmissionState &State) {
-  if (State.ByGiveUp.empty())
-    return std::nullopt;
-  return State.ByGiveUp.begin()->first;
-}
-
 } // namespace galenaroute
--- a/src/request/Admission.h
+++ b/src/request/Admission.h
@@ -192,9 +192,6 @@
 std::vector<AdmissionRefusal> expire(AdmissionState &State, double Slots,
                                      TimePoint Now, RandomGenerator &Generator);
 
-/// Returns when expire() has something to do next.
-std::optional<TimePoint> nextExpiry(const AdmissionState &State);
-
 /// Replaces what is known of the use of \p Peer.
 void notePeerUse(AdmissionState &State, std::string_view Peer,
                  std::span<const CustomerUse> Use, TimePoint Now);
--- a/src/version/ConfigRelay.cpp
+++ b/src/version/ConfigRelay.cpp
@@ -146,12 +146,9 @@
 
 bool isWatcher(const std::set<std::string> &Members, const std::string &SelfId,
                std::size_t Count) {
-  const std::uint64_t Own = rendezvousWeight("config-watch", SelfId);
-  std::size_t Above = 0;
-  for (const std::string &Each : Members)
-    if (Each != SelfId && rendezvousWeight("config-watch", Each) > Own)
-      ++Above;
-  return Above < Count;
+  return isAmongFirst(
+      "config-watch", SelfId, Count, Members,
+      [](const std::string &Each) -> std::string_view { return Each; });
 }
 
 std::vector<RelayAction> apply(ConfigRelay &State, const RelayEvent &Event,
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -42,14 +42,6 @@
   this->tick(EventLoop::now());
 }
 
-std::vector<std::string> OrderController::heldServices() const {
-  std::vector<std::string> Result;
-  for (const auto &[Name, State] : this->Services)
-    if (holdsLease(State.Lease, EventLoop::now()))
-      Result.push_back(Name);
-  return Result;
-}
-
 void OrderController::record(std::string_view Kind, std::string_view Detail) {
   if (this->Events)
     this->Events->record(Kind, {}, Detail);
--- a/src/version/OrderController.h
+++ b/src/version/OrderController.h
@@ -41,9 +41,6 @@
   /// Gives up all leases; sends nothing more.
   void resign();
 
-  /// Returns the services whose lease is held now.
-  std::vector<std::string> heldServices() const;
-
   /// Decides and acts once; the timer calls it, and so do tests.
   void tick(TimePoint Now);
 
