--- /dev/null
+++ b/src/connection/BufferedSocket.cpp
@@ -0,0 +1,55 @@
+#include "connection/BufferedSocket.h"
+
+#include "process/ErrorKind.h"
+#include "process/Log.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace galenaroute {
+
+/// Keep-alive probes: first after this many seconds without traffic, then one
+/// a second, and the connection ends after two without an answer.
+static constexpr int KeepAliveIdleSeconds = 1;
+static constexpr int KeepAliveProbeSeconds = 1;
+static constexpr int KeepAliveProbes = 2;
+
+static void setOption(int Socket, int Level, int Name, int Value) {
+  if (setsockopt(Socket, Level, Name, &Value, sizeof Value) != 0)
+    log(LogLevel::Warn, "socket.option_refused",
+        {{"option", std::to_string(Name)}, {"error", std::strerror(errno)}});
+}
+
+void setSocketLimits(int Socket, Duration UserTimeout) {
+  setOption(Socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(toMilliseconds(UserTimeout)));
+  setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveProbeSeconds);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+sockaddr_in socketAddressOf(const SocketAddress &Address) {
+  sockaddr_in Result{};
+  Result.sin_family = AF_INET;
+  Result.sin_port = htons(Address.Port);
+  if (inet_pton(AF_INET, Address.Host.c_str(), &Result.sin_addr) != 1)
+    throw Error(ErrorKind::BadRequest,
+                "not an IPv4 address: " + Address.toString());
+  return Result;
+}
+
+std::string_view firstBytes(evbuffer *Buffer) {
+  const std::size_t Length = evbuffer_get_contiguous_space(Buffer);
+  if (Length == 0)
+    return {};
+  return {reinterpret_cast<const char *>(evbuffer_pullup(Buffer, Length)),
+          Length};
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/connection/BufferedSocket.h
@@ -0,0 +1,37 @@
+// Small helpers over libevent's bufferevents that callers' and upstreams'
+// connections share.
+
+#ifndef GALENAROUTE_CONNECTION_BUFFEREDSOCKET_H
+#define GALENAROUTE_CONNECTION_BUFFEREDSOCKET_H
+
+#include "connection/HttpTypes.h"
+#include "process/Clock.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <memory>
+
+namespace galenaroute {
+
+struct BufferEventDeleter {
+  void operator()(bufferevent *Event) const { bufferevent_free(Event); }
+};
+using BufferEventPtr = std::unique_ptr<bufferevent, BufferEventDeleter>;
+
+/// Sets the options of a TCP socket: no delay, and limits after which data
+/// that is not acknowledged, or a peer that does not answer keep-alive probes,
+/// ends the connection. A connection may go silent without a reset, and only
+/// these limits show it. Logs an option that the kernel refuses.
+void setSocketLimits(int Socket, Duration UserTimeout);
+
+/// Returns the address that libevent needs to connect; throws
+/// Error(BadRequest) when \p Address is not an IPv4 address.
+struct sockaddr_in socketAddressOf(const SocketAddress &Address);
+
+/// Returns the first contiguous bytes of \p Buffer.
+std::string_view firstBytes(evbuffer *Buffer);
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_CONNECTION_BUFFEREDSOCKET_H
--- /dev/null
+++ b/src/connection/CallListener.cpp
@@ -0,0 +1,401 @@
+#include "connection/CallListener.h"
+
+#include "connection/BufferedSocket.h"
+#include "process/ErrorKind.h"
+#include "process/Log.h"
+
+#include <cstring>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace galenaroute {
+
+/// Bytes that may wait behind the request being answered.
+static constexpr std::size_t MaxWaitingBytes = 64 << 10;
+/// How long data to a caller may stay unacknowledged.
+static constexpr auto CallerUserTimeout = std::chrono::seconds(4);
+/// How long a refused connection is read on, so that closing it with unread
+/// bytes does not reset it before the caller has read the answer.
+static constexpr auto LingerTime = std::chrono::seconds(1);
+/// How often connections are checked for their time limits.
+static constexpr auto SweepPeriod = std::chrono::milliseconds(250);
+static constexpr int ListenBacklog = 1024;
+
+static std::string_view reasonOf(int Status) {
+  switch (Status) {
+#define GALENAROUTE_REASON(Number, Name, Text)                                 \
+  case Number:                                                                 \
+    return #Text;
+    HTTP_STATUS_MAP(GALENAROUTE_REASON)
+#undef GALENAROUTE_REASON
+  }
+  return "Unknown";
+}
+
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+public:
+  CallerConnection(CallListener &Owner, int Socket);
+
+  void sendWhole(int Status, const HttpHeaders &Headers, std::string_view Body);
+  void begin(int Status, const HttpHeaders &Headers);
+  void write(std::string_view Bytes);
+  void finish();
+  void close();
+  void sweep(TimePoint Now);
+  std::size_t unsentBytes() const {
+    return evbuffer_get_length(bufferevent_get_output(this->Event.get()));
+  }
+
+private:
+  enum class State { Reading, Answering, Flushing, Lingering };
+
+  void onReadable();
+  void onDrained();
+  void onEvent(short What);
+  void answerExpectation();
+  void onRequest();
+  void reject(HttpFault Fault);
+  void rejectWith(int Status);
+  void writeHead(int Status, const HttpHeaders &Headers,
+                 std::string_view Framing);
+  void endAnswer();
+  void setState(State Next);
+  void takeNext();
+
+  CallListener &Owner;
+  BufferEventPtr Event;
+  HttpParser Parser;
+  std::shared_ptr<IncomingCall> Call;
+  HttpHead Head;
+  std::string Body;
+  State Current = State::Reading;
+  TimePoint Since;
+  TimePoint FirstByte;
+  bool Chunked = false;
+  bool KeepAlive = true;
+  bool IsHeadRequest = false;
+};
+
+CallerConnection::CallerConnection(CallListener &Owner, int Socket)
+    : Owner(Owner), Event(bufferevent_socket_new(Owner.Loop.base(), Socket,
+                                                 BEV_OPT_CLOSE_ON_FREE |
+                                                     BEV_OPT_DEFER_CALLBACKS)),
+      Parser(HttpParser::Side::Request, Owner.Limits.Message,
+             {.OnHead =
+                  [this](HttpHead &Read) {
+                    this->Head = std::move(Read);
+                    this->answerExpectation();
+                    return true;
+                  },
+              .OnBody = [this](std::string_view Bytes) { this->Body += Bytes; },
+              .OnComplete = [this] { this->onRequest(); }}),
+      Since(EventLoop::now()) {
+  setSocketLimits(Socket, CallerUserTimeout);
+  bufferevent_setcb(
+      this->Event.get(),
+      [](bufferevent *, void *Self) {
+        const auto Kept =
+            static_cast<CallerConnection *>(Self)->shared_from_this();
+        Kept->onReadable();
+      },
+      [](bufferevent *, void *Self) {
+        const auto Kept =
+            static_cast<CallerConnection *>(Self)->shared_from_this();
+        Kept->onDrained();
+      },
+      [](bufferevent *, short What, void *Self) {
+        const auto Kept =
+            static_cast<CallerConnection *>(Self)->shared_from_this();
+        Kept->onEvent(What);
+      },
+      this);
+  bufferevent_setwatermark(this->Event.get(), EV_READ, 0, MaxWaitingBytes);
+  bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
+}
+
+void CallerConnection::setState(State Next) {
+  this->Current = Next;
+  this->Since = EventLoop::now();
+}
+
+void CallerConnection::onReadable() {
+  evbuffer *Input = bufferevent_get_input(this->Event.get());
+  if (this->Current == State::Lingering) {
+    evbuffer_drain(Input, evbuffer_get_length(Input));
+    return;
+  }
+  while (this->Current == State::Reading) {
+    const std::string_view Bytes = firstBytes(Input);
+    if (Bytes.empty())
+      return;
+    if (!this->Parser.isInMessage()) {
+      this->FirstByte = EventLoop::now();
+      this->Since = this->FirstByte;
+      this->Parser.setLimits(this->Owner.Limits.Message);
+    }
+    // The bytes stay in place while the parser reports from them.
+    const std::size_t Used = this->Parser.feed(Bytes);
+    evbuffer_drain(Input, Used);
+    if (this->Parser.fault() != HttpFault::None) {
+      this->reject(this->Parser.fault());
+      return;
+    }
+  }
+}
+
+/// Tells a caller that waits for it to send the body.
+void CallerConnection::answerExpectation() {
+  static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+  const auto Expected = this->Head.Headers.find("Expect");
+  if (Expected && equalsIgnoringCase(*Expected, "100-continue"))
+    bufferevent_write(this->Event.get(), Continue.data(), Continue.size());
+}
+
+void CallerConnection::onRequest() {
+  this->setState(State::Answering);
+  this->KeepAlive = this->Head.KeepAlive;
+  this->IsHeadRequest = this->Head.Method == "HEAD";
+  this->Call = std::make_shared<IncomingCall>();
+  this->Call->Head = std::move(this->Head);
+  this->Call->Body = std::move(this->Body);
+  this->Call->Arrived = this->FirstByte;
+  this->Call->Connection = this->weak_from_this();
+  this->Head = {};
+  this->Body.clear();
+  this->Owner.OnCall(this->Call);
+}
+
+void CallerConnection::reject(HttpFault Fault) {
+  switch (Fault) {
+  case HttpFault::HeadTooLarge:
+    return this->rejectWith(431);
+  case HttpFault::BodyTooLarge:
+    return this->rejectWith(413);
+  default:
+    return this->rejectWith(400);
+  }
+}
+
+void CallerConnection::rejectWith(int Status) {
+  log(LogLevel::Info, "request.rejected",
+      {{"status", std::to_string(Status)},
+       {"reason", "malformed or too large"}});
+  this->KeepAlive = false;
+  this->setState(State::Answering);
+  this->sendWhole(Status, {}, {});
+}
+
+void CallerConnection::writeHead(int Status, const HttpHeaders &Headers,
+                                 std::string_view Framing) {
+  std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
+  Text += reasonOf(Status);
+  Text += "\r\n";
+  for (const auto &Each : Headers) {
+    Text += Each.Name;
+    Text += ": ";
+    Text += Each.Value;
+    Text += "\r\n";
+  }
+  Text += Framing;
+  if (this->Owner.Closing)
+    this->KeepAlive = false;
+  if (!this->KeepAlive)
+    Text += "Connection: close\r\n";
+  Text += "\r\n";
+  bufferevent_write(this->Event.get(), Text.data(), Text.size());
+}
+
+void CallerConnection::sendWhole(int Status, const HttpHeaders &Headers,
+                                 std::string_view Body) {
+  const bool HasBody = Status != 204 && Status != 304;
+  this->writeHead(Status, Headers,
+                  HasBody ? "Content-Length: " + std::to_string(Body.size()) +
+                                "\r\n"
+                          : std::string());
+  if (HasBody && !this->IsHeadRequest && !Body.empty())
+    bufferevent_write(this->Event.get(), Body.data(), Body.size());
+  this->endAnswer();
+}
+
+void CallerConnection::begin(int Status, const HttpHeaders &Headers) {
+  this->Chunked = this->Call->Head.IsHttp11;
+  if (!this->Chunked)
+    this->KeepAlive = false;
+  this->writeHead(Status, Headers,
+                  this->Chunked ? "Transfer-Encoding: chunked\r\n" : "");
+}
+
+void CallerConnection::write(std::string_view Bytes) {
+  if (Bytes.empty())
+    return;
+  evbuffer *Output = bufferevent_get_output(this->Event.get());
+  if (this->Chunked)
+    evbuffer_add_printf(Output, "%zx\r\n", Bytes.size());
+  evbuffer_add(Output, Bytes.data(), Bytes.size());
+  if (this->Chunked)
+    evbuffer_add(Output, "\r\n", 2);
+}
+
+void CallerConnection::finish() {
+  if (this->Chunked)
+    bufferevent_write(this->Event.get(), "0\r\n\r\n", 5);
+  this->endAnswer();
+}
+
+void CallerConnection::endAnswer() {
+  if (this->Call)
+    this->Call->Connection.reset();
+  this->Call.reset();
+  this->Chunked = false;
+  this->setState(State::Flushing);
+  if (evbuffer_get_length(bufferevent_get_output(this->Event.get())) == 0)
+    this->onDrained();
+  else if (this->KeepAlive)
+    this->takeNext();
+}
+
+/// Goes on with the next request, outside the current call.
+void CallerConnection::takeNext() {
+  this->setState(State::Reading);
+  if (evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0)
+    bufferevent_trigger(this->Event.get(), EV_READ,
+                        BEV_TRIG_DEFER_CALLBACKS | BEV_TRIG_IGNORE_WATERMARKS);
+}
+
+void CallerConnection::onDrained() {
+  // A deferred callback may come from before the answer was written.
+  if (this->Current != State::Flushing || this->unsentBytes() > 0)
+    return;
+  if (this->KeepAlive) {
+    this->takeNext();
+    return;
+  }
+  this->setState(State::Lingering);
+  ::shutdown(bufferevent_getfd(this->Event.get()), SHUT_WR);
+  evbuffer *Input = bufferevent_get_input(this->Event.get());
+  evbuffer_drain(Input, evbuffer_get_length(Input));
+}
+
+void CallerConnection::onEvent(short What) {
+  if (!(What & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)))
+    return;
+  // What is still to be written may be wanted by a caller that has only ended
+  // its own side.
+  if ((What & BEV_EVENT_EOF) && this->Current == State::Flushing &&
+      this->unsentBytes() > 0) {
+    this->KeepAlive = false;
+    return;
+  }
+  this->close();
+}
+
+void CallerConnection::close() {
+  const auto Kept = this->shared_from_this();
+  const auto Ended = std::move(this->Call);
+  this->Owner.Connections.erase(Kept);
+  bufferevent_disable(this->Event.get(), EV_READ | EV_WRITE);
+  bufferevent_setcb(this->Event.get(), nullptr, nullptr, nullptr, nullptr);
+  if (Ended) {
+    Ended->Connection.reset();
+    Ended->CallerLeft.emit();
+  }
+}
+
+void CallerConnection::sweep(TimePoint Now) {
+  const Duration Age = Now - this->Since;
+  switch (this->Current) {
+  case State::Reading:
+    if (this->Parser.isInMessage()) {
+      if (Age >
+          this->Owner.Limits.HeadTimeout * (this->Parser.hasHead() ? 2 : 1))
+        this->rejectWith(408);
+    } else if (Age > this->Owner.Limits.IdleTimeout) {
+      this->close();
+    }
+    return;
+  case State::Lingering:
+    if (Age > LingerTime)
+      this->close();
+    return;
+  case State::Flushing:
+    if (Age > this->Owner.Limits.IdleTimeout)
+      this->close();
+    return;
+  case State::Answering:
+    return;
+  }
+}
+
+void IncomingCall::send(int Status, const HttpHeaders &Headers,
+                        std::string_view Body) {
+  if (const auto To = this->Connection.lock())
+    To->sendWhole(Status, Headers, Body);
+}
+
+void IncomingCall::begin(int Status, const HttpHeaders &Headers) {
+  if (const auto To = this->Connection.lock())
+    To->begin(Status, Headers);
+}
+
+void IncomingCall::write(std::string_view Bytes) {
+  if (const auto To = this->Connection.lock())
+    To->write(Bytes);
+}
+
+void IncomingCall::finish() {
+  if (const auto To = this->Connection.lock())
+    To->finish();
+}
+
+void IncomingCall::abort() {
+  if (const auto To = this->Connection.lock()) {
+    this->CallerLeft.clear();
+    To->close();
+  }
+}
+
+std::size_t IncomingCall::unsentBytes() const {
+  const auto To = this->Connection.lock();
+  return To ? To->unsentBytes() : 0;
+}
+
+CallListener::CallListener(EventLoop &Loop, const SocketAddress &Address,
+                           CallerLimits Limits, Handler OnCall)
+    : Loop(Loop), Limits(Limits), OnCall(std::move(OnCall)) {
+  const sockaddr_in To = socketAddressOf(Address);
+  this->Listener = evconnlistener_new_bind(
+      Loop.base(),
+      [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
+         void *Self) { static_cast<CallListener *>(Self)->accept(Socket); },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
+      reinterpret_cast<const sockaddr *>(&To), sizeof To);
+  if (!this->Listener)
+    throw Error(ErrorKind::Internal, "cannot listen on " + Address.toString() +
+                                         ": " + std::strerror(errno));
+  evconnlistener_set_error_cb(this->Listener, [](evconnlistener *, void *) {
+    log(LogLevel::Error, "accept.failed", {{"error", std::strerror(errno)}});
+  });
+  this->SweepTimer = Loop.timers().every(SweepPeriod, [this] {
+    const TimePoint Now = EventLoop::now();
+    const auto All = this->Connections;
+    for (const auto &Each : All)
+      Each->sweep(Now);
+  });
+}
+
+CallListener::~CallListener() {
+  this->SweepTimer.disconnect();
+  evconnlistener_free(this->Listener);
+}
+
+void CallListener::accept(int Socket) {
+  if (this->Connections.size() >= this->Limits.MaxConnections) {
+    log(LogLevel::Warn, "connection.refused", {{"reason", "too many"}});
+    evutil_closesocket(Socket);
+    return;
+  }
+  this->Connections.insert(std::make_shared<CallerConnection>(*this, Socket));
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/connection/CallListener.h
@@ -0,0 +1,103 @@
+// Accepts callers' connections and hands over whole requests.
+//
+//   CallListener Listener(Loop, Address, Limits,
+//                         [](std::shared_ptr<IncomingCall> Call) { ... });
+//
+// A request is handed over once its body is complete. Requests that are
+// malformed or too large are answered here and their connection is closed.
+//
+// Guarantees: the answer to a request reaches only the connection on which the
+// request came, and only while that request is the one being answered;
+// CallerLeft is emitted at most once, when the caller closes or resets the
+// connection before its answer is complete, and never inside a method of
+// IncomingCall. Bytes that a caller sends meanwhile wait in a bounded buffer.
+
+#ifndef GALENAROUTE_CONNECTION_CALLLISTENER_H
+#define GALENAROUTE_CONNECTION_CALLLISTENER_H
+
+#include "connection/HttpParser.h"
+#include "process/EventLoop.h"
+
+#include <memory>
+#include <set>
+#include <span>
+
+struct evconnlistener;
+
+namespace galenaroute {
+
+class CallerConnection;
+
+/// What a caller may send and how long it may take.
+struct CallerLimits {
+  HttpParserLimits Message;
+  Duration HeadTimeout = std::chrono::seconds(3);
+  Duration IdleTimeout = std::chrono::seconds(15);
+  std::size_t MaxConnections = 3000;
+};
+
+/// A request that waits for its answer.
+class IncomingCall {
+public:
+  using Header = HttpHeaders::Field;
+
+  HttpHead Head;
+  std::string Body;
+  TimePoint Arrived; ///< When the first byte of the request was read.
+
+  sigc::signal<void()> CallerLeft;
+
+  /// Sends a complete answer.
+  void send(int Status, const HttpHeaders &Headers, std::string_view Body);
+
+  /// Begins an answer that ends with finish() or abort().
+  void begin(int Status, const HttpHeaders &Headers);
+  void write(std::string_view Bytes);
+  void finish();
+
+  /// Ends the connection so that the answer is seen to be incomplete.
+  void abort();
+
+  bool isOpen() const { return !this->Connection.expired(); }
+  /// Bytes of the answer that the caller has not taken yet.
+  std::size_t unsentBytes() const;
+
+private:
+  friend class CallerConnection;
+  std::weak_ptr<CallerConnection> Connection;
+};
+
+class CallListener {
+public:
+  using Handler = std::function<void(std::shared_ptr<IncomingCall> Call)>;
+
+  /// Listens on \p Address; throws Error(Internal) when that fails.
+  CallListener(EventLoop &Loop, const SocketAddress &Address,
+               CallerLimits Limits, Handler OnCall);
+  ~CallListener();
+  CallListener(const CallListener &) = delete;
+  CallListener &operator=(const CallListener &) = delete;
+
+  /// Applies to connections from their next request on.
+  void setLimits(const CallerLimits &Next) { this->Limits = Next; }
+
+  /// From now on each answer closes its connection.
+  void closeAfterAnswers() { this->Closing = true; }
+  std::size_t connections() const { return this->Connections.size(); }
+
+private:
+  friend class CallerConnection;
+  void accept(int Socket);
+
+  EventLoop &Loop;
+  CallerLimits Limits;
+  Handler OnCall;
+  evconnlistener *Listener;
+  std::set<std::shared_ptr<CallerConnection>> Connections;
+  bool Closing = false;
+  sigc::connection SweepTimer;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_CONNECTION_CALLLISTENER_H
--- a/src/connection/HttpTypes.cpp
+++ b/src/connection/HttpTypes.cpp
@@ -8,7 +8,7 @@
 
 namespace galenaroute {
 
-static bool equalsIgnoringCase(std::string_view A, std::string_view B) {
+bool equalsIgnoringCase(std::string_view A, std::string_view B) {
   return std::equal(A.begin(), A.end(), B.begin(), B.end(),
                     [](unsigned char X, unsigned char Y) {
                       return std::tolower(X) == std::tolower(Y);
--- a/src/connection/HttpTypes.h
+++ b/src/connection/HttpTypes.h
@@ -12,6 +12,9 @@
 
 namespace galenaroute {
 
+/// Compares two ASCII texts without regard to case.
+bool equalsIgnoringCase(std::string_view A, std::string_view B);
+
 /// Header fields in the order received; names compare without case.
 class HttpHeaders {
 public:
--- /dev/null
+++ b/src/connection/UpstreamPool.cpp
@@ -0,0 +1,370 @@
+#include "connection/UpstreamPool.h"
+
+#include "connection/BufferedSocket.h"
+#include "process/Log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <netinet/in.h>
+
+namespace galenaroute {
+
+/// Used where an upstream does not tell how long it keeps a connection.
+static constexpr auto DefaultKeepTime = std::chrono::seconds(3);
+/// Taken off the time that an upstream tells, since its close may be under
+/// way when a request is sent.
+static constexpr auto KeepTimeMargin = std::chrono::milliseconds(400);
+static constexpr auto SweepPeriod = std::chrono::milliseconds(500);
+/// Late answers to earlier requests that are skipped on one connection.
+static constexpr int MaxForeignAnswers = 2;
+static constexpr HttpParserLimits AnswerLimits{.MaxHeadBytes = 64 << 10,
+                                               .MaxBodyBytes = 16 << 20};
+
+class UpstreamConnection
+    : public std::enable_shared_from_this<UpstreamConnection> {
+public:
+  UpstreamConnection(UpstreamPool &Pool, SocketAddress To);
+
+  bool connect();
+  void begin(UpstreamExchange &For, std::string Request,
+             const UpstreamExchangeSettings &Settings,
+             UpstreamExchangeEvents Events);
+  void cancel();
+  bool isUsable(TimePoint Now, Duration MaxIdle) const {
+    return Now < this->KeepUntil && Now - this->IdleSince < MaxIdle;
+  }
+  const SocketAddress &address() const { return this->To; }
+
+private:
+  friend class UpstreamPool;
+
+  void onConnected();
+  void onReadable();
+  void onEvent(short What);
+  bool onHead(HttpHead &Head);
+  void onComplete();
+  void endComplete();
+  void end(UpstreamEnd How, bool Reuse);
+  void noteKeepTime(const HttpHead &Head);
+
+  UpstreamPool &Pool;
+  SocketAddress To;
+  BufferEventPtr Event;
+  HttpParser Parser;
+  UpstreamExchange *Current = nullptr;
+  UpstreamExchangeSettings Settings;
+  UpstreamExchangeEvents Events;
+  std::string Request;
+  TimePoint IdleSince;
+  TimePoint KeepUntil;
+  bool Connected = false;
+  bool ServedBefore = false;
+  bool KeepAlive = true;
+  bool HasFraming = true;
+  bool IsForeign = false; ///< The answer being read is dropped.
+  bool AnswerDone = false;
+  int ForeignAnswers = 0;
+  sigc::connection ConnectTimer;
+};
+
+UpstreamConnection::UpstreamConnection(UpstreamPool &Pool, SocketAddress To)
+    : Pool(Pool), To(std::move(To)),
+      Event(bufferevent_socket_new(Pool.Loop.base(), -1,
+                                   BEV_OPT_CLOSE_ON_FREE |
+                                       BEV_OPT_DEFER_CALLBACKS)),
+      Parser(HttpParser::Side::Response, AnswerLimits,
+             {.OnHead = [this](HttpHead &Head) { return this->onHead(Head); },
+              .OnBody =
+                  [this](std::string_view Bytes) {
+                    if (!this->IsForeign && this->Current)
+                      this->Events.OnBody(Bytes);
+                  },
+              .OnComplete = [this] { this->onComplete(); }}) {}
+
+bool UpstreamConnection::connect() {
+  bufferevent_setcb(
+      this->Event.get(),
+      [](bufferevent *, void *Self) {
+        const auto Kept =
+            static_cast<UpstreamConnection *>(Self)->shared_from_this();
+        Kept->onReadable();
+      },
+      nullptr,
+      [](bufferevent *, short What, void *Self) {
+        const auto Kept =
+            static_cast<UpstreamConnection *>(Self)->shared_from_this();
+        Kept->onEvent(What);
+      },
+      this);
+  const sockaddr_in Address = socketAddressOf(this->To);
+  return bufferevent_socket_connect(
+             this->Event.get(), reinterpret_cast<const sockaddr *>(&Address),
+             sizeof Address) == 0;
+}
+
+void UpstreamConnection::begin(UpstreamExchange &For, std::string Text,
+                               const UpstreamExchangeSettings &With,
+                               UpstreamExchangeEvents Handlers) {
+  this->Current = &For;
+  this->Settings = With;
+  this->Events = std::move(Handlers);
+  this->Request = std::move(Text);
+  this->IsForeign = false;
+  this->AnswerDone = false;
+  this->KeepAlive = true;
+  For.Kept = this->ServedBefore;
+  if (this->Connected) {
+    this->onConnected();
+    return;
+  }
+  this->ConnectTimer =
+      this->Pool.Loop.timers().after(With.ConnectTimeout, [this] {
+        this->end(UpstreamEnd::ConnectFailed, false);
+      });
+}
+
+void UpstreamConnection::onConnected() {
+  this->ConnectTimer.disconnect();
+  if (!this->Connected) {
+    this->Connected = true;
+    setSocketLimits(bufferevent_getfd(this->Event.get()),
+                    this->Settings.UserTimeout);
+  }
+  this->Current->Sent = true;
+  bufferevent_write(this->Event.get(), this->Request.data(),
+                    this->Request.size());
+  this->Request = {};
+  bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
+}
+
+void UpstreamConnection::onReadable() {
+  evbuffer *Input = bufferevent_get_input(this->Event.get());
+  while (this->Current && !this->AnswerDone) {
+    const std::string_view Bytes = firstBytes(Input);
+    if (Bytes.empty())
+      return;
+    const std::size_t Used = this->Parser.feed(Bytes);
+    evbuffer_drain(Input, Used);
+    // The call may have been cancelled while it was handed the answer.
+    if (!this->Current)
+      return;
+    if (this->Parser.fault() != HttpFault::None) {
+      this->end(UpstreamEnd::Malformed, false);
+      return;
+    }
+  }
+  if (this->Current) {
+    this->endComplete();
+    return;
+  }
+  // Bytes that nothing asked for belong to no request.
+  if (!this->Current && evbuffer_get_length(Input) > 0) {
+    log(LogLevel::Warn, "upstream.unexpected_bytes",
+        {{"upstream", this->To.toString()},
+         {"bytes", std::to_string(evbuffer_get_length(Input))}});
+    this->Pool.forget(this->shared_from_this());
+  }
+}
+
+void UpstreamConnection::noteKeepTime(const HttpHead &Head) {
+  Duration Keep = DefaultKeepTime;
+  if (const auto Text = Head.Headers.find("Keep-Alive")) {
+    const std::size_t At = Text->find("timeout=");
+    int Seconds = 0;
+    if (At != std::string_view::npos &&
+        std::from_chars(Text->data() + At + 8, Text->data() + Text->size(),
+                        Seconds)
+                .ec == std::errc())
+      Keep = std::chrono::seconds(Seconds) - KeepTimeMargin;
+  }
+  this->KeepUntil = EventLoop::now() + Keep;
+}
+
+bool UpstreamConnection::onHead(HttpHead &Head) {
+  if (Head.Status < 200) {
+    // An interim answer; the final one follows.
+    this->IsForeign = true;
+    return true;
+  }
+  if (!Head.KeepAlive)
+    this->KeepAlive = false;
+  this->HasFraming =
+      Head.HasFraming || Head.Status == 204 || Head.Status == 304;
+  this->noteKeepTime(Head);
+  this->IsForeign = this->Current && !this->Events.OnHead(Head);
+  if (this->IsForeign) {
+    // Framing that cannot be trusted once is not trusted for another request.
+    this->KeepAlive = false;
+    if (++this->ForeignAnswers > MaxForeignAnswers)
+      return false;
+  }
+  return !this->Settings.IsHead;
+}
+
+void UpstreamConnection::onComplete() {
+  if (!this->Current)
+    return;
+  if (this->IsForeign) {
+    this->IsForeign = false;
+    return;
+  }
+  this->AnswerDone = true;
+}
+
+void UpstreamConnection::endComplete() {
+  const bool Written =
+      evbuffer_get_length(bufferevent_get_output(this->Event.get())) == 0;
+  this->end(UpstreamEnd::Complete,
+            this->KeepAlive && this->HasFraming && Written);
+}
+
+void UpstreamConnection::onEvent(short What) {
+  if (What & BEV_EVENT_CONNECTED) {
+    if (this->Current)
+      this->onConnected();
+    return;
+  }
+  if (!this->Current) {
+    this->Pool.forget(this->shared_from_this());
+    return;
+  }
+  if (!this->Connected) {
+    this->end(UpstreamEnd::ConnectFailed, false);
+    return;
+  }
+  // What arrived before the end is read first.
+  this->onReadable();
+  if (this->Current && (What & BEV_EVENT_EOF) && !(What & BEV_EVENT_ERROR) &&
+      !this->HasFraming && this->Parser.isInMessage())
+    this->Parser.finish();
+  if (!this->Current)
+    return;
+  if (this->AnswerDone)
+    this->endComplete();
+  else
+    this->end(UpstreamEnd::Cut, false);
+}
+
+void UpstreamConnection::end(UpstreamEnd How, bool Reuse) {
+  const auto Self = this->shared_from_this();
+  this->ConnectTimer.disconnect();
+  UpstreamExchangeEvents Handlers = std::move(this->Events);
+  this->Events = {};
+  this->Current->Connection.reset();
+  this->Current = nullptr;
+  const bool HasRest =
+      evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0;
+  if (Reuse && !HasRest)
+    this->Pool.release(Self);
+  else
+    this->Pool.forget(Self);
+  Handlers.OnEnd(How);
+}
+
+void UpstreamConnection::cancel() {
+  this->ConnectTimer.disconnect();
+  this->Current = nullptr;
+  this->Events = {};
+  this->Pool.forget(this->shared_from_this());
+}
+
+UpstreamExchange::~UpstreamExchange() {
+  if (const auto Open = this->Connection.lock())
+    Open->cancel();
+}
+
+UpstreamPool::UpstreamPool(EventLoop &Loop) : Loop(Loop) {
+  this->SweepTimer =
+      Loop.timers().every(SweepPeriod, [this] { this->sweep(); });
+}
+
+UpstreamPool::~UpstreamPool() { this->SweepTimer.disconnect(); }
+
+std::unique_ptr<UpstreamExchange>
+UpstreamPool::start(const SocketAddress &To, std::string Request,
+                    const UpstreamExchangeSettings &Settings,
+                    UpstreamExchangeEvents Events) {
+  Target &At = this->Targets[To];
+  const TimePoint Now = EventLoop::now();
+  std::shared_ptr<UpstreamConnection> Connection;
+  // The connection used last is the least likely to be closing.
+  if (!At.Idle.empty() && At.Idle.back()->isUsable(Now, Settings.MaxIdle)) {
+    Connection = std::move(At.Idle.back());
+    At.Idle.pop_back();
+  }
+  const bool IsNew = !Connection;
+  if (IsNew) {
+    Connection = std::make_shared<UpstreamConnection>(*this, To);
+    ++At.Total;
+    ++this->Opened;
+  }
+  this->Busy[Connection.get()] = Connection;
+  auto Result = std::make_unique<UpstreamExchange>(Connection);
+  Connection->begin(*Result, std::move(Request), Settings, std::move(Events));
+  if (IsNew && !Connection->connect()) {
+    // Reported by the connect timer, since nothing is called inside start().
+    log(LogLevel::Warn, "upstream.connect_failed",
+        {{"upstream", To.toString()}});
+  }
+  return Result;
+}
+
+void UpstreamPool::release(
+    const std::shared_ptr<UpstreamConnection> &Connection) {
+  this->Busy.erase(Connection.get());
+  Connection->IdleSince = EventLoop::now();
+  Connection->ServedBefore = true;
+  this->Targets[Connection->To].Idle.push_back(Connection);
+}
+
+void UpstreamPool::forget(
+    const std::shared_ptr<UpstreamConnection> &Connection) {
+  const auto Kept = Connection;
+  bufferevent_disable(Kept->Event.get(), EV_READ | EV_WRITE);
+  bufferevent_setcb(Kept->Event.get(), nullptr, nullptr, nullptr, nullptr);
+  // Closing at once tells the upstream to stop its work; destruction may come
+  // later, from inside a callback of this connection.
+  this->Busy.erase(Kept.get());
+  const auto It = this->Targets.find(Kept->To);
+  if (It == this->Targets.end())
+    return;
+  Target &At = It->second;
+  std::erase(At.Idle, Kept);
+  if (At.Total > 0)
+    --At.Total;
+  if (At.Total == 0)
+    this->Targets.erase(It);
+}
+
+std::size_t UpstreamPool::connections(const SocketAddress &To) const {
+  const auto It = this->Targets.find(To);
+  return It == this->Targets.end() ? 0 : It->second.Total;
+}
+
+bool UpstreamPool::hasIdle(const SocketAddress &To, Duration MaxIdle) const {
+  const auto It = this->Targets.find(To);
+  return It != this->Targets.end() && !It->second.Idle.empty() &&
+         It->second.Idle.back()->isUsable(EventLoop::now(), MaxIdle);
+}
+
+void UpstreamPool::closeIdle(const SocketAddress &To) {
+  const auto It = this->Targets.find(To);
+  if (It == this->Targets.end())
+    return;
+  const auto Idle = It->second.Idle;
+  for (const auto &Each : Idle)
+    this->forget(Each);
+}
+
+void UpstreamPool::sweep() {
+  const TimePoint Now = EventLoop::now();
+  std::vector<std::shared_ptr<UpstreamConnection>> Old;
+  for (const auto &[To, At] : this->Targets)
+    for (const auto &Each : At.Idle)
+      if (Now >= Each->KeepUntil)
+        Old.push_back(Each);
+  for (const auto &Each : Old)
+    this->forget(Each);
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/connection/UpstreamPool.h
@@ -0,0 +1,118 @@
+// Connections to upstreams for forwarded calls, one call at a time on each.
+//
+//   UpstreamPool Pool(Loop);
+//   auto Exchange = Pool.start(Address, std::move(Request), Settings, Events);
+//
+// Destroying the exchange cancels it and closes its connection.
+//
+// Guarantees: bytes behind a complete answer, or that come on an idle
+// connection, end the connection and are handed to nobody; an answer that the
+// caller of start() does not accept in OnHead is read and dropped, and the
+// next one is awaited; a connection is used again only when its last request
+// was written whole and its last answer was complete. Nothing is called inside
+// start(). OnEnd is called exactly once unless the exchange is destroyed.
+
+#ifndef GALENAROUTE_CONNECTION_UPSTREAMPOOL_H
+#define GALENAROUTE_CONNECTION_UPSTREAMPOOL_H
+
+#include "connection/HttpParser.h"
+#include "process/EventLoop.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace galenaroute {
+
+/// How an exchange ended.
+enum class UpstreamEnd {
+  Complete,      ///< The whole answer was received.
+  ConnectFailed, ///< No connection; nothing was sent.
+  Cut,           ///< The connection broke before the answer was complete.
+  Malformed,     ///< What was received is not an answer.
+};
+
+struct UpstreamExchangeSettings {
+  Duration ConnectTimeout = std::chrono::milliseconds(400);
+  Duration UserTimeout = std::chrono::milliseconds(1000);
+  /// An idle connection older than this is not used.
+  Duration MaxIdle = std::chrono::seconds(60);
+  bool IsHead = false; ///< The answer to HEAD has no body.
+};
+
+struct UpstreamExchangeEvents {
+  /// Returns whether this is the answer to the request.
+  std::function<bool(const HttpHead &Head)> OnHead;
+  std::function<void(std::string_view Bytes)> OnBody;
+  std::function<void(UpstreamEnd End)> OnEnd;
+};
+
+class UpstreamConnection;
+
+class UpstreamExchange {
+public:
+  explicit UpstreamExchange(std::weak_ptr<UpstreamConnection> Connection)
+      : Connection(std::move(Connection)) {}
+  ~UpstreamExchange();
+  UpstreamExchange(const UpstreamExchange &) = delete;
+  UpstreamExchange &operator=(const UpstreamExchange &) = delete;
+
+  /// Whether any byte of the request was handed to the kernel.
+  bool wasSent() const { return this->Sent; }
+  /// Whether the connection had served a request before.
+  bool usedKeptConnection() const { return this->Kept; }
+
+private:
+  friend class UpstreamConnection;
+  friend class UpstreamPool;
+  std::weak_ptr<UpstreamConnection> Connection;
+  bool Sent = false;
+  bool Kept = false;
+};
+
+class UpstreamPool {
+public:
+  explicit UpstreamPool(EventLoop &Loop);
+  ~UpstreamPool();
+  UpstreamPool(const UpstreamPool &) = delete;
+  UpstreamPool &operator=(const UpstreamPool &) = delete;
+
+  /// Sends \p Request, a complete message, to \p To.
+  [[nodiscard]] std::unique_ptr<UpstreamExchange>
+  start(const SocketAddress &To, std::string Request,
+        const UpstreamExchangeSettings &Settings,
+        UpstreamExchangeEvents Events);
+
+  /// Connections to \p To, idle ones included.
+  std::size_t connections(const SocketAddress &To) const;
+  bool hasIdle(const SocketAddress &To, Duration MaxIdle) const;
+
+  /// Closes the idle connections to \p To.
+  void closeIdle(const SocketAddress &To);
+
+  /// Counts connections opened.
+  std::uint64_t opened() const { return this->Opened; }
+
+private:
+  friend class UpstreamConnection;
+  friend class UpstreamExchange;
+  struct Target {
+    std::vector<std::shared_ptr<UpstreamConnection>> Idle;
+    std::size_t Total = 0;
+  };
+
+  void release(const std::shared_ptr<UpstreamConnection> &Connection);
+  void forget(const std::shared_ptr<UpstreamConnection> &Connection);
+  void sweep();
+
+  EventLoop &Loop;
+  std::map<SocketAddress, Target> Targets;
+  // Owns busy connections; idle ones are owned by their target.
+  std::map<UpstreamConnection *, std::shared_ptr<UpstreamConnection>> Busy;
+  std::uint64_t Opened = 0;
+  sigc::connection SweepTimer;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_CONNECTION_UPSTREAMPOOL_H
--- a/src/process/Clock.h
+++ b/src/process/Clock.h
@@ -8,6 +8,7 @@
 #define GALENAROUTE_PROCESS_CLOCK_H
 
 #include <chrono>
+#include <ctime>
 
 namespace galenaroute {
 
@@ -33,6 +34,17 @@
       std::chrono::duration<double>(Seconds));
 }
 
+/// Returns for how long the VM has been suspended since it started. Monotonic
+/// time does not count a suspension.
+inline Duration suspendedTime() {
+  timespec Boot{};
+  timespec Monotonic{};
+  clock_gettime(CLOCK_MONOTONIC, &Monotonic);
+  clock_gettime(CLOCK_BOOTTIME, &Boot);
+  return std::chrono::seconds(Boot.tv_sec - Monotonic.tv_sec) +
+         std::chrono::nanoseconds(Boot.tv_nsec - Monotonic.tv_nsec);
+}
+
 } // namespace galenaroute
 
 #endif // GALENAROUTE_PROCESS_CLOCK_H
--- /dev/null
+++ b/src/process/EntryGossip.cpp
@@ -0,0 +1,119 @@
+#include "process/EntryGossip.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenaroute {
+
+/// Fewer entries than this in a zone would be overrun if all its callers came
+/// to them; entries of other zones are added.
+static constexpr std::size_t LeastOwnZone = 2;
+/// Part of the capacity that even a busy entry counts with.
+static constexpr double LeastFree = 0.15;
+
+std::vector<EntryNews> EntryGossip::news(TimePoint Now) {
+  ++this->Self.Heartbeat;
+  std::vector<const Heard *> Recent;
+  for (const auto &[Id, Each] : this->Others)
+    if (Now - Each.At < this->Settings.DeadAfter)
+      Recent.push_back(&Each);
+  const std::size_t Count = std::min(Recent.size(), this->Settings.MaxNews - 1);
+  std::partial_sort(
+      Recent.begin(), Recent.begin() + Count, Recent.end(),
+      [](const Heard *A, const Heard *B) { return A->At > B->At; });
+  std::vector<EntryNews> Result{this->Self};
+  for (std::size_t I = 0; I < Count; ++I)
+    Result.push_back(Recent[I]->News);
+  return Result;
+}
+
+static bool isNewer(const EntryNews &A, const EntryNews &B) {
+  if (A.Incarnation != B.Incarnation)
+    return A.Incarnation > B.Incarnation;
+  return A.Heartbeat > B.Heartbeat;
+}
+
+void EntryGossip::receive(std::span<const EntryNews> News, TimePoint Now) {
+  for (const EntryNews &Each : News) {
+    if (Each.Id == this->Self.Id || Each.Id.empty())
+      continue;
+    const auto It = this->Others.find(Each.Id);
+    if (It == this->Others.end()) {
+      this->Others[Each.Id] = {Each, Now};
+      continue;
+    }
+    if (!isNewer(Each, It->second.News))
+      continue;
+    const bool Left = It->second.News.IsLeaving &&
+                      It->second.News.Incarnation == Each.Incarnation;
+    It->second = {Each, Now};
+    It->second.News.IsLeaving |= Left;
+  }
+  std::erase_if(this->Others, [&](const auto &Each) {
+    return Now - Each.second.At > this->Settings.ForgetAfter;
+  });
+}
+
+std::vector<SocketAddress>
+EntryGossip::targets(std::span<const SocketAddress> Seeds, TimePoint Now,
+                     std::mt19937_64 &Random) {
+  std::vector<SocketAddress> Alive;
+  std::vector<SocketAddress> Rest(Seeds.begin(), Seeds.end());
+  for (const auto &[Id, Each] : this->Others)
+    (Now - Each.At < this->Settings.DeadAfter ? Alive : Rest)
+        .push_back(Each.News.Gossip);
+  std::shuffle(Alive.begin(), Alive.end(), Random);
+  if (Alive.size() > this->Settings.Fanout)
+    Alive.resize(this->Settings.Fanout);
+  // One that is not heard of may only be cut off; it is asked now and then.
+  if (!Rest.empty()) {
+    std::shuffle(Rest.begin(), Rest.end(), Random);
+    const std::size_t Count = Alive.empty() ? Rest.size() : 1;
+    for (std::size_t I = 0; I < Count; ++I)
+      if (!(Rest[I] == this->Self.Gossip))
+        Alive.push_back(Rest[I]);
+  }
+  return Alive;
+}
+
+std::vector<EntryNews> EntryGossip::alive(TimePoint Now) const {
+  std::vector<EntryNews> Result;
+  for (const auto &[Id, Each] : this->Others)
+    if (Now - Each.At < this->Settings.DeadAfter && !Each.News.IsLeaving)
+      Result.push_back(Each.News);
+  return Result;
+}
+
+std::vector<SocketAddress>
+chooseEntryAddresses(std::span<const EntryNews> Ready, std::string_view Zone,
+                     std::size_t Most, std::mt19937_64 &Random) {
+  struct Drawn {
+    const EntryNews *Entry;
+    bool IsNear;
+    double Key;
+  };
+  std::vector<Drawn> All;
+  std::size_t Near = 0;
+  std::uniform_real_distribution<double> Uniform(1e-9, 1);
+  for (const EntryNews &Each : Ready) {
+    const bool IsNear = Each.Zone == Zone;
+    Near += IsNear;
+    const double Weight =
+        std::max(1e-3, Each.Capacity * std::max(LeastFree, 1 - Each.Busy));
+    // Weighted sampling without replacement: the largest u^(1/w) first.
+    All.push_back({&Each, IsNear, std::pow(Uniform(Random), 1 / Weight)});
+  }
+  std::sort(All.begin(), All.end(), [](const Drawn &A, const Drawn &B) {
+    return A.IsNear != B.IsNear ? A.IsNear : A.Key > B.Key;
+  });
+  if (Near >= LeastOwnZone)
+    All.resize(Near);
+  if (All.size() > Most)
+    All.resize(Most);
+  std::vector<SocketAddress> Result;
+  for (const Drawn &Each : All)
+    Result.push_back(Each.Entry->Callers);
+  return Result;
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/process/ForwardGateway.cpp
@@ -0,0 +1,513 @@
+#include "process/ForwardGateway.h"
+
+#include "connection/BufferedSocket.h"
+#include "process/ErrorKind.h"
+#include "process/Log.h"
+#include "process/Rendezvous.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cmath>
+#include <cstring>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+static constexpr auto GossipPeriod = std::chrono::milliseconds(500);
+static constexpr auto HousekeepingPeriod = std::chrono::milliseconds(100);
+/// From when outdated parts are not fetched any more until they are freed; the
+/// other entries learn of new weights, and fetches under way end.
+static constexpr auto FreeDelay = std::chrono::milliseconds(1500);
+/// How long a notice of withheld upstreams holds; each round renews it.
+static constexpr auto WithheldNoticeTime = std::chrono::milliseconds(700);
+static constexpr std::size_t MaxGossipBytes = 16 << 10;
+/// The configuration counts as current while the platform was heard within
+/// this time; watches return at least every 1.5 s.
+static constexpr auto MaxConfigAge = std::chrono::milliseconds(2500);
+/// Part of the retry allowance that one process uses, since the others'
+/// use is not known.
+static constexpr double BudgetMargin = 0.7;
+/// Addresses in one answer to a caller.
+static constexpr std::size_t MaxAddresses = 8;
+/// New calls are taken for this long after a stop was asked for, since callers
+/// keep an address for some time.
+static constexpr auto TakeAfterStop = std::chrono::milliseconds(2800);
+/// A stop ends this long before the platform would kill the process.
+static constexpr auto StopMargin = std::chrono::milliseconds(400);
+/// Calls in progress for each core at which an entry counts as busy.
+static constexpr double CallsPerCore = 400;
+/// Share of a service's engines that may load weights at the same time; more
+/// would slow each other down.
+static constexpr double LoadShare = 1.0 / 6;
+/// A rollout passes over the engines in waves, and each waits for the next
+/// look.
+static constexpr auto OrderPeriod = std::chrono::milliseconds(200);
+/// Most runs end within this time.
+static constexpr auto OrderPreparation = std::chrono::milliseconds(900);
+/// A call that has not begun this long before the limit is taken back.
+static constexpr auto WeightsMargin = std::chrono::milliseconds(400);
+/// How long older weights are used after a start at which newer ones were
+/// already named.
+static constexpr auto FirstOldWeights = std::chrono::seconds(4);
+/// From here on calls avoid engines with older weights, as a share of the time
+/// that the platform allows.
+static constexpr double OldWeightsShare = 0.75;
+
+static json toJson(const EntryNews &News) {
+  return json::array({News.Id, News.Incarnation, News.Heartbeat,
+                      News.Callers.toString(), News.Gossip.toString(),
+                      News.Zone, News.Capacity, News.Busy, News.IsReady,
+                      News.IsLeaving, News.Withheld, News.SeesPlatform});
+}
+
+static EntryNews newsFromJson(const json &Value) {
+  EntryNews News;
+  News.Id = Value.at(0);
+  News.Incarnation = Value.at(1);
+  News.Heartbeat = Value.at(2);
+  News.Callers = SocketAddress::parse(Value.at(3).get<std::string>());
+  News.Gossip = SocketAddress::parse(Value.at(4).get<std::string>());
+  News.Zone = Value.at(5);
+  News.Capacity = Value.at(6);
+  News.Busy = Value.at(7);
+  News.IsReady = Value.at(8);
+  News.IsLeaving = Value.at(9);
+  News.SeesPlatform = Value.at(11);
+  News.Withheld = Value.at(10).get<std::vector<std::string>>();
+  return News;
+}
+
+static EntryNews selfNews(const GatewaySettings &Settings) {
+  EntryNews Self;
+  Self.Id = Settings.NodeId;
+  Self.Incarnation = std::chrono::duration_cast<Milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count();
+  Self.Callers = Settings.Callers;
+  Self.Gossip = Settings.Gossip;
+  Self.Zone = Settings.Zone;
+  Self.Capacity = Settings.Cores;
+  return Self;
+}
+
+ForwardGateway::ForwardGateway(EventLoop &Loop, GatewaySettings Given,
+                               GatewayParts Parts)
+    : Loop(Loop), Settings(std::move(Given)), Parts(Parts), Pool(Loop),
+      Upstreams(
+          this->Settings.Upstreams,
+          [this](const UpstreamEntry &Entry) { return this->roomOf(Entry); }),
+      Services{.Loop = Loop,
+               .Codec = Parts.Codec,
+               .Pool = Pool,
+               .Upstreams = Upstreams,
+               .Stats = Stats,
+               .Random = Random},
+      Stores(Loop, Parts.Feed),
+      Configs(Loop, Parts.Api, Parts.Source.configKind(), {},
+              {.OnObject =
+                   [this](const PlatformObject &Object) {
+                     this->onConfig(Object);
+                   }}),
+      Registry(Loop, Parts.Api, Parts.Source.upstreamKind(), {},
+               {.OnObject =
+                    [this](const PlatformObject &Object) {
+                      this->onUpstream(Object);
+                    },
+                .OnListed =
+                    [this](const std::set<std::string> &Names) {
+                      this->Upstreams.retain(Names, EventLoop::now());
+                    }}),
+      WeightNotices(Loop, Parts.Api, Parts.Source.weightsKind(), {},
+                    {.OnObject =
+                         [this](const PlatformObject &Object) {
+                           this->onWeights(Object);
+                         }}),
+      Entries(selfNews(this->Settings), {}) {
+  this->Upstreams.OnGone = [this](const SocketAddress &Address) {
+    this->Pool.closeIdle(Address);
+  };
+  this->Services.NewBudget = {
+      .Share = this->Settings.RetryShare * BudgetMargin, .Most = 3, .Left = 3};
+  this->Services.WeightsLimit = this->Settings.WeightsLimit - WeightsMargin;
+  this->Services.OldWeightsLimit =
+      fromSeconds(toSeconds(this->Settings.WeightsLimit) * OldWeightsShare);
+  this->Services.IsConfigFresh = [this] {
+    const auto At = this->Configs.heardAt();
+    return At && EventLoop::now() - *At <= MaxConfigAge;
+  };
+  this->Orders =
+      OrderControllerBuilder(Loop, Parts.Api, Parts.Orders)
+          .self(this->Settings.NodeId + "#" +
+                std::to_string(this->Entries.self().Incarnation))
+          .lease(this->Settings.LeaseTerm, this->Settings.LeaseTerm / 5,
+                 this->Settings.LeaseTerm * 3 / 5)
+          .period(OrderPeriod)
+          .preparation(OrderPreparation)
+          .preferred([this](std::string_view Service) {
+            return this->isPreferredFor(Service);
+          })
+          .build();
+}
+
+ForwardGateway::~ForwardGateway() {
+  for (sigc::connection &Each : this->Timers)
+    Each.disconnect();
+  if (this->GossipEvent)
+    event_free(this->GossipEvent);
+  if (this->GossipSocket >= 0)
+    evutil_closesocket(this->GossipSocket);
+}
+
+void ForwardGateway::start() {
+  this->Listener = std::make_unique<CallListener>(
+      this->Loop, this->Settings.Callers,
+      CallerLimits{.MaxConnections = this->Settings.MaxConnections},
+      [this](std::shared_ptr<IncomingCall> Call) {
+        this->onCall(std::move(Call));
+      });
+  this->GossipSocket = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+  const sockaddr_in Address = socketAddressOf(this->Settings.Gossip);
+  if (this->GossipSocket < 0 ||
+      ::bind(this->GossipSocket, reinterpret_cast<const sockaddr *>(&Address),
+             sizeof Address) != 0)
+    throw Error(ErrorKind::Internal, "cannot listen on " +
+                                         this->Settings.Gossip.toString() +
+                                         ": " + std::strerror(errno));
+  this->GossipEvent = event_new(
+      this->Loop.base(), this->GossipSocket, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<ForwardGateway *>(Self)->receiveGossip();
+      },
+      this);
+  event_add(this->GossipEvent, nullptr);
+  this->Configs.start();
+  this->Registry.start();
+  this->WeightNotices.start();
+  this->gossip();
+  this->Timers.push_back(
+      this->Loop.timers().every(GossipPeriod, [this] { this->gossip(); }));
+  this->Timers.push_back(this->Loop.timers().every(HousekeepingPeriod, [this] {
+    const auto At = this->Registry.heardAt();
+    // Without contact nothing says that a missing entry is gone.
+    if (At && EventLoop::now() - *At < MaxConfigAge)
+      this->Upstreams.expire(EventLoop::now());
+    this->sweepStores();
+    this->checkStop();
+  }));
+}
+
+void ForwardGateway::onCall(std::shared_ptr<IncomingCall> Call) {
+  std::make_shared<ForwardRun>(this->Services, std::move(Call))->start();
+}
+
+void ForwardGateway::onConfig(const PlatformObject &Object) {
+  if (Object.Deleted)
+    return;
+  auto Read = this->Parts.Source.readConfig(Object);
+  if (!Read)
+    return;
+  // A configuration never goes back within one process.
+  if (this->Services.Config && Read->Version <= this->Services.Config->Version)
+    return;
+  Read->index();
+  log(LogLevel::Info, "config.in_force",
+      {{"version", std::to_string(Read->Version)},
+       {"routes", std::to_string(Read->Routes.size())},
+       {"services", std::to_string(Read->Services.size())},
+       {"customers", std::to_string(Read->Customers.size())}});
+  this->Services.Config =
+      std::make_shared<const ForwardConfig>(std::move(*Read));
+  const ForwardConfig &Config = *this->Services.Config;
+  this->Stats.ConfigEpoch.Set(static_cast<double>(Config.Version));
+  this->Stores.follow(Config);
+  this->Services.Stores = this->Stores.places();
+  this->Listener->setLimits(
+      {.Message = {.MaxHeadBytes = Config.Limits.MaxHeaderBytes,
+                   .MaxBodyBytes = Config.Limits.MaxBodyBytes},
+       .HeadTimeout = Config.Limits.HeaderTimeout,
+       .IdleTimeout = Config.Limits.IdleTimeout,
+       .MaxConnections = this->Settings.MaxConnections});
+  this->updateOrders();
+}
+
+void ForwardGateway::onUpstream(const PlatformObject &Object) {
+  if (Object.Deleted) {
+    this->Upstreams.remove(Object.Key.Name);
+    this->updateOrders();
+    return;
+  }
+  if (auto Read = this->Parts.Source.readUpstream(Object)) {
+    this->Upstreams.put(*Read, EventLoop::now());
+    this->updateOrders();
+  }
+}
+
+void ForwardGateway::onWeights(const PlatformObject &Object) {
+  if (Object.Deleted)
+    return;
+  const auto Read = this->Parts.Source.readWeights(Object);
+  if (!Read)
+    return;
+  NamedWeights &Named = this->Services.Weights[Read->Model];
+  if (Read->Version <= Named.Version)
+    return;
+  // What is found at the start may have been named long before.
+  const Duration Age = this->WeightNotices.heardAt()
+                           ? Duration::zero()
+                           : this->Services.OldWeightsLimit - FirstOldWeights;
+  Named = {Read->Version, EventLoop::now() - Age};
+  log(LogLevel::Info, "weights.named",
+      {{"model", Read->Model}, {"version", std::to_string(Read->Version)}});
+  this->updateOrders();
+}
+
+/// Tells the order controller which engines there are and what they should
+/// have.
+void ForwardGateway::updateOrders() {
+  if (!this->Services.Config)
+    return;
+  auto Next = std::make_shared<Configuration>();
+  for (const auto &[Name, Service] : this->Services.Config->Services) {
+    if (!Service.Engine)
+      continue;
+    const auto Named = this->Services.Weights.find(Service.Engine->Model);
+    if (Named == this->Services.Weights.end())
+      continue;
+    ServiceConfig Wanted;
+    Wanted.Name = Name;
+    Wanted.Kind = ServiceKind::Model;
+    Wanted.Model = Service.Engine->Model;
+    Wanted.WeightVersion = std::to_string(Named->second.Version);
+    Wanted.ChecksFence = this->Settings.ChecksFence;
+    for (const auto &[Id, Entry] : this->Upstreams.entries())
+      if (Entry.Registered.Service == Name && !Entry.Registered.IsLeaving)
+        Wanted.Upstreams.push_back({.Name = Id,
+                                    .Address = Entry.Registered.Address,
+                                    .Zone = Entry.Registered.Zone});
+    // Those that are furthest behind go first.
+    std::stable_sort(Wanted.Upstreams.begin(), Wanted.Upstreams.end(),
+                     [&](const UpstreamConfig &A, const UpstreamConfig &B) {
+                       return this->weightsOf(A.Name) < this->weightsOf(B.Name);
+                     });
+    Wanted.MaxConcurrentLoads = std::max(
+        1, static_cast<int>(std::ceil(
+               LoadShare * static_cast<double>(Wanted.Upstreams.size()))));
+    Next->Services[Name] = std::move(Wanted);
+  }
+  this->Orders->setConfiguration(std::move(Next));
+}
+
+std::uint64_t ForwardGateway::weightsOf(std::string_view Upstream) const {
+  const UpstreamEntry *Entry = this->Upstreams.find(Upstream);
+  return Entry ? Entry->WeightVersion.value_or(0) : 0;
+}
+
+/// Returns the oldest weights for which cache is still of use: those of the
+/// engine furthest behind, or the newest once half of the engines have them,
+/// since the stores' room is needed for these.
+std::uint64_t ForwardGateway::leastUsefulWeights() const {
+  std::uint64_t Newest = 0;
+  for (const auto &[Model, Named] : this->Services.Weights)
+    Newest = std::max(Newest, Named.Version);
+  std::size_t Engines = 0;
+  std::size_t Current = 0;
+  std::uint64_t Least = Newest;
+  for (const auto &[Id, Entry] : this->Upstreams.entries()) {
+    if (!Entry.WeightVersion)
+      continue;
+    ++Engines;
+    Current += *Entry.WeightVersion >= Newest;
+    Least = std::min(Least, *Entry.WeightVersion);
+  }
+  return Current * 2 >= Engines ? Newest : Least;
+}
+
+/// Stops the use of outdated parts and, a while later, frees them.
+void ForwardGateway::sweepStores() {
+  const TimePoint Now = EventLoop::now();
+  const std::uint64_t Least = this->leastUsefulWeights();
+  if (Least > this->Services.Reuse.LeastWeights) {
+    this->Services.Reuse.LeastWeights = Least;
+    this->LeastWeightsSince = Now;
+  }
+  if (Now - this->LeastWeightsSince < FreeDelay || this->StopAskedAt)
+    return;
+  const auto Alive = this->Entries.alive(Now);
+  if (isAmongFirst(
+          "stores", this->Settings.NodeId, 1, Alive,
+          [](const EntryNews &Each) -> std::string_view { return Each.Id; }))
+    this->Stores.freeOutdated(this->Services.Reuse.LeastWeights);
+}
+
+bool ForwardGateway::needsOrders(std::string_view Service) const {
+  const auto Found = this->Services.Config->Services.find(Service);
+  if (Found == this->Services.Config->Services.end() || !Found->second.Engine)
+    return false;
+  const auto Named = this->Services.Weights.find(Found->second.Engine->Model);
+  if (Named == this->Services.Weights.end())
+    return false;
+  for (const auto &[Id, Entry] : this->Upstreams.entries())
+    if (Entry.Registered.Service == Service && !Entry.Registered.IsLeaving &&
+        Entry.WeightVersion.value_or(0) < Named->second.Version)
+      return true;
+  return false;
+}
+
+/// Whether this entry should hold the lease of \p Service: it does already, or
+/// there is something to order and it is the first of those alive.
+bool ForwardGateway::isPreferredFor(std::string_view Service) {
+  if (this->StopAskedAt || !this->Services.Config)
+    return false;
+  if (this->Orders && this->Orders->holds(Service))
+    return true;
+  if (!this->needsOrders(Service))
+    return false;
+  auto Able = this->Entries.alive(EventLoop::now());
+  std::erase_if(Able, [](const EntryNews &Each) { return !Each.SeesPlatform; });
+  return this->Services.IsConfigFresh() &&
+         isAmongFirst(
+             Service, this->Settings.NodeId, 1, Able,
+             [](const EntryNews &Each) -> std::string_view { return Each.Id; });
+}
+
+std::size_t ForwardGateway::entryCount() const {
+  return this->Entries.alive(EventLoop::now()).size() + 1;
+}
+
+/// Each entry may use its share of the connections that an upstream accepts.
+UpstreamTable::Room ForwardGateway::roomOf(const UpstreamEntry &Entry) const {
+  UpstreamTable::Room Result;
+  const SocketAddress &To = Entry.Registered.Address;
+  Result.HasIdle = this->Pool.hasIdle(To, std::chrono::seconds(60));
+  if (!this->Services.Config)
+    return Result;
+  const auto Found =
+      this->Services.Config->Services.find(Entry.Registered.Service);
+  if (Found == this->Services.Config->Services.end())
+    return Result;
+  const std::size_t Share = std::max<std::size_t>(
+      2, static_cast<std::size_t>(Found->second.MaxConnections) /
+             this->entryCount());
+  Result.MayOpen = this->Pool.connections(To) < Share;
+  return Result;
+}
+
+bool ForwardGateway::isReady() const {
+  return !this->StopAskedAt && this->Services.Config &&
+         !this->Upstreams.entries().empty();
+}
+
+std::vector<SocketAddress> ForwardGateway::addressesFor(std::string_view Zone) {
+  std::vector<EntryNews> Ready;
+  for (EntryNews &Each : this->Entries.alive(EventLoop::now()))
+    if (Each.IsReady)
+      Ready.push_back(std::move(Each));
+  if (this->isReady() || Ready.empty())
+    Ready.push_back(this->Entries.self());
+  return chooseEntryAddresses(Ready, Zone, MaxAddresses, this->Random);
+}
+
+void ForwardGateway::gossip() {
+  const TimePoint Now = EventLoop::now();
+  EntryNews &Self = this->Entries.self();
+  Self.IsReady = this->isReady();
+  Self.SeesPlatform = this->Services.IsConfigFresh();
+  Self.IsLeaving = this->StopAskedAt.has_value();
+  Self.Busy = std::min(1.0, static_cast<double>(this->Services.Open) /
+                                (CallsPerCore * this->Settings.Cores));
+  Self.Withheld.clear();
+  for (const auto &[Name, Service] : this->Services.Config
+                                         ? this->Services.Config->Services
+                                         : decltype(ForwardConfig::Services)())
+    if (Service.Engine)
+      for (std::string &Id : this->Orders->withheld(Name))
+        Self.Withheld.push_back(std::move(Id));
+  this->noteWithheld(Self.Withheld);
+  const std::size_t Count = this->entryCount();
+  this->Services.NewBudget.Most =
+      std::max(2.0, this->Settings.RetrySlack * BudgetMargin /
+                        static_cast<double>(Count));
+  for (auto &[Name, Budget] : this->Services.Budgets)
+    Budget.Most = this->Services.NewBudget.Most;
+  json Message = json::array();
+  for (const EntryNews &Each : this->Entries.news(Now))
+    Message.push_back(toJson(Each));
+  const std::vector<std::uint8_t> Bytes = json::to_cbor(Message);
+  const std::string Text(Bytes.begin(), Bytes.end());
+  for (const SocketAddress &To :
+       this->Entries.targets(this->Settings.GossipSeeds, Now, this->Random))
+    this->sendGossip(To, Text);
+}
+
+/// Keeps calls away from upstreams that load weights or are about to.
+void ForwardGateway::noteWithheld(std::span<const std::string> Ids) {
+  for (const std::string &Id : Ids)
+    this->Upstreams.noteClosed(Id, EventLoop::now() + WithheldNoticeTime);
+}
+
+void ForwardGateway::sendGossip(const SocketAddress &To,
+                                const std::string &Message) {
+  const sockaddr_in Address = socketAddressOf(To);
+  const ssize_t Sent =
+      ::sendto(this->GossipSocket, Message.data(), Message.size(), 0,
+               reinterpret_cast<const sockaddr *>(&Address), sizeof Address);
+  // A lost message is made up for by the next round.
+  if (Sent < 0)
+    log(LogLevel::Debug, "gossip.send_failed",
+        {{"to", To.toString()}, {"error", std::strerror(errno)}});
+}
+
+void ForwardGateway::receiveGossip() {
+  std::string Buffer(MaxGossipBytes, '\0');
+  while (true) {
+    const ssize_t Length =
+        ::recv(this->GossipSocket, Buffer.data(), Buffer.size(), 0);
+    if (Length < 0)
+      return;
+    try {
+      std::vector<EntryNews> News;
+      for (const json &Each : json::from_cbor(
+               Buffer.begin(), Buffer.begin() + static_cast<long>(Length)))
+        News.push_back(newsFromJson(Each));
+      this->Entries.receive(News, EventLoop::now());
+      if (!News.empty())
+        this->noteWithheld(News.front().Withheld);
+    } catch (const std::exception &Failure) {
+      log(LogLevel::Warn, "gossip.malformed", {{"message", Failure.what()}});
+    }
+  }
+}
+
+void ForwardGateway::drain() {
+  if (this->StopAskedAt)
+    return;
+  log(LogLevel::Info, "process.stopping",
+      {{"open_calls", std::to_string(this->Services.Open)}});
+  this->StopAskedAt = EventLoop::now();
+  this->Stats.Draining.Set(1);
+  this->Listener->closeAfterAnswers();
+  this->Orders->resign();
+  this->gossip();
+}
+
+void ForwardGateway::checkStop() {
+  if (!this->StopAskedAt)
+    return;
+  const Duration Since = EventLoop::now() - *this->StopAskedAt;
+  if (Since >= TakeAfterStop)
+    this->Services.IsStopping = true;
+  const bool IsIdle = this->Services.Open == 0 && Since >= TakeAfterStop;
+  if (!IsIdle && Since < this->Settings.Grace - StopMargin)
+    return;
+  log(LogLevel::Info, "process.stopped",
+      {{"open_calls", std::to_string(this->Services.Open)}});
+  this->StopAskedAt = EventLoop::now() + std::chrono::hours(1);
+  this->Stopped.emit();
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/process/ForwardGateway.h
@@ -0,0 +1,117 @@
+// A process that forwards callers' requests to registered upstreams.
+//
+//   ForwardGateway Gateway(Loop, Settings, Parts);
+//   Gateway.Stopped.connect([&] { Loop.stop(); });
+//   Gateway.start();
+//
+// Owns what all calls share and keeps it up to date: the configuration, the
+// upstreams and the named weights follow the platform's objects, cache
+// contents follow the stores' feeds, other entries are known by gossip, and
+// orders for new weights are given under a lease. What is read and written on
+// the wire comes in through the interfaces in GatewayParts.
+
+#ifndef GALENAROUTE_PROCESS_FORWARDGATEWAY_H
+#define GALENAROUTE_PROCESS_FORWARDGATEWAY_H
+
+#include "process/EntryGossip.h"
+#include "process/StoreFollower.h"
+#include "request/ForwardRun.h"
+#include "version/ForwardSource.h"
+#include "version/ObjectWatcher.h"
+#include "version/OrderController.h"
+
+namespace galenaroute {
+
+struct GatewaySettings {
+  std::string NodeId;
+  std::string Zone;
+  SocketAddress Callers; ///< Where callers connect.
+  SocketAddress Gossip;
+  std::vector<SocketAddress> GossipSeeds;
+  double Cores = 1;
+  std::size_t MaxConnections = 3000;
+  /// Retries that all entries together may cause: a share of the calls, and a
+  /// number for each window on top.
+  double RetryShare = 0.2;
+  double RetrySlack = 50;
+  /// After a stop was asked for: how long calls may go on.
+  Duration Grace = std::chrono::seconds(8);
+  bool ChecksFence = false; ///< Upstreams refuse orders with an old fence.
+  Duration LeaseTerm = std::chrono::seconds(3);
+  /// From the naming of weights until no older ones may be used.
+  Duration WeightsLimit = std::chrono::seconds(15);
+  UpstreamTableSettings Upstreams;
+};
+
+struct GatewayParts {
+  Platform &Api;
+  const ForwardSource &Source;
+  const CallCodec &Codec;
+  CacheFeed &Feed;
+  UpstreamOrders &Orders;
+};
+
+class ForwardGateway {
+public:
+  ForwardGateway(EventLoop &Loop, GatewaySettings Settings, GatewayParts Parts);
+  ~ForwardGateway();
+  ForwardGateway(const ForwardGateway &) = delete;
+  ForwardGateway &operator=(const ForwardGateway &) = delete;
+
+  void start();
+
+  /// Begins a graceful stop.
+  void drain();
+  sigc::signal<void()> Stopped;
+
+  /// Whether callers should come here.
+  bool isReady() const;
+  /// Addresses for a caller in \p Zone.
+  std::vector<SocketAddress> addressesFor(std::string_view Zone);
+  const UpstreamTable &upstreams() const { return this->Upstreams; }
+  Metrics &stats() { return this->Stats; }
+
+private:
+  void onConfig(const PlatformObject &Object);
+  void onUpstream(const PlatformObject &Object);
+  void onWeights(const PlatformObject &Object);
+  void onCall(std::shared_ptr<IncomingCall> Call);
+  void gossip();
+  void receiveGossip();
+  void noteWithheld(std::span<const std::string> Ids);
+  void sendGossip(const SocketAddress &To, const std::string &Message);
+  void updateOrders();
+  std::uint64_t weightsOf(std::string_view Upstream) const;
+  std::uint64_t leastUsefulWeights() const;
+  void sweepStores();
+  bool needsOrders(std::string_view Service) const;
+  bool isPreferredFor(std::string_view Service);
+  void checkStop();
+  UpstreamTable::Room roomOf(const UpstreamEntry &Entry) const;
+  std::size_t entryCount() const;
+
+  EventLoop &Loop;
+  GatewaySettings Settings;
+  GatewayParts Parts;
+  std::mt19937_64 Random{std::random_device{}()};
+  Metrics Stats;
+  UpstreamPool Pool;
+  UpstreamTable Upstreams;
+  ForwardServices Services;
+  StoreFollower Stores;
+  ObjectWatcher Configs;
+  ObjectWatcher Registry;
+  ObjectWatcher WeightNotices;
+  EntryGossip Entries;
+  std::unique_ptr<OrderController> Orders;
+  std::unique_ptr<CallListener> Listener;
+  int GossipSocket = -1;
+  struct event *GossipEvent = nullptr;
+  TimePoint LeastWeightsSince;
+  std::optional<TimePoint> StopAskedAt;
+  std::vector<sigc::connection> Timers;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_PROCESS_FORWARDGATEWAY_H
--- /dev/null
+++ b/src/process/StoreFollower.cpp
@@ -0,0 +1,129 @@
+#include "process/StoreFollower.h"
+
+#include "process/Log.h"
+
+namespace galenaroute {
+
+/// How long a call waits for events. Shorter waits show a lost store sooner;
+/// waits under 200 ms would be counted as probes.
+static constexpr auto EventWait = std::chrono::milliseconds(600);
+/// Between calls, so that a busy store's events come in batches.
+static constexpr auto AskPeriod = std::chrono::milliseconds(120);
+/// Between two calls to free parts of one store; events tell what was freed.
+static constexpr auto FreePeriod = std::chrono::seconds(1);
+static constexpr auto RetryPeriod = std::chrono::milliseconds(400);
+
+StoreFollower::StoreFollower(EventLoop &Loop, CacheFeed &Feed)
+    : Loop(Loop), Feed(Feed) {}
+
+StoreFollower::~StoreFollower() {
+  for (const auto &[Name, Each] : this->Stores)
+    Each->Timer.disconnect();
+}
+
+void StoreFollower::follow(const ForwardConfig &Config) {
+  std::erase_if(this->Stores, [&](const auto &Each) {
+    const auto It = Config.Services.find(Each.first);
+    const bool Keeps = It != Config.Services.end() && It->second.Store &&
+                       It->second.Store->Address == Each.second->Address;
+    if (!Keeps)
+      Each.second->Timer.disconnect();
+    return !Keeps;
+  });
+  for (const auto &[Name, Service] : Config.Services) {
+    if (!Service.Store || !Service.Store->IsManaged ||
+        this->Stores.contains(Name))
+      continue;
+    auto Added = std::make_unique<Store>();
+    Added->Address = Service.Store->Address;
+    Added->Zone = Service.Store->Zone;
+    Added->Latency = Service.Store->Latency;
+    Added->CapacityTokens = Service.Store->CacheTokens;
+    this->Stores[Name] = std::move(Added);
+    this->ask(Name);
+  }
+}
+
+std::vector<StorePlace> StoreFollower::places() {
+  std::vector<StorePlace> Result;
+  for (const auto &[Name, Each] : this->Stores)
+    Result.push_back({Each->Address.toString(), Each->Zone,
+                      Each->CapacityTokens, Each->Latency, &Each->Contents});
+  return Result;
+}
+
+void StoreFollower::freeOutdated(std::uint64_t LeastWeights) {
+  const TimePoint Now = EventLoop::now();
+  for (const auto &[Name, Each] : this->Stores) {
+    if (Each->IsLost || !Each->Contents.IsKnown ||
+        Now - Each->FreedAt < FreePeriod)
+      continue;
+    std::vector<std::pair<std::string, std::string>> Parts;
+    for (const std::string &Key : outdatedParts(Each->Contents, LeastWeights)) {
+      const std::size_t Slash = Key.find('/');
+      Parts.emplace_back(Key.substr(0, Slash), Key.substr(Slash + 1));
+    }
+    if (Parts.empty())
+      continue;
+    Each->FreedAt = Now;
+    log(LogLevel::Info, "store.free",
+        {{"store", Name},
+         {"parts", std::to_string(Parts.size())},
+         {"least_weights", std::to_string(LeastWeights)}});
+    this->Feed.free(Each->Address, Each->Contents.Epoch, Parts);
+  }
+}
+
+void StoreFollower::ask(const std::string &Name) {
+  const auto It = this->Stores.find(Name);
+  if (It == this->Stores.end())
+    return;
+  Store &Asked = *It->second;
+  const auto Done = [this, Name, Alive = std::weak_ptr(this->Alive)](
+                        std::optional<CacheEventBatch> Batch) {
+    if (!Alive.expired())
+      this->onBatch(Name, std::move(Batch));
+  };
+  if (Asked.NeedsList)
+    this->Feed.list(Asked.Address, Done);
+  else
+    this->Feed.events(Asked.Address, Asked.Contents.Next, EventWait, Done);
+}
+
+void StoreFollower::askLater(const std::string &Name, Duration Delay) {
+  this->Stores[Name]->Timer =
+      this->Loop.timers().after(Delay, [this, Name] { this->ask(Name); });
+}
+
+void StoreFollower::onBatch(const std::string &Name,
+                            std::optional<CacheEventBatch> Batch) {
+  const auto It = this->Stores.find(Name);
+  if (It == this->Stores.end())
+    return;
+  Store &Asked = *It->second;
+  if (!Batch) {
+    if (!Asked.IsLost)
+      log(LogLevel::Warn, "store.lost", {{"store", Name}});
+    // It may have restarted unseen, so that parts are being written anew.
+    Asked.IsLost = true;
+    Asked.NeedsList = true;
+    Asked.Contents.IsKnown = false;
+    this->askLater(Name, RetryPeriod);
+    return;
+  }
+  if (Asked.IsLost)
+    log(LogLevel::Info, "store.regained", {{"store", Name}});
+  Asked.IsLost = false;
+  const bool Restarted =
+      Asked.Contents.IsKnown && Asked.Contents.Epoch != Batch->Epoch;
+  Asked.NeedsList = Batch->HasGap || (Restarted && !Batch->IsList);
+  if (Restarted || Batch->HasGap)
+    log(LogLevel::Info, "store.contents_unsure",
+        {{"store", Name},
+         {"epoch", std::to_string(Batch->Epoch)},
+         {"gap", Batch->HasGap ? "yes" : "no"}});
+  applyEvents(Asked.Contents, *Batch, EventLoop::now());
+  this->askLater(Name, Batch->IsList ? Duration::zero() : Duration(AskPeriod));
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/process/StoreFollower.h
@@ -0,0 +1,75 @@
+// Follows the contents of the KV cache stores by their event feeds.
+//
+//   StoreFollower Follower(Loop, Feed);
+//   Follower.follow(Specs);          // as the configuration names them
+//   Services.Stores = Follower.places();
+//
+// Guarantees: one call to each store is under way at a time; a store that does
+// not answer is not trusted until it has been heard again; after a gap in its
+// events its whole list is read.
+
+#ifndef GALENAROUTE_PROCESS_STOREFOLLOWER_H
+#define GALENAROUTE_PROCESS_STOREFOLLOWER_H
+
+#include "process/EventLoop.h"
+#include "request/PromptReuse.h"
+#include "version/ForwardConfig.h"
+
+namespace galenaroute {
+
+/// The event feed of KV cache stores.
+class CacheFeed {
+public:
+  /// Gets nothing when the store did not answer.
+  using OnBatch = std::function<void(std::optional<CacheEventBatch> Batch)>;
+  virtual ~CacheFeed() = default;
+  /// Waits up to \p Wait for events after \p Since.
+  virtual void events(const SocketAddress &Store, std::uint64_t Since,
+                      Duration Wait, OnBatch Done) = 0;
+  virtual void list(const SocketAddress &Store, OnBatch Done) = 0;
+  /// Frees parts, given as pairs of scope and id, if the store is still in
+  /// \p Epoch.
+  virtual void
+  free(const SocketAddress &Store, std::uint64_t Epoch,
+       std::span<const std::pair<std::string, std::string>> Parts) = 0;
+};
+
+class StoreFollower {
+public:
+  StoreFollower(EventLoop &Loop, CacheFeed &Feed);
+  ~StoreFollower();
+  StoreFollower(const StoreFollower &) = delete;
+  StoreFollower &operator=(const StoreFollower &) = delete;
+
+  void follow(const ForwardConfig &Config);
+  std::vector<StorePlace> places();
+  /// Frees what was made with older weights than \p LeastWeights. Nobody may
+  /// fetch it any more.
+  void freeOutdated(std::uint64_t LeastWeights);
+
+private:
+  struct Store {
+    SocketAddress Address;
+    std::string Zone;
+    std::uint64_t CapacityTokens = 0;
+    Duration Latency{};
+    StoreContents Contents;
+    bool NeedsList = true;
+    bool IsLost = false;
+    TimePoint FreedAt;
+    sigc::connection Timer;
+  };
+
+  void ask(const std::string &Name);
+  void onBatch(const std::string &Name, std::optional<CacheEventBatch> Batch);
+  void askLater(const std::string &Name, Duration Delay);
+
+  EventLoop &Loop;
+  CacheFeed &Feed;
+  std::map<std::string, std::unique_ptr<Store>> Stores;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_PROCESS_STOREFOLLOWER_H
--- /dev/null
+++ b/src/request/ForwardRun.cpp
@@ -0,0 +1,668 @@
+#include "request/ForwardRun.h"
+
+#include "process/ErrorKind.h"
+#include "process/Log.h"
+#include "process/Rendezvous.h"
+
+#include <algorithm>
+
+namespace galenaroute {
+
+/// How often a call that waits for a connection looks again.
+static constexpr auto RoomPeriod = std::chrono::milliseconds(12);
+/// Share of its target that a call may wait for a connection; one that waits
+/// longer is refused while its caller still has time to come back.
+static constexpr double WaitShare = 0.3;
+static constexpr Duration LeastWait = std::chrono::milliseconds(40);
+/// Shares of its last connection's age: a call that must not repeat uses only
+/// a connection that served shortly before, since one that idles may be
+/// closing.
+static constexpr Duration MaxIdleOnce = std::chrono::milliseconds(900);
+static constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
+/// Retry-After: this much, and up to as much again at random, so that callers
+/// do not come back together.
+static constexpr Duration LeastRetryAfter = std::chrono::milliseconds(250);
+/// For a call that crashes upstreams; they must be back and mended first.
+static constexpr Duration CrashRetryAfter = std::chrono::seconds(10);
+/// A service that is fuller needs longer.
+static constexpr double RetryAfterPerLoad = 0.6;
+/// The least time to give an upstream; less could not be used.
+static constexpr Duration LeastSendTime = std::chrono::milliseconds(5);
+/// Part of an engine's memory that is taken to hold parts for later; the rest
+/// is in use by its runs.
+static constexpr double MemoryShare = 0.6;
+/// How long an upstream that refused a call gets no other one.
+static constexpr Duration ClosedAfterRefusal = std::chrono::milliseconds(500);
+/// Part of its target that a call's fetch may take; a store that is slower than
+/// that is not waited for, and the prompt is read.
+static constexpr double FetchShare = 0.45;
+static constexpr std::size_t MaxStreamBacklog = 4 << 20;
+
+ForwardRun::ForwardRun(ForwardServices &Services,
+                       std::shared_ptr<IncomingCall> Incoming)
+    : Services(Services), Incoming(std::move(Incoming)),
+      Config(Services.Config) {
+  ++this->Services.Open;
+}
+
+ForwardRun::~ForwardRun() {
+  --this->Services.Open;
+  this->StallTimer.disconnect();
+  this->EndTimer.disconnect();
+  this->WeightsTimer.disconnect();
+  this->RoomTimer.disconnect();
+}
+
+Duration ForwardRun::timeLeft() const { return this->EndAt - EventLoop::now(); }
+
+RetryBudget &ForwardRun::budget() {
+  return this->Services.Budgets
+      .try_emplace(this->Service->Name, this->Services.NewBudget)
+      .first->second;
+}
+
+void ForwardRun::start() {
+  // The connections hold the run until it is done.
+  const auto Self = this->shared_from_this();
+  this->Incoming->CallerLeft.connect([Self] { Self->onCallerLeft(); });
+  try {
+    if (!this->admit())
+      return;
+  } catch (const Error &Failure) {
+    this->fail(Failure.Kind, Failure.what());
+    return;
+  }
+  noteCall(this->budget());
+  this->EndTimer = this->Services.Loop.timers().after(
+      this->timeLeft(), [Self] { Self->onTimeout(); });
+  this->WaitingSince = EventLoop::now();
+  this->attempt();
+}
+
+/// Reads the call and finds its route, customer and service. Returns false
+/// when the call was answered.
+bool ForwardRun::admit() {
+  this->Call = this->Services.Codec.readRequest(this->Incoming->Head);
+  if (!this->Config) {
+    this->refuse("no configuration is known yet", std::chrono::seconds(1));
+    return false;
+  }
+  if (this->Services.IsStopping) {
+    this->refuse("this process is stopping", LeastRetryAfter);
+    return false;
+  }
+  const bool IsFresh = this->Services.IsConfigFresh();
+  this->Route = findRoute(*this->Config, this->Call.Host, this->Call.path());
+  if (!this->Route) {
+    if (!IsFresh) {
+      this->refuse("the configuration may be out of date", LeastRetryAfter);
+      return false;
+    }
+    throw Error(ErrorKind::NotFound, "no route for this host and path");
+  }
+  this->Customer = findCustomer(*this->Config, this->Call.Key);
+  if (!this->Customer && this->Config->NeedsKeys && !this->Route->IsPublic) {
+    if (!IsFresh) {
+      this->refuse("the configuration may be out of date", LeastRetryAfter);
+      return false;
+    }
+    throw Error(ErrorKind::Unauthenticated, "unknown key");
+  }
+  if (this->Call.Id.empty())
+    throw Error(ErrorKind::BadRequest, "the request has no id");
+  const double Draw =
+      std::uniform_real_distribution<double>(0, 1)(this->Services.Random);
+  const auto Found =
+      this->Config->Services.find(chooseService(*this->Route, Draw));
+  if (Found == this->Config->Services.end()) {
+    this->refuse("the route's service is not configured", LeastRetryAfter);
+    return false;
+  }
+  this->Service = &Found->second;
+  const Duration Limit = std::min(
+      this->Call.TimeLeft.value_or(this->Route->Timeout), this->Route->Timeout);
+  this->EndAt = this->Incoming->Arrived + Limit;
+  this->LastEvent = this->Call.ResumeAfter;
+  this->Signature = stableHash(
+      this->Incoming->Body,
+      stableHash(this->Call.Target,
+                 stableHash(this->Customer ? this->Customer->Name : "")));
+  if (seemsToCrash(this->Services.Crashes, this->Signature, EventLoop::now())) {
+    this->refuse("this call crashed the upstreams that ran it",
+                 CrashRetryAfter);
+    return false;
+  }
+  return true;
+}
+
+std::string ForwardRun::cacheScope(std::optional<std::uint64_t> Version) const {
+  return scopeOf(
+      Version.value_or(0),
+      this->Customer && this->Customer->IsIsolated ? this->Customer->Name : "");
+}
+
+ReusePlan ForwardRun::planCache(const std::string &Scope) {
+  if (!this->Route->CarriesPrompt || !this->Service->Engine)
+    return {};
+  ReuseSettings Settings = this->Services.Reuse;
+  Settings.FetchLimit =
+      fromSeconds(toSeconds(this->Route->Target) * FetchShare);
+  return planReuse(this->Call.Parts, Scope, this->Services.Stores, Settings,
+                   EventLoop::now());
+}
+
+UpstreamQuery ForwardRun::query() const {
+  UpstreamQuery Query;
+  Query.Service = this->Service->Name;
+  Query.Excluded = this->Tried;
+  if (!this->Service->Engine)
+    return Query;
+  const auto Named = this->Services.Weights.find(this->Service->Engine->Model);
+  if (Named != this->Services.Weights.end()) {
+    Query.NewestWeights = Named->second.Version;
+    Query.NeedsNewestWeights =
+        EventLoop::now() - Named->second.Since > this->Services.OldWeightsLimit;
+  }
+  Query.Subject = subjectOf(this->Call.Parts);
+  Query.Parts = this->Call.Parts;
+  Query.ScopeOf = [this](std::uint64_t Weights) {
+    return this->cacheScope(Weights);
+  };
+  Query.StoredIn = [this](const std::string &Key, std::uint32_t Tokens) {
+    return holderOf(Key, Tokens, this->Services.Stores, this->Services.Reuse,
+                    EventLoop::now());
+  };
+  Query.MemoryTokens = static_cast<std::uint64_t>(
+      MemoryShare * static_cast<double>(this->Service->Engine->CacheTokens));
+  return Query;
+}
+
+void ForwardRun::attempt() {
+  if (this->Current == Phase::Done)
+    return;
+  const UpstreamTable::Chosen To =
+      this->Services.Upstreams.choose(this->query(), EventLoop::now());
+  if (!To.Entry) {
+    this->waitForRoom();
+    return;
+  }
+  this->TokensSent = To.TokensToRead;
+  this->send(*To.Entry);
+}
+
+/// Waits for a connection or an upstream, for a limited time.
+void ForwardRun::waitForRoom() {
+  const TimePoint Now = EventLoop::now();
+  const Duration Limit = std::max(
+      fromSeconds(toSeconds(this->Route->Target) * WaitShare), LeastWait);
+  if (Now - this->WaitingSince<Limit &&this->timeLeft()> RoomPeriod) {
+    this->RoomTimer = this->Services.Loop.timers().after(
+        RoomPeriod, [Self = this->shared_from_this()] { Self->attempt(); });
+    return;
+  }
+  if (this->Phase::Streaming == this->Current) {
+    this->Incoming->abort();
+    this->finish("stream_lost");
+    return;
+  }
+  if (this->PossibleRuns > 0)
+    this->fail(ErrorKind::UpstreamFailed, "no other upstream is free");
+  else
+    this->refuse("no upstream is free", this->retryAfter());
+}
+
+SendPlan ForwardRun::planSend(const UpstreamEntry &To,
+                              const ReusePlan &Reuse) const {
+  SendPlan Plan;
+  Plan.Instance = To.Registered.Id;
+  if (this->Customer)
+    Plan.Customer = this->Customer->Name;
+  Plan.TimeLeft = std::max(this->timeLeft(), LeastSendTime);
+  Plan.ResumeAfter = this->LastEvent;
+  if (!this->Service->Engine)
+    return Plan;
+  const int Priority = this->Customer && this->Customer->Priority
+                           ? *this->Customer->Priority
+                           : this->Route->Priority;
+  Plan.Urgency = std::clamp(Priority, 0, 9);
+  Plan.WeightVersion = To.WeightVersion;
+  Plan.CacheScope = this->cacheScope(To.WeightVersion);
+  Plan.Fetch = Reuse.Fetch;
+  Plan.Save = Reuse.Save;
+  Plan.FetchUntilMs = Reuse.FetchUntilMs;
+  return Plan;
+}
+
+void ForwardRun::send(const UpstreamEntry &To) {
+  const ReusePlan Reuse = this->planCache(this->cacheScope(To.WeightVersion));
+  const SendPlan Plan = this->planSend(To, Reuse);
+  UpstreamExchangeSettings Settings;
+  Settings.IsHead = this->Call.Method == "HEAD";
+  Settings.MaxIdle = this->Route->Repeat == Repeatability::Once
+                         ? MaxIdleOnce
+                         : MaxIdleRepeatable;
+  this->UpstreamId = To.Registered.Id;
+  this->Tried.push_back(this->UpstreamId);
+  this->HasAnswer = false;
+  this->Body.clear();
+  this->Splitter.clear();
+  this->SentAt = EventLoop::now();
+  if (this->Current == Phase::Waiting)
+    this->Current = Phase::Sent;
+  this->Services.Upstreams.noteSent(this->UpstreamId, this->TokensSent);
+  this->Services.Upstreams.noteParts(this->UpstreamId, this->query());
+  this->Exchange = this->Services.Pool.start(
+      To.Registered.Address,
+      this->Services.Codec.writeRequest(this->Call, Plan, this->Incoming->Body),
+      Settings,
+      {.OnHead = [this](const HttpHead &Head) { return this->onHead(Head); },
+       .OnBody = [this](std::string_view Bytes) { this->onBody(Bytes); },
+       .OnEnd =
+           [this](UpstreamEnd End) {
+             const auto Self = this->shared_from_this();
+             this->onEnd(End);
+           }});
+  log(LogLevel::Info, "call.sent",
+      {{"call", this->Call.Id},
+       {"route", this->Route->Name},
+       {"upstream", this->UpstreamId},
+       {"send", std::to_string(this->Sends + 1)},
+       {"left_ms", std::to_string(toMilliseconds(this->timeLeft()))},
+       {"weights", std::to_string(To.WeightVersion.value_or(0))},
+       {"own_calls", std::to_string(To.OwnCalls)},
+       {"load_age_ms",
+        To.Load ? std::to_string(toMilliseconds(this->SentAt - To.ReportedAt))
+                : "-"},
+       {"stored_tokens", std::to_string(Reuse.StoredTokens)},
+       {"shared_tokens", std::to_string(Reuse.SharedTokens)}});
+  this->armStall();
+  this->armWeightsLimit(To);
+}
+
+/// A call that waits at an engine with old weights must not begin there after
+/// the time by which all should have the newer ones.
+void ForwardRun::armWeightsLimit(const UpstreamEntry &To) {
+  this->WeightsTimer.disconnect();
+  if (!this->Service->Engine || !To.WeightVersion)
+    return;
+  const auto Named = this->Services.Weights.find(this->Service->Engine->Model);
+  if (Named == this->Services.Weights.end() ||
+      *To.WeightVersion >= Named->second.Version)
+    return;
+  const Duration Left =
+      Named->second.Since + this->Services.WeightsLimit - EventLoop::now();
+  this->WeightsTimer = this->Services.Loop.timers().after(
+      Left, [Self = this->shared_from_this()] { Self->takeBack(); });
+}
+
+void ForwardRun::takeBack() {
+  if (this->Current == Phase::Done || !this->Exchange || this->FirstEventAt)
+    return;
+  const bool WasSent = this->Exchange->wasSent();
+  this->Exchange.reset();
+  this->onOutcome(WasSent ? SendOutcome::Stalled : SendOutcome::NotSent);
+}
+
+void ForwardRun::armStall() {
+  this->StallTimer.disconnect();
+  if (const auto Limit =
+          stallLimit(*this->Route, this->FirstEventAt.has_value()))
+    this->StallTimer = this->Services.Loop.timers().after(
+        *Limit, [Self = this->shared_from_this()] { Self->onStall(); });
+}
+
+bool ForwardRun::onHead(const HttpHead &Head) {
+  CallAnswer Read = this->Services.Codec.readAnswer(Head);
+  if (!Read.CallId.empty() && Read.CallId != this->Call.Id) {
+    log(LogLevel::Warn, "answer.foreign",
+        {{"call", this->Call.Id},
+         {"upstream", this->UpstreamId},
+         {"answers", Read.CallId}});
+    return false;
+  }
+  this->Answer = std::move(Read);
+  this->HasAnswer = true;
+  if (this->Answer.Load)
+    this->Services.Upstreams.noteLoad(this->UpstreamId, *this->Answer.Load,
+                                      EventLoop::now());
+  if (this->Answer.WeightVersion)
+    this->Services.Upstreams.noteWeights(this->UpstreamId,
+                                         *this->Answer.WeightVersion);
+  return true;
+}
+
+/// Whether the answer being read is an event stream to pass on as it comes.
+static bool isStreamAnswer(const ForwardRoute &Route,
+                           const CallAnswer &Answer) {
+  return Route.IsStream && Answer.Status == 200 && Answer.IsSigned &&
+         !Answer.IsEncoded;
+}
+
+void ForwardRun::onBody(std::string_view Bytes) {
+  if (!isStreamAnswer(*this->Route, this->Answer)) {
+    this->Body += Bytes;
+    return;
+  }
+  if (!this->Splitter.feed(
+          Bytes, [this](const StreamEvent &Event) { this->onEvent(Event); }))
+    log(LogLevel::Warn, "stream.event_too_long",
+        {{"call", this->Call.Id}, {"upstream", this->UpstreamId}});
+}
+
+void ForwardRun::onEvent(const StreamEvent &Event) {
+  if (this->Current == Phase::Done)
+    return;
+  if (Event.Id && this->LastEvent && *Event.Id <= *this->LastEvent) {
+    log(LogLevel::Warn, "stream.event_repeated",
+        {{"call", this->Call.Id}, {"event", std::to_string(*Event.Id)}});
+    return;
+  }
+  this->beginStream();
+  if (Event.Id)
+    this->LastEvent = Event.Id;
+  this->Incoming->write(Event.Bytes);
+  this->armStall();
+  if (this->Incoming->unsentBytes() > MaxStreamBacklog) {
+    this->Incoming->abort();
+    this->finish("caller_too_slow");
+  }
+}
+
+/// The prompt of the send under way has been read, or never will be.
+void ForwardRun::noteStarted() {
+  this->Services.Upstreams.noteStarted(this->UpstreamId, this->TokensSent);
+  this->TokensSent = 0;
+}
+
+void ForwardRun::beginStream() {
+  this->noteStarted();
+  if (this->Current == Phase::Streaming)
+    return;
+  this->Current = Phase::Streaming;
+  this->FirstEventAt = EventLoop::now();
+  this->Services.Stats.firstToken(
+      this->Service->Name, *this->FirstEventAt - this->Incoming->Arrived);
+  this->Incoming->begin(this->Answer.Status, this->Answer.Passed);
+}
+
+SendOutcome ForwardRun::outcomeOf(UpstreamEnd End) const {
+  switch (End) {
+  case UpstreamEnd::ConnectFailed:
+    return SendOutcome::NotSent;
+  case UpstreamEnd::Cut:
+  case UpstreamEnd::Malformed:
+    return SendOutcome::Broken;
+  case UpstreamEnd::Complete:
+    break;
+  }
+  const CallAnswer &Read = this->Answer;
+  if (Read.NotRun || Read.IsMisdirected)
+    return SendOutcome::NotRun;
+  if (!Read.IsSigned || Read.IsEncoded)
+    return SendOutcome::Broken;
+  if (isStreamAnswer(*this->Route, Read) && this->Splitter.isInEvent())
+    return SendOutcome::Broken;
+  return Read.Status >= 500 ? SendOutcome::Failed : SendOutcome::Succeeded;
+}
+
+void ForwardRun::onEnd(UpstreamEnd End) {
+  const bool WasSent = this->Exchange->wasSent();
+  this->Exchange.reset();
+  SendOutcome Outcome = this->outcomeOf(End);
+  if (Outcome == SendOutcome::Broken && !WasSent)
+    Outcome = SendOutcome::NotSent;
+  this->onOutcome(Outcome);
+}
+
+static std::string_view toString(SendOutcome Outcome) {
+  switch (Outcome) {
+  case SendOutcome::NotSent:
+    return "not_sent";
+  case SendOutcome::NotRun:
+    return "not_run";
+  case SendOutcome::Succeeded:
+    return "succeeded";
+  case SendOutcome::Failed:
+    return "failed";
+  case SendOutcome::Broken:
+    return "broken";
+  case SendOutcome::Stalled:
+    return "stalled";
+  }
+  return "unknown";
+}
+
+/// Teaches the shared records what a send has shown.
+void ForwardRun::noteOutcome(SendOutcome Outcome) {
+  UpstreamTable &Upstreams = this->Services.Upstreams;
+  const TimePoint Now = EventLoop::now();
+  this->noteStarted();
+  Upstreams.noteEnded(this->UpstreamId);
+  switch (Outcome) {
+  case SendOutcome::Succeeded:
+    Upstreams.noteSuccess(this->UpstreamId);
+    noteSuccess(this->Services.Crashes, this->Signature);
+    return;
+  case SendOutcome::Failed:
+    Upstreams.noteFailure(this->UpstreamId, 0.1, Now);
+    return;
+  case SendOutcome::NotRun:
+    if (this->Answer.IsMisdirected && this->Service->Engine) {
+      const auto Named =
+          this->Services.Weights.find(this->Service->Engine->Model);
+      if (Named != this->Services.Weights.end())
+        Upstreams.noteWeights(this->UpstreamId, Named->second.Version);
+    }
+    Upstreams.noteClosed(this->UpstreamId, Now + ClosedAfterRefusal);
+    return;
+  case SendOutcome::NotSent:
+    Upstreams.noteFailure(this->UpstreamId, 3, Now);
+    return;
+  case SendOutcome::Stalled:
+    Upstreams.noteFailure(this->UpstreamId, 1, Now);
+    return;
+  case SendOutcome::Broken:
+    noteBreak(this->Services.Crashes, this->Signature, Now);
+    Upstreams.noteFailure(this->UpstreamId, 1, Now);
+    return;
+  }
+}
+
+void ForwardRun::onOutcome(SendOutcome Outcome) {
+  this->StallTimer.disconnect();
+  if (this->Current == Phase::Done)
+    return;
+  this->noteOutcome(Outcome);
+  if (Outcome == SendOutcome::NotSent) {
+    ++this->ConnectFailures;
+  } else {
+    ++this->Sends;
+    if (Outcome != SendOutcome::NotRun)
+      ++this->PossibleRuns;
+  }
+  ForwardProgress Progress;
+  Progress.Repeat = this->Route->Repeat;
+  Progress.Sends = this->Sends;
+  Progress.PossibleRuns = this->PossibleRuns;
+  Progress.MaxUpstreams = this->Route->MaxUpstreams;
+  Progress.ConnectFailures = this->ConnectFailures;
+  Progress.HasBudget = hasRetry(this->budget());
+  Progress.TimeLeft = this->timeLeft();
+  const ForwardStep Step = nextStep(Progress, Outcome);
+  if (Outcome != SendOutcome::Succeeded)
+    log(LogLevel::Info, "call.send_ended",
+        {{"call", this->Call.Id},
+         {"upstream", this->UpstreamId},
+         {"outcome", std::string(toString(Outcome))},
+         {"status", std::to_string(this->HasAnswer ? this->Answer.Status : 0)},
+         {"after_ms",
+          std::to_string(toMilliseconds(EventLoop::now() - this->SentAt))},
+         {"possible_runs", std::to_string(this->PossibleRuns)},
+         {"budget_left", std::to_string(this->budget().Left)},
+         {"next", Step == ForwardStep::Retry     ? "retry"
+                  : Step == ForwardStep::Deliver ? "deliver"
+                  : Step == ForwardStep::Refuse  ? "refuse"
+                                                 : "fail"}});
+  switch (Step) {
+  case ForwardStep::Deliver:
+    this->deliver();
+    return;
+  case ForwardStep::Retry:
+    if (Outcome != SendOutcome::NotSent)
+      spendRetry(this->budget());
+    this->WaitingSince = EventLoop::now();
+    this->attempt();
+    return;
+  case ForwardStep::Refuse:
+    this->refuse("upstreams refused the call", this->retryAfter());
+    return;
+  case ForwardStep::Fail:
+    this->fail(ErrorKind::UpstreamFailed, toString(Outcome));
+    return;
+  }
+}
+
+void ForwardRun::onStall() {
+  if (this->Current == Phase::Done || !this->Exchange)
+    return;
+  // Nothing else may try the call, so its upstream may as well go on.
+  const bool MayTryAnother =
+      this->PossibleRuns + 1 < this->Route->MaxUpstreams &&
+      hasRetry(this->budget());
+  if (!MayTryAnother)
+    return;
+  const bool WasSent = this->Exchange->wasSent();
+  this->Exchange.reset();
+  this->onOutcome(WasSent ? SendOutcome::Stalled : SendOutcome::NotSent);
+}
+
+/// Ends the send under way, if there is one.
+void ForwardRun::endSend() {
+  if (!this->Exchange)
+    return;
+  const bool WasSent = this->Exchange->wasSent();
+  this->Exchange.reset();
+  this->noteStarted();
+  this->Services.Upstreams.noteEnded(this->UpstreamId);
+  if (WasSent)
+    ++this->PossibleRuns;
+}
+
+void ForwardRun::onTimeout() {
+  if (this->Current == Phase::Done)
+    return;
+  const auto Self = this->shared_from_this();
+  if (this->Exchange)
+    this->Services.Upstreams.noteFailure(this->UpstreamId, 0.5,
+                                         EventLoop::now());
+  this->endSend();
+  if (this->Current == Phase::Streaming) {
+    this->Incoming->abort();
+    this->finish("deadline_exceeded");
+  } else if (this->PossibleRuns == 0) {
+    this->refuse("the time ran out before the call was sent", LeastRetryAfter);
+  } else {
+    this->fail(ErrorKind::DeadlineExceeded, "the time ran out");
+  }
+}
+
+void ForwardRun::onCallerLeft() {
+  if (this->Current == Phase::Done)
+    return;
+  const auto Self = this->shared_from_this();
+  this->endSend();
+  this->finish("caller_left");
+}
+
+void ForwardRun::deliver() {
+  if (isStreamAnswer(*this->Route, this->Answer)) {
+    this->beginStream();
+    this->Incoming->finish();
+  } else if (this->Current == Phase::Streaming) {
+    // A resumed stream that another upstream would not go on with.
+    this->Incoming->abort();
+    this->finish("stream_lost");
+    return;
+  } else {
+    this->Incoming->send(this->Answer.Status, this->Answer.Passed, this->Body);
+  }
+  this->finish(this->Answer.Status < 500 ? "ok" : "upstream_error");
+}
+
+Duration ForwardRun::retryAfter() {
+  const double Load = this->Service ? this->Services.Upstreams.utilization(
+                                          this->Service->Name, EventLoop::now())
+                                    : 0;
+  const double Jitter =
+      std::uniform_real_distribution<double>(1, 2)(this->Services.Random);
+  return fromSeconds(Jitter *
+                     (toSeconds(LeastRetryAfter) +
+                      RetryAfterPerLoad * std::clamp(Load - 0.5, 0.0, 2.0)));
+}
+
+void ForwardRun::refuse(std::string_view Reason, Duration RetryAfter) {
+  const ErrorRow &Row = describeError(ErrorKind::NoUpstream);
+  log(LogLevel::Info, "call.refused",
+      {{"call", this->Call.Id},
+       {"reason", std::string(Reason)},
+       {"sends", std::to_string(this->Sends)},
+       {"retry_after_ms", std::to_string(toMilliseconds(RetryAfter))}});
+  HttpHeaders Headers =
+      this->Services.Codec.ownAnswer(this->Call.Id, RetryAfter);
+  Headers.add("Content-Type", "application/json");
+  this->Incoming->send(
+      Row.HttpStatus, Headers,
+      errorBody(Row.Kind, Reason,
+                std::chrono::ceil<std::chrono::milliseconds>(RetryAfter)));
+  this->finish("refused");
+}
+
+void ForwardRun::fail(ErrorKind Kind, std::string_view Reason) {
+  log(LogLevel::Info, "call.failed",
+      {{"call", this->Call.Id},
+       {"kind", std::string(describeError(Kind).Code)},
+       {"reason", std::string(Reason)},
+       {"sends", std::to_string(this->Sends)},
+       {"possible_runs", std::to_string(this->PossibleRuns)}});
+  if (this->Current == Phase::Streaming) {
+    this->Incoming->abort();
+    this->finish("stream_lost");
+    return;
+  }
+  HttpHeaders Headers =
+      this->Services.Codec.ownAnswer(this->Call.Id, std::nullopt);
+  Headers.add("Content-Type", "application/json");
+  this->Incoming->send(describeError(Kind).HttpStatus, Headers,
+                       errorBody(Kind, Reason, {}));
+  this->finish(describeError(Kind).Code);
+}
+
+void ForwardRun::finish(std::string_view Outcome) {
+  const Duration Elapsed = EventLoop::now() - this->Incoming->Arrived;
+  log(LogLevel::Info, "call.ended",
+      {{"call", this->Call.Id},
+       {"route", this->Route ? this->Route->Name : "-"},
+       {"upstream", this->UpstreamId.empty() ? "-" : this->UpstreamId},
+       {"outcome", std::string(Outcome)},
+       {"sends", std::to_string(this->Sends)},
+       {"first_event_ms",
+        this->FirstEventAt ? std::to_string(toMilliseconds(
+                                 *this->FirstEventAt - this->Incoming->Arrived))
+                           : "-"},
+       {"elapsed_ms", std::to_string(toMilliseconds(Elapsed))},
+       {"config", std::to_string(this->Config ? this->Config->Version : 0)}});
+  this->Services.Stats.requestEnded(this->Service ? this->Service->Name : "-",
+                                    std::string(Outcome), Elapsed);
+  this->Current = Phase::Done;
+  this->StallTimer.disconnect();
+  this->EndTimer.disconnect();
+  this->WeightsTimer.disconnect();
+  this->RoomTimer.disconnect();
+  // Ends the last reference, after the caller of this function is done.
+  this->Services.Loop.timers().after(Duration::zero(),
+                                     [Self = this->shared_from_this()] {
+                                       Self->Incoming->CallerLeft.clear();
+                                     });
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/ForwardRun.h
@@ -0,0 +1,141 @@
+// One forwarded call, from the caller's request to the end of the answer.
+//
+//   auto Run = std::make_shared<ForwardRun>(Services, Incoming);
+//   Run->start();
+//
+// The run reads the call, finds its route and customer, sends it to an
+// upstream and passes the answer on. Which upstream, what cache it uses and
+// what follows a failed send are decided by the functions of UpstreamTable,
+// PromptReuse and ForwardRules.
+//
+// Guarantees: exactly one final answer, or an aborted connection when the
+// answer had begun; the caller's leaving cancels the send under way; a stream
+// is passed on in whole events, each once.
+
+#ifndef GALENAROUTE_REQUEST_FORWARDRUN_H
+#define GALENAROUTE_REQUEST_FORWARDRUN_H
+
+#include "connection/CallListener.h"
+#include "connection/UpstreamPool.h"
+#include "process/ErrorKind.h"
+#include "process/Metrics.h"
+#include "request/CrashRecord.h"
+#include "request/EventStream.h"
+#include "request/ForwardRules.h"
+#include "request/PromptReuse.h"
+#include "request/RetryBudget.h"
+#include "request/UpstreamTable.h"
+
+#include <random>
+
+namespace galenaroute {
+
+/// The newest weights of a model that were named, and since when.
+struct NamedWeights {
+  std::uint64_t Version = 0;
+  TimePoint Since;
+};
+
+/// What all runs of a process share.
+struct ForwardServices {
+  EventLoop &Loop;
+  const CallCodec &Codec;
+  UpstreamPool &Pool;
+  UpstreamTable &Upstreams;
+  Metrics &Stats;
+  std::mt19937_64 &Random;
+  ForwardConfigPtr Config;                    ///< Null until one is known.
+  std::map<std::string, RetryBudget> Budgets; ///< By service.
+  RetryBudget NewBudget;
+  std::map<std::string, NamedWeights> Weights; ///< By model.
+  std::vector<StorePlace> Stores;
+  ReuseSettings Reuse;
+  CrashRecord Crashes;
+  /// Whether the store of configurations was heard of lately, so that what is
+  /// not in the configuration does not exist.
+  std::function<bool()> IsConfigFresh;
+  /// No call is sent to an engine that still has older weights when a newer
+  /// version was named longer ago than this.
+  Duration OldWeightsLimit = std::chrono::seconds(10);
+  /// From the naming of weights until no call may begin on older ones.
+  Duration WeightsLimit = std::chrono::seconds(15);
+  bool IsStopping = false; ///< New calls are refused.
+  std::size_t Open = 0;    ///< Runs in progress.
+};
+
+class ForwardRun : public std::enable_shared_from_this<ForwardRun> {
+public:
+  ForwardRun(ForwardServices &Services, std::shared_ptr<IncomingCall> Incoming);
+  ~ForwardRun();
+  void start();
+
+private:
+  enum class Phase { Waiting, Sent, Streaming, Done };
+
+  bool admit();
+  void attempt();
+  void waitForRoom();
+  void send(const UpstreamEntry &To);
+  SendPlan planSend(const UpstreamEntry &To, const ReusePlan &Reuse) const;
+  UpstreamQuery query() const;
+  void noteStarted();
+  ReusePlan planCache(const std::string &Scope);
+  std::string cacheScope(std::optional<std::uint64_t> Version) const;
+  bool onHead(const HttpHead &Head);
+  void onBody(std::string_view Bytes);
+  void onEvent(const StreamEvent &Event);
+  void onEnd(UpstreamEnd End);
+  SendOutcome outcomeOf(UpstreamEnd End) const;
+  void onOutcome(SendOutcome Outcome);
+  void noteOutcome(SendOutcome Outcome);
+  void onStall();
+  void onTimeout();
+  void onCallerLeft();
+  void armStall();
+  void armWeightsLimit(const UpstreamEntry &To);
+  void takeBack();
+  void beginStream();
+  void deliver();
+  void refuse(std::string_view Reason, Duration RetryAfter);
+  void fail(ErrorKind Kind, std::string_view Reason);
+  void finish(std::string_view Outcome);
+  void endSend();
+  Duration timeLeft() const;
+  Duration retryAfter();
+  RetryBudget &budget();
+
+  ForwardServices &Services;
+  std::shared_ptr<IncomingCall> Incoming;
+  ForwardConfigPtr Config;
+  CallRequest Call;
+  const ForwardRoute *Route = nullptr;
+  const ForwardCustomer *Customer = nullptr;
+  const ForwardService *Service = nullptr;
+  std::uint64_t Signature = 0; ///< Of the call's content.
+  TimePoint EndAt;             ///< When the caller or the route gives up.
+  TimePoint WaitingSince;
+  Phase Current = Phase::Waiting;
+
+  std::unique_ptr<UpstreamExchange> Exchange;
+  std::string UpstreamId;
+  std::vector<std::string> Tried;
+  CallAnswer Answer;
+  bool HasAnswer = false;
+  std::string Body;
+  EventSplitter Splitter;
+  std::optional<std::uint64_t> LastEvent;
+  std::uint32_t TokensSent = 0; ///< Of the send whose prompt is being read.
+  int Sends = 0;
+  int PossibleRuns = 0;
+  int ConnectFailures = 0;
+  TimePoint SentAt;
+  std::optional<TimePoint> FirstEventAt;
+  sigc::connection StallTimer;
+  sigc::connection EndTimer;
+  sigc::connection WeightsTimer;
+  sigc::connection RoomTimer;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_REQUEST_FORWARDRUN_H
--- /dev/null
+++ b/src/request/PromptReuse.cpp
@@ -0,0 +1,210 @@
+#include "request/PromptReuse.h"
+
+#include "process/Rendezvous.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace galenaroute {
+
+std::string partKey(std::string_view Scope, std::string_view Part) {
+  std::string Result(Scope);
+  Result += '/';
+  Result += Part;
+  return Result;
+}
+
+static void hold(StoreContents &Contents, const CacheEvent &Event) {
+  const std::string Key = partKey(Event.Scope, Event.Part);
+  std::uint32_t &Tokens = Contents.Held[Key];
+  Contents.UsedTokens += Event.Tokens;
+  Contents.UsedTokens -= std::min<std::uint64_t>(Contents.UsedTokens, Tokens);
+  Tokens = Event.Tokens;
+  Contents.Saving.erase(Key);
+}
+
+static void drop(StoreContents &Contents, const CacheEvent &Event) {
+  const auto It = Contents.Held.find(partKey(Event.Scope, Event.Part));
+  if (It == Contents.Held.end())
+    return;
+  Contents.UsedTokens -=
+      std::min<std::uint64_t>(Contents.UsedTokens, It->second);
+  Contents.Held.erase(It);
+}
+
+void applyEvents(StoreContents &Contents, const CacheEventBatch &Batch,
+                 TimePoint Now) {
+  const bool Restarted = Contents.IsKnown && Contents.Epoch != Batch.Epoch;
+  if (Restarted || Batch.IsList) {
+    Contents.Held.clear();
+    Contents.UsedTokens = 0;
+    if (Restarted)
+      Contents.Saving.clear();
+  }
+  Contents.IsKnown = true;
+  Contents.Epoch = Batch.Epoch;
+  Contents.Next = Batch.Next;
+  Contents.HeardAt = Now;
+  Contents.HasClock = Batch.ClockMs.has_value();
+  Contents.ClockMs = Batch.ClockMs.value_or(0);
+  for (const CacheEvent &Each : Batch.Events) {
+    // A part is reported with what is stored of it; nothing stored means gone.
+    if (Each.IsAdded && Each.Tokens > 0)
+      hold(Contents, Each);
+    else
+      drop(Contents, Each);
+  }
+}
+
+/// Whether \p Store is among the quick ones of \p Stores.
+static bool isQuick(const StorePlace &Store,
+                    std::span<const StorePlace> Stores) {
+  return std::all_of(Stores.begin(), Stores.end(), [&](const StorePlace &Each) {
+    return Store.Latency <= Each.Latency * 2;
+  });
+}
+
+const StorePlace *storeOf(std::string_view Part, std::uint32_t Tokens,
+                          std::span<const StorePlace> Stores,
+                          const ReuseSettings &Settings) {
+  const bool AllQuick =
+      std::all_of(Stores.begin(), Stores.end(), [&](const StorePlace &Each) {
+        return isQuick(Each, Stores);
+      });
+  const bool WantsQuick = Tokens < Settings.LargePartTokens;
+  const StorePlace *Best = nullptr;
+  double Most = 0;
+  for (const StorePlace &Each : Stores) {
+    if (Each.CapacityTokens == 0 ||
+        (!AllQuick && isQuick(Each, Stores) != WantsQuick))
+      continue;
+    // Weighted rendezvous: -capacity / ln(uniform hash).
+    const double Uniform =
+        (static_cast<double>(rendezvousWeight(Part, Each.Address) >> 11) +
+         0.5) *
+        0x1.0p-53;
+    const double Score =
+        -static_cast<double>(Each.CapacityTokens) / std::log(Uniform);
+    if (!Best || Score > Most) {
+      Best = &Each;
+      Most = Score;
+    }
+  }
+  return Best;
+}
+
+std::string_view subjectOf(std::span<const PromptPart> Parts) {
+  return Parts.size() < 2 ? std::string_view()
+                          : std::string_view(Parts[Parts.size() - 2].Id);
+}
+
+static bool isTrusted(const StoreContents *Contents,
+                      const ReuseSettings &Settings, TimePoint Now) {
+  return Contents && Contents->IsKnown &&
+         Now - Contents->HeardAt <= Settings.MaxStoreAge;
+}
+
+const StorePlace *holderOf(const std::string &Key, std::uint32_t Tokens,
+                           std::span<const StorePlace> Stores,
+                           const ReuseSettings &Settings, TimePoint Now) {
+  const std::string_view Part = std::string_view(Key).substr(Key.find('/') + 1);
+  const StorePlace *Store = storeOf(Part, Tokens, Stores, Settings);
+  if (!Store || !isTrusted(Store->Contents, Settings, Now) ||
+      !Store->Contents->Held.contains(Key))
+    return nullptr;
+  return Store;
+}
+
+std::string scopeOf(std::uint64_t Version, std::string_view IsolatedCustomer) {
+  std::string Scope = "w" + std::to_string(Version);
+  if (!IsolatedCustomer.empty()) {
+    Scope += '.';
+    Scope += IsolatedCustomer;
+  }
+  return Scope;
+}
+
+std::optional<std::uint64_t> weightsOfScope(std::string_view Scope) {
+  std::uint64_t Version = 0;
+  if (!Scope.starts_with('w'))
+    return std::nullopt;
+  const auto Read =
+      std::from_chars(Scope.data() + 1, Scope.data() + Scope.size(), Version);
+  if (Read.ec != std::errc())
+    return std::nullopt;
+  return Version;
+}
+
+std::vector<std::string> outdatedParts(const StoreContents &Contents,
+                                       std::uint64_t LeastWeights) {
+  std::vector<std::string> Result;
+  for (const auto &[Key, Tokens] : Contents.Held)
+    if (const auto Weights = weightsOfScope(Key);
+        Weights && *Weights < LeastWeights)
+      Result.push_back(Key);
+  return Result;
+}
+
+/// Asks for a save of \p Part when the store has room and none is under way.
+static bool beginSave(const StorePlace &Store, const PromptPart &Part,
+                      const std::string &Key, const ReuseSettings &Settings,
+                      TimePoint Now) {
+  StoreContents &Contents = *Store.Contents;
+  const auto Limit = static_cast<std::uint64_t>(
+      static_cast<double>(Store.CapacityTokens) * Settings.MaxFill);
+  if (Contents.UsedTokens + Part.Tokens > Limit)
+    return false;
+  const auto It = Contents.Saving.find(Key);
+  if (It != Contents.Saving.end() && Now - It->second < Settings.SaveRetry)
+    return false;
+  Contents.Saving[Key] = Now;
+  return true;
+}
+
+ReusePlan planReuse(std::span<const PromptPart> Parts, std::string_view Scope,
+                    std::span<const StorePlace> Stores,
+                    const ReuseSettings &Settings, TimePoint Now) {
+  ReusePlan Plan;
+  if (Parts.size() < 2 ||
+      weightsOfScope(Scope).value_or(0) < Settings.LeastWeights)
+    return Plan;
+  std::vector<PartPlace> Fetch(Parts.size());
+  std::vector<PartPlace> Save(Parts.size());
+  bool AnyFetch = false;
+  bool AnySave = false;
+  for (std::size_t I = 0; I + 1 < Parts.size(); ++I) {
+    Plan.SharedTokens += Parts[I].Tokens;
+    if (Parts[I].Tokens < Settings.LeastTokens)
+      continue;
+    const StorePlace *Store =
+        storeOf(Parts[I].Id, Parts[I].Tokens, Stores, Settings);
+    if (!Store || !isTrusted(Store->Contents, Settings, Now))
+      continue;
+    const std::string Key = partKey(Scope, Parts[I].Id);
+    const StoreContents &Contents = *Store->Contents;
+    if (Contents.Held.contains(Key)) {
+      if (!Contents.HasClock)
+        continue;
+      Fetch[I] = {Store->Address, Parts[I].Tokens};
+      AnyFetch = true;
+      Plan.StoredTokens += Parts[I].Tokens;
+      const std::int64_t Until = Contents.ClockMs +
+                                 toMilliseconds(Now - Contents.HeardAt) +
+                                 toMilliseconds(Settings.FetchLimit);
+      Plan.FetchUntilMs = std::min(Plan.FetchUntilMs.value_or(Until), Until);
+      continue;
+    }
+    if (beginSave(*Store, Parts[I], Key, Settings, Now)) {
+      Save[I] = {Store->Address, 0};
+      AnySave = true;
+    }
+  }
+  if (AnyFetch)
+    Plan.Fetch = std::move(Fetch);
+  if (AnySave)
+    Plan.Save = std::move(Save);
+  return Plan;
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/UpstreamTable.cpp
@@ -0,0 +1,275 @@
+#include "request/UpstreamTable.h"
+
+#include "process/Log.h"
+#include "process/Rendezvous.h"
+#include "request/PromptReuse.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenaroute {
+
+/// Other entries send to the same homes, but not as one.
+static constexpr double OthersTokensFactor = 1.5;
+
+void UpstreamTable::put(const RegisteredUpstream &Upstream, TimePoint Now) {
+  const auto It = this->Entries.find(Upstream.Id);
+  const bool IsKnown = It != this->Entries.end();
+  const bool IsRestarted =
+      IsKnown && (It->second.Registered.BornMs != Upstream.BornMs ||
+                  !(It->second.Registered.Address == Upstream.Address));
+  if (IsRestarted)
+    this->remove(Upstream.Id);
+  UpstreamEntry &Entry = this->Entries[Upstream.Id];
+  const bool Changed =
+      !IsKnown || IsRestarted ||
+      Entry.Registered.IsLeaving != Upstream.IsLeaving ||
+      Entry.Registered.WeightVersions != Upstream.WeightVersions;
+  Entry.Registered = Upstream;
+  Entry.MissingSince.reset();
+  Entry.WarmAt = Now + Upstream.WarmUp;
+  if (!Upstream.WeightVersions.empty())
+    Entry.WeightVersion = std::max(Upstream.WeightVersions.begin()->second,
+                                   Entry.WeightVersion.value_or(0));
+  if (Changed)
+    log(LogLevel::Info, "upstream.registered",
+        {{"upstream", Upstream.Id},
+         {"service", Upstream.Service},
+         {"address", Upstream.Address.toString()},
+         {"born_ms", std::to_string(Upstream.BornMs)},
+         {"leaving", Upstream.IsLeaving ? "yes" : "no"},
+         {"weights", std::to_string(Entry.WeightVersion.value_or(0))}});
+}
+
+void UpstreamTable::remove(std::string_view Id) {
+  const auto It = this->Entries.find(Id);
+  if (It == this->Entries.end())
+    return;
+  log(LogLevel::Info, "upstream.gone", {{"upstream", It->first}});
+  const SocketAddress Address = It->second.Registered.Address;
+  this->Entries.erase(It);
+  this->OnGone(Address);
+}
+
+void UpstreamTable::retain(const std::set<std::string> &Ids, TimePoint Now) {
+  for (auto &[Id, Entry] : this->Entries)
+    if (!Ids.contains(Id) && !Entry.MissingSince)
+      Entry.MissingSince = Now;
+}
+
+void UpstreamTable::expire(TimePoint Now) {
+  std::vector<std::string> Gone;
+  for (const auto &[Id, Entry] : this->Entries)
+    if (Entry.MissingSince &&
+        Now - *Entry.MissingSince > this->Settings.KeepMissing)
+      Gone.push_back(Id);
+  for (const std::string &Id : Gone)
+    this->remove(Id);
+}
+
+const UpstreamEntry *UpstreamTable::find(std::string_view Id) const {
+  const auto It = this->Entries.find(Id);
+  return It == this->Entries.end() ? nullptr : &It->second;
+}
+
+UpstreamEntry *UpstreamTable::findMutable(std::string_view Id) {
+  const auto It = this->Entries.find(Id);
+  return It == this->Entries.end() ? nullptr : &It->second;
+}
+
+double UpstreamTable::failureScore(const UpstreamEntry &Entry,
+                                   TimePoint Now) const {
+  if (Entry.FailureScore <= 0)
+    return 0;
+  return Entry.FailureScore *
+         std::exp2(-toSeconds(Now - Entry.FailureAt) /
+                   toSeconds(this->Settings.FailureHalfLife));
+}
+
+bool UpstreamTable::isEligible(const UpstreamEntry &Entry,
+                               const UpstreamQuery &Query,
+                               TimePoint Now) const {
+  if (Entry.Registered.Service != Query.Service || Entry.Registered.IsLeaving ||
+      Now < Entry.ClosedUntil)
+    return false;
+  if (Query.NeedsNewestWeights && Query.NewestWeights && Entry.WeightVersion &&
+      *Entry.WeightVersion < *Query.NewestWeights)
+    return false;
+  return std::find(Query.Excluded.begin(), Query.Excluded.end(),
+                   Entry.Registered.Id) == Query.Excluded.end();
+}
+
+UpstreamCandidate UpstreamTable::candidateOf(const UpstreamEntry &Entry,
+                                             TimePoint Now) const {
+  UpstreamCandidate Result;
+  Result.IsSameZone = Entry.Registered.Zone == this->Settings.Zone;
+  Result.OwnCalls = Entry.OwnCalls;
+  Result.OwnCallsAtReport = Entry.OwnCallsAtReport;
+  Result.Load = Entry.Load;
+  Result.LoadAge = Now - Entry.ReportedAt;
+  Result.Slots = Entry.Registered.Slots;
+  Result.TokensAhead =
+      static_cast<double>(Entry.TokensAhead) * OthersTokensFactor;
+  Result.FailureScore = this->failureScore(Entry, Now);
+  if (Now < Entry.WarmAt)
+    Result.FailureScore += 0.25;
+  const Room Found = this->Rooms(Entry);
+  Result.HasConnection = Found.HasIdle || Found.MayOpen;
+  Result.NeedsNewConnection = !Found.HasIdle;
+  return Result;
+}
+
+/// Adds what reading the prompt would cost at one engine.
+void UpstreamTable::addPrompt(UpstreamCandidate &Candidate,
+                              const UpstreamEntry &Entry,
+                              const UpstreamQuery &Query) const {
+  const std::string Scope = Query.ScopeOf(Entry.WeightVersion.value_or(0));
+  for (std::size_t I = 0; I < Query.Parts.size(); ++I) {
+    const PromptPart &Part = Query.Parts[I];
+    const bool IsShared = I + 1 < Query.Parts.size();
+    if (!IsShared) {
+      Candidate.TokensToRead += Part.Tokens;
+      continue;
+    }
+    const std::string Key = partKey(Scope, Part.Id);
+    if (Entry.Memory.holds(Key))
+      continue;
+    if (const StorePlace *Store = Query.StoredIn(Key, Part.Tokens)) {
+      (Store->Zone == Entry.Registered.Zone ? Candidate.TokensToFetch
+                                            : Candidate.TokensToFetchFar) +=
+          Part.Tokens;
+      continue;
+    }
+    Candidate.TokensToRead += Part.Tokens;
+    for (const auto &[Id, Other] : this->Entries)
+      if (Other.Memory.holds(Key)) {
+        Candidate.TokensToReadAgain += Part.Tokens;
+        break;
+      }
+  }
+}
+
+UpstreamTable::Chosen UpstreamTable::choose(const UpstreamQuery &Query,
+                                            TimePoint Now) const {
+  const UpstreamEntry *Home = this->home(Query.Service, Query.Subject);
+  std::vector<const UpstreamEntry *> Eligible;
+  std::vector<UpstreamCandidate> Candidates;
+  for (const auto &[Id, Entry] : this->Entries) {
+    if (!this->isEligible(Entry, Query, Now))
+      continue;
+    UpstreamCandidate Candidate = this->candidateOf(Entry, Now);
+    Candidate.IsHome = !Home || &Entry == Home;
+    if (!Query.Parts.empty())
+      this->addPrompt(Candidate, Entry, Query);
+    Candidate.HasOldWeights = Query.NewestWeights && Entry.WeightVersion &&
+                              *Entry.WeightVersion < *Query.NewestWeights;
+    Eligible.push_back(&Entry);
+    Candidates.push_back(Candidate);
+  }
+  const auto Best = chooseUpstream(Candidates, this->Settings.Choice);
+  if (!Best)
+    return {};
+  return {Eligible[*Best], Candidates[*Best].TokensToRead};
+}
+
+const UpstreamEntry *UpstreamTable::home(std::string_view Service,
+                                         std::string_view Subject) const {
+  if (Subject.empty())
+    return nullptr;
+  const UpstreamEntry *Best = nullptr;
+  std::uint64_t Most = 0;
+  for (const auto &[Id, Entry] : this->Entries) {
+    if (Entry.Registered.Service != Service || Entry.Registered.IsLeaving)
+      continue;
+    const std::uint64_t Weight = rendezvousWeight(Subject, Id);
+    if (!Best || Weight > Most) {
+      Best = &Entry;
+      Most = Weight;
+    }
+  }
+  return Best;
+}
+
+double UpstreamTable::utilization(std::string_view Service,
+                                  TimePoint Now) const {
+  double Runs = 0;
+  double Slots = 0;
+  for (const auto &[Id, Entry] : this->Entries) {
+    if (Entry.Registered.Service != Service || Entry.Registered.IsLeaving)
+      continue;
+    Runs += expectedRuns(this->candidateOf(Entry, Now), this->Settings.Choice);
+    Slots += Entry.Registered.Slots;
+  }
+  return Slots > 0 ? Runs / Slots : 0;
+}
+
+void UpstreamTable::noteSent(std::string_view Id, std::uint32_t PromptTokens) {
+  if (UpstreamEntry *Entry = this->findMutable(Id)) {
+    ++Entry->OwnCalls;
+    Entry->TokensAhead += PromptTokens;
+  }
+}
+
+void UpstreamTable::noteStarted(std::string_view Id,
+                                std::uint32_t PromptTokens) {
+  if (UpstreamEntry *Entry = this->findMutable(Id))
+    Entry->TokensAhead -=
+        std::min<std::uint64_t>(Entry->TokensAhead, PromptTokens);
+}
+
+void UpstreamTable::noteParts(std::string_view Id, const UpstreamQuery &Query) {
+  UpstreamEntry *Entry = this->findMutable(Id);
+  if (!Entry || Query.Parts.empty())
+    return;
+  const std::string Scope = Query.ScopeOf(Entry->WeightVersion.value_or(0));
+  for (const PromptPart &Part : Query.Parts)
+    Entry->Memory.touch(partKey(Scope, Part.Id), Part.Tokens,
+                        Query.MemoryTokens);
+}
+
+void UpstreamTable::noteClosed(std::string_view Id, TimePoint Until) {
+  if (UpstreamEntry *Entry = this->findMutable(Id))
+    Entry->ClosedUntil = std::max(Entry->ClosedUntil, Until);
+}
+
+void UpstreamTable::noteEnded(std::string_view Id) {
+  if (UpstreamEntry *Entry = this->findMutable(Id))
+    Entry->OwnCalls = std::max(0, Entry->OwnCalls - 1);
+}
+
+void UpstreamTable::noteLoad(std::string_view Id, const UpstreamLoad &Load,
+                             TimePoint Now) {
+  UpstreamEntry *Entry = this->findMutable(Id);
+  if (!Entry)
+    return;
+  Entry->Load = Load;
+  Entry->OwnCallsAtReport = Entry->OwnCalls;
+  Entry->ReportedAt = Now;
+}
+
+void UpstreamTable::noteFailure(std::string_view Id, double Weight,
+                                TimePoint Now) {
+  UpstreamEntry *Entry = this->findMutable(Id);
+  if (!Entry)
+    return;
+  Entry->FailureScore = std::min(this->failureScore(*Entry, Now) + Weight,
+                                 this->Settings.MaxFailureScore);
+  Entry->FailureAt = Now;
+}
+
+void UpstreamTable::noteSuccess(std::string_view Id) {
+  if (UpstreamEntry *Entry = this->findMutable(Id))
+    Entry->FailureScore /= 2;
+}
+
+void UpstreamTable::noteWeights(std::string_view Id, std::uint64_t Version) {
+  UpstreamEntry *Entry = this->findMutable(Id);
+  if (!Entry || (Entry->WeightVersion && *Entry->WeightVersion >= Version))
+    return;
+  Entry->WeightVersion = Version;
+  log(LogLevel::Info, "upstream.weights",
+      {{"upstream", Entry->Registered.Id},
+       {"weights", std::to_string(Version)}});
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/UpstreamTable.h
@@ -0,0 +1,158 @@
+// The upstreams that have registered, and what this process has learned of
+// each from its own calls.
+//
+//   UpstreamTable Table(Settings);
+//   Table.put(Registered, Now);
+//   if (auto Chosen = Table.choose(Query, Now)) ...
+//
+// Guarantees: an upstream that leaves or has gone is never chosen; what was
+// learned of one incarnation is not used for another; memory is one small
+// record for each registered upstream.
+
+#ifndef GALENAROUTE_REQUEST_UPSTREAMTABLE_H
+#define GALENAROUTE_REQUEST_UPSTREAMTABLE_H
+
+#include "request/EngineMemory.h"
+#include "request/PromptReuse.h"
+#include "request/UpstreamChoice.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace galenaroute {
+
+/// What an upstream says of itself in the registry.
+struct RegisteredUpstream {
+  std::string Id;
+  std::string Service;
+  SocketAddress Address;
+  std::string Zone;
+  int Slots = 1;
+  bool IsLeaving = false;
+  Duration WarmUp{};       ///< How much longer it is slow after its start.
+  std::int64_t BornMs = 0; ///< Unix time of its start; names the incarnation.
+  std::map<std::string, std::uint64_t> WeightVersions; ///< By model.
+};
+
+/// A registered upstream and what was learned of it.
+struct UpstreamEntry {
+  RegisteredUpstream Registered;
+  int OwnCalls = 0;
+  std::optional<UpstreamLoad> Load;
+  int OwnCallsAtReport = 0;
+  TimePoint ReportedAt;
+  double FailureScore = 0;
+  TimePoint FailureAt;
+  TimePoint WarmAt;
+  std::optional<std::uint64_t> WeightVersion; ///< Of its one model.
+  EngineMemory Memory;
+  /// Prompt tokens of own calls that have not begun to answer.
+  std::uint64_t TokensAhead = 0;
+  TimePoint ClosedUntil;                 ///< It refuses calls until about then.
+  std::optional<TimePoint> MissingSince; ///< Not in the last list.
+};
+
+struct UpstreamTableSettings {
+  std::string Zone; ///< Of this process.
+  UpstreamChoiceSettings Choice;
+  /// A failure counts half after this time.
+  Duration FailureHalfLife = std::chrono::milliseconds(1500);
+  double MaxFailureScore = 6;
+  /// How long an entry that is missing in a list is kept; entries that lapsed
+  /// while the registry was away are back within 2 s of its return.
+  Duration KeepMissing = std::chrono::milliseconds(1700);
+};
+
+/// For which call an upstream is wanted.
+struct UpstreamQuery {
+  std::string_view Service;
+  std::span<const std::string> Excluded; ///< Ids.
+  std::string_view Subject;              ///< Of the prompt; empty without one.
+  std::span<const PromptPart> Parts;
+  /// Returns the scope within which parts are shared on an engine with the
+  /// weights given, and the store that holds the part with the key given.
+  std::function<std::string(std::uint64_t Weights)> ScopeOf;
+  std::function<const StorePlace *(const std::string &PartKey,
+                                   std::uint32_t Tokens)>
+      StoredIn;
+  std::uint64_t MemoryTokens = 0; ///< That an engine can hold.
+  std::optional<std::uint64_t> NewestWeights;
+  bool NeedsNewestWeights = false;
+};
+
+class UpstreamTable {
+public:
+  /// Tells whether a connection to an address is idle, and whether a new one
+  /// may be opened.
+  struct Room {
+    bool HasIdle = false;
+    bool MayOpen = true;
+  };
+  using RoomOf = std::function<Room(const UpstreamEntry &Entry)>;
+
+  explicit UpstreamTable(UpstreamTableSettings Settings, RoomOf Rooms)
+      : Settings(std::move(Settings)), Rooms(std::move(Rooms)) {}
+
+  /// Takes in an entry of the registry.
+  void put(const RegisteredUpstream &Upstream, TimePoint Now);
+  void remove(std::string_view Id);
+  /// Takes in a whole list: entries not in \p Ids are dropped after a while.
+  void retain(const std::set<std::string> &Ids, TimePoint Now);
+  /// Drops entries that stayed missing for too long.
+  void expire(TimePoint Now);
+
+  const UpstreamEntry *find(std::string_view Id) const;
+  const std::map<std::string, UpstreamEntry, std::less<>> &entries() const {
+    return this->Entries;
+  }
+
+  struct Chosen {
+    const UpstreamEntry *Entry = nullptr;
+    std::uint32_t TokensToRead = 0; ///< Expected of the call's prompt.
+  };
+
+  /// Chooses an upstream, or none when none has a connection to be had.
+  Chosen choose(const UpstreamQuery &Query, TimePoint Now) const;
+  /// The upstream that is the home of \p Subject, whatever its load.
+  const UpstreamEntry *home(std::string_view Service,
+                            std::string_view Subject) const;
+  /// Share of the slots of \p Service that are expected to be in use.
+  double utilization(std::string_view Service, TimePoint Now) const;
+
+  /// \p PromptTokens are those to be read; see noteStarted().
+  void noteSent(std::string_view Id, std::uint32_t PromptTokens);
+  /// The call's prompt was read, or never will be.
+  void noteStarted(std::string_view Id, std::uint32_t PromptTokens);
+  void noteEnded(std::string_view Id);
+  /// The call uses these parts there.
+  void noteParts(std::string_view Id, const UpstreamQuery &Query);
+  /// The upstream refuses calls for now.
+  void noteClosed(std::string_view Id, TimePoint Until);
+  void noteLoad(std::string_view Id, const UpstreamLoad &Load, TimePoint Now);
+  void noteFailure(std::string_view Id, double Weight, TimePoint Now);
+  void noteSuccess(std::string_view Id);
+  void noteWeights(std::string_view Id, std::uint64_t Version);
+
+  /// Called with the address of an upstream that has gone or restarted.
+  std::function<void(const SocketAddress &Address)> OnGone =
+      [](const SocketAddress &) {};
+
+private:
+  UpstreamEntry *findMutable(std::string_view Id);
+  bool isEligible(const UpstreamEntry &Entry, const UpstreamQuery &Query,
+                  TimePoint Now) const;
+  void addPrompt(UpstreamCandidate &Candidate, const UpstreamEntry &Entry,
+                 const UpstreamQuery &Query) const;
+  UpstreamCandidate candidateOf(const UpstreamEntry &Entry,
+                                TimePoint Now) const;
+  double failureScore(const UpstreamEntry &Entry, TimePoint Now) const;
+
+  UpstreamTableSettings Settings;
+  RoomOf Rooms;
+  std::map<std::string, UpstreamEntry, std::less<>> Entries;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_REQUEST_UPSTREAMTABLE_H
--- /dev/null
+++ b/src/version/ForwardConfig.cpp
@@ -0,0 +1,63 @@
+#include "version/ForwardConfig.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace galenaroute {
+
+/// Returns the host without its port, in lower case.
+static std::string normalHost(std::string_view Host) {
+  std::string Result(Host.substr(0, Host.find(':')));
+  std::transform(Result.begin(), Result.end(), Result.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  return Result;
+}
+
+void ForwardConfig::index() {
+  this->RoutesByHost.clear();
+  this->CustomerByKey.clear();
+  for (std::size_t I = 0; I < this->Routes.size(); ++I)
+    this->RoutesByHost[normalHost(this->Routes[I].Host)].push_back(I);
+  for (auto &[Host, Positions] : this->RoutesByHost)
+    std::stable_sort(Positions.begin(), Positions.end(),
+                     [&](std::size_t A, std::size_t B) {
+                       return this->Routes[A].PathPrefix.size() >
+                              this->Routes[B].PathPrefix.size();
+                     });
+  for (std::size_t I = 0; I < this->Customers.size(); ++I)
+    for (const std::string &Key : this->Customers[I].Keys)
+      this->CustomerByKey[Key] = I;
+}
+
+const ForwardRoute *findRoute(const ForwardConfig &Config,
+                              std::string_view Host, std::string_view Path) {
+  const auto It = Config.RoutesByHost.find(normalHost(Host));
+  if (It == Config.RoutesByHost.end())
+    return nullptr;
+  for (const std::size_t I : It->second)
+    if (Path.starts_with(Config.Routes[I].PathPrefix))
+      return &Config.Routes[I];
+  return nullptr;
+}
+
+const ForwardCustomer *findCustomer(const ForwardConfig &Config,
+                                    const std::string &Key) {
+  const auto It = Config.CustomerByKey.find(Key);
+  return It == Config.CustomerByKey.end() ? nullptr
+                                          : &Config.Customers[It->second];
+}
+
+const std::string &chooseService(const ForwardRoute &Route, double Draw) {
+  double Total = 0;
+  for (const WeightedService &Each : Route.Services)
+    Total += Each.Weight;
+  double Left = Draw * Total;
+  for (const WeightedService &Each : Route.Services) {
+    if (Left < Each.Weight)
+      return Each.Service;
+    Left -= Each.Weight;
+  }
+  return Route.Services.back().Service;
+}
+
+} // namespace galenaroute
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -4,8 +4,8 @@
 
 namespace galenaroute {
 
-/// How often leases and upstreams are looked at.
-static constexpr auto TickPeriod = std::chrono::seconds(1);
+/// Clock readings may differ by this much without a suspension.
+static constexpr auto SuspensionSlack = std::chrono::milliseconds(50);
 
 static ObjectKey leaseKey(const std::string &Service) {
   return {"lease", Service};
@@ -14,18 +14,20 @@
 std::unique_ptr<OrderController> OrderControllerBuilder::build() {
   if (this->Settings.Self.empty())
     throw Error(ErrorKind::Internal, "the lease holder needs a name");
-  return std::unique_ptr<OrderController>(
-      new OrderController(this->Loop, this->Store, this->Orders, this->Settings,
-                          std::move(this->IsPreferred), this->Events));
+  return std::unique_ptr<OrderController>(new OrderController(
+      this->Loop, this->Store, this->Orders, this->Settings, this->RolloutTimes,
+      this->Period, std::move(this->IsPreferred), this->Events));
 }
 
 OrderController::OrderController(EventLoop &Loop, Platform &Store,
                                  UpstreamOrders &Orders, LeaseSettings Settings,
+                                 RolloutSettings RolloutTimes, Duration Period,
                                  Preferred IsPreferred, Timeline *Events)
     : Store(Store), Orders(Orders), Settings(std::move(Settings)),
-      IsPreferred(std::move(IsPreferred)), Events(Events) {
+      RolloutTimes(RolloutTimes), IsPreferred(std::move(IsPreferred)),
+      Events(Events), SuspendedBefore(suspendedTime()) {
   this->Timer =
-      Loop.timers().every(TickPeriod, [this] { this->tick(EventLoop::now()); });
+      Loop.timers().every(Period, [this] { this->tick(EventLoop::now()); });
 }
 
 OrderController::~OrderController() { this->Timer.disconnect(); }
@@ -53,9 +55,31 @@
   return It == this->Services.end() ? nullptr : &It->second;
 }
 
+bool OrderController::holds(std::string_view Service) const {
+  const auto It = this->Services.find(std::string(Service));
+  return It != this->Services.end() &&
+         holdsLease(It->second.Lease, EventLoop::now());
+}
+
+std::vector<std::string>
+OrderController::withheld(std::string_view Service) const {
+  const auto It = this->Services.find(std::string(Service));
+  return It == this->Services.end() ? std::vector<std::string>()
+                                    : galenaroute::withheld(It->second.Rollout);
+}
+
 void OrderController::tick(TimePoint Now) {
   if (!this->Current)
     return;
+  // Monotonic time stands still while a VM is suspended, so a lease may have
+  // ended unseen.
+  const Duration Suspended = suspendedTime();
+  if (Suspended - this->SuspendedBefore > SuspensionSlack)
+    for (auto &[Name, State] : this->Services) {
+      State.Lease.HeldUntil = Now;
+      State.Lease.Known = false;
+    }
+  this->SuspendedBefore = Suspended;
   for (const auto &[Name, Service] : this->Current->Services) {
     if (Service.Kind != ServiceKind::Model)
       continue;
@@ -103,20 +127,23 @@
     this->record(Held ? "lease.held" : "lease.lost",
                  Service.Name + " fence " + std::to_string(State.Lease.Fence));
     State.Rollout = {};
+    State.Rollout.Settings = this->RolloutTimes;
     State.WasHeld = Held;
   }
   if (!Held)
     return;
   this->observeAll(Service);
-  // Where the upstream does not refuse old orders, the previous holder may
-  // still send for as long as its own term lasts.
-  const bool MayStillSend =
-      !Service.ChecksFence && !State.Lease.PredecessorResigned &&
-      Now < State.Lease.HeldSince + State.Lease.Settings.Term;
-  if (MayStillSend)
-    return;
+  // Where the upstream does not refuse old orders, those of two holders must
+  // lie a whole term apart. The last holder stopped a margin before its term
+  // ended; one that resigned may have sent just before. The first holder has
+  // no predecessor.
+  const LeaseSettings &Times = State.Lease.Settings;
+  const Duration Apart =
+      State.Lease.PredecessorResigned ? Times.Term : Times.Term - Times.Margin;
+  const bool MayOrder = Service.ChecksFence || State.Lease.Fence <= 1 ||
+                        Now >= State.Lease.HeldSince + Apart;
   for (const Order &Each :
-       planOrders(Service, State.Rollout, State.Lease.Fence, Now)) {
+       planOrders(Service, State.Rollout, State.Lease.Fence, Now, MayOrder)) {
     this->record("order.sent", Each.Upstream + " " + Each.WeightVersion);
     this->Orders.send(
         Each, [this, Name = Service.Name, Upstream = Each.Upstream,
--- a/src/version/OrderController.h
+++ b/src/version/OrderController.h
@@ -11,11 +11,11 @@
 // Only the daemon that is preferred for a service asks for its lease, so that
 // the platform sees one renewal for each service and not one for each daemon.
 // Guarantees: orders are sent only while the lease is held; towards upstreams
-// that do not check fencing numbers, a new holder first waits a whole lease
-// term, unless its predecessor resigned. What remains possible: a holder that
-// is paused after it checked its lease, for longer than the term, may send one
-// old order to such an upstream; the new holder sees it in the next
-// observation and corrects it.
+// that do not check fencing numbers, a new holder first waits until a whole
+// lease term has passed since its predecessor could have sent one. What remains
+// possible: a holder that is paused after it checked its lease, for longer than
+// the term, may send one old order to such an upstream; the new holder sees it
+// in the next observation and corrects it.
 
 #ifndef GALENAROUTE_VERSION_ORDERCONTROLLER_H
 #define GALENAROUTE_VERSION_ORDERCONTROLLER_H
@@ -41,6 +41,12 @@
   /// Gives up all leases; sends nothing more.
   void resign();
 
+  /// Whether this process holds the lease of \p Service now.
+  bool holds(std::string_view Service) const;
+
+  /// Returns the upstreams of \p Service that should get no new work now.
+  std::vector<std::string> withheld(std::string_view Service) const;
+
   /// Decides and acts once; the timer calls it, and so do tests.
   void tick(TimePoint Now);
 
@@ -54,8 +60,8 @@
   };
 
   OrderController(EventLoop &Loop, Platform &Store, UpstreamOrders &Orders,
-                  LeaseSettings Settings, Preferred IsPreferred,
-                  Timeline *Events);
+                  LeaseSettings Settings, RolloutSettings RolloutTimes,
+                  Duration Period, Preferred IsPreferred, Timeline *Events);
   void stepLease(const std::string &Service, TimePoint Now);
   void stepRollout(const ServiceConfig &Service, TimePoint Now);
   void observeAll(const ServiceConfig &Service);
@@ -65,11 +71,13 @@
   Platform &Store;
   UpstreamOrders &Orders;
   LeaseSettings Settings;
+  RolloutSettings RolloutTimes;
   Preferred IsPreferred;
   Timeline *Events;
   ConfigurationPtr Current;
   std::map<std::string, ServiceState> Services;
   bool Resigned = false;
+  Duration SuspendedBefore; ///< Time that the VM had been suspended.
   // Callbacks that outlive the controller find this expired.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   sigc::connection Timer;
@@ -93,6 +101,16 @@
     this->Settings.Margin = Margin;
     return *this;
   }
+  /// How often leases and upstreams are looked at.
+  OrderControllerBuilder &period(Duration Time) {
+    this->Period = Time;
+    return *this;
+  }
+  /// How long upstreams are kept free of new work before their orders.
+  OrderControllerBuilder &preparation(Duration Time) {
+    this->RolloutTimes.Preparation = Time;
+    return *this;
+  }
   OrderControllerBuilder &preferred(OrderController::Preferred IsPreferred) {
     this->IsPreferred = std::move(IsPreferred);
     return *this;
@@ -108,6 +126,8 @@
   Platform &Store;
   UpstreamOrders &Orders;
   LeaseSettings Settings;
+  RolloutSettings RolloutTimes;
+  Duration Period = std::chrono::seconds(1);
   OrderController::Preferred IsPreferred = [](std::string_view) {
     return true;
   };
--- a/src/version/Orders.cpp
+++ b/src/version/Orders.cpp
@@ -66,6 +66,9 @@
                           return Upstream.Name == Each.first;
                         });
   });
+  for (auto &[Name, Entry] : State.Upstreams)
+    if (Entry.Observed && matches(Service, *Entry.Observed))
+      Entry.PreparedAt.reset();
   for (auto &[Name, Entry] : State.Upstreams)
     if (Entry.OrderedAt && Now - *Entry.OrderedAt > State.Settings.LoadTimeout)
       Entry.OrderedAt.reset();
@@ -75,8 +78,17 @@
   return Entry.OrderedAt || (Entry.Observed && Entry.Observed->Loading);
 }
 
+std::vector<std::string> withheld(const RolloutState &State) {
+  std::vector<std::string> Result;
+  for (const auto &[Name, Entry] : State.Upstreams)
+    if (Entry.OrderedAt || Entry.PreparedAt)
+      Result.push_back(Name);
+  return Result;
+}
+
 std::vector<Order> planOrders(const ServiceConfig &Service, RolloutState &State,
-                              std::uint64_t Fence, TimePoint Now) {
+                              std::uint64_t Fence, TimePoint Now,
+                              bool MayOrder) {
   std::vector<Order> Result;
   prune(Service, State, Now);
   if (State.Fenced)
@@ -84,8 +96,10 @@
   auto Loading =
       std::count_if(State.Upstreams.begin(), State.Upstreams.end(),
                     [](const auto &Each) { return mayBeLoading(Each.second); });
+  int Preparing = 0;
   for (const UpstreamConfig &Upstream : Service.Upstreams) {
-    if (Loading >= Service.MaxConcurrentLoads)
+    if (Loading >= Service.MaxConcurrentLoads &&
+        Preparing >= Service.MaxConcurrentLoads)
       break;
     const auto It = State.Upstreams.find(Upstream.Name);
     if (It == State.Upstreams.end())
@@ -96,6 +110,17 @@
     if (!Fresh || mayBeLoading(Entry) || Now < Entry.NotBefore ||
         matches(Service, *Entry.Observed))
       continue;
+    if (!Entry.PreparedAt) {
+      if (Preparing >= Service.MaxConcurrentLoads)
+        continue;
+      Entry.PreparedAt = Now;
+    }
+    if (!MayOrder || Loading >= Service.MaxConcurrentLoads ||
+        Now - *Entry.PreparedAt < State.Settings.Preparation) {
+      ++Preparing;
+      continue;
+    }
+    Entry.PreparedAt.reset();
     Entry.OrderedAt = Now;
     ++Loading;
     Result.push_back({Upstream.Name, Upstream.Address, Fence,
--- a/src/version/Orders.h
+++ b/src/version/Orders.h
@@ -60,13 +60,17 @@
   Duration LoadTimeout = std::chrono::seconds(30);
   Duration FirstBackoff = std::chrono::seconds(1);
   Duration MaxBackoff = std::chrono::seconds(30);
+  /// How long before its order an upstream is kept free of new work, so that
+  /// it has little left to finish; see withheld().
+  Duration Preparation{};
 };
 
 /// What is known of one upstream.
 struct UpstreamRollout {
   std::optional<UpstreamObservation> Observed;
   TimePoint ObservedAt;
-  std::optional<TimePoint> OrderedAt; ///< Set while a load may be under way.
+  std::optional<TimePoint> PreparedAt; ///< Set when next in line.
+  std::optional<TimePoint> OrderedAt;  ///< Set while a load may be under way.
   TimePoint NotBefore;
   int Failures = 0;
 };
@@ -86,12 +90,18 @@
 void onOrderAnswered(RolloutState &State, std::string_view Upstream,
                      OrderAnswer Answer, TimePoint Now);
 
+/// Returns the upstreams that should get no new work now: those ordered to
+/// load and those next in line.
+std::vector<std::string> withheld(const RolloutState &State);
+
 /// Returns whether \p Observed is what \p Service declares.
 bool matches(const ServiceConfig &Service, const UpstreamObservation &Observed);
 
-/// Returns the orders to send now and notes them as under way.
+/// Returns the orders to send now and notes them as under way. With
+/// \p MayOrder false, upstreams are only prepared.
 std::vector<Order> planOrders(const ServiceConfig &Service, RolloutState &State,
-                              std::uint64_t Fence, TimePoint Now);
+                              std::uint64_t Fence, TimePoint Now,
+                              bool MayOrder = true);
 
 } // namespace galenaroute
 
