--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -48,7 +48,8 @@
   const std::size_t Length = evbuffer_get_contiguous_space(Buffer);
   if (Length == 0)
     return {};
-  return {reinterpret_cast<const char *>(evbuffer_pullup(Buffer, Length)),
+  return {reinterpret_cast<const char *>(
+              evbuffer_pullup(Buffer, static_cast<ev_ssize_t>(Length))),
           Length};
 }
 
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -317,19 +317,17 @@
   this->Targets[Connection->To].Idle.push_back(Connection);
 }
 
-void UpstreamPool::forget(
-    const std::shared_ptr<UpstreamConnection> &Connection) {
-  const auto Kept = Connection;
-  bufferevent_disable(Kept->Event.get(), EV_READ | EV_WRITE);
-  bufferevent_setcb(Kept->Event.get(), nullptr, nullptr, nullptr, nullptr);
-  // Closing at once tells the upstream to stop its work; destruction may come
-  // later, from inside a callback of this connection.
-  this->Busy.erase(Kept.get());
-  const auto It = this->Targets.find(Kept->To);
+void UpstreamPool::forget(std::shared_ptr<UpstreamConnection> Connection) {
+  // Destruction may come later, from inside a callback of this connection.
+  bufferevent_disable(Connection->Event.get(), EV_READ | EV_WRITE);
+  bufferevent_setcb(Connection->Event.get(), nullptr, nullptr, nullptr,
+                    nullptr);
+  this->Busy.erase(Connection.get());
+  const auto It = this->Targets.find(Connection->To);
   if (It == this->Targets.end())
     return;
   Target &At = It->second;
-  std::erase(At.Idle, Kept);
+  std::erase(At.Idle, Connection);
   if (At.Total > 0)
     --At.Total;
   if (At.Total == 0)
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -102,7 +102,7 @@
   };
 
   void release(const std::shared_ptr<UpstreamConnection> &Connection);
-  void forget(const std::shared_ptr<UpstreamConnection> &Connection);
+  void forget(std::shared_ptr<UpstreamConnection> Connection);
   void sweep();
 
   EventLoop &Loop;
--- a/src/process/EntryGossip.cpp
+++ b/src/process/EntryGossip.cpp
@@ -11,19 +11,30 @@
 /// Part of the capacity that even a busy entry counts with.
 static constexpr double LeastFree = 0.15;
 
-std::vector<EntryNews> EntryGossip::news(TimePoint Now) {
+bool EntryGossip::isAlive(TimePoint At, TimePoint Now) const {
+  const std::size_t Beyond = this->Others.size() > this->Settings.MaxNews
+                                 ? this->Others.size() - this->Settings.MaxNews
+                                 : 0;
+  return Now - At <
+         this->Settings.DeadAfter + this->Settings.DeadAfterPerEntry *
+                                        static_cast<std::int64_t>(Beyond);
+}
+
+std::vector<EntryNews> EntryGossip::news(TimePoint Now,
+                                         std::mt19937_64 &Random) {
   ++this->Self.Heartbeat;
   std::vector<const Heard *> Recent;
   for (const auto &[Id, Each] : this->Others)
-    if (Now - Each.At < this->Settings.DeadAfter)
+    if (this->isAlive(Each.At, Now))
       Recent.push_back(&Each);
-  const std::size_t Count = std::min(Recent.size(), this->Settings.MaxNews - 1);
-  std::partial_sort(
-      Recent.begin(), Recent.begin() + Count, Recent.end(),
-      [](const Heard *A, const Heard *B) { return A->At > B->At; });
+  // A fixed order would tell of the same entries every time.
+  std::shuffle(Recent.begin(), Recent.end(), Random);
+  if (Recent.size() > this->Settings.MaxNews - 1)
+    Recent.resize(this->Settings.MaxNews - 1);
   std::vector<EntryNews> Result{this->Self};
-  for (std::size_t I = 0; I < Count; ++I)
-    Result.push_back(Recent[I]->News);
+  Result.reserve(Recent.size() + 1);
+  for (const Heard *Each : Recent)
+    Result.push_back(Each->News);
   return Result;
 }
 
@@ -60,8 +71,7 @@
   std::vector<SocketAddress> Alive;
   std::vector<SocketAddress> Rest(Seeds.begin(), Seeds.end());
   for (const auto &[Id, Each] : this->Others)
-    (Now - Each.At < this->Settings.DeadAfter ? Alive : Rest)
-        .push_back(Each.News.Gossip);
+    (this->isAlive(Each.At, Now) ? Alive : Rest).push_back(Each.News.Gossip);
   std::shuffle(Alive.begin(), Alive.end(), Random);
   if (Alive.size() > this->Settings.Fanout)
     Alive.resize(this->Settings.Fanout);
@@ -79,7 +89,7 @@
 std::vector<EntryNews> EntryGossip::alive(TimePoint Now) const {
   std::vector<EntryNews> Result;
   for (const auto &[Id, Each] : this->Others)
-    if (Now - Each.At < this->Settings.DeadAfter && !Each.News.IsLeaving)
+    if (this->isAlive(Each.At, Now) && !Each.News.IsLeaving)
       Result.push_back(Each.News);
   return Result;
 }
@@ -111,6 +121,7 @@
   if (All.size() > Most)
     All.resize(Most);
   std::vector<SocketAddress> Result;
+  Result.reserve(All.size());
   for (const Drawn &Each : All)
     Result.push_back(Each.Entry->Callers);
   return Result;
--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -5,9 +5,9 @@
 //   Gossip.receive(News, Now);                               // as received
 //
 // Each entry counts its own heartbeats; whoever hears of a higher count takes
-// the entry to be alive. Messages carry the sender and the entries heard of
-// most recently. Guarantees: bounded message size; an entry that leaves is
-// never reported alive again in the same incarnation.
+// the entry to be alive. Messages carry the sender and some of the entries
+// that are alive, drawn anew each time. Guarantees: bounded message size; an
+// entry that leaves is never reported alive again in the same incarnation.
 
 #ifndef GALENAROUTE_PROCESS_ENTRYGOSSIP_H
 #define GALENAROUTE_PROCESS_ENTRYGOSSIP_H
@@ -43,11 +43,13 @@
 };
 
 struct EntryGossipSettings {
-  /// An entry that is not heard of for this long counts as dead.
+  /// An entry that is not heard of for this long counts as dead. News takes
+  /// longer to go round when there are more entries than fit in a message.
   Duration DeadAfter = std::chrono::milliseconds(1800);
+  Duration DeadAfterPerEntry = std::chrono::milliseconds(40);
   /// A dead entry is forgotten after this time.
   Duration ForgetAfter = std::chrono::seconds(60);
-  std::size_t MaxNews = 12; ///< In one message.
+  std::size_t MaxNews = 32; ///< In one message.
   std::size_t Fanout = 6;   ///< Messages in one round.
 };
 
@@ -60,7 +62,7 @@
   const EntryNews &self() const { return this->Self; }
 
   /// Counts a heartbeat and returns what to send.
-  std::vector<EntryNews> news(TimePoint Now);
+  std::vector<EntryNews> news(TimePoint Now, std::mt19937_64 &Random);
   void receive(std::span<const EntryNews> News, TimePoint Now);
   /// Returns whom to send to in this round; \p Seeds are always among those
   /// chosen from while nobody else is known.
@@ -70,6 +72,9 @@
   std::vector<EntryNews> alive(TimePoint Now) const;
 
 private:
+  /// Whether an entry heard of at \p At counts as alive.
+  bool isAlive(TimePoint At, TimePoint Now) const;
+
   struct Heard {
     EntryNews News;
     TimePoint At;
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -48,16 +48,21 @@
 /// look.
 static constexpr auto OrderPeriod = std::chrono::milliseconds(200);
 /// Most runs end within this time.
-static constexpr auto OrderPreparation = std::chrono::milliseconds(900);
+static constexpr auto OrderPreparation = std::chrono::milliseconds(600);
 /// A call that has not begun this long before the limit is taken back.
 static constexpr auto WeightsMargin = std::chrono::milliseconds(400);
-/// How long older weights are used after a start at which newer ones were
-/// already named.
-static constexpr auto FirstOldWeights = std::chrono::seconds(4);
+/// Kind of the objects that keep when weights were named, by model.
+static constexpr std::string_view HistoryKind = "weight-history";
 /// From here on calls avoid engines with older weights, as a share of the time
 /// that the platform allows.
 static constexpr double OldWeightsShare = 0.75;
 
+static std::int64_t wallMilliseconds() {
+  return std::chrono::duration_cast<Milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 static json toJson(const EntryNews &News) {
   return json::array({News.Id, News.Incarnation, News.Heartbeat,
                       News.Callers.toString(), News.Gossip.toString(),
@@ -85,9 +90,7 @@
 static EntryNews selfNews(const GatewaySettings &Settings) {
   EntryNews Self;
   Self.Id = Settings.NodeId;
-  Self.Incarnation = std::chrono::duration_cast<Milliseconds>(
-                         std::chrono::system_clock::now().time_since_epoch())
-                         .count();
+  Self.Incarnation = wallMilliseconds();
   Self.Callers = Settings.Callers;
   Self.Gossip = Settings.Gossip;
   Self.Zone = Settings.Zone;
@@ -254,18 +257,75 @@
   if (!Read)
     return;
   NamedWeights &Named = this->Services.Weights[Read->Model];
-  if (Read->Version <= Named.Version)
+  if (Read->Version <= Named.newest())
     return;
-  // What is found at the start may have been named long before.
-  const Duration Age = this->WeightNotices.heardAt()
-                           ? Duration::zero()
-                           : this->Services.OldWeightsLimit - FirstOldWeights;
-  Named = {Read->Version, EventLoop::now() - Age};
+  const bool IsFoundAtStart = !this->WeightNotices.heardAt();
+  // Until the history is read, what is found at the start counts as named so
+  // long ago that older weights may not be used any more.
+  const Duration Age =
+      IsFoundAtStart ? this->Settings.WeightsLimit : Duration::zero();
+  noteNamed(Named, Read->Version, EventLoop::now() - Age);
+  this->syncWeightHistory(Read->Model, IsFoundAtStart ? 0 : Read->Version);
   log(LogLevel::Info, "weights.named",
       {{"model", Read->Model}, {"version", std::to_string(Read->Version)}});
   this->updateOrders();
 }
 
+/// Reads when the versions of \p Model were named. With \p Version, which was
+/// named just now, one entry adds it for those that start later.
+void ForwardGateway::syncWeightHistory(const std::string &Model,
+                                       std::uint64_t Version) {
+  const ObjectKey Key{std::string(HistoryKind), Model};
+  const bool Writes =
+      Version != 0 &&
+      isAmongFirst(
+          Model, this->Settings.NodeId, 1,
+          this->Entries.alive(EventLoop::now()),
+          [](const EntryNews &Each) -> std::string_view { return Each.Id; });
+  if (Version != 0 && !Writes)
+    return;
+  const std::int64_t NamedMs = wallMilliseconds();
+  this->Parts.Api.get(Key, [this, Key, Version, NamedMs,
+                            Alive = std::weak_ptr(this->Alive)](
+                               const PlatformResult &Result) {
+    if (Alive.expired())
+      return;
+    std::map<std::uint64_t, std::int64_t> History;
+    try {
+      if (Result.Status == PlatformStatus::Ok)
+        for (const json &Each : Result.Object.Value)
+          History[Each.at(0)] = Each.at(1);
+    } catch (const json::exception &Failure) {
+      log(LogLevel::Warn, "weights.history_malformed",
+          {{"model", Key.Name}, {"message", Failure.what()}});
+    }
+    if (Version == 0) {
+      restoreNamed(this->Services.Weights[Key.Name], History,
+                   wallMilliseconds(), EventLoop::now());
+      log(LogLevel::Info, "weights.history",
+          {{"model", Key.Name}, {"versions", std::to_string(History.size())}});
+      this->updateOrders();
+      return;
+    }
+    History[Version] = NamedMs;
+    while (History.size() > MaxNamedWeights)
+      History.erase(History.begin());
+    json Value = json::array();
+    for (const auto &[Each, Since] : History)
+      Value.push_back({Each, Since});
+    const std::uint64_t IfVersion = Result.Status == PlatformStatus::Ok
+                                        ? Result.Object.Version
+                                        : Platform::MustNotExist;
+    this->Parts.Api.put(Key, Value, IfVersion,
+                        [Key](const PlatformResult &Written) {
+                          // Without it, a later start is only more careful.
+                          if (Written.Status != PlatformStatus::Ok)
+                            log(LogLevel::Warn, "weights.history_not_written",
+                                {{"model", Key.Name}});
+                        });
+  });
+}
+
 /// Tells the order controller which engines there are and what they should
 /// have.
 void ForwardGateway::updateOrders() {
@@ -282,7 +342,7 @@
     Wanted.Name = Name;
     Wanted.Kind = ServiceKind::Model;
     Wanted.Model = Service.Engine->Model;
-    Wanted.WeightVersion = std::to_string(Named->second.Version);
+    Wanted.WeightVersion = std::to_string(Named->second.newest());
     Wanted.ChecksFence = this->Settings.ChecksFence;
     for (const auto &[Id, Entry] : this->Upstreams.entries())
       if (Entry.Registered.Service == Name && !Entry.Registered.IsLeaving)
@@ -313,7 +373,7 @@
 std::uint64_t ForwardGateway::leastUsefulWeights() const {
   std::uint64_t Newest = 0;
   for (const auto &[Model, Named] : this->Services.Weights)
-    Newest = std::max(Newest, Named.Version);
+    Newest = std::max(Newest, Named.newest());
   std::size_t Engines = 0;
   std::size_t Current = 0;
   std::uint64_t Least = Newest;
@@ -327,9 +387,20 @@
   return Current * 2 >= Engines ? Newest : Least;
 }
 
+/// Zones are only added: the homes of prompts should not move when a zone is
+/// lost for a while.
+void ForwardGateway::noteZones() {
+  std::vector<std::string> &Zones = this->Services.Reuse.Zones;
+  for (const auto &[Id, Entry] : this->Upstreams.entries())
+    if (Entry.WeightVersion && std::find(Zones.begin(), Zones.end(),
+                                         Entry.Registered.Zone) == Zones.end())
+      Zones.push_back(Entry.Registered.Zone);
+}
+
 /// Stops the use of outdated parts and, a while later, frees them.
 void ForwardGateway::sweepStores() {
   const TimePoint Now = EventLoop::now();
+  this->noteZones();
   const std::uint64_t Least = this->leastUsefulWeights();
   if (Least > this->Services.Reuse.LeastWeights) {
     this->Services.Reuse.LeastWeights = Least;
@@ -353,7 +424,7 @@
     return false;
   for (const auto &[Id, Entry] : this->Upstreams.entries())
     if (Entry.Registered.Service == Service && !Entry.Registered.IsLeaving &&
-        Entry.WeightVersion.value_or(0) < Named->second.Version)
+        Entry.WeightVersion.value_or(0) < Named->second.newest())
       return true;
   return false;
 }
@@ -435,7 +506,7 @@
   for (auto &[Name, Budget] : this->Services.Budgets)
     Budget.Most = this->Services.NewBudget.Most;
   json Message = json::array();
-  for (const EntryNews &Each : this->Entries.news(Now))
+  for (const EntryNews &Each : this->Entries.news(Now, this->Random))
     Message.push_back(toJson(Each));
   const std::vector<std::uint8_t> Bytes = json::to_cbor(Message);
   const std::string Text(Bytes.begin(), Bytes.end());
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -75,6 +75,7 @@
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
   void onWeights(const PlatformObject &Object);
+  void syncWeightHistory(const std::string &Model, std::uint64_t Version);
   void onCall(std::shared_ptr<IncomingCall> Call);
   void gossip();
   void receiveGossip();
@@ -84,6 +85,7 @@
   std::uint64_t weightsOf(std::string_view Upstream) const;
   std::uint64_t leastUsefulWeights() const;
   void sweepStores();
+  void noteZones();
   bool needsOrders(std::string_view Service) const;
   bool isPreferredFor(std::string_view Service);
   void checkStop();
@@ -110,6 +112,8 @@
   TimePoint LeastWeightsSince;
   std::optional<TimePoint> StopAskedAt;
   std::vector<sigc::connection> Timers;
+  // Callbacks that outlive the gateway find this expired.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace galenaroute
--- a/src/process/StoreFollower.cpp
+++ b/src/process/StoreFollower.cpp
@@ -9,6 +9,8 @@
 static constexpr auto EventWait = std::chrono::milliseconds(600);
 /// Between calls, so that a busy store's events come in batches.
 static constexpr auto AskPeriod = std::chrono::milliseconds(120);
+/// A few events never arrive, so the whole list is read now and then.
+static constexpr auto ListPeriod = std::chrono::seconds(10);
 /// Between two calls to free parts of one store; events tell what was freed.
 static constexpr auto FreePeriod = std::chrono::seconds(1);
 static constexpr auto RetryPeriod = std::chrono::milliseconds(400);
@@ -116,13 +118,17 @@
   Asked.IsLost = false;
   const bool Restarted =
       Asked.Contents.IsKnown && Asked.Contents.Epoch != Batch->Epoch;
-  Asked.NeedsList = Batch->HasGap || (Restarted && !Batch->IsList);
+  const TimePoint Now = EventLoop::now();
+  if (Batch->IsList)
+    Asked.ListedAt = Now;
+  Asked.NeedsList = Batch->HasGap || (Restarted && !Batch->IsList) ||
+                    Now - Asked.ListedAt >= ListPeriod;
   if (Restarted || Batch->HasGap)
     log(LogLevel::Info, "store.contents_unsure",
         {{"store", Name},
          {"epoch", std::to_string(Batch->Epoch)},
          {"gap", Batch->HasGap ? "yes" : "no"}});
-  applyEvents(Asked.Contents, *Batch, EventLoop::now());
+  applyEvents(Asked.Contents, *Batch, Now);
   this->askLater(Name, Batch->IsList ? Duration::zero() : Duration(AskPeriod));
 }
 
--- a/src/process/StoreFollower.h
+++ b/src/process/StoreFollower.h
@@ -57,6 +57,7 @@
     bool NeedsList = true;
     bool IsLost = false;
     TimePoint FreedAt;
+    TimePoint ListedAt;
     sigc::connection Timer;
   };
 
--- /dev/null
+++ b/src/request/ForwardQueue.cpp
@@ -0,0 +1,51 @@
+#include "request/ForwardQueue.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace galenaroute {
+
+/// Retry-After: at least this, and up to as much again at random, so that
+/// callers do not come back together.
+static constexpr Duration LeastComeBack = std::chrono::milliseconds(250);
+/// Callers honour a Retry-After of up to a third of the time they have left.
+static constexpr double HonouredShare = 0.3;
+
+static Duration scaled(Duration Span, double Factor) {
+  return fromSeconds(toSeconds(Span) * Factor);
+}
+
+std::vector<std::size_t> sendingOrder(std::span<const WaitingCall> Calls,
+                                      const ForwardQueueSettings &Settings,
+                                      TimePoint Now) {
+  std::vector<std::size_t> Order(Calls.size());
+  std::iota(Order.begin(), Order.end(), 0);
+  const auto Key = [&](std::size_t I) {
+    const WaitingCall &Call = Calls[I];
+    const Duration Run =
+        scaled(Call.TargetAt - Call.Arrived, Settings.RunShare);
+    const bool IsLate = Now + Run > Call.TargetAt;
+    return std::tuple(IsLate, Call.Priority, Call.TargetAt);
+  };
+  std::stable_sort(
+      Order.begin(), Order.end(),
+      [&](std::size_t A, std::size_t B) { return Key(A) < Key(B); });
+  return Order;
+}
+
+bool isWaitOver(const WaitingCall &Call, const ForwardQueueSettings &Settings,
+                TimePoint Now) {
+  const Duration Most =
+      std::max(scaled(Call.EndAt - Call.Arrived, Settings.MaxWaitShare),
+               Settings.LeastWait);
+  return Now - Call.WaitingSince >= Most || Now >= Call.EndAt;
+}
+
+Duration comeBackAfter(Duration OldestWait, Duration TimeLeft, double Draw) {
+  const Duration Wanted = scaled(LeastComeBack + OldestWait / 2, 1 + Draw);
+  return std::max(LeastComeBack,
+                  std::min(Wanted, scaled(TimeLeft, HonouredShare)));
+}
+
+} // namespace galenaroute
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -8,24 +8,20 @@
 
 namespace galenaroute {
 
-/// How often a call that waits for a connection looks again.
-static constexpr auto RoomPeriod = std::chrono::milliseconds(12);
-/// Share of its target that a call may wait for a connection; one that waits
-/// longer is refused while its caller still has time to come back.
-static constexpr double WaitShare = 0.3;
-static constexpr Duration LeastWait = std::chrono::milliseconds(40);
-/// Shares of its last connection's age: a call that must not repeat uses only
+/// How often waiting calls are looked at when nothing else has changed.
+static constexpr auto QueuePeriod = std::chrono::milliseconds(15);
+/// Waiting calls that are tried in vain at one look, so that a long queue does
+/// not take the processor.
+static constexpr int MaxMisses = 12;
+/// A call that must not repeat uses only
 /// a connection that served shortly before, since one that idles may be
 /// closing.
 static constexpr Duration MaxIdleOnce = std::chrono::milliseconds(900);
 static constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
-/// Retry-After: this much, and up to as much again at random, so that callers
-/// do not come back together.
+/// Retry-After where nothing tells how long it will take.
 static constexpr Duration LeastRetryAfter = std::chrono::milliseconds(250);
 /// For a call that crashes upstreams; they must be back and mended first.
 static constexpr Duration CrashRetryAfter = std::chrono::seconds(10);
-/// A service that is fuller needs longer.
-static constexpr double RetryAfterPerLoad = 0.6;
 /// The least time to give an upstream; less could not be used.
 static constexpr Duration LeastSendTime = std::chrono::milliseconds(5);
 /// Part of an engine's memory that is taken to hold parts for later; the rest
@@ -33,9 +29,6 @@
 static constexpr double MemoryShare = 0.6;
 /// How long an upstream that refused a call gets no other one.
 static constexpr Duration ClosedAfterRefusal = std::chrono::milliseconds(500);
-/// Part of its target that a call's fetch may take; a store that is slower than
-/// that is not waited for, and the prompt is read.
-static constexpr double FetchShare = 0.45;
 static constexpr std::size_t MaxStreamBacklog = 4 << 20;
 
 ForwardRun::ForwardRun(ForwardServices &Services,
@@ -50,7 +43,6 @@
   this->StallTimer.disconnect();
   this->EndTimer.disconnect();
   this->WeightsTimer.disconnect();
-  this->RoomTimer.disconnect();
 }
 
 Duration ForwardRun::timeLeft() const { return this->EndAt - EventLoop::now(); }
@@ -75,7 +67,6 @@
   noteCall(this->budget());
   this->EndTimer = this->Services.Loop.timers().after(
       this->timeLeft(), [Self] { Self->onTimeout(); });
-  this->WaitingSince = EventLoop::now();
   this->attempt();
 }
 
@@ -144,11 +135,8 @@
 ReusePlan ForwardRun::planCache(const std::string &Scope) {
   if (!this->Route->CarriesPrompt || !this->Service->Engine)
     return {};
-  ReuseSettings Settings = this->Services.Reuse;
-  Settings.FetchLimit =
-      fromSeconds(toSeconds(this->Route->Target) * FetchShare);
-  return planReuse(this->Call.Parts, Scope, this->Services.Stores, Settings,
-                   EventLoop::now());
+  return planReuse(this->Call.Parts, Scope, this->Services.Stores,
+                   this->Services.Reuse, EventLoop::now());
 }
 
 UpstreamQuery ForwardRun::query() const {
@@ -159,11 +147,12 @@
     return Query;
   const auto Named = this->Services.Weights.find(this->Service->Engine->Model);
   if (Named != this->Services.Weights.end()) {
-    Query.NewestWeights = Named->second.Version;
-    Query.NeedsNewestWeights =
-        EventLoop::now() - Named->second.Since > this->Services.OldWeightsLimit;
+    Query.NewestWeights = Named->second.newest();
+    Query.LeastWeights = leastAllowed(
+        Named->second, this->Services.OldWeightsLimit, EventLoop::now());
   }
   Query.Subject = subjectOf(this->Call.Parts);
+  Query.HomeZone = homeZone(Query.Subject, this->Services.Reuse.Zones);
   Query.Parts = this->Call.Parts;
   Query.ScopeOf = [this](std::uint64_t Weights) {
     return this->cacheScope(Weights);
@@ -180,35 +169,110 @@
 void ForwardRun::attempt() {
   if (this->Current == Phase::Done)
     return;
+  this->WaitingSince = EventLoop::now();
+  // Those that wait already may be more urgent.
+  if (this->queue().size() == 0 && this->trySend())
+    return;
+  this->queue().add(this->shared_from_this());
+}
+
+bool ForwardRun::trySend() {
   const UpstreamTable::Chosen To =
       this->Services.Upstreams.choose(this->query(), EventLoop::now());
-  if (!To.Entry) {
-    this->waitForRoom();
-    return;
-  }
+  if (!To.Entry)
+    return false;
   this->TokensSent = To.TokensToRead;
   this->send(*To.Entry);
+  return true;
 }
 
-/// Waits for a connection or an upstream, for a limited time.
-void ForwardRun::waitForRoom() {
-  const TimePoint Now = EventLoop::now();
-  const Duration Limit = std::max(
-      fromSeconds(toSeconds(this->Route->Target) * WaitShare), LeastWait);
-  if (Now - this->WaitingSince<Limit &&this->timeLeft()> RoomPeriod) {
-    this->RoomTimer = this->Services.Loop.timers().after(
-        RoomPeriod, [Self = this->shared_from_this()] { Self->attempt(); });
-    return;
-  }
-  if (this->Phase::Streaming == this->Current) {
+WaitingRuns &ForwardRun::queue() {
+  auto &Found = this->Services.Waiting[this->Service->Name];
+  if (!Found)
+    Found = std::make_unique<WaitingRuns>(this->Services.Loop);
+  return *Found;
+}
+
+int ForwardRun::priority() const {
+  return this->Customer && this->Customer->Priority ? *this->Customer->Priority
+                                                    : this->Route->Priority;
+}
+
+WaitingCall ForwardRun::waiting() const {
+  return {.Priority = this->priority(),
+          .Arrived = this->Incoming->Arrived,
+          .WaitingSince = this->WaitingSince,
+          .TargetAt = this->Incoming->Arrived + this->Route->Target,
+          .EndAt = this->EndAt};
+}
+
+void ForwardRun::endWait(Duration OldestWait) {
+  if (this->Current == Phase::Streaming) {
     this->Incoming->abort();
     this->finish("stream_lost");
     return;
   }
+  const double Draw =
+      std::uniform_real_distribution<double>(0, 1)(this->Services.Random);
   if (this->PossibleRuns > 0)
     this->fail(ErrorKind::UpstreamFailed, "no other upstream is free");
   else
-    this->refuse("no upstream is free", this->retryAfter());
+    this->refuse("no upstream is free",
+                 comeBackAfter(OldestWait, this->timeLeft(), Draw));
+}
+
+void WaitingRuns::add(std::shared_ptr<ForwardRun> Run) {
+  this->Runs.push_back(std::move(Run));
+  if (!this->IsAwake && this->Timer.empty())
+    this->Timer =
+        this->Loop.timers().after(QueuePeriod, [this] { this->pump(); });
+}
+
+void WaitingRuns::wake() {
+  if (this->IsAwake || this->Runs.empty())
+    return;
+  this->IsAwake = true;
+  this->Timer.disconnect();
+  this->Timer =
+      this->Loop.timers().after(Duration::zero(), [this] { this->pump(); });
+}
+
+Duration WaitingRuns::oldestWait(TimePoint Now) const {
+  Duration Oldest{};
+  for (const auto &Each : this->Runs)
+    Oldest = std::max(Oldest, Now - Each->waiting().WaitingSince);
+  return Oldest;
+}
+
+void WaitingRuns::pump() {
+  this->IsAwake = false;
+  this->Timer.disconnect();
+  std::erase_if(this->Runs, [](const auto &Each) { return Each->isDone(); });
+  const TimePoint Now = EventLoop::now();
+  const Duration Oldest = this->oldestWait(Now);
+  std::vector<WaitingCall> Calls;
+  for (const auto &Each : this->Runs)
+    Calls.push_back(Each->waiting());
+  const std::vector<std::size_t> Order =
+      sendingOrder(Calls, this->Settings, Now);
+  const auto Waiting = std::move(this->Runs);
+  this->Runs.clear();
+  int Misses = 0;
+  for (const std::size_t I : Order) {
+    const auto &Run = Waiting[I];
+    if (Run->isDone())
+      continue;
+    if (Misses < MaxMisses && Run->trySend())
+      continue;
+    ++Misses;
+    if (isWaitOver(Calls[I], this->Settings, Now))
+      Run->endWait(Oldest);
+    else
+      this->Runs.push_back(Run);
+  }
+  if (!this->Runs.empty())
+    this->Timer =
+        this->Loop.timers().after(QueuePeriod, [this] { this->pump(); });
 }
 
 SendPlan ForwardRun::planSend(const UpstreamEntry &To,
@@ -221,10 +285,7 @@
   Plan.ResumeAfter = this->LastEvent;
   if (!this->Service->Engine)
     return Plan;
-  const int Priority = this->Customer && this->Customer->Priority
-                           ? *this->Customer->Priority
-                           : this->Route->Priority;
-  Plan.Urgency = std::clamp(Priority, 0, 9);
+  Plan.Urgency = std::clamp(this->priority(), 0, 9);
   Plan.WeightVersion = To.WeightVersion;
   Plan.CacheScope = this->cacheScope(To.WeightVersion);
   Plan.Fetch = Reuse.Fetch;
@@ -247,6 +308,7 @@
   this->Body.clear();
   this->Splitter.clear();
   this->SentAt = EventLoop::now();
+  this->HasStalledOnce = false;
   if (this->Current == Phase::Waiting)
     this->Current = Phase::Sent;
   this->Services.Upstreams.noteSent(this->UpstreamId, this->TokensSent);
@@ -270,9 +332,14 @@
        {"left_ms", std::to_string(toMilliseconds(this->timeLeft()))},
        {"weights", std::to_string(To.WeightVersion.value_or(0))},
        {"own_calls", std::to_string(To.OwnCalls)},
+       {"running", To.Load ? std::to_string(To.Load->Running) : "-"},
+       {"waiting", To.Load ? std::to_string(To.Load->Waiting) : "-"},
+       {"slowdown", To.Load ? std::to_string(To.Load->Slowdown) : "-"},
+       {"tokens_ahead", std::to_string(To.TokensAhead)},
        {"load_age_ms",
         To.Load ? std::to_string(toMilliseconds(this->SentAt - To.ReportedAt))
                 : "-"},
+       {"tokens_to_read", std::to_string(this->TokensSent)},
        {"stored_tokens", std::to_string(Reuse.StoredTokens)},
        {"shared_tokens", std::to_string(Reuse.SharedTokens)}});
   this->armStall();
@@ -286,11 +353,13 @@
   if (!this->Service->Engine || !To.WeightVersion)
     return;
   const auto Named = this->Services.Weights.find(this->Service->Engine->Model);
-  if (Named == this->Services.Weights.end() ||
-      *To.WeightVersion >= Named->second.Version)
+  if (Named == this->Services.Weights.end())
+    return;
+  const auto Superseded = supersededAt(Named->second, *To.WeightVersion);
+  if (!Superseded)
     return;
   const Duration Left =
-      Named->second.Since + this->Services.WeightsLimit - EventLoop::now();
+      *Superseded + this->Services.WeightsLimit - EventLoop::now();
   this->WeightsTimer = this->Services.Loop.timers().after(
       Left, [Self = this->shared_from_this()] { Self->takeBack(); });
 }
@@ -322,6 +391,7 @@
   }
   this->Answer = std::move(Read);
   this->HasAnswer = true;
+  this->Services.Upstreams.noteProgress(this->UpstreamId, EventLoop::now());
   if (this->Answer.Load)
     this->Services.Upstreams.noteLoad(this->UpstreamId, *this->Answer.Load,
                                       EventLoop::now());
@@ -370,8 +440,11 @@
 
 /// The prompt of the send under way has been read, or never will be.
 void ForwardRun::noteStarted() {
+  if (this->TokensSent == 0)
+    return;
   this->Services.Upstreams.noteStarted(this->UpstreamId, this->TokensSent);
   this->TokensSent = 0;
+  this->queue().wake();
 }
 
 void ForwardRun::beginStream() {
@@ -438,6 +511,7 @@
   const TimePoint Now = EventLoop::now();
   this->noteStarted();
   Upstreams.noteEnded(this->UpstreamId);
+  this->queue().wake();
   switch (Outcome) {
   case SendOutcome::Succeeded:
     Upstreams.noteSuccess(this->UpstreamId);
@@ -451,7 +525,7 @@
       const auto Named =
           this->Services.Weights.find(this->Service->Engine->Model);
       if (Named != this->Services.Weights.end())
-        Upstreams.noteWeights(this->UpstreamId, Named->second.Version);
+        Upstreams.noteWeights(this->UpstreamId, Named->second.newest());
     }
     Upstreams.noteClosed(this->UpstreamId, Now + ClosedAfterRefusal);
     return;
@@ -510,7 +584,6 @@
   case ForwardStep::Retry:
     if (Outcome != SendOutcome::NotSent)
       spendRetry(this->budget());
-    this->WaitingSince = EventLoop::now();
     this->attempt();
     return;
   case ForwardStep::Refuse:
@@ -525,6 +598,13 @@
 void ForwardRun::onStall() {
   if (this->Current == Phase::Done || !this->Exchange)
     return;
+  // An upstream that answers others is only busy; it gets as long again.
+  const UpstreamEntry *At = this->Services.Upstreams.find(this->UpstreamId);
+  if (At && At->ProgressAt > this->SentAt && !this->HasStalledOnce) {
+    this->HasStalledOnce = true;
+    this->armStall();
+    return;
+  }
   // Nothing else may try the call, so its upstream may as well go on.
   const bool MayTryAnother =
       this->PossibleRuns + 1 < this->Route->MaxUpstreams &&
@@ -590,14 +670,10 @@
 }
 
 Duration ForwardRun::retryAfter() {
-  const double Load = this->Service ? this->Services.Upstreams.utilization(
-                                          this->Service->Name, EventLoop::now())
-                                    : 0;
-  const double Jitter =
-      std::uniform_real_distribution<double>(1, 2)(this->Services.Random);
-  return fromSeconds(Jitter *
-                     (toSeconds(LeastRetryAfter) +
-                      RetryAfterPerLoad * std::clamp(Load - 0.5, 0.0, 2.0)));
+  const double Draw =
+      std::uniform_real_distribution<double>(0, 1)(this->Services.Random);
+  return comeBackAfter(this->queue().oldestWait(EventLoop::now()),
+                       this->timeLeft(), Draw);
 }
 
 void ForwardRun::refuse(std::string_view Reason, Duration RetryAfter) {
@@ -657,7 +733,6 @@
   this->StallTimer.disconnect();
   this->EndTimer.disconnect();
   this->WeightsTimer.disconnect();
-  this->RoomTimer.disconnect();
   // Ends the last reference, after the caller of this function is done.
   this->Services.Loop.timers().after(Duration::zero(),
                                      [Self = this->shared_from_this()] {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -21,19 +21,40 @@
 #include "process/Metrics.h"
 #include "request/CrashRecord.h"
 #include "request/EventStream.h"
+#include "request/ForwardQueue.h"
 #include "request/ForwardRules.h"
 #include "request/PromptReuse.h"
 #include "request/RetryBudget.h"
 #include "request/UpstreamTable.h"
+#include "version/NamedWeights.h"
 
 #include <random>
 
 namespace galenaroute {
 
-/// The newest weights of a model that were named, and since when.
-struct NamedWeights {
-  std::uint64_t Version = 0;
-  TimePoint Since;
+class ForwardRun;
+
+/// The calls of one service that wait for an upstream.
+class WaitingRuns {
+public:
+  explicit WaitingRuns(EventLoop &Loop) : Loop(Loop) {}
+  ~WaitingRuns() { this->Timer.disconnect(); }
+
+  void add(std::shared_ptr<ForwardRun> Run);
+  /// Looks soon whether waiting calls can be sent, since something changed.
+  void wake();
+  /// How long the longest of them has waited.
+  Duration oldestWait(TimePoint Now) const;
+  std::size_t size() const { return this->Runs.size(); }
+
+private:
+  void pump();
+
+  EventLoop &Loop;
+  ForwardQueueSettings Settings;
+  std::vector<std::shared_ptr<ForwardRun>> Runs;
+  bool IsAwake = false;
+  sigc::connection Timer;
 };
 
 /// What all runs of a process share.
@@ -51,6 +72,7 @@
   std::vector<StorePlace> Stores;
   ReuseSettings Reuse;
   CrashRecord Crashes;
+  std::map<std::string, std::unique_ptr<WaitingRuns>> Waiting; ///< By service.
   /// Whether the store of configurations was heard of lately, so that what is
   /// not in the configuration does not exist.
   std::function<bool()> IsConfigFresh;
@@ -69,12 +91,20 @@
   ~ForwardRun();
   void start();
 
+  /// Sends the call if an upstream can take it; for WaitingRuns.
+  bool trySend();
+  /// Ends the wait of a call for which none was found in time.
+  void endWait(Duration OldestWait);
+  bool isDone() const { return this->Current == Phase::Done; }
+  WaitingCall waiting() const;
+
 private:
   enum class Phase { Waiting, Sent, Streaming, Done };
 
   bool admit();
   void attempt();
-  void waitForRoom();
+  int priority() const;
+  WaitingRuns &queue();
   void send(const UpstreamEntry &To);
   SendPlan planSend(const UpstreamEntry &To, const ReusePlan &Reuse) const;
   UpstreamQuery query() const;
@@ -121,6 +151,7 @@
   std::vector<std::string> Tried;
   CallAnswer Answer;
   bool HasAnswer = false;
+  bool HasStalledOnce = false; ///< In the send under way.
   std::string Body;
   EventSplitter Splitter;
   std::optional<std::uint64_t> LastEvent;
@@ -133,7 +164,6 @@
   sigc::connection StallTimer;
   sigc::connection EndTimer;
   sigc::connection WeightsTimer;
-  sigc::connection RoomTimer;
 };
 
 } // namespace galenaroute
--- a/src/request/PromptReuse.cpp
+++ b/src/request/PromptReuse.cpp
@@ -57,6 +57,20 @@
   }
 }
 
+std::string_view homeZone(std::string_view Part,
+                          std::span<const std::string> Zones) {
+  const std::string *Best = nullptr;
+  std::uint64_t Most = 0;
+  for (const std::string &Each : Zones) {
+    const std::uint64_t Weight = rendezvousWeight(Part, Each);
+    if (!Best || Weight > Most) {
+      Best = &Each;
+      Most = Weight;
+    }
+  }
+  return Best ? std::string_view(*Best) : std::string_view();
+}
+
 /// Whether \p Store is among the quick ones of \p Stores.
 static bool isQuick(const StorePlace &Store,
                     std::span<const StorePlace> Stores) {
@@ -65,19 +79,16 @@
   });
 }
 
-const StorePlace *storeOf(std::string_view Part, std::uint32_t Tokens,
-                          std::span<const StorePlace> Stores,
-                          const ReuseSettings &Settings) {
-  const bool AllQuick =
-      std::all_of(Stores.begin(), Stores.end(), [&](const StorePlace &Each) {
-        return isQuick(Each, Stores);
-      });
-  const bool WantsQuick = Tokens < Settings.LargePartTokens;
+/// Returns the highest of \p Stores by rendezvous weighted by capacity, among
+/// those that \p IsWanted accepts.
+template <typename Predicate>
+static const StorePlace *firstOf(std::string_view Part,
+                                 std::span<const StorePlace> Stores,
+                                 Predicate IsWanted) {
   const StorePlace *Best = nullptr;
   double Most = 0;
   for (const StorePlace &Each : Stores) {
-    if (Each.CapacityTokens == 0 ||
-        (!AllQuick && isQuick(Each, Stores) != WantsQuick))
+    if (Each.CapacityTokens == 0 || !IsWanted(Each))
       continue;
     // Weighted rendezvous: -capacity / ln(uniform hash).
     const double Uniform =
@@ -94,6 +105,24 @@
   return Best;
 }
 
+const StorePlace *storeOf(std::string_view Part, std::uint32_t Tokens,
+                          std::span<const StorePlace> Stores,
+                          const ReuseSettings &Settings) {
+  const bool AllQuick =
+      std::all_of(Stores.begin(), Stores.end(), [&](const StorePlace &Each) {
+        return isQuick(Each, Stores);
+      });
+  const bool WantsQuick = Tokens < Settings.LargePartTokens;
+  const auto HasRightLatency = [&](const StorePlace &Each) {
+    return AllQuick || isQuick(Each, Stores) == WantsQuick;
+  };
+  const std::string_view Zone = homeZone(Part, Settings.Zones);
+  const StorePlace *Near = firstOf(Part, Stores, [&](const StorePlace &Each) {
+    return HasRightLatency(Each) && Each.Zone == Zone;
+  });
+  return Near ? Near : firstOf(Part, Stores, HasRightLatency);
+}
+
 std::string_view subjectOf(std::span<const PromptPart> Parts) {
   return Parts.size() < 2 ? std::string_view()
                           : std::string_view(Parts[Parts.size() - 2].Id);
--- a/src/request/PromptReuse.h
+++ b/src/request/PromptReuse.h
@@ -6,10 +6,13 @@
 //   planReuse(Parts, Scope, Stores, Now)    // for one call
 //
 // Each shared part has one store, chosen by rendezvous weighted by capacity,
-// so that all daemons agree without talking. A part is fetched only when the
-// store has reported it complete and the report is recent; the fetch carries a
-// time limit that ends before a store could have restarted and begun to be
-// filled again, so a part that is being written is never read.
+// so that all daemons agree without talking. It lies in the zone of the engine
+// where prompts of that part are at home, if that zone has a store: a transfer
+// between zones takes a store twice as long, and transfers queue up there. A
+// part is fetched only when the store has reported it complete and the report
+// is recent; the fetch carries a time limit that ends before a store could have
+// restarted and begun to be filled again, so a part that is being written is
+// never read.
 
 #ifndef GALENAROUTE_REQUEST_PROMPTREUSE_H
 #define GALENAROUTE_REQUEST_PROMPTREUSE_H
@@ -70,8 +73,9 @@
   /// A store not heard for longer may have restarted unseen.
   Duration MaxStoreAge = std::chrono::milliseconds(1500);
   /// A fetch ends this long after it was asked for. Stores take longer than
-  /// this and MaxStoreAge to restart and be filled again.
-  Duration FetchLimit = std::chrono::milliseconds(300);
+  /// this and MaxStoreAge to restart and be filled again. A late fetch still
+  /// saves more work than it costs time.
+  Duration FetchLimit = std::chrono::milliseconds(1000);
   /// A save that is not reported within this time may be asked for again.
   Duration SaveRetry = std::chrono::seconds(4);
   /// A store with more latency than the quickest takes only parts of at least
@@ -82,6 +86,8 @@
   std::uint32_t LeastTokens = 48;
   /// Parts made with older weights than these are neither fetched nor kept.
   std::uint64_t LeastWeights = 0;
+  /// Zones with engines; see homeZone().
+  std::vector<std::string> Zones;
   /// Share of a store that may be filled.
   double MaxFill = 0.95;
 };
@@ -102,6 +108,12 @@
 void applyEvents(StoreContents &Contents, const CacheEventBatch &Batch,
                  TimePoint Now);
 
+/// Returns the availability zone in which \p Part is at home: its engine and,
+/// where the zone has one, its store. \p Zones are those with engines; empty
+/// without any.
+std::string_view homeZone(std::string_view Part,
+                          std::span<const std::string> Zones);
+
 /// Returns the store of a part with \p Tokens; null when there are none.
 const StorePlace *storeOf(std::string_view Part, std::uint32_t Tokens,
                           std::span<const StorePlace> Stores,
--- a/src/request/UpstreamChoice.cpp
+++ b/src/request/UpstreamChoice.cpp
@@ -5,12 +5,18 @@
 
 namespace galenaroute {
 
+/// How far the last load report still holds, from 1 down to 0.
+static double trust(const UpstreamCandidate &Candidate,
+                    const UpstreamChoiceSettings &Settings) {
+  return std::exp2(-toSeconds(Candidate.LoadAge) /
+                   toSeconds(Settings.LoadHalfLife));
+}
+
 double expectedRuns(const UpstreamCandidate &Candidate,
                     const UpstreamChoiceSettings &Settings) {
   if (!Candidate.Load)
     return Candidate.OwnCalls;
-  const double Trust = std::exp2(-toSeconds(Candidate.LoadAge) /
-                                 toSeconds(Settings.LoadHalfLife));
+  const double Trust = trust(Candidate, Settings);
   const double OfOthers =
       std::max(0, Candidate.Load->Running + Candidate.Load->Waiting -
                       Candidate.OwnCallsAtReport);
@@ -23,7 +29,9 @@
   const double Slots = std::max(1, Candidate.Slots);
   const double Slowdown = Candidate.Load ? Candidate.Load->Slowdown : 1;
   double Cost = Runs * Settings.BusySlotMs * std::max(1.0, Slowdown);
-  Cost += std::max(0.0, Runs + 1 - Slots) * Settings.WaitingCallMs;
+  const double Trust = Candidate.Load ? trust(Candidate, Settings) : 0;
+  const double Reported = Candidate.Load ? Candidate.Load->Waiting * Trust : 0;
+  Cost += std::max(Reported, Runs + 1 - Slots) * Settings.WaitingCallMs;
   Cost += Candidate.FailureScore * Settings.FailureMs;
   Cost += (Candidate.TokensAhead + Candidate.TokensToRead) *
               Settings.ReadTokenMs * std::max(1.0, Slowdown) +
--- a/src/request/UpstreamChoice.h
+++ b/src/request/UpstreamChoice.h
@@ -46,8 +46,8 @@
 struct UpstreamChoiceSettings {
   double OtherZoneMs = 10;
   /// A slot in use slows the other runs of a batch.
-  double BusySlotMs = 1;
-  /// A call that waits behind a full upstream.
+  double BusySlotMs = 3;
+  /// A call that waits at an upstream, for a slot or for memory.
   double WaitingCallMs = 60;
   double FailureMs = 400;
   double NewConnectionMs = 6;
@@ -60,7 +60,7 @@
   /// A fetch from another zone takes twice as long and is dear.
   double FetchFarTokenMs = 0.006;
   /// Callers' daemons that see a new subject at once choose the same engine.
-  double NotHomeMs = 40;
+  double NotHomeMs = 60;
   /// A load report loses its weight in this time.
   Duration LoadHalfLife = std::chrono::milliseconds(1500);
 };
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -6,12 +6,20 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace galenaroute {
 
 /// Other entries send to the same homes, but not as one.
 static constexpr double OthersTokensFactor = 1.5;
 
+/// Part of the stored tokens that a home is expected to have to fetch.
+static constexpr double HomeMissShare = 0.3;
+
+static std::uint32_t scaled(std::uint32_t Tokens, double Share) {
+  return static_cast<std::uint32_t>(Tokens * Share);
+}
+
 void UpstreamTable::put(const RegisteredUpstream &Upstream, TimePoint Now) {
   const auto It = this->Entries.find(Upstream.Id);
   const bool IsKnown = It != this->Entries.end();
@@ -92,8 +100,7 @@
   if (Entry.Registered.Service != Query.Service || Entry.Registered.IsLeaving ||
       Now < Entry.ClosedUntil)
     return false;
-  if (Query.NeedsNewestWeights && Query.NewestWeights && Entry.WeightVersion &&
-      *Entry.WeightVersion < *Query.NewestWeights)
+  if (Entry.WeightVersion && *Entry.WeightVersion < Query.LeastWeights)
     return false;
   return std::find(Query.Excluded.begin(), Query.Excluded.end(),
                    Entry.Registered.Id) == Query.Excluded.end();
@@ -151,7 +158,7 @@
 
 UpstreamTable::Chosen UpstreamTable::choose(const UpstreamQuery &Query,
                                             TimePoint Now) const {
-  const UpstreamEntry *Home = this->home(Query.Service, Query.Subject);
+  const UpstreamEntry *Home = this->home(Query);
   std::vector<const UpstreamEntry *> Eligible;
   std::vector<UpstreamCandidate> Candidates;
   for (const auto &[Id, Entry] : this->Entries) {
@@ -161,6 +168,15 @@
     Candidate.IsHome = !Home || &Entry == Home;
     if (!Query.Parts.empty())
       this->addPrompt(Candidate, Entry, Query);
+    if (&Entry == Home) {
+      // The other entries send prompts of this subject there, too.
+      Candidate.TokensToFetch = scaled(Candidate.TokensToFetch, HomeMissShare);
+      Candidate.TokensToFetchFar =
+          scaled(Candidate.TokensToFetchFar, HomeMissShare);
+    }
+    if (Entry.TokensAhead > 0 && Entry.TokensAhead + Candidate.TokensToRead >
+                                     this->Settings.MaxTokensAhead)
+      continue;
     Candidate.HasOldWeights = Query.NewestWeights && Entry.WeightVersion &&
                               *Entry.WeightVersion < *Query.NewestWeights;
     Eligible.push_back(&Entry);
@@ -172,37 +188,26 @@
   return {Eligible[*Best], Candidates[*Best].TokensToRead};
 }
 
-const UpstreamEntry *UpstreamTable::home(std::string_view Service,
-                                         std::string_view Subject) const {
-  if (Subject.empty())
+const UpstreamEntry *UpstreamTable::home(const UpstreamQuery &Query) const {
+  if (Query.Subject.empty())
     return nullptr;
   const UpstreamEntry *Best = nullptr;
+  bool BestIsNear = false;
   std::uint64_t Most = 0;
   for (const auto &[Id, Entry] : this->Entries) {
-    if (Entry.Registered.Service != Service || Entry.Registered.IsLeaving)
+    if (Entry.Registered.Service != Query.Service || Entry.Registered.IsLeaving)
       continue;
-    const std::uint64_t Weight = rendezvousWeight(Subject, Id);
-    if (!Best || Weight > Most) {
+    const bool IsNear = Entry.Registered.Zone == Query.HomeZone;
+    const std::uint64_t Weight = rendezvousWeight(Query.Subject, Id);
+    if (!Best || std::tie(IsNear, Weight) > std::tie(BestIsNear, Most)) {
       Best = &Entry;
+      BestIsNear = IsNear;
       Most = Weight;
     }
   }
   return Best;
 }
 
-double UpstreamTable::utilization(std::string_view Service,
-                                  TimePoint Now) const {
-  double Runs = 0;
-  double Slots = 0;
-  for (const auto &[Id, Entry] : this->Entries) {
-    if (Entry.Registered.Service != Service || Entry.Registered.IsLeaving)
-      continue;
-    Runs += expectedRuns(this->candidateOf(Entry, Now), this->Settings.Choice);
-    Slots += Entry.Registered.Slots;
-  }
-  return Slots > 0 ? Runs / Slots : 0;
-}
-
 void UpstreamTable::noteSent(std::string_view Id, std::uint32_t PromptTokens) {
   if (UpstreamEntry *Entry = this->findMutable(Id)) {
     ++Entry->OwnCalls;
@@ -257,6 +262,11 @@
   Entry->FailureAt = Now;
 }
 
+void UpstreamTable::noteProgress(std::string_view Id, TimePoint Now) {
+  if (UpstreamEntry *Entry = this->findMutable(Id))
+    Entry->ProgressAt = Now;
+}
+
 void UpstreamTable::noteSuccess(std::string_view Id) {
   if (UpstreamEntry *Entry = this->findMutable(Id))
     Entry->FailureScore /= 2;
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -49,7 +49,8 @@
   EngineMemory Memory;
   /// Prompt tokens of own calls that have not begun to answer.
   std::uint64_t TokensAhead = 0;
-  TimePoint ClosedUntil;                 ///< It refuses calls until about then.
+  TimePoint ProgressAt;  ///< When it last began to answer a call.
+  TimePoint ClosedUntil; ///< It refuses calls until about then.
   std::optional<TimePoint> MissingSince; ///< Not in the last list.
 };
 
@@ -59,6 +60,10 @@
   /// A failure counts half after this time.
   Duration FailureHalfLife = std::chrono::milliseconds(1500);
   double MaxFailureScore = 6;
+  /// Prompt tokens that this process may have an engine read at a time, unless
+  /// it is one call alone. A prompt waits behind all that an engine has taken
+  /// in, however urgent it is, so the rest waits here.
+  std::uint64_t MaxTokensAhead = 5000;
   /// How long an entry that is missing in a list is kept; entries that lapsed
   /// while the registry was away are back within 2 s of its return.
   Duration KeepMissing = std::chrono::milliseconds(1700);
@@ -76,9 +81,10 @@
   std::function<const StorePlace *(const std::string &PartKey,
                                    std::uint32_t Tokens)>
       StoredIn;
+  std::string_view HomeZone;      ///< See homeZone().
   std::uint64_t MemoryTokens = 0; ///< That an engine can hold.
   std::optional<std::uint64_t> NewestWeights;
-  bool NeedsNewestWeights = false;
+  std::uint64_t LeastWeights = 0; ///< Engines with older ones are left out.
 };
 
 class UpstreamTable {
@@ -114,11 +120,8 @@
 
   /// Chooses an upstream, or none when none has a connection to be had.
   Chosen choose(const UpstreamQuery &Query, TimePoint Now) const;
-  /// The upstream that is the home of \p Subject, whatever its load.
-  const UpstreamEntry *home(std::string_view Service,
-                            std::string_view Subject) const;
-  /// Share of the slots of \p Service that are expected to be in use.
-  double utilization(std::string_view Service, TimePoint Now) const;
+  /// The engine where prompts of the subject are at home, whatever its load.
+  const UpstreamEntry *home(const UpstreamQuery &Query) const;
 
   /// \p PromptTokens are those to be read; see noteStarted().
   void noteSent(std::string_view Id, std::uint32_t PromptTokens);
@@ -131,6 +134,7 @@
   void noteClosed(std::string_view Id, TimePoint Until);
   void noteLoad(std::string_view Id, const UpstreamLoad &Load, TimePoint Now);
   void noteFailure(std::string_view Id, double Weight, TimePoint Now);
+  void noteProgress(std::string_view Id, TimePoint Now);
   void noteSuccess(std::string_view Id);
   void noteWeights(std::string_view Id, std::uint64_t Version);
 
--- /dev/null
+++ b/tests/ForwardConnectionsTest.cpp
@@ -0,0 +1,226 @@
+// Tests of callers' and upstreams' connections of forwarded calls.
+
+#include "RawSocket.h"
+#include "connection/CallListener.h"
+#include "connection/UpstreamPool.h"
+
+#include <gtest/gtest.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+class CallListenerTest : public testing::Test {
+protected:
+  void start(CallListener::Handler OnCall, CallerLimits Limits = {}) {
+    this->Address = freeAddress();
+    this->Listener = std::make_unique<CallListener>(this->Loop, this->Address,
+                                                    Limits, std::move(OnCall));
+  }
+  bool until(const std::function<bool()> &Done) {
+    return this->Loop.runUntil(Done, 3s);
+  }
+
+  EventLoop Loop;
+  SocketAddress Address;
+  std::unique_ptr<CallListener> Listener;
+};
+
+// Guards against a connection that is shut down before its answer was written.
+TEST_F(CallListenerTest, AnswersBeforeItCloses) {
+  this->start(
+      [](std::shared_ptr<IncomingCall> Call) { Call->send(200, {}, "whole"); });
+  RawSocket Caller(RawSocket::connectTo(this->Address));
+  Caller.write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  ASSERT_TRUE(this->until([&] { return Caller.hasEnded(); }));
+  EXPECT_TRUE(Caller.read().ends_with("\r\n\r\nwhole")) << Caller.read();
+}
+
+// Guards against the rest of a body being read as a request of its own: with
+// two lengths, the daemon answered 200 by the first.
+TEST_F(CallListenerTest, TwoLengthsAreRefusedAndNothingBehindIsRead) {
+  int Calls = 0;
+  this->start([&](std::shared_ptr<IncomingCall> Call) {
+    ++Calls;
+    Call->send(200, {}, {});
+  });
+  RawSocket Caller(RawSocket::connectTo(this->Address));
+  Caller.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+               "Content-Length: 50\r\n\r\nhelloGET /hidden HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(this->until([&] { return Caller.hasEnded(); }));
+  EXPECT_TRUE(Caller.read().starts_with("HTTP/1.1 400 ")) << Caller.read();
+  EXPECT_EQ(Calls, 0);
+}
+
+TEST_F(CallListenerTest, ALargeHeadIsRefusedWith431) {
+  this->start([](std::shared_ptr<IncomingCall>) {},
+              {.Message = {.MaxHeadBytes = 2000}});
+  RawSocket Caller(RawSocket::connectTo(this->Address));
+  Caller.write("GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n");
+  ASSERT_TRUE(this->until([&] { return Caller.hasEnded(); }));
+  EXPECT_TRUE(Caller.read().starts_with("HTTP/1.1 431 ")) << Caller.read();
+}
+
+TEST_F(CallListenerTest, TellsThatACallerHasLeft) {
+  bool Left = false;
+  std::shared_ptr<IncomingCall> Kept;
+  this->start([&](std::shared_ptr<IncomingCall> Call) {
+    Kept = Call;
+    Call->CallerLeft.connect([&] { Left = true; });
+  });
+  RawSocket Caller(RawSocket::connectTo(this->Address));
+  Caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(this->until([&] { return Kept != nullptr; }));
+  Caller.close();
+  ASSERT_TRUE(this->until([&] { return Left; }));
+  EXPECT_FALSE(Kept->isOpen());
+}
+
+TEST_F(CallListenerTest, AnswersPipelinedRequestsInOrder) {
+  std::vector<std::shared_ptr<IncomingCall>> Calls;
+  this->start([&](std::shared_ptr<IncomingCall> Call) {
+    Calls.push_back(std::move(Call));
+  });
+  RawSocket Caller(RawSocket::connectTo(this->Address));
+  Caller.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+               "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(this->until([&] { return Calls.size() == 1; }));
+  Calls[0]->send(200, {}, "first");
+  ASSERT_TRUE(this->until([&] { return Calls.size() == 2; }));
+  EXPECT_EQ(Calls[1]->Head.Target, "/b");
+  Calls[1]->send(200, {}, "second");
+  ASSERT_TRUE(this->until([&] { return Caller.read().ends_with("second"); }));
+}
+
+/// An upstream whose bytes a test writes by hand.
+class UpstreamPoolTest : public testing::Test {
+protected:
+  struct Outcome {
+    std::string Body;
+    std::optional<UpstreamEnd> End;
+    int Heads = 0;
+  };
+
+  std::unique_ptr<UpstreamExchange>
+  start(Outcome &Into, std::function<bool(const HttpHead &)> Accepts = {}) {
+    return this->Pool.start(
+        this->Server.Address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {},
+        {.OnHead =
+             [&Into, Accepts](const HttpHead &Head) {
+               ++Into.Heads;
+               return !Accepts || Accepts(Head);
+             },
+         .OnBody = [&Into](std::string_view Bytes) { Into.Body += Bytes; },
+         .OnEnd = [&Into](UpstreamEnd End) { Into.End = End; }});
+  }
+  std::unique_ptr<RawSocket> accept() {
+    int Socket = -1;
+    EXPECT_TRUE(this->Loop.runUntil(
+        [&] {
+          if (Socket < 0)
+            Socket = this->Server.accept();
+          return Socket >= 0;
+        },
+        3s));
+    return std::make_unique<RawSocket>(Socket);
+  }
+  bool ended(const Outcome &Of) {
+    return this->Loop.runUntil([&] { return Of.End.has_value(); }, 3s);
+  }
+
+  EventLoop Loop;
+  RawListener Server;
+  UpstreamPool Pool{Loop};
+};
+
+constexpr std::string_view Whole =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+// Guards against bytes that were already parsed counting as left over, which
+// opened a connection for every call.
+TEST_F(UpstreamPoolTest, AConnectionIsUsedAgain) {
+  Outcome First;
+  Outcome Second;
+  auto A = this->start(First);
+  const auto Peer = this->accept();
+  this->Loop.runUntil([&] { return !Peer->read().empty(); }, 3s);
+  Peer->write(Whole);
+  ASSERT_TRUE(this->ended(First));
+  EXPECT_EQ(*First.End, UpstreamEnd::Complete);
+  auto B = this->start(Second);
+  EXPECT_TRUE(B->usedKeptConnection());
+  Peer->write(Whole);
+  ASSERT_TRUE(this->ended(Second));
+  EXPECT_EQ(Second.Body, "ok");
+  EXPECT_EQ(this->Pool.opened(), 1U);
+}
+
+// Guards against another call's late answer being handed on.
+TEST_F(UpstreamPoolTest, SkipsAnAnswerToAnotherCall) {
+  Outcome Into;
+  auto Exchange = this->start(Into, [](const HttpHead &Head) {
+    return Head.Headers.find("Id") == "mine";
+  });
+  const auto Peer = this->accept();
+  Peer->write("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nbad"
+              "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\ngood");
+  ASSERT_TRUE(this->ended(Into));
+  EXPECT_EQ(Into.Body, "good");
+  EXPECT_EQ(this->Pool.connections(this->Server.Address), 0U)
+      << "such a connection is not used again";
+}
+
+// Guards against a second answer reaching the next call.
+TEST_F(UpstreamPoolTest, ExtraBytesEndTheConnection) {
+  Outcome Into;
+  auto Exchange = this->start(Into);
+  const auto Peer = this->accept();
+  Peer->write(std::string(Whole) + std::string(Whole));
+  ASSERT_TRUE(this->ended(Into));
+  EXPECT_EQ(Into.Body, "ok");
+  EXPECT_EQ(this->Pool.connections(this->Server.Address), 0U);
+}
+
+TEST_F(UpstreamPoolTest, ACutAnswerIsNotComplete) {
+  Outcome Into;
+  auto Exchange = this->start(Into);
+  const auto Peer = this->accept();
+  Peer->write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+  Peer->close();
+  ASSERT_TRUE(this->ended(Into));
+  EXPECT_EQ(*Into.End, UpstreamEnd::Cut);
+}
+
+// Guards against an answer without a length that was reset on the way looking
+// complete; one that ends in good order is.
+TEST_F(UpstreamPoolTest, AnAnswerWithoutLengthIsCompleteOnlyAtAGoodEnd) {
+  Outcome Good;
+  auto A = this->start(Good);
+  auto Peer = this->accept();
+  Peer->write("HTTP/1.1 200 OK\r\n\r\nab");
+  Peer->close();
+  ASSERT_TRUE(this->ended(Good));
+  EXPECT_EQ(*Good.End, UpstreamEnd::Complete);
+  Outcome Reset;
+  auto B = this->start(Reset);
+  Peer = this->accept();
+  Peer->write("HTTP/1.1 200 OK\r\n\r\nab");
+  this->Loop.runUntil([&] { return !Reset.Body.empty(); }, 3s);
+  Peer->reset();
+  ASSERT_TRUE(this->ended(Reset));
+  EXPECT_EQ(*Reset.End, UpstreamEnd::Cut);
+}
+
+TEST_F(UpstreamPoolTest, ACancelledExchangeClosesItsConnection) {
+  Outcome Into;
+  auto Exchange = this->start(Into);
+  const auto Peer = this->accept();
+  this->Loop.runUntil([&] { return !Peer->read().empty(); }, 3s);
+  Exchange.reset();
+  EXPECT_TRUE(this->Loop.runUntil([&] { return Peer->hasEnded(); }, 3s));
+  EXPECT_FALSE(Into.End.has_value());
+}
+
+} // namespace
+} // namespace galenaroute
--- /dev/null
+++ b/tests/ForwardRunTest.cpp
@@ -0,0 +1,254 @@
+// Tests of whole forwarded calls over real sockets: a caller, a run and
+// upstreams whose bytes the tests write.
+
+#include "request/ForwardRun.h"
+#include "RawSocket.h"
+#include "platform/CallHeaders.h"
+
+#include <gtest/gtest.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+class ForwardRunTest : public testing::Test {
+protected:
+  ForwardRunTest() {
+    this->addRoute("/stream/", Repeatability::Resumable, true, 2);
+    this->addRoute("/once/", Repeatability::Once, false, 1);
+    this->addRoute("/safe/", Repeatability::Repeatable, false, 2);
+    this->addRoute("/oncestream/", Repeatability::Once, true, 1);
+    this->Config.Services["s"] = {.Name = "s"};
+    this->Config.Customers = {{.Name = "c", .Keys = {"key"}}};
+    this->Config.NeedsKeys = true;
+    this->Config.index();
+    this->Services.Config = std::make_shared<const ForwardConfig>(this->Config);
+    this->Services.IsConfigFresh = [this] { return this->IsFresh; };
+    this->Services.NewBudget = {.Share = 0.2, .Most = 10, .Left = 10};
+    for (int I = 0; I < 2; ++I) {
+      RegisteredUpstream Each;
+      Each.Id = "u" + std::to_string(I);
+      Each.Service = "s";
+      Each.Address = this->Servers[I].Address;
+      this->Table.put(Each, EventLoop::now());
+    }
+    this->Listener = std::make_unique<CallListener>(
+        this->Loop, this->Address, CallerLimits{},
+        [this](std::shared_ptr<IncomingCall> Call) {
+          std::make_shared<ForwardRun>(this->Services, std::move(Call))
+              ->start();
+        });
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+  }
+
+  void addRoute(const std::string &Prefix, Repeatability Repeat, bool IsStream,
+                int MaxUpstreams) {
+    ForwardRoute Route;
+    Route.Name = Prefix;
+    Route.Host = "h";
+    Route.PathPrefix = Prefix;
+    Route.Repeat = Repeat;
+    Route.IsStream = IsStream;
+    Route.MaxUpstreams = MaxUpstreams;
+    Route.Timeout = 1500ms;
+    Route.Target = 200ms;
+    Route.Services = {{"s", 1}};
+    this->Config.Routes.push_back(Route);
+  }
+
+  void ask(const std::string &Path, const std::string &More = "") {
+    this->Caller->write("POST " + Path +
+                        " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                        "Authorization: Bearer key\r\nContent-Length: 4\r\n" +
+                        More + "\r\nbody");
+  }
+
+  bool until(const std::function<bool()> &Done) {
+    return this->Loop.runUntil(Done, 4s);
+  }
+
+  /// Waits for the call to arrive at an upstream; returns its connection.
+  std::unique_ptr<RawSocket> arrival() {
+    int Socket = -1;
+    EXPECT_TRUE(this->until([&] {
+      for (const RawListener &Each : this->Servers)
+        if (Socket < 0)
+          Socket = Each.accept();
+      return Socket >= 0;
+    }));
+    auto Peer = std::make_unique<RawSocket>(Socket);
+    EXPECT_TRUE(
+        this->until([&] { return Peer->read().ends_with("\r\n\r\nbody"); }));
+    return Peer;
+  }
+  bool hasNoArrival() {
+    return !this->Loop.runUntil(
+        [&] {
+          return this->Servers[0].accept() >= 0 ||
+                 this->Servers[1].accept() >= 0;
+        },
+        300ms);
+  }
+  bool callerGets(const std::string &Text) {
+    return this->until(
+        [&] { return this->Caller->read().find(Text) != std::string::npos; });
+  }
+
+  static std::string head(const std::string &Status, const std::string &More) {
+    return "HTTP/1.1 " + Status + "\r\nRequest-Id: r1\r\n" + More + "\r\n";
+  }
+  static std::string chunk(const std::string &Text) {
+    char Size[16];
+    std::snprintf(Size, sizeof Size, "%zx\r\n", Text.size());
+    return Size + Text + "\r\n";
+  }
+  const std::string StreamHead =
+      head("200 OK", "Server-Stamp: x\r\nTransfer-Encoding: chunked\r\n");
+
+  EventLoop Loop;
+  RawListener Servers[2];
+  SocketAddress Address = freeAddress();
+  platform::CallHeaders Codec;
+  UpstreamPool Pool{Loop};
+  UpstreamTable Table{
+      {}, [](const UpstreamEntry &) { return UpstreamTable::Room{}; }};
+  Metrics Stats;
+  std::mt19937_64 Random{1};
+  ForwardConfig Config;
+  bool IsFresh = true;
+  ForwardServices Services{.Loop = Loop,
+                           .Codec = Codec,
+                           .Pool = Pool,
+                           .Upstreams = Table,
+                           .Stats = Stats,
+                           .Random = Random};
+  std::unique_ptr<CallListener> Listener;
+  std::unique_ptr<RawSocket> Caller;
+};
+
+TEST_F(ForwardRunTest, PassesACallAndItsAnswerOnUnchanged) {
+  this->ask("/once/a?b=c", "X-Own: 1\r\nTenant: other\r\nHold: 7\r\n");
+  const auto Peer = this->arrival();
+  const std::string &Sent = Peer->read();
+  EXPECT_TRUE(Sent.starts_with("POST /once/a?b=c HTTP/1.1\r\n")) << Sent;
+  EXPECT_NE(Sent.find("X-Own: 1\r\n"), std::string::npos);
+  EXPECT_NE(Sent.find("Tenant: c\r\n"), std::string::npos);
+  EXPECT_EQ(Sent.find("other"), std::string::npos);
+  EXPECT_EQ(Sent.find("Hold"), std::string::npos);
+  EXPECT_EQ(Sent.find("key"), std::string::npos);
+  Peer->write(head("201 Created", "Server-Stamp: x\r\nContent-Length: 2\r\n") +
+              "ok");
+  ASSERT_TRUE(this->callerGets("\r\n\r\nok"));
+  EXPECT_TRUE(this->Caller->read().starts_with("HTTP/1.1 201 "));
+  EXPECT_NE(this->Caller->read().find("Server-Stamp: x"), std::string::npos);
+}
+
+// Guards against a payment that runs twice: the connection broke after it was
+// sent, so it may have run.
+TEST_F(ForwardRunTest, ACallThatMayHaveRunOnceIsNotSentAgainNorRefused) {
+  this->ask("/once/a");
+  this->arrival()->close();
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 502 "));
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
+TEST_F(ForwardRunTest, ARefusedCallGoesToAnotherUpstream) {
+  this->ask("/once/a");
+  this->arrival()->write(
+      head("503 Busy", "Not-Executed: 1\r\nContent-Length: 0\r\n"));
+  this->arrival()->write(
+      head("200 OK", "Server-Stamp: x\r\nContent-Length: 2\r\n") + "ok");
+  EXPECT_TRUE(this->callerGets("HTTP/1.1 200 "));
+}
+
+// Guards against "not run" of a call whose upstream said nothing of the kind.
+TEST_F(ForwardRunTest, A503WithoutTheStatementMayHaveRun) {
+  this->ask("/once/a");
+  this->arrival()->write(head("503 Busy", "Content-Length: 0\r\n"));
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 502 "));
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
+// Guards against pieces that are missing or come twice when a stream goes on
+// at another upstream.
+TEST_F(ForwardRunTest, AStreamGoesOnBehindItsLastWholeEvent) {
+  this->ask("/stream/a");
+  auto First = this->arrival();
+  First->write(this->StreamHead + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+  ASSERT_TRUE(this->callerGets("data: a"));
+  First->reset();
+  const auto Second = this->arrival();
+  EXPECT_NE(Second->read().find("Last-Event-Id: 1\r\n"), std::string::npos);
+  Second->write(this->StreamHead +
+                chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") + "0\r\n\r\n");
+  ASSERT_TRUE(this->callerGets("\r\n0\r\n\r\n"));
+  const std::string &Text = this->Caller->read();
+  EXPECT_EQ(Text.find("data: a"), Text.rfind("data: a"));
+  EXPECT_NE(Text.find("data: b"), std::string::npos);
+  EXPECT_EQ(Text.find("HTTP/1.1"), Text.rfind("HTTP/1.1"));
+}
+
+// Guards against a stream that ends early and looks complete.
+TEST_F(ForwardRunTest, ABrokenStreamThatCannotGoOnIsCut) {
+  this->ask("/oncestream/a");
+  auto Peer = this->arrival();
+  Peer->write(this->StreamHead + chunk("id: 1\ndata: a\n\n"));
+  ASSERT_TRUE(this->callerGets("data: a"));
+  Peer->reset();
+  ASSERT_TRUE(this->until([&] { return this->Caller->hasEnded(); }));
+  EXPECT_EQ(this->Caller->read().find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(ForwardRunTest, ACallerThatLeavesEndsTheWork) {
+  this->ask("/stream/a");
+  const auto Peer = this->arrival();
+  this->Caller->close();
+  EXPECT_TRUE(this->until([&] { return Peer->hasEnded(); }));
+  EXPECT_TRUE(this->until([&] { return this->Services.Open == 0; }))
+      << "the run is gone";
+}
+
+TEST_F(ForwardRunTest, AnAnswerComesByTheTimeOfTheRoute) {
+  this->ask("/once/a");
+  const auto Peer = this->arrival();
+  const TimePoint Begun = EventLoop::now();
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 504 "));
+  EXPECT_LT(EventLoop::now() - Begun, 1900ms);
+}
+
+// Guards against an upstream that answers nothing holding a call that another
+// could run.
+TEST_F(ForwardRunTest, ASilentUpstreamIsLeft) {
+  this->ask("/safe/a");
+  const auto Silent = this->arrival();
+  const auto Other = this->arrival();
+  Other->write(head("200 OK", "Server-Stamp: x\r\nContent-Length: 2\r\n") +
+               "ok");
+  EXPECT_TRUE(this->callerGets("HTTP/1.1 200 "));
+  EXPECT_TRUE(this->until([&] { return Silent->hasEnded(); }));
+}
+
+// Guards against telling a caller that its key or route does not exist when
+// the configuration may only be out of date.
+TEST_F(ForwardRunTest, UnknownIsSaidOnlyOfAFreshConfiguration) {
+  this->Caller->write("GET /safe/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                      "Authorization: Bearer new\r\n\r\n");
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 401 "));
+  this->IsFresh = false;
+  this->Caller->write("GET /none/a HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\n"
+                      "Authorization: Bearer key\r\n\r\n");
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 503 "));
+  EXPECT_NE(this->Caller->read().find("Retry-After: "), std::string::npos);
+}
+
+// Guards against an answer without the upstream's mark passing as a success.
+TEST_F(ForwardRunTest, AnAnswerWithoutItsMarkIsNoSuccess) {
+  this->ask("/once/a");
+  this->arrival()->write(head("200 OK", "Content-Length: 2\r\n") + "no");
+  EXPECT_TRUE(this->callerGets("HTTP/1.1 502 "));
+}
+
+} // namespace
+} // namespace galenaroute
--- /dev/null
+++ b/tests/PlatformTest.cpp
@@ -0,0 +1,276 @@
+// Tests of the translation between the users' platform and the product.
+
+#include "platform/CallHeaders.h"
+#include "platform/EngineCalls.h"
+#include "platform/ObjectReader.h"
+#include "platform/Settings.h"
+#include "process/ErrorKind.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace galenaroute::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+HttpHead headOf(HttpHeaders Headers) {
+  HttpHead Head;
+  Head.Method = "POST";
+  Head.Target = "/a/b?c";
+  Head.Headers = std::move(Headers);
+  return Head;
+}
+
+TEST(CallHeadersTest, ReadsACall) {
+  const CallHeaders Codec;
+  const CallRequest Call =
+      Codec.readRequest(headOf({{"host", "h"},
+                                {"Request-Id", "9c"},
+                                {"Model", "m"},
+                                {"Prompt-Prefix", "5c1e:800,91bd:410,e440:250"},
+                                {"Deadline-Ms", "1500"},
+                                {"Last-Event-Id", "12"},
+                                {"Authorization", "Bearer key"},
+                                {"Connection", "close, X-Hop, Model"},
+                                {"X-Hop", "1"},
+                                {"Cache-Salt", "evil"}}));
+  EXPECT_EQ(Call.Id, "9c");
+  EXPECT_EQ(Call.Host, "h");
+  EXPECT_EQ(Call.Key, "key");
+  EXPECT_EQ(Call.path(), "/a/b");
+  EXPECT_EQ(Call.TimeLeft, 1500ms);
+  EXPECT_EQ(Call.ResumeAfter, 12U);
+  ASSERT_EQ(Call.Parts.size(), 3U);
+  EXPECT_EQ(Call.Parts[1].Id, "91bd");
+  EXPECT_EQ(Call.Parts[1].Tokens, 410U);
+  EXPECT_EQ(subjectOf(Call.Parts), "91bd");
+  EXPECT_EQ(Call.Passed.find("Model"), "m")
+      << "what identifies a call is not dropped as a field of the connection";
+  EXPECT_FALSE(Call.Passed.find("X-Hop"));
+  EXPECT_FALSE(Call.Passed.find("Cache-Salt"));
+  EXPECT_FALSE(Call.Passed.find("Authorization"));
+}
+
+TEST(CallHeadersTest, RefusesWhatCanBeReadInTwoWays) {
+  const CallHeaders Codec;
+  EXPECT_THROW(
+      Codec.readRequest(headOf({{"Request-Id", "a"}, {"request-id", "b"}})),
+      Error);
+  EXPECT_THROW(Codec.readRequest(headOf({{"Prompt-Prefix", "5c1e"}})), Error);
+  EXPECT_THROW(Codec.readRequest(headOf({{"Prompt-Prefix", "5c:1x"}})), Error);
+}
+
+TEST(CallHeadersTest, WritesWhatTheSystemAdds) {
+  const CallHeaders Codec;
+  CallRequest Call = Codec.readRequest(
+      headOf({{"Host", "h"}, {"Request-Id", "9c"}, {"Deadline-Ms", "900"}}));
+  SendPlan Plan;
+  Plan.Instance = "i-7";
+  Plan.Customer = "c";
+  Plan.TimeLeft = 812ms;
+  Plan.WeightVersion = 3;
+  Plan.CacheScope = "w3";
+  Plan.Fetch = {{"10.0.0.1:80", 800}, {}, {}};
+  Plan.FetchUntilMs = 5000;
+  Plan.Save = {{}, {"10.0.0.2:80", 0}, {}};
+  const std::string Text = Codec.writeRequest(Call, Plan, "xyz");
+  for (const char *Line :
+       {"POST /a/b?c HTTP/1.1\r\n", "Request-Id: 9c\r\n",
+        "Deadline-Ms: 812\r\n", "Expect-Instance: i-7\r\n", "Tenant: c\r\n",
+        "Expect-Version: 3\r\n", "Cache-Salt: w3\r\n",
+        "Kv-Fetch: 10.0.0.1:80/800,-,-\r\n", "Kv-Until: 5000\r\n",
+        "Kv-Save: -,10.0.0.2:80,-\r\n", "Content-Length: 3\r\n"})
+    EXPECT_NE(Text.find(Line), std::string::npos) << Line << Text;
+  EXPECT_EQ(Text.find("Deadline-Ms: 900"), std::string::npos);
+  EXPECT_TRUE(Text.ends_with("\r\n\r\nxyz"));
+}
+
+TEST(CallHeadersTest, ReadsAnAnswer) {
+  HttpHead Head = headOf({{"Request-Id", "9c"},
+                          {"Server-Stamp", "s"},
+                          {"Server-Load", "3,1,8,250"},
+                          {"Weight-Versions", "4"},
+                          {"Keep-Alive", "timeout=5"}});
+  Head.Status = 200;
+  const CallAnswer Answer = CallHeaders().readAnswer(Head);
+  EXPECT_TRUE(Answer.IsSigned);
+  EXPECT_FALSE(Answer.NotRun);
+  ASSERT_TRUE(Answer.Load);
+  EXPECT_EQ(Answer.Load->Running, 3);
+  EXPECT_EQ(Answer.Load->Waiting, 1);
+  EXPECT_DOUBLE_EQ(Answer.Load->Slowdown, 2.5);
+  EXPECT_EQ(Answer.WeightVersion, 4U);
+  EXPECT_TRUE(Answer.Passed.find("Server-Stamp"));
+  EXPECT_FALSE(Answer.Passed.find("Keep-Alive"));
+  EXPECT_FALSE(Answer.Passed.find("Server-Load"));
+}
+
+const char *const ConfigText = R"({"version":7,"routes":[
+ {"name":"r1","host":"h","pathPrefix":"/a/","kind":"stream","timeoutMs":12000,
+  "targetLatencyMs":400,"priority":1,"service":"m","maxAttempts":2,
+  "public":false,"sticky":true,"resumable":true,"gapAimMs":300},
+ {"name":"r2","host":"h","pathPrefix":"/b/","kind":"unsafe","timeoutMs":800,
+  "split":[{"service":"m","weight":90},{"service":"d","weight":10}],
+  "maxAttempts":1}],
+ "services":[
+ {"name":"k","kvStore":"172.20.0.6:8006","zone":"z","kvCapacity":288932,
+  "maxInflight":12,"managed":true,"first_ms":0.5},
+ {"name":"m","maxConns":620,"engine":{"slots":128,"kvCapacity":213382,
+  "kvTokenBytes":18432,"models":[{"name":"daka"}]}},
+ {"name":"d","maxConns":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+  "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"isolated":true}]})";
+
+TEST(ObjectReaderTest, ReadsAConfiguration) {
+  ForwardConfig Config = configFromJson(json::parse(ConfigText));
+  Config.index();
+  EXPECT_EQ(Config.Version, 7U);
+  const ForwardRoute *Stream = findRoute(Config, "h", "/a/x");
+  ASSERT_NE(Stream, nullptr);
+  EXPECT_EQ(Stream->Repeat, Repeatability::Resumable);
+  EXPECT_TRUE(Stream->CarriesPrompt);
+  EXPECT_EQ(Stream->PauseTarget, 300ms);
+  const ForwardRoute *Once = findRoute(Config, "h", "/b/");
+  EXPECT_EQ(Once->Repeat, Repeatability::Once);
+  EXPECT_EQ(Once->Services.size(), 2U);
+  EXPECT_EQ(Config.Services.at("m").Engine->Model, "daka");
+  EXPECT_EQ(Config.Services.at("k").Store->Latency, 500us);
+  EXPECT_TRUE(findCustomer(Config, "k2")->IsIsolated);
+  EXPECT_EQ(findCustomer(Config, "k3"), nullptr);
+}
+
+// Guards against a stream that must not run twice being repeated.
+TEST(ObjectReaderTest, AStreamThatCannotBeResumedRunsOnce) {
+  json Value = json::parse(ConfigText);
+  Value["routes"][0]["resumable"] = false;
+  EXPECT_EQ(configFromJson(Value).Routes[0].Repeat, Repeatability::Once);
+}
+
+json serverEntry() {
+  return json::parse(
+      R"({"service":"m","address":"10.128.0.9:8080","zone":"z","version":"v1",
+  "slots":128,"state":"ready","coldLeftMs":0,"born":1789733162082,
+  "models":[{"name":"daka","version":1,"adapters":[]}],"sequence":4})");
+}
+
+// Guards against entries of another writer: they name no server to use, and
+// nothing else is disturbed.
+TEST(ObjectReaderTest, UnreadableServerEntriesNameNoServer) {
+  const ObjectReader Reader;
+  EXPECT_TRUE(
+      Reader.readUpstream({.Key = {"servers", "i-1"}, .Value = serverEntry()}));
+  for (const char *Key : {"service", "address", "zone", "slots", "state"}) {
+    json Missing = serverEntry();
+    Missing.erase(Key);
+    EXPECT_FALSE(
+        Reader.readUpstream({.Key = {"servers", "i-1"}, .Value = Missing}))
+        << Key;
+    json Wrong = serverEntry();
+    Wrong[Key] = json::object();
+    EXPECT_FALSE(
+        Reader.readUpstream({.Key = {"servers", "i-1"}, .Value = Wrong}))
+        << Key;
+  }
+  json State = serverEntry();
+  State["state"] = "sleeping";
+  EXPECT_FALSE(
+      Reader.readUpstream({.Key = {"servers", "i-1"}, .Value = State}));
+  json Born = serverEntry();
+  Born["born"] = "yesterday";
+  EXPECT_FALSE(Reader.readUpstream({.Key = {"servers", "i-1"}, .Value = Born}));
+  EXPECT_FALSE(
+      Reader.readUpstream({.Key = {"servers", "i-1"}, .Value = json("bytes")}));
+}
+
+// Guards against a decoder that ends the process on any damaged object.
+RC_GTEST_PROP(ObjectReaderProperty, DamagedObjectsAreRefusedNotThrown, ()) {
+  std::string Text =
+      *rc::gen::element(std::string(ConfigText), serverEntry().dump());
+  const auto At = *rc::gen::inRange<std::size_t>(0, Text.size());
+  Text[At] = *rc::gen::inRange<char>(32, 126);
+  const json Value = json::parse(Text, nullptr, false);
+  const ObjectReader Reader;
+  Reader.readConfig({.Key = {"config", "main"}, .Value = Value});
+  Reader.readUpstream({.Key = {"servers", "i"}, .Value = Value});
+  Reader.readWeights({.Key = {"versions", "m"}, .Value = Value});
+}
+
+TEST(EngineCallsTest, ReadsCacheContents) {
+  const CacheEventBatch Events = cacheBatchFromJson(
+      json::parse(R"({"epoch":77120,"next":120,"lost":true,"clock_ms":5000.5,
+  "events":[[119,"+","s1","5c1e07a2",800,"m"],[120,"-","s1","91bd",0,"m"]]})"),
+      false);
+  EXPECT_EQ(Events.Epoch, 77120U);
+  EXPECT_TRUE(Events.HasGap);
+  EXPECT_EQ(Events.ClockMs, 5000);
+  ASSERT_EQ(Events.Events.size(), 2U);
+  EXPECT_TRUE(Events.Events[0].IsAdded);
+  EXPECT_EQ(Events.Events[0].Scope, "s1");
+  EXPECT_FALSE(Events.Events[1].IsAdded);
+  const CacheEventBatch List = cacheBatchFromJson(
+      json::parse(
+          R"({"epoch":1,"next":2,"held":[["s1","5c",800,"m"]],"partial":[]})"),
+      true);
+  EXPECT_TRUE(List.IsList);
+  EXPECT_EQ(List.Events.at(0).Tokens, 800U);
+}
+
+const char *const SettingsText = R"(node = "n1"
+ipAddr = "10.1.0.40"
+zone = "derwent"
+internalPorts = [7700,7715]
+seedAddrs = ["10.1.0.40:8000","10.2.0.37:8000"]
+[listen]
+front = "10.1.0.40:8005"
+ready = "10.1.0.40:8002"
+directory = "10.1.0.40:8009"
+[limits]
+cpuShare = 0.25
+cpuCores = 1
+maxFds = 4100
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetSlack = 54
+requireFencing = false
+leaseMs = 3000
+versionMs = 15000
+ttl_max_s = 5
+[platform]
+address = "10.200.1.7:8007"
+unknown = "ignored"
+)";
+
+TEST(SettingsTest, ReadsTheFile) {
+  const PlatformSettings Settings = parseSettings(SettingsText);
+  EXPECT_EQ(Settings.Gateway.NodeId, "n1");
+  EXPECT_EQ(Settings.Gateway.Gossip.toString(), "10.1.0.40:7700");
+  ASSERT_EQ(Settings.Gateway.GossipSeeds.size(), 2U);
+  EXPECT_EQ(Settings.Gateway.GossipSeeds[1].toString(), "10.2.0.37:7700");
+  EXPECT_EQ(Settings.Store.toString(), "10.200.1.7:8007");
+  EXPECT_EQ(Settings.Gateway.Grace, 8s);
+  EXPECT_EQ(Settings.KeepAddresses, 2s);
+}
+
+// Guards against a message from which the operator cannot tell what to change.
+TEST(SettingsTest, ABadValueIsNamedWithWhatIsAllowed) {
+  std::string Text = SettingsText;
+  Text.replace(Text.find("cpuShare = 0.25"), 15, "cpuShare = -1  ");
+  try {
+    parseSettings(Text);
+    FAIL();
+  } catch (const Error &Failure) {
+    const std::string Message = Failure.what();
+    EXPECT_NE(Message.find("limits.cpuShare"), std::string::npos) << Message;
+    EXPECT_NE(Message.find("-1"), std::string::npos) << Message;
+    EXPECT_NE(Message.find("0.001 to 1024"), std::string::npos) << Message;
+  }
+  EXPECT_THROW(parseSettings("node = 5"), Error);
+  EXPECT_THROW(parseSettings("not toml at all = = ="), Error);
+}
+
+} // namespace
+} // namespace galenaroute::platform
--- /dev/null
+++ b/tests/RawSocket.h
@@ -0,0 +1,114 @@
+// Plain sockets for tests that need bytes which no client or server would
+// send.
+
+#ifndef GALENAROUTE_TESTS_RAWSOCKET_H
+#define GALENAROUTE_TESTS_RAWSOCKET_H
+
+#include "connection/HttpTypes.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <stdexcept>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace galenaroute {
+
+/// A connection that is read and written without blocking.
+class RawSocket {
+public:
+  explicit RawSocket(int Socket) : Socket(Socket) {
+    fcntl(Socket, F_SETFL, O_NONBLOCK);
+  }
+  ~RawSocket() { this->close(); }
+  RawSocket(const RawSocket &) = delete;
+  RawSocket &operator=(const RawSocket &) = delete;
+
+  static int connectTo(const SocketAddress &To) {
+    const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(To.Port);
+    inet_pton(AF_INET, To.Host.c_str(), &Address.sin_addr);
+    if (::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                  sizeof Address) != 0)
+      throw std::runtime_error("cannot connect to " + To.toString());
+    return Socket;
+  }
+
+  void write(std::string_view Bytes) {
+    if (::write(this->Socket, Bytes.data(), Bytes.size()) !=
+        static_cast<ssize_t>(Bytes.size()))
+      throw std::runtime_error("cannot write");
+  }
+
+  /// Takes in what has arrived; returns all that was read so far.
+  const std::string &read() {
+    char Buffer[4096];
+    while (true) {
+      const ssize_t Length = ::read(this->Socket, Buffer, sizeof Buffer);
+      if (Length <= 0) {
+        this->Ended = this->Ended || Length == 0 ||
+                      (errno != EAGAIN && errno != EWOULDBLOCK);
+        return this->Text;
+      }
+      this->Text.append(Buffer, static_cast<std::size_t>(Length));
+    }
+  }
+  bool hasEnded() {
+    this->read();
+    return this->Ended;
+  }
+  void close() {
+    if (this->Socket >= 0)
+      ::close(this->Socket);
+    this->Socket = -1;
+  }
+  /// Closes so that the other end gets a reset.
+  void reset() {
+    const linger Now{1, 0};
+    setsockopt(this->Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof Now);
+    this->close();
+  }
+
+private:
+  int Socket;
+  std::string Text;
+  bool Ended = false;
+};
+
+/// A listening socket on loopback.
+class RawListener {
+public:
+  RawListener() : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Bound{};
+    Bound.sin_family = AF_INET;
+    Bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof Bound;
+    if (bind(this->Socket, reinterpret_cast<sockaddr *>(&Bound), Size) != 0 ||
+        listen(this->Socket, 16) != 0)
+      throw std::runtime_error("cannot listen on loopback");
+    getsockname(this->Socket, reinterpret_cast<sockaddr *>(&Bound), &Size);
+    fcntl(this->Socket, F_SETFL, O_NONBLOCK);
+    this->Address = {"127.0.0.1", ntohs(Bound.sin_port)};
+  }
+  ~RawListener() { ::close(this->Socket); }
+  RawListener(const RawListener &) = delete;
+  RawListener &operator=(const RawListener &) = delete;
+
+  /// Returns a new connection, or -1.
+  int accept() const { return ::accept(this->Socket, nullptr, nullptr); }
+
+  SocketAddress Address;
+
+private:
+  int Socket;
+};
+
+/// Returns a port on loopback that is free now.
+inline SocketAddress freeAddress() { return RawListener().Address; }
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_TESTS_RAWSOCKET_H
--- /dev/null
+++ b/tests/UpstreamTableTest.cpp
@@ -0,0 +1,211 @@
+// Tests of what is known of registered upstreams and of the choice among them.
+
+#include "request/UpstreamTable.h"
+#include "version/NamedWeights.h"
+#include "version/Orders.h"
+
+#include <gtest/gtest.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{1000s};
+
+class UpstreamTableTest : public testing::Test {
+protected:
+  UpstreamTableTest() {
+    for (int I = 0; I < 12; ++I)
+      this->Table.put(this->engine(I), Start);
+  }
+  static RegisteredUpstream engine(int I) {
+    RegisteredUpstream Result;
+    Result.Id = "e" + std::to_string(I);
+    Result.Service = "m";
+    Result.Address = {"10.0.0." + std::to_string(I), 80};
+    Result.Zone = I % 3 == 0 ? "a" : I % 3 == 1 ? "b" : "c";
+    Result.Slots = 32;
+    Result.BornMs = 1;
+    Result.WeightVersions = {{"model", 1}};
+    return Result;
+  }
+  UpstreamQuery query(const std::vector<PromptPart> &Parts) const {
+    UpstreamQuery Query;
+    Query.Service = "m";
+    Query.Parts = Parts;
+    Query.Subject = subjectOf(Parts);
+    Query.HomeZone = "b";
+    Query.ScopeOf = [](std::uint64_t Weights) { return scopeOf(Weights, ""); };
+    Query.StoredIn = [](const std::string &, std::uint32_t) {
+      return static_cast<const StorePlace *>(nullptr);
+    };
+    Query.MemoryTokens = 100000;
+    return Query;
+  }
+  std::string choose(const std::vector<PromptPart> &Parts = {},
+                     TimePoint Now = Start) const {
+    const auto Chosen = this->Table.choose(this->query(Parts), Now);
+    return Chosen.Entry ? Chosen.Entry->Registered.Id : "";
+  }
+
+  UpstreamTable Table{{.Zone = "a"}, [](const UpstreamEntry &) {
+                        return UpstreamTable::Room{};
+                      }};
+  const std::vector<PromptPart> Parts = {
+      {"s", 500}, {"book", 8000}, {"q", 900}};
+};
+
+// Guards against work for a server that leaves or has gone.
+TEST_F(UpstreamTableTest, WhatLeavesGetsNothing) {
+  for (int I = 1; I < 12; ++I) {
+    RegisteredUpstream Leaving = engine(I);
+    Leaving.IsLeaving = true;
+    this->Table.put(Leaving, Start);
+  }
+  EXPECT_EQ(this->choose(), "e0");
+  this->Table.remove("e0");
+  EXPECT_EQ(this->choose(), "");
+}
+
+// Guards against a server that lapsed while the registry was away being taken
+// as gone at once, or as there for ever.
+TEST_F(UpstreamTableTest, AMissingEntryIsKeptForAWhile) {
+  std::set<std::string> Listed;
+  for (int I = 1; I < 12; ++I)
+    Listed.insert("e" + std::to_string(I));
+  this->Table.retain(Listed, Start);
+  this->Table.expire(Start + 1s);
+  EXPECT_NE(this->Table.find("e0"), nullptr);
+  this->Table.put(engine(0), Start + 1s);
+  this->Table.expire(Start + 5s);
+  EXPECT_NE(this->Table.find("e0"), nullptr) << "it came back";
+  this->Table.retain(Listed, Start + 5s);
+  this->Table.expire(Start + 7s);
+  EXPECT_EQ(this->Table.find("e0"), nullptr);
+}
+
+// Guards against what was learned of one start of a server being used for the
+// next one under the same id.
+TEST_F(UpstreamTableTest, ARestartForgetsWhatWasLearned) {
+  std::vector<std::string> Closed;
+  this->Table.OnGone = [&](const SocketAddress &Address) {
+    Closed.push_back(Address.Host);
+  };
+  this->Table.noteWeights("e0", 5);
+  this->Table.noteFailure("e0", 5, Start);
+  RegisteredUpstream Again = engine(0);
+  Again.BornMs = 2;
+  this->Table.put(Again, Start);
+  EXPECT_EQ(this->Table.find("e0")->WeightVersion, 1U);
+  EXPECT_EQ(this->Table.find("e0")->FailureScore, 0);
+  EXPECT_EQ(Closed, std::vector<std::string>{"10.0.0.0"});
+}
+
+// Guards against daemons that send one subject to different engines, each of
+// which reads it.
+TEST_F(UpstreamTableTest, APromptGoesToItsHomeInItsZone) {
+  const UpstreamEntry *Home = this->Table.home(this->query(this->Parts));
+  ASSERT_NE(Home, nullptr);
+  EXPECT_EQ(Home->Registered.Zone, "b");
+  EXPECT_EQ(this->choose(this->Parts), Home->Registered.Id);
+}
+
+// The load: a subject that half of the callers ask for. Guards against one
+// engine that gets all of it.
+TEST_F(UpstreamTableTest, ABusyHomeIsLeft) {
+  const std::string Home = this->choose(this->Parts);
+  this->Table.noteSent(Home, 8900);
+  EXPECT_NE(this->choose(this->Parts), Home)
+      << "what an engine may have to read ahead is limited";
+  this->Table.noteStarted(Home, 8900);
+  EXPECT_EQ(this->choose(this->Parts), Home);
+}
+
+TEST_F(UpstreamTableTest, AnUpstreamThatRefusedIsLeftForAWhile) {
+  const std::string Home = this->choose(this->Parts);
+  this->Table.noteClosed(Home, Start + 500ms);
+  EXPECT_NE(this->choose(this->Parts, Start + 400ms), Home);
+  EXPECT_EQ(this->choose(this->Parts, Start + 600ms), Home);
+}
+
+// Guards against calls on weights whose time is over.
+TEST_F(UpstreamTableTest, OldWeightsAreAvoidedAndThenExcluded) {
+  UpstreamQuery Query = this->query({});
+  Query.NewestWeights = 2;
+  EXPECT_NE(this->Table.choose(Query, Start).Entry, nullptr);
+  Query.LeastWeights = 2;
+  EXPECT_EQ(this->Table.choose(Query, Start).Entry, nullptr);
+  this->Table.noteWeights("e7", 2);
+  EXPECT_EQ(this->Table.choose(Query, Start).Entry->Registered.Id, "e7");
+  Query.LeastWeights = 0;
+  EXPECT_EQ(this->Table.choose(Query, Start).Entry->Registered.Id, "e7");
+}
+
+TEST_F(UpstreamTableTest, AFailingUpstreamIsTriedAgainLater) {
+  this->Table.noteFailure("e0", 3, Start);
+  this->Table.noteFailure("e3", 3, Start);
+  this->Table.noteFailure("e6", 3, Start);
+  this->Table.noteFailure("e9", 3, Start);
+  EXPECT_NE(this->choose()[1] % 3, 0) << "all of the own zone have failed";
+  EXPECT_EQ(this->choose({}, Start + 30s), "e0");
+}
+
+// Guards against the limit of a version beginning anew when yet another one is
+// named: seen on a day with two versions 9 s apart.
+TEST(NamedWeightsTest, EachNamingHasItsOwnLimit) {
+  NamedWeights Weights;
+  noteNamed(Weights, 2, Start);
+  noteNamed(Weights, 3, Start + 9s);
+  EXPECT_EQ(leastAllowed(Weights, 10s, Start + 9s), 0U);
+  EXPECT_EQ(leastAllowed(Weights, 10s, Start + 11s), 2U);
+  EXPECT_EQ(leastAllowed(Weights, 10s, Start + 20s), 3U);
+  EXPECT_EQ(supersededAt(Weights, 1), Start);
+  EXPECT_EQ(supersededAt(Weights, 2), Start + 9s);
+  EXPECT_FALSE(supersededAt(Weights, 3));
+  noteNamed(Weights, 2, Start + 30s);
+  EXPECT_EQ(Weights.newest(), 3U);
+}
+
+// Guards against a restart that lets older weights be used anew, or that gives
+// up weights whose time is not over.
+TEST(NamedWeightsTest, ARestartKnowsWhenVersionsWereNamed) {
+  NamedWeights Weights;
+  noteNamed(Weights, 3, Start - 12s);
+  EXPECT_EQ(leastAllowed(Weights, 10s, Start), 3U) << "nothing is known yet";
+  restoreNamed(Weights, {{2, 1000}, {3, 10000}}, 15000, Start);
+  EXPECT_EQ(leastAllowed(Weights, 10s, Start), 2U);
+  EXPECT_EQ(supersededAt(Weights, 2), Start - 5s);
+}
+
+ServiceConfig rollout(int Count) {
+  ServiceConfig Service{.Name = "m", .WeightVersion = "2"};
+  Service.MaxConcurrentLoads = 2;
+  for (int I = 0; I < Count; ++I)
+    Service.Upstreams.push_back({.Name = "e" + std::to_string(I)});
+  return Service;
+}
+
+// Guards against all engines being withheld at once: only as many are
+// prepared as may load next.
+TEST(OrderPreparationTest, OnlyTheNextInLineAreWithheld) {
+  const ServiceConfig Service = rollout(12);
+  RolloutState State;
+  State.Settings.Preparation = 900ms;
+  const auto Observe = [&](TimePoint Now) {
+    for (const UpstreamConfig &Each : Service.Upstreams)
+      onObserved(State, Each.Name, {.WeightVersion = "1"}, Now);
+  };
+  Observe(Start);
+  EXPECT_TRUE(planOrders(Service, State, 1, Start).empty());
+  EXPECT_EQ(withheld(State).size(), 2U);
+  Observe(Start + 500ms);
+  EXPECT_TRUE(planOrders(Service, State, 1, Start + 500ms).empty());
+  EXPECT_TRUE(planOrders(Service, State, 1, Start + 1s, false).empty())
+      << "the lease was taken too lately";
+  EXPECT_EQ(planOrders(Service, State, 1, Start + 1s).size(), 2U);
+  EXPECT_EQ(withheld(State).size(), 4U) << "two load, two are next";
+}
+
+} // namespace
+} // namespace galenaroute
