Limit what is sent to an engine by its memory and its reported queue

Cause: at crests engines held queues of 5 to 17 calls while 11 to 29 of 32 slots were in use: their memory was taken by long prompts.

Ruled out: reading capacity (a third in use), the stores' links (a fifth).

Change: an engine is sent no more than its memory holds, each entry its share; where it reported more than three waiting calls lately, only urgent ones go; an upstream that answers others gets 1 s more before another is tried.

Conclusion: memory binds at crests.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -500,6 +500,7 @@
         Self.Withheld.push_back(std::move(Id));
   this->noteWithheld(Self.Withheld);
   const std::size_t Count = this->entryCount();
+  this->Upstreams.setSenders(Count);
   this->Services.NewBudget.Most =
       std::max(2.0, this->Settings.RetrySlack * BudgetMargin /
                         static_cast<double>(Count));
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -29,6 +29,9 @@
 static constexpr double MemoryShare = 0.6;
 /// How long an upstream that refused a call gets no other one.
 static constexpr Duration ClosedAfterRefusal = std::chrono::milliseconds(500);
+/// How much longer a busy upstream gets. Callers give up after 2 s without an
+/// event.
+static constexpr Duration BusyStall = std::chrono::milliseconds(1000);
 static constexpr std::size_t MaxStreamBacklog = 4 << 20;
 
 ForwardRun::ForwardRun(ForwardServices &Services,
@@ -161,6 +164,9 @@
     return holderOf(Key, Tokens, this->Services.Stores, this->Services.Reuse,
                     EventLoop::now());
   };
+  Query.EngineTokens = this->Service->Engine->CacheTokens;
+  Query.CallTokens = this->callTokens();
+  Query.IsUrgent = this->priority() == 0;
   Query.MemoryTokens = static_cast<std::uint64_t>(
       MemoryShare * static_cast<double>(this->Service->Engine->CacheTokens));
   return Query;
@@ -193,6 +199,14 @@
   return *Found;
 }
 
+/// Returns the tokens that the call needs at an engine, at most.
+std::uint32_t ForwardRun::callTokens() const {
+  std::uint32_t Tokens = this->Call.OutputTokens;
+  for (const PromptPart &Each : this->Call.Parts)
+    Tokens += Each.Tokens;
+  return Tokens;
+}
+
 int ForwardRun::priority() const {
   return this->Customer && this->Customer->Priority ? *this->Customer->Priority
                                                     : this->Route->Priority;
@@ -311,7 +325,8 @@
   this->HasStalledOnce = false;
   if (this->Current == Phase::Waiting)
     this->Current = Phase::Sent;
-  this->Services.Upstreams.noteSent(this->UpstreamId, this->TokensSent);
+  this->Services.Upstreams.noteSent(this->UpstreamId, this->TokensSent,
+                                    this->callTokens());
   this->Services.Upstreams.noteParts(this->UpstreamId, this->query());
   this->Exchange = this->Services.Pool.start(
       To.Registered.Address,
@@ -510,7 +525,7 @@
   UpstreamTable &Upstreams = this->Services.Upstreams;
   const TimePoint Now = EventLoop::now();
   this->noteStarted();
-  Upstreams.noteEnded(this->UpstreamId);
+  Upstreams.noteEnded(this->UpstreamId, this->callTokens());
   this->queue().wake();
   switch (Outcome) {
   case SendOutcome::Succeeded:
@@ -598,11 +613,12 @@
 void ForwardRun::onStall() {
   if (this->Current == Phase::Done || !this->Exchange)
     return;
-  // An upstream that answers others is only busy; it gets as long again.
+  // An upstream that answers others is only busy; it gets longer.
   const UpstreamEntry *At = this->Services.Upstreams.find(this->UpstreamId);
   if (At && At->ProgressAt > this->SentAt && !this->HasStalledOnce) {
     this->HasStalledOnce = true;
-    this->armStall();
+    this->StallTimer = this->Services.Loop.timers().after(
+        BusyStall, [Self = this->shared_from_this()] { Self->onStall(); });
     return;
   }
   // Nothing else may try the call, so its upstream may as well go on.
@@ -623,7 +639,7 @@
   const bool WasSent = this->Exchange->wasSent();
   this->Exchange.reset();
   this->noteStarted();
-  this->Services.Upstreams.noteEnded(this->UpstreamId);
+  this->Services.Upstreams.noteEnded(this->UpstreamId, this->callTokens());
   if (WasSent)
     ++this->PossibleRuns;
 }
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -104,6 +104,7 @@
   bool admit();
   void attempt();
   int priority() const;
+  std::uint32_t callTokens() const;
   WaitingRuns &queue();
   void send(const UpstreamEntry &To);
   SendPlan planSend(const UpstreamEntry &To, const ReusePlan &Reuse) const;
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -156,6 +156,27 @@
   }
 }
 
+/// Whether an engine can take in a call without making it wait for long.
+bool UpstreamTable::hasRoom(const UpstreamEntry &Entry,
+                            const UpstreamQuery &Query,
+                            std::uint32_t TokensToRead, TimePoint Now) const {
+  if (Query.EngineTokens == 0)
+    return true;
+  if (Entry.TokensAhead > 0 &&
+      Entry.TokensAhead + TokensToRead > this->Settings.MaxTokensAhead)
+    return false;
+  const bool IsReportFresh =
+      Entry.Load && Now - Entry.ReportedAt < this->Settings.MaxReportAge;
+  if (!Query.IsUrgent && IsReportFresh &&
+      Entry.Load->Waiting > this->Settings.MaxWaiting)
+    return false;
+  const double Others = 1 + static_cast<double>(this->Senders - 1) *
+                                this->Settings.OthersMemoryShare;
+  return Entry.OwnTokens == 0 ||
+         static_cast<double>(Entry.OwnTokens + Query.CallTokens) * Others <=
+             static_cast<double>(Query.EngineTokens);
+}
+
 UpstreamTable::Chosen UpstreamTable::choose(const UpstreamQuery &Query,
                                             TimePoint Now) const {
   const UpstreamEntry *Home = this->home(Query);
@@ -174,8 +195,7 @@
       Candidate.TokensToFetchFar =
           scaled(Candidate.TokensToFetchFar, HomeMissShare);
     }
-    if (Entry.TokensAhead > 0 && Entry.TokensAhead + Candidate.TokensToRead >
-                                     this->Settings.MaxTokensAhead)
+    if (!this->hasRoom(Entry, Query, Candidate.TokensToRead, Now))
       continue;
     Candidate.HasOldWeights = Query.NewestWeights && Entry.WeightVersion &&
                               *Entry.WeightVersion < *Query.NewestWeights;
@@ -208,10 +228,12 @@
   return Best;
 }
 
-void UpstreamTable::noteSent(std::string_view Id, std::uint32_t PromptTokens) {
+void UpstreamTable::noteSent(std::string_view Id, std::uint32_t PromptTokens,
+                             std::uint32_t CallTokens) {
   if (UpstreamEntry *Entry = this->findMutable(Id)) {
     ++Entry->OwnCalls;
     Entry->TokensAhead += PromptTokens;
+    Entry->OwnTokens += CallTokens;
   }
 }
 
@@ -237,9 +259,12 @@
     Entry->ClosedUntil = std::max(Entry->ClosedUntil, Until);
 }
 
-void UpstreamTable::noteEnded(std::string_view Id) {
-  if (UpstreamEntry *Entry = this->findMutable(Id))
-    Entry->OwnCalls = std::max(0, Entry->OwnCalls - 1);
+void UpstreamTable::noteEnded(std::string_view Id, std::uint32_t CallTokens) {
+  UpstreamEntry *Entry = this->findMutable(Id);
+  if (!Entry)
+    return;
+  Entry->OwnCalls = std::max(0, Entry->OwnCalls - 1);
+  Entry->OwnTokens -= std::min<std::uint64_t>(Entry->OwnTokens, CallTokens);
 }
 
 void UpstreamTable::noteLoad(std::string_view Id, const UpstreamLoad &Load,
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -49,6 +49,8 @@
   EngineMemory Memory;
   /// Prompt tokens of own calls that have not begun to answer.
   std::uint64_t TokensAhead = 0;
+  /// Tokens that own calls need there, prompts and answers.
+  std::uint64_t OwnTokens = 0;
   TimePoint ProgressAt;  ///< When it last began to answer a call.
   TimePoint ClosedUntil; ///< It refuses calls until about then.
   std::optional<TimePoint> MissingSince; ///< Not in the last list.
@@ -64,6 +66,12 @@
   /// it is one call alone. A prompt waits behind all that an engine has taken
   /// in, however urgent it is, so the rest waits here.
   std::uint64_t MaxTokensAhead = 5000;
+  /// Calls that may wait at an engine, as it reported lately; beyond them only
+  /// urgent ones are sent there.
+  int MaxWaiting = 3;
+  Duration MaxReportAge = std::chrono::milliseconds(400);
+  /// Other entries use an engine's memory about this much when this one does.
+  double OthersMemoryShare = 0.6;
   /// How long an entry that is missing in a list is kept; entries that lapsed
   /// while the registry was away are back within 2 s of its return.
   Duration KeepMissing = std::chrono::milliseconds(1700);
@@ -82,7 +90,10 @@
                                    std::uint32_t Tokens)>
       StoredIn;
   std::string_view HomeZone;      ///< See homeZone().
-  std::uint64_t MemoryTokens = 0; ///< That an engine can hold.
+  std::uint64_t MemoryTokens = 0; ///< That an engine can keep for later.
+  std::uint64_t EngineTokens = 0; ///< That an engine can hold in all.
+  std::uint32_t CallTokens = 0;   ///< That the call needs at most.
+  bool IsUrgent = false;          ///< Goes ahead of what waits there.
   std::optional<std::uint64_t> NewestWeights;
   std::uint64_t LeastWeights = 0; ///< Engines with older ones are left out.
 };
@@ -123,11 +134,15 @@
   /// The engine where prompts of the subject are at home, whatever its load.
   const UpstreamEntry *home(const UpstreamQuery &Query) const;
 
-  /// \p PromptTokens are those to be read; see noteStarted().
-  void noteSent(std::string_view Id, std::uint32_t PromptTokens);
+  /// \p PromptTokens are those to be read, see noteStarted(); \p CallTokens
+  /// are those that the call needs in all, see noteEnded().
+  void noteSent(std::string_view Id, std::uint32_t PromptTokens,
+                std::uint32_t CallTokens);
   /// The call's prompt was read, or never will be.
   void noteStarted(std::string_view Id, std::uint32_t PromptTokens);
-  void noteEnded(std::string_view Id);
+  void noteEnded(std::string_view Id, std::uint32_t CallTokens);
+  /// Entries of the system that send calls, this one included.
+  void setSenders(std::size_t Count) { this->Senders = Count; }
   /// The call uses these parts there.
   void noteParts(std::string_view Id, const UpstreamQuery &Query);
   /// The upstream refuses calls for now.
@@ -148,12 +163,15 @@
                   TimePoint Now) const;
   void addPrompt(UpstreamCandidate &Candidate, const UpstreamEntry &Entry,
                  const UpstreamQuery &Query) const;
+  bool hasRoom(const UpstreamEntry &Entry, const UpstreamQuery &Query,
+               std::uint32_t TokensToRead, TimePoint Now) const;
   UpstreamCandidate candidateOf(const UpstreamEntry &Entry,
                                 TimePoint Now) const;
   double failureScore(const UpstreamEntry &Entry, TimePoint Now) const;
 
   UpstreamTableSettings Settings;
   RoomOf Rooms;
+  std::size_t Senders = 1;
   std::map<std::string, UpstreamEntry, std::less<>> Entries;
 };
 
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -41,6 +41,8 @@
       return static_cast<const StorePlace *>(nullptr);
     };
     Query.MemoryTokens = 100000;
+    Query.EngineTokens = 200000;
+    Query.CallTokens = 9500;
     return Query;
   }
   std::string choose(const std::vector<PromptPart> &Parts = {},
@@ -115,13 +117,38 @@
 // engine that gets all of it.
 TEST_F(UpstreamTableTest, ABusyHomeIsLeft) {
   const std::string Home = this->choose(this->Parts);
-  this->Table.noteSent(Home, 8900);
+  this->Table.noteSent(Home, 8900, 9400);
   EXPECT_NE(this->choose(this->Parts), Home)
       << "what an engine may have to read ahead is limited";
   this->Table.noteStarted(Home, 8900);
   EXPECT_EQ(this->choose(this->Parts), Home);
 }
 
+// The load: many long prompts at a crest. Guards against queues at engines
+// whose memory is taken, while calls with shorter prompts wait behind.
+TEST_F(UpstreamTableTest, AnEngineWithoutMemoryIsLeft) {
+  const std::string Home = this->choose(this->Parts);
+  this->Table.setSenders(6);
+  for (int I = 0; I < 5; ++I) {
+    this->Table.noteSent(Home, 9400, 9400);
+    this->Table.noteStarted(Home, 9400);
+  }
+  EXPECT_NE(this->choose(this->Parts), Home);
+  for (int I = 0; I < 3; ++I)
+    this->Table.noteEnded(Home, 9400);
+  EXPECT_EQ(this->choose(this->Parts), Home);
+}
+
+TEST_F(UpstreamTableTest, OnlyUrgentCallsGoWhereCallsWait) {
+  const std::string Home = this->choose(this->Parts);
+  this->Table.noteLoad(Home, {.Running = 20, .Waiting = 9, .Slots = 32}, Start);
+  UpstreamQuery Query = this->query(this->Parts);
+  EXPECT_NE(this->Table.choose(Query, Start).Entry->Registered.Id, Home);
+  this->Table.noteLoad(Home, {.Running = 20, .Waiting = 2, .Slots = 32}, Start);
+  Query.IsUrgent = true;
+  EXPECT_NE(this->Table.choose(Query, Start).Entry, nullptr);
+}
+
 TEST_F(UpstreamTableTest, AnUpstreamThatRefusedIsLeftForAWhile) {
   const std::string Home = this->choose(this->Parts);
   this->Table.noteClosed(Home, Start + 500ms);
