Stricter limits at engines, refusals in time, bounded log on standard output

Cause: with three waiting calls allowed at an engine, and other entries taken to use 0.6 of its memory for each part of one's own, engines still held 7 to 13 waiting calls at crests. Calls waited here for up to 3 s, but callers of a stream give up after 2 s without an event.

Change: one waiting call, six for urgent ones, a factor of 0.9; a call larger than this entry's share of the memory goes where little is in use; no call waits for more than half of its caller's patience; a refused caller is told to come back the later the longer calls wait.

--- a/src/process/Log.cpp
+++ b/src/process/Log.cpp
@@ -1,11 +1,16 @@
 #include "process/Log.h"
 
+#include "process/LogWriter.h"
+
 #include <algorithm>
+#include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <sstream>
+#include <unistd.h>
 
 namespace galenaroute {
 
@@ -49,13 +54,31 @@
   Line += '"';
 }
 
+/// Writes events by a LogWriter to standard output.
+class StandardOutputAppender : public log4cplus::Appender {
+public:
+  StandardOutputAppender() : Writer(STDOUT_FILENO, {}) {}
+  ~StandardOutputAppender() override { this->destructorImpl(); }
+  void close() override { this->closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    std::ostringstream Line;
+    this->layout->formatAndAppend(Line, Event);
+    this->Writer.write(Line.str(),
+                       Event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL,
+                       Clock::now());
+  }
+
+private:
+  LogWriter Writer;
+};
+
 } // namespace
 
 void startLog(std::string_view Level) {
   static const log4cplus::Initializer Runtime;
-  log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                     /*immediateFlush=*/true));
+  log4cplus::SharedAppenderPtr Appender(new StandardOutputAppender());
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
   log4cplus::Logger Root = log4cplus::Logger::getRoot();
--- a/src/process/Log.h
+++ b/src/process/Log.h
@@ -4,7 +4,8 @@
 //   log(LogLevel::Info, "request.finished", {{"request", Id}, {"status",
 //   "200"}});
 //
-// Lines go to stderr. Values with spaces, quotes or control bytes are quoted
+// Lines go to standard output, at a bounded rate and without blocking; see
+// LogWriter. Values with spaces, quotes or control bytes are quoted
 // and escaped, so that what comes from outside cannot forge a line.
 
 #ifndef GALENAROUTE_PROCESS_LOG_H
--- a/src/request/ForwardQueue.cpp
+++ b/src/request/ForwardQueue.cpp
@@ -34,16 +34,23 @@
   return Order;
 }
 
+/// How long \p Call may wait.
+static Duration longestWait(const WaitingCall &Call,
+                            const ForwardQueueSettings &Settings) {
+  Duration Most = scaled(Call.EndAt - Call.Arrived, Settings.MaxWaitShare);
+  if (Call.Patience > Duration::zero())
+    Most = std::min(Most, scaled(Call.Patience, Settings.MaxPatienceShare));
+  return std::max(Most, Settings.LeastWait);
+}
+
 bool isWaitOver(const WaitingCall &Call, const ForwardQueueSettings &Settings,
                 TimePoint Now) {
-  const Duration Most =
-      std::max(scaled(Call.EndAt - Call.Arrived, Settings.MaxWaitShare),
-               Settings.LeastWait);
-  return Now - Call.WaitingSince >= Most || Now >= Call.EndAt;
+  return Now - Call.WaitingSince >= longestWait(Call, Settings) ||
+         Now >= Call.EndAt;
 }
 
 Duration comeBackAfter(Duration OldestWait, Duration TimeLeft, double Draw) {
-  const Duration Wanted = scaled(LeastComeBack + OldestWait / 2, 1 + Draw);
+  const Duration Wanted = scaled(LeastComeBack + OldestWait * 2, 1 + Draw);
   return std::max(LeastComeBack,
                   std::min(Wanted, scaled(TimeLeft, HonouredShare)));
 }
--- a/src/request/ForwardQueue.h
+++ b/src/request/ForwardQueue.h
@@ -28,12 +28,17 @@
   TimePoint WaitingSince;
   TimePoint TargetAt; ///< An answer is late after this.
   TimePoint EndAt;    ///< The caller or the route gives up.
+  /// How long its caller waits for a first sign; zero for as long as EndAt.
+  Duration Patience{};
 };
 
 struct ForwardQueueSettings {
   /// Part of its whole time that a call may wait. The rest lets its caller
   /// come back once, and the call run.
   double MaxWaitShare = 0.25;
+  /// Part of its caller's patience that a call may wait; the answer must begin
+  /// in the rest.
+  double MaxPatienceShare = 0.5;
   /// A call that is to be on time needs about this much of its target.
   double RunShare = 0.25;
   Duration LeastWait = std::chrono::milliseconds(40);
@@ -48,8 +53,8 @@
 bool isWaitOver(const WaitingCall &Call, const ForwardQueueSettings &Settings,
                 TimePoint Now);
 
-/// Returns when a refused caller should come back: after about as long as
-/// calls wait now, within the part of its time that callers honour.
+/// Returns when a refused caller should come back: the longer, the longer calls
+/// wait now, within the part of its time that callers honour.
 /// \p Draw is uniform in [0, 1).
 Duration comeBackAfter(Duration OldestWait, Duration TimeLeft, double Draw);
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -217,7 +217,9 @@
           .Arrived = this->Incoming->Arrived,
           .WaitingSince = this->WaitingSince,
           .TargetAt = this->Incoming->Arrived + this->Route->Target,
-          .EndAt = this->EndAt};
+          .EndAt = this->EndAt,
+          .Patience =
+              this->Route->IsStream ? this->Route->Patience : Duration::zero()};
 }
 
 void ForwardRun::endWait(Duration OldestWait) {
@@ -579,7 +581,7 @@
   Progress.TimeLeft = this->timeLeft();
   const ForwardStep Step = nextStep(Progress, Outcome);
   if (Outcome != SendOutcome::Succeeded)
-    log(LogLevel::Info, "call.send_ended",
+    log(LogLevel::Warn, "call.send_ended",
         {{"call", this->Call.Id},
          {"upstream", this->UpstreamId},
          {"outcome", std::string(toString(Outcome))},
@@ -694,7 +696,7 @@
 
 void ForwardRun::refuse(std::string_view Reason, Duration RetryAfter) {
   const ErrorRow &Row = describeError(ErrorKind::NoUpstream);
-  log(LogLevel::Info, "call.refused",
+  log(LogLevel::Warn, "call.refused",
       {{"call", this->Call.Id},
        {"reason", std::string(Reason)},
        {"sends", std::to_string(this->Sends)},
@@ -710,7 +712,7 @@
 }
 
 void ForwardRun::fail(ErrorKind Kind, std::string_view Reason) {
-  log(LogLevel::Info, "call.failed",
+  log(LogLevel::Warn, "call.failed",
       {{"call", this->Call.Id},
        {"kind", std::string(describeError(Kind).Code)},
        {"reason", std::string(Reason)},
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -167,14 +167,17 @@
     return false;
   const bool IsReportFresh =
       Entry.Load && Now - Entry.ReportedAt < this->Settings.MaxReportAge;
-  if (!Query.IsUrgent && IsReportFresh &&
-      Entry.Load->Waiting > this->Settings.MaxWaiting)
+  const int MaxWaiting = Query.IsUrgent ? this->Settings.MaxWaitingUrgent
+                                        : this->Settings.MaxWaiting;
+  if (IsReportFresh && Entry.Load->Waiting > MaxWaiting)
     return false;
   const double Others = 1 + static_cast<double>(this->Senders - 1) *
                                 this->Settings.OthersMemoryShare;
+  const double Share = static_cast<double>(Query.EngineTokens) / Others;
+  const double Limit = std::max(
+      Share, Query.CallTokens + Share * this->Settings.ShareBesideLargeCall);
   return Entry.OwnTokens == 0 ||
-         static_cast<double>(Entry.OwnTokens + Query.CallTokens) * Others <=
-             static_cast<double>(Query.EngineTokens);
+         static_cast<double>(Entry.OwnTokens + Query.CallTokens) <= Limit;
 }
 
 UpstreamTable::Chosen UpstreamTable::choose(const UpstreamQuery &Query,
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -67,11 +67,15 @@
   /// in, however urgent it is, so the rest waits here.
   std::uint64_t MaxTokensAhead = 5000;
   /// Calls that may wait at an engine, as it reported lately; beyond them only
-  /// urgent ones are sent there.
-  int MaxWaiting = 3;
+  /// urgent ones are sent there, up to a limit of their own.
+  int MaxWaiting = 1;
+  int MaxWaitingUrgent = 6;
   Duration MaxReportAge = std::chrono::milliseconds(400);
   /// Other entries use an engine's memory about this much when this one does.
-  double OthersMemoryShare = 0.6;
+  double OthersMemoryShare = 0.9;
+  /// Part of this entry's share that may be in use where a call larger than
+  /// the share is sent, so that the largest calls are not passed over for ever.
+  double ShareBesideLargeCall = 0.3;
   /// How long an entry that is missing in a list is kept; entries that lapsed
   /// while the registry was away are back within 2 s of its return.
   Duration KeepMissing = std::chrono::milliseconds(1700);
--- a/src/version/ForwardConfig.h
+++ b/src/version/ForwardConfig.h
@@ -48,8 +48,10 @@
   Duration Timeout = std::chrono::seconds(30); ///< Longest time in the system.
   Duration Target = std::chrono::seconds(1); ///< To the answer or first event.
   Duration PauseTarget{}; ///< Longest good pause between events.
-  int Priority = 0;       ///< 0 is the most urgent.
-  int MaxUpstreams = 1;   ///< To which one call may be sent.
+  /// How long callers of a stream wait for its first event; zero: not known.
+  Duration Patience{};
+  int Priority = 0;     ///< 0 is the most urgent.
+  int MaxUpstreams = 1; ///< To which one call may be sent.
   std::vector<WeightedService> Services;
 };
 
--- a/tests/ForwardDecisionsTest.cpp
+++ b/tests/ForwardDecisionsTest.cpp
@@ -128,6 +128,19 @@
   EXPECT_EQ(Calm.Late + Calm.Refused, 0);
 }
 
+// Guards against holding a call until its caller has given up: one that waits
+// for 2 s without a sign of its stream leaves.
+TEST(ForwardQueueTest, ACallIsRefusedWhileItsCallerIsStillThere) {
+  const ForwardQueueSettings Settings;
+  const WaitingCall Call{.Arrived = Start,
+                         .WaitingSince = Start,
+                         .TargetAt = Start + 500ms,
+                         .EndAt = Start + 12s,
+                         .Patience = 2s};
+  EXPECT_FALSE(isWaitOver(Call, Settings, Start + 900ms));
+  EXPECT_TRUE(isWaitOver(Call, Settings, Start + 1001ms));
+}
+
 // Guards against a time to come back that callers do not honour.
 RC_GTEST_PROP(ForwardQueueProperty, ComingBackLeavesTime, ()) {
   const Duration Wait = Milliseconds(*rc::gen::inRange(0, 20000));
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -139,6 +139,18 @@
   EXPECT_EQ(this->choose(this->Parts), Home);
 }
 
+// Guards against the largest calls never being served: one larger than this
+// entry's share of an engine's memory still goes where little is in use.
+TEST_F(UpstreamTableTest, ACallLargerThanTheShareIsSent) {
+  this->Table.setSenders(6);
+  UpstreamQuery Query = this->query(this->Parts);
+  Query.CallTokens = 60000;
+  for (int I = 0; I < 12; ++I)
+    this->Table.noteSent("e" + std::to_string(I), 0, I == 5 ? 5000 : 20000);
+  ASSERT_NE(this->Table.choose(Query, Start).Entry, nullptr);
+  EXPECT_EQ(this->Table.choose(Query, Start).Entry->Registered.Id, "e5");
+}
+
 TEST_F(UpstreamTableTest, OnlyUrgentCallsGoWhereCallsWait) {
   const std::string Home = this->choose(this->Parts);
   this->Table.noteLoad(Home, {.Running = 20, .Waiting = 9, .Slots = 32}, Start);
