--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -6,19 +6,13 @@
 
 using nlohmann::json;
 
-namespace {
-
-std::string objectPath(const ObjectKey &Key) {
-  return "/v1/objects/" + percentEncode(Key.Kind) + "/" +
-         percentEncode(Key.Name);
-}
-
-PlatformStatus statusOf(const HttpResult &Result) {
+PlatformStatus platformStatusOf(const HttpResult &Result) {
   if (Result.End != HttpEnd::Complete)
     return Result.BytesSent ? PlatformStatus::Unknown
                             : PlatformStatus::Unavailable;
   switch (Result.Status) {
   case 200:
+  case 201:
     return PlatformStatus::Ok;
   case 404:
     return PlatformStatus::NotFound;
@@ -35,6 +29,13 @@
   }
 }
 
+namespace {
+
+std::string objectPath(const ObjectKey &Key) {
+  return "/v1/objects/" + percentEncode(Key.Kind) + "/" +
+         percentEncode(Key.Name);
+}
+
 /// Parses an answer; returns a discarded value when it is malformed.
 json parseBody(const HttpResult &Result) {
   return json::parse(Result.Body, nullptr, /*allow_exceptions=*/false);
@@ -52,7 +53,7 @@
 
 PlatformResult resultFrom(const HttpResult &Http, const ObjectKey &Key) {
   PlatformResult Result;
-  Result.Status = statusOf(Http);
+  Result.Status = platformStatusOf(Http);
   if (Result.Status != PlatformStatus::Ok &&
       Result.Status != PlatformStatus::Conflict)
     return Result;
@@ -68,7 +69,7 @@
 
 PlatformList listFrom(const HttpResult &Http) {
   PlatformList Result;
-  Result.Status = statusOf(Http);
+  Result.Status = platformStatusOf(Http);
   if (Result.Status != PlatformStatus::Ok)
     return Result;
   try {
@@ -163,7 +164,7 @@
           .build(),
       [Done = std::move(Done)](const HttpResult &Http) {
         VmList Result;
-        Result.Status = statusOf(Http);
+        Result.Status = platformStatusOf(Http);
         if (Result.Status == PlatformStatus::Ok) {
           try {
             const json Body = parseBody(Http);
--- a/src/connection/PlatformClient.h
+++ b/src/connection/PlatformClient.h
@@ -47,6 +47,9 @@
   Unknown,     ///< No answer; a write may have taken effect.
 };
 
+/// Tells how a call to a platform over HTTP ended.
+PlatformStatus platformStatusOf(const HttpResult &Result);
+
 /// The answer to a get, put or remove.
 struct PlatformResult {
   PlatformStatus Status = PlatformStatus::Unavailable;
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -501,6 +501,7 @@
   this->noteWithheld(Self.Withheld);
   const std::size_t Count = this->entryCount();
   this->Upstreams.setSenders(Count);
+  this->Stores.setFollowers(Count);
   this->Services.NewBudget.Most =
       std::max(2.0, this->Settings.RetrySlack * BudgetMargin /
                         static_cast<double>(Count));
--- a/src/process/StoreFollower.cpp
+++ b/src/process/StoreFollower.cpp
@@ -2,13 +2,21 @@
 
 #include "process/Log.h"
 
+#include <algorithm>
+
 namespace galenaroute {
 
 /// How long a call waits for events. Shorter waits show a lost store sooner;
 /// waits under 200 ms would be counted as probes.
 static constexpr auto EventWait = std::chrono::milliseconds(600);
+/// The same where a store could not hold a waiting call of each entry.
+static constexpr auto SharedEventWait = std::chrono::milliseconds(200);
 /// Between calls, so that a busy store's events come in batches.
 static constexpr auto AskPeriod = std::chrono::milliseconds(120);
+/// The same for each entry where calls take turns.
+static constexpr auto AskPeriodPerEntry = std::chrono::milliseconds(9);
+/// Where calls take turns, lists are read this many times less often.
+static constexpr int SharedListFactor = 10;
 /// A few events never arrive, so the whole list is read now and then.
 static constexpr auto ListPeriod = std::chrono::seconds(10);
 /// Between two calls to free parts of one store; events tell what was freed.
@@ -39,7 +47,10 @@
     auto Added = std::make_unique<Store>();
     Added->Address = Service.Store->Address;
     Added->Zone = Service.Store->Zone;
+    Added->MaxWatchers = Service.Store->MaxWatchers;
     Added->Latency = Service.Store->Latency;
+    // The first call starts at the first event that the store still has.
+    Added->ListedAt = EventLoop::now();
     Added->CapacityTokens = Service.Store->CacheTokens;
     this->Stores[Name] = std::move(Added);
     this->ask(Name);
@@ -76,6 +87,19 @@
   }
 }
 
+/// Whether not all entries can have a call waiting at the store; some room is
+/// left for lists and frees.
+static bool takesTurns(std::size_t Followers, int MaxWatchers) {
+  return Followers + 2 > static_cast<std::size_t>(std::max(2, MaxWatchers));
+}
+
+Duration StoreFollower::askPeriod(const Store &Asked) const {
+  if (!takesTurns(this->Followers, Asked.MaxWatchers))
+    return AskPeriod;
+  return std::max<Duration>(AskPeriod, AskPeriodPerEntry *
+                                           static_cast<int>(this->Followers));
+}
+
 void StoreFollower::ask(const std::string &Name) {
   const auto It = this->Stores.find(Name);
   if (It == this->Stores.end())
@@ -89,7 +113,11 @@
   if (Asked.NeedsList)
     this->Feed.list(Asked.Address, Done);
   else
-    this->Feed.events(Asked.Address, Asked.Contents.Next, EventWait, Done);
+    this->Feed.events(Asked.Address, Asked.Contents.Next,
+                      takesTurns(this->Followers, Asked.MaxWatchers)
+                          ? SharedEventWait
+                          : EventWait,
+                      Done);
 }
 
 void StoreFollower::askLater(const std::string &Name, Duration Delay) {
@@ -113,6 +141,11 @@
     this->askLater(Name, RetryPeriod);
     return;
   }
+  if (Batch->IsBusy) {
+    // What is known stays of use until it is too old.
+    this->askLater(Name, RetryPeriod);
+    return;
+  }
   if (Asked.IsLost)
     log(LogLevel::Info, "store.regained", {{"store", Name}});
   Asked.IsLost = false;
@@ -121,15 +154,19 @@
   const TimePoint Now = EventLoop::now();
   if (Batch->IsList)
     Asked.ListedAt = Now;
-  Asked.NeedsList = Batch->HasGap || (Restarted && !Batch->IsList) ||
-                    Now - Asked.ListedAt >= ListPeriod;
+  Asked.NeedsList =
+      Batch->HasGap || (Restarted && !Batch->IsList) ||
+      Now - Asked.ListedAt >= (takesTurns(this->Followers, Asked.MaxWatchers)
+                                   ? ListPeriod * SharedListFactor
+                                   : ListPeriod);
   if (Restarted || Batch->HasGap)
     log(LogLevel::Info, "store.contents_unsure",
         {{"store", Name},
          {"epoch", std::to_string(Batch->Epoch)},
          {"gap", Batch->HasGap ? "yes" : "no"}});
   applyEvents(Asked.Contents, *Batch, Now);
-  this->askLater(Name, Batch->IsList ? Duration::zero() : Duration(AskPeriod));
+  this->askLater(Name,
+                 Batch->IsList ? Duration::zero() : this->askPeriod(Asked));
 }
 
 } // namespace galenaroute
--- a/src/process/StoreFollower.h
+++ b/src/process/StoreFollower.h
@@ -42,6 +42,8 @@
   StoreFollower &operator=(const StoreFollower &) = delete;
 
   void follow(const ForwardConfig &Config);
+  /// Tells how many entries follow the same stores, this one included.
+  void setFollowers(std::size_t Count) { this->Followers = Count; }
   std::vector<StorePlace> places();
   /// Frees what was made with older weights than \p LeastWeights. Nobody may
   /// fetch it any more.
@@ -54,7 +56,8 @@
     std::uint64_t CapacityTokens = 0;
     Duration Latency{};
     StoreContents Contents;
-    bool NeedsList = true;
+    int MaxWatchers = 1;
+    bool NeedsList = false;
     bool IsLost = false;
     TimePoint FreedAt;
     TimePoint ListedAt;
@@ -63,11 +66,13 @@
 
   void ask(const std::string &Name);
   void onBatch(const std::string &Name, std::optional<CacheEventBatch> Batch);
+  Duration askPeriod(const Store &Asked) const;
   void askLater(const std::string &Name, Duration Delay);
 
   EventLoop &Loop;
   CacheFeed &Feed;
   std::map<std::string, std::unique_ptr<Store>> Stores;
+  std::size_t Followers = 1;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/src/request/PromptReuse.h
+++ b/src/request/PromptReuse.h
@@ -43,6 +43,7 @@
   std::optional<std::int64_t> ClockMs; ///< Of the store.
   std::vector<CacheEvent> Events;
   bool IsList = false; ///< Events are all that the store holds.
+  bool IsBusy = false; ///< The store takes no more calls now; nothing else.
 };
 
 /// What is believed of one store.
