Share repeated steps of forwarding; do less for each choice

The choice of an upstream copied the news of all live entries for each candidate to count them, looked through all engines for each part at each candidate, and built its query twice for a send. Three places asked for the first entry of a task, three looked up the named weights of a model, two abandoned a send, two files scaled a time.

Ruled out: one base for ObjectWatcher and ConfigWatcher; the latter follows a manifest and its parts, and only the retry of a call is alike.

Change: EntryGossip::countAlive, a memo of held parts for one choice, the query passed on; isFirstOf, namedWeights, abandonSend and scaled stand once. An accessor without a caller is gone. No test was changed.

--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -83,7 +83,6 @@
 
   /// From now on each answer closes its connection.
   void closeAfterAnswers() { this->Closing = true; }
-  std::size_t connections() const { return this->Connections.size(); }
 
 private:
   friend class CallerConnection;
--- a/src/process/Clock.h
+++ b/src/process/Clock.h
@@ -34,6 +34,11 @@
       std::chrono::duration<double>(Seconds));
 }
 
+/// Returns \p Span times \p Factor.
+inline Duration scaled(Duration Span, double Factor) {
+  return fromSeconds(toSeconds(Span) * Factor);
+}
+
 /// Returns for how long the VM has been suspended since it started. Monotonic
 /// time does not count a suspension.
 inline Duration suspendedTime() {
--- a/src/process/EntryGossip.cpp
+++ b/src/process/EntryGossip.cpp
@@ -94,6 +94,14 @@
   return Result;
 }
 
+std::size_t EntryGossip::countAlive(TimePoint Now) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Others.begin(), this->Others.end(), [&](const auto &Each) {
+        return this->isAlive(Each.second.At, Now) &&
+               !Each.second.News.IsLeaving;
+      }));
+}
+
 std::vector<SocketAddress>
 chooseEntryAddresses(std::span<const EntryNews> Ready, std::string_view Zone,
                      std::size_t Most, std::mt19937_64 &Random) {
--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -70,6 +70,7 @@
                                      TimePoint Now, std::mt19937_64 &Random);
   /// Entries, other than this one, that are alive and not leaving.
   std::vector<EntryNews> alive(TimePoint Now) const;
+  std::size_t countAlive(TimePoint Now) const;
 
 private:
   /// Whether an entry heard of at \p At counts as alive.
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -271,6 +271,14 @@
   this->updateOrders();
 }
 
+/// Whether this entry is the first for \p Task, of itself and \p Others.
+bool ForwardGateway::isFirstOf(std::string_view Task,
+                               std::span<const EntryNews> Others) const {
+  return isAmongFirst(
+      Task, this->Settings.NodeId, 1, Others,
+      [](const EntryNews &Each) -> std::string_view { return Each.Id; });
+}
+
 /// Reads when the versions of \p Model were named. With \p Version, which was
 /// named just now, one entry adds it for those that start later.
 void ForwardGateway::syncWeightHistory(const std::string &Model,
@@ -278,10 +286,7 @@
   const ObjectKey Key{std::string(HistoryKind), Model};
   const bool Writes =
       Version != 0 &&
-      isAmongFirst(
-          Model, this->Settings.NodeId, 1,
-          this->Entries.alive(EventLoop::now()),
-          [](const EntryNews &Each) -> std::string_view { return Each.Id; });
+      this->isFirstOf(Model, this->Entries.alive(EventLoop::now()));
   if (Version != 0 && !Writes)
     return;
   const std::int64_t NamedMs = wallMilliseconds();
@@ -408,10 +413,7 @@
   }
   if (Now - this->LeastWeightsSince < FreeDelay || this->StopAskedAt)
     return;
-  const auto Alive = this->Entries.alive(Now);
-  if (isAmongFirst(
-          "stores", this->Settings.NodeId, 1, Alive,
-          [](const EntryNews &Each) -> std::string_view { return Each.Id; }))
+  if (this->isFirstOf("stores", this->Entries.alive(Now)))
     this->Stores.freeOutdated(this->Services.Reuse.LeastWeights);
 }
 
@@ -440,14 +442,11 @@
     return false;
   auto Able = this->Entries.alive(EventLoop::now());
   std::erase_if(Able, [](const EntryNews &Each) { return !Each.SeesPlatform; });
-  return this->Services.IsConfigFresh() &&
-         isAmongFirst(
-             Service, this->Settings.NodeId, 1, Able,
-             [](const EntryNews &Each) -> std::string_view { return Each.Id; });
+  return this->Services.IsConfigFresh() && this->isFirstOf(Service, Able);
 }
 
 std::size_t ForwardGateway::entryCount() const {
-  return this->Entries.alive(EventLoop::now()).size() + 1;
+  return this->Entries.countAlive(EventLoop::now()) + 1;
 }
 
 /// Each entry may use its share of the connections that an upstream accepts.
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -75,6 +75,8 @@
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
   void onWeights(const PlatformObject &Object);
+  bool isFirstOf(std::string_view Task,
+                 std::span<const EntryNews> Others) const;
   void syncWeightHistory(const std::string &Model, std::uint64_t Version);
   void onCall(std::shared_ptr<IncomingCall> Call);
   void gossip();
--- a/src/request/ForwardQueue.cpp
+++ b/src/request/ForwardQueue.cpp
@@ -12,10 +12,6 @@
 /// Callers honour a Retry-After of up to a third of the time they have left.
 static constexpr double HonouredShare = 0.3;
 
-static Duration scaled(Duration Span, double Factor) {
-  return fromSeconds(toSeconds(Span) * Factor);
-}
-
 std::vector<std::size_t> sendingOrder(std::span<const WaitingCall> Calls,
                                       const ForwardQueueSettings &Settings,
                                       TimePoint Now) {
--- a/src/request/ForwardRules.cpp
+++ b/src/request/ForwardRules.cpp
@@ -39,10 +39,6 @@
   return ForwardStep::Fail;
 }
 
-static Duration scaled(Duration Span, double Factor) {
-  return fromSeconds(toSeconds(Span) * Factor);
-}
-
 std::optional<Duration> stallLimit(const ForwardRoute &Route, bool HasBegun) {
   if (Route.Repeat == Repeatability::Once || Route.MaxUpstreams < 2)
     return std::nullopt;
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -13,9 +13,8 @@
 /// Waiting calls that are tried in vain at one look, so that a long queue does
 /// not take the processor.
 static constexpr int MaxMisses = 12;
-/// A call that must not repeat uses only
-/// a connection that served shortly before, since one that idles may be
-/// closing.
+/// A call that must not repeat uses only a connection that served shortly
+/// before, since one that idles may be closing.
 static constexpr Duration MaxIdleOnce = std::chrono::milliseconds(900);
 static constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
 /// Retry-After where nothing tells how long it will take.
@@ -142,17 +141,24 @@
                    this->Services.Reuse, EventLoop::now());
 }
 
+/// Returns the weights named for the service's model, or null.
+const NamedWeights *ForwardRun::namedWeights() const {
+  if (!this->Service->Engine)
+    return nullptr;
+  const auto Found = this->Services.Weights.find(this->Service->Engine->Model);
+  return Found == this->Services.Weights.end() ? nullptr : &Found->second;
+}
+
 UpstreamQuery ForwardRun::query() const {
   UpstreamQuery Query;
   Query.Service = this->Service->Name;
   Query.Excluded = this->Tried;
   if (!this->Service->Engine)
     return Query;
-  const auto Named = this->Services.Weights.find(this->Service->Engine->Model);
-  if (Named != this->Services.Weights.end()) {
-    Query.NewestWeights = Named->second.newest();
-    Query.LeastWeights = leastAllowed(
-        Named->second, this->Services.OldWeightsLimit, EventLoop::now());
+  if (const NamedWeights *Named = this->namedWeights()) {
+    Query.NewestWeights = Named->newest();
+    Query.LeastWeights =
+        leastAllowed(*Named, this->Services.OldWeightsLimit, EventLoop::now());
   }
   Query.Subject = subjectOf(this->Call.Parts);
   Query.HomeZone = homeZone(Query.Subject, this->Services.Reuse.Zones);
@@ -183,12 +189,13 @@
 }
 
 bool ForwardRun::trySend() {
+  const UpstreamQuery Query = this->query();
   const UpstreamTable::Chosen To =
-      this->Services.Upstreams.choose(this->query(), EventLoop::now());
+      this->Services.Upstreams.choose(Query, EventLoop::now());
   if (!To.Entry)
     return false;
   this->TokensSent = To.TokensToRead;
-  this->send(*To.Entry);
+  this->send(*To.Entry, Query);
   return true;
 }
 
@@ -310,7 +317,7 @@
   return Plan;
 }
 
-void ForwardRun::send(const UpstreamEntry &To) {
+void ForwardRun::send(const UpstreamEntry &To, const UpstreamQuery &Query) {
   const ReusePlan Reuse = this->planCache(this->cacheScope(To.WeightVersion));
   const SendPlan Plan = this->planSend(To, Reuse);
   UpstreamExchangeSettings Settings;
@@ -319,6 +326,7 @@
                          ? MaxIdleOnce
                          : MaxIdleRepeatable;
   this->UpstreamId = To.Registered.Id;
+  this->Services.Upstreams.noteParts(this->UpstreamId, Query);
   this->Tried.push_back(this->UpstreamId);
   this->HasAnswer = false;
   this->Body.clear();
@@ -329,7 +337,6 @@
     this->Current = Phase::Sent;
   this->Services.Upstreams.noteSent(this->UpstreamId, this->TokensSent,
                                     this->callTokens());
-  this->Services.Upstreams.noteParts(this->UpstreamId, this->query());
   this->Exchange = this->Services.Pool.start(
       To.Registered.Address,
       this->Services.Codec.writeRequest(this->Call, Plan, this->Incoming->Body),
@@ -369,10 +376,10 @@
   this->WeightsTimer.disconnect();
   if (!this->Service->Engine || !To.WeightVersion)
     return;
-  const auto Named = this->Services.Weights.find(this->Service->Engine->Model);
-  if (Named == this->Services.Weights.end())
+  const NamedWeights *Named = this->namedWeights();
+  if (!Named)
     return;
-  const auto Superseded = supersededAt(Named->second, *To.WeightVersion);
+  const auto Superseded = supersededAt(*Named, *To.WeightVersion);
   if (!Superseded)
     return;
   const Duration Left =
@@ -384,6 +391,11 @@
 void ForwardRun::takeBack() {
   if (this->Current == Phase::Done || !this->Exchange || this->FirstEventAt)
     return;
+  this->abandonSend();
+}
+
+/// Cancels the send under way as one without progress.
+void ForwardRun::abandonSend() {
   const bool WasSent = this->Exchange->wasSent();
   this->Exchange.reset();
   this->onOutcome(WasSent ? SendOutcome::Stalled : SendOutcome::NotSent);
@@ -538,12 +550,9 @@
     Upstreams.noteFailure(this->UpstreamId, 0.1, Now);
     return;
   case SendOutcome::NotRun:
-    if (this->Answer.IsMisdirected && this->Service->Engine) {
-      const auto Named =
-          this->Services.Weights.find(this->Service->Engine->Model);
-      if (Named != this->Services.Weights.end())
-        Upstreams.noteWeights(this->UpstreamId, Named->second.newest());
-    }
+    if (const NamedWeights *Named = this->namedWeights();
+        Named && this->Answer.IsMisdirected)
+      Upstreams.noteWeights(this->UpstreamId, Named->newest());
     Upstreams.noteClosed(this->UpstreamId, Now + ClosedAfterRefusal);
     return;
   case SendOutcome::NotSent:
@@ -627,11 +636,8 @@
   const bool MayTryAnother =
       this->PossibleRuns + 1 < this->Route->MaxUpstreams &&
       hasRetry(this->budget());
-  if (!MayTryAnother)
-    return;
-  const bool WasSent = this->Exchange->wasSent();
-  this->Exchange.reset();
-  this->onOutcome(WasSent ? SendOutcome::Stalled : SendOutcome::NotSent);
+  if (MayTryAnother)
+    this->abandonSend();
 }
 
 /// Ends the send under way, if there is one.
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -106,9 +106,10 @@
   int priority() const;
   std::uint32_t callTokens() const;
   WaitingRuns &queue();
-  void send(const UpstreamEntry &To);
+  void send(const UpstreamEntry &To, const UpstreamQuery &Query);
   SendPlan planSend(const UpstreamEntry &To, const ReusePlan &Reuse) const;
   UpstreamQuery query() const;
+  const NamedWeights *namedWeights() const;
   void noteStarted();
   ReusePlan planCache(const std::string &Scope);
   std::string cacheScope(std::optional<std::uint64_t> Version) const;
@@ -125,6 +126,7 @@
   void armStall();
   void armWeightsLimit(const UpstreamEntry &To);
   void takeBack();
+  void abandonSend();
   void beginStream();
   void deliver();
   void refuse(std::string_view Reason, Duration RetryAfter);
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -126,10 +126,21 @@
   return Result;
 }
 
+bool UpstreamTable::isHeldAnywhere(const std::string &Key,
+                                   HeldParts &Seen) const {
+  const auto [It, IsNew] = Seen.try_emplace(Key, false);
+  if (IsNew)
+    It->second = std::any_of(
+        this->Entries.begin(), this->Entries.end(),
+        [&](const auto &Each) { return Each.second.Memory.holds(Key); });
+  return It->second;
+}
+
 /// Adds what reading the prompt would cost at one engine.
 void UpstreamTable::addPrompt(UpstreamCandidate &Candidate,
                               const UpstreamEntry &Entry,
-                              const UpstreamQuery &Query) const {
+                              const UpstreamQuery &Query,
+                              HeldParts &Seen) const {
   const std::string Scope = Query.ScopeOf(Entry.WeightVersion.value_or(0));
   for (std::size_t I = 0; I < Query.Parts.size(); ++I) {
     const PromptPart &Part = Query.Parts[I];
@@ -148,11 +159,8 @@
       continue;
     }
     Candidate.TokensToRead += Part.Tokens;
-    for (const auto &[Id, Other] : this->Entries)
-      if (Other.Memory.holds(Key)) {
-        Candidate.TokensToReadAgain += Part.Tokens;
-        break;
-      }
+    if (this->isHeldAnywhere(Key, Seen))
+      Candidate.TokensToReadAgain += Part.Tokens;
   }
 }
 
@@ -185,13 +193,14 @@
   const UpstreamEntry *Home = this->home(Query);
   std::vector<const UpstreamEntry *> Eligible;
   std::vector<UpstreamCandidate> Candidates;
+  HeldParts Seen;
   for (const auto &[Id, Entry] : this->Entries) {
     if (!this->isEligible(Entry, Query, Now))
       continue;
     UpstreamCandidate Candidate = this->candidateOf(Entry, Now);
     Candidate.IsHome = !Home || &Entry == Home;
     if (!Query.Parts.empty())
-      this->addPrompt(Candidate, Entry, Query);
+      this->addPrompt(Candidate, Entry, Query, Seen);
     if (&Entry == Home) {
       // The other entries send prompts of this subject there, too.
       Candidate.TokensToFetch = scaled(Candidate.TokensToFetch, HomeMissShare);
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -165,8 +165,13 @@
   UpstreamEntry *findMutable(std::string_view Id);
   bool isEligible(const UpstreamEntry &Entry, const UpstreamQuery &Query,
                   TimePoint Now) const;
+  /// Whether any engine is believed to hold a part, by its key; filled as
+  /// needed during one choice.
+  using HeldParts = std::map<std::string, bool>;
+
+  bool isHeldAnywhere(const std::string &Key, HeldParts &Seen) const;
   void addPrompt(UpstreamCandidate &Candidate, const UpstreamEntry &Entry,
-                 const UpstreamQuery &Query) const;
+                 const UpstreamQuery &Query, HeldParts &Seen) const;
   bool hasRoom(const UpstreamEntry &Entry, const UpstreamQuery &Query,
                std::uint32_t TokensToRead, TimePoint Now) const;
   UpstreamCandidate candidateOf(const UpstreamEntry &Entry,
