Entries tell one another what they have under way; fewer platform calls

Ruled out: waiting at this system (queue p50 3 ms), prompt reading alone (100 to 1,000 tokens took as long as 14,000), load reports that say so (they come with answers, so only from engines that make progress).

Change: a status goes from each entry to all others every 100 to 250 ms: what it has under way at engines (SharedUse), the engines it withholds, and how far it follows the platform's objects. Engines get calls by the sum over all entries. A choice considers four engines ranked by the prompt's subject and two drawn ones; with all considered, everybody's calls of one period went to the same few engines (34 calls within 110 ms at one). Large calls still see all engines. With more than 10 entries two of each zone watch the platform closely; the others wait long, compare revisions and a digest, and ask anew when others know more or nobody tells. Changes of upstreams are taken in batches there.

At crests engines still hold calls for up to 1 s.

--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -36,10 +36,7 @@
   double Busy = 0;     ///< Share of the processor in use.
   bool IsReady = false;
   bool IsLeaving = false;
-  bool SeesPlatform = false; ///< The platform answered it lately.
-  /// Upstreams that get no new work, since this entry has ordered or is about
-  /// to order them to load weights.
-  std::vector<std::string> Withheld;
+  bool SeesPlatform = false; ///< The platform itself answered it lately.
 };
 
 struct EntryGossipSettings {
@@ -71,6 +68,13 @@
   /// Entries, other than this one, that are alive and not leaving.
   std::vector<EntryNews> alive(TimePoint Now) const;
   std::size_t countAlive(TimePoint Now) const;
+  /// The same entries as alive(), without a copy.
+  template <typename Visitor>
+  void forEachAlive(TimePoint Now, Visitor Visit) const {
+    for (const auto &[Id, Each] : this->Others)
+      if (this->isAlive(Each.At, Now) && !Each.News.IsLeaving)
+        Visit(Each.News);
+  }
 
 private:
   /// Whether an entry heard of at \p At counts as alive.
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/BufferedSocket.h"
 #include "process/ErrorKind.h"
+#include "process/GossipMessages.h"
 #include "process/Log.h"
 #include "process/Rendezvous.h"
 
@@ -26,6 +27,12 @@
 /// How long a notice of withheld upstreams holds; each round renews it.
 static constexpr auto WithheldNoticeTime = std::chrono::milliseconds(700);
 static constexpr std::size_t MaxGossipBytes = 16 << 10;
+/// Between two statuses: a small part of a run's time, and longer where many
+/// entries hear them.
+static constexpr auto LeastStatusPeriod = std::chrono::milliseconds(100);
+static constexpr auto StatusPeriodPerEntry = std::chrono::milliseconds(3);
+/// A status counts for this many periods, since messages get lost.
+static constexpr int StatusRounds = 4;
 /// The configuration counts as current while the platform was heard within
 /// this time; watches return at least every 1.5 s.
 static constexpr auto MaxConfigAge = std::chrono::milliseconds(2500);
@@ -63,28 +70,19 @@
       .count();
 }
 
-static json toJson(const EntryNews &News) {
-  return json::array({News.Id, News.Incarnation, News.Heartbeat,
-                      News.Callers.toString(), News.Gossip.toString(),
-                      News.Zone, News.Capacity, News.Busy, News.IsReady,
-                      News.IsLeaving, News.Withheld, News.SeesPlatform});
-}
-
-static EntryNews newsFromJson(const json &Value) {
-  EntryNews News;
-  News.Id = Value.at(0);
-  News.Incarnation = Value.at(1);
-  News.Heartbeat = Value.at(2);
-  News.Callers = SocketAddress::parse(Value.at(3).get<std::string>());
-  News.Gossip = SocketAddress::parse(Value.at(4).get<std::string>());
-  News.Zone = Value.at(5);
-  News.Capacity = Value.at(6);
-  News.Busy = Value.at(7);
-  News.IsReady = Value.at(8);
-  News.IsLeaving = Value.at(9);
-  News.SeesPlatform = Value.at(11);
-  News.Withheld = Value.at(10).get<std::vector<std::string>>();
-  return News;
+/// Up to this many entries all watch the platform closely. With more, a few of
+/// each availability zone do, and calls to the platform stay few.
+static constexpr std::size_t MaxClosePlatformWatchers = 10;
+static constexpr std::size_t CloseWatchersPerZone = 2;
+/// Where not all watch closely, changes of upstreams are taken in batches. A
+/// call that goes to an upstream that has just left is sent again elsewhere.
+static constexpr auto BatchDelayPerEntry = std::chrono::milliseconds(10);
+static constexpr Duration MaxBatchDelay = std::chrono::milliseconds(1000);
+
+static Duration statusPeriod(std::size_t Entries) {
+  return std::max<Duration>(LeastStatusPeriod,
+                            StatusPeriodPerEntry *
+                                static_cast<std::int64_t>(Entries));
 }
 
 static EntryNews selfNews(const GatewaySettings &Settings) {
@@ -160,6 +158,7 @@
 ForwardGateway::~ForwardGateway() {
   for (sigc::connection &Each : this->Timers)
     Each.disconnect();
+  this->StatusTimer.disconnect();
   if (this->GossipEvent)
     event_free(this->GossipEvent);
   if (this->GossipSocket >= 0)
@@ -192,6 +191,7 @@
   this->Registry.start();
   this->WeightNotices.start();
   this->gossip();
+  this->tellStatus();
   this->Timers.push_back(
       this->Loop.timers().every(GossipPeriod, [this] { this->gossip(); }));
   this->Timers.push_back(this->Loop.timers().every(HousekeepingPeriod, [this] {
@@ -442,7 +442,7 @@
     return false;
   auto Able = this->Entries.alive(EventLoop::now());
   std::erase_if(Able, [](const EntryNews &Each) { return !Each.SeesPlatform; });
-  return this->Services.IsConfigFresh() && this->isFirstOf(Service, Able);
+  return this->seesPlatform() && this->isFirstOf(Service, Able);
 }
 
 std::size_t ForwardGateway::entryCount() const {
@@ -486,18 +486,10 @@
   const TimePoint Now = EventLoop::now();
   EntryNews &Self = this->Entries.self();
   Self.IsReady = this->isReady();
-  Self.SeesPlatform = this->Services.IsConfigFresh();
+  Self.SeesPlatform = this->seesPlatform();
   Self.IsLeaving = this->StopAskedAt.has_value();
   Self.Busy = std::min(1.0, static_cast<double>(this->Services.Open) /
                                 (CallsPerCore * this->Settings.Cores));
-  Self.Withheld.clear();
-  for (const auto &[Name, Service] : this->Services.Config
-                                         ? this->Services.Config->Services
-                                         : decltype(ForwardConfig::Services)())
-    if (Service.Engine)
-      for (std::string &Id : this->Orders->withheld(Name))
-        Self.Withheld.push_back(std::move(Id));
-  this->noteWithheld(Self.Withheld);
   const std::size_t Count = this->entryCount();
   this->Upstreams.setSenders(Count);
   this->Stores.setFollowers(Count);
@@ -506,14 +498,83 @@
                         static_cast<double>(Count));
   for (auto &[Name, Budget] : this->Services.Budgets)
     Budget.Most = this->Services.NewBudget.Most;
-  json Message = json::array();
-  for (const EntryNews &Each : this->Entries.news(Now, this->Random))
-    Message.push_back(toJson(Each));
-  const std::vector<std::uint8_t> Bytes = json::to_cbor(Message);
-  const std::string Text(Bytes.begin(), Bytes.end());
+  const std::string Message =
+      encodeGossip({.News = this->Entries.news(Now, this->Random)});
   for (const SocketAddress &To :
        this->Entries.targets(this->Settings.GossipSeeds, Now, this->Random))
-    this->sendGossip(To, Text);
+    this->sendGossip(To, Message);
+}
+
+/// Tells all other entries of what this one does.
+void ForwardGateway::tellStatus() {
+  const TimePoint Now = EventLoop::now();
+  const Duration Period = statusPeriod(this->entryCount());
+  this->Upstreams.othersUse().setMaxAge(Period * StatusRounds);
+  this->Upstreams.othersUse().expire(Now);
+  this->StatusTimer =
+      this->Loop.timers().after(Period, [this] { this->tellStatus(); });
+  EntryStatus Status;
+  Status.From = this->Settings.NodeId;
+  Status.Use = this->Upstreams.ownUse();
+  if (this->Services.Config)
+    for (const auto &[Name, Service] : this->Services.Config->Services)
+      if (Service.Engine)
+        for (std::string &Id : this->Orders->withheld(Name))
+          Status.Withheld.push_back(std::move(Id));
+  this->noteWithheld(Status.Withheld);
+  this->divideWatches(Now);
+  if (this->seesPlatform())
+    for (const ObjectWatcher *Each : this->watchers())
+      Status.Contacts.emplace_back(Each->kind(), Each->contact(Now));
+  const std::string Message = encodeGossip({.Status = std::move(Status)});
+  this->Entries.forEachAlive(
+      Now, [&](const EntryNews &To) { this->sendGossip(To.Gossip, Message); });
+}
+
+std::array<ObjectWatcher *, 3> ForwardGateway::watchers() {
+  return {&this->Configs, &this->Registry, &this->WeightNotices};
+}
+
+/// Decides whether this entry watches the platform closely or relies on those
+/// that do.
+void ForwardGateway::divideWatches(TimePoint Now) {
+  const std::size_t Count = this->entryCount();
+  std::vector<EntryNews> Near;
+  this->Entries.forEachAlive(Now, [&](const EntryNews &Each) {
+    if (Each.Zone == this->Settings.Zone)
+      Near.push_back(Each);
+  });
+  const bool Relies =
+      Count > MaxClosePlatformWatchers &&
+      !isAmongFirst(
+          "platform", this->Settings.NodeId, CloseWatchersPerZone, Near,
+          [](const EntryNews &Each) -> std::string_view { return Each.Id; });
+  for (ObjectWatcher *Each : this->watchers()) {
+    Each->rely(Relies);
+    Each->check(Now);
+  }
+  this->Registry.setBatchDelay(
+      Count > MaxClosePlatformWatchers
+          ? std::min<Duration>(MaxBatchDelay,
+                               BatchDelayPerEntry *
+                                   static_cast<std::int64_t>(Count))
+          : Duration::zero());
+}
+
+/// Whether the platform itself answered this entry lately.
+bool ForwardGateway::seesPlatform() const {
+  const auto At = this->Configs.answeredAt();
+  return At && EventLoop::now() - *At <= MaxConfigAge;
+}
+
+void ForwardGateway::onStatus(EntryStatus Status) {
+  const TimePoint Now = EventLoop::now();
+  this->noteWithheld(Status.Withheld);
+  for (const auto &[Kind, Told] : Status.Contacts)
+    for (ObjectWatcher *Each : this->watchers())
+      if (Each->kind() == Kind)
+        Each->noteContact(Told, Now);
+  this->Upstreams.othersUse().note(Status.From, std::move(Status.Use), Now);
 }
 
 /// Keeps calls away from upstreams that load weights or are about to.
@@ -542,13 +603,11 @@
     if (Length < 0)
       return;
     try {
-      std::vector<EntryNews> News;
-      for (const json &Each : json::from_cbor(
-               Buffer.begin(), Buffer.begin() + static_cast<long>(Length)))
-        News.push_back(newsFromJson(Each));
-      this->Entries.receive(News, EventLoop::now());
-      if (!News.empty())
-        this->noteWithheld(News.front().Withheld);
+      GossipMessage Read = decodeGossip(
+          std::string_view(Buffer.data(), static_cast<std::size_t>(Length)));
+      this->Entries.receive(Read.News, EventLoop::now());
+      if (!Read.Status.From.empty())
+        this->onStatus(std::move(Read.Status));
     } catch (const std::exception &Failure) {
       log(LogLevel::Warn, "gossip.malformed", {{"message", Failure.what()}});
     }
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -13,13 +13,15 @@
 #ifndef GALENAROUTE_PROCESS_FORWARDGATEWAY_H
 #define GALENAROUTE_PROCESS_FORWARDGATEWAY_H
 
-#include "process/EntryGossip.h"
+#include "process/GossipMessages.h"
 #include "process/StoreFollower.h"
 #include "request/ForwardRun.h"
 #include "version/ForwardSource.h"
 #include "version/ObjectWatcher.h"
 #include "version/OrderController.h"
 
+#include <array>
+
 namespace galenaroute {
 
 struct GatewaySettings {
@@ -80,6 +82,11 @@
   void syncWeightHistory(const std::string &Model, std::uint64_t Version);
   void onCall(std::shared_ptr<IncomingCall> Call);
   void gossip();
+  void tellStatus();
+  void onStatus(EntryStatus Status);
+  void divideWatches(TimePoint Now);
+  std::array<ObjectWatcher *, 3> watchers();
+  bool seesPlatform() const;
   void receiveGossip();
   void noteWithheld(std::span<const std::string> Ids);
   void sendGossip(const SocketAddress &To, const std::string &Message);
@@ -114,6 +121,7 @@
   TimePoint LeastWeightsSince;
   std::optional<TimePoint> StopAskedAt;
   std::vector<sigc::connection> Timers;
+  sigc::connection StatusTimer;
   // Callbacks that outlive the gateway find this expired.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/src/process/GossipMessages.h
@@ -0,0 +1,45 @@
+// The messages that the entries of the system send one another over UDP, in
+// CBOR.
+//
+//   std::string Bytes = encodeGossip({.News = Entries.news(Now, Random)});
+//   GossipMessage Read = decodeGossip(Bytes);
+//
+// News goes to a few entries at a time, which pass it on. A status goes from
+// its entry to all others, several times a second; it is an object where news
+// is an array.
+
+#ifndef GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
+#define GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
+
+#include "process/EntryGossip.h"
+#include "request/SharedUse.h"
+#include "version/ObjectWatcher.h"
+
+namespace galenaroute {
+
+/// What an entry tells all others of itself.
+struct EntryStatus {
+  std::string From; ///< Id of the entry; empty in a message with news.
+  /// What it has under way at engines.
+  std::vector<UseItem> Use;
+  /// Upstreams that get no new work, since this entry has ordered or is about
+  /// to order them to load weights.
+  std::vector<std::string> Withheld;
+  /// How it follows the platform's objects, by kind; only where the platform
+  /// answered it lately.
+  std::vector<std::pair<std::string, ObjectContact>> Contacts;
+};
+
+struct GossipMessage {
+  std::vector<EntryNews> News;
+  EntryStatus Status;
+};
+
+std::string encodeGossip(const GossipMessage &Message);
+
+/// Throws nlohmann::json::exception for bytes that are no message.
+GossipMessage decodeGossip(std::string_view Bytes);
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -161,6 +161,7 @@
         leastAllowed(*Named, this->Services.OldWeightsLimit, EventLoop::now());
   }
   Query.Subject = subjectOf(this->Call.Parts);
+  Query.Draw = this->Services.Random();
   Query.HomeZone = homeZone(Query.Subject, this->Services.Reuse.Zones);
   Query.Parts = this->Call.Parts;
   Query.ScopeOf = [this](std::uint64_t Weights) {
@@ -348,6 +349,7 @@
              const auto Self = this->shared_from_this();
              this->onEnd(End);
            }});
+  const auto Others = this->Services.Upstreams.useOfOthers(To);
   log(LogLevel::Info, "call.sent",
       {{"call", this->Call.Id},
        {"route", this->Route->Name},
@@ -359,7 +361,11 @@
        {"running", To.Load ? std::to_string(To.Load->Running) : "-"},
        {"waiting", To.Load ? std::to_string(To.Load->Waiting) : "-"},
        {"slowdown", To.Load ? std::to_string(To.Load->Slowdown) : "-"},
+       {"own_tokens", std::to_string(To.OwnTokens)},
        {"tokens_ahead", std::to_string(To.TokensAhead)},
+       {"others_calls", Others ? std::to_string(Others->Calls) : "-"},
+       {"others_tokens", Others ? std::to_string(Others->Tokens) : "-"},
+       {"others_ahead", Others ? std::to_string(Others->TokensAhead) : "-"},
        {"load_age_ms",
         To.Load ? std::to_string(toMilliseconds(this->SentAt - To.ReportedAt))
                 : "-"},
--- a/src/request/UpstreamChoice.cpp
+++ b/src/request/UpstreamChoice.cpp
@@ -14,6 +14,8 @@
 
 double expectedRuns(const UpstreamCandidate &Candidate,
                     const UpstreamChoiceSettings &Settings) {
+  if (Candidate.CallsOfOthers)
+    return Candidate.OwnCalls + *Candidate.CallsOfOthers;
   if (!Candidate.Load)
     return Candidate.OwnCalls;
   const double Trust = trust(Candidate, Settings);
--- a/src/request/UpstreamChoice.h
+++ b/src/request/UpstreamChoice.h
@@ -23,6 +23,8 @@
   bool IsSameZone = true;
   int OwnCalls = 0;         ///< Of this process, under way.
   int OwnCallsAtReport = 0; ///< The same when Load was reported.
+  /// Of the other entries, under way; nothing when they have not told.
+  std::optional<int> CallsOfOthers;
   std::optional<UpstreamLoad> Load;
   Duration LoadAge{};
   int Slots = 1;
@@ -66,8 +68,8 @@
 };
 
 /// Returns how many runs the upstream is expected to have, all callers
-/// counted: the last report, corrected by what this process has begun and
-/// ended since, and trusted less as it ages.
+/// counted: as the other entries told, or else the last report, corrected by
+/// what this process has begun and ended since, and trusted less as it ages.
 double expectedRuns(const UpstreamCandidate &Candidate,
                     const UpstreamChoiceSettings &Settings);
 
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -34,6 +34,7 @@
       Entry.Registered.IsLeaving != Upstream.IsLeaving ||
       Entry.Registered.WeightVersions != Upstream.WeightVersions;
   Entry.Registered = Upstream;
+  Entry.UseKey = useKey(Upstream.Id);
   Entry.MissingSince.reset();
   Entry.WarmAt = Now + Upstream.WarmUp;
   if (!Upstream.WeightVersions.empty())
@@ -115,8 +116,14 @@
   Result.Load = Entry.Load;
   Result.LoadAge = Now - Entry.ReportedAt;
   Result.Slots = Entry.Registered.Slots;
-  Result.TokensAhead =
-      static_cast<double>(Entry.TokensAhead) * OthersTokensFactor;
+  if (const auto Others = this->useOfOthers(Entry)) {
+    Result.TokensAhead =
+        static_cast<double>(Entry.TokensAhead + Others->TokensAhead);
+    Result.CallsOfOthers = static_cast<int>(Others->Calls);
+  } else {
+    Result.TokensAhead =
+        static_cast<double>(Entry.TokensAhead) * OthersTokensFactor;
+  }
   Result.FailureScore = this->failureScore(Entry, Now);
   if (Now < Entry.WarmAt)
     Result.FailureScore += 0.25;
@@ -164,14 +171,53 @@
   }
 }
 
+std::optional<UpstreamUse>
+UpstreamTable::useOfOthers(const UpstreamEntry &Entry) const {
+  const std::size_t Heard = this->Others.entries();
+  if (Heard == 0 || this->Senders < 2)
+    return std::nullopt;
+  UpstreamUse Result = this->Others.of(Entry.UseKey);
+  // Those that were not heard send as those that were.
+  const double Scale = std::max(1.0, static_cast<double>(this->Senders - 1) /
+                                         static_cast<double>(Heard));
+  const auto Scaled = [Scale](std::uint64_t Value) {
+    return static_cast<std::uint64_t>(static_cast<double>(Value) * Scale);
+  };
+  Result.Calls = Scaled(Result.Calls);
+  Result.Tokens = Scaled(Result.Tokens);
+  Result.TokensAhead = Scaled(Result.TokensAhead);
+  return Result;
+}
+
+/// Whether an engine's memory has room for a call.
+bool UpstreamTable::hasMemory(const UpstreamEntry &Entry,
+                              const UpstreamQuery &Query) const {
+  const auto All = static_cast<double>(Query.EngineTokens);
+  if (const auto Others = this->useOfOthers(Entry)) {
+    const std::uint64_t InUse = Entry.OwnTokens + Others->Tokens;
+    return InUse == 0 || static_cast<double>(InUse + Query.CallTokens) <=
+                             All * this->Settings.MaxMemoryUse;
+  }
+  const double Share = All / (1 + static_cast<double>(this->Senders - 1) *
+                                      this->Settings.OthersMemoryShare);
+  const double Limit = std::max(
+      Share, Query.CallTokens + Share * this->Settings.ShareBesideLargeCall);
+  return Entry.OwnTokens == 0 ||
+         static_cast<double>(Entry.OwnTokens + Query.CallTokens) <= Limit;
+}
+
 /// Whether an engine can take in a call without making it wait for long.
 bool UpstreamTable::hasRoom(const UpstreamEntry &Entry,
                             const UpstreamQuery &Query,
                             std::uint32_t TokensToRead, TimePoint Now) const {
   if (Query.EngineTokens == 0)
     return true;
-  if (Entry.TokensAhead > 0 &&
-      Entry.TokensAhead + TokensToRead > this->Settings.MaxTokensAhead)
+  const auto Others = this->useOfOthers(Entry);
+  const std::uint64_t Ahead =
+      Entry.TokensAhead + (Others ? Others->TokensAhead : 0);
+  const std::uint64_t MaxAhead = Others ? this->Settings.MaxTokensAheadOfAll
+                                        : this->Settings.MaxTokensAhead;
+  if (Ahead > 0 && Ahead + TokensToRead > MaxAhead)
     return false;
   const bool IsReportFresh =
       Entry.Load && Now - Entry.ReportedAt < this->Settings.MaxReportAge;
@@ -179,13 +225,49 @@
                                         : this->Settings.MaxWaiting;
   if (IsReportFresh && Entry.Load->Waiting > MaxWaiting)
     return false;
-  const double Others = 1 + static_cast<double>(this->Senders - 1) *
-                                this->Settings.OthersMemoryShare;
-  const double Share = static_cast<double>(Query.EngineTokens) / Others;
-  const double Limit = std::max(
-      Share, Query.CallTokens + Share * this->Settings.ShareBesideLargeCall);
-  return Entry.OwnTokens == 0 ||
-         static_cast<double>(Entry.OwnTokens + Query.CallTokens) <= Limit;
+  if (Others && static_cast<int>(Others->Calls) + Entry.OwnCalls >=
+                    Entry.Registered.Slots + MaxWaiting)
+    return false;
+  return this->hasMemory(Entry, Query);
+}
+
+std::vector<const UpstreamEntry *>
+UpstreamTable::shortList(const UpstreamQuery &Query, TimePoint Now) const {
+  std::vector<const UpstreamEntry *> Result;
+  for (const auto &[Id, Entry] : this->Entries)
+    if (this->isEligible(Entry, Query, Now))
+      Result.push_back(&Entry);
+  const std::size_t Most =
+      this->Settings.RankedCandidates + this->Settings.DrawnCandidates;
+  const bool IsLarge =
+      Query.CallTokens >
+      this->Settings.LargeCallShare * static_cast<double>(Query.EngineTokens);
+  if (Query.Subject.empty() || Result.size() <= Most || IsLarge)
+    return Result;
+  const auto SortFirst = [&](std::size_t From, std::size_t To, auto KeyOf) {
+    std::vector<
+        std::pair<decltype(KeyOf(Result.front())), const UpstreamEntry *>>
+        Keyed;
+    Keyed.reserve(Result.size() - From);
+    for (std::size_t I = From; I < Result.size(); ++I)
+      Keyed.emplace_back(KeyOf(Result[I]), Result[I]);
+    std::partial_sort(Keyed.begin(),
+                      Keyed.begin() + static_cast<std::ptrdiff_t>(To - From),
+                      Keyed.end(), std::greater<>());
+    for (std::size_t I = From; I < Result.size(); ++I)
+      Result[I] = Keyed[I - From].second;
+  };
+  SortFirst(
+      0, this->Settings.RankedCandidates, [&](const UpstreamEntry *Entry) {
+        return std::pair(Entry->Registered.Zone == Query.HomeZone,
+                         rendezvousWeight(Query.Subject, Entry->Registered.Id));
+      });
+  SortFirst(this->Settings.RankedCandidates, Most,
+            [&](const UpstreamEntry *Entry) {
+              return (Entry->UseKey ^ Query.Draw) * 0x9e3779b97f4a7c15;
+            });
+  Result.resize(Most);
+  return Result;
 }
 
 UpstreamTable::Chosen UpstreamTable::choose(const UpstreamQuery &Query,
@@ -194,9 +276,8 @@
   std::vector<const UpstreamEntry *> Eligible;
   std::vector<UpstreamCandidate> Candidates;
   HeldParts Seen;
-  for (const auto &[Id, Entry] : this->Entries) {
-    if (!this->isEligible(Entry, Query, Now))
-      continue;
+  for (const UpstreamEntry *Each : this->shortList(Query, Now)) {
+    const UpstreamEntry &Entry = *Each;
     UpstreamCandidate Candidate = this->candidateOf(Entry, Now);
     Candidate.IsHome = !Home || &Entry == Home;
     if (!Query.Parts.empty())
@@ -240,6 +321,16 @@
   return Best;
 }
 
+std::vector<UseItem> UpstreamTable::ownUse() const {
+  std::vector<UseItem> Result;
+  for (const auto &[Id, Entry] : this->Entries)
+    if (Entry.WeightVersion && Entry.OwnCalls > 0)
+      Result.push_back({Entry.UseKey,
+                        {static_cast<std::uint64_t>(Entry.OwnCalls),
+                         Entry.OwnTokens, Entry.TokensAhead}});
+  return Result;
+}
+
 void UpstreamTable::noteSent(std::string_view Id, std::uint32_t PromptTokens,
                              std::uint32_t CallTokens) {
   if (UpstreamEntry *Entry = this->findMutable(Id)) {
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -14,6 +14,7 @@
 
 #include "request/EngineMemory.h"
 #include "request/PromptReuse.h"
+#include "request/SharedUse.h"
 #include "request/UpstreamChoice.h"
 
 #include <functional>
@@ -51,8 +52,9 @@
   std::uint64_t TokensAhead = 0;
   /// Tokens that own calls need there, prompts and answers.
   std::uint64_t OwnTokens = 0;
-  TimePoint ProgressAt;  ///< When it last began to answer a call.
-  TimePoint ClosedUntil; ///< It refuses calls until about then.
+  std::uint32_t UseKey = 0; ///< See useKey().
+  TimePoint ProgressAt;     ///< When it last began to answer a call.
+  TimePoint ClosedUntil;    ///< It refuses calls until about then.
   std::optional<TimePoint> MissingSince; ///< Not in the last list.
 };
 
@@ -71,11 +73,27 @@
   int MaxWaiting = 1;
   int MaxWaitingUrgent = 6;
   Duration MaxReportAge = std::chrono::milliseconds(400);
-  /// Other entries use an engine's memory about this much when this one does.
+  /// The same for all entries together, where the others have told what they
+  /// have under way. An engine reads about 100 prompt tokens in a millisecond.
+  std::uint64_t MaxTokensAheadOfAll = 14000;
+  /// Part of an engine's memory that calls may need, those of the others that
+  /// have told it counted.
+  double MaxMemoryUse = 0.95;
+  /// Until the others have told: they use an engine's memory about this much
+  /// when this entry does.
   double OthersMemoryShare = 0.9;
   /// Part of this entry's share that may be in use where a call larger than
   /// the share is sent, so that the largest calls are not passed over for ever.
   double ShareBesideLargeCall = 0.3;
+  /// Of the upstreams for a prompt these are considered: the first by its
+  /// subject, the same at all entries, and some drawn for each call. If all
+  /// entries compared all upstreams, they would send what comes within one
+  /// status period to the same few.
+  std::size_t RankedCandidates = 4;
+  std::size_t DrawnCandidates = 2;
+  /// A call that needs more than this part of an engine's memory finds room at
+  /// few of them, so all are considered.
+  double LargeCallShare = 0.25;
   /// How long an entry that is missing in a list is kept; entries that lapsed
   /// while the registry was away are back within 2 s of its return.
   Duration KeepMissing = std::chrono::milliseconds(1700);
@@ -98,6 +116,7 @@
   std::uint64_t EngineTokens = 0; ///< That an engine can hold in all.
   std::uint32_t CallTokens = 0;   ///< That the call needs at most.
   bool IsUrgent = false;          ///< Goes ahead of what waits there.
+  std::uint64_t Draw = 0; ///< Random; decides which upstreams are considered.
   std::optional<std::uint64_t> NewestWeights;
   std::uint64_t LeastWeights = 0; ///< Engines with older ones are left out.
 };
@@ -145,6 +164,13 @@
   /// The call's prompt was read, or never will be.
   void noteStarted(std::string_view Id, std::uint32_t PromptTokens);
   void noteEnded(std::string_view Id, std::uint32_t CallTokens);
+  /// What this entry has under way at engines, to tell the others.
+  std::vector<UseItem> ownUse() const;
+  /// What the other entries have told.
+  SharedUse &othersUse() { return this->Others; }
+  /// Calls of the other entries there, those that were not heard estimated;
+  /// nothing when none was heard.
+  std::optional<UpstreamUse> useOfOthers(const UpstreamEntry &Entry) const;
   /// Entries of the system that send calls, this one included.
   void setSenders(std::size_t Count) { this->Senders = Count; }
   /// The call uses these parts there.
@@ -169,11 +195,15 @@
   /// needed during one choice.
   using HeldParts = std::map<std::string, bool>;
 
+  /// Upstreams to consider for a prompt, its home first.
+  std::vector<const UpstreamEntry *> shortList(const UpstreamQuery &Query,
+                                               TimePoint Now) const;
   bool isHeldAnywhere(const std::string &Key, HeldParts &Seen) const;
   void addPrompt(UpstreamCandidate &Candidate, const UpstreamEntry &Entry,
                  const UpstreamQuery &Query, HeldParts &Seen) const;
   bool hasRoom(const UpstreamEntry &Entry, const UpstreamQuery &Query,
                std::uint32_t TokensToRead, TimePoint Now) const;
+  bool hasMemory(const UpstreamEntry &Entry, const UpstreamQuery &Query) const;
   UpstreamCandidate candidateOf(const UpstreamEntry &Entry,
                                 TimePoint Now) const;
   double failureScore(const UpstreamEntry &Entry, TimePoint Now) const;
@@ -181,6 +211,7 @@
   UpstreamTableSettings Settings;
   RoomOf Rooms;
   std::size_t Senders = 1;
+  SharedUse Others{std::chrono::milliseconds(500)};
   std::map<std::string, UpstreamEntry, std::less<>> Entries;
 };
 
--- a/src/version/ObjectWatcher.cpp
+++ b/src/version/ObjectWatcher.cpp
@@ -1,9 +1,14 @@
 #include "version/ObjectWatcher.h"
 
 #include "process/Log.h"
+#include "process/Rendezvous.h"
 
 namespace galenaroute {
 
+static std::uint64_t digestOf(std::string_view Name, std::uint64_t Version) {
+  return stableHash(Name, Version);
+}
+
 ObjectWatcher::ObjectWatcher(EventLoop &Loop, Platform &Api, std::string Kind,
                              ObjectWatcherSettings Settings,
                              ObjectWatcherEvents Events)
@@ -15,7 +20,7 @@
 void ObjectWatcher::start() { this->list({}); }
 
 void ObjectWatcher::heard() {
-  this->HeardAt = EventLoop::now();
+  this->AnsweredAt = this->HeardAt = EventLoop::now();
   this->NextRetry = this->Settings.Retry;
   if (this->IsLost)
     log(LogLevel::Info, "platform.regained", {{"kind", this->Kind}});
@@ -26,7 +31,12 @@
   if (!this->IsLost)
     log(LogLevel::Warn, "platform.lost", {{"kind", this->Kind}});
   this->IsLost = true;
-  this->Timer = this->Loop.timers().after(this->NextRetry, [this] {
+  const bool OthersTell =
+      this->ReliesOnOthers && this->HasRevision && this->isCurrent();
+  const Duration Delay =
+      OthersTell ? this->Settings.RetryBesideOthers : this->NextRetry;
+  this->Timer.disconnect();
+  this->Timer = this->Loop.timers().after(Delay, [this] {
     if (this->HasRevision)
       this->watch();
     else
@@ -56,28 +66,43 @@
     this->Revision = Result.Revision;
   for (const PlatformObject &Each : Result.Objects) {
     this->Listed.insert(Each.Key.Name);
-    this->Events.OnObject(Each);
+    this->take(Each);
   }
   if (Result.More && !Result.Objects.empty()) {
     this->list(Result.Objects.back().Key.Name);
     return;
   }
   this->HasRevision = true;
+  const std::map<std::string, std::uint64_t> Before = this->Known;
+  for (const auto &[Name, Version] : Before)
+    if (!this->Listed.contains(Name))
+      this->forget(Name);
   this->heard();
   this->Events.OnListed(this->Listed);
   this->watch();
 }
 
+bool ObjectWatcher::isCurrent() const {
+  return this->HeardAt &&
+         EventLoop::now() - *this->HeardAt <= this->Settings.MaxSilence;
+}
+
 void ObjectWatcher::watch() {
+  const std::uint64_t Asked = ++this->Round;
+  this->Timer.disconnect();
+  this->WaitsLong = this->ReliesOnOthers && this->isCurrent();
   this->Api.watch(
-      this->Kind, this->Revision, this->Settings.Wait,
-      [this, Alive = std::weak_ptr(this->Alive)](const PlatformList &Result) {
-        if (!Alive.expired())
+      this->Kind, this->Revision,
+      this->WaitsLong ? this->Settings.LongWait : this->Settings.Wait,
+      [this, Asked,
+       Alive = std::weak_ptr(this->Alive)](const PlatformList &Result) {
+        if (!Alive.expired() && Asked == this->Round)
           this->onWatch(Result);
       });
 }
 
 void ObjectWatcher::onWatch(const PlatformList &Result) {
+  this->WaitsLong = false;
   if (Result.Status == PlatformStatus::Expired) {
     log(LogLevel::Warn, "platform.history_gone",
         {{"kind", this->Kind}, {"revision", std::to_string(this->Revision)}});
@@ -93,7 +118,66 @@
   if (Result.Revision > this->Revision)
     this->Revision = Result.Revision;
   for (const PlatformObject &Each : Result.Objects)
-    this->Events.OnObject(Each);
+    this->take(Each);
+  if (Result.Objects.empty() || this->BatchDelay == Duration::zero()) {
+    this->watch();
+    return;
+  }
+  this->Timer =
+      this->Loop.timers().after(this->BatchDelay, [this] { this->watch(); });
+}
+
+/// Takes in an object and what others compare.
+void ObjectWatcher::take(const PlatformObject &Object) {
+  this->LastChange = std::max(this->LastChange, Object.Version);
+  this->forget(Object.Key.Name);
+  if (!Object.Deleted) {
+    this->Known[Object.Key.Name] = Object.Version;
+    this->Digest ^= digestOf(Object.Key.Name, Object.Version);
+  }
+  this->Events.OnObject(Object);
+}
+
+void ObjectWatcher::forget(const std::string &Name) {
+  const auto It = this->Known.find(Name);
+  if (It == this->Known.end())
+    return;
+  this->Digest ^= digestOf(Name, It->second);
+  this->Known.erase(It);
+}
+
+ObjectContact ObjectWatcher::contact(TimePoint Now) const {
+  return {this->LastChange, this->Digest,
+          Now - this->AnsweredAt.value_or(TimePoint{})};
+}
+
+void ObjectWatcher::noteContact(const ObjectContact &Told, TimePoint Now) {
+  if (!this->HasRevision || Told.LastChange < this->LastChange)
+    return;
+  if (Told.LastChange == this->LastChange && Told.Digest == this->Digest) {
+    this->HeardAt = std::max(*this->HeardAt, Now - Told.Age);
+    this->BehindSince.reset();
+    return;
+  }
+  if (!this->BehindSince)
+    this->BehindSince = Now;
+}
+
+void ObjectWatcher::check(TimePoint Now) {
+  // A call waits; one that is about to be sent needs no help.
+  if (!this->HasRevision || !this->Timer.empty())
+    return;
+  const bool IsBehind =
+      this->BehindSince &&
+      Now - *this->BehindSince > this->Settings.BehindLimit + this->BatchDelay;
+  const bool IsSilent = this->WaitsLong && !this->isCurrent();
+  if (!IsBehind && !IsSilent)
+    return;
+  log(LogLevel::Info, "platform.watch_again",
+      {{"kind", this->Kind},
+       {"reason", IsBehind ? "others know more" : "nobody tells"},
+       {"last_change", std::to_string(this->LastChange)}});
+  this->BehindSince.reset();
   this->watch();
 }
 
--- a/src/version/ObjectWatcher.h
+++ b/src/version/ObjectWatcher.h
@@ -3,11 +3,22 @@
 //   ObjectWatcher Watcher(Loop, Api, "servers", Settings, Events);
 //   Watcher.start();
 //
+// Where several processes follow the same objects, a few watch with a short
+// wait and tell the others how far they are:
+//
+//   Told = Watcher.contact(Now);           // at one that watches closely
+//   Other.noteContact(Told, Now);          // at one that relies on it
+//
+// One that relies on others keeps a watch with a long wait, which costs few
+// calls and still brings changes at once. It counts as current as long as
+// another that is current holds the same objects. When others know more for
+// longer than their news takes, or none tells anything, it asks anew.
+//
 // Guarantees: after a gap (history that is gone, an answer that cannot be
 // used, or a first contact) everything is listed again before anything else is
-// reported; one call is under way at a time; a call that hears nothing for
-// longer than it may wait is given up, so a connection that went silent is
-// noticed within the wait and the margin.
+// reported; one call counts at a time; a call that hears nothing for longer
+// than it may wait is given up, so a connection that went silent is noticed
+// within the wait and the margin, or as soon as others show it.
 
 #ifndef GALENAROUTE_VERSION_OBJECTWATCHER_H
 #define GALENAROUTE_VERSION_OBJECTWATCHER_H
@@ -15,15 +26,31 @@
 #include "connection/PlatformClient.h"
 #include "process/EventLoop.h"
 
+#include <map>
 #include <optional>
 #include <set>
 
 namespace galenaroute {
 
+/// How far a process that follows the objects of a kind is.
+struct ObjectContact {
+  std::uint64_t LastChange = 0; ///< Revision of the newest object seen.
+  std::uint64_t Digest = 0;     ///< Of the names and revisions of all objects.
+  Duration Age{};               ///< Since the platform answered.
+};
+
 struct ObjectWatcherSettings {
   /// How long a watch waits for changes. A longer wait costs fewer calls and
   /// notices a lost connection later.
   Duration Wait = std::chrono::milliseconds(1500);
+  /// The same where others tell of changes. The platform allows 30 s.
+  Duration LongWait = std::chrono::seconds(25);
+  /// Others that know more are waited for this long, and the batch delay.
+  Duration BehindLimit = std::chrono::milliseconds(400);
+  /// Nobody told that this process is current for this long.
+  Duration MaxSilence = std::chrono::milliseconds(2000);
+  /// Between attempts where others tell when the platform is back.
+  Duration RetryBesideOthers = std::chrono::milliseconds(1500);
   /// Between attempts while the platform does not answer.
   Duration Retry = std::chrono::milliseconds(150);
   Duration MaxRetry = std::chrono::milliseconds(600);
@@ -45,17 +72,34 @@
   ObjectWatcher &operator=(const ObjectWatcher &) = delete;
 
   void start();
-  /// When the platform last answered; nothing before the first list.
+  /// When what is known was last known to be current, from the platform or
+  /// from others; nothing before the first list.
   std::optional<TimePoint> heardAt() const { return this->HeardAt; }
-  void setWait(Duration Wait) { this->Settings.Wait = Wait; }
+  /// When the platform itself last answered.
+  std::optional<TimePoint> answeredAt() const { return this->AnsweredAt; }
+  const std::string &kind() const { return this->Kind; }
+
+  /// Whether others watch closely. Takes effect with the next call.
+  void rely(bool OnOthers) { this->ReliesOnOthers = OnOthers; }
+  /// How long to wait after a change before the next call, so that several
+  /// changes cost one.
+  void setBatchDelay(Duration Delay) { this->BatchDelay = Delay; }
+  /// What to tell others.
+  ObjectContact contact(TimePoint Now) const;
+  void noteContact(const ObjectContact &Told, TimePoint Now);
+  /// To be called several times a second.
+  void check(TimePoint Now);
 
 private:
   void list(const std::string &After);
   void watch();
+  void take(const PlatformObject &Object);
+  void forget(const std::string &Name);
   void onList(const PlatformList &Result);
   void onWatch(const PlatformList &Result);
   void retry();
   void heard();
+  bool isCurrent() const;
 
   EventLoop &Loop;
   Platform &Api;
@@ -68,6 +112,16 @@
   bool IsLost = false;
   Duration NextRetry{};
   std::optional<TimePoint> HeardAt;
+  std::optional<TimePoint> AnsweredAt;
+  bool ReliesOnOthers = false;
+  Duration BatchDelay{};
+  bool WaitsLong = false; ///< The call under way.
+  /// Answers to calls of earlier rounds are not used.
+  std::uint64_t Round = 0;
+  std::optional<TimePoint> BehindSince;
+  std::map<std::string, std::uint64_t> Known; ///< Revisions by name.
+  std::uint64_t LastChange = 0;
+  std::uint64_t Digest = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   sigc::connection Timer;
 };
--- /dev/null
+++ b/tests/SharedUseTest.cpp
@@ -0,0 +1,229 @@
+// Tests of what entries tell one another of their calls, and of choices made
+// with it by many entries at once.
+
+#include "request/SharedUse.h"
+#include "process/GossipMessages.h"
+#include "request/UpstreamTable.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <numeric>
+#include <random>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{1000s};
+
+// Guards against sums that drift: each message replaces the one before, and a
+// silent entry stops counting.
+RC_GTEST_PROP(SharedUseTest, SumsMatchTheLastMessages, ()) {
+  SharedUse Use(1s);
+  std::map<std::string, std::pair<TimePoint, std::vector<UseItem>>> Last;
+  TimePoint Now = Start;
+  for (int I = *rc::gen::inRange(1, 40); I > 0; --I) {
+    Now += Milliseconds(*rc::gen::inRange(0, 700));
+    const std::string Entry = "n" + std::to_string(*rc::gen::inRange(0, 4));
+    std::vector<UseItem> Items;
+    for (int J = *rc::gen::inRange(0, 4); J > 0; --J)
+      Items.push_back({static_cast<std::uint32_t>(*rc::gen::inRange(0, 5)),
+                       {static_cast<std::uint64_t>(*rc::gen::inRange(0, 3)),
+                        static_cast<std::uint64_t>(*rc::gen::inRange(0, 900)),
+                        static_cast<std::uint64_t>(*rc::gen::inRange(0, 90))}});
+    Last[Entry] = {Now, Items};
+    Use.note(Entry, Items, Now);
+    Use.expire(Now);
+    for (std::uint32_t Key = 0; Key < 5; ++Key) {
+      UpstreamUse Sum;
+      for (const auto &[Name, Told] : Last)
+        for (const UseItem &Each : Told.second)
+          if (Each.Key == Key && Now - Told.first <= 1s) {
+            Sum.Calls += Each.Use.Calls;
+            Sum.Tokens += Each.Use.Tokens;
+            Sum.TokensAhead += Each.Use.TokensAhead;
+          }
+      RC_ASSERT(Use.of(Key).Calls == Sum.Calls);
+      RC_ASSERT(Use.of(Key).Tokens == Sum.Tokens);
+      RC_ASSERT(Use.of(Key).TokensAhead == Sum.TokensAhead);
+    }
+  }
+}
+
+// Guards against a status that another entry reads differently.
+TEST(GossipMessagesTest, ReadsWhatItWrites) {
+  EntryStatus Status;
+  Status.From = "n1";
+  Status.Use = {{7, {1, 2, 3}}};
+  Status.Withheld = {"e4"};
+  Status.Contacts = {{"k", {5, 0xffffffffffffffff, 40ms}}};
+  const GossipMessage Read = decodeGossip(encodeGossip({.Status = Status}));
+  EXPECT_TRUE(Read.News.empty());
+  EXPECT_EQ(Read.Status.From, "n1");
+  ASSERT_EQ(Read.Status.Use.size(), 1U);
+  EXPECT_EQ(Read.Status.Use[0].Key, 7U);
+  EXPECT_EQ(Read.Status.Use[0].Use.Calls, 1U);
+  EXPECT_EQ(Read.Status.Use[0].Use.Tokens, 2U);
+  EXPECT_EQ(Read.Status.Use[0].Use.TokensAhead, 3U);
+  EXPECT_EQ(Read.Status.Withheld, std::vector<std::string>{"e4"});
+  ASSERT_EQ(Read.Status.Contacts.size(), 1U);
+  EXPECT_EQ(Read.Status.Contacts[0].first, "k");
+  EXPECT_EQ(Read.Status.Contacts[0].second.LastChange, 5U);
+  EXPECT_EQ(Read.Status.Contacts[0].second.Digest, 0xffffffffffffffffU);
+  EXPECT_EQ(Read.Status.Contacts[0].second.Age, Duration(40ms));
+
+  EntryNews News;
+  News.Id = "n2";
+  News.Callers = {"10.0.0.1", 1};
+  News.Gossip = {"10.0.0.1", 2};
+  News.SeesPlatform = true;
+  const GossipMessage Other = decodeGossip(encodeGossip({.News = {News}}));
+  EXPECT_TRUE(Other.Status.From.empty());
+  ASSERT_EQ(Other.News.size(), 1U);
+  EXPECT_EQ(Other.News[0].Id, "n2");
+  EXPECT_TRUE(Other.News[0].SeesPlatform);
+  EXPECT_THROW(decodeGossip("\x01\x02garbage"), std::exception);
+}
+
+/// Many entries that send long prompts to the same engines; each call takes
+/// memory there for a time. Statuses go round once a period.
+struct Fleet {
+  static constexpr int Entries = 40;
+  static constexpr int Engines = 30;
+  static constexpr std::uint64_t EngineTokens = 120000;
+  static constexpr std::uint32_t CallTokens = 12000;
+  static constexpr Duration RunTime = 1200ms;
+  static constexpr Duration Period = 120ms;
+
+  Fleet(bool TellsOthers, UpstreamTableSettings Settings)
+      : TellsOthers(TellsOthers) {
+    Settings.Zone = "a";
+    for (int I = 0; I < Entries; ++I) {
+      this->Tables.emplace_back(Settings, [](const UpstreamEntry &) {
+        return UpstreamTable::Room{};
+      });
+      this->Tables.back().setSenders(Entries);
+      for (int J = 0; J < Engines; ++J)
+        this->Tables.back().put({.Id = "e" + std::to_string(J),
+                                 .Service = "m",
+                                 .Address = {"10.0.0." + std::to_string(J), 80},
+                                 .Zone = "a",
+                                 .Slots = 24,
+                                 .BornMs = 1,
+                                 .WeightVersions = {{"model", 1}}},
+                                Start);
+    }
+  }
+
+  struct Counts {
+    int Sent = 0;
+    int Waited = 0;   ///< Calls for which no entry saw room.
+    int Overfull = 0; ///< Calls sent to an engine whose memory was taken.
+  };
+
+  Counts play(double CallsPerSecond, Duration Time) {
+    struct Running {
+      TimePoint EndAt;
+      int Entry;
+      std::string Engine;
+    };
+    Counts Result;
+    std::deque<Running> Under;
+    std::map<std::string, std::uint64_t> Used;
+    TimePoint NextStatus = Start;
+    const Duration Gap = fromSeconds(1 / CallsPerSecond);
+    for (TimePoint Now = Start; Now < Start + Time; Now += Gap) {
+      while (!Under.empty() && Under.front().EndAt <= Now) {
+        const Running &Done = Under.front();
+        this->Tables[static_cast<std::size_t>(Done.Entry)].noteEnded(
+            Done.Engine, CallTokens);
+        Used[Done.Engine] -= CallTokens;
+        Under.pop_front();
+      }
+      if (this->TellsOthers && Now >= NextStatus) {
+        this->tell(Now);
+        NextStatus = Now + Period;
+      }
+      const auto Entry = static_cast<int>(this->Random() % Entries);
+      const auto Chosen = this->choose(Entry, Now);
+      if (Chosen.empty()) {
+        ++Result.Waited;
+        continue;
+      }
+      ++Result.Sent;
+      Result.Overfull += Used[Chosen] + CallTokens > EngineTokens;
+      Used[Chosen] += CallTokens;
+      Under.push_back({Now + RunTime, Entry, Chosen});
+    }
+    return Result;
+  }
+
+private:
+  std::string choose(int Entry, TimePoint Now) {
+    UpstreamTable &Table = this->Tables[static_cast<std::size_t>(Entry)];
+    const std::vector<PromptPart> Parts = {
+        {"book" + std::to_string(this->Random() % 400), 9000}, {"q", 3000}};
+    UpstreamQuery Query;
+    Query.Service = "m";
+    Query.Parts = Parts;
+    Query.Subject = subjectOf(Parts);
+    Query.HomeZone = "a";
+    Query.ScopeOf = [](std::uint64_t Weights) { return scopeOf(Weights, ""); };
+    Query.StoredIn = [](const std::string &, std::uint32_t) {
+      return static_cast<const StorePlace *>(nullptr);
+    };
+    Query.MemoryTokens = 70000;
+    Query.EngineTokens = EngineTokens;
+    Query.CallTokens = CallTokens;
+    Query.Draw = this->Random();
+    const auto To = Table.choose(Query, Now);
+    if (!To.Entry)
+      return {};
+    const std::string Id = To.Entry->Registered.Id;
+    Table.noteSent(Id, 0, CallTokens);
+    Table.noteParts(Id, Query);
+    return Id;
+  }
+
+  void tell(TimePoint Now) {
+    for (std::size_t From = 0; From < this->Tables.size(); ++From)
+      for (std::size_t To = 0; To < this->Tables.size(); ++To)
+        if (From != To)
+          this->Tables[To].othersUse().note("n" + std::to_string(From),
+                                            this->Tables[From].ownUse(), Now);
+  }
+
+  bool TellsOthers;
+  std::vector<UpstreamTable> Tables;
+  std::mt19937_64 Random{7};
+};
+
+// The load: 40 entries fill the memory of 30 engines to three quarters. Without
+// statuses each entry knows its own calls only and overfills engines while
+// others are free; calls there wait behind all others.
+TEST(ManyEntriesTest, KnowWhatTheOthersHaveUnderWay) {
+  const double Rate = 0.75 * Fleet::Engines * Fleet::EngineTokens /
+                      Fleet::CallTokens / toSeconds(Fleet::RunTime);
+  const Fleet::Counts Alone = Fleet(false, {}).play(Rate, 20s);
+  const Fleet::Counts Told = Fleet(true, {}).play(Rate, 20s);
+  EXPECT_GT(Alone.Overfull, Alone.Sent / 10) << "the load shows the fault";
+  EXPECT_LT(Told.Overfull, Told.Sent / 50);
+  EXPECT_LT(Told.Waited, Told.Sent / 10);
+}
+
+// The load is the same. Guards against all entries sending what comes within
+// one status period to the engines that seemed the freest at its beginning.
+TEST(ManyEntriesTest, DoNotSendToTheSameFewEngines) {
+  const double Rate = 0.75 * Fleet::Engines * Fleet::EngineTokens /
+                      Fleet::CallTokens / toSeconds(Fleet::RunTime);
+  const Fleet::Counts All =
+      Fleet(true, {.RankedCandidates = Fleet::Engines}).play(Rate, 20s);
+  const Fleet::Counts Some = Fleet(true, {}).play(Rate, 20s);
+  EXPECT_GT(All.Overfull, 2 * Some.Overfull) << "the load shows the fault";
+}
+
+} // namespace
+} // namespace galenaroute
