One entry of each zone asks a KV store and tells the others

Ruled out: longer periods (contents would be older than they may be), longer waits (more calls at a store than it takes).

Change: with more than 10 entries, the first of each availability zone for a store asks it, and sends what it heard to the zone's entries over UDP. An entry that hears nothing for a second, or finds that it missed a message, asks the store itself. call.ended tells the longest pause between events.

Smaller fleets ask as before.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -77,9 +77,9 @@
       .count();
 }
 
-/// Up to this many entries all watch the platform closely. With more, a few of
-/// each availability zone do, and calls to the platform stay few.
-static constexpr std::size_t MaxClosePlatformWatchers = 10;
+/// Up to this many entries all watch the platform closely and ask all stores.
+/// With more, a few of each availability zone do, and calls stay few.
+static constexpr std::size_t MaxCloseWatchers = 10;
 static constexpr std::size_t CloseWatchersPerZone = 2;
 /// Where not all watch closely, changes of upstreams are taken in batches. A
 /// call that goes to an upstream that has just left is sent again elsewhere.
@@ -144,6 +144,9 @@
   this->Services.WeightsLimit = this->Settings.WeightsLimit - WeightsMargin;
   this->Services.OldWeightsLimit =
       fromSeconds(toSeconds(this->Settings.WeightsLimit) * OldWeightsShare);
+  this->Stores.OnHeard = [this](const StoreNews &News) {
+    this->tellStore(News);
+  };
   this->Services.OnSent = [this](const UpstreamEntry &To,
                                  std::uint32_t Tokens) {
     this->onSent(To, Tokens);
@@ -507,7 +510,8 @@
                                 (CallsPerCore * this->Settings.Cores));
   const std::size_t Count = this->entryCount();
   this->Upstreams.setSenders(Count);
-  this->Stores.setFollowers(Count);
+  this->Stores.setFollowers(
+      Count > MaxCloseWatchers ? this->Services.Reuse.Zones.size() + 1 : Count);
   this->Services.NewBudget.Most =
       std::max(2.0, this->Settings.RetrySlack * BudgetMargin /
                         static_cast<double>(Count));
@@ -551,7 +555,7 @@
 }
 
 /// Decides whether this entry watches the platform closely or relies on those
-/// that do.
+/// that do, and which stores it asks for the others of its zone.
 void ForwardGateway::divideWatches(TimePoint Now) {
   const std::size_t Count = this->entryCount();
   std::vector<EntryNews> Near;
@@ -559,17 +563,22 @@
     if (Each.Zone == this->Settings.Zone)
       Near.push_back(Each);
   });
-  const bool Relies =
-      Count > MaxClosePlatformWatchers &&
-      !isAmongFirst(
-          "platform", this->Settings.NodeId, CloseWatchersPerZone, Near,
-          [](const EntryNews &Each) -> std::string_view { return Each.Id; });
+  const auto IsAmong = [&](std::string_view Task, std::size_t First) {
+    return Count <= MaxCloseWatchers ||
+           isAmongFirst(Task, this->Settings.NodeId, First, Near,
+                        [](const EntryNews &Each) -> std::string_view {
+                          return Each.Id;
+                        });
+  };
+  const bool IsClose = IsAmong("platform", CloseWatchersPerZone);
   for (ObjectWatcher *Each : this->watchers()) {
-    Each->rely(Relies);
+    Each->rely(!IsClose);
     Each->check(Now);
   }
+  this->Stores.divide(
+      [&](std::string_view Store) { return IsAmong(Store, 1); });
   this->Registry.setBatchDelay(
-      Count > MaxClosePlatformWatchers
+      Count > MaxCloseWatchers
           ? std::min<Duration>(MaxBatchDelay,
                                BatchDelayPerEntry *
                                    static_cast<std::int64_t>(Count))
@@ -596,6 +605,20 @@
   });
 }
 
+/// Tells the other entries of the zone what was heard of a store.
+void ForwardGateway::tellStore(const StoreNews &News) {
+  if (this->entryCount() <= MaxCloseWatchers)
+    return;
+  const std::string Message = encodeGossip({.Store = News});
+  // Those that do not hear of so many events ask the store themselves.
+  if (Message.size() > MaxGossipBytes)
+    return;
+  this->Entries.forEachAlive(EventLoop::now(), [&](const EntryNews &Each) {
+    if (Each.Zone == this->Settings.Zone)
+      this->sendGossip(Each.Gossip, Message);
+  });
+}
+
 void ForwardGateway::onStatus(EntryStatus Status) {
   const TimePoint Now = EventLoop::now();
   if (Status.IsPart) {
@@ -642,6 +665,8 @@
       this->Entries.receive(Read.News, EventLoop::now());
       if (!Read.Status.From.empty())
         this->onStatus(std::move(Read.Status));
+      if (Read.Store)
+        this->Stores.receive(*Read.Store);
     } catch (const std::exception &Failure) {
       log(LogLevel::Warn, "gossip.malformed", {{"message", Failure.what()}});
     }
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -84,6 +84,7 @@
   void gossip();
   void tellStatus();
   void onStatus(EntryStatus Status);
+  void tellStore(const StoreNews &News);
   void onSent(const UpstreamEntry &To, std::uint32_t Tokens);
   void divideWatches(TimePoint Now);
   std::array<ObjectWatcher *, 3> watchers();
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -62,9 +62,40 @@
   return Status;
 }
 
+static json toJson(const StoreNews &News) {
+  const CacheEventBatch &Batch = News.Batch;
+  json Events = json::array();
+  for (const CacheEvent &Each : Batch.Events)
+    Events.push_back({Each.IsAdded, Each.Scope, Each.Part, Each.Tokens});
+  json Result = {{"store", News.Store},
+                 {"since", News.Since},
+                 {"epoch", Batch.Epoch},
+                 {"next", Batch.Next},
+                 {"events", std::move(Events)}};
+  if (Batch.ClockMs)
+    Result["clock"] = *Batch.ClockMs;
+  return Result;
+}
+
+static StoreNews storeNewsFromJson(const json &Value) {
+  StoreNews News;
+  News.Store = Value.at("store");
+  News.Since = Value.at("since");
+  News.Batch.Epoch = Value.at("epoch");
+  News.Batch.Next = Value.at("next");
+  if (Value.contains("clock"))
+    News.Batch.ClockMs = Value.at("clock").get<std::int64_t>();
+  for (const json &Each : Value.at("events"))
+    News.Batch.Events.push_back(
+        {Each.at(0), Each.at(1), Each.at(2), Each.at(3)});
+  return News;
+}
+
 std::string encodeGossip(const GossipMessage &Message) {
   json Value = json::array();
-  if (!Message.Status.From.empty())
+  if (Message.Store)
+    Value = toJson(*Message.Store);
+  else if (!Message.Status.From.empty())
     Value = toJson(Message.Status);
   else
     for (const EntryNews &Each : Message.News)
@@ -76,7 +107,9 @@
 GossipMessage decodeGossip(std::string_view Bytes) {
   const json Value = json::from_cbor(Bytes.begin(), Bytes.end());
   GossipMessage Result;
-  if (Value.is_object())
+  if (Value.is_object() && Value.contains("store"))
+    Result.Store = storeNewsFromJson(Value);
+  else if (Value.is_object())
     Result.Status = statusFromJson(Value);
   else
     for (const json &Each : Value)
--- a/src/process/GossipMessages.h
+++ b/src/process/GossipMessages.h
@@ -5,16 +5,19 @@
 //   GossipMessage Read = decodeGossip(Bytes);
 //
 // News goes to a few entries at a time, which pass it on. A status goes from
-// its entry to all others, several times a second; it is an object where news
-// is an array.
+// its entry to all others, several times a second. News of a store goes to the
+// entries of one availability zone.
 
 #ifndef GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
 #define GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
 
 #include "process/EntryGossip.h"
+#include "process/StoreFollower.h"
 #include "request/SharedUse.h"
 #include "version/ObjectWatcher.h"
 
+#include <optional>
+
 namespace galenaroute {
 
 /// What an entry tells all others of itself.
@@ -35,6 +38,7 @@
 struct GossipMessage {
   std::vector<EntryNews> News;
   EntryStatus Status;
+  std::optional<StoreNews> Store;
 };
 
 std::string encodeGossip(const GossipMessage &Message);
--- a/src/process/StoreFollower.cpp
+++ b/src/process/StoreFollower.cpp
@@ -15,12 +15,17 @@
 static constexpr auto AskPeriod = std::chrono::milliseconds(120);
 /// The same for each entry where calls take turns.
 static constexpr auto AskPeriodPerEntry = std::chrono::milliseconds(9);
-/// Where calls take turns, lists are read this many times less often.
+/// Where calls take turns or others tell, lists are read this many times less
+/// often.
 static constexpr int SharedListFactor = 10;
 /// A few events never arrive, so the whole list is read now and then.
 static constexpr auto ListPeriod = std::chrono::seconds(10);
 /// Between two calls to free parts of one store; events tell what was freed.
 static constexpr auto FreePeriod = std::chrono::seconds(1);
+/// News of a store comes at least every EventWait and AskPeriod; without any
+/// for this long an entry asks itself. Shorter than ReuseSettings::MaxStoreAge.
+static constexpr auto NewsSilence = std::chrono::milliseconds(1000);
+static constexpr auto NewsCheckPeriod = std::chrono::milliseconds(250);
 static constexpr auto RetryPeriod = std::chrono::milliseconds(400);
 
 StoreFollower::StoreFollower(EventLoop &Loop, CacheFeed &Feed)
@@ -105,6 +110,12 @@
   if (It == this->Stores.end())
     return;
   Store &Asked = *It->second;
+  if (!Asked.IsAsked && !Asked.NeedsList && !Asked.HasMissed &&
+      Asked.Contents.IsKnown &&
+      EventLoop::now() - Asked.Contents.HeardAt < NewsSilence) {
+    this->askLater(Name, NewsCheckPeriod);
+    return;
+  }
   const auto Done = [this, Name, Alive = std::weak_ptr(this->Alive)](
                         std::optional<CacheEventBatch> Batch) {
     if (!Alive.expired())
@@ -125,6 +136,29 @@
       this->Loop.timers().after(Delay, [this, Name] { this->ask(Name); });
 }
 
+void StoreFollower::divide(
+    const std::function<bool(std::string_view Store)> &IsAsked) {
+  for (const auto &[Name, Each] : this->Stores)
+    Each->IsAsked = IsAsked(Name);
+}
+
+void StoreFollower::receive(const StoreNews &News) {
+  const auto It = this->Stores.find(News.Store);
+  if (It == this->Stores.end())
+    return;
+  Store &Told = *It->second;
+  const StoreContents &Known = Told.Contents;
+  // After a restart, and where this entry is ahead, its own call settles it.
+  if (Told.IsAsked || Told.NeedsList || !Known.IsKnown ||
+      Known.Epoch != News.Batch.Epoch || News.Batch.Next < Known.Next)
+    return;
+  if (News.Since > Known.Next) {
+    Told.HasMissed = true;
+    return;
+  }
+  applyEvents(Told.Contents, News.Batch, EventLoop::now());
+}
+
 void StoreFollower::onBatch(const std::string &Name,
                             std::optional<CacheEventBatch> Batch) {
   const auto It = this->Stores.find(Name);
@@ -149,22 +183,26 @@
   if (Asked.IsLost)
     log(LogLevel::Info, "store.regained", {{"store", Name}});
   Asked.IsLost = false;
+  Asked.HasMissed = false;
+  const std::uint64_t Since = Asked.Contents.Next;
   const bool Restarted =
       Asked.Contents.IsKnown && Asked.Contents.Epoch != Batch->Epoch;
   const TimePoint Now = EventLoop::now();
   if (Batch->IsList)
     Asked.ListedAt = Now;
-  Asked.NeedsList =
-      Batch->HasGap || (Restarted && !Batch->IsList) ||
-      Now - Asked.ListedAt >= (takesTurns(this->Followers, Asked.MaxWatchers)
-                                   ? ListPeriod * SharedListFactor
-                                   : ListPeriod);
+  const bool IsShared =
+      takesTurns(this->Followers, Asked.MaxWatchers) || !Asked.IsAsked;
+  Asked.NeedsList = Batch->HasGap || (Restarted && !Batch->IsList) ||
+                    Now - Asked.ListedAt >=
+                        (IsShared ? ListPeriod * SharedListFactor : ListPeriod);
   if (Restarted || Batch->HasGap)
     log(LogLevel::Info, "store.contents_unsure",
         {{"store", Name},
          {"epoch", std::to_string(Batch->Epoch)},
          {"gap", Batch->HasGap ? "yes" : "no"}});
   applyEvents(Asked.Contents, *Batch, Now);
+  if (Asked.IsAsked && !Batch->IsList && !Batch->HasGap && !Restarted)
+    this->OnHeard({Name, Since, *Batch});
   this->askLater(Name,
                  Batch->IsList ? Duration::zero() : this->askPeriod(Asked));
 }
--- a/src/process/StoreFollower.h
+++ b/src/process/StoreFollower.h
@@ -4,6 +4,15 @@
 //   Follower.follow(Specs);          // as the configuration names them
 //   Services.Stores = Follower.places();
 //
+// Where many entries need the same contents, one of each availability zone
+// follows a store and tells the others what it hears:
+//
+//   Follower.divide([&](std::string_view Store) { return isFirst(Store); });
+//   Follower.OnHeard = [&](const StoreNews &News) { send(News); };
+//   Other.receive(News);
+//
+// An entry that hears nothing, or misses a message, asks the store itself.
+//
 // Guarantees: one call to each store is under way at a time; a store that does
 // not answer is not trusted until it has been heard again; after a gap in its
 // events its whole list is read.
@@ -34,6 +43,13 @@
        std::span<const std::pair<std::string, std::string>> Parts) = 0;
 };
 
+/// What one entry heard of a store, for those that do not ask it themselves.
+struct StoreNews {
+  std::string Store;
+  std::uint64_t Since = 0; ///< The events follow this one.
+  CacheEventBatch Batch;
+};
+
 class StoreFollower {
 public:
   StoreFollower(EventLoop &Loop, CacheFeed &Feed);
@@ -44,6 +60,11 @@
   void follow(const ForwardConfig &Config);
   /// Tells how many entries follow the same stores, this one included.
   void setFollowers(std::size_t Count) { this->Followers = Count; }
+  /// Decides which stores this entry asks; of the others it expects news.
+  void divide(const std::function<bool(std::string_view Store)> &IsAsked);
+  /// Called with what was heard of a store that this entry asks for others.
+  std::function<void(const StoreNews &News)> OnHeard = [](const StoreNews &) {};
+  void receive(const StoreNews &News);
   std::vector<StorePlace> places();
   /// Frees what was made with older weights than \p LeastWeights. Nobody may
   /// fetch it any more.
@@ -59,6 +80,8 @@
     int MaxWatchers = 1;
     bool NeedsList = false;
     bool IsLost = false;
+    bool IsAsked = true;    ///< By this entry; see divide().
+    bool HasMissed = false; ///< Events that others have told.
     TimePoint FreedAt;
     TimePoint ListedAt;
     sigc::connection Timer;
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -464,6 +464,10 @@
     return;
   }
   this->beginStream();
+  const TimePoint Now = EventLoop::now();
+  if (this->LastEventAt != TimePoint{})
+    this->LongestPause = std::max(this->LongestPause, Now - this->LastEventAt);
+  this->LastEventAt = Now;
   if (Event.Id)
     this->LastEvent = Event.Id;
   this->Incoming->write(Event.Bytes);
@@ -756,6 +760,7 @@
         this->FirstEventAt ? std::to_string(toMilliseconds(
                                  *this->FirstEventAt - this->Incoming->Arrived))
                            : "-"},
+       {"longest_pause_ms", std::to_string(toMilliseconds(this->LongestPause))},
        {"elapsed_ms", std::to_string(toMilliseconds(Elapsed))},
        {"config", std::to_string(this->Config ? this->Config->Version : 0)}});
   this->Services.Stats.requestEnded(this->Service ? this->Service->Name : "-",
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -167,6 +167,8 @@
   int ConnectFailures = 0;
   TimePoint SentAt;
   std::optional<TimePoint> FirstEventAt;
+  TimePoint LastEventAt;
+  Duration LongestPause{}; ///< Between two events passed on.
   sigc::connection StallTimer;
   sigc::connection EndTimer;
   sigc::connection WeightsTimer;
