--- a/tests/SharedUseTest.cpp
+++ b/tests/SharedUseTest.cpp
@@ -118,7 +118,7 @@
   const SocketAddress First{"127.0.0.1", 21731};
   const SocketAddress Second{"127.0.0.1", 21732};
   std::vector<std::string> From;
-  EntryChannel Here(Loop, First, [&](GossipMessage Message) {
+  EntryChannel Here(Loop, First, [&](const GossipMessage &Message) {
     From.push_back(Message.Status.From);
     Loop.stop();
   });
@@ -241,7 +241,7 @@
     const auto To = Table.choose(Query, Now);
     if (!To.Entry)
       return {};
-    const std::string Id = To.Entry->Registered.Id;
+    std::string Id = To.Entry->Registered.Id;
     Table.noteSent(Id, ReadTokens, CallTokens);
     Table.noteParts(Id, Query);
     if (this->TellsAtOnce)
