--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -24,8 +24,9 @@
 /// entries hear them.
 static constexpr auto LeastStatusPeriod = std::chrono::milliseconds(100);
 static constexpr auto StatusPeriodPerEntry = std::chrono::milliseconds(3);
-/// Calls with this many prompt tokens to read, times the entries that hear of
-/// them, are told at once. Reading them takes about as long as the messages.
+/// A call is told to the others at once if it has at least this many prompt
+/// tokens to read for each of them: every message takes processor time at its
+/// receiver, and short prompts occupy an engine for a few milliseconds only.
 static constexpr std::size_t ToldAtOnceTokensPerEntry = 25;
 /// A status counts for this many periods, since messages get lost.
 static constexpr int StatusRounds = 4;
@@ -449,7 +450,7 @@
 UpstreamTable::Room ForwardGateway::roomOf(const UpstreamEntry &Entry) const {
   UpstreamTable::Room Result;
   const SocketAddress &To = Entry.Registered.Address;
-  Result.HasIdle = this->Pool.hasIdle(To, std::chrono::seconds(60));
+  Result.HasIdle = this->Pool.hasIdle(To, MaxIdleRepeatable);
   if (!this->Services.Config)
     return Result;
   const auto Found =
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -16,7 +16,6 @@
 /// A call that must not repeat uses only a connection that served shortly
 /// before, since one that idles may be closing.
 static constexpr Duration MaxIdleOnce = std::chrono::milliseconds(900);
-static constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
 /// Retry-After where nothing tells how long it will take.
 static constexpr Duration LeastRetryAfter = std::chrono::milliseconds(250);
 /// For a call that crashes upstreams; they must be back and mended first.
@@ -32,6 +31,14 @@
 /// event.
 static constexpr Duration BusyStall = std::chrono::milliseconds(1000);
 static constexpr std::size_t MaxStreamBacklog = 4 << 20;
+/// How much each end of a send counts as a failure of the upstream. One that
+/// cannot be connected to is down; one that answers with an error works, and
+/// the error may lie in the call; one too slow for a caller may only be busy.
+static constexpr double NotSentWeight = 3;
+static constexpr double BrokenWeight = 1;
+static constexpr double StalledWeight = 1;
+static constexpr double TimedOutWeight = 0.5;
+static constexpr double FailedWeight = 0.1;
 
 ForwardRun::ForwardRun(ForwardServices &Services,
                        std::shared_ptr<IncomingCall> Incoming)
@@ -558,7 +565,7 @@
     noteSuccess(this->Services.Crashes, this->Signature);
     return;
   case SendOutcome::Failed:
-    Upstreams.noteFailure(this->UpstreamId, 0.1, Now);
+    Upstreams.noteFailure(this->UpstreamId, FailedWeight, Now);
     return;
   case SendOutcome::NotRun:
     if (const NamedWeights *Named = this->namedWeights();
@@ -567,14 +574,14 @@
     Upstreams.noteClosed(this->UpstreamId, Now + ClosedAfterRefusal);
     return;
   case SendOutcome::NotSent:
-    Upstreams.noteFailure(this->UpstreamId, 3, Now);
+    Upstreams.noteFailure(this->UpstreamId, NotSentWeight, Now);
     return;
   case SendOutcome::Stalled:
-    Upstreams.noteFailure(this->UpstreamId, 1, Now);
+    Upstreams.noteFailure(this->UpstreamId, StalledWeight, Now);
     return;
   case SendOutcome::Broken:
     noteBreak(this->Services.Crashes, this->Signature, Now);
-    Upstreams.noteFailure(this->UpstreamId, 1, Now);
+    Upstreams.noteFailure(this->UpstreamId, BrokenWeight, Now);
     return;
   }
 }
@@ -668,7 +675,7 @@
     return;
   const auto Self = this->shared_from_this();
   if (this->Exchange)
-    this->Services.Upstreams.noteFailure(this->UpstreamId, 0.5,
+    this->Services.Upstreams.noteFailure(this->UpstreamId, TimedOutWeight,
                                          EventLoop::now());
   this->endSend();
   if (this->Current == Phase::Streaming) {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -34,6 +34,9 @@
 
 class ForwardRun;
 
+/// Idle connections are used for calls that may be repeated up to this age.
+inline constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
+
 /// The calls of one service that wait for an upstream.
 class WaitingRuns {
 public:
--- a/src/version/ObjectWatcher.cpp
+++ b/src/version/ObjectWatcher.cpp
@@ -164,7 +164,7 @@
 }
 
 void ObjectWatcher::check(TimePoint Now) {
-  // A call waits; one that is about to be sent needs no help.
+  // With the timer set, the next call is about to be sent anyway.
   if (!this->HasRevision || !this->Timer.empty())
     return;
   const bool IsBehind =
