Share repeated steps of choices, messages and headers; same behaviour

Cause: a read of the whole change. The sum of the other entries' calls was looked up three times for each candidate of a choice. updateOrders looked up both ranks in every comparison of its sort, at each change of an upstream and so once for each entry of the first list. sweepStores copied the news of all entries every 100 ms to compare their ids.

Ruled out: counting entries once for all choices (the count would be up to a status old, which changes when a connection may be opened); one retry loop for ObjectWatcher and ConfigWatcher (their delays follow different rules); the age check of Registry, which excludes the limit where the others include it.

Change: one piece of code for each; ranks are taken once for each upstream; ids are viewed, not copied; ForwardGateway::weightsOf is gone.

Figures: make test 294 of 294, format and lint clean.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -191,17 +191,13 @@
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
   Text += reasonOf(Status);
   Text += "\r\n";
-  for (const auto &Each : Headers) {
-    Text += Each.Name;
-    Text += ": ";
-    Text += Each.Value;
-    Text += "\r\n";
-  }
+  for (const auto &Each : Headers)
+    appendField(Text, Each.Name, Each.Value);
   Text += Framing;
   if (this->Owner.Closing)
     this->KeepAlive = false;
   if (!this->KeepAlive)
-    Text += "Connection: close\r\n";
+    appendField(Text, "Connection", "close");
   Text += "\r\n";
   bufferevent_write(this->Event.get(), Text.data(), Text.size());
 }
--- a/src/connection/HttpTypes.cpp
+++ b/src/connection/HttpTypes.cpp
@@ -80,6 +80,14 @@
   return Result;
 }
 
+void appendField(std::string &Text, std::string_view Name,
+                 std::string_view Value) {
+  Text += Name;
+  Text += ": ";
+  Text += Value;
+  Text += "\r\n";
+}
+
 std::optional<std::string> queryValue(std::string_view Query,
                                       std::string_view Key) {
   while (!Query.empty()) {
--- a/src/connection/HttpTypes.h
+++ b/src/connection/HttpTypes.h
@@ -52,6 +52,10 @@
   }
 };
 
+/// Appends a header field as it goes on the wire.
+void appendField(std::string &Text, std::string_view Name,
+                 std::string_view Value);
+
 /// Returns the percent-decoded value of \p Key in the query string \p Query.
 std::optional<std::string> queryValue(std::string_view Query,
                                       std::string_view Key);
--- a/src/process/EntryGossip.cpp
+++ b/src/process/EntryGossip.cpp
@@ -88,18 +88,15 @@
 
 std::vector<EntryNews> EntryGossip::alive(TimePoint Now) const {
   std::vector<EntryNews> Result;
-  for (const auto &[Id, Each] : this->Others)
-    if (this->isAlive(Each.At, Now) && !Each.News.IsLeaving)
-      Result.push_back(Each.News);
+  this->forEachAlive(Now,
+                     [&](const EntryNews &Each) { Result.push_back(Each); });
   return Result;
 }
 
 std::size_t EntryGossip::countAlive(TimePoint Now) const {
-  return static_cast<std::size_t>(std::count_if(
-      this->Others.begin(), this->Others.end(), [&](const auto &Each) {
-        return this->isAlive(Each.second.At, Now) &&
-               !Each.second.News.IsLeaving;
-      }));
+  std::size_t Count = 0;
+  this->forEachAlive(Now, [&](const EntryNews &) { ++Count; });
+  return Count;
 }
 
 std::vector<SocketAddress>
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -87,6 +87,11 @@
                                 static_cast<std::int64_t>(Entries));
 }
 
+/// Whether the platform was heard lately, last \p At.
+static bool isRecent(std::optional<TimePoint> At) {
+  return At && EventLoop::now() - *At <= MaxConfigAge;
+}
+
 static EntryNews selfNews(const GatewaySettings &Settings) {
   EntryNews Self;
   Self.Id = Settings.NodeId;
@@ -147,8 +152,7 @@
     this->onSent(To, Tokens);
   };
   this->Services.IsConfigFresh = [this] {
-    const auto At = this->Configs.heardAt();
-    return At && EventLoop::now() - *At <= MaxConfigAge;
+    return isRecent(this->Configs.heardAt());
   };
   this->Orders =
       OrderControllerBuilder(Loop, Parts.Api, Parts.Orders)
@@ -264,12 +268,24 @@
   this->updateOrders();
 }
 
-/// Whether this entry is the first for \p Task, of itself and \p Others.
-bool ForwardGateway::isFirstOf(std::string_view Task,
-                               std::span<const EntryNews> Others) const {
-  return isAmongFirst(
-      Task, this->Settings.NodeId, 1, Others,
-      [](const EntryNews &Each) -> std::string_view { return Each.Id; });
+/// Returns the ids of the live entries that \p Counts accepts, this one not
+/// included; valid until the next message is received.
+std::vector<std::string_view>
+ForwardGateway::aliveIds(const EntryFilter &Counts) const {
+  std::vector<std::string_view> Result;
+  this->Entries.forEachAlive(EventLoop::now(), [&](const EntryNews &Each) {
+    if (Counts(Each))
+      Result.emplace_back(Each.Id);
+  });
+  return Result;
+}
+
+/// Whether this entry is among the first \p Count for \p Task, of itself and
+/// \p Others.
+bool ForwardGateway::isAmong(std::string_view Task, std::size_t Count,
+                             std::span<const std::string_view> Others) const {
+  return isAmongFirst(Task, this->Settings.NodeId, Count, Others,
+                      [](std::string_view Id) { return Id; });
 }
 
 /// Reads when the versions of \p Model were named. With \p Version, which was
@@ -277,9 +293,7 @@
 void ForwardGateway::syncWeightHistory(const std::string &Model,
                                        std::uint64_t Version) {
   const ObjectKey Key{std::string(HistoryKind), Model};
-  const bool Writes =
-      Version != 0 &&
-      this->isFirstOf(Model, this->Entries.alive(EventLoop::now()));
+  const bool Writes = Version != 0 && this->isAmong(Model, 1, this->aliveIds());
   if (Version != 0 && !Writes)
     return;
   const std::int64_t NamedMs = wallMilliseconds();
@@ -342,20 +356,21 @@
     Wanted.Model = Service.Engine->Model;
     Wanted.WeightVersion = std::to_string(Named->second.newest());
     Wanted.ChecksFence = this->Settings.ChecksFence;
+    // Those that are furthest behind go first, of these the least busy.
+    using Rank = std::pair<std::uint64_t, std::uint64_t>;
+    std::vector<std::pair<Rank, UpstreamConfig>> Ranked;
     for (const auto &[Id, Entry] : this->Upstreams.entries())
       if (Entry.Registered.Service == Name && !Entry.Registered.IsLeaving)
-        Wanted.Upstreams.push_back({.Name = Id,
-                                    .Address = Entry.Registered.Address,
-                                    .Zone = Entry.Registered.Zone});
-    // Those that are furthest behind go first, of these the least busy.
-    const auto RankOf = [&](const UpstreamConfig &Each) {
-      return std::pair(this->weightsOf(Each.Name),
-                       this->Upstreams.callsAt(Each.Name));
-    };
-    std::stable_sort(Wanted.Upstreams.begin(), Wanted.Upstreams.end(),
-                     [&](const UpstreamConfig &A, const UpstreamConfig &B) {
-                       return RankOf(A) < RankOf(B);
-                     });
+        Ranked.push_back(
+            {{Entry.WeightVersion.value_or(0), this->Upstreams.callsAt(Entry)},
+             {.Name = Id,
+              .Address = Entry.Registered.Address,
+              .Zone = Entry.Registered.Zone}});
+    std::stable_sort(
+        Ranked.begin(), Ranked.end(),
+        [](const auto &A, const auto &B) { return A.first < B.first; });
+    for (auto &[Order, Upstream] : Ranked)
+      Wanted.Upstreams.push_back(std::move(Upstream));
     Wanted.MaxConcurrentLoads = std::max(
         1, static_cast<int>(std::ceil(
                LoadShare * static_cast<double>(Wanted.Upstreams.size()))));
@@ -364,11 +379,6 @@
   this->Orders->setConfiguration(std::move(Next));
 }
 
-std::uint64_t ForwardGateway::weightsOf(std::string_view Upstream) const {
-  const UpstreamEntry *Entry = this->Upstreams.find(Upstream);
-  return Entry ? Entry->WeightVersion.value_or(0) : 0;
-}
-
 /// Returns the oldest weights for which cache is still of use: those of the
 /// engine furthest behind, or the newest once half of the engines have them,
 /// since the stores' room is needed for these.
@@ -410,7 +420,7 @@
   }
   if (Now - this->LeastWeightsSince < FreeDelay || this->StopAskedAt)
     return;
-  if (this->isFirstOf("stores", this->Entries.alive(Now)))
+  if (this->isAmong("stores", 1, this->aliveIds()))
     this->Stores.freeOutdated(this->Services.Reuse.LeastWeights);
 }
 
@@ -437,9 +447,10 @@
     return true;
   if (!this->needsOrders(Service))
     return false;
-  auto Able = this->Entries.alive(EventLoop::now());
-  std::erase_if(Able, [](const EntryNews &Each) { return !Each.SeesPlatform; });
-  return this->seesPlatform() && this->isFirstOf(Service, Able);
+  return this->seesPlatform() &&
+         this->isAmong(Service, 1, this->aliveIds([](const EntryNews &Each) {
+           return Each.SeesPlatform;
+         }));
 }
 
 std::size_t ForwardGateway::entryCount() const {
@@ -524,10 +535,7 @@
   if (this->seesPlatform())
     for (const ObjectWatcher *Each : this->watchers())
       Status.Contacts.emplace_back(Each->kind(), Each->contact(Now));
-  const std::string Message = encodeGossip({.Status = std::move(Status)});
-  this->Entries.forEachAlive(Now, [&](const EntryNews &To) {
-    this->Channel->send(To.Gossip, Message);
-  });
+  this->sendToAll(encodeGossip({.Status = std::move(Status)}));
 }
 
 std::array<ObjectWatcher *, 3> ForwardGateway::watchers() {
@@ -538,25 +546,18 @@
 /// that do, and which stores it asks for the others of its zone.
 void ForwardGateway::divideWatches(TimePoint Now) {
   const std::size_t Count = this->entryCount();
-  std::vector<EntryNews> Near;
-  this->Entries.forEachAlive(Now, [&](const EntryNews &Each) {
-    if (Each.Zone == this->Settings.Zone)
-      Near.push_back(Each);
-  });
-  const auto IsAmong = [&](std::string_view Task, std::size_t First) {
-    return Count <= MaxCloseWatchers ||
-           isAmongFirst(Task, this->Settings.NodeId, First, Near,
-                        [](const EntryNews &Each) -> std::string_view {
-                          return Each.Id;
-                        });
+  const auto Near = this->aliveIds(
+      [this](const EntryNews &Each) { return this->isNear(Each); });
+  const auto IsClose = [&](std::string_view Task, std::size_t First) {
+    return Count <= MaxCloseWatchers || this->isAmong(Task, First, Near);
   };
-  const bool IsClose = IsAmong("platform", CloseWatchersPerZone);
+  const bool IsCloseWatcher = IsClose("platform", CloseWatchersPerZone);
   for (ObjectWatcher *Each : this->watchers()) {
-    Each->rely(!IsClose);
+    Each->rely(!IsCloseWatcher);
     Each->check(Now);
   }
   this->Stores.divide(
-      [&](std::string_view Store) { return IsAmong(Store, 1); });
+      [&](std::string_view Store) { return IsClose(Store, 1); });
   this->Registry.setBatchDelay(
       Count > MaxCloseWatchers
           ? std::min<Duration>(MaxBatchDelay,
@@ -567,8 +568,7 @@
 
 /// Whether the platform itself answered this entry lately.
 bool ForwardGateway::seesPlatform() const {
-  const auto At = this->Configs.answeredAt();
-  return At && EventLoop::now() - *At <= MaxConfigAge;
+  return isRecent(this->Configs.answeredAt());
 }
 
 /// Tells at once of a call whose prompt takes an engine long to read. Until the
@@ -576,13 +576,10 @@
 void ForwardGateway::onSent(const UpstreamEntry &To, std::uint32_t Tokens) {
   if (Tokens < ToldAtOnceTokensPerEntry * this->entryCount())
     return;
-  const std::string Message =
+  this->sendToAll(
       encodeGossip({.Status = {.From = this->Settings.NodeId,
                                .Use = {this->Upstreams.ownUseOf(To)},
-                               .IsPart = true}});
-  this->Entries.forEachAlive(EventLoop::now(), [&](const EntryNews &Each) {
-    this->Channel->send(Each.Gossip, Message);
-  });
+                               .IsPart = true}}));
 }
 
 /// Tells the other entries of the zone what was heard of a store.
@@ -593,8 +590,19 @@
   // Those that do not hear of so many events ask the store themselves.
   if (Message.size() > EntryChannel::MaxBytes)
     return;
+  this->sendToAll(Message,
+                  [this](const EntryNews &Each) { return this->isNear(Each); });
+}
+
+bool ForwardGateway::isNear(const EntryNews &Other) const {
+  return Other.Zone == this->Settings.Zone;
+}
+
+/// Sends \p Message to the live entries that \p IsMeant accepts.
+void ForwardGateway::sendToAll(const std::string &Message,
+                               const EntryFilter &IsMeant) {
   this->Entries.forEachAlive(EventLoop::now(), [&](const EntryNews &Each) {
-    if (Each.Zone == this->Settings.Zone)
+    if (IsMeant(Each))
       this->Channel->send(Each.Gossip, Message);
   });
 }
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -77,8 +77,16 @@
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
   void onWeights(const PlatformObject &Object);
-  bool isFirstOf(std::string_view Task,
-                 std::span<const EntryNews> Others) const;
+  using EntryFilter = std::function<bool(const EntryNews &Entry)>;
+  static bool acceptsAny(const EntryNews &) { return true; }
+
+  std::vector<std::string_view>
+  aliveIds(const EntryFilter &Counts = acceptsAny) const;
+  bool isAmong(std::string_view Task, std::size_t Count,
+               std::span<const std::string_view> Others) const;
+  bool isNear(const EntryNews &Other) const;
+  void sendToAll(const std::string &Message,
+                 const EntryFilter &IsMeant = acceptsAny);
   void syncWeightHistory(const std::string &Model, std::uint64_t Version);
   void onCall(std::shared_ptr<IncomingCall> Call);
   void gossip();
@@ -92,7 +100,6 @@
   void onMessage(GossipMessage Message);
   void noteWithheld(std::span<const std::string> Ids);
   void updateOrders();
-  std::uint64_t weightsOf(std::string_view Upstream) const;
   std::uint64_t leastUsefulWeights() const;
   void sweepStores();
   void noteZones();
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -54,6 +54,11 @@
   this->WeightsTimer.disconnect();
 }
 
+/// Returns a uniform number in [0, 1).
+double ForwardRun::draw() {
+  return std::uniform_real_distribution<double>(0, 1)(this->Services.Random);
+}
+
 Duration ForwardRun::timeLeft() const { return this->EndAt - EventLoop::now(); }
 
 RetryBudget &ForwardRun::budget() {
@@ -110,10 +115,8 @@
   }
   if (this->Call.Id.empty())
     throw Error(ErrorKind::BadRequest, "the request has no id");
-  const double Draw =
-      std::uniform_real_distribution<double>(0, 1)(this->Services.Random);
   const auto Found =
-      this->Config->Services.find(chooseService(*this->Route, Draw));
+      this->Config->Services.find(chooseService(*this->Route, this->draw()));
   if (Found == this->Config->Services.end()) {
     this->refuse("the route's service is not configured", LeastRetryAfter);
     return false;
@@ -243,13 +246,11 @@
     this->finish("stream_lost");
     return;
   }
-  const double Draw =
-      std::uniform_real_distribution<double>(0, 1)(this->Services.Random);
   if (this->PossibleRuns > 0)
     this->fail(ErrorKind::UpstreamFailed, "no other upstream is free");
   else
     this->refuse("no upstream is free",
-                 comeBackAfter(OldestWait, this->timeLeft(), Draw));
+                 comeBackAfter(OldestWait, this->timeLeft(), this->draw()));
 }
 
 void WaitingRuns::add(std::shared_ptr<ForwardRun> Run) {
@@ -712,10 +713,8 @@
 }
 
 Duration ForwardRun::retryAfter() {
-  const double Draw =
-      std::uniform_real_distribution<double>(0, 1)(this->Services.Random);
   return comeBackAfter(this->queue().oldestWait(EventLoop::now()),
-                       this->timeLeft(), Draw);
+                       this->timeLeft(), this->draw());
 }
 
 void ForwardRun::refuse(std::string_view Reason, Duration RetryAfter) {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -139,6 +139,7 @@
   void fail(ErrorKind Kind, std::string_view Reason);
   void finish(std::string_view Outcome);
   void endSend();
+  double draw();
   Duration timeLeft() const;
   Duration retryAfter();
   RetryBudget &budget();
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <utility>
 
 namespace galenaroute {
 
@@ -107,8 +107,10 @@
                    Entry.Registered.Id) == Query.Excluded.end();
 }
 
-UpstreamCandidate UpstreamTable::candidateOf(const UpstreamEntry &Entry,
-                                             TimePoint Now) const {
+UpstreamCandidate
+UpstreamTable::candidateOf(const UpstreamEntry &Entry,
+                           const std::optional<UpstreamUse> &Others,
+                           TimePoint Now) const {
   UpstreamCandidate Result;
   Result.IsSameZone = Entry.Registered.Zone == this->Settings.Zone;
   Result.OwnCalls = Entry.OwnCalls;
@@ -116,7 +118,7 @@
   Result.Load = Entry.Load;
   Result.LoadAge = Now - Entry.ReportedAt;
   Result.Slots = Entry.Registered.Slots;
-  if (const auto Others = this->useOfOthers(Entry)) {
+  if (Others) {
     Result.TokensAhead =
         static_cast<double>(Entry.TokensAhead + Others->TokensAhead);
     Result.CallsOfOthers = static_cast<int>(Others->Calls);
@@ -189,20 +191,18 @@
   return Result;
 }
 
-std::uint64_t UpstreamTable::callsAt(std::string_view Id) const {
-  const UpstreamEntry *Entry = this->find(Id);
-  if (!Entry)
-    return 0;
-  const auto Others = this->useOfOthers(*Entry);
-  return static_cast<std::uint64_t>(Entry->OwnCalls) +
+std::uint64_t UpstreamTable::callsAt(const UpstreamEntry &Entry) const {
+  const auto Others = this->useOfOthers(Entry);
+  return static_cast<std::uint64_t>(Entry.OwnCalls) +
          (Others ? Others->Calls : 0);
 }
 
 /// Whether an engine's memory has room for a call.
 bool UpstreamTable::hasMemory(const UpstreamEntry &Entry,
+                              const std::optional<UpstreamUse> &Others,
                               const UpstreamQuery &Query) const {
   const auto All = static_cast<double>(Query.EngineTokens);
-  if (const auto Others = this->useOfOthers(Entry)) {
+  if (Others) {
     const std::uint64_t InUse = Entry.OwnTokens + Others->Tokens;
     return InUse == 0 || static_cast<double>(InUse + Query.CallTokens) <=
                              All * this->Settings.MaxMemoryUse;
@@ -217,11 +217,11 @@
 
 /// Whether an engine can take in a call without making it wait for long.
 bool UpstreamTable::hasRoom(const UpstreamEntry &Entry,
+                            const std::optional<UpstreamUse> &Others,
                             const UpstreamQuery &Query,
                             std::uint32_t TokensToRead, TimePoint Now) const {
   if (Query.EngineTokens == 0)
     return true;
-  const auto Others = this->useOfOthers(Entry);
   const std::uint64_t Ahead =
       Entry.TokensAhead + (Others ? Others->TokensAhead : 0);
   const std::uint64_t MaxAhead = Others ? this->Settings.MaxTokensAheadOfAll
@@ -237,7 +237,16 @@
   if (Others && static_cast<int>(Others->Calls) + Entry.OwnCalls >=
                     Entry.Registered.Slots + MaxWaiting)
     return false;
-  return this->hasMemory(Entry, Query);
+  return this->hasMemory(Entry, Others, Query);
+}
+
+/// The highest is the home of a prompt's subject: in its zone if possible.
+using HomeRank = std::pair<bool, std::uint64_t>;
+
+static HomeRank homeRank(const UpstreamEntry &Entry,
+                         const UpstreamQuery &Query) {
+  return {Entry.Registered.Zone == Query.HomeZone,
+          rendezvousWeight(Query.Subject, Entry.Registered.Id)};
 }
 
 std::vector<const UpstreamEntry *>
@@ -267,10 +276,8 @@
       Result[I] = Keyed[I - From].second;
   };
   SortFirst(
-      0, this->Settings.RankedCandidates, [&](const UpstreamEntry *Entry) {
-        return std::pair(Entry->Registered.Zone == Query.HomeZone,
-                         rendezvousWeight(Query.Subject, Entry->Registered.Id));
-      });
+      0, this->Settings.RankedCandidates,
+      [&](const UpstreamEntry *Entry) { return homeRank(*Entry, Query); });
   SortFirst(this->Settings.RankedCandidates, Most,
             [&](const UpstreamEntry *Entry) {
               return (Entry->UseKey ^ Query.Draw) * 0x9e3779b97f4a7c15;
@@ -287,7 +294,8 @@
   HeldParts Seen;
   for (const UpstreamEntry *Each : this->shortList(Query, Now)) {
     const UpstreamEntry &Entry = *Each;
-    UpstreamCandidate Candidate = this->candidateOf(Entry, Now);
+    const auto Others = this->useOfOthers(Entry);
+    UpstreamCandidate Candidate = this->candidateOf(Entry, Others, Now);
     Candidate.IsHome = !Home || &Entry == Home;
     if (!Query.Parts.empty())
       this->addPrompt(Candidate, Entry, Query, Seen);
@@ -297,7 +305,7 @@
       Candidate.TokensToFetchFar =
           scaled(Candidate.TokensToFetchFar, HomeMissShare);
     }
-    if (!this->hasRoom(Entry, Query, Candidate.TokensToRead, Now))
+    if (!this->hasRoom(Entry, Others, Query, Candidate.TokensToRead, Now))
       continue;
     Candidate.HasOldWeights = Query.NewestWeights && Entry.WeightVersion &&
                               *Entry.WeightVersion < *Query.NewestWeights;
@@ -314,17 +322,14 @@
   if (Query.Subject.empty())
     return nullptr;
   const UpstreamEntry *Best = nullptr;
-  bool BestIsNear = false;
-  std::uint64_t Most = 0;
+  HomeRank Most;
   for (const auto &[Id, Entry] : this->Entries) {
     if (Entry.Registered.Service != Query.Service || Entry.Registered.IsLeaving)
       continue;
-    const bool IsNear = Entry.Registered.Zone == Query.HomeZone;
-    const std::uint64_t Weight = rendezvousWeight(Query.Subject, Id);
-    if (!Best || std::tie(IsNear, Weight) > std::tie(BestIsNear, Most)) {
+    const HomeRank Rank = homeRank(Entry, Query);
+    if (!Best || Rank > Most) {
       Best = &Entry;
-      BestIsNear = IsNear;
-      Most = Weight;
+      Most = Rank;
     }
   }
   return Best;
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -173,7 +173,7 @@
   /// nothing when none was heard.
   std::optional<UpstreamUse> useOfOthers(const UpstreamEntry &Entry) const;
   /// Calls of all entries under way at an upstream, as far as told.
-  std::uint64_t callsAt(std::string_view Id) const;
+  std::uint64_t callsAt(const UpstreamEntry &Entry) const;
   /// Entries of the system that send calls, this one included.
   void setSenders(std::size_t Count) { this->Senders = Count; }
   /// The call uses these parts there.
@@ -204,10 +204,16 @@
   bool isHeldAnywhere(const std::string &Key, HeldParts &Seen) const;
   void addPrompt(UpstreamCandidate &Candidate, const UpstreamEntry &Entry,
                  const UpstreamQuery &Query, HeldParts &Seen) const;
-  bool hasRoom(const UpstreamEntry &Entry, const UpstreamQuery &Query,
-               std::uint32_t TokensToRead, TimePoint Now) const;
-  bool hasMemory(const UpstreamEntry &Entry, const UpstreamQuery &Query) const;
+  /// \p Others is useOfOthers() of the entry, here and below.
+  bool hasRoom(const UpstreamEntry &Entry,
+               const std::optional<UpstreamUse> &Others,
+               const UpstreamQuery &Query, std::uint32_t TokensToRead,
+               TimePoint Now) const;
+  bool hasMemory(const UpstreamEntry &Entry,
+                 const std::optional<UpstreamUse> &Others,
+                 const UpstreamQuery &Query) const;
   UpstreamCandidate candidateOf(const UpstreamEntry &Entry,
+                                const std::optional<UpstreamUse> &Others,
                                 TimePoint Now) const;
   double failureScore(const UpstreamEntry &Entry, TimePoint Now) const;
 
--- a/src/version/ObjectWatcher.cpp
+++ b/src/version/ObjectWatcher.cpp
@@ -73,10 +73,12 @@
     return;
   }
   this->HasRevision = true;
-  const std::map<std::string, std::uint64_t> Before = this->Known;
-  for (const auto &[Name, Version] : Before)
-    if (!this->Listed.contains(Name))
-      this->forget(Name);
+  std::erase_if(this->Known, [this](const auto &Each) {
+    if (this->Listed.contains(Each.first))
+      return false;
+    this->Digest ^= digestOf(Each.first, Each.second);
+    return true;
+  });
   this->heard();
   this->Events.OnListed(this->Listed);
   this->watch();
