Answers that say more, or come wrong: pauses, leaving servers, late copies

Cause: the fields by which a server says that it leaves, or wants no calls for a time, were not read.

Ruled out: extra bytes behind an answer and on idle connections (closed, with tests); heads and bodies without end (bounded); bytes of a part of an event as progress.

Change: UpstreamTable keeps who said that it leaves, by incarnation, and until when an upstream wants no calls; calls that no upstream will take are refused at once with the time to come back. Other answers before the one awaited are limited to four. A stream leaves a slow upstream only for one that is free. Connections whose answer has no other end are reset when it breaks off. A listener can take in what waits and then refuse connections.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -4,6 +4,7 @@
 #include "process/ErrorKind.h"
 #include "process/Log.h"
 
+#include <algorithm>
 #include <cstring>
 #include <event2/listener.h>
 #include <netinet/in.h>
@@ -43,6 +44,7 @@
   void finish();
   void close();
   void sweep(TimePoint Now);
+  bool isQuiet() const;
   std::size_t unsentBytes() const {
     return evbuffer_get_length(bufferevent_get_output(this->Event.get()));
   }
@@ -73,6 +75,9 @@
   TimePoint Since;
   TimePoint FirstByte;
   bool Chunked = false;
+  /// The answer under way has no framing, so that an orderly close would tell
+  /// the caller that it is complete.
+  bool EndsWithClose = false;
   bool KeepAlive = true;
   bool IsHeadRequest = false;
 };
@@ -216,6 +221,7 @@
 
 void CallerConnection::begin(int Status, const HttpHeaders &Headers) {
   this->Chunked = this->Call->Head.IsHttp11;
+  this->EndsWithClose = !this->Chunked;
   if (!this->Chunked)
     this->KeepAlive = false;
   this->writeHead(Status, Headers,
@@ -268,6 +274,7 @@
     return;
   }
   this->setState(State::Lingering);
+  this->EndsWithClose = false;
   ::shutdown(bufferevent_getfd(this->Event.get()), SHUT_WR);
   evbuffer *Input = bufferevent_get_input(this->Event.get());
   evbuffer_drain(Input, evbuffer_get_length(Input));
@@ -290,6 +297,12 @@
   const auto Kept = this->shared_from_this();
   const auto Ended = std::move(this->Call);
   this->Owner.Connections.erase(Kept);
+  if (this->EndsWithClose) {
+    // A reset is the only sign of an incomplete answer.
+    const linger Reset{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(bufferevent_getfd(this->Event.get()), SOL_SOCKET, SO_LINGER,
+                 &Reset, sizeof Reset);
+  }
   bufferevent_disable(this->Event.get(), EV_READ | EV_WRITE);
   bufferevent_setcb(this->Event.get(), nullptr, nullptr, nullptr, nullptr);
   if (Ended) {
@@ -298,6 +311,21 @@
   }
 }
 
+bool CallerConnection::isQuiet() const {
+  const bool HasInput =
+      evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0;
+  switch (this->Current) {
+  case State::Reading:
+    return !this->Parser.isInMessage() && !HasInput && this->unsentBytes() == 0;
+  case State::Answering:
+  case State::Flushing:
+    return false;
+  case State::Lingering:
+    return true;
+  }
+  return true;
+}
+
 void CallerConnection::sweep(TimePoint Now) {
   const Duration Age = Now - this->Since;
   switch (this->Current) {
@@ -382,7 +410,34 @@
 
 CallListener::~CallListener() {
   this->SweepTimer.disconnect();
+  if (this->Listener)
+    evconnlistener_free(this->Listener);
+}
+
+void CallListener::stopAccepting() {
+  if (!this->Listener)
+    return;
+  // Closing the listener resets connections that wait to be accepted, whose
+  // requests may have arrived.
+  const int Socket = evconnlistener_get_fd(this->Listener);
+  for (int Next = 0; Next >= 0;) {
+    Next = ::accept4(Socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Next >= 0)
+      this->accept(Next);
+  }
   evconnlistener_free(this->Listener);
+  this->Listener = nullptr;
+}
+
+bool CallListener::isQuiet() const {
+  return std::all_of(this->Connections.begin(), this->Connections.end(),
+                     [](const auto &Each) { return Each->isQuiet(); });
+}
+
+void CallListener::abortAll() {
+  const auto All = this->Connections;
+  for (const auto &Each : All)
+    Each->close();
 }
 
 void CallListener::accept(int Socket) {
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -83,6 +83,14 @@
 
   /// From now on each answer closes its connection.
   void closeAfterAnswers() { this->Closing = true; }
+  /// Takes in the connections that wait and refuses further ones. Those that
+  /// are open are still served.
+  void stopAccepting();
+  /// Whether no request is being read or answered.
+  bool isQuiet() const;
+  /// Closes all connections, so that answers under way are seen to be
+  /// incomplete.
+  void abortAll();
 
 private:
   friend class CallerConnection;
@@ -91,7 +99,7 @@
   EventLoop &Loop;
   CallerLimits Limits;
   Handler OnCall;
-  evconnlistener *Listener;
+  evconnlistener *Listener; ///< Null after stopAccepting().
   std::set<std::shared_ptr<CallerConnection>> Connections;
   bool Closing = false;
   sigc::connection SweepTimer;
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -15,8 +15,10 @@
 /// way when a request is sent.
 static constexpr auto KeepTimeMargin = std::chrono::milliseconds(400);
 static constexpr auto SweepPeriod = std::chrono::milliseconds(500);
-/// Late answers to earlier requests that are skipped on one connection.
-static constexpr int MaxForeignAnswers = 2;
+/// Answers before the one awaited that are skipped on one connection: late ones
+/// to earlier requests, and interim ones. A server in trouble may send them
+/// without end.
+static constexpr int MaxSkippedAnswers = 4;
 static constexpr HttpParserLimits AnswerLimits{.MaxHeadBytes = 64 << 10,
                                                .MaxBodyBytes = 16 << 20};
 
@@ -63,7 +65,7 @@
   bool HasFraming = true;
   bool IsForeign = false; ///< The answer being read is dropped.
   bool AnswerDone = false;
-  int ForeignAnswers = 0;
+  int SkippedAnswers = 0;
   sigc::connection ConnectTimer;
 };
 
@@ -111,6 +113,7 @@
   this->Request = std::move(Text);
   this->IsForeign = false;
   this->AnswerDone = false;
+  this->SkippedAnswers = 0;
   this->KeepAlive = true;
   For.Kept = this->ServedBefore;
   if (this->Connected) {
@@ -148,7 +151,8 @@
     // The call may have been cancelled while it was handed the answer.
     if (!this->Current)
       return;
-    if (this->Parser.fault() != HttpFault::None) {
+    if (this->Parser.fault() != HttpFault::None ||
+        this->SkippedAnswers > MaxSkippedAnswers) {
       this->end(UpstreamEnd::Malformed, false);
       return;
     }
@@ -184,6 +188,7 @@
   if (Head.Status < 200) {
     // An interim answer; the final one follows.
     this->IsForeign = true;
+    ++this->SkippedAnswers;
     return true;
   }
   if (!Head.KeepAlive)
@@ -195,8 +200,7 @@
   if (this->IsForeign) {
     // Framing that cannot be trusted once is not trusted for another request.
     this->KeepAlive = false;
-    if (++this->ForeignAnswers > MaxForeignAnswers)
-      return false;
+    ++this->SkippedAnswers;
   }
   return !this->Settings.IsHead;
 }
--- a/src/request/ForwardCall.h
+++ b/src/request/ForwardCall.h
@@ -83,8 +83,10 @@
   bool IsMisdirected = false; ///< Another instance or weight version.
   std::optional<UpstreamLoad> Load;
   std::optional<std::uint64_t> WeightVersion;
-  bool IsLeaving = false; ///< The upstream announces that it closes.
-  HttpHeaders Passed;     ///< Fields that go to the caller unchanged.
+  bool IsLeaving = false; ///< The upstream takes no further calls.
+  /// How long the upstream wants no calls from this process.
+  std::optional<Duration> RefusesFor;
+  HttpHeaders Passed; ///< Fields that go to the caller unchanged.
 };
 
 /// Reads and writes calls on the wire.
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -18,6 +18,12 @@
 static constexpr Duration MaxIdleOnce = std::chrono::milliseconds(900);
 /// Retry-After where nothing tells how long it will take.
 static constexpr Duration LeastRetryAfter = std::chrono::milliseconds(250);
+/// While a service has no upstream. A replacement registers within a heartbeat
+/// of its start.
+static constexpr Duration NoUpstreamRetryAfter = std::chrono::seconds(1);
+/// Callers that were refused together come back over this share of the time on
+/// top of it.
+static constexpr double PauseSpread = 0.25;
 /// For a call that crashes upstreams; they must be back and mended first.
 static constexpr Duration CrashRetryAfter = std::chrono::seconds(10);
 /// The least time to give an upstream; less could not be used.
@@ -193,12 +199,34 @@
   if (this->Current == Phase::Done)
     return;
   this->WaitingSince = EventLoop::now();
+  if (this->refuseUnservable())
+    return;
   // Those that wait already may be more urgent.
   if (this->queue().size() == 0 && this->trySend())
     return;
   this->queue().add(this->shared_from_this());
 }
 
+/// Refuses a call that no upstream will take while it may wait. Returns whether
+/// it did.
+bool ForwardRun::refuseUnservable() {
+  if (this->Sends > 0 || this->ConnectFailures > 0)
+    return false;
+  const TimePoint Now = EventLoop::now();
+  UpstreamQuery Query;
+  Query.Service = this->Service->Name;
+  const auto OpensAt = this->Services.Upstreams.opensAt(Query);
+  if (!OpensAt) {
+    this->refuse("the service has no upstream", NoUpstreamRetryAfter);
+    return true;
+  }
+  if (*OpensAt <= Now || !isWaitOver(this->waiting(), {}, *OpensAt))
+    return false;
+  this->refuse("all upstreams asked for a pause",
+               scaled(*OpensAt - Now, 1 + PauseSpread * this->draw()));
+  return true;
+}
+
 bool ForwardRun::trySend() {
   const UpstreamQuery Query = this->query();
   const UpstreamTable::Chosen To =
@@ -340,7 +368,7 @@
   this->HasAnswer = false;
   this->Body.clear();
   this->Splitter.clear();
-  this->SentAt = EventLoop::now();
+  this->SentAt = this->ProgressAt = EventLoop::now();
   this->HasStalledOnce = false;
   if (this->Current == Phase::Waiting)
     this->Current = Phase::Sent;
@@ -426,7 +454,12 @@
 
 bool ForwardRun::onHead(const HttpHead &Head) {
   CallAnswer Read = this->Services.Codec.readAnswer(Head);
-  if (!Read.CallId.empty() && Read.CallId != this->Call.Id) {
+  // On a connection that has served before, what names no call may be a late
+  // second copy of an earlier answer.
+  const bool IsForeign = Read.CallId.empty()
+                             ? this->Exchange->usedKeptConnection()
+                             : Read.CallId != this->Call.Id;
+  if (IsForeign) {
     log(LogLevel::Warn, "answer.foreign",
         {{"call", this->Call.Id},
          {"upstream", this->UpstreamId},
@@ -435,13 +468,18 @@
   }
   this->Answer = std::move(Read);
   this->HasAnswer = true;
-  this->Services.Upstreams.noteProgress(this->UpstreamId, EventLoop::now());
+  UpstreamTable &Upstreams = this->Services.Upstreams;
+  const TimePoint Now = EventLoop::now();
+  this->ProgressAt = Now;
+  Upstreams.noteProgress(this->UpstreamId, Now);
+  if (this->Answer.IsLeaving)
+    Upstreams.noteLeaving(this->UpstreamId);
+  if (this->Answer.RefusesFor)
+    Upstreams.notePaused(this->UpstreamId, Now + *this->Answer.RefusesFor, Now);
   if (this->Answer.Load)
-    this->Services.Upstreams.noteLoad(this->UpstreamId, *this->Answer.Load,
-                                      EventLoop::now());
+    Upstreams.noteLoad(this->UpstreamId, *this->Answer.Load, Now);
   if (this->Answer.WeightVersion)
-    this->Services.Upstreams.noteWeights(this->UpstreamId,
-                                         *this->Answer.WeightVersion);
+    Upstreams.noteWeights(this->UpstreamId, *this->Answer.WeightVersion);
   return true;
 }
 
@@ -457,10 +495,23 @@
     this->Body += Bytes;
     return;
   }
-  if (!this->Splitter.feed(
+  if (this->Splitter.feed(
           Bytes, [this](const StreamEvent &Event) { this->onEvent(Event); }))
-    log(LogLevel::Warn, "stream.event_too_long",
-        {{"call", this->Call.Id}, {"upstream", this->UpstreamId}});
+    return;
+  log(LogLevel::Warn, "stream.event_too_long",
+      {{"call", this->Call.Id}, {"upstream", this->UpstreamId}});
+  this->Splitter.clear();
+  if (this->Current == Phase::Done)
+    return;
+  // Ended outside the parser, which is still reporting from these bytes.
+  this->StallTimer.disconnect();
+  this->StallTimer = this->Services.Loop.timers().after(
+      Duration::zero(), [Self = this->shared_from_this()] {
+        if (Self->Current == Phase::Done || !Self->Exchange)
+          return;
+        Self->Exchange.reset();
+        Self->onOutcome(SendOutcome::Broken);
+      });
 }
 
 void ForwardRun::onEvent(const StreamEvent &Event) {
@@ -475,11 +526,14 @@
   const TimePoint Now = EventLoop::now();
   if (this->LastEventAt != TimePoint{})
     this->LongestPause = std::max(this->LongestPause, Now - this->LastEventAt);
-  this->LastEventAt = Now;
+  this->LastEventAt = this->ProgressAt = Now;
   if (Event.Id)
     this->LastEvent = Event.Id;
   this->Incoming->write(Event.Bytes);
-  this->armStall();
+  // In a numbered stream, an event without a number, such as a comment, is no
+  // sign that the engine works on it.
+  if (Event.Id || !this->LastEvent)
+    this->armStall();
   if (this->Incoming->unsentBytes() > MaxStreamBacklog) {
     this->Incoming->abort();
     this->finish("caller_too_slow");
@@ -587,6 +641,17 @@
   }
 }
 
+/// How far the call has come, for nextStep().
+ForwardProgress ForwardRun::progress() {
+  return {.Repeat = this->Route->Repeat,
+          .Sends = this->Sends,
+          .PossibleRuns = this->PossibleRuns,
+          .MaxUpstreams = this->Route->MaxUpstreams,
+          .ConnectFailures = this->ConnectFailures,
+          .HasBudget = hasRetry(this->budget()),
+          .TimeLeft = this->timeLeft()};
+}
+
 void ForwardRun::onOutcome(SendOutcome Outcome) {
   this->StallTimer.disconnect();
   if (this->Current == Phase::Done)
@@ -599,15 +664,7 @@
     if (Outcome != SendOutcome::NotRun)
       ++this->PossibleRuns;
   }
-  ForwardProgress Progress;
-  Progress.Repeat = this->Route->Repeat;
-  Progress.Sends = this->Sends;
-  Progress.PossibleRuns = this->PossibleRuns;
-  Progress.MaxUpstreams = this->Route->MaxUpstreams;
-  Progress.ConnectFailures = this->ConnectFailures;
-  Progress.HasBudget = hasRetry(this->budget());
-  Progress.TimeLeft = this->timeLeft();
-  const ForwardStep Step = nextStep(Progress, Outcome);
+  const ForwardStep Step = nextStep(this->progress(), Outcome);
   if (Outcome != SendOutcome::Succeeded)
     log(LogLevel::Warn, "call.send_ended",
         {{"call", this->Call.Id},
@@ -645,18 +702,31 @@
     return;
   // An upstream that answers others is only busy; it gets longer.
   const UpstreamEntry *At = this->Services.Upstreams.find(this->UpstreamId);
-  if (At && At->ProgressAt > this->SentAt && !this->HasStalledOnce) {
+  if (At && At->ProgressAt > this->ProgressAt && !this->HasStalledOnce) {
     this->HasStalledOnce = true;
     this->StallTimer = this->Services.Loop.timers().after(
         BusyStall, [Self = this->shared_from_this()] { Self->onStall(); });
     return;
   }
-  // Nothing else may try the call, so its upstream may as well go on.
-  const bool MayTryAnother =
-      this->PossibleRuns + 1 < this->Route->MaxUpstreams &&
-      hasRetry(this->budget());
-  if (MayTryAnother)
+  // A slow upstream is left only for one that takes the call now. Otherwise a
+  // sound stream would be cut because the fleet is busy.
+  if (this->mayGoElsewhere()) {
     this->abandonSend();
+    return;
+  }
+  this->armStall();
+}
+
+/// Whether the send under way may be given up and another upstream is free.
+bool ForwardRun::mayGoElsewhere() {
+  ForwardProgress Progress = this->progress();
+  if (this->Exchange->wasSent()) {
+    ++Progress.Sends;
+    ++Progress.PossibleRuns;
+  }
+  return nextStep(Progress, SendOutcome::Stalled) == ForwardStep::Retry &&
+         this->Services.Upstreams.choose(this->query(), EventLoop::now())
+                 .Entry != nullptr;
 }
 
 /// Ends the send under way, if there is one.
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -108,6 +108,7 @@
   enum class Phase { Waiting, Sent, Streaming, Done };
 
   bool admit();
+  bool refuseUnservable();
   void attempt();
   int priority() const;
   std::uint32_t callTokens() const;
@@ -127,6 +128,8 @@
   void onOutcome(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome);
   void onStall();
+  bool mayGoElsewhere();
+  ForwardProgress progress();
   void onTimeout();
   void onCallerLeft();
   void armStall();
@@ -170,6 +173,7 @@
   int PossibleRuns = 0;
   int ConnectFailures = 0;
   TimePoint SentAt;
+  TimePoint ProgressAt; ///< Of the send under way: sent, answered, last event.
   std::optional<TimePoint> FirstEventAt;
   TimePoint LastEventAt;
   Duration LongestPause{}; ///< Between two events passed on.
--- a/src/request/SharedUse.cpp
+++ b/src/request/SharedUse.cpp
@@ -15,13 +15,20 @@
 }
 
 void SharedUse::note(const std::string &Entry, std::vector<UseItem> Items,
-                     TimePoint Now) {
+                     TimePoint Now, std::size_t Members) {
   Told &Kept = this->Entries[Entry];
   for (const UseItem &Each : Kept.Items)
     this->subtract(Each);
   for (const UseItem &Each : Items)
     this->add(Each);
-  Kept = {std::move(Items), Now};
+  Kept = {std::move(Items), Now, Members};
+}
+
+std::size_t SharedUse::entries() const {
+  std::size_t Count = 0;
+  for (const auto &[Entry, Each] : this->Entries)
+    Count += Each.Members;
+  return Count;
 }
 
 void SharedUse::noteOne(const std::string &Entry, const UseItem &Item,
--- a/src/request/SharedUse.h
+++ b/src/request/SharedUse.h
@@ -52,9 +52,10 @@
   explicit SharedUse(Duration MaxAge) : MaxAge(MaxAge) {}
 
   void setMaxAge(Duration Age) { this->MaxAge = Age; }
-  /// Replaces what \p Entry told before.
-  void note(const std::string &Entry, std::vector<UseItem> Items,
-            TimePoint Now);
+  /// Replaces what \p Entry told before. \p Members: how many entries' calls
+  /// are in \p Items.
+  void note(const std::string &Entry, std::vector<UseItem> Items, TimePoint Now,
+            std::size_t Members = 1);
   /// Replaces what \p Entry told of one upstream, and of no other.
   void noteOne(const std::string &Entry, const UseItem &Item, TimePoint Now);
   /// Forgets what is too old.
@@ -63,12 +64,13 @@
   /// Returns the sum over the entries heard.
   UpstreamUse of(std::uint32_t Key) const;
   /// Entries that count at the moment.
-  std::size_t entries() const { return this->Entries.size(); }
+  std::size_t entries() const;
 
 private:
   struct Told {
     std::vector<UseItem> Items;
     TimePoint At;
+    std::size_t Members = 1;
   };
 
   void add(const UseItem &Item);
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -13,6 +13,10 @@
 /// Other entries send to the same homes, but not as one.
 static constexpr double OthersTokensFactor = 1.5;
 
+/// Incarnations remembered as leaving. A fleet of thousands replaces a few
+/// hundred upstreams a day.
+static constexpr std::size_t MaxLeavers = 4096;
+
 /// Part of the stored tokens that a home is expected to have to fetch.
 static constexpr double HomeMissShare = 0.3;
 
@@ -36,6 +40,9 @@
   Entry.Registered = Upstream;
   Entry.UseKey = useKey(Upstream.Id);
   Entry.MissingSince.reset();
+  const auto Leaver = this->Leavers.find(Upstream.Id);
+  Entry.SaidLeaving =
+      Leaver != this->Leavers.end() && Leaver->second == Upstream.BornMs;
   Entry.WarmAt = Now + Upstream.WarmUp;
   if (!Upstream.WeightVersions.empty())
     Entry.WeightVersion = std::max(Upstream.WeightVersions.begin()->second,
@@ -98,8 +105,8 @@
 bool UpstreamTable::isEligible(const UpstreamEntry &Entry,
                                const UpstreamQuery &Query,
                                TimePoint Now) const {
-  if (Entry.Registered.Service != Query.Service || Entry.Registered.IsLeaving ||
-      Now < Entry.ClosedUntil)
+  if (Entry.Registered.Service != Query.Service || Entry.isLeaving() ||
+      Now < Entry.ClosedUntil || Now < Entry.PausedUntil)
     return false;
   if (Entry.WeightVersion && *Entry.WeightVersion < Query.LeastWeights)
     return false;
@@ -324,7 +331,7 @@
   const UpstreamEntry *Best = nullptr;
   HomeRank Most;
   for (const auto &[Id, Entry] : this->Entries) {
-    if (Entry.Registered.Service != Query.Service || Entry.Registered.IsLeaving)
+    if (Entry.Registered.Service != Query.Service || Entry.isLeaving())
       continue;
     const HomeRank Rank = homeRank(Entry, Query);
     if (!Best || Rank > Most) {
@@ -380,6 +387,43 @@
     Entry->ClosedUntil = std::max(Entry->ClosedUntil, Until);
 }
 
+void UpstreamTable::notePaused(std::string_view Id, TimePoint Until,
+                               TimePoint Now) {
+  UpstreamEntry *Entry = this->findMutable(Id);
+  if (!Entry || Until <= Entry->PausedUntil)
+    return;
+  Entry->PausedUntil = Until;
+  log(LogLevel::Info, "upstream.paused",
+      {{"upstream", Entry->Registered.Id},
+       {"for_ms", std::to_string(toMilliseconds(Until - Now))}});
+}
+
+void UpstreamTable::noteLeaving(std::string_view Id) {
+  UpstreamEntry *Entry = this->findMutable(Id);
+  if (!Entry || Entry->SaidLeaving)
+    return;
+  Entry->SaidLeaving = true;
+  if (this->Leavers.size() >= MaxLeavers)
+    this->Leavers.erase(this->Leavers.begin());
+  this->Leavers[Entry->Registered.Id] = Entry->Registered.BornMs;
+  log(LogLevel::Info, "upstream.leaving",
+      {{"upstream", Entry->Registered.Id},
+       {"born_ms", std::to_string(Entry->Registered.BornMs)}});
+  this->OnGone(Entry->Registered.Address);
+}
+
+std::optional<TimePoint>
+UpstreamTable::opensAt(const UpstreamQuery &Query) const {
+  std::optional<TimePoint> First;
+  for (const auto &[Id, Entry] : this->Entries) {
+    if (Entry.Registered.Service != Query.Service || Entry.isLeaving())
+      continue;
+    if (!First || Entry.PausedUntil < *First)
+      First = Entry.PausedUntil;
+  }
+  return First;
+}
+
 void UpstreamTable::noteEnded(std::string_view Id, std::uint32_t CallTokens) {
   UpstreamEntry *Entry = this->findMutable(Id);
   if (!Entry)
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -55,6 +55,12 @@
   std::uint32_t UseKey = 0; ///< See useKey().
   TimePoint ProgressAt;     ///< When it last began to answer a call.
   TimePoint ClosedUntil;    ///< It refuses calls until about then.
+  TimePoint PausedUntil;    ///< It asked for no calls until then.
+  bool SaidLeaving = false; ///< In an answer; the registry may not know yet.
+
+  bool isLeaving() const {
+    return this->Registered.IsLeaving || this->SaidLeaving;
+  }
   std::optional<TimePoint> MissingSince; ///< Not in the last list.
 };
 
@@ -180,13 +186,22 @@
   void noteParts(std::string_view Id, const UpstreamQuery &Query);
   /// The upstream refuses calls for now.
   void noteClosed(std::string_view Id, TimePoint Until);
+  /// The upstream asked for no calls until \p Until.
+  void notePaused(std::string_view Id, TimePoint Until, TimePoint Now);
+  /// The upstream said that it leaves. Holds for its incarnation, also when it
+  /// is missing in the registry for a while.
+  void noteLeaving(std::string_view Id);
+  /// Returns from when an upstream of the service may take calls: the past
+  /// where one may now, nothing where none is expected to.
+  std::optional<TimePoint> opensAt(const UpstreamQuery &Query) const;
   void noteLoad(std::string_view Id, const UpstreamLoad &Load, TimePoint Now);
   void noteFailure(std::string_view Id, double Weight, TimePoint Now);
   void noteProgress(std::string_view Id, TimePoint Now);
   void noteSuccess(std::string_view Id);
   void noteWeights(std::string_view Id, std::uint64_t Version);
 
-  /// Called with the address of an upstream that has gone or restarted.
+  /// Called with the address of an upstream that has gone, restarted or said
+  /// that it leaves.
   std::function<void(const SocketAddress &Address)> OnGone =
       [](const SocketAddress &) {};
 
@@ -221,6 +236,8 @@
   RoomOf Rooms;
   std::size_t Senders = 1;
   SharedUse Others{std::chrono::milliseconds(500)};
+  /// Incarnations that said they leave, by id; bounded by MaxLeavers.
+  std::map<std::string, std::int64_t, std::less<>> Leavers;
   std::map<std::string, UpstreamEntry, std::less<>> Entries;
 };
 
--- a/tests/ForwardConnectionsTest.cpp
+++ b/tests/ForwardConnectionsTest.cpp
@@ -4,6 +4,7 @@
 #include "connection/CallListener.h"
 #include "connection/UpstreamPool.h"
 
+#include <fstream>
 #include <gtest/gtest.h>
 
 namespace galenaroute {
@@ -94,6 +95,77 @@
   ASSERT_TRUE(this->until([&] { return Caller.read().ends_with("second"); }));
 }
 
+// Guards against an answer that breaks off halfway and reaches a caller without
+// chunks as a complete success: for it, an orderly close is the end.
+TEST_F(CallListenerTest, ACutAnswerWithoutFramingIsSeenToBeIncomplete) {
+  std::shared_ptr<IncomingCall> Call;
+  this->start([&](const std::shared_ptr<IncomingCall> &Arrived) {
+    Call = Arrived;
+    Call->begin(200, {});
+    Call->write("half");
+  });
+  RawSocket Caller(RawSocket::connectTo(this->Address));
+  Caller.write("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(this->until([&] { return Caller.read().ends_with("half"); }));
+  Call->abort();
+  ASSERT_TRUE(this->until([&] { return Caller.hasEnded(); }));
+  EXPECT_TRUE(Caller.wasReset());
+}
+
+TEST_F(CallListenerTest, AWholeAnswerWithoutFramingEndsInGoodOrder) {
+  this->start([&](const std::shared_ptr<IncomingCall> &Call) {
+    Call->begin(200, {});
+    Call->write("whole");
+    Call->finish();
+  });
+  RawSocket Caller(RawSocket::connectTo(this->Address));
+  Caller.write("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(this->until([&] { return Caller.hasEnded(); }));
+  EXPECT_TRUE(Caller.read().ends_with("whole"));
+  EXPECT_FALSE(Caller.wasReset());
+}
+
+// Guards against requests that are cut off because they wait to be accepted
+// when the listener closes at a planned stop.
+TEST_F(CallListenerTest, WhatWaitsToBeAcceptedIsServedBeforeItRefuses) {
+  this->start([](const std::shared_ptr<IncomingCall> &Call) {
+    Call->send(503, {}, "later");
+  });
+  std::vector<std::unique_ptr<RawSocket>> Callers;
+  for (int I = 0; I < 50; ++I) {
+    Callers.push_back(
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address)));
+    Callers.back()->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  // The loop has not run, so all of them wait in the kernel.
+  this->Listener->closeAfterAnswers();
+  this->Listener->stopAccepting();
+  EXPECT_THROW(RawSocket::connectTo(this->Address), std::runtime_error);
+  for (const auto &Each : Callers)
+    ASSERT_TRUE(this->until([&] { return Each->hasEnded(); }));
+  for (const auto &Each : Callers) {
+    EXPECT_TRUE(Each->read().ends_with("later"));
+    EXPECT_FALSE(Each->wasReset());
+  }
+}
+
+// Guards against a process that ends while a request is half read.
+TEST_F(CallListenerTest, IsNotQuietWhileARequestIsReadOrAnswered) {
+  std::shared_ptr<IncomingCall> Call;
+  this->start(
+      [&](const std::shared_ptr<IncomingCall> &Arrived) { Call = Arrived; });
+  RawSocket Caller(RawSocket::connectTo(this->Address));
+  EXPECT_TRUE(this->Listener->isQuiet());
+  Caller.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Le");
+  ASSERT_TRUE(this->until([&] { return !this->Listener->isQuiet(); }));
+  Caller.write("ngth: 4\r\n\r\nbo");
+  Caller.write("dy");
+  ASSERT_TRUE(this->until([&] { return Call != nullptr; }));
+  EXPECT_FALSE(this->Listener->isQuiet());
+  Call->send(200, {}, "ok");
+  EXPECT_TRUE(this->until([&] { return this->Listener->isQuiet(); }));
+}
+
 /// An upstream whose bytes a test writes by hand.
 class UpstreamPoolTest : public testing::Test {
 protected:
@@ -224,5 +296,71 @@
   EXPECT_FALSE(Into.End.has_value());
 }
 
+// Guards against an upstream that sends answers to other calls, or interim
+// ones, without end: the call would wait for its own for ever.
+TEST_F(UpstreamPoolTest, AnswersToOtherCallsWithoutEndAreCut) {
+  for (const std::string Kind :
+       {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n"}) {
+    Outcome Into;
+    auto Exchange = this->start(Into, [](const HttpHead &Head) {
+      return Head.Headers.find("Id") == "mine";
+    });
+    const auto Peer = this->accept();
+    const TimePoint Begun = EventLoop::now();
+    ASSERT_TRUE(this->Loop.runUntil(
+        [&] {
+          if (!Into.End)
+            Peer->writeSome(Kind);
+          return Into.End.has_value();
+        },
+        3s));
+    EXPECT_EQ(*Into.End, UpstreamEnd::Malformed);
+    EXPECT_LT(EventLoop::now() - Begun, 1s);
+    EXPECT_TRUE(this->Loop.runUntil([&] { return Peer->hasEnded(); }, 3s));
+  }
+}
+
+/// Memory of this process that is in use, in KB.
+long residentKb() {
+  std::ifstream File("/proc/self/statm");
+  long Size = 0;
+  long Resident = 0;
+  File >> Size >> Resident;
+  return Resident * (sysconf(_SC_PAGESIZE) / 1024);
+}
+
+// Guards against bytes that are no answer and come without end, in a head or in
+// a body: memory must stay flat and the connection must be closed.
+TEST_F(UpstreamPoolTest, BytesWithoutEndAreCutAndMemoryStaysFlat) {
+  const std::string Block(64 << 10, 'x');
+  for (const std::string Begin :
+       {"HTTP/1.1 200 OK\r\nA: ", "garbage", "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "fffffffff\r\n"}) {
+    std::optional<UpstreamEnd> End;
+    auto Exchange = this->Pool.start(
+        this->Server.Address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {},
+        {.OnHead = [](const HttpHead &) { return true; },
+         .OnBody = [](std::string_view) {},
+         .OnEnd = [&](UpstreamEnd How) { End = How; }});
+    const auto Peer = this->accept();
+    const long Before = residentKb();
+    Peer->writeSome(Begin);
+    std::size_t Written = 0;
+    ASSERT_TRUE(this->Loop.runUntil(
+        [&] {
+          if (!End)
+            Written += Peer->writeSome(Block);
+          return End.has_value();
+        },
+        10s))
+        << Begin << " still open after " << Written << " bytes";
+    EXPECT_EQ(*End, UpstreamEnd::Malformed) << Begin;
+    EXPECT_LT(residentKb() - Before, 8 << 10) << Begin;
+    EXPECT_TRUE(this->Loop.runUntil([&] { return Peer->hasEnded(); }, 3s));
+  }
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -6,6 +6,7 @@
 #include "platform/CallHeaders.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace galenaroute {
 namespace {
@@ -104,6 +105,22 @@
     std::snprintf(Size, sizeof Size, "%zx\r\n", Text.size());
     return Size + Text + "\r\n";
   }
+  /// The instance that a forwarded call names.
+  static std::string instanceIn(const std::string &Request) {
+    static const std::string Name = "Expect-Instance: ";
+    const std::size_t At = Request.rfind(Name);
+    return At == std::string::npos
+               ? ""
+               : Request.substr(At + Name.size(),
+                                Request.find("\r\n", At) - At - Name.size());
+  }
+  static int countOf(const std::string &Text, const std::string &Part) {
+    int Count = 0;
+    for (std::size_t At = Text.find(Part); At != std::string::npos;
+         At = Text.find(Part, At + 1))
+      ++Count;
+    return Count;
+  }
   const std::string StreamHead =
       head("200 OK", "Server-Stamp: x\r\nTransfer-Encoding: chunked\r\n");
 
@@ -250,5 +267,158 @@
   EXPECT_TRUE(this->callerGets("HTTP/1.1 502 "));
 }
 
+// Guards against a call to a server that said in an answer that it leaves: both
+// calls would go to it, since nothing else tells.
+TEST_F(ForwardRunTest, NothingGoesToAServerThatSaidItLeaves) {
+  const std::string Ok =
+      head("200 OK", "Server-Stamp: x\r\nContent-Length: 2\r\n") + "ok";
+  std::set<std::string> Instances;
+  this->ask("/once/a");
+  auto Peer = this->arrival();
+  Instances.insert(instanceIn(Peer->read()));
+  Peer->write(head("200 OK", "Server-Stamp: x\r\nServer-Leaving: 1\r\n"
+                             "Content-Length: 2\r\n") +
+              "ok");
+  ASSERT_TRUE(this->callerGets("\r\n\r\nok"));
+  EXPECT_EQ(this->Caller->read().find("Server-Leaving"), std::string::npos);
+  for (int I = 0; I < 6; ++I) {
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    this->ask("/once/a");
+    // Later calls may come on the connection that the first of them opened.
+    if (I == 0)
+      Peer = this->arrival();
+    else
+      ASSERT_TRUE(this->until([&] {
+        return Peer->read().find("body", Peer->read().size() - 4) !=
+                   std::string::npos &&
+               countOf(Peer->read(), "POST ") == I + 1;
+      }));
+    EXPECT_FALSE(Instances.contains(instanceIn(Peer->read())));
+    Peer->write(Ok);
+    ASSERT_TRUE(this->callerGets("\r\n\r\nok"));
+  }
+}
+
+// Guards against calls to a server that asked for a pause, and against callers
+// that wait in vain when all of a service's servers have.
+TEST_F(ForwardRunTest, WhenAllServersAskForAPauseCallsAreRefusedAtOnce) {
+  this->ask("/once/a");
+  const std::string Refusal =
+      head("503 Busy", "Not-Executed: 1\r\nRetry-After: 2.5\r\n"
+                       "Content-Length: 0\r\n");
+  this->arrival()->write(Refusal);
+  this->arrival()->write(Refusal);
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 503 "));
+  this->Caller =
+      std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+  const TimePoint Begun = EventLoop::now();
+  this->ask("/once/a");
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 503 "));
+  EXPECT_LT(EventLoop::now() - Begun, 200ms);
+  const std::string &Text = this->Caller->read();
+  const double After = std::stod(Text.substr(Text.find("Retry-After: ") + 13));
+  EXPECT_GT(After, 2.0);
+  EXPECT_LT(After, 4.0);
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
+// Guards against the late second copy of an answer reaching the next caller on
+// a connection that is in use again, with and without the id of its call.
+TEST_F(ForwardRunTest, ALateSecondCopyReachesNoOtherCaller) {
+  for (const std::string Id : {"Request-Id: r1\r\n", ""}) {
+    this->Table.remove("u1");
+    this->Pool.closeIdle(this->Servers[0].Address);
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    const std::string Copy = "HTTP/1.1 200 OK\r\n" + Id +
+                             "Server-Stamp: x\r\nContent-Length: 5\r\n\r\n"
+                             "first";
+    this->ask("/once/a");
+    const auto Peer = this->arrival();
+    Peer->write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: x\r\n"
+                "Content-Length: 5\r\n\r\nfirst");
+    ASSERT_TRUE(this->callerGets("first"));
+    RawSocket Next(RawSocket::connectTo(this->Address));
+    Next.write("POST /once/b HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\n"
+               "Authorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody");
+    ASSERT_TRUE(this->until([&] {
+      return Peer->read().find("Request-Id: r2") != std::string::npos;
+    })) << "the connection is used again";
+    Peer->write(Copy);
+    Peer->write("HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nServer-Stamp: y\r\n"
+                "Content-Length: 6\r\n\r\nsecond");
+    ASSERT_TRUE(this->until([&] {
+      return Next.read().find("second") != std::string::npos;
+    })) << Next.read();
+    EXPECT_EQ(Next.read().find("first"), std::string::npos);
+  }
+}
+
+// Guards against a sound stream that is cut because it is slow while no other
+// upstream is free to go on with it.
+TEST_F(ForwardRunTest, ASlowStreamGoesOnWhileNoOtherUpstreamIsFree) {
+  this->ask("/stream/a");
+  const auto Peer = this->arrival();
+  Peer->write(this->StreamHead + chunk("id: 1\ndata: a\n\n"));
+  ASSERT_TRUE(this->callerGets("data: a"));
+  for (const char *Id : {"u0", "u1"})
+    this->Table.noteClosed(Id, EventLoop::now() + 10s);
+  // Longer than the limit for a pause between events.
+  this->Loop.runUntil([] { return false; }, 1200ms);
+  Peer->write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  EXPECT_TRUE(this->callerGets("data: b"));
+}
+
+// Guards against a stalled stream that sends a byte now and then, or comments,
+// and so never ends.
+TEST_F(ForwardRunTest, AStreamThatOnlyTricklesGoesOnElsewhere) {
+  for (const std::string Trickle : {"x", ": still here\n\n"}) {
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    this->ask("/stream/a");
+    const auto Stalled = this->arrival();
+    Stalled->write(this->StreamHead + chunk("id: 1\ndata: a\n\n"));
+    ASSERT_TRUE(this->callerGets("data: a"));
+    int Other = -1;
+    TimePoint NextByte = EventLoop::now();
+    ASSERT_TRUE(this->Loop.runUntil(
+        [&] {
+          if (EventLoop::now() >= NextByte) {
+            Stalled->writeSome(chunk(Trickle));
+            NextByte = EventLoop::now() + 50ms;
+          }
+          for (const RawListener &Each : this->Servers)
+            if (Other < 0)
+              Other = Each.accept();
+          return Other >= 0;
+        },
+        1400ms))
+        << Trickle;
+    RawSocket Second(Other);
+    Second.writeSome(this->StreamHead + chunk("id: 2\ndata: b\n\n") +
+                     "0\r\n\r\n");
+    EXPECT_TRUE(this->callerGets("data: b"));
+    EXPECT_TRUE(this->until([&] { return Stalled->hasEnded(); }));
+  }
+}
+
+// Guards against an event without end, which would be kept in memory until the
+// caller's time is over.
+TEST_F(ForwardRunTest, AnEventWithoutEndBreaksTheSend) {
+  this->ask("/oncestream/a");
+  const auto Peer = this->arrival();
+  Peer->write(this->StreamHead + chunk("id: 1\ndata: a\n\n"));
+  ASSERT_TRUE(this->callerGets("data: a"));
+  const std::string Block = chunk(std::string(60000, 'x'));
+  const TimePoint Begun = EventLoop::now();
+  ASSERT_TRUE(this->until([&] {
+    Peer->writeSome(Block);
+    return this->Caller->hasEnded();
+  }));
+  EXPECT_LT(EventLoop::now() - Begun, 1s) << "before the time of the call";
+  EXPECT_EQ(this->Caller->read().find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -43,6 +43,13 @@
       throw std::runtime_error("cannot write");
   }
 
+  /// Writes as much as the other end takes now; returns how much.
+  std::size_t writeSome(std::string_view Bytes) {
+    const ssize_t Written =
+        ::send(this->Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+    return Written > 0 ? static_cast<std::size_t>(Written) : 0;
+  }
+
   /// Takes in what has arrived; returns all that was read so far.
   const std::string &read() {
     char Buffer[4096];
@@ -51,6 +58,7 @@
       if (Length <= 0) {
         this->Ended = this->Ended || Length == 0 ||
                       (errno != EAGAIN && errno != EWOULDBLOCK);
+        this->Reset = this->Reset || (Length < 0 && errno == ECONNRESET);
         return this->Text;
       }
       this->Text.append(Buffer, static_cast<std::size_t>(Length));
@@ -60,6 +68,8 @@
     this->read();
     return this->Ended;
   }
+  /// Whether the other end has reset the connection.
+  bool wasReset() const { return this->Reset; }
   void close() {
     if (this->Socket >= 0)
       ::close(this->Socket);
@@ -76,6 +86,7 @@
   int Socket;
   std::string Text;
   bool Ended = false;
+  bool Reset = false;
 };
 
 /// A listening socket on loopback.
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -272,5 +272,53 @@
       << "calls that do not end are not waited for any longer";
 }
 
+// Guards against calls to a server that said it leaves while the registry lists
+// it as ready, also after its entry lapsed and came back. A new start under the
+// same id is another server.
+TEST_F(UpstreamTableTest, AnUpstreamThatSaidItLeavesGetsNoCallUntilItRestarts) {
+  const std::string Home = this->choose(this->Parts);
+  const int Number = std::stoi(Home.substr(1));
+  std::vector<SocketAddress> Closed;
+  this->Table.OnGone = [&](const SocketAddress &Address) {
+    Closed.push_back(Address);
+  };
+  this->Table.noteLeaving(Home);
+  EXPECT_EQ(Closed.size(), 1U) << "kept connections are closed";
+  EXPECT_NE(this->choose(this->Parts), Home);
+  this->Table.put(engine(Number), Start);
+  EXPECT_NE(this->choose(this->Parts), Home) << "listed again as ready";
+  this->Table.remove(Home);
+  this->Table.put(engine(Number), Start);
+  EXPECT_NE(this->choose(this->Parts), Home) << "back after its entry lapsed";
+  RegisteredUpstream Restarted = engine(Number);
+  Restarted.BornMs = 2;
+  this->Table.put(Restarted, Start);
+  EXPECT_EQ(this->choose(this->Parts), Home);
+}
+
+// Guards against calls to a server that asked for a pause: neither a shorter
+// pause nor an ended refusal opens it earlier.
+TEST_F(UpstreamTableTest, AnUpstreamThatAskedForAPauseGetsNoCallUntilItsEnd) {
+  const std::string Home = this->choose(this->Parts);
+  this->Table.notePaused(Home, Start + 3s, Start);
+  this->Table.notePaused(Home, Start + 1s, Start);
+  this->Table.noteClosed(Home, Start + 500ms);
+  EXPECT_NE(this->choose(this->Parts, Start + 2900ms), Home);
+  EXPECT_EQ(this->choose(this->Parts, Start + 3100ms), Home);
+}
+
+TEST_F(UpstreamTableTest, TellsWhenAServiceTakesCallsAgain) {
+  EXPECT_LE(this->Table.opensAt(this->query({})), Start);
+  for (int I = 0; I < 12; ++I)
+    this->Table.notePaused("e" + std::to_string(I), Start + 2s + I * 1ms,
+                           Start);
+  EXPECT_EQ(this->Table.opensAt(this->query({})), Start + 2s);
+  this->Table.noteLeaving("e0");
+  EXPECT_EQ(this->Table.opensAt(this->query({})), Start + 2001ms);
+  for (int I = 0; I < 12; ++I)
+    this->Table.remove("e" + std::to_string(I));
+  EXPECT_EQ(this->Table.opensAt(this->query({})), std::nullopt);
+}
+
 } // namespace
 } // namespace galenaroute
