--- a/src/process/EntryGossip.cpp
+++ b/src/process/EntryGossip.cpp
@@ -1,7 +1,10 @@
 #include "process/EntryGossip.h"
 
+#include "process/Rendezvous.h"
+
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
 
 namespace galenaroute {
 
@@ -11,13 +14,37 @@
 /// Part of the capacity that even a busy entry counts with.
 static constexpr double LeastFree = 0.15;
 
-bool EntryGossip::isAlive(TimePoint At, TimePoint Now) const {
+std::uint32_t entryKey(std::string_view EntryId) {
+  return static_cast<std::uint32_t>(stableHash(EntryId));
+}
+
+bool EntryGossip::isAlive(const Heard &Entry, TimePoint Now) const {
+  const Duration Age = Now - Entry.At;
+  if (Age < this->Settings.DeadAfter)
+    return true;
+  const auto Zone = this->ZoneSeenAt.find(Entry.News.Zone);
+  if (Zone != this->ZoneSeenAt.end() &&
+      Zone->second - Entry.At >= this->Settings.DeadAfter)
+    return false;
   const std::size_t Beyond = this->Others.size() > this->Settings.MaxNews
                                  ? this->Others.size() - this->Settings.MaxNews
                                  : 0;
-  return Now - At <
-         this->Settings.DeadAfter + this->Settings.DeadAfterPerEntry *
-                                        static_cast<std::int64_t>(Beyond);
+  return Age < this->Settings.DeadAfter + this->Settings.DeadAfterPerEntry *
+                                              static_cast<std::int64_t>(Beyond);
+}
+
+void EntryGossip::noteSeen(std::span<const std::uint32_t> Keys, TimePoint Now) {
+  const std::unordered_set<std::uint32_t> Seen(Keys.begin(), Keys.end());
+  for (auto &[Id, Each] : this->Others)
+    if (Seen.contains(Each.Key)) {
+      Each.At = std::max(Each.At, Now);
+      this->ZoneSeenAt[Each.News.Zone] = Now;
+    }
+}
+
+const EntryNews *EntryGossip::find(std::string_view Id) const {
+  const auto It = this->Others.find(Id);
+  return It == this->Others.end() ? nullptr : &It->second.News;
 }
 
 std::vector<EntryNews> EntryGossip::news(TimePoint Now,
@@ -25,7 +52,7 @@
   ++this->Self.Heartbeat;
   std::vector<const Heard *> Recent;
   for (const auto &[Id, Each] : this->Others)
-    if (this->isAlive(Each.At, Now))
+    if (this->isAlive(Each, Now))
       Recent.push_back(&Each);
   // A fixed order would tell of the same entries every time.
   std::shuffle(Recent.begin(), Recent.end(), Random);
@@ -50,14 +77,15 @@
       continue;
     const auto It = this->Others.find(Each.Id);
     if (It == this->Others.end()) {
-      this->Others[Each.Id] = {Each, Now};
+      this->Others[Each.Id] = {Each, Now, entryKey(Each.Id)};
       continue;
     }
     if (!isNewer(Each, It->second.News))
       continue;
     const bool Left = It->second.News.IsLeaving &&
                       It->second.News.Incarnation == Each.Incarnation;
-    It->second = {Each, Now};
+    It->second.News = Each;
+    It->second.At = Now;
     It->second.News.IsLeaving |= Left;
   }
   std::erase_if(this->Others, [&](const auto &Each) {
@@ -68,13 +96,25 @@
 std::vector<SocketAddress>
 EntryGossip::targets(std::span<const SocketAddress> Seeds, TimePoint Now,
                      std::mt19937_64 &Random) {
-  std::vector<SocketAddress> Alive;
+  std::vector<SocketAddress> Near;
+  std::vector<SocketAddress> Far;
   std::vector<SocketAddress> Rest(Seeds.begin(), Seeds.end());
   for (const auto &[Id, Each] : this->Others)
-    (this->isAlive(Each.At, Now) ? Alive : Rest).push_back(Each.News.Gossip);
-  std::shuffle(Alive.begin(), Alive.end(), Random);
-  if (Alive.size() > this->Settings.Fanout)
-    Alive.resize(this->Settings.Fanout);
+    (!this->isAlive(Each, Now)           ? Rest
+     : Each.News.Zone == this->Self.Zone ? Near
+                                         : Far)
+        .push_back(Each.News.Gossip);
+  std::shuffle(Near.begin(), Near.end(), Random);
+  std::shuffle(Far.begin(), Far.end(), Random);
+  const std::size_t ToFar = std::min(
+      Far.size(), std::max(this->Settings.FarFanout,
+                           this->Settings.Fanout -
+                               std::min(this->Settings.Fanout, Near.size())));
+  std::vector<SocketAddress> Alive(
+      Far.begin(), Far.begin() + static_cast<std::ptrdiff_t>(ToFar));
+  for (const SocketAddress &Each : Near)
+    if (Alive.size() < this->Settings.Fanout)
+      Alive.push_back(Each);
   // One that is not heard of may only be cut off; it is asked now and then.
   if (!Rest.empty()) {
     std::shuffle(Rest.begin(), Rest.end(), Random);
--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -41,15 +41,23 @@
 
 struct EntryGossipSettings {
   /// An entry that is not heard of for this long counts as dead. News takes
-  /// longer to go round when there are more entries than fit in a message.
+  /// longer to go round when there are more entries than fit in a message, so
+  /// the time grows with their number, unless others of its zone were reported
+  /// meanwhile by noteSeen().
   Duration DeadAfter = std::chrono::milliseconds(1800);
   Duration DeadAfterPerEntry = std::chrono::milliseconds(40);
   /// A dead entry is forgotten after this time.
   Duration ForgetAfter = std::chrono::seconds(60);
   std::size_t MaxNews = 32; ///< In one message.
   std::size_t Fanout = 6;   ///< Messages in one round.
+  /// Of these, to other zones where there are enough entries in the own one;
+  /// bytes between zones are dear.
+  std::size_t FarFanout = 1;
 };
 
+/// Names an entry in digests, see StatusRelay.
+std::uint32_t entryKey(std::string_view EntryId);
+
 class EntryGossip {
 public:
   EntryGossip(EntryNews Self, EntryGossipSettings Settings)
@@ -65,6 +73,10 @@
   /// chosen from while nobody else is known.
   std::vector<SocketAddress> targets(std::span<const SocketAddress> Seeds,
                                      TimePoint Now, std::mt19937_64 &Random);
+  /// Others have heard of the entries with these entryKey()s just now.
+  void noteSeen(std::span<const std::uint32_t> Keys, TimePoint Now);
+  /// Returns what is known of an entry other than this one, or null.
+  const EntryNews *find(std::string_view Id) const;
   /// Entries, other than this one, that are alive and not leaving.
   std::vector<EntryNews> alive(TimePoint Now) const;
   std::size_t countAlive(TimePoint Now) const;
@@ -72,21 +84,24 @@
   template <typename Visitor>
   void forEachAlive(TimePoint Now, Visitor Visit) const {
     for (const auto &[Id, Each] : this->Others)
-      if (this->isAlive(Each.At, Now) && !Each.News.IsLeaving)
+      if (this->isAlive(Each, Now) && !Each.News.IsLeaving)
         Visit(Each.News);
   }
 
 private:
-  /// Whether an entry heard of at \p At counts as alive.
-  bool isAlive(TimePoint At, TimePoint Now) const;
-
   struct Heard {
     EntryNews News;
     TimePoint At;
+    std::uint32_t Key = 0; ///< See entryKey().
   };
+
+  bool isAlive(const Heard &Entry, TimePoint Now) const;
+
   EntryGossipSettings Settings;
   EntryNews Self;
-  std::map<std::string, Heard> Others;
+  std::map<std::string, Heard, std::less<>> Others;
+  /// When an entry of each zone was last reported by noteSeen().
+  std::map<std::string, TimePoint> ZoneSeenAt;
 };
 
 /// Chooses the addresses for a caller in \p Zone: entries of its zone first,
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -20,16 +20,6 @@
 static constexpr auto FreeDelay = std::chrono::milliseconds(1500);
 /// How long a notice of withheld upstreams holds; each round renews it.
 static constexpr auto WithheldNoticeTime = std::chrono::milliseconds(700);
-/// Between two statuses: a small part of a run's time, and longer where many
-/// entries hear them.
-static constexpr auto LeastStatusPeriod = std::chrono::milliseconds(100);
-static constexpr auto StatusPeriodPerEntry = std::chrono::milliseconds(3);
-/// A call is told to the others at once if it has at least this many prompt
-/// tokens to read for each of them: every message takes processor time at its
-/// receiver, and short prompts occupy an engine for a few milliseconds only.
-static constexpr std::size_t ToldAtOnceTokensPerEntry = 25;
-/// A status counts for this many periods, since messages get lost.
-static constexpr int StatusRounds = 4;
 /// The configuration counts as current while the platform was heard within
 /// this time; watches return at least every 1.5 s.
 static constexpr auto MaxConfigAge = std::chrono::milliseconds(2500);
@@ -41,6 +31,9 @@
 /// New calls are taken for this long after a stop was asked for, since callers
 /// keep an address for some time.
 static constexpr auto TakeAfterStop = std::chrono::milliseconds(2800);
+/// Requests that callers had sent when new connections were refused arrive
+/// within this time.
+static constexpr auto LastRequests = std::chrono::milliseconds(300);
 /// A stop ends this long before the platform would kill the process.
 static constexpr auto StopMargin = std::chrono::milliseconds(400);
 /// Calls in progress for each core at which an entry counts as busy.
@@ -81,12 +74,6 @@
 static constexpr auto BatchDelayPerEntry = std::chrono::milliseconds(10);
 static constexpr Duration MaxBatchDelay = std::chrono::milliseconds(1000);
 
-static Duration statusPeriod(std::size_t Entries) {
-  return std::max<Duration>(LeastStatusPeriod,
-                            StatusPeriodPerEntry *
-                                static_cast<std::int64_t>(Entries));
-}
-
 /// Whether the platform was heard lately, last \p At.
 static bool isRecent(std::optional<TimePoint> At) {
   return At && EventLoop::now() - *At <= MaxConfigAge;
@@ -135,21 +122,26 @@
                          [this](const PlatformObject &Object) {
                            this->onWeights(Object);
                          }}),
-      Entries(selfNews(this->Settings), {}) {
+      Entries(selfNews(this->Settings), {}),
+      Statuses(
+          this->Entries,
+          [this](const SocketAddress &To, const std::string &Bytes) {
+            this->Channel->send(To, Bytes);
+          },
+          this->statusEvents()) {
   this->Upstreams.OnGone = [this](const SocketAddress &Address) {
     this->Pool.closeIdle(Address);
   };
-  this->Services.NewBudget = {
-      .Share = this->Settings.RetryShare * BudgetMargin, .Most = 3, .Left = 3};
-  this->Services.WeightsLimit = this->Settings.WeightsLimit - WeightsMargin;
-  this->Services.OldWeightsLimit =
-      fromSeconds(toSeconds(this->Settings.WeightsLimit) * OldWeightsShare);
+  this->Services.NewBudget = {.Most = 3, .Left = 3};
+  this->applySettings();
   this->Stores.OnHeard = [this](const StoreNews &News) {
     this->tellStore(News);
   };
   this->Services.OnSent = [this](const UpstreamEntry &To,
                                  std::uint32_t Tokens) {
-    this->onSent(To, Tokens);
+    this->Statuses.tellPart(this->Upstreams.ownUseOf(To), Tokens,
+                            EventLoop::now());
+    this->flushSoon();
   };
   this->Services.IsConfigFresh = [this] {
     return isRecent(this->Configs.heardAt());
@@ -168,10 +160,38 @@
           .build();
 }
 
+/// Brings the settings that may change into force.
+void ForwardGateway::applySettings() {
+  this->Entries.self().Capacity = this->Settings.Cores;
+  this->Services.NewBudget.Share = this->Settings.RetryShare * BudgetMargin;
+  for (auto &[Name, Budget] : this->Services.Budgets)
+    Budget.Share = this->Services.NewBudget.Share;
+  this->Services.WeightsLimit = this->Settings.WeightsLimit - WeightsMargin;
+  this->Services.OldWeightsLimit =
+      fromSeconds(toSeconds(this->Settings.WeightsLimit) * OldWeightsShare);
+  if (this->Listener && this->Services.Config)
+    this->Listener->setLimits(this->callerLimits());
+}
+
+void ForwardGateway::reload(const GatewaySettings &Next) {
+  this->Settings = Next;
+  this->applySettings();
+}
+
+CallerLimits ForwardGateway::callerLimits() const {
+  const ForwardLimits &Limits = this->Services.Config->Limits;
+  return {.Message = {.MaxHeadBytes = Limits.MaxHeaderBytes,
+                      .MaxBodyBytes = Limits.MaxBodyBytes},
+          .HeadTimeout = Limits.HeaderTimeout,
+          .IdleTimeout = Limits.IdleTimeout,
+          .MaxConnections = this->Settings.MaxConnections};
+}
+
 ForwardGateway::~ForwardGateway() {
   for (sigc::connection &Each : this->Timers)
     Each.disconnect();
   this->StatusTimer.disconnect();
+  this->FlushTimer.disconnect();
 }
 
 void ForwardGateway::start() {
@@ -226,12 +246,7 @@
   this->Stats.ConfigEpoch.Set(static_cast<double>(Config.Version));
   this->Stores.follow(Config);
   this->Services.Stores = this->Stores.places();
-  this->Listener->setLimits(
-      {.Message = {.MaxHeadBytes = Config.Limits.MaxHeaderBytes,
-                   .MaxBodyBytes = Config.Limits.MaxBodyBytes},
-       .HeadTimeout = Config.Limits.HeaderTimeout,
-       .IdleTimeout = Config.Limits.IdleTimeout,
-       .MaxConnections = this->Settings.MaxConnections});
+  this->Listener->setLimits(this->callerLimits());
   this->updateOrders();
 }
 
@@ -360,7 +375,7 @@
     using Rank = std::pair<std::uint64_t, std::uint64_t>;
     std::vector<std::pair<Rank, UpstreamConfig>> Ranked;
     for (const auto &[Id, Entry] : this->Upstreams.entries())
-      if (Entry.Registered.Service == Name && !Entry.Registered.IsLeaving)
+      if (Entry.Registered.Service == Name && !Entry.isLeaving())
         Ranked.push_back(
             {{Entry.WeightVersion.value_or(0), this->Upstreams.callsAt(Entry)},
              {.Name = Id,
@@ -432,7 +447,7 @@
   if (Named == this->Services.Weights.end())
     return false;
   for (const auto &[Id, Entry] : this->Upstreams.entries())
-    if (Entry.Registered.Service == Service && !Entry.Registered.IsLeaving &&
+    if (Entry.Registered.Service == Service && !Entry.isLeaving() &&
         Entry.WeightVersion.value_or(0) < Named->second.newest())
       return true;
   return false;
@@ -453,9 +468,7 @@
          }));
 }
 
-std::size_t ForwardGateway::entryCount() const {
-  return this->Entries.countAlive(EventLoop::now()) + 1;
-}
+std::size_t ForwardGateway::entryCount() const { return this->EntryCount; }
 
 /// Each entry may use its share of the connections that an upstream accepts.
 UpstreamTable::Room ForwardGateway::roomOf(const UpstreamEntry &Entry) const {
@@ -498,6 +511,9 @@
   Self.IsLeaving = this->StopAskedAt.has_value();
   Self.Busy = std::min(1.0, static_cast<double>(this->Services.Open) /
                                 (CallsPerCore * this->Settings.Cores));
+  this->EntryCount = this->Entries.countAlive(Now) + 1;
+  this->Statuses.update(Now);
+  this->divideWatches();
   const std::size_t Count = this->entryCount();
   this->Upstreams.setSenders(Count);
   this->Stores.setFollowers(
@@ -514,14 +530,39 @@
     this->Channel->send(To, Message);
 }
 
-/// Tells all other entries of what this one does.
+StatusEvents ForwardGateway::statusEvents() {
+  return {
+      .OnUse =
+          [this](const std::string &From, std::vector<UseItem> Use,
+                 std::size_t Members) {
+            this->Upstreams.othersUse().note(From, std::move(Use),
+                                             EventLoop::now(), Members);
+          },
+      .OnPart =
+          [this](const std::string &From, const UseItem &Item) {
+            this->Upstreams.othersUse().noteOne(From, Item, EventLoop::now());
+          },
+      .OnAdded =
+          [this](const std::string &From, const UseItem &Item) {
+            this->Upstreams.othersUse().noteAdded(From, Item);
+          },
+      .OnWithheld =
+          [this](std::span<const std::string> Ids) { this->noteWithheld(Ids); },
+      .OnContact =
+          [this](const std::string &Kind, const ObjectContact &Told) {
+            for (ObjectWatcher *Each : this->watchers())
+              if (Each->kind() == Kind)
+                Each->noteContact(Told, EventLoop::now());
+          }};
+}
+
+/// Tells the other entries of what this one does.
 void ForwardGateway::tellStatus() {
   const TimePoint Now = EventLoop::now();
-  const Duration Period = statusPeriod(this->entryCount());
-  this->Upstreams.othersUse().setMaxAge(Period * StatusRounds);
+  this->Upstreams.othersUse().setMaxAge(this->Statuses.maxAge());
   this->Upstreams.othersUse().expire(Now);
-  this->StatusTimer =
-      this->Loop.timers().after(Period, [this] { this->tellStatus(); });
+  this->StatusTimer = this->Loop.timers().after(this->Statuses.period(),
+                                                [this] { this->tellStatus(); });
   EntryStatus Status;
   Status.From = this->Settings.NodeId;
   Status.Use = this->Upstreams.ownUse();
@@ -531,11 +572,27 @@
         for (std::string &Id : this->Orders->withheld(Name))
           Status.Withheld.push_back(std::move(Id));
   this->noteWithheld(Status.Withheld);
-  this->divideWatches(Now);
+  // The registry tells the others of a server that leaves, but later.
+  for (const auto &[Id, Entry] : this->Upstreams.entries())
+    if (Entry.SaidLeaving && !Entry.Registered.IsLeaving)
+      Status.Withheld.push_back(Id);
+  for (ObjectWatcher *Each : this->watchers())
+    Each->check(Now);
   if (this->seesPlatform())
     for (const ObjectWatcher *Each : this->watchers())
       Status.Contacts.emplace_back(Each->kind(), Each->contact(Now));
-  this->sendToAll(encodeGossip({.Status = std::move(Status)}));
+  this->Statuses.tell(std::move(Status), Now);
+}
+
+/// Passes new calls on in batches, where this entry is a relay.
+void ForwardGateway::flushSoon() {
+  if (!this->Statuses.hasPending() || !this->FlushTimer.empty())
+    return;
+  this->FlushTimer =
+      this->Loop.timers().after(StatusExchange::FlushPeriod, [this] {
+        this->FlushTimer.disconnect();
+        this->Statuses.flush();
+      });
 }
 
 std::array<ObjectWatcher *, 3> ForwardGateway::watchers() {
@@ -544,7 +601,7 @@
 
 /// Decides whether this entry watches the platform closely or relies on those
 /// that do, and which stores it asks for the others of its zone.
-void ForwardGateway::divideWatches(TimePoint Now) {
+void ForwardGateway::divideWatches() {
   const std::size_t Count = this->entryCount();
   const auto Near = this->aliveIds(
       [this](const EntryNews &Each) { return this->isNear(Each); });
@@ -552,10 +609,8 @@
     return Count <= MaxCloseWatchers || this->isAmong(Task, First, Near);
   };
   const bool IsCloseWatcher = IsClose("platform", CloseWatchersPerZone);
-  for (ObjectWatcher *Each : this->watchers()) {
+  for (ObjectWatcher *Each : this->watchers())
     Each->rely(!IsCloseWatcher);
-    Each->check(Now);
-  }
   this->Stores.divide(
       [&](std::string_view Store) { return IsClose(Store, 1); });
   this->Registry.setBatchDelay(
@@ -571,17 +626,6 @@
   return isRecent(this->Configs.answeredAt());
 }
 
-/// Tells at once of a call whose prompt takes an engine long to read. Until the
-/// next status, the other entries would send theirs to the same engine.
-void ForwardGateway::onSent(const UpstreamEntry &To, std::uint32_t Tokens) {
-  if (Tokens < ToldAtOnceTokensPerEntry * this->entryCount())
-    return;
-  this->sendToAll(
-      encodeGossip({.Status = {.From = this->Settings.NodeId,
-                               .Use = {this->Upstreams.ownUseOf(To)},
-                               .IsPart = true}}));
-}
-
 /// Tells the other entries of the zone what was heard of a store.
 void ForwardGateway::tellStore(const StoreNews &News) {
   if (this->entryCount() <= MaxCloseWatchers)
@@ -590,36 +634,14 @@
   // Those that do not hear of so many events ask the store themselves.
   if (Message.size() > EntryChannel::MaxBytes)
     return;
-  this->sendToAll(Message,
-                  [this](const EntryNews &Each) { return this->isNear(Each); });
-}
-
-bool ForwardGateway::isNear(const EntryNews &Other) const {
-  return Other.Zone == this->Settings.Zone;
-}
-
-/// Sends \p Message to the live entries that \p IsMeant accepts.
-void ForwardGateway::sendToAll(const std::string &Message,
-                               const EntryFilter &IsMeant) {
   this->Entries.forEachAlive(EventLoop::now(), [&](const EntryNews &Each) {
-    if (IsMeant(Each))
+    if (this->isNear(Each))
       this->Channel->send(Each.Gossip, Message);
   });
 }
 
-void ForwardGateway::onStatus(EntryStatus Status) {
-  const TimePoint Now = EventLoop::now();
-  if (Status.IsPart) {
-    for (const UseItem &Each : Status.Use)
-      this->Upstreams.othersUse().noteOne(Status.From, Each, Now);
-    return;
-  }
-  this->noteWithheld(Status.Withheld);
-  for (const auto &[Kind, Told] : Status.Contacts)
-    for (ObjectWatcher *Each : this->watchers())
-      if (Each->kind() == Kind)
-        Each->noteContact(Told, Now);
-  this->Upstreams.othersUse().note(Status.From, std::move(Status.Use), Now);
+bool ForwardGateway::isNear(const EntryNews &Other) const {
+  return Other.Zone == this->Settings.Zone;
 }
 
 /// Keeps calls away from upstreams that load weights or are about to.
@@ -631,7 +653,12 @@
 void ForwardGateway::onMessage(GossipMessage Message) {
   this->Entries.receive(Message.News, EventLoop::now());
   if (!Message.Status.From.empty())
-    this->onStatus(std::move(Message.Status));
+    this->Statuses.receive(std::move(Message.Status), EventLoop::now());
+  if (!Message.Digest.From.empty())
+    this->Statuses.receive(std::move(Message.Digest), EventLoop::now());
+  if (!Message.Added.From.empty())
+    this->Statuses.receive(Message.Added, EventLoop::now());
+  this->flushSoon();
   if (Message.Store)
     this->Stores.receive(*Message.Store);
 }
@@ -652,11 +679,17 @@
   if (!this->StopAskedAt)
     return;
   const Duration Since = EventLoop::now() - *this->StopAskedAt;
-  if (Since >= TakeAfterStop)
+  if (Since >= TakeAfterStop) {
     this->Services.IsStopping = true;
-  const bool IsIdle = this->Services.Open == 0 && Since >= TakeAfterStop;
+    this->Listener->stopAccepting();
+  }
+  // Requests that arrive on connections that are still open are refused as not
+  // run; the process stays until all that it has read is answered.
+  const bool IsIdle = this->Services.Open == 0 && this->Listener->isQuiet() &&
+                      Since >= TakeAfterStop + LastRequests;
   if (!IsIdle && Since < this->Settings.Grace - StopMargin)
     return;
+  this->Listener->abortAll();
   log(LogLevel::Info, "process.stopped",
       {{"open_calls", std::to_string(this->Services.Open)}});
   this->StopAskedAt = EventLoop::now() + std::chrono::hours(1);
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -14,6 +14,7 @@
 #define GALENAROUTE_PROCESS_FORWARDGATEWAY_H
 
 #include "process/EntryChannel.h"
+#include "process/StatusExchange.h"
 #include "process/StoreFollower.h"
 #include "request/ForwardRun.h"
 #include "version/ForwardSource.h"
@@ -62,6 +63,9 @@
 
   void start();
 
+  /// Takes over the settings that may change while the process runs: seeds,
+  /// capacity, limits of connections and retries, grace, time for weights.
+  void reload(const GatewaySettings &Next);
   /// Begins a graceful stop.
   void drain();
   sigc::signal<void()> Stopped;
@@ -74,6 +78,8 @@
   Metrics &stats() { return this->Stats; }
 
 private:
+  void applySettings();
+  CallerLimits callerLimits() const;
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
   void onWeights(const PlatformObject &Object);
@@ -85,16 +91,14 @@
   bool isAmong(std::string_view Task, std::size_t Count,
                std::span<const std::string_view> Others) const;
   bool isNear(const EntryNews &Other) const;
-  void sendToAll(const std::string &Message,
-                 const EntryFilter &IsMeant = acceptsAny);
   void syncWeightHistory(const std::string &Model, std::uint64_t Version);
   void onCall(std::shared_ptr<IncomingCall> Call);
   void gossip();
   void tellStatus();
-  void onStatus(EntryStatus Status);
+  void flushSoon();
+  StatusEvents statusEvents();
   void tellStore(const StoreNews &News);
-  void onSent(const UpstreamEntry &To, std::uint32_t Tokens);
-  void divideWatches(TimePoint Now);
+  void divideWatches();
   std::array<ObjectWatcher *, 3> watchers();
   bool seesPlatform() const;
   void onMessage(GossipMessage Message);
@@ -122,6 +126,8 @@
   ObjectWatcher Registry;
   ObjectWatcher WeightNotices;
   EntryGossip Entries;
+  StatusExchange Statuses;
+  std::size_t EntryCount = 1; ///< Alive, this one included; as of gossip().
   std::unique_ptr<OrderController> Orders;
   std::unique_ptr<CallListener> Listener;
   std::unique_ptr<EntryChannel> Channel;
@@ -129,6 +135,7 @@
   std::optional<TimePoint> StopAskedAt;
   std::vector<sigc::connection> Timers;
   sigc::connection StatusTimer;
+  sigc::connection FlushTimer;
   // Callbacks that outlive the gateway find this expired.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -29,39 +29,120 @@
   return News;
 }
 
+/// One flat list of numbers; lists within it would cost most of the time that
+/// a message takes to read.
+static json toJson(std::span<const UseItem> Items) {
+  json Result = json::array();
+  for (const UseItem &Each : Items)
+    for (const std::uint64_t Value : {std::uint64_t{Each.Key}, Each.Use.Calls,
+                                      Each.Use.Tokens, Each.Use.TokensAhead})
+      Result.push_back(Value);
+  return Result;
+}
+
+static std::vector<UseItem> useFromJson(const json &Value) {
+  std::vector<UseItem> Result;
+  Result.reserve(Value.size() / 4);
+  for (std::size_t I = 0; I + 3 < Value.size(); I += 4)
+    Result.push_back(
+        {Value.at(I), {Value.at(I + 1), Value.at(I + 2), Value.at(I + 3)}});
+  return Result;
+}
+
+using Contacts = std::vector<std::pair<std::string, ObjectContact>>;
+
+static json toJson(const Contacts &All) {
+  json Result = json::array();
+  for (const auto &[Kind, Each] : All)
+    Result.push_back(
+        {Kind, Each.LastChange, Each.Digest, toMilliseconds(Each.Age)});
+  return Result;
+}
+
+static Contacts contactsFromJson(const json &Value) {
+  Contacts Result;
+  for (const json &Each : Value)
+    Result.emplace_back(Each.at(0), ObjectContact{Each.at(1), Each.at(2),
+                                                  Milliseconds(Each.at(3))});
+  return Result;
+}
+
 static json toJson(const EntryStatus &Status) {
-  json Use = json::array();
-  for (const UseItem &Each : Status.Use)
-    Use.push_back(
-        {Each.Key, Each.Use.Calls, Each.Use.Tokens, Each.Use.TokensAhead});
   if (Status.IsPart)
-    return {{"from", Status.From}, {"use", std::move(Use)}};
-  json Contacts = json::array();
-  for (const auto &[Kind, Each] : Status.Contacts)
-    Contacts.push_back(
-        {Kind, Each.LastChange, Each.Digest, toMilliseconds(Each.Age)});
-  return {{"from", Status.From},
-          {"use", std::move(Use)},
-          {"withheld", Status.Withheld},
-          {"contacts", std::move(Contacts)}};
+    return {{"from", Status.From},
+            {"count", Status.Sequence},
+            {"relay", Status.IsForRelay},
+            {"use", toJson(Status.Use)}};
+  return {{"from", Status.From},         {"count", Status.Sequence},
+          {"relay", Status.IsForRelay},  {"use", toJson(Status.Use)},
+          {"withheld", Status.Withheld}, {"contacts", toJson(Status.Contacts)}};
+}
+
+static json toJson(const StatusDigest &Digest) {
+  json Counted = json::array();
+  for (const auto &[Key, Sequence] : Digest.Counted) {
+    Counted.push_back(Key);
+    Counted.push_back(Sequence);
+  }
+  return {{"digest", Digest.From},       {"group", Digest.IsOfGroup},
+          {"members", Digest.Members},   {"use", toJson(Digest.Use)},
+          {"withheld", Digest.Withheld}, {"contacts", toJson(Digest.Contacts)},
+          {"alive", Digest.Alive},       {"counted", std::move(Counted)}};
+}
+
+static StatusDigest digestFromJson(const json &Value) {
+  StatusDigest Digest;
+  Digest.From = Value.at("digest");
+  Digest.IsOfGroup = Value.at("group");
+  Digest.Members = Value.at("members");
+  Digest.Use = useFromJson(Value.at("use"));
+  Digest.Withheld = Value.at("withheld").get<std::vector<std::string>>();
+  Digest.Contacts = contactsFromJson(Value.at("contacts"));
+  Digest.Alive = Value.at("alive").get<std::vector<std::uint32_t>>();
+  const json &Counted = Value.at("counted");
+  for (std::size_t I = 0; I + 1 < Counted.size(); I += 2)
+    Digest.Counted.emplace_back(Counted.at(I), Counted.at(I + 1));
+  return Digest;
 }
 
 static EntryStatus statusFromJson(const json &Value) {
   EntryStatus Status;
   Status.From = Value.at("from");
-  for (const json &Each : Value.at("use"))
-    Status.Use.push_back({Each.at(0), {Each.at(1), Each.at(2), Each.at(3)}});
+  Status.Use = useFromJson(Value.at("use"));
   Status.IsPart = !Value.contains("withheld");
+  Status.Sequence = Value.at("count");
+  Status.IsForRelay = Value.at("relay");
   if (Status.IsPart)
     return Status;
   Status.Withheld = Value.at("withheld").get<std::vector<std::string>>();
-  for (const json &Each : Value.at("contacts"))
-    Status.Contacts.emplace_back(
-        Each.at(0),
-        ObjectContact{Each.at(1), Each.at(2), Milliseconds(Each.at(3))});
+  Status.Contacts = contactsFromJson(Value.at("contacts"));
   return Status;
 }
 
+static json toJson(const AddedUseNews &News) {
+  json Entries = json::array();
+  std::vector<UseItem> Items;
+  for (const AddedUse &Each : News.Items) {
+    Entries.push_back(Each.Entry);
+    Items.push_back(Each.Item);
+  }
+  return {{"added", News.From},
+          {"group", News.IsOfGroup},
+          {"entries", std::move(Entries)},
+          {"use", toJson(Items)}};
+}
+
+static AddedUseNews addedFromJson(const json &Value) {
+  AddedUseNews News;
+  News.From = Value.at("added");
+  News.IsOfGroup = Value.at("group");
+  const std::vector<UseItem> Items = useFromJson(Value.at("use"));
+  const json &Entries = Value.at("entries");
+  for (std::size_t I = 0; I < std::min(Items.size(), Entries.size()); ++I)
+    News.Items.push_back({Entries.at(I), Items[I]});
+  return News;
+}
+
 static json toJson(const StoreNews &News) {
   const CacheEventBatch &Batch = News.Batch;
   json Events = json::array();
@@ -95,6 +176,10 @@
   json Value = json::array();
   if (Message.Store)
     Value = toJson(*Message.Store);
+  else if (!Message.Digest.From.empty())
+    Value = toJson(Message.Digest);
+  else if (!Message.Added.From.empty())
+    Value = toJson(Message.Added);
   else if (!Message.Status.From.empty())
     Value = toJson(Message.Status);
   else
@@ -109,6 +194,10 @@
   GossipMessage Result;
   if (Value.is_object() && Value.contains("store"))
     Result.Store = storeNewsFromJson(Value);
+  else if (Value.is_object() && Value.contains("digest"))
+    Result.Digest = digestFromJson(Value);
+  else if (Value.is_object() && Value.contains("added"))
+    Result.Added = addedFromJson(Value);
   else if (Value.is_object())
     Result.Status = statusFromJson(Value);
   else
--- /dev/null
+++ b/src/process/StatusRelay.cpp
@@ -0,0 +1,177 @@
+#include "process/StatusRelay.h"
+
+#include <algorithm>
+#include <set>
+
+namespace galenaroute {
+
+namespace {
+
+/// Adds statuses and digests up.
+class DigestSum {
+public:
+  void addUse(std::span<const UseItem> Items) {
+    for (const UseItem &Each : Items) {
+      UpstreamUse &Sum = this->Use[Each.Key];
+      Sum.Calls += Each.Use.Calls;
+      Sum.Tokens += Each.Use.Tokens;
+      Sum.TokensAhead += Each.Use.TokensAhead;
+    }
+  }
+  void addWithheld(std::span<const std::string> Ids) {
+    this->Withheld.insert(Ids.begin(), Ids.end());
+  }
+  /// Keeps the contact of those that know most; of equal ones the youngest.
+  /// \p Held is how long the message that tells it was kept.
+  void
+  addContacts(std::span<const std::pair<std::string, ObjectContact>> Contacts,
+              Duration Held) {
+    for (const auto &[Kind, Told] : Contacts) {
+      ObjectContact Aged = Told;
+      Aged.Age += Held;
+      const auto [It, IsNew] = this->Contacts.try_emplace(Kind, Aged);
+      ObjectContact &Best = It->second;
+      if (!IsNew &&
+          (Aged.LastChange > Best.LastChange ||
+           (Aged.LastChange == Best.LastChange && Aged.Age < Best.Age)))
+        Best = Aged;
+    }
+  }
+  /// Moves the sums into \p Into.
+  void store(StatusDigest &Into) {
+    for (const auto &[Key, Sum] : this->Use)
+      if (Sum.Calls > 0 || Sum.Tokens > 0 || Sum.TokensAhead > 0)
+        Into.Use.push_back({Key, Sum});
+    if (Into.Use.size() > StatusRelay::MaxUse) {
+      std::nth_element(Into.Use.begin(), Into.Use.begin() + StatusRelay::MaxUse,
+                       Into.Use.end(), [](const UseItem &A, const UseItem &B) {
+                         return A.Use.Tokens > B.Use.Tokens;
+                       });
+      Into.Use.resize(StatusRelay::MaxUse);
+    }
+    Into.Withheld.assign(this->Withheld.begin(), this->Withheld.end());
+    Into.Contacts.assign(this->Contacts.begin(), this->Contacts.end());
+  }
+
+private:
+  std::unordered_map<std::uint32_t, UpstreamUse> Use;
+  std::set<std::string> Withheld;
+  std::map<std::string, ObjectContact> Contacts;
+};
+
+} // namespace
+
+void StatusRelay::noteStatus(EntryStatus Status, TimePoint Now) {
+  auto &Kept = this->Members[Status.From];
+  // Messages overtake each other. A restarted entry counts from one again.
+  const bool IsOld = Status.Sequence < Kept.Last.Sequence &&
+                     Kept.Last.Sequence - Status.Sequence < 16;
+  if (!IsOld)
+    Kept = {std::move(Status), Now};
+}
+
+void StatusRelay::noteGroup(StatusDigest Digest, TimePoint Now) {
+  auto &Kept = this->Groups[Digest.From];
+  Kept = {std::move(Digest), Now};
+}
+
+std::optional<AddedUse> StatusRelay::notePart(const EntryStatus &Part) {
+  const auto It = this->Members.find(Part.From);
+  if (It == this->Members.end() || Part.Use.empty())
+    return std::nullopt;
+  EntryStatus &Kept = It->second.Last;
+  if (Part.Sequence <= Kept.Sequence)
+    return std::nullopt;
+  Kept.Sequence = Part.Sequence;
+  const UseItem &Next = Part.Use.front();
+  const auto Same =
+      std::find_if(Kept.Use.begin(), Kept.Use.end(),
+                   [&](const UseItem &Each) { return Each.Key == Next.Key; });
+  const UpstreamUse Before = Same == Kept.Use.end() ? UpstreamUse{} : Same->Use;
+  if (Same == Kept.Use.end())
+    Kept.Use.push_back(Next);
+  else
+    *Same = Next;
+  // Calls that have ended meanwhile are told by the next digest.
+  const auto Added = [](std::uint64_t New, std::uint64_t Old) {
+    return New > Old ? New - Old : 0;
+  };
+  return AddedUse{entryKey(Part.From),
+                  {Next.Key,
+                   {Added(Next.Use.Calls, Before.Calls),
+                    Added(Next.Use.Tokens, Before.Tokens),
+                    Added(Next.Use.TokensAhead, Before.TokensAhead)}}};
+}
+
+void StatusRelay::noteAdded(const std::string &Relay,
+                            std::span<const AddedUse> Items) {
+  const auto It = this->Groups.find(Relay);
+  if (It == this->Groups.end())
+    return;
+  for (const AddedUse &Each : Items)
+    It->second.Last.Use.push_back(Each.Item);
+}
+
+void StatusRelay::expire(TimePoint Now, Duration MaxAge) {
+  const auto IsOld = [&](const auto &Each) {
+    return Now - Each.second.At > MaxAge;
+  };
+  std::erase_if(this->Members, IsOld);
+  std::erase_if(this->Groups, IsOld);
+}
+
+StatusDigest StatusRelay::groupDigest(const std::string &Self,
+                                      TimePoint Now) const {
+  StatusDigest Result;
+  Result.From = Self;
+  Result.IsOfGroup = true;
+  DigestSum Sum;
+  for (const auto &[Id, Each] : this->Members) {
+    Sum.addUse(Each.Last.Use);
+    Sum.addWithheld(Each.Last.Withheld);
+    Sum.addContacts(Each.Last.Contacts, Now - Each.At);
+    Result.Alive.push_back(entryKey(Id));
+    Result.Counted.emplace_back(entryKey(Id), Each.Last.Sequence);
+  }
+  Result.Members = static_cast<std::uint32_t>(this->Members.size());
+  Sum.store(Result);
+  return Result;
+}
+
+StatusDigest StatusRelay::fleetDigest(const std::string &Self,
+                                      TimePoint Now) const {
+  StatusDigest Result = this->groupDigest(Self, Now);
+  Result.IsOfGroup = false;
+  DigestSum Sum;
+  Sum.addUse(Result.Use);
+  Sum.addWithheld(Result.Withheld);
+  Sum.addContacts(Result.Contacts, Duration::zero());
+  for (const auto &[Id, Each] : this->Groups) {
+    // An entry that has changed its relay is in two groups for a moment.
+    Sum.addUse(Each.Last.Use);
+    Sum.addWithheld(Each.Last.Withheld);
+    Sum.addContacts(Each.Last.Contacts, Now - Each.At);
+    Result.Members += Each.Last.Members;
+    Result.Alive.insert(Result.Alive.end(), Each.Last.Alive.begin(),
+                        Each.Last.Alive.end());
+  }
+  Result.Use.clear();
+  Sum.store(Result);
+  return Result;
+}
+
+std::vector<std::string> StatusRelay::members() const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, Each] : this->Members)
+    Result.push_back(Id);
+  return Result;
+}
+
+std::vector<std::string> StatusRelay::peers() const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, Each] : this->Groups)
+    Result.push_back(Id);
+  return Result;
+}
+
+} // namespace galenaroute
--- a/src/request/SharedUse.cpp
+++ b/src/request/SharedUse.cpp
@@ -49,6 +49,14 @@
   this->add(Item);
 }
 
+void SharedUse::noteAdded(const std::string &Entry, const UseItem &Item) {
+  const auto It = this->Entries.find(Entry);
+  if (It == this->Entries.end())
+    return;
+  It->second.Items.push_back(Item);
+  this->add(Item);
+}
+
 void SharedUse::add(const UseItem &Item) {
   if (isEmpty(Item.Use))
     return;
--- a/src/request/SharedUse.h
+++ b/src/request/SharedUse.h
@@ -58,6 +58,8 @@
             std::size_t Members = 1);
   /// Replaces what \p Entry told of one upstream, and of no other.
   void noteOne(const std::string &Entry, const UseItem &Item, TimePoint Now);
+  /// Adds to what \p Entry told before.
+  void noteAdded(const std::string &Entry, const UseItem &Item);
   /// Forgets what is too old.
   void expire(TimePoint Now);
 
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -4,8 +4,11 @@
 #include "platform/EngineCalls.h"
 #include "platform/ObjectReader.h"
 #include "platform/Settings.h"
+#include "platform/SettingsReload.h"
 #include "process/ErrorKind.h"
 
+#include <cstdio>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -218,7 +221,7 @@
   EXPECT_EQ(List.Events.at(0).Tokens, 800U);
 }
 
-const char *const SettingsText = R"(node = "n1"
+const std::string SettingsText = R"(node = "n1"
 ipAddr = "10.1.0.40"
 zone = "derwent"
 internalPorts = [7700,7715]
@@ -272,5 +275,110 @@
   EXPECT_THROW(parseSettings("not toml at all = = ="), Error);
 }
 
+/// A settings file that a test rewrites.
+class SettingsReloadTest : public testing::Test {
+protected:
+  SettingsReloadTest() {
+    this->write(SettingsText);
+    this->Reload.check("start");
+  }
+  ~SettingsReloadTest() override { std::remove(this->Path.c_str()); }
+  void write(const std::string &Text) const {
+    std::ofstream(this->Path) << Text;
+  }
+  static std::string with(const std::string &Old, const std::string &New) {
+    std::string Text = SettingsText;
+    Text.replace(Text.find(Old), Old.size(), New);
+    return Text;
+  }
+
+  EventLoop Loop;
+  const std::string Path =
+      testing::TempDir() + "settings-" + std::to_string(getpid()) + ".toml";
+  std::vector<PlatformSettings> Applied;
+  SettingsReload Reload{
+      Loop, this->Path, parseSettings(SettingsText),
+      [this](const PlatformSettings &Next) { this->Applied.push_back(Next); }};
+};
+
+// Guards against a change that is only seen after a restart.
+TEST_F(SettingsReloadTest, AChangeIsTakenOverWithAndWithoutASignal) {
+  EXPECT_TRUE(this->Applied.empty());
+  this->write(with("graceS = 8", "graceS = 6"));
+  this->Reload.check("signal");
+  ASSERT_EQ(this->Applied.size(), 1U);
+  EXPECT_EQ(this->Applied[0].Gateway.Grace, 6s);
+  this->write(with("graceS = 8", "graceS = 5"));
+  ASSERT_TRUE(
+      this->Loop.runUntil([&] { return this->Applied.size() == 2; }, 3s));
+  EXPECT_EQ(this->Applied[1].Gateway.Grace, 5s);
+  this->Reload.check("signal");
+  EXPECT_EQ(this->Applied.size(), 2U) << "nothing has changed";
+}
+
+// Guards against a file that is half written, missing or wrong changing a part
+// of what is in force.
+TEST_F(SettingsReloadTest, ABadFileChangesNothingAndIsReadAgain) {
+  this->write(SettingsText.substr(0, SettingsText.size() / 2));
+  this->Reload.check("signal");
+  std::string Wrong = with("graceS = 8", "graceS = 6");
+  Wrong.replace(Wrong.find("cpuShare = 0.25"), 15, "cpuShare = -1  ");
+  this->write(Wrong);
+  this->Reload.check("signal");
+  std::remove(this->Path.c_str());
+  this->Reload.check("signal");
+  EXPECT_TRUE(this->Applied.empty());
+  EXPECT_EQ(this->Reload.inForce().Gateway.Grace, 8s);
+  this->write(with("graceS = 8", "graceS = 6"));
+  this->Reload.check("signal");
+  EXPECT_EQ(this->Applied.size(), 1U);
+}
+
+// Guards against an address that changes in the settings of a process whose
+// sockets are bound.
+TEST_F(SettingsReloadTest, WhatNeedsARestartStaysAsItWas) {
+  std::string Text = with("graceS = 8", "graceS = 6");
+  Text.replace(Text.find("node = \"n1\""), 11, "node = \"n2\"");
+  this->write(Text);
+  this->Reload.check("signal");
+  ASSERT_EQ(this->Applied.size(), 1U);
+  EXPECT_EQ(this->Applied[0].Gateway.NodeId, "n1");
+  EXPECT_EQ(this->Applied[0].Gateway.Grace, 6s);
+}
+
+// Guards against a pause that an upstream asks for being lost, or lasting for
+// ever because of a garbled number.
+TEST(CallHeadersTest, ReadsWhatAnUpstreamAsksFor) {
+  const CallHeaders Codec;
+  const auto Read = [&](int Status, HttpHeaders Headers) {
+    HttpHead Head = headOf(std::move(Headers));
+    Head.Status = Status;
+    return Codec.readAnswer(Head);
+  };
+  EXPECT_EQ(Read(503, {{"Retry-After", "1.5"}}).RefusesFor, 1500ms);
+  EXPECT_EQ(Read(503, {{"Retry-After", "1e300"}}).RefusesFor, 5min);
+  EXPECT_EQ(Read(503, {{"Retry-After", "nan"}}).RefusesFor, 1s);
+  EXPECT_EQ(Read(503, {{"Retry-After", "-3"}}).RefusesFor, 1s);
+  EXPECT_EQ(
+      Read(503, {{"Retry-After", "Fri, 04 Dec 2026 10:00:00 GMT"}}).RefusesFor,
+      1s);
+  EXPECT_EQ(Read(503, {}).RefusesFor, std::nullopt);
+  EXPECT_EQ(Read(200, {{"Retry-After", "2"}}).RefusesFor, std::nullopt);
+  const CallAnswer Leaving = Read(200, {{"Server-Leaving", "1"}});
+  EXPECT_TRUE(Leaving.IsLeaving);
+  EXPECT_FALSE(Leaving.Passed.find("Server-Leaving"));
+  EXPECT_FALSE(Read(200, {}).IsLeaving);
+}
+
+TEST(CallHeadersTest, AnAbsurdTimeToWaitDoesNotOverflow) {
+  const CallHeaders Codec;
+  EXPECT_EQ(Codec.readRequest(headOf({{"Deadline-Ms", "1e300"}})).TimeLeft,
+            24h);
+  EXPECT_EQ(Codec.readRequest(headOf({{"Deadline-Ms", "nan"}})).TimeLeft,
+            std::nullopt);
+  EXPECT_EQ(Codec.readRequest(headOf({{"Deadline-Ms", "-5"}})).TimeLeft,
+            std::nullopt);
+}
+
 } // namespace
 } // namespace galenaroute::platform
--- /dev/null
+++ b/tests/StatusExchangeTest.cpp
@@ -0,0 +1,400 @@
+// Tests of what entries tell one another over relays, played by many entries
+// in one process with a network that loses, cuts and delays.
+
+#include "process/StatusExchange.h"
+#include "process/EntryChannel.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <numeric>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{1000s};
+
+UseItem use(std::uint32_t Key, std::uint64_t Calls) {
+  return {Key, {Calls, Calls * 100, Calls * 10}};
+}
+
+/// Entries in zones that exchange statuses; a message takes one step.
+class Fleet {
+public:
+  struct Node {
+    EntryGossip Gossip;
+    SharedUse Others{400ms};
+    std::vector<UseItem> Own;
+    std::set<std::string> Withheld;
+    std::unique_ptr<StatusExchange> Exchange;
+    bool IsUp = true;
+    std::size_t Sent = 0;
+    std::size_t Received = 0;
+    std::size_t FarBytes = 0; ///< To other zones.
+    std::size_t LargestMessage = 0;
+
+    explicit Node(EntryNews Self) : Gossip(std::move(Self), {}) {}
+  };
+
+  Fleet(std::size_t Zones, std::size_t PerZone) {
+    for (std::size_t Zone = 0; Zone < Zones; ++Zone)
+      for (std::size_t I = 0; I < PerZone; ++I)
+        this->add(Zone, I);
+    for (const auto &Each : this->Nodes)
+      this->hearOfAll(*Each);
+  }
+
+  void add(std::size_t Zone, std::size_t I) {
+    EntryNews News;
+    News.Id = "n" + std::to_string(Zone) + "-" + std::to_string(I);
+    News.Zone = "z" + std::to_string(Zone);
+    News.Gossip = {"10.0." + std::to_string(Zone) + "." + std::to_string(I), 1};
+    News.Capacity = I % 5 == 0 ? 0.5 : 0.12;
+    News.Incarnation = 1;
+    this->Nodes.push_back(std::make_unique<Node>(News));
+    Node &Added = *this->Nodes.back();
+    Added.Exchange = std::make_unique<StatusExchange>(
+        Added.Gossip,
+        [this, &Added](const SocketAddress &To, const std::string &Bytes) {
+          this->send(Added, To, Bytes);
+        },
+        StatusEvents{
+            .OnUse =
+                [this, &Added](const std::string &From,
+                               std::vector<UseItem> Use, std::size_t Members) {
+                  Added.Others.note(From, std::move(Use), this->Now, Members);
+                },
+            .OnPart =
+                [this, &Added](const std::string &From, const UseItem &Item) {
+                  Added.Others.noteOne(From, Item, this->Now);
+                },
+            .OnAdded =
+                [&Added](const std::string &From, const UseItem &Item) {
+                  Added.Others.noteAdded(From, Item);
+                },
+            .OnWithheld =
+                [&Added](std::span<const std::string> Ids) {
+                  Added.Withheld.insert(Ids.begin(), Ids.end());
+                },
+            .OnContact = [](const std::string &, const ObjectContact &) {}});
+  }
+
+  /// As gossip would tell, which the tests leave out.
+  void hearOfAll(Node &Into) {
+    std::vector<EntryNews> News;
+    for (const auto &Each : this->Nodes)
+      if (Each->IsUp) {
+        ++Each->Gossip.self().Heartbeat;
+        News.push_back(Each->Gossip.self());
+      }
+    Into.Gossip.receive(News, this->Now);
+  }
+
+  void play(Duration Time, bool WithGossip = true) {
+    for (const TimePoint End = this->Now + Time; this->Now < End;
+         this->Now += 100ms) {
+      ++this->Step;
+      for (const auto &Each : this->Nodes) {
+        if (!Each->IsUp)
+          continue;
+        if (WithGossip && this->Step % 10 == 0)
+          this->hearOfAll(*Each);
+        if (this->Step % 5 == 1)
+          Each->Exchange->update(this->Now);
+        Each->Others.setMaxAge(Each->Exchange->maxAge());
+        Each->Others.expire(this->Now);
+        Each->Exchange->tell({.From = Each->Gossip.self().Id,
+                              .Use = Each->Own,
+                              .Withheld = this->WithheldBy[Each.get()]},
+                             this->Now);
+      }
+      this->deliver();
+    }
+  }
+
+  /// Delivers what is under way, once.
+  void deliver() {
+    const auto Under = std::move(this->Messages);
+    this->Messages.clear();
+    for (const auto &[To, Bytes] : Under) {
+      const auto It = this->ByAddress(To);
+      if (!It || !It->IsUp)
+        continue;
+      ++It->Received;
+      GossipMessage Message = decodeGossip(Bytes);
+      if (!Message.Status.From.empty())
+        It->Exchange->receive(std::move(Message.Status), this->Now);
+      if (!Message.Digest.From.empty())
+        It->Exchange->receive(std::move(Message.Digest), this->Now);
+      if (!Message.Added.From.empty())
+        It->Exchange->receive(Message.Added, this->Now);
+    }
+  }
+
+  /// As the timers of the relays do FlushPeriod after new calls.
+  void flush() {
+    for (const auto &Each : this->Nodes)
+      if (Each->IsUp)
+        Each->Exchange->flush();
+    this->deliver();
+  }
+
+  Node *ByAddress(const SocketAddress &To) {
+    for (const auto &Each : this->Nodes)
+      if (Each->Gossip.self().Gossip == To)
+        return Each.get();
+    return nullptr;
+  }
+
+  void send(Node &From, const SocketAddress &To, const std::string &Bytes) {
+    ++From.Sent;
+    From.LargestMessage = std::max(From.LargestMessage, Bytes.size());
+    Node *Target = this->ByAddress(To);
+    if (Target && Target->Gossip.self().Zone != From.Gossip.self().Zone)
+      From.FarBytes += Bytes.size();
+    if (this->Loss > 0 &&
+        std::uniform_real_distribution<double>(0, 1)(this->Random) < this->Loss)
+      return;
+    this->Messages.emplace_back(To, Bytes);
+  }
+
+  /// Calls at upstream \p Key that all but \p Of have under way.
+  std::uint64_t ofOthers(const Node &Of, std::uint32_t Key) const {
+    std::uint64_t Sum = 0;
+    for (const auto &Each : this->Nodes)
+      if (Each.get() != &Of && Each->IsUp)
+        for (const UseItem &Item : Each->Own)
+          if (Item.Key == Key)
+            Sum += Item.Use.Calls;
+    return Sum;
+  }
+
+  std::vector<std::unique_ptr<Node>> Nodes;
+  std::map<Node *, std::vector<std::string>> WithheldBy;
+  TimePoint Now = Start;
+  double Loss = 0;
+
+private:
+  std::size_t Step = 0;
+  std::vector<std::pair<SocketAddress, std::string>> Messages;
+  std::mt19937_64 Random{7};
+};
+
+// Guards against a sum that counts an entry twice, leaves one out, or holds
+// what the entry that reads it has under way itself.
+RC_GTEST_PROP(StatusExchangeTest, EveryEntryHearsTheUseOfAllOthers, ()) {
+  Fleet Played(*rc::gen::inRange<std::size_t>(1, 5),
+               *rc::gen::inRange<std::size_t>(1, 70));
+  for (const auto &Each : Played.Nodes)
+    for (std::uint32_t Key = 0; Key < 3; ++Key)
+      if (const int Calls = *rc::gen::inRange(0, 4); Calls > 0)
+        Each->Own.push_back(use(Key, static_cast<std::uint64_t>(Calls)));
+  Played.play(2s);
+  for (const auto &Each : Played.Nodes)
+    for (std::uint32_t Key = 0; Key < 3; ++Key)
+      RC_ASSERT(Each->Others.of(Key).Calls == Played.ofOthers(*Each, Key));
+}
+
+// Guards against messages that grow with the fleet: with statuses to all, each
+// of 300 entries would send 2,990 in a second.
+TEST(StatusExchangeTest, MessagesOfAnEntryDoNotGrowWithTheFleet) {
+  Fleet Played(5, 60);
+  for (const auto &Each : Played.Nodes)
+    for (std::uint32_t Key = 0; Key < 160; ++Key)
+      Each->Own.push_back(use(Key * 7919, 1));
+  Played.play(1s);
+  std::size_t Far = 0;
+  std::vector<std::size_t> Sent;
+  for (const auto &Each : Played.Nodes) {
+    Each->Sent = Each->Received = Each->FarBytes = 0;
+  }
+  Played.play(1s);
+  std::size_t Relays = 0;
+  for (const auto &Each : Played.Nodes) {
+    Far += Each->FarBytes;
+    EXPECT_LE(Each->LargestMessage, EntryChannel::MaxBytes);
+    if (Each->Sent > 12) {
+      ++Relays;
+      EXPECT_LE(Each->Sent, 10U * (60 + 10)) << "a relay serves one group";
+    } else {
+      EXPECT_LE(Each->Received, 12U);
+    }
+  }
+  EXPECT_EQ(Relays, 10U) << "one for each 32 entries of a zone";
+  EXPECT_LT(Far, 3U << 20) << "bytes between zones in a second";
+}
+
+// Guards against entries that send long prompts to the same engine until the
+// next status, and against calls that are then counted twice.
+TEST(StatusExchangeTest, ALongPromptIsToldAtOnceAndCountedOnce) {
+  Fleet Played(3, 27);
+  for (const auto &Each : Played.Nodes)
+    Each->Own = {use(1, 1)};
+  Played.play(1s);
+  for (const std::size_t Sender : {std::size_t{3}, std::size_t{40}}) {
+    Fleet::Node &From = *Played.Nodes[Sender];
+    From.Own = {use(1, 3), use(2, 1)};
+    From.Exchange->tellPart(use(1, 3), 9000, Played.Now);
+    From.Exchange->tellPart(use(2, 1), 9000, Played.Now);
+  }
+  Played.deliver(); // To the relays.
+  Played.flush();   // To other relays, and to the own group.
+  Played.flush();   // To the groups of these.
+  const auto ExpectTrue = [&] {
+    for (const auto &Each : Played.Nodes)
+      for (const std::uint32_t Key : {1U, 2U})
+        EXPECT_EQ(Each->Others.of(Key).Calls, Played.ofOthers(*Each, Key))
+            << Each->Gossip.self().Id;
+  };
+  ExpectTrue();
+  Played.play(1s);
+  ExpectTrue();
+}
+
+// Guards against a fleet that is blind while a relay is gone: its group goes
+// to another one before the relay is known to be dead.
+TEST(StatusExchangeTest, AGroupWhoseRelayDiesGoesToAnother) {
+  Fleet Played(3, 27);
+  for (const auto &Each : Played.Nodes)
+    Each->Own = {use(1, 1)};
+  Played.play(1s);
+  for (const auto &Each : Played.Nodes)
+    if (Each->Sent > 12 && Each->Gossip.self().Zone == "z0") {
+      Each->IsUp = false;
+      break;
+    }
+  Played.play(1200ms, /*WithGossip=*/false);
+  for (const auto &Each : Played.Nodes)
+    if (Each->IsUp)
+      EXPECT_EQ(Each->Others.of(1).Calls, Played.ofOthers(*Each, 1))
+          << Each->Gossip.self().Id;
+}
+
+// Guards against a zone that hears nothing when all of its relays die at once.
+TEST(StatusExchangeTest, AZoneThatLosesAllItsRelaysFindsNewOnes) {
+  Fleet Played(3, 40);
+  for (const auto &Each : Played.Nodes)
+    Each->Own = {use(1, 1)};
+  Played.play(1s);
+  for (const auto &Each : Played.Nodes)
+    if (Each->Sent > 12 && Each->Gossip.self().Zone == "z1")
+      Each->IsUp = false;
+  Played.play(5s);
+  for (const auto &Each : Played.Nodes)
+    if (Each->IsUp)
+      EXPECT_EQ(Each->Others.of(1).Calls, Played.ofOthers(*Each, 1))
+          << Each->Gossip.self().Id;
+}
+
+// Guards against entries that believe old sums when messages get lost.
+TEST(StatusExchangeTest, LostMessagesAreMadeUpFor) {
+  Fleet Played(3, 27);
+  for (const auto &Each : Played.Nodes)
+    Each->Own = {use(1, 1)};
+  Played.Loss = 0.05;
+  Played.play(3s);
+  for (const auto &Each : Played.Nodes)
+    Each->Own = {use(1, 3)};
+  Played.play(2s);
+  for (const auto &Each : Played.Nodes) {
+    const std::uint64_t True = Played.ofOthers(*Each, 1);
+    EXPECT_GT(Each->Others.of(1).Calls, True * 8 / 10);
+    EXPECT_LE(Each->Others.of(1).Calls, True);
+  }
+}
+
+TEST(StatusExchangeTest, NoticesOfWithheldUpstreamsReachAll) {
+  Fleet Played(5, 30);
+  Played.play(1s);
+  Played.WithheldBy[Played.Nodes.back().get()] = {"e7"};
+  Played.play(400ms);
+  for (const auto &Each : Played.Nodes)
+    if (Each != Played.Nodes.back())
+      EXPECT_TRUE(Each->Withheld.contains("e7")) << Each->Gossip.self().Id;
+}
+
+// Guards against a dead entry that is named to callers for as long as gossip
+// takes in a large fleet: 12 s at 295 entries.
+TEST(StatusExchangeTest, ADeadEntryIsKnownWithinTwoSeconds) {
+  Fleet Played(5, 59);
+  Played.play(2s);
+  Fleet::Node &Dead = *Played.Nodes[30];
+  ASSERT_LT(Dead.Sent, 30U) << "not a relay";
+  Dead.IsUp = false;
+  Played.play(2300ms, /*WithGossip=*/false);
+  for (const auto &Each : Played.Nodes) {
+    if (!Each->IsUp)
+      continue;
+    EXPECT_EQ(Each->Gossip.countAlive(Played.Now), Played.Nodes.size() - 2);
+    break;
+  }
+}
+
+// Guards against a whole zone that counts as dead because the news of it does
+// not get through: then the slower limit of gossip holds.
+TEST(StatusExchangeTest, AZoneThatIsNotHeardKeepsTheLimitOfGossip) {
+  Fleet Played(5, 59);
+  Played.play(2s);
+  for (const auto &Each : Played.Nodes)
+    if (Each->Gossip.self().Zone == "z4")
+      Each->IsUp = false;
+  Played.play(2500ms, /*WithGossip=*/false);
+  EXPECT_EQ(Played.Nodes[0]->Gossip.countAlive(Played.Now),
+            Played.Nodes.size() - 1);
+}
+
+TEST(StatusRelayTest, AnOlderStatusChangesNothingAndARestartedEntryCounts) {
+  StatusRelay Relay;
+  const auto Note = [&](std::uint64_t Sequence, std::uint64_t Calls) {
+    Relay.noteStatus(
+        {.From = "a", .Sequence = Sequence, .Use = {use(1, Calls)}}, Start);
+    return Relay.groupDigest("r", Start).Use[0].Use.Calls;
+  };
+  EXPECT_EQ(Note(100, 5), 5U);
+  EXPECT_EQ(Note(99, 7), 5U) << "overtaken by the one before it";
+  EXPECT_EQ(Note(1, 2), 2U) << "a restarted entry";
+}
+
+TEST(StatusRelayTest, ADigestOfAHugeFleetFitsInAMessage) {
+  StatusRelay Relay;
+  for (int I = 0; I < 40; ++I) {
+    EntryStatus Status{.From = "entry-" + std::to_string(I), .Sequence = 1};
+    for (std::uint32_t Key = 0; Key < 200; ++Key)
+      Status.Use.push_back(
+          {static_cast<std::uint32_t>(I) * 2000003 + Key * 5003,
+           {3, 40000, 9000}});
+    Relay.noteStatus(std::move(Status), Start);
+  }
+  StatusDigest Digest = Relay.fleetDigest("r", Start);
+  EXPECT_EQ(Digest.Use.size(), StatusRelay::MaxUse);
+  EXPECT_LE(encodeGossip({.Digest = Digest}).size(), EntryChannel::MaxBytes);
+}
+
+TEST(GossipMessagesTest, ADigestIsReadAsWritten) {
+  StatusDigest Digest;
+  Digest.From = "r";
+  Digest.IsOfGroup = true;
+  Digest.Members = 3;
+  Digest.Use = {use(9, 2)};
+  Digest.Withheld = {"e1"};
+  Digest.Contacts = {{"k", {5, 6, 40ms}}};
+  Digest.Alive = {4, 5};
+  Digest.Counted = {{4, 77}};
+  const StatusDigest Read =
+      decodeGossip(encodeGossip({.Digest = Digest})).Digest;
+  EXPECT_EQ(Read.From, "r");
+  EXPECT_TRUE(Read.IsOfGroup);
+  EXPECT_EQ(Read.Members, 3U);
+  ASSERT_EQ(Read.Use.size(), 1U);
+  EXPECT_EQ(Read.Use[0].Use.Tokens, 200U);
+  EXPECT_EQ(Read.Withheld, Digest.Withheld);
+  ASSERT_EQ(Read.Contacts.size(), 1U);
+  EXPECT_EQ(Read.Contacts[0].second.Digest, 6U);
+  EXPECT_EQ(Read.Alive, Digest.Alive);
+  EXPECT_EQ(Read.Counted, Digest.Counted);
+}
+
+} // namespace
+} // namespace galenaroute
