Longer batches of new calls in large fleets; names of a test

Cause: at 295 entries relays pass on new calls all the time, so each entry would take in 50 batches a second. Change: a batch collects for 150 us an entry, 20 ms at least: 44 ms at 295, as before up to 133. Conclusion: kept for its bound on messages.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -589,7 +589,7 @@
   if (!this->Statuses.hasPending() || !this->FlushTimer.empty())
     return;
   this->FlushTimer =
-      this->Loop.timers().after(StatusExchange::FlushPeriod, [this] {
+      this->Loop.timers().after(this->Statuses.flushPeriod(), [this] {
         this->FlushTimer.disconnect();
         this->Statuses.flush();
       });
--- a/src/process/StatusExchange.cpp
+++ b/src/process/StatusExchange.cpp
@@ -40,6 +40,10 @@
 /// The same over relays, which pass on new calls in batches. An engine reads
 /// about 100 tokens in a millisecond.
 static constexpr std::uint32_t ToldAtOnceTokens = 2000;
+/// Between two batches: a prompt of 2,000 tokens is read for 20 ms. In a large
+/// fleet the batches never end, and each of them reaches every entry.
+static constexpr auto LeastFlushPeriod = std::chrono::milliseconds(20);
+static constexpr auto FlushPeriodPerEntry = std::chrono::microseconds(150);
 /// Under this name the use of the whole fleet replaces what came before it,
 /// whichever relay sent it.
 static constexpr std::string_view FleetName = "relay";
@@ -75,6 +79,12 @@
   return this->period() * StatusRounds;
 }
 
+Duration StatusExchange::flushPeriod() const {
+  return std::max<Duration>(LeastFlushPeriod,
+                            FlushPeriodPerEntry *
+                                static_cast<std::int64_t>(this->Count));
+}
+
 void StatusExchange::update(TimePoint Now) {
   std::map<std::string_view, std::vector<const EntryNews *>> ByZone;
   const EntryNews &Self = this->Entries.self();
--- a/src/process/StatusExchange.h
+++ b/src/process/StatusExchange.h
@@ -70,12 +70,12 @@
   void receive(StatusDigest Digest, TimePoint Now);
   void receive(const AddedUseNews &News, TimePoint Now);
   /// A relay passes on new calls in batches: whether any wait. flush() is to be
-  /// called FlushPeriod later.
+  /// called a flushPeriod() later.
   bool hasPending() const {
     return !this->OwnAdded.empty() || !this->OtherAdded.empty();
   }
   void flush();
-  static constexpr auto FlushPeriod = std::chrono::milliseconds(20);
+  Duration flushPeriod() const;
 
 private:
   /// A relay of this entry's zone.
--- a/tests/StatusExchangeTest.cpp
+++ b/tests/StatusExchangeTest.cpp
@@ -119,7 +119,7 @@
     const auto Under = std::move(this->Messages);
     this->Messages.clear();
     for (const auto &[To, Bytes] : Under) {
-      const auto It = this->ByAddress(To);
+      const auto It = this->nodeAt(To);
       if (!It || !It->IsUp)
         continue;
       ++It->Received;
@@ -133,7 +133,7 @@
     }
   }
 
-  /// As the timers of the relays do FlushPeriod after new calls.
+  /// As the timers of the relays do a flush period after new calls.
   void flush() {
     for (const auto &Each : this->Nodes)
       if (Each->IsUp)
@@ -141,7 +141,7 @@
     this->deliver();
   }
 
-  Node *ByAddress(const SocketAddress &To) {
+  Node *nodeAt(const SocketAddress &To) {
     for (const auto &Each : this->Nodes)
       if (Each->Gossip.self().Gossip == To)
         return Each.get();
@@ -151,7 +151,7 @@
   void send(Node &From, const SocketAddress &To, const std::string &Bytes) {
     ++From.Sent;
     From.LargestMessage = std::max(From.LargestMessage, Bytes.size());
-    Node *Target = this->ByAddress(To);
+    Node *Target = this->nodeAt(To);
     if (Target && Target->Gossip.self().Zone != From.Gossip.self().Zone)
       From.FarBytes += Bytes.size();
     if (this->Loss > 0 &&
