The next in line reads the lease of orders before it needs it

Ruled out: pauses and leaving servers as the cause (no such line in the logs); a shorter wait between the orders of two holders (it keeps the rule that one holder orders at a time).

Change: while there is something to order, the second of the live entries observes the lease: it reads it as often as a holder renews it, and never writes. It can then take a lapsed lease a term after the last renewal.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -161,6 +161,9 @@
           .preferred([this](std::string_view Service) {
             return this->isPreferredFor(Service);
           })
+          .next([this](std::string_view Service) {
+            return this->isAmongHolders(Service, /*Count=*/2);
+          })
           .build();
 }
 
@@ -462,14 +465,20 @@
 bool ForwardGateway::isPreferredFor(std::string_view Service) {
   if (this->StopAskedAt || !this->Services.Config)
     return false;
-  if (this->Orders && this->Orders->holds(Service))
-    return true;
-  if (!this->needsOrders(Service))
+  return (this->Orders && this->Orders->holds(Service)) ||
+         this->isAmongHolders(Service, /*Count=*/1);
+}
+
+/// Whether there is something to order for \p Service and this entry is among
+/// the first \p Count of those alive that should hold its lease.
+bool ForwardGateway::isAmongHolders(std::string_view Service,
+                                    std::size_t Count) {
+  if (this->StopAskedAt || !this->Services.Config ||
+      !this->needsOrders(Service) || !this->seesPlatform())
     return false;
-  return this->seesPlatform() &&
-         this->isAmong(Service, 1, this->aliveIds([](const EntryNews &Each) {
-           return Each.SeesPlatform;
-         }));
+  return this->isAmong(
+      Service, Count,
+      this->aliveIds([](const EntryNews &Each) { return Each.SeesPlatform; }));
 }
 
 std::size_t ForwardGateway::entryCount() const { return this->EntryCount; }
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -109,6 +109,7 @@
   void noteZones();
   bool needsOrders(std::string_view Service) const;
   bool isPreferredFor(std::string_view Service);
+  bool isAmongHolders(std::string_view Service, std::size_t Count);
   void checkStop();
   UpstreamTable::Room roomOf(const UpstreamEntry &Entry) const;
   std::size_t entryCount() const;
--- a/src/version/Lease.cpp
+++ b/src/version/Lease.cpp
@@ -41,10 +41,16 @@
   return LeaseAction::Read;
 }
 
-LeaseAction nextLeaseAction(LeaseState &State, TimePoint Now, bool Wanted) {
+LeaseAction nextLeaseAction(LeaseState &State, TimePoint Now,
+                            LeaseInterest Interest) {
   const LeaseSettings &Settings = State.Settings;
+  const bool Wanted = Interest == LeaseInterest::Hold;
   if (State.CallPending)
     return LeaseAction::Wait;
+  const bool IsReadDue = Now >= State.LastRead + Settings.RenewEvery;
+  if (Interest == LeaseInterest::Observe && !State.InDoubt &&
+      !isOwnRecord(State))
+    return IsReadDue ? read(State) : LeaseAction::Wait;
   if (State.InDoubt || !State.Known)
     return Wanted || State.InDoubt ? read(State) : LeaseAction::Wait;
 
@@ -65,8 +71,7 @@
   const bool Free = State.Version == 0 || State.Record.Holder.empty();
   const bool Lapsed = Now >= State.VersionSince + Settings.Term;
   if (!Free && !Lapsed)
-    return Now >= State.LastRead + Settings.RenewEvery ? read(State)
-                                                       : LeaseAction::Wait;
+    return IsReadDue ? read(State) : LeaseAction::Wait;
   // The version may have changed since it was last read; then the write fails
   // and the object is read again.
   return write(State, Settings.Self, State.Record.Fence + 1, Now);
--- a/src/version/Lease.h
+++ b/src/version/Lease.h
@@ -7,7 +7,7 @@
 // agree. The caller carries out the action and reports how it ended:
 //
 //   LeaseState State(Settings);
-//   switch (nextLeaseAction(State, Now, /*Wanted=*/true)) { ... }
+//   switch (nextLeaseAction(State, Now, LeaseInterest::Hold)) { ... }
 //   onLeaseRead(State, Result, Now);
 //   onLeaseWritten(State, Result, Now);
 //   if (holdsLease(State, Now)) sendOrder(State.Fence);
@@ -78,10 +78,17 @@
 /// What to do next.
 enum class LeaseAction { Wait, Read, Write };
 
+enum class LeaseInterest {
+  None,    ///< A held lease is resigned.
+  Observe, ///< The same, but the lease is read, to take it sooner later.
+  Hold,
+};
+
 /// Decides the next call to the platform. For Write, State.Written and
-/// State.Version are the value and the condition. With \p Wanted false, a
-/// held lease is resigned and none is taken.
-LeaseAction nextLeaseAction(LeaseState &State, TimePoint Now, bool Wanted);
+/// State.Version are the value and the condition. Only with LeaseInterest::Hold
+/// is a lease taken; it must have been seen unchanged for a term by then.
+LeaseAction nextLeaseAction(LeaseState &State, TimePoint Now,
+                            LeaseInterest Interest);
 
 /// Takes in the answer to a Read.
 void onLeaseRead(LeaseState &State, const PlatformResult &Result,
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -16,16 +16,19 @@
     throw Error(ErrorKind::Internal, "the lease holder needs a name");
   return std::unique_ptr<OrderController>(new OrderController(
       this->Loop, this->Store, this->Orders, this->Settings, this->RolloutTimes,
-      this->Period, std::move(this->IsPreferred), this->Events));
+      this->Period, std::move(this->IsPreferred), std::move(this->IsNext),
+      this->Events));
 }
 
 OrderController::OrderController(EventLoop &Loop, Platform &Store,
                                  UpstreamOrders &Orders, LeaseSettings Settings,
                                  RolloutSettings RolloutTimes, Duration Period,
-                                 Preferred IsPreferred, Timeline *Events)
+                                 Preferred IsPreferred, Preferred IsNext,
+                                 Timeline *Events)
     : Store(Store), Orders(Orders), Settings(std::move(Settings)),
       RolloutTimes(RolloutTimes), IsPreferred(std::move(IsPreferred)),
-      Events(Events), SuspendedBefore(suspendedTime()) {
+      IsNext(std::move(IsNext)), Events(Events),
+      SuspendedBefore(suspendedTime()) {
   this->Timer =
       Loop.timers().every(Period, [this] { this->tick(EventLoop::now()); });
 }
@@ -91,7 +94,11 @@
 
 void OrderController::stepLease(const std::string &Service, TimePoint Now) {
   LeaseState &Lease = this->find(Service)->Lease;
-  const bool Wanted = !this->Resigned && this->IsPreferred(Service);
+  const LeaseInterest Interest =
+      this->Resigned               ? LeaseInterest::None
+      : this->IsPreferred(Service) ? LeaseInterest::Hold
+      : this->IsNext(Service)      ? LeaseInterest::Observe
+                                   : LeaseInterest::None;
   const auto Answered = [this, Service,
                          Alive = std::weak_ptr(this->Alive)](auto TakeIn) {
     return [this, Service, Alive, TakeIn](const PlatformResult &Result) {
@@ -107,7 +114,7 @@
       }
     };
   };
-  switch (nextLeaseAction(Lease, Now, Wanted)) {
+  switch (nextLeaseAction(Lease, Now, Interest)) {
   case LeaseAction::Wait:
     return;
   case LeaseAction::Read:
--- a/src/version/OrderController.h
+++ b/src/version/OrderController.h
@@ -61,7 +61,8 @@
 
   OrderController(EventLoop &Loop, Platform &Store, UpstreamOrders &Orders,
                   LeaseSettings Settings, RolloutSettings RolloutTimes,
-                  Duration Period, Preferred IsPreferred, Timeline *Events);
+                  Duration Period, Preferred IsPreferred, Preferred IsNext,
+                  Timeline *Events);
   void stepLease(const std::string &Service, TimePoint Now);
   void stepRollout(const ServiceConfig &Service, TimePoint Now);
   void observeAll(const ServiceConfig &Service);
@@ -73,6 +74,7 @@
   LeaseSettings Settings;
   RolloutSettings RolloutTimes;
   Preferred IsPreferred;
+  Preferred IsNext;
   Timeline *Events;
   ConfigurationPtr Current;
   std::map<std::string, ServiceState> Services;
@@ -115,6 +117,13 @@
     this->RolloutTimes.PreparingPerLoad = PerLoad;
     return *this;
   }
+  /// Whether this daemon takes the lease over should the preferred one fail. It
+  /// then reads the lease meanwhile, since it must have seen it unchanged for a
+  /// term.
+  OrderControllerBuilder &next(OrderController::Preferred IsNext) {
+    this->IsNext = std::move(IsNext);
+    return *this;
+  }
   OrderControllerBuilder &preferred(OrderController::Preferred IsPreferred) {
     this->IsPreferred = std::move(IsPreferred);
     return *this;
@@ -132,6 +141,7 @@
   LeaseSettings Settings;
   RolloutSettings RolloutTimes;
   Duration Period = std::chrono::seconds(1);
+  OrderController::Preferred IsNext = [](std::string_view) { return false; };
   OrderController::Preferred IsPreferred = [](std::string_view) {
     return true;
   };
--- a/tests/LeaseTest.cpp
+++ b/tests/LeaseTest.cpp
@@ -16,7 +16,7 @@
 struct Contender {
   explicit Contender(const std::string &Name) : State({.Self = Name}) {}
   LeaseState State;
-  bool Wanted = true;
+  LeaseInterest Interest = LeaseInterest::Hold;
 };
 
 /// Runs contenders step by step and checks each state of the history.
@@ -30,7 +30,7 @@
   void act(std::size_t Index) {
     Contender &Each = this->Contenders[Index % this->Contenders.size()];
     LeaseState &State = Each.State;
-    switch (nextLeaseAction(State, this->Now, Each.Wanted)) {
+    switch (nextLeaseAction(State, this->Now, Each.Interest)) {
     case LeaseAction::Wait:
       break;
     case LeaseAction::Read:
@@ -119,7 +119,10 @@
       History.Now += Milliseconds(*rc::gen::inRange(2500, 12000));
     else {
       Contender &Each = History.Contenders[Index % History.Contenders.size()];
-      Each.Wanted = !Each.Wanted;
+      Each.Interest =
+          Each.Interest == LeaseInterest::Hold      ? LeaseInterest::Observe
+          : Each.Interest == LeaseInterest::Observe ? LeaseInterest::None
+                                                    : LeaseInterest::Hold;
     }
     History.check();
   }
@@ -188,14 +191,14 @@
 // Guards against the next holder waiting a whole term for a graceful stop.
 TEST(LeaseTest, ResignationLetsTheNextHolderStartAtOnce) {
   LeaseHistory History(2);
-  History.Contenders[1].Wanted = false;
+  History.Contenders[1].Interest = LeaseInterest::None;
   for (int I = 0; I < 4; ++I) {
     History.act(0);
     History.Store.drain();
   }
   ASSERT_TRUE(holdsLease(History.Contenders[0].State, History.Now));
-  History.Contenders[0].Wanted = false;
-  History.Contenders[1].Wanted = true;
+  History.Contenders[0].Interest = LeaseInterest::None;
+  History.Contenders[1].Interest = LeaseInterest::Hold;
   History.act(0);
   EXPECT_FALSE(holdsLease(History.Contenders[0].State, History.Now));
   History.Store.drain();
@@ -208,5 +211,56 @@
   EXPECT_EQ(History.Contenders[1].State.Fence, 2U);
 }
 
+// Guards against a roll of weights that misses its limit because the holder
+// froze: its successor began to count the term only when the holder was known
+// to be gone, 1.8 s later. One that observes takes the lease a term after it
+// saw the last renewal, and never earlier.
+TEST(LeaseTest, OneThatObservesTakesALapsedLeaseWithoutAnotherTerm) {
+  LeaseHistory History(2);
+  LeaseState &Holder = History.Contenders[0].State;
+  Contender &Next = History.Contenders[1];
+  Next.Interest = LeaseInterest::Observe;
+  for (int I = 0; I < 4; ++I) {
+    History.act(0);
+    History.act(1);
+    History.Store.drain();
+  }
+  ASSERT_TRUE(holdsLease(Holder, History.Now));
+  const TimePoint Renewed = Holder.WriteStarted;
+  const auto Play = [&](TimePoint Until) {
+    while (History.Now < Until) {
+      History.Now += 100ms;
+      History.act(1);
+      History.Store.drain();
+      EXPECT_TRUE(History.Now >= Renewed + Holder.Settings.Term ||
+                  !holdsLease(Next.State, History.Now));
+    }
+  };
+  // The holder is frozen; for a while nobody knows. The observer has seen the
+  // last renewal one reading period after it at the latest.
+  const TimePoint Seen = Renewed + Next.State.Settings.RenewEvery;
+  Play(Seen + 1800ms);
+  EXPECT_EQ(Next.State.Record.Holder, Holder.Settings.Self);
+  Next.Interest = LeaseInterest::Hold;
+  Play(Seen + Holder.Settings.Term + 500ms);
+  EXPECT_TRUE(holdsLease(Next.State, History.Now));
+}
+
+// Guards against a lease that is taken, or kept, by one that only observes.
+TEST(LeaseTest, OneThatOnlyObservesNeverTakesTheLease) {
+  LeaseHistory History(1);
+  Contender &Only = History.Contenders[0];
+  Only.Interest = LeaseInterest::Observe;
+  for (int I = 0; I < 100; ++I) {
+    History.Now += 100ms;
+    History.act(0);
+    History.Store.drain();
+    EXPECT_FALSE(holdsLease(Only.State, History.Now));
+  }
+  EXPECT_EQ(History.Store.Writes, 0);
+  EXPECT_LE(History.Store.Reads,
+            100 * 100ms / Only.State.Settings.RenewEvery + 1);
+}
+
 } // namespace
 } // namespace galenaroute
