Log lines and counts that tell apart why a crashing call is sent again

Ruled out: naming the prompt or the path; both are the callers'. The content is a hash. Change: field 'content' on call.sent, call.send_ended and call.refused; a line content.broke with the count so far; call.send_ended also for sends given up (timed_out, caller_left); counters of sends by end and of contents refused.

--- a/src/request/CrashRecord.h
+++ b/src/request/CrashRecord.h
@@ -45,6 +45,11 @@
   Record.Entries.erase(Content);
 }
 
+inline int breaksOf(const CrashRecord &Record, std::uint64_t Content) {
+  const auto It = Record.Entries.find(Content);
+  return It == Record.Entries.end() ? 0 : It->second.Breaks;
+}
+
 inline bool seemsToCrash(const CrashRecord &Record, std::uint64_t Content,
                          TimePoint Now) {
   const auto It = Record.Entries.find(Content);
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -41,6 +41,14 @@
 static constexpr double TimedOutWeight = 0.5;
 static constexpr double FailedWeight = 0.1;
 
+/// Names a content in log lines.
+static std::string contentName(std::uint64_t Content) {
+  char Text[17];
+  std::snprintf(Text, sizeof Text, "%016llx",
+                static_cast<unsigned long long>(Content));
+  return Text;
+}
+
 ForwardRun::ForwardRun(ForwardServices &Services,
                        std::shared_ptr<IncomingCall> Incoming)
     : Services(Services), Incoming(std::move(Incoming)),
@@ -132,6 +140,7 @@
       stableHash(this->Call.Target,
                  stableHash(this->Customer ? this->Customer->Name : "")));
   if (seemsToCrash(this->Services.Crashes, this->Signature, EventLoop::now())) {
+    this->Services.Stats.decision("content.refused");
     this->refuse("this call crashed the upstreams that ran it",
                  CrashRetryAfter);
     return false;
@@ -327,6 +336,7 @@
   const auto Others = this->Services.Upstreams.useOfOthers(To);
   log(LogLevel::Info, "call.sent",
       {{"call", this->Call.Id},
+       {"content", contentName(this->Signature)},
        {"route", this->Route->Name},
        {"upstream", this->UpstreamId},
        {"send", std::to_string(this->Sends + 1)},
@@ -573,6 +583,11 @@
     return;
   case SendOutcome::Broken:
     noteBreak(this->Services.Crashes, this->Signature, Now);
+    log(LogLevel::Warn, "content.broke",
+        {{"content", contentName(this->Signature)},
+         {"upstream", this->UpstreamId},
+         {"breaks",
+          std::to_string(breaksOf(this->Services.Crashes, this->Signature))}});
     Upstreams.noteFailure(this->UpstreamId, BrokenWeight, Now);
     return;
   }
@@ -602,9 +617,11 @@
       ++this->PossibleRuns;
   }
   const ForwardStep Step = nextStep(this->progress(), Outcome);
-  if (Outcome != SendOutcome::Succeeded)
+  if (Outcome != SendOutcome::Succeeded) {
+    this->Services.Stats.decision("send." + std::string(toString(Outcome)));
     log(LogLevel::Warn, "call.send_ended",
         {{"call", this->Call.Id},
+         {"content", contentName(this->Signature)},
          {"upstream", this->UpstreamId},
          {"outcome", std::string(toString(Outcome))},
          {"status", std::to_string(this->HasAnswer ? this->Answer.Status : 0)},
@@ -616,6 +633,7 @@
                   : Step == ForwardStep::Deliver ? "deliver"
                   : Step == ForwardStep::Refuse  ? "refuse"
                                                  : "fail"}});
+  }
   switch (Step) {
   case ForwardStep::Deliver:
     this->deliver();
@@ -666,12 +684,21 @@
                  .Entry != nullptr;
 }
 
-/// Ends the send under way, if there is one.
-void ForwardRun::endSend() {
+/// Gives up the send under way, if there is one, for \p Reason.
+void ForwardRun::endSend(std::string_view Reason) {
   if (!this->Exchange)
     return;
   const bool WasSent = this->Exchange->wasSent();
   this->Exchange.reset();
+  this->Services.Stats.decision("send." + std::string(Reason));
+  log(LogLevel::Info, "call.send_ended",
+      {{"call", this->Call.Id},
+       {"content", contentName(this->Signature)},
+       {"upstream", this->UpstreamId},
+       {"outcome", std::string(Reason)},
+       {"status", std::to_string(this->HasAnswer ? this->Answer.Status : 0)},
+       {"after_ms",
+        std::to_string(toMilliseconds(EventLoop::now() - this->SentAt))}});
   this->noteStarted();
   this->Services.Upstreams.noteEnded(this->UpstreamId, this->callTokens());
   if (WasSent)
@@ -685,7 +712,7 @@
   if (this->Exchange)
     this->Services.Upstreams.noteFailure(this->UpstreamId, TimedOutWeight,
                                          EventLoop::now());
-  this->endSend();
+  this->endSend("timed_out");
   if (this->Current == Phase::Streaming) {
     this->Incoming->abort();
     this->finish("deadline_exceeded");
@@ -700,7 +727,7 @@
   if (this->Current == Phase::Done)
     return;
   const auto Self = this->shared_from_this();
-  this->endSend();
+  this->endSend("caller_left");
   this->finish("caller_left");
 }
 
@@ -728,6 +755,7 @@
   const ErrorRow &Row = describeError(ErrorKind::NoUpstream);
   log(LogLevel::Warn, "call.refused",
       {{"call", this->Call.Id},
+       {"content", contentName(this->Signature)},
        {"reason", std::string(Reason)},
        {"sends", std::to_string(this->Sends)},
        {"retry_after_ms", std::to_string(toMilliseconds(RetryAfter))}});
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -116,7 +116,7 @@
   void refuse(std::string_view Reason, Duration RetryAfter);
   void fail(ErrorKind Kind, std::string_view Reason);
   void finish(std::string_view Outcome);
-  void endSend();
+  void endSend(std::string_view Reason);
   double draw();
   Duration timeLeft() const;
   Duration retryAfter();
