--- /dev/null
+++ b/tests/GatewayFleet.h
@@ -0,0 +1,128 @@
+// Several gateways in one process, with a platform and upstreams that tests
+// write by hand.
+
+#ifndef GALENAROUTE_TESTS_GATEWAYFLEET_H
+#define GALENAROUTE_TESTS_GATEWAYFLEET_H
+
+#include "FakePlatform.h"
+#include "RawSocket.h"
+#include "platform/CallHeaders.h"
+#include "platform/ObjectReader.h"
+#include "process/ForwardGateway.h"
+
+namespace galenaroute::testing_support {
+
+class NoStores : public CacheFeed {
+public:
+  void events(const SocketAddress &, std::uint64_t, Duration,
+              OnBatch) override {}
+  void list(const SocketAddress &, OnBatch) override {}
+  void free(const SocketAddress &, std::uint64_t,
+            std::span<const std::pair<std::string, std::string>>) override {}
+};
+
+class NoOrders : public UpstreamOrders {
+public:
+  void observe(const SocketAddress &, OnObservation) override {}
+  void send(const Order &, OnAnswer) override {}
+};
+
+/// Gateways that know one another, before upstreams of one service. Routes:
+/// `/once/`, at one upstream at most, and `/safe/`, at two.
+class GatewayFleet {
+public:
+  explicit GatewayFleet(std::size_t Count) {
+    this->Api.put({"config", "main"}, nlohmann::json::parse(R"({
+      "version":1,
+      "routes":[
+        {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",
+         "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
+         "maxAttempts":1,"public":true},
+        {"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe",
+         "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
+         "maxAttempts":2,"public":true}],
+      "services":[{"name":"d","maxConns":400}]})"),
+                  Platform::MustNotExist, [](const PlatformResult &) {});
+    for (std::size_t I = 0; I < Count; ++I)
+      this->Settings.push_back(this->settingsOf(I));
+    for (GatewaySettings &Each : this->Settings)
+      for (const GatewaySettings &Other : this->Settings)
+        Each.GossipSeeds.push_back(Other.Gossip);
+    this->Gateways.resize(Count);
+    for (std::size_t I = 0; I < Count; ++I)
+      this->start(I);
+    this->PlatformTimer = this->Loop.timers().every(
+        std::chrono::milliseconds(5), [this] { this->Api.drain(40); });
+  }
+  ~GatewayFleet() { this->PlatformTimer.disconnect(); }
+
+  std::size_t size() const { return this->Gateways.size(); }
+  const SocketAddress &callersOf(std::size_t Index) const {
+    return this->Settings[Index].Callers;
+  }
+
+  /// Starts the gateway anew, as after a kill: it knows nothing of before.
+  void start(std::size_t Index) {
+    this->Gateways[Index].reset();
+    this->Gateways[Index] =
+        std::make_unique<ForwardGateway>(this->Loop, this->Settings[Index],
+                                         GatewayParts{.Api = this->Api,
+                                                      .Source = this->Reader,
+                                                      .Codec = this->Codec,
+                                                      .Feed = this->Feed,
+                                                      .Orders = this->Orders});
+    this->Gateways[Index]->start();
+  }
+  void stop(std::size_t Index) { this->Gateways[Index].reset(); }
+
+  bool isReady() const {
+    return std::all_of(this->Gateways.begin(), this->Gateways.end(),
+                       [](const auto &Each) { return Each->isReady(); });
+  }
+
+  /// Enters an upstream in the registry, or removes it.
+  void registerUpstream(const std::string &Id, const SocketAddress &Address) {
+    this->Api.put({"servers", Id},
+                  {{"service", "d"},
+                   {"address", Address.toString()},
+                   {"zone", "z"},
+                   {"version", "1"},
+                   {"slots", 50},
+                   {"state", "ready"},
+                   {"sequence", 1},
+                   {"born", ++this->Born}},
+                  this->Api.read({"servers", Id}).Object.Version,
+                  [](const PlatformResult &) {});
+  }
+  void unregisterUpstream(const std::string &Id) {
+    this->Api.remove({"servers", Id},
+                     this->Api.read({"servers", Id}).Object.Version,
+                     [](const PlatformResult &) {});
+  }
+
+  EventLoop Loop;
+  FakePlatform Api;
+
+private:
+  static GatewaySettings settingsOf(std::size_t Index) {
+    GatewaySettings Result;
+    Result.NodeId = "n" + std::to_string(Index);
+    Result.Zone = "z";
+    Result.Callers = freeAddress();
+    Result.Gossip = freeAddress();
+    return Result;
+  }
+
+  const platform::ObjectReader Reader;
+  const platform::CallHeaders Codec;
+  NoStores Feed;
+  NoOrders Orders;
+  std::vector<GatewaySettings> Settings;
+  std::vector<std::unique_ptr<ForwardGateway>> Gateways;
+  std::int64_t Born = 0;
+  sigc::connection PlatformTimer;
+};
+
+} // namespace galenaroute::testing_support
+
+#endif // GALENAROUTE_TESTS_GATEWAYFLEET_H
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -1,10 +1,6 @@
 // Plays a planned stop of a gateway under load and checks what callers get.
 
-#include "FakePlatform.h"
-#include "RawSocket.h"
-#include "platform/CallHeaders.h"
-#include "platform/ObjectReader.h"
-#include "process/ForwardGateway.h"
+#include "GatewayFleet.h"
 
 #include <gtest/gtest.h>
 
@@ -13,21 +9,8 @@
 
 using namespace std::chrono_literals;
 using nlohmann::json;
-
-class NoStores : public CacheFeed {
-public:
-  void events(const SocketAddress &, std::uint64_t, Duration,
-              OnBatch) override {}
-  void list(const SocketAddress &, OnBatch) override {}
-  void free(const SocketAddress &, std::uint64_t,
-            std::span<const std::pair<std::string, std::string>>) override {}
-};
-
-class NoOrders : public UpstreamOrders {
-public:
-  void observe(const SocketAddress &, OnObservation) override {}
-  void send(const Order &, OnAnswer) override {}
-};
+using testing_support::NoOrders;
+using testing_support::NoStores;
 
 /// A caller that sends one request on a new connection, in two parts, and
 /// takes what comes.
