Entries put together which calls crash upstreams

Callers saw: a call that ends the servers that run it went on being sent, so servers went on ending, and the calls of others that ran there broke. Cause: a limit of the whole fleet (three crashes) was counted by each process for itself, in memory. Ruled out: telling each crash to all: one crash of a busy engine breaks up to 128 sound calls, and 295 entries would get each; asking others on arrival of a call: a round trip for each. Change: CrashRecord keeps crashes by incarnation of the upstream, merges what others saw, counts what several copies saw of one crash once, and drops the fewest and oldest crashes first. CrashExchange tells a first crash to three keepers, the same at all entries, a second one to all, and both again with each round of gossip. Refused contents are kept on the platform for processes that start, and for an entry that hears less than half of the others.

--- a/src/process/Clock.h
+++ b/src/process/Clock.h
@@ -39,6 +39,13 @@
   return fromSeconds(toSeconds(Span) * Factor);
 }
 
+/// Returns the Unix time in milliseconds.
+inline std::int64_t wallMilliseconds() {
+  return std::chrono::duration_cast<Milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 /// Returns for how long the VM has been suspended since it started. Monotonic
 /// time does not count a suspension.
 inline Duration suspendedTime() {
--- /dev/null
+++ b/src/process/CrashExchange.cpp
@@ -0,0 +1,320 @@
+#include "process/CrashExchange.h"
+
+#include "process/ErrorKind.h"
+#include "process/GossipMessages.h"
+#include "process/Log.h"
+#include "process/Rendezvous.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+/// Entries that put together the crashes of a content. With three, one may die
+/// and one may be cut off.
+static constexpr std::size_t Keepers = 3;
+/// Contents with this many crashes are told to all. Sound calls that were
+/// running at a crash seldom see a second one.
+static constexpr std::size_t CrashesToTellAll = 2;
+/// Crashes of one upstream break several calls within this time; they go in one
+/// message.
+static constexpr auto FlushDelay = std::chrono::milliseconds(20);
+/// In one message of a round, about 120 bytes each.
+static constexpr std::size_t MaxNewsOfRound = 16;
+/// In any message, so that it stays below EntryChannel::MaxBytes.
+static constexpr std::size_t MaxNews = 64;
+/// Kept on the platform; about 150 bytes each.
+static constexpr std::size_t MaxStored = 32;
+/// Between attempts while the platform does not answer or another entry has
+/// written meanwhile.
+static constexpr auto SyncRetry = std::chrono::milliseconds(500);
+/// Between reads while this entry is cut off from the others.
+static constexpr auto CutOffPeriod = std::chrono::seconds(1);
+
+static const ObjectKey &storedKey() {
+  static const ObjectKey Key{"crashing-contents", "recent"};
+  return Key;
+}
+
+CrashExchange::CrashExchange(CrashExchangeParts Parts)
+    : Parts(std::move(Parts)) {}
+
+CrashExchange::~CrashExchange() {
+  this->FlushTimer.disconnect();
+  this->SyncTimer.disconnect();
+}
+
+void CrashExchange::start() { this->sync(); }
+
+void CrashExchange::tell(std::uint64_t Content, std::size_t Cleared) {
+  this->Pending[Content] |= Cleared >= CrashesToTellAll;
+  this->keepIfRefused(Content);
+  this->withdrawIfCleared(Content);
+  if (this->FlushTimer.empty())
+    this->FlushTimer =
+        this->Parts.Loop.timers().after(FlushDelay, [this] { this->flush(); });
+}
+
+/// Returns the keepers of \p Content other than this entry.
+std::vector<SocketAddress>
+CrashExchange::keepersOf(std::uint64_t Content) const {
+  const std::string Key = contentName(Content);
+  std::vector<std::pair<std::uint64_t, SocketAddress>> All;
+  this->Parts.Entries.forEachAlive(
+      EventLoop::now(), [&](const EntryNews &Each) {
+        All.emplace_back(rendezvousWeight(Key, Each.Id), Each.Gossip);
+      });
+  const std::size_t Count = std::min(All.size(), Keepers);
+  std::partial_sort(
+      All.begin(), All.begin() + static_cast<std::ptrdiff_t>(Count), All.end(),
+      [](const auto &A, const auto &B) { return A.first > B.first; });
+  std::vector<SocketAddress> Result;
+  for (std::size_t I = 0; I < Count; ++I)
+    Result.push_back(All[I].second);
+  return Result;
+}
+
+bool CrashExchange::isKeeperOf(std::uint64_t Content) const {
+  const std::string Key = contentName(Content);
+  const std::uint64_t Own =
+      rendezvousWeight(Key, this->Parts.Entries.self().Id);
+  std::size_t Above = 0;
+  this->Parts.Entries.forEachAlive(
+      EventLoop::now(), [&](const EntryNews &Each) {
+        Above += rendezvousWeight(Key, Each.Id) > Own;
+      });
+  return Above < Keepers;
+}
+
+static void send(const CrashExchangeParts &Parts, const SocketAddress &To,
+                 std::span<const CrashNews> News) {
+  for (; !News.empty(); News = News.subspan(std::min(News.size(), MaxNews)))
+    Parts.Send(
+        To, encodeGossip({.Crashes = {News.begin(),
+                                      News.begin() +
+                                          static_cast<std::ptrdiff_t>(std::min(
+                                              News.size(), MaxNews))}}));
+}
+
+void CrashExchange::flush() {
+  this->FlushTimer.disconnect();
+  const TimePoint Now = EventLoop::now();
+  std::map<SocketAddress, std::vector<CrashNews>> Messages;
+  std::vector<CrashNews> ForAll;
+  for (const auto &[Content, ToAll] : this->Pending) {
+    CrashNews News = newsOf(this->Parts.Record, Content, Now);
+    if (ToAll || News.Sightings.size() >= CrashesToTellAll)
+      ForAll.push_back(std::move(News));
+    else
+      for (const SocketAddress &To : this->keepersOf(Content))
+        Messages[To].push_back(News);
+  }
+  this->Pending.clear();
+  for (const auto &[To, News] : Messages)
+    send(this->Parts, To, News);
+  if (!ForAll.empty())
+    this->Parts.Entries.forEachAlive(Now, [&](const EntryNews &Each) {
+      send(this->Parts, Each.Gossip, ForAll);
+    });
+}
+
+void CrashExchange::receive(std::span<const CrashNews> News) {
+  const TimePoint Now = EventLoop::now();
+  for (const CrashNews &Each : News) {
+    if (!mergeNews(this->Parts.Record, Each, Now))
+      continue;
+    const std::size_t Crashes = crashesOf(this->Parts.Record, Each.Content);
+    if (Crashes >= CrashesToTellAll)
+      log(LogLevel::Warn, "content.told",
+          {{"content", contentName(Each.Content)},
+           {"crashes", std::to_string(Crashes)},
+           {"told", std::to_string(Each.Sightings.size())}});
+    // The sender has told everybody what it knows. What it did not know is
+    // this entry's to tell.
+    if (Crashes > Each.Sightings.size())
+      this->tell(Each.Content);
+    else
+      this->keepIfRefused(Each.Content);
+    this->withdrawIfCleared(Each.Content);
+  }
+}
+
+void CrashExchange::round(std::span<const SocketAddress> Targets) {
+  const TimePoint Now = EventLoop::now();
+  expireCrashes(this->Parts.Record, Now);
+  std::erase_if(this->Kept, [this](std::uint64_t Each) {
+    return crashesOf(this->Parts.Record, Each) < MaxCrashes;
+  });
+  if (this->isCutOff() && Now - this->SyncedAt >= CutOffPeriod)
+    this->sync();
+  std::vector<CrashNews> News;
+  for (const std::uint64_t Each :
+       suspectContents(this->Parts.Record, CrashesToTellAll, MaxNewsOfRound))
+    News.push_back(newsOf(this->Parts.Record, Each, Now));
+  if (News.empty())
+    return;
+  for (const SocketAddress &To : Targets)
+    send(this->Parts, To, News);
+}
+
+bool CrashExchange::isCutOff() const {
+  const EntryGossip &Entries = this->Parts.Entries;
+  return 2 * (Entries.countAlive(EventLoop::now()) + 1) <
+         Entries.countKnown() + 1;
+}
+
+/// Has a content that is refused from now on written to the platform, by the
+/// keepers only.
+void CrashExchange::keepIfRefused(std::uint64_t Content) {
+  if (crashesOf(this->Parts.Record, Content) < MaxCrashes ||
+      !this->Kept.insert(Content).second)
+    return;
+  log(LogLevel::Warn, "content.refused",
+      {{"content", contentName(Content)},
+       {"crashes", std::to_string(crashesOf(this->Parts.Record, Content))}});
+  if (!this->isKeeperOf(Content))
+    return;
+  this->HasToWrite = true;
+  this->sync();
+}
+
+/// Has a content that was refused and has succeeded since removed from the
+/// platform.
+void CrashExchange::withdrawIfCleared(std::uint64_t Content) {
+  if (crashesOf(this->Parts.Record, Content) >= MaxCrashes ||
+      this->Kept.erase(Content) == 0)
+    return;
+  log(LogLevel::Info, "content.cleared", {{"content", contentName(Content)}});
+  if (!this->isKeeperOf(Content))
+    return;
+  this->HasToWrite = true;
+  this->sync();
+}
+
+void CrashExchange::syncLater(Duration Delay) {
+  this->SyncTimer.disconnect();
+  this->SyncTimer =
+      this->Parts.Loop.timers().after(Delay, [this] { this->sync(); });
+}
+
+/// Reads what the platform keeps, and writes it if there is something to add.
+void CrashExchange::sync() {
+  this->SyncTimer.disconnect();
+  if (this->IsSyncing)
+    return;
+  this->IsSyncing = true;
+  this->SyncedAt = EventLoop::now();
+  this->Parts.Api.get(storedKey(), [this, Alive = std::weak_ptr(this->Alive)](
+                                       const PlatformResult &Result) {
+    if (!Alive.expired())
+      this->onStored(Result);
+  });
+}
+
+/// Hashes go as text: not all readers of JSON keep 64 bits of a number.
+static json toStored(std::span<const CrashNews> News, std::int64_t WallMs) {
+  json Result = json::array();
+  for (const CrashNews &Each : News) {
+    json Sightings = json::array();
+    for (const CrashNews::Sighting &Seen : Each.Sightings)
+      Sightings.push_back(
+          {contentName(Seen.Upstream), WallMs - Seen.Age.count()});
+    Result.push_back({contentName(Each.Content), std::move(Sightings)});
+  }
+  return Result;
+}
+
+static std::uint64_t hashFromText(const std::string &Text) {
+  std::uint64_t Value = 0;
+  const auto Read =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value, 16);
+  if (Read.ec != std::errc() || Read.ptr != Text.data() + Text.size())
+    throw Error(ErrorKind::BadRequest, "not a content: " + Text);
+  return Value;
+}
+
+static std::vector<CrashNews> fromStored(const json &Value,
+                                         std::int64_t WallMs) {
+  std::vector<CrashNews> Result;
+  for (const json &Each : Value) {
+    CrashNews News;
+    News.Content = hashFromText(Each.at(0));
+    for (const json &Seen : Each.at(1))
+      News.Sightings.push_back(
+          {hashFromText(Seen.at(0)),
+           Milliseconds(WallMs - Seen.at(1).get<std::int64_t>())});
+    Result.push_back(std::move(News));
+  }
+  return Result;
+}
+
+void CrashExchange::onStored(const PlatformResult &Result) {
+  this->IsSyncing = false;
+  if (Result.Status != PlatformStatus::Ok &&
+      Result.Status != PlatformStatus::NotFound) {
+    this->syncLater(SyncRetry);
+    return;
+  }
+  std::vector<std::uint64_t> Stored;
+  if (Result.Status == PlatformStatus::Ok)
+    try {
+      for (const CrashNews &Each :
+           fromStored(Result.Object.Value, wallMilliseconds())) {
+        Stored.push_back(Each.Content);
+        if (!mergeNews(this->Parts.Record, Each, EventLoop::now()))
+          continue;
+        this->Kept.insert(Each.Content);
+        log(LogLevel::Warn, "content.restored",
+            {{"content", contentName(Each.Content)},
+             {"crashes", std::to_string(Each.Sightings.size())}});
+      }
+    } catch (const std::exception &Failure) {
+      // Overwritten by the next content that is refused.
+      log(LogLevel::Warn, "content.stored_malformed",
+          {{"message", Failure.what()}});
+    }
+  if (!this->HasToWrite)
+    return;
+  this->HasToWrite = false;
+  std::vector<std::uint64_t> Refused =
+      suspectContents(this->Parts.Record, MaxCrashes, MaxStored);
+  std::sort(Refused.begin(), Refused.end());
+  std::sort(Stored.begin(), Stored.end());
+  // Another keeper may have written the same.
+  if (Refused != Stored)
+    this->write(Refused, Result.Status == PlatformStatus::Ok
+                             ? Result.Object.Version
+                             : Platform::MustNotExist);
+}
+
+void CrashExchange::write(std::span<const std::uint64_t> Refused,
+                          std::uint64_t IfVersion) {
+  const TimePoint Now = EventLoop::now();
+  std::vector<CrashNews> News;
+  for (const std::uint64_t Each : Refused)
+    News.push_back(newsOf(this->Parts.Record, Each, Now));
+  this->IsSyncing = true;
+  this->Parts.Api.put(
+      storedKey(), toStored(News, wallMilliseconds()), IfVersion,
+      [this,
+       Alive = std::weak_ptr(this->Alive)](const PlatformResult &Written) {
+        if (Alive.expired())
+          return;
+        this->IsSyncing = false;
+        if (Written.Status == PlatformStatus::Ok) {
+          if (this->HasToWrite)
+            this->sync();
+          return;
+        }
+        log(LogLevel::Info, "content.not_stored",
+            {{"status", Written.Status == PlatformStatus::Conflict
+                            ? "conflict"
+                            : "no_answer"}});
+        this->HasToWrite = true;
+        this->syncLater(SyncRetry);
+      });
+}
+
+} // namespace galenaroute
--- a/src/process/EntryGossip.cpp
+++ b/src/process/EntryGossip.cpp
@@ -139,6 +139,12 @@
   return Count;
 }
 
+std::size_t EntryGossip::countKnown() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Others.begin(), this->Others.end(),
+      [](const auto &Each) { return !Each.second.News.IsLeaving; }));
+}
+
 std::vector<SocketAddress>
 chooseEntryAddresses(std::span<const EntryNews> Ready, std::string_view Zone,
                      std::size_t Most, std::mt19937_64 &Random) {
--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -80,6 +80,9 @@
   /// Entries, other than this one, that are alive and not leaving.
   std::vector<EntryNews> alive(TimePoint Now) const;
   std::size_t countAlive(TimePoint Now) const;
+  /// Entries, other than this one, that have not said that they leave, also
+  /// those not heard of lately, until they are forgotten.
+  std::size_t countKnown() const;
   /// The same entries as alive(), without a copy.
   template <typename Visitor>
   void forEachAlive(TimePoint Now, Visitor Visit) const {
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -59,12 +59,6 @@
 /// that the platform allows.
 static constexpr double OldWeightsShare = 0.75;
 
-static std::int64_t wallMilliseconds() {
-  return std::chrono::duration_cast<Milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 /// Up to this many entries all watch the platform closely and ask all stores.
 /// With more, a few of each availability zone do, and calls stay few.
 static constexpr std::size_t MaxCloseWatchers = 10;
@@ -128,7 +122,15 @@
           [this](const SocketAddress &To, const std::string &Bytes) {
             this->Channel->send(To, Bytes);
           },
-          this->statusEvents()) {
+          this->statusEvents()),
+      Crashes(
+          {.Loop = Loop,
+           .Record = this->Services.Crashes,
+           .Api = Parts.Api,
+           .Entries = this->Entries,
+           .Send = [this](const SocketAddress &To, const std::string &Bytes) {
+             this->Channel->send(To, Bytes);
+           }}) {
   this->Upstreams.OnGone = [this](const SocketAddress &Address) {
     this->Pool.closeIdle(Address);
   };
@@ -141,6 +143,10 @@
   this->Stores.OnHeard = [this](const StoreNews &News) {
     this->tellZone({.Store = News});
   };
+  this->Services.OnCrashesChanged = [this](std::uint64_t Content,
+                                           std::size_t Cleared) {
+    this->Crashes.tell(Content, Cleared);
+  };
   this->Services.OnSent = [this](const UpstreamEntry &To,
                                  std::uint32_t Tokens) {
     this->Statuses.tellPart(this->Upstreams.ownUseOf(To), Tokens,
@@ -214,6 +220,7 @@
   this->Configs.start();
   this->Registry.start();
   this->WeightNotices.start();
+  this->Crashes.start();
   this->gossip();
   this->tellStatus();
   this->Timers.push_back(
@@ -538,9 +545,11 @@
     Budget.Most = this->Services.NewBudget.Most;
   const std::string Message =
       encodeGossip({.News = this->Entries.news(Now, this->Random)});
-  for (const SocketAddress &To :
-       this->Entries.targets(this->Settings.GossipSeeds, Now, this->Random))
+  const std::vector<SocketAddress> Targets =
+      this->Entries.targets(this->Settings.GossipSeeds, Now, this->Random);
+  for (const SocketAddress &To : Targets)
     this->Channel->send(To, Message);
+  this->Crashes.round(Targets);
 }
 
 StatusEvents ForwardGateway::statusEvents() {
@@ -676,6 +685,7 @@
   if (!Message.Added.From.empty())
     this->Statuses.receive(Message.Added, EventLoop::now());
   this->flushSoon();
+  this->Crashes.receive(Message.Crashes);
   if (Message.Store)
     this->Stores.receive(*Message.Store);
   if (Message.Objects)
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -13,6 +13,7 @@
 #ifndef GALENAROUTE_PROCESS_FORWARDGATEWAY_H
 #define GALENAROUTE_PROCESS_FORWARDGATEWAY_H
 
+#include "process/CrashExchange.h"
 #include "process/EntryChannel.h"
 #include "process/StatusExchange.h"
 #include "process/StoreFollower.h"
@@ -128,6 +129,7 @@
   ObjectWatcher WeightNotices;
   EntryGossip Entries;
   StatusExchange Statuses;
+  CrashExchange Crashes;
   std::size_t EntryCount = 1; ///< Alive, this one included; as of gossip().
   std::unique_ptr<OrderController> Orders;
   std::unique_ptr<CallListener> Listener;
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -195,12 +195,47 @@
   return News;
 }
 
+static json toJson(std::span<const CrashNews> All) {
+  json Contents = json::array();
+  for (const CrashNews &Each : All) {
+    json Sightings = json::array();
+    for (const CrashNews::Sighting &Seen : Each.Sightings) {
+      Sightings.push_back(Seen.Upstream);
+      Sightings.push_back(Seen.Age.count());
+    }
+    Contents.push_back(
+        {Each.Content,
+         Each.ClearedAge ? json(Each.ClearedAge->count()) : json(),
+         std::move(Sightings)});
+  }
+  return {{"crashes", std::move(Contents)}};
+}
+
+static std::vector<CrashNews> crashesFromJson(const json &Value) {
+  std::vector<CrashNews> Result;
+  for (const json &Each : Value.at("crashes")) {
+    CrashNews News;
+    News.Content = Each.at(0);
+    if (!Each.at(1).is_null())
+      News.ClearedAge = Milliseconds(Each.at(1).get<std::int64_t>());
+    const json &Sightings = Each.at(2);
+    for (std::size_t I = 0; I + 1 < Sightings.size(); I += 2)
+      News.Sightings.push_back(
+          {Sightings.at(I),
+           Milliseconds(Sightings.at(I + 1).get<std::int64_t>())});
+    Result.push_back(std::move(News));
+  }
+  return Result;
+}
+
 std::string encodeGossip(const GossipMessage &Message) {
   json Value = json::array();
   if (Message.Store)
     Value = toJson(*Message.Store);
   else if (Message.Objects)
     Value = toJson(*Message.Objects);
+  else if (!Message.Crashes.empty())
+    Value = toJson(Message.Crashes);
   else if (!Message.Digest.From.empty())
     Value = toJson(Message.Digest);
   else if (!Message.Added.From.empty())
@@ -221,6 +256,8 @@
     Result.Store = storeNewsFromJson(Value);
   else if (Value.is_object() && Value.contains("objects"))
     Result.Objects = objectNewsFromJson(Value);
+  else if (Value.is_object() && Value.contains("crashes"))
+    Result.Crashes = crashesFromJson(Value);
   else if (Value.is_object() && Value.contains("digest"))
     Result.Digest = digestFromJson(Value);
   else if (Value.is_object() && Value.contains("added"))
--- a/src/process/GossipMessages.h
+++ b/src/process/GossipMessages.h
@@ -7,6 +7,7 @@
 // News goes to a few entries at a time, which pass it on. A status goes from
 // its entry to all others, several times a second, or to a relay, which answers
 // with digests. News of a store goes to the entries of one availability zone.
+// News of crashes goes to a few entries or to all, see CrashExchange.
 
 #ifndef GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
 #define GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
@@ -14,6 +15,7 @@
 #include "process/EntryGossip.h"
 #include "process/StatusRelay.h"
 #include "process/StoreFollower.h"
+#include "request/CrashRecord.h"
 
 #include <optional>
 
@@ -26,6 +28,7 @@
   AddedUseNews Added;  ///< Present when From is not empty.
   std::optional<StoreNews> Store;
   std::optional<ObjectNews> Objects;
+  std::vector<CrashNews> Crashes;
 };
 
 std::string encodeGossip(const GossipMessage &Message);
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -19,8 +19,6 @@
 /// Callers that were refused together come back over this share of the time on
 /// top of it.
 static constexpr double PauseSpread = 0.25;
-/// For a call that crashes upstreams; they must be back and mended first.
-static constexpr Duration CrashRetryAfter = std::chrono::seconds(10);
 /// The least time to give an upstream; less could not be used.
 static constexpr Duration LeastSendTime = std::chrono::milliseconds(5);
 /// Part of an engine's memory that is taken to hold parts for later; the rest
@@ -41,14 +39,6 @@
 static constexpr double TimedOutWeight = 0.5;
 static constexpr double FailedWeight = 0.1;
 
-/// Names a content in log lines.
-static std::string contentName(std::uint64_t Content) {
-  char Text[17];
-  std::snprintf(Text, sizeof Text, "%016llx",
-                static_cast<unsigned long long>(Content));
-  return Text;
-}
-
 ForwardRun::ForwardRun(ForwardServices &Services,
                        std::shared_ptr<IncomingCall> Incoming)
     : Services(Services), Incoming(std::move(Incoming)),
@@ -135,14 +125,13 @@
       this->Call.TimeLeft.value_or(this->Route->Timeout), this->Route->Timeout);
   this->EndAt = this->Incoming->Arrived + Limit;
   this->LastEvent = this->Call.ResumeAfter;
-  this->Signature = stableHash(
-      this->Incoming->Body,
-      stableHash(this->Call.Target,
-                 stableHash(this->Customer ? this->Customer->Name : "")));
-  if (seemsToCrash(this->Services.Crashes, this->Signature, EventLoop::now())) {
+  this->Signature = contentOf(this->Customer ? this->Customer->Name : "",
+                              this->Call.Target, this->Incoming->Body);
+  const TimePoint Now = EventLoop::now();
+  if (const auto Until =
+          refusedUntil(this->Services.Crashes, this->Signature, Now)) {
     this->Services.Stats.decision("content.refused");
-    this->refuse("this call crashed the upstreams that ran it",
-                 CrashRetryAfter);
+    this->refuse("this call crashed the upstreams that ran it", *Until - Now);
     return false;
   }
   return true;
@@ -311,6 +300,7 @@
                          ? MaxIdleOnce
                          : MaxIdleRepeatable;
   this->UpstreamId = To.Registered.Id;
+  this->Incarnation = incarnationKey(To.Registered.Id, To.Registered.BornMs);
   this->Services.Upstreams.noteParts(this->UpstreamId, Query);
   this->Tried.push_back(this->UpstreamId);
   this->HasAnswer = false;
@@ -554,6 +544,19 @@
   return "unknown";
 }
 
+/// The send under way ended without an answer; the upstream may have crashed.
+void ForwardRun::noteCrashOf(TimePoint Now) {
+  CrashRecord &Record = this->Services.Crashes;
+  if (!noteCrash(Record, this->Signature, this->Incarnation, Now))
+    return;
+  log(LogLevel::Warn, "content.broke",
+      {{"content", contentName(this->Signature)},
+       {"call", this->Call.Id},
+       {"upstream", this->UpstreamId},
+       {"crashes", std::to_string(crashesOf(Record, this->Signature))}});
+  this->Services.OnCrashesChanged(this->Signature, 0);
+}
+
 /// Teaches the shared records what a send has shown.
 void ForwardRun::noteOutcome(SendOutcome Outcome) {
   UpstreamTable &Upstreams = this->Services.Upstreams;
@@ -564,7 +567,10 @@
   switch (Outcome) {
   case SendOutcome::Succeeded:
     Upstreams.noteSuccess(this->UpstreamId);
-    noteSuccess(this->Services.Crashes, this->Signature);
+    if (const std::size_t Cleared =
+            noteSuccess(this->Services.Crashes, this->Signature, Now);
+        Cleared > 0)
+      this->Services.OnCrashesChanged(this->Signature, Cleared);
     return;
   case SendOutcome::Failed:
     Upstreams.noteFailure(this->UpstreamId, FailedWeight, Now);
@@ -582,12 +588,7 @@
     Upstreams.noteFailure(this->UpstreamId, StalledWeight, Now);
     return;
   case SendOutcome::Broken:
-    noteBreak(this->Services.Crashes, this->Signature, Now);
-    log(LogLevel::Warn, "content.broke",
-        {{"content", contentName(this->Signature)},
-         {"upstream", this->UpstreamId},
-         {"breaks",
-          std::to_string(breaksOf(this->Services.Crashes, this->Signature))}});
+    this->noteCrashOf(Now);
     Upstreams.noteFailure(this->UpstreamId, BrokenWeight, Now);
     return;
   }
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -54,6 +54,10 @@
   /// Whether the store of configurations was heard of lately, so that what is
   /// not in the configuration does not exist.
   std::function<bool()> IsConfigFresh;
+  /// Called when a crash was added to the record of a content, or when a
+  /// success has cleared some.
+  std::function<void(std::uint64_t Content, std::size_t Cleared)>
+      OnCrashesChanged = [](std::uint64_t, std::size_t) {};
   /// Called after a call was sent, with the prompt tokens to be read for it.
   std::function<void(const UpstreamEntry &To, std::uint32_t Tokens)> OnSent =
       [](const UpstreamEntry &, std::uint32_t) {};
@@ -102,6 +106,7 @@
   SendOutcome outcomeOf(UpstreamEnd End) const;
   void onOutcome(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome);
+  void noteCrashOf(TimePoint Now);
   void onStall();
   bool mayGoElsewhere();
   ForwardProgress progress();
@@ -136,6 +141,7 @@
 
   std::unique_ptr<UpstreamExchange> Exchange;
   std::string UpstreamId;
+  std::uint64_t Incarnation = 0; ///< Of the upstream, see incarnationKey().
   std::vector<std::string> Tried;
   CallAnswer Answer;
   bool HasAnswer = false;
--- /dev/null
+++ b/tests/CrashExchangeTest.cpp
@@ -0,0 +1,248 @@
+// Exchanges of many entries in one process, with messages that arrive at once.
+
+#include "process/CrashExchange.h"
+#include "FakePlatform.h"
+#include "process/EntryChannel.h"
+#include "process/GossipMessages.h"
+
+#include <gtest/gtest.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::FakePlatform;
+
+class CrashExchangeTest : public testing::Test {
+protected:
+  struct Entry {
+    explicit Entry(const EntryNews &Self) : Gossip(Self, {}) {}
+    EntryGossip Gossip;
+    CrashRecord Record;
+    std::unique_ptr<CrashExchange> Exchange;
+  };
+
+  ~CrashExchangeTest() override { this->PlatformTimer.disconnect(); }
+
+  void fill(std::size_t Count) {
+    std::vector<EntryNews> All(Count);
+    for (std::size_t I = 0; I < Count; ++I) {
+      All[I].Id = "n" + std::to_string(I);
+      All[I].Heartbeat = 1;
+      All[I].Gossip = {"127.0.0.1", static_cast<std::uint16_t>(I + 1)};
+    }
+    for (const EntryNews &Each : All) {
+      this->Entries.push_back(std::make_unique<Entry>(Each));
+      this->Entries.back()->Gossip.receive(All, EventLoop::now());
+      this->start(this->Entries.size() - 1);
+    }
+    this->wait(100ms);
+    this->Messages = 0;
+  }
+
+  /// Starts the exchange of an entry with an empty record.
+  void start(std::size_t Index) {
+    Entry &Each = *this->Entries[Index];
+    Each.Exchange.reset();
+    Each.Record = {};
+    Each.Exchange = std::make_unique<CrashExchange>(CrashExchangeParts{
+        .Loop = this->Loop,
+        .Record = Each.Record,
+        .Api = this->Api,
+        .Entries = Each.Gossip,
+        .Send = [this](const SocketAddress &To, const std::string &Bytes) {
+          ++this->Messages;
+          this->LargestMessage = std::max(this->LargestMessage, Bytes.size());
+          if (this->IsCut)
+            return;
+          this->Loop.timers().after(0ms, [this, To, Bytes] {
+            const GossipMessage Message = decodeGossip(Bytes);
+            this->Entries[To.Port - 1u]->Exchange->receive(Message.Crashes);
+          });
+        }});
+    Each.Exchange->start();
+  }
+
+  void crash(std::size_t At, std::uint64_t Content, std::uint64_t Upstream) {
+    if (noteCrash(this->Entries[At]->Record, Content, Upstream,
+                  EventLoop::now()))
+      this->Entries[At]->Exchange->tell(Content);
+  }
+
+  std::size_t refusing(std::uint64_t Content) const {
+    return static_cast<std::size_t>(std::count_if(
+        this->Entries.begin(), this->Entries.end(), [&](const auto &Each) {
+          return refusedUntil(Each->Record, Content, EventLoop::now());
+        }));
+  }
+
+  bool until(const std::function<bool()> &Done) {
+    return this->Loop.runUntil(Done, 3s);
+  }
+  void wait(Duration Time) {
+    this->Loop.runUntil([] { return false; }, Time);
+  }
+
+  EventLoop Loop;
+  FakePlatform Api;
+  std::vector<std::unique_ptr<Entry>> Entries;
+  std::size_t Messages = 0;
+  std::size_t LargestMessage = 0;
+  bool IsCut = false;
+  sigc::connection PlatformTimer =
+      this->Loop.timers().every(5ms, [this] { this->Api.drain(); });
+};
+
+// Guards against a fleet in which each entry must see three crashes itself, and
+// against a cost for each crash that grows with the fleet.
+TEST_F(CrashExchangeTest, ALargeFleetLearnsOfCrashesThatThreeEntriesSaw) {
+  this->fill(295);
+  this->crash(0, 7, 1);
+  this->wait(60ms);
+  EXPECT_LE(this->Messages, 3u) << "only the keepers are told";
+  this->crash(100, 7, 2);
+  this->crash(200, 7, 3);
+  const TimePoint Begun = EventLoop::now();
+  ASSERT_TRUE(this->until([&] { return this->refusing(7) == 295; }));
+  EXPECT_LT(EventLoop::now() - Begun, 1s);
+  RecordProperty("learned_in_ms",
+                 std::to_string(toMilliseconds(EventLoop::now() - Begun)));
+  RecordProperty("messages", std::to_string(this->Messages));
+  this->wait(200ms);
+  EXPECT_LE(this->Messages, 10u * 295);
+  EXPECT_GE(this->Api.Writes, 1);
+  EXPECT_LE(this->Api.Writes, 6) << "only the keepers write";
+}
+
+// The load: an upstream crashes under 24 sound calls of as many entries, which
+// then succeed elsewhere.
+TEST_F(CrashExchangeTest, SoundCallsOfACrashCostFewMessages) {
+  this->fill(295);
+  for (std::uint64_t I = 0; I < 24; ++I)
+    this->crash(I, 100 + I, 1);
+  this->wait(60ms);
+  for (std::size_t I = 0; I < 24; ++I)
+    this->Entries[I]->Exchange->tell(
+        100 + I,
+        noteSuccess(this->Entries[I]->Record, 100 + I, EventLoop::now()));
+  this->wait(100ms);
+  EXPECT_LE(this->Messages, 24u * 2 * 3);
+  EXPECT_EQ(this->Api.Writes, 0);
+  for (const auto &Each : this->Entries)
+    EXPECT_TRUE(suspectContents(Each->Record, 1, 10).empty());
+}
+
+// Guards against a process that starts again and knows nothing.
+TEST_F(CrashExchangeTest, AnEntryThatStartsAgainLearnsFromThePlatform) {
+  this->fill(5);
+  for (std::size_t I = 0; I < 3; ++I)
+    this->crash(I, 7, I + 1);
+  ASSERT_TRUE(this->until([&] { return this->refusing(7) == 5; }));
+  this->wait(100ms);
+  this->IsCut = true;
+  for (std::size_t I = 0; I < 5; ++I)
+    this->start(I);
+  EXPECT_EQ(this->refusing(7), 0u);
+  EXPECT_TRUE(this->until([&] { return this->refusing(7) == 5; }));
+}
+
+TEST_F(CrashExchangeTest, AStartWhileThePlatformIsAwayLearnsAfterwards) {
+  this->fill(3);
+  for (std::size_t I = 0; I < 3; ++I)
+    this->crash(I, 7, I + 1);
+  ASSERT_TRUE(this->until([&] { return this->refusing(7) == 3; }));
+  this->wait(100ms);
+  this->IsCut = true;
+  this->Api.Outage = true;
+  this->start(0);
+  this->wait(700ms);
+  EXPECT_EQ(this->refusing(7), 2u);
+  this->Api.Outage = false;
+  EXPECT_TRUE(this->until([&] { return this->refusing(7) == 3; }));
+}
+
+// Guards against an entry that reaches the platform but no other entry, and so
+// would see three crashes of its own.
+TEST_F(CrashExchangeTest, AnEntryThatIsCutOffFromTheOthersAsksThePlatform) {
+  this->fill(5);
+  Entry &Alone = *this->Entries[4];
+  std::vector<EntryNews> Dead;
+  Alone.Gossip = EntryGossip(Alone.Gossip.self(),
+                             {.DeadAfter = 0ms, .DeadAfterPerEntry = 0ms});
+  for (std::size_t I = 0; I < 4; ++I)
+    Dead.push_back(this->Entries[I]->Gossip.self());
+  Alone.Gossip.receive(Dead, EventLoop::now());
+  this->IsCut = true;
+  for (std::size_t I = 0; I < 3; ++I)
+    this->crash(0, 7, I + 1);
+  ASSERT_TRUE(this->until([&] { return this->Api.Writes > 0; }));
+  EXPECT_EQ(this->refusing(7), 1u);
+  const int Reads = this->Api.Reads;
+  this->wait(1100ms);
+  Alone.Exchange->round({});
+  this->Entries[1]->Exchange->round({});
+  this->wait(100ms);
+  EXPECT_TRUE(refusedUntil(Alone.Record, 7, EventLoop::now()));
+  EXPECT_EQ(this->Api.Reads, Reads + 1) << "only the one that is cut off reads";
+}
+
+// Guards against news that is lost for good with one message.
+TEST_F(CrashExchangeTest, ARoundOfGossipMakesUpForLostMessages) {
+  this->fill(3);
+  this->IsCut = true;
+  for (std::size_t I = 0; I < 3; ++I)
+    this->crash(0, 7, I + 1);
+  this->wait(100ms);
+  EXPECT_EQ(this->refusing(7), 1u);
+  this->IsCut = false;
+  const SocketAddress To{"127.0.0.1", 2};
+  this->Entries[0]->Exchange->round({&To, 1});
+  EXPECT_TRUE(this->until([&] { return this->refusing(7) == 2; }));
+}
+
+// Guards against a write that is lost because another entry wrote meanwhile or
+// no answer came.
+TEST_F(CrashExchangeTest, WhatIsRefusedIsWrittenInTheEnd) {
+  this->fill(2);
+  this->Api.LoseRequests = 1;
+  for (std::uint64_t Content = 7; Content < 9; ++Content)
+    for (std::size_t I = 0; I < 3; ++I)
+      this->crash(Content - 7, Content, I + 1);
+  const auto Stored = [&] {
+    const auto Result = this->Api.read({"crashing-contents", "recent"});
+    return Result.Status == PlatformStatus::Ok ? Result.Object.Value.size() : 0;
+  };
+  EXPECT_TRUE(this->until([&] { return Stored() == 2; }));
+}
+
+// Guards against a call that is sound after all and stays refused by entries
+// that start later.
+TEST_F(CrashExchangeTest, ASuccessTakesTheRefusalBackEverywhere) {
+  this->fill(5);
+  for (std::size_t I = 0; I < 3; ++I)
+    this->crash(I, 7, I + 1);
+  ASSERT_TRUE(this->until([&] { return this->refusing(7) == 5; }));
+  this->wait(700ms);
+  this->Entries[4]->Exchange->tell(
+      7, noteSuccess(this->Entries[4]->Record, 7, EventLoop::now()));
+  EXPECT_TRUE(this->until([&] { return this->refusing(7) == 0; }));
+  EXPECT_TRUE(this->until([&] {
+    return this->Api.read({"crashing-contents", "recent"}).Object.Value.empty();
+  }));
+}
+
+TEST_F(CrashExchangeTest, MessagesStayBelowTheirLimit) {
+  this->fill(2);
+  for (std::uint64_t Content = 1000; Content < 1400; ++Content)
+    for (std::uint64_t Upstream = 1; Upstream <= 8; ++Upstream)
+      this->crash(0, Content << 40, Upstream << 40);
+  const SocketAddress To{"127.0.0.1", 2};
+  this->wait(100ms);
+  this->Entries[0]->Exchange->round({&To, 1});
+  this->wait(100ms);
+  EXPECT_GT(this->LargestMessage, 0u);
+  EXPECT_LE(this->LargestMessage, EntryChannel::MaxBytes);
+}
+
+} // namespace
+} // namespace galenaroute
--- a/tests/ForwardDecisionsTest.cpp
+++ b/tests/ForwardDecisionsTest.cpp
@@ -1,8 +1,7 @@
 // Tests of the decisions of forwarded calls: what follows a send, the order of
-// waiting, cache reuse, crashing calls, routes, events of a stream, gossip.
+// waiting, cache reuse, routes, events of a stream, gossip.
 
 #include "process/EntryGossip.h"
-#include "request/CrashRecord.h"
 #include "request/EventStream.h"
 #include "request/ForwardQueue.h"
 #include "request/ForwardRules.h"
@@ -246,19 +245,6 @@
   EXPECT_TRUE(Plan.Save.empty() || Plan.Save[1].Address.empty());
 }
 
-TEST(CrashRecordTest, ACallThatBreaksThreeSendsIsHeldBackForAWhile) {
-  CrashRecord Record;
-  noteBreak(Record, 5, Start);
-  noteBreak(Record, 5, Start);
-  EXPECT_FALSE(seemsToCrash(Record, 5, Start));
-  noteBreak(Record, 5, Start);
-  EXPECT_TRUE(seemsToCrash(Record, 5, Start));
-  EXPECT_FALSE(seemsToCrash(Record, 6, Start));
-  EXPECT_FALSE(seemsToCrash(Record, 5, Start + CrashMemory + 1s));
-  noteSuccess(Record, 5);
-  EXPECT_FALSE(seemsToCrash(Record, 5, Start));
-}
-
 TEST(ForwardConfigTest, TheLongestPrefixOfTheHostWins) {
   ForwardConfig Config;
   Config.Routes = {{.Name = "all", .Host = "h", .PathPrefix = "/"},
--- a/tests/StatusExchangeTest.cpp
+++ b/tests/StatusExchangeTest.cpp
@@ -396,6 +396,21 @@
   EXPECT_EQ(Read.Counted, Digest.Counted);
 }
 
+TEST(GossipMessagesTest, NewsOfCrashesIsReadAsWritten) {
+  const CrashNews Crashed{~std::uint64_t{0}, {{1, 20ms}, {2, 3000ms}}, {}};
+  const CrashNews Cleared{7, {}, 40ms};
+  const GossipMessage Read =
+      decodeGossip(encodeGossip({.Crashes = {Crashed, Cleared}}));
+  ASSERT_EQ(Read.Crashes.size(), 2u);
+  EXPECT_EQ(Read.Crashes[0].Content, Crashed.Content);
+  ASSERT_EQ(Read.Crashes[0].Sightings.size(), 2u);
+  EXPECT_EQ(Read.Crashes[0].Sightings[1].Upstream, 2u);
+  EXPECT_EQ(Read.Crashes[0].Sightings[1].Age, 3000ms);
+  EXPECT_FALSE(Read.Crashes[0].ClearedAge);
+  EXPECT_TRUE(Read.Crashes[1].Sightings.empty());
+  EXPECT_EQ(Read.Crashes[1].ClearedAge, 40ms);
+}
+
 TEST(GossipMessagesTest, NewsOfObjectsAndOfNewCallsIsReadAsWritten) {
   const ObjectNews News{"k", 4, 9, {{{"k", "a"}, 8, false, {{"x", 1}}}}};
   const auto Read = decodeGossip(encodeGossip({.Objects = News})).Objects;
