Look at the crash record before each send, not only at a call's arrival

Callers saw: servers that ended under a call after it was known to end them. Cause: the record was read once, when the call arrived. Ruled out: ending sends under way when a content becomes refused; that send may be of a sound call that is about to clear it. Change: endIfCrashing() before each send, from the queue too; it ends a call that has run as failed and one that has not as refused. A slow send is not given up for one that may not be made. Evidence: three tests of ForwardRunTest (in progress, waiting, slow) fail without the change, and pass with it; 20 of 20 ForwardRunTest. Conclusion: fixed; ends without a reset are next.

--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -127,13 +127,6 @@
   this->LastEvent = this->Call.ResumeAfter;
   this->Signature = contentOf(this->Customer ? this->Customer->Name : "",
                               this->Call.Target, this->Incoming->Body);
-  const TimePoint Now = EventLoop::now();
-  if (const auto Until =
-          refusedUntil(this->Services.Crashes, this->Signature, Now)) {
-    this->Services.Stats.decision("content.refused");
-    this->refuse("this call crashed the upstreams that ran it", *Until - Now);
-    return false;
-  }
   return true;
 }
 
@@ -192,7 +185,7 @@
   if (this->Current == Phase::Done)
     return;
   this->WaitingSince = EventLoop::now();
-  if (this->refuseUnservable())
+  if (this->endIfCrashing() || this->refuseUnservable())
     return;
   // Those that wait already may be more urgent.
   if (this->queue().size() == 0 && this->trySend())
@@ -218,7 +211,21 @@
   return true;
 }
 
+/// Ends a call of a content that crashes upstreams, which may have become known
+/// since the call arrived. Returns whether it did.
+bool ForwardRun::endIfCrashing() {
+  const TimePoint Now = EventLoop::now();
+  const auto Until = refusedUntil(this->Services.Crashes, this->Signature, Now);
+  if (!Until)
+    return false;
+  this->Services.Stats.decision("content.refused");
+  this->giveUp("this call crashed the upstreams that ran it", *Until - Now);
+  return true;
+}
+
 bool ForwardRun::trySend() {
+  if (this->endIfCrashing())
+    return true;
   const UpstreamQuery Query = this->query();
   const UpstreamTable::Chosen To =
       this->Services.Upstreams.choose(Query, EventLoop::now());
@@ -260,16 +267,17 @@
 }
 
 void ForwardRun::endWait(Duration OldestWait) {
-  if (this->Current == Phase::Streaming) {
-    this->Incoming->abort();
-    this->finish("stream_lost");
-    return;
-  }
-  if (this->PossibleRuns > 0)
-    this->fail(ErrorKind::UpstreamFailed, "no other upstream is free");
+  this->giveUp("no upstream is free",
+               comeBackAfter(OldestWait, this->timeLeft(), this->draw()));
+}
+
+/// Ends a call that no send is under way for: as refused only where it has not
+/// run.
+void ForwardRun::giveUp(std::string_view Reason, Duration RetryAfter) {
+  if (this->Current == Phase::Streaming || this->PossibleRuns > 0)
+    this->fail(ErrorKind::UpstreamFailed, Reason);
   else
-    this->refuse("no upstream is free",
-                 comeBackAfter(OldestWait, this->timeLeft(), this->draw()));
+    this->refuse(Reason, RetryAfter);
 }
 
 SendPlan ForwardRun::planSend(const UpstreamEntry &To,
@@ -680,9 +688,10 @@
     ++Progress.Sends;
     ++Progress.PossibleRuns;
   }
+  const TimePoint Now = EventLoop::now();
   return nextStep(Progress, SendOutcome::Stalled) == ForwardStep::Retry &&
-         this->Services.Upstreams.choose(this->query(), EventLoop::now())
-                 .Entry != nullptr;
+         !refusedUntil(this->Services.Crashes, this->Signature, Now) &&
+         this->Services.Upstreams.choose(this->query(), Now).Entry != nullptr;
 }
 
 /// Gives up the send under way, if there is one, for \p Reason.
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -76,7 +76,8 @@
   ~ForwardRun();
   void start();
 
-  /// Sends the call if an upstream can take it; for WaitingRuns.
+  /// Sends the call if an upstream can take it, or ends it if it may not be
+  /// sent any more. Returns whether it no longer waits; for WaitingRuns.
   bool trySend();
   /// Ends the wait of a call for which none was found in time.
   void endWait(Duration OldestWait);
@@ -88,6 +89,8 @@
 
   bool admit();
   bool refuseUnservable();
+  bool endIfCrashing();
+  void giveUp(std::string_view Reason, Duration RetryAfter);
   void attempt();
   int priority() const;
   std::uint32_t callTokens() const;
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -323,6 +323,46 @@
   EXPECT_TRUE(this->hasNoArrival());
 }
 
+// Guards against sends of a call whose content was found to crash upstreams
+// after it had arrived: by the end of its own send, and while it waited.
+TEST_F(ForwardRunTest, ACallInProgressIsNotSentOnceItsContentIsRefused) {
+  const TimePoint Now = EventLoop::now();
+  const std::uint64_t Content = contentOf("c", "/safe/a", "body");
+  this->ask("/safe/a");
+  const auto Peer = this->arrival();
+  for (std::uint64_t Upstream = 1; Upstream < MaxCrashes; ++Upstream)
+    noteCrash(this->Services.Crashes, Content, Upstream, Now);
+  Peer->reset();
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 502 "));
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
+TEST_F(ForwardRunTest, AWaitingCallIsRefusedOnceItsContentIsRefused) {
+  for (const std::string Id : {"u0", "u1"})
+    this->Table.noteClosed(Id, EventLoop::now() + 300ms);
+  this->ask("/once/a");
+  this->Loop.runUntil([] { return false; }, 100ms);
+  for (std::uint64_t Upstream = 1; Upstream <= MaxCrashes; ++Upstream)
+    noteCrash(this->Services.Crashes, contentOf("c", "/once/a", "body"),
+              Upstream, EventLoop::now());
+  ASSERT_TRUE(this->callerGets("HTTP/1.1 503 "));
+  EXPECT_NE(this->Caller->read().find("Retry-After: "), std::string::npos);
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
+// Guards against giving a slow send up for another one that may not be made.
+TEST_F(ForwardRunTest, ASlowSendOfARefusedContentGoesOn) {
+  this->ask("/safe/a");
+  const auto Peer = this->arrival();
+  for (std::uint64_t Upstream = 1; Upstream <= MaxCrashes; ++Upstream)
+    noteCrash(this->Services.Crashes, contentOf("c", "/safe/a", "body"),
+              Upstream, EventLoop::now());
+  this->Loop.runUntil([] { return false; }, 700ms);
+  Peer->write(head("200 OK", "Server-Stamp: x\r\nContent-Length: 2\r\n") +
+              "ok");
+  EXPECT_TRUE(this->callerGets("HTTP/1.1 200 "));
+}
+
 // Guards against the late second copy of an answer reaching the next caller on
 // a connection that is in use again, with and without the id of its call.
 TEST_F(ForwardRunTest, ALateSecondCopyReachesNoOtherCaller) {
