Count silent ends of upstreams as crashes of the calls that ran there

Callers saw: servers that end without a reset went on ending under a call. Cause: only a broken connection counted. Change: UnansweredSends keeps sends given up at an upstream that was silent for 300 ms; when the registry shows that it ended without saying that it leaves, they count. A send that is given up after that counts at once. Bounded by 1,024 sends and 6 s. Left of the incident: the same cause elsewhere.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -134,6 +134,9 @@
   this->Upstreams.OnGone = [this](const SocketAddress &Address) {
     this->Pool.closeIdle(Address);
   };
+  this->Upstreams.OnEnded = [this](const RegisteredUpstream &Ended) {
+    this->noteEnded(Ended);
+  };
   this->Services.NewBudget = {.Most = 3, .Left = 3};
   this->applySettings();
   for (ObjectWatcher *Each : {&this->Registry, &this->WeightNotices})
@@ -276,6 +279,24 @@
   }
 }
 
+/// An upstream ended without notice: calls that were given up there shortly
+/// before may have crashed it.
+void ForwardGateway::noteEnded(const RegisteredUpstream &Ended) {
+  const TimePoint Now = EventLoop::now();
+  const std::uint64_t Upstream = incarnationKey(Ended.Id, Ended.BornMs);
+  for (const UnansweredSend &Each :
+       takeGivenUp(this->Services.GivenUp, Upstream, Now)) {
+    CrashRecord &Record = this->Services.Crashes;
+    if (!noteCrash(Record, Each.Content, Upstream, Each.GivenUpAt))
+      continue;
+    log(LogLevel::Warn, "content.broke",
+        {{"content", contentName(Each.Content)},
+         {"upstream", Ended.Id},
+         {"crashes", std::to_string(crashesOf(Record, Each.Content))}});
+    this->Crashes.tell(Each.Content);
+  }
+}
+
 void ForwardGateway::onWeights(const PlatformObject &Object) {
   if (Object.Deleted)
     return;
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -83,6 +83,7 @@
   CallerLimits callerLimits() const;
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
+  void noteEnded(const RegisteredUpstream &Ended);
   void onWeights(const PlatformObject &Object);
   using EntryFilter = std::function<bool(const EntryNews &Entry)>;
   static bool acceptsAny(const EntryNews &) { return true; }
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -565,6 +565,20 @@
   this->Services.OnCrashesChanged(this->Signature, 0);
 }
 
+/// The send under way was given up without its answer. If the upstream has
+/// ended, or ends soon, this was a crash.
+void ForwardRun::noteGivenUpSend(TimePoint Now) {
+  const UpstreamEntry *At = this->Services.Upstreams.find(this->UpstreamId);
+  if (!At || incarnationKey(At->Registered.Id, At->Registered.BornMs) !=
+                 this->Incarnation) {
+    this->noteCrashOf(Now);
+    return;
+  }
+  if (Now - std::max(At->ProgressAt, this->SentAt) >= SilenceOfCrash)
+    noteGivenUp(this->Services.GivenUp, this->Incarnation, this->Signature,
+                Now);
+}
+
 /// Teaches the shared records what a send has shown.
 void ForwardRun::noteOutcome(SendOutcome Outcome) {
   UpstreamTable &Upstreams = this->Services.Upstreams;
@@ -593,6 +607,7 @@
     Upstreams.noteFailure(this->UpstreamId, NotSentWeight, Now);
     return;
   case SendOutcome::Stalled:
+    this->noteGivenUpSend(Now);
     Upstreams.noteFailure(this->UpstreamId, StalledWeight, Now);
     return;
   case SendOutcome::Broken:
@@ -711,8 +726,10 @@
         std::to_string(toMilliseconds(EventLoop::now() - this->SentAt))}});
   this->noteStarted();
   this->Services.Upstreams.noteEnded(this->UpstreamId, this->callTokens());
-  if (WasSent)
-    ++this->PossibleRuns;
+  if (!WasSent)
+    return;
+  ++this->PossibleRuns;
+  this->noteGivenUpSend(EventLoop::now());
 }
 
 void ForwardRun::onTimeout() {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -24,6 +24,7 @@
 #include "request/ForwardRules.h"
 #include "request/PromptReuse.h"
 #include "request/RetryBudget.h"
+#include "request/UnansweredSends.h"
 #include "request/UpstreamTable.h"
 #include "request/WaitingRuns.h"
 #include "version/NamedWeights.h"
@@ -50,6 +51,7 @@
   std::vector<StorePlace> Stores;
   ReuseSettings Reuse;
   CrashRecord Crashes;
+  UnansweredSends GivenUp;
   std::map<std::string, std::unique_ptr<WaitingRuns>> Waiting; ///< By service.
   /// Whether the store of configurations was heard of lately, so that what is
   /// not in the configuration does not exist.
@@ -110,6 +112,7 @@
   void onOutcome(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome);
   void noteCrashOf(TimePoint Now);
+  void noteGivenUpSend(TimePoint Now);
   void onStall();
   bool mayGoElsewhere();
   ForwardProgress progress();
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -62,9 +62,12 @@
   if (It == this->Entries.end())
     return;
   log(LogLevel::Info, "upstream.gone", {{"upstream", It->first}});
-  const SocketAddress Address = It->second.Registered.Address;
+  const RegisteredUpstream Gone = It->second.Registered;
+  const bool WasLeaving = It->second.isLeaving();
   this->Entries.erase(It);
-  this->OnGone(Address);
+  this->OnGone(Gone.Address);
+  if (!WasLeaving)
+    this->OnEnded(Gone);
 }
 
 void UpstreamTable::retain(const std::set<std::string> &Ids, TimePoint Now) {
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -200,6 +200,10 @@
   void noteSuccess(std::string_view Id);
   void noteWeights(std::string_view Id, std::uint64_t Version);
 
+  /// Called with an upstream that has gone or restarted and had not said that
+  /// it leaves.
+  std::function<void(const RegisteredUpstream &Ended)> OnEnded =
+      [](const RegisteredUpstream &) {};
   /// Called with the address of an upstream that has gone, restarted or said
   /// that it leaves.
   std::function<void(const SocketAddress &Address)> OnGone =
--- a/tests/CrashingCallTest.cpp
+++ b/tests/CrashingCallTest.cpp
@@ -181,5 +181,42 @@
   EXPECT_GT(this->Sound.count("200"), 20u);
 }
 
+// Guards against a crash that is not counted since no connection broke: the
+// send only looks slow until the registry tells that its upstream ended.
+TEST_F(CrashingCallTest, ACallThatEndedThreeUpstreamsSilentlyIsRefused) {
+  CrashingUpstreams Upstreams(this->Fleet, 12, CrashKind::Silent);
+  ASSERT_TRUE(
+      this->Fleet.Loop.runUntil([&] { return this->Fleet.isReady(); }, 3s));
+  this->wait(600ms);
+  this->sendInTurn("/once/a", 24, 250ms);
+  EXPECT_GE(Upstreams.Crashes.size(), 3u);
+  EXPECT_EQ(this->crashesAfterThird(Upstreams, 3s), 0u)
+      << Upstreams.Crashes.size() << " crashes";
+  EXPECT_GT(this->Crashing.count("503"), 5u);
+  EXPECT_GT(this->Sound.count("200"), 15u);
+}
+
+// Guards against processes that forget what crashes upstreams when all of them
+// start again.
+TEST_F(CrashingCallTest, ARefusedCallStaysRefusedWhenAllGatewaysRestart) {
+  CrashingUpstreams Upstreams(this->Fleet, 12, CrashKind::Reset);
+  ASSERT_TRUE(
+      this->Fleet.Loop.runUntil([&] { return this->Fleet.isReady(); }, 3s));
+  this->wait(600ms);
+  this->sendInTurn("/once/a", 5, 100ms);
+  ASSERT_GE(Upstreams.Crashes.size(), 3u);
+  this->wait(500ms);
+  const std::size_t Before = Upstreams.Crashes.size();
+  for (std::size_t I = 0; I < this->Fleet.size(); ++I)
+    this->Fleet.stop(I);
+  for (std::size_t I = 0; I < this->Fleet.size(); ++I)
+    this->Fleet.start(I);
+  ASSERT_TRUE(
+      this->Fleet.Loop.runUntil([&] { return this->Fleet.isReady(); }, 3s));
+  this->wait(300ms);
+  this->sendInTurn("/once/a", 10, 50ms);
+  EXPECT_EQ(Upstreams.Crashes.size(), Before);
+}
+
 } // namespace
 } // namespace galenaroute
