Retry budgets: a start grants nothing, and a cut takes no one's share

A process started with 3 saved retries, and divided the allowance by the entries that it heard, so one that was cut off took a larger share. Ruled out: a shared counter on the platform; a write for each retry.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -23,9 +23,6 @@
 /// The configuration counts as current while the platform was heard within
 /// this time; watches return at least every 1.5 s.
 static constexpr auto MaxConfigAge = std::chrono::milliseconds(2500);
-/// Part of the retry allowance that one process uses, since the others'
-/// use is not known.
-static constexpr double BudgetMargin = 0.7;
 /// Addresses in one answer to a caller.
 static constexpr std::size_t MaxAddresses = 8;
 /// New calls are taken for this long after a stop was asked for, since callers
@@ -137,7 +134,6 @@
   this->Upstreams.OnEnded = [this](const RegisteredUpstream &Ended) {
     this->noteEnded(Ended);
   };
-  this->Services.NewBudget = {.Most = 3, .Left = 3};
   this->applySettings();
   for (ObjectWatcher *Each : {&this->Registry, &this->WeightNotices})
     Each->OnNews = [this](const ObjectNews &News) {
@@ -179,9 +175,7 @@
 /// Brings the settings that may change into force.
 void ForwardGateway::applySettings() {
   this->Entries.self().Capacity = this->Settings.Cores;
-  this->Services.NewBudget.Share = this->Settings.RetryShare * BudgetMargin;
-  for (auto &[Name, Budget] : this->Services.Budgets)
-    Budget.Share = this->Services.NewBudget.Share;
+  this->shareRetries();
   this->Services.WeightsLimit = this->Settings.WeightsLimit - WeightsMargin;
   this->Services.OldWeightsLimit =
       fromSeconds(toSeconds(this->Settings.WeightsLimit) * OldWeightsShare);
@@ -189,6 +183,19 @@
     this->Listener->setLimits(this->callerLimits());
 }
 
+/// Divides the allowance of retries among the entries. Those not heard of keep
+/// their share, since they may only be cut off from this one.
+void ForwardGateway::shareRetries() {
+  const RetryBudget Share =
+      shareOfBudget(this->Settings.RetryShare, this->Settings.RetrySlack,
+                    this->Entries.countKnown() + 1);
+  this->Services.NewBudget = Share;
+  for (auto &[Name, Budget] : this->Services.Budgets) {
+    Budget.Share = Share.Share;
+    Budget.Most = Share.Most;
+  }
+}
+
 void ForwardGateway::reload(const GatewaySettings &Next) {
   this->Settings = Next;
   this->applySettings();
@@ -559,11 +566,7 @@
   this->Upstreams.setSenders(Count);
   this->Stores.setFollowers(
       Count > MaxCloseWatchers ? this->Services.Reuse.Zones.size() + 1 : Count);
-  this->Services.NewBudget.Most =
-      std::max(2.0, this->Settings.RetrySlack * BudgetMargin /
-                        static_cast<double>(Count));
-  for (auto &[Name, Budget] : this->Services.Budgets)
-    Budget.Most = this->Services.NewBudget.Most;
+  this->shareRetries();
   const std::string Message =
       encodeGossip({.News = this->Entries.news(Now, this->Random)});
   const std::vector<SocketAddress> Targets =
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -80,6 +80,7 @@
 
 private:
   void applySettings();
+  void shareRetries();
   CallerLimits callerLimits() const;
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
--- a/src/request/RetryBudget.h
+++ b/src/request/RetryBudget.h
@@ -2,12 +2,14 @@
 //
 // Each call adds a share of a retry, each retry takes one. When upstreams fail
 // in numbers, retries therefore add at most that share to the load, instead of
-// multiplying it.
+// multiplying it. The allowance is the fleet's: each process has its share of
+// it, and what was not used is lost with the process.
 
 #ifndef GALENAROUTE_REQUEST_RETRYBUDGET_H
 #define GALENAROUTE_REQUEST_RETRYBUDGET_H
 
 #include <algorithm>
+#include <cstddef>
 
 namespace galenaroute {
 
@@ -18,6 +20,23 @@
   double Left = 20;
 };
 
+/// Part of the allowance that all processes together use, since they do not
+/// know of each other's retries, and windows of their time overlap.
+inline constexpr double BudgetMargin = 0.7;
+/// A process saves up for this many retries at least, so that a large fleet
+/// can use its allowance at all.
+inline constexpr double LeastSaved = 2;
+
+/// Returns the budget with which one of \p Entries processes starts, that
+/// together may retry \p Share of the calls, and \p Slack times on top.
+inline RetryBudget shareOfBudget(double Share, double Slack,
+                                 std::size_t Entries) {
+  return {.Share = Share * BudgetMargin,
+          .Most = std::max(LeastSaved,
+                           Slack * BudgetMargin / static_cast<double>(Entries)),
+          .Left = 0};
+}
+
 inline void noteCall(RetryBudget &Budget) {
   Budget.Left = std::min(Budget.Most, Budget.Left + Budget.Share);
 }
--- /dev/null
+++ b/tests/RetryBudgetTest.cpp
@@ -0,0 +1,87 @@
+// Plays the retry budgets of all processes of a fleet together.
+
+#include "request/RetryBudget.h"
+#include "process/EntryGossip.h"
+
+#include <gtest/gtest.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct FleetCase {
+  std::size_t Entries;
+  double Slack;
+  int CallsInWindow; ///< Of the service, at all entries together.
+};
+
+class RetryBudgetTest : public testing::TestWithParam<FleetCase> {
+protected:
+  static constexpr double Share = 0.2;
+
+  /// Gives each budget its part of \p Calls and retries as often as it allows.
+  static int retry(std::vector<RetryBudget> &Budgets, int Calls) {
+    int Retries = 0;
+    for (int I = 0; I < Calls; ++I) {
+      RetryBudget &Each = Budgets[static_cast<std::size_t>(I) % Budgets.size()];
+      noteCall(Each);
+      for (; hasRetry(Each); ++Retries)
+        spendRetry(Each);
+    }
+    return Retries;
+  }
+  static int allowed(const FleetCase &Case) {
+    return static_cast<int>(Share * Case.CallsInWindow + Case.Slack);
+  }
+  std::vector<RetryBudget> started() const {
+    return {GetParam().Entries,
+            shareOfBudget(Share, GetParam().Slack, GetParam().Entries)};
+  }
+};
+
+// The load: all upstreams fail while all processes are killed again and again.
+// Guards against an allowance that each start of a process grants anew.
+TEST_P(RetryBudgetTest, AFleetThatRestartsStaysWithinItsAllowance) {
+  const FleetCase &Case = GetParam();
+  std::vector<RetryBudget> Budgets = this->started();
+  for (RetryBudget &Each : Budgets)
+    Each.Left = Each.Most;
+  int Retries = 0;
+  for (int Round = 0; Round < 3; ++Round) {
+    Retries += retry(Budgets, Case.CallsInWindow / 3);
+    Budgets = this->started();
+  }
+  EXPECT_LE(Retries, allowed(Case));
+  EXPECT_GT(Retries, allowed(Case) / 4) << "the allowance can be used";
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, RetryBudgetTest,
+                         testing::Values(FleetCase{7, 54, 500},
+                                         FleetCase{62, 164, 2600},
+                                         FleetCase{82, 204, 3000},
+                                         FleetCase{295, 630, 3000},
+                                         FleetCase{295, 630, 900}));
+
+// Guards against each side of a cut taking the whole allowance, because it
+// takes the entries that it does not hear for gone.
+TEST(RetryBudgetShareTest, AnEntryThatIsCutOffKeepsItsShare) {
+  EntryNews Self;
+  Self.Id = "n0";
+  EntryGossip Gossip(Self, {});
+  const TimePoint Start{1h};
+  std::vector<EntryNews> Others(6);
+  for (std::size_t I = 0; I < Others.size(); ++I) {
+    Others[I].Id = "n" + std::to_string(I + 1);
+    Others[I].Heartbeat = 1;
+  }
+  Others[5].IsLeaving = true;
+  Gossip.receive(Others, Start);
+  EXPECT_EQ(Gossip.countAlive(Start + 10s), 0u);
+  EXPECT_EQ(Gossip.countKnown(), 5u);
+  const RetryBudget Share = shareOfBudget(0.2, 54, Gossip.countKnown() + 1);
+  EXPECT_LE(6 * Share.Most, 54);
+}
+
+} // namespace
+} // namespace galenaroute
