galenarouted: a daemon that starts learns which calls crash upstreams

Ruled out: sending all signatures on a timer; they seldom change. Change: they are sent over each link that is opened. Conclusion: fixed; seen in a test of two daemons in one process only.

--- a/src/process/Dispatcher.h
+++ b/src/process/Dispatcher.h
@@ -116,6 +116,8 @@
   /// Emitted when signatures of crashes have changed, with the body of a
   /// `crash` message for peers.
   sigc::signal<void(const nlohmann::json &Body)> CrashDigest;
+  /// Returns such a body with all that is known now, for a peer that starts.
+  nlohmann::json crashDigest() const;
   /// Takes over the `crash` message of a peer; throws on a malformed one.
   void onCrashDigest(const nlohmann::json &Body);
 
@@ -178,7 +180,6 @@
   /// Sends the signatures if they have changed since they were last sent.
   void sendCrashDigest();
   nlohmann::json loadDigest() const;
-  nlohmann::json crashDigest() const;
   std::vector<PollTarget> pollTargets() const;
   void applyConfig();
 
--- a/src/process/PeerDigests.cpp
+++ b/src/process/PeerDigests.cpp
@@ -13,6 +13,13 @@
   Dispatch.CrashDigest.connect([&Peers](const nlohmann::json &Body) {
     Peers.sendToNeighbours({"crash", Body});
   });
+  // A daemon that has just started knows no signatures, and these are sent
+  // otherwise only when they change.
+  Peers.LinkUp.connect([&Dispatch, &Peers](const std::string &Id) {
+    const nlohmann::json Body = Dispatch.crashDigest();
+    if (!Body.at("signatures").empty())
+      Peers.send(Id, {"crash", Body});
+  });
   Peers.handle(
       "load", [&Dispatch](const std::string &From, const nlohmann::json &Body) {
         Dispatch.onLoadDigest(From, Body);
