--- /dev/null
+++ b/tests/CrashingUpstreams.h
@@ -0,0 +1,142 @@
+// Upstreams that a call ends, and callers that send it, for tests of what a
+// system does about such a call.
+
+#ifndef GALENAROUTE_TESTS_CRASHINGUPSTREAMS_H
+#define GALENAROUTE_TESTS_CRASHINGUPSTREAMS_H
+
+#include "RawSocket.h"
+#include "connection/CallListener.h"
+
+namespace galenaroute::testing_support {
+
+/// How an upstream ends under the crashing call.
+enum class CrashKind {
+  Reset, ///< Its connections break.
+  Silent ///< Nothing comes any more; its entry lapses.
+};
+
+/// Upstreams of which a call whose body begins with "crash" ends whichever runs
+/// it. They are back after a while, as new incarnations.
+class CrashingUpstreams {
+public:
+  /// Enters an upstream in the registry, or removes it where the address is
+  /// null.
+  using Register =
+      std::function<void(const std::string &Id, const SocketAddress *At)>;
+
+  CrashingUpstreams(EventLoop &Loop, Register Registry, std::size_t Count,
+                    CrashKind Kind)
+      : Loop(Loop), Registry(std::move(Registry)), Kind(Kind) {
+    this->All.resize(Count);
+    for (std::size_t I = 0; I < Count; ++I)
+      this->start(I);
+  }
+  ~CrashingUpstreams() {
+    for (sigc::connection &Each : this->Timers)
+      Each.disconnect();
+  }
+
+  std::vector<TimePoint> Crashes; ///< When a call ended an upstream.
+
+private:
+  /// From its end until its entry lapses, and until it is back.
+  static constexpr auto LapseTime = std::chrono::milliseconds(500);
+  static constexpr auto RestartTime = std::chrono::milliseconds(600);
+
+  struct Upstream {
+    std::shared_ptr<CallListener> Listener;
+    std::string Id;
+    bool HasEnded = false;
+  };
+
+  void start(std::size_t Index) {
+    Upstream &Each = this->All[Index];
+    const SocketAddress Address = freeAddress();
+    Each.Id =
+        "u" + std::to_string(Index) + "-" + std::to_string(++this->Starts);
+    Each.HasEnded = false;
+    Each.Listener = std::make_shared<CallListener>(
+        this->Loop, Address, CallerLimits{},
+        [this, Index, Id = Each.Id](const std::shared_ptr<IncomingCall> &Call) {
+          this->run(Index, Id, Call);
+        });
+    this->Registry(Each.Id, &Address);
+  }
+
+  void run(std::size_t Index, const std::string &Id,
+           const std::shared_ptr<IncomingCall> &Call) {
+    Upstream &Each = this->All[Index];
+    if (Each.Id != Id || Each.HasEnded) {
+      this->Unanswered.push_back(Call);
+      return;
+    }
+    if (!Call->Body.starts_with("crash")) {
+      const auto CallId = Call->Head.Headers.find("Request-Id");
+      Call->send(200,
+                 {{"Request-Id", std::string(CallId.value_or(""))},
+                  {"Server-Stamp", "x"}},
+                 "answer");
+      return;
+    }
+    this->Crashes.push_back(EventLoop::now());
+    this->Unanswered.push_back(Call);
+    Each.HasEnded = true;
+    // Ended outside the handler, which the listener is still in.
+    this->after(Duration::zero(), [this, Index] { this->end(Index); });
+  }
+
+  void end(std::size_t Index) {
+    Upstream &Each = this->All[Index];
+    if (this->Kind == CrashKind::Reset) {
+      Each.Listener->stopAccepting();
+      Each.Listener->abortAll();
+    }
+    // A silent one keeps its connections open.
+    this->Ended.push_back(std::move(Each.Listener));
+    this->after(LapseTime,
+                [this, Id = Each.Id] { this->Registry(Id, nullptr); });
+    this->after(RestartTime, [this, Index] { this->start(Index); });
+  }
+
+  void after(Duration Delay, std::function<void()> Action) {
+    this->Timers.push_back(this->Loop.timers().after(Delay, std::move(Action)));
+  }
+
+  EventLoop &Loop;
+  Register Registry;
+  CrashKind Kind;
+  std::vector<Upstream> All;
+  std::vector<std::shared_ptr<CallListener>> Ended;
+  std::vector<std::shared_ptr<IncomingCall>> Unanswered;
+  int Starts = 0;
+  std::vector<sigc::connection> Timers;
+};
+
+/// Callers that send one request each, on a new connection.
+class Callers {
+public:
+  void send(const SocketAddress &To, const std::string &Path,
+            const std::string &Body) {
+    const std::string Id = "r" + std::to_string(++this->Sent);
+    auto Socket = std::make_unique<RawSocket>(RawSocket::connectTo(To));
+    Socket->write("POST " + Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Id +
+                  "\r\nContent-Length: " + std::to_string(Body.size()) +
+                  "\r\n\r\n" + Body);
+    this->Open.push_back(std::move(Socket));
+  }
+  /// Counts answers that begin with \p Status.
+  std::size_t count(const std::string &Status) {
+    std::size_t Result = 0;
+    for (const auto &Each : this->Open)
+      Result += Each->read().starts_with("HTTP/1.1 " + Status);
+    return Result;
+  }
+
+private:
+  std::vector<std::unique_ptr<RawSocket>> Open;
+  int Sent = 0;
+};
+
+} // namespace galenaroute::testing_support
+
+#endif // GALENAROUTE_TESTS_CRASHINGUPSTREAMS_H
--- /dev/null
+++ b/tests/process/PlatformStandIn.h
@@ -0,0 +1,153 @@
+// A stand-in for the platform's object store, as galenaroute-platform speaks to
+// it over HTTP: objects with revisions, lists and watches.
+
+#ifndef GALENAROUTE_TESTS_PROCESS_PLATFORMSTANDIN_H
+#define GALENAROUTE_TESTS_PROCESS_PLATFORMSTANDIN_H
+
+#include "connection/HttpServer.h"
+
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace galenaroute::testing_support {
+
+class PlatformStandIn {
+public:
+  explicit PlatformStandIn(EventLoop &Loop) : Loop(Loop), Server(Loop, {}) {
+    this->Server.handle([this](const HttpRequest &Request,
+                               const std::shared_ptr<HttpReply> &Reply) {
+      this->answer(Request, Reply);
+    });
+    this->Address.Port = this->Server.listen({"127.0.0.1", 0});
+  }
+
+  const SocketAddress &address() const { return this->Address; }
+
+  /// Writes as the operator or a server does. A null \p Spec removes.
+  void put(const std::string &Kind, const std::string &Name,
+           const nlohmann::json &Spec) {
+    Object &Stored = this->Objects[Kind][Name];
+    Stored = {++this->Revision, Spec.is_null(), Spec};
+    std::erase_if(this->Watches, [&](const Watch &Each) {
+      if (Each.Kind != Kind)
+        return false;
+      this->sendEvents(Each);
+      return true;
+    });
+  }
+  /// Returns the value of an object, or null.
+  nlohmann::json read(const std::string &Kind, const std::string &Name) {
+    return this->Objects[Kind][Name].Spec;
+  }
+
+private:
+  struct Object {
+    std::uint64_t Revision = 0;
+    bool IsDeleted = false;
+    nlohmann::json Spec;
+  };
+  struct Watch {
+    std::uint64_t Id = 0;
+    std::string Kind;
+    std::uint64_t Since = 0;
+    std::shared_ptr<HttpReply> Reply;
+  };
+
+  static nlohmann::json toJson(const std::string &Name, const Object &Stored) {
+    return {{"metadata", {{"name", Name}, {"revision", Stored.Revision}}},
+            {"spec", Stored.Spec}};
+  }
+  static void send(HttpReply &Reply, int Status, const nlohmann::json &Body) {
+    Reply.send(Status, {{"Content-Type", "application/json"}}, Body.dump());
+  }
+
+  void sendEvents(const Watch &To) {
+    nlohmann::json Events = nlohmann::json::array();
+    for (const auto &[Name, Each] : this->Objects[To.Kind])
+      if (Each.Revision > To.Since)
+        Events.push_back(
+            {{"object", toJson(Name, Each)}, {"deleted", Each.IsDeleted}});
+    send(*To.Reply, 200, {{"events", Events}, {"asOf", this->Revision}});
+  }
+
+  void answer(const HttpRequest &Request,
+              const std::shared_ptr<HttpReply> &Reply) {
+    static const std::string Prefix = "/api/objects/";
+    const std::string Rest =
+        Request.Path.substr(std::min(Request.Path.size(), Prefix.size()));
+    const std::size_t Slash = Rest.find('/');
+    const std::string Kind = Rest.substr(0, Slash);
+    if (Slash == std::string::npos && Request.Method == "GET")
+      this->answerList(Kind, Request, Reply);
+    else
+      this->answerObject(
+          Kind, Slash == std::string::npos ? "" : Rest.substr(Slash + 1),
+          Request, *Reply);
+  }
+
+  void answerList(const std::string &Kind, const HttpRequest &Request,
+                  const std::shared_ptr<HttpReply> &Reply) {
+    const auto Since = queryValue(Request.Query, "watch");
+    if (!Since) {
+      nlohmann::json Items = nlohmann::json::array();
+      for (const auto &[Name, Each] : this->Objects[Kind])
+        if (!Each.IsDeleted)
+          Items.push_back(toJson(Name, Each));
+      send(*Reply, 200,
+           {{"items", Items}, {"hasMore", false}, {"asOf", this->Revision}});
+      return;
+    }
+    const Watch Next{++this->LastWatch, Kind, std::stoull(*Since), Reply};
+    for (const auto &[Name, Each] : this->Objects[Kind])
+      if (Each.Revision > Next.Since) {
+        this->sendEvents(Next);
+        return;
+      }
+    this->Watches.push_back(Next);
+    const int WaitMs =
+        std::stoi(queryValue(Request.Query, "waitMs").value_or("0"));
+    this->Loop.timers().after(
+        std::chrono::milliseconds(WaitMs), [this, Id = Next.Id] {
+          std::erase_if(this->Watches, [&](const Watch &Each) {
+            if (Each.Id == Id)
+              this->sendEvents(Each);
+            return Each.Id == Id;
+          });
+        });
+  }
+
+  void answerObject(const std::string &Kind, std::string Name,
+                    const HttpRequest &Request, HttpReply &Reply) {
+    if (Request.Method == "GET") {
+      const Object &Stored = this->Objects[Kind][Name];
+      send(Reply, Stored.Spec.is_null() ? 404 : 200, toJson(Name, Stored));
+      return;
+    }
+    const nlohmann::json Body = nlohmann::json::parse(Request.Body);
+    const nlohmann::json &Metadata = Body.at("metadata");
+    if (Name.empty())
+      Name = Metadata.at("name");
+    const Object &Stored = this->Objects[Kind][Name];
+    const std::uint64_t Current = Stored.Spec.is_null() ? 0 : Stored.Revision;
+    if (Metadata.value("revision", std::uint64_t{0}) != Current) {
+      send(Reply, 409, toJson(Name, Stored));
+      return;
+    }
+    this->put(Kind, Name, Body.at("spec"));
+    send(Reply, 200, toJson(Name, this->Objects[Kind][Name]));
+  }
+
+  EventLoop &Loop;
+  HttpServer Server;
+  SocketAddress Address{"127.0.0.1", 0};
+  std::map<std::string, std::map<std::string, Object>> Objects;
+  std::list<Watch> Watches;
+  std::uint64_t Revision = 0;
+  std::uint64_t LastWatch = 0;
+};
+
+} // namespace galenaroute::testing_support
+
+#endif // GALENAROUTE_TESTS_PROCESS_PLATFORMSTANDIN_H
