Keep contents with two crashes on the platform, not only refused ones

Callers saw: nothing yet; found by a first run of the fault soak. Each time two crashes of a call were known and forgotten, since only three were kept on the platform: with enough kills the call is never refused. Ruled out: keeping a first crash too; each crash of a busy engine has up to 128, nearly all of sound calls. Change: contents with two crashes or more are kept, and written again when they are refused. What is read back leaves out crashes that are known here: a writer whose clock differs would make one count twice. Conclusion: fixed. A single known crash is still forgotten by such a kill.

--- /dev/null
+++ b/soak/SoakMain.cpp
@@ -0,0 +1,88 @@
+// Plays soaks with one seed after the other; see docs/soak.md.
+
+#include "SoakRun.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <iostream>
+#include <unistd.h>
+
+using namespace galenaroute;
+using namespace galenaroute::soak;
+
+/// Log lines shown of a call for which a promise was broken.
+static constexpr std::size_t ShownLines = 20;
+
+static bool play(const SoakSettings &Settings) {
+  SoakRun Run(Settings);
+  Run.play();
+  const SoakHistory &History = Run.history();
+  const auto Found = checkHistory(History, {});
+  std::size_t Served = 0;
+  const auto Crashes =
+      std::count_if(History.Arrivals.begin(), History.Arrivals.end(),
+                    [](const UpstreamView &Each) { return Each.HasCrashed; });
+  for (const auto &[Id, Call] : History.Calls)
+    Served += Call.Status == 200 && Call.IsWhole;
+  std::cout << "seed " << Settings.Seed << ": " << History.Calls.size()
+            << " calls, " << Served << " served, " << Crashes
+            << " crashes by a call, " << History.Stops.size()
+            << " planned stops, " << Found.size() << " promises broken"
+            << std::endl;
+  if (Found.empty())
+    return true;
+  for (const std::string &Each : Run.timeline())
+    std::cout << Each << '\n';
+  for (const BrokenPromise &Each : Found) {
+    std::cout << "BROKEN " << Each.Promise << ": " << Each.Call << " "
+              << Each.What << '\n';
+    if (Each.Call.empty())
+      continue;
+    auto Lines = Run.linesWith("call=" + Each.Call + " ");
+    if (Lines.size() > ShownLines)
+      Lines.resize(ShownLines);
+    for (const std::string &Line : Lines)
+      std::cout << "  " << Line << '\n';
+  }
+  std::cout << std::flush;
+  return false;
+}
+
+int main(int Argc, char **Argv) {
+  CLI::App App("Plays faults against real daemons and checks what callers and "
+               "upstreams see");
+  SoakSettings Settings;
+  int Seeds = 1;
+  double Seconds = 20;
+  double GapMs = 900;
+  Settings.BuildDir = ".";
+  // Runs that overlap need networks of their own.
+  Settings.Network = 1 + static_cast<int>(getpid() % 250);
+  App.add_option("--build-dir", Settings.BuildDir,
+                 "Folder of galenaroute-platform");
+  App.add_option("--first-seed", Settings.Seed, "First seed to play");
+  App.add_option("--seeds", Seeds, "How many seeds")
+      ->check(CLI::Range(1, 100000));
+  App.add_option("--seconds", Seconds, "Time with faults in each run")
+      ->check(CLI::Range(1.0, 3600.0));
+  App.add_option("--gap-ms", GapMs, "Mean time between two faults")
+      ->check(CLI::Range(10.0, 60000.0));
+  App.add_option("--daemons", Settings.Faults.Daemons, "Number of daemons")
+      ->check(CLI::Range(1, 100));
+  App.add_option("--upstreams", Settings.Faults.Upstreams,
+                 "Number of upstreams")
+      ->check(CLI::Range(1, 100));
+  CLI11_PARSE(App, Argc, Argv);
+  Settings.Faults.Length = fromSeconds(Seconds);
+  Settings.Faults.Gap = fromSeconds(GapMs / 1000);
+  int Failed = 0;
+  try {
+    for (int I = 0; I < Seeds; ++I, ++Settings.Seed)
+      Failed += !play(Settings);
+  } catch (const std::exception &Failure) {
+    std::cerr << "seed " << Settings.Seed << ": " << Failure.what() << '\n';
+    return 2;
+  }
+  std::cout << Seeds - Failed << " passed, " << Failed << " failed\n";
+  return Failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/soak/SoakRun.cpp
@@ -0,0 +1,476 @@
+#include "SoakRun.h"
+
+#include "process/ErrorKind.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace galenaroute::soak {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+static constexpr std::uint16_t CallerPort = 18005;
+static constexpr std::uint16_t GossipPort = 17700;
+/// Calls of a caller end by then; the routes' limit is shorter.
+static constexpr Duration CallPatience = 3s;
+/// Time for daemons to find one another before the traffic begins.
+static constexpr Duration SettleTime = 1500ms;
+/// A crashed upstream is back after this time; its entry lapses before.
+static constexpr Duration UpstreamRestart = 900ms;
+static constexpr Duration EntryLapse = 700ms;
+/// From an upstream's notice that it leaves until it ends.
+static constexpr Duration DrainTime = 2s;
+static constexpr Duration StepPeriod = 5ms;
+/// Share of the calls, in 1,000, that end the upstream that runs them.
+static constexpr std::uint64_t CrashingCalls = 6;
+static constexpr Duration SlowLink = 150ms;
+static constexpr std::size_t ThrottledLink = 3000;
+
+SoakRun::SoakRun(SoakSettings Given)
+    : Settings(std::move(Given)), Random(this->Settings.Seed),
+      Harness(this->Settings.BuildDir), Loop(this->Harness.loop()),
+      Store(this->Loop) {
+  this->Store.put("config", "main", json::parse(R"({"version":1,"routes":[
+      {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",
+       "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
+       "maxAttempts":1,"public":true},
+      {"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe",
+       "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
+       "maxAttempts":2,"public":true}],
+      "services":[{"name":"d","maxConns":400}]})"));
+  this->Daemons.resize(this->Settings.Faults.Daemons);
+  this->Upstreams.resize(this->Settings.Faults.Upstreams);
+}
+
+SoakRun::~SoakRun() {
+  for (sigc::connection &Each : this->Timers)
+    Each.disconnect();
+}
+
+void SoakRun::after(Duration Delay, std::function<void()> Action) {
+  this->Timers.push_back(this->Loop.timers().after(Delay, std::move(Action)));
+}
+
+void SoakRun::note(const std::string &Line) {
+  char Time[16];
+  std::snprintf(Time, sizeof Time, "%8.3f ",
+                toSeconds(EventLoop::now() - this->Begun));
+  this->Timeline.push_back(Time + Line);
+}
+
+static std::string hostOf(int Network, std::size_t Daemon) {
+  return "127." + std::to_string(Network) + ".0." + std::to_string(Daemon + 2);
+}
+
+void SoakRun::writeSettings(std::size_t Daemon) {
+  DaemonPart &Part = this->Daemons[Daemon];
+  const std::string Host = hostOf(this->Settings.Network, Daemon);
+  std::ostringstream Seeds;
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I)
+    Seeds << (I == 0 ? "\"" : ",\"") << hostOf(this->Settings.Network, I)
+          << ":1\"";
+  Part.SettingsPath =
+      this->Harness.folder() + "/daemon" + std::to_string(Daemon) + ".toml";
+  std::ofstream(Part.SettingsPath)
+      << "node = \"n" << Daemon << "\"\nzone = \"z" << Daemon % 3
+      << "\"\nipAddr = \"" << Host << "\"\ninternalPorts = [" << GossipPort
+      << ", " << GossipPort + 9 << "]\nseedAddrs = [" << Seeds.str()
+      << "]\n[listen]\nfront = \"" << Host << ":" << CallerPort
+      << "\"\nready = \"" << Host << ":" << CallerPort + 1
+      << "\"\ndirectory = \"" << Host << ":" << CallerPort + 2
+      << "\"\n[limits]\ncpuShare = 1.0\ncpuCores = 1\nmaxFds = 4096\n[bounds]\n"
+         "retryBudgetRatio = 0.2\nbudgetSlack = 54\ngraceS = 4\n"
+         "leaseMs = 3000\nversionMs = 15000\nttl_max_s = 5\n"
+         "[platform]\naddress = \""
+      << Part.ToStore->address().toString() << "\"\n";
+}
+
+void SoakRun::startDaemon(std::size_t Daemon) {
+  DaemonPart &Part = this->Daemons[Daemon];
+  Part.Stop.reset();
+  Part.FrozenUntil = {};
+  Part.Process = &this->Harness.start("galenaroute-platform",
+                                      {"--settings", Part.SettingsPath});
+}
+
+void SoakRun::registerUpstream(const UpstreamPart &Part,
+                               std::string_view State) {
+  this->Store.put("servers", Part.Id,
+                  {{"service", "d"},
+                   {"address", Part.Link->address().toString()},
+                   {"zone", "z0"},
+                   {"version", "1"},
+                   {"slots", 20},
+                   {"state", State},
+                   {"sequence", 1},
+                   {"born", this->Starts}});
+}
+
+void SoakRun::startUpstream(std::size_t Index) {
+  UpstreamPart &Part = this->Upstreams[Index];
+  Part.Id = "u" + std::to_string(Index) + "-" + std::to_string(++this->Starts);
+  const SocketAddress Address = testing_support::ProcessHarness::freeAddress();
+  Part.Listener = std::make_shared<CallListener>(
+      this->Loop, Address, CallerLimits{},
+      [this, Index, Id = Part.Id](const std::shared_ptr<IncomingCall> &Call) {
+        this->onCall(Id, Index, Call);
+      });
+  Part.Link = std::make_unique<FaultyLink>(this->Loop, Address, this->Random());
+  Part.IsUp = true;
+  this->registerUpstream(Part, "ready");
+}
+
+void SoakRun::endUpstream(std::size_t Index, bool Resets) {
+  UpstreamPart &Part = this->Upstreams[Index];
+  if (!Part.IsUp)
+    return;
+  Part.IsUp = false;
+  Part.Listener->stopAccepting();
+  if (Resets)
+    Part.Link->resetAll();
+  Part.Listener->abortAll();
+  this->Ended.push_back(std::move(Part.Listener));
+  this->after(EntryLapse,
+              [this, Id = Part.Id] { this->Store.put("servers", Id, {}); });
+  this->after(UpstreamRestart, [this, Index] { this->startUpstream(Index); });
+}
+
+void SoakRun::onCall(const std::string &Upstream, std::size_t Index,
+                     const std::shared_ptr<IncomingCall> &Call) {
+  const auto Id = Call->Head.Headers.find("Request-Id");
+  UpstreamView Seen{.Call = std::string(Id.value_or("")),
+                    .Path = Call->Head.Target,
+                    .Body = Call->Body,
+                    .Upstream = Upstream,
+                    .At = EventLoop::now(),
+                    .HasRun = true};
+  const bool IsOwn =
+      this->Upstreams[Index].Id == Upstream && this->Upstreams[Index].IsUp;
+  const HttpHeaders::Field Named{"Request-Id", Seen.Call};
+  // One call in 50 is refused, and says so.
+  if (IsOwn && this->below(50) == 0) {
+    Seen.HasRun = false;
+    this->History.Arrivals.push_back(Seen);
+    Call->send(503, {Named, {"Not-Executed", "1"}}, "");
+    return;
+  }
+  Seen.HasCrashed = IsOwn && Seen.Body.starts_with("crash");
+  this->History.Arrivals.push_back(Seen);
+  if (!IsOwn) {
+    this->Unanswered.push_back(Call);
+    return;
+  }
+  if (Seen.HasCrashed) {
+    this->Unanswered.push_back(Call);
+    this->note("upstream " + Upstream + " ends under call " + Seen.Call);
+    // Ended outside the handler, which the listener is still in.
+    this->after(Duration::zero(),
+                [this, Index] { this->endUpstream(Index, /*Resets=*/true); });
+    return;
+  }
+  // One answer in 100 breaks off.
+  const bool IsCut = this->below(100) == 0;
+  this->after(Milliseconds(2 + this->below(60)), [Call, Seen, Named, IsCut] {
+    const std::string Answer = answerOf(Seen.Call, Seen.Body);
+    if (!IsCut) {
+      Call->send(200, {Named, {"Server-Stamp", "x"}}, Answer);
+      return;
+    }
+    Call->begin(200, {Named, {"Server-Stamp", "x"}});
+    Call->write(Answer.substr(0, Answer.size() / 2));
+    Call->abort();
+  });
+}
+
+void SoakRun::noteDisturbed(std::size_t Daemon, Duration For) {
+  this->History.Disturbances.push_back(
+      {Daemon, EventLoop::now(), EventLoop::now() + For});
+}
+
+void SoakRun::kill(std::size_t Daemon, Duration For) {
+  DaemonPart &Part = this->Daemons[Daemon];
+  if (!Part.Process)
+    return;
+  if (Part.Stop)
+    this->History.Stops[*Part.Stop].WasDisturbed = true;
+  this->noteDisturbed(Daemon, For);
+  Part.Process->signal(SIGKILL);
+  Part.Process->wait(5s);
+  Part.Process = nullptr;
+  this->after(For, [this, Daemon] { this->startDaemon(Daemon); });
+}
+
+void SoakRun::strike(const Fault &Next) {
+  this->note(std::string(toString(Next.Kind)) + " " +
+             std::to_string(Next.Target) + " for " +
+             std::to_string(toMilliseconds(Next.For)) + " ms");
+  this->History.LastFaultAt =
+      std::max(this->History.LastFaultAt, EventLoop::now() + Next.For);
+  switch (Next.Kind) {
+  case FaultKind::Freeze:
+  case FaultKind::Kill:
+  case FaultKind::KillAll:
+  case FaultKind::Stop:
+  case FaultKind::HangUp:
+    this->strikeDaemon(Next);
+    return;
+  case FaultKind::StoreAway:
+  case FaultKind::StoreAwayAll:
+  case FaultKind::StoreSlow:
+    this->strikeStore(Next);
+    return;
+  default:
+    this->strikeUpstream(Next);
+  }
+}
+
+void SoakRun::strikeDaemon(const Fault &Next) {
+  DaemonPart &Part = this->Daemons[Next.Target];
+  if (Next.Kind == FaultKind::KillAll) {
+    for (std::size_t I = 0; I < this->Daemons.size(); ++I)
+      this->kill(I, Next.For);
+    return;
+  }
+  if (!Part.Process)
+    return;
+  if (Next.Kind == FaultKind::Kill) {
+    this->kill(Next.Target, Next.For);
+  } else if (Next.Kind == FaultKind::HangUp) {
+    Part.Process->signal(SIGHUP);
+  } else if (Next.Kind == FaultKind::Stop) {
+    if (Part.Stop)
+      return;
+    Part.Stop = this->History.Stops.size();
+    this->History.Stops.push_back(
+        {.Daemon = Next.Target,
+         .At = EventLoop::now(),
+         .WasDisturbed = EventLoop::now() < Part.FrozenUntil});
+    Part.Process->signal(SIGTERM);
+    this->noteDisturbed(Next.Target, SoakBounds().Grace);
+  } else {
+    this->noteDisturbed(Next.Target, Next.For);
+    if (Part.Stop)
+      this->History.Stops[*Part.Stop].WasDisturbed = true;
+    Part.FrozenUntil = std::max(Part.FrozenUntil, EventLoop::now() + Next.For);
+    Part.Process->signal(SIGSTOP);
+    // A second freeze may last longer, and the process may be another by then.
+    this->after(Next.For, [this, Target = Next.Target] {
+      DaemonPart &Frozen = this->Daemons[Target];
+      if (Frozen.Process && EventLoop::now() >= Frozen.FrozenUntil)
+        Frozen.Process->signal(SIGCONT);
+    });
+  }
+}
+
+void SoakRun::strikeUpstream(const Fault &Next) {
+  UpstreamPart &Part = this->Upstreams[Next.Target];
+  if (!Part.IsUp)
+    return;
+  if (Next.Kind == FaultKind::UpstreamCrash) {
+    this->endUpstream(Next.Target, /*Resets=*/true);
+    return;
+  }
+  if (Next.Kind == FaultKind::UpstreamLeave) {
+    this->registerUpstream(Part, "draining");
+    this->after(DrainTime, [this, Target = Next.Target, Id = Part.Id] {
+      if (this->Upstreams[Target].Id == Id)
+        this->endUpstream(Target, /*Resets=*/false);
+    });
+    return;
+  }
+  if (Next.Kind == FaultKind::LinkReset) {
+    Part.Link->resetAll();
+    return;
+  }
+  LinkHarm Harm;
+  if (Next.Kind == FaultKind::LinkSlow)
+    Harm.Delay = SlowLink;
+  else if (Next.Kind == FaultKind::LinkThrottled)
+    Harm.BytesPerSecond = ThrottledLink;
+  else
+    Harm.IsSilentFromTarget = true;
+  Harm.IsSilentToTarget = Next.Kind == FaultKind::LinkSilent;
+  Part.Link->setHarm(Harm);
+  Part.HarmedUntil = std::max(Part.HarmedUntil, EventLoop::now() + Next.For);
+  this->after(Next.For, [this, Target = Next.Target] {
+    UpstreamPart &Harmed = this->Upstreams[Target];
+    if (EventLoop::now() >= Harmed.HarmedUntil)
+      Harmed.Link->setHarm({});
+  });
+}
+
+void SoakRun::strikeStore(const Fault &Next) {
+  LinkHarm Harm;
+  if (Next.Kind == FaultKind::StoreSlow)
+    Harm.Delay = SlowLink;
+  else
+    Harm.IsSilentToTarget = Harm.IsSilentFromTarget = true;
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    if (Next.Kind == FaultKind::StoreAway && I != Next.Target)
+      continue;
+    DaemonPart &Part = this->Daemons[I];
+    this->noteDisturbed(I, Next.For);
+    Part.ToStore->setHarm(Harm);
+    if (Next.Kind == FaultKind::StoreAwayAll)
+      Part.ToStore->resetAll();
+    Part.StoreAwayUntil =
+        std::max(Part.StoreAwayUntil, EventLoop::now() + Next.For);
+    this->after(Next.For, [this, I] {
+      if (EventLoop::now() >= this->Daemons[I].StoreAwayUntil)
+        this->Daemons[I].ToStore->setHarm({});
+    });
+  }
+}
+
+void SoakRun::sendCall() {
+  const std::string Id = "c" + std::to_string(++this->Sent);
+  CallerView Call;
+  Call.IsOnce = this->below(2) == 0;
+  Call.Path = Call.IsOnce ? "/once/a" : "/safe/a?x=1";
+  Call.Body = std::string(1 + this->below(3000), 'b') + Id;
+  if (this->below(1000) < CrashingCalls) {
+    Call.IsCrashing = true;
+    Call.Body = "crash";
+  }
+  Call.Daemon = this->below(this->Daemons.size());
+  Call.SentAt = EventLoop::now();
+  try {
+    OpenCall Next;
+    Next.Id = Id;
+    Next.Socket = std::make_unique<RawSocket>(RawSocket::connectTo(
+        {hostOf(this->Settings.Network, Call.Daemon), CallerPort}));
+    Next.Socket->writeSome(
+        "POST " + Call.Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Id +
+        "\r\nDeadline-Ms: 1500\r\nContent-Length: " +
+        std::to_string(Call.Body.size()) + "\r\n\r\n" + Call.Body);
+    this->Open.push_back(std::move(Next));
+  } catch (const std::runtime_error &) {
+    // The daemon is not there; a caller would try another one.
+    Call.EndedAt = Call.SentAt;
+  }
+  this->History.Calls[Id] = Call;
+}
+
+/// Reads the answer in \p Text into \p Call; returns whether it is whole.
+static bool readAnswer(const std::string &Text, CallerView &Call) {
+  const std::size_t Head = Text.find("\r\n\r\n");
+  if (Head == std::string::npos || !Text.starts_with("HTTP/1.1 "))
+    return false;
+  Call.Status = std::stoi(Text.substr(9, 3));
+  static const std::string Field = "Content-Length: ";
+  const std::size_t Length = Text.find(Field);
+  if (Length > Head)
+    return false;
+  Call.Answer = Text.substr(Head + 4);
+  Call.IsWhole =
+      Call.Answer.size() == std::stoul(Text.substr(Length + Field.size()));
+  return Call.IsWhole;
+}
+
+void SoakRun::readAnswers() {
+  std::erase_if(this->Open, [this](const OpenCall &Each) {
+    CallerView &Call = this->History.Calls.at(Each.Id);
+    const bool IsWhole = readAnswer(Each.Socket->read(), Call);
+    const bool IsOver = EventLoop::now() - Call.SentAt > CallPatience;
+    if (!IsWhole && !Each.Socket->hasEnded() && !IsOver)
+      return false;
+    Call.EndedAt = EventLoop::now();
+    return true;
+  });
+}
+
+void SoakRun::watchStops() {
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    DaemonPart &Part = this->Daemons[I];
+    if (!Part.Process || Part.Process->isRunning())
+      continue;
+    const int Code = Part.Process->wait(1s);
+    Part.Process = nullptr;
+    if (Part.Stop) {
+      StopView &Stop = this->History.Stops[*Part.Stop];
+      Stop.EndedAt = EventLoop::now();
+      Stop.ExitCode = Code;
+      this->note("daemon " + std::to_string(I) + " has stopped");
+    } else {
+      this->History.Stops.push_back({.Daemon = I,
+                                     .At = EventLoop::now(),
+                                     .EndedAt = EventLoop::now(),
+                                     .ExitCode = Code == 0 ? -1 : Code});
+      this->note("daemon " + std::to_string(I) + " ended by itself with " +
+                 std::to_string(Code));
+    }
+    this->startDaemon(I);
+  }
+}
+
+void SoakRun::step() {
+  this->readAnswers();
+  this->watchStops();
+  const TimePoint Now = EventLoop::now();
+  while (this->IsSending && this->NextCallAt <= Now) {
+    this->sendCall();
+    this->NextCallAt +=
+        Milliseconds(this->below(2 * static_cast<std::uint64_t>(toMilliseconds(
+                                         this->Settings.CallGap))));
+  }
+}
+
+void SoakRun::play() {
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    this->Daemons[I].ToStore = std::make_unique<FaultyLink>(
+        this->Loop, this->Store.address(), this->Random());
+    this->writeSettings(I);
+    this->startDaemon(I);
+  }
+  for (std::size_t I = 0; I < this->Upstreams.size(); ++I)
+    this->startUpstream(I);
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    const SocketAddress Ready{hostOf(this->Settings.Network, I),
+                              CallerPort + 1};
+    this->Harness.waitFor("daemon " + std::to_string(I), [&] {
+      return this->Harness.get(Ready, "/api/ready").Status == 200;
+    });
+  }
+  this->Loop.runUntil([] { return false; }, SettleTime);
+  this->Begun = this->NextCallAt = EventLoop::now();
+  this->History.LastFaultAt = this->Begun;
+  this->IsSending = true;
+  Duration Last{};
+  for (const Fault &Each :
+       drawFaults(this->Settings.Seed, this->Settings.Faults)) {
+    this->after(Each.At, [this, Each] { this->strike(Each); });
+    Last = std::max(Last, Each.At + Each.For);
+  }
+  const sigc::connection Steps =
+      this->Loop.timers().every(StepPeriod, [this] { this->step(); });
+  this->Loop.runUntil([] { return false; }, Last + this->Settings.CalmEnd);
+  this->IsSending = false;
+  this->History.EndedAt = EventLoop::now();
+  // A stop that is under way, and the last calls.
+  this->Loop.runUntil([this] { return this->Open.empty(); }, CallPatience * 2);
+  sigc::connection(Steps).disconnect();
+}
+
+std::vector<std::string> SoakRun::linesWith(const std::string &Text) const {
+  std::vector<std::string> Result;
+  for (const auto &Each :
+       std::filesystem::directory_iterator(this->Harness.folder())) {
+    if (Each.path().extension() != ".log")
+      continue;
+    std::ifstream File(Each.path());
+    for (std::string Line; std::getline(File, Line);)
+      if (Line.find(Text) != std::string::npos)
+        Result.push_back(Each.path().filename().string() + " " + Line);
+  }
+  std::sort(Result.begin(), Result.end(),
+            [](const std::string &A, const std::string &B) {
+              return A.substr(A.find("time=")) < B.substr(B.find("time="));
+            });
+  return Result;
+}
+
+} // namespace galenaroute::soak
--- a/src/process/CrashExchange.cpp
+++ b/src/process/CrashExchange.cpp
@@ -18,6 +18,9 @@
 /// Contents with this many crashes are told to all. Sound calls that were
 /// running at a crash seldom see a second one.
 static constexpr std::size_t CrashesToTellAll = 2;
+/// Contents with this many crashes are kept on the platform, so that a call
+/// does not begin anew each time that all entries are killed.
+static constexpr std::size_t CrashesToKeep = CrashesToTellAll;
 /// Crashes of one upstream break several calls within this time; they go in one
 /// message.
 static constexpr auto FlushDelay = std::chrono::milliseconds(20);
@@ -50,7 +53,7 @@
 
 void CrashExchange::tell(std::uint64_t Content, std::size_t Cleared) {
   this->Pending[Content] |= Cleared >= CrashesToTellAll;
-  this->keepIfRefused(Content);
+  this->keepIfSuspect(Content);
   this->withdrawIfCleared(Content);
   if (this->FlushTimer.empty())
     this->FlushTimer =
@@ -136,7 +139,7 @@
     if (Crashes > Each.Sightings.size())
       this->tell(Each.Content);
     else
-      this->keepIfRefused(Each.Content);
+      this->keepIfSuspect(Each.Content);
     this->withdrawIfCleared(Each.Content);
   }
 }
@@ -145,6 +148,9 @@
   const TimePoint Now = EventLoop::now();
   expireCrashes(this->Parts.Record, Now);
   std::erase_if(this->Kept, [this](std::uint64_t Each) {
+    return crashesOf(this->Parts.Record, Each) < CrashesToKeep;
+  });
+  std::erase_if(this->Refused, [this](std::uint64_t Each) {
     return crashesOf(this->Parts.Record, Each) < MaxCrashes;
   });
   if (this->isCutOff() && Now - this->SyncedAt >= CutOffPeriod)
@@ -165,25 +171,26 @@
          Entries.countKnown() + 1;
 }
 
-/// Has a content that is refused from now on written to the platform, by the
-/// keepers only.
-void CrashExchange::keepIfRefused(std::uint64_t Content) {
-  if (crashesOf(this->Parts.Record, Content) < MaxCrashes ||
-      !this->Kept.insert(Content).second)
-    return;
-  log(LogLevel::Warn, "content.refused",
-      {{"content", contentName(Content)},
-       {"crashes", std::to_string(crashesOf(this->Parts.Record, Content))}});
-  if (!this->isKeeperOf(Content))
+/// Has the keepers write a content to the platform when it has crashed several
+/// upstreams, and again when it is refused.
+void CrashExchange::keepIfSuspect(std::uint64_t Content) {
+  const std::size_t Crashes = crashesOf(this->Parts.Record, Content);
+  bool IsNews = Crashes >= CrashesToKeep && this->Kept.insert(Content).second;
+  if (Crashes >= MaxCrashes && this->Refused.insert(Content).second) {
+    IsNews = true;
+    log(LogLevel::Warn, "content.refused",
+        {{"content", contentName(Content)},
+         {"crashes", std::to_string(Crashes)}});
+  }
+  if (!IsNews || !this->isKeeperOf(Content))
     return;
   this->HasToWrite = true;
   this->sync();
 }
 
-/// Has a content that was refused and has succeeded since removed from the
-/// platform.
+/// Has a content that has succeeded since removed from the platform.
 void CrashExchange::withdrawIfCleared(std::uint64_t Content) {
-  if (crashesOf(this->Parts.Record, Content) >= MaxCrashes ||
+  if (crashesOf(this->Parts.Record, Content) >= CrashesToKeep ||
       this->Kept.erase(Content) == 0)
     return;
   log(LogLevel::Info, "content.cleared", {{"content", contentName(Content)}});
@@ -257,43 +264,58 @@
     this->syncLater(SyncRetry);
     return;
   }
-  std::vector<std::uint64_t> Stored;
+  // How many crashes of each content are stored.
+  std::map<std::uint64_t, std::size_t> Stored;
   if (Result.Status == PlatformStatus::Ok)
     try {
       for (const CrashNews &Each :
            fromStored(Result.Object.Value, wallMilliseconds())) {
-        Stored.push_back(Each.Content);
-        if (!mergeNews(this->Parts.Record, Each, EventLoop::now()))
-          continue;
-        this->Kept.insert(Each.Content);
-        log(LogLevel::Warn, "content.restored",
-            {{"content", contentName(Each.Content)},
-             {"crashes", std::to_string(Each.Sightings.size())}});
+        Stored[Each.Content] = Each.Sightings.size();
+        this->restore(Each);
       }
     } catch (const std::exception &Failure) {
-      // Overwritten by the next content that is refused.
+      // Overwritten by the next content that is kept.
       log(LogLevel::Warn, "content.stored_malformed",
           {{"message", Failure.what()}});
     }
   if (!this->HasToWrite)
     return;
   this->HasToWrite = false;
-  std::vector<std::uint64_t> Refused =
-      suspectContents(this->Parts.Record, MaxCrashes, MaxStored);
-  std::sort(Refused.begin(), Refused.end());
-  std::sort(Stored.begin(), Stored.end());
+  std::map<std::uint64_t, std::size_t> Wanted;
+  for (const std::uint64_t Each :
+       suspectContents(this->Parts.Record, CrashesToKeep, MaxStored))
+    Wanted[Each] = crashesOf(this->Parts.Record, Each);
   // Another keeper may have written the same.
-  if (Refused != Stored)
-    this->write(Refused, Result.Status == PlatformStatus::Ok
-                             ? Result.Object.Version
-                             : Platform::MustNotExist);
+  if (Wanted != Stored)
+    this->write(Result.Status == PlatformStatus::Ok ? Result.Object.Version
+                                                    : Platform::MustNotExist);
 }
 
-void CrashExchange::write(std::span<const std::uint64_t> Refused,
-                          std::uint64_t IfVersion) {
+/// Takes in a content as it is stored. Crashes that this entry knows of are
+/// left out: the writer's clock may differ, so that one would count twice.
+void CrashExchange::restore(CrashNews Stored) {
+  const CrashNews Known =
+      newsOf(this->Parts.Record, Stored.Content, EventLoop::now());
+  std::erase_if(Stored.Sightings, [&](const CrashNews::Sighting &Each) {
+    return std::any_of(Known.Sightings.begin(), Known.Sightings.end(),
+                       [&](const CrashNews::Sighting &Own) {
+                         return Own.Upstream == Each.Upstream;
+                       });
+  });
+  if (!mergeNews(this->Parts.Record, Stored, EventLoop::now()))
+    return;
+  this->Kept.insert(Stored.Content);
+  log(LogLevel::Warn, "content.restored",
+      {{"content", contentName(Stored.Content)},
+       {"crashes",
+        std::to_string(crashesOf(this->Parts.Record, Stored.Content))}});
+}
+
+void CrashExchange::write(std::uint64_t IfVersion) {
   const TimePoint Now = EventLoop::now();
   std::vector<CrashNews> News;
-  for (const std::uint64_t Each : Refused)
+  for (const std::uint64_t Each :
+       suspectContents(this->Parts.Record, CrashesToKeep, MaxStored))
     News.push_back(newsOf(this->Parts.Record, Each, Now));
   this->IsSyncing = true;
   this->Parts.Api.put(
--- a/src/process/CrashExchange.h
+++ b/src/process/CrashExchange.h
@@ -12,13 +12,14 @@
 // one crash are told to all at once, and again with each round of gossip, so
 // that lost messages and entries that start anew are made up for.
 //
-// Contents that are refused are kept on the platform as well, for when all
-// entries restart. An entry reads them at its start, and again while it hears
-// of less than half of the others.
+// Contents with more than one crash are kept on the platform as well, for when
+// all entries restart. An entry reads them at its start, and again while it
+// hears of less than half of the others.
 //
 // Guarantees: the number and the size of messages are bounded by the contents
 // with more than one crash; calls to the platform are made only at a start, for
-// a content newly refused, and while this entry is cut off from the others.
+// a content with more than one crash, and while this entry is cut off from the
+// others.
 
 #ifndef GALENAROUTE_PROCESS_CRASHEXCHANGE_H
 #define GALENAROUTE_PROCESS_CRASHEXCHANGE_H
@@ -63,17 +64,19 @@
   void flush();
   std::vector<SocketAddress> keepersOf(std::uint64_t Content) const;
   bool isKeeperOf(std::uint64_t Content) const;
-  void keepIfRefused(std::uint64_t Content);
+  void keepIfSuspect(std::uint64_t Content);
   void withdrawIfCleared(std::uint64_t Content);
   bool isCutOff() const;
   void sync();
   void onStored(const PlatformResult &Result);
-  void write(std::span<const std::uint64_t> Refused, std::uint64_t IfVersion);
+  void restore(CrashNews Stored);
+  void write(std::uint64_t IfVersion);
   void syncLater(Duration Delay);
 
   CrashExchangeParts Parts;
   std::map<std::uint64_t, bool> Pending; ///< To tell; whether to all.
   std::set<std::uint64_t> Kept;          ///< Contents written, or to write.
+  std::set<std::uint64_t> Refused;       ///< For one log line each.
   bool HasToWrite = false;
   bool IsSyncing = false;
   TimePoint SyncedAt;
--- a/tests/CrashExchangeTest.cpp
+++ b/tests/CrashExchangeTest.cpp
@@ -146,6 +146,42 @@
   EXPECT_TRUE(this->until([&] { return this->refusing(7) == 5; }));
 }
 
+// Guards against one crash that counts twice, since the clock of the entry that
+// wrote it differs.
+TEST_F(CrashExchangeTest, AStoredCrashThatIsKnownDoesNotCountAgain) {
+  this->fill(1);
+  this->crash(0, 7, 1);
+  this->crash(0, 7, 2);
+  const auto Stored = [this] {
+    return this->Api.read({"crashing-contents", "recent"}).Object;
+  };
+  ASSERT_TRUE(this->until([&] { return Stored().Value.size() == 1; }));
+  nlohmann::json Stepped = Stored().Value;
+  for (nlohmann::json &Seen : Stepped[0][1])
+    Seen[1] = Seen[1].get<std::int64_t>() - 5000;
+  this->Api.put(Stored().Key, Stepped, Stored().Version,
+                [](const PlatformResult &) {});
+  this->wait(50ms);
+  // Has it read what is stored.
+  this->Entries[0]->Exchange->start();
+  this->wait(100ms);
+  EXPECT_EQ(crashesOf(this->Entries[0]->Record, 7), 2u);
+}
+
+// Guards against a call that stays below the limit because all entries are
+// killed each time that it has crashed two upstreams.
+TEST_F(CrashExchangeTest, TwoCrashesSurviveAStartOfAllEntries) {
+  this->fill(5);
+  this->crash(0, 7, 1);
+  this->crash(1, 7, 2);
+  this->wait(200ms);
+  for (std::size_t I = 0; I < 5; ++I)
+    this->start(I);
+  this->wait(200ms);
+  this->crash(3, 7, 3);
+  EXPECT_TRUE(this->until([&] { return this->refusing(7) == 5; }));
+}
+
 TEST_F(CrashExchangeTest, AStartWhileThePlatformIsAwayLearnsAfterwards) {
   this->fill(3);
   for (std::size_t I = 0; I < 3; ++I)
