Write suspect contents to the platform later and together

Ruled out: one keeper that writes alone; it may be dead or cut off. Change: a content that is only suspect is written 300 to 450 ms later, with what came meanwhile; one that was cleared by then is not written at all. Refused ones are written at once. Conflicts are tried again at different times.

--- a/src/process/CrashExchange.cpp
+++ b/src/process/CrashExchange.cpp
@@ -30,9 +30,13 @@
 static constexpr std::size_t MaxNews = 64;
 /// Kept on the platform; about 150 bytes each.
 static constexpr std::size_t MaxStored = 32;
+/// A content that is only suspect is written this much later, and up to half as
+/// long again: one crash makes several contents suspect, which have different
+/// keepers, and most of them are cleared soon.
+static constexpr Duration KeepDelay = std::chrono::milliseconds(300);
 /// Between attempts while the platform does not answer or another entry has
 /// written meanwhile.
-static constexpr auto SyncRetry = std::chrono::milliseconds(500);
+static constexpr Duration SyncRetry = std::chrono::milliseconds(500);
 /// Between reads while this entry is cut off from the others.
 static constexpr auto CutOffPeriod = std::chrono::seconds(1);
 
@@ -175,17 +179,21 @@
 /// upstreams, and again when it is refused.
 void CrashExchange::keepIfSuspect(std::uint64_t Content) {
   const std::size_t Crashes = crashesOf(this->Parts.Record, Content);
-  bool IsNews = Crashes >= CrashesToKeep && this->Kept.insert(Content).second;
-  if (Crashes >= MaxCrashes && this->Refused.insert(Content).second) {
-    IsNews = true;
+  const bool IsSuspect =
+      Crashes >= CrashesToKeep && this->Kept.insert(Content).second;
+  const bool IsRefused =
+      Crashes >= MaxCrashes && this->Refused.insert(Content).second;
+  if (IsRefused)
     log(LogLevel::Warn, "content.refused",
         {{"content", contentName(Content)},
          {"crashes", std::to_string(Crashes)}});
-  }
-  if (!IsNews || !this->isKeeperOf(Content))
+  if ((!IsRefused && !IsSuspect) || !this->isKeeperOf(Content))
     return;
   this->HasToWrite = true;
-  this->sync();
+  if (IsRefused)
+    this->sync();
+  else
+    this->syncLater(KeepDelay);
 }
 
 /// Has a content that has succeeded since removed from the platform.
@@ -197,13 +205,17 @@
   if (!this->isKeeperOf(Content))
     return;
   this->HasToWrite = true;
-  this->sync();
+  this->syncLater(KeepDelay);
 }
 
+/// Calls sync() after \p Delay or up to half as long again, unless a call is
+/// due already.
 void CrashExchange::syncLater(Duration Delay) {
-  this->SyncTimer.disconnect();
-  this->SyncTimer =
-      this->Parts.Loop.timers().after(Delay, [this] { this->sync(); });
+  if (!this->SyncTimer.empty())
+    return;
+  std::uniform_real_distribution<double> Spread(1, 1.5);
+  this->SyncTimer = this->Parts.Loop.timers().after(
+      scaled(Delay, Spread(this->Random)), [this] { this->sync(); });
 }
 
 /// Reads what the platform keeps, and writes it if there is something to add.
--- a/src/process/CrashExchange.h
+++ b/src/process/CrashExchange.h
@@ -32,6 +32,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 namespace galenaroute {
@@ -80,6 +81,7 @@
   bool HasToWrite = false;
   bool IsSyncing = false;
   TimePoint SyncedAt;
+  std::mt19937_64 Random{std::random_device{}()};
   sigc::connection FlushTimer;
   sigc::connection SyncTimer;
   // Answers of the platform that come later find this expired.
