--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -160,7 +160,8 @@
     Served += isServed(Call);
   }
   if (Later >= LeastCallsToCompare &&
-      static_cast<double>(Served) < LeastServedShare * Later)
+      static_cast<double>(Served) <
+          LeastServedShare * static_cast<double>(Later))
     Found.push_back({"service recovers", "",
                      std::to_string(Served) + " of " + std::to_string(Later) +
                          " calls served after the last fault"});
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -51,8 +51,8 @@
     Each.disconnect();
 }
 
-void SoakRun::after(Duration Delay, std::function<void()> Action) {
-  this->Timers.push_back(this->Loop.timers().after(Delay, std::move(Action)));
+void SoakRun::after(Duration Delay, const std::function<void()> &Action) {
+  this->Timers.push_back(this->Loop.timers().after(Delay, Action));
 }
 
 void SoakRun::note(const std::string &Line) {
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -88,7 +88,7 @@
   void readAnswers();
   void watchStops();
   void note(const std::string &Line);
-  void after(Duration Delay, std::function<void()> Action);
+  void after(Duration Delay, const std::function<void()> &Action);
   std::uint64_t below(std::uint64_t Bound) { return this->Random() % Bound; }
 
   SoakSettings Settings;
--- a/tests/CrashingUpstreams.h
+++ b/tests/CrashingUpstreams.h
@@ -98,8 +98,8 @@
     this->after(RestartTime, [this, Index] { this->start(Index); });
   }
 
-  void after(Duration Delay, std::function<void()> Action) {
-    this->Timers.push_back(this->Loop.timers().after(Delay, std::move(Action)));
+  void after(Duration Delay, const std::function<void()> &Action) {
+    this->Timers.push_back(this->Loop.timers().after(Delay, Action));
   }
 
   EventLoop &Loop;
--- /dev/null
+++ b/tests/SoakHistoryTest.cpp
@@ -0,0 +1,171 @@
+// Shows of each check of the soak that it can fail, with faked histories.
+
+#include "Faults.h"
+#include "History.h"
+
+#include <gtest/gtest.h>
+
+namespace galenaroute::soak {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{1h};
+
+class SoakHistoryTest : public testing::Test {
+protected:
+  SoakHistoryTest() {
+    this->History.LastFaultAt = Start;
+    this->History.EndedAt = Start + 1min;
+  }
+
+  CallerView &call(const std::string &Id, bool IsOnce, int Status) {
+    CallerView &Call = this->History.Calls[Id];
+    Call = {.Path = IsOnce ? "/once/a" : "/safe/a",
+            .Body = "b",
+            .IsOnce = IsOnce,
+            .SentAt = Start,
+            .Status = Status,
+            .IsWhole = true};
+    if (Status == 200)
+      Call.Answer = answerOf(Id, Call.Body);
+    return Call;
+  }
+  UpstreamView &arrival(const std::string &Id, const std::string &Upstream,
+                        TimePoint At = Start) {
+    const CallerView &Call = this->History.Calls[Id];
+    this->History.Arrivals.push_back({.Call = Id,
+                                      .Path = Call.Path,
+                                      .Body = Call.Body,
+                                      .Upstream = Upstream,
+                                      .At = At,
+                                      .HasRun = true});
+    return this->History.Arrivals.back();
+  }
+  /// The one promise that is broken, or how many are.
+  std::string broken() const {
+    const auto Found = checkHistory(this->History, {});
+    return Found.size() == 1 ? Found[0].Promise : std::to_string(Found.size());
+  }
+
+  SoakHistory History;
+};
+
+TEST_F(SoakHistoryTest, NothingIsBrokenByServedAndRefusedCalls) {
+  this->call("a", true, 200);
+  this->arrival("a", "u1");
+  this->call("b", false, 200);
+  this->arrival("b", "u1");
+  this->arrival("b", "u2");
+  this->call("c", true, 503);
+  this->arrival("c", "u1").HasRun = false;
+  this->call("d", true, 0);
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, AnotherCallsAnswerIsFound) {
+  this->call("a", true, 200).Answer = answerOf("b", "b");
+  EXPECT_EQ(this->broken(), "own whole answer");
+}
+
+TEST_F(SoakHistoryTest, ADeniedCallIsFound) {
+  this->call("a", true, 404);
+  EXPECT_EQ(this->broken(), "proper calls are not denied");
+}
+
+TEST_F(SoakHistoryTest, ASecondRunIsFound) {
+  this->call("a", true, 200);
+  this->arrival("a", "u1");
+  this->arrival("a", "u2");
+  EXPECT_EQ(this->broken(), "at most once");
+}
+
+TEST_F(SoakHistoryTest, AThirdUpstreamIsFound) {
+  this->call("a", false, 200);
+  for (const char *Upstream : {"u1", "u2", "u3"})
+    this->arrival("a", Upstream);
+  EXPECT_EQ(this->broken(), "at most two upstreams");
+}
+
+TEST_F(SoakHistoryTest, AFalseNotRunIsFound) {
+  this->call("a", true, 503);
+  this->arrival("a", "u1");
+  EXPECT_EQ(this->broken(), "not run is true");
+}
+
+TEST_F(SoakHistoryTest, AnUnknownOrChangedCallIsFound) {
+  this->arrival("nobody", "u1").Call = "x";
+  EXPECT_EQ(this->broken(), "only calls of callers run");
+  this->History = {};
+  this->call("a", true, 0);
+  this->arrival("a", "u1").Body = "c";
+  EXPECT_EQ(this->broken(), "calls are unchanged");
+}
+
+TEST_F(SoakHistoryTest, ACrashingCallThatIsSentOnIsFound) {
+  const auto Send = [&](int I, Duration At) {
+    const std::string Id = "c" + std::to_string(I);
+    this->call(Id, true, 0).IsCrashing = true;
+    this->arrival(Id, "u" + std::to_string(I), Start + At).HasCrashed = true;
+  };
+  for (int I = 0; I < 3; ++I)
+    Send(I, I * 100ms);
+  for (int I = 3; I < 6; ++I)
+    Send(I, 4s);
+  EXPECT_EQ(this->broken(), "0") << "three later sends are allowed";
+  Send(6, 5s);
+  EXPECT_EQ(this->broken(), "a crashing call is refused");
+  this->History.Disturbances.push_back({0, Start + 3s, Start + 4s});
+  EXPECT_EQ(this->broken(), "0") << "by daemons that were not disturbed";
+}
+
+TEST_F(SoakHistoryTest, TooManyRetriesAreFound) {
+  for (int I = 0; I < 100; ++I) {
+    const std::string Id = "a" + std::to_string(I);
+    this->call(Id, false, 200);
+    this->arrival(Id, "u1");
+    if (I < 74)
+      this->arrival(Id, "u2");
+  }
+  EXPECT_EQ(this->broken(), "0");
+  this->arrival("a99", "u2");
+  EXPECT_EQ(this->broken(), "retries stay within the allowance");
+}
+
+TEST_F(SoakHistoryTest, AStopThatHangsOrFailsIsFound) {
+  StopView Stop{.At = Start, .EndedAt = Start + 1s};
+  this->History.Stops = {Stop};
+  EXPECT_EQ(this->broken(), "0");
+  this->History.Stops[0].ExitCode = -9;
+  EXPECT_EQ(this->broken(), "a planned stop ends in time");
+  this->History.Stops[0] = {.At = Start};
+  EXPECT_EQ(this->broken(), "a planned stop ends in time");
+  this->History.Stops[0].WasDisturbed = true;
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, ServiceThatDoesNotComeBackIsFound) {
+  for (int I = 0; I < 40; ++I)
+    this->call("a" + std::to_string(I), true, I < 9 ? 200 : 502).SentAt =
+        Start + 20s;
+  EXPECT_EQ(this->broken(), "service recovers");
+  this->call("a20", true, 200).SentAt = Start + 20s;
+  EXPECT_EQ(this->broken(), "0");
+}
+
+// Guards against a seed that does not repeat its run.
+TEST(SoakFaultsTest, TheSameSeedDrawsTheSameFaults) {
+  const auto Text = [](std::uint64_t Seed) {
+    std::string Result;
+    for (const Fault &Each : drawFaults(Seed, {}))
+      Result += std::string(toString(Each.Kind)) + std::to_string(Each.Target) +
+                std::to_string(Each.At.count()) + " ";
+    return Result;
+  };
+  EXPECT_EQ(Text(7), Text(7));
+  EXPECT_NE(Text(7), Text(8));
+  EXPECT_FALSE(Text(7).empty());
+}
+
+} // namespace
+} // namespace galenaroute::soak
--- a/tests/process/CrashingCallProcessTest.cpp
+++ b/tests/process/CrashingCallProcessTest.cpp
@@ -65,8 +65,6 @@
       });
   }
 
-  /// To be called when the daemons run: they would keep the sockets open that
-  /// this process listens on.
   void startUpstreams() {
     this->Upstreams = std::make_unique<CrashingUpstreams>(
         this->Harness.loop(),
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -51,6 +51,9 @@
       _exit(127);
     dup2(Log, STDOUT_FILENO);
     dup2(Log, STDERR_FILENO);
+    // A listening socket that a program keeps open would go on accepting after
+    // this process has closed it.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(Path.c_str(), Argv.data());
     _exit(127);
   }
