--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -1,6 +1,6 @@
 #include "SoakRun.h"
 
-#include "process/ErrorKind.h"
+#include "PlainConfig.h"
 
 #include <algorithm>
 #include <csignal>
@@ -10,7 +10,6 @@
 
 namespace galenaroute::soak {
 
-using nlohmann::json;
 using namespace std::chrono_literals;
 
 static constexpr std::uint16_t CallerPort = 18005;
@@ -34,14 +33,7 @@
     : Settings(std::move(Given)), Random(this->Settings.Seed),
       Harness(this->Settings.BuildDir), Loop(this->Harness.loop()),
       Store(this->Loop) {
-  this->Store.put("config", "main", json::parse(R"({"version":1,"routes":[
-      {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",
-       "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
-       "maxAttempts":1,"public":true},
-      {"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe",
-       "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
-       "maxAttempts":2,"public":true}],
-      "services":[{"name":"d","maxConns":400}]})"));
+  this->Store.put("config", "main", testing_support::plainConfig());
   this->Daemons.resize(this->Settings.Faults.Daemons);
   this->Upstreams.resize(this->Settings.Faults.Upstreams);
 }
--- a/tests/GatewayFleet.h
+++ b/tests/GatewayFleet.h
@@ -5,6 +5,7 @@
 #define GALENAROUTE_TESTS_GATEWAYFLEET_H
 
 #include "FakePlatform.h"
+#include "PlainConfig.h"
 #include "RawSocket.h"
 #include "platform/CallHeaders.h"
 #include "platform/ObjectReader.h"
@@ -27,22 +28,12 @@
   void send(const Order &, OnAnswer) override {}
 };
 
-/// Gateways that know one another, before upstreams of one service. Routes:
-/// `/once/`, at one upstream at most, and `/safe/`, at two.
+/// Gateways that know one another, with plainConfig().
 class GatewayFleet {
 public:
   explicit GatewayFleet(std::size_t Count) {
-    this->Api.put({"config", "main"}, nlohmann::json::parse(R"({
-      "version":1,
-      "routes":[
-        {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",
-         "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
-         "maxAttempts":1,"public":true},
-        {"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe",
-         "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
-         "maxAttempts":2,"public":true}],
-      "services":[{"name":"d","maxConns":400}]})"),
-                  Platform::MustNotExist, [](const PlatformResult &) {});
+    this->Api.put({"config", "main"}, plainConfig(), Platform::MustNotExist,
+                  [](const PlatformResult &) {});
     for (std::size_t I = 0; I < Count; ++I)
       this->Settings.push_back(this->settingsOf(I));
     for (GatewaySettings &Each : this->Settings)
--- a/tests/process/CrashingCallProcessTest.cpp
+++ b/tests/process/CrashingCallProcessTest.cpp
@@ -2,6 +2,7 @@
 // and restarted.
 
 #include "CrashingUpstreams.h"
+#include "PlainConfig.h"
 #include "PlatformStandIn.h"
 #include "ProcessHarness.h"
 
@@ -18,13 +19,7 @@
 
 class CrashingCallProcessTest : public testing::Test {
 protected:
-  CrashingCallProcessTest() {
-    this->Api.put("config", "main", json::parse(R"({"version":1,"routes":[
-      {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",
-       "timeoutMs":1500,"targetLatencyMs":200,"priority":1,"service":"d",
-       "maxAttempts":1,"public":true}],
-      "services":[{"name":"d","maxConns":400}]})"));
-  }
+  CrashingCallProcessTest() { this->Api.put("config", "main", plainConfig()); }
 
   /// Each daemon has a loopback address of its own, since its ports are the
   /// same on all VMs.
