CrashExchange: isAmongFirst for keepers, news of suspects built once

Cause: isKeeperOf() counted rendezvous weights itself, as isAmongFirst() does; what is stored was listed twice for one write, by the same loop that a round of gossip has. Change: isAmongFirst(); suspectNews() for rounds and writes. Same behaviour. Conclusion: one piece each.

--- a/src/process/CrashExchange.cpp
+++ b/src/process/CrashExchange.cpp
@@ -84,15 +84,24 @@
 }
 
 bool CrashExchange::isKeeperOf(std::uint64_t Content) const {
-  const std::string Key = contentName(Content);
-  const std::uint64_t Own =
-      rendezvousWeight(Key, this->Parts.Entries.self().Id);
-  std::size_t Above = 0;
+  std::vector<std::string_view> Others;
   this->Parts.Entries.forEachAlive(
-      EventLoop::now(), [&](const EntryNews &Each) {
-        Above += rendezvousWeight(Key, Each.Id) > Own;
-      });
-  return Above < Keepers;
+      EventLoop::now(),
+      [&](const EntryNews &Each) { Others.emplace_back(Each.Id); });
+  return isAmongFirst(contentName(Content), this->Parts.Entries.self().Id,
+                      Keepers, Others, [](std::string_view Id) { return Id; });
+}
+
+/// Returns what is known of contents with at least \p Least crashes, at most
+/// \p Limit of them.
+std::vector<CrashNews> CrashExchange::suspectNews(std::size_t Least,
+                                                  std::size_t Limit) const {
+  const TimePoint Now = EventLoop::now();
+  std::vector<CrashNews> News;
+  for (const std::uint64_t Each :
+       suspectContents(this->Parts.Record, Least, Limit))
+    News.push_back(newsOf(this->Parts.Record, Each, Now));
+  return News;
 }
 
 static void send(const CrashExchangeParts &Parts, const SocketAddress &To,
@@ -159,10 +168,8 @@
   });
   if (this->isCutOff() && Now - this->SyncedAt >= CutOffPeriod)
     this->sync();
-  std::vector<CrashNews> News;
-  for (const std::uint64_t Each :
-       suspectContents(this->Parts.Record, CrashesToTellAll, MaxNewsOfRound))
-    News.push_back(newsOf(this->Parts.Record, Each, Now));
+  const std::vector<CrashNews> News =
+      this->suspectNews(CrashesToTellAll, MaxNewsOfRound);
   if (News.empty())
     return;
   for (const SocketAddress &To : Targets)
@@ -293,14 +300,16 @@
   if (!this->HasToWrite)
     return;
   this->HasToWrite = false;
+  const std::vector<CrashNews> News =
+      this->suspectNews(CrashesToKeep, MaxStored);
   std::map<std::uint64_t, std::size_t> Wanted;
-  for (const std::uint64_t Each :
-       suspectContents(this->Parts.Record, CrashesToKeep, MaxStored))
-    Wanted[Each] = crashesOf(this->Parts.Record, Each);
+  for (const CrashNews &Each : News)
+    Wanted[Each.Content] = Each.Sightings.size();
   // Another keeper may have written the same.
   if (Wanted != Stored)
-    this->write(Result.Status == PlatformStatus::Ok ? Result.Object.Version
-                                                    : Platform::MustNotExist);
+    this->write(News, Result.Status == PlatformStatus::Ok
+                          ? Result.Object.Version
+                          : Platform::MustNotExist);
 }
 
 /// Takes in a content as it is stored. Crashes that this entry knows of are
@@ -323,12 +332,8 @@
         std::to_string(crashesOf(this->Parts.Record, Stored.Content))}});
 }
 
-void CrashExchange::write(std::uint64_t IfVersion) {
-  const TimePoint Now = EventLoop::now();
-  std::vector<CrashNews> News;
-  for (const std::uint64_t Each :
-       suspectContents(this->Parts.Record, CrashesToKeep, MaxStored))
-    News.push_back(newsOf(this->Parts.Record, Each, Now));
+void CrashExchange::write(std::span<const CrashNews> News,
+                          std::uint64_t IfVersion) {
   this->IsSyncing = true;
   this->Parts.Api.put(
       storedKey(), toStored(News, wallMilliseconds()), IfVersion,
--- a/src/process/CrashExchange.h
+++ b/src/process/CrashExchange.h
@@ -65,13 +65,15 @@
   void flush();
   std::vector<SocketAddress> keepersOf(std::uint64_t Content) const;
   bool isKeeperOf(std::uint64_t Content) const;
+  std::vector<CrashNews> suspectNews(std::size_t Least,
+                                     std::size_t Limit) const;
   void keepIfSuspect(std::uint64_t Content);
   void withdrawIfCleared(std::uint64_t Content);
   bool isCutOff() const;
   void sync();
   void onStored(const PlatformResult &Result);
   void restore(CrashNews Stored);
-  void write(std::uint64_t IfVersion);
+  void write(std::span<const CrashNews> News, std::uint64_t IfVersion);
   void syncLater(Duration Delay);
 
   CrashExchangeParts Parts;
