One writer of settings files for daemons on loopback

Cause: CrashingCallProcessTest and the soak wrote the same settings file, with the same addresses and ports, each for itself. Ruled out: the text in PlatformTest; it shows all fields and starts nothing. Change: tests/process/PlatformDaemons.h, used by both. Same behaviour. Conclusion: one piece.

--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -6,14 +6,11 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 namespace galenaroute::soak {
 
 using namespace std::chrono_literals;
 
-static constexpr std::uint16_t CallerPort = 18005;
-static constexpr std::uint16_t GossipPort = 17700;
 /// Calls of a caller end by then; the routes' limit is shorter.
 static constexpr Duration CallPatience = 3s;
 /// Time for daemons to find one another before the traffic begins.
@@ -30,9 +27,11 @@
 static constexpr std::size_t ThrottledLink = 3000;
 
 SoakRun::SoakRun(SoakSettings Given)
-    : Settings(std::move(Given)), Random(this->Settings.Seed),
-      Harness(this->Settings.BuildDir), Loop(this->Harness.loop()),
-      Store(this->Loop) {
+    : Settings(std::move(Given)), Places{.Count = this->Settings.Faults.Daemons,
+                                         .Network = this->Settings.Network,
+                                         .GraceSeconds = 4},
+      Random(this->Settings.Seed), Harness(this->Settings.BuildDir),
+      Loop(this->Harness.loop()), Store(this->Loop) {
   this->Store.put("config", "main", testing_support::plainConfig());
   this->Daemons.resize(this->Settings.Faults.Daemons);
   this->Upstreams.resize(this->Settings.Faults.Upstreams);
@@ -54,33 +53,6 @@
   this->Timeline.push_back(Time + Line);
 }
 
-static std::string hostOf(int Network, std::size_t Daemon) {
-  return "127." + std::to_string(Network) + ".0." + std::to_string(Daemon + 2);
-}
-
-void SoakRun::writeSettings(std::size_t Daemon) {
-  DaemonPart &Part = this->Daemons[Daemon];
-  const std::string Host = hostOf(this->Settings.Network, Daemon);
-  std::ostringstream Seeds;
-  for (std::size_t I = 0; I < this->Daemons.size(); ++I)
-    Seeds << (I == 0 ? "\"" : ",\"") << hostOf(this->Settings.Network, I)
-          << ":1\"";
-  Part.SettingsPath =
-      this->Harness.folder() + "/daemon" + std::to_string(Daemon) + ".toml";
-  std::ofstream(Part.SettingsPath)
-      << "node = \"n" << Daemon << "\"\nzone = \"z" << Daemon % 3
-      << "\"\nipAddr = \"" << Host << "\"\ninternalPorts = [" << GossipPort
-      << ", " << GossipPort + 9 << "]\nseedAddrs = [" << Seeds.str()
-      << "]\n[listen]\nfront = \"" << Host << ":" << CallerPort
-      << "\"\nready = \"" << Host << ":" << CallerPort + 1
-      << "\"\ndirectory = \"" << Host << ":" << CallerPort + 2
-      << "\"\n[limits]\ncpuShare = 1.0\ncpuCores = 1\nmaxFds = 4096\n[bounds]\n"
-         "retryBudgetRatio = 0.2\nbudgetSlack = 54\ngraceS = 4\n"
-         "leaseMs = 3000\nversionMs = 15000\nttl_max_s = 5\n"
-         "[platform]\naddress = \""
-      << Part.ToStore->address().toString() << "\"\n";
-}
-
 void SoakRun::startDaemon(std::size_t Daemon) {
   DaemonPart &Part = this->Daemons[Daemon];
   Part.Stop.reset();
@@ -333,8 +305,8 @@
   try {
     OpenCall Next;
     Next.Id = Id;
-    Next.Socket = std::make_unique<RawSocket>(RawSocket::connectTo(
-        {hostOf(this->Settings.Network, Call.Daemon), CallerPort}));
+    Next.Socket = std::make_unique<RawSocket>(
+        RawSocket::connectTo(this->Places.callersOf(Call.Daemon)));
     Next.Socket->writeSome(
         "POST " + Call.Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Id +
         "\r\nDeadline-Ms: 1500\r\nContent-Length: " +
@@ -415,16 +387,17 @@
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     this->Daemons[I].ToStore = std::make_unique<FaultyLink>(
         this->Loop, this->Store.address(), this->Random());
-    this->writeSettings(I);
+    this->Daemons[I].SettingsPath = this->Places.writeSettings(
+        this->Harness.folder(), I, "z" + std::to_string(I % 3),
+        this->Daemons[I].ToStore->address());
     this->startDaemon(I);
   }
   for (std::size_t I = 0; I < this->Upstreams.size(); ++I)
     this->startUpstream(I);
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
-    const SocketAddress Ready{hostOf(this->Settings.Network, I),
-                              CallerPort + 1};
     this->Harness.waitFor("daemon " + std::to_string(I), [&] {
-      return this->Harness.get(Ready, "/api/ready").Status == 200;
+      return this->Harness.get(this->Places.readyOf(I), "/api/ready").Status ==
+             200;
     });
   }
   this->Loop.runUntil([] { return false; }, SettleTime);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -16,6 +16,7 @@
 #include "History.h"
 #include "RawSocket.h"
 #include "connection/CallListener.h"
+#include "process/PlatformDaemons.h"
 #include "process/PlatformStandIn.h"
 #include "process/ProcessHarness.h"
 
@@ -70,7 +71,6 @@
     std::unique_ptr<RawSocket> Socket;
   };
 
-  void writeSettings(std::size_t Daemon);
   void startDaemon(std::size_t Daemon);
   void startUpstream(std::size_t Index);
   void endUpstream(std::size_t Index, bool Resets);
@@ -92,6 +92,7 @@
   std::uint64_t below(std::uint64_t Bound) { return this->Random() % Bound; }
 
   SoakSettings Settings;
+  testing_support::PlatformDaemons Places;
   std::mt19937_64 Random;
   testing_support::ProcessHarness Harness;
   EventLoop &Loop;
--- a/tests/process/CrashingCallProcessTest.cpp
+++ b/tests/process/CrashingCallProcessTest.cpp
@@ -3,11 +3,11 @@
 
 #include "CrashingUpstreams.h"
 #include "PlainConfig.h"
+#include "PlatformDaemons.h"
 #include "PlatformStandIn.h"
 #include "ProcessHarness.h"
 
 #include <csignal>
-#include <fstream>
 #include <gtest/gtest.h>
 
 namespace galenaroute {
@@ -21,42 +21,21 @@
 protected:
   CrashingCallProcessTest() { this->Api.put("config", "main", plainConfig()); }
 
-  /// Each daemon has a loopback address of its own, since its ports are the
-  /// same on all VMs.
-  static std::string hostOf(std::size_t Index) {
-    return "127.0.0." + std::to_string(Index + 2);
-  }
-  static SocketAddress callersOf(std::size_t Index) {
-    return {hostOf(Index), CallerPort};
+  SocketAddress callersOf(std::size_t Index) const {
+    return this->Places.callersOf(Index);
   }
 
   void start(std::size_t Index) {
-    const std::string Path =
-        this->Harness.folder() + "/daemon" + std::to_string(Index) + ".toml";
-    const std::string Host = hostOf(Index);
-    std::string Seeds;
-    for (std::size_t I = 0; I < DaemonCount; ++I)
-      Seeds += (I == 0 ? "\"" : ",\"") + hostOf(I) + ":1\"";
-    std::ofstream(Path)
-        << "node = \"n" << Index << "\"\nzone = \"z\"\nipAddr = \"" << Host
-        << "\"\ninternalPorts = [" << GossipPort << ", " << GossipPort + 9
-        << "]\nseedAddrs = [" << Seeds << "]\n[listen]\nfront = \"" << Host
-        << ":" << CallerPort << "\"\nready = \"" << Host << ":"
-        << CallerPort + 1 << "\"\ndirectory = \"" << Host << ":"
-        << CallerPort + 2
-        << "\"\n[limits]\ncpuShare = 1.0\ncpuCores = 1\nmaxFds = 4096\n"
-           "[bounds]\nretryBudgetRatio = 0.2\nbudgetSlack = 54\ngraceS = 2\n"
-           "leaseMs = 3000\nversionMs = 15000\nttl_max_s = 5\n"
-           "[platform]\naddress = \""
-        << this->Api.address().toString() << "\"\n";
+    const std::string Path = this->Places.writeSettings(
+        this->Harness.folder(), Index, "z", this->Api.address());
     this->Daemons[Index] =
         &this->Harness.start("galenaroute-platform", {"--settings", Path});
   }
   void waitUntilReady() {
     for (std::size_t I = 0; I < DaemonCount; ++I)
       this->Harness.waitFor("daemon " + std::to_string(I), [&] {
-        const SocketAddress Ready{hostOf(I), CallerPort + 1};
-        return this->Harness.get(Ready, "/api/ready").Status == 200;
+        return this->Harness.get(this->Places.readyOf(I), "/api/ready")
+                   .Status == 200;
       });
   }
 
@@ -89,8 +68,7 @@
   }
 
   static constexpr std::size_t DaemonCount = 4;
-  static constexpr std::uint16_t CallerPort = 18005;
-  static constexpr std::uint16_t GossipPort = 17700;
+  const PlatformDaemons Places{.Count = DaemonCount};
   ProcessHarness Harness{GALENAROUTE_BUILD_DIR};
   PlatformStandIn Api{this->Harness.loop()};
   int Born = 0;
--- /dev/null
+++ b/tests/process/PlatformDaemons.h
@@ -0,0 +1,65 @@
+// Settings files for galenaroute-platform daemons on loopback. Each has an
+// address of its own, since the ports are the same on all VMs.
+
+#ifndef GALENAROUTE_TESTS_PROCESS_PLATFORMDAEMONS_H
+#define GALENAROUTE_TESTS_PROCESS_PLATFORMDAEMONS_H
+
+#include "connection/HttpTypes.h"
+
+#include <fstream>
+#include <string>
+
+namespace galenaroute::testing_support {
+
+/// Where the daemons of one test or run are, and what they share.
+struct PlatformDaemons {
+  std::size_t Count = 1;
+  /// Second byte of their addresses; differs between runs that overlap.
+  int Network = 0;
+  int GraceSeconds = 2;
+
+  static constexpr std::uint16_t CallerPort = 18005;
+  static constexpr std::uint16_t ReadyPort = CallerPort + 1;
+  static constexpr std::uint16_t DirectoryPort = CallerPort + 2;
+  static constexpr std::uint16_t GossipPort = 17700;
+
+  std::string hostOf(std::size_t Index) const {
+    return "127." + std::to_string(this->Network) + ".0." +
+           std::to_string(Index + 2);
+  }
+  SocketAddress callersOf(std::size_t Index) const {
+    return {this->hostOf(Index), CallerPort};
+  }
+  SocketAddress readyOf(std::size_t Index) const {
+    return {this->hostOf(Index), ReadyPort};
+  }
+
+  /// Writes the settings of a daemon into \p Folder; returns the file's path.
+  std::string writeSettings(const std::string &Folder, std::size_t Index,
+                            const std::string &Zone,
+                            const SocketAddress &Store) const {
+    std::string Path = Folder + "/daemon" + std::to_string(Index) + ".toml";
+    const std::string Host = this->hostOf(Index);
+    std::string Seeds;
+    for (std::size_t I = 0; I < this->Count; ++I)
+      Seeds += (I == 0 ? "\"" : ",\"") + this->hostOf(I) + ":1\"";
+    std::ofstream(Path)
+        << "node = \"n" << Index << "\"\nzone = \"" << Zone << "\"\nipAddr = \""
+        << Host << "\"\ninternalPorts = [" << GossipPort << ", "
+        << GossipPort + 9 << "]\nseedAddrs = [" << Seeds
+        << "]\n[listen]\nfront = \"" << Host << ":" << CallerPort
+        << "\"\nready = \"" << Host << ":" << ReadyPort << "\"\ndirectory = \""
+        << Host << ":" << DirectoryPort
+        << "\"\n[limits]\ncpuShare = 1.0\ncpuCores = 1\nmaxFds = 4096\n"
+           "[bounds]\nretryBudgetRatio = 0.2\nbudgetSlack = 54\ngraceS = "
+        << this->GraceSeconds
+        << "\nleaseMs = 3000\nversionMs = 15000\nttl_max_s = 5\n"
+           "[platform]\naddress = \""
+        << Store.toString() << "\"\n";
+    return Path;
+  }
+};
+
+} // namespace galenaroute::testing_support
+
+#endif // GALENAROUTE_TESTS_PROCESS_PLATFORMDAEMONS_H
