One recordCrash() for runs and for ends that become known later

Cause: ForwardRun and ForwardGateway each noted a crash, wrote content.broke and told the exchange. Ruled out: keeping the call's id with each send that was given up; up to 1,024 more texts for one field. Change: recordCrash(), which both call. The line that the gateway causes has call=- now, as OPERATIONS.md lists the field; otherwise the same behaviour. Conclusion: one piece.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -292,16 +292,8 @@
   const TimePoint Now = EventLoop::now();
   const std::uint64_t Upstream = incarnationKey(Ended.Id, Ended.BornMs);
   for (const UnansweredSend &Each :
-       takeGivenUp(this->Services.GivenUp, Upstream, Now)) {
-    CrashRecord &Record = this->Services.Crashes;
-    if (!noteCrash(Record, Each.Content, Upstream, Each.GivenUpAt))
-      continue;
-    log(LogLevel::Warn, "content.broke",
-        {{"content", contentName(Each.Content)},
-         {"upstream", Ended.Id},
-         {"crashes", std::to_string(crashesOf(Record, Each.Content))}});
-    this->Crashes.tell(Each.Content);
-  }
+       takeGivenUp(this->Services.GivenUp, Upstream, Now))
+    recordCrash(this->Services, Each, Ended.Id, /*Call=*/"-");
 }
 
 void ForwardGateway::onWeights(const PlatformObject &Object) {
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -552,17 +552,23 @@
   return "unknown";
 }
 
-/// The send under way ended without an answer; the upstream may have crashed.
-void ForwardRun::noteCrashOf(TimePoint Now) {
-  CrashRecord &Record = this->Services.Crashes;
-  if (!noteCrash(Record, this->Signature, this->Incarnation, Now))
+void recordCrash(ForwardServices &Services, const UnansweredSend &Send,
+                 const std::string &UpstreamId, const std::string &Call) {
+  CrashRecord &Record = Services.Crashes;
+  if (!noteCrash(Record, Send.Content, Send.Upstream, Send.EndedAt))
     return;
   log(LogLevel::Warn, "content.broke",
-      {{"content", contentName(this->Signature)},
-       {"call", this->Call.Id},
-       {"upstream", this->UpstreamId},
-       {"crashes", std::to_string(crashesOf(Record, this->Signature))}});
-  this->Services.OnCrashesChanged(this->Signature, 0);
+      {{"content", contentName(Send.Content)},
+       {"call", Call},
+       {"upstream", UpstreamId},
+       {"crashes", std::to_string(crashesOf(Record, Send.Content))}});
+  Services.OnCrashesChanged(Send.Content, 0);
+}
+
+/// The send under way ended without an answer; the upstream may have crashed.
+void ForwardRun::noteCrashOf(TimePoint Now) {
+  recordCrash(this->Services, {this->Incarnation, this->Signature, Now},
+              this->UpstreamId, this->Call.Id);
 }
 
 /// The send under way was given up without its answer. If the upstream has
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -72,6 +72,12 @@
   std::size_t Open = 0;    ///< Runs in progress.
 };
 
+/// Takes \p Send, which ended without an answer, for a crash of its upstream;
+/// for a run and for what learns of the upstream's end later. \p Call is its
+/// id, or "-" where it is not known any more.
+void recordCrash(ForwardServices &Services, const UnansweredSend &Send,
+                 const std::string &UpstreamId, const std::string &Call);
+
 class ForwardRun : public std::enable_shared_from_this<ForwardRun> {
 public:
   ForwardRun(ForwardServices &Services, std::shared_ptr<IncomingCall> Incoming);
--- a/src/request/UnansweredSends.h
+++ b/src/request/UnansweredSends.h
@@ -22,7 +22,7 @@
 struct UnansweredSend {
   std::uint64_t Upstream = 0; ///< See incarnationKey().
   std::uint64_t Content = 0;
-  TimePoint GivenUpAt;
+  TimePoint EndedAt;
 };
 
 struct UnansweredSends {
@@ -40,7 +40,7 @@
                         std::uint64_t Content, TimePoint Now) {
   while (!All.Sends.empty() &&
          (All.Sends.size() >= MaxUnansweredSends ||
-          Now - All.Sends.front().GivenUpAt > UnansweredMemory))
+          Now - All.Sends.front().EndedAt > UnansweredMemory))
     All.Sends.pop_front();
   All.Sends.push_back({Upstream, Content, Now});
 }
@@ -53,7 +53,7 @@
   std::erase_if(All.Sends, [&](const UnansweredSend &Each) {
     if (Each.Upstream != Upstream)
       return false;
-    if (Now - Each.GivenUpAt <= UnansweredMemory)
+    if (Now - Each.EndedAt <= UnansweredMemory)
       Result.push_back(Each);
     return true;
   });
