ForwardRun: the end of a send in a file of its own

Ruled out: a class of its own for the end; it would share most of the run's state. Change: ForwardSendEnd.cpp has the outcome, what the shared records learn, and the next step, as moved; isStreamAnswer() is a member, since both files ask it. Conclusion: same behaviour.

--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -111,6 +111,7 @@
   ReusePlan planCache(const std::string &Scope);
   std::string cacheScope(std::optional<std::uint64_t> Version) const;
   bool onHead(const HttpHead &Head);
+  bool isStreamAnswer() const;
   void onBody(std::string_view Bytes);
   void onEvent(const StreamEvent &Event);
   void onEnd(UpstreamEnd End);
