Upstreams: read the rate limit that answers state, and log it

The adapter now reads it into CallAnswer::RateLimit and drops it from answers to callers; the log has upstream.rate_limit for a change and rate_limit in call.sent. Nothing is decided by it yet.

CallHeadersTest.ReadsTheRateLimitOfAnUpstream covers values that are no limit, which count as none.

--- a/src/request/ForwardCall.h
+++ b/src/request/ForwardCall.h
@@ -92,6 +92,9 @@
   bool IsLeaving = false; ///< The upstream is draining.
   /// How long the upstream asks this process to send no calls.
   std::optional<Duration> PauseFor;
+  /// Calls per second that the upstream accepts from all gateways together;
+  /// nothing if it states no limit.
+  std::optional<double> RateLimit;
   HttpHeaders
       ForwardedHeaders; ///< Fields that are returned to the caller unchanged.
 };
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -344,6 +344,7 @@
        {"running", To.Load ? std::to_string(To.Load->Running) : "-"},
        {"waiting", To.Load ? std::to_string(To.Load->Waiting) : "-"},
        {"slowdown", To.Load ? std::to_string(To.Load->Slowdown) : "-"},
+       {"rate_limit", To.RateLimit ? std::to_string(*To.RateLimit) : "-"},
        {"own_tokens", std::to_string(To.OwnTokens)},
        {"tokens_ahead", std::to_string(To.TokensAhead)},
        {"others_calls", PeerUse ? std::to_string(PeerUse->Calls) : "-"},
@@ -423,6 +424,7 @@
     Upstreams.noteLeaving(this->UpstreamId);
   if (this->Answer.PauseFor)
     Upstreams.notePaused(this->UpstreamId, Now + *this->Answer.PauseFor, Now);
+  Upstreams.noteRateLimit(this->UpstreamId, this->Answer.RateLimit);
   if (this->Answer.Load)
     Upstreams.noteLoad(this->UpstreamId, *this->Answer.Load, Now);
   if (this->Answer.WeightVersion)
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -423,6 +423,17 @@
   this->OnUnavailable(Entry->Registered.Address);
 }
 
+void UpstreamTable::noteRateLimit(std::string_view Id,
+                                  std::optional<double> PerSecond) {
+  UpstreamEntry *Entry = this->findMutable(Id);
+  if (!Entry || Entry->RateLimit == PerSecond)
+    return;
+  Entry->RateLimit = PerSecond;
+  log(LogLevel::Info, "upstream.rate_limit",
+      {{"upstream", Entry->Registered.Id},
+       {"per_second", PerSecond ? std::to_string(*PerSecond) : "-"}});
+}
+
 std::optional<TimePoint>
 UpstreamTable::availableAt(std::string_view Service) const {
   std::optional<TimePoint> First;
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -58,6 +58,8 @@
   TimePoint PausedUntil;    ///< Backoff that it asked for.
   /// It announced in an answer that it leaves; the registry may lag behind.
   bool AnnouncedLeaving = false;
+  /// Calls per second that it accepts from all gateways, by its last answer.
+  std::optional<double> RateLimit;
 
   bool isLeaving() const {
     return this->Registered.IsLeaving || this->AnnouncedLeaving;
@@ -202,6 +204,9 @@
   /// Notes that the upstream announced that it leaves. Applies to its
   /// incarnation, also if its registry entry is lost and returns.
   void noteLeaving(std::string_view Id);
+  /// Notes the rate limit that the upstream stated in an answer, or that it
+  /// stated none.
+  void noteRateLimit(std::string_view Id, std::optional<double> PerSecond);
   /// Returns the earliest time at which an upstream of the service accepts
   /// calls: in the past if one accepts them now, nothing if there is none.
   std::optional<TimePoint> availableAt(std::string_view Service) const;
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -372,6 +372,23 @@
   EXPECT_FALSE(Read(200, {}).IsLeaving);
 }
 
+// Guards against ignoring a stated rate limit, passing it on to callers, and
+// excluding an upstream because of a garbled number.
+TEST(CallHeadersTest, ReadsTheRateLimitOfAnUpstream) {
+  const CallHeaders Codec;
+  const auto Read = [&](const std::string &Value) {
+    HttpHead Head = headOf({{"Server-Limit", Value}});
+    Head.Status = 200;
+    return Codec.readAnswer(Head);
+  };
+  EXPECT_EQ(Read("2.5").RateLimit, 2.5);
+  EXPECT_EQ(Read("0").RateLimit, 0.0);
+  EXPECT_FALSE(Read("2.5").ForwardedHeaders.find("Server-Limit"));
+  for (const char *Garbled : {"", "nan", "inf", "-1", "2,5", "many"})
+    EXPECT_EQ(Read(Garbled).RateLimit, std::nullopt) << Garbled;
+  EXPECT_EQ(Codec.readAnswer(headOf({})).RateLimit, std::nullopt);
+}
+
 TEST(CallHeadersTest, AHugeDeadlineDoesNotOverflow) {
   const CallHeaders Codec;
   EXPECT_EQ(Codec.readRequest(headOf({{"Deadline-Ms", "1e300"}})).TimeLeft,
