Share the rate limit of an upstream over the fleet by permits

Cause: no process read the limit (H1), and nothing in the product limits a rate over the whole fleet: each process decides from what it alone has sent (H2 to H4). Ruled out: faults before the breach, and the retry budget; the calls were first sends.

Change: RateShares. One gateway, chosen by rendezvous hashing among the live ones, issues permits for each limited upstream at the stated rate (PermitIssuer); a call is sent there only with a permit, checked at each send, so that queued and retried calls are included. Upstreams without a permit are left out of the choice, and calls go to those with room. A limit that one gateway reads is reported to the issuer, which broadcasts it, and gossiped. A call that would wait for a permit for longer than it may is refused at once with the time until permits are expected.

--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -39,6 +39,7 @@
   bool IsReady = false;
   bool IsLeaving = false;
   bool ReachesPlatform = false; ///< The platform has answered it recently.
+  bool IssuesPermits = false;   ///< See RateShares.
 };
 
 struct EntryGossipSettings {
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -125,14 +125,15 @@
             this->Channel->send(To, Bytes);
           },
           this->statusEvents()),
-      Crashes(
-          {.Loop = Loop,
-           .Record = this->Services.Crashes,
-           .Api = Parts.Api,
-           .Entries = this->Entries,
-           .Send = [this](const SocketAddress &To, const std::string &Bytes) {
-             this->Channel->send(To, Bytes);
-           }}) {
+      Crashes({.Loop = Loop,
+               .Record = this->Services.Crashes,
+               .Api = Parts.Api,
+               .Entries = this->Entries,
+               .Send =
+                   [this](const SocketAddress &To, const std::string &Bytes) {
+                     this->Channel->send(To, Bytes);
+                   }}),
+      Rates(this->Entries, this->rateParts()) {
   this->Upstreams.OnUnavailable = [this](const SocketAddress &Address) {
     this->Pool.closeIdle(Address);
   };
@@ -151,8 +152,10 @@
                                            std::size_t Cleared) {
     this->Crashes.publish(Content, Cleared);
   };
+  this->connectRates();
   this->Services.OnSent = [this](const UpstreamEntry &To,
                                  std::uint32_t Tokens) {
+    this->Rates.take(To.Incarnation);
     this->Statuses.publishIncrement(this->Upstreams.ownUseOf(To), Tokens,
                                     EventLoop::now());
     this->scheduleFlush();
@@ -177,6 +180,57 @@
           .build();
 }
 
+RateExchangeParts ForwardGateway::rateParts() {
+  return {.Loop = this->Loop,
+          .Send =
+              [this](const SocketAddress &To, const std::string &Bytes) {
+                this->Channel->send(To, Bytes);
+              },
+          .OnPermits =
+              [this] {
+                for (const auto &[Service, Queue] : this->Services.Queues)
+                  Queue->wake();
+              },
+          .IdOf = [this](std::uint64_t Upstream) -> std::optional<std::string> {
+            for (const auto &[Id, Entry] : this->Upstreams.entries())
+              if (Entry.Incarnation == Upstream)
+                return Id;
+            return std::nullopt;
+          }};
+}
+
+/// Lets calls and the choice of upstreams use the shared rate limits.
+void ForwardGateway::connectRates() {
+  this->Upstreams.PermissionOf = [this](const UpstreamEntry &Entry) {
+    return this->permissionToCall(Entry);
+  };
+  this->Services.OnRateLimit = [this](const UpstreamEntry &From,
+                                      std::optional<double> PerSecond) {
+    this->Rates.noteAnswer(From.Incarnation, PerSecond);
+  };
+  this->Services.RequestPermits = [this](const UpstreamEntry &To,
+                                         std::uint32_t Calls) {
+    this->Rates.request(To.Incarnation, Calls);
+  };
+}
+
+UpstreamTable::CallPermission
+ForwardGateway::permissionToCall(const UpstreamEntry &Entry) const {
+  if (!this->Rates.hasLimits() || this->Rates.mayCall(Entry.Incarnation))
+    return {};
+  return {.MayCall = false,
+          .ExpectedAt =
+              this->Rates.expectedAt(Entry.Incarnation).value_or(TimePoint())};
+}
+
+void ForwardGateway::updateRateMembers() {
+  // Without contact to the platform or to other gateways, this one may be cut
+  // off from a fleet of which it has not heard yet.
+  const std::size_t Seeds = this->Settings.GossipSeeds.size();
+  this->Rates.updateMembers(
+      this->reachesPlatform() || this->GatewayCount > 1 ? 1 : Seeds + 1);
+}
+
 /// Applies the settings that may change at run time.
 void ForwardGateway::applySettings() {
   this->Entries.self().Capacity = this->Settings.Cores;
@@ -246,6 +300,8 @@
     // distinguished from an outage, so none is expired.
     if (At && EventLoop::now() - *At < MaxConfigAge)
       this->Upstreams.expire(EventLoop::now());
+    if (this->Rates.hasLimits())
+      this->updateRateMembers();
     this->freeOutdatedBlocks();
     this->checkStop();
   }));
@@ -567,6 +623,7 @@
                                 (CallsPerCore * this->Settings.Cores));
   this->GatewayCount = this->Entries.countAlive(Now) + 1;
   this->Statuses.update(Now);
+  this->updateRateMembers();
   this->assignWatchers();
   const std::size_t Count = this->gatewayCount();
   this->Upstreams.setGatewayCount(Count);
@@ -581,6 +638,11 @@
   for (const SocketAddress &To : Targets)
     this->Channel->send(To, Message);
   this->Crashes.onGossipRound(Targets);
+  std::unordered_set<std::uint64_t> Registered;
+  if (this->Rates.hasLimits())
+    for (const auto &[Id, Entry] : this->Upstreams.entries())
+      Registered.insert(Entry.Incarnation);
+  this->Rates.onGossipRound(Targets, Registered, this->Random);
 }
 
 StatusEvents ForwardGateway::statusEvents() {
@@ -723,6 +785,8 @@
     this->Statuses.receive(Message.Added, EventLoop::now());
   this->scheduleFlush();
   this->Crashes.receive(Message.Crashes);
+  if (!Message.Rates.From.empty())
+    this->Rates.receive(Message.Rates);
   if (Message.Store)
     this->Stores.receive(*Message.Store);
   if (Message.Objects)
@@ -740,6 +804,7 @@
   this->Stats.Draining.Set(1);
   this->Listener->closeAfterAnswers();
   this->Orders->resign();
+  this->Rates.leave();
   this->gossip();
 }
 
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -16,6 +16,7 @@
 
 #include "process/CrashExchange.h"
 #include "process/EntryChannel.h"
+#include "process/RateExchange.h"
 #include "process/StatusExchange.h"
 #include "process/StoreFollower.h"
 #include "request/ForwardRun.h"
@@ -104,6 +105,11 @@
   void scheduleFlush();
   StatusEvents statusEvents();
   void sendToZone(const GossipMessage &Message);
+  RateExchangeParts rateParts();
+  void connectRates();
+  void updateRateMembers();
+  UpstreamTable::CallPermission
+  permissionToCall(const UpstreamEntry &Entry) const;
   void assignWatchers();
   std::array<ObjectWatcher *, 3> watchers();
   bool reachesPlatform() const;
@@ -136,6 +142,7 @@
   EntryGossip Entries;
   StatusExchange Statuses;
   CrashExchange Crashes;
+  RateExchange Rates;
   /// Live gateways including this one; updated by gossip().
   std::size_t GatewayCount = 1;
   std::unique_ptr<OrderController> Orders;
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -10,7 +10,8 @@
   return json::array({Record.Id, Record.Incarnation, Record.Heartbeat,
                       Record.Callers.toString(), Record.Gossip.toString(),
                       Record.Zone, Record.Capacity, Record.Busy, Record.IsReady,
-                      Record.IsLeaving, Record.ReachesPlatform});
+                      Record.IsLeaving, Record.ReachesPlatform,
+                      Record.IssuesPermits});
 }
 
 static EntryRecord recordFromJson(const json &Value) {
@@ -26,6 +27,8 @@
   Record.IsReady = Value.at(8);
   Record.IsLeaving = Value.at(9);
   Record.ReachesPlatform = Value.at(10);
+  // Entries of older releases send no such value, and issue no permits.
+  Record.IssuesPermits = Value.size() > 11 && Value.at(11).get<bool>();
   return Record;
 }
 
@@ -228,6 +231,49 @@
   return Result;
 }
 
+static json toJson(const RateMessage &Message) {
+  json Statements = json::array();
+  for (const RateStatement &Each : Message.Statements)
+    Statements.push_back({Each.Upstream,
+                          Each.PerSecond ? json(*Each.PerSecond) : json(),
+                          Each.Age.count()});
+  json Requests = json::array();
+  for (const PermitRequest &Each : Message.Requests)
+    Requests.push_back({Each.Upstream, Each.Count, Each.SentMs});
+  json Grants = json::array();
+  for (const PermitGrant &Each : Message.Grants)
+    Grants.push_back(
+        {Each.Upstream, Each.Count, Each.SentMs, Each.Backlog.count()});
+  json Returns = json::array();
+  for (const PermitReturn &Each : Message.Returns)
+    Returns.push_back({Each.Upstream, Each.Count});
+  return {{"rates", Message.From},
+          {"statements", std::move(Statements)},
+          {"requests", std::move(Requests)},
+          {"grants", std::move(Grants)},
+          {"returns", std::move(Returns)}};
+}
+
+static RateMessage ratesFromJson(const json &Value) {
+  RateMessage Message;
+  Message.From = Value.at("rates");
+  for (const json &Each : Value.at("statements")) {
+    RateStatement Read{.Upstream = Each.at(0)};
+    if (!Each.at(1).is_null())
+      Read.PerSecond = Each.at(1).get<double>();
+    Read.Age = Milliseconds(Each.at(2).get<std::int64_t>());
+    Message.Statements.push_back(Read);
+  }
+  for (const json &Each : Value.at("requests"))
+    Message.Requests.push_back({Each.at(0), Each.at(1), Each.at(2)});
+  for (const json &Each : Value.at("grants"))
+    Message.Grants.push_back({Each.at(0), Each.at(1), Each.at(2),
+                              Milliseconds(Each.at(3).get<std::int64_t>())});
+  for (const json &Each : Value.at("returns"))
+    Message.Returns.push_back({Each.at(0), Each.at(1)});
+  return Message;
+}
+
 std::string encodeGossip(const GossipMessage &Message) {
   json Value = json::array();
   if (Message.Store)
@@ -236,6 +282,8 @@
     Value = toJson(*Message.Objects);
   else if (!Message.Crashes.empty())
     Value = toJson(Message.Crashes);
+  else if (!Message.Rates.From.empty())
+    Value = toJson(Message.Rates);
   else if (!Message.Digest.From.empty())
     Value = toJson(Message.Digest);
   else if (!Message.Added.From.empty())
@@ -258,6 +306,8 @@
     Result.Objects = objectNewsFromJson(Value);
   else if (Value.is_object() && Value.contains("crashes"))
     Result.Crashes = crashesFromJson(Value);
+  else if (Value.is_object() && Value.contains("rates"))
+    Result.Rates = ratesFromJson(Value);
   else if (Value.is_object() && Value.contains("digest"))
     Result.Digest = digestFromJson(Value);
   else if (Value.is_object() && Value.contains("added"))
--- a/src/process/GossipMessages.h
+++ b/src/process/GossipMessages.h
@@ -7,12 +7,14 @@
 // goes from its entry to all others several times a second, or to a relay,
 // which answers with digests. Updates of a store or of platform objects go to
 // the entries of one availability zone. Crash reports go to a few entries or to
-// all, see CrashExchange.
+// all, see CrashExchange. Rate messages go to the entry that issues permits for
+// an upstream, and back, see RateShares.
 
 #ifndef GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
 #define GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
 
 #include "process/EntryGossip.h"
+#include "process/RateShares.h"
 #include "process/StatusRelay.h"
 #include "process/StoreFollower.h"
 #include "request/CrashRecord.h"
@@ -29,6 +31,7 @@
   std::optional<StoreUpdate> Store;
   std::optional<ObjectUpdates> Objects;
   std::vector<CrashReport> Crashes;
+  RateMessage Rates; ///< Empty if From is empty.
 };
 
 std::string encodeGossip(const GossipMessage &Message);
--- a/src/process/Rendezvous.h
+++ b/src/process/Rendezvous.h
@@ -23,17 +23,26 @@
   return Hash;
 }
 
-/// Returns the weight of \p Node for \p Key.
-constexpr std::uint64_t rendezvousWeight(std::string_view Key,
-                                         std::string_view Node) {
-  std::uint64_t Hash = stableHash(Node, stableHash(Key) * 31);
-  // FNV mixes the last bytes poorly, so the finalizer of MurmurHash3 is
-  // applied.
+/// Returns \p Hash with all bits mixed, by the finalizer of MurmurHash3.
+constexpr std::uint64_t mixBits(std::uint64_t Hash) {
   Hash = (Hash ^ (Hash >> 33)) * 0xff51afd7ed558ccd;
   Hash = (Hash ^ (Hash >> 33)) * 0xc4ceb9fe1a85ec53;
   return Hash ^ (Hash >> 33);
 }
 
+/// Returns the weight of \p Node for \p Key. FNV mixes the last bytes poorly,
+/// so the result is mixed again.
+constexpr std::uint64_t rendezvousWeight(std::string_view Key,
+                                         std::string_view Node) {
+  return mixBits(stableHash(Node, stableHash(Key) * 31));
+}
+
+/// Returns the weight of a node for a key, by their hashes.
+constexpr std::uint64_t rendezvousWeight(std::uint64_t KeyHash,
+                                         std::uint64_t NodeHash) {
+  return mixBits(KeyHash * 31 + NodeHash);
+}
+
 /// Returns whether \p Self is among the \p Count nodes with the highest weights
 /// for \p Key. \p Nodes contains all live nodes, with or without \p Self; \p
 /// IdOf returns the id of a node.
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -24,6 +24,9 @@
 /// rest.
 static constexpr double CacheMemoryShare = 0.6;
 static constexpr std::size_t MaxStreamBacklog = 4 << 20;
+/// Maximum upstreams that permits are requested from for one call. Permits that
+/// come too late are returned unused.
+static constexpr std::size_t MaxPermitRequests = 8;
 /// Weight of a timeout in the failure score of the upstream, which may only be
 /// busy; see the weights in ForwardSendEnd.cpp.
 static constexpr double TimedOutFailureWeight = 0.5;
@@ -227,6 +230,7 @@
   const UpstreamQuery Query = this->query();
   const UpstreamTable::Chosen To =
       this->Services.Upstreams.choose(Query, EventLoop::now());
+  this->requestPermits(To);
   if (!To.Entry)
     return false;
   this->PendingPromptTokens = To.TokensToPrefill;
@@ -234,6 +238,26 @@
   return true;
 }
 
+/// Requests permits for upstreams that were left out for lack of one: for the
+/// queued calls if none was chosen, else for the next call.
+void ForwardRun::requestPermits(const UpstreamTable::Chosen &Choice) {
+  const auto &Lacking = Choice.WithoutPermit;
+  if (Lacking.empty())
+    return;
+  if (Choice.Entry) {
+    this->Services.RequestPermits(*Lacking.front(), 1);
+    return;
+  }
+  const std::size_t Count = std::min(Lacking.size(), MaxPermitRequests);
+  const auto Calls =
+      static_cast<std::uint32_t>((this->queue().size() + Count) / Count);
+  // Beginning at a random one spreads the calls of the gateways.
+  const std::size_t First = this->Services.Random() % Lacking.size();
+  for (std::size_t I = 0; I < Count; ++I)
+    this->Services.RequestPermits(*Lacking[(First + I) % Lacking.size()],
+                                  Calls);
+}
+
 WaitingRuns &ForwardRun::queue() {
   auto &Found = this->Services.Queues[this->Service->Name];
   if (!Found)
@@ -308,7 +332,7 @@
                          ? MaxIdleNonRepeatable
                          : MaxIdleRepeatable;
   this->UpstreamId = To.Registered.Id;
-  this->Incarnation = incarnationKey(To.Registered.Id, To.Registered.BornMs);
+  this->Incarnation = To.Incarnation;
   this->Services.Upstreams.noteParts(this->UpstreamId, Query);
   this->TriedUpstreams.push_back(this->UpstreamId);
   this->HasAnswer = false;
@@ -344,7 +368,6 @@
        {"running", To.Load ? std::to_string(To.Load->Running) : "-"},
        {"waiting", To.Load ? std::to_string(To.Load->Waiting) : "-"},
        {"slowdown", To.Load ? std::to_string(To.Load->Slowdown) : "-"},
-       {"rate_limit", To.RateLimit ? std::to_string(*To.RateLimit) : "-"},
        {"own_tokens", std::to_string(To.OwnTokens)},
        {"tokens_ahead", std::to_string(To.TokensAhead)},
        {"others_calls", PeerUse ? std::to_string(PeerUse->Calls) : "-"},
@@ -424,7 +447,9 @@
     Upstreams.noteLeaving(this->UpstreamId);
   if (this->Answer.PauseFor)
     Upstreams.notePaused(this->UpstreamId, Now + *this->Answer.PauseFor, Now);
-  Upstreams.noteRateLimit(this->UpstreamId, this->Answer.RateLimit);
+  if (const UpstreamEntry *From = Upstreams.find(this->UpstreamId);
+      From && From->Incarnation == this->Incarnation)
+    this->Services.OnRateLimit(*From, this->Answer.RateLimit);
   if (this->Answer.Load)
     Upstreams.noteLoad(this->UpstreamId, *this->Answer.Load, Now);
   if (this->Answer.WeightVersion)
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -63,6 +63,13 @@
   /// Called after a call was sent, with its prompt tokens to prefill.
   std::function<void(const UpstreamEntry &To, std::uint32_t Tokens)> OnSent =
       [](const UpstreamEntry &, std::uint32_t) {};
+  /// Called with each answer and the rate limit that it states, if any.
+  std::function<void(const UpstreamEntry &From,
+                     std::optional<double> PerSecond)>
+      OnRateLimit = [](const UpstreamEntry &, std::optional<double>) {};
+  /// Requests permission for \p Calls calls to an upstream with a rate limit.
+  std::function<void(const UpstreamEntry &To, std::uint32_t Calls)>
+      RequestPermits = [](const UpstreamEntry &, std::uint32_t) {};
   /// Engines with older weights get no calls from this time after a newer
   /// version was named.
   Duration OldWeightsLimit = std::chrono::seconds(10);
@@ -107,6 +114,7 @@
   int priority() const;
   std::uint32_t callTokens() const;
   WaitingRuns &queue();
+  void requestPermits(const UpstreamTable::Chosen &Choice);
   void send(const UpstreamEntry &To, const UpstreamQuery &Query);
   SendPlan planSend(const UpstreamEntry &To, const PartReusePlan &Reuse) const;
   UpstreamQuery query() const;
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -89,8 +89,7 @@
 /// a crash if the upstream has ended or ends soon.
 void ForwardRun::noteUnansweredSend(TimePoint Now) {
   const UpstreamEntry *At = this->Services.Upstreams.find(this->UpstreamId);
-  if (!At || incarnationKey(At->Registered.Id, At->Registered.BornMs) !=
-                 this->Incarnation) {
+  if (!At || At->Incarnation != this->Incarnation) {
     this->recordSendCrash(Now);
     return;
   }
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -2,6 +2,7 @@
 
 #include "process/Log.h"
 #include "process/Rendezvous.h"
+#include "request/CrashRecord.h"
 #include "request/PromptReuse.h"
 
 #include <algorithm>
@@ -39,6 +40,7 @@
       Entry.Registered.IsLeaving != Upstream.IsLeaving ||
       Entry.Registered.WeightVersions != Upstream.WeightVersions;
   Entry.Registered = Upstream;
+  Entry.Incarnation = incarnationKey(Upstream.Id, Upstream.BornMs);
   Entry.UseKey = useKey(Upstream.Id);
   Entry.MissingSince.reset();
   const auto LeavingBornMs = this->LeavingIncarnations.find(Upstream.Id);
@@ -263,13 +265,14 @@
           rendezvousWeight(Query.Subject, Entry.Registered.Id)};
 }
 
-std::vector<const UpstreamEntry *>
-UpstreamTable::selectCandidates(const UpstreamQuery &Query,
-                                TimePoint Now) const {
+std::vector<const UpstreamEntry *> UpstreamTable::selectCandidates(
+    const UpstreamQuery &Query, TimePoint Now,
+    std::vector<const UpstreamEntry *> &WithoutPermit) const {
   std::vector<const UpstreamEntry *> Result;
   for (const auto &[Id, Entry] : this->Entries)
     if (this->isEligible(Entry, Query, Now))
-      Result.push_back(&Entry);
+      (this->PermissionOf(Entry).MayCall ? Result : WithoutPermit)
+          .push_back(&Entry);
   const std::size_t MaxCandidates =
       this->Settings.RankedCandidates + this->Settings.RandomCandidates;
   const bool IsLarge =
@@ -307,7 +310,9 @@
   std::vector<const UpstreamEntry *> Eligible;
   std::vector<UpstreamCandidate> Candidates;
   CachedParts Seen;
-  for (const UpstreamEntry *Each : this->selectCandidates(Query, Now)) {
+  Chosen Result;
+  for (const UpstreamEntry *Each :
+       this->selectCandidates(Query, Now, Result.WithoutPermit)) {
     const UpstreamEntry &Entry = *Each;
     const auto PeerUse = this->peerUseAt(Entry);
     UpstreamCandidate Candidate = this->candidateOf(Entry, PeerUse, Now);
@@ -330,10 +335,16 @@
     Eligible.push_back(&Entry);
     Candidates.push_back(Candidate);
   }
-  const auto Best = chooseUpstream(Candidates, this->Settings.Choice);
-  if (!Best)
-    return {};
-  return {Eligible[*Best], Candidates[*Best].TokensToPrefill};
+  // At its home engine, the call would find its prompt cached.
+  const auto HomeWithoutPermit =
+      std::find(Result.WithoutPermit.begin(), Result.WithoutPermit.end(), Home);
+  if (HomeWithoutPermit != Result.WithoutPermit.end())
+    std::iter_swap(Result.WithoutPermit.begin(), HomeWithoutPermit);
+  if (const auto Best = chooseUpstream(Candidates, this->Settings.Choice)) {
+    Result.Entry = Eligible[*Best];
+    Result.TokensToPrefill = Candidates[*Best].TokensToPrefill;
+  }
+  return Result;
 }
 
 const UpstreamEntry *UpstreamTable::home(const UpstreamQuery &Query) const {
@@ -423,25 +434,16 @@
   this->OnUnavailable(Entry->Registered.Address);
 }
 
-void UpstreamTable::noteRateLimit(std::string_view Id,
-                                  std::optional<double> PerSecond) {
-  UpstreamEntry *Entry = this->findMutable(Id);
-  if (!Entry || Entry->RateLimit == PerSecond)
-    return;
-  Entry->RateLimit = PerSecond;
-  log(LogLevel::Info, "upstream.rate_limit",
-      {{"upstream", Entry->Registered.Id},
-       {"per_second", PerSecond ? std::to_string(*PerSecond) : "-"}});
-}
-
 std::optional<TimePoint>
 UpstreamTable::availableAt(std::string_view Service) const {
   std::optional<TimePoint> First;
   for (const auto &[Id, Entry] : this->Entries) {
     if (Entry.Registered.Service != Service || Entry.isLeaving())
       continue;
-    if (!First || Entry.PausedUntil < *First)
-      First = Entry.PausedUntil;
+    const TimePoint At =
+        std::max(Entry.PausedUntil, this->PermissionOf(Entry).ExpectedAt);
+    if (!First || At < *First)
+      First = At;
     // Shortcut for the common case without a backoff; every call comes here.
     if (*First == TimePoint{})
       break;
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -39,6 +39,7 @@
 /// A registered upstream and its observed state.
 struct UpstreamEntry {
   RegisteredUpstream Registered;
+  std::uint64_t Incarnation = 0; ///< Its incarnationKey().
   int OwnCalls = 0;
   std::optional<UpstreamLoad> Load;
   int OwnCallsAtReport = 0;
@@ -58,8 +59,6 @@
   TimePoint PausedUntil;    ///< Backoff that it asked for.
   /// It announced in an answer that it leaves; the registry may lag behind.
   bool AnnouncedLeaving = false;
-  /// Calls per second that it accepts from all gateways, by its last answer.
-  std::optional<double> RateLimit;
 
   bool isLeaving() const {
     return this->Registered.IsLeaving || this->AnnouncedLeaving;
@@ -144,6 +143,13 @@
   using ConnectionCapacityOf =
       std::function<ConnectionCapacity(const UpstreamEntry &Entry)>;
 
+  /// Whether the rate limit of an upstream allows a call now.
+  struct CallPermission {
+    bool MayCall = true;
+    /// When calls are expected to be allowed; in the past if unknown.
+    TimePoint ExpectedAt;
+  };
+
   explicit UpstreamTable(UpstreamTableSettings Settings,
                          ConnectionCapacityOf CapacityOf)
       : Settings(std::move(Settings)), CapacityOf(std::move(CapacityOf)) {}
@@ -165,6 +171,9 @@
     const UpstreamEntry *Entry = nullptr;
     std::uint32_t TokensToPrefill =
         0; ///< Prompt tokens expected to be prefilled.
+    /// Upstreams that were left out only because they may not be called at this
+    /// time, see CallPermission; the home of the subject first.
+    std::vector<const UpstreamEntry *> WithoutPermit;
   };
 
   /// Chooses an upstream; Entry is null if none has capacity and a connection.
@@ -204,9 +213,6 @@
   /// Notes that the upstream announced that it leaves. Applies to its
   /// incarnation, also if its registry entry is lost and returns.
   void noteLeaving(std::string_view Id);
-  /// Notes the rate limit that the upstream stated in an answer, or that it
-  /// stated none.
-  void noteRateLimit(std::string_view Id, std::optional<double> PerSecond);
   /// Returns the earliest time at which an upstream of the service accepts
   /// calls: in the past if one accepts them now, nothing if there is none.
   std::optional<TimePoint> availableAt(std::string_view Service) const;
@@ -216,6 +222,9 @@
   void noteSuccess(std::string_view Id);
   void noteWeights(std::string_view Id, std::uint64_t Version);
 
+  /// Returns the permission to call an upstream.
+  std::function<CallPermission(const UpstreamEntry &Entry)> PermissionOf =
+      [](const UpstreamEntry &) { return CallPermission{}; };
   /// Called with an upstream that was removed or has restarted without
   /// announcing that it leaves.
   std::function<void(const RegisteredUpstream &Ended)> OnUnexpectedEnd =
@@ -232,9 +241,11 @@
   /// Memo of isCachedAnywhere() by part key, for the duration of one choice.
   using CachedParts = std::map<std::string, bool>;
 
-  /// Returns the candidates for a call, the home of its subject first.
+  /// Returns the candidates for a call, the home of its subject first. Adds
+  /// the upstreams that lack a permit to \p WithoutPermit.
   std::vector<const UpstreamEntry *>
-  selectCandidates(const UpstreamQuery &Query, TimePoint Now) const;
+  selectCandidates(const UpstreamQuery &Query, TimePoint Now,
+                   std::vector<const UpstreamEntry *> &WithoutPermit) const;
   bool isCachedAnywhere(const std::string &Key, CachedParts &Seen) const;
   void addPromptCost(UpstreamCandidate &Candidate, const UpstreamEntry &Entry,
                      const UpstreamQuery &Query, CachedParts &Seen) const;
--- /dev/null
+++ b/tests/RateSharesTest.cpp
@@ -0,0 +1,183 @@
+// Tests that the gateways of a fleet together keep the rate limits of upstreams
+// and use most of them, in virtual time.
+
+#include "RateFleet.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace testing_support;
+
+TEST(PermitIssuerTest, IssuesTheRateAndABurst) {
+  const TimePoint Start{1h};
+  PermitIssuer Issuer(Start);
+  Issuer.setRate(40, Start);
+  std::size_t Granted = 0;
+  for (TimePoint Now = Start; Now <= Start + 10s; Now += 1ms) {
+    // Nothing is requested in the middle: permits do not pile up.
+    if (Now < Start + 4s || Now > Start + 6s)
+      Issuer.request({"n1", 100, 0, Now + 500ms}, Now);
+    while (Issuer.grant(Now))
+      ++Granted;
+  }
+  EXPECT_GE(Granted, 318U);
+  EXPECT_LE(Granted, 344U);
+}
+
+TEST(PermitIssuerTest, GatewaysTakeTurns) {
+  const TimePoint Start{1h};
+  PermitIssuer Issuer(Start);
+  Issuer.setRate(10, Start);
+  Issuer.request({"n1", 50, 0, Start + 10s}, Start);
+  Issuer.request({"n2", 50, 0, Start + 10s}, Start);
+  EXPECT_EQ(Issuer.backlog(), 10s);
+  std::map<std::string, int> Granted;
+  for (TimePoint Now = Start; Now <= Start + 2s; Now += 1ms)
+    while (const auto Next = Issuer.grant(Now))
+      ++Granted[Next->Gateway];
+  EXPECT_EQ(Granted["n1"], 10);
+  EXPECT_EQ(Granted["n2"], 10);
+}
+
+TEST(PermitIssuerTest, StartsWithoutPermits) {
+  const TimePoint Start{1h};
+  PermitIssuer Issuer(Start + 500ms);
+  Issuer.setRate(100, Start);
+  Issuer.request({"n1", 5, 0, Start + 10s}, Start);
+  EXPECT_FALSE(Issuer.grant(Start + 500ms));
+  EXPECT_TRUE(Issuer.grant(Start + 511ms));
+}
+
+/// A limit under more demand than it allows.
+void expectKeptAndUsed(const RateFleetSettings &Settings, double PerSecond) {
+  RateFleet Fleet(Settings);
+  Fleet.at(6s, [&] { Fleet.setLimit(0, PerSecond); });
+  Fleet.run(26s);
+  const auto Found = findExcess(Fleet.seen(0), {});
+  EXPECT_FALSE(Found) << Found->toString();
+  const double Used =
+      usedShare(Fleet.seen(0), Fleet.timeAt(10s), Fleet.timeAt(26s));
+  EXPECT_GE(Used, 0.8) << Settings.Gateways << " gateways, " << PerSecond;
+  EXPECT_LE(Used, 1.1) << Settings.Gateways << " gateways, " << PerSecond;
+}
+
+// Guards against a share for each gateway, which is too small for one call at
+// low limits and unused where a gateway gets few calls.
+TEST(RateSharesTest, ALimitIsKeptAndMostlyUsed) {
+  for (const double PerSecond : {0.5, 3.5, 20.0, 100.0})
+    for (const std::size_t Gateways : {1, 6, 36})
+      expectKeptAndUsed({.Gateways = Gateways, .CallsPerSecond = 250},
+                        PerSecond);
+  expectKeptAndUsed({.Gateways = 300, .CallsPerSecond = 600}, 100);
+}
+
+// Guards against a limit that is divided evenly when calls arrive unevenly.
+TEST(RateSharesTest, CallsGoToUpstreamsWithRoom) {
+  RateFleet Fleet({.Gateways = 6, .Upstreams = 3, .CallsPerSecond = 100});
+  Fleet.at(6s, [&] {
+    Fleet.setLimit(0, 2);
+    Fleet.setLimit(1, 5);
+  });
+  Fleet.run(20s);
+  EXPECT_EQ(Fleet.refused(), 0U);
+  for (const std::size_t Upstream : {0, 1}) {
+    EXPECT_FALSE(findExcess(Fleet.seen(Upstream), {}));
+    EXPECT_GE(
+        usedShare(Fleet.seen(Upstream), Fleet.timeAt(10s), Fleet.timeAt(20s)),
+        0.7);
+  }
+}
+
+// Guards against a limit that outlasts what the upstream states.
+TEST(RateSharesTest, AnEndedLimitIsForgotten) {
+  RateFleet Fleet({.Gateways = 36, .Upstreams = 1, .CallsPerSecond = 100});
+  Fleet.at(6s, [&] { Fleet.setLimit(0, 2); });
+  Fleet.at(12s, [&] { Fleet.setLimit(0, std::nullopt); });
+  Fleet.run(20s);
+  // Noticed by the next call, half a second later at most, and then known to
+  // all.
+  EXPECT_GE(Fleet.seen(0).arrivalsIn(Fleet.timeAt(14s), Fleet.timeAt(20s)),
+            540U);
+}
+
+/// One random fault of a fleet.
+struct FleetFault {
+  Duration At{};
+  int Kind = 0;
+  std::size_t Gateway = 0;
+  Duration For{};
+};
+
+void strike(RateFleet &Fleet, const FleetFault &Fault) {
+  const std::size_t Target = Fault.Gateway % Fleet.gatewayCount();
+  switch (Fault.Kind) {
+  case 0:
+    Fleet.restart(Target, Fault.For);
+    return;
+  case 1:
+    Fleet.freeze(Target, Fault.For);
+    return;
+  case 2:
+    Fleet.cut(Target, Fault.For);
+    return;
+  case 3:
+    Fleet.addGateway();
+    return;
+  default:
+    if (Fleet.gatewayCount() > 3)
+      Fleet.remove(Target);
+  }
+}
+
+/// Draws limits and faults, and checks the bound and the use of each limit.
+void checkDrawnFleet(std::size_t Gateways, std::size_t MaxUpstreams) {
+  const auto Millis = [](int From, int To) {
+    return rc::gen::map(rc::gen::inRange(From, To),
+                        [](int Value) { return Milliseconds(Value); });
+  };
+  RateFleetSettings Settings;
+  Settings.Gateways = Gateways;
+  Settings.Upstreams = static_cast<std::size_t>(
+      *rc::gen::inRange(1, static_cast<int>(MaxUpstreams) + 1));
+  Settings.CallsPerSecond = *rc::gen::inRange(40, 300);
+  Settings.LossShare = *rc::gen::inRange(0, 4) / 100.0;
+  Settings.Seed = static_cast<std::uint64_t>(*rc::gen::inRange(0, 1 << 30));
+  RateFleet Fleet(Settings);
+  for (std::size_t I = 0; I < Settings.Upstreams; ++I) {
+    Duration At = 5s;
+    for (int Change = *rc::gen::inRange(1, 4); Change > 0; --Change) {
+      At += *Millis(500, 8000);
+      const int Tenths = *rc::gen::element(0, 5, 10, 25, 70, 200, 1000);
+      Fleet.at(At, [&Fleet, I, Tenths] {
+        Fleet.setLimit(I, Tenths == 0 ? std::nullopt
+                                      : std::optional(Tenths / 10.0));
+      });
+    }
+  }
+  const int Faults = *rc::gen::inRange(0, 8);
+  for (int I = 0; I < Faults; ++I) {
+    const FleetFault Fault{
+        .At = *Millis(4000, 20000),
+        .Kind = *rc::gen::inRange(0, 5),
+        .Gateway = static_cast<std::size_t>(*rc::gen::inRange(0, 1000)),
+        .For = *Millis(100, 5000)};
+    Fleet.at(Fault.At, [&Fleet, Fault] { strike(Fleet, Fault); });
+  }
+  Fleet.run(30s);
+  for (std::size_t I = 0; I < Settings.Upstreams; ++I)
+    if (const auto Found = findExcess(Fleet.seen(I), {}))
+      RC_FAIL("upstream " + std::to_string(I) + ": " + Found->toString());
+}
+
+RC_GTEST_PROP(RateSharesProperty, ADrawnFleetKeepsLimits, ()) {
+  checkDrawnFleet(
+      *rc::gen::weightedElement<std::size_t>({{86, 6}, {12, 36}, {2, 300}}),
+      16);
+}
+
+} // namespace
+} // namespace galenaroute
--- a/tests/process/RateLimitProcessTest.cpp
+++ b/tests/process/RateLimitProcessTest.cpp
@@ -89,5 +89,77 @@
             static_cast<std::size_t>(this->Callers.sent()) * 99 / 100);
 }
 
+// Guards against limits that go unused under overload, and against calls that
+// wait for a permit until their deadline.
+TEST_F(RateLimitProcessTest, AnOverloadedServiceUsesItsLimits) {
+  this->start(3, 10ms);
+  const double Limits[] = {20, 8, 2.5};
+  for (std::size_t I = 0; I < 3; ++I)
+    this->Upstreams[I]->setLimit(Limits[I]);
+  this->wait(2s);
+  const TimePoint From = EventLoop::now();
+  this->wait(8s);
+  const TimePoint To = EventLoop::now();
+  for (std::size_t I = 0; I < 3; ++I) {
+    const auto Found = findExcess(this->Upstreams[I]->Seen, {});
+    EXPECT_FALSE(Found) << "upstream " << I << ": " << Found->toString();
+    const double Used = usedShare(this->Upstreams[I]->Seen, From, To);
+    RecordProperty("used" + std::to_string(I), std::to_string(Used));
+    EXPECT_GE(Used, 0.75) << "upstream " << I;
+  }
+  std::size_t Refused = 0;
+  for (const SteadyCallers::Ended &Each : this->Callers.answers()) {
+    if (!Each.Answer.starts_with("HTTP/1.1 503"))
+      continue;
+    ++Refused;
+    EXPECT_NE(Each.Answer.find("Retry-After: "), std::string::npos);
+    EXPECT_LT(Each.Took, 900ms);
+  }
+  EXPECT_GT(Refused, 200U);
+}
+
+// Guards against permits of two issuers at once, and of one that is gone.
+TEST_F(RateLimitProcessTest, ALimitHoldsWhileDaemonsFreezeAndRestart) {
+  this->start(3, 10ms);
+  this->Upstreams[0]->setLimit(3);
+  this->Upstreams[1]->setLimit(25);
+  this->Upstreams[2]->setLimit(10);
+  this->wait(3s);
+  const auto Disturb = [this](std::size_t Daemon, Duration For) {
+    const TimePoint Now = EventLoop::now();
+    for (const auto &Each : this->Upstreams)
+      Each->Seen.excuse(Daemon, Now, Now + For + 3s);
+  };
+  const TimePoint From = EventLoop::now();
+  for (std::size_t Round = 0; Round < 2; ++Round) {
+    const std::size_t Killed = Round;
+    const std::size_t Frozen = Round + 2;
+    const std::size_t Stopped = Round + 4;
+    Disturb(Killed, 1s);
+    this->Daemons[Killed]->signal(SIGKILL);
+    this->Daemons[Killed]->wait(5s);
+    Disturb(Frozen, 3s);
+    this->Daemons[Frozen]->signal(SIGSTOP);
+    this->wait(1s);
+    this->startDaemon(Killed);
+    this->wait(2s);
+    this->Daemons[Frozen]->signal(SIGCONT);
+    Disturb(Stopped, 4s);
+    this->Daemons[Stopped]->signal(SIGTERM);
+    this->wait(1s);
+    this->Daemons[Stopped]->wait(5s);
+    this->startDaemon(Stopped);
+    this->wait(2s);
+  }
+  const TimePoint To = EventLoop::now();
+  for (std::size_t I = 0; I < 3; ++I) {
+    const auto Found = findExcess(this->Upstreams[I]->Seen, {});
+    EXPECT_FALSE(Found) << "upstream " << I << ": " << Found->toString();
+    const double Used = usedShare(this->Upstreams[I]->Seen, From, To);
+    RecordProperty("used" + std::to_string(I), std::to_string(Used));
+    EXPECT_GE(Used, 0.4) << "upstream " << I;
+  }
+}
+
 } // namespace
 } // namespace galenaroute
