soak, RateFleet: upstreams that state limits, splits of the fleet, no excuses

Half of the soak's upstreams state limits of 0.5 to 100 calls a second that change or end every 0.5 to 6 s. A lost store excuses nothing there; restarts and freezes of a daemon, and times in which the link to the upstream was harmed, do. The fleets in virtual time are now also split in two or three parts and restarted as a whole, and are judged without any excuse for disturbed gateways.

--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -167,6 +167,21 @@
                          " calls served after the last fault"});
 }
 
+/// Upstreams get no more calls than the limits that they stated allow. A
+/// restart or a freeze excuses a daemon, the loss of the store does not.
+static void checkRateLimits(const SoakHistory &History,
+                            const SoakBounds &Bounds, Broken &Found) {
+  for (const auto &[Upstream, Seen] : History.RateLimits) {
+    testing_support::RateLimitHistory Judged = Seen;
+    for (const Disturbance &Each : History.Disturbances)
+      if (Each.Daemon && !Each.IsStoreOnly)
+        Judged.excuse(*Each.Daemon, Each.From, Each.Until + Bounds.Contact);
+    if (const auto Excess = findExcess(Judged, {}))
+      Found.push_back(
+          {"stated limits are kept", "", Upstream + ": " + Excess->toString()});
+  }
+}
+
 std::vector<BrokenPromise> checkHistory(const SoakHistory &History,
                                         const SoakBounds &Bounds) {
   Broken Found;
@@ -175,6 +190,7 @@
   checkCrashes(History, Bounds, Found);
   checkRetries(History, Bounds, Found);
   checkStops(History, Bounds, Found);
+  checkRateLimits(History, Bounds, Found);
   checkRecovery(History, Bounds, Found);
   return Found;
 }
--- a/soak/History.h
+++ b/soak/History.h
@@ -9,6 +9,7 @@
 #ifndef GALENAROUTE_SOAK_HISTORY_H
 #define GALENAROUTE_SOAK_HISTORY_H
 
+#include "RateLimitCheck.h"
 #include "process/Clock.h"
 
 #include <cstdint>
@@ -58,6 +59,7 @@
   std::optional<std::size_t> Daemon; ///< Nothing: all daemons.
   TimePoint From;
   TimePoint Until;
+  bool IsStoreOnly = false; ///< Only the way to the store was disturbed.
 };
 
 struct SoakHistory {
@@ -65,6 +67,9 @@
   std::vector<UpstreamView> Arrivals;      ///< In order of time.
   std::vector<StopView> Stops;
   std::vector<Disturbance> Disturbances;
+  /// What each upstream stated on its rate limit and received, by its id. The
+  /// number of a gateway is that of its daemon.
+  std::map<std::string, testing_support::RateLimitHistory> RateLimits;
   TimePoint LastFaultAt; ///< When the last fault ended.
   TimePoint EndedAt;     ///< When callers stopped sending.
 };
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -1,5 +1,6 @@
 #include "SoakRun.h"
 
+#include "LimitedUpstreams.h"
 #include "PlainConfig.h"
 
 #include <algorithm>
@@ -24,6 +25,11 @@
 /// Share of the calls, in 1,000, that end the upstream that runs them.
 static constexpr std::uint64_t CrashingCalls = 6;
 static constexpr Duration SlowLink = 150ms;
+/// Calls a second that upstreams state as their limits, and how often they
+/// state another one or none.
+static constexpr double StatedLimits[] = {0.5, 1, 2.5, 6, 20, 100};
+static constexpr Duration MinLimitTime = 500ms;
+static constexpr Duration MaxLimitTime = 6s;
 static constexpr std::size_t ThrottledLink = 3000;
 
 SoakRun::SoakRun(SoakSettings Given)
@@ -86,6 +92,28 @@
   Part.Link = std::make_unique<FaultyLink>(this->Loop, Address, this->Random());
   Part.IsUp = true;
   this->registerUpstream(Part, "ready");
+  // Half of the upstreams state limits.
+  if (this->below(2) == 0)
+    this->changeRateLimit(Index, Part.Id);
+}
+
+/// Lets an upstream state a limit, or none, and another one later.
+void SoakRun::changeRateLimit(std::size_t Index, const std::string &Id) {
+  const UpstreamPart &Part = this->Upstreams[Index];
+  if (Part.Id != Id || !Part.IsUp)
+    return;
+  const std::size_t Drawn = this->below(std::size(StatedLimits) + 1);
+  std::optional<double> PerSecond;
+  if (Drawn < std::size(StatedLimits))
+    PerSecond = StatedLimits[Drawn];
+  this->History.RateLimits[Id].state(EventLoop::now(), PerSecond);
+  this->note("upstream " + Id + " states " +
+             (PerSecond ? testing_support::formatRate(*PerSecond) + " a second"
+                        : "no limit"));
+  this->after(MinLimitTime +
+                  Milliseconds(this->below(static_cast<std::uint64_t>(
+                      toMilliseconds(MaxLimitTime - MinLimitTime)))),
+              [this, Index, Id] { this->changeRateLimit(Index, Id); });
 }
 
 void SoakRun::endUpstream(std::size_t Index, bool Resets) {
@@ -114,12 +142,21 @@
                     .HasRun = true};
   const bool IsOwn =
       this->Upstreams[Index].Id == Upstream && this->Upstreams[Index].IsUp;
-  const HttpHeaders::Field Named{"Request-Id", Seen.Call};
+  testing_support::RateLimitHistory &Limits =
+      this->History.RateLimits[Upstream];
+  const auto Caller = this->History.Calls.find(Seen.Call);
+  const std::size_t Daemon =
+      Caller == this->History.Calls.end() ? 0 : Caller->second.Daemon;
+  Limits.arrived(Seen.At, Daemon);
+  HttpHeaders Named{{"Request-Id", Seen.Call}};
+  if (const auto PerSecond = Limits.limit())
+    Named.add("Server-Limit", testing_support::formatRate(*PerSecond));
   // One call in 50 is refused, and says so.
   if (IsOwn && this->below(50) == 0) {
     Seen.HasRun = false;
     this->History.Arrivals.push_back(Seen);
-    Call->send(503, {Named, {"Not-Executed", "1"}}, "");
+    Named.add("Not-Executed", "1");
+    Call->send(503, Named, "");
     return;
   }
   Seen.HasCrashed = IsOwn && Seen.Body.starts_with("crash");
@@ -138,21 +175,26 @@
   }
   // One answer in 100 breaks off.
   const bool IsCut = this->below(100) == 0;
-  this->after(Milliseconds(2 + this->below(60)), [Call, Seen, Named, IsCut] {
+  Named.add("Server-Stamp", "x");
+  this->after(Milliseconds(2 + this->below(60)), [this, Call, Seen, Named,
+                                                  IsCut, Upstream, Daemon] {
     const std::string Answer = answerOf(Seen.Call, Seen.Body);
-    if (!IsCut) {
-      Call->send(200, {Named, {"Server-Stamp", "x"}}, Answer);
+    if (IsCut) {
+      Call->begin(200, Named);
+      Call->write(Answer.substr(0, Answer.size() / 2));
+      Call->abort();
       return;
     }
-    Call->begin(200, {Named, {"Server-Stamp", "x"}});
-    Call->write(Answer.substr(0, Answer.size() / 2));
-    Call->abort();
+    Call->send(200, Named, Answer);
+    if (Named.find("Server-Limit"))
+      this->History.RateLimits[Upstream].passedOn(EventLoop::now(), Daemon);
   });
 }
 
-void SoakRun::noteDisturbed(std::size_t Daemon, Duration For) {
+void SoakRun::noteDisturbed(std::size_t Daemon, Duration For,
+                            bool IsStoreOnly) {
   this->History.Disturbances.push_back(
-      {Daemon, EventLoop::now(), EventLoop::now() + For});
+      {Daemon, EventLoop::now(), EventLoop::now() + For, IsStoreOnly});
 }
 
 void SoakRun::kill(std::size_t Daemon, Duration For) {
@@ -260,6 +302,10 @@
   Harm.IsSilentToTarget = Next.Kind == FaultKind::LinkSilent;
   Part.Link->setHarm(Harm);
   Part.HarmedUntil = std::max(Part.HarmedUntil, EventLoop::now() + Next.For);
+  // Calls that the link holds back arrive together.
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I)
+    this->History.RateLimits[Part.Id].excuse(I, EventLoop::now(),
+                                             Part.HarmedUntil + SlowLink);
   this->after(Next.For, [this, Target = Next.Target] {
     UpstreamPart &Harmed = this->Upstreams[Target];
     if (EventLoop::now() >= Harmed.HarmedUntil)
@@ -277,7 +323,7 @@
     if (Next.Kind == FaultKind::StoreAway && I != Next.Target)
       continue;
     DaemonPart &Part = this->Daemons[I];
-    this->noteDisturbed(I, Next.For);
+    this->noteDisturbed(I, Next.For, /*IsStoreOnly=*/true);
     Part.ToStore->setHarm(Harm);
     if (Next.Kind == FaultKind::StoreAwayAll)
       Part.ToStore->resetAll();
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -74,6 +74,7 @@
   void startDaemon(std::size_t Daemon);
   void startUpstream(std::size_t Index);
   void endUpstream(std::size_t Index, bool Resets);
+  void changeRateLimit(std::size_t Index, const std::string &Id);
   void registerUpstream(const UpstreamPart &Part, std::string_view State);
   void onCall(const std::string &Upstream, std::size_t Index,
               const std::shared_ptr<IncomingCall> &Call);
@@ -82,7 +83,8 @@
   void strikeUpstream(const Fault &Next);
   void strikeStore(const Fault &Next);
   void kill(std::size_t Daemon, Duration For);
-  void noteDisturbed(std::size_t Daemon, Duration For);
+  void noteDisturbed(std::size_t Daemon, Duration For,
+                     bool IsStoreOnly = false);
   void step();
   void sendCall();
   void readAnswers();
--- a/tests/RateFleet.h
+++ b/tests/RateFleet.h
@@ -70,6 +70,8 @@
   /// Restarts a gateway without state, after \p Down.
   void restart(std::size_t Index, Duration Down) {
     this->All[Index].Rates.reset();
+    for (RateLimitHistory &Each : this->Seen)
+      Each.restarted(Index);
     this->excuse(Index, Down);
     this->schedule(this->Now + Down, [this, Index] {
       if (!this->All[Index].Rates)
@@ -91,6 +93,13 @@
     this->excuse(Index, For);
   }
 
+  /// Splits the fleet: the gateways whose number divided by \p Parts leaves the
+  /// same rest hear each other only. All reach the upstreams.
+  void split(std::size_t Parts, Duration For) {
+    this->Parts = Parts;
+    this->SplitUntil = this->Now + For;
+  }
+
   const RateLimitHistory &seen(std::size_t Upstream) const {
     return this->Seen[Upstream];
   }
@@ -211,7 +220,9 @@
   void send(std::size_t From, std::size_t To, Message Text) {
     ++this->Messages;
     if (To >= this->All.size() || this->draw() < this->Settings.LossShare ||
-        this->Now < this->All[From].CutUntil)
+        this->Now < this->All[From].CutUntil ||
+        (this->Now < this->SplitUntil &&
+         From % this->Parts != To % this->Parts))
       return;
     const Duration Delay =
         Milliseconds(1) + scaled(Milliseconds(6), this->draw());
@@ -356,6 +367,8 @@
   std::uint64_t EventCount = 0;
   const TimePoint Begun{std::chrono::hours(1)};
   TimePoint Now = this->Begun;
+  std::size_t Parts = 1;
+  TimePoint SplitUntil;
   std::size_t Messages = 0;
   std::size_t Served = 0;
   std::size_t Refused = 0;
--- a/tests/RateLimitCheck.h
+++ b/tests/RateLimitCheck.h
@@ -32,6 +32,8 @@
   Duration Contact = std::chrono::seconds(3);
   /// From an answer that a gateway passed on until its calls count.
   Duration Notice = std::chrono::milliseconds(500);
+  /// Whether calls of a disturbed gateway are left out, as the rule allows.
+  bool HasExcuses = true;
 };
 
 /// What one upstream stated and received.
@@ -71,6 +73,8 @@
     if (this->limit())
       this->Told.try_emplace(Gateway, At);
   }
+  /// Notes that \p Gateway has restarted; it must be told again.
+  void restarted(std::size_t Gateway) { this->Told.erase(Gateway); }
   /// Calls of \p Gateway do not count in this time.
   void excuse(std::size_t Gateway, TimePoint From, TimePoint Until) {
     this->Excuses.push_back({Gateway, From, Until});
@@ -155,7 +159,7 @@
     return std::nullopt;
   std::vector<TimePoint> Calls;
   for (const RateLimitHistory::Arrival &Each : Seen.counted())
-    if (!Seen.isExcused(Each))
+    if (!Bounds.HasExcuses || !Seen.isExcused(Each))
       Calls.push_back(Each.At);
   std::size_t First = 0;
   for (std::size_t I = 0; I < Calls.size(); ++I) {
--- a/tests/RateSharesTest.cpp
+++ b/tests/RateSharesTest.cpp
@@ -104,6 +104,19 @@
             540U);
 }
 
+// Guards against gateways that restart together and each believe to be alone.
+TEST(RateSharesTest, AFleetThatRestartsTogetherKeepsALimit) {
+  RateFleet Fleet({.Gateways = 36, .CallsPerSecond = 400});
+  Fleet.at(5s, [&] { Fleet.setLimit(0, 20); });
+  Fleet.at(10s, [&] {
+    for (std::size_t I = 0; I < Fleet.gatewayCount(); ++I)
+      Fleet.restart(I, 300ms);
+  });
+  Fleet.run(20s);
+  const auto Found = findExcess(Fleet.seen(0), {.HasExcuses = false});
+  EXPECT_FALSE(Found) << Found->toString();
+}
+
 /// One random fault of a fleet.
 struct FleetFault {
   Duration At{};
@@ -127,6 +140,13 @@
   case 3:
     Fleet.addGateway();
     return;
+  case 4:
+    Fleet.split(2 + Fault.Gateway % 2, Fault.For * 2);
+    return;
+  case 5:
+    for (std::size_t I = 0; I < Fleet.gatewayCount(); ++I)
+      Fleet.restart(I, Fault.For / 4);
+    return;
   default:
     if (Fleet.gatewayCount() > 3)
       Fleet.remove(Target);
@@ -162,14 +182,14 @@
   for (int I = 0; I < Faults; ++I) {
     const FleetFault Fault{
         .At = *Millis(4000, 20000),
-        .Kind = *rc::gen::inRange(0, 5),
+        .Kind = *rc::gen::inRange(0, 7),
         .Gateway = static_cast<std::size_t>(*rc::gen::inRange(0, 1000)),
         .For = *Millis(100, 5000)};
     Fleet.at(Fault.At, [&Fleet, Fault] { strike(Fleet, Fault); });
   }
   Fleet.run(30s);
   for (std::size_t I = 0; I < Settings.Upstreams; ++I)
-    if (const auto Found = findExcess(Fleet.seen(I), {}))
+    if (const auto Found = findExcess(Fleet.seen(I), {.HasExcuses = false}))
       RC_FAIL("upstream " + std::to_string(I) + ": " + Found->toString());
 }
 
--- a/tests/SoakHistoryTest.cpp
+++ b/tests/SoakHistoryTest.cpp
@@ -167,5 +167,18 @@
   EXPECT_FALSE(Text(7).empty());
 }
 
+TEST_F(SoakHistoryTest, TooManyCallsOfAToldDaemonAreSeen) {
+  auto &Seen = this->History.RateLimits["u1"];
+  Seen.state(Start, 2);
+  Seen.passedOn(Start, 0);
+  for (int I = 0; I < 18; ++I)
+    Seen.arrived(Start + 4s + I * 100ms, 0);
+  EXPECT_EQ(this->broken(), "stated limits are kept");
+  this->History.Disturbances.push_back({0, Start + 2s, Start + 3s, true});
+  EXPECT_EQ(this->broken(), "stated limits are kept");
+  this->History.Disturbances.push_back({0, Start + 2s, Start + 3s});
+  EXPECT_EQ(this->broken(), "0");
+}
+
 } // namespace
 } // namespace galenaroute::soak
