Limit calls to a cold upstream over the fleet

RateShares takes the limit of a cold upstream from the service's configuration and the registry's remaining time, beside the limit that the upstream states; the lower one counts. Gateways tell each other of it as they do of stated limits, since the registry reaches them up to half a second apart.

RateSharesTest.AColdUpstreamGetsFewCallsInEachSecond: at most 18 calls in any second at 6 and 67 gateways, 9.2 a second tolerated.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -223,6 +223,18 @@
               this->Rates.expectedAt(Entry.Incarnation).value_or(TimePoint())};
 }
 
+/// Limits the rate of calls to an upstream that has just started.
+void ForwardGateway::limitIfCold(const UpstreamEntry &Entry) {
+  if (!this->Services.Config || Entry.WarmUpEnd <= EventLoop::now())
+    return;
+  const auto Service =
+      this->Services.Config->Services.find(Entry.Registered.Service);
+  if (Service != this->Services.Config->Services.end() &&
+      Service->second.ColdCallsPerSecond > 0)
+    this->Rates.limitCold(Entry.Incarnation, Service->second.ColdCallsPerSecond,
+                          Entry.WarmUpEnd);
+}
+
 void ForwardGateway::updateRateMembers() {
   // Without contact to the platform or to other gateways, this one may be cut
   // off from a fleet of which it has not heard yet.
@@ -333,6 +345,8 @@
   this->Stores.follow(Config);
   this->Services.Stores = this->Stores.views();
   this->Listener->setLimits(this->callerLimits());
+  for (const auto &[Id, Entry] : this->Upstreams.entries())
+    this->limitIfCold(Entry);
   this->updateOrders();
 }
 
@@ -344,6 +358,7 @@
   }
   if (auto Read = this->Parts.Source.readUpstream(Object)) {
     this->Upstreams.put(*Read, EventLoop::now());
+    this->limitIfCold(*this->Upstreams.find(Read->Id));
     this->updateOrders();
   }
 }
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -108,6 +108,7 @@
   RateExchangeParts rateParts();
   void connectRates();
   void updateRateMembers();
+  void limitIfCold(const UpstreamEntry &Entry);
   UpstreamTable::CallPermission
   permissionToCall(const UpstreamEntry &Entry) const;
   void assignWatchers();
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -234,9 +234,9 @@
 static json toJson(const RateMessage &Message) {
   json Statements = json::array();
   for (const RateStatement &Each : Message.Statements)
-    Statements.push_back({Each.Upstream,
-                          Each.PerSecond ? json(*Each.PerSecond) : json(),
-                          Each.Age.count()});
+    Statements.push_back(
+        {Each.Upstream, Each.PerSecond ? json(*Each.PerSecond) : json(),
+         Each.Age.count(), Each.ColdPerSecond, Each.ColdLeft.count()});
   json Requests = json::array();
   for (const PermitRequest &Each : Message.Requests)
     Requests.push_back({Each.Upstream, Each.Count, Each.SentMs});
@@ -262,6 +262,8 @@
     if (!Each.at(1).is_null())
       Read.PerSecond = Each.at(1).get<double>();
     Read.Age = Milliseconds(Each.at(2).get<std::int64_t>());
+    Read.ColdPerSecond = Each.at(3);
+    Read.ColdLeft = Milliseconds(Each.at(4).get<std::int64_t>());
     Message.Statements.push_back(Read);
   }
   for (const json &Each : Value.at("requests"))
--- a/src/process/RateExchange.cpp
+++ b/src/process/RateExchange.cpp
@@ -105,6 +105,12 @@
   this->schedule();
 }
 
+void RateExchange::limitCold(std::uint64_t Upstream, double PerSecond,
+                             TimePoint Until) {
+  this->Shares.limitCold(Upstream, PerSecond, Until, EventLoop::now());
+  this->schedule();
+}
+
 void RateExchange::take(std::uint64_t Upstream) {
   this->Shares.take(Upstream, EventLoop::now());
 }
--- a/src/process/RateExchange.h
+++ b/src/process/RateExchange.h
@@ -46,6 +46,7 @@
   void receive(const RateMessage &Message);
 
   void noteAnswer(std::uint64_t Upstream, std::optional<double> PerSecond);
+  void limitCold(std::uint64_t Upstream, double PerSecond, TimePoint Until);
   std::optional<double> limitOf(std::uint64_t Upstream) const {
     return this->Shares.limitOf(Upstream);
   }
--- a/src/process/RateShares.cpp
+++ b/src/process/RateShares.cpp
@@ -46,6 +46,8 @@
 /// Minimum time between two broadcasts, for upstreams whose limit changes with
 /// each answer.
 static constexpr Duration BroadcastPeriod = std::chrono::milliseconds(100);
+/// Age of a statement of an upstream that has stated nothing.
+static constexpr Milliseconds UnknownAge = std::chrono::hours(1);
 /// About 25 bytes each; keeps a message below EntryChannel::MaxBytes.
 static constexpr std::size_t MaxStatementsPerMessage = 256;
 
@@ -144,17 +146,22 @@
   return &It->second;
 }
 
-std::optional<double> RateShares::limitOf(std::uint64_t Upstream) const {
-  const auto Found = this->Statements.find(Upstream);
-  return Found == this->Statements.end() ? std::nullopt
-                                         : Found->second.PerSecond;
-}
-
 /// Returns whether \p A allows more than \p B.
 static bool isLooser(std::optional<double> A, std::optional<double> B) {
   return B && (!A || *A > *B);
 }
 
+std::optional<double> RateShares::limitOf(std::uint64_t Upstream) const {
+  std::optional<double> Limit;
+  if (const auto Found = this->Statements.find(Upstream);
+      Found != this->Statements.end())
+    Limit = Found->second.PerSecond;
+  if (const auto Cold = this->ColdLimits.find(Upstream);
+      Cold != this->ColdLimits.end() && isLooser(Limit, Cold->second.PerSecond))
+    Limit = Cold->second.PerSecond;
+  return Limit;
+}
+
 /// Merges a statement of an upstream. Returns whether the limit changed.
 bool RateShares::merge(std::uint64_t Upstream, const Statement &Next,
                        std::string_view Source, TimePoint Now) {
@@ -170,24 +177,63 @@
     return false;
   }
   Statement &Known = It->second;
-  const std::optional<double> Before = Known.PerSecond;
+  const std::optional<double> Before = this->limitOf(Upstream);
+  this->LimitedCount += Next.PerSecond.has_value();
+  this->LimitedCount -= Known.PerSecond.has_value();
   Known = {Next.PerSecond, std::max(Known.At, Next.At)};
-  if (Before == Next.PerSecond)
+  return this->applyChange(Upstream, Before, Source, Now);
+}
+
+/// Merges a limit of a cold upstream. Returns whether the limit changed.
+bool RateShares::mergeCold(std::uint64_t Upstream, const ColdLimit &Next,
+                           std::string_view Source, TimePoint Now) {
+  if (Next.PerSecond <= 0 || Next.Until <= Now ||
+      (this->ColdLimits.size() >= MaxStatements &&
+       !this->ColdLimits.contains(Upstream)))
     return false;
-  this->LimitedCount += Next.PerSecond.has_value();
-  this->LimitedCount -= Before.has_value();
-  if (!Next.PerSecond) {
+  const std::optional<double> Before = this->limitOf(Upstream);
+  ColdLimit &Known = this->ColdLimits[Upstream];
+  Known = {Next.PerSecond, std::max(Known.Until, Next.Until)};
+  return this->applyChange(Upstream, Before, Source, Now);
+}
+
+void RateShares::limitCold(std::uint64_t Upstream, double PerSecond,
+                           TimePoint Until, TimePoint Now) {
+  if (this->mergeCold(Upstream, {PerSecond, Until}, "registry", Now))
+    this->announce(Upstream, Now);
+}
+
+/// Ends the limits of upstreams that are warm.
+void RateShares::expireCold(TimePoint Now) {
+  for (auto It = this->ColdLimits.begin(); It != this->ColdLimits.end();) {
+    const auto Each = It++;
+    if (Each->second.Until > Now)
+      continue;
+    const std::uint64_t Upstream = Each->first;
+    const std::optional<double> Before = this->limitOf(Upstream);
+    this->ColdLimits.erase(Each);
+    this->applyChange(Upstream, Before, "warm", Now);
+  }
+}
+
+/// Applies the limit in force if it is not \p Before. Returns whether it
+/// differs.
+bool RateShares::applyChange(std::uint64_t Upstream,
+                             std::optional<double> Before,
+                             std::string_view Source, TimePoint Now) {
+  const std::optional<double> Limit = this->limitOf(Upstream);
+  if (Limit == Before)
+    return false;
+  // Permits of a higher rate would exceed a lower one.
+  if (!Limit || isLooser(Before, Limit))
     this->Stocks.erase(Upstream);
+  if (!Limit)
     this->Issuers.erase(Upstream);
-  } else if (isLooser(Before, Next.PerSecond)) {
-    // Permits of a higher rate would exceed the lower one.
-    this->Stocks.erase(Upstream);
-  }
-  if (const auto Issuer = this->Issuers.find(Upstream);
-      Issuer != this->Issuers.end())
-    Issuer->second.setRate(this->ownRate(*Next.PerSecond), Now);
-  this->Events.OnLimit(Upstream, Next.PerSecond, Source);
-  if (isLooser(Next.PerSecond, Before))
+  else if (const auto Issuer = this->Issuers.find(Upstream);
+           Issuer != this->Issuers.end())
+    Issuer->second.setRate(this->ownRate(*Limit), Now);
+  this->Events.OnLimit(Upstream, Limit, Source);
+  if (isLooser(Limit, Before))
     this->Events.OnPermits();
   return true;
 }
@@ -212,9 +258,18 @@
 
 RateStatement RateShares::toMessage(std::uint64_t Upstream,
                                     TimePoint Now) const {
-  const Statement &Known = this->Statements.at(Upstream);
-  return {Upstream, Known.PerSecond,
-          std::chrono::floor<Milliseconds>(Now - Known.At)};
+  RateStatement Result{.Upstream = Upstream, .Age = UnknownAge};
+  if (const auto Found = this->Statements.find(Upstream);
+      Found != this->Statements.end()) {
+    Result.PerSecond = Found->second.PerSecond;
+    Result.Age = std::chrono::floor<Milliseconds>(Now - Found->second.At);
+  }
+  if (const auto Cold = this->ColdLimits.find(Upstream);
+      Cold != this->ColdLimits.end()) {
+    Result.ColdPerSecond = Cold->second.PerSecond;
+    Result.ColdLeft = std::chrono::ceil<Milliseconds>(Cold->second.Until - Now);
+  }
+  return Result;
 }
 
 void RateShares::send(const std::string &To, RateMessage Message) {
@@ -231,8 +286,7 @@
          Message.Statements.size() < MaxStatementsPerMessage) {
     const std::uint64_t Upstream =
         this->Unannounced.extract(this->Unannounced.begin()).value();
-    if (this->Statements.contains(Upstream))
-      Message.Statements.push_back(this->toMessage(Upstream, Now));
+    Message.Statements.push_back(this->toMessage(Upstream, Now));
   }
   for (const Member &Each : this->Others)
     this->send(Each.Id, Message);
@@ -299,11 +353,15 @@
 }
 
 void RateShares::receive(const RateMessage &Message, TimePoint Now) {
-  for (const RateStatement &Each : Message.Statements)
-    if (this->merge(Each.Upstream, {Each.PerSecond, Now - Each.Age},
-                    Message.From, Now) &&
-        this->issuerOf(Each.Upstream) == &this->Self)
+  for (const RateStatement &Each : Message.Statements) {
+    const bool IsStated = this->merge(
+        Each.Upstream, {Each.PerSecond, Now - Each.Age}, Message.From, Now);
+    const bool IsCold = this->mergeCold(
+        Each.Upstream, {Each.ColdPerSecond, Now + Each.ColdLeft}, Message.From,
+        Now);
+    if ((IsStated || IsCold) && this->issuerOf(Each.Upstream) == &this->Self)
       this->Unannounced.insert(Each.Upstream);
+  }
   for (const PermitRequest &Each : Message.Requests)
     this->receiveRequest(Message.From, Each, Now);
   for (const PermitGrant &Each : Message.Grants)
@@ -395,6 +453,9 @@
   std::vector<RateStatement> Result;
   for (const auto &[Upstream, Each] : this->Statements)
     Result.push_back(this->toMessage(Upstream, Now));
+  for (const auto &[Upstream, Each] : this->ColdLimits)
+    if (!this->Statements.contains(Upstream))
+      Result.push_back(this->toMessage(Upstream, Now));
   std::shuffle(Result.begin(), Result.end(), Random);
   if (Result.size() > Max)
     Result.resize(Max);
@@ -410,13 +471,16 @@
         (Last.PerSecond && IsRegistered(Upstream)))
       return false;
     this->LimitedCount -= Last.PerSecond.has_value();
-    this->Stocks.erase(Upstream);
-    this->Issuers.erase(Upstream);
+    if (!this->ColdLimits.contains(Upstream)) {
+      this->Stocks.erase(Upstream);
+      this->Issuers.erase(Upstream);
+    }
     return true;
   });
 }
 
 void RateShares::tick(TimePoint Now) {
+  this->expireCold(Now);
   this->returnExpired(Now);
   for (auto &[Upstream, Issuer] : this->Issuers)
     this->issue(Upstream, Issuer, Now);
@@ -434,6 +498,8 @@
   for (const auto &[Upstream, Issuer] : this->Issuers)
     if (const auto At = Issuer.nextGrantAt())
       Consider(*At);
+  for (const auto &[Upstream, Cold] : this->ColdLimits)
+    Consider(Cold.Until);
   if (!this->Unannounced.empty())
     Consider(this->BroadcastAt + BroadcastPeriod);
   return Next;
--- a/src/process/RateShares.h
+++ b/src/process/RateShares.h
@@ -16,6 +16,9 @@
 //   Rates.receive(Message, Now);
 //   Rates.tick(Now);                                        // at nextTickAt()
 //
+// An upstream that is cold after its start has a limit of its service until it
+// is warm; the lower limit counts.
+//
 // Upstreams are identified by incarnationKey(), so that a restart ends a limit.
 //
 // Guarantees: gateways that agree on the issuer send at most rate x T + a burst
@@ -41,11 +44,14 @@
 
 namespace galenaroute {
 
-/// What an upstream has stated on its rate limit, as sent to other gateways.
+/// What is known of the rate limit of an upstream, as sent to other gateways.
 struct RateStatement {
   std::uint64_t Upstream = 0;      ///< Its incarnationKey().
-  std::optional<double> PerSecond; ///< Nothing if it states no limit.
+  std::optional<double> PerSecond; ///< As it states; nothing for no limit.
   Milliseconds Age{};              ///< Since its answer was read.
+  /// The limit while it is cold, and for how much longer it is.
+  double ColdPerSecond = 0;
+  Milliseconds ColdLeft{};
 };
 
 /// Asks the issuer for permits.
@@ -118,9 +124,14 @@
 
   void noteAnswer(std::uint64_t Upstream, std::optional<double> PerSecond,
                   TimePoint Now);
+  /// Limits the upstream while it is cold.
+  void limitCold(std::uint64_t Upstream, double PerSecond, TimePoint Until,
+                 TimePoint Now);
   /// Returns the limit in force, or nothing.
   std::optional<double> limitOf(std::uint64_t Upstream) const;
-  bool hasLimits() const { return this->LimitedCount > 0; }
+  bool hasLimits() const {
+    return this->LimitedCount > 0 || !this->ColdLimits.empty();
+  }
 
   /// Returns whether a call may be sent to the upstream.
   bool mayCall(std::uint64_t Upstream, TimePoint Now) const;
@@ -169,8 +180,19 @@
     Duration Backlog{};
   };
 
+  /// The limit of an upstream while it is cold.
+  struct ColdLimit {
+    double PerSecond = 0;
+    TimePoint Until;
+  };
+
   bool merge(std::uint64_t Upstream, const Statement &Next,
              std::string_view Source, TimePoint Now);
+  bool mergeCold(std::uint64_t Upstream, const ColdLimit &Next,
+                 std::string_view Source, TimePoint Now);
+  void expireCold(TimePoint Now);
+  bool applyChange(std::uint64_t Upstream, std::optional<double> Before,
+                   std::string_view Source, TimePoint Now);
   void announce(std::uint64_t Upstream, TimePoint Now);
   void broadcast(TimePoint Now);
   void send(const std::string &To, RateMessage Message);
@@ -191,6 +213,7 @@
   RateSharesEvents Events;
   std::unordered_map<std::uint64_t, Statement> Statements;
   std::size_t LimitedCount = 0; ///< Statements with a limit.
+  std::unordered_map<std::uint64_t, ColdLimit> ColdLimits;
   std::unordered_map<std::uint64_t, Stock> Stocks;
   std::unordered_map<std::uint64_t, PermitIssuer> Issuers;
   std::vector<Member> Others;
--- a/src/version/ForwardConfig.h
+++ b/src/version/ForwardConfig.h
@@ -78,6 +78,9 @@
 struct ForwardService {
   std::string Name;
   int MaxConnections = 100; ///< Limit of each upstream, over all gateways.
+  /// Calls per second that a cold upstream accepts from all gateways; zero if
+  /// they don't need a limit.
+  double ColdCallsPerSecond = 0;
   std::optional<EngineSpec> Engine;
   std::optional<StoreSpec> Store;
 };
--- a/tests/RateFleet.h
+++ b/tests/RateFleet.h
@@ -59,6 +59,25 @@
   void setLimit(std::size_t Upstream, std::optional<double> PerSecond) {
     this->Seen[Upstream].state(this->Now, PerSecond);
   }
+  /// Starts an upstream that is cold. The gateways read its registry entry at
+  /// different times, and do not call it before.
+  void startCold(std::size_t Upstream, double PerSecond, Duration For) {
+    const TimePoint Until = this->Now + For;
+    this->Seen[Upstream].state(this->Now, PerSecond);
+    this->schedule(Until, [this, Upstream] {
+      this->Seen[Upstream].state(this->Now, std::nullopt);
+    });
+    for (std::size_t I = 0; I < this->All.size(); ++I) {
+      this->All[I].Unregistered.insert(Upstream);
+      this->atGateway(I, this->Now + scaled(MaxRegistryDelay, this->draw()),
+                      [=, this](Gateway &Of) {
+                        Of.Unregistered.erase(Upstream);
+                        Of.Rates->limitCold(keyOf(Upstream), PerSecond, Until,
+                                            this->Now);
+                        this->scheduleTick(I);
+                      });
+    }
+  }
   /// Adds a gateway that knows the first ones as seeds.
   std::size_t addGateway() {
     const std::size_t Index = this->All.size();
@@ -105,6 +124,8 @@
   }
   std::size_t gatewayCount() const { return this->All.size(); }
   TimePoint timeAt(Duration Time) const { return this->Begun + Time; }
+  /// Whether answers state the limits that setLimit() sets.
+  bool StatesLimits = true;
   std::size_t messages() const { return this->Messages; }
   std::size_t served() const { return this->Served; }
   std::size_t refused() const { return this->Refused; }
@@ -113,6 +134,7 @@
   static constexpr Duration GossipPeriod = std::chrono::milliseconds(500);
   static constexpr Duration MembersPeriod = std::chrono::milliseconds(100);
   static constexpr Duration QueuePeriod = std::chrono::milliseconds(15);
+  static constexpr Duration MaxRegistryDelay = std::chrono::milliseconds(500);
   static constexpr Duration MaxWait = std::chrono::milliseconds(400);
   static constexpr Duration Contact = std::chrono::seconds(3);
   /// To the upstream or back.
@@ -132,6 +154,7 @@
     std::uint64_t Starts = 0;
     TimePoint FrozenUntil;
     TimePoint CutUntil;
+    std::set<std::size_t> Unregistered; ///< Upstreams not known yet.
     TimePoint TickAt; ///< When the next tick is scheduled, if in the future.
     std::deque<TimePoint> Queue; ///< Calls by time of arrival.
   };
@@ -329,7 +352,8 @@
     const std::size_t First = this->Random() % this->Seen.size();
     for (std::size_t I = 0; I < this->Seen.size(); ++I) {
       const std::size_t To = (First + I) % this->Seen.size();
-      if (!Of.Rates->mayCall(keyOf(To), this->Now))
+      if (Of.Unregistered.contains(To) ||
+          !Of.Rates->mayCall(keyOf(To), this->Now))
         continue;
       Of.Rates->take(keyOf(To), this->Now);
       if (I > 0)
@@ -348,7 +372,8 @@
     this->schedule(this->Now + UpstreamDelay, [this, From, To] {
       RateLimitHistory &At = this->Seen[To];
       At.arrived(this->Now, From);
-      const std::optional<double> Limit = At.limit();
+      const std::optional<double> Limit =
+          this->StatesLimits ? At.limit() : std::nullopt;
       this->atGateway(From, this->Now + UpstreamDelay,
                       [this, From, To, Limit](Gateway &Of) {
                         Of.Rates->noteAnswer(keyOf(To), Limit, this->Now);
--- a/tests/RateSharesTest.cpp
+++ b/tests/RateSharesTest.cpp
@@ -117,6 +117,28 @@
   EXPECT_FALSE(Found) << Found->toString();
 }
 
+// Guards against a cold upstream that each gateway sends its share of calls to.
+TEST(RateSharesTest, AColdUpstreamGetsFewCallsInEachSecond) {
+  for (const std::size_t Gateways : {6, 67}) {
+    RateFleet Fleet({.Gateways = Gateways, .CallsPerSecond = 300});
+    Fleet.StatesLimits = false;
+    Fleet.at(8s, [&] { Fleet.startCold(0, 9.2, 3s); });
+    Fleet.run(14s);
+    std::vector<TimePoint> Calls;
+    for (const auto &Each : Fleet.seen(0).arrivals())
+      if (Each.At >= Fleet.timeAt(8s) && Each.At <= Fleet.timeAt(11s))
+        Calls.push_back(Each.At);
+    EXPECT_GE(Calls.size(), 18U) << Gateways;
+    for (const TimePoint End : Calls)
+      EXPECT_LE(
+          Fleet.seen(0).arrivalsIn(std::max(End - 1s, Fleet.timeAt(8s)), End),
+          18U)
+          << Gateways;
+    EXPECT_GE(Fleet.seen(0).arrivalsIn(Fleet.timeAt(12s), Fleet.timeAt(14s)),
+              500U);
+  }
+}
+
 /// One random fault of a fleet.
 struct FleetFault {
   Duration At{};
