Connections to an upstream: unreachable gateways keep their share

Each gateway took an equal share of the connections that an upstream accepts, divided by the gateways that it hears. In a partition each side therefore opened all of them. The share is now divided by all known gateways, as the retry budget is: 20 of 40.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -257,9 +257,8 @@
 /// Divides the retry budget among the gateways. Unreachable gateways keep their
 /// share, since they may only be partitioned from this one.
 void ForwardGateway::updateRetryBudgets() {
-  const RetryBudget Share =
-      budgetPerProcess(this->Settings.RetryShare, this->Settings.RetrySlack,
-                       this->Entries.countKnown() + 1);
+  const RetryBudget Share = budgetPerProcess(
+      this->Settings.RetryShare, this->Settings.RetrySlack, this->KnownCount);
   this->Services.NewBudget = Share;
   for (auto &[Name, Budget] : this->Services.Budgets) {
     Budget.Share = Share.Share;
@@ -594,7 +593,8 @@
 std::size_t ForwardGateway::gatewayCount() const { return this->GatewayCount; }
 
 /// Limits each gateway to an equal share of the connections that an upstream
-/// accepts.
+/// accepts. Unreachable gateways keep their share, since they may only be
+/// partitioned from this one.
 UpstreamTable::ConnectionCapacity
 ForwardGateway::connectionRoom(const UpstreamEntry &Entry) const {
   UpstreamTable::ConnectionCapacity Result;
@@ -606,10 +606,10 @@
       this->Services.Config->Services.find(Entry.Registered.Service);
   if (Found == this->Services.Config->Services.end())
     return Result;
-  const std::size_t Share = std::max<std::size_t>(
-      2, static_cast<std::size_t>(Found->second.MaxConnections) /
-             this->gatewayCount());
-  Result.MayOpen = this->Pool.connections(To) < Share;
+  Result.MayOpen =
+      this->Pool.connections(To) <
+      connectionShare(static_cast<std::size_t>(Found->second.MaxConnections),
+                      this->KnownCount);
   return Result;
 }
 
@@ -637,6 +637,7 @@
   Self.Busy = std::min(1.0, static_cast<double>(this->Services.OpenRuns) /
                                 (CallsPerCore * this->Settings.Cores));
   this->GatewayCount = this->Entries.countAlive(Now) + 1;
+  this->KnownCount = this->Entries.countKnown() + 1;
   this->Statuses.update(Now);
   this->updateRateMembers();
   this->assignWatchers();
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -146,6 +146,9 @@
   RateExchange Rates;
   /// Live gateways including this one; updated by gossip().
   std::size_t GatewayCount = 1;
+  /// Known gateways including this one and those that are not heard; updated by
+  /// gossip().
+  std::size_t KnownCount = 1;
   std::unique_ptr<OrderController> Orders;
   std::unique_ptr<CallListener> Listener;
   std::unique_ptr<EntryChannel> Channel;
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -22,6 +22,14 @@
 /// Fraction of the stored tokens that a home engine is expected to fetch.
 static constexpr double HomeMissShare = 0.3;
 
+/// Minimum connections of a gateway to an upstream.
+static constexpr std::size_t MinConnectionShare = 2;
+
+std::size_t connectionShare(std::size_t MaxConnections,
+                            std::size_t KnownGateways) {
+  return std::max(MinConnectionShare, MaxConnections / KnownGateways);
+}
+
 static std::uint32_t scaled(std::uint32_t Tokens, double Share) {
   return static_cast<std::uint32_t>(Tokens * Share);
 }
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -131,6 +131,11 @@
   std::uint64_t MinWeightVersion = 0; ///< Engines with older ones are excluded.
 };
 
+/// Returns how many of the \p MaxConnections that an upstream accepts from all
+/// gateways one of \p KnownGateways may open.
+std::size_t connectionShare(std::size_t MaxConnections,
+                            std::size_t KnownGateways);
+
 /// The registered upstreams of all services.
 class UpstreamTable {
 public:
