Requests for permits: spread over the limited upstreams, and counted

A call that was sent elsewhere asked for a permit of the first limited upstream by id, so that of several only one was used. It now asks for a random one. The metrics count permit.wanted and permit.used.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -155,6 +155,8 @@
   this->connectRates();
   this->Services.OnSent = [this](const UpstreamEntry &To,
                                  std::uint32_t Tokens) {
+    if (this->Rates.limitOf(To.Incarnation))
+      this->Stats.decision("permit.used");
     this->Rates.take(To.Incarnation);
     this->Statuses.publishIncrement(this->Upstreams.ownUseOf(To), Tokens,
                                     EventLoop::now());
@@ -210,6 +212,7 @@
   };
   this->Services.RequestPermits = [this](const UpstreamEntry &To,
                                          std::uint32_t Calls) {
+    this->Stats.decision("permit.wanted");
     this->Rates.request(To.Incarnation, Calls);
   };
 }
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -205,7 +205,7 @@
   if (*AvailableAt <= Now ||
       !hasQueueTimedOut(this->waiting(), {}, *AvailableAt))
     return false;
-  this->refuse("all upstreams asked for a backoff",
+  this->refuse("all upstreams asked for a backoff or limit their rate",
                scaled(*AvailableAt - Now, 1 + RetryAfterJitter * this->draw()));
   return true;
 }
@@ -239,20 +239,20 @@
 }
 
 /// Requests permits for upstreams that were left out for lack of one: for the
-/// queued calls if none was chosen, else for the next call.
+/// queued calls if none was chosen, else for a later call. Beginning at a
+/// random upstream spreads the requests of the gateways.
 void ForwardRun::requestPermits(const UpstreamTable::Chosen &Choice) {
   const auto &Lacking = Choice.WithoutPermit;
   if (Lacking.empty())
     return;
+  const std::size_t First = this->Services.Random() % Lacking.size();
   if (Choice.Entry) {
-    this->Services.RequestPermits(*Lacking.front(), 1);
+    this->Services.RequestPermits(*Lacking[First], 1);
     return;
   }
   const std::size_t Count = std::min(Lacking.size(), MaxPermitRequests);
   const auto Calls =
       static_cast<std::uint32_t>((this->queue().size() + Count) / Count);
-  // Beginning at a random one spreads the calls of the gateways.
-  const std::size_t First = this->Services.Random() % Lacking.size();
   for (std::size_t I = 0; I < Count; ++I)
     this->Services.RequestPermits(*Lacking[(First + I) % Lacking.size()],
                                   Calls);
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -343,11 +343,6 @@
     Eligible.push_back(&Entry);
     Candidates.push_back(Candidate);
   }
-  // At its home engine, the call would find its prompt cached.
-  const auto HomeWithoutPermit =
-      std::find(Result.WithoutPermit.begin(), Result.WithoutPermit.end(), Home);
-  if (HomeWithoutPermit != Result.WithoutPermit.end())
-    std::iter_swap(Result.WithoutPermit.begin(), HomeWithoutPermit);
   if (const auto Best = chooseUpstream(Candidates, this->Settings.Choice)) {
     Result.Entry = Eligible[*Best];
     Result.TokensToPrefill = Candidates[*Best].TokensToPrefill;
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -177,7 +177,7 @@
     std::uint32_t TokensToPrefill =
         0; ///< Prompt tokens expected to be prefilled.
     /// Upstreams that were left out only because they may not be called at this
-    /// time, see CallPermission; the home of the subject first.
+    /// time, see CallPermission.
     std::vector<const UpstreamEntry *> WithoutPermit;
   };
 
