--- a/tests/RateSharesTest.cpp
+++ b/tests/RateSharesTest.cpp
@@ -2,8 +2,10 @@
 // and use most of them, in virtual time.
 
 #include "RateFleet.h"
+#include "process/GossipMessages.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
 namespace galenaroute {
@@ -139,6 +141,51 @@
   }
 }
 
+TEST(RateMessageTest, IsReadAsWritten) {
+  const RateMessage Written{
+      .From = "n1",
+      .Statements = {{.Upstream = 7, .PerSecond = 2.5, .Age = 30ms},
+                     {.Upstream = 8,
+                      .Age = 5ms,
+                      .ColdPerSecond = 9.2,
+                      .ColdLeft = 1200ms}},
+      .Requests = {{7, 3, 123456}},
+      .Grants = {{8, 1, 654321, 400ms}},
+      .Returns = {{8, 2}}};
+  const RateMessage Read = decodeGossip(encodeGossip({.Rates = Written})).Rates;
+  EXPECT_EQ(Read.From, "n1");
+  ASSERT_EQ(Read.Statements.size(), 2U);
+  EXPECT_EQ(Read.Statements[0].PerSecond, 2.5);
+  EXPECT_EQ(Read.Statements[0].Age, 30ms);
+  EXPECT_EQ(Read.Statements[1].PerSecond, std::nullopt);
+  EXPECT_EQ(Read.Statements[1].ColdPerSecond, 9.2);
+  EXPECT_EQ(Read.Statements[1].ColdLeft, 1200ms);
+  ASSERT_EQ(Read.Requests.size(), 1U);
+  EXPECT_EQ(Read.Requests[0].SentMs, 123456);
+  ASSERT_EQ(Read.Grants.size(), 1U);
+  EXPECT_EQ(Read.Grants[0].Backlog, 400ms);
+  ASSERT_EQ(Read.Returns.size(), 1U);
+  EXPECT_EQ(Read.Returns[0].Count, 2U);
+}
+
+// Guards against a refusal to talk to daemons of the release before, whose
+// records lack the last field.
+TEST(RateMessageTest, ARecordWithoutTheIssuingFieldIsRead) {
+  EntryRecord Record;
+  Record.Id = "n1";
+  Record.Callers = Record.Gossip = {"10.0.0.1", 80};
+  Record.IssuesPermits = true;
+  const std::string Bytes = encodeGossip({.Records = {Record}});
+  EXPECT_TRUE(decodeGossip(Bytes).Records.at(0).IssuesPermits);
+  nlohmann::json Older = nlohmann::json::from_cbor(Bytes.begin(), Bytes.end());
+  Older.at(0).erase(11);
+  const std::vector<std::uint8_t> OlderBytes = nlohmann::json::to_cbor(Older);
+  EXPECT_FALSE(decodeGossip({reinterpret_cast<const char *>(OlderBytes.data()),
+                             OlderBytes.size()})
+                   .Records.at(0)
+                   .IssuesPermits);
+}
+
 /// One random fault of a fleet.
 struct FleetFault {
   Duration At{};
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -324,5 +324,34 @@
   EXPECT_EQ(this->Table.availableAt("m"), std::nullopt);
 }
 
+// Guards against calls to an upstream whose rate limit is used up, and against
+// losing sight of it: calls must be able to ask for a permit.
+TEST_F(UpstreamTableTest, AnUpstreamWithoutPermitIsLeftOutAndReported) {
+  const std::string Home = this->choose(this->Parts);
+  this->Table.PermissionOf = [&](const UpstreamEntry &Entry) {
+    return UpstreamTable::CallPermission{.MayCall =
+                                             Entry.Registered.Id != Home};
+  };
+  EXPECT_NE(this->choose(this->Parts), Home);
+  UpstreamQuery Query;
+  Query.Service = "m";
+  const UpstreamTable::Chosen Choice = this->Table.choose(Query, Start);
+  ASSERT_EQ(Choice.WithoutPermit.size(), 1U);
+  EXPECT_EQ(Choice.WithoutPermit[0]->Registered.Id, Home);
+}
+
+// Guards against calls that wait for permits of upstreams that will have none
+// for longer than the calls may wait.
+TEST_F(UpstreamTableTest, ReportsWhenPermitsAreExpected) {
+  this->Table.PermissionOf = [](const UpstreamEntry &Entry) {
+    return UpstreamTable::CallPermission{
+        .MayCall = false,
+        .ExpectedAt = Start + (Entry.Registered.Id == "e3" ? 2s : 5s)};
+  };
+  EXPECT_EQ(this->Table.availableAt("m"), Start + 2s);
+  this->Table.notePaused("e3", Start + 3s, Start);
+  EXPECT_EQ(this->Table.availableAt("m"), Start + 3s);
+}
+
 } // namespace
 } // namespace galenaroute
