--- a/src/process/RateShares.h
+++ b/src/process/RateShares.h
@@ -225,7 +225,7 @@
   bool IsLeaving = false;
   TimePoint IssuesFrom;                ///< Permits are issued from then on.
   std::set<std::uint64_t> Unannounced; ///< Changed limits to broadcast.
-  TimePoint BroadcastAt;               ///< The last broadcast.
+  TimePoint NextBroadcastAt;           ///< None is sent before.
   TimePoint RequestWindow;             ///< Start of the window of:
   std::size_t RequestsInWindow = 0;
 };
--- a/tests/process/RateLimitProcessTest.cpp
+++ b/tests/process/RateLimitProcessTest.cpp
@@ -56,6 +56,20 @@
                      {"born", 1}});
     }
   }
+  void expectLimitsKept() const {
+    for (std::size_t I = 0; I < this->Upstreams.size(); ++I) {
+      const auto Found = findExcess(this->Upstreams[I]->Seen, {});
+      EXPECT_FALSE(Found) << "upstream " << I << ": " << Found->toString();
+    }
+  }
+  /// Expects that at least \p MinShare of each stated limit was used.
+  void expectLimitsUsed(TimePoint From, TimePoint To, double MinShare) const {
+    for (std::size_t I = 0; I < this->Upstreams.size(); ++I) {
+      const double Used = usedShare(this->Upstreams[I]->Seen, From, To);
+      RecordProperty("used" + std::to_string(I), std::to_string(Used));
+      EXPECT_GE(Used, MinShare) << "upstream " << I;
+    }
+  }
   void wait(Duration Time) {
     this->Harness.loop().runUntil([] { return false; }, Time);
   }
@@ -78,10 +92,7 @@
   this->Upstreams[0]->setLimit(2);
   this->Upstreams[1]->setLimit(12);
   this->wait(10s);
-  for (std::size_t I = 0; I < 2; ++I) {
-    const auto Found = findExcess(this->Upstreams[I]->Seen, {});
-    EXPECT_FALSE(Found) << "upstream " << I << ": " << Found->toString();
-  }
+  this->expectLimitsKept();
   // The others have room for all calls.
   this->Callers.stop();
   this->wait(500ms);
@@ -99,14 +110,8 @@
   this->wait(2s);
   const TimePoint From = EventLoop::now();
   this->wait(8s);
-  const TimePoint To = EventLoop::now();
-  for (std::size_t I = 0; I < 3; ++I) {
-    const auto Found = findExcess(this->Upstreams[I]->Seen, {});
-    EXPECT_FALSE(Found) << "upstream " << I << ": " << Found->toString();
-    const double Used = usedShare(this->Upstreams[I]->Seen, From, To);
-    RecordProperty("used" + std::to_string(I), std::to_string(Used));
-    EXPECT_GE(Used, 0.75) << "upstream " << I;
-  }
+  this->expectLimitsKept();
+  this->expectLimitsUsed(From, EventLoop::now(), 0.75);
   std::size_t Refused = 0;
   for (const SteadyCallers::Ended &Each : this->Callers.answers()) {
     if (!Each.Answer.starts_with("HTTP/1.1 503"))
@@ -151,14 +156,8 @@
     this->startDaemon(Stopped);
     this->wait(2s);
   }
-  const TimePoint To = EventLoop::now();
-  for (std::size_t I = 0; I < 3; ++I) {
-    const auto Found = findExcess(this->Upstreams[I]->Seen, {});
-    EXPECT_FALSE(Found) << "upstream " << I << ": " << Found->toString();
-    const double Used = usedShare(this->Upstreams[I]->Seen, From, To);
-    RecordProperty("used" + std::to_string(I), std::to_string(Used));
-    EXPECT_GE(Used, 0.4) << "upstream " << I;
-  }
+  this->expectLimitsKept();
+  this->expectLimitsUsed(From, EventLoop::now(), 0.4);
 }
 
 } // namespace
