--- a/src/process/RateShares.h
+++ b/src/process/RateShares.h
@@ -95,7 +95,8 @@
       Send;
   /// Permits or a changed limit may allow queued calls to be sent.
   std::function<void()> OnPermits = [] {};
-  /// The limit of an upstream changed, by an answer or a message.
+  /// The limit in force of an upstream changed. \p Source is "answer",
+  /// "registry", "warm" or the id of the gateway that reported it.
   std::function<void(std::uint64_t Upstream, std::optional<double> PerSecond,
                      std::string_view Source)>
       OnLimit = [](std::uint64_t, std::optional<double>, std::string_view) {};
@@ -109,9 +110,9 @@
 
   RateShares(std::string Self, RateSharesEvents Events, TimePoint Now);
 
-  /// Sets the other live gateways. \p KnownCount counts this one and the
-  /// others, including those that are not heard and may only be unreachable.
-  void setMembers(std::span<const RateMember> Others, std::size_t KnownCount,
+  /// Sets the other live gateways. \p Known counts this one and the others,
+  /// including those that are not heard and may only be unreachable.
+  void setMembers(std::span<const RateMember> Live, std::size_t Known,
                   TimePoint Now);
   /// Makes this gateway issue nothing until it has settled again, as after a
   /// start; for a suspension that the steady clock does not show.
@@ -161,6 +162,11 @@
     std::optional<double> PerSecond;
     TimePoint At;
   };
+  /// The limit of an upstream while it is cold.
+  struct ColdLimit {
+    double PerSecond = 0;
+    TimePoint Until;
+  };
   struct Permit {
     TimePoint ExpiresAt;
     std::string Issuer;
@@ -180,12 +186,6 @@
     Duration Backlog{};
   };
 
-  /// The limit of an upstream while it is cold.
-  struct ColdLimit {
-    double PerSecond = 0;
-    TimePoint Until;
-  };
-
   bool merge(std::uint64_t Upstream, const Statement &Next,
              std::string_view Source, TimePoint Now);
   bool mergeCold(std::uint64_t Upstream, const ColdLimit &Next,
@@ -226,7 +226,7 @@
   TimePoint IssuesFrom;                ///< Permits are issued from then on.
   std::set<std::uint64_t> Unannounced; ///< Changed limits to broadcast.
   TimePoint NextBroadcastAt;           ///< None is sent before.
-  TimePoint RequestWindow;             ///< Start of the window of:
+  TimePoint RequestWindow;             ///< Start of the current RequestPeriod.
   std::size_t RequestsInWindow = 0;
 };
 
