EntryGossip: entries tell how many they know

Cause: what is divided by the size of the fleet (rates of limited upstreams, connections, retry budgets, the check for isolation) used the entries that the process itself had heard of. An entry that starts during a partition hears its own side only and takes it for the whole fleet. Two parts of six gateways, of which two restart each, issued 126 permits in a window that allows 125 (RateSharesTest.GatewaysThatRestartInASplitKeepALimit, failing before this commit).

Ruled out: a count that is passed on from entry to entry, since it would keep itself alive after the entries are gone for good.

Change: each record carries how many entries its sender knows itself, and EntryGossip::fleetSize() is the largest of these and the own count. ForwardGateway counts once in a gossip round and hands it on, instead of RateExchange counting again. Records of releases before lack the field, and count as one; the test that plays such a record now drops both new fields and checks both.

--- a/src/process/CrashExchange.cpp
+++ b/src/process/CrashExchange.cpp
@@ -181,8 +181,8 @@
 
 bool CrashExchange::isIsolated() const {
   const EntryGossip &Entries = this->Parts.Entries;
-  return 2 * (Entries.countAlive(EventLoop::now()) + 1) <
-         Entries.countKnown() + 1;
+  const TimePoint Now = EventLoop::now();
+  return 2 * (Entries.countAlive(Now) + 1) < Entries.fleetSize(Now);
 }
 
 /// Has the aggregators persist a content once it has crashed several upstreams,
--- a/src/process/EntryGossip.cpp
+++ b/src/process/EntryGossip.cpp
@@ -51,6 +51,7 @@
 std::vector<EntryRecord> EntryGossip::makeGossip(TimePoint Now,
                                                  std::mt19937_64 &Random) {
   ++this->Self.Heartbeat;
+  this->Self.KnownEntries = this->countKnown() + 1;
   std::vector<const KnownEntry *> Recent;
   for (const auto &[Id, Each] : this->Others)
     if (this->isAlive(Each, Now))
@@ -147,6 +148,14 @@
       [](const auto &Each) { return !Each.second.Record.IsLeaving; }));
 }
 
+std::size_t EntryGossip::fleetSize(TimePoint Now) const {
+  std::size_t Size = this->countKnown() + 1;
+  this->forEachAlive(Now, [&](const EntryRecord &Each) {
+    Size = std::max<std::size_t>(Size, Each.KnownEntries);
+  });
+  return Size;
+}
+
 std::vector<SocketAddress>
 chooseEntryAddresses(std::span<const EntryRecord> Ready, std::string_view Zone,
                      std::size_t MaxAddresses, std::mt19937_64 &Random) {
--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -40,6 +40,8 @@
   bool IsLeaving = false;
   bool ReachesPlatform = false; ///< The platform has answered it recently.
   bool IssuesPermits = false;   ///< See RateShares.
+  /// Entries that it knows itself, including itself and those it does not hear.
+  std::uint64_t KnownEntries = 1;
 };
 
 struct EntryGossipSettings {
@@ -87,6 +89,10 @@
   /// Counts the other entries that have not announced that they leave,
   /// including those considered dead until they are removed.
   std::size_t countKnown() const;
+  /// Returns the number of entries including this one and those that are not
+  /// heard, as this entry or a live one knows it. An entry that starts in a
+  /// partition learns it from the others of its side.
+  std::size_t fleetSize(TimePoint Now) const;
   /// Visits the same entries as alive() without copying them.
   template <typename Visitor>
   void forEachAlive(TimePoint Now, Visitor Visit) const {
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -241,9 +241,10 @@
 void ForwardGateway::updateRateMembers() {
   // Without contact to the platform or to other gateways, this one may be cut
   // off from a fleet of which it has not heard yet.
+  const bool MayBeCutOff = !this->reachesPlatform() && this->GatewayCount == 1;
   const std::size_t Seeds = this->Settings.GossipSeeds.size();
   this->Rates.updateMembers(
-      this->reachesPlatform() || this->GatewayCount > 1 ? 1 : Seeds + 1);
+      std::max(this->KnownCount, MayBeCutOff ? Seeds + 1 : 1));
 }
 
 /// Applies the settings that may change at run time.
@@ -640,7 +641,7 @@
   Self.Busy = std::min(1.0, static_cast<double>(this->Services.OpenRuns) /
                                 (CallsPerCore * this->Settings.Cores));
   this->GatewayCount = this->Entries.countAlive(Now) + 1;
-  this->KnownCount = this->Entries.countKnown() + 1;
+  this->KnownCount = this->Entries.fleetSize(Now);
   this->Statuses.update(Now);
   this->updateRateMembers();
   this->assignWatchers();
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -11,7 +11,7 @@
                       Record.Callers.toString(), Record.Gossip.toString(),
                       Record.Zone, Record.Capacity, Record.Busy, Record.IsReady,
                       Record.IsLeaving, Record.ReachesPlatform,
-                      Record.IssuesPermits});
+                      Record.IssuesPermits, Record.KnownEntries});
 }
 
 static EntryRecord recordFromJson(const json &Value) {
@@ -27,8 +27,10 @@
   Record.IsReady = Value.at(8);
   Record.IsLeaving = Value.at(9);
   Record.ReachesPlatform = Value.at(10);
-  // Entries of older releases send no such value, and issue no permits.
+  // Entries of older releases send no such values, and issue no permits.
   Record.IssuesPermits = Value.size() > 11 && Value.at(11).get<bool>();
+  if (Value.size() > 12)
+    Record.KnownEntries = Value.at(12);
   return Record;
 }
 
--- a/src/process/RateExchange.cpp
+++ b/src/process/RateExchange.cpp
@@ -61,7 +61,7 @@
   });
 }
 
-void RateExchange::updateMembers(std::size_t MinKnown) {
+void RateExchange::updateMembers(std::size_t Known) {
   const TimePoint Now = EventLoop::now();
   const Duration Suspended = suspendedTime();
   if (Suspended - this->LastSuspendedTime > SuspendedNoise)
@@ -71,8 +71,7 @@
   this->Entries.forEachAlive(Now, [&](const EntryRecord &Each) {
     Live.push_back({Each.Id, Each.IssuesPermits});
   });
-  this->Shares.setMembers(
-      Live, std::max(MinKnown, this->Entries.countKnown() + 1), Now);
+  this->Shares.setMembers(Live, Known, Now);
   this->schedule();
 }
 
--- a/src/process/RateExchange.h
+++ b/src/process/RateExchange.h
@@ -34,9 +34,9 @@
   RateExchange(const RateExchange &) = delete;
   RateExchange &operator=(const RateExchange &) = delete;
 
-  /// Takes over the live entries, and detects a suspension of the VM. \p
-  /// MinKnown is the number of entries that exist at least.
-  void updateMembers(std::size_t MinKnown);
+  /// Takes over the live entries, and detects a suspension of the VM. \p Known
+  /// counts all entries, see RateShares::setMembers().
+  void updateMembers(std::size_t Known);
   /// To be called in each gossip round with the addresses that it is sent to
   /// and the incarnations that are registered.
   void onGossipRound(std::span<const SocketAddress> Targets,
--- a/tests/RateFleet.h
+++ b/tests/RateFleet.h
@@ -296,7 +296,7 @@
     Of.Gossip->forEachAlive(this->Now, [&](const EntryRecord &Each) {
       Live.push_back({Each.Id, Each.IssuesPermits});
     });
-    Of.Rates->setMembers(Live, Of.Gossip->countKnown() + 1, this->Now);
+    Of.Rates->setMembers(Live, Of.Gossip->fleetSize(this->Now), this->Now);
     this->scheduleTick(Index);
     this->atGateway(Index, this->Now + MembersPeriod,
                     [this, Index](Gateway &) { this->updateMembers(Index); });
--- a/tests/RateSharesTest.cpp
+++ b/tests/RateSharesTest.cpp
@@ -169,21 +169,26 @@
 }
 
 // Guards against a refusal to talk to daemons of the release before, whose
-// records lack the last field.
+// records lack the last two fields.
 TEST(RateMessageTest, ARecordWithoutTheIssuingFieldIsRead) {
   EntryRecord Record;
   Record.Id = "n1";
   Record.Callers = Record.Gossip = {"10.0.0.1", 80};
   Record.IssuesPermits = true;
+  Record.KnownEntries = 6;
   const std::string Bytes = encodeGossip({.Records = {Record}});
   EXPECT_TRUE(decodeGossip(Bytes).Records.at(0).IssuesPermits);
+  EXPECT_EQ(decodeGossip(Bytes).Records.at(0).KnownEntries, 6U);
   nlohmann::json Older = nlohmann::json::from_cbor(Bytes.begin(), Bytes.end());
+  Older.at(0).erase(12);
   Older.at(0).erase(11);
   const std::vector<std::uint8_t> OlderBytes = nlohmann::json::to_cbor(Older);
-  EXPECT_FALSE(decodeGossip({reinterpret_cast<const char *>(OlderBytes.data()),
-                             OlderBytes.size()})
-                   .Records.at(0)
-                   .IssuesPermits);
+  const EntryRecord Read =
+      decodeGossip({reinterpret_cast<const char *>(OlderBytes.data()),
+                    OlderBytes.size()})
+          .Records.at(0);
+  EXPECT_FALSE(Read.IssuesPermits);
+  EXPECT_EQ(Read.KnownEntries, 1U);
 }
 
 // Guards against parts of a split fleet that each issue the whole rate.
@@ -200,6 +205,20 @@
   }
 }
 
+// Guards against a gateway that starts in a split, takes its part for the whole
+// fleet, and issues the whole rate there.
+TEST(RateSharesTest, GatewaysThatRestartInASplitKeepALimit) {
+  RateFleet Fleet({.Gateways = 6, .CallsPerSecond = 200});
+  Fleet.at(5s, [&] { Fleet.setLimit(0, 20); });
+  Fleet.at(8s, [&] { Fleet.split(2, 20s); });
+  // One gateway of each part does not restart.
+  for (std::size_t I = 0; I < 4; ++I)
+    Fleet.at(9s + I * 500ms, [&Fleet, I] { Fleet.restart(I, 100ms); });
+  Fleet.run(28s);
+  const auto Found = findExcess(Fleet.seen(0), {.HasExcuses = false});
+  EXPECT_FALSE(Found) << Found->toString();
+}
+
 /// One random fault of a fleet.
 struct FleetFault {
   Duration At{};
--- a/tests/RetryBudgetTest.cpp
+++ b/tests/RetryBudgetTest.cpp
@@ -83,5 +83,22 @@
   EXPECT_LE(6 * Share.Capacity, 54);
 }
 
+// Guards against an entry that starts in a partition and takes the entries that
+// it hears for the whole fleet.
+TEST(RetryBudgetShareTest, AnEntryLearnsTheSizeOfTheFleetFromOthers) {
+  EntryRecord Self;
+  Self.Id = "n0";
+  EntryGossip Started(Self, {});
+  const TimePoint Start{1h};
+  EntryRecord Other;
+  Other.Id = "n1";
+  Other.Heartbeat = 1;
+  Other.KnownEntries = 6;
+  Started.receive(std::vector{Other}, Start);
+  EXPECT_EQ(Started.fleetSize(Start), 6u);
+  // Nobody knows of the others any more once the peer is gone.
+  EXPECT_EQ(Started.fleetSize(Start + 10s), 2u);
+}
+
 } // namespace
 } // namespace galenaroute
