One detector of a suspended VM; permits do not outlast a suspension

Cause: OrderController and RateExchange each kept the last suspended time and a limit for its noise, 50 and 100 ms.

Change: SuspensionDetector in Clock.h serves both, with 50 ms, and resettle() drops the permits.

--- a/src/process/Clock.h
+++ b/src/process/Clock.h
@@ -57,6 +57,24 @@
          std::chrono::nanoseconds(Boot.tv_nsec - Monotonic.tv_nsec);
 }
 
+/// Detects that the VM was suspended, which the monotonic clock does not show.
+class SuspensionDetector {
+public:
+  /// Returns whether the VM was suspended since the last call, or since the
+  /// construction.
+  bool wasSuspended() {
+    const Duration Before = this->Last;
+    this->Last = suspendedTime();
+    return this->Last - Before > Noise;
+  }
+
+private:
+  /// Differences of suspendedTime() up to this are measurement noise.
+  static constexpr Duration Noise = std::chrono::milliseconds(50);
+
+  Duration Last = suspendedTime();
+};
+
 } // namespace galenaroute
 
 #endif // GALENAROUTE_PROCESS_CLOCK_H
--- a/src/process/RateExchange.cpp
+++ b/src/process/RateExchange.cpp
@@ -5,15 +5,12 @@
 
 namespace galenaroute {
 
-/// Differences of suspendedTime() up to this are measurement noise.
-static constexpr Duration SuspendedNoise = std::chrono::milliseconds(100);
 /// Statements in one gossip message, about 25 bytes each.
 static constexpr std::size_t MaxGossipedStatements = 128;
 
 RateExchange::RateExchange(EntryGossip &Entries, RateExchangeParts Parts)
     : Entries(Entries), Parts(std::move(Parts)),
-      Shares(Entries.self().Id, this->events(), EventLoop::now()),
-      LastSuspendedTime(suspendedTime()) {}
+      Shares(Entries.self().Id, this->events(), EventLoop::now()) {}
 
 RateExchange::~RateExchange() { this->TickTimer.disconnect(); }
 
@@ -63,10 +60,8 @@
 
 void RateExchange::updateMembers(std::size_t Known) {
   const TimePoint Now = EventLoop::now();
-  const Duration Suspended = suspendedTime();
-  if (Suspended - this->LastSuspendedTime > SuspendedNoise)
+  if (this->Suspension.wasSuspended())
     this->Shares.resettle(Now);
-  this->LastSuspendedTime = Suspended;
   std::vector<RateMember> Live;
   this->Entries.forEachAlive(Now, [&](const EntryRecord &Each) {
     Live.push_back({Each.Id, Each.IssuesPermits});
--- a/src/process/RateExchange.h
+++ b/src/process/RateExchange.h
@@ -71,7 +71,7 @@
   EntryGossip &Entries;
   RateExchangeParts Parts;
   RateShares Shares;
-  Duration LastSuspendedTime; ///< suspendedTime() at the last update.
+  SuspensionDetector Suspension;
   std::optional<TimePoint> TickAt;
   sigc::connection TickTimer;
 };
--- a/src/process/RateShares.cpp
+++ b/src/process/RateShares.cpp
@@ -73,6 +73,7 @@
 
 void RateShares::resettle(TimePoint Now) {
   this->SettledSince = Now;
+  this->Stocks.clear();
   this->updateIssuing(Now);
 }
 
--- a/src/process/RateShares.h
+++ b/src/process/RateShares.h
@@ -114,8 +114,9 @@
   /// including those that are not heard and may only be unreachable.
   void setMembers(std::span<const RateMember> Live, std::size_t Known,
                   TimePoint Now);
-  /// Makes this gateway issue nothing until it has settled again, as after a
-  /// start; for a suspension that the steady clock does not show.
+  /// Drops all permits and makes this gateway issue none until it has settled
+  /// again, as after a start; for a suspension that the steady clock does not
+  /// show.
   void resettle(TimePoint Now);
   /// Stops issuing for good.
   void leave();
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -4,9 +4,6 @@
 
 namespace galenaroute {
 
-/// Differences of suspendedTime() up to this are measurement noise.
-static constexpr auto SuspensionSlack = std::chrono::milliseconds(50);
-
 static ObjectKey leaseKey(const std::string &Service) {
   return {"lease", Service};
 }
@@ -28,8 +25,7 @@
                                  Timeline *Events)
     : Store(Store), Orders(Orders), Settings(std::move(Settings)),
       RolloutTimes(RolloutTimes), IsPreferred(std::move(IsPreferred)),
-      IsStandby(std::move(IsStandby)), Events(Events),
-      LastSuspendedTime(suspendedTime()) {
+      IsStandby(std::move(IsStandby)), Events(Events) {
   this->Timer =
       Loop.timers().every(Period, [this] { this->tick(EventLoop::now()); });
 }
@@ -77,13 +73,11 @@
     return;
   // The monotonic clock stops while a VM is suspended, so a lease may have
   // expired unnoticed.
-  const Duration Suspended = suspendedTime();
-  if (Suspended - this->LastSuspendedTime > SuspensionSlack)
+  if (this->Suspension.wasSuspended())
     for (auto &[Name, State] : this->Services) {
       State.Lease.HeldUntil = Now;
       State.Lease.Known = false;
     }
-  this->LastSuspendedTime = Suspended;
   for (const auto &[Name, Service] : this->Current->Services) {
     if (Service.Kind != ServiceKind::Model)
       continue;
--- a/src/version/OrderController.h
+++ b/src/version/OrderController.h
@@ -81,7 +81,7 @@
   ConfigurationPtr Current;
   std::map<std::string, ServiceState> Services;
   bool Resigned = false;
-  Duration LastSuspendedTime; ///< suspendedTime() at the last tick.
+  SuspensionDetector Suspension;
   // Expires with the controller, so that late callbacks do nothing.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   sigc::connection Timer;
--- a/tests/RateSharesTest.cpp
+++ b/tests/RateSharesTest.cpp
@@ -219,6 +219,22 @@
   EXPECT_FALSE(Found) << Found->toString();
 }
 
+// Guards against permits that a suspended VM still takes for valid, because its
+// steady clock has not advanced.
+TEST(RateSharesTest, ASuspensionVoidsPermits) {
+  const TimePoint Start{1h};
+  RateShares Rates("n1", {.Send = [](const auto &, const auto &) {}}, Start);
+  for (TimePoint Now = Start; Now <= Start + 4s; Now += 100ms)
+    Rates.setMembers({}, 1, Now);
+  const TimePoint Now = Start + 4s;
+  Rates.noteAnswer(7, 100, Now);
+  Rates.request(7, 1, Now);
+  Rates.tick(Now + 20ms);
+  ASSERT_TRUE(Rates.mayCall(7, Now + 20ms));
+  Rates.resettle(Now + 20ms);
+  EXPECT_FALSE(Rates.mayCall(7, Now + 20ms));
+}
+
 /// One random fault of a fleet.
 struct FleetFault {
   Duration At{};
