Log how old a version of weights is believed to be

Cause: the log tells when a process learned of a version, but not which date it uses, where the date comes from, or for how long the weights that a call is sent to have been superseded by that date. A process that dates a version wrongly cannot be told from one that sends late for another reason.

Change: weights.named has age_ms and source, weights.history the age of the newest version, and call.sent superseded_ms. No decision changes.

--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -40,7 +40,10 @@
   recordAnnounced(Named, Read->Version, EventLoop::now() - Age);
   this->syncWeightHistory(Read->Model, IsFoundAtStartup ? 0 : Read->Version);
   log(LogLevel::Info, "weights.named",
-      {{"model", Read->Model}, {"version", std::to_string(Read->Version)}});
+      {{"model", Read->Model},
+       {"version", std::to_string(Read->Version)},
+       {"age_ms", std::to_string(toMilliseconds(Age))},
+       {"source", IsFoundAtStartup ? "assumed" : "watch"}});
   this->updateOrders();
 }
 
@@ -55,46 +58,52 @@
   if (Version != 0 && !Writes)
     return;
   const std::int64_t NamedMs = wallMilliseconds();
-  this->Parts.Api.get(Key, [this, Key, Version, NamedMs,
-                            Alive = std::weak_ptr(this->Alive)](
-                               const PlatformResult &Result) {
-    if (Alive.expired())
-      return;
-    std::map<std::uint64_t, std::int64_t> History;
-    try {
-      if (Result.Status == PlatformStatus::Ok)
-        for (const json &Each : Result.Object.Value)
-          History[Each.at(0)] = Each.at(1);
-    } catch (const json::exception &Failure) {
-      log(LogLevel::Warn, "weights.history_malformed",
-          {{"model", Key.Name}, {"message", Failure.what()}});
-    }
-    if (Version == 0) {
-      restoreAnnounced(this->Services.Weights[Key.Name], History,
-                       wallMilliseconds(), EventLoop::now());
-      log(LogLevel::Info, "weights.history",
-          {{"model", Key.Name}, {"versions", std::to_string(History.size())}});
-      this->updateOrders();
-      return;
-    }
-    History[Version] = NamedMs;
-    while (History.size() > MaxAnnouncedWeights)
-      History.erase(History.begin());
-    json Value = json::array();
-    for (const auto &[Each, Since] : History)
-      Value.push_back({Each, Since});
-    const std::uint64_t IfVersion = Result.Status == PlatformStatus::Ok
-                                        ? Result.Object.Version
-                                        : Platform::MustNotExist;
-    this->Parts.Api.put(Key, Value, IfVersion,
-                        [Key](const PlatformResult &Written) {
-                          // If the write fails, processes that start later only
-                          // stop using older weights sooner.
-                          if (Written.Status != PlatformStatus::Ok)
-                            log(LogLevel::Warn, "weights.history_not_written",
-                                {{"model", Key.Name}});
-                        });
-  });
+  this->Parts.Api.get(
+      Key, [this, Key, Version, NamedMs,
+            Alive = std::weak_ptr(this->Alive)](const PlatformResult &Result) {
+        if (Alive.expired())
+          return;
+        std::map<std::uint64_t, std::int64_t> History;
+        try {
+          if (Result.Status == PlatformStatus::Ok)
+            for (const json &Each : Result.Object.Value)
+              History[Each.at(0)] = Each.at(1);
+        } catch (const json::exception &Failure) {
+          log(LogLevel::Warn, "weights.history_malformed",
+              {{"model", Key.Name}, {"message", Failure.what()}});
+        }
+        if (Version == 0) {
+          const std::int64_t WallMs = wallMilliseconds();
+          restoreAnnounced(this->Services.Weights[Key.Name], History, WallMs,
+                           EventLoop::now());
+          log(LogLevel::Info, "weights.history",
+              {{"model", Key.Name},
+               {"versions", std::to_string(History.size())},
+               {"newest_age_ms",
+                History.empty()
+                    ? "-"
+                    : std::to_string(WallMs - History.rbegin()->second)}});
+          this->updateOrders();
+          return;
+        }
+        History[Version] = NamedMs;
+        while (History.size() > MaxAnnouncedWeights)
+          History.erase(History.begin());
+        json Value = json::array();
+        for (const auto &[Each, Since] : History)
+          Value.push_back({Each, Since});
+        const std::uint64_t IfVersion = Result.Status == PlatformStatus::Ok
+                                            ? Result.Object.Version
+                                            : Platform::MustNotExist;
+        this->Parts.Api.put(
+            Key, Value, IfVersion, [Key](const PlatformResult &Written) {
+              // If the write fails, processes that start later only
+              // stop using older weights sooner.
+              if (Written.Status != PlatformStatus::Ok)
+                log(LogLevel::Warn, "weights.history_not_written",
+                    {{"model", Key.Name}});
+            });
+      });
 }
 
 /// Passes the known engines and their target weights to the order controller.
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -364,6 +364,7 @@
        {"send", std::to_string(this->Sends + 1)},
        {"left_ms", std::to_string(toMilliseconds(this->timeLeft()))},
        {"weights", std::to_string(To.WeightVersion.value_or(0))},
+       {"superseded_ms", this->supersededAge(To)},
        {"own_calls", std::to_string(To.OwnCalls)},
        {"running", To.Load ? std::to_string(To.Load->Running) : "-"},
        {"waiting", To.Load ? std::to_string(To.Load->Waiting) : "-"},
@@ -384,6 +385,17 @@
   this->armWeightsTimer(To);
 }
 
+/// Returns for how many milliseconds the weights of \p To have been superseded,
+/// as this process dates the newer version, or "-" if they are not.
+std::string ForwardRun::supersededAge(const UpstreamEntry &To) const {
+  const AnnouncedWeights *Named = this->namedWeights();
+  const auto Since = Named && To.WeightVersion
+                         ? supersededAt(*Named, *To.WeightVersion)
+                         : std::nullopt;
+  return Since ? std::to_string(toMilliseconds(EventLoop::now() - *Since))
+               : "-";
+}
+
 /// A call queued at an engine with old weights must not begin there after the
 /// deadline for the newer version.
 void ForwardRun::armWeightsTimer(const UpstreamEntry &To) {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -138,6 +138,7 @@
   void onTimeout();
   void onCallerLeft();
   void armStallTimer();
+  std::string supersededAge(const UpstreamEntry &To) const;
   void armWeightsTimer(const UpstreamEntry &To);
   void onWeightsDeadline();
   void abandonSend(SendOutcome IfSent);
