Process tests of weight versions over six daemons

Callers saw calls begin on older weights later than versionMs after a newer version was acknowledged.

Six galenaroute-platform daemons run before eight engine stand-ins with slots, a queue and weights. Half of the engines load a named version, the others refuse orders. The check counts as the rule does: calls that leave an engine's queue on older weights past the limit (8 s here), sent by daemons that were not frozen, killed or started in the 3 s before. Each test also expects that engines with the newest weights run at half of their rate or more after the limit.

--- a/tests/process/FakePlatformServer.h
+++ b/tests/process/FakePlatformServer.h
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 namespace galenaroute::testing_support {
@@ -41,6 +42,8 @@
       return true;
     });
   }
+  /// From now on writes of objects of \p Kind over HTTP fail.
+  void rejectWrites(const std::string &Kind) { this->Rejected.insert(Kind); }
   /// Returns the spec of an object, or null.
   nlohmann::json read(const std::string &Kind, const std::string &Name) {
     return this->Objects[Kind][Name].Spec;
@@ -129,6 +132,10 @@
       send(Reply, Stored.Spec.is_null() ? 404 : 200, toJson(Name, Stored));
       return;
     }
+    if (this->Rejected.contains(Kind)) {
+      send(Reply, 503, nlohmann::json::object());
+      return;
+    }
     const nlohmann::json Body = nlohmann::json::parse(Request.Body);
     const nlohmann::json &Metadata = Body.at("metadata");
     if (Name.empty())
@@ -148,6 +155,7 @@
   SocketAddress Address{"127.0.0.1", 0};
   std::map<std::string, std::map<std::string, Object>> Objects;
   std::list<Watch> Watches;
+  std::set<std::string> Rejected; ///< Kinds.
   std::uint64_t Revision = 0;
   std::uint64_t LastWatch = 0;
 };
--- a/tests/process/PlatformDaemons.h
+++ b/tests/process/PlatformDaemons.h
@@ -17,6 +17,7 @@
   /// Second byte of the addresses; differs between runs that overlap in time.
   int Network = 0;
   int GraceSeconds = 2;
+  int VersionMs = 15000; ///< Time in which older weights go out of use.
 
   static constexpr std::uint16_t CallerPort = 18005;
   static constexpr std::uint16_t ReadyPort = CallerPort + 1;
@@ -53,7 +54,8 @@
         << "\"\n[limits]\ncpuShare = 1.0\ncpuCores = 1\nmaxFds = 4096\n"
            "[bounds]\nretryBudgetRatio = 0.2\nbudgetSlack = 54\ngraceS = "
         << this->GraceSeconds
-        << "\nleaseMs = 3000\nversionMs = 15000\nttl_max_s = 5\n"
+        << "\nleaseMs = 3000\nversionMs = " << this->VersionMs
+        << "\nttl_max_s = 5\n"
            "[platform]\naddress = \""
         << Store.toString() << "\"\n";
     return Path;
