Date a version of weights by the earliest observation of the fleet

Callers saw calls begin on replaced weights later than versionMs after the newer version had been acknowledged.

Cause: a version is announced once, for the whole fleet, but each process dated it by the moment at which it read it itself. A VM that was frozen at the naming used old weights for as much longer. A gateway that had stood still also wrote its late date into the stored history, and a restarted process read it back with another time of day. Class: an event of the whole fleet that each process dates for itself.

Change: gateways tell each other with their gossip how long ago each version was announced; the earliest observation counts. Ages are measured with CLOCK_BOOTTIME, which goes on during a suspension. What a process finds at its start, or after it stood still, is assumed to be as old as possible until a running process or the store tells better; a stored time of day is taken to be too young by skewMaxMs. The history is written by whichever gateway is assigned and live, with the fleet's date, and written again if the write fails.

Conclusion: the bound no longer depends on when a process learned.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -295,6 +295,7 @@
   this->Timers.push_back(
       this->Loop.timers().every(GossipPeriod, [this] { this->gossip(); }));
   this->Timers.push_back(this->Loop.timers().every(HousekeepingPeriod, [this] {
+    this->Stalls.observe(BootClock::now());
     const auto At = this->Registry.confirmedAt();
     // Without contact to the platform, a missing upstream can't be
     // distinguished from an outage, so none is expired.
@@ -445,6 +446,8 @@
       this->Entries.targets(this->Settings.GossipSeeds, Now, this->Random);
   for (const SocketAddress &To : Targets)
     this->Channel->send(To, Message);
+  this->sendWeightNotices(Targets);
+  this->storeWeightHistories();
   this->Crashes.onGossipRound(Targets);
   std::unordered_set<std::uint64_t> Registered;
   if (this->Rates.hasLimits())
@@ -593,6 +596,8 @@
     this->Statuses.receive(Message.Added, EventLoop::now());
   this->scheduleFlush();
   this->Crashes.receive(Message.Crashes);
+  if (!Message.Weights.empty())
+    this->onWeightNotices(Message.Weights);
   if (!Message.Rates.From.empty())
     this->Rates.receive(Message.Rates);
   if (Message.Store)
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -48,6 +48,9 @@
   /// After this time from the announcement of new weights, older ones may not
   /// be used.
   Duration WeightsLimit = std::chrono::seconds(15);
+  /// By how much the times of day of two VMs may differ, also of one VM before
+  /// and after a restart.
+  Duration MaxClockError = std::chrono::seconds(5);
   UpstreamTableSettings Upstreams;
 };
 
@@ -98,7 +101,12 @@
   bool isAssigned(std::string_view Task, std::size_t Count,
                   std::span<const std::string_view> Others) const;
   bool isInSameZone(const EntryRecord &Other) const;
-  void syncWeightHistory(const std::string &Model, std::uint64_t Version);
+  Announcement dateAnnouncement();
+  void readWeightHistory(const std::string &Model);
+  void storeWeightHistories();
+  void storeWeightHistory(const std::string &Model, std::uint64_t Version);
+  void sendWeightNotices(std::span<const SocketAddress> Targets);
+  void onWeightNotices(std::span<const WeightNotice> Notices);
   void onCall(std::shared_ptr<IncomingCall> Call);
   void gossip();
   void publishStatus();
@@ -153,6 +161,11 @@
   std::unique_ptr<CallListener> Listener;
   std::unique_ptr<EntryChannel> Channel;
   TimePoint OldestWeightsSince;
+  StallDetector Stalls{BootClock::now()};
+  /// Newest version by model whose announcement is stored on the platform.
+  std::map<std::string, std::uint64_t> StoredWeights;
+  /// Models whose history is being written.
+  std::set<std::string> PendingHistories;
   std::optional<TimePoint> StopRequestedAt;
   std::vector<sigc::connection> Timers;
   sigc::connection StatusTimer;
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -23,6 +23,13 @@
 /// announced, one object per model.
 static constexpr std::string_view HistoryKind = "weight-history";
 
+/// Processes that were not running when a version was announced learn its age
+/// from the notices of the others for this long.
+static constexpr Duration MaxNoticeAge = std::chrono::seconds(120);
+/// Time from the end of a stall until this process has read what was announced
+/// before: the wait of a watch and the time until a lost one is repeated.
+static constexpr Duration CatchUpTime = std::chrono::milliseconds(2500);
+
 void ForwardGateway::onWeights(const PlatformObject &Object) {
   if (Object.Deleted)
     return;
@@ -30,82 +37,168 @@
   if (!Read)
     return;
   AnnouncedWeights &Named = this->Services.Weights[Read->Model];
-  if (Read->Version <= Named.newest())
+  const auto Known = Named.Announced.find(Read->Version);
+  if (Read->Version < Named.newest() ||
+      (Known != Named.Announced.end() &&
+       Known->second.Source == AnnouncementSource::Observed))
+    return;
+  const Announcement Seen = this->dateAnnouncement();
+  if (!noteAnnounced(Named, Read->Version, Seen))
     return;
-  const bool IsFoundAtStartup = !this->WeightNotices.confirmedAt();
-  // Until the history is read, versions found at startup are treated as
-  // announced so long ago that older weights may not be used.
-  const Duration Age =
-      IsFoundAtStartup ? this->Settings.WeightsLimit : Duration::zero();
-  recordAnnounced(Named, Read->Version, EventLoop::now() - Age);
-  this->syncWeightHistory(Read->Model, IsFoundAtStartup ? 0 : Read->Version);
+  if (Seen.Source != AnnouncementSource::Observed)
+    this->readWeightHistory(Read->Model);
   log(LogLevel::Info, "weights.named",
       {{"model", Read->Model},
        {"version", std::to_string(Read->Version)},
-       {"age_ms", std::to_string(toMilliseconds(Age))},
-       {"source", IsFoundAtStartup ? "assumed" : "watch"}});
+       {"age_ms", std::to_string(toMilliseconds(BootClock::now() - Seen.At))},
+       {"source", std::string(toString(Seen.Source))}});
   this->updateOrders();
 }
 
-/// Reads the times at which the weight versions of \p Model were announced. If
-/// \p Version is not zero, it was announced just now, and one gateway adds it
-/// to the stored history for processes that start later.
-void ForwardGateway::syncWeightHistory(const std::string &Model,
-                                       std::uint64_t Version) {
-  const ObjectKey Key{std::string(HistoryKind), Model};
-  const bool Writes =
-      Version != 0 && this->isAssigned(Model, 1, this->liveGatewayIds());
-  if (Version != 0 && !Writes)
+/// Returns the date of a version that the platform names now. One that was
+/// found at the start, or that may have been named while this process stood
+/// still, is dated as early as possible until a better source is known.
+Announcement ForwardGateway::dateAnnouncement() {
+  const BootTime Now = BootClock::now();
+  this->Stalls.observe(Now);
+  if (!this->WeightNotices.confirmedAt())
+    return {Now - this->Settings.WeightsLimit, AnnouncementSource::Assumed};
+  if (const auto Began = this->Stalls.recentStall(Now, CatchUpTime))
+    return {*Began, AnnouncementSource::Assumed};
+  return {Now, AnnouncementSource::Observed};
+}
+
+void ForwardGateway::sendWeightNotices(std::span<const SocketAddress> Targets) {
+  const std::vector<WeightNotice> Notices =
+      weightNotices(this->Services.Weights, MaxNoticeAge, BootClock::now());
+  if (Notices.empty())
+    return;
+  const std::string Message = encodeGossip({.Weights = Notices});
+  for (const SocketAddress &To : Targets)
+    this->Channel->send(To, Message);
+}
+
+void ForwardGateway::onWeightNotices(std::span<const WeightNotice> Notices) {
+  if (!mergeNotices(this->Services.Weights, Notices, BootClock::now()))
     return;
-  const std::int64_t NamedMs = wallMilliseconds();
+  for (const WeightNotice &Each : Notices)
+    log(LogLevel::Info, "weights.told",
+        {{"model", Each.Model},
+         {"version", std::to_string(Each.Version)},
+         {"age_ms", std::to_string(Each.Age.count())}});
+  this->updateOrders();
+}
+
+static ObjectKey historyKey(const std::string &Model) {
+  return {std::string(HistoryKind), Model};
+}
+
+/// Returns the stored announcement times in Unix milliseconds by version.
+static std::map<std::uint64_t, std::int64_t>
+historyFrom(const PlatformResult &Result, const std::string &Model) {
+  std::map<std::uint64_t, std::int64_t> History;
+  try {
+    if (Result.Status == PlatformStatus::Ok)
+      for (const json &Each : Result.Object.Value)
+        History[Each.at(0)] = Each.at(1);
+  } catch (const json::exception &Failure) {
+    // The next write replaces the malformed object.
+    log(LogLevel::Warn, "weights.history_malformed",
+        {{"model", Model}, {"message", Failure.what()}});
+  }
+  return History;
+}
+
+/// Reads when the weight versions of \p Model were announced.
+void ForwardGateway::readWeightHistory(const std::string &Model) {
   this->Parts.Api.get(
-      Key, [this, Key, Version, NamedMs,
-            Alive = std::weak_ptr(this->Alive)](const PlatformResult &Result) {
+      historyKey(Model), [this, Model, Alive = std::weak_ptr(this->Alive)](
+                             const PlatformResult &Result) {
         if (Alive.expired())
           return;
-        std::map<std::uint64_t, std::int64_t> History;
-        try {
-          if (Result.Status == PlatformStatus::Ok)
-            for (const json &Each : Result.Object.Value)
-              History[Each.at(0)] = Each.at(1);
-        } catch (const json::exception &Failure) {
-          log(LogLevel::Warn, "weights.history_malformed",
-              {{"model", Key.Name}, {"message", Failure.what()}});
-        }
-        if (Version == 0) {
-          const std::int64_t WallMs = wallMilliseconds();
-          restoreAnnounced(this->Services.Weights[Key.Name], History, WallMs,
-                           EventLoop::now());
-          log(LogLevel::Info, "weights.history",
-              {{"model", Key.Name},
-               {"versions", std::to_string(History.size())},
-               {"newest_age_ms",
-                History.empty()
-                    ? "-"
-                    : std::to_string(WallMs - History.rbegin()->second)}});
-          this->updateOrders();
-          return;
-        }
-        History[Version] = NamedMs;
-        while (History.size() > MaxAnnouncedWeights)
-          History.erase(History.begin());
-        json Value = json::array();
-        for (const auto &[Each, Since] : History)
-          Value.push_back({Each, Since});
-        const std::uint64_t IfVersion = Result.Status == PlatformStatus::Ok
-                                            ? Result.Object.Version
-                                            : Platform::MustNotExist;
-        this->Parts.Api.put(
-            Key, Value, IfVersion, [Key](const PlatformResult &Written) {
-              // If the write fails, processes that start later only
-              // stop using older weights sooner.
-              if (Written.Status != PlatformStatus::Ok)
-                log(LogLevel::Warn, "weights.history_not_written",
-                    {{"model", Key.Name}});
-            });
+        const auto History = historyFrom(Result, Model);
+        const std::int64_t WallMs = wallMilliseconds();
+        restoreAnnounced(this->Services.Weights[Model], History, WallMs,
+                         this->Settings.MaxClockError, BootClock::now());
+        log(LogLevel::Info, "weights.history",
+            {{"model", Model},
+             {"versions", std::to_string(History.size())},
+             {"newest_age_ms",
+              History.empty()
+                  ? "-"
+                  : std::to_string(WallMs - History.rbegin()->second)}});
+        this->updateOrders();
       });
 }
 
+/// Stores when the newest versions were announced, for processes that start
+/// when no other one is running. One live gateway does it for each model, so
+/// that another one takes over from a gateway that stands still.
+void ForwardGateway::storeWeightHistories() {
+  if (!this->reachesPlatform())
+    return;
+  const auto Live = this->liveGatewayIds(
+      [](const EntryRecord &Each) { return Each.ReachesPlatform; });
+  for (const auto &[Model, Weights] : this->Services.Weights) {
+    const std::uint64_t Newest = Weights.newest();
+    if (Newest <= this->StoredWeights[Model] ||
+        Weights.Announced.at(Newest).Source != AnnouncementSource::Observed ||
+        this->PendingHistories.contains(Model) ||
+        !this->isAssigned(Model, /*Count=*/1, Live))
+      continue;
+    this->storeWeightHistory(Model, Newest);
+  }
+}
+
+void ForwardGateway::storeWeightHistory(const std::string &Model,
+                                        std::uint64_t Version) {
+  this->PendingHistories.insert(Model);
+  this->Parts.Api.get(historyKey(Model), [this, Model, Version,
+                                          Alive = std::weak_ptr(this->Alive)](
+                                             const PlatformResult &Result) {
+    if (Alive.expired())
+      return;
+    if (Result.Status != PlatformStatus::Ok &&
+        Result.Status != PlatformStatus::NotFound) {
+      this->PendingHistories.erase(Model);
+      return;
+    }
+    auto History = historyFrom(Result, Model);
+    const BootTime Now = BootClock::now();
+    const std::size_t Stored = History.size();
+    for (const auto &[Each, Known] : this->Services.Weights[Model].Announced)
+      if (Known.Source == AnnouncementSource::Observed)
+        History.try_emplace(Each, wallMilliseconds() -
+                                      toMilliseconds(Now - Known.At));
+    if (History.size() == Stored) {
+      this->StoredWeights[Model] = Version;
+      this->PendingHistories.erase(Model);
+      return;
+    }
+    while (History.size() > MaxAnnouncedWeights)
+      History.erase(History.begin());
+    json Value = json::array();
+    for (const auto &[Each, Since] : History)
+      Value.push_back({Each, Since});
+    this->Parts.Api.put(
+        historyKey(Model), Value,
+        Result.Status == PlatformStatus::Ok ? Result.Object.Version
+                                            : Platform::MustNotExist,
+        [this, Model, Version,
+         Alive = std::weak_ptr(this->Alive)](const PlatformResult &Written) {
+          if (Alive.expired())
+            return;
+          this->PendingHistories.erase(Model);
+          if (Written.Status == PlatformStatus::Ok)
+            this->StoredWeights[Model] = Version;
+          else
+            // Repeated in the next gossip round.
+            log(LogLevel::Warn, "weights.history_not_written",
+                {{"model", Model}});
+        });
+  });
+}
+
 /// Passes the known engines and their target weights to the order controller.
 void ForwardGateway::updateOrders() {
   if (!this->Services.Config)
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -278,6 +278,21 @@
   return Message;
 }
 
+static json toJson(std::span<const WeightNotice> Notices) {
+  json Result = json::array();
+  for (const WeightNotice &Each : Notices)
+    Result.push_back({Each.Model, Each.Version, Each.Age.count()});
+  return {{"weights", std::move(Result)}};
+}
+
+static std::vector<WeightNotice> weightsFromJson(const json &Value) {
+  std::vector<WeightNotice> Result;
+  for (const json &Each : Value.at("weights"))
+    Result.push_back(
+        {Each.at(0), Each.at(1), Milliseconds(Each.at(2).get<std::int64_t>())});
+  return Result;
+}
+
 std::string encodeGossip(const GossipMessage &Message) {
   json Value = json::array();
   if (Message.Store)
@@ -286,6 +301,8 @@
     Value = toJson(*Message.Objects);
   else if (!Message.Crashes.empty())
     Value = toJson(Message.Crashes);
+  else if (!Message.Weights.empty())
+    Value = toJson(std::span<const WeightNotice>(Message.Weights));
   else if (!Message.Rates.From.empty())
     Value = toJson(Message.Rates);
   else if (!Message.Digest.From.empty())
@@ -310,6 +327,8 @@
     Result.Objects = objectNewsFromJson(Value);
   else if (Value.is_object() && Value.contains("crashes"))
     Result.Crashes = crashesFromJson(Value);
+  else if (Value.is_object() && Value.contains("weights"))
+    Result.Weights = weightsFromJson(Value);
   else if (Value.is_object() && Value.contains("rates"))
     Result.Rates = ratesFromJson(Value);
   else if (Value.is_object() && Value.contains("digest"))
--- a/src/process/GossipMessages.h
+++ b/src/process/GossipMessages.h
@@ -7,7 +7,8 @@
 // goes from its entry to all others several times a second, or to a relay,
 // which answers with digests. Updates of a store or of platform objects go to
 // the entries of one availability zone. Crash reports go to a few entries or to
-// all, see CrashExchange. Rate messages go to the entry that issues permits for
+// all, see CrashExchange. Weight notices go along with entry records, see
+// AnnouncedWeights. Rate messages go to the entry that issues permits for
 // an upstream, and back, see RateShares.
 
 #ifndef GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
@@ -18,6 +19,7 @@
 #include "process/StatusRelay.h"
 #include "process/StoreFollower.h"
 #include "request/CrashRecord.h"
+#include "version/AnnouncedWeights.h"
 
 #include <optional>
 
@@ -31,6 +33,7 @@
   std::optional<StoreUpdate> Store;
   std::optional<ObjectUpdates> Objects;
   std::vector<CrashReport> Crashes;
+  std::vector<WeightNotice> Weights;
   RateMessage Rates; ///< Empty if From is empty.
 };
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -156,7 +156,7 @@
   if (const AnnouncedWeights *Named = this->namedWeights()) {
     Query.NewestWeightVersion = Named->newest();
     Query.MinWeightVersion =
-        oldestAllowed(*Named, this->Services.OldWeightsLimit, EventLoop::now());
+        oldestAllowed(*Named, this->Services.OldWeightsLimit, BootClock::now());
   }
   Query.Subject = lastSharedPart(this->Call.Parts);
   Query.Draw = this->Services.Random();
@@ -392,7 +392,7 @@
   const auto Since = Named && To.WeightVersion
                          ? supersededAt(*Named, *To.WeightVersion)
                          : std::nullopt;
-  return Since ? std::to_string(toMilliseconds(EventLoop::now() - *Since))
+  return Since ? std::to_string(toMilliseconds(BootClock::now() - *Since))
                : "-";
 }
 
@@ -409,7 +409,7 @@
   if (!Superseded)
     return;
   const Duration Left =
-      *Superseded + this->Services.WeightsLimit - EventLoop::now();
+      *Superseded + this->Services.WeightsLimit - BootClock::now();
   this->WeightsTimer = this->Services.Loop.timers().after(
       Left, [Self = this->shared_from_this()] { Self->onWeightsDeadline(); });
 }
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -47,7 +47,7 @@
   ForwardConfigPtr Config;                    ///< Null until one is received.
   std::map<std::string, RetryBudget> Budgets; ///< By service.
   RetryBudget NewBudget;
-  std::map<std::string, AnnouncedWeights> Weights; ///< By model.
+  AnnouncedWeightsByModel Weights;
   std::vector<StoreView> Stores;
   ReuseSettings Reuse;
   CrashRecord Crashes;
--- a/src/version/AnnouncedWeights.h
+++ b/src/version/AnnouncedWeights.h
@@ -1,81 +1,108 @@
 // Decides which weight versions of a model may still be used.
 //
-//   recordAnnounced(Weights, Version, Now);
+//   noteAnnounced(Weights, Version, {Now, AnnouncementSource::Observed});
 //   const std::uint64_t Oldest = oldestAllowed(Weights, Limit, Now);
+//   mergeNotices(WeightsByModel, weightNotices(...), Now);  // from a peer
+//
+// A version is announced once, for the whole fleet, but each process learns of
+// it at another time, some of them much later: they were frozen, cut off or not
+// yet started. Processes therefore tell each other the ages of the versions
+// that they know, and all use the earliest observation.
 //
 // A new version may be announced before all engines have loaded the one before
-// it; each announcement has its own time limit. Guarantees: at most
-// MaxAnnouncedWeights versions are recorded; the oldest ones are dropped.
+// it; each announcement has its own time limit. Guarantees: merging is
+// idempotent and independent of the order; a date known from a weaker source
+// never replaces one from a stronger source; at most MaxAnnouncedWeights
+// versions of a model are recorded, the oldest ones are dropped.
 
 #ifndef GALENAROUTE_VERSION_ANNOUNCEDWEIGHTS_H
 #define GALENAROUTE_VERSION_ANNOUNCEDWEIGHTS_H
 
-#include "process/Clock.h"
+#include "process/BootClock.h"
 
-#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace galenaroute {
 
+/// How the time of an announcement is known, weakest first.
+enum class AnnouncementSource {
+  Assumed,  ///< Found at a start or after a stall: the earliest possible time.
+  Stored,   ///< Stored on the platform, as a time of day.
+  Observed, ///< Seen by a running process of the fleet.
+};
+
+struct Announcement {
+  BootTime At;
+  AnnouncementSource Source = AnnouncementSource::Observed;
+};
+
 /// The announced weight versions of one model.
 struct AnnouncedWeights {
-  std::map<std::uint64_t, TimePoint> AnnouncedAt; ///< Announcement by version.
+  std::map<std::uint64_t, Announcement> Announced; ///< By version.
 
   std::uint64_t newest() const {
-    return this->AnnouncedAt.empty() ? 0 : this->AnnouncedAt.rbegin()->first;
+    return this->Announced.empty() ? 0 : this->Announced.rbegin()->first;
   }
 };
 
+/// The announced weight versions by model.
+using AnnouncedWeightsByModel = std::map<std::string, AnnouncedWeights>;
+
 inline constexpr std::size_t MaxAnnouncedWeights = 16;
+/// Models known from other processes only, beyond which notices are ignored.
+inline constexpr std::size_t MaxNoticedModels = 64;
+/// Notices sent for one model, those of its newest versions.
+inline constexpr std::size_t MaxNoticesPerModel = 4;
 
-/// Records the announcement of \p Version; ignores a version that is not newer.
-inline void recordAnnounced(AnnouncedWeights &Weights, std::uint64_t Version,
-                            TimePoint Now) {
-  if (Version <= Weights.newest())
-    return;
-  Weights.AnnouncedAt[Version] = Now;
-  if (Weights.AnnouncedAt.size() > MaxAnnouncedWeights)
-    Weights.AnnouncedAt.erase(Weights.AnnouncedAt.begin());
-}
-
-/// Restores the announcement times that another process stored in \p History:
-/// Unix milliseconds by version. \p WallMs is the wall-clock time at \p Now.
-/// Versions that are not in \p History are left unchanged.
-inline void
-restoreAnnounced(AnnouncedWeights &Weights,
-                 const std::map<std::uint64_t, std::int64_t> &History,
-                 std::int64_t WallMs, TimePoint Now) {
-  for (const auto &[Version, AnnouncedMs] : History)
-    Weights.AnnouncedAt[Version] =
-        Now - std::chrono::milliseconds(
-                  std::max<std::int64_t>(0, WallMs - AnnouncedMs));
-  while (Weights.AnnouncedAt.size() > MaxAnnouncedWeights)
-    Weights.AnnouncedAt.erase(Weights.AnnouncedAt.begin());
-}
+/// Tells another process how long ago a version was announced. Carries an age
+/// instead of a time, since the clocks of VMs differ.
+struct WeightNotice {
+  std::string Model;
+  std::uint64_t Version = 0;
+  Milliseconds Age{};
+};
+
+/// Records when \p Version was announced, unless a stronger source or an
+/// earlier time of the same source is known. Returns whether anything changed.
+bool noteAnnounced(AnnouncedWeights &Weights, std::uint64_t Version,
+                   Announcement Seen);
+
+/// Restores the announcement times that a process stored in \p History: Unix
+/// milliseconds by version. \p WallMs is the wall-clock time at \p Now, which
+/// may be behind that of the writer by \p MaxClockError.
+void restoreAnnounced(AnnouncedWeights &Weights,
+                      const std::map<std::uint64_t, std::int64_t> &History,
+                      std::int64_t WallMs, Duration MaxClockError,
+                      BootTime Now);
 
 /// Returns when the first version newer than \p Version was announced, or
 /// nothing.
-inline std::optional<TimePoint> supersededAt(const AnnouncedWeights &Weights,
-                                             std::uint64_t Version) {
-  const auto Next = Weights.AnnouncedAt.upper_bound(Version);
-  if (Next == Weights.AnnouncedAt.end())
-    return std::nullopt;
-  return Next->second;
-}
+std::optional<BootTime> supersededAt(const AnnouncedWeights &Weights,
+                                     std::uint64_t Version);
 
 /// Returns the oldest version that may be used if each one must be out of use
 /// within \p Limit after a newer one was announced.
-inline std::uint64_t oldestAllowed(const AnnouncedWeights &Weights,
-                                   Duration Limit, TimePoint Now) {
-  std::uint64_t Oldest = 0;
-  for (const auto &[Version, Since] : Weights.AnnouncedAt)
-    if (Now - Since > Limit)
-      Oldest = Version;
-  return Oldest;
-}
+std::uint64_t oldestAllowed(const AnnouncedWeights &Weights, Duration Limit,
+                            BootTime Now);
+
+/// Returns the notices for other processes on versions that were observed at
+/// most \p MaxAge ago.
+std::vector<WeightNotice> weightNotices(const AnnouncedWeightsByModel &All,
+                                        Duration MaxAge, BootTime Now);
+
+/// Merges the notices of another process. Returns whether anything changed.
+bool mergeNotices(AnnouncedWeightsByModel &All,
+                  std::span<const WeightNotice> Notices, BootTime Now);
+
+/// Returns the form of \p Source that log lines use.
+std::string_view toString(AnnouncementSource Source);
 
 } // namespace galenaroute
 
