Withdraw calls that wait at an engine when its weights are superseded

Callers saw calls begin on replaced weights 9 s after the naming where 8 s are allowed: calls that had waited at an engine with old weights since before the naming.

Cause: the timer that withdraws a call which has not begun is armed when the call is sent, by what is known then. A version that is named later arms none.

Ruled out: the date of the version; the daemons had learned of it in time.

Change: runs arm their timer again when the announced weights change, and after the process stood still, since timers do not advance during a suspension.

Before: WeightsProcessTest.ACallThatWaitsAtAnEngineDoesNotBeginPastTheLimit red (9 calls, 9,004 to 9,108 ms). After: green (1 run).

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -295,7 +295,7 @@
   this->Timers.push_back(
       this->Loop.timers().every(GossipPeriod, [this] { this->gossip(); }));
   this->Timers.push_back(this->Loop.timers().every(HousekeepingPeriod, [this] {
-    this->Stalls.observe(BootClock::now());
+    this->detectStall();
     const auto At = this->Registry.confirmedAt();
     // Without contact to the platform, a missing upstream can't be
     // distinguished from an outage, so none is expired.
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -107,6 +107,7 @@
   void storeWeightHistory(const std::string &Model, std::uint64_t Version);
   void sendWeightNotices(std::span<const SocketAddress> Targets);
   void onWeightNotices(std::span<const WeightNotice> Notices);
+  void detectStall();
   void onCall(std::shared_ptr<IncomingCall> Call);
   void gossip();
   void publishStatus();
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -53,14 +53,15 @@
        {"age_ms", std::to_string(toMilliseconds(BootClock::now() - Seen.At))},
        {"source", std::string(toString(Seen.Source))}});
   this->updateOrders();
+  this->Services.WeightsChanged.emit();
 }
 
 /// Returns the date of a version that the platform names now. One that was
 /// found at the start, or that may have been named while this process stood
 /// still, is dated as early as possible until a better source is known.
 Announcement ForwardGateway::dateAnnouncement() {
+  this->detectStall();
   const BootTime Now = BootClock::now();
-  this->Stalls.observe(Now);
   if (!this->WeightNotices.confirmedAt())
     return {Now - this->Settings.WeightsLimit, AnnouncementSource::Assumed};
   if (const auto Began = this->Stalls.recentStall(Now, CatchUpTime))
@@ -68,6 +69,13 @@
   return {Now, AnnouncementSource::Observed};
 }
 
+/// Lets calls that wait at engines rearm their timers, which do not advance
+/// while the VM is suspended.
+void ForwardGateway::detectStall() {
+  if (this->Stalls.observe(BootClock::now()))
+    this->Services.WeightsChanged.emit();
+}
+
 void ForwardGateway::sendWeightNotices(std::span<const SocketAddress> Targets) {
   const std::vector<WeightNotice> Notices =
       weightNotices(this->Services.Weights, MaxNoticeAge, BootClock::now());
@@ -87,6 +95,7 @@
          {"version", std::to_string(Each.Version)},
          {"age_ms", std::to_string(Each.Age.count())}});
   this->updateOrders();
+  this->Services.WeightsChanged.emit();
 }
 
 static ObjectKey historyKey(const std::string &Model) {
@@ -128,6 +137,7 @@
                   ? "-"
                   : std::to_string(WallMs - History.rbegin()->second)}});
         this->updateOrders();
+        this->Services.WeightsChanged.emit();
       });
 }
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -43,6 +43,7 @@
   this->StallTimer.disconnect();
   this->DeadlineTimer.disconnect();
   this->WeightsTimer.disconnect();
+  this->WeightsChanged.disconnect();
 }
 
 /// Returns a random number, uniform in [0, 1).
@@ -72,6 +73,9 @@
     return;
   }
   noteCall(this->budget());
+  if (this->Service->Engine)
+    this->WeightsChanged = this->Services.WeightsChanged.connect(
+        [this] { this->armWeightsTimer(); });
   this->DeadlineTimer = this->Services.Loop.timers().after(
       this->timeLeft(), [Self] { Self->onTimeout(); });
   this->attempt();
@@ -333,6 +337,7 @@
                          : MaxIdleRepeatable;
   this->UpstreamId = To.Registered.Id;
   this->Incarnation = To.Incarnation;
+  this->SentWeights = this->Service->Engine ? To.WeightVersion : std::nullopt;
   this->Services.Upstreams.noteParts(this->UpstreamId, Query);
   this->TriedUpstreams.push_back(this->UpstreamId);
   this->HasAnswer = false;
@@ -356,6 +361,7 @@
              this->onEnd(End);
            }});
   const auto PeerUse = this->Services.Upstreams.peerUseAt(To);
+  const auto Superseded = this->supersededFor();
   log(LogLevel::Info, "call.sent",
       {{"call", this->Call.Id},
        {"content", contentName(this->Signature)},
@@ -364,7 +370,8 @@
        {"send", std::to_string(this->Sends + 1)},
        {"left_ms", std::to_string(toMilliseconds(this->timeLeft()))},
        {"weights", std::to_string(To.WeightVersion.value_or(0))},
-       {"superseded_ms", this->supersededAge(To)},
+       {"superseded_ms",
+        Superseded ? std::to_string(toMilliseconds(*Superseded)) : "-"},
        {"own_calls", std::to_string(To.OwnCalls)},
        {"running", To.Load ? std::to_string(To.Load->Running) : "-"},
        {"waiting", To.Load ? std::to_string(To.Load->Waiting) : "-"},
@@ -382,36 +389,31 @@
        {"shared_tokens", std::to_string(Reuse.SharedTokens)}});
   this->Services.OnSent(To, this->PendingPromptTokens);
   this->armStallTimer();
-  this->armWeightsTimer(To);
+  this->armWeightsTimer();
 }
 
-/// Returns for how many milliseconds the weights of \p To have been superseded,
-/// as this process dates the newer version, or "-" if they are not.
-std::string ForwardRun::supersededAge(const UpstreamEntry &To) const {
+/// Returns for how long the weights that the call was sent to have been
+/// superseded, or nothing.
+std::optional<Duration> ForwardRun::supersededFor() const {
   const AnnouncedWeights *Named = this->namedWeights();
-  const auto Since = Named && To.WeightVersion
-                         ? supersededAt(*Named, *To.WeightVersion)
-                         : std::nullopt;
-  return Since ? std::to_string(toMilliseconds(BootClock::now() - *Since))
-               : "-";
+  if (!Named || !this->SentWeights)
+    return std::nullopt;
+  const auto Since = supersededAt(*Named, *this->SentWeights);
+  return Since ? std::optional(BootClock::now() - *Since) : std::nullopt;
 }
 
 /// A call queued at an engine with old weights must not begin there after the
-/// deadline for the newer version.
-void ForwardRun::armWeightsTimer(const UpstreamEntry &To) {
+/// deadline for the newer version, which may be announced while it waits.
+void ForwardRun::armWeightsTimer() {
   this->WeightsTimer.disconnect();
-  if (!this->Service->Engine || !To.WeightVersion)
-    return;
-  const AnnouncedWeights *Named = this->namedWeights();
-  if (!Named)
+  if (this->Current == Phase::Done || !this->Exchange || this->FirstEventAt)
     return;
-  const auto Superseded = supersededAt(*Named, *To.WeightVersion);
+  const auto Superseded = this->supersededFor();
   if (!Superseded)
     return;
-  const Duration Left =
-      *Superseded + this->Services.WeightsLimit - BootClock::now();
   this->WeightsTimer = this->Services.Loop.timers().after(
-      Left, [Self = this->shared_from_this()] { Self->onWeightsDeadline(); });
+      std::max(this->Services.WeightsLimit - *Superseded, Duration::zero()),
+      [Self = this->shared_from_this()] { Self->onWeightsDeadline(); });
 }
 
 void ForwardRun::onWeightsDeadline() {
@@ -652,6 +654,7 @@
   this->StallTimer.disconnect();
   this->DeadlineTimer.disconnect();
   this->WeightsTimer.disconnect();
+  this->WeightsChanged.disconnect();
   // Drops the last reference after the caller of this function has returned.
   this->Services.Loop.timers().after(Duration::zero(),
                                      [Self = this->shared_from_this()] {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -48,6 +48,8 @@
   std::map<std::string, RetryBudget> Budgets; ///< By service.
   RetryBudget NewBudget;
   AnnouncedWeightsByModel Weights;
+  /// Emitted when Weights have changed and after the process stood still.
+  sigc::signal<void()> WeightsChanged;
   std::vector<StoreView> Stores;
   ReuseSettings Reuse;
   CrashRecord Crashes;
@@ -138,8 +140,8 @@
   void onTimeout();
   void onCallerLeft();
   void armStallTimer();
-  std::string supersededAge(const UpstreamEntry &To) const;
-  void armWeightsTimer(const UpstreamEntry &To);
+  std::optional<Duration> supersededFor() const;
+  void armWeightsTimer();
   void onWeightsDeadline();
   void abandonSend(SendOutcome IfSent);
   void beginStream();
@@ -168,6 +170,7 @@
   std::unique_ptr<UpstreamExchange> Exchange;
   std::string UpstreamId;
   std::uint64_t Incarnation = 0; ///< Of the upstream, see incarnationKey().
+  std::optional<std::uint64_t> SentWeights; ///< Of the upstream at the send.
   std::vector<std::string> TriedUpstreams;
   CallAnswer Answer;
   bool HasAnswer = false;
@@ -188,6 +191,7 @@
   sigc::connection StallTimer;
   sigc::connection DeadlineTimer;
   sigc::connection WeightsTimer;
+  sigc::connection WeightsChanged;
 };
 
 } // namespace galenaroute
