OrderController: log the lease, withheld upstreams and orders

A rollout that takes too long could not be traced: the log showed only the answers to orders, not who held the lease and how long an upstream was drained or loading. The events of the timeline are logged too, and an upstream that is withheld from new calls or released again is an event.

--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -1,6 +1,9 @@
 #include "version/OrderController.h"
 
 #include "process/ErrorKind.h"
+#include "process/Log.h"
+
+#include <algorithm>
 
 namespace galenaroute {
 
@@ -45,6 +48,7 @@
 }
 
 void OrderController::record(std::string_view Kind, std::string_view Detail) {
+  log(LogLevel::Info, Kind, {{"detail", std::string(Detail)}});
   if (this->Events)
     this->Events->record(Kind, {}, Detail);
 }
@@ -130,6 +134,7 @@
                  Service.Name + " fence " + std::to_string(State.Lease.Fence));
     State.Rollout = {};
     State.Rollout.Settings = this->RolloutTimes;
+    State.Withheld.clear();
     State.WasHeld = Held;
   }
   if (!Held)
@@ -156,6 +161,20 @@
             onOrderResult(State->Rollout, Upstream, Answer, EventLoop::now());
         });
   }
+  this->recordWithheld(State);
+}
+
+/// Records which upstreams are withheld from new calls since the last step, and
+/// which no longer are.
+void OrderController::recordWithheld(ServiceState &State) {
+  std::vector<std::string> Now = galenaroute::withheld(State.Rollout);
+  for (const std::string &Each : Now)
+    if (!std::binary_search(State.Withheld.begin(), State.Withheld.end(), Each))
+      this->record("upstream.withheld", Each);
+  for (const std::string &Each : State.Withheld)
+    if (!std::binary_search(Now.begin(), Now.end(), Each))
+      this->record("upstream.released", Each);
+  State.Withheld = std::move(Now);
 }
 
 void OrderController::observeAll(const ServiceConfig &Service) {
--- a/src/version/OrderController.h
+++ b/src/version/OrderController.h
@@ -59,6 +59,7 @@
     LeaseState Lease;
     RolloutState Rollout;
     bool WasHeld = false;
+    std::vector<std::string> Withheld; ///< As of the last step, sorted.
   };
 
   OrderController(EventLoop &Loop, Platform &Store, UpstreamOrders &Orders,
@@ -68,6 +69,7 @@
   void stepLease(const std::string &Service, TimePoint Now);
   void stepRollout(const ServiceConfig &Service, TimePoint Now);
   void observeAll(const ServiceConfig &Service);
+  void recordWithheld(ServiceState &State);
   ServiceState *find(const std::string &Service);
   void record(std::string_view Kind, std::string_view Detail);
 
