Lease: a holder that has sent no orders leaves no wait to the next one

What callers saw: with the holder of the lease frozen 0.9 s after new weights were named, before its first order, the next one sent its first order 7.0 s after the naming, and calls ran on replaced weights or were refused meanwhile.

Cause: the stored lease did not tell whether its holder had sent orders. Its successor waited a term (3 s) to acquire it and then until a term had passed since the last moment at which an order could have been sent (1.2 s; 3 s after a resignation, even one of long ago).

Ruled out: the lease as the cause of the late first order without a fault. It is held 0.4 s after the naming; the drain takes the rest.

Change: the record says whether its holder is idle, that is, nobody has sent an order for a term before the write and nobody does until the next write. An idle holder writes the record before its first order; that write fails if another process has acquired the lease. An idle lease is acquired once its holder may no longer act (1.2 s after its last renewal was seen), and the next holder orders at once. Otherwise the wait counts from the first sight of the resignation, or of the last renewal, instead of from the acquisition. A record without the field counts as not idle. One more write to the platform for each rollout. The test AnObserverAcquiresAnExpiredLeaseWithoutAnotherTerm plays a holder that has sent orders, as before; ResignationLetsTheNextHolderStartAtOnce checks the time from which orders may be sent in place of the flag that stood for it.

The property of leases now plays holders that act whenever they may and checks that the actions of two are a term apart.

--- a/src/version/Lease.cpp
+++ b/src/version/Lease.cpp
@@ -9,12 +9,14 @@
 json toJson(const LeaseRecord &Record) {
   return {{"holder", Record.Holder},
           {"fence", Record.Fence},
-          {"renewals", Record.Renewals}};
+          {"renewals", Record.Renewals},
+          {"idle", Record.Idle}};
 }
 
 LeaseRecord leaseFromJson(const json &Value) {
   try {
-    return {Value.at("holder"), Value.at("fence"), Value.at("renewals")};
+    return {Value.at("holder"), Value.at("fence"), Value.at("renewals"),
+            Value.value("idle", false)};
   } catch (const json::exception &Failure) {
     throw Error(ErrorKind::BadRequest,
                 std::string("malformed lease object: ") + Failure.what());
@@ -29,8 +31,9 @@
 /// number: a delayed write that takes effect late must not be mistaken for a
 /// newer one, whose term would end later.
 static LeaseAction write(LeaseState &State, std::string Holder,
-                         std::uint64_t Fence, TimePoint Now) {
-  State.Written = {std::move(Holder), Fence, ++State.Writes};
+                         std::uint64_t Fence, bool Idle, TimePoint Now) {
+  State.Written = {std::move(Holder), Fence, ++State.Writes, Idle};
+  State.Active &= !Idle;
   State.WriteStarted = Now;
   State.CallPending = true;
   return LeaseAction::Write;
@@ -41,10 +44,18 @@
   return LeaseAction::Read;
 }
 
+/// Returns whether the holder may declare that nobody has acted for a term. An
+/// acquisition that was not confirmed has left ActsFrom unchanged.
+static bool mayBecomeIdle(const LeaseState &State, TimePoint Now) {
+  return State.Record.Idle ||
+         (State.Record.Fence == State.Fence && Now >= State.ActsFrom);
+}
+
 LeaseAction nextLeaseAction(LeaseState &State, TimePoint Now,
                             LeaseInterest Interest) {
   const LeaseSettings &Settings = State.Settings;
-  const bool Wanted = Interest == LeaseInterest::Hold;
+  const bool Acts = Interest == LeaseInterest::Act;
+  const bool Wanted = Interest == LeaseInterest::Hold || Acts;
   if (State.CallPending)
     return LeaseAction::Wait;
   const bool IsReadDue = Now >= State.LastRead + Settings.RenewEvery;
@@ -59,22 +70,44 @@
       // No order may be sent once the resignation is in flight, because the
       // next holder does not wait for the end of this term.
       State.HeldUntil = Now;
-      return write(State, "", State.Record.Fence, Now);
+      return write(State, "", State.Record.Fence, State.Record.Idle, Now);
     }
-    if (Now < State.WriteStarted + Settings.RenewEvery)
+    const bool IsActivationDue =
+        Acts && State.Record.Idle && State.Written.Idle;
+    if (!IsActivationDue && Now < State.WriteStarted + Settings.RenewEvery)
       return LeaseAction::Wait;
-    return write(State, Settings.Self, State.Record.Fence, Now);
+    return write(State, Settings.Self, State.Record.Fence,
+                 !Acts && mayBecomeIdle(State, Now), Now);
   }
 
   if (!Wanted)
     return LeaseAction::Wait;
   const bool Free = State.Version == 0 || State.Record.Holder.empty();
-  const bool Lapsed = Now >= State.VersionSince + Settings.Term;
+  const bool IsIdle = State.Version == 0 || State.Record.Idle;
+  const bool Lapsed = Now >= State.VersionSince + Settings.Term -
+                                 (IsIdle ? Settings.Margin : Duration::zero());
   if (!Free && !Lapsed)
     return IsReadDue ? read(State) : LeaseAction::Wait;
   // If the version has changed since the last read, the write fails and the
   // object is read again.
-  return write(State, Settings.Self, State.Record.Fence + 1, Now);
+  return write(State, Settings.Self, State.Record.Fence + 1, IsIdle && !Acts,
+               Now);
+}
+
+/// Returns a term after the last time at which the holder of the known record,
+/// or one before it, can have acted, if no other process holds the lease
+/// between that record and a write of this process.
+static TimePoint actsAfterKnown(const LeaseState &State) {
+  const LeaseSettings &Settings = State.Settings;
+  if (State.Version == 0 || State.Record.Idle)
+    return {};
+  // A holder that resigned stopped before that write, any other one a margin
+  // before the end of the term that its last write started.
+  const TimePoint Stopped =
+      State.Record.Holder.empty()
+          ? State.VersionSince
+          : State.VersionSince + Settings.Term - Settings.Margin;
+  return Stopped + Settings.Term;
 }
 
 /// Adopts the stored record. If it equals a write of this process that is in
@@ -82,7 +115,7 @@
 static void adopt(LeaseState &State, const LeaseRecord &Record,
                   std::uint64_t Version, TimePoint Now) {
   const bool Confirmed = State.InDoubt && Record == State.Written;
-  const LeaseRecord Before = State.Record;
+  const TimePoint ActsFrom = actsAfterKnown(State);
   if (!State.Known || Version != State.Version)
     State.VersionSince = Now;
   State.Known = true;
@@ -95,10 +128,10 @@
   }
   if (!Confirmed)
     return;
+  State.Active = !Record.Idle;
   if (Record.Fence != State.Fence) {
     State.Fence = Record.Fence;
-    State.HeldSince = Now;
-    State.PredecessorResigned = Before.Holder.empty();
+    State.ActsFrom = ActsFrom;
   }
   // The term starts when the write was sent, since a contender may have seen
   // the new version immediately.
@@ -140,4 +173,9 @@
   return isOwnRecord(State) && Now < State.HeldUntil;
 }
 
+bool mayAct(const LeaseState &State, TimePoint Now, bool AfterOthers) {
+  return holdsLease(State, Now) && State.Active &&
+         (!AfterOthers || Now >= State.ActsFrom);
+}
+
 } // namespace galenaroute
--- a/src/version/Lease.h
+++ b/src/version/Lease.h
@@ -10,13 +10,19 @@
 //   switch (nextLeaseAction(State, Now, LeaseInterest::Hold)) { ... }
 //   onLeaseRead(State, Result, Now);
 //   onLeaseWritten(State, Result, Now);
-//   if (holdsLease(State, Now)) sendOrder(State.Fence);
+//   if (mayAct(State, Now)) sendOrder(State.Fence);
+//
+// A record tells whether its holder may act or is idle. An idle holder writes
+// the record once more before it acts, and that write fails if another process
+// has acquired the lease meanwhile. So an idle lease can be acquired sooner,
+// and its next holder need not wait for orders of the previous one.
 //
 // Guarantees: the fencing number increases with each new holder, and no two
 // holders ever have the same one, because each is written by conditional
 // update. holdsLease() becomes false before any contender that is never paused
-// can acquire the lease. It cannot protect against a holder that is paused
-// between a call of holdsLease() and its action; the fencing number does.
+// can acquire the lease. mayAct() becomes true only when every earlier holder
+// has stopped acting for a whole term. Neither can protect against a holder
+// that is paused between a call and its action; the fencing number does.
 
 #ifndef GALENAROUTE_VERSION_LEASE_H
 #define GALENAROUTE_VERSION_LEASE_H
@@ -34,6 +40,9 @@
   std::string Holder; ///< Node and incarnation; empty after a resignation.
   std::uint64_t Fence = 0;
   std::uint64_t Renewals = 0; ///< Unique for each write of one holder.
+  /// Whether no holder has acted in the term before this write, and none acts
+  /// until the next one.
+  bool Idle = false;
   bool operator==(const LeaseRecord &) const = default;
 };
 
@@ -68,9 +77,11 @@
   TimePoint WriteStarted;
   bool InDoubt = false; ///< The result of the last write is unknown.
   TimePoint HeldUntil;  ///< The holder may act only before this time.
-  TimePoint HeldSince;
-  /// Whether the previous holder resigned, so that it sends nothing after that.
-  bool PredecessorResigned = false;
+  /// Whether the last confirmed write allows this holder to act, and no later
+  /// one that makes it idle was started.
+  bool Active = false;
+  /// A term after the last time at which an earlier holder can have acted.
+  TimePoint ActsFrom;
   std::uint64_t Fence = 0;
 };
 
@@ -80,13 +91,16 @@
 enum class LeaseInterest {
   None,    ///< Resign the lease if held.
   Observe, ///< As None, but read the lease, to be able to acquire it sooner.
-  Hold,    ///< Acquire the lease and renew it.
+  Hold,    ///< Acquire the lease and renew it, without acting.
+  Act,     ///< As Hold, and be allowed to act.
 };
 
 /// Decides the next call to the platform. For Write, State.Written and
 /// State.Version are the value and the condition. A lease is acquired only with
-/// LeaseInterest::Hold, and from another holder only when it has been seen
-/// unchanged for a term.
+/// LeaseInterest::Hold or Act, and from another holder only when it has been
+/// seen unchanged for a term, or until the holder's right to act has ended if
+/// it is idle. After its last action, a holder must keep LeaseInterest::Act for
+/// a term.
 LeaseAction nextLeaseAction(LeaseState &State, TimePoint Now,
                             LeaseInterest Interest);
 
@@ -98,9 +112,14 @@
 void onLeaseWritten(LeaseState &State, const PlatformResult &Result,
                     TimePoint Now);
 
-/// Returns whether the holder may act at \p Now.
+/// Returns whether this process holds the lease at \p Now.
 bool holdsLease(const LeaseState &State, TimePoint Now);
 
+/// Returns whether this process holds the lease and may act at \p Now. Without
+/// \p AfterOthers, actions of earlier holders need not be a term ago, since
+/// their receivers check the fencing number.
+bool mayAct(const LeaseState &State, TimePoint Now, bool AfterOthers = true);
+
 } // namespace galenaroute
 
 #endif // GALENAROUTE_VERSION_LEASE_H
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -91,13 +91,24 @@
   }
 }
 
+LeaseInterest OrderController::interestIn(const std::string &Service,
+                                          TimePoint Now) {
+  if (this->Resigned)
+    return LeaseInterest::None;
+  if (!this->IsPreferred(Service))
+    return this->IsStandby(Service) ? LeaseInterest::Observe
+                                    : LeaseInterest::None;
+  const ServiceState &State = *this->find(Service);
+  // An order may be in flight for a margin.
+  const bool HasOrdered =
+      State.LastOrderAt &&
+      Now < *State.LastOrderAt + this->Settings.Term + this->Settings.Margin;
+  return HasOrdered || State.Rollout.IsOrderDue ? LeaseInterest::Act
+                                                : LeaseInterest::Hold;
+}
+
 void OrderController::stepLease(const std::string &Service, TimePoint Now) {
   LeaseState &Lease = this->find(Service)->Lease;
-  const LeaseInterest Interest =
-      this->Resigned               ? LeaseInterest::None
-      : this->IsPreferred(Service) ? LeaseInterest::Hold
-      : this->IsStandby(Service)   ? LeaseInterest::Observe
-                                   : LeaseInterest::None;
   const auto OnResult = [this, Service,
                          Alive = std::weak_ptr(this->Alive)](auto Handle) {
     return [this, Service, Alive, Handle](const PlatformResult &Result) {
@@ -111,9 +122,10 @@
       } catch (const Error &Failure) {
         this->record("lease.malformed", Service + ": " + Failure.what());
       }
+      this->onLeaseResult(Service);
     };
   };
-  switch (nextLeaseAction(Lease, Now, Interest)) {
+  switch (nextLeaseAction(Lease, Now, this->interestIn(Service, Now))) {
   case LeaseAction::Wait:
     return;
   case LeaseAction::Read:
@@ -140,18 +152,12 @@
   if (!Held)
     return;
   this->observeAll(Service);
-  // If upstreams do not reject outdated orders, the orders of two holders must
-  // be a whole term apart. The previous holder stopped a margin before its term
-  // ended, but one that resigned may have sent an order just before. The first
-  // holder has no predecessor.
-  const LeaseSettings &Times = State.Lease.Settings;
-  const Duration MinGap =
-      State.Lease.PredecessorResigned ? Times.Term : Times.Term - Times.Margin;
-  const bool MayOrder = Service.ChecksFence || State.Lease.Fence <= 1 ||
-                        Now >= State.Lease.HeldSince + MinGap;
+  const bool MayOrder =
+      mayAct(State.Lease, Now, /*AfterOthers=*/!Service.ChecksFence);
   for (const Order &Each :
        planOrders(Service, State.Rollout, State.Lease.Fence, Now, MayOrder)) {
     this->record("order.sent", Each.Upstream + " " + Each.WeightVersion);
+    State.LastOrderAt = Now;
     this->Orders.send(
         Each, [this, Name = Service.Name, Upstream = Each.Upstream,
                Alive = std::weak_ptr(this->Alive)](OrderResult Answer) {
@@ -162,6 +168,15 @@
         });
   }
   this->recordWithheld(State);
+  if (State.Rollout.IsOrderDue && !State.Lease.Active)
+    this->stepLease(Service.Name, Now);
+}
+
+/// Sends orders that were waiting for the lease to become active.
+void OrderController::onLeaseResult(const std::string &Service) {
+  const ServiceConfig *Config = this->Current->findService(Service);
+  if (Config && this->find(Service)->Rollout.IsOrderDue)
+    this->stepRollout(*Config, EventLoop::now());
 }
 
 /// Records which upstreams are withheld from new calls since the last step, and
--- a/src/version/OrderController.h
+++ b/src/version/OrderController.h
@@ -14,10 +14,11 @@
 //
 // Guarantees: orders are sent only while the lease is held; before it sends
 // orders to upstreams that do not check fencing numbers, a new holder waits
-// until a whole lease term has passed since its predecessor could have sent
-// one. Limitation: a holder that is paused for longer than the term after it
-// checked its lease may send one outdated order to such an upstream; the new
-// holder sees the effect in its next observation and corrects it.
+// until a whole lease term has passed since a predecessor could have sent one;
+// a predecessor whose lease was idle sent none. Limitation: a holder that is
+// paused for longer than the term after it checked its lease may send one
+// outdated order to such an upstream; the new holder sees the effect in its
+// next observation and corrects it.
 
 #ifndef GALENAROUTE_VERSION_ORDERCONTROLLER_H
 #define GALENAROUTE_VERSION_ORDERCONTROLLER_H
@@ -59,6 +60,7 @@
     LeaseState Lease;
     RolloutState Rollout;
     bool WasHeld = false;
+    std::optional<TimePoint> LastOrderAt;
     std::vector<std::string> Withheld; ///< As of the last step, sorted.
   };
 
@@ -66,7 +68,9 @@
                   LeaseSettings Settings, RolloutSettings RolloutTimes,
                   Duration Period, Preferred IsPreferred, Preferred IsStandby,
                   Timeline *Events);
+  LeaseInterest interestIn(const std::string &Service, TimePoint Now);
   void stepLease(const std::string &Service, TimePoint Now);
+  void onLeaseResult(const std::string &Service);
   void stepRollout(const ServiceConfig &Service, TimePoint Now);
   void observeAll(const ServiceConfig &Service);
   void recordWithheld(ServiceState &State);
--- a/src/version/Orders.cpp
+++ b/src/version/Orders.cpp
@@ -98,6 +98,7 @@
                               std::uint64_t Fence, TimePoint Now,
                               bool MayOrder) {
   std::vector<Order> Result;
+  State.IsOrderDue = false;
   prune(Service, State, Now);
   if (State.Fenced)
     return Result;
@@ -127,9 +128,13 @@
       Entry.DrainingSince = Now;
       ++Draining;
     }
-    if (!MayOrder || Loading >= Service.MaxConcurrentLoads ||
+    if (Loading >= Service.MaxConcurrentLoads ||
         !isDrained(Entry, State.Settings, Now))
       continue;
+    if (!MayOrder) {
+      State.IsOrderDue = true;
+      continue;
+    }
     Entry.DrainingSince.reset();
     --Draining;
     Entry.OrderedAt = Now;
--- a/src/version/Orders.h
+++ b/src/version/Orders.h
@@ -88,6 +88,8 @@
   RolloutSettings Settings;
   std::map<std::string, UpstreamRollout> Upstreams;
   bool Fenced = false; ///< Set when an upstream has seen a newer fence.
+  /// Whether the last planOrders() would have returned orders with MayOrder.
+  bool IsOrderDue = false;
 };
 
 /// Records the state that \p Upstream reported.
--- a/tests/LeaseTest.cpp
+++ b/tests/LeaseTest.cpp
@@ -16,7 +16,8 @@
 struct Contender {
   explicit Contender(const std::string &Name) : State({.Self = Name}) {}
   LeaseState State;
-  LeaseInterest Interest = LeaseInterest::Hold;
+  LeaseInterest Interest = LeaseInterest::Act;
+  std::optional<TimePoint> ActedAt;
 };
 
 /// Runs contenders step by step and checks the invariants in each state.
@@ -30,7 +31,7 @@
   void act(std::size_t Index) {
     Contender &Each = this->Contenders[Index % this->Contenders.size()];
     LeaseState &State = Each.State;
-    switch (nextLeaseAction(State, this->Now, Each.Interest)) {
+    switch (nextLeaseAction(State, this->Now, this->interestOf(Each))) {
     case LeaseAction::Wait:
       break;
     case LeaseAction::Read:
@@ -47,6 +48,14 @@
     }
   }
 
+  /// Lets one contender make \p Calls calls that are answered at once.
+  void run(std::size_t Index, int Calls) {
+    for (int I = 0; I < Calls; ++I) {
+      this->act(Index);
+      this->Store.drain();
+    }
+  }
+
   void deliver(std::size_t Index) {
     if (this->Store.pending() > 0)
       this->Store.stepAt(Index % this->Store.pending());
@@ -57,13 +66,29 @@
       this->Store.timeOutAt(Index % this->Store.pending());
   }
 
-  /// Checks that at most one contender holds the lease, and that a fencing
-  /// number has one owner.
+  /// A contender keeps LeaseInterest::Act for a term after its last action.
+  LeaseInterest interestOf(const Contender &Each) const {
+    const bool HasActed =
+        Each.ActedAt && this->Now < *Each.ActedAt + Each.State.Settings.Term;
+    return Each.Interest == LeaseInterest::Hold && HasActed ? LeaseInterest::Act
+                                                            : Each.Interest;
+  }
+
+  /// Checks that at most one contender holds the lease, that a fencing number
+  /// has one owner, and that actions of two contenders, each of which acts
+  /// whenever it may, are a term apart.
   void check() {
     int Holders = 0;
-    for (const Contender &Each : this->Contenders) {
+    for (Contender &Each : this->Contenders) {
       if (!holdsLease(Each.State, this->Now))
         continue;
+      if (mayAct(Each.State, this->Now) &&
+          Each.Interest == LeaseInterest::Act) {
+        for (const Contender &Other : this->Contenders)
+          RC_ASSERT(&Other == &Each || !Other.ActedAt ||
+                    this->Now >= *Other.ActedAt + Other.State.Settings.Term);
+        Each.ActedAt = this->Now;
+      }
       ++Holders;
       const auto [It, New] = this->OwnerOfFence.emplace(
           Each.State.Fence, Each.State.Settings.Self);
@@ -89,8 +114,9 @@
   const ObjectKey Key{"lease", "steward-models"};
 };
 
-// Guards against two concurrent holders, and against a fencing number that
-// decreases or is used twice, under lost replies, dropped writes, outages and
+// Guards against two concurrent holders, against actions of two holders less
+// than a term apart, and against a fencing number that decreases or is used
+// twice, under lost replies, dropped writes, outages and
 // calls that take effect late and out of order.
 RC_GTEST_PROP(LeaseTest, OneHolderAtATimeAndFencesGrow, ()) {
   LeaseHistory History(2);
@@ -121,9 +147,10 @@
     else {
       Contender &Each = History.Contenders[Index % History.Contenders.size()];
       Each.Interest =
-          Each.Interest == LeaseInterest::Hold      ? LeaseInterest::Observe
+          Each.Interest == LeaseInterest::Act       ? LeaseInterest::Hold
+          : Each.Interest == LeaseInterest::Hold    ? LeaseInterest::Observe
           : Each.Interest == LeaseInterest::Observe ? LeaseInterest::None
-                                                    : LeaseInterest::Hold;
+                                                    : LeaseInterest::Act;
     }
     History.check();
   }
@@ -189,7 +216,8 @@
   EXPECT_FALSE(holdsLease(Holder, History.Now));
 }
 
-// Guards against a next holder that waits a whole term after a graceful stop.
+// Guards against a next holder that waits for the end of a resigned lease, and
+// against one that acts within a term of a holder that acted.
 TEST(LeaseTest, ResignationLetsTheNextHolderStartAtOnce) {
   LeaseHistory History(2);
   History.Contenders[1].Interest = LeaseInterest::None;
@@ -199,7 +227,7 @@
   }
   ASSERT_TRUE(holdsLease(History.Contenders[0].State, History.Now));
   History.Contenders[0].Interest = LeaseInterest::None;
-  History.Contenders[1].Interest = LeaseInterest::Hold;
+  History.Contenders[1].Interest = LeaseInterest::Act;
   History.act(0);
   EXPECT_FALSE(holdsLease(History.Contenders[0].State, History.Now));
   History.Store.drain();
@@ -207,9 +235,130 @@
     History.act(1);
     History.Store.drain();
   }
-  EXPECT_TRUE(holdsLease(History.Contenders[1].State, History.Now));
-  EXPECT_TRUE(History.Contenders[1].State.PredecessorResigned);
-  EXPECT_EQ(History.Contenders[1].State.Fence, 2U);
+  const LeaseState &Next = History.Contenders[1].State;
+  EXPECT_TRUE(holdsLease(Next, History.Now));
+  EXPECT_EQ(Next.ActsFrom, History.Now + Next.Settings.Term);
+  EXPECT_FALSE(mayAct(Next, History.Now));
+  EXPECT_TRUE(mayAct(Next, History.Now, /*AfterOthers=*/false));
+  EXPECT_EQ(Next.Fence, 2U);
+}
+
+// Guards against a wait of a whole term for a holder that resigned long ago: a
+// contender that has seen the resignation knows that nobody has acted since.
+TEST(LeaseTest, TheWaitCountsFromTheFirstSightOfTheResignation) {
+  LeaseHistory History(2);
+  Contender &Next = History.Contenders[1];
+  Next.Interest = LeaseInterest::None;
+  History.run(0, 4);
+  ASSERT_TRUE(mayAct(History.Contenders[0].State, History.Now));
+  History.Contenders[0].Interest = LeaseInterest::None;
+  History.run(0, 1);
+  Next.Interest = LeaseInterest::Observe;
+  History.run(1, 1);
+  const TimePoint Seen = History.Now;
+  History.Now += Next.State.Settings.Term - 1ms;
+  Next.Interest = LeaseInterest::Act;
+  History.run(1, 1);
+  ASSERT_TRUE(holdsLease(Next.State, History.Now));
+  EXPECT_FALSE(mayAct(Next.State, History.Now));
+  EXPECT_TRUE(mayAct(Next.State, Seen + Next.State.Settings.Term));
+}
+
+// Guards against a wait for orders of a holder that sent none.
+TEST(LeaseTest, AnIdleLeaseLeavesNoWaitToTheNextHolder) {
+  LeaseHistory History(2);
+  Contender &Next = History.Contenders[1];
+  History.Contenders[0].Interest = LeaseInterest::Hold;
+  Next.Interest = LeaseInterest::None;
+  History.run(0, 4);
+  ASSERT_TRUE(holdsLease(History.Contenders[0].State, History.Now));
+  EXPECT_FALSE(mayAct(History.Contenders[0].State, History.Now));
+  History.Contenders[0].Interest = LeaseInterest::None;
+  History.run(0, 1);
+  Next.Interest = LeaseInterest::Act;
+  History.run(1, 2);
+  EXPECT_TRUE(mayAct(Next.State, History.Now));
+}
+
+// Guards against a successor that waits a whole term for a holder that was
+// frozen while idle, and against that holder acting when it wakes.
+TEST(LeaseTest, AnIdleLeaseIsAcquiredOnceItsHolderMayNotAct) {
+  LeaseHistory History(2);
+  Contender &Holder = History.Contenders[0];
+  Contender &Next = History.Contenders[1];
+  Holder.Interest = LeaseInterest::Hold;
+  Next.Interest = LeaseInterest::Observe;
+  History.run(0, 4);
+  History.run(1, 1);
+  const TimePoint Seen = History.Now;
+  const Duration MayAct = Next.State.Settings.Term - Next.State.Settings.Margin;
+  Next.Interest = LeaseInterest::Act;
+  while (!holdsLease(Next.State, History.Now) &&
+         History.Now < Seen + 2 * Next.State.Settings.Term) {
+    History.Now += 100ms;
+    History.run(1, 1);
+  }
+  EXPECT_EQ(History.Now, Seen + MayAct);
+  EXPECT_TRUE(mayAct(Next.State, History.Now));
+  Holder.Interest = LeaseInterest::Act;
+  for (int I = 0; I < 5; ++I) {
+    History.run(0, 1);
+    EXPECT_FALSE(mayAct(Holder.State, History.Now));
+  }
+}
+
+// Guards against a holder that acts while the stored record says it is idle:
+// its successor would not wait.
+TEST(LeaseTest, AnIdleHolderActsOnlyAfterAWriteThatSaysSo) {
+  LeaseHistory History(1);
+  Contender &Only = History.Contenders[0];
+  Only.Interest = LeaseInterest::Hold;
+  History.run(0, 4);
+  Only.Interest = LeaseInterest::Act;
+  History.act(0);
+  EXPECT_FALSE(mayAct(Only.State, History.Now));
+  History.Store.drain();
+  EXPECT_TRUE(mayAct(Only.State, History.Now));
+  EXPECT_FALSE(Only.State.Record.Idle);
+  Only.Interest = LeaseInterest::Hold;
+  History.Now += Only.State.Settings.RenewEvery;
+  History.act(0);
+  EXPECT_FALSE(mayAct(Only.State, History.Now));
+  History.Store.drain();
+  EXPECT_TRUE(Only.State.Record.Idle);
+}
+
+// Guards against an acquisition that takes effect late, so that no reply
+// confirms it, and is then declared idle though the holder before has just
+// acted.
+TEST(LeaseTest, AnUnconfirmedAcquisitionIsNotDeclaredIdle) {
+  LeaseHistory History(2);
+  Contender &Next = History.Contenders[1];
+  Next.Interest = LeaseInterest::Observe;
+  History.run(0, 4);
+  ASSERT_TRUE(mayAct(History.Contenders[0].State, History.Now));
+  History.run(1, 1);
+  Next.Interest = LeaseInterest::Hold;
+  History.Now += Next.State.Settings.Term;
+  History.act(1);
+  History.Store.timeOutAt(0);
+  History.act(1);
+  History.Store.stepAt(1); // The read, before the write takes effect.
+  History.act(1);
+  History.Store.drain(); // The first write, then the second, which conflicts.
+  History.run(1, 1);
+  ASSERT_EQ(Next.State.Record.Holder, Next.State.Settings.Self);
+  ASSERT_FALSE(Next.State.Record.Idle);
+  History.Now += Next.State.Settings.RenewEvery;
+  History.run(1, 1);
+  EXPECT_TRUE(holdsLease(Next.State, History.Now));
+  EXPECT_FALSE(Next.State.Record.Idle);
+}
+
+// Guards against a record without the field: its holder may be acting.
+TEST(LeaseTest, ARecordWithoutIdleIsNotIdle) {
+  EXPECT_FALSE(
+      leaseFromJson({{"holder", "a"}, {"fence", 3}, {"renewals", 1}}).Idle);
 }
 
 // Guards against a weight rollout that misses its time limit when the holder
@@ -242,7 +391,7 @@
   const TimePoint Seen = Renewed + Next.State.Settings.RenewEvery;
   Advance(Seen + 1800ms);
   EXPECT_EQ(Next.State.Record.Holder, Holder.Settings.Self);
-  Next.Interest = LeaseInterest::Hold;
+  Next.Interest = LeaseInterest::Act;
   Advance(Seen + Holder.Settings.Term + 500ms);
   EXPECT_TRUE(holdsLease(Next.State, History.Now));
 }
--- a/tests/OrdersTest.cpp
+++ b/tests/OrdersTest.cpp
@@ -180,6 +180,36 @@
   EXPECT_EQ(this->Orders.Sent[0].Fence, 5U);
 }
 
+// Guards against a wait for the orders of a holder that sent its last one long
+// ago: weights named after a planned restart were ordered a term late.
+TEST_F(OrderControllerTest, OrdersAtOnceAfterAnIdleHolderResigned) {
+  auto First = this->make("entry-1#1");
+  this->run(*First, 600ms);
+  ASSERT_EQ(this->Orders.Sent.size(), 2U);
+  First->resign();
+  this->Store.drain();
+  this->Service.WeightVersion = "v3";
+  auto Next = this->make("entry-2#1");
+  this->run(*Next, 200ms);
+  EXPECT_EQ(this->Orders.Sent.size(), 4U);
+}
+
+// Guards against a rollout that misses its time limit when the holder is frozen
+// before its first order: the successor used to wait a term to acquire the
+// lease and almost another one for orders that had not been sent.
+TEST_F(OrderControllerTest, OrdersSoonAfterAHolderFrozenBeforeItsFirstOrder) {
+  auto Frozen = this->make("entry-1#1");
+  // Holds the lease, but has observed no upstream yet.
+  for (int I = 0; I < 3; ++I) {
+    Frozen->tick(EventLoop::now());
+    this->Store.drain();
+  }
+  ASSERT_TRUE(Frozen->holds("steward-models"));
+  auto Next = this->make("entry-2#1");
+  this->run(*Next, 400ms);
+  EXPECT_EQ(this->Orders.Sent.size(), 2U);
+}
+
 TEST_F(OrderControllerTest, SendsNothingDuringAPlatformOutage) {
   this->Store.Outage = true;
   auto Controller = this->make("entry-1#1");
