Rollout of weights: two engines are drained for each permitted load

What callers saw: a version of weights took as long to roll out as the platform allows.

Cause: the calls of a drained engine end after 4 s to 6 s, a load takes 1.1 s (1.8 s), and only one engine was drained for each permitted load. After 2.5 s the order was sent anyway, so that permitted loads were occupied by engines that still finished calls.

Ruled out: the wait for the lease (0.4 s), and the delay until a load is polled for.

The limit of concurrent loads stays.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -31,12 +31,14 @@
 /// poll.
 static constexpr auto OrderPeriod = std::chrono::milliseconds(200);
 /// Engines receive no new work before they load weights, until all gateways
-/// have reported their calls there and these calls have ended. With the 21
-/// engines of Cedarline this took 2.5 to 5.5 s; calls that are still open at
-/// the maximum finish while the order is in progress.
+/// have reported their calls there and these calls have ended. With the 18 to
+/// 21 engines of Cedarline this takes 2.5 to 5.5 s; calls that are still open
+/// at the maximum finish while the order is in progress and occupy a load.
 static constexpr auto MinOrderDrain = std::chrono::milliseconds(400);
-static constexpr auto MaxOrderDrain = std::chrono::milliseconds(2500);
-static constexpr int DrainingPerLoad = 1;
+static constexpr auto MaxOrderDrain = std::chrono::milliseconds(5000);
+/// A drain takes longer than a load, so loads would wait for drained engines
+/// if only as many were drained as may load.
+static constexpr int DrainingPerLoad = 2;
 /// A call that has not started this long before the weights limit is withdrawn.
 static constexpr auto WeightsMargin = std::chrono::milliseconds(400);
 /// After this fraction of the time that the platform allows, calls avoid
