soak: engines whose weights are named anew during faults

Four engine stand-ins join the soak. Orders load their weights at once, after 3 s, or are refused for a while. A version is named every few seconds, and during each longer freeze of a daemon. The history checks that no call of a daemon in touch leaves an engine's queue on older weights later than 7 s after the naming, and that no call that must not repeat runs twice at engines. SoakHistoryTest shows that both checks can fail. `--longest-ms` sets the longest time of a fault.

Harm to links of upstreams and of one daemon to the store does not interrupt the limit, which is stricter than the rule VERSION.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -7,7 +7,6 @@
 /// Faults begin when the daemons have served calmly for a while.
 static constexpr Duration CalmStart = std::chrono::seconds(2);
 static constexpr Duration LeastLength = std::chrono::milliseconds(300);
-static constexpr Duration MostLength = std::chrono::milliseconds(4000);
 
 std::string_view toString(FaultKind Kind) {
   switch (Kind) {
@@ -65,7 +64,7 @@
     Fault Next;
     Next.At = At;
     Next.Kind = static_cast<FaultKind>(Below(FaultKinds));
-    Next.For = Between(LeastLength, MostLength);
+    Next.For = Between(LeastLength, Settings.Longest);
     Next.Target = Below(strikesDaemons(Next.Kind) ? Settings.Daemons
                                                   : Settings.Upstreams);
     Result.push_back(Next);
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -49,6 +49,7 @@
   Duration Length = std::chrono::seconds(20); ///< Of the time with faults.
   /// Mean time between two faults; they last longer, so that they overlap.
   Duration Gap = std::chrono::milliseconds(900);
+  Duration Longest = std::chrono::seconds(4); ///< Of a fault.
 };
 
 std::vector<Fault> drawFaults(std::uint64_t Seed,
--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -1,5 +1,7 @@
 #include "History.h"
 
+#include "SoakWeights.h"
+
 #include <algorithm>
 #include <set>
 
@@ -110,7 +112,8 @@
       Repeats.push_back(Each.At);
   std::vector<TimePoint> Sent;
   for (const auto &[Id, Call] : History.Calls)
-    Sent.push_back(Call.SentAt);
+    if (!Call.IsForEngines)
+      Sent.push_back(Call.SentAt);
   std::sort(Sent.begin(), Sent.end());
   const auto CountIn = [](const std::vector<TimePoint> &All, TimePoint From,
                           TimePoint To) {
@@ -191,6 +194,7 @@
   checkRetries(History, Bounds, Found);
   checkStops(History, Bounds, Found);
   checkRateLimits(History, Bounds, Found);
+  checkWeights(History, Bounds, Found);
   checkRecovery(History, Bounds, Found);
   return Found;
 }
--- a/soak/History.h
+++ b/soak/History.h
@@ -10,6 +10,7 @@
 #define GALENAROUTE_SOAK_HISTORY_H
 
 #include "RateLimitCheck.h"
+#include "WeightsCheck.h"
 #include "process/Clock.h"
 
 #include <cstdint>
@@ -24,8 +25,9 @@
 struct CallerView {
   std::string Path;
   std::string Body;
-  bool IsOnce = false;     ///< Must not run twice.
-  bool IsCrashing = false; ///< Ends the upstream that runs it.
+  bool IsOnce = false;       ///< Must not run twice.
+  bool IsCrashing = false;   ///< Ends the upstream that runs it.
+  bool IsForEngines = false; ///< Of another service than the upstreams.
   TimePoint SentAt;
   std::optional<TimePoint> EndedAt;
   int Status = 0;         ///< 0: no head of an answer was read.
@@ -70,6 +72,7 @@
   /// What each upstream stated on its rate limit and received, by its id. The
   /// number of a gateway is that of its daemon.
   std::map<std::string, testing_support::RateLimitHistory> RateLimits;
+  testing_support::WeightsHistory Weights;
   TimePoint LastFaultAt; ///< When the last fault ended.
   TimePoint EndedAt;     ///< When callers stopped sending.
 };
@@ -85,6 +88,9 @@
   Duration RetryWindow = std::chrono::seconds(10);
   Duration Grace = std::chrono::seconds(4);
   Duration Recovery = std::chrono::seconds(12);
+  /// Time in which older weights go out of use. A daemon that dates a version
+  /// too late shows only if this is longer than Contact.
+  Duration WeightsLimit = std::chrono::seconds(7);
 };
 
 struct BrokenPromise {
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -13,6 +13,17 @@
 /// Log lines shown of a call for which a promise was broken.
 static constexpr std::size_t ShownLines = 20;
 
+/// Returns how many calls began on older weights than the newest named.
+static std::size_t countOlder(const testing_support::WeightsHistory &Seen) {
+  std::size_t Count = 0;
+  for (const auto &Call : Seen.begins())
+    Count += std::any_of(
+        Seen.namings().begin(), Seen.namings().end(), [&](const auto &Each) {
+          return Each.At < Call.At && Each.Version > Call.Weights;
+        });
+  return Count;
+}
+
 static bool play(const SoakSettings &Settings) {
   SoakRun Run(Settings);
   Run.play();
@@ -27,8 +38,9 @@
   std::cout << "seed " << Settings.Seed << ": " << History.Calls.size()
             << " calls, " << Served << " served, " << Crashes
             << " crashes by a call, " << History.Stops.size()
-            << " planned stops, " << Found.size() << " promises broken"
-            << std::endl;
+            << " planned stops, " << Run.namedWeights() << " versions named, "
+            << countOlder(History.Weights) << " calls on older weights, "
+            << Found.size() << " promises broken" << std::endl;
   if (Found.empty())
     return true;
   for (const std::string &Each : Run.timeline())
@@ -55,6 +67,7 @@
   int Seeds = 1;
   double Seconds = 20;
   double GapMs = 900;
+  double LongestMs = 4000;
   Settings.BuildDir = ".";
   // Runs that overlap need networks of their own.
   Settings.Network = 1 + static_cast<int>(getpid() % 250);
@@ -67,6 +80,8 @@
       ->check(CLI::Range(1.0, 3600.0));
   App.add_option("--gap-ms", GapMs, "Mean time between two faults")
       ->check(CLI::Range(10.0, 60000.0));
+  App.add_option("--longest-ms", LongestMs, "Longest time of a fault")
+      ->check(CLI::Range(1000.0, 60000.0));
   App.add_option("--daemons", Settings.Faults.Daemons, "Number of daemons")
       ->check(CLI::Range(1, 100));
   App.add_option("--upstreams", Settings.Faults.Upstreams,
@@ -75,6 +90,7 @@
   CLI11_PARSE(App, Argc, Argv);
   Settings.Faults.Length = fromSeconds(Seconds);
   Settings.Faults.Gap = fromSeconds(GapMs / 1000);
+  Settings.Faults.Longest = fromSeconds(LongestMs / 1000);
   int Failed = 0;
   try {
     for (int I = 0; I < Seeds; ++I, ++Settings.Seed)
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -35,10 +35,25 @@
 SoakRun::SoakRun(SoakSettings Given)
     : Settings(std::move(Given)), Places{.Count = this->Settings.Faults.Daemons,
                                          .Network = this->Settings.Network,
-                                         .GraceSeconds = 4},
+                                         .GraceSeconds = 4,
+                                         .VersionMs =
+                                             static_cast<int>(toMilliseconds(
+                                                 SoakBounds().WeightsLimit))},
       Random(this->Settings.Seed), Harness(this->Settings.BuildDir),
-      Loop(this->Harness.loop()), Store(this->Loop) {
-  this->Store.put("config", "main", testing_support::plainConfig());
+      Loop(this->Harness.loop()), Store(this->Loop),
+      Weights(this->Loop, this->Store, this->Settings.Seed,
+              {.Seen = this->History.Weights,
+               .DaemonOf =
+                   [this](const std::string &Call) {
+                     const auto Found = this->History.Calls.find(Call);
+                     return Found == this->History.Calls.end()
+                                ? 0
+                                : Found->second.Daemon;
+                   },
+               .Note = [this](const std::string &Line) { this->note(Line); }}) {
+  nlohmann::json Config = testing_support::plainConfig();
+  SoakWeights::addTo(Config);
+  this->Store.put("config", "main", Config);
   this->Daemons.resize(this->Settings.Faults.Daemons);
   this->Upstreams.resize(this->Settings.Faults.Upstreams);
 }
@@ -216,6 +231,7 @@
              std::to_string(toMilliseconds(Next.For)) + " ms");
   this->History.LastFaultAt =
       std::max(this->History.LastFaultAt, EventLoop::now() + Next.For);
+  this->Weights.onFault(Next);
   switch (Next.Kind) {
   case FaultKind::Freeze:
   case FaultKind::Kill:
@@ -319,6 +335,10 @@
     Harm.Delay = SlowLink;
   else
     Harm.IsSilentToTarget = Harm.IsSilentFromTarget = true;
+  // The store itself counts as disturbed if no daemon reaches it as usual.
+  if (Next.Kind != FaultKind::StoreAway)
+    this->History.Weights.interrupt(
+        EventLoop::now(), EventLoop::now() + Next.For + SoakBounds().Contact);
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     if (Next.Kind == FaultKind::StoreAway && I != Next.Target)
       continue;
@@ -347,6 +367,18 @@
     Call.Body = "crash";
   }
   Call.Daemon = this->below(this->Daemons.size());
+  this->send(Id, Call);
+}
+
+/// Sends a call to the engines.
+void SoakRun::sendEngineCall() {
+  const std::string Id = "c" + std::to_string(++this->Sent);
+  CallerView Call = this->Weights.drawCall(Id);
+  Call.Daemon = this->Weights.below(this->Daemons.size());
+  this->send(Id, Call);
+}
+
+void SoakRun::send(const std::string &Id, CallerView Call) {
   Call.SentAt = EventLoop::now();
   try {
     OpenCall Next;
@@ -423,6 +455,8 @@
   const TimePoint Now = EventLoop::now();
   while (this->IsSending && this->NextCallAt <= Now) {
     this->sendCall();
+    if (this->Weights.isCallDue())
+      this->sendEngineCall();
     this->NextCallAt +=
         Milliseconds(this->below(2 * static_cast<std::uint64_t>(toMilliseconds(
                                          this->Settings.CallGap))));
@@ -440,6 +474,7 @@
   }
   for (std::size_t I = 0; I < this->Upstreams.size(); ++I)
     this->startUpstream(I);
+  this->Weights.start();
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     this->Harness.waitFor("daemon " + std::to_string(I), [&] {
       return this->Harness.get(this->Places.readyAddress(I), "/api/ready")
@@ -456,6 +491,7 @@
     this->after(Each.At, [this, Each] { this->strike(Each); });
     Last = std::max(Last, Each.At + Each.For);
   }
+  this->Weights.nameUntil(this->Begun + Last);
   const sigc::connection Steps =
       this->Loop.timers().every(StepPeriod, [this] { this->step(); });
   this->Loop.runUntil([] { return false; }, Last + this->Settings.CalmEnd);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -15,6 +15,7 @@
 #include "FaultyLink.h"
 #include "History.h"
 #include "RawSocket.h"
+#include "SoakWeights.h"
 #include "connection/CallListener.h"
 #include "process/FakePlatformServer.h"
 #include "process/PlatformDaemons.h"
@@ -44,6 +45,8 @@
 
   void play();
   const SoakHistory &history() const { return this->History; }
+  /// Returns how many weight versions were named during the faults.
+  std::size_t namedWeights() const { return this->Weights.named(); }
   /// Lines on what was done, with seconds from the start of the traffic.
   const std::vector<std::string> &timeline() const { return this->Timeline; }
   /// Lines of the daemons' logs that name \p Text.
@@ -87,6 +90,8 @@
                      bool IsStoreOnly = false);
   void step();
   void sendCall();
+  void sendEngineCall();
+  void send(const std::string &Id, CallerView Call);
   void readAnswers();
   void watchStops();
   void note(const std::string &Line);
@@ -105,6 +110,7 @@
   std::vector<std::shared_ptr<IncomingCall>> Unanswered;
   std::vector<OpenCall> Open;
   SoakHistory History;
+  SoakWeights Weights;
   std::vector<std::string> Timeline;
   TimePoint Begun;
   TimePoint NextCallAt;
--- a/tests/SoakHistoryTest.cpp
+++ b/tests/SoakHistoryTest.cpp
@@ -180,5 +180,56 @@
   EXPECT_EQ(this->broken(), "0");
 }
 
+TEST_F(SoakHistoryTest, ACallOnOutdatedWeightsIsFound) {
+  const auto Begin = [&](const std::string &Id, Duration At,
+                         std::uint64_t Version) {
+    this->call(Id, false, 200);
+    this->History.Weights.began({.At = Start + At,
+                                 .Weights = Version,
+                                 .Gateway = 0,
+                                 .SentAt = Start + At - 100ms,
+                                 .Call = Id});
+  };
+  this->History.Weights.named(Start, 2);
+  Begin("a", 7s, 1);
+  Begin("b", 20s, 2);
+  EXPECT_EQ(this->broken(), "0");
+  Begin("c", 11s, 1);
+  EXPECT_EQ(this->broken(), "outdated weights go out of use");
+  const SoakHistory Undisturbed = this->History;
+  this->History.Disturbances.push_back({0, Start + 7s, Start + 8s});
+  EXPECT_EQ(this->broken(), "0") << "by daemons that were not disturbed";
+  this->History = Undisturbed;
+  this->History.Disturbances.push_back({1, Start + 7s, Start + 8s});
+  EXPECT_EQ(this->broken(), "outdated weights go out of use");
+  this->History.Weights.interrupt(Start + 5s, Start + 6s);
+  EXPECT_EQ(this->broken(), "0") << "no stretch is longer than the limit";
+}
+
+TEST_F(SoakHistoryTest, OutdatedWeightsOfTwoVersionsAreFound) {
+  this->History.Weights.named(Start, 2);
+  this->History.Weights.named(Start + 4s, 3);
+  this->call("a", false, 200);
+  const auto Begin = [&](Duration At, std::uint64_t Version) {
+    this->History.Weights.began({.At = Start + At,
+                                 .Weights = Version,
+                                 .Gateway = 0,
+                                 .SentAt = Start + At,
+                                 .Call = "a"});
+  };
+  Begin(10s, 2);
+  EXPECT_EQ(this->broken(), "0");
+  Begin(10s, 1);
+  EXPECT_EQ(this->broken(), "outdated weights go out of use");
+}
+
+TEST_F(SoakHistoryTest, ASecondRunAtAnEngineIsFound) {
+  this->call("a", true, 200);
+  this->History.Weights.began({.At = Start, .Weights = 1, .Call = "a"});
+  EXPECT_EQ(this->broken(), "0");
+  this->History.Weights.began({.At = Start, .Weights = 1, .Call = "a"});
+  EXPECT_EQ(this->broken(), "at most once");
+}
+
 } // namespace
 } // namespace galenaroute::soak
