ForwardRunTest: answers with neither a length nor chunks

An answer, a stream too, may end with its connection. The tests cover a whole answer, one that is reset, a whole stream, streams that end inside an event in good order (the first one, a later one), and one that is resumed after such an end. The caller must not see the end of a whole stream when an upstream's stream ends inside an event.

--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -124,6 +124,9 @@
   const std::string StreamHead =
       head("200 OK", "Server-Stamp: x\r\nTransfer-Encoding: chunked\r\n");
 
+  /// Of an answer that ends with its connection.
+  const std::string UnframedHead = head("200 OK", "Server-Stamp: x\r\n");
+
   EventLoop Loop;
   RawListener Servers[2];
   SocketAddress Address = freeAddress();
@@ -219,6 +222,81 @@
   EXPECT_EQ(this->Caller->read().find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against an answer that is held back because nothing states its end.
+TEST_F(ForwardRunTest, AnAnswerWithoutFramingEndsWithItsConnection) {
+  this->sendCall("/once/a");
+  auto Peer = this->waitForArrival();
+  Peer->write(this->UnframedHead + "o");
+  Peer->write("k");
+  Peer->close();
+  ASSERT_TRUE(this->callerReceives("\r\n\r\nok"));
+  EXPECT_TRUE(this->Caller->read().starts_with("HTTP/1.1 200 "));
+}
+
+// Guards against an answer without framing that is broken off by a reset and
+// passed on as whole.
+TEST_F(ForwardRunTest, AResetAnswerWithoutFramingIsNoSuccess) {
+  this->sendCall("/once/a");
+  auto Peer = this->waitForArrival();
+  Peer->write(this->UnframedHead + "o");
+  this->Loop.runUntil([] { return false; }, 100ms);
+  Peer->reset();
+  ASSERT_TRUE(this->callerReceives("HTTP/1.1 502 "));
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
+// Guards against a whole stream without framing that looks broken off.
+TEST_F(ForwardRunTest, AStreamWithoutFramingEndsWithItsConnection) {
+  this->sendCall("/oncestream/a");
+  auto Peer = this->waitForArrival();
+  Peer->write(this->UnframedHead + "id: 1\ndata: a\n\nid: 2\nda");
+  ASSERT_TRUE(this->callerReceives("data: a"));
+  Peer->write("ta: b\n\n");
+  Peer->close();
+  ASSERT_TRUE(this->callerReceives("\r\n0\r\n\r\n"));
+  EXPECT_NE(this->Caller->read().find("data: b\n\n"), std::string::npos);
+}
+
+// Guards against a stream that ends inside an event and looks complete to the
+// caller, since its connection ends in good order.
+TEST_F(ForwardRunTest, AStreamWithoutFramingThatEndsInsideAnEventIsAborted) {
+  this->sendCall("/oncestream/a");
+  auto Peer = this->waitForArrival();
+  Peer->write(this->UnframedHead + "id: 1\ndata: a\n\nid: 2\nda");
+  ASSERT_TRUE(this->callerReceives("data: a"));
+  Peer->close();
+  ASSERT_TRUE(this->waitUntil([&] { return this->Caller->hasEnded(); }));
+  EXPECT_EQ(this->Caller->read().find("\r\n0\r\n\r\n"), std::string::npos);
+  EXPECT_EQ(this->Caller->read().find("id: 2"), std::string::npos);
+}
+
+// Guards against an empty stream in place of one that breaks off before its
+// first whole event.
+TEST_F(ForwardRunTest, AStreamThatEndsInsideItsFirstEventFails) {
+  this->sendCall("/oncestream/a");
+  auto Peer = this->waitForArrival();
+  Peer->write(this->UnframedHead + "id: 1\nda");
+  Peer->close();
+  ASSERT_TRUE(this->callerReceives("HTTP/1.1 502 "));
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
+// Guards against a resumable stream that is given up when its connection ends
+// in good order inside an event.
+TEST_F(ForwardRunTest, AStreamWithoutFramingIsResumedAfterItsLastWholeEvent) {
+  this->sendCall("/stream/a");
+  auto First = this->waitForArrival();
+  First->write(this->UnframedHead + "id: 1\ndata: a\n\nid: 2\nda");
+  ASSERT_TRUE(this->callerReceives("data: a"));
+  First->close();
+  auto Second = this->waitForArrival();
+  EXPECT_NE(Second->read().find("Last-Event-Id: 1\r\n"), std::string::npos);
+  Second->write(this->UnframedHead + "id: 2\ndata: b\n\n");
+  Second->close();
+  ASSERT_TRUE(this->callerReceives("\r\n0\r\n\r\n"));
+  EXPECT_EQ(countOf(this->Caller->read(), "id: 2\n"), 1);
+}
+
 TEST_F(ForwardRunTest, ACallerThatDisconnectsCancelsTheSend) {
   this->sendCall("/stream/a");
   const auto Peer = this->waitForArrival();
