EngineEmulator: streams without framing, broken off, crashes inside an answer

The emulated engine framed all streams, broke none off but by a crash, and crashed on a marked prompt at a fixed time. New settings, as flags and as faults: unframed_share, the share of streams that come with neither a length nor chunks and end with their connection; broken_off_share, the share that end inside their second line, in good order where they have no framing; crash_at_answer, a crash when a part of the first line has been written. HttpReply::startUnframedStream() writes such a stream.

--- a/emulator/EmulatorMain.cpp
+++ b/emulator/EmulatorMain.cpp
@@ -79,6 +79,10 @@
               "Delay of cache events, in ms (300)");
   addNumber(Command, "--event-gap-share", Settings.EventGapShare, 0.0, 1.0,
             "Share of cache events that are lost");
+  addNumber(Command, "--unframed-share", Settings.UnframedShare, 0.0, 1.0,
+            "Share of streams with neither a length nor chunks");
+  addNumber(Command, "--broken-off-share", Settings.BrokenOffShare, 0.0, 1.0,
+            "Share of streams that end inside their second line");
   addNumber<std::uint64_t>(Command, "--max-tokens", Settings.MaxTokens, 1,
                            1000000, "Longest answer in tokens");
   addDuration(Command, "--keep-finished-ms", Settings.KeepFinished,
--- a/emulator/EngineEmulator.cpp
+++ b/emulator/EngineEmulator.cpp
@@ -17,6 +17,9 @@
 /// Steps made up for after the process was held up; more would be a burst that
 /// no engine delivers.
 constexpr double MaxDueSteps = 20;
+/// From the last bytes of a crashing engine to the end of its connections, so
+/// that they reach the caller.
+constexpr auto CrashFlushTime = std::chrono::milliseconds(5);
 
 } // namespace
 
@@ -180,20 +183,45 @@
   Run.Reader = Reply;
   Run.Sent = Offset;
   Run.LastRead = EventLoop::now();
-  Reply->startStream(200, {{"Content-Type", "application/jsonl"}});
+  const HttpHeaders Headers = {{"Content-Type", "application/jsonl"}};
+  const auto IsDrawn = [this](double Share) {
+    return Share > 0 && happens(this->Generator, Share);
+  };
+  Run.IsUnframed = IsDrawn(this->Settings.UnframedShare);
+  Run.BreaksOffAt.reset();
+  if (IsDrawn(this->Settings.BrokenOffShare))
+    Run.BreaksOffAt = Offset + 1;
+  if (Run.IsUnframed)
+    Reply->startUnframedStream(200, Headers);
+  else
+    Reply->startStream(200, Headers);
   this->deliver(Run);
 }
 
+static std::string lineOf(const std::string &Attempt, std::uint64_t Seed,
+                          std::uint64_t Offset) {
+  return json{{"attempt", Attempt},
+              {"offset", Offset},
+              {"text", tokenText(Seed, Offset)}}
+             .dump() +
+         "\n";
+}
+
 void EngineEmulator::deliver(Attempt &Run) {
   if (!Run.Reader)
     return;
+  if (Run.Crashes && this->CrashesAtAnswer && Run.Generated > 0) {
+    this->crashAtAnswer(Run);
+    return;
+  }
   std::string Lines;
-  for (; Run.Sent < Run.Generated; ++Run.Sent)
-    Lines += json{{"attempt", Run.Id},
-                  {"offset", Run.Sent},
-                  {"text", tokenText(Run.Seed, Run.Sent)}}
-                 .dump() +
-             "\n";
+  for (; Run.Sent < Run.Generated; ++Run.Sent) {
+    if (Run.Sent == Run.BreaksOffAt) {
+      this->breakOff(Run, Lines);
+      return;
+    }
+    Lines += lineOf(Run.Id, Run.Seed, Run.Sent);
+  }
   if (!Run.Finish.empty())
     Lines += json{{"attempt", Run.Id},
                   {"done", true},
@@ -209,6 +237,29 @@
   }
 }
 
+/// Ends the stream to the reader with \p Lines and half of the next one.
+void EngineEmulator::breakOff(Attempt &Run, const std::string &Lines) {
+  ++this->Counts["broken_off"];
+  const std::string Next = lineOf(Run.Id, Run.Seed, Run.Sent);
+  const std::string Last = Lines + Next.substr(0, Next.size() / 2);
+  const ReplyPtr Reader = std::exchange(Run.Reader, nullptr);
+  if (Run.IsUnframed) {
+    Reader->write(Last);
+    Reader->endStream();
+  } else {
+    Reader->abortAfter(Last);
+  }
+}
+
+/// Writes half of the first line and crashes.
+void EngineEmulator::crashAtAnswer(Attempt &Run) {
+  const std::string First = lineOf(Run.Id, Run.Seed, 0);
+  Run.Reader->write(std::string_view(First).substr(0, First.size() / 2));
+  this->Silent.push_back(std::exchange(Run.Reader, nullptr));
+  this->CrashTimer = this->Loop.timers().after(
+      CrashFlushTime, [this] { this->crash(this->CrashRestart); });
+}
+
 void EngineEmulator::finish(Attempt &Run, const std::string &Reason) {
   Run.Finish = Reason;
   Run.LastRead = EventLoop::now();
@@ -232,7 +283,7 @@
     this->Counts["cached_tokens"] += Run.CachedTokens;
     findRunning(this->Batch, Id)->Uncached =
         static_cast<double>(Run.PromptTokens - Run.CachedTokens);
-    if (Run.Crashes)
+    if (Run.Crashes && !this->CrashesAtAnswer)
       this->CrashTimer = this->Loop.timers().after(
           this->CrashDelay, [this] { this->crash(this->CrashRestart); });
   }
--- a/emulator/EngineEmulator.h
+++ b/emulator/EngineEmulator.h
@@ -13,9 +13,15 @@
 //   crash_marker             a prompt with this text crashes the engine,
 //     crash_delay_ms         this long after it got a slot,
 //     crash_restart_ms       and the engine is back after this long
+//     crash_at_answer        true: it crashes when it has written a part of
+//                            the first line of the answer
 //   crash                    true: crash now
 //   silent                   true: open streams get no more bytes and stay
 //                            open; new connections work
+//   unframed_share           share of streams with neither a length nor
+//                            chunks, which end with their connection
+//   broken_off_share         share of streams that end inside their second
+//                            line; the run goes on
 //   event_gap_share          share of cache events that are lost
 //   kv_link_mbps             new bandwidth of the KV link
 //   stop                     true: end the process, dropping connections
@@ -48,6 +54,10 @@
   Duration EventDelay = std::chrono::milliseconds(300);
   double EventGapShare = 0;
   std::uint64_t MaxTokens = 4096;
+  /// Share of streams with neither a length nor chunks.
+  double UnframedShare = 0;
+  /// Share of streams that end inside their second line.
+  double BrokenOffShare = 0;
   std::size_t MaxAttempts = 10000;
   /// How long a finished stream can still be read.
   Duration KeepFinished = std::chrono::seconds(60);
@@ -83,7 +93,9 @@
     std::string Finish; ///< Empty while the run goes on.
     TimePoint LastRead; ///< When it was last known to have a reader, or ended.
     ReplyPtr Reader;
-    std::uint64_t Sent = 0; ///< The next offset to send to the reader.
+    std::uint64_t Sent = 0;  ///< The next offset to send to the reader.
+    bool IsUnframed = false; ///< Of the stream to the reader.
+    std::optional<std::uint64_t> BreaksOffAt; ///< The offset of its last line.
   };
   struct LoadSample {
     TimePoint Time;
@@ -98,6 +110,8 @@
   void cancel(const std::string &Id, HttpReply &Reply);
   void attach(Attempt &Run, const ReplyPtr &Reply, std::uint64_t Offset);
   void deliver(Attempt &Run);
+  void breakOff(Attempt &Run, const std::string &Lines);
+  void crashAtAnswer(Attempt &Run);
   void finish(Attempt &Run, const std::string &Reason);
 
   void startWaitingRuns();
@@ -137,6 +151,7 @@
   std::string CrashMarker;
   Duration CrashDelay = std::chrono::milliseconds(50);
   Duration CrashRestart = std::chrono::seconds(1);
+  bool CrashesAtAnswer = false;
 
   std::map<std::string, std::uint64_t> Counts;
   sigc::connection StepTimer;
--- a/emulator/EngineReports.cpp
+++ b/emulator/EngineReports.cpp
@@ -104,6 +104,11 @@
       Fault.value("crash_delay_ms", toMilliseconds(this->CrashDelay)));
   this->CrashRestart = Milliseconds(
       Fault.value("crash_restart_ms", toMilliseconds(this->CrashRestart)));
+  this->CrashesAtAnswer = Fault.value("crash_at_answer", this->CrashesAtAnswer);
+  this->Settings.UnframedShare =
+      Fault.value("unframed_share", this->Settings.UnframedShare);
+  this->Settings.BrokenOffShare =
+      Fault.value("broken_off_share", this->Settings.BrokenOffShare);
   this->Settings.EventGapShare =
       Fault.value("event_gap_share", this->Settings.EventGapShare);
   if (Fault.contains("kv_link_mbps"))
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -173,6 +173,20 @@
   evhttp_send_reply_start(this->Request, Status, nullptr);
 }
 
+void HttpReply::startUnframedStream(int Status, const HttpHeaders &Headers) {
+  if (this->isClosed())
+    return;
+  // evhttp frames no answer to HTTP/1.0 and closes the connection behind it,
+  // unless the caller wants to keep it.
+  this->Request->major = 1;
+  this->Request->minor = 0;
+  evhttp_remove_header(evhttp_request_get_input_headers(this->Request),
+                       "Connection");
+  HttpHeaders All = Headers;
+  All.add("Connection", "close");
+  this->startStream(Status, All);
+}
+
 void HttpReply::write(std::string_view Chunk) {
   if (this->isClosed() || Chunk.empty())
     return;
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -53,6 +53,10 @@
   /// Begins a chunked answer.
   void startStream(int Status, const HttpHeaders &Headers);
 
+  /// Begins an answer with neither a length nor chunks; its end is that of the
+  /// connection.
+  void startUnframedStream(int Status, const HttpHeaders &Headers);
+
   /// Sends one chunk; an empty \p Chunk is ignored, since it would end the
   /// stream.
   void write(std::string_view Chunk);
--- a/tests/EmulatorTest.cpp
+++ b/tests/EmulatorTest.cpp
@@ -3,6 +3,7 @@
 #include "EngineEmulator.h"
 #include "GeneratedText.h"
 #include "PlatformEmulator.h"
+#include "RawSocket.h"
 #include "ServiceEmulator.h"
 #include "StoreEmulator.h"
 #include "WeightStoreEmulator.h"
@@ -171,6 +172,75 @@
   EXPECT_TRUE(this->post(To, "/v1/generate", prompt("x", "ok", 5)).isSuccess());
 }
 
+// Guards against a crash that comes before the answer instead of inside it.
+TEST_F(EmulatorTest, EngineCrashesInsideTheFirstLineOfAMarkedPrompt) {
+  EngineEmulator Engine(this->Loop, this->Client, fastEngine());
+  const SocketAddress To = this->serve(Engine);
+  for (const double Share : {0.0, 1.0}) {
+    this->post(To, "/admin/fault",
+               {{"crash_marker", "boom"},
+                {"crash_at_answer", true},
+                {"crash_restart_ms", 100},
+                {"unframed_share", Share}});
+    const HttpResult Result =
+        this->post(To, "/v1/generate", prompt("x", "boom", 500));
+    EXPECT_EQ(Result.Status, 200);
+    EXPECT_FALSE(Result.Body.empty());
+    EXPECT_EQ(Result.Body.find('\n'), std::string::npos);
+    EXPECT_TRUE(this->Loop.runUntil(
+        [&] { return this->get(To, "/v1/load").isSuccess(); }, 5s));
+  }
+}
+
+// Guards against streams without framing that are framed after all, or whose
+// connection stays open behind them.
+TEST_F(EmulatorTest, EngineStreamsWithoutFraming) {
+  EngineSettings Settings = fastEngine();
+  Settings.UnframedShare = 1;
+  EngineEmulator Engine(this->Loop, this->Client, Settings);
+  const SocketAddress To = this->serve(Engine);
+  RawSocket Caller(RawSocket::connectTo(To));
+  const std::string Body = prompt("x", "hello", 20).dump();
+  Caller.write("POST /v1/generate HTTP/1.1\r\nHost: h\r\nConnection: "
+               "keep-alive\r\nContent-Length: " +
+               std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  ASSERT_TRUE(this->Loop.runUntil([&] { return Caller.hasEnded(); }, 5s));
+  const std::string &Text = Caller.read();
+  const std::size_t Head = Text.find("\r\n\r\n");
+  ASSERT_NE(Head, std::string::npos);
+  EXPECT_EQ(Text.substr(0, Head).find("Content-Length"), std::string::npos);
+  EXPECT_EQ(Text.substr(0, Head).find("chunked"), std::string::npos);
+  json Done;
+  EXPECT_EQ(joinLines(Text.substr(Head + 4), Done), wholeAnswer("hello", 20));
+  EXPECT_EQ(Done.value("finish", ""), "stop");
+}
+
+// Guards against a stream that breaks off between two lines, where nothing
+// shows that it is not whole, and against a run that ends with it.
+TEST_F(EmulatorTest, EngineBreaksStreamsOffInsideALine) {
+  EngineEmulator Engine(this->Loop, this->Client, fastEngine());
+  const SocketAddress To = this->serve(Engine);
+  for (const double Share : {0.0, 1.0}) {
+    this->post(To, "/admin/fault",
+               {{"broken_off_share", 1}, {"unframed_share", Share}});
+    const std::string Attempt = Share > 0 ? "unframed" : "chunked";
+    const HttpResult Broken =
+        this->post(To, "/v1/generate", prompt(Attempt, "hello", 20));
+    EXPECT_EQ(Broken.End, Share > 0 ? HttpEnd::Complete : HttpEnd::Cut);
+    const std::size_t Line = Broken.Body.find('\n');
+    ASSERT_NE(Line, std::string::npos);
+    EXPECT_EQ(json::parse(Broken.Body.substr(0, Line)).at("offset"), 0);
+    EXPECT_GT(Broken.Body.size(), Line + 1);
+    EXPECT_EQ(Broken.Body.find('\n', Line + 1), std::string::npos);
+    this->post(To, "/admin/fault", {{"broken_off_share", 0}});
+    const HttpResult Rest =
+        this->get(To, "/v1/attempts/" + Attempt + "?offset=1&customer=a");
+    json Done;
+    EXPECT_EQ(wholeAnswer("hello", 1) + joinLines(Rest.Body, Done),
+              wholeAnswer("hello", 20));
+  }
+}
+
 // Guards against one short prompt waiting for the whole of a long one.
 TEST(BatchTest, SharesPrefillAndStartsByPriority) {
   BatchState State{.Slots = 2, .MaxQueued = 2};
