HttpTest: a connection that ended with its answer is used again

HttpClient takes an answer that ends with its connection for whole and keeps the connection as idle unless the answer said Connection: close. The next call to the same address goes out on it and ends as cut with nothing received. The client serves the store's and the engines' side calls; forwarded calls use UpstreamPool, which does not show this (UpstreamPoolTest, ForwardRunTest).

--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -1,5 +1,6 @@
 // Tests of the HTTP server and client wrappers against each other.
 
+#include "RawSocket.h"
 #include "connection/HttpClient.h"
 #include "connection/HttpServer.h"
 #include "process/ErrorKind.h"
@@ -108,6 +109,28 @@
   EXPECT_FALSE(Result.isSuccess());
 }
 
+// Guards against a call that fails since it is sent on a connection which has
+// ended with the answer before.
+TEST_F(HttpTest, AConnectionThatEndedWithItsAnswerIsNotUsedAgain) {
+  RawListener Listener;
+  std::unique_ptr<RawSocket> Peer;
+  const auto Answers = this->Loop.timers().every(2ms, [&] {
+    if (const int Socket = Listener.accept(); Socket >= 0)
+      Peer = std::make_unique<RawSocket>(Socket);
+    if (!Peer || !Peer->read().ends_with("\r\n\r\n"))
+      return;
+    Peer->write("HTTP/1.1 200 OK\r\n\r\nbody");
+    Peer.reset();
+  });
+  for (int I = 0; I < 2; ++I) {
+    const HttpResult Result =
+        this->call(HttpCallBuilder(Listener.Address).get("/").build());
+    EXPECT_EQ(Result.End, HttpEnd::Complete) << "call " << I;
+    EXPECT_EQ(Result.Body, "body") << "call " << I;
+  }
+  sigc::connection(Answers).disconnect();
+}
+
 TEST(ErrorKindTest, EveryKindHasItsOwnRowAndCode) {
   std::set<std::string_view> Codes;
   for (const ErrorRow &Row : allErrors()) {
