--- a/tests/PromptUpstreams.h
+++ b/tests/PromptUpstreams.h
@@ -78,7 +78,8 @@
     TimePoint At;
   };
 
-  PromptUpstreams(EventLoop &Loop, PutEntry Put, PromptUpstreamSettings Given)
+  PromptUpstreams(EventLoop &Loop, PutEntry Put,
+                  const PromptUpstreamSettings &Given)
       : Loop(Loop), Put(std::move(Put)), Settings(Given) {
     this->All.resize(Given.Count);
     for (std::size_t I = 0; I < Given.Count; ++I) {
