--- a/tests/process/FakePlatformServer.h
+++ b/tests/process/FakePlatformServer.h
@@ -44,6 +44,13 @@
   }
   /// From now on writes of objects of \p Kind over HTTP fail.
   void rejectWrites(const std::string &Kind) { this->Rejected.insert(Kind); }
+  /// Loses the history of changes: watches from an earlier revision fail, so
+  /// that clients list the objects again.
+  void loseHistory() {
+    this->FirstRevision = ++this->Revision;
+    for (const Watch &Each : std::exchange(this->Watches, {}))
+      send(*Each.Reply, 410, nlohmann::json::object());
+  }
   /// Returns the spec of an object, or null.
   nlohmann::json read(const std::string &Kind, const std::string &Name) {
     return this->Objects[Kind][Name].Spec;
@@ -107,6 +114,10 @@
       return;
     }
     const Watch Next{++this->LastWatch, Kind, std::stoull(*Since), Reply};
+    if (Next.Since < this->FirstRevision) {
+      send(*Reply, 410, nlohmann::json::object());
+      return;
+    }
     for (const auto &[Name, Each] : this->Objects[Kind])
       if (Each.Revision > Next.Since) {
         this->sendEvents(Next);
@@ -157,6 +168,7 @@
   std::list<Watch> Watches;
   std::set<std::string> Rejected; ///< Kinds.
   std::uint64_t Revision = 0;
+  std::uint64_t FirstRevision = 0; ///< From which watches can begin.
   std::uint64_t LastWatch = 0;
 };
 
--- a/tests/process/WeightsProcessTest.cpp
+++ b/tests/process/WeightsProcessTest.cpp
@@ -90,6 +90,20 @@
     this->startDaemon(Daemon);
     this->Seen.excuse(Daemon, From, EventLoop::now());
   }
+  /// Restarts all daemons; none runs meanwhile.
+  void restartAll() {
+    const TimePoint From = EventLoop::now();
+    for (std::size_t I = 0; I < DaemonCount; ++I) {
+      this->IsDown[I] = true;
+      this->Daemons[I]->signal(SIGKILL);
+    }
+    for (Program *Each : this->Daemons)
+      Each->wait(5s);
+    for (std::size_t I = 0; I < DaemonCount; ++I) {
+      this->startDaemon(I);
+      this->Seen.excuse(I, From, EventLoop::now());
+    }
+  }
   /// The daemon that records when a version was announced.
   std::size_t historyWriter() const {
     std::size_t Best = 0;
@@ -156,7 +170,8 @@
   static constexpr std::size_t Loading = 4;
   static constexpr int Slots = 2;
   static constexpr Duration RunTime = 100ms;
-  /// More calls than the engines that load new weights can run.
+  /// More calls than the engines that load new weights can run, also without
+  /// those of two daemons.
   static constexpr Duration CallGap = 6ms;
   /// In touch again, a daemon that was frozen over the naming has more than the
   /// limit behind it, and would use older weights for 3 s more.
@@ -242,6 +257,23 @@
   this->expectServedByNewest(2, Loading);
 }
 
+// Guards against restarted daemons that date a version anew when they list the
+// store's objects again.
+TEST_F(WeightsProcessTest, RestartedDaemonsKeepTheLimitWhenTheyListAgain) {
+  this->start();
+  this->Callers.start(CallGap);
+  this->wait(1s);
+  this->name(2, Loading);
+  this->wait(2s);
+  this->restartAll();
+  this->waitUntil(this->NamedAt + 5s);
+  this->Api.loseHistory();
+  this->waitUntil(this->NamedAt + 13s);
+  this->expectNothingOutdated();
+  this->expectOlderWereUsed(1);
+  this->expectServedByNewest(2, Loading);
+}
+
 // Guards against a call that was sent before a version was named and waits at
 // an engine with older weights beyond the limit.
 TEST_F(WeightsProcessTest, ACallThatWaitsAtAnEngineDoesNotBeginPastTheLimit) {
