--- a/src/process/CrashExchange.cpp
+++ b/src/process/CrashExchange.cpp
@@ -7,31 +7,42 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace galenaroute {
 
 using nlohmann::json;
 
-/// Entries that combine the crash reports of a content. With three, one may be
-/// dead and another one unreachable.
+/// Entries that combine the crash reports of a key. With three, one may be dead
+/// and another one unreachable.
 static constexpr std::size_t Aggregators = 3;
-/// Contents with this many crashes are broadcast. Harmless calls that were
-/// running during a crash seldom see a second one.
+/// Keys with this many crashes are broadcast. Harmless calls that were running
+/// during a crash seldom see a second one.
 static constexpr std::size_t CrashesToBroadcast = 2;
-/// Contents with this many crashes are persisted, so that the count of a call
-/// does not restart at zero each time that all entries are killed.
+/// Keys with this many crashes are persisted, so that their count does not
+/// restart at zero each time that all entries are killed.
 static constexpr std::size_t CrashesToPersist = CrashesToBroadcast;
 /// One crash of an upstream breaks several calls within this time; their
 /// reports are sent in one message.
 static constexpr auto FlushDelay = std::chrono::milliseconds(20);
-/// About 120 bytes each.
 static constexpr std::size_t MaxReportsPerRound = 16;
-/// Keeps a message below EntryChannel::MaxBytes.
-static constexpr std::size_t MaxReportsPerMessage = 64;
-/// Contents persisted on the platform, about 150 bytes each.
+/// Reports and observations in one message, about 30 bytes each; keeps it below
+/// EntryChannel::MaxBytes.
+static constexpr std::size_t MaxItemsPerMessage = 400;
+/// The entries that know an answer broadcast it after a random time of up to
+/// this for each entry, so that the first one spares the others.
+static constexpr Duration ReplySpreadPerEntry = std::chrono::milliseconds(1);
+/// Between two such broadcasts of a key. An entry that was suspended dates
+/// crashes later than the others, so that they cannot agree.
+static constexpr Duration ReplyPeriod = std::chrono::seconds(1);
+static constexpr std::size_t MaxReplies = 256;
+/// The reports on the keys that were observed at one crash arrive within this
+/// time; only together they tell which calls are refused.
+static constexpr Duration RefusalsDelay = std::chrono::milliseconds(100);
+/// Keys persisted on the platform, up to 600 bytes each.
 static constexpr std::size_t MaxStored = 32;
-/// A suspect content is written after one to one and a half times this delay.
-/// One crash makes several contents suspect, with different aggregators, and
+/// A suspect key is written after one to one and a half times this delay.
+/// One crash makes several keys suspect, with different aggregators, and
 /// most of them are cleared soon.
 static constexpr Duration PersistDelay = std::chrono::milliseconds(300);
 /// Between attempts after the platform did not answer or a concurrent write
@@ -51,27 +62,30 @@
 CrashExchange::~CrashExchange() {
   this->FlushTimer.disconnect();
   this->SyncTimer.disconnect();
+  this->ReplyTimer.disconnect();
+  this->RefusalsTimer.disconnect();
 }
 
 void CrashExchange::start() { this->sync(); }
 
-void CrashExchange::publish(std::uint64_t Content, std::size_t Cleared) {
-  this->Pending[Content] |= Cleared >= CrashesToBroadcast;
-  this->persistIfSuspect(Content);
-  this->removeIfCleared(Content);
+void CrashExchange::publish(std::uint64_t Key, std::size_t Cleared) {
+  this->Pending[Key] |= Cleared >= CrashesToBroadcast;
+  this->persistIfSuspect(Key);
+  this->removeIfCleared(Key);
+  this->noteRefusals(Key);
   if (this->FlushTimer.empty())
     this->FlushTimer =
         this->Parts.Loop.timers().after(FlushDelay, [this] { this->flush(); });
 }
 
-/// Returns the aggregators of \p Content other than this entry.
+/// Returns the aggregators of \p Key other than this entry.
 std::vector<SocketAddress>
-CrashExchange::aggregatorsOf(std::uint64_t Content) const {
-  const std::string Key = contentName(Content);
+CrashExchange::aggregatorsOf(std::uint64_t Key) const {
+  const std::string Name = keyName(Key);
   std::vector<std::pair<std::uint64_t, SocketAddress>> All;
   this->Parts.Entries.forEachAlive(
       EventLoop::now(), [&](const EntryRecord &Each) {
-        All.emplace_back(rendezvousWeight(Key, Each.Id), Each.Gossip);
+        All.emplace_back(rendezvousWeight(Name, Each.Id), Each.Gossip);
       });
   const std::size_t Count = std::min(All.size(), Aggregators);
   std::partial_sort(
@@ -83,38 +97,43 @@
   return Result;
 }
 
-bool CrashExchange::isAggregatorOf(std::uint64_t Content) const {
+bool CrashExchange::isAggregatorOf(std::uint64_t Key) const {
   std::vector<std::string_view> Others;
   this->Parts.Entries.forEachAlive(
       EventLoop::now(),
       [&](const EntryRecord &Each) { Others.emplace_back(Each.Id); });
-  return isAmongFirst(contentName(Content), this->Parts.Entries.self().Id,
-                      Aggregators, Others,
-                      [](std::string_view Id) { return Id; });
+  return isAmongFirst(keyName(Key), this->Parts.Entries.self().Id, Aggregators,
+                      Others, [](std::string_view Id) { return Id; });
 }
 
-/// Returns reports on at most \p Limit contents with at least \p MinCrashes
+/// Returns reports on at most \p Limit keys with at least \p MinCrashes
 /// crashes.
 std::vector<CrashReport>
 CrashExchange::suspectReports(std::size_t MinCrashes, std::size_t Limit) const {
   const TimePoint Now = EventLoop::now();
   std::vector<CrashReport> Reports;
   for (const std::uint64_t Each :
-       suspectContents(this->Parts.Record, MinCrashes, Limit))
+       suspectKeys(this->Parts.Record, MinCrashes, Limit))
     Reports.push_back(crashReport(this->Parts.Record, Each, Now));
   return Reports;
 }
 
 static void send(const CrashExchangeParts &Parts, const SocketAddress &To,
                  std::span<const CrashReport> Reports) {
-  for (; !Reports.empty(); Reports = Reports.subspan(
-                               std::min(Reports.size(), MaxReportsPerMessage)))
-    Parts.Send(
-        To, encodeGossip(
-                {.Crashes = {Reports.begin(),
-                             Reports.begin() +
-                                 static_cast<std::ptrdiff_t>(std::min(
-                                     Reports.size(), MaxReportsPerMessage))}}));
+  GossipMessage Message;
+  std::size_t Items = 0;
+  const auto SendMessage = [&] {
+    if (!Message.Crashes.empty())
+      Parts.Send(To, encodeGossip(std::exchange(Message, {})));
+    Items = 0;
+  };
+  for (const CrashReport &Each : Reports) {
+    if (Items + 1 + Each.Observations.size() > MaxItemsPerMessage)
+      SendMessage();
+    Items += 1 + Each.Observations.size();
+    Message.Crashes.push_back(Each);
+  }
+  SendMessage();
 }
 
 void CrashExchange::flush() {
@@ -122,12 +141,12 @@
   const TimePoint Now = EventLoop::now();
   std::map<SocketAddress, std::vector<CrashReport>> Messages;
   std::vector<CrashReport> ForAll;
-  for (const auto &[Content, ToAll] : this->Pending) {
-    CrashReport Report = crashReport(this->Parts.Record, Content, Now);
+  for (const auto &[Key, ToAll] : this->Pending) {
+    CrashReport Report = crashReport(this->Parts.Record, Key, Now);
     if (ToAll || Report.Observations.size() >= CrashesToBroadcast)
       ForAll.push_back(std::move(Report));
     else
-      for (const SocketAddress &To : this->aggregatorsOf(Content))
+      for (const SocketAddress &To : this->aggregatorsOf(Key))
         Messages[To].push_back(Report);
   }
   this->Pending.clear();
@@ -140,24 +159,98 @@
 }
 
 void CrashExchange::receive(std::span<const CrashReport> Reports) {
+  for (const CrashReport &Each : Reports)
+    this->merge(Each);
+}
+
+/// Merges the report of another entry.
+void CrashExchange::merge(const CrashReport &Report) {
+  CrashRecord &Record = this->Parts.Record;
   const TimePoint Now = EventLoop::now();
-  for (const CrashReport &Each : Reports) {
-    if (!mergeReport(this->Parts.Record, Each, Now))
+  const std::uint64_t Key = Report.Key;
+  bool Changed = mergeReport(Record, Report, Now);
+  if (const auto At = this->Parts.LastAnswered(Key))
+    Changed |= noteSuccess(Record, Key, *At) > 0;
+  const bool IsOutdated = isOutdated(Record, Report, Now);
+  if (IsOutdated && Report.Observations.size() >= CrashesToBroadcast)
+    this->replyLater(Report);
+  else if (const auto It = this->Replies.find(Key);
+           !IsOutdated && Report.ClearedAge && It != this->Replies.end())
+    It->second = {Now + ReplyPeriod, /*IsSent=*/true};
+  if (!Changed)
+    return;
+  const std::size_t Crashes = crashCount(Record, Key);
+  if (Crashes >= CrashesToBroadcast)
+    log(LogLevel::Warn, "content.told",
+        {{"content", keyName(Key)},
+         {"crashes", std::to_string(Crashes)},
+         {"told", std::to_string(Report.Observations.size())}});
+  // The sender has broadcast what it knows. Only aggregators send what goes
+  // beyond that: all entries have received the same reports.
+  if (Crashes > Report.Observations.size() &&
+      (Report.Observations.size() < CrashesToBroadcast ||
+       this->isAggregatorOf(Key)))
+    this->publish(Key);
+  else
+    this->persistIfSuspect(Key);
+  this->removeIfCleared(Key);
+  this->noteRefusals(Key);
+}
+
+/// Schedules a broadcast that an answer has cleared the crashes of a report.
+void CrashExchange::replyLater(const CrashReport &Outdated) {
+  if (this->Replies.size() >= MaxReplies)
+    return;
+  const TimePoint Now = EventLoop::now();
+  std::uniform_real_distribution<double> Spread(
+      0, static_cast<double>(this->Parts.Entries.countAlive(Now)));
+  this->Replies.try_emplace(
+      Outdated.Key,
+      Reply{Now + scaled(ReplySpreadPerEntry, Spread(this->Random))});
+  this->sendReplies();
+}
+
+/// Broadcasts the answers that are due, and schedules the others.
+void CrashExchange::sendReplies() {
+  this->ReplyTimer.disconnect();
+  const TimePoint Now = EventLoop::now();
+  std::optional<TimePoint> Next;
+  std::vector<CrashReport> Reports;
+  for (auto It = this->Replies.begin(); It != this->Replies.end();) {
+    auto &[Key, Reply] = *It;
+    if (Reply.At <= Now && Reply.IsSent) {
+      It = this->Replies.erase(It);
       continue;
-    const std::size_t Crashes = crashCount(this->Parts.Record, Each.Content);
-    if (Crashes >= CrashesToBroadcast)
-      log(LogLevel::Warn, "content.told",
-          {{"content", contentName(Each.Content)},
-           {"crashes", std::to_string(Crashes)},
-           {"told", std::to_string(Each.Observations.size())}});
-    // The sender has broadcast what it knows; this entry sends what goes beyond
-    // that.
-    if (Crashes > Each.Observations.size())
-      this->publish(Each.Content);
-    else
-      this->persistIfSuspect(Each.Content);
-    this->removeIfCleared(Each.Content);
+    }
+    if (Reply.At <= Now) {
+      Reports.push_back(crashReport(this->Parts.Record, Key, Now));
+      Reply = {Now + ReplyPeriod, /*IsSent=*/true};
+    }
+    Next = Next ? std::min(*Next, Reply.At) : Reply.At;
+    ++It;
   }
+  if (!Reports.empty())
+    this->Parts.Entries.forEachAlive(Now, [&](const EntryRecord &Each) {
+      send(this->Parts, Each.Gossip, Reports);
+    });
+  if (Next)
+    this->ReplyTimer = this->Parts.Loop.timers().after(
+        *Next - Now, [this] { this->sendReplies(); });
+}
+
+/// Reports a change of \p Key by which calls may have become refused, after
+/// RefusalsDelay.
+void CrashExchange::noteRefusals(std::uint64_t Key) {
+  if (this->Parts.Record.Established.empty() || !this->RefusalsTimer.empty())
+    return;
+  // A key that was cleared may have excused another one.
+  const std::size_t Crashes = crashCount(this->Parts.Record, Key);
+  if (Crashes > 0 && Crashes < MaxCrashes)
+    return;
+  this->RefusalsTimer = this->Parts.Loop.timers().after(RefusalsDelay, [this] {
+    this->RefusalsTimer.disconnect();
+    this->Parts.OnRefusalsChanged();
+  });
 }
 
 void CrashExchange::onGossipRound(std::span<const SocketAddress> Targets) {
@@ -185,19 +278,18 @@
   return 2 * (Entries.countAlive(Now) + 1) < Entries.fleetSize(Now);
 }
 
-/// Has the aggregators persist a content once it has crashed several upstreams,
+/// Has the aggregators persist a key once it has crashed several upstreams,
 /// and again once it is refused.
-void CrashExchange::persistIfSuspect(std::uint64_t Content) {
-  const std::size_t Crashes = crashCount(this->Parts.Record, Content);
+void CrashExchange::persistIfSuspect(std::uint64_t Key) {
+  const std::size_t Crashes = crashCount(this->Parts.Record, Key);
   const bool IsSuspect =
-      Crashes >= CrashesToPersist && this->Persisted.insert(Content).second;
+      Crashes >= CrashesToPersist && this->Persisted.insert(Key).second;
   const bool IsRefused =
-      Crashes >= MaxCrashes && this->LoggedRefusals.insert(Content).second;
+      Crashes >= MaxCrashes && this->LoggedRefusals.insert(Key).second;
   if (IsRefused)
     log(LogLevel::Warn, "content.refused",
-        {{"content", contentName(Content)},
-         {"crashes", std::to_string(Crashes)}});
-  if ((!IsRefused && !IsSuspect) || !this->isAggregatorOf(Content))
+        {{"content", keyName(Key)}, {"crashes", std::to_string(Crashes)}});
+  if ((!IsRefused && !IsSuspect) || !this->isAggregatorOf(Key))
     return;
   this->IsWritePending = true;
   if (IsRefused)
@@ -206,13 +298,13 @@
     this->syncLater(PersistDelay);
 }
 
-/// Removes a content from the platform after a success has cleared it.
-void CrashExchange::removeIfCleared(std::uint64_t Content) {
-  if (crashCount(this->Parts.Record, Content) >= CrashesToPersist ||
-      this->Persisted.erase(Content) == 0)
+/// Removes a key from the platform after a success has cleared it.
+void CrashExchange::removeIfCleared(std::uint64_t Key) {
+  if (crashCount(this->Parts.Record, Key) >= CrashesToPersist ||
+      this->Persisted.erase(Key) == 0)
     return;
-  log(LogLevel::Info, "content.cleared", {{"content", contentName(Content)}});
-  if (!this->isAggregatorOf(Content))
+  log(LogLevel::Info, "content.cleared", {{"content", keyName(Key)}});
+  if (!this->isAggregatorOf(Key))
     return;
   this->IsWritePending = true;
   this->syncLater(PersistDelay);
@@ -228,7 +320,7 @@
       scaled(Delay, Spread(this->Random)), [this] { this->sync(); });
 }
 
-/// Reads the persisted contents, and writes them back if there is a change.
+/// Reads the persisted keys, and writes them back if there is a change.
 void CrashExchange::sync() {
   this->SyncTimer.disconnect();
   if (this->IsSyncing)
@@ -250,8 +342,8 @@
     json Observations = json::array();
     for (const CrashReport::Observation &Seen : Each.Observations)
       Observations.push_back(
-          {contentName(Seen.Upstream), WallMs - Seen.Age.count()});
-    Result.push_back({contentName(Each.Content), std::move(Observations)});
+          {keyName(Seen.Upstream), WallMs - Seen.Age.count()});
+    Result.push_back({keyName(Each.Key), std::move(Observations)});
   }
   return Result;
 }
@@ -270,7 +362,7 @@
   std::vector<CrashReport> Result;
   for (const json &Each : Value) {
     CrashReport Report;
-    Report.Content = hashFromText(Each.at(0));
+    Report.Key = hashFromText(Each.at(0));
     for (const json &Seen : Each.at(1))
       Report.Observations.push_back(
           {hashFromText(Seen.at(0)),
@@ -287,13 +379,13 @@
     this->syncLater(SyncRetry);
     return;
   }
-  // Number of stored crashes by content.
+  // Number of stored crashes by key.
   std::map<std::uint64_t, std::size_t> Stored;
   if (Result.Status == PlatformStatus::Ok)
     try {
       for (const CrashReport &Each :
            fromStored(Result.Object.Value, wallMilliseconds())) {
-        Stored[Each.Content] = Each.Observations.size();
+        Stored[Each.Key] = Each.Observations.size();
         this->restore(Each);
       }
     } catch (const std::exception &Failure) {
@@ -304,11 +396,19 @@
   if (!this->IsWritePending)
     return;
   this->IsWritePending = false;
-  const std::vector<CrashReport> Reports =
-      this->suspectReports(CrashesToPersist, MaxStored);
+  std::vector<CrashReport> Reports =
+      this->suspectReports(CrashesToPersist, MaxCrashKeys);
+  // The stored form has no answers, without which a key that was answered
+  // before would be refused too soon.
+  std::erase_if(Reports, [this](const CrashReport &Each) {
+    return Each.ClearedAge &&
+           !this->Parts.Record.Established.contains(Each.Key);
+  });
+  if (Reports.size() > MaxStored)
+    Reports.resize(MaxStored);
   std::map<std::uint64_t, std::size_t> Wanted;
   for (const CrashReport &Each : Reports)
-    Wanted[Each.Content] = Each.Observations.size();
+    Wanted[Each.Key] = Each.Observations.size();
   // Another aggregator may have written the same.
   if (Wanted != Stored)
     this->write(Reports, Result.Status == PlatformStatus::Ok
@@ -316,11 +416,11 @@
                              : Platform::MustNotExist);
 }
 
-/// Merges a stored content. Crashes that this entry knows of are left out: the
+/// Merges a stored key. Crashes that this entry knows of are left out: the
 /// writer's clock may differ, so that a crash would count twice.
 void CrashExchange::restore(CrashReport Stored) {
   const CrashReport Known =
-      crashReport(this->Parts.Record, Stored.Content, EventLoop::now());
+      crashReport(this->Parts.Record, Stored.Key, EventLoop::now());
   std::erase_if(Stored.Observations, [&](const CrashReport::Observation &Each) {
     return std::any_of(Known.Observations.begin(), Known.Observations.end(),
                        [&](const CrashReport::Observation &Own) {
@@ -329,11 +429,12 @@
   });
   if (!mergeReport(this->Parts.Record, Stored, EventLoop::now()))
     return;
-  this->Persisted.insert(Stored.Content);
+  this->noteRefusals(Stored.Key);
+  this->Persisted.insert(Stored.Key);
   log(LogLevel::Warn, "content.restored",
-      {{"content", contentName(Stored.Content)},
+      {{"content", keyName(Stored.Key)},
        {"crashes",
-        std::to_string(crashCount(this->Parts.Record, Stored.Content))}});
+        std::to_string(crashCount(this->Parts.Record, Stored.Key))}});
 }
 
 void CrashExchange::write(std::span<const CrashReport> Reports,
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -119,7 +119,13 @@
                .Send =
                    [this](const SocketAddress &To, const std::string &Bytes) {
                      this->Channel->send(To, Bytes);
-                   }}),
+                   },
+               .LastAnswered =
+                   [this](std::uint64_t Key) {
+                     return lastAnswered(this->Services.Answered, Key);
+                   },
+               .OnRefusalsChanged =
+                   [this] { this->Services.RefusalsChanged.emit(); }}),
       Rates(this->Entries, this->rateParts()) {
   this->Upstreams.OnUnavailable = [this](const SocketAddress &Address) {
     this->Pool.closeIdle(Address);
@@ -135,9 +141,9 @@
   this->Stores.OnUpdate = [this](const StoreUpdate &News) {
     this->sendToZone({.Store = News});
   };
-  this->Services.OnCrashesChanged = [this](std::uint64_t Content,
+  this->Services.OnCrashesChanged = [this](std::uint64_t Key,
                                            std::size_t Cleared) {
-    this->Crashes.publish(Content, Cleared);
+    this->Crashes.publish(Key, Cleared);
   };
   this->connectRates();
   this->Services.OnSent = [this](const UpstreamEntry &To,
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -209,8 +209,7 @@
       Observations.push_back(Seen.Age.count());
     }
     Contents.push_back(
-        {Each.Content,
-         Each.ClearedAge ? json(Each.ClearedAge->count()) : json(),
+        {Each.Key, Each.ClearedAge ? json(Each.ClearedAge->count()) : json(),
          std::move(Observations)});
   }
   return {{"crashes", std::move(Contents)}};
@@ -220,7 +219,7 @@
   std::vector<CrashReport> Result;
   for (const json &Each : Value.at("crashes")) {
     CrashReport Report;
-    Report.Content = Each.at(0);
+    Report.Key = Each.at(0);
     if (!Each.at(1).is_null())
       Report.ClearedAge = Milliseconds(Each.at(1).get<std::int64_t>());
     const json &Observations = Each.at(2);
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -44,6 +44,7 @@
   this->DeadlineTimer.disconnect();
   this->WeightsTimer.disconnect();
   this->WeightsChanged.disconnect();
+  this->RefusalsConnection.disconnect();
 }
 
 /// Returns a random number, uniform in [0, 1).
@@ -127,6 +128,8 @@
   this->LastEvent = this->Call.ResumeAfter;
   this->Signature = callContentHash(this->Customer ? this->Customer->Name : "",
                                     this->Call.Target, this->Incoming->Body);
+  this->CrashKeys =
+      crashKeys(this->Signature, this->Service->Name, this->Call.Parts);
   return true;
 }
 
@@ -186,7 +189,7 @@
   if (this->Current == Phase::Done)
     return;
   this->WaitingSince = EventLoop::now();
-  if (this->endIfContentBlocked() || this->refuseIfNoCapacity())
+  if (this->endIfBlocked() || this->refuseIfNoCapacity())
     return;
   // Calls that are queued already may be more urgent.
   if (this->queue().size() == 0 && this->trySend())
@@ -214,22 +217,24 @@
   return true;
 }
 
-/// Ends the call if its content is blocked for crashing upstreams, which may
-/// have become known since the call arrived. Returns whether it did.
-bool ForwardRun::endIfContentBlocked() {
+/// Ends the call if its content or a part of its prompt is blocked for crashing
+/// upstreams, which may have become known since the call arrived. Returns
+/// whether it did.
+bool ForwardRun::endIfBlocked() {
   const TimePoint Now = EventLoop::now();
-  const auto Until = refusedUntil(this->Services.Crashes, this->Signature, Now);
+  const auto Until = refusedUntil(this->Services.Crashes, this->CrashKeys, Now);
   if (!Until)
     return false;
   this->Services.Stats.decision("content.refused");
   this->refuseOrFail(
-      "the content of this call crashed the upstreams that ran it",
+      "calls with this content or prompt part crashed the upstreams that ran "
+      "them",
       *Until - Now);
   return true;
 }
 
 bool ForwardRun::trySend() {
-  if (this->endIfContentBlocked())
+  if (this->endIfBlocked())
     return true;
   const UpstreamQuery Query = this->query();
   const UpstreamTable::Chosen To =
@@ -345,6 +350,11 @@
   this->Splitter.clear();
   this->SentAt = this->ProgressAt = EventLoop::now();
   this->HasStalledOnce = false;
+  this->Events = 0;
+  this->IsFramed = false;
+  this->RefusalsConnection.disconnect();
+  this->RefusalsConnection = this->Services.RefusalsChanged.connect(
+      [this] { this->onRefusalsChanged(); });
   if (this->Current == Phase::Waiting)
     this->Current = Phase::Sent;
   this->Services.Upstreams.noteSent(this->UpstreamId, this->PendingPromptTokens,
@@ -364,7 +374,7 @@
   const auto Superseded = this->supersededFor();
   log(LogLevel::Info, "call.sent",
       {{"call", this->Call.Id},
-       {"content", contentName(this->Signature)},
+       {"content", keyName(this->Signature)},
        {"route", this->Route->Name},
        {"upstream", this->UpstreamId},
        {"send", std::to_string(this->Sends + 1)},
@@ -453,6 +463,8 @@
   }
   this->Answer = std::move(Read);
   this->HasAnswer = true;
+  this->IsFramed = Head.HasFraming || Head.Status == 204 ||
+                   Head.Status == 304 || this->Call.Method == "HEAD";
   UpstreamTable &Upstreams = this->Services.Upstreams;
   const TimePoint Now = EventLoop::now();
   this->ProgressAt = Now;
@@ -503,6 +515,8 @@
 void ForwardRun::onEvent(const StreamEvent &Event) {
   if (this->Current == Phase::Done)
     return;
+  if (++this->Events == MinEventsOfAnswer)
+    this->notePartsAnswered(EventLoop::now());
   if (Event.Id && this->LastEvent && *Event.Id <= *this->LastEvent) {
     log(LogLevel::Warn, "stream.event_repeated",
         {{"call", this->Call.Id}, {"event", std::to_string(*Event.Id)}});
@@ -599,7 +613,7 @@
   const ErrorRow &Row = describeError(ErrorKind::NoUpstream);
   log(LogLevel::Warn, "call.refused",
       {{"call", this->Call.Id},
-       {"content", contentName(this->Signature)},
+       {"content", keyName(this->Signature)},
        {"reason", std::string(Reason)},
        {"sends", std::to_string(this->Sends)},
        {"retry_after_ms", std::to_string(toMilliseconds(RetryAfter))}});
@@ -655,6 +669,7 @@
   this->DeadlineTimer.disconnect();
   this->WeightsTimer.disconnect();
   this->WeightsChanged.disconnect();
+  this->RefusalsConnection.disconnect();
   // Drops the last reference after the caller of this function has returned.
   this->Services.Loop.timers().after(Duration::zero(),
                                      [Self = this->shared_from_this()] {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -19,6 +19,7 @@
 #include "connection/UpstreamPool.h"
 #include "process/ErrorKind.h"
 #include "process/Metrics.h"
+#include "request/AnsweredKeys.h"
 #include "request/CrashRecord.h"
 #include "request/EventStream.h"
 #include "request/ForwardRules.h"
@@ -33,6 +34,9 @@
 
 namespace galenaroute {
 
+/// An answer with this many whole events was not ended by a crash of the
+/// upstream as it began to write.
+inline constexpr int MinEventsOfAnswer = 2;
 /// Maximum idle time of a connection that is reused for a repeatable call.
 inline constexpr Duration MaxIdleRepeatable = std::chrono::seconds(60);
 
@@ -53,15 +57,18 @@
   std::vector<StoreView> Stores;
   ReuseSettings Reuse;
   CrashRecord Crashes;
+  AnsweredKeys Answered;
   UnansweredSends Unanswered;
   std::map<std::string, std::unique_ptr<WaitingRuns>> Queues; ///< By service.
   /// Returns whether the configuration store was reached recently, so that what
   /// is missing in the configuration does not exist.
   std::function<bool()> IsConfigFresh;
-  /// Called when a crash was recorded for a content, or when a success has
-  /// cleared recorded crashes.
-  std::function<void(std::uint64_t Content, std::size_t Cleared)>
-      OnCrashesChanged = [](std::uint64_t, std::size_t) {};
+  /// Called when a crash was recorded for a key of a call, or when an answer
+  /// has cleared recorded crashes.
+  std::function<void(std::uint64_t Key, std::size_t Cleared)> OnCrashesChanged =
+      [](std::uint64_t, std::size_t) {};
+  /// Emitted after calls with certain keys may have become refused.
+  sigc::signal<void()> RefusalsChanged;
   /// Called after a call was sent, with its prompt tokens to prefill.
   std::function<void(const UpstreamEntry &To, std::uint32_t Tokens)> OnSent =
       [](const UpstreamEntry &, std::uint32_t) {};
@@ -95,8 +102,8 @@
   ~ForwardRun();
   void start();
 
-  /// Sends the call if an upstream has capacity, or refuses it if its content
-  /// is blocked for crashing upstreams. Returns whether it has left the queue;
+  /// Sends the call if an upstream has capacity, or refuses it if it is
+  /// blocked for crashing upstreams. Returns whether it has left the queue;
   /// for WaitingRuns.
   bool trySend();
   /// Ends a call that found no upstream within its queueing time. \p
@@ -110,7 +117,7 @@
 
   bool admit();
   bool refuseIfNoCapacity();
-  bool endIfContentBlocked();
+  bool endIfBlocked();
   void refuseOrFail(std::string_view Reason, Duration RetryAfter);
   void attempt();
   int priority() const;
@@ -132,8 +139,12 @@
   SendOutcome outcomeOf(UpstreamEnd End) const;
   void onOutcome(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome);
+  bool isProvenAnswer() const;
+  void notePartsAnswered(TimePoint Now);
+  UnansweredSend suspectSend(TimePoint Now) const;
   void recordSendCrash(TimePoint Now);
   void noteUnansweredSend(TimePoint Now);
+  void onRefusalsChanged();
   void onStall();
   bool canFailOver();
   ForwardProgress progress();
@@ -162,8 +173,9 @@
   const ForwardRoute *Route = nullptr;
   const ForwardCustomer *Customer = nullptr;
   const ForwardService *Service = nullptr;
-  std::uint64_t Signature = 0; ///< Hash of the call's content.
-  TimePoint Deadline;          ///< Of the caller or the route.
+  std::uint64_t Signature = 0;          ///< Hash of the call's content.
+  std::vector<std::uint64_t> CrashKeys; ///< See crashKeys().
+  TimePoint Deadline;                   ///< Of the caller or the route.
   TimePoint WaitingSince;
   Phase Current = Phase::Waiting;
 
@@ -175,6 +187,8 @@
   CallAnswer Answer;
   bool HasAnswer = false;
   bool HasStalledOnce = false; ///< In the send in flight.
+  int Events = 0;              ///< Whole events in the send in flight.
+  bool IsFramed = false;       ///< The answer states where it ends.
   std::string Body;
   EventSplitter Splitter;
   std::optional<std::uint64_t> LastEvent;
@@ -192,6 +206,7 @@
   sigc::connection DeadlineTimer;
   sigc::connection WeightsTimer;
   sigc::connection WeightsChanged;
+  sigc::connection RefusalsConnection; ///< While a send is in flight.
 };
 
 } // namespace galenaroute
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -2,6 +2,7 @@
 // records, and the next step.
 
 #include "process/Log.h"
+#include "request/CrashSuspects.h"
 #include "request/ForwardRun.h"
 
 namespace galenaroute {
@@ -34,7 +35,10 @@
     return SendOutcome::NotRun;
   if (!Read.IsSigned || Read.IsEncoded)
     return SendOutcome::Broken;
-  if (this->isStreamAnswer() && this->Splitter.hasPartialEvent())
+  // Only a stream that was resumed after its last event may be empty.
+  const bool MayBeEmpty = this->IsFramed && this->LastEvent;
+  if (this->isStreamAnswer() &&
+      (this->Splitter.hasPartialEvent() || (this->Events == 0 && !MayBeEmpty)))
     return SendOutcome::Broken;
   return Read.Status >= 500 ? SendOutcome::Failed : SendOutcome::Succeeded;
 }
@@ -68,21 +72,45 @@
 
 void recordCrash(ForwardServices &Services, const UnansweredSend &Send,
                  const std::string &UpstreamId, const std::string &Call) {
-  CrashRecord &Record = Services.Crashes;
-  if (!noteCrash(Record, Send.Content, Send.Upstream, Send.EndedAt))
-    return;
-  log(LogLevel::Warn, "content.broke",
-      {{"content", contentName(Send.Content)},
-       {"call", Call},
-       {"upstream", UpstreamId},
-       {"crashes", std::to_string(crashCount(Record, Send.Content))}});
-  Services.OnCrashesChanged(Send.Content, 0);
+  for (const std::uint64_t Key :
+       noteBrokenSend(Services.Crashes, Services.Answered, Send)) {
+    log(LogLevel::Warn, "content.broke",
+        {{"content", keyName(Key)},
+         {"call", Call},
+         {"upstream", UpstreamId},
+         {"crashes", std::to_string(crashCount(Services.Crashes, Key))}});
+    Services.OnCrashesChanged(Key, 0);
+  }
+}
+
+/// Returns whether the answer received shows that the upstream did not crash as
+/// it began to write. One that ends with its connection does not show this.
+bool ForwardRun::isProvenAnswer() const {
+  return this->IsFramed || this->Events >= MinEventsOfAnswer;
+}
+
+/// Clears the parts of the prompt: an upstream has begun to answer the call.
+/// The whole content may still crash it.
+void ForwardRun::notePartsAnswered(TimePoint Now) {
+  for (const ClearedKey &Each :
+       noteAnsweredParts(this->Services.Crashes, this->Services.Answered,
+                         this->CrashKeys, Now))
+    this->Services.OnCrashesChanged(Each.Key, Each.Crashes);
+}
+
+/// Returns the send in flight, which ends without an answer, with the keys that
+/// may have crashed its upstream.
+UnansweredSend ForwardRun::suspectSend(TimePoint Now) const {
+  UnansweredSend Send{this->Incarnation, this->CrashKeys, this->SentAt, Now};
+  if (this->Events >= MinEventsOfAnswer)
+    Send.Keys.resize(1);
+  return Send;
 }
 
 /// Records a possible crash: the send in flight ended without an answer.
 void ForwardRun::recordSendCrash(TimePoint Now) {
-  recordCrash(this->Services, {this->Incarnation, this->Signature, Now},
-              this->UpstreamId, this->Call.Id);
+  recordCrash(this->Services, this->suspectSend(Now), this->UpstreamId,
+              this->Call.Id);
 }
 
 /// Notes that the send in flight was abandoned without an answer. It counts as
@@ -94,8 +122,7 @@
     return;
   }
   if (Now - std::max(At->ProgressAt, this->SentAt) >= MinCrashSilence)
-    noteUnanswered(this->Services.Unanswered, this->Incarnation,
-                   this->Signature, Now);
+    noteUnanswered(this->Services.Unanswered, this->suspectSend(Now));
 }
 
 /// Updates the shared records with the outcome of a send.
@@ -108,10 +135,17 @@
   switch (Outcome) {
   case SendOutcome::Succeeded:
     Upstreams.noteSuccess(this->UpstreamId);
-    if (const std::size_t Cleared =
-            noteSuccess(this->Services.Crashes, this->Signature, Now);
-        Cleared > 0)
-      this->Services.OnCrashesChanged(this->Signature, Cleared);
+    if (this->isProvenAnswer()) {
+      if (const std::size_t Cleared =
+              noteSuccess(this->Services.Crashes, this->Signature, Now);
+          Cleared > 0)
+        this->Services.OnCrashesChanged(this->Signature, Cleared);
+      // With another status, the prompt need not have been read.
+      if (this->Answer.Status < 300)
+        this->notePartsAnswered(Now);
+    } else {
+      noteUnanswered(this->Services.Unanswered, this->suspectSend(Now));
+    }
     return;
   case SendOutcome::Failed:
     Upstreams.noteFailure(this->UpstreamId, FailedFailureWeight, Now);
@@ -164,7 +198,7 @@
     this->Services.Stats.decision("send." + std::string(toString(Outcome)));
     log(LogLevel::Warn, "call.send_ended",
         {{"call", this->Call.Id},
-         {"content", contentName(this->Signature)},
+         {"content", keyName(this->Signature)},
          {"upstream", this->UpstreamId},
          {"outcome", std::string(toString(Outcome))},
          {"status", std::to_string(this->HasAnswer ? this->Answer.Status : 0)},
@@ -195,6 +229,19 @@
   }
 }
 
+/// Withdraws a send that has got no answer yet once the call is blocked, since
+/// it would crash the upstream when that begins to write.
+void ForwardRun::onRefusalsChanged() {
+  const bool IsAnswered =
+      this->Events > 0 || (this->HasAnswer && !this->isStreamAnswer());
+  if (this->Current == Phase::Done || !this->Exchange || IsAnswered ||
+      !refusedUntil(this->Services.Crashes, this->CrashKeys, EventLoop::now()))
+    return;
+  const auto Self = this->shared_from_this();
+  this->cancelSend("content_blocked");
+  this->endIfBlocked();
+}
+
 void ForwardRun::onStall() {
   if (this->Current == Phase::Done || !this->Exchange)
     return;
@@ -227,7 +274,7 @@
   }
   const TimePoint Now = EventLoop::now();
   return nextStep(Progress, SendOutcome::Stalled) == ForwardStep::Retry &&
-         !refusedUntil(this->Services.Crashes, this->Signature, Now) &&
+         !refusedUntil(this->Services.Crashes, this->CrashKeys, Now) &&
          this->Services.Upstreams.choose(this->query(), Now).Entry != nullptr;
 }
 
@@ -240,7 +287,7 @@
   this->Services.Stats.decision("send." + std::string(Reason));
   log(LogLevel::Info, "call.send_ended",
       {{"call", this->Call.Id},
-       {"content", contentName(this->Signature)},
+       {"content", keyName(this->Signature)},
        {"upstream", this->UpstreamId},
        {"outcome", std::string(Reason)},
        {"status", std::to_string(this->HasAnswer ? this->Answer.Status : 0)},
--- a/src/request/UnansweredSends.h
+++ b/src/request/UnansweredSends.h
@@ -1,6 +1,6 @@
 // Remembers abandoned sends, to find those whose upstream had crashed.
 //
-//   noteUnanswered(Sends, Upstream, Content, Now);
+//   noteUnanswered(Sends, {Upstream, Keys, SentAt, Now});
 //   // When the upstream has ended:
 //   for (const auto &Each : takeUnanswered(Sends, Upstream, Now)) ...
 //
@@ -8,7 +8,8 @@
 // The sends to it end as stalled, timed out or cancelled by their callers some
 // seconds before its registry entry expires.
 //
-// Guarantee: memory is bounded; the oldest sends are dropped first.
+// Guarantee: memory is bounded by MaxUnansweredSends and the keys of a
+// call; the oldest sends are dropped first.
 
 #ifndef GALENAROUTE_REQUEST_UNANSWEREDSENDS_H
 #define GALENAROUTE_REQUEST_UNANSWEREDSENDS_H
@@ -18,14 +19,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <utility>
 #include <vector>
 
 namespace galenaroute {
 
 /// A send that was abandoned without an answer.
 struct UnansweredSend {
-  std::uint64_t Upstream = 0; ///< See incarnationKey().
-  std::uint64_t Content = 0;  ///< Hash of the call's content.
+  std::uint64_t Upstream = 0;      ///< See incarnationKey().
+  std::vector<std::uint64_t> Keys; ///< Of the call, see crashKeys().
+  TimePoint SentAt;
   TimePoint EndedAt;
 };
 
@@ -42,14 +45,13 @@
 /// crashed.
 inline constexpr Duration MinCrashSilence = std::chrono::milliseconds(300);
 
-/// Remembers a send of \p Content to \p Upstream that was abandoned at \p Now.
-inline void noteUnanswered(UnansweredSends &All, std::uint64_t Upstream,
-                           std::uint64_t Content, TimePoint Now) {
+/// Remembers \p Send, which was just abandoned.
+inline void noteUnanswered(UnansweredSends &All, UnansweredSend Send) {
   while (!All.Sends.empty() &&
          (All.Sends.size() >= MaxUnansweredSends ||
-          Now - All.Sends.front().EndedAt > UnansweredRetention))
+          Send.EndedAt - All.Sends.front().EndedAt > UnansweredRetention))
     All.Sends.pop_front();
-  All.Sends.push_back({Upstream, Content, Now});
+  All.Sends.push_back(std::move(Send));
 }
 
 /// Returns and removes the sends that were abandoned at \p Upstream shortly
--- a/tests/CrashExchangeTest.cpp
+++ b/tests/CrashExchangeTest.cpp
@@ -5,6 +5,8 @@
 #include "FakePlatform.h"
 #include "process/EntryChannel.h"
 #include "process/GossipMessages.h"
+#include "process/Rendezvous.h"
+#include "request/AnsweredKeys.h"
 
 #include <gtest/gtest.h>
 
@@ -20,6 +22,7 @@
     explicit Entry(const EntryRecord &Self) : Gossip(Self, {}) {}
     EntryGossip Gossip;
     CrashRecord Record;
+    AnsweredKeys Answered;
     std::unique_ptr<CrashExchange> Exchange;
   };
 
@@ -51,16 +54,23 @@
         .Record = Each.Record,
         .Api = this->Api,
         .Entries = Each.Gossip,
-        .Send = [this](const SocketAddress &To, const std::string &Bytes) {
-          ++this->Messages;
-          this->LargestMessage = std::max(this->LargestMessage, Bytes.size());
-          if (this->IsPartitioned)
-            return;
-          this->Loop.timers().after(0ms, [this, To, Bytes] {
-            const GossipMessage Message = decodeGossip(Bytes);
-            this->Entries[To.Port - 1u]->Exchange->receive(Message.Crashes);
-          });
-        }});
+        .Send =
+            [this](const SocketAddress &To, const std::string &Bytes) {
+              ++this->Messages;
+              this->LargestMessage =
+                  std::max(this->LargestMessage, Bytes.size());
+              if (this->IsPartitioned)
+                return;
+              this->Loop.timers().after(0ms, [this, To, Bytes] {
+                const GossipMessage Message = decodeGossip(Bytes);
+                this->Entries[To.Port - 1u]->Exchange->receive(Message.Crashes);
+              });
+            },
+        .LastAnswered =
+            [&Each](std::uint64_t Key) {
+              return lastAnswered(Each.Answered, Key);
+            },
+        .OnRefusalsChanged = [this] { ++this->RefusalChanges; }});
     Each.Exchange->start();
   }
 
@@ -89,6 +99,7 @@
   std::vector<std::unique_ptr<Entry>> Entries;
   std::size_t Messages = 0;
   std::size_t LargestMessage = 0;
+  std::size_t RefusalChanges = 0;
   bool IsPartitioned = false;
   sigc::connection PlatformTimer =
       this->Loop.timers().every(5ms, [this] { this->Api.drain(); });
@@ -130,7 +141,7 @@
   EXPECT_LE(this->Messages, 24u * 2 * 3);
   EXPECT_EQ(this->Api.Writes, 0);
   for (const auto &Each : this->Entries)
-    EXPECT_TRUE(suspectContents(Each->Record, 1, 10).empty());
+    EXPECT_TRUE(suspectKeys(Each->Record, 1, 10).empty());
 }
 
 // Guards against a restarted entry that knows none of the crashes.
@@ -271,7 +282,8 @@
 TEST_F(CrashExchangeTest, MessagesStayBelowTheSizeLimit) {
   this->fill(2);
   for (std::uint64_t Content = 1000; Content < 1400; ++Content)
-    for (std::uint64_t Upstream = 1; Upstream <= 8; ++Upstream)
+    for (std::uint64_t Upstream = 1; Upstream <= MaxCrashObservations;
+         ++Upstream)
       this->crash(0, Content << 40, Upstream << 40);
   const SocketAddress To{"127.0.0.1", 2};
   this->wait(100ms);
@@ -281,5 +293,64 @@
   EXPECT_LE(this->LargestMessage, EntryChannel::MaxBytes);
 }
 
+// Guards against refusing a harmless part that was at several crashes, though
+// other entries see answers to it, and against a reply by each of those.
+TEST_F(CrashExchangeTest, AnswersThatOtherEntriesSawClearAPart) {
+  this->fill(295);
+  for (std::size_t I = 0; I < 295; ++I)
+    if (I != 100)
+      noteAnswered(this->Entries[I]->Answered, 7, EventLoop::now() + 100ms);
+  for (std::uint64_t Upstream = 1; Upstream <= 3; ++Upstream)
+    this->crash(100, 7, Upstream);
+  this->wait(800ms);
+  for (std::size_t I = 0; I < 295; ++I)
+    EXPECT_EQ(crashCount(this->Entries[I]->Record, 7), 0u) << I;
+  EXPECT_LE(this->Messages, 10u * 295);
+}
+
+// Guards against refusing a part that was answered before, at crashes that
+// another one causes.
+TEST_F(CrashExchangeTest, EntriesLearnThatAPartWasAnsweredBefore) {
+  this->fill(36);
+  noteAnswered(this->Entries[30]->Answered, 7, EventLoop::now());
+  for (std::uint64_t Upstream = 1; Upstream <= 3; ++Upstream)
+    this->crash(2, 7, Upstream);
+  this->wait(300ms);
+  EXPECT_EQ(this->refusing(7), 0u);
+  EXPECT_EQ(crashCount(this->Entries[5]->Record, 7), 3u);
+}
+
+// Guards against messages, memory and writes that grow with calls that are
+// never alike.
+TEST_F(CrashExchangeTest, CallsThatAreNeverAlikeAreNotBroadcast) {
+  this->fill(36);
+  std::uint64_t Keys = 0;
+  for (std::uint64_t Upstream = 1; Upstream <= 100; ++Upstream) {
+    for (std::size_t Call = 0; Call < 20; ++Call)
+      for (int Key = 0; Key < 3; ++Key)
+        this->crash((Upstream + Call) % 36, mixBits(++Keys), Upstream);
+    this->wait(1ms);
+  }
+  this->wait(200ms);
+  EXPECT_LE(this->Messages, 3 * Keys);
+  EXPECT_EQ(this->Api.Writes, 0);
+  EXPECT_EQ(this->RefusalChanges, 0u);
+  for (const auto &Each : this->Entries) {
+    EXPECT_LE(Each->Record.Keys.size(), MaxCrashKeys);
+    EXPECT_TRUE(suspectKeys(Each->Record, 2, 10).empty());
+  }
+}
+
+// Guards against calls under way that are not withdrawn once they are refused.
+TEST_F(CrashExchangeTest, EntriesAreToldWhenCallsBecomeRefused) {
+  this->fill(5);
+  this->crash(0, 7, 1);
+  this->crash(1, 7, 2);
+  this->wait(200ms);
+  EXPECT_EQ(this->RefusalChanges, 0u);
+  this->crash(2, 7, 3);
+  EXPECT_TRUE(this->until([&] { return this->RefusalChanges >= 5; }));
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/CrashingCallTest.cpp
+++ b/tests/CrashingCallTest.cpp
@@ -27,6 +27,20 @@
       this->wait(Gap);
     }
   }
+  /// Sends calls that are never alike, the crashing ones with the part `bad`.
+  /// All have the same first part.
+  void sendUnlike(const std::string &Path, int Count, Duration Gap) {
+    for (int I = 0; I < Count; ++I) {
+      const std::size_t At = static_cast<std::size_t>(I) % this->Fleet.size();
+      const std::string Own = std::to_string(++this->Unlike);
+      this->Crashing.send(this->Fleet.callerAddress(At), Path, "crash" + Own,
+                          "Prompt-Prefix: aa:10,bad:10," + Own + ":5\r\n");
+      this->Harmless.send(this->Fleet.callerAddress(At), "/safe/b",
+                          "sound" + Own,
+                          "Prompt-Prefix: aa:10,bb:10," + Own + ":5\r\n");
+      this->wait(Gap);
+    }
+  }
   CrashingUpstreams::Register registry() {
     return [this](const std::string &Id, const SocketAddress *At) {
       if (At)
@@ -50,6 +64,7 @@
   GatewayFleet Fleet{GatewayCount};
   Callers Crashing;
   Callers Harmless;
+  int Unlike = 0;
 };
 
 /// Time from the third crash until all gateways refuse the call.
@@ -109,5 +124,43 @@
   EXPECT_EQ(Upstreams.Crashes.size(), Before);
 }
 
+// Guards against evidence that is kept only for calls that repeat: calls that
+// share a crashing part end an upstream each if no two of them are alike.
+TEST_F(CrashingCallTest, CallsThatShareACrashingPartAreRefusedByAllGateways) {
+  CrashingUpstreams Upstreams(this->Fleet.Loop, this->registry(), 12,
+                              CrashKind::ResetAfterHead);
+  ASSERT_TRUE(
+      this->Fleet.Loop.runUntil([&] { return this->Fleet.isReady(); }, 3s));
+  this->wait(600ms);
+  this->sendUnlike("/once/a", 25, 100ms);
+  EXPECT_GE(Upstreams.Crashes.size(), 3u);
+  EXPECT_EQ(this->crashesAfterThird(Upstreams, LearningTime), 0u)
+      << Upstreams.Crashes.size() << " crashes";
+  EXPECT_GT(this->Crashing.count("503"), 10u);
+  EXPECT_GT(this->Harmless.count("200"), 20u);
+}
+
+// Guards against losing the crashes of a part when all gateways restart.
+TEST_F(CrashingCallTest, ARefusedPartStaysRefusedWhenAllGatewaysRestart) {
+  CrashingUpstreams Upstreams(this->Fleet.Loop, this->registry(), 12,
+                              CrashKind::ResetAfterHead);
+  ASSERT_TRUE(
+      this->Fleet.Loop.runUntil([&] { return this->Fleet.isReady(); }, 3s));
+  this->wait(600ms);
+  this->sendUnlike("/once/a", 5, 100ms);
+  ASSERT_GE(Upstreams.Crashes.size(), 3u);
+  this->wait(500ms);
+  const std::size_t Before = Upstreams.Crashes.size();
+  for (std::size_t I = 0; I < this->Fleet.size(); ++I)
+    this->Fleet.stop(I);
+  for (std::size_t I = 0; I < this->Fleet.size(); ++I)
+    this->Fleet.start(I);
+  ASSERT_TRUE(
+      this->Fleet.Loop.runUntil([&] { return this->Fleet.isReady(); }, 3s));
+  this->wait(300ms);
+  this->sendUnlike("/once/a", 10, 50ms);
+  EXPECT_EQ(Upstreams.Crashes.size(), Before);
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/CrashingUpstreams.h
+++ b/tests/CrashingUpstreams.h
@@ -11,7 +11,8 @@
 
 /// How an upstream fails when it runs the crashing call.
 enum class CrashKind {
-  Reset, ///< Its connections are reset.
+  Reset,          ///< Its connections are reset.
+  ResetAfterHead, ///< The same, after it has written the head of an answer.
   Silent ///< Its connections stay open without traffic; its registry entry
          ///< expires.
 };
@@ -72,13 +73,11 @@
       return;
     }
     if (!Call->Body.starts_with("crash")) {
-      const auto CallId = Call->Head.Headers.find("Request-Id");
-      Call->send(200,
-                 {{"Request-Id", std::string(CallId.value_or(""))},
-                  {"Server-Stamp", "x"}},
-                 "answer");
+      Call->send(200, answerHeaders(*Call), "answer");
       return;
     }
+    if (this->Kind == CrashKind::ResetAfterHead)
+      Call->begin(200, answerHeaders(*Call));
     this->Crashes.push_back(EventLoop::now());
     this->Unanswered.push_back(Call);
     Each.HasEnded = true;
@@ -86,9 +85,15 @@
     this->after(Duration::zero(), [this, Index] { this->end(Index); });
   }
 
+  static HttpHeaders answerHeaders(const IncomingCall &Call) {
+    const auto CallId = Call.Head.Headers.find("Request-Id");
+    return {{"Request-Id", std::string(CallId.value_or(""))},
+            {"Server-Stamp", "x"}};
+  }
+
   void end(std::size_t Index) {
     Upstream &Each = this->All[Index];
-    if (this->Kind == CrashKind::Reset) {
+    if (this->Kind != CrashKind::Silent) {
       Each.Listener->stopAccepting();
       Each.Listener->abortAll();
     }
@@ -117,12 +122,12 @@
 class Callers {
 public:
   void send(const SocketAddress &To, const std::string &Path,
-            const std::string &Body) {
+            const std::string &Body, const std::string &More = "") {
     const std::string Id = "r" + std::to_string(++this->Sent);
     auto Socket = std::make_unique<RawSocket>(RawSocket::connectTo(To));
     Socket->write("POST " + Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Id +
                   "\r\nContent-Length: " + std::to_string(Body.size()) +
-                  "\r\n\r\n" + Body);
+                  "\r\n" + More + "\r\n" + Body);
     this->Open.push_back(std::move(Socket));
   }
   /// Counts answers that begin with \p Status.
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -431,6 +431,95 @@
   EXPECT_TRUE(this->hasNoArrival());
 }
 
+// Guards against counting no crash of an upstream that closes its connection as
+// it begins to write a stream without a length.
+TEST_F(ForwardRunTest, AStreamThatEndsWithoutAWholeEventIsBroken) {
+  for (const std::string Text : {"", "id: 1\ndata: x\n"}) {
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    this->Table.noteSuccess("u0");
+    this->sendCall("/oncestream/a");
+    const auto Peer = this->waitForArrival();
+    Peer->write(head("200 OK", "Server-Stamp: x\r\nConnection: close\r\n") +
+                Text);
+    Peer->close();
+    ASSERT_TRUE(this->callerReceives("HTTP/1.1 502 "));
+    this->Services.Crashes = {};
+  }
+}
+
+constexpr const char *Parts = "Prompt-Prefix: aa:10,bb:20,cc:5\r\n";
+
+std::vector<std::uint64_t> partKeys() {
+  return crashKeys(0, "s", std::vector<PromptPart>{{"aa"}, {"bb"}, {"cc"}});
+}
+
+// Guards against calls that share a crashing part passing as long as no two of
+// them are alike.
+TEST_F(ForwardRunTest, ABrokenSendIsRecordedForThePartsOfItsPrompt) {
+  this->sendCall("/once/a", Parts);
+  const auto Peer = this->waitForArrival();
+  Peer->write(head("200 OK", "Server-Stamp: x\r\nContent-Length: 20\r\n"));
+  Peer->reset();
+  ASSERT_TRUE(this->callerReceives("HTTP/1.1 502 "));
+  const auto Keys = partKeys();
+  EXPECT_EQ(crashCount(this->Services.Crashes, Keys[1]), 1u);
+  EXPECT_EQ(crashCount(this->Services.Crashes, Keys[2]), 1u);
+}
+
+// Guards against suspecting a part of a stream that was being answered.
+TEST_F(ForwardRunTest, AStreamWithTwoEventsClearsThePartsOfItsPrompt) {
+  const auto Keys = partKeys();
+  noteCrash(this->Services.Crashes, Keys[1], 99, EventLoop::now());
+  this->sendCall("/oncestream/a", Parts);
+  const auto Peer = this->waitForArrival();
+  Peer->write(head("200 OK", "Server-Stamp: x\r\nConnection: close\r\n") +
+              "id: 1\ndata: x\n\n");
+  ASSERT_TRUE(this->callerReceives("id: 1"));
+  EXPECT_EQ(crashCount(this->Services.Crashes, Keys[1]), 1u);
+  Peer->write("id: 2\ndata: x\n\n");
+  ASSERT_TRUE(this->callerReceives("id: 2"));
+  EXPECT_EQ(crashCount(this->Services.Crashes, Keys[1]), 0u);
+  Peer->reset();
+  ASSERT_TRUE(this->waitUntil([&] { return this->Caller->hasEnded(); }));
+  EXPECT_EQ(crashCount(this->Services.Crashes, Keys[1]), 0u);
+  EXPECT_EQ(crashCount(this->Services.Crashes, Keys[2]), 0u);
+}
+
+// Guards against clearing a crashing part by an answer that a crash has cut off
+// where its end cannot be told from that.
+TEST_F(ForwardRunTest, AnAnswerThatEndsWithItsConnectionClearsNoCrash) {
+  for (const std::string More :
+       {"Connection: close\r\n", "Content-Length: 2\r\n"}) {
+    const auto Keys = partKeys();
+    noteCrash(this->Services.Crashes, Keys[1], 99, EventLoop::now());
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    this->sendCall("/once/a", Parts);
+    const auto Peer = this->waitForArrival();
+    Peer->write(head("200 OK", "Server-Stamp: x\r\n" + More) + "ok");
+    Peer->close();
+    ASSERT_TRUE(this->callerReceives("HTTP/1.1 200 "));
+    EXPECT_EQ(crashCount(this->Services.Crashes, Keys[1]),
+              More.starts_with("Connection") ? 1u : 0u);
+  }
+}
+
+// Guards against a crash by a call that was sent before its part was blocked.
+TEST_F(ForwardRunTest, ASendWithoutAnAnswerIsWithdrawnOnceItsPartIsBlocked) {
+  this->sendCall("/once/a", Parts);
+  const auto Peer = this->waitForArrival();
+  this->Services.RefusalsChanged.emit();
+  EXPECT_FALSE(this->Loop.runUntil([&] { return Peer->hasEnded(); }, 100ms));
+  for (std::uint64_t Upstream = 1; Upstream <= MaxCrashes; ++Upstream)
+    noteCrash(this->Services.Crashes, partKeys()[2], Upstream,
+              EventLoop::now());
+  this->Services.RefusalsChanged.emit();
+  ASSERT_TRUE(this->waitUntil([&] { return Peer->hasEnded(); }));
+  ASSERT_TRUE(this->callerReceives("HTTP/1.1 502 "));
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
 // Guards against abandoning a slow send for a retry that is not allowed.
 TEST_F(ForwardRunTest, ASlowSendOfBlockedContentContinues) {
   this->sendCall("/safe/a");
--- a/tests/StatusExchangeTest.cpp
+++ b/tests/StatusExchangeTest.cpp
@@ -405,7 +405,7 @@
   const GossipMessage Read =
       decodeGossip(encodeGossip({.Crashes = {Crashed, Cleared}}));
   ASSERT_EQ(Read.Crashes.size(), 2u);
-  EXPECT_EQ(Read.Crashes[0].Content, Crashed.Content);
+  EXPECT_EQ(Read.Crashes[0].Key, Crashed.Key);
   ASSERT_EQ(Read.Crashes[0].Observations.size(), 2u);
   EXPECT_EQ(Read.Crashes[0].Observations[1].Upstream, 2u);
   EXPECT_EQ(Read.Crashes[0].Observations[1].Age, 3000ms);
