soak: prompts, with parts that crash engines and answers without framing

The soak sent no prompts: no call shared a part with another one, and all answers were chunked or had a length. It now has 16 engines of their own that stream answers, half of them with neither a length nor chunks, one in 40 broken off inside an event; sound calls every 60 ms; and every 8 s a new part that crashes each engine that begins to write an answer on it, in calls that are never alike. Engines also crash without a cause.

New promises: a crashing part is blocked (at most three arrivals later than 3 s after its fifth crash), sound prompts stay served (half as often as while no part crashes, from 6 s after the fifth crash on), and a whole stream has all events. SoakHistoryTest shows of each that it can fail.

--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -1,5 +1,6 @@
 #include "History.h"
 
+#include "PromptChecks.h"
 #include "SoakWeights.h"
 
 #include <algorithm>
@@ -69,8 +70,8 @@
   }
 }
 
-static bool isInTouch(const SoakHistory &History, const SoakBounds &Bounds,
-                      std::size_t Daemon, TimePoint At) {
+bool isInTouch(const SoakHistory &History, const SoakBounds &Bounds,
+               std::size_t Daemon, TimePoint At) {
   return std::none_of(History.Disturbances.begin(), History.Disturbances.end(),
                       [&](const Disturbance &Each) {
                         return (!Each.Daemon || *Each.Daemon == Daemon) &&
@@ -196,6 +197,7 @@
   checkRateLimits(History, Bounds, Found);
   checkWeights(History, Bounds, Found);
   checkRecovery(History, Bounds, Found);
+  checkPrompts(History, Bounds, Found);
   return Found;
 }
 
--- a/soak/History.h
+++ b/soak/History.h
@@ -9,6 +9,7 @@
 #ifndef GALENAROUTE_SOAK_HISTORY_H
 #define GALENAROUTE_SOAK_HISTORY_H
 
+#include "PromptHistory.h"
 #include "RateLimitCheck.h"
 #include "WeightsCheck.h"
 #include "process/Clock.h"
@@ -73,6 +74,7 @@
   /// number of a gateway is that of its daemon.
   std::map<std::string, testing_support::RateLimitHistory> RateLimits;
   testing_support::WeightsHistory Weights;
+  PromptHistory Prompts;
   TimePoint LastFaultAt; ///< When the last fault ended.
   TimePoint EndedAt;     ///< When callers stopped sending.
 };
@@ -103,6 +105,10 @@
 /// another call's answer is recognised.
 std::string answerOf(const std::string &Call, const std::string &Body);
 
+/// Returns whether a daemon was not disturbed for Contact before \p At.
+bool isInTouch(const SoakHistory &History, const SoakBounds &Bounds,
+               std::size_t Daemon, TimePoint At);
+
 std::vector<BrokenPromise> checkHistory(const SoakHistory &History,
                                         const SoakBounds &Bounds);
 
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -41,6 +41,7 @@
                                                  SoakBounds().WeightsLimit))},
       Random(this->Settings.Seed), Harness(this->Settings.BuildDir),
       Loop(this->Harness.loop()), Store(this->Loop),
+      Prompts(this->Loop, this->Store, this->Places),
       Weights(this->Loop, this->Store, this->Settings.Seed,
               {.Seen = this->History.Weights,
                .DaemonOf =
@@ -51,7 +52,7 @@
                                 : Found->second.Daemon;
                    },
                .Note = [this](const std::string &Line) { this->note(Line); }}) {
-  nlohmann::json Config = testing_support::plainConfig();
+  nlohmann::json Config = withPrompts(testing_support::plainConfig());
   SoakWeights::addTo(Config);
   this->Store.put("config", "main", Config);
   this->Daemons.resize(this->Settings.Faults.Daemons);
@@ -293,6 +294,7 @@
   if (!Part.IsUp)
     return;
   if (Next.Kind == FaultKind::UpstreamCrash) {
+    this->Prompts.crashEngine(Next.Target);
     this->endUpstream(Next.Target, /*Resets=*/true);
     return;
   }
@@ -451,6 +453,7 @@
 
 void SoakRun::step() {
   this->readAnswers();
+  this->Prompts.step();
   this->watchStops();
   const TimePoint Now = EventLoop::now();
   while (this->IsSending && this->NextCallAt <= Now) {
@@ -494,11 +497,14 @@
   this->Weights.nameUntil(this->Begun + Last);
   const sigc::connection Steps =
       this->Loop.timers().every(StepPeriod, [this] { this->step(); });
+  this->Prompts.start(Last + this->Settings.CalmEnd);
   this->Loop.runUntil([] { return false; }, Last + this->Settings.CalmEnd);
   this->IsSending = false;
+  this->Prompts.stop();
   this->History.EndedAt = EventLoop::now();
   // A stop that is under way, and the last calls.
   this->Loop.runUntil([this] { return this->Open.empty(); }, CallPatience * 2);
+  this->History.Prompts = this->Prompts.history();
   sigc::connection(Steps).disconnect();
 }
 
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -15,6 +15,7 @@
 #include "FaultyLink.h"
 #include "History.h"
 #include "RawSocket.h"
+#include "SoakPrompts.h"
 #include "SoakWeights.h"
 #include "connection/CallListener.h"
 #include "process/FakePlatformServer.h"
@@ -104,6 +105,7 @@
   testing_support::ProcessHarness Harness;
   EventLoop &Loop;
   testing_support::FakePlatformServer Store;
+  SoakPrompts Prompts;
   std::vector<DaemonPart> Daemons;
   std::vector<UpstreamPart> Upstreams;
   std::vector<std::shared_ptr<CallListener>> Ended;
--- a/tests/SoakHistoryTest.cpp
+++ b/tests/SoakHistoryTest.cpp
@@ -42,6 +42,33 @@
                                       .HasRun = true});
     return this->History.Arrivals.back();
   }
+  /// Adds a part that crashes an upstream every 200 ms from Start on, and of
+  /// which calls come for 20 s.
+  CrashingPartView &crashingPart(const std::string &Part, std::size_t Crashes) {
+    CrashingPartView &View = this->History.Prompts.Parts[Part];
+    View = {
+        .Key = "k1", .FirstPart = "aa", .From = Start, .Until = Start + 20s};
+    for (std::size_t I = 0; I < Crashes; ++I) {
+      View.Crashes.push_back(Start + I * 200ms);
+      this->partArrival(Part, View.Crashes.back());
+    }
+    return View;
+  }
+  void partArrival(const std::string &Part, TimePoint At,
+                   std::size_t Daemon = 0) {
+    this->History.Prompts.Arrivals.push_back({Part, Daemon, At});
+  }
+  /// Adds \p Count sound prompts, of which \p Begun are answered.
+  void soundPrompts(TimePoint At, std::size_t Count, std::size_t Begun,
+                    const std::string &Key, const std::string &FirstPart) {
+    this->History.Prompts.EventsOfWhole = 4;
+    for (std::size_t I = 0; I < Count; ++I)
+      this->History.Prompts.Sound.push_back({.Key = Key,
+                                             .FirstPart = FirstPart,
+                                             .SentAt = At,
+                                             .Events = I < Begun ? 4 : 0,
+                                             .IsWhole = I < Begun});
+  }
   /// The one promise that is broken, or how many are.
   std::string broken() const {
     const auto Found = checkHistory(this->History, {});
@@ -153,6 +180,65 @@
   EXPECT_EQ(this->broken(), "0");
 }
 
+TEST_F(SoakHistoryTest, ACrashingPartThatIsSentOnIsFound) {
+  this->crashingPart("p", 5); // The fifth crash is at 0.8 s.
+  this->partArrival("p", Start + 3700ms);
+  for (int I = 0; I < 3; ++I)
+    this->partArrival("p", Start + 4s);
+  this->partArrival("q", Start + 4s);
+  EXPECT_EQ(this->broken(), "0") << "three later sends are allowed";
+  this->partArrival("p", Start + 5s);
+  EXPECT_EQ(this->broken(), "a crashing part is blocked");
+  this->History.Disturbances.push_back({0, Start + 3s, Start + 4s});
+  EXPECT_EQ(this->broken(), "0") << "by daemons that were not disturbed";
+  this->History.Disturbances[0].Daemon = 1;
+  EXPECT_EQ(this->broken(), "a crashing part is blocked");
+}
+
+TEST_F(SoakHistoryTest, APartWithFewerCrashesMayBeSentOn) {
+  this->crashingPart("p", 4);
+  for (int I = 0; I < 4; ++I)
+    this->partArrival("p", Start + 5s);
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, SoundPromptsThatAreBlockedTooAreFound) {
+  this->crashingPart("p", 5);
+  this->soundPrompts(Start - 1s, 20, 18, "k2", "bb");
+  this->soundPrompts(Start + 7s, 20, 9, "k1", "bb");
+  EXPECT_EQ(this->broken(), "0") << "half as often as at other times";
+  this->soundPrompts(Start + 7s, 1, 0, "k2", "aa");
+  EXPECT_EQ(this->broken(), "sound prompts stay served");
+  this->History.Disturbances.push_back({{}, Start + 6s, Start + 7s});
+  EXPECT_EQ(this->broken(), "0") << "at daemons that were not disturbed";
+}
+
+TEST_F(SoakHistoryTest, SoundPromptsBesideFewCrashesAreComparedToo) {
+  this->crashingPart("p", 2);
+  this->soundPrompts(Start - 1s, 20, 20, "k2", "bb");
+  this->soundPrompts(Start + 7s, 20, 9, "k1", "bb");
+  EXPECT_EQ(this->broken(), "sound prompts stay served");
+}
+
+TEST_F(SoakHistoryTest, OnlyPromptsBesideTheCrashingOnesAreCompared) {
+  this->crashingPart("p", 5);
+  this->soundPrompts(Start - 1s, 20, 20, "k2", "bb");
+  // Too early, too late, and of another key and first part.
+  this->soundPrompts(Start + 6s, 20, 0, "k1", "aa");
+  this->soundPrompts(Start + 21s, 20, 0, "k1", "aa");
+  this->soundPrompts(Start + 7s, 20, 0, "k2", "bb");
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, ABrokenOffStreamThatLooksWholeIsFound) {
+  this->soundPrompts(Start, 1, 1, "k1", "aa");
+  EXPECT_EQ(this->broken(), "0");
+  this->History.Prompts.Sound[0].Events = 2;
+  EXPECT_EQ(this->broken(), "a whole stream has all events");
+  this->History.Prompts.Sound[0].IsWhole = false;
+  EXPECT_EQ(this->broken(), "0");
+}
+
 // Guards against a seed that does not repeat its run.
 TEST(SoakFaultsTest, TheSameSeedDrawsTheSameFaults) {
   const auto Text = [](std::uint64_t Seed) {
