HttpClient: do not keep a connection that ended with its answer

What callers saw: nothing yet; found by a test of answers with neither a length nor chunks. The next call on such a connection fails as cut.

Cause: the client kept the connection after each complete answer, also after one that is complete only because the connection ended.

Ruled out: forwarded calls, which use UpstreamPool and do check the framing.

Change: an answer without Content-Length and Transfer-Encoding disposes of its connection.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -145,9 +145,19 @@
         Duration::zero(), [this, End] { this->finish(End); });
   }
 
+  /// Returns whether the answer ended before its connection did. One with
+  /// neither a length nor chunks ends with the connection.
+  bool isFramed() const {
+    const HttpResult &Answer = this->Result;
+    return Answer.Status == 204 || Answer.Status == 304 ||
+           Answer.Headers.find("Content-Length") ||
+           Answer.Headers.find("Transfer-Encoding");
+  }
+
   void finish(HttpEnd End) {
     this->Result.End = End;
-    this->release(End == HttpEnd::Complete && this->Call.ReuseConnection);
+    this->release(End == HttpEnd::Complete && this->Call.ReuseConnection &&
+                  this->isFramed());
     // The callback may destroy this exchange, so nothing follows it.
     const auto OnDone = std::move(this->Callbacks.OnDone);
     const HttpResult Last = std::move(this->Result);
