Keep the date of a version of weights that is listed again

What callers would see: after a restart of the whole fleet and a loss of the store's history, calls begin on replaced weights for up to another whole limit. Found by a test and, independently, by a review of the fix before landing.

Cause: let a version through again whose date was assumed or stored, and dated it as observed now. The watcher delivers unchanged objects again after a new list, so the safe date was replaced by a late one, and told to all.

Change: a version that is not newer than the known ones keeps its date. noteNamed() is a free function that the gateway and the model of the fleet in the tests both use. Notices are sent for twice the weights limit if that is longer than two minutes.

--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -101,7 +101,6 @@
   bool isAssigned(std::string_view Task, std::size_t Count,
                   std::span<const std::string_view> Others) const;
   bool isInSameZone(const EntryRecord &Other) const;
-  Announcement dateAnnouncement();
   void readWeightHistory(const std::string &Model);
   void storeWeightHistories();
   void storeWeightHistory(const std::string &Model, std::uint64_t Version);
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -23,9 +23,9 @@
 /// announced, one object per model.
 static constexpr std::string_view HistoryKind = "weight-history";
 
-/// Processes that were not running when a version was announced learn its age
-/// from the notices of the others for this long.
-static constexpr Duration MaxNoticeAge = std::chrono::seconds(120);
+/// Notices on a version are sent for this long, or for twice the weights limit
+/// if that is longer: later, all older weights are out of use anyway.
+static constexpr Duration MinNoticeTime = std::chrono::seconds(120);
 /// Time from the end of a stall until this process has read what was announced
 /// before: the wait of a watch and the time until a lost one is repeated.
 static constexpr Duration CatchUpTime = std::chrono::milliseconds(2500);
@@ -36,39 +36,26 @@
   const auto Read = this->Parts.Source.readWeights(Object);
   if (!Read)
     return;
-  AnnouncedWeights &Named = this->Services.Weights[Read->Model];
-  const auto Known = Named.Announced.find(Read->Version);
-  if (Read->Version < Named.newest() ||
-      (Known != Named.Announced.end() &&
-       Known->second.Source == AnnouncementSource::Observed))
-    return;
-  const Announcement Seen = this->dateAnnouncement();
-  if (!noteAnnounced(Named, Read->Version, Seen))
+  this->detectStall();
+  const BootTime Now = BootClock::now();
+  const auto Seen =
+      noteNamed(this->Services.Weights[Read->Model], Read->Version,
+                {.IsFirst = !this->WeightNotices.confirmedAt(),
+                 .StalledSince = this->Stalls.recentStall(Now, CatchUpTime)},
+                this->Settings.WeightsLimit, Now);
+  if (!Seen)
     return;
-  if (Seen.Source != AnnouncementSource::Observed)
+  if (Seen->Source != AnnouncementSource::Observed)
     this->readWeightHistory(Read->Model);
   log(LogLevel::Info, "weights.named",
       {{"model", Read->Model},
        {"version", std::to_string(Read->Version)},
-       {"age_ms", std::to_string(toMilliseconds(BootClock::now() - Seen.At))},
-       {"source", std::string(toString(Seen.Source))}});
+       {"age_ms", std::to_string(toMilliseconds(Now - Seen->At))},
+       {"source", std::string(toString(Seen->Source))}});
   this->updateOrders();
   this->Services.WeightsChanged.emit();
 }
 
-/// Returns the date of a version that the platform names now. One that was
-/// found at the start, or that may have been named while this process stood
-/// still, is dated as early as possible until a better source is known.
-Announcement ForwardGateway::dateAnnouncement() {
-  this->detectStall();
-  const BootTime Now = BootClock::now();
-  if (!this->WeightNotices.confirmedAt())
-    return {Now - this->Settings.WeightsLimit, AnnouncementSource::Assumed};
-  if (const auto Began = this->Stalls.recentStall(Now, CatchUpTime))
-    return {*Began, AnnouncementSource::Assumed};
-  return {Now, AnnouncementSource::Observed};
-}
-
 /// Lets calls that wait at engines rearm their timers, which do not advance
 /// while the VM is suspended.
 void ForwardGateway::detectStall() {
@@ -78,7 +65,9 @@
 
 void ForwardGateway::sendWeightNotices(std::span<const SocketAddress> Targets) {
   const std::vector<WeightNotice> Notices =
-      weightNotices(this->Services.Weights, MaxNoticeAge, BootClock::now());
+      weightNotices(this->Services.Weights,
+                    std::max(MinNoticeTime, this->Settings.WeightsLimit * 2),
+                    BootClock::now());
   if (Notices.empty())
     return;
   const std::string Message = encodeGossip({.Weights = Notices});
--- a/src/version/AnnouncedWeights.cpp
+++ b/src/version/AnnouncedWeights.cpp
@@ -11,6 +11,21 @@
 /// they differ by more, since a relayed age is shorter by its transit time.
 static constexpr Duration AgeNoise = std::chrono::milliseconds(20);
 
+std::optional<Announcement> noteNamed(AnnouncedWeights &Weights,
+                                      std::uint64_t Version,
+                                      const WeightsReading &Reading,
+                                      Duration Limit, BootTime Now) {
+  if (Version <= Weights.newest())
+    return std::nullopt;
+  Announcement Seen{Now, AnnouncementSource::Observed};
+  if (Reading.IsFirst)
+    Seen = {Now - Limit, AnnouncementSource::Assumed};
+  else if (Reading.StalledSince)
+    Seen = {*Reading.StalledSince, AnnouncementSource::Assumed};
+  noteAnnounced(Weights, Version, Seen);
+  return Seen;
+}
+
 bool noteAnnounced(AnnouncedWeights &Weights, std::uint64_t Version,
                    Announcement Seen) {
   const auto [It, IsNew] = Weights.Announced.try_emplace(Version, Seen);
--- a/tests/AnnouncedWeightsTest.cpp
+++ b/tests/AnnouncedWeightsTest.cpp
@@ -87,6 +87,21 @@
   EXPECT_TRUE(weightNotices(All, 60s, Start).empty());
 }
 
+// Guards against dating a version anew when the platform lists it again.
+TEST(AnnouncedWeightsTest, AListedVersionKeepsItsDate) {
+  AnnouncedWeights Weights;
+  const auto Found = noteNamed(Weights, 2, {.IsFirst = true}, 10s, Start);
+  ASSERT_TRUE(Found);
+  EXPECT_EQ(Found->Source, AnnouncementSource::Assumed);
+  EXPECT_FALSE(noteNamed(Weights, 2, {}, 10s, Start + 3s));
+  EXPECT_EQ(supersededAt(Weights, 1), Start - 10s);
+  EXPECT_EQ(
+      noteNamed(Weights, 3, {.StalledSince = Start + 1s}, 10s, Start + 6s)->At,
+      Start + 1s);
+  EXPECT_EQ(noteNamed(Weights, 4, {}, 10s, Start + 9s)->Source, Observed);
+  EXPECT_EQ(supersededAt(Weights, 3), Start + 9s);
+}
+
 // Guards against unbounded messages and memory, and against times that an
 // invalid age would overflow.
 TEST(AnnouncedWeightsTest, NoticesAreBounded) {
--- a/tests/WeightsFleet.h
+++ b/tests/WeightsFleet.h
@@ -280,26 +280,17 @@
               });
         });
   }
-  Announcement dateAnnouncement(Gateway &Of) const {
-    const BootTime Time = this->bootNow();
-    Of.Stalls->observe(Time);
-    if (Of.LastRead == 0)
-      return {Time - this->Settings.Limit, AnnouncementSource::Assumed};
-    if (const auto Began = Of.Stalls->recentStall(Time, CatchUpTime))
-      return {*Began, AnnouncementSource::Assumed};
-    return {Time, AnnouncementSource::Observed};
-  }
   void onWeights(std::size_t Index, std::uint64_t Version) {
     Gateway &Of = this->All[Index];
-    AnnouncedWeights &Named = Of.Weights[std::string(Model)];
-    const auto Known = Named.Announced.find(Version);
-    const bool IsKnown = Version < Named.newest() ||
-                         (Known != Named.Announced.end() &&
-                          Known->second.Source == AnnouncementSource::Observed);
-    const Announcement Date = this->dateAnnouncement(Of);
+    const BootTime Time = this->bootNow();
+    Of.Stalls->observe(Time);
+    const auto Date =
+        noteNamed(Of.Weights[std::string(Model)], Version,
+                  {.IsFirst = Of.LastRead == 0,
+                   .StalledSince = Of.Stalls->recentStall(Time, CatchUpTime)},
+                  this->Settings.Limit, Time);
     Of.LastRead = Version;
-    if (IsKnown || !noteAnnounced(Named, Version, Date) ||
-        Date.Source == AnnouncementSource::Observed)
+    if (!Date || Date->Source == AnnouncementSource::Observed)
       return;
     this->schedule(
         this->Now + scaled(MaxReadDelay, this->draw()), [this, Index] {
