Weights: late notices, a lost read of the history, and resumed sends

What callers would see: calls that begin on replaced weights, or no engine with old weights used for a while though it may be.

Cause: a notice that waited in the socket during a stall carries an age that is too short, and counted as an observation. A failed read of the stored history was taken for an empty one, so that an assumed date was never corrected. The timer that withdraws waiting calls looked at the first event of the call, not of the send, so that a resumed stream was never withdrawn. A version that was dropped at the maximum was reported as news again.

Change: notices within 200 ms after a stall are left to the next round; the read is repeated; the timer looks at the send in flight; a dropped version is no news.

Measured: AnnouncedWeightsTest covers the last one; the others have no test of their own.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -282,6 +282,8 @@
     Each.disconnect();
   this->StatusTimer.disconnect();
   this->FlushTimer.disconnect();
+  for (auto &[Model, Timer] : this->HistoryTimers)
+    Timer.disconnect();
 }
 
 void ForwardGateway::start() {
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -170,6 +170,8 @@
   std::vector<sigc::connection> Timers;
   sigc::connection StatusTimer;
   sigc::connection FlushTimer;
+  /// Retries to read weight histories, by model.
+  std::map<std::string, sigc::connection> HistoryTimers;
   // Lets callbacks that outlive the gateway detect its destruction.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -30,6 +30,12 @@
 /// before: the wait of a watch and the time until a lost one is repeated.
 static constexpr Duration CatchUpTime = std::chrono::milliseconds(2500);
 
+/// Messages that waited in the socket while this process stood still are read
+/// within this time after the stall. The ages that they carry are too short.
+static constexpr Duration StaleMessageTime = std::chrono::milliseconds(200);
+/// Between attempts to read a history while the platform does not answer.
+static constexpr Duration HistoryRetry = std::chrono::milliseconds(500);
+
 void ForwardGateway::onWeights(const PlatformObject &Object) {
   if (Object.Deleted)
     return;
@@ -76,6 +82,9 @@
 }
 
 void ForwardGateway::onWeightNotices(std::span<const WeightNotice> Notices) {
+  this->detectStall();
+  if (this->Stalls.recentStall(BootClock::now(), StaleMessageTime))
+    return;
   if (!mergeNotices(this->Services.Weights, Notices, BootClock::now()))
     return;
   for (const WeightNotice &Each : Notices)
@@ -114,6 +123,15 @@
                              const PlatformResult &Result) {
         if (Alive.expired())
           return;
+        if (Result.Status != PlatformStatus::Ok &&
+            Result.Status != PlatformStatus::NotFound) {
+          log(LogLevel::Warn, "weights.history_not_read", {{"model", Model}});
+          sigc::connection &Timer = this->HistoryTimers[Model];
+          Timer.disconnect();
+          Timer = this->Loop.timers().after(
+              HistoryRetry, [this, Model] { this->readWeightHistory(Model); });
+          return;
+        }
         const auto History = historyFrom(Result, Model);
         const std::int64_t WallMs = wallMilliseconds();
         restoreAnnounced(this->Services.Weights[Model], History, WallMs,
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -416,7 +416,7 @@
 /// deadline for the newer version, which may be announced while it waits.
 void ForwardRun::armWeightsTimer() {
   this->WeightsTimer.disconnect();
-  if (this->Current == Phase::Done || !this->Exchange || this->FirstEventAt)
+  if (this->Current == Phase::Done || !this->Exchange || this->hasBegun())
     return;
   const auto Superseded = this->supersededFor();
   if (!Superseded)
@@ -427,7 +427,7 @@
 }
 
 void ForwardRun::onWeightsDeadline() {
-  if (this->Current == Phase::Done || !this->Exchange || this->FirstEventAt)
+  if (this->Current == Phase::Done || !this->Exchange || this->hasBegun())
     return;
   this->abandonSend(SendOutcome::Stalled);
 }
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -144,6 +144,7 @@
   UnansweredSend suspectSend(TimePoint Now) const;
   void recordSendCrash(TimePoint Now);
   void noteUnansweredSend(TimePoint Now);
+  bool hasBegun() const;
   void onRefusalsChanged();
   void onStall();
   bool canFailOver();
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -229,12 +229,16 @@
   }
 }
 
+/// Returns whether the upstream has begun to answer the send in flight. The
+/// head of a stream may be sent while the call still waits.
+bool ForwardRun::hasBegun() const {
+  return this->Events > 0 || (this->HasAnswer && !this->isStreamAnswer());
+}
+
 /// Withdraws a send that has got no answer yet once the call is blocked, since
 /// it would crash the upstream when that begins to write.
 void ForwardRun::onRefusalsChanged() {
-  const bool IsAnswered =
-      this->Events > 0 || (this->HasAnswer && !this->isStreamAnswer());
-  if (this->Current == Phase::Done || !this->Exchange || IsAnswered ||
+  if (this->Current == Phase::Done || !this->Exchange || this->hasBegun() ||
       !refusedUntil(this->Services.Crashes, this->CrashKeys, EventLoop::now()))
     return;
   const auto Self = this->shared_from_this();
--- a/src/version/AnnouncedWeights.cpp
+++ b/src/version/AnnouncedWeights.cpp
@@ -37,9 +37,11 @@
       return false;
     It->second = Seen;
   }
-  if (Weights.Announced.size() > MaxAnnouncedWeights)
-    Weights.Announced.erase(Weights.Announced.begin());
-  return true;
+  if (Weights.Announced.size() <= MaxAnnouncedWeights)
+    return true;
+  const bool IsDropped = Weights.Announced.begin()->first == Version;
+  Weights.Announced.erase(Weights.Announced.begin());
+  return !IsDropped;
 }
 
 void restoreAnnounced(AnnouncedWeights &Weights,
--- a/tests/AnnouncedWeightsTest.cpp
+++ b/tests/AnnouncedWeightsTest.cpp
@@ -109,6 +109,8 @@
   for (std::uint64_t Version = 1; Version <= 30; ++Version)
     noteAnnounced(All["m"], Version, {Start, Observed});
   EXPECT_EQ(All["m"].Announced.size(), MaxAnnouncedWeights);
+  EXPECT_FALSE(noteAnnounced(All["m"], 1, {Start, Observed}))
+      << "a dropped version is no news";
   EXPECT_EQ(weightNotices(All, 60s, Start).size(), MaxNoticesPerModel);
   EXPECT_TRUE(weightNotices(All, 60s, Start + 61s).empty());
   std::vector<WeightNotice> Notices;
