Believe the weights that a 421 answer states

What callers would see: with two versions in a row, an engine on the second one would count as being on the third for good at one gateway, so that each call there is refused with 421 and no order goes to it.

Cause: a 421 answer was taken to mean that the engine has the newest version, also where the answer states its version, which had just been noted.

Change: only an answer without a version means the newest one.

--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -151,8 +151,9 @@
     Upstreams.noteFailure(this->UpstreamId, FailedFailureWeight, Now);
     return;
   case SendOutcome::NotRun:
+    // An answer that states its weights has been noted already.
     if (const AnnouncedWeights *Named = this->namedWeights();
-        Named && this->Answer.IsMisdirected)
+        Named && this->Answer.IsMisdirected && !this->Answer.WeightVersion)
       Upstreams.noteWeights(this->UpstreamId, Named->newest());
     Upstreams.suspendUntil(this->UpstreamId, Now + RefusalBackoff);
     return;
