--- a/src/process/BootClock.h
+++ b/src/process/BootClock.h
@@ -22,7 +22,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 
   static time_point now() {
     timespec Boot{};
