CallListener: log the connections that a time limit closes

Change: a line connection.closed with the reason, the age and the unsent bytes. No behaviour changes.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -43,6 +43,7 @@
   void write(std::string_view Bytes);
   void finish();
   void close();
+  void closeFor(std::string_view Reason, Duration Age);
   void sweep(TimePoint Now);
   bool isQuiet() const;
   std::size_t unsentBytes() const {
@@ -326,6 +327,15 @@
   return true;
 }
 
+/// Closes the connection for exceeding a time limit.
+void CallerConnection::closeFor(std::string_view Reason, Duration Age) {
+  log(LogLevel::Info, "connection.closed",
+      {{"reason", std::string(Reason)},
+       {"age_ms", std::to_string(toMilliseconds(Age))},
+       {"unsent_bytes", std::to_string(this->unsentBytes())}});
+  this->close();
+}
+
 void CallerConnection::sweep(TimePoint Now) {
   const Duration Age = Now - this->Since;
   switch (this->Current) {
@@ -335,7 +345,7 @@
           this->Owner.Limits.HeadTimeout * (this->Parser.hasHead() ? 2 : 1))
         this->rejectWith(408);
     } else if (Age > this->Owner.Limits.IdleTimeout) {
-      this->close();
+      this->closeFor("idle", Age);
     }
     return;
   case State::Lingering:
@@ -344,7 +354,7 @@
     return;
   case State::Flushing:
     if (Age > this->Owner.Limits.IdleTimeout)
-      this->close();
+      this->closeFor("answer not read", Age);
     return;
   case State::Answering:
     return;
