CallListener: time limits spare requests that wait unread

Callers saw a whole request end with a reset, without an answer or a refusal.

The same class of fault at a stop: isQuiet() looked only at the buffer, not at the socket, so a process could stop with unread requests.

Ruled out: the callback order of one loop iteration as a cure, since deferred reads also come after timers.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace galenaroute {
@@ -65,6 +66,8 @@
   void endAnswer();
   void setState(State Next);
   void takeNext();
+  bool isPending(short PollEvents) const;
+  bool hasUnreadInput() const;
 
   CallListener &Owner;
   BufferEventPtr Event;
@@ -312,12 +315,28 @@
   }
 }
 
+/// Returns whether the socket has one of \p PollEvents that the loop has not
+/// handled yet.
+bool CallerConnection::isPending(short PollEvents) const {
+  pollfd Socket{.fd = bufferevent_getfd(this->Event.get()),
+                .events = PollEvents,
+                .revents = 0};
+  return ::poll(&Socket, 1, 0) > 0;
+}
+
+/// Returns whether bytes of the caller wait in the buffer or in the socket.
+/// After the process was stopped, timers may run before what has arrived
+/// meanwhile is read.
+bool CallerConnection::hasUnreadInput() const {
+  return evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0 ||
+         this->isPending(POLLIN);
+}
+
 bool CallerConnection::isQuiet() const {
-  const bool HasInput =
-      evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0;
   switch (this->Current) {
   case State::Reading:
-    return !this->Parser.isInMessage() && !HasInput && this->unsentBytes() == 0;
+    return !this->Parser.isInMessage() && this->unsentBytes() == 0 &&
+           !this->hasUnreadInput();
   case State::Answering:
   case State::Flushing:
     return false;
@@ -341,10 +360,12 @@
   switch (this->Current) {
   case State::Reading:
     if (this->Parser.isInMessage()) {
-      if (Age >
-          this->Owner.Limits.HeadTimeout * (this->Parser.hasHead() ? 2 : 1))
+      if (Age > this->Owner.Limits.HeadTimeout *
+                    (this->Parser.hasHead() ? 2 : 1) &&
+          !this->hasUnreadInput())
         this->rejectWith(408);
-    } else if (Age > this->Owner.Limits.IdleTimeout) {
+    } else if (Age > this->Owner.Limits.IdleTimeout &&
+               !this->hasUnreadInput()) {
       this->closeFor("idle", Age);
     }
     return;
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -86,7 +86,8 @@
   /// Takes in the connections that wait and refuses further ones. Those that
   /// are open are still served.
   void stopAccepting();
-  /// Whether no request is being read or answered.
+  /// Returns whether no request is being read or answered, or waits unread in a
+  /// socket.
   bool isQuiet() const;
   /// Closes all connections, so that answers under way are seen to be
   /// incomplete.
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -642,8 +642,8 @@
   // Requests that arrive on open connections are now rejected as not run; the
   // process keeps running until every request it has read is answered.
   const bool IsIdle = this->Services.OpenRuns == 0 &&
-                      this->Listener->isQuiet() &&
-                      Since >= AcceptAfterStop + LateRequestTime;
+                      Since >= AcceptAfterStop + LateRequestTime &&
+                      this->Listener->isQuiet();
   if (!IsIdle && Since < this->Settings.Grace - StopMargin)
     return;
   this->Listener->abortAll();
--- /dev/null
+++ b/tests/CallListenerTest.cpp
@@ -0,0 +1,106 @@
+// Tests of the closing of callers' connections: which requests and answers a
+// connection must survive, and which limits end it.
+
+#include "connection/CallListener.h"
+#include "RawSocket.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace galenaroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view Request =
+    "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n\r\n";
+
+std::size_t countOf(std::string_view Text, std::string_view Part) {
+  std::size_t Count = 0;
+  for (std::size_t At = Text.find(Part); At != std::string_view::npos;
+       At = Text.find(Part, At + Part.size()))
+    ++Count;
+  return Count;
+}
+
+class CallListenerTest : public testing::Test {
+protected:
+  CallListenerTest() { this->Address = freeAddress(); }
+
+  void listen(CallerLimits Limits) {
+    this->Limits = Limits;
+    this->Listener = std::make_unique<CallListener>(
+        this->Loop, this->Address, Limits,
+        [this](const std::shared_ptr<IncomingCall> &Call) {
+          this->OnCall(Call);
+        });
+  }
+
+  std::vector<std::unique_ptr<RawSocket>> connect(std::size_t Count) {
+    std::vector<std::unique_ptr<RawSocket>> Callers;
+    for (std::size_t I = 0; I < Count; ++I)
+      Callers.push_back(
+          std::make_unique<RawSocket>(RawSocket::connectTo(this->Address)));
+    this->runFor(50ms);
+    return Callers;
+  }
+
+  void runFor(Duration Time) {
+    this->Loop.runUntil([] { return false; }, Time);
+  }
+
+  EventLoop Loop;
+  SocketAddress Address;
+  CallerLimits Limits;
+  std::unique_ptr<CallListener> Listener;
+  std::function<void(const std::shared_ptr<IncomingCall> &)> OnCall =
+      [](const std::shared_ptr<IncomingCall> &Call) {
+        Call->send(200, {}, "answer");
+      };
+};
+
+// Guards against closing as idle the connections whose requests arrived while
+// the process was stopped.
+TEST_F(CallListenerTest, RequestsThatArriveDuringAStopAreAnswered) {
+  this->listen({.IdleTimeout = 1s});
+  const auto Callers = this->connect(40);
+  this->runFor(500ms);
+  for (const auto &Each : Callers)
+    Each->write(Request);
+  std::this_thread::sleep_for(800ms);
+  this->runFor(500ms);
+  std::size_t Answered = 0;
+  for (const auto &Each : Callers)
+    Answered += Each->read().starts_with("HTTP/1.1 200 ");
+  EXPECT_EQ(Answered, Callers.size());
+}
+
+// Guards against a timeout of a request whose remainder arrived while the
+// process was stopped.
+TEST_F(CallListenerTest, ARequestCompletedDuringAStopIsAnswered) {
+  this->listen({.HeadTimeout = 500ms});
+  const auto Callers = this->connect(20);
+  for (const auto &Each : Callers)
+    Each->write(Request.substr(0, 20));
+  this->runFor(100ms);
+  for (const auto &Each : Callers)
+    Each->write(Request.substr(20));
+  std::this_thread::sleep_for(800ms);
+  this->runFor(500ms);
+  for (const auto &Each : Callers)
+    EXPECT_TRUE(Each->read().starts_with("HTTP/1.1 200 ")) << Each->read();
+}
+
+// Guards against stopping the process while requests wait in its sockets.
+TEST_F(CallListenerTest, UnreadRequestsKeepAListenerFromBeingQuiet) {
+  this->listen({});
+  const auto Callers = this->connect(1);
+  EXPECT_TRUE(this->Listener->isQuiet());
+  Callers[0]->write(Request);
+  EXPECT_FALSE(this->Listener->isQuiet());
+  this->runFor(50ms);
+  EXPECT_TRUE(this->Listener->isQuiet());
+}
+
+} // namespace
+} // namespace galenaroute
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -65,6 +65,15 @@
       this->Text.append(Buffer, static_cast<std::size_t>(Length));
     }
   }
+  /// Reads and drops at most \p MaxBytes bytes. Returns the number of bytes
+  /// read.
+  std::size_t readSome(std::size_t MaxBytes) {
+    std::string Buffer(MaxBytes, '\0');
+    const ssize_t Length = ::read(this->Socket, Buffer.data(), Buffer.size());
+    if (Length <= 0 && (Length == 0 || (errno != EAGAIN)))
+      this->Ended = true;
+    return Length > 0 ? static_cast<std::size_t>(Length) : 0;
+  }
   bool hasEnded() {
     this->read();
     return this->Ended;
