CallListener: the age of an answer counts from its last progress

Callers that read a large answer slowly but steadily were cut in the middle of it, also when a change of the configuration lowered the idle timeout.

Cause: in state flushing, and in state reading with bytes still to be sent, the idle timeout counted from the moment the answer was queued.

Change: it counts from the last bytes that the caller's side took, and a connection whose socket takes more bytes is not closed, which covers a process that stood still. An answer without progress still ends with the idle timeout.

CallListenerTest.AnAnswerThatIsReadSteadilyIsCarriedToItsEnd (24 MB at about 10 MB/s, timeout lowered from 5 s to 0.5 s) before: cut after 8.2 MB, and after 6.9 MB with Connection: close. After: whole.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -68,6 +68,7 @@
   void takeNext();
   bool isPending(short PollEvents) const;
   bool hasUnreadInput() const;
+  bool canSend() const;
 
   CallListener &Owner;
   BufferEventPtr Event;
@@ -77,6 +78,7 @@
   std::string Body;
   State Current = State::Reading;
   TimePoint Since;
+  TimePoint SentAt; ///< When the caller's side last took bytes of an answer.
   TimePoint FirstByte;
   bool Chunked = false;
   /// The answer under way has no framing, so that an orderly close would tell
@@ -119,6 +121,13 @@
         Kept->onEvent(What);
       },
       this);
+  evbuffer_add_cb(
+      bufferevent_get_output(this->Event.get()),
+      [](evbuffer *, const evbuffer_cb_info *Change, void *Self) {
+        if (Change->n_deleted > 0)
+          static_cast<CallerConnection *>(Self)->SentAt = EventLoop::now();
+      },
+      this);
   bufferevent_setwatermark(this->Event.get(), EV_READ, 0, MaxWaitingBytes);
   bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
 }
@@ -332,6 +341,11 @@
          this->isPending(POLLIN);
 }
 
+/// Returns whether the caller's side takes more bytes of the answer.
+bool CallerConnection::canSend() const {
+  return this->unsentBytes() > 0 && this->isPending(POLLOUT);
+}
+
 bool CallerConnection::isQuiet() const {
   switch (this->Current) {
   case State::Reading:
@@ -356,7 +370,7 @@
 }
 
 void CallerConnection::sweep(TimePoint Now) {
-  const Duration Age = Now - this->Since;
+  const Duration Age = Now - std::max(this->Since, this->SentAt);
   switch (this->Current) {
   case State::Reading:
     if (this->Parser.isInMessage()) {
@@ -365,7 +379,7 @@
           !this->hasUnreadInput())
         this->rejectWith(408);
     } else if (Age > this->Owner.Limits.IdleTimeout &&
-               !this->hasUnreadInput()) {
+               !this->hasUnreadInput() && !this->canSend()) {
       this->closeFor("idle", Age);
     }
     return;
@@ -374,7 +388,7 @@
       this->close();
     return;
   case State::Flushing:
-    if (Age > this->Owner.Limits.IdleTimeout)
+    if (Age > this->Owner.Limits.IdleTimeout && !this->canSend())
       this->closeFor("answer not read", Age);
     return;
   case State::Answering:
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -102,5 +102,51 @@
   EXPECT_TRUE(this->Listener->isQuiet());
 }
 
+// Guards against cutting an answer that the caller reads more slowly than the
+// idle timeout, also after the timeout was lowered.
+TEST_F(CallListenerTest, AnAnswerThatIsReadSteadilyIsCarriedToItsEnd) {
+  this->listen({.IdleTimeout = 5s});
+  const std::string Body(24 << 20, 'x');
+  this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
+    Call->send(200, {}, Body);
+  };
+  for (const std::string_view KeepAlive : {"keep-alive", "close"}) {
+    const auto Callers = this->connect(1);
+    Callers[0]->write("GET / HTTP/1.1\r\nHost: h\r\nConnection: " +
+                      std::string(KeepAlive) + "\r\n\r\n");
+    this->runFor(100ms);
+    CallerLimits Lowered = this->Limits;
+    Lowered.IdleTimeout = 500ms;
+    this->Listener->setLimits(Lowered);
+    std::size_t Read = 0;
+    const TimePoint Limit = EventLoop::now() + 10s;
+    while (Read < Body.size() && EventLoop::now() < Limit) {
+      this->runFor(20ms);
+      const std::size_t Got = Callers[0]->readSome(200 << 10);
+      Read += Got;
+      if (Got == 0 && Callers[0]->hasEnded())
+        break;
+    }
+    EXPECT_GE(Read, Body.size()) << KeepAlive;
+    this->Listener->setLimits(this->Limits);
+  }
+}
+
+// Guards against an unread answer that keeps its connection open for ever.
+TEST_F(CallListenerTest, AnAnswerThatIsNotReadEndsWithTheIdleTimeout) {
+  this->listen({.IdleTimeout = 500ms});
+  const std::string Body(24 << 20, 'x');
+  this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
+    Call->send(200, {}, Body);
+  };
+  const auto Callers = this->connect(1);
+  Callers[0]->write(Request);
+  this->runFor(1500ms);
+  std::size_t Read = 0;
+  while (const std::size_t Got = Callers[0]->readSome(1 << 20))
+    Read += Got;
+  EXPECT_LT(Read, Body.size());
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -74,6 +74,8 @@
       this->Ended = true;
     return Length > 0 ? static_cast<std::size_t>(Length) : 0;
   }
+  /// Ends the own side of the connection; the peer's side stays open.
+  void endWriting() { ::shutdown(this->Socket, SHUT_WR); }
   bool hasEnded() {
     this->read();
     return this->Ended;
