CallListener: a half-closed caller gets the rest of its answer

A caller that ends its own side after its request lost the part of the answer that was not sent yet.

Cause: with keep-alive, the connection already waits for the next request (state reading) while the answer is still being sent, and there the end of the caller's side closed it. Only state flushing was spared.

Change: the end of the caller's side with bytes still to be sent makes the connection flush and then close, in both states. Before an answer has begun, it still means that the caller has left: a close and a half-close look alike until something is written, and upstreams must not work for callers that left.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -298,9 +298,10 @@
     return;
   // What is still to be written may be wanted by a caller that has only ended
   // its own side.
-  if ((What & BEV_EVENT_EOF) && this->Current == State::Flushing &&
-      this->unsentBytes() > 0) {
+  if ((What & BEV_EVENT_EOF) && this->unsentBytes() > 0 &&
+      (this->Current == State::Flushing || this->Current == State::Reading)) {
     this->KeepAlive = false;
+    this->setState(State::Flushing);
     return;
   }
   this->close();
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -148,5 +148,26 @@
   EXPECT_LT(Read, Body.size());
 }
 
+// Guards against cutting the answer of a caller that ends its own side once it
+// has sent its request.
+TEST_F(CallListenerTest, AnAnswerUnderWayOutlivesTheEndOfTheCallersSide) {
+  this->listen({});
+  const std::string Body(24 << 20, 'x');
+  this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
+    Call->send(200, {}, Body);
+  };
+  const auto Callers = this->connect(1);
+  Callers[0]->write(Request);
+  this->runFor(100ms);
+  Callers[0]->endWriting();
+  std::size_t Read = 0;
+  const TimePoint Limit = EventLoop::now() + 5s;
+  while (Read < Body.size() && EventLoop::now() < Limit) {
+    this->runFor(1ms);
+    Read += Callers[0]->readSome(1 << 20);
+  }
+  EXPECT_GE(Read, Body.size());
+}
+
 } // namespace
 } // namespace galenaroute
