CallListener: a reader's pause does not abort its answer

A caller that paused for over four seconds in the middle of a large answer lost the rest, although it was in touch and within the idle timeout.

Cause: TCP_USER_TIMEOUT (4 s) is meant for peers that are gone, but the kernel also counts the time for which a full window of a live peer holds data back.

Change: while an answer waits to be sent, the user timeout is the idle timeout and a margin, so that the idle timeout, which counts from the last progress, ends a connection that is not read. Connections without unsent bytes keep 4 s, which detects callers that are gone.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -24,10 +24,14 @@
         {{"option", std::to_string(Name)}, {"error", std::strerror(errno)}});
 }
 
+void setUserTimeout(int Socket, Duration Timeout) {
+  setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(toMilliseconds(Timeout)));
+}
+
 void setSocketLimits(int Socket, Duration UserTimeout) {
   setOption(Socket, IPPROTO_TCP, TCP_NODELAY, 1);
-  setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(toMilliseconds(UserTimeout)));
+  setUserTimeout(Socket, UserTimeout);
   setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveProbeSeconds);
--- a/src/connection/BufferedSocket.h
+++ b/src/connection/BufferedSocket.h
@@ -25,6 +25,10 @@
 /// these limits show it. Logs an option that the kernel refuses.
 void setSocketLimits(int Socket, Duration UserTimeout);
 
+/// Sets after which time data that is not acknowledged, or that the peer's full
+/// window holds back, ends the connection.
+void setUserTimeout(int Socket, Duration Timeout);
+
 /// Returns the address that libevent needs to connect; throws
 /// Error(BadRequest) when \p Address is not an IPv4 address.
 struct sockaddr_in socketAddressOf(const SocketAddress &Address);
--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -15,7 +15,9 @@
 
 /// Bytes that may wait behind the request being answered.
 static constexpr std::size_t MaxWaitingBytes = 64 << 10;
-/// How long data to a caller may stay unacknowledged.
+/// How long data to a caller may stay unacknowledged. The kernel counts the
+/// pauses of a reader that has let its window fill up, too, so while an answer
+/// waits to be sent, the idle timeout takes its place.
 static constexpr auto CallerUserTimeout = std::chrono::seconds(4);
 /// How long a refused connection is read on, so that closing it with unread
 /// bytes does not reset it before the caller has read the answer.
@@ -69,6 +71,7 @@
   bool isPending(short PollEvents) const;
   bool hasUnreadInput() const;
   bool canSend() const;
+  void extendUserTimeout();
 
   CallListener &Owner;
   BufferEventPtr Event;
@@ -86,6 +89,7 @@
   bool EndsWithClose = false;
   bool KeepAlive = true;
   bool IsHeadRequest = false;
+  bool HasExtendedTimeout = false;
 };
 
 CallerConnection::CallerConnection(CallListener &Owner, int Socket)
@@ -370,7 +374,17 @@
   this->close();
 }
 
+/// Leaves it to the idle timeout to end a connection whose answer is not read.
+void CallerConnection::extendUserTimeout() {
+  if (this->HasExtendedTimeout || this->unsentBytes() == 0)
+    return;
+  this->HasExtendedTimeout = true;
+  setUserTimeout(bufferevent_getfd(this->Event.get()),
+                 this->Owner.Limits.IdleTimeout + CallerUserTimeout);
+}
+
 void CallerConnection::sweep(TimePoint Now) {
+  this->extendUserTimeout();
   const Duration Age = Now - std::max(this->Since, this->SentAt);
   switch (this->Current) {
   case State::Reading:
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -169,5 +169,24 @@
   EXPECT_GE(Read, Body.size());
 }
 
+// Guards against cutting an answer whose reader pauses within the idle timeout.
+TEST_F(CallListenerTest, AnAnswerWhoseReaderPausesIsCarriedToItsEnd) {
+  this->listen({.IdleTimeout = 10s});
+  const std::string Body(24 << 20, 'x');
+  this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
+    Call->send(200, {}, Body);
+  };
+  const auto Callers = this->connect(1);
+  Callers[0]->write(Request);
+  this->runFor(6s);
+  std::size_t Read = 0;
+  const TimePoint Limit = EventLoop::now() + 5s;
+  while (Read < Body.size() && EventLoop::now() < Limit) {
+    this->runFor(1ms);
+    Read += Callers[0]->readSome(1 << 20);
+  }
+  EXPECT_GE(Read, Body.size());
+}
+
 } // namespace
 } // namespace galenaroute
