CallListener: a lowered idle timeout spares idle periods that began before

Beside a change of the configuration that lowered the idle timeout, requests that callers sent on kept connections met a close and were not answered, though the connections had been idle for less than the timeout that the callers knew.

Ruled out: announcing the timeout in Keep-Alive; it can't be withdrawn from answers that were sent.

Change: a connection keeps the longest idle timeout that was in force since it became idle; the next idle period has the new one.

CallListenerTest.ALoweredIdleTimeoutSparesConnectionsThatAreIdle (2 s lowered to 0.3 s after 1 s) before: 0 of 10 callers got their second answer. After: 10 of 10, and the lowered timeout ends the next idle period.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -83,6 +83,9 @@
   TimePoint Since;
   TimePoint SentAt; ///< When the caller's side last took bytes of an answer.
   TimePoint FirstByte;
+  /// The longest idle timeout in force since the connection became idle. A
+  /// caller may rely on any of them.
+  Duration IdleLimit{};
   bool Chunked = false;
   /// The answer under way has no framing, so that an orderly close would tell
   /// the caller that it is complete.
@@ -105,7 +108,7 @@
                   },
               .OnBody = [this](std::string_view Bytes) { this->Body += Bytes; },
               .OnComplete = [this] { this->onRequest(); }}),
-      Since(EventLoop::now()) {
+      Since(EventLoop::now()), IdleLimit(Owner.Limits.IdleTimeout) {
   setSocketLimits(Socket, CallerUserTimeout);
   bufferevent_setcb(
       this->Event.get(),
@@ -139,6 +142,7 @@
 void CallerConnection::setState(State Next) {
   this->Current = Next;
   this->Since = EventLoop::now();
+  this->IdleLimit = this->Owner.Limits.IdleTimeout;
 }
 
 void CallerConnection::onReadable() {
@@ -380,11 +384,12 @@
     return;
   this->HasExtendedTimeout = true;
   setUserTimeout(bufferevent_getfd(this->Event.get()),
-                 this->Owner.Limits.IdleTimeout + CallerUserTimeout);
+                 this->IdleLimit + CallerUserTimeout);
 }
 
 void CallerConnection::sweep(TimePoint Now) {
   this->extendUserTimeout();
+  this->IdleLimit = std::max(this->IdleLimit, this->Owner.Limits.IdleTimeout);
   const Duration Age = Now - std::max(this->Since, this->SentAt);
   switch (this->Current) {
   case State::Reading:
@@ -393,8 +398,8 @@
                     (this->Parser.hasHead() ? 2 : 1) &&
           !this->hasUnreadInput())
         this->rejectWith(408);
-    } else if (Age > this->Owner.Limits.IdleTimeout &&
-               !this->hasUnreadInput() && !this->canSend()) {
+    } else if (Age > this->IdleLimit && !this->hasUnreadInput() &&
+               !this->canSend()) {
       this->closeFor("idle", Age);
     }
     return;
@@ -403,7 +408,7 @@
       this->close();
     return;
   case State::Flushing:
-    if (Age > this->Owner.Limits.IdleTimeout && !this->canSend())
+    if (Age > this->IdleLimit && !this->canSend())
       this->closeFor("answer not read", Age);
     return;
   case State::Answering:
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -78,7 +78,8 @@
   CallListener(const CallListener &) = delete;
   CallListener &operator=(const CallListener &) = delete;
 
-  /// Applies to connections from their next request on.
+  /// Applies to connections from their next request on. A shorter timeout does
+  /// not apply to an idle period or an answer that began before.
   void setLimits(const CallerLimits &Next) { this->Limits = Next; }
 
   /// From now on each answer closes its connection.
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -188,5 +188,27 @@
   EXPECT_GE(Read, Body.size());
 }
 
+// Guards against closing connections that are idle within the timeout that was
+// in force when they became idle.
+TEST_F(CallListenerTest, ALoweredIdleTimeoutSparesConnectionsThatAreIdle) {
+  this->listen({.IdleTimeout = 2s});
+  const auto Callers = this->connect(10);
+  for (const auto &Each : Callers)
+    Each->write(Request);
+  this->runFor(1s);
+  CallerLimits Lowered = this->Limits;
+  Lowered.IdleTimeout = 300ms;
+  this->Listener->setLimits(Lowered);
+  this->runFor(600ms);
+  for (const auto &Each : Callers)
+    Each->write(Request);
+  this->runFor(100ms);
+  for (const auto &Each : Callers)
+    EXPECT_EQ(countOf(Each->read(), "HTTP/1.1 200 "), 2U);
+  this->runFor(900ms);
+  for (const auto &Each : Callers)
+    EXPECT_TRUE(Each->hasEnded()) << "the lowered timeout never took effect";
+}
+
 } // namespace
 } // namespace galenaroute
