CallListener: a body that makes progress does not time out

A caller that sent a large body over a slow path got a 408 in the middle of it, and a change of the configuration that lowered the header timeout ended requests that had begun within the former one.

Cause: the timeout of heads, doubled, limited the whole body, and the limit now in force applied to requests under way.

Change: a body has the doubled timeout from its last bytes on, and a request keeps the limit that was in force when it began. A body that stops still gets a 408, which remains a true 'not run'.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -83,6 +83,7 @@
   TimePoint Since;
   TimePoint SentAt; ///< When the caller's side last took bytes of an answer.
   TimePoint FirstByte;
+  Duration HeadLimit{}; ///< In force when the request began.
   /// The longest idle timeout in force since the connection became idle. A
   /// caller may rely on any of them.
   Duration IdleLimit{};
@@ -158,7 +159,10 @@
     if (!this->Parser.isInMessage()) {
       this->FirstByte = EventLoop::now();
       this->Since = this->FirstByte;
+      this->HeadLimit = this->Owner.Limits.HeadTimeout;
       this->Parser.setLimits(this->Owner.Limits.Message);
+    } else if (this->Parser.hasHead()) {
+      this->Since = EventLoop::now();
     }
     // The bytes stay in place while the parser reports from them.
     const std::size_t Used = this->Parser.feed(Bytes);
@@ -394,8 +398,8 @@
   switch (this->Current) {
   case State::Reading:
     if (this->Parser.isInMessage()) {
-      if (Age > this->Owner.Limits.HeadTimeout *
-                    (this->Parser.hasHead() ? 2 : 1) &&
+      // A body has no time limit as long as it makes progress.
+      if (Age > this->HeadLimit * (this->Parser.hasHead() ? 2 : 1) &&
           !this->hasUnreadInput())
         this->rejectWith(408);
     } else if (Age > this->IdleLimit && !this->hasUnreadInput() &&
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -210,5 +210,32 @@
     EXPECT_TRUE(Each->hasEnded()) << "the lowered timeout never took effect";
 }
 
+// Guards against a timeout of a request whose body arrives slowly but steadily,
+// also after the timeout was lowered.
+TEST_F(CallListenerTest, ABodyThatArrivesSteadilyIsRead) {
+  this->listen({.HeadTimeout = 2s});
+  const auto Callers = this->connect(1);
+  Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n");
+  this->runFor(50ms);
+  CallerLimits Lowered = this->Limits;
+  Lowered.HeadTimeout = 300ms;
+  this->Listener->setLimits(Lowered);
+  for (int I = 0; I < 20; ++I) {
+    Callers[0]->write("b");
+    this->runFor(100ms);
+  }
+  EXPECT_TRUE(Callers[0]->read().starts_with("HTTP/1.1 200 "))
+      << Callers[0]->read();
+}
+
+// Guards against a body that never ends.
+TEST_F(CallListenerTest, ABodyThatStopsArrivingTimesOut) {
+  this->listen({.HeadTimeout = 300ms});
+  const auto Callers = this->connect(1);
+  Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\nb");
+  this->runFor(1500ms);
+  EXPECT_TRUE(Callers[0]->read().starts_with("HTTP/1.1 408 "));
+}
+
 } // namespace
 } // namespace galenaroute
