CallListener: a refused connection is read while the caller still sends

A caller that was refused in the middle of a long body (413, 408) met a reset one second later, while it was still sending, and could miss the answer.

Cause: the rest of a refused request was read for one second in all.

Change: it is read until nothing has arrived for one second, for 10 s at most.

CallListenerTest.ARefusalReachesACallerThatIsStillSending (1.8 s of a body after a 413) before: the caller's writes failed after one second. After: all are taken, and the 413 is read.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -19,9 +19,12 @@
 /// pauses of a reader that has let its window fill up, too, so while an answer
 /// waits to be sent, the idle timeout takes its place.
 static constexpr auto CallerUserTimeout = std::chrono::seconds(4);
-/// How long a refused connection is read on, so that closing it with unread
-/// bytes does not reset it before the caller has read the answer.
+/// How long after its last bytes a refused connection is read on, so that
+/// closing it with unread bytes does not reset it before the caller has read
+/// the answer.
 static constexpr auto LingerTime = std::chrono::seconds(1);
+/// The longest time for which the rest of a refused request is read.
+static constexpr auto MaxLingerTime = std::chrono::seconds(10);
 /// How often connections are checked for their time limits.
 static constexpr auto SweepPeriod = std::chrono::milliseconds(250);
 static constexpr int ListenBacklog = 1024;
@@ -83,6 +86,7 @@
   TimePoint Since;
   TimePoint SentAt; ///< When the caller's side last took bytes of an answer.
   TimePoint FirstByte;
+  TimePoint LingerUntil;
   Duration HeadLimit{}; ///< In force when the request began.
   /// The longest idle timeout in force since the connection became idle. A
   /// caller may rely on any of them.
@@ -150,6 +154,8 @@
   evbuffer *Input = bufferevent_get_input(this->Event.get());
   if (this->Current == State::Lingering) {
     evbuffer_drain(Input, evbuffer_get_length(Input));
+    this->LingerUntil =
+        std::min(EventLoop::now() + LingerTime, this->Since + MaxLingerTime);
     return;
   }
   while (this->Current == State::Reading) {
@@ -299,6 +305,7 @@
     return;
   }
   this->setState(State::Lingering);
+  this->LingerUntil = this->Since + LingerTime;
   this->EndsWithClose = false;
   ::shutdown(bufferevent_getfd(this->Event.get()), SHUT_WR);
   evbuffer *Input = bufferevent_get_input(this->Event.get());
@@ -408,7 +415,7 @@
     }
     return;
   case State::Lingering:
-    if (Age > LingerTime)
+    if (Now > this->LingerUntil)
       this->close();
     return;
   case State::Flushing:
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -237,5 +237,20 @@
   EXPECT_TRUE(Callers[0]->read().starts_with("HTTP/1.1 408 "));
 }
 
+// Guards against a reset that destroys a refusal before the caller, which is
+// still sending, has read it.
+TEST_F(CallListenerTest, ARefusalReachesACallerThatIsStillSending) {
+  this->listen({.Message = {.MaxBodyBytes = 1000}});
+  const auto Callers = this->connect(1);
+  Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n"
+                    "\r\n");
+  for (int I = 0; I < 30; ++I) {
+    EXPECT_GT(Callers[0]->writeSome(std::string(1000, 'b')), 0U) << I;
+    this->runFor(60ms);
+  }
+  EXPECT_FALSE(Callers[0]->hasEnded() && Callers[0]->wasReset());
+  EXPECT_TRUE(Callers[0]->read().starts_with("HTTP/1.1 413 "));
+}
+
 } // namespace
 } // namespace galenaroute
