CallListener: calls on connections beyond the limit are refused with an answer

Callers that connected while a process had its maximum of connections met a close without an answer, in the middle of a whole request.

Cause: accept() closed the socket.

Change: up to 64 connections beyond the limit are accepted, and their calls are refused with 503 and a time to come back; further connections wait in the queue of the listening socket until there is room. Connections beyond the limit close after their answer, or after one second without a request.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -28,6 +28,11 @@
 /// How often connections are checked for their time limits.
 static constexpr auto SweepPeriod = std::chrono::milliseconds(250);
 static constexpr int ListenBacklog = 1024;
+/// Connections beyond the limit that are open at a time.
+static constexpr std::size_t MaxBeyondLimit = 64;
+/// Idle timeout of connections beyond the limit. A caller connects to send a
+/// request.
+static constexpr auto BeyondLimitIdle = std::chrono::seconds(1);
 
 static std::string_view reasonOf(int Status) {
   switch (Status) {
@@ -42,7 +47,7 @@
 
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-  CallerConnection(CallListener &Owner, int Socket);
+  CallerConnection(CallListener &Owner, int Socket, bool IsBeyondLimit);
 
   void sendWhole(int Status, const HttpHeaders &Headers, std::string_view Body);
   void begin(int Status, const HttpHeaders &Headers);
@@ -98,9 +103,11 @@
   bool KeepAlive = true;
   bool IsHeadRequest = false;
   bool HasExtendedTimeout = false;
+  bool IsBeyondLimit;
 };
 
-CallerConnection::CallerConnection(CallListener &Owner, int Socket)
+CallerConnection::CallerConnection(CallListener &Owner, int Socket,
+                                   bool IsBeyondLimit)
     : Owner(Owner), Event(bufferevent_socket_new(Owner.Loop.base(), Socket,
                                                  BEV_OPT_CLOSE_ON_FREE |
                                                      BEV_OPT_DEFER_CALLBACKS)),
@@ -113,7 +120,8 @@
                   },
               .OnBody = [this](std::string_view Bytes) { this->Body += Bytes; },
               .OnComplete = [this] { this->onRequest(); }}),
-      Since(EventLoop::now()), IdleLimit(Owner.Limits.IdleTimeout) {
+      Since(EventLoop::now()), IdleLimit(Owner.Limits.IdleTimeout),
+      IsBeyondLimit(IsBeyondLimit) {
   setSocketLimits(Socket, CallerUserTimeout);
   bufferevent_setcb(
       this->Event.get(),
@@ -190,12 +198,13 @@
 
 void CallerConnection::onRequest() {
   this->setState(State::Answering);
-  this->KeepAlive = this->Head.KeepAlive;
+  this->KeepAlive = this->Head.KeepAlive && !this->IsBeyondLimit;
   this->IsHeadRequest = this->Head.Method == "HEAD";
   this->Call = std::make_shared<IncomingCall>();
   this->Call->Head = std::move(this->Head);
   this->Call->Body = std::move(this->Body);
   this->Call->Arrived = this->FirstByte;
+  this->Call->IsBeyondLimit = this->IsBeyondLimit;
   this->Call->Connection = this->weak_from_this();
   this->Head = {};
   this->Body.clear();
@@ -329,7 +338,7 @@
 void CallerConnection::close() {
   const auto Kept = this->shared_from_this();
   const auto Ended = std::move(this->Call);
-  this->Owner.Connections.erase(Kept);
+  this->Owner.erase(Kept);
   if (this->EndsWithClose) {
     // A reset is the only sign of an incomplete answer.
     const linger Reset{.l_onoff = 1, .l_linger = 0};
@@ -400,7 +409,10 @@
 
 void CallerConnection::sweep(TimePoint Now) {
   this->extendUserTimeout();
-  this->IdleLimit = std::max(this->IdleLimit, this->Owner.Limits.IdleTimeout);
+  this->IdleLimit =
+      this->IsBeyondLimit
+          ? Duration(BeyondLimitIdle)
+          : std::max(this->IdleLimit, this->Owner.Limits.IdleTimeout);
   const Duration Age = Now - std::max(this->Since, this->SentAt);
   switch (this->Current) {
   case State::Reading:
@@ -516,13 +528,36 @@
     Each->close();
 }
 
+std::size_t CallListener::maxAccepted() const {
+  return this->Limits.MaxConnections + MaxBeyondLimit;
+}
+
 void CallListener::accept(int Socket) {
-  if (this->Connections.size() >= this->Limits.MaxConnections) {
-    log(LogLevel::Warn, "connection.refused", {{"reason", "too many"}});
-    evutil_closesocket(Socket);
+  const bool IsBeyondLimit =
+      this->Connections.size() >= this->Limits.MaxConnections;
+  this->Connections.insert(
+      std::make_shared<CallerConnection>(*this, Socket, IsBeyondLimit));
+  this->updateAccepting();
+}
+
+void CallListener::erase(const std::shared_ptr<CallerConnection> &Closed) {
+  this->Connections.erase(Closed);
+  this->updateAccepting();
+}
+
+/// Lets connections wait in the queue of the socket while there are too many.
+void CallListener::updateAccepting() {
+  const bool HasRoom = this->Connections.size() < this->maxAccepted();
+  if (!this->Listener || HasRoom == this->IsAccepting)
+    return;
+  this->IsAccepting = HasRoom;
+  if (HasRoom) {
+    evconnlistener_enable(this->Listener);
     return;
   }
-  this->Connections.insert(std::make_shared<CallerConnection>(*this, Socket));
+  evconnlistener_disable(this->Listener);
+  log(LogLevel::Warn, "connection.limit",
+      {{"connections", std::to_string(this->Connections.size())}});
 }
 
 } // namespace galenaroute
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -6,6 +6,9 @@
 // A request is handed over once its body is complete. Requests that are
 // malformed or too large are answered here and their connection is closed.
 //
+// A few connections beyond the limit are accepted so that their calls can be
+// refused with an answer. Further ones wait in the queue of the socket.
+//
 // Guarantees: the answer to a request reaches only the connection on which the
 // request came, and only while that request is the one being answered;
 // CallerLeft is emitted at most once, when the caller closes or resets the
@@ -33,6 +36,8 @@
   HttpParserLimits Message;
   Duration HeadTimeout = std::chrono::seconds(3);
   Duration IdleTimeout = std::chrono::seconds(15);
+  /// Calls on connections beyond this limit are marked, see
+  /// IncomingCall::IsBeyondLimit.
   std::size_t MaxConnections = 3000;
 };
 
@@ -44,6 +49,9 @@
   HttpHead Head;
   std::string Body;
   TimePoint Arrived; ///< When the first byte of the request was read.
+  /// The connection exceeds the limit of connections, so the call should be
+  /// refused. The connection closes after the answer.
+  bool IsBeyondLimit = false;
 
   sigc::signal<void()> CallerLeft;
 
@@ -97,6 +105,9 @@
 private:
   friend class CallerConnection;
   void accept(int Socket);
+  void erase(const std::shared_ptr<CallerConnection> &Closed);
+  void updateAccepting();
+  std::size_t maxAccepted() const;
 
   EventLoop &Loop;
   CallerLimits Limits;
@@ -104,6 +115,7 @@
   evconnlistener *Listener; ///< Null after stopAccepting().
   std::set<std::shared_ptr<CallerConnection>> Connections;
   bool Closing = false;
+  bool IsAccepting = true;
   sigc::connection SweepTimer;
 };
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -86,6 +86,10 @@
 /// the call was answered here.
 bool ForwardRun::admit() {
   this->Call = this->Services.Codec.readRequest(this->Incoming->Head);
+  if (this->Incoming->IsBeyondLimit) {
+    this->refuse("too many connections are open", DefaultRetryAfter);
+    return false;
+  }
   if (!this->Config) {
     this->refuse("no configuration has been received yet",
                  std::chrono::seconds(1));
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -23,6 +23,10 @@
   return Count;
 }
 
+void refuseBeyondLimit(const std::shared_ptr<IncomingCall> &Call) {
+  Call->send(Call->IsBeyondLimit ? 503 : 200, {{"Retry-After", "1"}}, "");
+}
+
 class CallListenerTest : public testing::Test {
 protected:
   CallListenerTest() { this->Address = freeAddress(); }
@@ -232,7 +236,8 @@
 TEST_F(CallListenerTest, ABodyThatStopsArrivingTimesOut) {
   this->listen({.HeadTimeout = 300ms});
   const auto Callers = this->connect(1);
-  Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\nb");
+  Callers[0]->write(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\nb");
   this->runFor(1500ms);
   EXPECT_TRUE(Callers[0]->read().starts_with("HTTP/1.1 408 "));
 }
@@ -252,5 +257,45 @@
   EXPECT_TRUE(Callers[0]->read().starts_with("HTTP/1.1 413 "));
 }
 
+// Guards against closing a connection beyond the limit without an answer.
+TEST_F(CallListenerTest, ConnectionsBeyondTheLimitAreRefusedWithAnAnswer) {
+  this->listen({.MaxConnections = 4});
+  this->OnCall = refuseBeyondLimit;
+  const auto Held = this->connect(4);
+  const auto Callers = this->connect(10);
+  for (const auto &Each : Callers)
+    Each->write(Request);
+  this->runFor(300ms);
+  for (const auto &Each : Callers) {
+    EXPECT_TRUE(Each->read().starts_with("HTTP/1.1 503 ")) << Each->read();
+    EXPECT_NE(Each->read().find("Retry-After: "), std::string::npos);
+  }
+  Held[0]->write(Request);
+  this->runFor(100ms);
+  EXPECT_TRUE(Held[0]->read().starts_with("HTTP/1.1 200 "));
+}
+
+// Guards against closing connections without an answer when more callers
+// connect than can be refused at a time.
+TEST_F(CallListenerTest, ConnectionsBeyondTheRefusalsWaitToBeAccepted) {
+  this->listen({.MaxConnections = 4});
+  this->OnCall = refuseBeyondLimit;
+  const auto Held = this->connect(4);
+  const auto Callers = this->connect(200);
+  for (const auto &Each : Callers)
+    Each->write(Request);
+  std::size_t Refused = 0;
+  const TimePoint Limit = EventLoop::now() + 10s;
+  while (Refused < Callers.size() && EventLoop::now() < Limit) {
+    this->runFor(20ms);
+    for (const auto &Each : Callers)
+      if (!Each->isClosed() && Each->read().starts_with("HTTP/1.1 503 ")) {
+        ++Refused;
+        Each->close();
+      }
+  }
+  EXPECT_EQ(Refused, Callers.size());
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -87,6 +87,7 @@
       ::close(this->Socket);
     this->Socket = -1;
   }
+  bool isClosed() const { return this->Socket < 0; }
   /// Closes the connection with a reset.
   void reset() {
     const linger Now{1, 0};
