Platform: revisions belong to an era, which every answer tells

Cause: a watch went on from a revision of the former copy. Once the restored store had passed that number, it answered without 410, and the changes below the number were never seen. Progress told between peers compared revisions of both eras. The class: a number of the store that is taken to grow for ever.

Ruled out: 410 as the sign of a restoration, since the store does not send it once it has passed the number; the era as told by a peer alone, since a false one would outdate all answers of the store.

Change: PlatformEra notes the era in any answer, whatever its status. A rise makes each ObjectWatcher drop its position, known revisions and progress and list anew. Answers of an earlier era are not used; writes whose condition comes from an earlier era than their answer end as unknown, watches as expired. Progress and forwarded changes carry the era; a peer's newer era leads to a list, whose answer tells it. Log lines tell the era, the one before, and what was dropped and listed.

New tests of the watcher and of the era pass; they do not compile on the former code.

--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -1,6 +1,9 @@
 #include "connection/PlatformClient.h"
 
 #include "process/ErrorKind.h"
+#include "process/Log.h"
+
+#include <charconv>
 
 namespace galenaroute {
 
@@ -29,8 +32,50 @@
   }
 }
 
+static std::uint64_t eraOf(const HttpResult &Result, std::string_view Field) {
+  const auto Text = Result.Headers.find(Field);
+  if (!Text)
+    return 0;
+  std::uint64_t Era = 0;
+  const auto Read =
+      std::from_chars(Text->data(), Text->data() + Text->size(), Era);
+  if (Read.ec != std::errc() || Read.ptr != Text->data() + Text->size()) {
+    log(LogLevel::Warn, "platform.malformed_era",
+        {{"era", std::string(*Text)}});
+    return 0;
+  }
+  return Era;
+}
+
+PlatformStatus statusInEra(PlatformStatus Answered, std::uint64_t Told,
+                           PlatformEra &Era, EraUse Use, std::uint64_t Begun) {
+  if (!Era.note(Told))
+    return PlatformStatus::Unknown;
+  const bool IsOtherEra = Told > Begun && Begun > 0;
+  if (!IsOtherEra || Use == EraUse::None)
+    return Answered;
+  if (Use == EraUse::Position)
+    return PlatformStatus::Expired;
+  // The same version may have been given out again, so a write that was meant
+  // to replace another value may have taken effect.
+  return Answered == PlatformStatus::Unavailable ? Answered
+                                                 : PlatformStatus::Unknown;
+}
+
+PlatformStatus platformStatusOf(const HttpResult &Result,
+                                std::string_view Field, PlatformEra &Era,
+                                EraUse Use, std::uint64_t Begun) {
+  const PlatformStatus Answered = platformStatusOf(Result);
+  if (Result.Status == 0)
+    return Answered;
+  return statusInEra(Answered, eraOf(Result, Field), Era, Use, Begun);
+}
+
 namespace {
 
+/// The header field in which the platform tells its era.
+constexpr std::string_view EraField = "Platform-Era";
+
 std::string objectPath(const ObjectKey &Key) {
   return "/v1/objects/" + percentEncode(Key.Kind) + "/" +
          percentEncode(Key.Name);
@@ -51,9 +96,10 @@
   return Result;
 }
 
-PlatformResult resultFrom(const HttpResult &Http, const ObjectKey &Key) {
+PlatformResult resultFrom(const HttpResult &Http, const ObjectKey &Key,
+                          PlatformStatus Status) {
   PlatformResult Result;
-  Result.Status = platformStatusOf(Http);
+  Result.Status = Status;
   if (Result.Status != PlatformStatus::Ok &&
       Result.Status != PlatformStatus::Conflict)
     return Result;
@@ -67,9 +113,9 @@
   return Result;
 }
 
-PlatformList listFrom(const HttpResult &Http) {
+PlatformList listFrom(const HttpResult &Http, PlatformStatus Status) {
   PlatformList Result;
-  Result.Status = platformStatusOf(Http);
+  Result.Status = Status;
   if (Result.Status != PlatformStatus::Ok)
     return Result;
   try {
@@ -91,14 +137,21 @@
                            Duration CallTimeout)
     : Client(Client), Address(std::move(Address)), CallTimeout(CallTimeout) {}
 
+PlatformStatus HttpPlatform::statusOf(const HttpResult &Result, EraUse Use,
+                                      std::uint64_t Begun) {
+  return platformStatusOf(Result, EraField, this->Era, Use, Begun);
+}
+
 void HttpPlatform::get(const ObjectKey &Key, OnResult Done) {
   this->Client.startDetached(
       HttpCallBuilder(this->Address)
           .get(objectPath(Key))
           .totalTimeout(this->CallTimeout)
           .build(),
-      [Key, Done = std::move(Done)](const HttpResult &Result) {
-        Done(resultFrom(Result, Key));
+      [this, Key, Begun = this->Era.current(),
+       Done = std::move(Done)](const HttpResult &Result) {
+        Done(resultFrom(Result, Key,
+                        this->statusOf(Result, EraUse::None, Begun)));
       });
 }
 
@@ -110,8 +163,10 @@
           .put(objectPath(Key), Body.dump())
           .totalTimeout(this->CallTimeout)
           .build(),
-      [Key, Done = std::move(Done)](const HttpResult &Result) {
-        Done(resultFrom(Result, Key));
+      [this, Key, Begun = this->Era.current(),
+       Done = std::move(Done)](const HttpResult &Result) {
+        Done(resultFrom(Result, Key,
+                        this->statusOf(Result, EraUse::Condition, Begun)));
       });
 }
 
@@ -124,8 +179,10 @@
                   {})
           .totalTimeout(this->CallTimeout)
           .build(),
-      [Key, Done = std::move(Done)](const HttpResult &Result) {
-        Done(resultFrom(Result, Key));
+      [this, Key, Begun = this->Era.current(),
+       Done = std::move(Done)](const HttpResult &Result) {
+        Done(resultFrom(Result, Key,
+                        this->statusOf(Result, EraUse::Condition, Begun)));
       });
 }
 
@@ -137,8 +194,9 @@
                percentEncode(Prefix) + "&after=" + percentEncode(After))
           .totalTimeout(this->CallTimeout)
           .build(),
-      [Done = std::move(Done)](const HttpResult &Result) {
-        Done(listFrom(Result));
+      [this, Begun = this->Era.current(),
+       Done = std::move(Done)](const HttpResult &Result) {
+        Done(listFrom(Result, this->statusOf(Result, EraUse::None, Begun)));
       });
 }
 
@@ -151,8 +209,9 @@
                "&timeout_ms=" + std::to_string(toMilliseconds(Wait)))
           .idleTimeout(Wait + this->CallTimeout)
           .build(),
-      [Done = std::move(Done)](const HttpResult &Result) {
-        Done(listFrom(Result));
+      [this, Begun = this->Era.current(),
+       Done = std::move(Done)](const HttpResult &Result) {
+        Done(listFrom(Result, this->statusOf(Result, EraUse::Position, Begun)));
       });
 }
 
@@ -162,9 +221,10 @@
           .get("/v1/vms")
           .totalTimeout(this->CallTimeout)
           .build(),
-      [Done = std::move(Done)](const HttpResult &Http) {
+      [this, Begun = this->Era.current(),
+       Done = std::move(Done)](const HttpResult &Http) {
         VmList Result;
-        Result.Status = platformStatusOf(Http);
+        Result.Status = this->statusOf(Http, EraUse::None, Begun);
         if (Result.Status == PlatformStatus::Ok) {
           try {
             const json Body = parseBody(Http);
--- a/src/connection/PlatformClient.h
+++ b/src/connection/PlatformClient.h
@@ -10,11 +10,16 @@
 // it belongs to. PlatformStatus::Unknown on a write means that the write may
 // or may not have taken effect, now or later; the caller must read to find
 // out. Every call counts against the platform's rates.
+//
+// Era tells when the platform was restored from a copy. Outdated answers end
+// with Unknown, writes whose condition comes from an earlier era than their
+// answer, too, and watches from a position of an earlier era with Expired.
 
 #ifndef GALENAROUTE_CONNECTION_PLATFORMCLIENT_H
 #define GALENAROUTE_CONNECTION_PLATFORMCLIENT_H
 
 #include "connection/HttpClient.h"
+#include "connection/PlatformEra.h"
 
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -50,6 +55,24 @@
 /// Tells how a call to a platform over HTTP ended.
 PlatformStatus platformStatusOf(const HttpResult &Result);
 
+/// What a call relies on that belongs to the era in which it is made.
+enum class EraUse {
+  None,      ///< Nothing: a read of the present state.
+  Condition, ///< The version that a write replaces.
+  Position,  ///< The revision that a watch continues from.
+};
+
+/// Tells how a call made in era \p Begun ended whose answer, of status
+/// \p Answered, tells era \p Told, which is noted in \p Era.
+PlatformStatus statusInEra(PlatformStatus Answered, std::uint64_t Told,
+                           PlatformEra &Era, EraUse Use, std::uint64_t Begun);
+
+/// The same for a call over HTTP. \p Field is the header field in which the
+/// platform tells its era.
+PlatformStatus platformStatusOf(const HttpResult &Result,
+                                std::string_view Field, PlatformEra &Era,
+                                EraUse Use, std::uint64_t Begun);
+
 /// The answer to a get, put or remove.
 struct PlatformResult {
   PlatformStatus Status = PlatformStatus::Unavailable;
@@ -89,6 +112,9 @@
   static constexpr std::uint64_t MustNotExist = 0;
 
   virtual ~Platform() = default;
+
+  PlatformEra Era;
+
   virtual void get(const ObjectKey &Key, OnResult Done) = 0;
   virtual void put(const ObjectKey &Key, const nlohmann::json &Value,
                    std::uint64_t IfVersion, OnResult Done) = 0;
@@ -122,6 +148,9 @@
   void listVms(OnVms Done) override;
 
 private:
+  PlatformStatus statusOf(const HttpResult &Result, EraUse Use,
+                          std::uint64_t Begun);
+
   HttpClient &Client;
   SocketAddress Address;
   Duration CallTimeout;
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -519,7 +519,8 @@
     Each->check(Now);
   if (this->reachesPlatform())
     for (const ObjectWatcher *Each : this->watchers())
-      Status.Progress.emplace_back(Each->kind(), Each->progress(Now));
+      if (Each->hasProgress())
+        Status.Progress.emplace_back(Each->kind(), Each->progress(Now));
   this->Statuses.publish(std::move(Status), Now);
 }
 
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -59,16 +59,19 @@
 static json toJson(const ProgressByKind &All) {
   json Result = json::array();
   for (const auto &[Kind, Each] : All)
-    Result.push_back(
-        {Kind, Each.LastChange, Each.Digest, toMilliseconds(Each.Age)});
+    Result.push_back({Kind, Each.LastChange, Each.Digest,
+                      toMilliseconds(Each.Age), Each.Era});
   return Result;
 }
 
 static ProgressByKind progressFromJson(const json &Value) {
   ProgressByKind Result;
   for (const json &Each : Value)
-    Result.emplace_back(Each.at(0), WatchProgress{Each.at(1), Each.at(2),
-                                                  Milliseconds(Each.at(3))});
+    Result.emplace_back(Each.at(0),
+                        WatchProgress{.LastChange = Each.at(1),
+                                      .Digest = Each.at(2),
+                                      .Age = Milliseconds(Each.at(3)),
+                                      .Era = Each.at(4)});
   return Result;
 }
 
@@ -183,6 +186,7 @@
     Objects.push_back({Each.Key.Name, Each.Version, Each.Deleted, Each.Value});
   return {{"objects", std::move(Objects)},
           {"kind", Update.Kind},
+          {"era", Update.Era},
           {"since", Update.Since},
           {"revision", Update.Revision}};
 }
@@ -190,6 +194,7 @@
 static ObjectUpdates objectNewsFromJson(const json &Value) {
   ObjectUpdates Update;
   Update.Kind = Value.at("kind");
+  Update.Era = Value.at("era");
   Update.Since = Value.at("since");
   Update.Revision = Value.at("revision");
   for (const json &Each : Value.at("objects"))
--- a/src/process/StatusRelay.cpp
+++ b/src/process/StatusRelay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace galenaroute {
 
@@ -32,9 +33,10 @@
       Aged.Age += MessageAge;
       const auto [It, IsNew] = this->Progress.try_emplace(Kind, Aged);
       WatchProgress &Best = It->second;
-      if (!IsNew &&
-          (Aged.LastChange > Best.LastChange ||
-           (Aged.LastChange == Best.LastChange && Aged.Age < Best.Age)))
+      const auto Position = std::tie(Aged.Era, Aged.LastChange);
+      const auto BestPosition = std::tie(Best.Era, Best.LastChange);
+      if (!IsNew && (Position > BestPosition ||
+                     (Position == BestPosition && Aged.Age < Best.Age)))
         Best = Aged;
     }
   }
--- a/src/version/ObjectWatcher.cpp
+++ b/src/version/ObjectWatcher.cpp
@@ -13,11 +13,47 @@
                              ObjectWatcherSettings Settings,
                              ObjectWatcherEvents Events)
     : Loop(Loop), Api(Api), Kind(std::move(Kind)), Settings(Settings),
-      Events(std::move(Events)), NextRetry(Settings.Retry) {}
+      Events(std::move(Events)), NextRetry(Settings.Retry) {
+  this->EraChanges = Api.Era.Changed.connect(
+      [this](const EraChange &Change) { this->dropEra(Change); });
+}
 
-ObjectWatcher::~ObjectWatcher() { this->Timer.disconnect(); }
+ObjectWatcher::~ObjectWatcher() {
+  this->Timer.disconnect();
+  this->EraChanges.disconnect();
+}
+
+void ObjectWatcher::start() {
+  this->IsStarted = true;
+  this->list({});
+}
+
+/// Drops what belongs to the era before: its revisions say nothing about the
+/// present ones. The objects stay in use until they are listed.
+void ObjectWatcher::dropEra(const EraChange &Change) {
+  if (!this->IsStarted)
+    return;
+  log(LogLevel::Info, "platform.revisions_dropped",
+      {{"kind", this->Kind},
+       {"era", std::to_string(Change.Now)},
+       {"before", std::to_string(Change.Before)},
+       {"revision", std::to_string(this->Revision)},
+       {"last_change", std::to_string(this->LastChange)},
+       {"objects", std::to_string(this->Known.size())}});
+  this->Revision = this->LastChange = this->Digest = 0;
+  this->Known.clear();
+  this->NextRetry = this->Settings.Retry;
+  this->listAnew();
+}
 
-void ObjectWatcher::start() { this->list({}); }
+/// Lists everything, whatever call is pending.
+void ObjectWatcher::listAnew() {
+  this->Timer.disconnect();
+  this->HasRevision = this->IsIdle = this->IsLongPoll = false;
+  this->IsEraDoubted = false;
+  this->BehindSince.reset();
+  this->list({});
+}
 
 void ObjectWatcher::onResponse() {
   this->AnsweredAt = this->ConfirmedAt = EventLoop::now();
@@ -48,12 +84,13 @@
 void ObjectWatcher::list(const std::string &After) {
   if (After.empty())
     this->Listed.clear();
-  this->Api.list(
-      this->Kind, {}, After,
-      [this, Alive = std::weak_ptr(this->Alive)](const PlatformList &Result) {
-        if (!Alive.expired())
-          this->onList(Result);
-      });
+  const std::uint64_t Call = ++this->Generation;
+  this->Api.list(this->Kind, {}, After,
+                 [this, Call, Alive = std::weak_ptr(this->Alive)](
+                     const PlatformList &Result) {
+                   if (!Alive.expired() && Call == this->Generation)
+                     this->onList(Result);
+                 });
 }
 
 void ObjectWatcher::onList(const PlatformList &Result) {
@@ -74,6 +111,11 @@
     return;
   }
   this->HasRevision = true;
+  log(LogLevel::Info, "platform.listed",
+      {{"kind", this->Kind},
+       {"era", std::to_string(this->Api.Era.current())},
+       {"revision", std::to_string(this->Revision)},
+       {"objects", std::to_string(this->Listed.size())}});
   std::erase_if(this->Known, [this](const auto &Each) {
     if (this->Listed.contains(Each.first))
       return false;
@@ -142,7 +184,8 @@
   for (const PlatformObject &Each : Result.Objects)
     this->applyObject(Each);
   if (!Result.Objects.empty() && !this->IsSecondary)
-    this->OnUpdates({this->Kind, Since, this->Revision, Result.Objects});
+    this->OnUpdates({this->Kind, Since, this->Revision, Result.Objects,
+                     this->Api.Era.current()});
   if (Result.Objects.empty() || this->BatchDelay == Duration::zero()) {
     this->awaitChanges();
     return;
@@ -152,8 +195,8 @@
 }
 
 void ObjectWatcher::receive(const ObjectUpdates &Updates) {
-  if (!this->IsIdle || Updates.Since > this->Revision ||
-      Updates.Revision <= this->Revision)
+  if (!this->IsIdle || Updates.Era != this->Api.Era.current() ||
+      Updates.Since > this->Revision || Updates.Revision <= this->Revision)
     return;
   this->Revision = Updates.Revision;
   for (const PlatformObject &Each : Updates.Objects) {
@@ -186,13 +229,18 @@
 
 WatchProgress ObjectWatcher::progress(TimePoint Now) const {
   return {this->LastChange, this->Digest,
-          Now - this->AnsweredAt.value_or(TimePoint{})};
+          Now - this->AnsweredAt.value_or(TimePoint{}),
+          this->Api.Era.current()};
 }
 
 void ObjectWatcher::notePeerProgress(const WatchProgress &Peer, TimePoint Now) {
-  if (!this->HasRevision || Peer.LastChange < this->LastChange)
+  const std::uint64_t Era = this->Api.Era.current();
+  if (!this->HasRevision || Peer.Era < Era ||
+      (Peer.Era == Era && Peer.LastChange < this->LastChange))
     return;
-  if (Peer.LastChange == this->LastChange && Peer.Digest == this->Digest) {
+  this->IsEraDoubted |= Peer.Era > Era;
+  if (!this->IsEraDoubted && Peer.LastChange == this->LastChange &&
+      Peer.Digest == this->Digest) {
     this->ConfirmedAt = std::max(*this->ConfirmedAt, Now - Peer.Age);
     this->BehindSince.reset();
     return;
@@ -214,10 +262,15 @@
     return;
   log(LogLevel::Info, "platform.watch_again",
       {{"kind", this->Kind},
-       {"reason", IsBehind            ? "peers are ahead"
+       {"reason", this->IsEraDoubted  ? "peers report a newer era"
+                  : IsBehind          ? "peers are ahead"
                   : this->IsSecondary ? "no progress reports from peers"
                                       : "became a primary watcher"},
        {"last_change", std::to_string(this->LastChange)}});
+  if (this->IsEraDoubted) {
+    this->listAnew();
+    return;
+  }
   this->BehindSince.reset();
   this->watch();
 }
--- a/src/version/ObjectWatcher.h
+++ b/src/version/ObjectWatcher.h
@@ -23,6 +23,12 @@
 // watch when peers have been ahead for longer than an update takes to arrive,
 // or when no peer reports its progress.
 //
+// Revisions belong to an era of the platform (see PlatformEra.h). When the era
+// changes, the position, the known revisions and the progress are dropped and
+// everything is listed again; objects that are missing then are reported by
+// OnListed. A process that hears from a peer of a newer era lists, too, and its
+// own answer tells the era.
+//
 // Guarantees: after a gap (expired history or the start), everything is listed
 // again before any other change is reported; only the latest call's result is
 // used; a call that gets no response within its wait and timeout is abandoned,
@@ -46,6 +52,7 @@
   std::uint64_t LastChange = 0; ///< Revision of the newest object seen.
   std::uint64_t Digest = 0;     ///< Hash of all objects' names and revisions.
   Duration Age{};               ///< Time since the platform last responded.
+  std::uint64_t Era = 0; ///< Of the platform, in which LastChange counts.
 };
 
 /// Changes of the objects of a kind, forwarded to processes that do not watch.
@@ -54,6 +61,7 @@
   std::uint64_t Since = 0;    ///< The changes start after this revision
   std::uint64_t Revision = 0; ///< and are complete up to this one.
   std::vector<PlatformObject> Objects;
+  std::uint64_t Era = 0; ///< Of the platform, in which the revisions count.
 };
 
 struct ObjectWatcherSettings {
@@ -114,7 +122,9 @@
   /// Sets the delay between a change and the next watch, which batches several
   /// changes into one call.
   void setBatchDelay(Duration Delay) { this->BatchDelay = Delay; }
-  /// Returns the progress to report to peers.
+  /// Returns whether there is progress to report to peers: everything was
+  /// listed in the current era.
+  bool hasProgress() const { return this->HasRevision; }
   WatchProgress progress(TimePoint Now) const;
   /// Handles the progress that a peer reported.
   void notePeerProgress(const WatchProgress &Peer, TimePoint Now);
@@ -131,6 +141,8 @@
   void onWatch(const PlatformList &Result);
   void retry();
   void onResponse();
+  void listAnew();
+  void dropEra(const EraChange &Change);
   bool isCurrent() const;
   void awaitChanges();
   bool areUpdatesSufficient() const;
@@ -152,14 +164,17 @@
   bool IsLongPoll = false; ///< The pending call uses LongWait.
   bool ExpectsUpdates = false;
   bool IsIdle = false; ///< No call is pending; peers forward changes.
-  /// Incremented with each watch; responses to earlier ones are ignored.
+  /// Incremented with each call; responses to earlier ones are ignored.
   std::uint64_t Generation = 0;
   std::optional<TimePoint> BehindSince;
   std::map<std::string, std::uint64_t> Known; ///< Revision by name.
   std::uint64_t LastChange = 0;
   std::uint64_t Digest = 0;
+  bool IsEraDoubted = false; ///< A peer reports a newer era.
+  bool IsStarted = false;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   sigc::connection Timer;
+  sigc::connection EraChanges;
 };
 
 } // namespace galenaroute
--- a/tests/FakePlatform.h
+++ b/tests/FakePlatform.h
@@ -30,11 +30,30 @@
   std::vector<VmRecord> Vms;
   int Writes = 0; ///< Executed writes, including conflicts.
   int Reads = 0;
+  /// The era that answers tell; zero for a platform that tells none.
+  std::uint64_t StoreEra = 0;
+
+  /// Writes an object at once, as an operator would.
+  void addObject(const ObjectKey &Key) {
+    this->Objects[Key.Kind][Key.Name] = {Key, ++this->Revision, false, {}};
+  }
+
+  /// Copies all objects for restore().
+  void keepCopy() { this->Copy = {this->Objects, this->Revision}; }
+  /// Returns to the copy: what was written since is gone, its revisions are
+  /// given out again, and a new era begins.
+  void restore() {
+    this->Objects = this->Copy.Objects;
+    this->Revision = this->Copy.Revision;
+    ++this->StoreEra;
+  }
 
   void get(const ObjectKey &Key, OnResult Done) override {
-    this->enqueue([this, Key, Done] {
+    this->enqueue([this, Key, Done, Begun = this->Era.current()] {
       ++this->Reads;
-      Done(this->Outage ? PlatformResult{} : this->read(Key));
+      PlatformResult Result = this->Outage ? PlatformResult{} : this->read(Key);
+      this->judge(Result.Status, EraUse::None, Begun);
+      Done(Result);
     });
   }
 
@@ -56,33 +75,38 @@
 
   void list(const std::string &Kind, const std::string &Prefix,
             const std::string &After, OnList Done) override {
-    this->enqueue([this, Kind, Prefix, After, Done] {
-      ++this->Reads;
-      PlatformList Result;
-      if (!this->Outage) {
-        Result.Status = PlatformStatus::Ok;
-        Result.Revision = this->Revision;
-        for (const auto &[Name, Object] : this->Objects[Kind])
-          if (!Object.Deleted && Name.starts_with(Prefix) && Name > After)
-            Result.Objects.push_back(Object);
-      }
-      Done(Result);
-    });
+    this->enqueue(
+        [this, Kind, Prefix, After, Done, Begun = this->Era.current()] {
+          ++this->Reads;
+          PlatformList Result;
+          if (!this->Outage) {
+            Result.Status = PlatformStatus::Ok;
+            Result.Revision = this->Revision;
+            for (const auto &[Name, Object] : this->Objects[Kind])
+              if (!Object.Deleted && Name.starts_with(Prefix) && Name > After)
+                Result.Objects.push_back(Object);
+          }
+          this->judge(Result.Status, EraUse::None, Begun);
+          Done(Result);
+        });
   }
 
   /// Responds at once, even when nothing has changed.
   void watch(const std::string &Kind, std::uint64_t Since, Duration,
              OnList Done) override {
-    this->enqueue([this, Kind, Since, Done] {
+    this->enqueue([this, Kind, Since, Done, Begun = this->Era.current()] {
       ++this->Reads;
       PlatformList Result;
-      if (!this->Outage) {
+      if (!this->Outage && Since > this->Revision) {
+        Result.Status = PlatformStatus::Expired;
+      } else if (!this->Outage) {
         Result.Status = PlatformStatus::Ok;
         Result.Revision = this->Revision;
         for (const auto &[Name, Object] : this->Objects[Kind])
           if (Object.Version > Since)
             Result.Objects.push_back(Object);
       }
+      this->judge(Result.Status, EraUse::Position, Begun);
       Done(Result);
     });
   }
@@ -147,16 +171,19 @@
 
   void enqueueWrite(std::function<PlatformResult()> Write, OnResult Done) {
     auto Reply = std::make_shared<OnResult>(std::move(Done));
-    this->Calls.push_back({[Write = std::move(Write), Reply] {
-                             const PlatformResult Result = Write();
-                             if (*Reply)
-                               (*Reply)(Result);
-                           },
-                           [Reply] {
-                             const OnResult Last = std::move(*Reply);
-                             *Reply = nullptr;
-                             Last({PlatformStatus::Unknown, {}});
-                           }});
+    this->Calls.push_back(
+        {[this, Write = std::move(Write), Reply, Begun = this->Era.current()] {
+           PlatformResult Result = Write();
+           if (!*Reply)
+             return;
+           this->judge(Result.Status, EraUse::Condition, Begun);
+           (*Reply)(Result);
+         },
+         [Reply] {
+           const OnResult Last = std::move(*Reply);
+           *Reply = nullptr;
+           Last({PlatformStatus::Unknown, {}});
+         }});
   }
 
   PlatformResult write(const ObjectKey &Key, std::uint64_t IfVersion,
@@ -181,7 +208,20 @@
     return {PlatformStatus::Ok, {Key, Stored.Version, false, {}}};
   }
 
-  std::map<std::string, std::map<std::string, PlatformObject>> Objects;
+  /// Notes the era of an answer that was received.
+  void judge(PlatformStatus &Status, EraUse Use, std::uint64_t Begun) {
+    const bool IsAnswered = !this->Outage && Status != PlatformStatus::Unknown;
+    if (IsAnswered)
+      Status = statusInEra(Status, this->StoreEra, this->Era, Use, Begun);
+  }
+
+  using ObjectsByKind =
+      std::map<std::string, std::map<std::string, PlatformObject>>;
+  ObjectsByKind Objects;
+  struct {
+    ObjectsByKind Objects;
+    std::uint64_t Revision = 0;
+  } Copy;
   std::deque<Pending> Calls;
   std::uint64_t Revision = 0;
 };
--- a/tests/ObjectWatcherTest.cpp
+++ b/tests/ObjectWatcherTest.cpp
@@ -250,5 +250,143 @@
   EXPECT_EQ(Other.Api.Watches.size(), Calls + 1);
 }
 
+/// A watcher of a platform that answers watches at once.
+struct EraFixture {
+  explicit EraFixture(EventLoop &Loop)
+      : Watcher(Loop, Api, "k", {},
+                {.OnObject =
+                     [this](const PlatformObject &Object) {
+                       if (Object.Deleted)
+                         this->Names.erase(Object.Key.Name);
+                       else
+                         this->Names.insert(Object.Key.Name);
+                     },
+                 .OnListed =
+                     [this](const std::set<std::string> &Listed) {
+                       this->Names = Listed;
+                       ++this->Lists;
+                     }}) {
+    this->Api.StoreEra = 1;
+    this->write("a");
+    this->Api.keepCopy();
+    this->Watcher.start();
+    this->step();
+  }
+  void write(const std::string &Name) {
+    this->Api.put({"k", Name}, 1, Platform::MustNotExist,
+                  [](const PlatformResult &) {});
+    this->Api.stepAt(this->Api.pending() - 1);
+  }
+  /// Executes the calls that are pending now.
+  void step() { this->Api.drain(static_cast<int>(this->Api.pending())); }
+
+  testing_support::FakePlatform Api;
+  std::set<std::string> Names;
+  int Lists = 0;
+  ObjectWatcher Watcher;
+};
+
+// Guards against a watch that continues from a revision of the era before: once
+// the restored platform has passed that number, changes below it are missed.
+TEST_F(ObjectWatcherTest, ChangesBelowTheFormerRevisionAreSeenInANewEra) {
+  EraFixture Here(this->Loop);
+  Here.write("b");
+  Here.write("c");
+  Here.step();
+  EXPECT_EQ(Here.Names, (std::set<std::string>{"a", "b", "c"}));
+  Here.Api.restore();
+  for (const char *Name : {"d", "e", "f"})
+    Here.Api.addObject({"k", Name});
+  for (int I = 0; I < 3; ++I)
+    Here.step();
+  EXPECT_EQ(Here.Names, (std::set<std::string>{"a", "d", "e", "f"}));
+  Here.Api.addObject({"k", "g"});
+  Here.step();
+  EXPECT_TRUE(Here.Names.contains("g"));
+}
+
+// Guards against a restoration that goes unnoticed while the own watch is
+// silent.
+TEST_F(ObjectWatcherTest, APeersNewerEraLeadsToAList) {
+  EraFixture Here(this->Loop);
+  const int Before = Here.Lists;
+  const TimePoint Now = EventLoop::now();
+  const WatchProgress Unaware = Here.Watcher.progress(Now);
+  WatchProgress Peer = Unaware;
+  ++Peer.Era;
+  Peer.LastChange = 1;
+  Here.Watcher.notePeerProgress(Peer, Now);
+  Here.Watcher.notePeerProgress(Unaware, Now);
+  Here.Watcher.check(Now + 500ms);
+  Here.step();
+  EXPECT_EQ(Here.Lists, Before + 1);
+}
+
+// Guards against progress of the era before, whose revisions are higher, that
+// makes a current view count as behind.
+TEST_F(ObjectWatcherTest, ProgressOfAnEarlierEraIsIgnored) {
+  EraFixture Here(this->Loop);
+  Here.write("b");
+  Here.step();
+  const TimePoint Now = EventLoop::now();
+  WatchProgress Unaware = Here.Watcher.progress(Now);
+  Unaware.LastChange += 10;
+  Here.Api.restore();
+  for (int I = 0; I < 3; ++I)
+    Here.step();
+  const int Lists = Here.Lists;
+  Here.Watcher.notePeerProgress(Unaware, Now);
+  Here.Watcher.check(Now + 500ms);
+  Here.step();
+  EXPECT_EQ(Here.Lists, Lists);
+  EXPECT_EQ(Here.Watcher.progress(Now).Era, 2U);
+  EXPECT_LT(Here.Watcher.progress(Now).LastChange, Unaware.LastChange);
+}
+
+// Guards against applying changes of another era, whose revisions say nothing
+// about the own position.
+TEST_F(ObjectWatcherTest, ForwardedChangesOfAnotherEraAreIgnored) {
+  EraFixture Here(this->Loop);
+  Here.Watcher.setSecondary(true);
+  Here.Watcher.expectUpdates(true);
+  for (int I = 0; I < 3; ++I)
+    Here.step();
+  Here.Watcher.receive({"k", 1, 9, {{{"k", "x"}, 9, false, {}}}, /*Era=*/2});
+  EXPECT_FALSE(Here.Names.contains("x"));
+  Here.Watcher.receive({"k", 1, 9, {{{"k", "y"}, 9, false, {}}}, /*Era=*/1});
+  EXPECT_TRUE(Here.Names.contains("y"));
+}
+
+TEST(PlatformEraTest, OnlyARiseAfterTheFirstAnswerIsAChange) {
+  PlatformEra Era;
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> Changes;
+  Era.Changed.connect([&](const EraChange &Change) {
+    Changes.emplace_back(Change.Before, Change.Now);
+  });
+  EXPECT_TRUE(Era.note(4));
+  EXPECT_TRUE(Era.note(4));
+  EXPECT_TRUE(Changes.empty());
+  EXPECT_TRUE(Era.note(6));
+  EXPECT_FALSE(Era.note(5)) << "a late answer of an earlier era";
+  EXPECT_TRUE(Era.note(0)) << "an answer that tells no era";
+  EXPECT_EQ(Era.current(), 6U);
+  EXPECT_EQ(Changes, (decltype(Changes){{4, 6}}));
+}
+
+// Guards against a write that counts as done although it replaced another
+// value: its version was given out again after a restoration.
+TEST(PlatformEraTest, AWriteAnsweredInALaterEraIsUnknown) {
+  PlatformEra Era;
+  Era.note(1);
+  EXPECT_EQ(statusInEra(PlatformStatus::Ok, 2, Era, EraUse::Condition, 1),
+            PlatformStatus::Unknown);
+  EXPECT_EQ(statusInEra(PlatformStatus::Ok, 2, Era, EraUse::None, 1),
+            PlatformStatus::Ok);
+  EXPECT_EQ(statusInEra(PlatformStatus::Ok, 2, Era, EraUse::Position, 1),
+            PlatformStatus::Expired);
+  EXPECT_EQ(statusInEra(PlatformStatus::Ok, 1, Era, EraUse::None, 1),
+            PlatformStatus::Unknown);
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/StatusExchangeTest.cpp
+++ b/tests/StatusExchangeTest.cpp
@@ -415,7 +415,8 @@
 }
 
 TEST(GossipMessagesTest, ObjectUpdatesAndUseIncrementsRoundTrip) {
-  const ObjectUpdates Update{"k", 4, 9, {{{"k", "a"}, 8, false, {{"x", 1}}}}};
+  const ObjectUpdates Update{
+      "k", 4, 9, {{{"k", "a"}, 8, false, {{"x", 1}}}}, /*Era=*/3};
   const auto Read = decodeGossip(encodeGossip({.Objects = Update})).Objects;
   ASSERT_TRUE(Read);
   EXPECT_EQ(Read->Kind, "k");
