FakePlatform: several processes may share one store that can be restored

Each process learns the era of the platform by its own answers, so a test of several processes needs a connection for each. Change: FakeStore holds the data and can return to a copy; a FakePlatform is one process's connection to it.

--- a/tests/FakePlatform.h
+++ b/tests/FakePlatform.h
@@ -19,8 +19,46 @@
 
 namespace galenaroute::testing_support {
 
+/// The data of one platform, which several FakePlatforms may serve.
+struct FakeStore {
+  using ObjectsByKind =
+      std::map<std::string, std::map<std::string, PlatformObject>>;
+  ObjectsByKind Objects;
+  std::uint64_t Revision = 0;
+  /// The era that answers tell; zero for a platform that tells none.
+  std::uint64_t Era = 0;
+
+  /// Writes an object at once, as an operator would.
+  void write(const ObjectKey &Key, const nlohmann::json &Value = {}) {
+    this->Objects[Key.Kind][Key.Name] = {Key, ++this->Revision, false, Value};
+  }
+  /// Copies all objects for restore().
+  void keepCopy() {
+    this->CopiedObjects = this->Objects;
+    this->CopiedRevision = this->Revision;
+  }
+  /// Returns to the copy: what was written since is gone, its revisions are
+  /// given out again, and a new era begins.
+  void restore() {
+    this->Objects = this->CopiedObjects;
+    this->Revision = this->CopiedRevision;
+    ++this->Era;
+  }
+
+private:
+  ObjectsByKind CopiedObjects;
+  std::uint64_t CopiedRevision = 0;
+};
+
 class FakePlatform : public Platform {
 public:
+  FakePlatform() = default;
+  /// A connection of one process to a platform that others use, too. Each
+  /// process learns the era by its own answers.
+  explicit FakePlatform(std::shared_ptr<FakeStore> Store)
+      : Store(std::move(Store)) {}
+
+  const std::shared_ptr<FakeStore> Store = std::make_shared<FakeStore>();
   /// While true, calls end with Unavailable and have no effect.
   bool Outage = false;
   /// The number of next writes that take effect but end with Unknown.
@@ -30,23 +68,6 @@
   std::vector<VmRecord> Vms;
   int Writes = 0; ///< Executed writes, including conflicts.
   int Reads = 0;
-  /// The era that answers tell; zero for a platform that tells none.
-  std::uint64_t StoreEra = 0;
-
-  /// Writes an object at once, as an operator would.
-  void addObject(const ObjectKey &Key) {
-    this->Objects[Key.Kind][Key.Name] = {Key, ++this->Revision, false, {}};
-  }
-
-  /// Copies all objects for restore().
-  void keepCopy() { this->Copy = {this->Objects, this->Revision}; }
-  /// Returns to the copy: what was written since is gone, its revisions are
-  /// given out again, and a new era begins.
-  void restore() {
-    this->Objects = this->Copy.Objects;
-    this->Revision = this->Copy.Revision;
-    ++this->StoreEra;
-  }
 
   void get(const ObjectKey &Key, OnResult Done) override {
     this->enqueue([this, Key, Done, Begun = this->Era.current()] {
@@ -81,8 +102,8 @@
           PlatformList Result;
           if (!this->Outage) {
             Result.Status = PlatformStatus::Ok;
-            Result.Revision = this->Revision;
-            for (const auto &[Name, Object] : this->Objects[Kind])
+            Result.Revision = this->Store->Revision;
+            for (const auto &[Name, Object] : this->Store->Objects[Kind])
               if (!Object.Deleted && Name.starts_with(Prefix) && Name > After)
                 Result.Objects.push_back(Object);
           }
@@ -97,12 +118,12 @@
     this->enqueue([this, Kind, Since, Done, Begun = this->Era.current()] {
       ++this->Reads;
       PlatformList Result;
-      if (!this->Outage && Since > this->Revision) {
+      if (!this->Outage && Since > this->Store->Revision) {
         Result.Status = PlatformStatus::Expired;
       } else if (!this->Outage) {
         Result.Status = PlatformStatus::Ok;
-        Result.Revision = this->Revision;
-        for (const auto &[Name, Object] : this->Objects[Kind])
+        Result.Revision = this->Store->Revision;
+        for (const auto &[Name, Object] : this->Store->Objects[Kind])
           if (Object.Version > Since)
             Result.Objects.push_back(Object);
       }
@@ -152,7 +173,7 @@
 
   /// Reads an object regardless of injected faults.
   PlatformResult read(const ObjectKey &Key) {
-    const auto &Kind = this->Objects[Key.Kind];
+    const auto &Kind = this->Store->Objects[Key.Kind];
     const auto It = Kind.find(Key.Name);
     if (It == Kind.end() || It->second.Deleted)
       return {PlatformStatus::NotFound, {}};
@@ -198,8 +219,8 @@
     const PlatformResult Old = this->read(Key);
     if (Old.Object.Version != IfVersion)
       return {PlatformStatus::Conflict, Old.Object};
-    PlatformObject &Stored = this->Objects[Key.Kind][Key.Name];
-    Stored = {Key, ++this->Revision, Value == nullptr,
+    PlatformObject &Stored = this->Store->Objects[Key.Kind][Key.Name];
+    Stored = {Key, ++this->Store->Revision, Value == nullptr,
               Value ? *Value : nlohmann::json()};
     if (this->LoseReplies > 0) {
       --this->LoseReplies;
@@ -212,18 +233,10 @@
   void judge(PlatformStatus &Status, EraUse Use, std::uint64_t Begun) {
     const bool IsAnswered = !this->Outage && Status != PlatformStatus::Unknown;
     if (IsAnswered)
-      Status = statusInEra(Status, this->StoreEra, this->Era, Use, Begun);
+      Status = statusInEra(Status, this->Store->Era, this->Era, Use, Begun);
   }
 
-  using ObjectsByKind =
-      std::map<std::string, std::map<std::string, PlatformObject>>;
-  ObjectsByKind Objects;
-  struct {
-    ObjectsByKind Objects;
-    std::uint64_t Revision = 0;
-  } Copy;
   std::deque<Pending> Calls;
-  std::uint64_t Revision = 0;
 };
 
 } // namespace galenaroute::testing_support
--- a/tests/ObjectWatcherTest.cpp
+++ b/tests/ObjectWatcherTest.cpp
@@ -266,9 +266,9 @@
                        this->Names = Listed;
                        ++this->Lists;
                      }}) {
-    this->Api.StoreEra = 1;
+    this->Api.Store->Era = 1;
     this->write("a");
-    this->Api.keepCopy();
+    this->Api.Store->keepCopy();
     this->Watcher.start();
     this->step();
   }
@@ -294,13 +294,13 @@
   Here.write("c");
   Here.step();
   EXPECT_EQ(Here.Names, (std::set<std::string>{"a", "b", "c"}));
-  Here.Api.restore();
+  Here.Api.Store->restore();
   for (const char *Name : {"d", "e", "f"})
-    Here.Api.addObject({"k", Name});
+    Here.Api.Store->write({"k", Name});
   for (int I = 0; I < 3; ++I)
     Here.step();
   EXPECT_EQ(Here.Names, (std::set<std::string>{"a", "d", "e", "f"}));
-  Here.Api.addObject({"k", "g"});
+  Here.Api.Store->write({"k", "g"});
   Here.step();
   EXPECT_TRUE(Here.Names.contains("g"));
 }
@@ -331,7 +331,7 @@
   const TimePoint Now = EventLoop::now();
   WatchProgress Unaware = Here.Watcher.progress(Now);
   Unaware.LastChange += 10;
-  Here.Api.restore();
+  Here.Api.Store->restore();
   for (int I = 0; I < 3; ++I)
     Here.step();
   const int Lists = Here.Lists;
