Lease: a record and its fence belong to an era of the platform

After the store was restored from a copy, a frozen holder found its own old record again and gave orders for 13 s with a fence below that of the holder which had taken over (ONE: fence 1 after fence 2).

Cause: the fence was the stored number plus one, and a record with one's own name counted as held. Both numbers go back with the store. In addition, a conditional write with a version of the former copy can match a version that was given out again.

Ruled out: remembering the highest fence seen, which a process that starts in the new era has not seen; asking peers, which may be cut off.

Change: each era has an object of its own, so that no write of an earlier era can affect it, and fences begin with the era (2^24 of them each). At a change of the era a process drops its lease. The first holder of an era waits until every holder of an earlier one has stopped acting for a term, unless it held the lease itself in the era before. A log line lease.era tells both eras, the fence and whether the lease was held.

--- a/src/version/Lease.cpp
+++ b/src/version/Lease.cpp
@@ -2,6 +2,8 @@
 
 #include "process/ErrorKind.h"
 
+#include <algorithm>
+
 namespace galenaroute {
 
 using nlohmann::json;
@@ -23,6 +25,27 @@
   }
 }
 
+std::string leaseName(std::string_view Lease, std::uint64_t Era) {
+  std::string Name(Lease);
+  if (Era > 0)
+    Name += ".era-" + std::to_string(Era);
+  return Name;
+}
+
+void enterEra(LeaseState &State, std::uint64_t Era, TimePoint Now) {
+  // Without a stay in between, nobody else has held the lease in the era
+  // before, so the present holder need not wait for itself.
+  const bool IsHolder = holdsLease(State, Now) && Era == State.Era + 1;
+  const LeaseSettings &Settings = State.Settings;
+  LeaseState Next(Settings);
+  Next.Era = Era;
+  // The last write of a holder of an earlier era was before now.
+  Next.EraActsFrom =
+      IsHolder ? State.ActsFrom : Now + Settings.Term * 2 - Settings.Margin;
+  Next.Writes = State.Writes;
+  State = std::move(Next);
+}
+
 static bool isOwnRecord(const LeaseState &State) {
   return State.Known && State.Record.Holder == State.Settings.Self;
 }
@@ -44,6 +67,12 @@
   return LeaseAction::Read;
 }
 
+/// Returns whether nobody can have acted in the term before \p Now, going by
+/// the known record.
+static bool isKnownIdle(const LeaseState &State, TimePoint Now) {
+  return State.Version == 0 ? Now >= State.EraActsFrom : State.Record.Idle;
+}
+
 /// Returns whether the holder may declare that nobody has acted for a term. An
 /// acquisition that was not confirmed has left ActsFrom unchanged.
 static bool mayBecomeIdle(const LeaseState &State, TimePoint Now) {
@@ -83,15 +112,16 @@
   if (!Wanted)
     return LeaseAction::Wait;
   const bool Free = State.Version == 0 || State.Record.Holder.empty();
-  const bool IsIdle = State.Version == 0 || State.Record.Idle;
+  const bool IsIdle = isKnownIdle(State, Now);
   const bool Lapsed = Now >= State.VersionSince + Settings.Term -
                                  (IsIdle ? Settings.Margin : Duration::zero());
   if (!Free && !Lapsed)
     return IsReadDue ? read(State) : LeaseAction::Wait;
   // If the version has changed since the last read, the write fails and the
   // object is read again.
-  return write(State, Settings.Self, State.Record.Fence + 1, IsIdle && !Acts,
-               Now);
+  const std::uint64_t Last =
+      std::max(State.Record.Fence, State.Era * FencesPerEra);
+  return write(State, Settings.Self, Last + 1, IsIdle && !Acts, Now);
 }
 
 /// Returns a term after the last time at which the holder of the known record,
@@ -99,7 +129,9 @@
 /// between that record and a write of this process.
 static TimePoint actsAfterKnown(const LeaseState &State) {
   const LeaseSettings &Settings = State.Settings;
-  if (State.Version == 0 || State.Record.Idle)
+  if (State.Version == 0)
+    return State.EraActsFrom;
+  if (State.Record.Idle)
     return {};
   // A holder that resigned stopped before that write, any other one a margin
   // before the end of the term that its last write started.
--- a/src/version/Lease.h
+++ b/src/version/Lease.h
@@ -17,6 +17,17 @@
 // has acquired the lease meanwhile. So an idle lease can be acquired sooner,
 // and its next holder need not wait for orders of the previous one.
 //
+// The platform may be restored from an old copy, see PlatformEra.h. Then the
+// record and its version mean nothing any more, so each era has an object of
+// its own, and a write that relies on an earlier era cannot affect it. In a new
+// era, an acquisition needs no earlier record: fencing numbers begin with the
+// era, and the new holder waits until every holder of an earlier era has
+// stopped acting for a term.
+//
+//   if (State.Era != Api.Era.current())
+//     enterEra(State, Api.Era.current(), Now);
+//   Api.get({"lease", leaseName("model-a", State.Era)}, ...);
+//
 // Guarantees: the fencing number increases with each new holder, and no two
 // holders ever have the same one, because each is written by conditional
 // update. holdsLease() becomes false before any contender that is never paused
@@ -51,6 +62,13 @@
 /// Throws Error(BadRequest) when \p Value is not a lease record.
 LeaseRecord leaseFromJson(const nlohmann::json &Value);
 
+/// Fencing numbers of one era. A lease that changed hands each second would use
+/// them up in half a year; the product with the era stays exact in a double.
+inline constexpr std::uint64_t FencesPerEra = 1 << 24;
+
+/// Returns the name of the object of lease \p Lease in era \p Era.
+std::string leaseName(std::string_view Lease, std::uint64_t Era);
+
 /// Identity of the contender and timing of the lease.
 struct LeaseSettings {
   std::string Self; ///< Unique for each start of each process.
@@ -66,6 +84,11 @@
   explicit LeaseState(LeaseSettings Settings) : Settings(std::move(Settings)) {}
 
   LeaseSettings Settings;
+  /// The era of the platform to which the fields below belong.
+  std::uint64_t Era = 0;
+  /// A term after the last time at which a holder of an earlier era can have
+  /// acted.
+  TimePoint EraActsFrom;
   bool Known = false; ///< Whether the object was read at least once.
   LeaseRecord Record;
   std::uint64_t Version = 0; ///< Zero when the object does not exist.
@@ -95,6 +118,11 @@
   Act,     ///< As Hold, and be allowed to act.
 };
 
+/// Drops what belongs to an earlier era of the platform. To be called before
+/// any other function when the era differs from State.Era, also at the start.
+/// Results of calls from an earlier era must not be handed over.
+void enterEra(LeaseState &State, std::uint64_t Era, TimePoint Now);
+
 /// Decides the next call to the platform. For Write, State.Written and
 /// State.Version are the value and the condition. A lease is acquired only with
 /// LeaseInterest::Hold or Act, and from another holder only when it has been
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -7,8 +7,8 @@
 
 namespace galenaroute {
 
-static ObjectKey leaseKey(const std::string &Service) {
-  return {"lease", Service};
+static ObjectKey leaseKey(const std::string &Service, std::uint64_t Era) {
+  return {"lease", leaseName(Service, Era)};
 }
 
 std::unique_ptr<OrderController> OrderControllerBuilder::build() {
@@ -62,6 +62,7 @@
 bool OrderController::holds(std::string_view Service) const {
   const auto It = this->Services.find(std::string(Service));
   return It != this->Services.end() &&
+         It->second.Lease.Era == this->Store.Era.current() &&
          holdsLease(It->second.Lease, EventLoop::now());
 }
 
@@ -107,16 +108,35 @@
                                                 : LeaseInterest::Hold;
 }
 
+/// Drops a lease that belongs to an earlier era of the platform.
+void OrderController::updateEra(const std::string &Service, LeaseState &Lease,
+                                TimePoint Now) {
+  const std::uint64_t Era = this->Store.Era.current();
+  if (Lease.Era == Era)
+    return;
+  log(LogLevel::Info, "lease.era",
+      {{"service", Service},
+       {"era", std::to_string(Era)},
+       {"before", std::to_string(Lease.Era)},
+       {"fence", std::to_string(Lease.Fence)},
+       {"held", holdsLease(Lease, Now) ? "yes" : "no"}});
+  enterEra(Lease, Era, Now);
+}
+
 void OrderController::stepLease(const std::string &Service, TimePoint Now) {
   LeaseState &Lease = this->find(Service)->Lease;
-  const auto OnResult = [this, Service,
+  this->updateEra(Service, Lease, Now);
+  const auto OnResult = [this, Service, Era = Lease.Era,
                          Alive = std::weak_ptr(this->Alive)](auto Handle) {
-    return [this, Service, Alive, Handle](const PlatformResult &Result) {
+    return [this, Service, Era, Alive, Handle](const PlatformResult &Result) {
       if (Alive.expired())
         return;
       ServiceState *State = this->find(Service);
       if (!State)
         return;
+      this->updateEra(Service, State->Lease, EventLoop::now());
+      if (State->Lease.Era != Era)
+        return;
       try {
         Handle(State->Lease, Result, EventLoop::now());
       } catch (const Error &Failure) {
@@ -129,17 +149,18 @@
   case LeaseAction::Wait:
     return;
   case LeaseAction::Read:
-    this->Store.get(leaseKey(Service), OnResult(onLeaseRead));
+    this->Store.get(leaseKey(Service, Lease.Era), OnResult(onLeaseRead));
     return;
   case LeaseAction::Write:
-    this->Store.put(leaseKey(Service), toJson(Lease.Written), Lease.Version,
-                    OnResult(onLeaseWritten));
+    this->Store.put(leaseKey(Service, Lease.Era), toJson(Lease.Written),
+                    Lease.Version, OnResult(onLeaseWritten));
     return;
   }
 }
 
 void OrderController::stepRollout(const ServiceConfig &Service, TimePoint Now) {
   ServiceState &State = *this->find(Service.Name);
+  this->updateEra(Service.Name, State.Lease, Now);
   const bool Held = holdsLease(State.Lease, Now);
   if (Held != State.WasHeld) {
     this->record(Held ? "lease.held" : "lease.lost",
--- a/tests/LeaseTest.cpp
+++ b/tests/LeaseTest.cpp
@@ -412,5 +412,244 @@
             100 * 100ms / Only.State.Settings.RenewEvery + 1);
 }
 
+/// Contenders that learn by their own answers that the platform was restored.
+class RestoredHistory {
+public:
+  struct Process {
+    explicit Process(const std::string &Name,
+                     const std::shared_ptr<testing_support::FakeStore> &Store)
+        : Api(std::make_unique<FakePlatform>(Store)), State({.Self = Name}) {}
+    std::unique_ptr<FakePlatform> Api;
+    LeaseState State;
+    std::optional<TimePoint> ActedAt;
+  };
+
+  explicit RestoredHistory(std::size_t Count) {
+    this->Store->Era = 1;
+    for (std::size_t I = 0; I < Count; ++I)
+      this->start("entry-" + std::to_string(I));
+  }
+
+  void start(const std::string &Name) {
+    this->Processes.push_back(std::make_unique<Process>(Name, this->Store));
+    // A process reads its configuration before it contends for a lease.
+    Process &Started = *this->Processes.back();
+    Started.Api->get(this->keyOf(Started), [](const PlatformResult &) {});
+    Started.Api->drain();
+  }
+
+  /// Replaces a process by one that knows nothing.
+  void restart(std::size_t Index) {
+    const std::string Name = "restarted-" + std::to_string(++this->Restarts) +
+                             "-" + std::to_string(Index);
+    this->start(Name);
+    // The actions of the former process still count.
+    std::swap(this->Processes[Index], this->Processes.back());
+    this->Ended.push_back(std::move(this->Processes.back()));
+    this->Processes.pop_back();
+  }
+
+  ObjectKey keyOf(const Process &Of) const {
+    return {"lease", leaseName("steward-models", Of.State.Era)};
+  }
+
+  void updateEra(Process &Each) {
+    if (Each.State.Era != Each.Api->Era.current())
+      enterEra(Each.State, Each.Api->Era.current(), this->Now);
+  }
+
+  void step(std::size_t Index) {
+    Process &Each = *this->Processes[Index % this->Processes.size()];
+    this->updateEra(Each);
+    const auto Handle = [this, &Each, Era = Each.State.Era](auto Function) {
+      return [this, &Each, Era, Function](const PlatformResult &Result) {
+        this->updateEra(Each);
+        if (Each.State.Era == Era)
+          Function(Each.State, Result, this->Now);
+      };
+    };
+    switch (nextLeaseAction(Each.State, this->Now, LeaseInterest::Act)) {
+    case LeaseAction::Wait:
+      break;
+    case LeaseAction::Read:
+      Each.Api->get(this->keyOf(Each), Handle(onLeaseRead));
+      break;
+    case LeaseAction::Write:
+      Each.Api->put(this->keyOf(Each), toJson(Each.State.Written),
+                    Each.State.Version, Handle(onLeaseWritten));
+      break;
+    }
+  }
+
+  void deliver(std::size_t Index) {
+    FakePlatform &Api = *this->Processes[Index % this->Processes.size()]->Api;
+    if (Api.pending() > 0)
+      Api.stepAt(Index % Api.pending());
+  }
+
+  /// Lets a process act if it may, and checks its action against all others.
+  /// Returns an error, empty if there is none.
+  std::string act(std::size_t Index) {
+    Process &Each = *this->Processes[Index % this->Processes.size()];
+    this->updateEra(Each);
+    if (!mayAct(Each.State, this->Now))
+      return {};
+    std::string Error;
+    const auto CheckApart = [&](const Process &Other) {
+      if (&Other != &Each && Other.ActedAt &&
+          this->Now < *Other.ActedAt + Other.State.Settings.Term)
+        Error = "acts within a term of " + Other.State.Settings.Self;
+    };
+    for (const auto &Other : this->Processes)
+      CheckApart(*Other);
+    for (const auto &Other : this->Ended)
+      CheckApart(*Other);
+    const std::uint64_t Fence = Each.State.Fence;
+    if (Fence < this->HighestFence)
+      Error = "a lower fence after a higher one";
+    this->HighestFence = std::max(this->HighestFence, Fence);
+    const auto [It, IsNew] =
+        this->OwnerOfFence.emplace(Fence, Each.State.Settings.Self);
+    if (It->second != Each.State.Settings.Self)
+      Error = "the fence of " + It->second;
+    Each.ActedAt = this->Now;
+    ++this->Actions;
+    return Error;
+  }
+
+  /// Lets a process make calls, which are answered at once, for \p Length.
+  std::string run(std::size_t Index, Duration Length) {
+    const TimePoint End = this->Now + Length;
+    std::string Error;
+    for (; this->Now < End; this->Now += 100ms) {
+      this->step(Index);
+      this->Processes[Index]->Api->drain();
+      if (std::string Found = this->act(Index); !Found.empty())
+        Error = std::move(Found);
+    }
+    return Error;
+  }
+
+  TimePoint Now{1h};
+  std::shared_ptr<testing_support::FakeStore> Store =
+      std::make_shared<testing_support::FakeStore>();
+  std::vector<std::unique_ptr<Process>> Processes;
+  std::vector<std::unique_ptr<Process>> Ended;
+  std::map<std::uint64_t, std::string> OwnerOfFence;
+  std::uint64_t HighestFence = 0;
+  int Restarts = 0;
+  int Actions = 0;
+};
+
+// Guards against a fence that is given out twice, or after a higher one, and
+// against orders of two holders within a term, when the platform is restored
+// several times while processes stand still, restart or call late.
+RC_GTEST_PROP(LeaseTest, FencesGrowOverRestorations, ()) {
+  const auto Count = static_cast<std::size_t>(*rc::gen::inRange(2, 5));
+  RestoredHistory History(Count);
+  const int Steps = *rc::gen::inRange(1000, 6000);
+  for (int I = 0; I < Steps; ++I) {
+    const auto Index = static_cast<std::size_t>(*rc::gen::inRange(0, 1000));
+    const int Kind = *rc::gen::inRange(0, 1000);
+    if (Kind < 300)
+      History.step(Index);
+    else if (Kind < 600)
+      History.deliver(Index);
+    else if (Kind < 700)
+      RC_ASSERT(History.act(Index) == "");
+    else if (Kind < 950)
+      History.Now += Milliseconds(*rc::gen::inRange(1, 2000));
+    else if (Kind < 970)
+      History.Now += Milliseconds(*rc::gen::inRange(2000, 12000));
+    else if (Kind < 982)
+      History.Store->keepCopy();
+    else if (Kind < 990)
+      History.Store->restore();
+    else if (Kind < 994)
+      History.restart(Index % Count);
+    else if (Kind < 997)
+      History.Processes[Index % Count]->Api->LoseReplies = 1;
+    else
+      History.Processes[Index % Count]->Api->Outage =
+          !History.Processes[Index % Count]->Api->Outage;
+  }
+  RC_CLASSIFY(History.Actions > 0, "acted");
+  RC_CLASSIFY(History.Store->Era > 3, "several restorations");
+}
+
+// Guards against a frozen holder that finds its own record again after another
+// one took over and the platform was restored.
+TEST(LeaseTest, ARecordThatReappearsIsNotHeld) {
+  RestoredHistory History(2);
+  EXPECT_EQ(History.run(0, 30s), "");
+  const std::uint64_t First = History.Processes[0]->State.Fence;
+  ASSERT_GT(History.Actions, 0);
+  History.Store->keepCopy();
+  History.Processes[1]->Api->drain();
+  EXPECT_EQ(History.run(1, 40s), "");
+  const std::uint64_t Second = History.Processes[1]->State.Fence;
+  EXPECT_GT(Second, First);
+  History.Store->restore();
+  for (int I = 0; I < 100; ++I) {
+    EXPECT_EQ(History.run(0, 100ms), "");
+    EXPECT_EQ(History.run(1, 100ms), "");
+  }
+  EXPECT_GT(History.HighestFence, Second);
+}
+
+// Guards against a wait of the present holder for itself: a rollout under way
+// would stop for two terms.
+TEST(LeaseTest, TheHolderGoesOnInANewEra) {
+  RestoredHistory History(1);
+  EXPECT_EQ(History.run(0, 30s), "");
+  const LeaseState &State = History.Processes[0]->State;
+  ASSERT_TRUE(mayAct(State, History.Now));
+  History.Store->restore();
+  const TimePoint Restored = History.Now;
+  while (State.Era != 2 || !mayAct(State, History.Now))
+    EXPECT_EQ(History.run(0, 100ms), "");
+  EXPECT_LE(History.Now - Restored, State.Settings.RenewEvery + 1s);
+  EXPECT_EQ(State.Fence, 2 * FencesPerEra + 1);
+}
+
+// Guards against a new holder that acts while one of the era before, which has
+// not learned of the restoration yet, still may.
+TEST(LeaseTest, ANewHolderWaitsForThoseOfTheEraBefore) {
+  RestoredHistory History(1);
+  EXPECT_EQ(History.run(0, 30s), "");
+  const TimePoint LastAct = *History.Processes[0]->ActedAt;
+  History.Store->restore();
+  History.start("late");
+  const LeaseState &Late = History.Processes[1]->State;
+  while (!mayAct(Late, History.Now))
+    EXPECT_EQ(History.run(1, 100ms), "");
+  EXPECT_GE(History.Now - LastAct,
+            Late.Settings.Term * 2 - Late.Settings.Margin);
+}
+
+// Guards against a lease that nobody acquires after restorations.
+RC_GTEST_PROP(LeaseTest, IsAcquiredAfterRestorations, ()) {
+  RestoredHistory History(3);
+  const auto Script =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+  for (const int Each : Script) {
+    if (Each < 3)
+      History.run(static_cast<std::size_t>(Each), 2s);
+    else if (Each == 3)
+      History.Store->keepCopy();
+    else if (Each == 4)
+      History.Store->restore();
+    else
+      History.restart(1);
+  }
+  bool IsHeld = false;
+  for (int I = 0; I < 60 && !IsHeld; ++I)
+    for (std::size_t Each = 0; Each < 3; ++Each) {
+      RC_ASSERT(History.run(Each, 500ms) == "");
+      IsHeld |= mayAct(History.Processes[Each]->State, History.Now);
+    }
+  RC_ASSERT(IsHeld);
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/OrdersTest.cpp
+++ b/tests/OrdersTest.cpp
@@ -210,6 +210,27 @@
   EXPECT_EQ(this->Orders.Sent.size(), 2U);
 }
 
+// Guards against orders under a lease that a restoration of the platform took
+// away, and against a rollout that does not go on afterwards.
+TEST_F(OrderControllerTest, OrdersWithAFenceOfTheNewEraAfterARestoration) {
+  this->Store.Store->Era = 1;
+  this->Store.get({"config", "main"}, [](const PlatformResult &) {});
+  this->Store.drain();
+  auto Controller = this->make("entry-1#1");
+  this->run(*Controller, 900ms);
+  ASSERT_EQ(this->Orders.Sent.size(), 2U);
+  EXPECT_EQ(this->Orders.Sent.back().Fence, FencesPerEra + 1);
+  this->Store.Store->restore();
+  this->Service.WeightVersion = "v3";
+  auto Config = std::make_shared<Configuration>();
+  Config->Services["steward-models"] = this->Service;
+  Controller->setConfiguration(Config);
+  this->run(*Controller, 300ms);
+  ASSERT_EQ(this->Orders.Sent.size(), 4U);
+  for (std::size_t I = 2; I < 4; ++I)
+    EXPECT_EQ(this->Orders.Sent[I].Fence, 2 * FencesPerEra + 1) << I;
+}
+
 TEST_F(OrderControllerTest, SendsNothingDuringAPlatformOutage) {
   this->Store.Outage = true;
   auto Controller = this->make("entry-1#1");
