Histories of weights and crash records outlast a restoration of the platform

Processes that start after the store was restored from a copy found neither the dates of weights nor the records of crashing contents that the fleet had stored since the copy was made.

Cause: StoredWeights and the set of persisted keys said that they were stored, so nobody wrote them again. A conditional write that was under way over the restoration could replace a newer value whose version was given out again.

Change: the objects' names carry the era. At a change of the era, gateways forget what they stored; the next round writes it into the object of the new era. Processes that start read the objects of all eras. Dates that a process knows from a stored history are written again, too, without the allowance for clock errors that it had added. Log lines tell what was dropped and written.

--- a/src/connection/PlatformClient.h
+++ b/src/connection/PlatformClient.h
@@ -32,6 +32,7 @@
 struct ObjectKey {
   std::string Kind;
   std::string Name;
+  bool operator==(const ObjectKey &) const = default;
 };
 
 /// An object as stored. Versions come from one counter over all objects.
--- a/src/connection/PlatformEra.cpp
+++ b/src/connection/PlatformEra.cpp
@@ -4,6 +4,22 @@
 
 namespace galenaroute {
 
+static constexpr std::string_view EraSuffix = ".era-";
+
+std::string eraName(std::string_view Name, std::uint64_t Era) {
+  std::string Result(Name);
+  if (Era > 0)
+    Result.append(EraSuffix).append(std::to_string(Era));
+  return Result;
+}
+
+bool isNameInAnyEra(std::string_view ObjectName, std::string_view Name) {
+  if (!ObjectName.starts_with(Name))
+    return false;
+  ObjectName.remove_prefix(Name.size());
+  return ObjectName.empty() || ObjectName.starts_with(EraSuffix);
+}
+
 bool PlatformEra::note(std::uint64_t Era) {
   if (Era < this->Current) {
     // An answer without an era, such as one of a proxy, tells nothing.
--- a/src/connection/PlatformEra.h
+++ b/src/connection/PlatformEra.h
@@ -10,6 +10,11 @@
 // Revisions, conditions of writes, leases and the knowledge that something is
 // stored belong to the era in which they were obtained.
 //
+// The system's own objects have names that carry the era in which they were
+// written (eraName), so that a write whose condition belongs to an earlier era
+// cannot replace a value of a later one. Data that outlasts an era is read from
+// the objects of all eras and written again into that of the present one.
+//
 // Guarantees: the era never goes back. Changed is emitted once for each rise,
 // before the answer that told it is delivered, and not for the first answer of
 // a process, which has nothing to drop.
@@ -19,6 +24,8 @@
 
 #include <cstdint>
 #include <sigc++/sigc++.h>
+#include <string>
+#include <string_view>
 
 namespace galenaroute {
 
@@ -27,6 +34,12 @@
   std::uint64_t Now = 0;
 };
 
+/// Returns the name of the object \p Name that belongs to era \p Era.
+std::string eraName(std::string_view Name, std::uint64_t Era);
+
+/// Returns whether \p ObjectName is eraName(Name, Era) for any era.
+bool isNameInAnyEra(std::string_view ObjectName, std::string_view Name);
+
 class PlatformEra {
 public:
   /// Returns the newest era that an answer has told, zero before the first one
--- a/src/process/CrashExchange.cpp
+++ b/src/process/CrashExchange.cpp
@@ -51,9 +51,11 @@
 /// Between reads while this entry is isolated.
 static constexpr auto IsolatedReadPeriod = std::chrono::seconds(1);
 
-static const ObjectKey &storedKey() {
-  static const ObjectKey Key{"crashing-contents", "recent"};
-  return Key;
+static constexpr std::string_view StoredKind = "crashing-contents";
+static constexpr std::string_view StoredName = "recent";
+
+static ObjectKey storedKey(std::uint64_t Era) {
+  return {std::string(StoredKind), eraName(StoredName, Era)};
 }
 
 CrashExchange::CrashExchange(CrashExchangeParts Parts)
@@ -66,7 +68,18 @@
   this->RefusalsTimer.disconnect();
 }
 
-void CrashExchange::start() { this->sync(); }
+void CrashExchange::start() { this->readAllEras(); }
+
+void CrashExchange::onEraChanged() {
+  this->IsWritePending |= std::any_of(
+      this->Persisted.begin(), this->Persisted.end(),
+      [this](std::uint64_t Key) { return this->isAggregatorOf(Key); });
+  log(LogLevel::Info, "content.stored_dropped",
+      {{"keys", std::to_string(this->Persisted.size())},
+       {"writes_again", this->IsWritePending ? "yes" : "no"}});
+  if (this->IsWritePending)
+    this->syncLater(PersistDelay);
+}
 
 void CrashExchange::publish(std::uint64_t Key, std::size_t Cleared) {
   this->Pending[Key] |= Cleared >= CrashesToBroadcast;
@@ -320,17 +333,45 @@
       scaled(Delay, Spread(this->Random)), [this] { this->sync(); });
 }
 
+/// Reads the keys that were persisted in any era.
+void CrashExchange::readAllEras() {
+  this->IsSyncing = true;
+  this->SyncedAt = EventLoop::now();
+  this->Parts.Api.list(
+      std::string(StoredKind), {}, {},
+      [this, Alive = std::weak_ptr(this->Alive)](const PlatformList &Result) {
+        if (Alive.expired())
+          return;
+        this->IsSyncing = false;
+        if (Result.Status != PlatformStatus::Ok) {
+          this->syncLater(SyncRetry);
+          return;
+        }
+        this->HasReadAllEras = true;
+        for (const PlatformObject &Each : Result.Objects)
+          if (isNameInAnyEra(Each.Key.Name, StoredName))
+            this->restoreAll(Each);
+        if (this->IsWritePending)
+          this->sync();
+      });
+}
+
 /// Reads the persisted keys, and writes them back if there is a change.
 void CrashExchange::sync() {
   this->SyncTimer.disconnect();
   if (this->IsSyncing)
     return;
+  if (!this->HasReadAllEras) {
+    this->readAllEras();
+    return;
+  }
   this->IsSyncing = true;
   this->SyncedAt = EventLoop::now();
-  this->Parts.Api.get(storedKey(), [this, Alive = std::weak_ptr(this->Alive)](
-                                       const PlatformResult &Result) {
+  const ObjectKey Key = storedKey(this->Parts.Api.Era.current());
+  this->Parts.Api.get(Key, [this, Key, Alive = std::weak_ptr(this->Alive)](
+                               const PlatformResult &Result) {
     if (!Alive.expired())
-      this->onStored(Result);
+      this->onStored(Key, Result);
   });
 }
 
@@ -372,29 +413,42 @@
   return Result;
 }
 
-void CrashExchange::onStored(const PlatformResult &Result) {
+/// Merges the keys of a stored object. Returns the numbers of their crashes.
+std::map<std::uint64_t, std::size_t>
+CrashExchange::restoreAll(const PlatformObject &Stored) {
+  std::map<std::uint64_t, std::size_t> Crashes;
+  try {
+    for (const CrashReport &Each :
+         fromStored(Stored.Value, wallMilliseconds())) {
+      Crashes[Each.Key] = Each.Observations.size();
+      this->restore(Each);
+    }
+  } catch (const std::exception &Failure) {
+    // The next write replaces the malformed object.
+    log(LogLevel::Warn, "content.stored_malformed",
+        {{"name", Stored.Key.Name}, {"message", Failure.what()}});
+  }
+  return Crashes;
+}
+
+void CrashExchange::onStored(const ObjectKey &Key,
+                             const PlatformResult &Result) {
   this->IsSyncing = false;
   if (Result.Status != PlatformStatus::Ok &&
       Result.Status != PlatformStatus::NotFound) {
     this->syncLater(SyncRetry);
     return;
   }
-  // Number of stored crashes by key.
   std::map<std::uint64_t, std::size_t> Stored;
   if (Result.Status == PlatformStatus::Ok)
-    try {
-      for (const CrashReport &Each :
-           fromStored(Result.Object.Value, wallMilliseconds())) {
-        Stored[Each.Key] = Each.Observations.size();
-        this->restore(Each);
-      }
-    } catch (const std::exception &Failure) {
-      // The next write replaces the malformed object.
-      log(LogLevel::Warn, "content.stored_malformed",
-          {{"message", Failure.what()}});
-    }
+    Stored = this->restoreAll(Result.Object);
   if (!this->IsWritePending)
     return;
+  // The era has changed since the read.
+  if (!(Key == storedKey(this->Parts.Api.Era.current()))) {
+    this->sync();
+    return;
+  }
   this->IsWritePending = false;
   std::vector<CrashReport> Reports =
       this->suspectReports(CrashesToPersist, MaxCrashKeys);
@@ -411,9 +465,9 @@
     Wanted[Each.Key] = Each.Observations.size();
   // Another aggregator may have written the same.
   if (Wanted != Stored)
-    this->write(Reports, Result.Status == PlatformStatus::Ok
-                             ? Result.Object.Version
-                             : Platform::MustNotExist);
+    this->write(Key, Reports,
+                Result.Status == PlatformStatus::Ok ? Result.Object.Version
+                                                    : Platform::MustNotExist);
 }
 
 /// Merges a stored key. Crashes that this entry knows of are left out: the
@@ -437,11 +491,12 @@
         std::to_string(crashCount(this->Parts.Record, Stored.Key))}});
 }
 
-void CrashExchange::write(std::span<const CrashReport> Reports,
+void CrashExchange::write(const ObjectKey &Key,
+                          std::span<const CrashReport> Reports,
                           std::uint64_t IfVersion) {
   this->IsSyncing = true;
   this->Parts.Api.put(
-      storedKey(), toStored(Reports, wallMilliseconds()), IfVersion,
+      Key, toStored(Reports, wallMilliseconds()), IfVersion,
       [this,
        Alive = std::weak_ptr(this->Alive)](const PlatformResult &Written) {
         if (Alive.expired())
--- a/src/process/CrashExchange.h
+++ b/src/process/CrashExchange.h
@@ -16,7 +16,8 @@
 //
 // Keys with more than one crash are also persisted on the platform, so that
 // they survive a restart of all entries. An entry reads them when it starts,
-// and periodically while it hears from less than half of the others.
+// from the objects of all eras of the platform (see PlatformEra.h), and
+// periodically while it hears from less than half of the others.
 //
 // Guarantees: the number and size of messages are bounded by the number of keys
 // with more than one crash. The platform is called only at a start, when a key
@@ -67,6 +68,9 @@
   /// crashes.
   void publish(std::uint64_t Key, std::size_t Cleared = 0);
   void receive(std::span<const CrashReport> Reports);
+  /// To be called when the platform was restored from a copy: the keys that
+  /// were persisted may be gone, so an aggregator persists them again.
+  void onEraChanged();
   /// To be called in each gossip round with the addresses that it is sent to.
   void onGossipRound(std::span<const SocketAddress> Targets);
 
@@ -83,10 +87,13 @@
   void persistIfSuspect(std::uint64_t Key);
   void removeIfCleared(std::uint64_t Key);
   bool isIsolated() const;
+  void readAllEras();
   void sync();
-  void onStored(const PlatformResult &Result);
+  void onStored(const ObjectKey &Key, const PlatformResult &Result);
+  std::map<std::uint64_t, std::size_t> restoreAll(const PlatformObject &Stored);
   void restore(CrashReport Stored);
-  void write(std::span<const CrashReport> Reports, std::uint64_t IfVersion);
+  void write(const ObjectKey &Key, std::span<const CrashReport> Reports,
+             std::uint64_t IfVersion);
   void syncLater(Duration Delay);
 
   CrashExchangeParts Parts;
@@ -105,6 +112,7 @@
   std::map<std::uint64_t, Reply> Replies;
   bool IsWritePending = false;
   bool IsSyncing = false;
+  bool HasReadAllEras = false;
   TimePoint SyncedAt;
   std::mt19937_64 Random{std::random_device{}()};
   sigc::connection FlushTimer;
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -282,6 +282,7 @@
     Each.disconnect();
   this->StatusTimer.disconnect();
   this->FlushTimer.disconnect();
+  this->EraChanges.disconnect();
   for (auto &[Model, Timer] : this->HistoryTimers)
     Timer.disconnect();
 }
@@ -296,6 +297,8 @@
   this->Channel = std::make_unique<EntryChannel>(
       this->Loop, this->Settings.Gossip,
       [this](GossipMessage Message) { this->onMessage(std::move(Message)); });
+  this->EraChanges = this->Parts.Api.Era.Changed.connect(
+      [this](const EraChange &Change) { this->onEraChanged(Change); });
   this->Configs.start();
   this->Registry.start();
   this->WeightNotices.start();
@@ -318,6 +321,17 @@
   }));
 }
 
+/// The platform was restored from a copy, so what this gateway stored there may
+/// be gone. The next gossip round writes the histories of weights again.
+void ForwardGateway::onEraChanged(const EraChange &Change) {
+  log(LogLevel::Info, "platform.stored_dropped",
+      {{"era", std::to_string(Change.Now)},
+       {"before", std::to_string(Change.Before)},
+       {"histories", std::to_string(this->StoredWeights.size())}});
+  this->StoredWeights.clear();
+  this->Crashes.onEraChanged();
+}
+
 void ForwardGateway::onCall(std::shared_ptr<IncomingCall> Call) {
   std::make_shared<ForwardRun>(this->Services, std::move(Call))->start();
 }
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -89,6 +89,7 @@
   void applySettings();
   void updateRetryBudgets();
   CallerLimits callerLimits() const;
+  void onEraChanged(const EraChange &Change);
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
   void onUpstreamEnded(const RegisteredUpstream &Ended);
@@ -168,6 +169,7 @@
   std::set<std::string> PendingHistories;
   std::optional<TimePoint> StopRequestedAt;
   std::vector<sigc::connection> Timers;
+  sigc::connection EraChanges;
   sigc::connection StatusTimer;
   sigc::connection FlushTimer;
   /// Retries to read weight histories, by model.
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -96,35 +96,34 @@
   this->Services.WeightsChanged.emit();
 }
 
-static ObjectKey historyKey(const std::string &Model) {
-  return {std::string(HistoryKind), Model};
+static ObjectKey historyKey(const std::string &Model, std::uint64_t Era) {
+  return {std::string(HistoryKind), eraName(Model, Era)};
 }
 
-/// Returns the stored announcement times in Unix milliseconds by version.
-static std::map<std::uint64_t, std::int64_t>
-historyFrom(const PlatformResult &Result, const std::string &Model) {
-  std::map<std::uint64_t, std::int64_t> History;
+/// Announcement times in Unix milliseconds by version.
+using WeightHistory = std::map<std::uint64_t, std::int64_t>;
+
+/// Adds the announcement times that an object stores to \p History.
+static void addHistory(WeightHistory &History, const PlatformObject &Stored) {
   try {
-    if (Result.Status == PlatformStatus::Ok)
-      for (const json &Each : Result.Object.Value)
-        History[Each.at(0)] = Each.at(1);
+    for (const json &Each : Stored.Value)
+      History.try_emplace(Each.at(0), Each.at(1));
   } catch (const json::exception &Failure) {
     // The next write replaces the malformed object.
     log(LogLevel::Warn, "weights.history_malformed",
-        {{"model", Model}, {"message", Failure.what()}});
+        {{"name", Stored.Key.Name}, {"message", Failure.what()}});
   }
-  return History;
 }
 
-/// Reads when the weight versions of \p Model were announced.
+/// Reads when the weight versions of \p Model were announced, in any era.
 void ForwardGateway::readWeightHistory(const std::string &Model) {
-  this->Parts.Api.get(
-      historyKey(Model), [this, Model, Alive = std::weak_ptr(this->Alive)](
-                             const PlatformResult &Result) {
+  this->Parts.Api.list(
+      std::string(HistoryKind), {}, {},
+      [this, Model,
+       Alive = std::weak_ptr(this->Alive)](const PlatformList &Result) {
         if (Alive.expired())
           return;
-        if (Result.Status != PlatformStatus::Ok &&
-            Result.Status != PlatformStatus::NotFound) {
+        if (Result.Status != PlatformStatus::Ok) {
           log(LogLevel::Warn, "weights.history_not_read", {{"model", Model}});
           sigc::connection &Timer = this->HistoryTimers[Model];
           Timer.disconnect();
@@ -132,7 +131,10 @@
               HistoryRetry, [this, Model] { this->readWeightHistory(Model); });
           return;
         }
-        const auto History = historyFrom(Result, Model);
+        WeightHistory History;
+        for (const PlatformObject &Each : Result.Objects)
+          if (isNameInAnyEra(Each.Key.Name, Model))
+            addHistory(History, Each);
         const std::int64_t WallMs = wallMilliseconds();
         restoreAnnounced(this->Services.Weights[Model], History, WallMs,
                          this->Settings.MaxClockError, BootClock::now());
@@ -159,7 +161,7 @@
   for (const auto &[Model, Weights] : this->Services.Weights) {
     const std::uint64_t Newest = Weights.newest();
     if (Newest <= this->StoredWeights[Model] ||
-        Weights.Announced.at(Newest).Source != AnnouncementSource::Observed ||
+        Weights.Announced.at(Newest).Source == AnnouncementSource::Assumed ||
         this->PendingHistories.contains(Model) ||
         !this->isAssigned(Model, /*Count=*/1, Live))
       continue;
@@ -170,9 +172,10 @@
 void ForwardGateway::storeWeightHistory(const std::string &Model,
                                         std::uint64_t Version) {
   this->PendingHistories.insert(Model);
-  this->Parts.Api.get(historyKey(Model), [this, Model, Version,
-                                          Alive = std::weak_ptr(this->Alive)](
-                                             const PlatformResult &Result) {
+  const ObjectKey Key = historyKey(Model, this->Parts.Api.Era.current());
+  this->Parts.Api.get(Key, [this, Key, Model, Version,
+                            Alive = std::weak_ptr(this->Alive)](
+                               const PlatformResult &Result) {
     if (Alive.expired())
       return;
     if (Result.Status != PlatformStatus::Ok &&
@@ -180,13 +183,23 @@
       this->PendingHistories.erase(Model);
       return;
     }
-    auto History = historyFrom(Result, Model);
+    // After a change of the era, the next gossip round begins anew.
+    if (!(Key == historyKey(Model, this->Parts.Api.Era.current()))) {
+      this->PendingHistories.erase(Model);
+      return;
+    }
+    WeightHistory History;
+    if (Result.Status == PlatformStatus::Ok)
+      addHistory(History, Result.Object);
     const BootTime Now = BootClock::now();
     const std::size_t Stored = History.size();
     for (const auto &[Each, Known] : this->Services.Weights[Model].Announced)
-      if (Known.Source == AnnouncementSource::Observed)
-        History.try_emplace(Each, wallMilliseconds() -
-                                      toMilliseconds(Now - Known.At));
+      if (Known.Source != AnnouncementSource::Assumed)
+        History.try_emplace(
+            Each,
+            wallMilliseconds() -
+                toMilliseconds(
+                    Now - observedAt(Known, this->Settings.MaxClockError)));
     if (History.size() == Stored) {
       this->StoredWeights[Model] = Version;
       this->PendingHistories.erase(Model);
@@ -198,20 +211,22 @@
     for (const auto &[Each, Since] : History)
       Value.push_back({Each, Since});
     this->Parts.Api.put(
-        historyKey(Model), Value,
+        Key, Value,
         Result.Status == PlatformStatus::Ok ? Result.Object.Version
                                             : Platform::MustNotExist,
-        [this, Model, Version,
+        [this, Key, Model, Version,
          Alive = std::weak_ptr(this->Alive)](const PlatformResult &Written) {
           if (Alive.expired())
             return;
           this->PendingHistories.erase(Model);
-          if (Written.Status == PlatformStatus::Ok)
+          // A failed write is repeated in the next gossip round.
+          const bool IsWritten = Written.Status == PlatformStatus::Ok;
+          log(IsWritten ? LogLevel::Info : LogLevel::Warn,
+              IsWritten ? "weights.history_written"
+                        : "weights.history_not_written",
+              {{"name", Key.Name}, {"version", std::to_string(Version)}});
+          if (IsWritten)
             this->StoredWeights[Model] = Version;
-          else
-            // Repeated in the next gossip round.
-            log(LogLevel::Warn, "weights.history_not_written",
-                {{"model", Model}});
         });
   });
 }
--- a/src/version/AnnouncedWeights.cpp
+++ b/src/version/AnnouncedWeights.cpp
@@ -56,6 +56,11 @@
   }
 }
 
+BootTime observedAt(const Announcement &Known, Duration MaxClockError) {
+  return Known.Source == AnnouncementSource::Stored ? Known.At + MaxClockError
+                                                    : Known.At;
+}
+
 std::optional<BootTime> supersededAt(const AnnouncedWeights &Weights,
                                      std::uint64_t Version) {
   const auto Next = Weights.Announced.upper_bound(Version);
--- a/src/version/AnnouncedWeights.h
+++ b/src/version/AnnouncedWeights.h
@@ -101,6 +101,10 @@
                       std::int64_t WallMs, Duration MaxClockError,
                       BootTime Now);
 
+/// Returns when \p Known was observed by whoever dated it, to store that time
+/// again: without the allowance of restoreAnnounced() for clock errors.
+BootTime observedAt(const Announcement &Known, Duration MaxClockError);
+
 /// Returns when the first version newer than \p Version was announced, or
 /// nothing.
 std::optional<BootTime> supersededAt(const AnnouncedWeights &Weights,
--- a/src/version/Lease.cpp
+++ b/src/version/Lease.cpp
@@ -25,13 +25,6 @@
   }
 }
 
-std::string leaseName(std::string_view Lease, std::uint64_t Era) {
-  std::string Name(Lease);
-  if (Era > 0)
-    Name += ".era-" + std::to_string(Era);
-  return Name;
-}
-
 void enterEra(LeaseState &State, std::uint64_t Era, TimePoint Now) {
   // Without a stay in between, nobody else has held the lease in the era
   // before, so the present holder need not wait for itself.
--- a/src/version/Lease.h
+++ b/src/version/Lease.h
@@ -26,7 +26,7 @@
 //
 //   if (State.Era != Api.Era.current())
 //     enterEra(State, Api.Era.current(), Now);
-//   Api.get({"lease", leaseName("model-a", State.Era)}, ...);
+//   Api.get({"lease", eraName("model-a", State.Era)}, ...);
 //
 // Guarantees: the fencing number increases with each new holder, and no two
 // holders ever have the same one, because each is written by conditional
@@ -66,9 +66,6 @@
 /// them up in half a year; the product with the era stays exact in a double.
 inline constexpr std::uint64_t FencesPerEra = 1 << 24;
 
-/// Returns the name of the object of lease \p Lease in era \p Era.
-std::string leaseName(std::string_view Lease, std::uint64_t Era);
-
 /// Identity of the contender and timing of the lease.
 struct LeaseSettings {
   std::string Self; ///< Unique for each start of each process.
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -8,7 +8,7 @@
 namespace galenaroute {
 
 static ObjectKey leaseKey(const std::string &Service, std::uint64_t Era) {
-  return {"lease", leaseName(Service, Era)};
+  return {"lease", eraName(Service, Era)};
 }
 
 std::unique_ptr<OrderController> OrderControllerBuilder::build() {
--- a/tests/LeaseTest.cpp
+++ b/tests/LeaseTest.cpp
@@ -450,7 +450,7 @@
   }
 
   ObjectKey keyOf(const Process &Of) const {
-    return {"lease", leaseName("steward-models", Of.State.Era)};
+    return {"lease", eraName("steward-models", Of.State.Era)};
   }
 
   void updateEra(Process &Each) {
