FakePlatformServer: eras and restorations

Process tests need a store that returns from a copy: what was written since is gone, revisions are given out again, and the era in all answers rises. Change: keepCopy(), restore() and setSilent(). CrashingCallProcessTest reads the record under its name of the first era, with the same check.

--- a/tests/process/CrashingCallProcessTest.cpp
+++ b/tests/process/CrashingCallProcessTest.cpp
@@ -96,7 +96,7 @@
   this->wait(1s);
   this->sendToAll();
   EXPECT_EQ(this->Upstreams->Crashes.size(), 3u);
-  EXPECT_FALSE(this->Api.read("crashing-contents", "recent").empty());
+  EXPECT_FALSE(this->Api.read("crashing-contents", "recent.era-1").empty());
 
   for (Program *Each : this->Daemons)
     Each->signal(SIGKILL);
--- a/tests/process/FakePlatformServer.h
+++ b/tests/process/FakePlatformServer.h
@@ -3,6 +3,8 @@
 //
 //   FakePlatformServer Server(Loop);
 //   Server.put("config", "main", Spec);
+//   Server.keepCopy();
+//   Server.restore(); // what was written since the copy is gone
 
 #ifndef GALENAROUTE_TESTS_PROCESS_FAKEPLATFORMSERVER_H
 #define GALENAROUTE_TESTS_PROCESS_FAKEPLATFORMSERVER_H
@@ -49,8 +51,20 @@
   void loseHistory() {
     this->FirstRevision = ++this->Revision;
     for (const Watch &Each : std::exchange(this->Watches, {}))
-      send(*Each.Reply, 410, nlohmann::json::object());
+      this->send(*Each.Reply, 410, nlohmann::json::object());
   }
+  /// Copies all objects for restore().
+  void keepCopy() { this->Copy = {this->Objects, this->Revision}; }
+  /// Returns to the copy: what was written since is gone, its revisions are
+  /// given out again, and a new era begins. Watches that wait stay open.
+  void restore() {
+    this->Objects = this->Copy.Objects;
+    this->Revision = this->Copy.Revision;
+    ++this->Era;
+  }
+  std::uint64_t era() const { return this->Era; }
+  /// While true, calls are not answered, as if the store stood still.
+  void setSilent(bool Enabled) { this->IsSilent = Enabled; }
   /// Returns the spec of an object, or null.
   nlohmann::json read(const std::string &Kind, const std::string &Name) {
     return this->Objects[Kind][Name].Spec;
@@ -73,8 +87,11 @@
     return {{"metadata", {{"name", Name}, {"revision", Stored.Revision}}},
             {"spec", Stored.Spec}};
   }
-  static void send(HttpReply &Reply, int Status, const nlohmann::json &Body) {
-    Reply.send(Status, {{"Content-Type", "application/json"}}, Body.dump());
+  void send(HttpReply &Reply, int Status, const nlohmann::json &Body) {
+    Reply.send(Status,
+               {{"Content-Type", "application/json"},
+                {"Store-Era", std::to_string(this->Era)}},
+               Body.dump());
   }
 
   void sendEvents(const Watch &To) {
@@ -83,11 +100,15 @@
       if (Each.Revision > To.Since)
         Events.push_back(
             {{"object", toJson(Name, Each)}, {"deleted", Each.IsDeleted}});
-    send(*To.Reply, 200, {{"events", Events}, {"asOf", this->Revision}});
+    this->send(*To.Reply, 200, {{"events", Events}, {"asOf", this->Revision}});
   }
 
   void answer(const HttpRequest &Request,
               const std::shared_ptr<HttpReply> &Reply) {
+    if (this->IsSilent) {
+      this->Unanswered.push_back(Reply);
+      return;
+    }
     static const std::string Prefix = "/api/objects/";
     const std::string Rest =
         Request.Path.substr(std::min(Request.Path.size(), Prefix.size()));
@@ -109,13 +130,14 @@
       for (const auto &[Name, Each] : this->Objects[Kind])
         if (!Each.IsDeleted)
           Items.push_back(toJson(Name, Each));
-      send(*Reply, 200,
-           {{"items", Items}, {"hasMore", false}, {"asOf", this->Revision}});
+      this->send(
+          *Reply, 200,
+          {{"items", Items}, {"hasMore", false}, {"asOf", this->Revision}});
       return;
     }
     const Watch Next{++this->LastWatch, Kind, std::stoull(*Since), Reply};
-    if (Next.Since < this->FirstRevision) {
-      send(*Reply, 410, nlohmann::json::object());
+    if (Next.Since < this->FirstRevision || Next.Since > this->Revision) {
+      this->send(*Reply, 410, nlohmann::json::object());
       return;
     }
     for (const auto &[Name, Each] : this->Objects[Kind])
@@ -140,11 +162,12 @@
                     const HttpRequest &Request, HttpReply &Reply) {
     if (Request.Method == "GET") {
       const Object &Stored = this->Objects[Kind][Name];
-      send(Reply, Stored.Spec.is_null() ? 404 : 200, toJson(Name, Stored));
+      this->send(Reply, Stored.Spec.is_null() ? 404 : 200,
+                 toJson(Name, Stored));
       return;
     }
     if (this->Rejected.contains(Kind)) {
-      send(Reply, 503, nlohmann::json::object());
+      this->send(Reply, 503, nlohmann::json::object());
       return;
     }
     const nlohmann::json Body = nlohmann::json::parse(Request.Body);
@@ -154,17 +177,26 @@
     const Object &Stored = this->Objects[Kind][Name];
     const std::uint64_t Current = Stored.Spec.is_null() ? 0 : Stored.Revision;
     if (Metadata.value("revision", std::uint64_t{0}) != Current) {
-      send(Reply, 409, toJson(Name, Stored));
+      this->send(Reply, 409, toJson(Name, Stored));
       return;
     }
     this->put(Kind, Name, Body.at("spec"));
-    send(Reply, 200, toJson(Name, this->Objects[Kind][Name]));
+    this->send(Reply, 200, toJson(Name, this->Objects[Kind][Name]));
   }
 
   EventLoop &Loop;
   HttpServer Server;
   SocketAddress Address{"127.0.0.1", 0};
-  std::map<std::string, std::map<std::string, Object>> Objects;
+  using ObjectsByKind = std::map<std::string, std::map<std::string, Object>>;
+  ObjectsByKind Objects;
+  struct {
+    ObjectsByKind Objects;
+    std::uint64_t Revision = 0;
+  } Copy;
+  std::uint64_t Era = 1;
+  bool IsSilent = false;
+  /// Kept so that their connections stay open.
+  std::vector<std::shared_ptr<HttpReply>> Unanswered;
   std::list<Watch> Watches;
   std::set<std::string> Rejected; ///< Kinds.
   std::uint64_t Revision = 0;
