ForwardRun: an upstream waits for a caller that reads more slowly

What callers saw: a stream whose reader was 4 MB behind was reset. The whole process could end with it: the run was destroyed inside ForwardRun::finish, because IncomingCall::abort and the disconnected timers had held the last references, and then wrote to freed memory.

Cause: the backlog of a stream was bounded by ending the stream, and finish() relied on its callers to keep the run alive.

Ruled out: damage by the test or by libevent. AddressSanitizer reports a heap-use-after-free in finish(), called from onEvent().

Change: above 1 MB of backlog the answer of the upstream is not read on, and the time until it is counts as no stall. Reading goes on once the backlog has fallen to 256 kB. finish() holds a reference to its run.

A stream of 15.7 MB whose reader starts after 1.5 s: 2.6 MB were delivered before the reset, now all of it is.

Not changed: an answer of more than 16 MB is cut by the limit of UpstreamPool.

Conclusion: a slow reader ends neither its stream nor the process.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -150,6 +150,8 @@
       this);
   bufferevent_setwatermark(this->Event.get(), EV_READ, 0, MaxWaitingBytes);
   bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
+  bufferevent_setwatermark(this->Event.get(), EV_WRITE,
+                           IncomingCall::LowBacklog, 0);
 }
 
 void CallerConnection::setState(State Next) {
@@ -309,6 +311,12 @@
   // A deferred callback may come from before the answer was written.
   if (this->Current != State::Flushing || this->unsentBytes() > 0)
     return;
+  if (const auto Answered = this->Call;
+      Answered && this->Current == State::Answering &&
+      this->unsentBytes() <= IncomingCall::LowBacklog) {
+    Answered->BacklogSent.emit();
+    return;
+  }
   if (this->KeepAlive) {
     this->takeNext();
     return;
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -54,6 +54,10 @@
   bool IsBeyondLimit = false;
 
   sigc::signal<void()> CallerLeft;
+  /// Emitted when unsentBytes() has fallen to LowBacklog or below, never inside
+  /// a method of IncomingCall.
+  sigc::signal<void()> BacklogSent;
+  static constexpr std::size_t LowBacklog = 256 << 10;
 
   /// Sends a complete answer.
   void send(int Status, const HttpHeaders &Headers, std::string_view Body);
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -32,6 +32,8 @@
              const UpstreamExchangeSettings &Settings,
              UpstreamExchangeEvents Events);
   void cancel();
+  void pauseReading();
+  void resumeReading();
   bool isUsable(TimePoint Now, Duration MaxIdle) const {
     return Now < this->KeepUntil && Now - this->IdleSince < MaxIdle;
   }
@@ -65,6 +67,7 @@
   bool HasFraming = true;
   bool IsForeign = false; ///< The answer being read is dropped.
   bool AnswerDone = false;
+  bool IsPaused = false; ///< The answer is not read on.
   int SkippedAnswers = 0;
   sigc::connection ConnectTimer;
 };
@@ -113,6 +116,7 @@
   this->Request = std::move(Text);
   this->IsForeign = false;
   this->AnswerDone = false;
+  this->IsPaused = false;
   this->SkippedAnswers = 0;
   this->KeepAlive = true;
   For.Kept = this->ServedBefore;
@@ -143,6 +147,8 @@
 void UpstreamConnection::onReadable() {
   evbuffer *Input = bufferevent_get_input(this->Event.get());
   while (this->Current && !this->AnswerDone) {
+    if (this->IsPaused)
+      return;
     const std::string_view Bytes = firstBytes(Input);
     if (Bytes.empty())
       return;
@@ -237,6 +243,7 @@
     return;
   }
   // What arrived before the end is read first.
+  this->IsPaused = false;
   this->onReadable();
   if (this->Current && (What & BEV_EVENT_EOF) && !(What & BEV_EVENT_ERROR) &&
       !this->HasFraming && this->Parser.isInMessage())
@@ -272,6 +279,28 @@
   this->Pool.forget(this->shared_from_this());
 }
 
+void UpstreamConnection::pauseReading() {
+  this->IsPaused = true;
+  bufferevent_disable(this->Event.get(), EV_READ);
+}
+
+void UpstreamConnection::resumeReading() {
+  this->IsPaused = false;
+  bufferevent_enable(this->Event.get(), EV_READ);
+  if (evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0)
+    bufferevent_trigger(this->Event.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void UpstreamExchange::pauseReading() {
+  if (const auto Open = this->Connection.lock())
+    Open->pauseReading();
+}
+
+void UpstreamExchange::resumeReading() {
+  if (const auto Open = this->Connection.lock())
+    Open->resumeReading();
+}
+
 UpstreamExchange::~UpstreamExchange() {
   if (const auto Open = this->Connection.lock())
     Open->cancel();
@@ -316,6 +345,8 @@
 void UpstreamPool::release(
     const std::shared_ptr<UpstreamConnection> &Connection) {
   this->Busy.erase(Connection.get());
+  // Shows bytes that nothing asked for, and the end of the connection.
+  bufferevent_enable(Connection->Event.get(), EV_READ);
   Connection->IdleSince = EventLoop::now();
   Connection->ServedBefore = true;
   this->Targets[Connection->To].Idle.push_back(Connection);
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -57,6 +57,12 @@
   UpstreamExchange(const UpstreamExchange &) = delete;
   UpstreamExchange &operator=(const UpstreamExchange &) = delete;
 
+  /// Stops and continues reading the answer, so that a fast upstream waits for
+  /// a slow reader. A few kilobytes that were read already may still follow a
+  /// pause.
+  void pauseReading();
+  void resumeReading();
+
   /// Whether any byte of the request was handed to the kernel.
   bool wasSent() const { return this->Sent; }
   /// Whether the connection had served a request before.
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -23,7 +23,8 @@
 /// Fraction of an engine's memory assumed to cache parts; running calls use the
 /// rest.
 static constexpr double CacheMemoryShare = 0.6;
-static constexpr std::size_t MaxStreamBacklog = 4 << 20;
+/// Bytes of a stream that wait for its caller before the upstream has to wait.
+static constexpr std::size_t MaxStreamBacklog = 1 << 20;
 /// Maximum upstreams that permits are requested from for one call. Permits that
 /// come too late are returned unused.
 static constexpr std::size_t MaxPermitRequests = 8;
@@ -44,6 +45,7 @@
   this->DeadlineTimer.disconnect();
   this->WeightsTimer.disconnect();
   this->WeightsChanged.disconnect();
+  this->BacklogSent.disconnect();
   this->RefusalsConnection.disconnect();
 }
 
@@ -66,6 +68,8 @@
   // The signal connections keep the run alive until it is done.
   const auto Self = this->shared_from_this();
   this->Incoming->CallerLeft.connect([Self] { Self->onCallerLeft(); });
+  this->BacklogSent =
+      this->Incoming->BacklogSent.connect([this] { this->resumeUpstream(); });
   try {
     if (!this->admit())
       return;
@@ -354,6 +358,7 @@
   this->Splitter.clear();
   this->SentAt = this->ProgressAt = EventLoop::now();
   this->HasStalledOnce = false;
+  this->IsPaused = false;
   this->Events = 0;
   this->IsFramed = false;
   this->RefusalsConnection.disconnect();
@@ -445,6 +450,8 @@
 
 void ForwardRun::armStallTimer() {
   this->StallTimer.disconnect();
+  if (this->IsPaused)
+    return;
   if (const auto Limit =
           stallLimit(*this->Route, this->FirstEventAt.has_value()))
     this->StallTimer = this->Services.Loop.timers().after(
@@ -538,10 +545,29 @@
   // not show progress of the engine.
   if (Event.Id || !this->LastEvent)
     this->armStallTimer();
-  if (this->Incoming->unsentBytes() > MaxStreamBacklog) {
-    this->Incoming->abort();
-    this->finish("caller_too_slow");
-  }
+  if (this->Incoming->unsentBytes() > MaxStreamBacklog)
+    this->pauseUpstream();
+}
+
+/// Makes the upstream wait for the caller. Its silence meanwhile is no stall.
+void ForwardRun::pauseUpstream() {
+  if (this->IsPaused || !this->Exchange)
+    return;
+  this->IsPaused = true;
+  this->StallTimer.disconnect();
+  this->Exchange->pauseReading();
+  this->Services.Stats.decision("stream.paused");
+}
+
+void ForwardRun::resumeUpstream() {
+  if (!this->IsPaused)
+    return;
+  this->IsPaused = false;
+  if (!this->Exchange)
+    return;
+  this->ProgressAt = EventLoop::now();
+  this->Exchange->resumeReading();
+  this->armStallTimer();
 }
 
 /// Notes that the prompt of the send in flight was prefilled or never will be.
@@ -652,6 +678,8 @@
 }
 
 void ForwardRun::finish(std::string_view Outcome) {
+  // The connections that are cut below may hold the last references.
+  const auto Self = this->shared_from_this();
   const Duration Elapsed = EventLoop::now() - this->Incoming->Arrived;
   log(LogLevel::Info, "call.ended",
       {{"call", this->Call.Id},
@@ -673,12 +701,11 @@
   this->DeadlineTimer.disconnect();
   this->WeightsTimer.disconnect();
   this->WeightsChanged.disconnect();
+  this->BacklogSent.disconnect();
   this->RefusalsConnection.disconnect();
   // Drops the last reference after the caller of this function has returned.
-  this->Services.Loop.timers().after(Duration::zero(),
-                                     [Self = this->shared_from_this()] {
-                                       Self->Incoming->CallerLeft.clear();
-                                     });
+  this->Services.Loop.timers().after(
+      Duration::zero(), [Self] { Self->Incoming->CallerLeft.clear(); });
 }
 
 } // namespace galenaroute
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -10,7 +10,8 @@
 //
 // Guarantees: exactly one final answer, or an aborted connection if the answer
 // had begun; the send in flight is cancelled when the caller disconnects; a
-// stream is forwarded in whole events, each exactly once.
+// stream is forwarded in whole events, each exactly once; its upstream waits
+// while the caller is far behind, so that memory is bounded.
 
 #ifndef GALENAROUTE_REQUEST_FORWARDRUN_H
 #define GALENAROUTE_REQUEST_FORWARDRUN_H
@@ -152,6 +153,8 @@
   void onTimeout();
   void onCallerLeft();
   void armStallTimer();
+  void pauseUpstream();
+  void resumeUpstream();
   std::optional<Duration> supersededFor() const;
   void armWeightsTimer();
   void onWeightsDeadline();
@@ -188,6 +191,7 @@
   CallAnswer Answer;
   bool HasAnswer = false;
   bool HasStalledOnce = false; ///< In the send in flight.
+  bool IsPaused = false;       ///< The send in flight waits for the caller.
   int Events = 0;              ///< Whole events in the send in flight.
   bool IsFramed = false;       ///< The answer states where it ends.
   std::string Body;
@@ -207,6 +211,7 @@
   sigc::connection DeadlineTimer;
   sigc::connection WeightsTimer;
   sigc::connection WeightsChanged;
+  sigc::connection BacklogSent;
   sigc::connection RefusalsConnection; ///< While a send is in flight.
 };
 
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -630,5 +630,67 @@
   EXPECT_EQ(this->Caller->read().find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against ending a stream whose reader is slower than its upstream. The
+// upstream waits instead, and memory stays bounded.
+TEST_F(ForwardRunTest, AStreamFasterThanItsReaderIsForwardedWhole) {
+  this->Config.Routes[3].Timeout = 20s;
+  this->Services.Config = std::make_shared<const ForwardConfig>(this->Config);
+  this->sendCall("/oncestream/a");
+  const auto Peer = this->waitForArrival();
+  constexpr std::size_t EventCount = 480;
+  std::string Stream = this->StreamHead;
+  for (std::size_t I = 1; I <= EventCount; ++I)
+    Stream += chunk("id: " + std::to_string(I) +
+                    "\ndata: " + std::string(32 << 10, 'x') + "\n\n");
+  Stream += "0\r\n\r\n";
+  std::string_view Unsent = Stream;
+  const auto Send = [&] {
+    Unsent.remove_prefix(Peer->writeSome(Unsent.substr(0, 256 << 10)));
+    return Unsent.empty();
+  };
+  EXPECT_FALSE(this->Loop.runUntil(Send, 1500ms))
+      << "the whole stream was taken in though nobody reads it";
+  std::size_t Read = 0;
+  std::string End;
+  EXPECT_TRUE(this->Loop.runUntil(
+      [&] {
+        Send();
+        std::string Part;
+        do {
+          Part = this->Caller->take(512 << 10);
+          Read += Part.size();
+          End = (End + Part)
+                    .substr(std::max<std::size_t>(End.size() + Part.size(), 5) -
+                            5);
+        } while (!Part.empty());
+        return End == "0\r\n\r\n" || this->Caller->hasEnded();
+      },
+      10s));
+  EXPECT_EQ(End, "0\r\n\r\n") << Read << " bytes of " << Stream.size();
+  EXPECT_GE(Read, EventCount * (32 << 10));
+}
+
+// Guards against giving up a stream for its silence while its upstream waits
+// for a slow reader.
+TEST_F(ForwardRunTest, AStreamThatWaitsForItsReaderIsNotResumedElsewhere) {
+  this->Config.Routes[0].Timeout = 20s;
+  this->Services.Config = std::make_shared<const ForwardConfig>(this->Config);
+  this->sendCall("/stream/a");
+  const auto Peer = this->waitForArrival();
+  std::string Stream = this->StreamHead;
+  for (std::size_t I = 1; I <= 480; ++I)
+    Stream += chunk("id: " + std::to_string(I) +
+                    "\ndata: " + std::string(32 << 10, 'x') + "\n\n");
+  std::string_view Unsent = Stream;
+  EXPECT_FALSE(this->Loop.runUntil(
+      [&] {
+        Unsent.remove_prefix(Peer->writeSome(Unsent.substr(0, 256 << 10)));
+        return Peer->hasEnded();
+      },
+      3s));
+  EXPECT_FALSE(Unsent.empty()) << "the upstream never had to wait";
+  EXPECT_TRUE(this->hasNoArrival());
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -68,11 +68,17 @@
   /// Reads and drops at most \p MaxBytes bytes. Returns the number of bytes
   /// read.
   std::size_t readSome(std::size_t MaxBytes) {
+    return this->take(MaxBytes).size();
+  }
+  /// Reads at most \p MaxBytes bytes and returns them. read() does not return
+  /// them again.
+  std::string take(std::size_t MaxBytes) {
     std::string Buffer(MaxBytes, '\0');
     const ssize_t Length = ::read(this->Socket, Buffer.data(), Buffer.size());
     if (Length <= 0 && (Length == 0 || (errno != EAGAIN)))
       this->Ended = true;
-    return Length > 0 ? static_cast<std::size_t>(Length) : 0;
+    Buffer.resize(Length > 0 ? static_cast<std::size_t>(Length) : 0);
+    return Buffer;
   }
   /// Ends the own side of the connection; the peer's side stays open.
   void endWriting() { ::shutdown(this->Socket, SHUT_WR); }
