CallListener: a reader's pause does not abort an answer held by the kernel

What callers saw: an answer of up to a few megabytes was reset when its reader paused for more than four seconds.

Cause: the kernel counts a full window as unacknowledged data, and the user timeout of four seconds was extended only while bytes waited in the process. An answer that fits into the buffers of the kernel leaves none there.

Ruled out: the idle timeout, which was 10 s in the test.

Change: the timeout is extended also while the kernel holds unacknowledged bytes. This is asked only within four seconds of a write.

Conclusion: the idle timeout alone bounds the pause of a reader.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -6,8 +6,10 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace galenaroute {
@@ -38,6 +40,11 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
+bool hasUnacknowledgedBytes(int Socket) {
+  int Bytes = 0;
+  return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+}
+
 sockaddr_in socketAddressOf(const SocketAddress &Address) {
   sockaddr_in Result{};
   Result.sin_family = AF_INET;
--- a/src/connection/BufferedSocket.h
+++ b/src/connection/BufferedSocket.h
@@ -29,6 +29,9 @@
 /// window holds back, ends the connection.
 void setUserTimeout(int Socket, Duration Timeout);
 
+/// Returns whether the kernel holds bytes that the peer has not acknowledged.
+bool hasUnacknowledgedBytes(int Socket);
+
 /// Returns the address that libevent needs to connect; throws
 /// Error(BadRequest) when \p Address is not an IPv4 address.
 struct sockaddr_in socketAddressOf(const SocketAddress &Address);
--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -79,7 +79,7 @@
   bool isPending(short PollEvents) const;
   bool hasUnreadInput() const;
   bool canSend() const;
-  void extendUserTimeout();
+  void extendUserTimeout(TimePoint Now);
 
   CallListener &Owner;
   BufferEventPtr Event;
@@ -406,9 +406,14 @@
   this->close();
 }
 
-/// Leaves it to the idle timeout to end a connection whose answer is not read.
-void CallerConnection::extendUserTimeout() {
-  if (this->HasExtendedTimeout || this->unsentBytes() == 0)
+/// Leaves it to the idle timeout to end a connection whose answer is not read,
+/// also while all of the answer waits in the kernel.
+void CallerConnection::extendUserTimeout(TimePoint Now) {
+  if (this->HasExtendedTimeout)
+    return;
+  if (this->unsentBytes() == 0 &&
+      (Now - this->SentAt > CallerUserTimeout ||
+       !hasUnacknowledgedBytes(bufferevent_getfd(this->Event.get()))))
     return;
   this->HasExtendedTimeout = true;
   setUserTimeout(bufferevent_getfd(this->Event.get()),
@@ -416,7 +421,7 @@
 }
 
 void CallerConnection::sweep(TimePoint Now) {
-  this->extendUserTimeout();
+  this->extendUserTimeout(Now);
   this->IdleLimit =
       this->IsBeyondLimit
           ? Duration(BeyondLimitIdle)
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -297,5 +297,30 @@
   EXPECT_EQ(Refused, Callers.size());
 }
 
+// Guards against a reset of a small answer, all of which waits in the kernel,
+// while its reader pauses.
+TEST_F(CallListenerTest, ASmallAnswerWhoseReaderPausesIsCarriedToItsEnd) {
+  for (const std::string_view Ending : {"", "Connection: close\r\n"}) {
+    this->listen({.IdleTimeout = 10s});
+    const std::string Body(1 << 20, 'x');
+    this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
+      Call->send(200, {}, Body);
+    };
+    const auto Callers = this->connect(1);
+    Callers[0]->write("GET / HTTP/1.1\r\nHost: h\r\n" + std::string(Ending) +
+                      "\r\n");
+    this->runFor(7s);
+    std::size_t Read = 0;
+    const TimePoint Limit = EventLoop::now() + 2s;
+    while (Read < Body.size() && EventLoop::now() < Limit) {
+      this->runFor(1ms);
+      Read += Callers[0]->readSome(1 << 20);
+    }
+    EXPECT_GE(Read, Body.size()) << Ending;
+    this->Listener.reset();
+    this->Address = freeAddress();
+  }
+}
+
 } // namespace
 } // namespace galenaroute
