CallListener: a refused caller that is still sending keeps a listener busy

What callers saw: a caller whose request was refused (400, 408, 413, 431) while it was still sending lost the answer to a reset if the process ended then.

Cause: a connection that is read on after a refusal counted as quiet, so that a stop closed it with unread bytes.

Change: a connection counts as quiet only once the linger time has passed without bytes, or when the caller had nothing more to send.

Conclusion: a stop waits for refused callers, at most for MaxLingerTime.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -104,6 +104,7 @@
   bool IsHeadRequest = false;
   bool HasExtendedTimeout = false;
   bool IsBeyondLimit;
+  bool IsSending = false; ///< May send the rest of a refused request.
 };
 
 CallerConnection::CallerConnection(CallListener &Owner, int Socket,
@@ -163,6 +164,7 @@
 void CallerConnection::onReadable() {
   evbuffer *Input = bufferevent_get_input(this->Event.get());
   if (this->Current == State::Lingering) {
+    this->IsSending = true;
     evbuffer_drain(Input, evbuffer_get_length(Input));
     this->LingerUntil =
         std::min(EventLoop::now() + LingerTime, this->Since + MaxLingerTime);
@@ -229,6 +231,7 @@
       {{"status", std::to_string(Status)},
        {"reason", "malformed or too large"}});
   this->KeepAlive = false;
+  this->IsSending = true;
   this->setState(State::Answering);
   this->sendWhole(Status, {}, {});
 }
@@ -392,7 +395,9 @@
   case State::Flushing:
     return false;
   case State::Lingering:
-    return true;
+    // Bytes that arrive after the close would reset the connection before the
+    // caller has read its answer.
+    return !this->IsSending && !this->isPending(POLLIN);
   }
   return true;
 }
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -100,7 +100,7 @@
   /// are open are still served.
   void stopAccepting();
   /// Returns whether no request is being read or answered, or waits unread in a
-  /// socket.
+  /// socket, and no caller is sending the rest of a refused one.
   bool isQuiet() const;
   /// Closes all connections, so that answers under way are seen to be
   /// incomplete.
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -322,5 +322,22 @@
   }
 }
 
+// Guards against a process that ends, and so resets the connection, while a
+// caller whose request was refused is still sending.
+TEST_F(CallListenerTest, IsNotQuietWhileARefusedCallerIsSending) {
+  this->listen({.Message = {.MaxBodyBytes = 1000}});
+  const auto Callers = this->connect(1);
+  Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n"
+                    "\r\n");
+  for (int I = 0; I < 10; ++I) {
+    Callers[0]->writeSome(std::string(1000, 'b'));
+    this->runFor(60ms);
+    EXPECT_FALSE(this->Listener->isQuiet()) << I;
+  }
+  Callers[0]->endWriting();
+  this->runFor(50ms);
+  EXPECT_TRUE(this->Listener->isQuiet());
+}
+
 } // namespace
 } // namespace galenaroute
