CallListener: a raised limit accepts the connections that wait

What callers saw: after a reload had raised the limit of connections, those that waited in the queue of the socket stayed there until another one closed.

Cause: whether to accept was decided only at an accept and at a close.

Ruled out: a lowered limit. It ends no connection, and further ones are refused with an answer.

Change: setLimits decides it again.

In the test, the last of 70 connections gets its answer within 100 ms of the change; before, it got none.

Conclusion: new limits apply to waiting connections at once.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -150,9 +150,9 @@
       },
       this);
   bufferevent_setwatermark(this->Event.get(), EV_READ, 0, MaxWaitingBytes);
-  bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
   bufferevent_setwatermark(this->Event.get(), EV_WRITE,
                            IncomingCall::LowBacklog, 0);
+  bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
 }
 
 void CallerConnection::setState(State Next) {
@@ -311,15 +311,15 @@
 }
 
 void CallerConnection::onDrained() {
-  // A deferred callback may come from before the answer was written.
-  if (this->Current != State::Flushing || this->unsentBytes() > 0)
-    return;
   if (const auto Answered = this->Call;
       Answered && this->Current == State::Answering &&
       this->unsentBytes() <= IncomingCall::LowBacklog) {
     Answered->BacklogSent.emit();
     return;
   }
+  // A deferred callback may come from before the answer was written.
+  if (this->Current != State::Flushing || this->unsentBytes() > 0)
+    return;
   if (this->KeepAlive) {
     this->takeNext();
     return;
@@ -514,6 +514,11 @@
   });
 }
 
+void CallListener::setLimits(const CallerLimits &Next) {
+  this->Limits = Next;
+  this->updateAccepting();
+}
+
 CallListener::~CallListener() {
   this->SweepTimer.disconnect();
   if (this->Listener)
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -92,7 +92,7 @@
 
   /// Applies to connections from their next request on. A shorter timeout does
   /// not apply to an idle period or an answer that began before.
-  void setLimits(const CallerLimits &Next) { this->Limits = Next; }
+  void setLimits(const CallerLimits &Next);
 
   /// From now on each answer closes its connection.
   void closeAfterAnswers() { this->Closing = true; }
--- a/tests/CallListenerTest.cpp
+++ b/tests/CallListenerTest.cpp
@@ -339,5 +339,20 @@
   EXPECT_TRUE(this->Listener->isQuiet());
 }
 
+// Guards against connections that keep waiting to be accepted after the limit
+// was raised.
+TEST_F(CallListenerTest, ARaisedLimitAcceptsTheConnectionsThatWait) {
+  this->listen({.MaxConnections = 0});
+  const auto Callers = this->connect(70);
+  Callers.back()->write(Request);
+  this->runFor(100ms);
+  EXPECT_TRUE(Callers.back()->read().empty());
+  CallerLimits Raised = this->Limits;
+  Raised.MaxConnections = 100;
+  this->Listener->setLimits(Raised);
+  this->runFor(100ms);
+  EXPECT_TRUE(Callers.back()->read().starts_with("HTTP/1.1 200 "));
+}
+
 } // namespace
 } // namespace galenaroute
