ForwardGateway: a stop that stood still takes late requests

What callers saw: a process that stood still near the end of its stop reset, on going on, the connections that had been made meanwhile, before the requests on them could arrive.

Cause: the time for late requests counted from the request to stop. After a standstill it was over in the same check that closed the listener and accepted the connections that waited.

Ruled out: requests that had arrived by then; unread requests keep the listener busy.

Change: the time for late requests counts from the end of accepting.

Forty connections made during a standstill of 1 s from 2.5 s after SIGTERM on, with requests sent 0.1 s after it: 0 of 40 answered before, 40 of 40 now. The tests of a standstill beside lowered limits, a store that is away or restored, a reload and a SIGTERM pass before this change and after it.

Conclusion: connections that a stopping process accepts have time to send their requests, whenever it comes to accept them.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -650,15 +650,19 @@
   if (!this->StopRequestedAt)
     return;
   const Duration Since = EventLoop::now() - *this->StopRequestedAt;
-  if (Since >= AcceptAfterStop) {
+  if (Since >= AcceptAfterStop && !this->RefusingSince) {
     this->Services.IsStopping = true;
     this->Listener->stopAccepting();
+    this->RefusingSince = EventLoop::now();
   }
   // Requests that arrive on open connections are now rejected as not run; the
   // process keeps running until every request it has read is answered.
-  const bool IsIdle = this->Services.OpenRuns == 0 &&
-                      Since >= AcceptAfterStop + LateRequestTime &&
-                      this->Listener->isQuiet();
+  // The time for late requests counts from the end of accepting, which comes
+  // late if the process stood still.
+  const bool IsIdle =
+      this->Services.OpenRuns == 0 && this->RefusingSince &&
+      EventLoop::now() - *this->RefusingSince >= LateRequestTime &&
+      this->Listener->isQuiet();
   if (!IsIdle && Since < this->Settings.Grace - StopMargin)
     return;
   this->Listener->abortAll();
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -168,6 +168,7 @@
   /// Models whose history is being written.
   std::set<std::string> PendingHistories;
   std::optional<TimePoint> StopRequestedAt;
+  std::optional<TimePoint> RefusingSince; ///< During a stop.
   std::vector<sigc::connection> Timers;
   sigc::connection EraChanges;
   sigc::connection StatusTimer;
