ForwardGateway: calls that outlast a stop get an answer

What callers saw: calls still open shortly before the platform would kill a stopping process ended with a closed connection and no answer, also those that had been sent to no upstream.

Cause: the process closed all connections at that time.

Ruled out: calls that end earlier. A stop waits for them, as before.

Change: at that time, calls that have not been sent are refused as not run, and those that have been sent fail with 502. The connections are closed one check later. A stream that has begun is still cut.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -5,6 +5,7 @@
 #include "process/Rendezvous.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace galenaroute {
 
@@ -663,8 +664,17 @@
       this->Services.OpenRuns == 0 && this->RefusingSince &&
       EventLoop::now() - *this->RefusingSince >= LateRequestTime &&
       this->Listener->isQuiet();
-  if (!IsIdle && Since < this->Settings.Grace - StopMargin)
-    return;
+  if (!IsIdle) {
+    if (Since < this->Settings.Grace - StopMargin)
+      return;
+    // The answers to the calls that are still open are written until the next
+    // check.
+    if (!std::exchange(this->HasEndedCalls, true)) {
+      this->Services.IsStopping = true;
+      this->Services.ProcessEnding.emit();
+      return;
+    }
+  }
   this->Listener->abortAll();
   log(LogLevel::Info, "process.stopped",
       {{"open_calls", std::to_string(this->Services.OpenRuns)}});
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -169,6 +169,7 @@
   std::set<std::string> PendingHistories;
   std::optional<TimePoint> StopRequestedAt;
   std::optional<TimePoint> RefusingSince; ///< During a stop.
+  bool HasEndedCalls = false; ///< Those still open near the end of a stop.
   std::vector<sigc::connection> Timers;
   sigc::connection EraChanges;
   sigc::connection StatusTimer;
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -46,6 +46,7 @@
   this->WeightsTimer.disconnect();
   this->WeightsChanged.disconnect();
   this->BacklogSent.disconnect();
+  this->ProcessEnding.disconnect();
   this->RefusalsConnection.disconnect();
 }
 
@@ -70,6 +71,8 @@
   this->Incoming->CallerLeft.connect([Self] { Self->onCallerLeft(); });
   this->BacklogSent =
       this->Incoming->BacklogSent.connect([this] { this->resumeUpstream(); });
+  this->ProcessEnding =
+      this->Services.ProcessEnding.connect([this] { this->onProcessEnding(); });
   try {
     if (!this->admit())
       return;
@@ -618,6 +621,15 @@
   this->finish("caller_left");
 }
 
+/// Answers the call, since a closed connection would tell its caller less.
+void ForwardRun::onProcessEnding() {
+  if (this->Current == Phase::Done)
+    return;
+  const auto Self = this->shared_from_this();
+  this->cancelSend("process_ended");
+  this->refuseOrFail("this process ends", DefaultRetryAfter);
+}
+
 void ForwardRun::deliver() {
   if (this->isStreamAnswer()) {
     this->beginStream();
@@ -702,6 +714,7 @@
   this->WeightsTimer.disconnect();
   this->WeightsChanged.disconnect();
   this->BacklogSent.disconnect();
+  this->ProcessEnding.disconnect();
   this->RefusalsConnection.disconnect();
   // Drops the last reference after the caller of this function has returned.
   this->Services.Loop.timers().after(
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -86,6 +86,8 @@
   /// Time after the naming of a version by which calls must have begun if they
   /// run on older weights.
   Duration WeightsLimit = std::chrono::seconds(15);
+  /// Emitted shortly before the process ends with calls in progress.
+  sigc::signal<void()> ProcessEnding;
   bool IsStopping = false;  ///< New calls are refused.
   std::size_t OpenRuns = 0; ///< Runs in progress.
 };
@@ -152,6 +154,7 @@
   ForwardProgress progress();
   void onTimeout();
   void onCallerLeft();
+  void onProcessEnding();
   void armStallTimer();
   void pauseUpstream();
   void resumeUpstream();
@@ -212,6 +215,7 @@
   sigc::connection WeightsTimer;
   sigc::connection WeightsChanged;
   sigc::connection BacklogSent;
+  sigc::connection ProcessEnding;
   sigc::connection RefusalsConnection; ///< While a send is in flight.
 };
 
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -38,57 +38,71 @@
   }
 };
 
-// Guards against dropping recently accepted requests without a response while a
-// process stops under load.
-TEST(PlannedStopTest, EveryRequestThatWasReadIsAnswered) {
+class PlannedStopTest : public testing::Test {
+protected:
+  /// Starts a gateway before an upstream with \p Slots slots whose calls take
+  /// at most \p Timeout.
+  void start(Duration Timeout, int Slots, Duration Grace) {
+    json Config = json::parse(R"({"version":1,"routes":[{"name":"r","host":"h",
+      "pathPrefix":"/a/","kind":"unsafe",
+      "targetLatencyMs":200,"priority":1,"service":"d","maxAttempts":1,
+      "public":true}],"services":[{"name":"d","maxConns":400}]})");
+    Config["routes"][0]["timeoutMs"] = toMilliseconds(Timeout);
+    this->Api.put({"config", "main"}, Config, Platform::MustNotExist,
+                  [](const PlatformResult &) {});
+    this->Api.put({"servers", "d1"},
+                  {{"service", "d"},
+                   {"address", this->Upstream.toString()},
+                   {"zone", "z"},
+                   {"version", "1"},
+                   {"slots", Slots},
+                   {"state", "ready"},
+                   {"sequence", 1},
+                   {"born", 1}},
+                  Platform::MustNotExist, [](const PlatformResult &) {});
+    this->Settings.NodeId = "n1";
+    this->Settings.Zone = "z";
+    this->Settings.Callers = freeAddress();
+    this->Settings.Gossip = freeAddress();
+    this->Settings.Grace = Grace;
+    this->Gateway =
+        std::make_unique<ForwardGateway>(this->Loop, this->Settings,
+                                         GatewayParts{.Api = this->Api,
+                                                      .Source = this->Reader,
+                                                      .Codec = this->Codec,
+                                                      .Feed = this->Feed,
+                                                      .Orders = this->Orders});
+    this->Gateway->Stopped.connect([this] { this->HasStopped = true; });
+    this->Gateway->start();
+  }
+
   EventLoop Loop;
   const SocketAddress Upstream = freeAddress();
-  std::vector<std::pair<TimePoint, std::shared_ptr<IncomingCall>>> Working;
-  CallListener Server(Loop, Upstream, {},
-                      [&](const std::shared_ptr<IncomingCall> &Call) {
-                        Working.emplace_back(EventLoop::now() + 60ms, Call);
-                      });
-  testing_support::FakePlatform Platform;
-  Platform.put({"config", "main"},
-               json::parse(R"({"version":1,"routes":[{"name":"r","host":"h",
-      "pathPrefix":"/a/","kind":"unsafe","timeoutMs":2000,
-      "targetLatencyMs":200,"priority":1,"service":"d","maxAttempts":1,
-      "public":true}],"services":[{"name":"d","maxConns":400}]})"),
-               Platform::MustNotExist, [](const PlatformResult &) {});
-  Platform.put({"servers", "d1"},
-               {{"service", "d"},
-                {"address", Upstream.toString()},
-                {"zone", "z"},
-                {"version", "1"},
-                {"slots", 200},
-                {"state", "ready"},
-                {"sequence", 1},
-                {"born", 1}},
-               Platform::MustNotExist, [](const PlatformResult &) {});
-  const platform::ObjectReader Reader;
-  const platform::CallHeaders Codec;
+  testing_support::FakePlatform Api;
+  const platform::ObjectReader Reader{};
+  const platform::CallHeaders Codec{};
   NoStores Feed;
   NoOrders Orders;
   GatewaySettings Settings;
-  Settings.NodeId = "n1";
-  Settings.Zone = "z";
-  Settings.Callers = freeAddress();
-  Settings.Gossip = freeAddress();
-  ForwardGateway Gateway(Loop, Settings,
-                         {.Api = Platform,
-                          .Source = Reader,
-                          .Codec = Codec,
-                          .Feed = Feed,
-                          .Orders = Orders});
+  std::unique_ptr<ForwardGateway> Gateway;
   bool HasStopped = false;
-  Gateway.Stopped.connect([&] { HasStopped = true; });
-  Gateway.start();
+};
+
+// Guards against dropping recently accepted requests without a response while a
+// process stops under load.
+TEST_F(PlannedStopTest, EveryRequestThatWasReadIsAnswered) {
+  std::vector<std::pair<TimePoint, std::shared_ptr<IncomingCall>>> Working;
+  CallListener Server(this->Loop, this->Upstream, {},
+                      [&](const std::shared_ptr<IncomingCall> &Call) {
+                        Working.emplace_back(EventLoop::now() + 60ms, Call);
+                      });
+  this->start(2s, 200, 8s);
 
   std::vector<Caller> Callers;
   std::size_t Refused = 0; ///< Connections that were not accepted.
   bool IsLoaded = false;
-  const sigc::connection Steps = Loop.timers().every(5ms, [&] {
-    Platform.drain(20);
+  const sigc::connection Steps = this->Loop.timers().every(5ms, [&] {
+    this->Api.drain(20);
     const TimePoint Now = EventLoop::now();
     std::erase_if(Working, [&](auto &Each) {
       if (Now < Each.first)
@@ -104,8 +118,8 @@
     for (int I = 0; I < 2; ++I)
       try {
         Caller Next;
-        Next.Socket =
-            std::make_unique<RawSocket>(RawSocket::connectTo(Settings.Callers));
+        Next.Socket = std::make_unique<RawSocket>(
+            RawSocket::connectTo(this->Settings.Callers));
         Next.StartedAt = Now;
         Next.Socket->writeSome(Caller::First);
         Callers.push_back(std::move(Next));
@@ -113,14 +127,15 @@
         ++Refused;
       }
   });
-  ASSERT_TRUE(Loop.runUntil([&] { return Gateway.isReady(); }, 3s));
+  ASSERT_TRUE(
+      this->Loop.runUntil([&] { return this->Gateway->isReady(); }, 3s));
   IsLoaded = true;
-  Loop.runUntil([] { return false; }, 300ms);
-  Gateway.drain();
-  EXPECT_FALSE(Gateway.isReady());
-  ASSERT_TRUE(Loop.runUntil([&] { return HasStopped; }, 9s));
+  this->Loop.runUntil([] { return false; }, 300ms);
+  this->Gateway->drain();
+  EXPECT_FALSE(this->Gateway->isReady());
+  ASSERT_TRUE(this->Loop.runUntil([&] { return this->HasStopped; }, 9s));
   IsLoaded = false;
-  Loop.runUntil([] { return false; }, 200ms);
+  this->Loop.runUntil([] { return false; }, 200ms);
 
   std::size_t Served = 0;
   std::size_t RetryLater = 0;
@@ -141,5 +156,37 @@
   EXPECT_GT(Refused, 0U) << "callers still connected when the process ended";
 }
 
+// Guards against closing connections without an answer when calls last longer
+// than the time that a stop may take.
+TEST_F(PlannedStopTest, CallsThatOutlastTheStopGetAnAnswer) {
+  std::vector<std::shared_ptr<IncomingCall>> Working;
+  CallListener Server(this->Loop, this->Upstream, {},
+                      [&](const std::shared_ptr<IncomingCall> &Call) {
+                        Working.push_back(Call);
+                      });
+  this->start(20s, 200, 1500ms);
+  const sigc::connection Steps =
+      this->Loop.timers().every(5ms, [&] { this->Api.drain(20); });
+  ASSERT_TRUE(
+      this->Loop.runUntil([&] { return this->Gateway->isReady(); }, 3s));
+  std::vector<Caller> Callers(20);
+  for (Caller &Each : Callers) {
+    Each.Socket = std::make_unique<RawSocket>(
+        RawSocket::connectTo(this->Settings.Callers));
+    Each.Socket->write(Caller::First);
+    Each.Socket->write(Caller::Remainder);
+  }
+  ASSERT_TRUE(this->Loop.runUntil(
+      [&] { return Working.size() == Callers.size(); }, 2s));
+  this->Gateway->drain();
+  EXPECT_TRUE(this->Loop.runUntil([&] { return this->HasStopped; }, 1500ms))
+      << "the process would be killed";
+  std::size_t Answered = 0;
+  for (Caller &Each : Callers)
+    Answered +=
+        Each.hasWholeAnswer() && Each.Socket->read().starts_with("HTTP/1.1 50");
+  EXPECT_EQ(Answered, Callers.size());
+}
+
 } // namespace
 } // namespace galenaroute
