ForwardRun: events that arrived during a standstill show progress

What callers saw: a resumable stream was given up and sent to another upstream when the process had stood still for longer than the stall limit, although its events had arrived meanwhile. It ended if the other upstream did not go on.

Cause: the stall timer ran before the loop had read the events.

Ruled out: the upstream's silence; the event waited in the socket.

Change: if input waits when the stall timer runs, the check is made again 20 ms later, when the loop has handled the input.

Conclusion: the process's own standstill does not count as its upstream's.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <netinet/in.h>
+#include <poll.h>
 
 namespace galenaroute {
 
@@ -34,6 +35,7 @@
   void cancel();
   void pauseReading();
   void resumeReading();
+  bool hasUnreadInput() const;
   bool isUsable(TimePoint Now, Duration MaxIdle) const {
     return Now < this->KeepUntil && Now - this->IdleSince < MaxIdle;
   }
@@ -291,6 +293,20 @@
     bufferevent_trigger(this->Event.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+bool UpstreamConnection::hasUnreadInput() const {
+  if (evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0)
+    return true;
+  pollfd Socket{.fd = bufferevent_getfd(this->Event.get()),
+                .events = POLLIN,
+                .revents = 0};
+  return this->Connected && ::poll(&Socket, 1, 0) > 0;
+}
+
+bool UpstreamExchange::hasUnreadInput() const {
+  const auto Open = this->Connection.lock();
+  return Open && Open->hasUnreadInput();
+}
+
 void UpstreamExchange::pauseReading() {
   if (const auto Open = this->Connection.lock())
     Open->pauseReading();
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -63,6 +63,10 @@
   void pauseReading();
   void resumeReading();
 
+  /// Returns whether bytes of the answer wait to be handled. After a standstill
+  /// of the process, timers may run before what arrived meanwhile is read.
+  bool hasUnreadInput() const;
+
   /// Whether any byte of the request was handed to the kernel.
   bool wasSent() const { return this->Sent; }
   /// Whether the connection had served a request before.
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -458,7 +458,9 @@
   if (const auto Limit =
           stallLimit(*this->Route, this->FirstEventAt.has_value()))
     this->StallTimer = this->Services.Loop.timers().after(
-        *Limit, [Self = this->shared_from_this()] { Self->onStall(); });
+        *Limit, [Self = this->shared_from_this()] {
+          Self->onStall(StallCheck::First);
+        });
 }
 
 bool ForwardRun::onHead(const HttpHead &Head) {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -149,7 +149,8 @@
   void noteUnansweredSend(TimePoint Now);
   bool hasBegun() const;
   void onRefusalsChanged();
-  void onStall();
+  enum class StallCheck { First, Repeated };
+  void onStall(StallCheck Check);
   bool canFailOver();
   ForwardProgress progress();
   void onTimeout();
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -12,6 +12,8 @@
 /// Extension of the stall limit for a busy upstream. Callers give up after 2 s
 /// without an event.
 static constexpr Duration BusyStallExtension = std::chrono::milliseconds(1000);
+/// Enough for the loop to handle input that waits.
+static constexpr Duration UnreadInputDelay = std::chrono::milliseconds(20);
 /// Weight of each outcome in the failure score of the upstream. One that cannot
 /// be connected to is down; one that answers with an error is up, and the call
 /// may be the cause; one that is too slow for a caller may only be busy.
@@ -247,17 +249,26 @@
   this->endIfBlocked();
 }
 
-void ForwardRun::onStall() {
+void ForwardRun::onStall(StallCheck Check) {
   if (this->Current == Phase::Done || !this->Exchange)
     return;
+  // What arrived while the process stood still is read first.
+  if (Check == StallCheck::First && this->Exchange->hasUnreadInput()) {
+    this->StallTimer = this->Services.Loop.timers().after(
+        UnreadInputDelay, [Self = this->shared_from_this()] {
+          Self->onStall(StallCheck::Repeated);
+        });
+    return;
+  }
   // An upstream that makes progress on other calls is busy, not stalled; its
   // limit is extended once.
   const UpstreamEntry *At = this->Services.Upstreams.find(this->UpstreamId);
   if (At && At->ProgressAt > this->ProgressAt && !this->HasStalledOnce) {
     this->HasStalledOnce = true;
     this->StallTimer = this->Services.Loop.timers().after(
-        BusyStallExtension,
-        [Self = this->shared_from_this()] { Self->onStall(); });
+        BusyStallExtension, [Self = this->shared_from_this()] {
+          Self->onStall(StallCheck::First);
+        });
     return;
   }
   // A slow send is abandoned only if another upstream has capacity now.
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 #include <set>
+#include <thread>
 
 namespace galenaroute {
 namespace {
@@ -692,5 +693,21 @@
   EXPECT_TRUE(this->hasNoArrival());
 }
 
+// Guards against giving up a sound stream whose events arrived while the
+// process stood still.
+TEST_F(ForwardRunTest,
+       AStreamThatGoesOnDuringAStandstillIsNotResumedElsewhere) {
+  this->sendCall("/stream/a");
+  const auto Peer = this->waitForArrival();
+  Peer->write(this->StreamHead + chunk("id: 1\ndata: a\n\n"));
+  ASSERT_TRUE(this->callerReceives("data: a"));
+  Peer->write(chunk("id: 2\ndata: b\n\n"));
+  // Longer than the stall limit between events.
+  std::this_thread::sleep_for(900ms);
+  EXPECT_TRUE(this->hasNoArrival());
+  EXPECT_FALSE(Peer->hasEnded());
+  EXPECT_TRUE(this->callerReceives("data: b"));
+}
+
 } // namespace
 } // namespace galenaroute
