UpstreamPool: an upstream may pause inside a long request

What callers saw: 502, or no answer to a request that must not be sent again, when its upstream did not read for more than a second while the body was being sent.

Cause: the user timeout of one second, which is to end a silent link, also counts the time for which the receive window is full.

Ruled out: the deadline of the call, which was not near.

Change: a request of more than 32 kB may wait for as long as its call has time. A link that falls silent under such a request is noticed by the stall limit or the deadline.

A body of 16.8 MB whose upstream pauses for 2.5 s: 124928 bytes arrived before the connection was cut, now all of it is received and answered.

Conclusion: a pause of the upstream inside a long body ends no request before its deadline.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -23,6 +23,10 @@
 static constexpr HttpParserLimits AnswerLimits{.MaxHeadBytes = 64 << 10,
                                                .MaxBodyBytes = 16 << 20};
 
+/// Longer requests may fill the receive window of an upstream that does not
+/// read.
+static constexpr std::size_t LongRequestBytes = 32 << 10;
+
 class UpstreamConnection
     : public std::enable_shared_from_this<UpstreamConnection> {
 public:
@@ -63,6 +67,7 @@
   std::string Request;
   TimePoint IdleSince;
   TimePoint KeepUntil;
+  Duration UserTimeout{}; ///< Of the socket.
   bool Connected = false;
   bool ServedBefore = false;
   bool KeepAlive = true;
@@ -134,11 +139,17 @@
 
 void UpstreamConnection::onConnected() {
   this->ConnectTimer.disconnect();
-  if (!this->Connected) {
-    this->Connected = true;
-    setSocketLimits(bufferevent_getfd(this->Event.get()),
-                    this->Settings.UserTimeout);
-  }
+  const Duration Timeout = this->Request.size() > LongRequestBytes
+                               ? std::max(this->Settings.UserTimeout,
+                                          this->Settings.LongRequestTimeout)
+                               : this->Settings.UserTimeout;
+  const int Socket = bufferevent_getfd(this->Event.get());
+  if (!this->Connected)
+    setSocketLimits(Socket, Timeout);
+  else if (Timeout != this->UserTimeout)
+    setUserTimeout(Socket, Timeout);
+  this->Connected = true;
+  this->UserTimeout = Timeout;
   this->Current->Sent = true;
   bufferevent_write(this->Event.get(), this->Request.data(),
                     this->Request.size());
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -34,7 +34,11 @@
 
 struct UpstreamExchangeSettings {
   Duration ConnectTimeout = std::chrono::milliseconds(400);
+  /// How long data to the upstream may stay unacknowledged.
   Duration UserTimeout = std::chrono::milliseconds(1000);
+  /// The same for a request so long that it can fill the window of an upstream
+  /// that pauses, which the kernel treats like a silent link.
+  Duration LongRequestTimeout = std::chrono::seconds(15);
   /// An idle connection older than this is not used.
   Duration MaxIdle = std::chrono::seconds(60);
   bool IsHead = false; ///< The answer to HEAD has no body.
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -348,6 +348,7 @@
   const SendPlan Plan = this->planSend(To, Reuse);
   UpstreamExchangeSettings Settings;
   Settings.IsHead = this->Call.Method == "HEAD";
+  Settings.LongRequestTimeout = this->timeLeft();
   Settings.MaxIdle = this->Route->Repeat == Repeatability::Once
                          ? MaxIdleNonRepeatable
                          : MaxIdleRepeatable;
--- a/tests/ForwardConnectionsTest.cpp
+++ b/tests/ForwardConnectionsTest.cpp
@@ -362,5 +362,33 @@
   }
 }
 
+// Guards against ending a request whose upstream does not read for longer than
+// the limit after which a silent link ends.
+TEST_F(UpstreamPoolTest, AnUpstreamThatPausesInsideALongBodyGetsAllOfIt) {
+  const std::string Body(16 << 20, 'x');
+  std::optional<UpstreamEnd> End;
+  auto Exchange =
+      this->Pool.start(this->Server.Address,
+                       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                           std::to_string(Body.size()) + "\r\n\r\n" + Body,
+                       {},
+                       {.OnHead = [](const HttpHead &) { return true; },
+                        .OnBody = [](std::string_view) {},
+                        .OnEnd = [&](UpstreamEnd How) { End = How; }});
+  const auto Peer = this->accept();
+  this->Loop.runUntil([&] { return End.has_value(); }, 2500ms);
+  std::size_t Read = 0;
+  this->Loop.runUntil(
+      [&] {
+        Read += Peer->readSome(1 << 20);
+        return End || Read >= Body.size();
+      },
+      3s);
+  EXPECT_GE(Read, Body.size());
+  Peer->writeSome("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_TRUE(this->Loop.runUntil([&] { return End.has_value(); }, 1s));
+  EXPECT_EQ(End, UpstreamEnd::Complete);
+}
+
 } // namespace
 } // namespace galenaroute
