--- a/tests/CallListenerTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -27,9 +27,9 @@
   Call->send(Call->IsBeyondLimit ? 503 : 200, {{"Retry-After", "1"}}, "");
 }
 
-class CallListenerTest : public testing::Test {
+class CallerConnectionTest : public testing::Test {
 protected:
-  CallListenerTest() { this->Address = freeAddress(); }
+  CallerConnectionTest() { this->Address = freeAddress(); }
 
   void listen(CallerLimits Limits) {
     this->Limits = Limits;
@@ -65,7 +65,7 @@
 
 // Guards against closing as idle the connections whose requests arrived while
 // the process was stopped.
-TEST_F(CallListenerTest, RequestsThatArriveDuringAStopAreAnswered) {
+TEST_F(CallerConnectionTest, RequestsThatArriveDuringAStopAreAnswered) {
   this->listen({.IdleTimeout = 1s});
   const auto Callers = this->connect(40);
   this->runFor(500ms);
@@ -81,7 +81,7 @@
 
 // Guards against a timeout of a request whose remainder arrived while the
 // process was stopped.
-TEST_F(CallListenerTest, ARequestCompletedDuringAStopIsAnswered) {
+TEST_F(CallerConnectionTest, ARequestCompletedDuringAStopIsAnswered) {
   this->listen({.HeadTimeout = 500ms});
   const auto Callers = this->connect(20);
   for (const auto &Each : Callers)
@@ -96,7 +96,7 @@
 }
 
 // Guards against stopping the process while requests wait in its sockets.
-TEST_F(CallListenerTest, UnreadRequestsKeepAListenerFromBeingQuiet) {
+TEST_F(CallerConnectionTest, UnreadRequestsKeepAListenerFromBeingQuiet) {
   this->listen({});
   const auto Callers = this->connect(1);
   EXPECT_TRUE(this->Listener->isQuiet());
@@ -108,7 +108,7 @@
 
 // Guards against cutting an answer that the caller reads more slowly than the
 // idle timeout, also after the timeout was lowered.
-TEST_F(CallListenerTest, AnAnswerThatIsReadSteadilyIsCarriedToItsEnd) {
+TEST_F(CallerConnectionTest, AnAnswerThatIsReadSteadilyIsCarriedToItsEnd) {
   this->listen({.IdleTimeout = 5s});
   const std::string Body(24 << 20, 'x');
   this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
@@ -137,7 +137,7 @@
 }
 
 // Guards against an unread answer that keeps its connection open for ever.
-TEST_F(CallListenerTest, AnAnswerThatIsNotReadEndsWithTheIdleTimeout) {
+TEST_F(CallerConnectionTest, AnAnswerThatIsNotReadEndsWithTheIdleTimeout) {
   this->listen({.IdleTimeout = 500ms});
   const std::string Body(24 << 20, 'x');
   this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
@@ -154,7 +154,7 @@
 
 // Guards against cutting the answer of a caller that ends its own side once it
 // has sent its request.
-TEST_F(CallListenerTest, AnAnswerUnderWayOutlivesTheEndOfTheCallersSide) {
+TEST_F(CallerConnectionTest, AnAnswerUnderWayOutlivesTheEndOfTheCallersSide) {
   this->listen({});
   const std::string Body(24 << 20, 'x');
   this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
@@ -174,7 +174,7 @@
 }
 
 // Guards against cutting an answer whose reader pauses within the idle timeout.
-TEST_F(CallListenerTest, AnAnswerWhoseReaderPausesIsCarriedToItsEnd) {
+TEST_F(CallerConnectionTest, AnAnswerWhoseReaderPausesIsCarriedToItsEnd) {
   this->listen({.IdleTimeout = 10s});
   const std::string Body(24 << 20, 'x');
   this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
@@ -194,7 +194,7 @@
 
 // Guards against closing connections that are idle within the timeout that was
 // in force when they became idle.
-TEST_F(CallListenerTest, ALoweredIdleTimeoutSparesConnectionsThatAreIdle) {
+TEST_F(CallerConnectionTest, ALoweredIdleTimeoutSparesConnectionsThatAreIdle) {
   this->listen({.IdleTimeout = 2s});
   const auto Callers = this->connect(10);
   for (const auto &Each : Callers)
@@ -216,7 +216,7 @@
 
 // Guards against a timeout of a request whose body arrives slowly but steadily,
 // also after the timeout was lowered.
-TEST_F(CallListenerTest, ABodyThatArrivesSteadilyIsRead) {
+TEST_F(CallerConnectionTest, ABodyThatArrivesSteadilyIsRead) {
   this->listen({.HeadTimeout = 2s});
   const auto Callers = this->connect(1);
   Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n");
@@ -233,7 +233,7 @@
 }
 
 // Guards against a body that never ends.
-TEST_F(CallListenerTest, ABodyThatStopsArrivingTimesOut) {
+TEST_F(CallerConnectionTest, ABodyThatStopsArrivingTimesOut) {
   this->listen({.HeadTimeout = 300ms});
   const auto Callers = this->connect(1);
   Callers[0]->write(
@@ -244,7 +244,7 @@
 
 // Guards against a reset that destroys a refusal before the caller, which is
 // still sending, has read it.
-TEST_F(CallListenerTest, ARefusalReachesACallerThatIsStillSending) {
+TEST_F(CallerConnectionTest, ARefusalReachesACallerThatIsStillSending) {
   this->listen({.Message = {.MaxBodyBytes = 1000}});
   const auto Callers = this->connect(1);
   Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n"
@@ -258,7 +258,7 @@
 }
 
 // Guards against closing a connection beyond the limit without an answer.
-TEST_F(CallListenerTest, ConnectionsBeyondTheLimitAreRefusedWithAnAnswer) {
+TEST_F(CallerConnectionTest, ConnectionsBeyondTheLimitAreRefusedWithAnAnswer) {
   this->listen({.MaxConnections = 4});
   this->OnCall = refuseBeyondLimit;
   const auto Held = this->connect(4);
@@ -277,7 +277,7 @@
 
 // Guards against closing connections without an answer when more callers
 // connect than can be refused at a time.
-TEST_F(CallListenerTest, ConnectionsBeyondTheRefusalsWaitToBeAccepted) {
+TEST_F(CallerConnectionTest, ConnectionsBeyondTheRefusalsWaitToBeAccepted) {
   this->listen({.MaxConnections = 4});
   this->OnCall = refuseBeyondLimit;
   const auto Held = this->connect(4);
@@ -299,7 +299,7 @@
 
 // Guards against a reset of a small answer, all of which waits in the kernel,
 // while its reader pauses.
-TEST_F(CallListenerTest, ASmallAnswerWhoseReaderPausesIsCarriedToItsEnd) {
+TEST_F(CallerConnectionTest, ASmallAnswerWhoseReaderPausesIsCarriedToItsEnd) {
   for (const std::string_view Ending : {"", "Connection: close\r\n"}) {
     this->listen({.IdleTimeout = 10s});
     const std::string Body(1 << 20, 'x');
@@ -324,7 +324,7 @@
 
 // Guards against a process that ends, and so resets the connection, while a
 // caller whose request was refused is still sending.
-TEST_F(CallListenerTest, IsNotQuietWhileARefusedCallerIsSending) {
+TEST_F(CallerConnectionTest, IsNotQuietWhileARefusedCallerIsSending) {
   this->listen({.Message = {.MaxBodyBytes = 1000}});
   const auto Callers = this->connect(1);
   Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n"
@@ -341,7 +341,7 @@
 
 // Guards against connections that keep waiting to be accepted after the limit
 // was raised.
-TEST_F(CallListenerTest, ARaisedLimitAcceptsTheConnectionsThatWait) {
+TEST_F(CallerConnectionTest, ARaisedLimitAcceptsTheConnectionsThatWait) {
   this->listen({.MaxConnections = 0});
   const auto Callers = this->connect(70);
   Callers.back()->write(Request);
