UpstreamTable: a registered leaving outlasts a restored registry

Cause: put() took the state of an entry from the registry only, so an entry that was listed as leaving and comes back as ready from a copy of the platform's data got calls again. Only a leaving that the upstream itself had announced in an answer was kept per incarnation.

Ruled out: the same for removed entries. An entry is also removed when the platform lost touch with its server, and then it comes back with the same time of start and must get calls.

Change: put() remembers a leaving by id and time of start. Entries without a time of start are not remembered, since their incarnations cannot be told apart.

--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -51,6 +51,9 @@
   Entry.Incarnation = incarnationKey(Upstream.Id, Upstream.BornMs);
   Entry.UseKey = useKey(Upstream.Id);
   Entry.MissingSince.reset();
+  // A registry that was restored from a copy may list it as ready again.
+  if (Upstream.IsLeaving && Upstream.BornMs != 0)
+    this->rememberLeaving(Upstream);
   const auto LeavingBornMs = this->LeavingIncarnations.find(Upstream.Id);
   Entry.AnnouncedLeaving = LeavingBornMs != this->LeavingIncarnations.end() &&
                            LeavingBornMs->second == Upstream.BornMs;
@@ -423,14 +426,19 @@
        {"for_ms", std::to_string(toMilliseconds(Until - Now))}});
 }
 
+void UpstreamTable::rememberLeaving(const RegisteredUpstream &Upstream) {
+  if (this->LeavingIncarnations.size() >= MaxLeavingIncarnations &&
+      !this->LeavingIncarnations.contains(Upstream.Id))
+    this->LeavingIncarnations.erase(this->LeavingIncarnations.begin());
+  this->LeavingIncarnations[Upstream.Id] = Upstream.BornMs;
+}
+
 void UpstreamTable::noteLeaving(std::string_view Id) {
   UpstreamEntry *Entry = this->findMutable(Id);
   if (!Entry || Entry->AnnouncedLeaving)
     return;
   Entry->AnnouncedLeaving = true;
-  if (this->LeavingIncarnations.size() >= MaxLeavingIncarnations)
-    this->LeavingIncarnations.erase(this->LeavingIncarnations.begin());
-  this->LeavingIncarnations[Entry->Registered.Id] = Entry->Registered.BornMs;
+  this->rememberLeaving(Entry->Registered);
   log(LogLevel::Info, "upstream.leaving",
       {{"upstream", Entry->Registered.Id},
        {"born_ms", std::to_string(Entry->Registered.BornMs)}});
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -57,7 +57,8 @@
   TimePoint ProgressAt;     ///< When it last began to answer a call.
   TimePoint SuspendedUntil; ///< No calls until then, as after a refusal.
   TimePoint PausedUntil;    ///< Backoff that it asked for.
-  /// It announced in an answer that it leaves; the registry may lag behind.
+  /// It announced that it leaves, in an answer or in the registry. The registry
+  /// may lag behind, or be restored from a copy that does not know of it.
   bool AnnouncedLeaving = false;
 
   bool isLeaving() const {
@@ -241,6 +242,7 @@
 
 private:
   UpstreamEntry *findMutable(std::string_view Id);
+  void rememberLeaving(const RegisteredUpstream &Upstream);
   bool isEligible(const UpstreamEntry &Entry, const UpstreamQuery &Query,
                   TimePoint Now) const;
   /// Memo of isCachedAnywhere() by part key, for the duration of one choice.
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -272,6 +272,31 @@
   EXPECT_EQ(this->choose(this->Parts), Home);
 }
 
+// Guards against calls to an upstream that was registered as leaving, when the
+// registry is restored from a copy in which it is ready.
+TEST_F(UpstreamTableTest, AnUpstreamThatWasListedAsLeavingGetsNoCallFromACopy) {
+  const std::string Home = this->choose(this->Parts);
+  const int Number = std::stoi(Home.substr(1));
+  RegisteredUpstream Leaving = engine(Number);
+  Leaving.IsLeaving = true;
+  this->Table.put(Leaving, Start);
+  EXPECT_NE(this->choose(this->Parts), Home);
+  this->Table.put(engine(Number), Start);
+  EXPECT_NE(this->choose(this->Parts), Home) << "listed again as ready";
+  RegisteredUpstream Restarted = engine(Number);
+  Restarted.BornMs = 2;
+  this->Table.put(Restarted, Start);
+  EXPECT_EQ(this->choose(this->Parts), Home);
+
+  // Without the time of its start, incarnations cannot be told apart.
+  Leaving.BornMs = 0;
+  this->Table.put(Leaving, Start);
+  RegisteredUpstream Unknown = engine(Number);
+  Unknown.BornMs = 0;
+  this->Table.put(Unknown, Start);
+  EXPECT_EQ(this->choose(this->Parts), Home);
+}
+
 // Guards against calls to an upstream that asked for a backoff: neither a
 // shorter one nor the end of a suspension ends it earlier.
 TEST_F(UpstreamTableTest, AnUpstreamThatAskedForABackoffGetsNoCallUntilItsEnd) {
