--- a/tests/FakePlatform.h
+++ b/tests/FakePlatform.h
@@ -65,6 +65,8 @@
   int LoseReplies = 0;
   /// The number of next writes that are dropped and end with Unknown.
   int LoseRequests = 0;
+  /// The number of objects in an answer to list(), zero for all.
+  std::size_t PageSize = 0;
   std::vector<VmRecord> Vms;
   int Writes = 0; ///< Executed writes, including conflicts.
   int Reads = 0;
@@ -106,6 +108,10 @@
             for (const auto &[Name, Object] : this->Store->Objects[Kind])
               if (!Object.Deleted && Name.starts_with(Prefix) && Name > After)
                 Result.Objects.push_back(Object);
+            Result.More =
+                this->PageSize > 0 && Result.Objects.size() > this->PageSize;
+            if (Result.More)
+              Result.Objects.resize(this->PageSize);
           }
           this->judge(Result.Status, EraUse::None, Begun);
           Done(Result);
