--- a/tests/StallableProxy.h
+++ b/tests/StallableProxy.h
@@ -48,6 +48,13 @@
     }
   }
 
+  /// While true, new connections are accepted but carry no bytes either.
+  void setSilent(bool Enabled) {
+    this->IsSilent = Enabled;
+    if (Enabled)
+      this->stall();
+  }
+
   /// Closes all connections.
   void cut() {
     for (const auto &Each : this->Pairs) {
@@ -87,6 +94,10 @@
                                sizeof(To));
     connectPair(Added->Near, Added->Far);
     connectPair(Added->Far, Added->Near);
+    if (this->IsSilent) {
+      bufferevent_disable(Added->Near, EV_READ | EV_WRITE);
+      bufferevent_disable(Added->Far, EV_READ | EV_WRITE);
+    }
     this->Pairs.push_back(std::move(Added));
   }
 
@@ -104,6 +115,7 @@
 
   EventLoop &Loop;
   evconnlistener *Listener;
+  bool IsSilent = false;
   std::vector<std::unique_ptr<Pair>> Pairs;
 };
 
--- a/tests/WeightedEngines.h
+++ b/tests/WeightedEngines.h
@@ -50,6 +50,9 @@
       Answer = [](const std::string &, const std::string &) {
         return std::string("answer");
       };
+  /// Receives the body of each order, also of those that are refused.
+  std::function<void(const nlohmann::json &Order)> OnOrder =
+      [](const nlohmann::json &) {};
 };
 
 class WeightedEngine {
@@ -123,6 +126,7 @@
   }
   void onOrder(IncomingCall &Call) {
     const nlohmann::json Order = nlohmann::json::parse(Call.Body);
+    this->Settings.OnOrder(Order);
     const std::uint64_t Wanted = Order.at("version");
     if (this->Version == Wanted) {
       Call.send(200, {}, "");
