PlatformEmulator: eras and the fault restore_s

Every answer tells the era in the header field Platform-Era. The fault returns objects, deletions and revisions to an earlier moment, so that clients can be tested with a platform that comes back from a copy.

--- a/emulator/Emulator.cpp
+++ b/emulator/Emulator.cpp
@@ -49,10 +49,12 @@
   });
 }
 
-void sendJson(HttpReply &Reply, int Status, const nlohmann::json &Body) {
+void sendJson(HttpReply &Reply, int Status, const nlohmann::json &Body,
+              HttpHeaders Headers) {
+  Headers.add("Content-Type", "application/json");
   // Bytes that are not UTF-8 come from callers and must not end the process.
   Reply.send(
-      Status, {{"Content-Type", "application/json"}},
+      Status, Headers,
       Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
--- a/emulator/Emulator.h
+++ b/emulator/Emulator.h
@@ -59,7 +59,8 @@
 };
 
 /// Answers with \p Body as JSON.
-void sendJson(HttpReply &Reply, int Status, const nlohmann::json &Body);
+void sendJson(HttpReply &Reply, int Status, const nlohmann::json &Body,
+              HttpHeaders Headers = {});
 
 /// Parses \p Body, which must be a JSON object; throws Error(BadRequest).
 nlohmann::json parseObject(std::string_view Body);
--- a/emulator/PlatformEmulator.cpp
+++ b/emulator/PlatformEmulator.cpp
@@ -53,8 +53,28 @@
     Each.disconnect();
 }
 
+void PlatformEmulator::send(HttpReply &Reply, int Status,
+                            const json &Body) const {
+  sendJson(Reply, Status, Body, {{"Platform-Era", std::to_string(this->Era)}});
+}
+
+void PlatformEmulator::fail(HttpReply &Reply, const Error &Failure) const {
+  sendError(Reply, Failure, {{"Platform-Era", std::to_string(this->Era)}});
+}
+
 void PlatformEmulator::answer(const HttpRequest &Request,
                               const ReplyPtr &Reply) {
+  try {
+    this->answerCall(Request, Reply);
+  } catch (const Error &Failure) {
+    this->fail(*Reply, Failure);
+  } catch (const json::exception &Failure) {
+    this->fail(*Reply, Error(ErrorKind::BadRequest, Failure.what()));
+  }
+}
+
+void PlatformEmulator::answerCall(const HttpRequest &Request,
+                                  const ReplyPtr &Reply) {
   if (Request.Path.starts_with("/admin/")) {
     this->answerAdmin(Request, *Reply);
     return;
@@ -67,12 +87,12 @@
     if (this->IsOutageSilent && this->Unanswered.size() < MaxUnanswered)
       this->Unanswered.push_back(Reply);
     else
-      sendJson(*Reply, 503, {{"error", "outage"}});
+      this->send(*Reply, 503, {{"error", "outage"}});
     return;
   }
   if (!(IsRead ? this->Reads : this->Writes).take(Now)) {
     ++this->Counts["refused"];
-    sendJson(*Reply, 429, {{"error", "rate limit"}});
+    this->send(*Reply, 429, {{"error", "rate limit"}});
     return;
   }
   if (this->Settings.ReplyDelay <= Duration::zero()) {
@@ -88,9 +108,9 @@
         try {
           this->carryOut(Request, Reply);
         } catch (const Error &Failure) {
-          sendError(*Reply, Failure);
+          this->fail(*Reply, Failure);
         } catch (const json::exception &Failure) {
-          sendError(*Reply, Error(ErrorKind::BadRequest, Failure.what()));
+          this->fail(*Reply, Error(ErrorKind::BadRequest, Failure.what()));
         }
       }));
 }
@@ -99,19 +119,20 @@
                                    HttpReply &Reply) {
   if (Request.Path == "/admin/fault" && Request.Method == "POST") {
     this->setFault(parseObject(Request.Body));
-    sendJson(Reply, 200, json::object());
+    this->send(Reply, 200, json::object());
   } else if (Request.Path == "/admin/vms" && Request.Method == "POST") {
     const json Body = parseObject(Request.Body);
     const Duration Lag = Milliseconds(
         Body.value("lag_ms", toMilliseconds(this->Settings.VmLag)));
     this->Timers.push_back(this->Loop.timers().after(
         Lag, [this, Vms = Body.at("vms")] { this->Vms = Vms; }));
-    sendJson(Reply, 200, json::object());
+    this->send(Reply, 200, json::object());
   } else if (Request.Path == "/admin/stats") {
     json Body = this->Counts;
     Body["revision"] = this->Revision;
+    Body["era"] = this->Era;
     Body["watches"] = this->Watches.size();
-    sendJson(Reply, 200, Body);
+    this->send(Reply, 200, Body);
   } else {
     throw Error(ErrorKind::NotFound, "no such path");
   }
@@ -131,6 +152,41 @@
     this->Writes.setRate(Fault["writes_per_second"]);
   if (Fault.contains("reads_per_second"))
     this->Reads.setRate(Fault["reads_per_second"]);
+  if (Fault.contains("restore_s"))
+    this->restore(Milliseconds(
+        static_cast<std::int64_t>(1000 * Fault["restore_s"].get<double>())));
+}
+
+void PlatformEmulator::restore(Duration Age) {
+  const TimePoint From = EventLoop::now() - Age;
+  if (Age < Duration::zero() || From < this->UndoableSince)
+    throw Error(ErrorKind::BadRequest, "no copy of that age");
+  while (!this->Undoable.empty() && this->Undoable.back().At > From) {
+    Change &Last = this->Undoable.back();
+    auto &Group = this->Objects[Last.Kind];
+    if (Last.Before)
+      Group[Last.Name] = std::move(*Last.Before);
+    else
+      Group.erase(Last.Name);
+    this->Undoable.pop_back();
+    --this->Revision;
+  }
+  while (!this->Deletions.empty() &&
+         this->Deletions.back().Version > this->Revision)
+    this->Deletions.pop_back();
+  this->OldestRevision = std::min(this->OldestRevision, this->Revision);
+  ++this->Era;
+  ++this->Counts["restorations"];
+  std::erase_if(this->Watches, [this](Watch &Each) {
+    if (Each.Reply->isClosed())
+      return true;
+    // Changes may come again under the revisions that were checked.
+    Each.Checked = Each.Since;
+    if (Each.Since <= this->Revision)
+      return false;
+    this->send(*Each.Reply, 410, {{"revision", this->Revision}});
+    return true;
+  });
 }
 
 void PlatformEmulator::carryOut(const HttpRequest &Request,
@@ -139,7 +195,7 @@
   if (Path.size() < 2 || Path[0] != "v1")
     throw Error(ErrorKind::NotFound, "no such path");
   if (Path[1] == "vms" && Path.size() == 2)
-    sendJson(*Reply, 200, {{"vms", this->Vms}});
+    this->send(*Reply, 200, {{"vms", this->Vms}});
   else if (Path[1] == "objects" && Path.size() == 4)
     this->answerObject(Request, Reply, Path[2], Path[3]);
   else if (Path[1] == "objects" && Path.size() == 3)
@@ -170,9 +226,10 @@
   } else {
     const Object *Found = this->find(Kind, Name);
     if (Found)
-      sendJson(*Reply, 200, describe(Kind, Name, Found->Version, Found->Value));
+      this->send(*Reply, 200,
+                 describe(Kind, Name, Found->Version, Found->Value));
     else
-      sendJson(*Reply, 404, {{"error", "no such object"}});
+      this->send(*Reply, 404, {{"error", "no such object"}});
   }
 }
 
@@ -187,9 +244,10 @@
   if (Body.contains("if_version") &&
       Body["if_version"].get<std::uint64_t>() != OldVersion) {
     ++this->Counts["conflicts"];
-    sendJson(*Reply, 409, {{"version", OldVersion}});
+    this->send(*Reply, 409, {{"version", OldVersion}});
     return;
   }
+  this->noteChange(Kind, Name, Old);
   this->Objects[Kind][Name] = {++this->Revision, std::move(Value)};
   this->answerWrite(Reply, this->Revision);
 }
@@ -199,14 +257,15 @@
                               const std::string &Name) {
   const Object *Old = this->find(Kind, Name);
   if (!Old) {
-    sendJson(*Reply, 404, {{"error", "no such object"}});
+    this->send(*Reply, 404, {{"error", "no such object"}});
     return;
   }
   if (queryNumber(Request.Query, "if_version", Old->Version) != Old->Version) {
     ++this->Counts["conflicts"];
-    sendJson(*Reply, 409, {{"version", Old->Version}});
+    this->send(*Reply, 409, {{"version", Old->Version}});
     return;
   }
+  this->noteChange(Kind, Name, Old);
   this->Objects[Kind].erase(Name);
   this->Deletions.push_back({++this->Revision, Kind, Name});
   if (this->Deletions.size() > this->Settings.MaxDeletions) {
@@ -216,6 +275,18 @@
   this->answerWrite(Reply, this->Revision);
 }
 
+void PlatformEmulator::noteChange(const std::string &Kind,
+                                  const std::string &Name,
+                                  const Object *Before) {
+  this->Undoable.push_back(
+      {EventLoop::now(), Kind, Name,
+       Before ? std::optional<Object>(*Before) : std::nullopt});
+  if (this->Undoable.size() > this->Settings.MaxUndoable) {
+    this->UndoableSince = this->Undoable.front().At;
+    this->Undoable.pop_front();
+  }
+}
+
 void PlatformEmulator::answerWrite(const ReplyPtr &Reply,
                                    std::uint64_t Version) {
   this->checkWatches();
@@ -225,7 +296,7 @@
     Reply->abort();
     return;
   }
-  sendJson(*Reply, 200, {{"version", Version}});
+  this->send(*Reply, 200, {{"version", Version}});
 }
 
 void PlatformEmulator::list(const HttpRequest &Request, HttpReply &Reply,
@@ -249,8 +320,8 @@
     List.push_back(
         describe(Kind, It->first, It->second.Version, It->second.Value));
   }
-  sendJson(Reply, 200,
-           {{"revision", this->Revision}, {"objects", List}, {"more", More}});
+  this->send(Reply, 200,
+             {{"revision", this->Revision}, {"objects", List}, {"more", More}});
 }
 
 void PlatformEmulator::watch(const HttpRequest &Request, const ReplyPtr &Reply,
@@ -258,7 +329,7 @@
   const std::uint64_t Since = queryNumber(Request.Query, "since", 0);
   // A revision from the future belongs to another life of the platform.
   if (Since < this->OldestRevision || Since > this->Revision) {
-    sendJson(*Reply, 410, {{"revision", this->Revision}});
+    this->send(*Reply, 410, {{"revision", this->Revision}});
     return;
   }
   const auto Wait = Milliseconds(
@@ -300,7 +371,7 @@
     if (IsOutage) {
       if (this->IsOutageSilent)
         return false;
-      sendJson(*Each.Reply, 503, {{"error", "outage"}});
+      this->send(*Each.Reply, 503, {{"error", "outage"}});
       return true;
     }
     if (Each.Checked == this->Revision && Now < Each.Deadline)
@@ -309,8 +380,8 @@
     Each.Checked = this->Revision;
     if (Changes.empty() && Now < Each.Deadline)
       return false;
-    sendJson(*Each.Reply, 200,
-             {{"revision", this->Revision}, {"objects", Changes}});
+    this->send(*Each.Reply, 200,
+               {{"revision", this->Revision}, {"objects", Changes}});
     return true;
   });
 }
--- a/emulator/PlatformEmulator.h
+++ b/emulator/PlatformEmulator.h
@@ -7,6 +7,10 @@
 //   slow_ms            delay before each call takes effect; 0 ends it
 //   lose_replies       this many writes take effect and are not answered
 //   writes_per_second, reads_per_second   new rate limits
+//   restore_s          return to the state of this many seconds ago
+// After a restoration, objects, deletions and revisions are those of the copy,
+// so that revisions are given out again, and the era has risen by one. Every
+// answer tells the era in the header field `Platform-Era`; the first one is 1.
 // POST /admin/vms takes `{"vms":[...],"lag_ms"}`.
 
 #ifndef GALENAROUTE_EMULATOR_PLATFORMEMULATOR_H
@@ -16,6 +20,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace galenaroute::emulator {
 
@@ -28,6 +33,9 @@
   /// Deletions remembered for watches; a watch from before the oldest gets
   /// 410.
   std::size_t MaxDeletions = 10000;
+  /// Changes that a restoration can undo, ten seconds of the highest rate. One
+  /// that reaches further back fails with 400.
+  std::size_t MaxUndoable = 4000;
 };
 
 /// A bucket that refills at a rate and holds one second's worth.
@@ -62,6 +70,13 @@
     std::string Kind;
     std::string Name;
   };
+  /// A write, with the object that it replaced.
+  struct Change {
+    TimePoint At;
+    std::string Kind;
+    std::string Name;
+    std::optional<Object> Before;
+  };
   struct Watch {
     std::string Kind;
     std::uint64_t Since;
@@ -72,6 +87,10 @@
 
   void answerAdmin(const HttpRequest &Request, HttpReply &Reply);
   void setFault(const nlohmann::json &Fault);
+  void restore(Duration Age);
+  void send(HttpReply &Reply, int Status, const nlohmann::json &Body) const;
+  void fail(HttpReply &Reply, const Error &Failure) const;
+  void answerCall(const HttpRequest &Request, const ReplyPtr &Reply);
   void carryOut(const HttpRequest &Request, const ReplyPtr &Reply);
   void answerObject(const HttpRequest &Request, const ReplyPtr &Reply,
                     const std::string &Kind, const std::string &Name);
@@ -83,6 +102,8 @@
             const std::string &Kind);
   void watch(const HttpRequest &Request, const ReplyPtr &Reply,
              const std::string &Kind);
+  void noteChange(const std::string &Kind, const std::string &Name,
+                  const Object *Before);
   void answerWrite(const ReplyPtr &Reply, std::uint64_t Version);
   void checkWatches();
   nlohmann::json changesSince(const std::string &Kind,
@@ -95,6 +116,9 @@
   std::deque<Deletion> Deletions;
   std::uint64_t Revision = 0;
   std::uint64_t OldestRevision = 0; ///< Watches from before get 410.
+  std::uint64_t Era = 1;
+  std::deque<Change> Undoable;
+  TimePoint UndoableSince{}; ///< Changes up to here cannot be undone.
   std::vector<Watch> Watches;
   nlohmann::json Vms = nlohmann::json::array();
   RateLimit Writes;
--- a/tests/EmulatorTest.cpp
+++ b/tests/EmulatorTest.cpp
@@ -323,6 +323,36 @@
     return Last.value_or(PlatformResult{});
   }
 
+  PlatformResult remove(const ObjectKey &Key, std::uint64_t IfVersion) {
+    std::optional<PlatformResult> Last;
+    this->Api.remove(Key, IfVersion,
+                     [&](const PlatformResult &Result) { Last = Result; });
+    EXPECT_TRUE(this->Loop.runUntil([&] { return Last.has_value(); }, 5s));
+    return Last.value_or(PlatformResult{});
+  }
+  PlatformList list(const std::string &Kind) {
+    std::optional<PlatformList> Last;
+    this->Api.list(Kind, "", "",
+                   [&](const PlatformList &Result) { Last = Result; });
+    EXPECT_TRUE(this->Loop.runUntil([&] { return Last.has_value(); }, 5s));
+    return Last.value_or(PlatformList{});
+  }
+  PlatformList watch(const std::string &Kind, std::uint64_t Since,
+                     Duration Wait) {
+    std::optional<PlatformList> Last;
+    this->Api.watch(Kind, Since, Wait,
+                    [&](const PlatformList &Result) { Last = Result; });
+    EXPECT_TRUE(this->Loop.runUntil([&] { return Last.has_value(); }, 5s));
+    return Last.value_or(PlatformList{});
+  }
+  void pass(Duration Time) {
+    this->Loop.runUntil([] { return false; }, Time);
+  }
+  /// Returns to the state of 50 ms ago.
+  void restore() {
+    this->post(this->At, "/admin/fault", {{"restore_s", 0.05}});
+  }
+
   PlatformEmulator System{this->Loop, {.ReplyDelay = 0ms}};
   SocketAddress At = this->serve(this->System);
   HttpPlatform Api{this->Client, this->At};
@@ -370,6 +400,105 @@
   EXPECT_EQ(this->put({"k", "b"}, 1, 0).Status, PlatformStatus::Unavailable);
 }
 
+// Guards against a restoration that keeps a change, loses an older one, or
+// does not give out the revisions since the copy again.
+TEST_F(PlatformEmulatorTest, RestoresObjectsAndRevisionsOfTheCopy) {
+  const auto Kept = this->put({"k", "kept"}, 1, 0).Object.Version;
+  const auto Changed = this->put({"k", "changed"}, 1, 0).Object.Version;
+  this->pass(100ms);
+  this->put({"k", "changed"}, 2, Changed);
+  const auto Lost = this->put({"k", "lost"}, 1, 0).Object.Version;
+  ASSERT_EQ(this->remove({"k", "kept"}, Kept).Status, PlatformStatus::Ok);
+  ASSERT_EQ(this->Api.Era.current(), 1U);
+  this->restore();
+
+  const PlatformList After = this->list("k");
+  EXPECT_EQ(this->Api.Era.current(), 2U);
+  EXPECT_EQ(After.Revision, Changed);
+  ASSERT_EQ(After.Objects.size(), 2U);
+  EXPECT_EQ(After.Objects[0].Value, 1);
+  EXPECT_EQ(After.Objects[0].Version, Changed);
+  EXPECT_EQ(After.Objects[1].Key.Name, "kept");
+  EXPECT_EQ(this->watch("k", Lost, 10ms).Status, PlatformStatus::Expired);
+  EXPECT_EQ(this->put({"k", "other"}, 1, 0).Object.Version, Changed + 1);
+  // The deletion that was undone must not be told.
+  const PlatformList Seen = this->watch("k", Changed, 2s);
+  ASSERT_EQ(Seen.Objects.size(), 1U);
+  EXPECT_EQ(Seen.Objects[0].Key.Name, "other");
+}
+
+// Guards against a watch that waits on at a revision that was taken back, and
+// against changes under revisions that a watch had checked before.
+TEST_F(PlatformEmulatorTest, PendingWatchesOutlastARestorationAtOldRevisions) {
+  const auto First = this->put({"k", "a"}, 1, 0).Object.Version;
+  this->pass(100ms);
+  const auto Second = this->put({"other", "b"}, 1, 0).Object.Version;
+  std::optional<HttpResult> OfOld;
+  std::optional<HttpResult> OfLost;
+  const auto Watch = [&](std::uint64_t Since,
+                         std::optional<HttpResult> &Answer) {
+    return this->Client.start(
+        HttpCallBuilder(this->At)
+            .get("/v1/watch/k?since=" + std::to_string(Since))
+            .build(),
+        {.OnDone = [&](const HttpResult &Result) { Answer = Result; }});
+  };
+  const auto Old = Watch(First, OfOld);
+  const auto Lost = Watch(Second, OfLost);
+  this->pass(40ms);
+  this->post(this->At, "/admin/fault", {{"restore_s", 0.09}});
+  ASSERT_TRUE(this->Loop.runUntil([&] { return OfLost.has_value(); }, 2s));
+  EXPECT_EQ(OfLost->Status, 410);
+  EXPECT_EQ(OfLost->Headers.find("Platform-Era"), "2");
+  EXPECT_FALSE(OfOld.has_value());
+  this->list("k"); // A write of the earlier era would end with Unknown.
+  EXPECT_EQ(this->put({"k", "c"}, 1, 0).Object.Version, Second);
+  ASSERT_TRUE(this->Loop.runUntil([&] { return OfOld.has_value(); }, 2s));
+  EXPECT_EQ(OfOld->Status, 200);
+}
+
+// Guards against watches that expire for ever because the oldest revision with
+// known deletions is above the revision of the copy.
+TEST_F(PlatformEmulatorTest, WatchesGoOnWhenForgottenDeletionsAreUndone) {
+  PlatformEmulator Small(this->Loop, {.ReplyDelay = 0ms, .MaxDeletions = 1});
+  const SocketAddress SmallAt = this->serve(Small);
+  const auto Write = [&](const char *Method, const std::string &Name) {
+    const std::string Body =
+        Method == std::string("PUT") ? R"({"value":1})" : "";
+    return this
+        ->call(HttpCallBuilder(SmallAt)
+                   .method(Method, "/v1/objects/k/" + Name, Body)
+                   .build())
+        .Status;
+  };
+  for (const char *Name : {"a", "b"})
+    ASSERT_EQ(Write("PUT", Name), 200);
+  this->pass(100ms);
+  for (const char *Name : {"a", "b"})
+    ASSERT_EQ(Write("DELETE", Name), 200);
+  this->post(SmallAt, "/admin/fault", {{"restore_s", 0.05}});
+  EXPECT_EQ(this->get(SmallAt, "/v1/watch/k?since=2&timeout_ms=10").Status,
+            200);
+  EXPECT_EQ(this->get(SmallAt, "/v1/watch/k?since=1&timeout_ms=10").Status,
+            410);
+}
+
+// Guards against an answer from which a client cannot learn the era.
+TEST_F(PlatformEmulatorTest, EveryAnswerTellsTheEra) {
+  const auto EraOf = [](const HttpResult &Result) {
+    return std::string(Result.Headers.find("Platform-Era").value_or("none"));
+  };
+  for (const char *Path :
+       {"/v1/vms", "/v1/objects/k", "/v1/objects/k/missing",
+        "/v1/watch/k?since=9", "/v1/objects/k?limit=x", "/nowhere"})
+    EXPECT_EQ(EraOf(this->get(this->At, Path)), "1") << Path;
+  this->post(this->At, "/admin/fault", {{"reads_per_second", 0}});
+  EXPECT_EQ(EraOf(this->get(this->At, "/v1/vms")), "1");
+  this->post(this->At, "/admin/fault",
+             {{"restore_s", 0}, {"outage_ms", 10000}});
+  EXPECT_EQ(EraOf(this->get(this->At, "/v1/vms")), "2");
+}
+
 // Guards against a count of runs that misses a repeated payment.
 TEST_F(EmulatorTest, ServiceCountsRunsByKeyAlsoWhenTheReplyIsLost) {
   ServiceEmulator Service(this->Loop, {});
