ClaimLog: claims outlast a restoration of the platform

A restoration took claims and outcomes back, so that a repeat was granted and ran again, and a write based on a version that was given out again replaced the claims of others.

A gateway now remembers for a minute what it made durable, and appends what a read of the range does not show. A new era drops the view, refuses claims without an answer, and delays decisions for a second, so that other gateways can append theirs. An outcome is stored even if its claim is gone.

--- a/src/request/ClaimLog.cpp
+++ b/src/request/ClaimLog.cpp
@@ -1,5 +1,7 @@
 #include "request/ClaimLog.h"
 
+#include "process/Log.h"
+
 #include <algorithm>
 
 namespace galenaroute {
@@ -37,6 +39,10 @@
       return;
     const ClaimOp Op = std::move(*this->Log.Op);
     this->Log.Op.reset();
+    if (std::exchange(this->Log.IsOpOutdated, false)) {
+      this->dropView();
+      return;
+    }
     switch (Op.What) {
     case ClaimOp::Kind::List:
       return this->onListed(Op, Event);
@@ -55,11 +61,19 @@
         Each.HolderAnswer = Event.State;
   }
 
+  void operator()(const ClaimEraChanged &) {
+    this->Log.DecidesFrom = this->Now + this->Log.Settings.RecoveryDelay;
+    this->Log.NeedsRecovery = true;
+    this->Log.IsOpOutdated = this->Log.Op.has_value();
+    this->dropView();
+  }
+
   void operator()(const ClaimWake &) {}
 
   /// Makes the progress that is possible after each event.
   void advance() {
     this->expire();
+    this->forgetRecent();
     if (!this->Log.Op && this->Now >= this->Log.RetryAt)
       this->startOp();
     this->scheduleWake();
@@ -72,6 +86,102 @@
     this->Actions.Replies.push_back({To.Id, Verdict, {}});
   }
 
+  // Restorations of the platform.
+
+  /// Drops all that was read in an earlier era, and refuses the claims whose
+  /// durability depends on it.
+  void dropView() {
+    ClaimLog &Log = this->Log;
+    for (ClaimLog::Grouped &Each : Log.Group)
+      Log.Queue.push_back(std::move(Each.From));
+    Log.Group.clear();
+    std::erase_if(Log.Queue, [this](const ClaimLog::Waiting &Each) {
+      if (Each.Request.Kind != ClaimRequestKind::Claim)
+        return false;
+      this->reply(Each.Request, ClaimVerdict::Unavailable);
+      return true;
+    });
+    Log.Loaded = Log.NeedsCreate = false;
+    Log.Segment = Log.Version = Log.LastSealed = 0;
+    Log.Current = {};
+    Log.CurrentBytes = 0;
+    Log.CurrentIndex.clear();
+    Log.SealedIndex.clear();
+    Log.Sealed.clear();
+    Log.Cache.clear();
+    Log.Tail.reset();
+  }
+
+  void remember(const ClaimLog::Grouped &Written) {
+    if (this->Log.Recent.size() >= this->Log.Settings.MaxRecentRecords)
+      this->Log.Recent.pop_front();
+    this->Log.Recent.push_back(
+        {Written.From.Request.Record, Written.Replaced, this->Now});
+  }
+
+  void forgetRecent() {
+    auto &Recent = this->Log.Recent;
+    while (!Recent.empty() &&
+           Recent.front().Written + this->Log.Settings.RecoveryPeriod <=
+               this->Now)
+      Recent.pop_front();
+  }
+
+  /// Returns the remembered records that the view lacks: their keys have no
+  /// record, or one that they superseded.
+  std::vector<ClaimRecord> lostRecords() const {
+    struct Remembered {
+      const ClaimRecord *Newest = nullptr;
+      std::set<std::string_view> Replaced;
+    };
+    std::map<std::string_view, Remembered> ByKey;
+    for (const ClaimLog::RecentRecord &Each : this->Log.Recent) {
+      Remembered &At = ByKey[Each.Record.Key];
+      At.Newest = &Each.Record;
+      At.Replaced.insert(Each.Replaced);
+    }
+    std::vector<ClaimRecord> Result;
+    for (const auto &[Key, Each] : ByKey) {
+      const ClaimRecord &Known = *Each.Newest;
+      const Lookup Found = this->find(Known.Key, {});
+      if (Found.FetchSegment != 0)
+        continue; // Sealed later than the view was read, so by this gateway.
+      const bool IsSameHolder =
+          Found.Newest && Found.Newest->Holder == Known.Holder;
+      const bool IsLost =
+          !Found.Newest ||
+          (IsSameHolder ? Found.Newest->State == ClaimState::Claimed &&
+                              Known.State != ClaimState::Claimed
+                        : Each.Replaced.contains(Found.Newest->Holder));
+      if (IsLost)
+        Result.push_back(Known);
+    }
+    return Result;
+  }
+
+  /// Appends lost records; returns whether there are any.
+  bool startRecovery() {
+    const std::vector<ClaimRecord> Lost = this->lostRecords();
+    if (Lost.empty())
+      return false;
+    ClaimSegment Next = this->Log.Current;
+    std::size_t Bytes = this->Log.CurrentBytes;
+    for (const ClaimRecord &Each : Lost) {
+      if (Bytes >= this->Log.Settings.MaxGroupBytes)
+        break;
+      Bytes += sizeOf(Each);
+      Next.Records.push_back(Each);
+    }
+    if (Bytes >= this->Log.Settings.SegmentBytes)
+      Next.SealedMs = this->WallMs;
+    log(LogLevel::Warn, "claims.restored",
+        {{"range", std::to_string(this->Log.Range)},
+         {"records", std::to_string(Lost.size())}});
+    this->start(
+        {ClaimOp::Kind::Put, this->Log.Segment, this->Log.Version, Next});
+    return true;
+  }
+
   // Platform failures.
 
   /// While the platform is down, one operation at a time probes it, and
@@ -122,11 +232,13 @@
 
   void startOp() {
     ClaimLog &Log = this->Log;
-    if (Log.NeedsCreate && !Log.Queue.empty()) {
+    Log.NeedsRecovery = Log.NeedsRecovery && !Log.Recent.empty();
+    const bool HasWork = !Log.Queue.empty() || Log.NeedsRecovery;
+    if (Log.NeedsCreate && HasWork) {
       this->start({ClaimOp::Kind::Put, Log.LastSealed + 1, 0, {}});
       return;
     }
-    if (Log.Queue.empty()) {
+    if (!HasWork) {
       if (Log.Loaded)
         this->startRetention();
       return;
@@ -135,13 +247,17 @@
       this->startList(Log.LastSealed);
       return;
     }
-    if (this->Now >= this->groupAt())
+    if (Log.NeedsRecovery && this->startRecovery())
+      return;
+    Log.NeedsRecovery = false;
+    if (!Log.Queue.empty() && this->Now >= this->groupAt())
       this->decideGroup();
   }
 
   TimePoint groupAt() const {
-    return std::max(this->Log.NextWrite, this->Log.Queue.front().Arrived +
-                                             this->Log.Settings.GroupDelay);
+    return std::max(
+        {this->Log.NextWrite, this->Log.DecidesFrom,
+         this->Log.Queue.front().Arrived + this->Log.Settings.GroupDelay});
   }
 
   void startList(std::uint64_t After) {
@@ -161,8 +277,13 @@
 
   void scheduleWake() {
     const ClaimLog &Log = this->Log;
-    if (Log.Op || Log.Queue.empty())
+    if (Log.Op)
+      return;
+    if (Log.Queue.empty()) {
+      if (Log.NeedsRecovery)
+        this->Actions.WakeAt = std::max(Log.RetryAt, this->Now);
       return;
+    }
     // Requests that wait for a holder's response need no timer before their
     // deadline.
     TimePoint At = TimePoint::max();
@@ -177,9 +298,15 @@
   // Updating the view.
 
   void indexSealed(const ClaimOpDone::Object &Object) {
+    std::set<std::string_view> RecentKeys;
+    for (const ClaimLog::RecentRecord &Each : this->Log.Recent)
+      RecentKeys.insert(Each.Record.Key);
     for (const ClaimRecord &Each : Object.Value.Records) {
       this->Log.SealedIndex[Each.Key] = Object.Segment;
       this->Log.Cache.erase(Each.Key);
+      // Needed to find out which of the recent records are lost.
+      if (RecentKeys.contains(Each.Key))
+        this->Log.Cache[Each.Key] = Each;
     }
     // An unsealed segment below the highest one is empty; it counts as sealed
     // now.
@@ -209,6 +336,7 @@
       Log.CurrentBytes += sizeOf(Log.Current.Records[I]);
     }
     Log.Loaded = true;
+    Log.NeedsRecovery = true;
     Log.ViewAsOf = Log.ListStarted;
   }
 
@@ -287,8 +415,11 @@
         Log.CurrentIndex[Log.Current.Records[I].Key] = I;
         Log.CurrentBytes += sizeOf(Log.Current.Records[I]);
       }
-      for (const ClaimLog::Grouped &Each : Group)
+      for (const ClaimLog::Grouped &Each : Group) {
+        if (Each.IsAppended)
+          this->remember(Each);
         this->Actions.Replies.push_back(Each.Reply);
+      }
       if (Log.Current.SealedMs != 0) {
         this->indexSealed({Log.Segment, Log.Version, Log.Current});
         Log.Loaded = false;
@@ -350,6 +481,9 @@
       // it may lack the claim because another gateway wrote it.
       if (!IsOwn && this->Log.ViewAsOf < Each.Arrived)
         return {{}, false, /*Refresh=*/true};
+      // The claim was lost in a restoration, and the call was sent.
+      if (!Newest && Each.Request.Kind == ClaimRequestKind::Finish)
+        return {ClaimVerdict::Stored, true};
       // A holder that releases has not sent the call, so if another request
       // holds the key by now, there is nothing to release.
       return {IsOwn || Each.Request.Kind == ClaimRequestKind::Release
@@ -427,11 +561,13 @@
       ClaimReply Answer{Each.Request.Id, *Made.Verdict, {}};
       if (*Made.Verdict == ClaimVerdict::Ran)
         Answer.Outcome = Found.Newest->Outcome;
+      std::string Replaced = Found.Newest ? Found.Newest->Holder : "";
       if (Made.Append) {
         Added.push_back(Each.Request.Record);
         AddedBytes += sizeOf(Added.back());
       }
-      Group.push_back({std::move(Each), std::move(Answer)});
+      Group.push_back({std::move(Each), std::move(Answer), Made.Append,
+                       std::move(Replaced)});
     }
     Log.Queue = std::move(Later);
     if (!Added.empty()) {
--- a/src/request/ClaimLog.h
+++ b/src/request/ClaimLog.h
@@ -24,6 +24,23 @@
 //   so its holder must not send the call.
 // - Memory is bounded by MaxWaiting, MaxIndexedKeys and the size of a segment.
 //
+// The platform may be restored from an old copy, see PlatformEra.h. Records
+// that were durable are then gone, and versions are given out again, so that a
+// write may replace records that it was not based on. Therefore:
+// - Records that this gateway made durable within RecoveryPeriod are
+// remembered.
+//   Every read of the log shows which of them are gone, and these are appended
+//   again before anything is decided.
+// - A new era drops the view. Claims that were not answered by then are
+// refused,
+//   because whether they are durable is not known.
+// - For RecoveryDelay after a new era was noticed, nothing is decided, so that
+//   other gateways can append their records.
+// - An outcome is stored even if the claim is gone.
+// A call may still run twice where the gateway that made its claim durable has
+// ended, or learns of the new era later than RecoveryDelay after the gateway
+// that decides on the repeat.
+//
 // Retention depends on the wall clocks of the gateways, whose differences must
 // be small compared to the retention time.
 
@@ -63,6 +80,14 @@
   Duration MinBackoff = std::chrono::milliseconds(100);
   Duration MaxBackoff = std::chrono::seconds(2);
   Duration Retention = std::chrono::hours(24);
+  /// Longer than a copy from which the platform is restored is old.
+  Duration RecoveryPeriod = std::chrono::minutes(1);
+  /// Covers a read and a write of a range, with the back-off after a failure.
+  /// Shorter than ClaimServiceSettings::ClaimTimeout, so that calls wait.
+  Duration RecoveryDelay = std::chrono::seconds(1);
+  /// Records remembered for RecoveryPeriod. At 4 KB each, with bodies, they
+  /// take 16 MB.
+  std::size_t MaxRecentRecords = 4096;
 };
 
 /// The kinds of requests to the log.
@@ -135,11 +160,14 @@
   std::string Holder;
   HolderState State = HolderState::Unreachable;
 };
+/// The platform has answered in a new era. The result of an operation that was
+/// in progress is still reported.
+struct ClaimEraChanged {};
 /// The timer set by ClaimActions::WakeAt has expired, or retention is due.
 struct ClaimWake {};
 
-using ClaimEvent =
-    std::variant<ClaimArrived, ClaimOpDone, HolderAnswered, ClaimWake>;
+using ClaimEvent = std::variant<ClaimArrived, ClaimOpDone, HolderAnswered,
+                                ClaimEraChanged, ClaimWake>;
 
 struct ClaimActions {
   std::optional<ClaimOp> Op;
@@ -165,6 +193,8 @@
   struct Grouped {
     Waiting From;
     ClaimReply Reply;
+    bool IsAppended = false; ///< The record becomes durable with the Put.
+    std::string Replaced;    ///< The holder of the record that it supersedes.
   };
   struct SealedSegment {
     std::uint64_t Version = 0;
@@ -195,6 +225,17 @@
   std::optional<ClaimOpDone::Object> Tail; ///< The last object listed so far.
   TimePoint ListStarted;
 
+  // Recovery after a restoration of the platform.
+  struct RecentRecord {
+    ClaimRecord Record;
+    std::string Replaced; ///< The holder of the record that it superseded.
+    TimePoint Written;
+  };
+  std::deque<RecentRecord> Recent; ///< Records of this gateway, oldest first.
+  bool NeedsRecovery = false;      ///< The view must be compared with Recent.
+  bool IsOpOutdated = false;       ///< Op began in an earlier era.
+  TimePoint DecidesFrom;           ///< RecoveryDelay after the era changed.
+
   std::deque<Waiting> Queue;
   TimePoint NextWrite;
   TimePoint RetryAt;
@@ -205,8 +246,11 @@
 ClaimActions apply(ClaimLog &Log, const ClaimEvent &Event,
                    const ClaimTime &Time);
 
-/// Returns whether the log can be removed from memory without losing requests.
-inline bool isIdle(const ClaimLog &Log) { return Log.Queue.empty() && !Log.Op; }
+/// Returns whether the log can be removed from memory without losing requests
+/// or records that a restoration may take back.
+inline bool isIdle(const ClaimLog &Log) {
+  return Log.Queue.empty() && !Log.Op && Log.Recent.empty();
+}
 
 } // namespace galenaroute
 
--- a/src/request/ClaimService.cpp
+++ b/src/request/ClaimService.cpp
@@ -63,9 +63,29 @@
                            const ClaimServiceSettings &Settings,
                            std::string Nonce)
     : Api(Api), Ports(std::move(Ports)), Settings(Settings),
-      Nonce(std::move(Nonce)) {}
+      Nonce(std::move(Nonce)) {
+  this->EraChanged = Api.Era.Changed.connect(
+      [this](const EraChange &) { this->onEraChanged(); });
+}
+
+ClaimService::~ClaimService() {
+  this->EraChanged.disconnect();
+  *this->Alive = false;
+}
 
-ClaimService::~ClaimService() { *this->Alive = false; }
+void ClaimService::onEraChanged() {
+  this->DecidesFrom = this->Ports.Time().Now + this->Settings.Log.RecoveryDelay;
+  std::vector<unsigned> Known;
+  for (const auto &[Index, Each] : this->Ranges)
+    Known.push_back(Index);
+  for (const unsigned Index : Known)
+    this->step(Index, ClaimEraChanged{});
+  // The owners of the claims under way may have ended.
+  for (const auto &[Holder, Each] : this->Attempts)
+    if (Each.Held && Each.Kind == ClaimRequestKind::Claim)
+      this->submit(this->Ports.SelfId(), ClaimRequestKind::Claim, Each.Record,
+                   this->Settings.ClaimTimeout);
+}
 
 // The holder role.
 
@@ -266,6 +286,7 @@
   if (Added) {
     At.Log.Settings = this->Settings.Log;
     At.Log.Range = Index;
+    At.Log.DecidesFrom = this->DecidesFrom;
     At.NextRetention = Time.Now + this->Settings.RetentionPeriod;
     this->wakeAt(At.NextRetention);
   }
--- a/src/request/ClaimService.h
+++ b/src/request/ClaimService.h
@@ -127,6 +127,8 @@
   void queryHolder(unsigned Index, const std::string &Holder);
   void dropIdleRanges();
 
+  void onEraChanged();
+
   void wakeAt(TimePoint At);
   void defer(std::function<void()> Call);
 
@@ -139,6 +141,9 @@
   std::map<std::string, Attempt> Attempts; ///< By holder.
   TimePoint NextCheck = TimePoint::max();
   std::map<unsigned, Range> Ranges;
+  /// RecoveryDelay after the era of the platform changed.
+  TimePoint DecidesFrom;
+  sigc::connection EraChanged;
   std::map<std::uint64_t, Origin> Origins;   ///< By request id.
   std::multimap<std::string, Query> Queries; ///< By holder.
   std::deque<std::function<void()>> Deferred;
--- a/tests/ClaimServiceTest.cpp
+++ b/tests/ClaimServiceTest.cpp
@@ -65,6 +65,11 @@
 class ClaimServiceTest : public testing::Test {
 protected:
   std::unique_ptr<ClaimService> start(const std::string &Nonce) {
+    return this->start(Nonce, this->Api);
+  }
+
+  std::unique_ptr<ClaimService> start(const std::string &Nonce,
+                                      Platform &Through) {
     ClaimPorts Ports;
     Ports.SelfId = [] { return "node"; };
     Ports.Send = [](const std::string &, const PeerMessage &) { return false; };
@@ -72,7 +77,7 @@
     Ports.IsGone = [](const std::string &) { return false; };
     Ports.Time = [this] { return ClaimTime{this->Now, this->WallMs}; };
     Ports.WakeAfter = [](Duration) {};
-    return std::make_unique<ClaimService>(this->Api, std::move(Ports),
+    return std::make_unique<ClaimService>(Through, std::move(Ports),
                                           this->Settings, Nonce);
   }
 
@@ -233,6 +238,130 @@
   EXPECT_EQ(this->claim(*Claims, 5).Status, ClaimStatus::Granted);
 }
 
+/// Gateways with a platform that can be restored.
+class ClaimRestoreTest : public ClaimServiceTest {
+protected:
+  ClaimRestoreTest() {
+    this->Api.Store->Era = 1;
+    this->Settings.Ranges = 1;
+  }
+
+  /// Restores the platform. \p Claims notices it by an unrelated answer.
+  void restore(ClaimService &Claims) {
+    this->Api.Store->restore();
+    this->Api.get({"other", "o"}, [](const PlatformResult &) {});
+    this->settle(Claims, 2s);
+  }
+
+  /// Claims key \p Number at a gateway that has just started.
+  ClaimAnswer claimElsewhere(int Number) {
+    FakePlatform Other(this->Api.Store);
+    const auto Claims = this->start("elsewhere", Other);
+    std::optional<ClaimAnswer> Result;
+    Claims->claim(key(Number), "d",
+                  [&](const ClaimAnswer &Answer) { Result = Answer; });
+    for (int I = 0; I < 300 && !Result; ++I) {
+      this->Now += 10ms;
+      Claims->run();
+      Other.drain();
+    }
+    return Result.value_or(ClaimAnswer{});
+  }
+};
+
+// Guards against a call that runs twice because a restoration took back the
+// claim and the outcome of the first run.
+TEST_F(ClaimRestoreTest, LostOutcomesAreStoredAgain) {
+  const auto Claims = this->start("p");
+  this->complete(*Claims, 1);
+  this->Api.Store->keepCopy();
+  this->complete(*Claims, 2);
+  this->complete(*Claims, 3);
+  this->restore(*Claims);
+  for (const int Number : {1, 2, 3}) {
+    const ClaimAnswer Answer = this->claimElsewhere(Number);
+    EXPECT_EQ(Answer.Status, ClaimStatus::Ran) << Number;
+    EXPECT_EQ(Answer.Outcome.Body, "body " + std::to_string(Number));
+  }
+}
+
+// Guards against lost records that are not found because their segments were
+// sealed, and against segments that count as present after they were lost.
+TEST_F(ClaimRestoreTest, LostSegmentsAreStoredAgain) {
+  this->Settings.Log.SegmentBytes = 700;
+  const auto Claims = this->start("p");
+  this->complete(*Claims, 1);
+  this->Api.Store->keepCopy();
+  for (int Number = 2; Number < 12; ++Number)
+    this->complete(*Claims, Number);
+  ASSERT_GT(this->segments(), 3U);
+  this->restore(*Claims);
+  for (int Number = 1; Number < 12; ++Number)
+    EXPECT_EQ(this->claimElsewhere(Number).Status, ClaimStatus::Ran) << Number;
+}
+
+// Guards against a second grant while the first call is under way.
+TEST_F(ClaimRestoreTest, AClaimUnderWayIsStoredAgain) {
+  this->Settings.Log.RecoveryPeriod = 0ms;
+  const auto Claims = this->start("p");
+  this->complete(*Claims, 1);
+  this->Api.Store->keepCopy();
+  const ClaimAnswer Held = this->claim(*Claims, 2);
+  ASSERT_EQ(Held.Status, ClaimStatus::Granted);
+  this->restore(*Claims);
+  EXPECT_NE(this->claimElsewhere(2).Status, ClaimStatus::Granted);
+}
+
+// Guards against an outcome that is dropped because the claim is gone.
+TEST_F(ClaimRestoreTest, AnOutcomeIsStoredWithoutItsClaim) {
+  this->Settings.Log.RecoveryPeriod = 0ms;
+  const auto Claims = this->start("p");
+  this->complete(*Claims, 1);
+  this->Api.Store->keepCopy();
+  const ClaimAnswer Held = this->claim(*Claims, 2);
+  ASSERT_EQ(Held.Status, ClaimStatus::Granted);
+  this->Api.Store->restore();
+  Claims->finish(Held.Token, {true, 201, "text/plain", "body", true});
+  this->settle(*Claims, 5s);
+  EXPECT_TRUE(Claims->isSettled());
+  EXPECT_EQ(this->claimElsewhere(2).Status, ClaimStatus::Ran);
+}
+
+// Guards against a grant that rests on a write whose era has ended: the write
+// replaced a version that was given out again.
+TEST_F(ClaimRestoreTest, AWriteOverTheEndOfAnEraGrantsNothing) {
+  const auto Claims = this->start("p");
+  this->complete(*Claims, 1);
+  this->Api.Store->keepCopy();
+  this->complete(*Claims, 2);
+  this->Api.Store->restore();
+  // Claim and outcome of another gateway bring the version to the old one.
+  FakePlatform Other(this->Api.Store);
+  const auto Second = this->start("q", Other);
+  const auto Step = [&](Duration Time) {
+    for (const TimePoint End = this->Now + Time; this->Now < End;
+         this->Now += 10ms) {
+      Second->run();
+      Other.drain();
+    }
+  };
+  std::optional<ClaimAnswer> Granted;
+  Second->claim(key(3), "d",
+                [&](const ClaimAnswer &Answer) { Granted = Answer; });
+  Step(500ms);
+  ASSERT_TRUE(Granted && Granted->Status == ClaimStatus::Granted);
+  Second->finish(Granted->Token, {true, 201, "text/plain", "body 3", true});
+  Step(500ms);
+
+  EXPECT_EQ(this->claim(*Claims, 4).Status, ClaimStatus::Unavailable);
+  this->settle(*Claims, 2s);
+  // The other gateway finds at its next write that its records are gone.
+  Second->claim(key(5), "d", [](const ClaimAnswer &) {});
+  Step(1s);
+  EXPECT_EQ(this->claimElsewhere(2).Status, ClaimStatus::Ran);
+  EXPECT_EQ(this->claimElsewhere(3).Status, ClaimStatus::Ran);
+}
+
 // Guards against a gateway that was paused for longer than the retention time
 // and then recreates a removed segment: claims written there would not be part
 // of the log.
