ConfigStore: a collection ends when the platform is restored

Versions are given out again after a restoration, so an object that was written later could lie below the collection's fence and be removed while in use.

--- a/src/version/ConfigStore.cpp
+++ b/src/version/ConfigStore.cpp
@@ -287,6 +287,7 @@
                       return;
                     }
                     Self->Fence = Put.Object.Version;
+                    Self->Era = Self->Api.Era.current();
                     Self->list("");
                   });
   }
@@ -294,7 +295,8 @@
   void list(const std::string &After) {
     this->Api.list(ConfigDataKind, "", After,
                    [Self = this->shared_from_this()](const PlatformList &Got) {
-                     if (Got.Status != PlatformStatus::Ok) {
+                     if (Got.Status != PlatformStatus::Ok ||
+                         Self->isOtherEra()) {
                        Self->Done(std::nullopt);
                        return;
                      }
@@ -307,6 +309,9 @@
                    });
   }
 
+  /// Returns whether Fence and the versions listed have lost their meaning.
+  bool isOtherEra() const { return this->Api.Era.current() != this->Era; }
+
   void addIfGarbage(const PlatformObject &Object) {
     if (this->Used.contains(Object.Key.Name) || Object.Version >= this->Fence)
       return;
@@ -329,6 +334,10 @@
     this->Api.remove(
         Next.Key, Next.Version,
         [Self = this->shared_from_this()](const PlatformResult &Result) {
+          if (Self->isOtherEra()) {
+            Self->Done(std::nullopt);
+            return;
+          }
           Self->Removed += Result.Status == PlatformStatus::Ok ? 1 : 0;
           Self->removeNext();
         });
@@ -339,6 +348,7 @@
   ConfigStore::OnCollected Done;
   std::set<std::string> Used;
   std::uint64_t Fence = 0;
+  std::uint64_t Era = 0; ///< Of Fence.
   std::vector<PlatformObject> Garbage;
   std::size_t Removed = 0;
 };
--- a/src/version/ConfigStore.h
+++ b/src/version/ConfigStore.h
@@ -74,7 +74,8 @@
   /// read an earlier version fail its swap, and an apply that reads the new
   /// version writes its objects again, with versions above it. Hence an
   /// unreferenced object with a lower version is garbage regardless of clocks;
-  /// the age limit only protects slow readers.
+  /// the age limit only protects slow readers. Versions belong to an era, so a
+  /// collection ends when the era changes.
   void collect(OnCollected Done);
 
 private:
--- a/tests/ConfigHistoryTest.cpp
+++ b/tests/ConfigHistoryTest.cpp
@@ -13,6 +13,7 @@
 
 using namespace std::chrono_literals;
 using testing_support::FakePlatform;
+using testing_support::FakeStore;
 
 /// Returns a configuration of several objects. Only one of them is unique to
 /// \p Name; the others recur with every second name, so that applies encounter
@@ -272,6 +273,111 @@
   EXPECT_EQ(Read->Version->Config->Deployment.Name, "d2");
 }
 
+/// Operators and daemons with a platform that can be restored.
+class ConfigRestoreTest : public testing::Test {
+protected:
+  /// One process with its own connection to the platform.
+  struct Process {
+    explicit Process(ConfigRestoreTest &Test)
+        : Api(Test.Data), Watcher(Api, Test.Loop.timers(), watcherOptions()),
+          Store(Api, Test.Loop.timers(), storeOptions()) {
+      this->Watcher.Changed.connect([this](const ConfigurationPtr &Config) {
+        this->InForce.push_back(Config->Epoch);
+      });
+    }
+    /// Returns the epoch and the name of the configuration in force.
+    std::pair<std::uint64_t, std::string> inForce() const {
+      const ConfigurationPtr Now = this->Watcher.current();
+      return Now ? std::pair{Now->Epoch, Now->Deployment.Name}
+                 : std::pair{std::uint64_t{0}, std::string()};
+    }
+    FakePlatform Api;
+    ConfigWatcher Watcher;
+    ConfigStore Store;
+    std::vector<std::uint64_t> InForce;
+  };
+
+  ConfigRestoreTest() {
+    this->Data->Era = 1;
+    this->Daemon = this->addDaemon();
+    this->Operator = this->addProcess();
+  }
+
+  static ConfigWatcherOptions watcherOptions() {
+    ConfigWatcherOptions Options;
+    Options.FirstBackoff = 100us;
+    Options.MaxBackoff = 1ms;
+    Options.MinWatchGap = 100us;
+    return Options;
+  }
+  static ConfigStoreOptions storeOptions() {
+    ConfigStoreOptions Options;
+    Options.Deadline = 1s;
+    Options.FirstBackoff = 100us;
+    Options.MaxBackoff = 1ms;
+    Options.MinGarbageAge = 0ms;
+    return Options;
+  }
+
+  Process *addProcess() {
+    this->Processes.push_back(std::make_unique<Process>(*this));
+    return this->Processes.back().get();
+  }
+  Process *addDaemon() {
+    Process *Result = this->addProcess();
+    Result->Watcher.start();
+    return Result;
+  }
+
+  /// Runs all processes but those with held calls, until \p Done if given.
+  void settle(const std::function<bool()> &Done = nullptr) {
+    for (int Round = 0; Round < 60 && !(Done && Done()); ++Round) {
+      for (const auto &Each : this->Processes)
+        if (Each.get() != this->Held)
+          Each->Api.drain(100);
+      this->Loop.runUntil([] { return false; }, 300us);
+    }
+  }
+
+  ApplyResult apply(Process &By, const std::string &Name) {
+    std::optional<ApplyResult> Last;
+    By.Store.apply(configNamed(Name), std::nullopt,
+                   [&](const ApplyResult &Result) { Last = Result; });
+    this->settle();
+    return Last.value_or(ApplyResult{});
+  }
+
+  EventLoop Loop;
+  std::shared_ptr<FakeStore> Data = std::make_shared<FakeStore>();
+  std::vector<std::unique_ptr<Process>> Processes;
+  Process *Daemon;
+  Process *Operator;
+  Process *Held = nullptr;
+};
+
+// Guards against the collection of objects that were written after a
+// restoration, under revisions that an earlier era had given out.
+TEST_F(ConfigRestoreTest, ACollectionDoesNotOutlastARestoration) {
+  this->apply(*this->Operator, "d1");
+  this->Daemon->Watcher.setWatching(false);
+  this->Data->keepCopy();
+  for (int I = 0; I < 100; ++I)
+    this->Data->write({"other", "o"});
+  Process *Collector = this->addProcess();
+  Collector->Store.collect([](std::optional<std::size_t>) {});
+  // The get and the rewrite of the manifest.
+  Collector->Api.step();
+  Collector->Api.step();
+  this->Data->restore();
+  this->Held = Collector;
+  ASSERT_EQ(this->apply(*this->Operator, "d2").End, ApplyOutcome::Applied);
+  this->Held = nullptr;
+  this->settle();
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Later->inForce().second, "d2");
+}
+
 class ConfigApplyTest : public testing::Test {
 protected:
   ApplyResult apply(const std::string &Name, std::uint64_t Seen) {
