Configurations outlast a restoration of the platform

A configuration that was taken back remained in force in the daemons, but one that started later got an older one, and the next change got the lost epoch again, so that daemons which had that one in force ignored it.

Epochs of an era are now above those of all earlier ones, and daemons that watch the manifest store the version in force again. An apply that spans a restoration is applied again under an epoch of the new era.

--- a/src/version/ConfigFetch.cpp
+++ b/src/version/ConfigFetch.cpp
@@ -16,7 +16,7 @@
   ObjectsFetch(Platform &Api, FetchResult Result, ObjectMap Objects,
                OnFetched Done)
       : Api(Api), Result(std::move(Result)), Objects(std::move(Objects)),
-        Done(std::move(Done)) {
+        Done(std::move(Done)), Era(Api.Era.current()) {
     this->Missing = missingObjects(*this->Result.ManifestData, this->Objects);
   }
 
@@ -58,6 +58,11 @@
   }
 
   void finish() {
+    if (this->Result.Status == PlatformStatus::Ok &&
+        this->Api.Era.current() != this->Era) {
+      this->Result.Status = PlatformStatus::Unknown;
+      this->Result.Problem = "the platform was restored during the read";
+    }
     if (this->Result.Status == PlatformStatus::Ok) {
       try {
         this->Result.Version =
@@ -77,6 +82,7 @@
   OnFetched Done;
   std::vector<std::string> Missing;
   std::size_t Open = 0;
+  std::uint64_t Era; ///< Of the manifest and the revision.
 };
 
 } // namespace
--- a/src/version/ConfigFetch.h
+++ b/src/version/ConfigFetch.h
@@ -5,7 +5,8 @@
 //
 // Guarantees: the callback runs exactly once; only objects that Known lacks are
 // read; at most FetchParallel reads are open at a time; every object is checked
-// against its hash.
+// against its hash. A result that is Ok is from the current era of the
+// platform.
 
 #ifndef GALENAROUTE_VERSION_CONFIGFETCH_H
 #define GALENAROUTE_VERSION_CONFIGFETCH_H
--- a/src/version/ConfigObjects.cpp
+++ b/src/version/ConfigObjects.cpp
@@ -146,6 +146,11 @@
        Value.Objects}}.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
+std::uint64_t nextEpoch(std::uint64_t Epoch, std::uint64_t Era) {
+  const std::uint64_t FirstOfEra = Era > 0 ? (Era - 1) * EpochsPerEra + 1 : 1;
+  return std::max(Epoch + 1, FirstOfEra);
+}
+
 ConfigVersionPtr encodeVersion(const Configuration &Config, std::uint64_t Epoch,
                                const std::string &Writer) {
   const ConfigRecords Records = toRecords(Config);
--- a/src/version/ConfigObjects.h
+++ b/src/version/ConfigObjects.h
@@ -51,6 +51,13 @@
   bool operator==(const Manifest &) const = default;
 };
 
+/// Epochs of one era of the platform; the first era is 1. An epoch that a
+/// restoration took back may be in force, so none of a later era repeats it.
+constexpr std::uint64_t EpochsPerEra = 1'000'000;
+
+/// Returns the epoch that follows \p Epoch when it is given out in \p Era.
+std::uint64_t nextEpoch(std::uint64_t Epoch, std::uint64_t Era);
+
 /// Limit of the epochs in Manifest::History.
 constexpr std::size_t MaxManifestHistory = 64;
 /// Limit of the objects of one manifest; 4096 hashes take 0.3 MB.
--- a/src/version/ConfigStore.cpp
+++ b/src/version/ConfigStore.cpp
@@ -1,6 +1,9 @@
 #include "version/ConfigStore.h"
 
+#include "process/Log.h"
+
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace galenaroute {
@@ -86,6 +89,13 @@
         ExpectedEpoch(ExpectedEpoch), Done(std::move(Done)),
         Token(randomToken(this->Random)) {}
 
+  /// A run that stores \p Lost again.
+  ApplyRun(Platform &Api, TimerService &Timers,
+           const ConfigStoreOptions &Options, std::uint64_t Seed,
+           ConfigVersionPtr Lost, ConfigStore::OnApplied Done)
+      : RetryingRun(Api, Timers, Options, Seed), Done(std::move(Done)),
+        Lost(std::move(Lost)) {}
+
   void start() {
     this->startDeadline(std::shared_ptr<RetryingRun>(
         this->shared_from_this(), static_cast<RetryingRun *>(this)));
@@ -113,14 +123,22 @@
   }
 
   void load() {
-    fetchVersion(this->Api, this->Base.Version, 0,
+    // A version that was lost is stored again whatever the stored one contains.
+    const std::uint64_t AboveEpoch =
+        this->Lost ? std::numeric_limits<std::uint64_t>::max() : 0;
+    fetchVersion(this->Api, this->Next ? this->Next : this->Base.Version,
+                 AboveEpoch,
                  [Self = this->shared_from_this()](const FetchResult &Result) {
                    if (Result.Status != PlatformStatus::Ok) {
                      Self->retryLoad(Result.Problem);
                      return;
                    }
                    Self->Base = Result;
-                   Self->decide();
+                   Self->BaseEra = Self->Api.Era.current();
+                   if (Self->Lost)
+                     Self->decideOnLost();
+                   else
+                     Self->decide();
                  });
   }
 
@@ -133,12 +151,43 @@
     return std::nullopt;
   }
 
+  /// Decides whether the version that was lost is to be stored again.
+  void decideOnLost() {
+    const Manifest &Wanted = this->Lost->ManifestData;
+    if (this->writerOf(Wanted.Epoch) == Wanted.Writer) {
+      this->finish(ApplyOutcome::Applied, Wanted.Epoch, "stored");
+    } else if (this->baseEpoch() >= Wanted.Epoch) {
+      this->finish(ApplyOutcome::Conflict, this->baseEpoch(),
+                   "another epoch is stored");
+    } else {
+      log(LogLevel::Info, "config.store_again",
+          {{"epoch", std::to_string(Wanted.Epoch)},
+           {"stored_epoch", std::to_string(this->baseEpoch())}});
+      this->Next = this->Lost;
+      this->writeObjects();
+    }
+  }
+
+  /// Returns whether the manifest has an epoch of an earlier era that this run
+  /// gave out. The epoch may be in force with other contents, and objects that
+  /// the run had written may be gone.
+  bool isOwnOfEarlierEra() const {
+    return this->Base.ManifestData &&
+           this->Base.ManifestData->Writer == this->Token &&
+           this->baseEpoch() < nextEpoch(0, this->BaseEra);
+  }
+
   /// Decides how to proceed from the manifest just read. All puts of this run
-  /// have the same epoch, one above ExpectedEpoch.
+  /// in one era have the same epoch, the next one after ExpectedEpoch.
   void decide() {
     if (!this->ExpectedEpoch)
       this->ExpectedEpoch = this->baseEpoch();
-    const std::uint64_t Epoch = *this->ExpectedEpoch + 1;
+    if (this->isOwnOfEarlierEra()) {
+      this->ExpectedEpoch = this->baseEpoch();
+      this->prepare(nextEpoch(*this->ExpectedEpoch, this->BaseEra));
+      return;
+    }
+    const std::uint64_t Epoch = nextEpoch(*this->ExpectedEpoch, this->BaseEra);
     const std::optional<std::string> Writer = this->writerOf(Epoch);
     if (Writer == this->Token) {
       this->finish(ApplyOutcome::Applied, Epoch, "accepted");
@@ -162,14 +211,24 @@
 
   void prepare(std::uint64_t Epoch) {
     this->Next = encodeVersion(this->Wanted, Epoch, this->Token);
+    this->writeObjects();
+  }
+
+  void writeObjects() {
     // Objects written before the last write of the manifest may have been
-    // collected, so they are written again.
-    if (this->WrittenAt != this->Base.ManifestVersion) {
-      this->ToWrite = missingObjects(
-          this->Next->ManifestData,
-          this->Base.Version ? this->Base.Version->Objects : ObjectMap{});
+    // collected, and those of an earlier era may be gone, so they are written
+    // again.
+    const bool AreStored = this->WrittenAt == this->Base.ManifestVersion &&
+                           this->WrittenEra == this->BaseEra;
+    if (!AreStored) {
+      ObjectMap Stored;
+      if (this->Base.ManifestData && !this->isOwnOfEarlierEra())
+        for (const std::string &Hash : this->Base.ManifestData->Objects)
+          Stored[Hash] = nullptr;
+      this->ToWrite = missingObjects(this->Next->ManifestData, Stored);
     }
     this->WrittenAt = this->Base.ManifestVersion;
+    this->WrittenEra = this->BaseEra;
     this->writeNext(Platform::MustNotExist);
   }
 
@@ -193,6 +252,10 @@
   void written(const PlatformResult &Put) {
     switch (Put.Status) {
     case PlatformStatus::Ok:
+      if (this->Api.Era.current() != this->BaseEra) {
+        this->retryLoad("the platform was restored");
+        return;
+      }
       this->ToWrite.pop_back();
       this->writeNext(Platform::MustNotExist);
       return;
@@ -244,10 +307,13 @@
   std::optional<std::uint64_t> ExpectedEpoch;
   ConfigStore::OnApplied Done;
   std::string Token;
+  ConfigVersionPtr Lost; ///< Set if this version is to be stored again.
   FetchResult Base;
+  std::uint64_t BaseEra = 0; ///< In which Base was read.
   ConfigVersionPtr Next;
   std::vector<std::string> ToWrite;
   std::optional<std::uint64_t> WrittenAt; ///< Manifest version of ToWrite.
+  std::uint64_t WrittenEra = 0;           ///< Era of ToWrite.
   bool MayBeWritten = false;              ///< A swap got no reply.
 };
 
@@ -382,6 +448,13 @@
       ->start();
 }
 
+void ConfigStore::republish(ConfigVersionPtr Version, OnApplied Done) {
+  std::make_shared<ApplyRun>(this->Api, this->Timers, this->Options,
+                             this->Random(), std::move(Version),
+                             std::move(Done))
+      ->start();
+}
+
 void ConfigStore::collect(OnCollected Done) {
   std::make_shared<CollectRun>(this->Api, this->Options, std::move(Done))
       ->start();
--- a/src/version/ConfigStore.h
+++ b/src/version/ConfigStore.h
@@ -13,6 +13,12 @@
 // resolved by reading the manifest again and looking for the token; if that
 // fails, the result is OutcomeUnknown. An apply ends within Deadline plus the
 // timeout of one call.
+//
+// The platform may be restored from an old copy, see PlatformEra.h. The epochs
+// of an era are above those of all earlier ones, so that no epoch is given out
+// twice. An apply whose swap took effect in a later era than its decision is
+// applied again under an epoch of that era. republish() writes a version that
+// was lost again.
 
 #ifndef GALENAROUTE_VERSION_CONFIGSTORE_H
 #define GALENAROUTE_VERSION_CONFIGSTORE_H
@@ -68,6 +74,11 @@
   void apply(const Configuration &Wanted,
              std::optional<std::uint64_t> ExpectedEpoch, OnApplied Done);
 
+  /// Writes \p Version again, with its epoch, unless the stored epoch is at
+  /// least as high. Ends with Applied when the version is stored, and with
+  /// Conflict when another one is.
+  void republish(ConfigVersionPtr Version, OnApplied Done);
+
   /// Removes data objects that no manifest can refer to any more.
   ///
   /// The manifest is first rewritten unchanged. This makes every apply that
--- a/src/version/ConfigWatcher.h
+++ b/src/version/ConfigWatcher.h
@@ -12,12 +12,18 @@
 // each epoch that comes into force, after current() returns it. During an
 // outage of the platform the configuration stays in force, and reads are
 // retried with jittered back-off.
+//
+// The platform may be restored from an old copy, see PlatformEra.h. The watcher
+// then reads the manifest again. A stored epoch below the one in force shows
+// that the restoration took the latter back, and while watching, the watcher
+// stores the version in force again.
 
 #ifndef GALENAROUTE_VERSION_CONFIGWATCHER_H
 #define GALENAROUTE_VERSION_CONFIGWATCHER_H
 
 #include "version/ConfigFetch.h"
 #include "version/ConfigSource.h"
+#include "version/ConfigStore.h"
 
 namespace galenaroute {
 
@@ -54,6 +60,13 @@
   /// Brings \p Next into force if its epoch is higher; returns whether it did.
   bool adopt(ConfigVersionPtr Next);
 
+  /// Returns the era of the platform, as its answers to this daemon tell it.
+  PlatformEra &era() { return this->Api.Era; }
+
+  /// Asks the platform for its era if \p Told, which a peer has told, is newer
+  /// than the one known.
+  void hearOfEra(std::uint64_t Told);
+
   /// Returns whether the platform has answered a read since the start, even if
   /// only to report that there is no manifest.
   bool hasAnswered() const { return this->Answered; }
@@ -67,6 +80,9 @@
   void watch(std::uint64_t Revision);
   void onWatch(std::uint64_t Since, const PlatformList &Result);
   void onFetched(const FetchResult &Result);
+  void checkStored();
+  void republish();
+  void onRepublished(const ApplyResult &Result);
   void schedule(Duration Delay, std::function<void()> Step);
   void retry(std::string Why);
 
@@ -87,7 +103,19 @@
   /// Reset whenever watching stops, so that late callbacks do nothing.
   std::shared_ptr<int> Session;
   sigc::connection Timer;
+  sigc::connection EraChanged;
   unsigned Attempt = 0;
+  std::uint64_t StoredEpoch = 0; ///< Of the manifest as last read.
+  /// Whether the manifest has been read since watching began.
+  bool IsStoredKnown = false;
+  ConfigStore Store;
+  sigc::connection RepublishTimer;
+  unsigned RepublishAttempt = 0;
+  bool IsRepublishing = false;
+  bool IsAskingForEra = false;
+  /// Checked by the end of a republication, which may come after the end of
+  /// the watcher.
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
   bool Answered = false;
   std::string Problem;
 };
--- a/tests/ConfigHistoryTest.cpp
+++ b/tests/ConfigHistoryTest.cpp
@@ -5,6 +5,7 @@
 #include "version/ConfigStore.h"
 #include "version/ConfigWatcher.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -355,6 +356,93 @@
   Process *Held = nullptr;
 };
 
+using EpochAndName = std::pair<std::uint64_t, std::string>;
+
+// Guards against an accepted configuration that is lost with a restoration,
+// so that daemons that start later have an older one.
+TEST_F(ConfigRestoreTest, DaemonsStoreTheVersionInForceAgain) {
+  ASSERT_EQ(this->apply(*this->Operator, "d1").End, ApplyOutcome::Applied);
+  this->Data->keepCopy();
+  ASSERT_EQ(this->apply(*this->Operator, "d2").Epoch, 2U);
+  this->Data->restore();
+  this->settle();
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Later->inForce(), EpochAndName(2, "d2"));
+  EXPECT_EQ(this->Daemon->InForce, (std::vector<std::uint64_t>{1, 2}));
+  EXPECT_EQ(this->apply(*this->Operator, "d2").End, ApplyOutcome::Unchanged);
+}
+
+// Guards against a version that a daemon learns from a peer after a
+// restoration and that is never stored again.
+TEST_F(ConfigRestoreTest, AWatcherStoresTheVersionOfAPeerAgain) {
+  this->apply(*this->Operator, "d1");
+  this->Data->keepCopy();
+  this->apply(*this->Operator, "d2");
+  this->Daemon->Watcher.setWatching(false);
+  this->Data->restore();
+  Process *Later = this->addDaemon();
+  this->settle();
+  ASSERT_EQ(Later->inForce(), EpochAndName(1, "d1"));
+  ASSERT_TRUE(Later->Watcher.adopt(this->Daemon->Watcher.version()));
+  this->settle();
+  Process *Last = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Last->inForce(), EpochAndName(2, "d2"));
+}
+
+// Guards against a configuration that daemons ignore because it has the epoch
+// of one that a restoration took back.
+TEST_F(ConfigRestoreTest, NoEpochIsGivenOutAgain) {
+  this->apply(*this->Operator, "d1");
+  this->Data->keepCopy();
+  this->apply(*this->Operator, "d2");
+  this->Daemon->Api.Outage = true;
+  this->settle();
+  this->Data->restore();
+  const ApplyResult Result = this->apply(*this->Operator, "d3");
+  EXPECT_EQ(Result.End, ApplyOutcome::Applied);
+  this->Daemon->Api.Outage = false;
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(this->Daemon->inForce(), EpochAndName(Result.Epoch, "d3"));
+  EXPECT_EQ(Later->inForce(), EpochAndName(Result.Epoch, "d3"));
+}
+
+// Guards against two versions under one epoch where the swap of an apply takes
+// effect only after a restoration, and against a manifest whose objects were
+// written before it and are gone.
+TEST_F(ConfigRestoreTest, AnApplyUnderWayGetsAnEpochOfTheNewEra) {
+  this->apply(*this->Operator, "d1");
+  this->Data->keepCopy();
+  this->settle();
+  Process *Slow = this->addProcess();
+  std::optional<ApplyResult> Last;
+  Slow->Store.apply(configNamed("d3"), std::nullopt,
+                    [&](const ApplyResult &Result) { Last = Result; });
+  // The read, then the writes of the objects that the manifest lacks.
+  const auto Old = encodeVersion(configNamed("d1"), 1, "w");
+  const auto Missing =
+      missingObjects(encodeVersion(configNamed("d3"), 2, "w")->ManifestData,
+                     Old->Objects)
+          .size();
+  while (Slow->Api.Writes < static_cast<int>(Missing))
+    ASSERT_TRUE(Slow->Api.step());
+  this->Held = Slow;
+  EXPECT_EQ(this->apply(*this->Operator, "d2").Epoch, 2U);
+  this->Data->restore();
+  Slow->Api.step();
+  this->Held = nullptr;
+  this->settle();
+  ASSERT_TRUE(Last);
+  EXPECT_EQ(Last->End, ApplyOutcome::Applied);
+  EXPECT_GT(Last->Epoch, EpochsPerEra);
+  EXPECT_EQ(this->Daemon->inForce(), EpochAndName(Last->Epoch, "d3"));
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Later->inForce(), EpochAndName(Last->Epoch, "d3"));
+}
+
 // Guards against the collection of objects that were written after a
 // restoration, under revisions that an earlier era had given out.
 TEST_F(ConfigRestoreTest, ACollectionDoesNotOutlastARestoration) {
@@ -378,6 +466,78 @@
   EXPECT_EQ(Later->inForce().second, "d2");
 }
 
+// Guards against an apply that is not in force everywhere after restorations
+// that race with applies, outages and lost replies, and against an epoch in
+// force that decreases.
+RC_GTEST_FIXTURE_PROP(ConfigRestoreTest, ALaterApplyIsInForceEverywhere, ()) {
+  for (int I = 0; I < 2; ++I)
+    this->addDaemon();
+  this->Data->keepCopy();
+  int Applies = 0;
+  int Ended = 0;
+  std::mt19937_64 Random(*rc::gen::arbitrary<std::uint64_t>());
+  const auto Script =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 20));
+  for (const int Command : Script) {
+    Process &At = *this->Processes[Random() % this->Processes.size()];
+    switch (Command) {
+    case 0:
+      this->Data->keepCopy();
+      break;
+    case 1:
+    case 2:
+      this->Data->restore();
+      break;
+    case 3:
+      At.Api.Outage = !At.Api.Outage;
+      break;
+    case 4:
+      ++At.Api.LoseReplies;
+      break;
+    case 5:
+    case 6:
+      At.Store.apply(configNamed("d" + std::to_string(Applies++)), std::nullopt,
+                     [&](const ApplyResult &) { ++Ended; });
+      break;
+    case 7:
+      At.Store.collect([](std::optional<std::size_t>) {});
+      break;
+    case 8:
+      this->Loop.runUntil([] { return false; }, 300us);
+      break;
+    default:
+      for (std::size_t I = 0; I < 6 && At.Api.pending() > 0; ++I)
+        At.Api.stepAt(Random() % At.Api.pending());
+    }
+  }
+  for (const auto &Each : this->Processes) {
+    Each->Api.Outage = false;
+    Each->Api.LoseReplies = 0;
+  }
+  this->settle([&] { return Ended == Applies; });
+  RC_ASSERT(Ended == Applies);
+  std::optional<ApplyResult> Last;
+  this->Operator->Store.apply(
+      configNamed("last"), std::nullopt,
+      [&](const ApplyResult &Result) { Last = Result; });
+  this->settle([&] { return Last.has_value(); });
+  RC_ASSERT(Last && Last->End == ApplyOutcome::Applied);
+  const EpochAndName Expected(Last->Epoch, "last");
+  this->settle([&] {
+    return std::all_of(
+        this->Processes.begin(), this->Processes.end(), [&](const auto &Each) {
+          return Each.get() == this->Operator || Each->inForce() == Expected;
+        });
+  });
+  for (const auto &Each : this->Processes) {
+    if (Each.get() != this->Operator)
+      RC_ASSERT(Each->inForce() == Expected);
+    RC_ASSERT(std::adjacent_find(Each->InForce.begin(), Each->InForce.end(),
+                                 std::greater_equal<>()) ==
+              Each->InForce.end());
+  }
+}
+
 class ConfigApplyTest : public testing::Test {
 protected:
   ApplyResult apply(const std::string &Name, std::uint64_t Seen) {
