ConfigExchange: offers tell the era of the platform

Most daemons read the platform every 30 s, so they noticed a restoration late, and claims that they had stored were missing until then. A daemon that hears of a newer era asks the platform.

--- a/src/version/ConfigExchange.cpp
+++ b/src/version/ConfigExchange.cpp
@@ -16,11 +16,23 @@
       State(Settings, std::move(SelfId), Now, Seed), Now(Now) {
   this->Changed = Watcher.Changed.connect(
       [this](const ConfigurationPtr &) { this->onVersionChanged(); });
+  // Few daemons read the platform often, so its era travels with the offers.
+  this->EraChanged = Watcher.era().Changed.connect([this](const EraChange &) {
+    this->sendOffer("", {this->State.Epoch, this->State.Hash, false, 0});
+  });
   this->onVersionChanged();
   this->Watcher.setWatching(this->State.Watching);
 }
 
-ConfigExchange::~ConfigExchange() { this->Changed.disconnect(); }
+ConfigExchange::~ConfigExchange() {
+  this->Changed.disconnect();
+  this->EraChanged.disconnect();
+}
+
+void ConfigExchange::sendOffer(const std::string &To, ConfigOffer Offer) {
+  Offer.Era = this->Watcher.era().current();
+  this->Send(To, "config-offer", toJson(Offer));
+}
 
 void ConfigExchange::onVersionChanged() {
   const ConfigVersionPtr &Version = this->Watcher.version();
@@ -39,7 +51,7 @@
 
 void ConfigExchange::perform(const RelayAction &Action) {
   if (const auto *Offer = std::get_if<SendOffer>(&Action)) {
-    this->Send(Offer->To, "config-offer", toJson(Offer->Offer));
+    this->sendOffer(Offer->To, Offer->Offer);
   } else if (const auto *Start = std::get_if<StartFetch>(&Action)) {
     this->Parts = {};
     this->fetch(Start->From, Start->Offer.Hash, {});
@@ -62,7 +74,9 @@
                              const json &Body, TimePoint Now) {
   this->Now = Now;
   if (Type == "config-offer") {
-    this->step(OfferReceived{From, configOfferFromJson(Body)});
+    ConfigOffer Offer = configOfferFromJson(Body);
+    this->Watcher.hearOfEra(Offer.Era);
+    this->step(OfferReceived{From, std::move(Offer)});
   } else if (Type == "config-fetch") {
     // If the requested version is no longer cached, the fetch times out and the
     // peer uses a later offer.
--- a/src/version/ConfigExchange.h
+++ b/src/version/ConfigExchange.h
@@ -53,6 +53,7 @@
   void step(const RelayEvent &Event);
   void perform(const RelayAction &Action);
   void onVersionChanged();
+  void sendOffer(const std::string &To, ConfigOffer Offer);
   void receiveData(const std::string &From, const ConfigData &Data);
   void fetch(const std::string &From, const std::string &Hash,
              std::vector<std::string> Objects);
@@ -64,6 +65,7 @@
   std::vector<ConfigVersionPtr> CachedVersions;
   ConfigAssembly Parts;
   sigc::connection Changed;
+  sigc::connection EraChanged;
 };
 
 } // namespace galenaroute
--- a/src/version/ConfigMessages.cpp
+++ b/src/version/ConfigMessages.cpp
@@ -37,8 +37,11 @@
 }
 
 json toJson(const ConfigOffer &Value) {
-  return {
+  json Result = {
       {"epoch", Value.Epoch}, {"hash", Value.Hash}, {"ask", Value.WantsReply}};
+  if (Value.Era > 0)
+    Result["era"] = Value.Era;
+  return Result;
 }
 
 json toJson(const ConfigFetch &Value) {
@@ -63,6 +66,8 @@
     Result.Epoch = unsignedFrom(Body.at("epoch"));
     Result.Hash = hashFrom(Body.at("hash"), Result.Epoch == 0);
     Result.WantsReply = Body.at("ask");
+    if (const auto Era = Body.find("era"); Era != Body.end())
+      Result.Era = unsignedFrom(*Era);
     return Result;
   });
 }
--- a/src/version/ConfigMessages.h
+++ b/src/version/ConfigMessages.h
@@ -30,6 +30,8 @@
   std::uint64_t Epoch = 0; ///< 0: no configuration yet.
   std::string Hash;        ///< manifestHash(); empty at epoch 0.
   bool WantsReply = false; ///< Requests an offer in return.
+  /// The newest era of the platform that the sender knows, or 0.
+  std::uint64_t Era = 0;
   bool operator==(const ConfigOffer &) const = default;
 };
 
--- a/src/version/ConfigRelay.cpp
+++ b/src/version/ConfigRelay.cpp
@@ -75,7 +75,7 @@
 private:
   void offer(const std::string &To, bool WantsReply) {
     this->Actions.emplace_back(
-        SendOffer{To, {this->State.Epoch, this->State.Hash, WantsReply}});
+        SendOffer{To, {this->State.Epoch, this->State.Hash, WantsReply, 0}});
     if (!To.empty())
       return;
     // Jitter desynchronizes daemons that started together.
--- a/tests/ConfigExchangeTest.cpp
+++ b/tests/ConfigExchangeTest.cpp
@@ -234,6 +234,38 @@
   EXPECT_EQ(New.Epochs, std::vector<std::uint64_t>{3});
 }
 
+// Guards against a daemon that does not notice a restoration for long because
+// it hardly reads the platform.
+TEST(ConfigExchangeEraTest, APeerMakesADaemonAskForTheEra) {
+  using testing_support::FakeStore;
+  EventLoop Loop;
+  const auto Data = std::make_shared<FakeStore>();
+  Data->Era = 1;
+  FakePlatform FirstApi(Data);
+  FakePlatform SecondApi(Data);
+  ConfigWatcher FirstWatcher(FirstApi, Loop.timers(), {});
+  ConfigWatcher SecondWatcher(SecondApi, Loop.timers(), {});
+  const TimePoint Now = TimePoint() + 1h;
+  ConfigExchange Second(
+      SecondWatcher,
+      [](const std::string &, const char *, const nlohmann::json &) {}, {}, "b",
+      Now, 1);
+  ConfigExchange First(
+      FirstWatcher,
+      [&](const std::string &, const char *Type, const nlohmann::json &Body) {
+        Second.receive("a", Type, Body, Now);
+      },
+      {}, "a", Now, 2);
+  FirstApi.drain();
+  SecondApi.drain();
+  ASSERT_EQ(SecondApi.pending(), 0U);
+  Data->restore();
+  FirstApi.get(ManifestKey, [](const PlatformResult &) {});
+  FirstApi.step();
+  SecondApi.drain();
+  EXPECT_EQ(SecondApi.Era.current(), 2U);
+}
+
 // Guards against a number of watches that grows with the fleet.
 TEST_F(ConfigExchangeTest, TwoDaemonsOfAZoneWatch) {
   for (int I = 0; I < 12; ++I)
