--- a/tests/ConfigHistoryTest.cpp
+++ b/tests/ConfigHistoryTest.cpp
@@ -5,6 +5,7 @@
 #include "version/ConfigStore.h"
 #include "version/ConfigWatcher.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -13,6 +14,7 @@
 
 using namespace std::chrono_literals;
 using testing_support::FakePlatform;
+using testing_support::FakeStore;
 
 /// Returns a configuration of several objects. Only one of them is unique to
 /// \p Name; the others recur with every second name, so that applies encounter
@@ -272,6 +274,270 @@
   EXPECT_EQ(Read->Version->Config->Deployment.Name, "d2");
 }
 
+/// Operators and daemons with a platform that can be restored.
+class ConfigRestoreTest : public testing::Test {
+protected:
+  /// One process with its own connection to the platform.
+  struct Process {
+    explicit Process(ConfigRestoreTest &Test)
+        : Api(Test.Data), Watcher(Api, Test.Loop.timers(), watcherOptions()),
+          Store(Api, Test.Loop.timers(), storeOptions()) {
+      this->Watcher.Changed.connect([this](const ConfigurationPtr &Config) {
+        this->InForce.push_back(Config->Epoch);
+      });
+    }
+    /// Returns the epoch and the name of the configuration in force.
+    std::pair<std::uint64_t, std::string> inForce() const {
+      const ConfigurationPtr Now = this->Watcher.current();
+      return Now ? std::pair{Now->Epoch, Now->Deployment.Name}
+                 : std::pair{std::uint64_t{0}, std::string()};
+    }
+    FakePlatform Api;
+    ConfigWatcher Watcher;
+    ConfigStore Store;
+    std::vector<std::uint64_t> InForce;
+  };
+
+  ConfigRestoreTest() {
+    this->Data->Era = 1;
+    this->Daemon = this->addDaemon();
+    this->Operator = this->addProcess();
+  }
+
+  static ConfigWatcherOptions watcherOptions() {
+    ConfigWatcherOptions Options;
+    Options.FirstBackoff = 100us;
+    Options.MaxBackoff = 1ms;
+    Options.MinWatchGap = 100us;
+    return Options;
+  }
+  static ConfigStoreOptions storeOptions() {
+    ConfigStoreOptions Options;
+    Options.Deadline = 1s;
+    Options.FirstBackoff = 100us;
+    Options.MaxBackoff = 1ms;
+    Options.MinGarbageAge = 0ms;
+    return Options;
+  }
+
+  Process *addProcess() {
+    this->Processes.push_back(std::make_unique<Process>(*this));
+    return this->Processes.back().get();
+  }
+  Process *addDaemon() {
+    Process *Result = this->addProcess();
+    Result->Watcher.start();
+    return Result;
+  }
+
+  /// Runs all processes but those with held calls, until \p Done if given.
+  void settle(const std::function<bool()> &Done = nullptr) {
+    for (int Round = 0; Round < 60 && !(Done && Done()); ++Round) {
+      for (const auto &Each : this->Processes)
+        if (Each.get() != this->Held)
+          Each->Api.drain(100);
+      this->Loop.runUntil([] { return false; }, 300us);
+    }
+  }
+
+  ApplyResult apply(Process &By, const std::string &Name) {
+    std::optional<ApplyResult> Last;
+    By.Store.apply(configNamed(Name), std::nullopt,
+                   [&](const ApplyResult &Result) { Last = Result; });
+    this->settle();
+    return Last.value_or(ApplyResult{});
+  }
+
+  EventLoop Loop;
+  std::shared_ptr<FakeStore> Data = std::make_shared<FakeStore>();
+  std::vector<std::unique_ptr<Process>> Processes;
+  Process *Daemon;
+  Process *Operator;
+  Process *Held = nullptr;
+};
+
+using EpochAndName = std::pair<std::uint64_t, std::string>;
+
+// Guards against an accepted configuration that is lost with a restoration,
+// so that daemons that start later have an older one.
+TEST_F(ConfigRestoreTest, DaemonsStoreTheVersionInForceAgain) {
+  ASSERT_EQ(this->apply(*this->Operator, "d1").End, ApplyOutcome::Applied);
+  this->Data->keepCopy();
+  ASSERT_EQ(this->apply(*this->Operator, "d2").Epoch, 2U);
+  this->Data->restore();
+  this->settle();
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Later->inForce(), EpochAndName(2, "d2"));
+  EXPECT_EQ(this->Daemon->InForce, (std::vector<std::uint64_t>{1, 2}));
+  EXPECT_EQ(this->apply(*this->Operator, "d2").End, ApplyOutcome::Unchanged);
+}
+
+// Guards against a version that a daemon learns from a peer after a
+// restoration and that is never stored again.
+TEST_F(ConfigRestoreTest, AWatcherStoresTheVersionOfAPeerAgain) {
+  this->apply(*this->Operator, "d1");
+  this->Data->keepCopy();
+  this->apply(*this->Operator, "d2");
+  this->Daemon->Watcher.setWatching(false);
+  this->Data->restore();
+  Process *Later = this->addDaemon();
+  this->settle();
+  ASSERT_EQ(Later->inForce(), EpochAndName(1, "d1"));
+  ASSERT_TRUE(Later->Watcher.adopt(this->Daemon->Watcher.version()));
+  this->settle();
+  Process *Last = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Last->inForce(), EpochAndName(2, "d2"));
+}
+
+// Guards against a configuration that daemons ignore because it has the epoch
+// of one that a restoration took back.
+TEST_F(ConfigRestoreTest, NoEpochIsGivenOutAgain) {
+  this->apply(*this->Operator, "d1");
+  this->Data->keepCopy();
+  this->apply(*this->Operator, "d2");
+  this->Daemon->Api.Outage = true;
+  this->settle();
+  this->Data->restore();
+  const ApplyResult Result = this->apply(*this->Operator, "d3");
+  EXPECT_EQ(Result.End, ApplyOutcome::Applied);
+  this->Daemon->Api.Outage = false;
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(this->Daemon->inForce(), EpochAndName(Result.Epoch, "d3"));
+  EXPECT_EQ(Later->inForce(), EpochAndName(Result.Epoch, "d3"));
+}
+
+// Guards against two versions under one epoch where the swap of an apply takes
+// effect only after a restoration, and against a manifest whose objects were
+// written before it and are gone.
+TEST_F(ConfigRestoreTest, AnApplyUnderWayGetsAnEpochOfTheNewEra) {
+  this->apply(*this->Operator, "d1");
+  this->Data->keepCopy();
+  this->settle();
+  Process *Slow = this->addProcess();
+  std::optional<ApplyResult> Last;
+  Slow->Store.apply(configNamed("d3"), std::nullopt,
+                    [&](const ApplyResult &Result) { Last = Result; });
+  // The read, then the writes of the objects that the manifest lacks.
+  const auto Old = encodeVersion(configNamed("d1"), 1, "w");
+  const auto Missing =
+      missingObjects(encodeVersion(configNamed("d3"), 2, "w")->ManifestData,
+                     Old->Objects)
+          .size();
+  while (Slow->Api.Writes < static_cast<int>(Missing))
+    ASSERT_TRUE(Slow->Api.step());
+  this->Held = Slow;
+  EXPECT_EQ(this->apply(*this->Operator, "d2").Epoch, 2U);
+  this->Data->restore();
+  Slow->Api.step();
+  this->Held = nullptr;
+  this->settle();
+  ASSERT_TRUE(Last);
+  EXPECT_EQ(Last->End, ApplyOutcome::Applied);
+  EXPECT_GT(Last->Epoch, EpochsPerEra);
+  EXPECT_EQ(this->Daemon->inForce(), EpochAndName(Last->Epoch, "d3"));
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Later->inForce(), EpochAndName(Last->Epoch, "d3"));
+}
+
+// Guards against the collection of objects that were written after a
+// restoration, under revisions that an earlier era had given out.
+TEST_F(ConfigRestoreTest, ACollectionDoesNotOutlastARestoration) {
+  this->apply(*this->Operator, "d1");
+  this->Daemon->Watcher.setWatching(false);
+  this->Data->keepCopy();
+  for (int I = 0; I < 100; ++I)
+    this->Data->write({"other", "o"});
+  Process *Collector = this->addProcess();
+  Collector->Store.collect([](std::optional<std::size_t>) {});
+  // The get and the rewrite of the manifest.
+  Collector->Api.step();
+  Collector->Api.step();
+  this->Data->restore();
+  this->Held = Collector;
+  ASSERT_EQ(this->apply(*this->Operator, "d2").End, ApplyOutcome::Applied);
+  this->Held = nullptr;
+  this->settle();
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Later->inForce().second, "d2");
+}
+
+// Guards against an apply that is not in force everywhere after restorations
+// that race with applies, outages and lost replies, and against an epoch in
+// force that decreases.
+RC_GTEST_FIXTURE_PROP(ConfigRestoreTest, ALaterApplyIsInForceEverywhere, ()) {
+  for (int I = 0; I < 2; ++I)
+    this->addDaemon();
+  this->Data->keepCopy();
+  int Applies = 0;
+  int Ended = 0;
+  std::mt19937_64 Random(*rc::gen::arbitrary<std::uint64_t>());
+  const auto Script =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 20));
+  for (const int Command : Script) {
+    Process &At = *this->Processes[Random() % this->Processes.size()];
+    switch (Command) {
+    case 0:
+      this->Data->keepCopy();
+      break;
+    case 1:
+    case 2:
+      this->Data->restore();
+      break;
+    case 3:
+      At.Api.Outage = !At.Api.Outage;
+      break;
+    case 4:
+      ++At.Api.LoseReplies;
+      break;
+    case 5:
+    case 6:
+      At.Store.apply(configNamed("d" + std::to_string(Applies++)), std::nullopt,
+                     [&](const ApplyResult &) { ++Ended; });
+      break;
+    case 7:
+      At.Store.collect([](std::optional<std::size_t>) {});
+      break;
+    case 8:
+      this->Loop.runUntil([] { return false; }, 300us);
+      break;
+    default:
+      for (std::size_t I = 0; I < 6 && At.Api.pending() > 0; ++I)
+        At.Api.stepAt(Random() % At.Api.pending());
+    }
+  }
+  for (const auto &Each : this->Processes) {
+    Each->Api.Outage = false;
+    Each->Api.LoseReplies = 0;
+  }
+  this->settle([&] { return Ended == Applies; });
+  RC_ASSERT(Ended == Applies);
+  std::optional<ApplyResult> Last;
+  this->Operator->Store.apply(
+      configNamed("last"), std::nullopt,
+      [&](const ApplyResult &Result) { Last = Result; });
+  this->settle([&] { return Last.has_value(); });
+  RC_ASSERT(Last && Last->End == ApplyOutcome::Applied);
+  const EpochAndName Expected(Last->Epoch, "last");
+  this->settle([&] {
+    return std::all_of(
+        this->Processes.begin(), this->Processes.end(), [&](const auto &Each) {
+          return Each.get() == this->Operator || Each->inForce() == Expected;
+        });
+  });
+  for (const auto &Each : this->Processes) {
+    if (Each.get() != this->Operator)
+      RC_ASSERT(Each->inForce() == Expected);
+    RC_ASSERT(std::adjacent_find(Each->InForce.begin(), Each->InForce.end(),
+                                 std::greater_equal<>()) ==
+              Each->InForce.end());
+  }
+}
+
 class ConfigApplyTest : public testing::Test {
 protected:
   ApplyResult apply(const std::string &Name, std::uint64_t Seen) {
