ForwardGateway: a process that starts awaits the configuration of its peers

Cause: a process that starts while the platform's copy is in force reads an older configuration than the others have, and served it: old services, routes and keys that no longer exist.

Ruled out: taking the configuration itself from peers; it does not fit into a datagram, and a version that the platform lost is not confirmed by it.

Change: gossip tells the version of the configuration in force. For 5 s after its start, a process with an older version than a live peer is not ready and refuses calls with 503 and a time to come back. Records of older releases tell no version and make nobody wait. Until the first gossip, at most 0.5 s, it still serves what it has read.

Conclusion: in force within a bounded time, also when the operator never writes the lost version again.

--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -42,6 +42,8 @@
   bool IssuesPermits = false;   ///< See RateShares.
   /// Entries that it knows itself, including itself and those it does not hear.
   std::uint64_t KnownEntries = 1;
+  /// Version of the configuration in force, zero before the first one.
+  std::uint64_t ConfigVersion = 0;
 };
 
 struct EntryGossipSettings {
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -25,6 +25,10 @@
 static constexpr auto LateRequestTime = std::chrono::milliseconds(300);
 /// A stop completes this long before the platform would kill the process.
 static constexpr auto StopMargin = std::chrono::milliseconds(400);
+/// For this long after its start, a process awaits a configuration that other
+/// gateways have in force. The operator writes it again by then if the platform
+/// was restored from a copy that lacks it.
+static constexpr Duration MaxConfigWait = std::chrono::seconds(5);
 /// Open calls per core at which a gateway reports full load.
 static constexpr double CallsPerCore = 400;
 /// A rollout updates the engines in waves, and each wave starts at the next
@@ -158,6 +162,7 @@
   this->Services.IsConfigFresh = [this] {
     return isRecent(this->Configs.confirmedAt());
   };
+  this->Services.IsConfigOutdated = [this] { return this->isConfigOutdated(); };
   this->Orders =
       OrderControllerBuilder(Loop, Parts.Api, Parts.Orders)
           .self(this->Settings.NodeId + "#" +
@@ -432,7 +437,28 @@
 
 bool ForwardGateway::isReady() const {
   return !this->StopRequestedAt && this->Services.Config &&
-         !this->Upstreams.entries().empty();
+         !this->Upstreams.entries().empty() && !this->isConfigOutdated();
+}
+
+/// Returns whether this process has started with a configuration that is older
+/// than that of other gateways, and awaits the newer one.
+bool ForwardGateway::isConfigOutdated() const {
+  const TimePoint Now = EventLoop::now();
+  if (!this->Services.Config || Now - this->StartedAt >= MaxConfigWait)
+    return false;
+  std::uint64_t Newest = 0;
+  this->Entries.forEachAlive(Now, [&](const EntryRecord &Each) {
+    Newest = std::max(Newest, Each.ConfigVersion);
+  });
+  return Newest > this->Services.Config->Version;
+}
+
+void ForwardGateway::logConfigOutdated() {
+  const bool IsOutdated = this->isConfigOutdated();
+  if (IsOutdated != this->WasConfigOutdated)
+    log(LogLevel::Info, IsOutdated ? "config.outdated" : "config.wait_ended",
+        {{"version", std::to_string(this->Services.Config->Version)}});
+  this->WasConfigOutdated = IsOutdated;
 }
 
 std::vector<SocketAddress> ForwardGateway::addressesFor(std::string_view Zone) {
@@ -448,7 +474,10 @@
 void ForwardGateway::gossip() {
   const TimePoint Now = EventLoop::now();
   EntryRecord &Self = this->Entries.self();
+  this->logConfigOutdated();
   Self.IsReady = this->isReady();
+  Self.ConfigVersion =
+      this->Services.Config ? this->Services.Config->Version : 0;
   Self.ReachesPlatform = this->reachesPlatform();
   Self.IsLeaving = this->StopRequestedAt.has_value();
   Self.Busy = std::min(1.0, static_cast<double>(this->Services.OpenRuns) /
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -136,6 +136,8 @@
   UpstreamTable::ConnectionCapacity
   connectionRoom(const UpstreamEntry &Entry) const;
   std::size_t gatewayCount() const;
+  bool isConfigOutdated() const;
+  void logConfigOutdated();
 
   EventLoop &Loop;
   GatewaySettings Settings;
@@ -161,6 +163,8 @@
   std::unique_ptr<OrderController> Orders;
   std::unique_ptr<CallListener> Listener;
   std::unique_ptr<EntryChannel> Channel;
+  const TimePoint StartedAt = EventLoop::now();
+  bool WasConfigOutdated = false; ///< In the last gossip round.
   TimePoint OldestWeightsSince;
   StallDetector Stalls{BootClock::now()};
   /// Newest version by model whose announcement is stored on the platform.
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -11,7 +11,8 @@
                       Record.Callers.toString(), Record.Gossip.toString(),
                       Record.Zone, Record.Capacity, Record.Busy, Record.IsReady,
                       Record.IsLeaving, Record.ReachesPlatform,
-                      Record.IssuesPermits, Record.KnownEntries});
+                      Record.IssuesPermits, Record.KnownEntries,
+                      Record.ConfigVersion});
 }
 
 static EntryRecord recordFromJson(const json &Value) {
@@ -31,6 +32,8 @@
   Record.IssuesPermits = Value.size() > 11 && Value.at(11).get<bool>();
   if (Value.size() > 12)
     Record.KnownEntries = Value.at(12);
+  if (Value.size() > 13)
+    Record.ConfigVersion = Value.at(13);
   return Record;
 }
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -99,6 +99,11 @@
     this->refuse("this process is stopping", DefaultRetryAfter);
     return false;
   }
+  if (this->Services.IsConfigOutdated()) {
+    this->refuse("other gateways have a newer configuration",
+                 std::chrono::seconds(1));
+    return false;
+  }
   const bool IsFresh = this->Services.IsConfigFresh();
   this->Route = findRoute(*this->Config, this->Call.Host, this->Call.path());
   if (!this->Route) {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -63,6 +63,9 @@
   /// Returns whether the configuration store was reached recently, so that what
   /// is missing in the configuration does not exist.
   std::function<bool()> IsConfigFresh;
+  /// Returns whether other gateways have a newer configuration in force, which
+  /// this process cannot read yet.
+  std::function<bool()> IsConfigOutdated = [] { return false; };
   /// Called when a crash was recorded for a key of a call, or when an answer
   /// has cleared recorded crashes.
   std::function<void(std::uint64_t Key, std::size_t Cleared)> OnCrashesChanged =
--- a/tests/RateSharesTest.cpp
+++ b/tests/RateSharesTest.cpp
@@ -169,17 +169,20 @@
 }
 
 // Guards against a refusal to talk to daemons of the release before, whose
-// records lack the last two fields.
+// records lack the last fields.
 TEST(RateMessageTest, ARecordWithoutTheIssuingFieldIsRead) {
   EntryRecord Record;
   Record.Id = "n1";
   Record.Callers = Record.Gossip = {"10.0.0.1", 80};
   Record.IssuesPermits = true;
   Record.KnownEntries = 6;
+  Record.ConfigVersion = 7;
   const std::string Bytes = encodeGossip({.Records = {Record}});
   EXPECT_TRUE(decodeGossip(Bytes).Records.at(0).IssuesPermits);
   EXPECT_EQ(decodeGossip(Bytes).Records.at(0).KnownEntries, 6U);
+  EXPECT_EQ(decodeGossip(Bytes).Records.at(0).ConfigVersion, 7U);
   nlohmann::json Older = nlohmann::json::from_cbor(Bytes.begin(), Bytes.end());
+  Older.at(0).erase(13);
   Older.at(0).erase(12);
   Older.at(0).erase(11);
   const std::vector<std::uint8_t> OlderBytes = nlohmann::json::to_cbor(Older);
@@ -189,6 +192,7 @@
           .Records.at(0);
   EXPECT_FALSE(Read.IssuesPermits);
   EXPECT_EQ(Read.KnownEntries, 1U);
+  EXPECT_EQ(Read.ConfigVersion, 0U);
 }
 
 // Guards against parts of a split fleet that each issue the whole rate.
--- a/tests/process/RestoredStoreProcessTest.cpp
+++ b/tests/process/RestoredStoreProcessTest.cpp
@@ -105,14 +105,22 @@
                    {"born", 1}});
   }
 
-  bool serves(std::size_t Daemon, int Version) {
+  /// Returns the status of a call to a route that version \p Version added.
+  int statusOf(std::size_t Daemon, int Version) {
     RawSocket Socket(RawSocket::connectTo(this->Places.callerAddress(Daemon)));
     Socket.write("POST /v" + std::to_string(Version) +
                  "/a HTTP/1.1\r\nHost: h\r\nRequest-Id: " +
                  callIdOf(Daemon, ++this->Calls) +
                  "\r\nContent-Length: 4\r\n\r\nbody");
     this->waitFor(CallLimit, [&] { return !Socket.read().empty(); });
-    return Socket.read().starts_with("HTTP/1.1 200");
+    const std::string Answer = Socket.read();
+    constexpr std::string_view Protocol = "HTTP/1.1 ";
+    return Answer.starts_with(Protocol)
+               ? std::atoi(Answer.c_str() + Protocol.size())
+               : 0;
+  }
+  bool serves(std::size_t Daemon, int Version) {
+    return this->statusOf(Daemon, Version) == 200;
   }
   /// Expects that a daemon serves the newest configuration within the time that
   /// the platform allows, from \p From on.
@@ -213,8 +221,9 @@
   this->expectNoneWentBack();
 }
 
-// Guards against a daemon that keeps what it read from the copy, or what it
-// knew before it lost the store.
+// Guards against a daemon that serves an older configuration than the others
+// since it started while the copy was in force, or that keeps what it knew
+// before it lost the store.
 TEST_F(RestoredConfigTest, DaemonsThatStartOrAreCutOffDuringTheRestoration) {
   this->Api.keepCopy();
   this->configure(2);
@@ -226,8 +235,15 @@
   this->kill(1);
   this->Api.restore();
   this->startDaemon(1);
-  this->waitUntilReady(1);
+  this->Harness.waitFor("the configuration of the copy", [&] {
+    return this->Daemons[1]->output().find("config.in_force") !=
+           std::string::npos;
+  });
   this->wait(1s);
+  EXPECT_EQ(this->statusOf(1, 1), 503);
+  EXPECT_EQ(
+      this->Harness.get(this->Places.readyAddress(1), "/api/ready").Status,
+      503);
   // The store holds version 1, but none of these goes back to it.
   for (const std::size_t Each : {0, 2, 3})
     EXPECT_TRUE(this->serves(Each, 2)) << "daemon " << Each;
