--- a/tests/RestoredFleet.h
+++ b/tests/RestoredFleet.h
@@ -379,7 +379,11 @@
         Each.PendingWrites.erase(Key.Name);
         return;
       }
-      Each.Api.put(Key, Known, Read.Object.Version,
+      // Others may have stored more since this call was made.
+      const int Value = std::max(Known, Read.Object.Value.is_null()
+                                            ? 0
+                                            : Read.Object.Value.get<int>());
+      Each.Api.put(Key, Value, Read.Object.Version,
                    [&Each, Key, Known](const PlatformResult &Written) {
                      Each.PendingWrites.erase(Key.Name);
                      if (Written.Status == PlatformStatus::Ok)
--- a/tests/process/RestoredStoreProcessTest.cpp
+++ b/tests/process/RestoredStoreProcessTest.cpp
@@ -359,18 +359,15 @@
 // Guards against announcement times that are gone from the restored store, so
 // that a daemon which restarts dates the weights anew.
 TEST_F(RestoredWeightsTest, HistoriesOfWeightsAreStoredAgain) {
-  const auto StoredAt = [this](const std::string &Name) {
-    EXPECT_TRUE(this->waitFor(5s,
-                              [&] {
-                                const json Stored =
-                                    this->Api.read("weight-history", Name);
-                                return Stored.size() == 1 && Stored[0][0] == 2;
-                              }))
-        << Name << " is " << this->Api.read("weight-history", Name);
-    return this->Api.read("weight-history", Name)
-        .at(0)
-        .at(1)
-        .get<std::int64_t>();
+  // Returns the time at which version 2 was announced, as it is stored.
+  const auto StoredAt = [this](const std::string &Name) -> std::int64_t {
+    json Stored;
+    const bool IsStored = this->waitFor(5s, [&] {
+      Stored = this->Api.read("weight-history", Name);
+      return Stored.size() == 1 && Stored[0][0] == 2;
+    });
+    EXPECT_TRUE(IsStored) << Name << " is " << Stored;
+    return IsStored ? Stored[0][1].get<std::int64_t>() : 0;
   };
   this->Api.keepCopy();
   this->name(2);
