RestoredStoreProcessTest: the wait for a newer configuration is bounded

The daemon that starts while the copy is in force is ready again within 7 s though the lost version is not written, and serves the copy.

--- a/tests/process/RestoredStoreProcessTest.cpp
+++ b/tests/process/RestoredStoreProcessTest.cpp
@@ -234,6 +234,7 @@
   this->Link.setSilent(true);
   this->kill(1);
   this->Api.restore();
+  const TimePoint StartedAt = EventLoop::now();
   this->startDaemon(1);
   this->Harness.waitFor("the configuration of the copy", [&] {
     return this->Daemons[1]->output().find("config.in_force") !=
@@ -244,6 +245,10 @@
   EXPECT_EQ(
       this->Harness.get(this->Places.readyAddress(1), "/api/ready").Status,
       503);
+  // It does not wait for ever for a version that may never be written again.
+  this->waitUntilReady(1);
+  EXPECT_LT(toMilliseconds(EventLoop::now() - StartedAt), 7000);
+  EXPECT_EQ(this->statusOf(1, 1), 200);
   // The store holds version 1, but none of these goes back to it.
   for (const std::size_t Each : {0, 2, 3})
     EXPECT_TRUE(this->serves(Each, 2)) << "daemon " << Each;
