--- a/src/request/ClaimLog.cpp
+++ b/src/request/ClaimLog.cpp
@@ -113,18 +113,21 @@
   }
 
   void remember(const ClaimLog::Grouped &Written) {
-    if (this->Log.Recent.size() >= this->Log.Settings.MaxRecentRecords)
-      this->Log.Recent.pop_front();
-    this->Log.Recent.push_back(
-        {Written.From.Request.Record, Written.Replaced, this->Now});
+    const ClaimRecord &Record = Written.From.Request.Record;
+    const std::size_t Bytes = sizeOf(Record);
+    this->Log.Recent.push_back({Record, Written.Replaced, this->Now, Bytes});
+    this->Log.RecentBytes += Bytes;
   }
 
   void forgetRecent() {
-    auto &Recent = this->Log.Recent;
-    while (!Recent.empty() &&
-           Recent.front().Written + this->Log.Settings.RecoveryPeriod <=
-               this->Now)
-      Recent.pop_front();
+    ClaimLog &Log = this->Log;
+    while (!Log.Recent.empty() &&
+           (Log.RecentBytes > Log.Settings.MaxRecentBytes ||
+            Log.Recent.front().Written + Log.Settings.RecoveryPeriod <=
+                this->Now)) {
+      Log.RecentBytes -= Log.Recent.front().Bytes;
+      Log.Recent.pop_front();
+    }
   }
 
   /// Returns the remembered records that the view lacks: their keys have no
--- a/src/request/ClaimLog.h
+++ b/src/request/ClaimLog.h
@@ -85,9 +85,9 @@
   /// Covers a read and a write of a range, with the back-off after a failure.
   /// Shorter than ClaimServiceSettings::ClaimTimeout, so that calls wait.
   Duration RecoveryDelay = std::chrono::seconds(1);
-  /// Records remembered for RecoveryPeriod. At 4 KB each, with bodies, they
-  /// take 16 MB.
-  std::size_t MaxRecentRecords = 4096;
+  /// Limit of the records remembered for RecoveryPeriod; the oldest are
+  /// forgotten. Holds 250 with the largest bodies, 5000 without.
+  std::size_t MaxRecentBytes = 1 << 20;
 };
 
 /// The kinds of requests to the log.
@@ -230,11 +230,13 @@
     ClaimRecord Record;
     std::string Replaced; ///< The holder of the record that it superseded.
     TimePoint Written;
+    std::size_t Bytes = 0;
   };
   std::deque<RecentRecord> Recent; ///< Records of this gateway, oldest first.
-  bool NeedsRecovery = false;      ///< The view must be compared with Recent.
-  bool IsOpOutdated = false;       ///< Op began in an earlier era.
-  TimePoint DecidesFrom;           ///< RecoveryDelay after the era changed.
+  std::size_t RecentBytes = 0;
+  bool NeedsRecovery = false; ///< The view must be compared with Recent.
+  bool IsOpOutdated = false;  ///< Op began in an earlier era.
+  TimePoint DecidesFrom;      ///< RecoveryDelay after the era changed.
 
   std::deque<Waiting> Queue;
   TimePoint NextWrite;
