--- a/src/version/ConfigFetch.cpp
+++ b/src/version/ConfigFetch.cpp
@@ -42,6 +42,7 @@
     if (Got.Status != PlatformStatus::Ok) {
       const bool Lost = Got.Status == PlatformStatus::NotFound;
       this->Result.Status = Lost ? PlatformStatus::Unknown : Got.Status;
+      this->Result.LacksObjects = Lost;
       this->Result.Problem = "configuration object " + Hash +
                              (Lost ? " does not exist" : " cannot be read");
       return;
@@ -58,9 +59,9 @@
   }
 
   void finish() {
-    if (this->Result.Status == PlatformStatus::Ok &&
-        this->Api.Era.current() != this->Era) {
+    if (this->Api.Era.current() != this->Era) {
       this->Result.Status = PlatformStatus::Unknown;
+      this->Result.LacksObjects = false;
       this->Result.Problem = "the platform was restored during the read";
     }
     if (this->Result.Status == PlatformStatus::Ok) {
--- a/src/version/ConfigFetch.h
+++ b/src/version/ConfigFetch.h
@@ -32,8 +32,9 @@
   /// failure. A missing or damaged object gives Unknown: a retry succeeds if
   /// the manifest was replaced during the read.
   PlatformStatus Status = PlatformStatus::Unavailable;
-  std::string Problem;               ///< Set when Status is not Ok.
-  std::uint64_t Revision = 0;        ///< Where to start a watch.
+  std::string Problem;        ///< Set when Status is not Ok.
+  bool LacksObjects = false;  ///< The manifest lists objects that do not exist.
+  std::uint64_t Revision = 0; ///< Where to start a watch.
   std::uint64_t ManifestVersion = 0; ///< 0: there is no manifest.
   std::optional<Manifest> ManifestData;
   ConfigVersionPtr Version; ///< Null unless the epoch is above AboveEpoch.
--- a/src/version/ConfigStore.cpp
+++ b/src/version/ConfigStore.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// Reads of a manifest without its objects before an apply replaces it. A read
+/// that races with the replacement of the manifest succeeds when repeated.
+constexpr unsigned MinBrokenReads = 3;
+
 std::string randomToken(std::mt19937_64 &Random) {
   return contentHash(std::to_string(Random()) + "/" + std::to_string(Random()))
       .substr(0, 32);
@@ -129,7 +133,11 @@
     fetchVersion(this->Api, this->Next ? this->Next : this->Base.Version,
                  AboveEpoch,
                  [Self = this->shared_from_this()](const FetchResult &Result) {
-                   if (Result.Status != PlatformStatus::Ok) {
+                   // An apply that was cut short by a restoration may have left
+                   // a manifest without its objects.
+                   const bool IsBroken =
+                       Result.LacksObjects && Self->Attempt >= MinBrokenReads;
+                   if (Result.Status != PlatformStatus::Ok && !IsBroken) {
                      Self->retryLoad(Result.Problem);
                      return;
                    }
@@ -222,7 +230,8 @@
                            this->WrittenEra == this->BaseEra;
     if (!AreStored) {
       ObjectMap Stored;
-      if (this->Base.ManifestData && !this->isOwnOfEarlierEra())
+      if (this->Base.Status == PlatformStatus::Ok && this->Base.ManifestData &&
+          !this->isOwnOfEarlierEra())
         for (const std::string &Hash : this->Base.ManifestData->Objects)
           Stored[Hash] = nullptr;
       this->ToWrite = missingObjects(this->Next->ManifestData, Stored);
--- a/tests/ConfigHistoryTest.cpp
+++ b/tests/ConfigHistoryTest.cpp
@@ -330,9 +330,11 @@
     return Result;
   }
 
-  /// Runs all processes but those with held calls, until \p Done if given.
+  /// Runs all processes but the one with held calls, until \p Done if given.
   void settle(const std::function<bool()> &Done = nullptr) {
-    for (int Round = 0; Round < 60 && !(Done && Done()); ++Round) {
+    const TimePoint End = EventLoop::now() + 5s;
+    for (int Round = 0; Done ? !Done() && EventLoop::now() < End : Round < 60;
+         ++Round) {
       for (const auto &Each : this->Processes)
         if (Each.get() != this->Held)
           Each->Api.drain(100);
@@ -443,6 +445,18 @@
   EXPECT_EQ(Later->inForce(), EpochAndName(Last->Epoch, "d3"));
 }
 
+// Guards against a manifest without its objects, which an apply leaves that is
+// cut short by a restoration, and which no later apply can replace.
+TEST_F(ConfigRestoreTest, AnApplyReplacesAManifestWithoutItsObjects) {
+  this->apply(*this->Operator, "d1");
+  this->Data->Objects[ConfigDataKind].clear();
+  const ApplyResult Result = this->apply(*this->Operator, "d2");
+  EXPECT_EQ(Result.End, ApplyOutcome::Applied);
+  Process *Later = this->addDaemon();
+  this->settle();
+  EXPECT_EQ(Later->inForce(), EpochAndName(Result.Epoch, "d2"));
+}
+
 // Guards against the collection of objects that were written after a
 // restoration, under revisions that an earlier era had given out.
 TEST_F(ConfigRestoreTest, ACollectionDoesNotOutlastARestoration) {
