--- a/src/request/ClaimLog.cpp
+++ b/src/request/ClaimLog.cpp
@@ -88,6 +88,19 @@
 
   // Restorations of the platform.
 
+  /// Returns the number of the first segment of the era.
+  std::uint64_t firstOfEra() const {
+    return this->Log.Era > 0 ? (this->Log.Era - 1) * SegmentsPerEra + 1 : 1;
+  }
+
+  /// Returns whether the newest record of \p Key is in a segment of an earlier
+  /// era. Other gateways may have read that segment before it was written.
+  bool isOfEarlierEra(const std::string &Key) const {
+    const auto It = this->Log.SealedIndex.find(Key);
+    return !this->Log.CurrentIndex.contains(Key) &&
+           It != this->Log.SealedIndex.end() && It->second < this->firstOfEra();
+  }
+
   /// Drops all that was read in an earlier era, and refuses the claims whose
   /// durability depends on it.
   void dropView() {
@@ -238,7 +251,10 @@
     Log.NeedsRecovery = Log.NeedsRecovery && !Log.Recent.empty();
     const bool HasWork = !Log.Queue.empty() || Log.NeedsRecovery;
     if (Log.NeedsCreate && HasWork) {
-      this->start({ClaimOp::Kind::Put, Log.LastSealed + 1, 0, {}});
+      this->start({ClaimOp::Kind::Put,
+                   std::max(Log.LastSealed + 1, this->firstOfEra()),
+                   0,
+                   {}});
       return;
     }
     if (!HasWork) {
@@ -311,8 +327,8 @@
       if (RecentKeys.contains(Each.Key))
         this->Log.Cache[Each.Key] = Each;
     }
-    // An unsealed segment below the highest one is empty; it counts as sealed
-    // now.
+    // An unsealed segment below the highest one is empty or of an earlier era;
+    // it counts as sealed now.
     this->Log.Sealed[Object.Segment] = {
         Object.Version,
         Object.Value.SealedMs ? Object.Value.SealedMs : this->WallMs};
@@ -361,7 +377,9 @@
       this->start({ClaimOp::Kind::List, Last, 0, {}});
       return;
     }
-    if (Log.Tail && Log.Tail->Value.SealedMs == 0) {
+    Log.Era = Event.Era;
+    if (Log.Tail && Log.Tail->Value.SealedMs == 0 &&
+        Log.Tail->Segment >= this->firstOfEra()) {
       this->adoptCurrent(std::move(*Log.Tail));
     } else {
       if (Log.Tail)
@@ -478,7 +496,8 @@
     const ClaimRecord &Own = Each.Request.Record;
     const bool IsOwn = Newest && Newest->Holder == Own.Holder;
     if (Each.Request.Kind != ClaimRequestKind::Claim) {
-      if (IsOwn && Newest->State == ClaimState::Claimed)
+      if (IsOwn && (Newest->State == ClaimState::Claimed ||
+                    this->isOfEarlierEra(Own.Key)))
         return {ClaimVerdict::Stored, true};
       // The claim of the holder is durable. If the view predates the request,
       // it may lack the claim because another gateway wrote it.
@@ -495,8 +514,9 @@
     }
     if (IsOwn) {
       // A duplicate message for the same claim.
-      return {Newest->State == ClaimState::Claimed ? ClaimVerdict::Granted
-                                                   : ClaimVerdict::Unavailable};
+      if (Newest->State != ClaimState::Claimed)
+        return {ClaimVerdict::Unavailable};
+      return {ClaimVerdict::Granted, this->isOfEarlierEra(Own.Key)};
     }
     if (!Newest) {
       const bool Full =
--- a/src/request/ClaimLog.h
+++ b/src/request/ClaimLog.h
@@ -25,15 +25,15 @@
 // - Memory is bounded by MaxWaiting, MaxIndexedKeys and the size of a segment.
 //
 // The platform may be restored from an old copy, see PlatformEra.h. Records
-// that were durable are then gone, and versions are given out again, so that a
-// write may replace records that it was not based on. Therefore:
-// - Records that this gateway made durable within RecoveryPeriod are
-// remembered.
-//   Every read of the log shows which of them are gone, and these are appended
-//   again before anything is decided.
+// that were durable are then gone, and versions are given out again. Therefore:
+// - Each era has segments of its own, so that a write of an earlier era cannot
+//   replace records of a later one. Own records in segments of an earlier era
+//   are appended again, since other gateways may have read those before.
+// - Records that this gateway made durable within RecoveryPeriod are kept in
+//   memory. Every read of the log shows which of them are gone, and these are
+//   appended again before anything is decided.
 // - A new era drops the view. Claims that were not answered by then are
-// refused,
-//   because whether they are durable is not known.
+//   refused, because whether they are durable is not known.
 // - For RecoveryDelay after a new era was noticed, nothing is decided, so that
 //   other gateways can append their records.
 // - An outcome is stored even if the claim is gone.
@@ -90,6 +90,9 @@
   std::size_t MaxRecentBytes = 1 << 20;
 };
 
+/// Segment numbers of one era of the platform; the first era is 1.
+inline constexpr std::uint64_t SegmentsPerEra = 1'000'000;
+
 /// The kinds of requests to the log.
 enum class ClaimRequestKind { Claim, Finish, Release };
 
@@ -155,6 +158,7 @@
   std::uint64_t Version = 0;   ///< The new version, after a successful Put.
   std::vector<Object> Objects; ///< After a List, in order, or a Get.
   bool More = false;
+  std::uint64_t Era = 0; ///< Of the platform at the end of the operation.
 };
 struct HolderAnswered {
   std::string Holder;
@@ -226,6 +230,7 @@
   TimePoint ListStarted;
 
   // Recovery after a restoration of the platform.
+  std::uint64_t Era = 0; ///< Of the view.
   struct RecentRecord {
     ClaimRecord Record;
     std::string Replaced; ///< The holder of the record that it superseded.
--- a/src/request/ClaimService.cpp
+++ b/src/request/ClaimService.cpp
@@ -335,7 +335,11 @@
                          What = Op.What](const PlatformResult &Result) {
     if (!*Alive)
       return;
-    ClaimOpDone Done{endOf(Result.Status), Result.Object.Version, {}, false};
+    ClaimOpDone Done{endOf(Result.Status),
+                     Result.Object.Version,
+                     {},
+                     false,
+                     this->Api.Era.current()};
     if (What == ClaimOp::Kind::Get && Done.End == ClaimOpEnd::Ok)
       addObject(Done, Result.Object);
     this->step(Index, Done);
@@ -356,7 +360,11 @@
         [this, Index, Alive = this->Alive](const PlatformList &Result) {
           if (!*Alive)
             return;
-          ClaimOpDone Done{endOf(Result.Status), 0, {}, Result.More};
+          ClaimOpDone Done{endOf(Result.Status),
+                           0,
+                           {},
+                           Result.More,
+                           this->Api.Era.current()};
           for (const PlatformObject &Each : Result.Objects)
             addObject(Done, Each);
           this->step(Index, Done);
