ClaimLog: records have generations, and found ones are remembered, too

Which of two records of a key is later was not known after a restoration where several gateways appended theirs again, and a record whose write had lost its reply was not appended again.

--- a/src/request/ClaimLog.cpp
+++ b/src/request/ClaimLog.cpp
@@ -65,6 +65,8 @@
     this->Log.DecidesFrom = this->Now + this->Log.Settings.RecoveryDelay;
     this->Log.NeedsRecovery = true;
     this->Log.IsOpOutdated = this->Log.Op.has_value();
+    // The platform has answered, so lost records are appended without delay.
+    this->succeeded();
     this->dropView();
   }
 
@@ -125,10 +127,9 @@
     Log.Tail.reset();
   }
 
-  void remember(const ClaimLog::Grouped &Written) {
-    const ClaimRecord &Record = Written.From.Request.Record;
+  void remember(const ClaimRecord &Record) {
     const std::size_t Bytes = sizeOf(Record);
-    this->Log.Recent.push_back({Record, Written.Replaced, this->Now, Bytes});
+    this->Log.Recent.push_back({Record, this->Now, Bytes});
     this->Log.RecentBytes += Bytes;
   }
 
@@ -143,34 +144,19 @@
     }
   }
 
-  /// Returns the remembered records that the view lacks: their keys have no
-  /// record, or one that they superseded.
+  /// Returns the remembered records that the view lacks.
   std::vector<ClaimRecord> lostRecords() const {
-    struct Remembered {
-      const ClaimRecord *Newest = nullptr;
-      std::set<std::string_view> Replaced;
-    };
-    std::map<std::string_view, Remembered> ByKey;
-    for (const ClaimLog::RecentRecord &Each : this->Log.Recent) {
-      Remembered &At = ByKey[Each.Record.Key];
-      At.Newest = &Each.Record;
-      At.Replaced.insert(Each.Replaced);
-    }
+    std::map<std::string_view, const ClaimRecord *> Newest;
+    for (const ClaimLog::RecentRecord &Each : this->Log.Recent)
+      Newest[Each.Record.Key] = &Each.Record;
     std::vector<ClaimRecord> Result;
-    for (const auto &[Key, Each] : ByKey) {
-      const ClaimRecord &Known = *Each.Newest;
-      const Lookup Found = this->find(Known.Key, {});
-      if (Found.FetchSegment != 0)
-        continue; // Sealed later than the view was read, so by this gateway.
-      const bool IsSameHolder =
-          Found.Newest && Found.Newest->Holder == Known.Holder;
-      const bool IsLost =
-          !Found.Newest ||
-          (IsSameHolder ? Found.Newest->State == ClaimState::Claimed &&
-                              Known.State != ClaimState::Claimed
-                        : Each.Replaced.contains(Found.Newest->Holder));
-      if (IsLost)
-        Result.push_back(Known);
+    for (const auto &[Key, Known] : Newest) {
+      const Lookup Found = this->find(Known->Key, {});
+      // A record that must be fetched was sealed after the view was read, so by
+      // this gateway.
+      if (Found.FetchSegment == 0 &&
+          (!Found.Newest || Found.Newest->Generation < Known->Generation))
+        Result.push_back(*Known);
     }
     return Result;
   }
@@ -438,7 +424,7 @@
       }
       for (const ClaimLog::Grouped &Each : Group) {
         if (Each.IsAppended)
-          this->remember(Each);
+          this->remember(Each.From.Request.Record);
         this->Actions.Replies.push_back(Each.Reply);
       }
       if (Log.Current.SealedMs != 0) {
@@ -584,13 +570,18 @@
       ClaimReply Answer{Each.Request.Id, *Made.Verdict, {}};
       if (*Made.Verdict == ClaimVerdict::Ran)
         Answer.Outcome = Found.Newest->Outcome;
-      std::string Replaced = Found.Newest ? Found.Newest->Holder : "";
       if (Made.Append) {
+        Each.Request.Record.Generation =
+            Found.Newest ? Found.Newest->Generation + 1 : 1;
         Added.push_back(Each.Request.Record);
         AddedBytes += sizeOf(Added.back());
+      } else if (const ClaimRecord *Durable =
+                     this->find(Each.Request.Record.Key, {}).Newest;
+                 Durable && Durable->Holder == Each.Request.Record.Holder) {
+        // The reply to the write of this record was lost.
+        this->remember(*Durable);
       }
-      Group.push_back({std::move(Each), std::move(Answer), Made.Append,
-                       std::move(Replaced)});
+      Group.push_back({std::move(Each), std::move(Answer), Made.Append});
     }
     Log.Queue = std::move(Later);
     if (!Added.empty()) {
--- a/src/request/ClaimLog.h
+++ b/src/request/ClaimLog.h
@@ -198,7 +198,6 @@
     Waiting From;
     ClaimReply Reply;
     bool IsAppended = false; ///< The record becomes durable with the Put.
-    std::string Replaced;    ///< The holder of the record that it supersedes.
   };
   struct SealedSegment {
     std::uint64_t Version = 0;
@@ -233,7 +232,6 @@
   std::uint64_t Era = 0; ///< Of the view.
   struct RecentRecord {
     ClaimRecord Record;
-    std::string Replaced; ///< The holder of the record that it superseded.
     TimePoint Written;
     std::size_t Bytes = 0;
   };
--- a/src/request/ClaimRecord.cpp
+++ b/src/request/ClaimRecord.cpp
@@ -113,7 +113,8 @@
   json Result = {{"k", Record.Key},
                  {"h", Record.Holder},
                  {"d", Record.Digest},
-                 {"s", static_cast<int>(Record.State)}};
+                 {"s", static_cast<int>(Record.State)},
+                 {"n", Record.Generation}};
   if (Record.State == ClaimState::Finished)
     Result["o"] = toJson(Record.Outcome);
   return Result;
@@ -138,6 +139,7 @@
     if (State < 0 || State > 2)
       throw std::invalid_argument("unknown state in a claim record");
     Record.State = static_cast<ClaimState>(State);
+    Record.Generation = Each.value("n", std::uint64_t{0});
     if (Record.State == ClaimState::Finished)
       Record.Outcome = claimOutcomeFromJson(Each.at("o"));
     Result.Records.push_back(std::move(Record));
--- a/src/request/ClaimRecord.h
+++ b/src/request/ClaimRecord.h
@@ -3,7 +3,7 @@
 // The log of a range of keys consists of numbered segments, which are the
 // platform objects `claims/<range>.<segment>`:
 //
-//   {"sealed_ms": 0, "records": [{"k","h","d","s","o"?}, ...]}
+//   {"sealed_ms": 0, "records": [{"k","h","d","s","n","o"?}, ...]}
 //
 // A record holds the complete state of its key, so only the last record of a
 // key, by segment and position, is relevant.
@@ -31,6 +31,8 @@
   std::string Digest; ///< Of the request.
   ClaimState State = ClaimState::Claimed;
   ClaimOutcome Outcome; ///< Only if Finished.
+  /// Counts the records of the key, so that of two the later one is known.
+  std::uint64_t Generation = 0;
 };
 
 /// The value of a segment object.
