--- a/src/request/ClaimLog.cpp
+++ b/src/request/ClaimLog.cpp
@@ -471,6 +471,12 @@
     return {};
   }
 
+  /// Returns whether the view may lack records that were written before
+  /// \p Each arrived, or that were appended again after a restoration.
+  bool isViewOlder(const ClaimLog::Waiting &Each) const {
+    return this->Log.ViewAsOf < std::max(Each.Arrived, this->Log.DecidesFrom);
+  }
+
   /// The decision on one request.
   struct Decision {
     std::optional<ClaimVerdict> Verdict; ///< If empty, it stays in the queue.
@@ -487,7 +493,7 @@
         return {ClaimVerdict::Stored, true};
       // The claim of the holder is durable. If the view predates the request,
       // it may lack the claim because another gateway wrote it.
-      if (!IsOwn && this->Log.ViewAsOf < Each.Arrived)
+      if (!IsOwn && this->isViewOlder(Each))
         return {{}, false, /*Refresh=*/true};
       // The claim was lost in a restoration, and the call was sent.
       if (!Newest && Each.Request.Kind == ClaimRequestKind::Finish)
@@ -535,8 +541,7 @@
       // the holder's outcome became durable after the view was read.
       return {ClaimVerdict::Granted, true};
     // The holder may have finished after this view was read.
-    if (*Each.HolderAnswer != HolderState::Held &&
-        this->Log.ViewAsOf < Each.Arrived)
+    if (*Each.HolderAnswer != HolderState::Held && this->isViewOlder(Each))
       return {{}, false, /*Refresh=*/true};
     if (Newest.Digest != Each.Request.Record.Digest)
       return {ClaimVerdict::Mismatch};
