--- a/src/request/ClaimLog.cpp
+++ b/src/request/ClaimLog.cpp
@@ -144,6 +144,15 @@
     }
   }
 
+  /// Returns whether \p Known, which was durable, is later than \p Found. A
+  /// write that took effect after its era had ended may have added another
+  /// record of the same generation, whose claim was refused.
+  bool isLater(const ClaimRecord &Known, const ClaimRecord &Found) const {
+    if (Known.Generation != Found.Generation)
+      return Known.Generation > Found.Generation;
+    return Known.Holder != Found.Holder && this->isOfEarlierEra(Known.Key);
+  }
+
   /// Returns the remembered records that the view lacks.
   std::vector<ClaimRecord> lostRecords() const {
     std::map<std::string_view, const ClaimRecord *> Newest;
@@ -155,7 +164,7 @@
       // A record that must be fetched was sealed after the view was read, so by
       // this gateway.
       if (Found.FetchSegment == 0 &&
-          (!Found.Newest || Found.Newest->Generation < Known->Generation))
+          (!Found.Newest || this->isLater(*Known, *Found.Newest)))
         Result.push_back(*Known);
     }
     return Result;
