--- a/src/request/ClaimLog.cpp
+++ b/src/request/ClaimLog.cpp
@@ -65,6 +65,8 @@
     this->Log.DecidesFrom = this->Now + this->Log.Settings.RecoveryDelay;
     this->Log.NeedsRecovery = true;
     this->Log.IsOpOutdated = this->Log.Op.has_value();
+    // The platform has answered, so lost records are appended without delay.
+    this->succeeded();
     this->dropView();
   }
 
@@ -88,6 +90,19 @@
 
   // Restorations of the platform.
 
+  /// Returns the number of the first segment of the era.
+  std::uint64_t firstOfEra() const {
+    return this->Log.Era > 0 ? (this->Log.Era - 1) * SegmentsPerEra + 1 : 1;
+  }
+
+  /// Returns whether the newest record of \p Key is in a segment of an earlier
+  /// era. Other gateways may have read that segment before it was written.
+  bool isOfEarlierEra(const std::string &Key) const {
+    const auto It = this->Log.SealedIndex.find(Key);
+    return !this->Log.CurrentIndex.contains(Key) &&
+           It != this->Log.SealedIndex.end() && It->second < this->firstOfEra();
+  }
+
   /// Drops all that was read in an earlier era, and refuses the claims whose
   /// durability depends on it.
   void dropView() {
@@ -112,49 +127,45 @@
     Log.Tail.reset();
   }
 
-  void remember(const ClaimLog::Grouped &Written) {
-    if (this->Log.Recent.size() >= this->Log.Settings.MaxRecentRecords)
-      this->Log.Recent.pop_front();
-    this->Log.Recent.push_back(
-        {Written.From.Request.Record, Written.Replaced, this->Now});
+  void remember(const ClaimRecord &Record) {
+    const std::size_t Bytes = sizeOf(Record);
+    this->Log.Recent.push_back({Record, this->Now, Bytes});
+    this->Log.RecentBytes += Bytes;
   }
 
   void forgetRecent() {
-    auto &Recent = this->Log.Recent;
-    while (!Recent.empty() &&
-           Recent.front().Written + this->Log.Settings.RecoveryPeriod <=
-               this->Now)
-      Recent.pop_front();
+    ClaimLog &Log = this->Log;
+    while (!Log.Recent.empty() &&
+           (Log.RecentBytes > Log.Settings.MaxRecentBytes ||
+            Log.Recent.front().Written + Log.Settings.RecoveryPeriod <=
+                this->Now)) {
+      Log.RecentBytes -= Log.Recent.front().Bytes;
+      Log.Recent.pop_front();
+    }
   }
 
-  /// Returns the remembered records that the view lacks: their keys have no
-  /// record, or one that they superseded.
+  /// Returns whether \p Known, which was durable, is later than \p Found. A
+  /// write that took effect after its era had ended may have added another
+  /// record of the same generation, whose claim was refused.
+  bool isLater(const ClaimRecord &Known, const ClaimRecord &Found) const {
+    if (Known.Generation != Found.Generation)
+      return Known.Generation > Found.Generation;
+    return Known.Holder != Found.Holder && this->isOfEarlierEra(Known.Key);
+  }
+
+  /// Returns the remembered records that the view lacks.
   std::vector<ClaimRecord> lostRecords() const {
-    struct Remembered {
-      const ClaimRecord *Newest = nullptr;
-      std::set<std::string_view> Replaced;
-    };
-    std::map<std::string_view, Remembered> ByKey;
-    for (const ClaimLog::RecentRecord &Each : this->Log.Recent) {
-      Remembered &At = ByKey[Each.Record.Key];
-      At.Newest = &Each.Record;
-      At.Replaced.insert(Each.Replaced);
-    }
+    std::map<std::string_view, const ClaimRecord *> Newest;
+    for (const ClaimLog::RecentRecord &Each : this->Log.Recent)
+      Newest[Each.Record.Key] = &Each.Record;
     std::vector<ClaimRecord> Result;
-    for (const auto &[Key, Each] : ByKey) {
-      const ClaimRecord &Known = *Each.Newest;
-      const Lookup Found = this->find(Known.Key, {});
-      if (Found.FetchSegment != 0)
-        continue; // Sealed later than the view was read, so by this gateway.
-      const bool IsSameHolder =
-          Found.Newest && Found.Newest->Holder == Known.Holder;
-      const bool IsLost =
-          !Found.Newest ||
-          (IsSameHolder ? Found.Newest->State == ClaimState::Claimed &&
-                              Known.State != ClaimState::Claimed
-                        : Each.Replaced.contains(Found.Newest->Holder));
-      if (IsLost)
-        Result.push_back(Known);
+    for (const auto &[Key, Known] : Newest) {
+      const Lookup Found = this->find(Known->Key, {});
+      // A record that must be fetched was sealed after the view was read, so by
+      // this gateway.
+      if (Found.FetchSegment == 0 &&
+          (!Found.Newest || this->isLater(*Known, *Found.Newest)))
+        Result.push_back(*Known);
     }
     return Result;
   }
@@ -235,7 +246,10 @@
     Log.NeedsRecovery = Log.NeedsRecovery && !Log.Recent.empty();
     const bool HasWork = !Log.Queue.empty() || Log.NeedsRecovery;
     if (Log.NeedsCreate && HasWork) {
-      this->start({ClaimOp::Kind::Put, Log.LastSealed + 1, 0, {}});
+      this->start({ClaimOp::Kind::Put,
+                   std::max(Log.LastSealed + 1, this->firstOfEra()),
+                   0,
+                   {}});
       return;
     }
     if (!HasWork) {
@@ -308,8 +322,8 @@
       if (RecentKeys.contains(Each.Key))
         this->Log.Cache[Each.Key] = Each;
     }
-    // An unsealed segment below the highest one is empty; it counts as sealed
-    // now.
+    // An unsealed segment below the highest one is empty or of an earlier era;
+    // it counts as sealed now.
     this->Log.Sealed[Object.Segment] = {
         Object.Version,
         Object.Value.SealedMs ? Object.Value.SealedMs : this->WallMs};
@@ -358,7 +372,9 @@
       this->start({ClaimOp::Kind::List, Last, 0, {}});
       return;
     }
-    if (Log.Tail && Log.Tail->Value.SealedMs == 0) {
+    Log.Era = Event.Era;
+    if (Log.Tail && Log.Tail->Value.SealedMs == 0 &&
+        Log.Tail->Segment >= this->firstOfEra()) {
       this->adoptCurrent(std::move(*Log.Tail));
     } else {
       if (Log.Tail)
@@ -417,7 +433,7 @@
       }
       for (const ClaimLog::Grouped &Each : Group) {
         if (Each.IsAppended)
-          this->remember(Each);
+          this->remember(Each.From.Request.Record);
         this->Actions.Replies.push_back(Each.Reply);
       }
       if (Log.Current.SealedMs != 0) {
@@ -464,6 +480,12 @@
     return {};
   }
 
+  /// Returns whether the view may lack records that were written before
+  /// \p Each arrived, or that were appended again after a restoration.
+  bool isViewOlder(const ClaimLog::Waiting &Each) const {
+    return this->Log.ViewAsOf < std::max(Each.Arrived, this->Log.DecidesFrom);
+  }
+
   /// The decision on one request.
   struct Decision {
     std::optional<ClaimVerdict> Verdict; ///< If empty, it stays in the queue.
@@ -475,11 +497,12 @@
     const ClaimRecord &Own = Each.Request.Record;
     const bool IsOwn = Newest && Newest->Holder == Own.Holder;
     if (Each.Request.Kind != ClaimRequestKind::Claim) {
-      if (IsOwn && Newest->State == ClaimState::Claimed)
+      if (IsOwn && (Newest->State == ClaimState::Claimed ||
+                    this->isOfEarlierEra(Own.Key)))
         return {ClaimVerdict::Stored, true};
       // The claim of the holder is durable. If the view predates the request,
       // it may lack the claim because another gateway wrote it.
-      if (!IsOwn && this->Log.ViewAsOf < Each.Arrived)
+      if (!IsOwn && this->isViewOlder(Each))
         return {{}, false, /*Refresh=*/true};
       // The claim was lost in a restoration, and the call was sent.
       if (!Newest && Each.Request.Kind == ClaimRequestKind::Finish)
@@ -492,8 +515,9 @@
     }
     if (IsOwn) {
       // A duplicate message for the same claim.
-      return {Newest->State == ClaimState::Claimed ? ClaimVerdict::Granted
-                                                   : ClaimVerdict::Unavailable};
+      if (Newest->State != ClaimState::Claimed)
+        return {ClaimVerdict::Unavailable};
+      return {ClaimVerdict::Granted, this->isOfEarlierEra(Own.Key)};
     }
     if (!Newest) {
       const bool Full =
@@ -526,8 +550,7 @@
       // the holder's outcome became durable after the view was read.
       return {ClaimVerdict::Granted, true};
     // The holder may have finished after this view was read.
-    if (*Each.HolderAnswer != HolderState::Held &&
-        this->Log.ViewAsOf < Each.Arrived)
+    if (*Each.HolderAnswer != HolderState::Held && this->isViewOlder(Each))
       return {{}, false, /*Refresh=*/true};
     if (Newest.Digest != Each.Request.Record.Digest)
       return {ClaimVerdict::Mismatch};
@@ -561,13 +584,18 @@
       ClaimReply Answer{Each.Request.Id, *Made.Verdict, {}};
       if (*Made.Verdict == ClaimVerdict::Ran)
         Answer.Outcome = Found.Newest->Outcome;
-      std::string Replaced = Found.Newest ? Found.Newest->Holder : "";
       if (Made.Append) {
+        Each.Request.Record.Generation =
+            Found.Newest ? Found.Newest->Generation + 1 : 1;
         Added.push_back(Each.Request.Record);
         AddedBytes += sizeOf(Added.back());
+      } else if (const ClaimRecord *Durable =
+                     this->find(Each.Request.Record.Key, {}).Newest;
+                 Durable && Durable->Holder == Each.Request.Record.Holder) {
+        // The reply to the write of this record was lost.
+        this->remember(*Durable);
       }
-      Group.push_back({std::move(Each), std::move(Answer), Made.Append,
-                       std::move(Replaced)});
+      Group.push_back({std::move(Each), std::move(Answer), Made.Append});
     }
     Log.Queue = std::move(Later);
     if (!Added.empty()) {
--- a/src/request/ClaimLog.h
+++ b/src/request/ClaimLog.h
@@ -25,15 +25,15 @@
 // - Memory is bounded by MaxWaiting, MaxIndexedKeys and the size of a segment.
 //
 // The platform may be restored from an old copy, see PlatformEra.h. Records
-// that were durable are then gone, and versions are given out again, so that a
-// write may replace records that it was not based on. Therefore:
-// - Records that this gateway made durable within RecoveryPeriod are
-// remembered.
-//   Every read of the log shows which of them are gone, and these are appended
-//   again before anything is decided.
+// that were durable are then gone, and versions are given out again. Therefore:
+// - Each era has segments of its own, so that a write of an earlier era cannot
+//   replace records of a later one. Own records in segments of an earlier era
+//   are appended again, since other gateways may have read those before.
+// - Records that this gateway made durable within RecoveryPeriod are kept in
+//   memory. Every read of the log shows which of them are gone, and these are
+//   appended again before anything is decided.
 // - A new era drops the view. Claims that were not answered by then are
-// refused,
-//   because whether they are durable is not known.
+//   refused, because whether they are durable is not known.
 // - For RecoveryDelay after a new era was noticed, nothing is decided, so that
 //   other gateways can append their records.
 // - An outcome is stored even if the claim is gone.
@@ -85,11 +85,14 @@
   /// Covers a read and a write of a range, with the back-off after a failure.
   /// Shorter than ClaimServiceSettings::ClaimTimeout, so that calls wait.
   Duration RecoveryDelay = std::chrono::seconds(1);
-  /// Records remembered for RecoveryPeriod. At 4 KB each, with bodies, they
-  /// take 16 MB.
-  std::size_t MaxRecentRecords = 4096;
+  /// Limit of the records remembered for RecoveryPeriod; the oldest are
+  /// forgotten. Holds 250 with the largest bodies, 5000 without.
+  std::size_t MaxRecentBytes = 1 << 20;
 };
 
+/// Segment numbers of one era of the platform; the first era is 1.
+inline constexpr std::uint64_t SegmentsPerEra = 1'000'000;
+
 /// The kinds of requests to the log.
 enum class ClaimRequestKind { Claim, Finish, Release };
 
@@ -155,6 +158,7 @@
   std::uint64_t Version = 0;   ///< The new version, after a successful Put.
   std::vector<Object> Objects; ///< After a List, in order, or a Get.
   bool More = false;
+  std::uint64_t Era = 0; ///< Of the platform at the end of the operation.
 };
 struct HolderAnswered {
   std::string Holder;
@@ -194,7 +198,6 @@
     Waiting From;
     ClaimReply Reply;
     bool IsAppended = false; ///< The record becomes durable with the Put.
-    std::string Replaced;    ///< The holder of the record that it supersedes.
   };
   struct SealedSegment {
     std::uint64_t Version = 0;
@@ -226,15 +229,17 @@
   TimePoint ListStarted;
 
   // Recovery after a restoration of the platform.
+  std::uint64_t Era = 0; ///< Of the view.
   struct RecentRecord {
     ClaimRecord Record;
-    std::string Replaced; ///< The holder of the record that it superseded.
     TimePoint Written;
+    std::size_t Bytes = 0;
   };
   std::deque<RecentRecord> Recent; ///< Records of this gateway, oldest first.
-  bool NeedsRecovery = false;      ///< The view must be compared with Recent.
-  bool IsOpOutdated = false;       ///< Op began in an earlier era.
-  TimePoint DecidesFrom;           ///< RecoveryDelay after the era changed.
+  std::size_t RecentBytes = 0;
+  bool NeedsRecovery = false; ///< The view must be compared with Recent.
+  bool IsOpOutdated = false;  ///< Op began in an earlier era.
+  TimePoint DecidesFrom;      ///< RecoveryDelay after the era changed.
 
   std::deque<Waiting> Queue;
   TimePoint NextWrite;
