--- /dev/null
+++ b/soak/ConnectionChecks.cpp
@@ -0,0 +1,102 @@
+#include "ConnectionChecks.h"
+
+#include "History.h"
+
+#include <algorithm>
+
+namespace galenaroute::soak {
+
+/// A request that is sent this shortly before a process ends may cross the end.
+static constexpr Duration CrossingTime = std::chrono::milliseconds(200);
+/// Share of an idle limit after which callers do not reuse a connection.
+static constexpr double ReuseShare = 0.8;
+/// An answer that ends this shortly before its deadline has reached it.
+static constexpr Duration DeadlineSlack = std::chrono::milliseconds(250);
+/// Share of the grace time after which a stop may end answers under way.
+static constexpr double StopShare = 5.0 / 6;
+
+Duration idleLimitIn(const ConnectionHistory &History, TimePoint From,
+                     TimePoint To, Duration ApplyTime) {
+  Duration Smallest = Duration::max();
+  for (std::size_t I = 0; I < History.IdleLimits.size(); ++I) {
+    const IdleLimitView &Each = History.IdleLimits[I];
+    const bool IsLast = I + 1 == History.IdleLimits.size();
+    if (Each.At <= To &&
+        (IsLast || History.IdleLimits[I + 1].At + ApplyTime >= From))
+      Smallest = std::min(Smallest, Each.Limit);
+  }
+  return Smallest;
+}
+
+/// Returns whether the daemon was killed, or began again, around a call.
+static bool wasKilled(const SoakHistory &History, const SoakBounds &Bounds,
+                      const KeptCallView &Call) {
+  return std::any_of(
+      History.Disturbances.begin(), History.Disturbances.end(),
+      [&](const Disturbance &Each) {
+        return Each.Kind == DisturbanceKind::Kill &&
+               (!Each.Daemon || *Each.Daemon == Call.Daemon) &&
+               Each.From <= *Call.EndedAt &&
+               Call.SentAt <= Each.Until + Bounds.Contact;
+      });
+}
+
+/// Returns whether a planned stop may have ended the call: late in its grace
+/// time, or because the request crossed the end of the process.
+static bool wasStopped(const SoakHistory &History, const SoakBounds &Bounds,
+                       const KeptCallView &Call) {
+  return std::any_of(
+      History.Stops.begin(), History.Stops.end(), [&](const StopView &Each) {
+        if (Each.Daemon != Call.Daemon || Each.At > *Call.EndedAt)
+          return false;
+        const bool EndsLate = *Call.EndedAt >= Each.At + Bounds.Grace * StopShare;
+        const bool Crosses =
+            Each.EndedAt && Call.SentAt + CrossingTime >= *Each.EndedAt;
+        const bool IsOver =
+            Each.EndedAt && Call.SentAt > *Each.EndedAt + CrossingTime;
+        return !IsOver && (EndsLate || Crosses);
+      });
+}
+
+static std::string describe(const KeptCallView &Call, Duration Limit) {
+  const auto Ms = [](Duration Time) {
+    return std::to_string(toMilliseconds(Time)) + " ms";
+  };
+  return "daemon " + std::to_string(Call.Daemon) + ", sent after " +
+         Ms(Call.SentAt - Call.IdleSince) + " idle, limit " + Ms(Limit) +
+         ", status " + std::to_string(Call.Status) + ", " +
+         std::to_string(Call.ReadBytes) + " bytes, ended after " +
+         Ms(*Call.EndedAt - Call.SentAt) +
+         (Call.HasGivenUp ? " by the caller" : "");
+}
+
+void checkConnections(const SoakHistory &History, const SoakBounds &Bounds,
+                      std::vector<BrokenPromise> &Found) {
+  for (const auto &[Id, Call] : History.Connections.Calls) {
+    if (!Call.EndedAt)
+      continue;
+    const Duration Limit = idleLimitIn(History.Connections, Call.IdleSince,
+                                       Call.SentAt, Bounds.ConfigApply);
+    if (Call.IsWhole) {
+      if (Call.Status == 200 && !Call.IsOwn)
+        Found.push_back({"own whole answer", Id, describe(Call, Limit)});
+      else if (Call.Status >= 300 && Call.Status < 500 && Call.Status != 408 &&
+               Call.Status != 421 && Call.Status != 429)
+        Found.push_back(
+            {"proper calls are not denied", Id, describe(Call, Limit)});
+      continue;
+    }
+    const bool WasIdleTooLong =
+        Call.Status == 0 && Limit != Duration::max() &&
+        Call.SentAt - Call.IdleSince > Limit * ReuseShare;
+    if (WasIdleTooLong || Call.HasBrokenOff ||
+        *Call.EndedAt >= Call.SentAt + Call.Deadline - DeadlineSlack ||
+        wasKilled(History, Bounds, Call) || wasStopped(History, Bounds, Call))
+      continue;
+    Found.push_back({Call.Status == 0 ? "a whole request gets an answer"
+                                      : "a begun answer is carried to its end",
+                     Id, describe(Call, Limit)});
+  }
+}
+
+} // namespace galenaroute::soak
--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -198,6 +198,11 @@
   checkWeights(History, Bounds, Found);
   checkRecovery(History, Bounds, Found);
   checkPrompts(History, Bounds, Found);
+  checkConnections(History, Bounds, Found);
+  checkConfigOrder(History, Found);
+  checkConfigTimes(History, Bounds, Found);
+  checkOrders(History, Bounds, Found);
+  checkRewrites(History, Found);
   return Found;
 }
 
--- a/soak/History.h
+++ b/soak/History.h
@@ -9,8 +9,10 @@
 #ifndef GALENAROUTE_SOAK_HISTORY_H
 #define GALENAROUTE_SOAK_HISTORY_H
 
+#include "ConnectionChecks.h"
 #include "PromptHistory.h"
 #include "RateLimitCheck.h"
+#include "RestoreChecks.h"
 #include "WeightsCheck.h"
 #include "process/Clock.h"
 
@@ -57,12 +59,15 @@
   bool WasDisturbed = false;        ///< Another fault struck it meanwhile.
 };
 
+enum class DisturbanceKind { Other, Freeze, Kill };
+
 /// A time in which a daemon was killed, frozen, stopped or kept from the store.
 struct Disturbance {
   std::optional<std::size_t> Daemon; ///< Nothing: all daemons.
   TimePoint From;
   TimePoint Until;
   bool IsStoreOnly = false; ///< Only the way to the store was disturbed.
+  DisturbanceKind Kind = DisturbanceKind::Other;
 };
 
 struct SoakHistory {
@@ -75,6 +80,8 @@
   std::map<std::string, testing_support::RateLimitHistory> RateLimits;
   testing_support::WeightsHistory Weights;
   PromptHistory Prompts;
+  ConnectionHistory Connections;
+  ConfigHistory Configs;
   TimePoint LastFaultAt; ///< When the last fault ended.
   TimePoint EndedAt;     ///< When callers stopped sending.
 };
@@ -93,6 +100,13 @@
   /// Time in which older weights go out of use. A daemon that dates a version
   /// too late shows only if this is longer than Contact.
   Duration WeightsLimit = std::chrono::seconds(7);
+  /// From the acknowledgement of a configuration until it is in force.
+  Duration ConfigApply = std::chrono::seconds(2);
+  /// The same from the end of a disruption of the store.
+  Duration DisruptedApply = std::chrono::seconds(5);
+  Duration Lease = std::chrono::seconds(3);
+  /// Orders that arrive this shortly after their sender was thawed are late.
+  Duration ThawSlack = std::chrono::milliseconds(300);
 };
 
 struct BrokenPromise {
--- /dev/null
+++ b/soak/RestoreChecks.cpp
@@ -0,0 +1,130 @@
+#include "RestoreChecks.h"
+
+#include "History.h"
+
+#include <algorithm>
+
+namespace galenaroute::soak {
+
+static std::string describe(const RouteProbe &Probe) {
+  return "route " + Probe.Route + " at daemon " + std::to_string(Probe.Daemon) +
+         (Probe.Service.empty() ? ": 404" : ": run by " + Probe.Service);
+}
+
+void checkConfigOrder(const SoakHistory &History,
+                      std::vector<BrokenPromise> &Found) {
+  struct Seen {
+    std::size_t State = 0;
+    TimePoint At;
+  };
+  using Place = std::pair<std::pair<std::size_t, int>, std::string>;
+  std::map<Place, std::vector<Seen>> All;
+  for (const RouteProbe &Probe : History.Configs.Probes) {
+    const std::vector<RouteState> &States =
+        History.Configs.Routes.at(Probe.Route);
+    std::vector<Seen> &Before =
+        All[{{Probe.Daemon, Probe.Incarnation}, Probe.Route}];
+    std::size_t Least = 0;
+    for (const Seen &Each : Before)
+      if (Each.At < Probe.SentAt)
+        Least = std::max(Least, Each.State);
+    // The oldest state that explains the answer leaves most to later ones.
+    std::size_t State = Least;
+    while (State < States.size() && States[State].At <= Probe.EndedAt &&
+           States[State].Service != Probe.Service)
+      ++State;
+    if (State == States.size() || States[State].At > Probe.EndedAt)
+      Found.push_back({"a configuration never goes back", Probe.Call,
+                       describe(Probe) + " after a newer one was in force"});
+    else
+      Before.push_back({State, Probe.EndedAt});
+  }
+}
+
+/// Returns when a state that was acknowledged at \p At has to be in force.
+static TimePoint appliedBy(const SoakHistory &History, const SoakBounds &Bounds,
+                           TimePoint At) {
+  TimePoint By = At + Bounds.ConfigApply;
+  for (const CoreDisruption &Each : History.Configs.Disruptions)
+    if (Each.From <= By && At <= Each.Until + Bounds.DisruptedApply)
+      By = std::max(By, Each.Until + Bounds.DisruptedApply);
+  return By;
+}
+
+void checkConfigTimes(const SoakHistory &History, const SoakBounds &Bounds,
+                      std::vector<BrokenPromise> &Found) {
+  for (const RouteProbe &Probe : History.Configs.Probes) {
+    if (!isInTouch(History, Bounds, Probe.Daemon, Probe.SentAt))
+      continue;
+    const std::vector<RouteState> &States =
+        History.Configs.Routes.at(Probe.Route);
+    bool IsAllowed = false;
+    for (std::size_t I = 0; I < States.size(); ++I) {
+      const bool IsReplaced =
+          I + 1 < States.size() &&
+          appliedBy(History, Bounds, States[I + 1].At) < Probe.SentAt;
+      IsAllowed = IsAllowed || (!IsReplaced && States[I].At <= Probe.EndedAt &&
+                                States[I].Service == Probe.Service);
+    }
+    if (!IsAllowed)
+      Found.push_back({"a configuration is in force in time", Probe.Call,
+                       describe(Probe)});
+  }
+}
+
+void checkOrders(const SoakHistory &History, const SoakBounds &Bounds,
+                 std::vector<BrokenPromise> &Found) {
+  std::map<std::string, OrderView> Last; // by engine
+  std::map<std::uint64_t, std::string> Holders;
+  for (const OrderView &Each : History.Configs.Orders) {
+    const std::string Text = "engine " + Each.Engine + ": " + Each.Holder +
+                             " with fence " + std::to_string(Each.Fence);
+    const auto [Holder, IsNew] = Holders.try_emplace(Each.Fence, Each.Holder);
+    if (!IsNew && Holder->second != Each.Holder)
+      Found.push_back({"a fence is given out once", "",
+                       Text + ", which " + Holder->second + " had"});
+    const bool WasFrozen = std::any_of(
+        History.Disturbances.begin(), History.Disturbances.end(),
+        [&](const Disturbance &One) {
+          return One.Kind == DisturbanceKind::Freeze && One.Daemon &&
+                 One.Daemon == Each.Daemon && One.From <= Each.At &&
+                 Each.At <= One.Until + Bounds.ThawSlack;
+        });
+    if (WasFrozen)
+      continue;
+    const auto Before = Last.find(Each.Engine);
+    if (Before != Last.end()) {
+      const std::string After = Text + " after " + Before->second.Holder +
+                                " with fence " +
+                                std::to_string(Before->second.Fence);
+      if (Each.Fence < Before->second.Fence)
+        Found.push_back({"fences do not fall", "", After});
+      if (Each.Holder != Before->second.Holder &&
+          Each.At - Before->second.At < Bounds.Lease)
+        Found.push_back({"orders of two daemons are a lease apart", "",
+                         After + ", " +
+                             std::to_string(
+                                 toMilliseconds(Each.At - Before->second.At)) +
+                             " ms later"});
+    }
+    Last[Each.Engine] = Each;
+  }
+}
+
+void checkRewrites(const SoakHistory &History,
+                   std::vector<BrokenPromise> &Found) {
+  std::uint64_t Era = 0;
+  for (const CoreDisruption &Each : History.Configs.Disruptions)
+    Era = std::max(Era, Each.Era);
+  if (Era == 0)
+    return;
+  const std::string Suffix = ".era-" + std::to_string(Era);
+  const std::vector<std::string> &Names = History.Configs.WeightHistories;
+  if (std::none_of(
+          Names.begin(), Names.end(),
+          [&](const std::string &Each) { return Each.ends_with(Suffix); }))
+    Found.push_back({"histories are written again", "",
+                     "no history of weights in era " + std::to_string(Era)});
+}
+
+} // namespace galenaroute::soak
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -25,6 +25,11 @@
 /// Share of the calls, in 1,000, that end the upstream that runs them.
 static constexpr std::uint64_t CrashingCalls = 6;
 static constexpr Duration SlowLink = 150ms;
+/// Short pauses of single daemons, beside the faults.
+static constexpr Duration MinPause = 200ms;
+static constexpr Duration MaxPause = 1500ms;
+static constexpr Duration MinPauseGap = 500ms;
+static constexpr Duration MaxPauseGap = 4s;
 /// Calls a second that upstreams state as their limits, and how often they
 /// state another one or none.
 static constexpr double StatedLimits[] = {0.5, 1, 2.5, 6, 20, 100};
@@ -51,10 +56,26 @@
                                 ? 0
                                 : Found->second.Daemon;
                    },
-               .Note = [this](const std::string &Line) { this->note(Line); }}) {
+               .Note = [this](const std::string &Line) { this->note(Line); },
+               .OnOrder =
+                   [this](const std::string &Engine, const std::string &Holder,
+                          std::uint64_t Fence) {
+                     this->noteOrder(Engine, Holder, Fence);
+                   }}),
+      Kept(this->Loop, this->Store, this->Places, this->Settings.Seed,
+           this->History.Connections,
+           [this](const std::string &Line) { this->note(Line); }),
+      Configs(this->Loop, this->Store, this->Places, this->Settings.Seed,
+              {.Seen = this->History,
+               .IncarnationOf =
+                   [this](std::size_t Daemon) {
+                     return this->Daemons[Daemon].Starts;
+                   },
+               .Note = [this](const std::string &Line) { this->note(Line); }}),
+      PauseRandom(this->Settings.Seed * 7 + 3) {
   nlohmann::json Config = withPrompts(testing_support::plainConfig());
   SoakWeights::addTo(Config);
-  this->Store.put("config", "main", Config);
+  this->Configs.write(std::move(Config));
   this->Daemons.resize(this->Settings.Faults.Daemons);
   this->Upstreams.resize(this->Settings.Faults.Upstreams);
 }
@@ -79,6 +100,7 @@
   DaemonPart &Part = this->Daemons[Daemon];
   Part.Stop.reset();
   Part.FrozenUntil = {};
+  ++Part.Starts;
   Part.Process = &this->Harness.start("galenaroute-platform",
                                       {"--settings", Part.SettingsPath});
 }
@@ -207,10 +229,36 @@
   });
 }
 
-void SoakRun::noteDisturbed(std::size_t Daemon, Duration For,
-                            bool IsStoreOnly) {
+void SoakRun::noteDisturbed(std::size_t Daemon, Duration For, bool IsStoreOnly,
+                            DisturbanceKind Kind) {
   this->History.Disturbances.push_back(
-      {Daemon, EventLoop::now(), EventLoop::now() + For, IsStoreOnly});
+      {Daemon, EventLoop::now(), EventLoop::now() + For, IsStoreOnly, Kind});
+}
+
+void SoakRun::noteOrder(const std::string &Engine, const std::string &Holder,
+                        std::uint64_t Fence) {
+  OrderView Order{EventLoop::now(), Engine, Holder, Fence};
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I)
+    if (Holder == testing_support::PlatformDaemons::nameOf(I))
+      Order.Daemon = I;
+  this->History.Configs.Orders.push_back(Order);
+}
+
+/// Pauses a daemon for a short time, and another one later.
+void SoakRun::pauseLater(TimePoint End) {
+  const auto Drawn = [this](Duration Least, Duration Most) {
+    return Least + Milliseconds(this->PauseRandom() %
+                                static_cast<std::uint64_t>(
+                                    toMilliseconds(Most - Least)));
+  };
+  this->after(Drawn(MinPauseGap, MaxPauseGap), [this, End, Drawn] {
+    if (EventLoop::now() >= End)
+      return;
+    this->strike({.For = Drawn(MinPause, MaxPause),
+                  .Kind = FaultKind::Freeze,
+                  .Target = this->PauseRandom() % this->Daemons.size()});
+    this->pauseLater(End);
+  });
 }
 
 void SoakRun::kill(std::size_t Daemon, Duration For) {
@@ -219,7 +267,8 @@
     return;
   if (Part.Stop)
     this->History.Stops[*Part.Stop].WasDisturbed = true;
-  this->noteDisturbed(Daemon, For);
+  this->noteDisturbed(Daemon, For, /*IsStoreOnly=*/false,
+                      DisturbanceKind::Kill);
   Part.Process->signal(SIGKILL);
   Part.Process->wait(5s);
   Part.Process = nullptr;
@@ -275,7 +324,8 @@
     Part.Process->signal(SIGTERM);
     this->noteDisturbed(Next.Target, SoakBounds().Grace);
   } else {
-    this->noteDisturbed(Next.Target, Next.For);
+    this->noteDisturbed(Next.Target, Next.For, /*IsStoreOnly=*/false,
+                        DisturbanceKind::Freeze);
     if (Part.Stop)
       this->History.Stops[*Part.Stop].WasDisturbed = true;
     Part.FrozenUntil = std::max(Part.FrozenUntil, EventLoop::now() + Next.For);
@@ -338,9 +388,12 @@
   else
     Harm.IsSilentToTarget = Harm.IsSilentFromTarget = true;
   // The store itself counts as disturbed if no daemon reaches it as usual.
-  if (Next.Kind != FaultKind::StoreAway)
+  if (Next.Kind != FaultKind::StoreAway) {
     this->History.Weights.interrupt(
         EventLoop::now(), EventLoop::now() + Next.For + SoakBounds().Contact);
+    this->History.Configs.Disruptions.push_back(
+        {EventLoop::now(), EventLoop::now() + Next.For});
+  }
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     if (Next.Kind == FaultKind::StoreAway && I != Next.Target)
       continue;
@@ -454,6 +507,8 @@
 void SoakRun::step() {
   this->readAnswers();
   this->Prompts.step();
+  this->Kept.step();
+  this->Configs.step();
   this->watchStops();
   const TimePoint Now = EventLoop::now();
   while (this->IsSending && this->NextCallAt <= Now) {
@@ -478,6 +533,7 @@
   for (std::size_t I = 0; I < this->Upstreams.size(); ++I)
     this->startUpstream(I);
   this->Weights.start();
+  this->Kept.start();
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     this->Harness.waitFor("daemon " + std::to_string(I), [&] {
       return this->Harness.get(this->Places.readyAddress(I), "/api/ready")
@@ -495,12 +551,16 @@
     Last = std::max(Last, Each.At + Each.For);
   }
   this->Weights.nameUntil(this->Begun + Last);
+  this->Configs.play(this->Begun + Last);
+  this->pauseLater(this->Begun + Last);
   const sigc::connection Steps =
       this->Loop.timers().every(StepPeriod, [this] { this->step(); });
   this->Prompts.start(Last + this->Settings.CalmEnd);
   this->Loop.runUntil([] { return false; }, Last + this->Settings.CalmEnd);
   this->IsSending = false;
   this->Prompts.stop();
+  this->Kept.stop();
+  this->Configs.finish();
   this->History.EndedAt = EventLoop::now();
   // A stop that is under way, and the last calls.
   this->Loop.runUntil([this] { return this->Open.empty(); }, CallPatience * 2);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -15,6 +15,8 @@
 #include "FaultyLink.h"
 #include "History.h"
 #include "RawSocket.h"
+#include "SoakConfigs.h"
+#include "SoakConnections.h"
 #include "SoakPrompts.h"
 #include "SoakWeights.h"
 #include "connection/CallListener.h"
@@ -48,6 +50,7 @@
   const SoakHistory &history() const { return this->History; }
   /// Returns how many weight versions were named during the faults.
   std::size_t namedWeights() const { return this->Weights.named(); }
+  const SoakConfigs &configs() const { return this->Configs; }
   /// Lines on what was done, with seconds from the start of the traffic.
   const std::vector<std::string> &timeline() const { return this->Timeline; }
   /// Lines of the daemons' logs that name \p Text.
@@ -62,6 +65,7 @@
     TimePoint FrozenUntil;
     TimePoint StoreAwayUntil;
     std::optional<std::size_t> Stop; ///< The planned stop under way.
+    int Starts = 0;
   };
   struct UpstreamPart {
     std::shared_ptr<CallListener> Listener;
@@ -88,7 +92,11 @@
   void strikeStore(const Fault &Next);
   void kill(std::size_t Daemon, Duration For);
   void noteDisturbed(std::size_t Daemon, Duration For,
-                     bool IsStoreOnly = false);
+                     bool IsStoreOnly = false,
+                     DisturbanceKind Kind = DisturbanceKind::Other);
+  void noteOrder(const std::string &Engine, const std::string &Holder,
+                 std::uint64_t Fence);
+  void pauseLater(TimePoint End);
   void step();
   void sendCall();
   void sendEngineCall();
@@ -113,6 +121,9 @@
   std::vector<OpenCall> Open;
   SoakHistory History;
   SoakWeights Weights;
+  SoakConnections Kept;
+  SoakConfigs Configs;
+  std::mt19937_64 PauseRandom;
   std::vector<std::string> Timeline;
   TimePoint Begun;
   TimePoint NextCallAt;
--- a/soak/SoakWeights.cpp
+++ b/soak/SoakWeights.cpp
@@ -66,7 +66,14 @@
                              .Version = this->Version,
                              .LoadTime = ShortLoad,
                              .GatewayOf = this->Parts.DaemonOf,
-                             .Answer = answerOf},
+                             .Answer = answerOf,
+                             .OnOrder =
+                                 [this, Index](const std::string &Holder,
+                                               std::uint64_t Fence) {
+                                   this->Parts.OnOrder(
+                                       "e" + std::to_string(Index), Holder,
+                                       Fence);
+                                 }},
       [this, Index](const SocketAddress &At, std::uint64_t Loaded) {
         this->Store.put("servers", "e" + std::to_string(Index),
                         {{"service", "m"},
--- a/soak/SoakWeights.h
+++ b/soak/SoakWeights.h
@@ -25,6 +25,10 @@
   /// Returns the daemon to which a caller sent a call.
   std::function<std::size_t(const std::string &Call)> DaemonOf;
   std::function<void(const std::string &Line)> Note;
+  /// Called for each order that reaches an engine.
+  std::function<void(const std::string &Engine, const std::string &Holder,
+                     std::uint64_t Fence)>
+      OnOrder;
 };
 
 class SoakWeights {
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -6,6 +6,7 @@
 
 #include "connection/HttpTypes.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <stdexcept>
@@ -57,14 +58,28 @@
     while (true) {
       const ssize_t Length = ::read(this->Socket, Buffer, sizeof Buffer);
       if (Length <= 0) {
-        this->Ended = this->Ended || Length == 0 ||
-                      (errno != EAGAIN && errno != EWOULDBLOCK);
-        this->Reset = this->Reset || (Length < 0 && errno == ECONNRESET);
+        this->noteEnd(Length);
         return this->Text;
       }
       this->Text.append(Buffer, static_cast<std::size_t>(Length));
     }
   }
+  /// Reads at most \p MaxBytes of the available bytes; see text().
+  void readUpTo(std::size_t MaxBytes) {
+    const std::size_t Before = this->Text.size();
+    this->Text.resize(Before + MaxBytes);
+    const ssize_t Length =
+        ::read(this->Socket, this->Text.data() + Before, MaxBytes);
+    this->Text.resize(Before + static_cast<std::size_t>(std::max<ssize_t>(
+                                   Length, 0)));
+    if (Length <= 0)
+      this->noteEnd(Length);
+  }
+  /// Returns everything read so far, since clearText().
+  const std::string &text() const { return this->Text; }
+  void clearText() { this->Text.clear(); }
+  /// Returns whether reading has found the end of the connection.
+  bool isOver() const { return this->Ended; }
   /// Reads and drops at most \p MaxBytes bytes. Returns the number of bytes
   /// read.
   std::size_t readSome(std::size_t MaxBytes) {
@@ -96,6 +111,12 @@
   }
 
 private:
+  void noteEnd(ssize_t Length) {
+    this->Ended = this->Ended || Length == 0 ||
+                  (errno != EAGAIN && errno != EWOULDBLOCK);
+    this->Reset = this->Reset || (Length < 0 && errno == ECONNRESET);
+  }
+
   int Socket;
   std::string Text;
   bool Ended = false;
--- a/tests/WeightedEngines.h
+++ b/tests/WeightedEngines.h
@@ -50,6 +50,9 @@
       Answer = [](const std::string &, const std::string &) {
         return std::string("answer");
       };
+  /// Called for each order.
+  std::function<void(const std::string &Holder, std::uint64_t Fence)> OnOrder =
+      [](const std::string &, std::uint64_t) {};
 };
 
 class WeightedEngine {
@@ -124,6 +127,8 @@
   void onOrder(IncomingCall &Call) {
     const nlohmann::json Order = nlohmann::json::parse(Call.Body);
     const std::uint64_t Wanted = Order.at("version");
+    this->Settings.OnOrder(Order.value("holder", ""),
+                           Order.value("fence", std::uint64_t{0}));
     if (this->Version == Wanted) {
       Call.send(200, {}, "");
       return;
--- a/tests/process/FakePlatformServer.h
+++ b/tests/process/FakePlatformServer.h
@@ -70,6 +70,16 @@
     return this->Objects[Kind][Name].Spec;
   }
 
+  /// Returns the specs of a kind by name; null for removed objects.
+  std::map<std::string, nlohmann::json> specs(const std::string &Kind) const {
+    std::map<std::string, nlohmann::json> Result;
+    if (const auto Found = this->Objects.find(Kind);
+        Found != this->Objects.end())
+      for (const auto &[Name, Each] : Found->second)
+        Result[Name] = Each.Spec;
+    return Result;
+  }
+
 private:
   struct Object {
     std::uint64_t Revision = 0;
--- a/tests/process/PlatformDaemons.h
+++ b/tests/process/PlatformDaemons.h
@@ -24,6 +24,9 @@
   static constexpr std::uint16_t DirectoryPort = CallerPort + 2;
   static constexpr std::uint16_t GossipPort = 17700;
 
+  static std::string nameOf(std::size_t Index) {
+    return "n" + std::to_string(Index);
+  }
   std::string hostOf(std::size_t Index) const {
     return "127." + std::to_string(this->Network) + ".0." +
            std::to_string(Index + 2);
@@ -45,7 +48,7 @@
     for (std::size_t I = 0; I < this->Count; ++I)
       Seeds += (I == 0 ? "\"" : ",\"") + this->hostOf(I) + ":1\"";
     std::ofstream(Path)
-        << "node = \"n" << Index << "\"\nzone = \"" << Zone << "\"\nipAddr = \""
+        << "node = \"" << nameOf(Index) << "\"\nzone = \"" << Zone << "\"\nipAddr = \""
         << Host << "\"\ninternalPorts = [" << GossipPort << ", "
         << GossipPort + 9 << "]\nseedAddrs = [" << Seeds
         << "]\n[listen]\nfront = \"" << Host << ":" << CallerPort
