--- a/soak/SoakConnections.cpp
+++ b/soak/SoakConnections.cpp
@@ -8,7 +8,7 @@
 
 using namespace std::chrono_literals;
 
-static constexpr std::size_t CallersOfDaemon = 3;
+static constexpr std::size_t CallersOfDaemon = 6;
 static constexpr std::size_t UpstreamCount = 4;
 /// Longest idle periods, as a share of the limit; four fifths may be used.
 static constexpr double MaxIdleShare = 0.79;
