--- a/soak/ConnectionChecks.cpp
+++ b/soak/ConnectionChecks.cpp
@@ -31,14 +31,13 @@
 /// Returns whether the daemon was killed, or began again, around a call.
 static bool wasKilled(const SoakHistory &History, const SoakBounds &Bounds,
                       const KeptCallView &Call) {
-  return std::any_of(
-      History.Disturbances.begin(), History.Disturbances.end(),
-      [&](const Disturbance &Each) {
-        return Each.Kind == DisturbanceKind::Kill &&
-               (!Each.Daemon || *Each.Daemon == Call.Daemon) &&
-               Each.From <= *Call.EndedAt &&
-               Call.SentAt <= Each.Until + Bounds.Contact;
-      });
+  return std::any_of(History.Disturbances.begin(), History.Disturbances.end(),
+                     [&](const Disturbance &Each) {
+                       return Each.Kind == DisturbanceKind::Kill &&
+                              (!Each.Daemon || *Each.Daemon == Call.Daemon) &&
+                              Each.From <= *Call.EndedAt &&
+                              Call.SentAt <= Each.Until + Bounds.Contact;
+                     });
 }
 
 /// Returns whether a planned stop may have ended the call: late in its grace
@@ -49,7 +48,8 @@
       History.Stops.begin(), History.Stops.end(), [&](const StopView &Each) {
         if (Each.Daemon != Call.Daemon || Each.At > *Call.EndedAt)
           return false;
-        const bool EndsLate = *Call.EndedAt >= Each.At + Bounds.Grace * StopShare;
+        const bool EndsLate =
+            *Call.EndedAt >= Each.At + Bounds.Grace * StopShare;
         const bool Crosses =
             Each.EndedAt && Call.SentAt + CrossingTime >= *Each.EndedAt;
         const bool IsOver =
--- a/soak/ConnectionChecks.h
+++ b/soak/ConnectionChecks.h
@@ -26,9 +26,9 @@
   std::optional<TimePoint> EndedAt; ///< By an answer, an end or the caller.
   int Status = 0;                   ///< 0: no head of an answer was read.
   std::size_t ReadBytes = 0;
-  bool IsWhole = false;     ///< The answer ended as its head said.
-  bool IsOwn = false;       ///< The answer names the call.
-  bool HasGivenUp = false;  ///< The caller closed the connection.
+  bool IsWhole = false;      ///< The answer ended as its head said.
+  bool IsOwn = false;        ///< The answer names the call.
+  bool HasGivenUp = false;   ///< The caller closed the connection.
   bool HasBrokenOff = false; ///< The upstream broke off its answer.
 };
 
--- a/soak/RestoreChecks.cpp
+++ b/soak/RestoreChecks.cpp
@@ -67,8 +67,8 @@
                                 States[I].Service == Probe.Service);
     }
     if (!IsAllowed)
-      Found.push_back({"a configuration is in force in time", Probe.Call,
-                       describe(Probe)});
+      Found.push_back(
+          {"a configuration is in force in time", Probe.Call, describe(Probe)});
   }
 }
 
@@ -83,13 +83,14 @@
     if (!IsNew && Holder->second != Each.Holder)
       Found.push_back({"a fence is given out once", "",
                        Text + ", which " + Holder->second + " had"});
-    const bool WasFrozen = std::any_of(
-        History.Disturbances.begin(), History.Disturbances.end(),
-        [&](const Disturbance &One) {
-          return One.Kind == DisturbanceKind::Freeze && One.Daemon &&
-                 One.Daemon == Each.Daemon && One.From <= Each.At &&
-                 Each.At <= One.Until + Bounds.ThawSlack;
-        });
+    const bool WasFrozen =
+        std::any_of(History.Disturbances.begin(), History.Disturbances.end(),
+                    [&](const Disturbance &One) {
+                      return One.Kind == DisturbanceKind::Freeze &&
+                             One.Daemon && One.Daemon == Each.Daemon &&
+                             One.From <= Each.At &&
+                             Each.At <= One.Until + Bounds.ThawSlack;
+                    });
     if (WasFrozen)
       continue;
     const auto Before = Last.find(Each.Engine);
@@ -101,11 +102,11 @@
         Found.push_back({"fences do not fall", "", After});
       if (Each.Holder != Before->second.Holder &&
           Each.At - Before->second.At < Bounds.Lease)
-        Found.push_back({"orders of two daemons are a lease apart", "",
-                         After + ", " +
-                             std::to_string(
-                                 toMilliseconds(Each.At - Before->second.At)) +
-                             " ms later"});
+        Found.push_back(
+            {"orders of two daemons are a lease apart", "",
+             After + ", " +
+                 std::to_string(toMilliseconds(Each.At - Before->second.At)) +
+                 " ms later"});
     }
     Last[Each.Engine] = Each;
   }
@@ -120,9 +121,9 @@
     return;
   const std::string Suffix = ".era-" + std::to_string(Era);
   const std::vector<std::string> &Names = History.Configs.WeightHistories;
-  if (std::none_of(
-          Names.begin(), Names.end(),
-          [&](const std::string &Each) { return Each.ends_with(Suffix); }))
+  if (std::none_of(Names.begin(), Names.end(), [&](const std::string &Each) {
+        return Each.ends_with(Suffix);
+      }))
     Found.push_back({"histories are written again", "",
                      "no history of weights in era " + std::to_string(Era)});
 }
--- a/soak/SoakConfigs.cpp
+++ b/soak/SoakConfigs.cpp
@@ -232,11 +232,11 @@
         Found == Now.end() ? nlohmann::json() : Found->second;
     if (Current == Lost)
       continue;
-    this->after(this->drawn(10ms, RewriteTime), [this, Key = Key, Lost = Lost,
-                                                 Current] {
-      if (this->Store.read(Key.first, Key.second) == Current)
-        this->Store.put(Key.first, Key.second, Lost);
-    });
+    this->after(this->drawn(10ms, RewriteTime),
+                [this, Key = Key, Lost = Lost, Current] {
+                  if (this->Store.read(Key.first, Key.second) == Current)
+                    this->Store.put(Key.first, Key.second, Lost);
+                });
   }
 }
 
--- a/soak/SoakConnections.cpp
+++ b/soak/SoakConnections.cpp
@@ -223,16 +223,14 @@
 
 void SoakConnections::send(Caller &Each) {
   const TimePoint Now = EventLoop::now();
-  const Duration Limit = idleLimitIn(this->Seen, Each.IdleSince, Now,
-                                     SoakBounds().ConfigApply);
+  const Duration Limit =
+      idleLimitIn(this->Seen, Each.IdleSince, Now, SoakBounds().ConfigApply);
   if (Each.Socket->hasEnded() || Now - Each.IdleSince > Limit * ReuseShare) {
     this->connect(Each);
     return;
   }
   const std::uint64_t Drawn = this->below(12);
-  Each.How = Drawn == 0 ? Pace::Large
-             : Drawn < 4 ? Pace::Stream
-                         : Pace::Plain;
+  Each.How = Drawn == 0 ? Pace::Large : Drawn < 4 ? Pace::Stream : Pace::Plain;
   const char *Path = Each.How == Pace::Large    ? "/kept/large"
                      : Each.How == Pace::Stream ? "/kept/stream"
                                                 : "/kept/plain";
@@ -245,8 +243,8 @@
   Each.PauseUntil = Now;
   const std::string Body(1 + this->below(3000), 'q');
   Each.Socket->writeSome(
-      std::string("POST ") + Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " +
-      Each.Call +
+      std::string("POST ") + Path +
+      " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + Each.Call +
       "\r\nDeadline-Ms: " + std::to_string(toMilliseconds(CallDeadline)) +
       "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body);
 }
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -40,11 +40,11 @@
             << " crashes by a call, " << History.Stops.size()
             << " planned stops, " << Run.namedWeights() << " versions named, "
             << countOlder(History.Weights) << " calls on older weights, "
-            << History.Connections.Calls.size() << " calls on kept connections, "
-            << History.Configs.Probes.size() << " calls to changing routes, "
-            << Run.configs().changes() << " configurations, "
-            << Run.configs().restorations() << " restorations, "
-            << History.Configs.Orders.size() << " orders, "
+            << History.Connections.Calls.size()
+            << " calls on kept connections, " << History.Configs.Probes.size()
+            << " calls to changing routes, " << Run.configs().changes()
+            << " configurations, " << Run.configs().restorations()
+            << " restorations, " << History.Configs.Orders.size() << " orders, "
             << Found.size() << " promises broken" << std::endl;
   if (Found.empty())
     return true;
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -91,8 +91,7 @@
   void strikeUpstream(const Fault &Next);
   void strikeStore(const Fault &Next);
   void kill(std::size_t Daemon, Duration For);
-  void noteDisturbed(std::size_t Daemon, Duration For,
-                     bool IsStoreOnly = false,
+  void noteDisturbed(std::size_t Daemon, Duration For, bool IsStoreOnly = false,
                      DisturbanceKind Kind = DisturbanceKind::Other);
   void noteOrder(const std::string &Engine, const std::string &Holder,
                  std::uint64_t Fence);
--- a/soak/SoakWeights.cpp
+++ b/soak/SoakWeights.cpp
@@ -61,19 +61,17 @@
 void SoakWeights::addEngine(std::size_t Index) {
   this->Engines.push_back(std::make_unique<WeightedEngine>(
       this->Loop, this->Parts.Seen,
-      WeightedEngineSettings{.Slots = Slots,
-                             .RunTime = RunTime,
-                             .Version = this->Version,
-                             .LoadTime = ShortLoad,
-                             .GatewayOf = this->Parts.DaemonOf,
-                             .Answer = answerOf,
-                             .OnOrder =
-                                 [this, Index](const std::string &Holder,
-                                               std::uint64_t Fence) {
-                                   this->Parts.OnOrder(
-                                       "e" + std::to_string(Index), Holder,
-                                       Fence);
-                                 }},
+      WeightedEngineSettings{
+          .Slots = Slots,
+          .RunTime = RunTime,
+          .Version = this->Version,
+          .LoadTime = ShortLoad,
+          .GatewayOf = this->Parts.DaemonOf,
+          .Answer = answerOf,
+          .OnOrder =
+              [this, Index](const std::string &Holder, std::uint64_t Fence) {
+                this->Parts.OnOrder("e" + std::to_string(Index), Holder, Fence);
+              }},
       [this, Index](const SocketAddress &At, std::uint64_t Loaded) {
         this->Store.put("servers", "e" + std::to_string(Index),
                         {{"service", "m"},
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -70,8 +70,8 @@
     this->Text.resize(Before + MaxBytes);
     const ssize_t Length =
         ::read(this->Socket, this->Text.data() + Before, MaxBytes);
-    this->Text.resize(Before + static_cast<std::size_t>(std::max<ssize_t>(
-                                   Length, 0)));
+    this->Text.resize(Before +
+                      static_cast<std::size_t>(std::max<ssize_t>(Length, 0)));
     if (Length <= 0)
       this->noteEnd(Length);
   }
@@ -112,8 +112,8 @@
 
 private:
   void noteEnd(ssize_t Length) {
-    this->Ended = this->Ended || Length == 0 ||
-                  (errno != EAGAIN && errno != EWOULDBLOCK);
+    this->Ended =
+        this->Ended || Length == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     this->Reset = this->Reset || (Length < 0 && errno == ECONNRESET);
   }
 
--- a/tests/SoakHistoryTest.cpp
+++ b/tests/SoakHistoryTest.cpp
@@ -317,5 +317,174 @@
   EXPECT_EQ(this->broken(), "at most once");
 }
 
+/// Adds a kept call after 700 ms idle, with a limit of 1 s, whose connection
+/// ends 1 s later.
+static KeptCallView &keptCall(SoakHistory &History, int Status) {
+  History.Connections.IdleLimits = {{Start - 1h, 1s}};
+  KeptCallView &Call = History.Connections.Calls["k"];
+  Call = {.IdleSince = Start - 700ms,
+          .SentAt = Start,
+          .Deadline = 8s,
+          .EndedAt = Start + 1s,
+          .Status = Status};
+  return Call;
+}
+
+TEST_F(SoakHistoryTest, ARequestThatEndsUnansweredIsFound) {
+  KeptCallView &Call = keptCall(this->History, 0);
+  EXPECT_EQ(this->broken(), "a whole request gets an answer");
+  Call.IdleSince = Start - 801ms;
+  EXPECT_EQ(this->broken(), "0") << "the daemon may have closed it";
+  Call.IdleSince = Start - 700ms;
+  Call.EndedAt = Start + 8s;
+  EXPECT_EQ(this->broken(), "0") << "the deadline has passed";
+}
+
+TEST_F(SoakHistoryTest, FreezesDoNotExcuseUnansweredRequests) {
+  keptCall(this->History, 0);
+  this->History.Disturbances.push_back(
+      {0, Start - 1s, Start + 500ms, false, DisturbanceKind::Freeze});
+  this->History.Disturbances.push_back({0, Start - 1s, Start, true});
+  EXPECT_EQ(this->broken(), "a whole request gets an answer");
+  this->History.Disturbances.push_back(
+      {1, Start - 2s, Start - 1s, false, DisturbanceKind::Kill});
+  EXPECT_EQ(this->broken(), "a whole request gets an answer");
+  this->History.Disturbances.back().Daemon = 0;
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, ACutAnswerIsFound) {
+  KeptCallView &Call = keptCall(this->History, 200);
+  Call.IdleSince = Start - 1h;
+  EXPECT_EQ(this->broken(), "a begun answer is carried to its end");
+  Call.HasBrokenOff = true;
+  EXPECT_EQ(this->broken(), "0") << "its upstream broke off";
+}
+
+TEST_F(SoakHistoryTest, AStopThatLosesRequestsIsFound) {
+  keptCall(this->History, 0);
+  this->History.Stops.push_back(
+      {.Daemon = 0, .At = Start - 1s, .EndedAt = Start + 1s});
+  EXPECT_EQ(this->broken(), "a whole request gets an answer");
+  this->History.Stops[0].EndedAt = Start + 100ms;
+  EXPECT_EQ(this->broken(), "0") << "the request crossed the end";
+  this->History.Stops[0].EndedAt = Start - 500ms;
+  EXPECT_EQ(this->broken(), "a whole request gets an answer")
+      << "the daemon is another one";
+  this->History.Stops[0].At = Start - 2500ms;
+  this->History.Stops[0].EndedAt = Start + 1s;
+  EXPECT_EQ(this->broken(), "0") << "late in the grace time";
+}
+
+TEST_F(SoakHistoryTest, ADeniedOrForeignAnswerOnAKeptConnectionIsFound) {
+  KeptCallView &Call = keptCall(this->History, 404);
+  Call.IsWhole = true;
+  EXPECT_EQ(this->broken(), "proper calls are not denied");
+  Call.Status = 200;
+  EXPECT_EQ(this->broken(), "own whole answer");
+  Call.IsOwn = true;
+  EXPECT_EQ(this->broken(), "0");
+  Call.Status = 503;
+  EXPECT_EQ(this->broken(), "0");
+}
+
+// Callers rely on the smaller of two limits while a new one is applied.
+TEST_F(SoakHistoryTest, IdleLimitsCountUntilTheNextIsInForce) {
+  const ConnectionHistory Seen{.IdleLimits = {{Start, 1s}, {Start + 10s, 4s}}};
+  const auto At = [&](Duration From, Duration To) {
+    return idleLimitIn(Seen, Start + From, Start + To, 2s);
+  };
+  EXPECT_EQ(At(9s, 9s), 1s);
+  EXPECT_EQ(At(11s, 11s), 1s);
+  EXPECT_EQ(At(13s, 13s), 4s);
+  EXPECT_EQ(At(11s, 13s), 1s);
+}
+
+/// Adds a call to route r that a daemon answered at once.
+static void probe(SoakHistory &History, Duration At, const std::string &Service,
+                  int Incarnation = 1) {
+  History.Configs.Probes.push_back({.Route = "r",
+                                    .Incarnation = Incarnation,
+                                    .SentAt = Start + At,
+                                    .EndedAt = Start + At + 1ms,
+                                    .Service = Service});
+}
+
+TEST_F(SoakHistoryTest, AConfigurationThatGoesBackIsFound) {
+  this->History.Configs.Routes["r"] = {
+      {TimePoint(), ""}, {Start, "k0"}, {Start + 10s, "k1"}};
+  this->History.Configs.Disruptions = {{Start, Start + 1min}};
+  probe(this->History, 100ms, "");
+  probe(this->History, 200ms, "k0");
+  EXPECT_EQ(this->broken(), "0");
+  probe(this->History, 300ms, "", 2);
+  EXPECT_EQ(this->broken(), "0") << "another incarnation";
+  probe(this->History, 400ms, "");
+  EXPECT_EQ(this->broken(), "a configuration never goes back");
+  this->History.Configs.Probes.pop_back();
+  probe(this->History, 10100ms, "k1");
+  probe(this->History, 10200ms, "k0");
+  EXPECT_EQ(this->broken(), "a configuration never goes back");
+}
+
+TEST_F(SoakHistoryTest, ALateConfigurationIsFound) {
+  this->History.Configs.Routes["r"] = {
+      {TimePoint(), ""}, {Start, "k0"}, {Start + 10s, ""}};
+  probe(this->History, 1900ms, "");
+  EXPECT_EQ(this->broken(), "0");
+  probe(this->History, 2100ms, "");
+  EXPECT_EQ(this->broken(), "a configuration is in force in time");
+  this->History.Configs.Disruptions = {{Start - 4s, Start - 2s, 2}};
+  this->History.Configs.WeightHistories = {"w.era-2"};
+  EXPECT_EQ(this->broken(), "0") << "the store was just restored";
+  this->History.Configs.Disruptions[0].Until = Start - 3s;
+  EXPECT_EQ(this->broken(), "a configuration is in force in time");
+  this->History.Disturbances.push_back({0, Start - 2s, Start - 1s});
+  EXPECT_EQ(this->broken(), "0") << "the daemon was not in touch";
+}
+
+TEST_F(SoakHistoryTest, ARouteThatIsServedAfterItsEndIsFound) {
+  this->History.Configs.Routes["r"] = {
+      {TimePoint(), ""}, {Start, "k0"}, {Start + 10s, ""}};
+  probe(this->History, 11900ms, "k0");
+  EXPECT_EQ(this->broken(), "0");
+  probe(this->History, 12100ms, "k0");
+  EXPECT_EQ(this->broken(), "a configuration is in force in time");
+}
+
+TEST_F(SoakHistoryTest, AFenceThatFallsIsFound) {
+  std::vector<OrderView> &Orders = this->History.Configs.Orders;
+  Orders = {{Start, "e0", "n0", 2, 0}, {Start + 4s, "e0", "n1", 3, 1}};
+  EXPECT_EQ(this->broken(), "0");
+  Orders.push_back({Start + 8s, "e0", "n0", 2, 0});
+  EXPECT_EQ(this->broken(), "fences do not fall");
+  this->History.Disturbances.push_back(
+      {0, Start + 5s, Start + 7800ms, false, DisturbanceKind::Freeze});
+  EXPECT_EQ(this->broken(), "0") << "the order was sent before the freeze";
+}
+
+TEST_F(SoakHistoryTest, AFenceOfTwoDaemonsIsFound) {
+  this->History.Configs.Orders = {{Start, "e0", "n0", 2, 0},
+                                  {Start, "e1", "n1", 2, 1}};
+  EXPECT_EQ(this->broken(), "a fence is given out once");
+}
+
+TEST_F(SoakHistoryTest, DaemonsThatTakeTurnsAtAnEngineAreFound) {
+  this->History.Configs.Orders = {{Start, "e0", "n0", 2, 0},
+                                  {Start + 2900ms, "e0", "n1", 3, 1}};
+  EXPECT_EQ(this->broken(), "orders of two daemons are a lease apart");
+  this->History.Configs.Orders[1].At = Start + 3s;
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, AHistoryThatIsNotWrittenAgainIsFound) {
+  this->History.Configs.Disruptions = {{Start, Start + 1s, 2},
+                                       {Start + 2s, Start + 3s, 3}};
+  this->History.Configs.WeightHistories = {"w.era-2"};
+  EXPECT_EQ(this->broken(), "histories are written again");
+  this->History.Configs.WeightHistories.emplace_back("w.era-3");
+  EXPECT_EQ(this->broken(), "0");
+}
+
 } // namespace
 } // namespace galenaroute::soak
--- a/tests/process/PlatformDaemons.h
+++ b/tests/process/PlatformDaemons.h
@@ -48,9 +48,9 @@
     for (std::size_t I = 0; I < this->Count; ++I)
       Seeds += (I == 0 ? "\"" : ",\"") + this->hostOf(I) + ":1\"";
     std::ofstream(Path)
-        << "node = \"" << nameOf(Index) << "\"\nzone = \"" << Zone << "\"\nipAddr = \""
-        << Host << "\"\ninternalPorts = [" << GossipPort << ", "
-        << GossipPort + 9 << "]\nseedAddrs = [" << Seeds
+        << "node = \"" << nameOf(Index) << "\"\nzone = \"" << Zone
+        << "\"\nipAddr = \"" << Host << "\"\ninternalPorts = [" << GossipPort
+        << ", " << GossipPort + 9 << "]\nseedAddrs = [" << Seeds
         << "]\n[listen]\nfront = \"" << Host << ":" << CallerPort
         << "\"\nready = \"" << Host << ":" << ReadyPort << "\"\ndirectory = \""
         << Host << ":" << DirectoryPort
