--- a/soak/RestoreChecks.cpp
+++ b/soak/RestoreChecks.cpp
@@ -112,20 +112,56 @@
   }
 }
 
-void checkRewrites(const SoakHistory &History,
+/// Returns whether a daemon was in touch when a version was named and has not
+/// ended since, so that it knows the time of the naming.
+static bool isNamingKnown(const SoakHistory &History, const SoakBounds &Bounds,
+                          std::size_t Daemon, TimePoint Named) {
+  const auto &Disruptions = History.Configs.Disruptions;
+  const bool IsDisrupted = std::any_of(
+      Disruptions.begin(), Disruptions.end(), [&](const CoreDisruption &Each) {
+        return Each.From <= Named + Bounds.ConfigApply &&
+               Named <= Each.Until + Bounds.ConfigApply;
+      });
+  const bool WasKilled =
+      std::any_of(History.Disturbances.begin(), History.Disturbances.end(),
+                  [&](const Disturbance &Each) {
+                    return Each.Kind == DisturbanceKind::Kill &&
+                           Each.From >= Named &&
+                           (!Each.Daemon || *Each.Daemon == Daemon);
+                  });
+  const bool WasStopped = std::any_of(
+      History.Stops.begin(), History.Stops.end(), [&](const StopView &Each) {
+        return Each.Daemon == Daemon && Each.EndedAt >= Named;
+      });
+  return !IsDisrupted && !WasKilled && !WasStopped &&
+         isInTouch(History, Bounds, Daemon, Named) &&
+         isInTouch(History, Bounds, Daemon, Named + Bounds.ConfigApply);
+}
+
+void checkRewrites(const SoakHistory &History, const SoakBounds &Bounds,
                    std::vector<BrokenPromise> &Found) {
   std::uint64_t Era = 0;
   for (const CoreDisruption &Each : History.Configs.Disruptions)
     Era = std::max(Era, Each.Era);
-  if (Era == 0)
-    return;
   const std::string Suffix = ".era-" + std::to_string(Era);
   const std::vector<std::string> &Names = History.Configs.WeightHistories;
-  if (std::none_of(Names.begin(), Names.end(), [&](const std::string &Each) {
+  if (Era == 0 ||
+      std::any_of(Names.begin(), Names.end(), [&](const std::string &Each) {
         return Each.ends_with(Suffix);
       }))
-    Found.push_back({"histories are written again", "",
-                     "no history of weights in era " + std::to_string(Era)});
+    return;
+  // The first version is there before the daemons, which only assume its time.
+  const auto &Namings = History.Weights.namings();
+  for (std::size_t I = 1; I < Namings.size(); ++I)
+    for (std::size_t Daemon = 0; Daemon < History.Configs.Daemons; ++Daemon)
+      if (isNamingKnown(History, Bounds, Daemon, Namings[I].At)) {
+        Found.push_back({"histories are written again", "",
+                         "no history of weights in era " + std::to_string(Era) +
+                             ", though daemon " + std::to_string(Daemon) +
+                             " knows the naming of version " +
+                             std::to_string(Namings[I].Version)});
+        return;
+      }
 }
 
 } // namespace galenaroute::soak
--- a/soak/RestoreChecks.h
+++ b/soak/RestoreChecks.h
@@ -57,6 +57,7 @@
   std::vector<RouteProbe> Probes;                        ///< By EndedAt.
   std::vector<OrderView> Orders;                         ///< In order of time.
   std::vector<CoreDisruption> Disruptions;
+  std::size_t Daemons = 0; ///< How many there are.
   /// Names of the histories of weights in the store at the end.
   std::vector<std::string> WeightHistories;
 };
@@ -74,8 +75,9 @@
 /// were frozen until ThawSlack before do not count.
 void checkOrders(const SoakHistory &History, const SoakBounds &Bounds,
                  std::vector<BrokenPromise> &Found);
-/// A history of weights belongs to the newest era of the store.
-void checkRewrites(const SoakHistory &History,
+/// A history of weights belongs to the newest era of the store, if a daemon
+/// that is still there has observed a naming.
+void checkRewrites(const SoakHistory &History, const SoakBounds &Bounds,
                    std::vector<BrokenPromise> &Found);
 
 } // namespace galenaroute::soak
--- a/soak/SoakConfigs.cpp
+++ b/soak/SoakConfigs.cpp
@@ -291,6 +291,7 @@
 }
 
 void SoakConfigs::finish() {
+  this->Parts.Seen.Configs.Daemons = this->Places.Count;
   for (const auto &[Name, Spec] : this->Store.specs("weight-history"))
     if (!Spec.is_null())
       this->Parts.Seen.Configs.WeightHistories.push_back(Name);
