--- a/soak/SoakConfigs.cpp
+++ b/soak/SoakConfigs.cpp
@@ -28,6 +28,11 @@
 static constexpr Duration RewriteTime = 2s;
 static constexpr Duration MinRestoreGap = 100ms;
 static constexpr Duration MaxRestoreGap = 3s;
+/// Freezes, kills and cuts of a daemon over a restoration. Longer than a lease.
+static constexpr Duration MinFault = 3500ms;
+static constexpr Duration MaxFault = 6s;
+/// From the return of the store to the naming of new weights.
+static constexpr Duration MaxNamingDelay = 3s;
 /// Kinds that the operator and the servers write.
 static constexpr const char *WrittenKinds[] = {"config", "servers", "versions"};
 
@@ -187,15 +192,31 @@
     const bool IsShort = this->below(2) == 0;
     const Duration Age =
         this->drawn(MinCopyAge, IsShort ? ShortCopyAge : MaxCopyAge);
-    if (EventLoop::now() + Age >= this->End) {
+    if (EventLoop::now() + Age >= this->End)
       return;
-    }
     this->Store.keepCopy();
     this->after(Age, [this] { this->restore(); });
   });
 }
 
+/// Lets a fault of one daemon last over a restoration in two of three cases;
+/// half of these strike the daemon that gave the last order to an engine.
+void SoakConfigs::strikeBeside() {
+  static constexpr FaultKind Kinds[] = {FaultKind::Freeze, FaultKind::Kill,
+                                        FaultKind::StoreAway};
+  if (this->below(3) == 0)
+    return;
+  std::size_t Target = this->below(this->Places.Count);
+  const std::vector<OrderView> &Orders = this->Parts.Seen.Configs.Orders;
+  if (this->below(2) == 0 && !Orders.empty())
+    Target = Orders.back().Daemon.value_or(Target);
+  this->Parts.Strike({.For = this->drawn(MinFault, MaxFault),
+                      .Kind = Kinds[this->below(std::size(Kinds))],
+                      .Target = Target});
+}
+
 void SoakConfigs::restore() {
+  this->strikeBeside();
   const Duration Away = this->drawn(MinAway, MaxAway);
   const TimePoint Now = EventLoop::now();
   this->IsStoreAway = true;
@@ -218,6 +239,9 @@
     this->rewrite(Before);
     if (this->below(2) == 0)
       this->after(this->drawn(0ms, 500ms), [this] { this->change(); });
+    if (this->below(2) == 0)
+      this->after(this->drawn(0ms, MaxNamingDelay),
+                  [this] { this->Parts.NameWeights(); });
     this->restoreLater(this->drawn(MinRestoreGap, MaxRestoreGap));
   });
 }
--- a/soak/SoakConfigs.h
+++ b/soak/SoakConfigs.h
@@ -14,6 +14,7 @@
 #ifndef GALENAROUTE_SOAK_SOAKCONFIGS_H
 #define GALENAROUTE_SOAK_SOAKCONFIGS_H
 
+#include "Faults.h"
 #include "History.h"
 #include "RawSocket.h"
 #include "process/FakePlatformServer.h"
@@ -28,6 +29,9 @@
   /// Returns how often a daemon was started.
   std::function<int(std::size_t Daemon)> IncarnationOf;
   std::function<void(const std::string &Line)> Note;
+  std::function<void(const Fault &Next)> Strike;
+  /// Names new weights, so that engines get orders.
+  std::function<void()> NameWeights;
 };
 
 class SoakConfigs {
@@ -71,6 +75,7 @@
   bool readProbe(Probe &Each);
   void restoreLater(Duration Delay);
   void restore();
+  void strikeBeside();
   void rewrite(const Specs &Before);
   Specs written() const;
   void after(Duration Delay, const std::function<void()> &Action);
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <iostream>
+#include <set>
 #include <unistd.h>
 
 using namespace galenaroute;
@@ -24,6 +25,13 @@
   return Count;
 }
 
+static std::size_t countHolders(const ConfigHistory &Seen) {
+  std::set<std::string> Holders;
+  for (const OrderView &Each : Seen.Orders)
+    Holders.insert(Each.Holder);
+  return Holders.size();
+}
+
 static bool play(const SoakSettings &Settings) {
   SoakRun Run(Settings);
   Run.play();
@@ -44,7 +52,8 @@
             << " calls on kept connections, " << History.Configs.Probes.size()
             << " calls to changing routes, " << Run.configs().changes()
             << " configurations, " << Run.configs().restorations()
-            << " restorations, " << History.Configs.Orders.size() << " orders, "
+            << " restorations, " << History.Configs.Orders.size()
+            << " orders of " << countHolders(History.Configs) << " holders, "
             << Found.size() << " promises broken" << std::endl;
   if (Found.empty())
     return true;
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -71,7 +71,9 @@
                    [this](std::size_t Daemon) {
                      return this->Daemons[Daemon].Starts;
                    },
-               .Note = [this](const std::string &Line) { this->note(Line); }}),
+               .Note = [this](const std::string &Line) { this->note(Line); },
+               .Strike = [this](const Fault &Next) { this->strike(Next); },
+               .NameWeights = [this] { this->Weights.name(); }}),
       PauseRandom(this->Settings.Seed * 7 + 3) {
   nlohmann::json Config = withPrompts(testing_support::plainConfig());
   SoakWeights::addTo(Config);
--- a/soak/SoakWeights.h
+++ b/soak/SoakWeights.h
@@ -49,6 +49,8 @@
   /// Names a version during the longer freezes of daemons and some of their
   /// other longer faults, since each daemon must find out when that was.
   void onFault(const Fault &Struck);
+  /// Names a version, unless the last one was named a short time ago.
+  void name();
   std::size_t named() const { return this->Named; }
 
   /// Returns whether a caller sends a call to the engines now.
@@ -59,7 +61,6 @@
 private:
   void addEngine(std::size_t Index);
   void put(std::uint64_t Version);
-  void name();
   void after(Duration Delay, const std::function<void()> &Action);
 
   EventLoop &Loop;
