--- a/soak/SoakConfigs.cpp
+++ b/soak/SoakConfigs.cpp
@@ -192,7 +192,7 @@
     const bool IsShort = this->below(2) == 0;
     const Duration Age =
         this->drawn(MinCopyAge, IsShort ? ShortCopyAge : MaxCopyAge);
-    if (EventLoop::now() + Age >= this->End)
+    if (EventLoop::now() + Age + MaxAway + RewriteTime >= this->End)
       return;
     this->Store.keepCopy();
     this->after(Age, [this] { this->restore(); });
@@ -210,7 +210,8 @@
   const std::vector<OrderView> &Orders = this->Parts.Seen.Configs.Orders;
   if (this->below(2) == 0 && !Orders.empty())
     Target = Orders.back().Daemon.value_or(Target);
-  this->Parts.Strike({.For = this->drawn(MinFault, MaxFault),
+  const Duration Left = this->End - EventLoop::now();
+  this->Parts.Strike({.For = std::min(this->drawn(MinFault, MaxFault), Left),
                       .Kind = Kinds[this->below(std::size(Kinds))],
                       .Target = Target});
 }
--- a/soak/SoakConfigs.h
+++ b/soak/SoakConfigs.h
@@ -46,7 +46,8 @@
   /// Writes the first configuration, with the services and routes of
   /// SoakConnections added.
   void write(nlohmann::json First);
-  /// Changes configurations and restores the store until \p End.
+  /// Changes configurations and restores the store until \p End, by when the
+  /// faults that it strikes have ended, too.
   void play(TimePoint End);
   /// Sends and reads calls that show configurations.
   void step();
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -254,7 +254,7 @@
                                     toMilliseconds(Most - Least)));
   };
   this->after(Drawn(MinPauseGap, MaxPauseGap), [this, End, Drawn] {
-    if (EventLoop::now() >= End)
+    if (EventLoop::now() + MaxPause >= End)
       return;
     this->strike({.For = Drawn(MinPause, MaxPause),
                   .Kind = FaultKind::Freeze,
