galenaroute-soak: crashes may be forgotten when neither the store nor a daemon keeps them

Crashes before such a kill no longer count; without a restoration, or 3 s after the store can be reached again, they do.

--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -85,7 +85,11 @@
   using Content = std::pair<std::string, std::string>; // path and body
   std::map<Content, std::vector<TimePoint>> Crashes;
   std::map<Content, std::size_t> Later;
+  const std::vector<TimePoint> Losses = lossesOfEvidence(History, Bounds);
+  std::size_t Lost = 0;
   for (const UpstreamView &Each : History.Arrivals) {
+    for (; Lost < Losses.size() && Losses[Lost] <= Each.At; ++Lost)
+      Crashes.clear();
     std::vector<TimePoint> &Seen = Crashes[{Each.Path, Each.Body}];
     const auto Call = History.Calls.find(Each.Call);
     if (Seen.size() >= Bounds.CrashesAllowed &&
--- a/soak/RestoreChecks.cpp
+++ b/soak/RestoreChecks.cpp
@@ -11,6 +11,46 @@
          (Probe.Service.empty() ? ": 404" : ": run by " + Probe.Service);
 }
 
+static bool isDown(const SoakHistory &History, std::size_t Daemon,
+                   TimePoint At) {
+  return std::any_of(History.Disturbances.begin(), History.Disturbances.end(),
+                     [&](const Disturbance &Each) {
+                       return Each.Kind == DisturbanceKind::Kill &&
+                              (!Each.Daemon || *Each.Daemon == Daemon) &&
+                              Each.From <= At && At <= Each.Until;
+                     });
+}
+
+/// Returns when a restoration is surely made up for.
+static TimePoint rewrittenBy(const SoakHistory &History,
+                             const SoakBounds &Bounds,
+                             const CoreDisruption &Restoration) {
+  TimePoint By = Restoration.Until + Bounds.Contact;
+  for (const CoreDisruption &Each : History.Configs.Disruptions)
+    if (Restoration.From <= Each.From && Each.From <= By)
+      By = std::max(By, Each.Until + Bounds.Contact);
+  return By;
+}
+
+std::vector<TimePoint> lossesOfEvidence(const SoakHistory &History,
+                                        const SoakBounds &Bounds) {
+  std::vector<TimePoint> Result;
+  for (const Disturbance &Kill : History.Disturbances) {
+    bool IsLoss = Kill.Kind == DisturbanceKind::Kill;
+    for (std::size_t I = 0; IsLoss && I < History.Configs.Daemons; ++I)
+      IsLoss = isDown(History, I, Kill.From);
+    if (IsLoss && std::any_of(History.Configs.Disruptions.begin(),
+                              History.Configs.Disruptions.end(),
+                              [&](const CoreDisruption &Each) {
+                                return Each.Era > 0 && Each.From <= Kill.From &&
+                                       Kill.From <=
+                                           rewrittenBy(History, Bounds, Each);
+                              }))
+      Result.push_back(Kill.From);
+  }
+  return Result;
+}
+
 void checkConfigOrder(const SoakHistory &History,
                       std::vector<BrokenPromise> &Found) {
   struct Seen {
--- a/soak/RestoreChecks.h
+++ b/soak/RestoreChecks.h
@@ -62,6 +62,13 @@
   std::vector<std::string> WeightHistories;
 };
 
+/// Returns when all daemons were down at once, killed before they could write
+/// again what a restoration had taken away: from its beginning until Contact
+/// after it and further disruptions of the store. What was known only to them
+/// and the store is gone then.
+std::vector<TimePoint> lossesOfEvidence(const SoakHistory &History,
+                                        const SoakBounds &Bounds);
+
 /// Within one incarnation, a daemon never handles a call as only a
 /// configuration allows that is older than one that it had in force.
 void checkConfigOrder(const SoakHistory &History,
--- a/tests/SoakHistoryTest.cpp
+++ b/tests/SoakHistoryTest.cpp
@@ -146,6 +146,32 @@
   EXPECT_EQ(this->broken(), "0") << "by daemons that were not disturbed";
 }
 
+// A restoration takes the records from the store, the kill those in memory.
+TEST_F(SoakHistoryTest, CrashesMayBeForgottenOnlyWhenTheStoreLostThem) {
+  this->History.Configs.Daemons = 1;
+  for (int I = 0; I < 7; ++I) {
+    const std::string Id = "c" + std::to_string(I);
+    this->call(Id, true, 0).IsCrashing = true;
+    this->arrival(Id, "u", Start + (I < 3 ? 0s : 40s)).HasCrashed = true;
+  }
+  this->History.Disturbances.push_back(
+      {0, Start + 20s, Start + 21s, false, DisturbanceKind::Kill});
+  EXPECT_EQ(this->broken(), "a crashing call is refused");
+  std::vector<CoreDisruption> &Store = this->History.Configs.Disruptions;
+  Store = {{Start + 15s, Start + 16s, 2}};
+  EXPECT_EQ(this->broken(), "a crashing call is refused")
+      << "the records can be written again";
+  Store = {{Start + 15s, Start + 18s, 2}};
+  EXPECT_EQ(this->broken(), "0");
+  Store = {{Start + 10s, Start + 11s, 2}, {Start + 13s, Start + 18s}};
+  EXPECT_EQ(this->broken(), "0") << "the store was away again";
+  Store.pop_back();
+  EXPECT_EQ(this->broken(), "a crashing call is refused");
+  Store = {{Start + 15s, Start + 18s}};
+  EXPECT_EQ(this->broken(), "a crashing call is refused")
+      << "the store has lost nothing";
+}
+
 TEST_F(SoakHistoryTest, TooManyRetriesAreFound) {
   for (int I = 0; I < 100; ++I) {
     const std::string Id = "a" + std::to_string(I);
