--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -85,7 +85,11 @@
   using Content = std::pair<std::string, std::string>; // path and body
   std::map<Content, std::vector<TimePoint>> Crashes;
   std::map<Content, std::size_t> Later;
+  const std::vector<TimePoint> Losses = lossesOfEvidence(History, Bounds);
+  std::size_t Lost = 0;
   for (const UpstreamView &Each : History.Arrivals) {
+    for (; Lost < Losses.size() && Losses[Lost] <= Each.At; ++Lost)
+      Crashes.clear();
     std::vector<TimePoint> &Seen = Crashes[{Each.Path, Each.Body}];
     const auto Call = History.Calls.find(Each.Call);
     if (Seen.size() >= Bounds.CrashesAllowed &&
@@ -198,6 +202,11 @@
   checkWeights(History, Bounds, Found);
   checkRecovery(History, Bounds, Found);
   checkPrompts(History, Bounds, Found);
+  checkConnections(History, Bounds, Found);
+  checkConfigOrder(History, Found);
+  checkConfigTimes(History, Bounds, Found);
+  checkOrders(History, Bounds, Found);
+  checkRewrites(History, Bounds, Found);
   return Found;
 }
 
--- a/soak/SoakWeights.h
+++ b/soak/SoakWeights.h
@@ -25,6 +25,10 @@
   /// Returns the daemon to which a caller sent a call.
   std::function<std::size_t(const std::string &Call)> DaemonOf;
   std::function<void(const std::string &Line)> Note;
+  /// Called for each order that reaches an engine.
+  std::function<void(const std::string &Engine, const std::string &Holder,
+                     std::uint64_t Fence)>
+      OnOrder;
 };
 
 class SoakWeights {
@@ -45,6 +49,8 @@
   /// Names a version during the longer freezes of daemons and some of their
   /// other longer faults, since each daemon must find out when that was.
   void onFault(const Fault &Struck);
+  /// Names a version, unless the last one was named a short time ago.
+  void name();
   std::size_t named() const { return this->Named; }
 
   /// Returns whether a caller sends a call to the engines now.
@@ -55,7 +61,6 @@
 private:
   void addEngine(std::size_t Index);
   void put(std::uint64_t Version);
-  void name();
   void after(Duration Delay, const std::function<void()> &Action);
 
   EventLoop &Loop;
--- a/tests/WeightedEngines.h
+++ b/tests/WeightedEngines.h
@@ -50,9 +50,9 @@
       Answer = [](const std::string &, const std::string &) {
         return std::string("answer");
       };
-  /// Receives the body of each order, also of those that are refused.
-  std::function<void(const nlohmann::json &Order)> OnOrder =
-      [](const nlohmann::json &) {};
+  /// Called for each order, also for those that are refused.
+  std::function<void(const std::string &Holder, std::uint64_t Fence)> OnOrder =
+      [](const std::string &, std::uint64_t) {};
 };
 
 class WeightedEngine {
@@ -126,8 +126,9 @@
   }
   void onOrder(IncomingCall &Call) {
     const nlohmann::json Order = nlohmann::json::parse(Call.Body);
-    this->Settings.OnOrder(Order);
     const std::uint64_t Wanted = Order.at("version");
+    this->Settings.OnOrder(Order.value("holder", ""),
+                           Order.value("fence", std::uint64_t{0}));
     if (this->Version == Wanted) {
       Call.send(200, {}, "");
       return;
--- a/tests/process/RestoredStoreProcessTest.cpp
+++ b/tests/process/RestoredStoreProcessTest.cpp
@@ -279,12 +279,11 @@
     for (std::size_t I = 0; I < 3; ++I)
       this->Engines.push_back(std::make_unique<WeightedEngine>(
           this->Harness.loop(), this->Seen,
-          WeightedEngineSettings{.OnOrder =
-                                     [this](const json &Order) {
-                                       this->Orders.push_back({EventLoop::now(),
-                                                               Order["holder"],
-                                                               Order["fence"]});
-                                     }},
+          WeightedEngineSettings{
+              .OnOrder =
+                  [this](const std::string &Holder, std::uint64_t Fence) {
+                    this->Orders.push_back({EventLoop::now(), Holder, Fence});
+                  }},
           [this, I](const SocketAddress &At, std::uint64_t Version) {
             this->Api.put(
                 "servers", "e" + std::to_string(I),
