Gossip: progress without an era is read

Daemons of the release before tell no era with their progress. While a fleet is replaced, the new ones would have dropped all their status messages as malformed. Change: a missing era counts as zero, which is earlier than any.

--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -67,6 +67,11 @@
   return Result;
 }
 
+/// Daemons of the release before tell no era.
+static std::uint64_t eraOf(const json &Progress) {
+  return Progress.size() > 4 ? Progress.at(4).get<std::uint64_t>() : 0;
+}
+
 static ProgressByKind progressFromJson(const json &Value) {
   ProgressByKind Result;
   for (const json &Each : Value)
@@ -74,7 +79,7 @@
                         WatchProgress{.LastChange = Each.at(1),
                                       .Digest = Each.at(2),
                                       .Age = Milliseconds(Each.at(3)),
-                                      .Era = Each.at(4)});
+                                      .Era = eraOf(Each)});
   return Result;
 }
 
@@ -197,7 +202,7 @@
 static ObjectUpdates objectNewsFromJson(const json &Value) {
   ObjectUpdates Update;
   Update.Kind = Value.at("kind");
-  Update.Era = Value.at("era");
+  Update.Era = Value.value("era", std::uint64_t{0});
   Update.Since = Value.at("since");
   Update.Revision = Value.at("revision");
   for (const json &Each : Value.at("objects"))
--- a/tests/StatusExchangeTest.cpp
+++ b/tests/StatusExchangeTest.cpp
@@ -414,6 +414,25 @@
   EXPECT_EQ(Read.Crashes[1].ClearedAge, 40ms);
 }
 
+// Guards against a refusal to talk to daemons of the release before, which tell
+// no era.
+TEST(GossipMessagesTest, ProgressWithoutAnEraIsRead) {
+  EntryStatus Status;
+  Status.From = "n1";
+  Status.Progress = {{"k", {.LastChange = 4, .Digest = 5, .Era = 3}}};
+  const std::string Bytes = encodeGossip({.Status = Status});
+  EXPECT_EQ(decodeGossip(Bytes).Status.Progress.at(0).second.Era, 3U);
+  nlohmann::json Older = nlohmann::json::from_cbor(Bytes.begin(), Bytes.end());
+  Older.at("contacts").at(0).erase(4);
+  const std::vector<std::uint8_t> OlderBytes = nlohmann::json::to_cbor(Older);
+  const EntryStatus Read =
+      decodeGossip({reinterpret_cast<const char *>(OlderBytes.data()),
+                    OlderBytes.size()})
+          .Status;
+  EXPECT_EQ(Read.Progress.at(0).second.LastChange, 4U);
+  EXPECT_EQ(Read.Progress.at(0).second.Era, 0U);
+}
+
 TEST(GossipMessagesTest, ObjectUpdatesAndUseIncrementsRoundTrip) {
   const ObjectUpdates Update{
       "k", 4, 9, {{{"k", "a"}, 8, false, {{"x", 1}}}}, /*Era=*/3};
