--- a/soak/SoakConfigs.cpp
+++ b/soak/SoakConfigs.cpp
@@ -33,6 +33,9 @@
 static constexpr Duration MaxFault = 6s;
 /// From the return of the store to the naming of new weights.
 static constexpr Duration MaxNamingDelay = 3s;
+/// After half of the restorations, one configuration and then none for this
+/// time: the next one would hide from a daemon's answers that it missed one.
+static constexpr Duration QuietTime = 8s;
 /// Kinds that the operator and the servers write.
 static constexpr const char *WrittenKinds[] = {"config", "servers", "versions"};
 
@@ -143,7 +146,7 @@
 
 void SoakConfigs::change() {
   // The store acknowledges nothing while it is away.
-  if (this->IsStoreAway)
+  if (this->IsStoreAway || EventLoop::now() < this->QuietUntil)
     return;
   switch (this->below(5)) {
   case 0:
@@ -238,12 +241,18 @@
     ++this->Restorations;
     this->Parts.Note("store is back, era " + std::to_string(this->Store.era()));
     this->rewrite(Before);
-    if (this->below(2) == 0)
-      this->after(this->drawn(0ms, 500ms), [this] { this->change(); });
+    Duration Quiet{};
+    if (this->below(2) == 0) {
+      Quiet = QuietTime;
+      this->after(this->drawn(0ms, 500ms), [this] {
+        this->change();
+        this->QuietUntil = EventLoop::now() + QuietTime;
+      });
+    }
     if (this->below(2) == 0)
       this->after(this->drawn(0ms, MaxNamingDelay),
                   [this] { this->Parts.NameWeights(); });
-    this->restoreLater(this->drawn(MinRestoreGap, MaxRestoreGap));
+    this->restoreLater(Quiet + this->drawn(MinRestoreGap, MaxRestoreGap));
   });
 }
 
--- a/soak/SoakConfigs.h
+++ b/soak/SoakConfigs.h
@@ -93,6 +93,7 @@
   std::vector<Probe> Probes;
   TimePoint End;
   TimePoint NextProbeAt;
+  TimePoint QuietUntil; ///< No configuration is written until then.
   bool IsStoreAway = false;
   int LastRoute = 0;
   int LastProbe = 0;
