ClaimService: a gateway that starts after a restoration waits as well

Its first answer tells the new era, so it decided at once, before others had appended their lost records.

--- a/src/request/ClaimService.cpp
+++ b/src/request/ClaimService.cpp
@@ -73,7 +73,18 @@
   *this->Alive = false;
 }
 
+void ClaimService::checkFirstEra() {
+  // The platform may have been restored just before this gateway started.
+  const bool IsRestored = this->Api.Era.current() > 1;
+  if (std::exchange(this->HasSeenEra, true) || !IsRestored)
+    return;
+  this->DecidesFrom = this->Ports.Time().Now + this->Settings.Log.RecoveryDelay;
+  for (auto &[Index, Each] : this->Ranges)
+    Each.Log.DecidesFrom = this->DecidesFrom;
+}
+
 void ClaimService::onEraChanged() {
+  this->HasSeenEra = true;
   this->DecidesFrom = this->Ports.Time().Now + this->Settings.Log.RecoveryDelay;
   std::vector<unsigned> Known;
   for (const auto &[Index, Each] : this->Ranges)
@@ -335,6 +346,7 @@
                          What = Op.What](const PlatformResult &Result) {
     if (!*Alive)
       return;
+    this->checkFirstEra();
     ClaimOpDone Done{endOf(Result.Status),
                      Result.Object.Version,
                      {},
@@ -360,6 +372,7 @@
         [this, Index, Alive = this->Alive](const PlatformList &Result) {
           if (!*Alive)
             return;
+          this->checkFirstEra();
           ClaimOpDone Done{endOf(Result.Status),
                            0,
                            {},
--- a/src/request/ClaimService.h
+++ b/src/request/ClaimService.h
@@ -128,6 +128,7 @@
   void dropIdleRanges();
 
   void onEraChanged();
+  void checkFirstEra();
 
   void wakeAt(TimePoint At);
   void defer(std::function<void()> Call);
@@ -144,7 +145,8 @@
   /// RecoveryDelay after the era of the platform changed.
   TimePoint DecidesFrom;
   sigc::connection EraChanged;
-  std::map<std::uint64_t, Origin> Origins;   ///< By request id.
+  bool HasSeenEra = false;                 ///< Whether an operation has ended.
+  std::map<std::uint64_t, Origin> Origins; ///< By request id.
   std::multimap<std::string, Query> Queries; ///< By holder.
   std::deque<std::function<void()>> Deferred;
   TimePoint ScheduledAt = TimePoint::max();
