--- a/src/request/ClaimService.cpp
+++ b/src/request/ClaimService.cpp
@@ -74,9 +74,12 @@
 }
 
 void ClaimService::checkFirstEra() {
+  const std::uint64_t Era = this->Api.Era.current();
+  if (this->HasSeenEra || Era == 0)
+    return;
+  this->HasSeenEra = true;
   // The platform may have been restored just before this gateway started.
-  const bool IsRestored = this->Api.Era.current() > 1;
-  if (std::exchange(this->HasSeenEra, true) || !IsRestored)
+  if (Era == 1)
     return;
   this->DecidesFrom = this->Ports.Time().Now + this->Settings.Log.RecoveryDelay;
   for (auto &[Index, Each] : this->Ranges)
--- a/src/request/ClaimService.h
+++ b/src/request/ClaimService.h
@@ -145,8 +145,8 @@
   /// RecoveryDelay after the era of the platform changed.
   TimePoint DecidesFrom;
   sigc::connection EraChanged;
-  bool HasSeenEra = false;                 ///< Whether an operation has ended.
-  std::map<std::uint64_t, Origin> Origins; ///< By request id.
+  bool HasSeenEra = false; ///< Whether an answer has told an era.
+  std::map<std::uint64_t, Origin> Origins;   ///< By request id.
   std::multimap<std::string, Query> Queries; ///< By holder.
   std::deque<std::function<void()>> Deferred;
   TimePoint ScheduledAt = TimePoint::max();
