--- a/src/request/ClaimService.cpp
+++ b/src/request/ClaimService.cpp
@@ -73,7 +73,21 @@
   *this->Alive = false;
 }
 
+void ClaimService::checkFirstEra() {
+  const std::uint64_t Era = this->Api.Era.current();
+  if (this->HasSeenEra || Era == 0)
+    return;
+  this->HasSeenEra = true;
+  // The platform may have been restored just before this gateway started.
+  if (Era == 1)
+    return;
+  this->DecidesFrom = this->Ports.Time().Now + this->Settings.Log.RecoveryDelay;
+  for (auto &[Index, Each] : this->Ranges)
+    Each.Log.DecidesFrom = this->DecidesFrom;
+}
+
 void ClaimService::onEraChanged() {
+  this->HasSeenEra = true;
   this->DecidesFrom = this->Ports.Time().Now + this->Settings.Log.RecoveryDelay;
   std::vector<unsigned> Known;
   for (const auto &[Index, Each] : this->Ranges)
@@ -335,6 +349,7 @@
                          What = Op.What](const PlatformResult &Result) {
     if (!*Alive)
       return;
+    this->checkFirstEra();
     ClaimOpDone Done{endOf(Result.Status),
                      Result.Object.Version,
                      {},
@@ -360,6 +375,7 @@
         [this, Index, Alive = this->Alive](const PlatformList &Result) {
           if (!*Alive)
             return;
+          this->checkFirstEra();
           ClaimOpDone Done{endOf(Result.Status),
                            0,
                            {},
--- a/src/request/ClaimService.h
+++ b/src/request/ClaimService.h
@@ -128,6 +128,7 @@
   void dropIdleRanges();
 
   void onEraChanged();
+  void checkFirstEra();
 
   void wakeAt(TimePoint At);
   void defer(std::function<void()> Call);
@@ -144,6 +145,7 @@
   /// RecoveryDelay after the era of the platform changed.
   TimePoint DecidesFrom;
   sigc::connection EraChanged;
+  bool HasSeenEra = false; ///< Whether an answer has told an era.
   std::map<std::uint64_t, Origin> Origins;   ///< By request id.
   std::multimap<std::string, Query> Queries; ///< By holder.
   std::deque<std::function<void()>> Deferred;
