CallListener: a lowered limit of connections still refuses with an answer

After the limit of descriptors in the settings fell far below the number of open connections, callers that connected got neither an answer nor a refusal until enough of the others had closed.

Cause: the listener paused whenever more connections were open than the limit and the few beyond it, so those that were open when the limit fell counted.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -57,6 +57,7 @@
   void closeFor(std::string_view Reason, Duration Age);
   void sweep(TimePoint Now);
   bool isQuiet() const;
+  bool isBeyondLimit() const { return this->IsBeyondLimit; }
   std::size_t unsentBytes() const {
     return evbuffer_get_length(bufferevent_get_output(this->Event.get()));
   }
@@ -551,26 +552,27 @@
     Each->close();
 }
 
-std::size_t CallListener::maxAccepted() const {
-  return this->Limits.MaxConnections + MaxBeyondLimit;
-}
-
 void CallListener::accept(int Socket) {
   const bool IsBeyondLimit =
       this->Connections.size() >= this->Limits.MaxConnections;
   this->Connections.insert(
       std::make_shared<CallerConnection>(*this, Socket, IsBeyondLimit));
+  this->BeyondLimit += IsBeyondLimit;
   this->updateAccepting();
 }
 
 void CallListener::erase(const std::shared_ptr<CallerConnection> &Closed) {
-  this->Connections.erase(Closed);
+  if (this->Connections.erase(Closed) == 0)
+    return;
+  this->BeyondLimit -= Closed->isBeyondLimit();
   this->updateAccepting();
 }
 
-/// Lets connections wait in the queue of the socket while there are too many.
+/// Lets connections wait in the queue of the socket while too many are to be
+/// refused. Those that were open when the limit fell do not count.
 void CallListener::updateAccepting() {
-  const bool HasRoom = this->Connections.size() < this->maxAccepted();
+  const bool HasRoom = this->Connections.size() < this->Limits.MaxConnections ||
+                       this->BeyondLimit < MaxBeyondLimit;
   if (!this->Listener || HasRoom == this->IsAccepting)
     return;
   this->IsAccepting = HasRoom;
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -111,7 +111,6 @@
   void accept(int Socket);
   void erase(const std::shared_ptr<CallerConnection> &Closed);
   void updateAccepting();
-  std::size_t maxAccepted() const;
 
   EventLoop &Loop;
   CallerLimits Limits;
@@ -120,6 +119,7 @@
   std::set<std::shared_ptr<CallerConnection>> Connections;
   bool Closing = false;
   bool IsAccepting = true;
+  std::size_t BeyondLimit = 0; ///< Connections marked as beyond the limit.
   sigc::connection SweepTimer;
 };
 
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -1,8 +1,8 @@
 // Tests of the closing of callers' connections: which requests and answers a
 // connection must survive, and which limits end it.
 
-#include "connection/CallListener.h"
 #include "RawSocket.h"
+#include "connection/CallListener.h"
 
 #include <gtest/gtest.h>
 #include <thread>
@@ -242,6 +242,26 @@
   EXPECT_TRUE(Callers[0]->read().starts_with("HTTP/1.1 408 "));
 }
 
+// Guards against connections that are neither served nor refused after the
+// limit of connections fell below the number of those that are open.
+TEST_F(CallerConnectionTest, ALoweredLimitStillRefusesWithAnAnswer) {
+  this->listen({.MaxConnections = 200});
+  this->OnCall = refuseBeyondLimit;
+  const auto Held = this->connect(100);
+  CallerLimits Lowered = this->Limits;
+  Lowered.MaxConnections = 10;
+  this->Listener->setLimits(Lowered);
+  const auto Callers = this->connect(5);
+  for (const auto &Each : Callers)
+    Each->write(Request);
+  this->runFor(200ms);
+  for (const auto &Each : Callers)
+    EXPECT_TRUE(Each->read().starts_with("HTTP/1.1 503 ")) << Each->read();
+  Held[0]->write(Request);
+  this->runFor(100ms);
+  EXPECT_TRUE(Held[0]->read().starts_with("HTTP/1.1 200 "));
+}
+
 // Guards against a reset that destroys a refusal before the caller, which is
 // still sending, has read it.
 TEST_F(CallerConnectionTest, ARefusalReachesACallerThatIsStillSending) {
