CallListener: a refusal outlasts a standstill of the process

A caller that was refused in the middle of its body met a reset when the process stood still for over a second meanwhile, and could miss the answer.

CallerConnectionTest.ARefusalOutlastsAStandstill before: the caller's writes fail.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -446,7 +446,8 @@
     }
     return;
   case State::Lingering:
-    if (Now > this->LingerUntil)
+    if (Now > this->LingerUntil &&
+        (!this->hasUnreadInput() || Now > this->Since + MaxLingerTime))
       this->close();
     return;
   case State::Flushing:
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -262,6 +262,24 @@
   EXPECT_TRUE(Held[0]->read().starts_with("HTTP/1.1 200 "));
 }
 
+// Guards against a reset that destroys a refusal, when the process stood still
+// while the caller was still sending.
+TEST_F(CallerConnectionTest, ARefusalOutlastsAStandstill) {
+  this->listen({.Message = {.MaxBodyBytes = 1000}});
+  const auto Callers = this->connect(1);
+  Callers[0]->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n"
+                    "\r\n" +
+                    std::string(2000, 'b'));
+  this->runFor(300ms);
+  Callers[0]->writeSome(std::string(1000, 'b'));
+  std::this_thread::sleep_for(1500ms);
+  this->runFor(300ms);
+  EXPECT_GT(Callers[0]->writeSome(std::string(1000, 'b')), 0U);
+  this->runFor(100ms);
+  EXPECT_GT(Callers[0]->writeSome(std::string(1000, 'b')), 0U);
+  EXPECT_TRUE(Callers[0]->read().starts_with("HTTP/1.1 413 "));
+}
+
 // Guards against a reset that destroys a refusal before the caller, which is
 // still sending, has read it.
 TEST_F(CallerConnectionTest, ARefusalReachesACallerThatIsStillSending) {
