ForwardGateway: a restoration renews the wait for peers' configuration

Cause, found by the review: a process that stood still or was cut off while a configuration was acknowledged, and that returned while the restored store did not have it, served the older one until the operator wrote again; the wait for the version that peers report covered only the start of a process.

Processes that have the newest version in force are not affected. No test of its own; the wait itself is tested by RestoredStoreProcessTest.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -334,6 +334,7 @@
       {{"era", std::to_string(Change.Now)},
        {"before", std::to_string(Change.Before)},
        {"histories", std::to_string(this->StoredWeights.size())}});
+  this->EraSince = EventLoop::now();
   this->StoredWeights.clear();
   this->Crashes.onEraChanged();
 }
@@ -442,10 +443,11 @@
 }
 
 /// Returns whether this process has started with a configuration that is older
-/// than that of other gateways, and awaits the newer one.
+/// than that of other gateways, or stood still while they received it and the
+/// platform then lost it, and awaits the newer one.
 bool ForwardGateway::isConfigOutdated() const {
   const TimePoint Now = EventLoop::now();
-  if (!this->Services.Config || Now - this->StartedAt >= MaxConfigWait)
+  if (!this->Services.Config || Now - this->EraSince >= MaxConfigWait)
     return false;
   std::uint64_t Newest = 0;
   this->Entries.forEachAlive(Now, [&](const EntryRecord &Each) {
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -163,7 +163,8 @@
   std::unique_ptr<OrderController> Orders;
   std::unique_ptr<CallListener> Listener;
   std::unique_ptr<EntryChannel> Channel;
-  const TimePoint StartedAt = EventLoop::now();
+  /// When this process started or noticed that the platform was restored.
+  TimePoint EraSince = EventLoop::now();
   bool WasConfigOutdated = false; ///< In the last gossip round.
   TimePoint OldestWeightsSince;
   StallDetector Stalls{BootClock::now()};
