Lease: the first holder of an era waits also where servers check fences

Cause, found by the review: without AfterOthers, mayAct() ignored that a holder of the era before may act for a term less the margin until it learns of the restoration, so that orders of two holders could take turns.

Change: nobody acts in an era before the holders of earlier ones have stopped.

--- a/src/version/Lease.cpp
+++ b/src/version/Lease.cpp
@@ -199,7 +199,10 @@
 }
 
 bool mayAct(const LeaseState &State, TimePoint Now, bool AfterOthers) {
+  // A holder of an earlier era that has not learned of the restoration may act
+  // until a term before EraActsFrom.
   return holdsLease(State, Now) && State.Active &&
+         Now >= State.EraActsFrom - State.Settings.Term &&
          (!AfterOthers || Now >= State.ActsFrom);
 }
 
