--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -73,16 +73,21 @@
                                     : galenaroute::withheld(It->second.Rollout);
 }
 
+/// The monotonic clock stops while a VM is suspended, so a lease may have
+/// expired unnoticed.
+void OrderController::dropSuspendedLeases(TimePoint Now) {
+  if (!this->Suspension.wasSuspended())
+    return;
+  for (auto &[Name, State] : this->Services) {
+    State.Lease.HeldUntil = Now;
+    State.Lease.Known = false;
+  }
+}
+
 void OrderController::tick(TimePoint Now) {
   if (!this->Current)
     return;
-  // The monotonic clock stops while a VM is suspended, so a lease may have
-  // expired unnoticed.
-  if (this->Suspension.wasSuspended())
-    for (auto &[Name, State] : this->Services) {
-      State.Lease.HeldUntil = Now;
-      State.Lease.Known = false;
-    }
+  this->dropSuspendedLeases(Now);
   for (const auto &[Name, Service] : this->Current->Services) {
     if (Service.Kind != ServiceKind::Model)
       continue;
@@ -114,6 +119,7 @@
   const std::uint64_t Era = this->Store.Era.current();
   if (Lease.Era == Era)
     return;
+  this->dropSuspendedLeases(Now);
   log(LogLevel::Info, "lease.era",
       {{"service", Service},
        {"era", std::to_string(Era)},
--- a/src/version/OrderController.h
+++ b/src/version/OrderController.h
@@ -68,6 +68,7 @@
                   LeaseSettings Settings, RolloutSettings RolloutTimes,
                   Duration Period, Preferred IsPreferred, Preferred IsStandby,
                   Timeline *Events);
+  void dropSuspendedLeases(TimePoint Now);
   void updateEra(const std::string &Service, LeaseState &Lease, TimePoint Now);
   LeaseInterest interestIn(const std::string &Service, TimePoint Now);
   void stepLease(const std::string &Service, TimePoint Now);
