ForwardGateway: the comment on the wait tells both of its causes

The wait for peers' configuration also begins with a new era since 'a restoration renews the wait for peers' configuration'. No code changes.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -26,9 +26,9 @@
 static constexpr auto LateRequestTime = std::chrono::milliseconds(300);
 /// A stop completes this long before the platform would kill the process.
 static constexpr auto StopMargin = std::chrono::milliseconds(400);
-/// For this long after its start, a process awaits a configuration that other
-/// gateways have in force. The operator writes it again by then if the platform
-/// was restored from a copy that lacks it.
+/// For this long after its start, or after it noticed that the platform was
+/// restored, a process awaits a configuration that other gateways have in
+/// force. The operator writes it again by then if the copy lacks it.
 static constexpr Duration MaxConfigWait = std::chrono::seconds(5);
 /// Open calls per core at which a gateway reports full load.
 static constexpr double CallsPerCore = 400;
