BufferedSocket: one check for unread input on both sides

CallListener and UpstreamPool each had a poll of the socket and a check of the buffer for bytes that arrived during a standstill. Both now call isPending() and hasUnreadInput() in BufferedSocket. No behaviour changes: an upstream's connection that is not connected has no input.

The tests of callers' connections, forwarded calls and planned stops pass.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -9,6 +9,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -45,6 +46,17 @@
   return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
 }
 
+bool isPending(bufferevent *Event, short PollEvents) {
+  pollfd Socket{
+      .fd = bufferevent_getfd(Event), .events = PollEvents, .revents = 0};
+  return ::poll(&Socket, 1, 0) > 0;
+}
+
+bool hasUnreadInput(bufferevent *Event) {
+  return evbuffer_get_length(bufferevent_get_input(Event)) > 0 ||
+         isPending(Event, POLLIN);
+}
+
 sockaddr_in socketAddressOf(const SocketAddress &Address) {
   sockaddr_in Result{};
   Result.sin_family = AF_INET;
--- a/src/connection/BufferedSocket.h
+++ b/src/connection/BufferedSocket.h
@@ -32,6 +32,15 @@
 /// Returns whether the kernel holds bytes that the peer has not acknowledged.
 bool hasUnacknowledgedBytes(int Socket);
 
+/// Returns whether the socket has one of \p PollEvents that the loop has not
+/// handled yet.
+bool isPending(bufferevent *Event, short PollEvents);
+
+/// Returns whether bytes of the peer wait in the buffer or in the socket. After
+/// the process stood still, timers may run before what arrived meanwhile is
+/// read.
+bool hasUnreadInput(bufferevent *Event);
+
 /// Returns the address that libevent needs to connect; throws
 /// Error(BadRequest) when \p Address is not an IPv4 address.
 struct sockaddr_in socketAddressOf(const SocketAddress &Address);
--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -77,8 +77,6 @@
   void endAnswer();
   void setState(State Next);
   void takeNext();
-  bool isPending(short PollEvents) const;
-  bool hasUnreadInput() const;
   bool canSend() const;
   void extendUserTimeout(TimePoint Now);
 
@@ -365,40 +363,23 @@
   }
 }
 
-/// Returns whether the socket has one of \p PollEvents that the loop has not
-/// handled yet.
-bool CallerConnection::isPending(short PollEvents) const {
-  pollfd Socket{.fd = bufferevent_getfd(this->Event.get()),
-                .events = PollEvents,
-                .revents = 0};
-  return ::poll(&Socket, 1, 0) > 0;
-}
-
-/// Returns whether bytes of the caller wait in the buffer or in the socket.
-/// After the process was stopped, timers may run before what has arrived
-/// meanwhile is read.
-bool CallerConnection::hasUnreadInput() const {
-  return evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0 ||
-         this->isPending(POLLIN);
-}
-
 /// Returns whether the caller's side takes more bytes of the answer.
 bool CallerConnection::canSend() const {
-  return this->unsentBytes() > 0 && this->isPending(POLLOUT);
+  return this->unsentBytes() > 0 && isPending(this->Event.get(), POLLOUT);
 }
 
 bool CallerConnection::isQuiet() const {
   switch (this->Current) {
   case State::Reading:
     return !this->Parser.isInMessage() && this->unsentBytes() == 0 &&
-           !this->hasUnreadInput();
+           !hasUnreadInput(this->Event.get());
   case State::Answering:
   case State::Flushing:
     return false;
   case State::Lingering:
     // Bytes that arrive after the close would reset the connection before the
     // caller has read its answer.
-    return !this->IsSending && !this->isPending(POLLIN);
+    return !this->IsSending && !isPending(this->Event.get(), POLLIN);
   }
   return true;
 }
@@ -438,16 +419,16 @@
     if (this->Parser.isInMessage()) {
       // A body has no time limit as long as it makes progress.
       if (Age > this->HeadLimit * (this->Parser.hasHead() ? 2 : 1) &&
-          !this->hasUnreadInput())
+          !hasUnreadInput(this->Event.get()))
         this->rejectWith(408);
-    } else if (Age > this->IdleLimit && !this->hasUnreadInput() &&
+    } else if (Age > this->IdleLimit && !hasUnreadInput(this->Event.get()) &&
                !this->canSend()) {
       this->closeFor("idle", Age);
     }
     return;
   case State::Lingering:
-    if (Now > this->LingerUntil &&
-        (!this->hasUnreadInput() || Now > this->Since + MaxLingerTime))
+    if (Now > this->LingerUntil && (!hasUnreadInput(this->Event.get()) ||
+                                    Now > this->Since + MaxLingerTime))
       this->close();
     return;
   case State::Flushing:
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <charconv>
 #include <netinet/in.h>
-#include <poll.h>
 
 namespace galenaroute {
 
@@ -305,12 +304,7 @@
 }
 
 bool UpstreamConnection::hasUnreadInput() const {
-  if (evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0)
-    return true;
-  pollfd Socket{.fd = bufferevent_getfd(this->Event.get()),
-                .events = POLLIN,
-                .revents = 0};
-  return this->Connected && ::poll(&Socket, 1, 0) > 0;
+  return this->Connected && galenaroute::hasUnreadInput(this->Event.get());
 }
 
 bool UpstreamExchange::hasUnreadInput() const {
