--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -78,7 +78,8 @@
   void setState(State Next);
   void takeNext();
   bool canSend() const;
-  void extendUserTimeout(TimePoint Now);
+  void onSent();
+  void extendUserTimeout();
 
   CallListener &Owner;
   BufferEventPtr Event;
@@ -102,6 +103,8 @@
   bool KeepAlive = true;
   bool IsHeadRequest = false;
   bool HasExtendedTimeout = false;
+  /// Bytes were sent since the kernel was last seen to hold none.
+  bool AwaitsAcknowledgement = false;
   bool IsBeyondLimit;
   bool IsSending = false; ///< May send the rest of a refused request.
 };
@@ -145,7 +148,7 @@
       bufferevent_get_output(this->Event.get()),
       [](evbuffer *, const evbuffer_cb_info *Change, void *Self) {
         if (Change->n_deleted > 0)
-          static_cast<CallerConnection *>(Self)->SentAt = EventLoop::now();
+          static_cast<CallerConnection *>(Self)->onSent();
       },
       this);
   bufferevent_setwatermark(this->Event.get(), EV_READ, 0, MaxWaitingBytes);
@@ -393,14 +396,20 @@
   this->close();
 }
 
+void CallerConnection::onSent() {
+  this->SentAt = EventLoop::now();
+  this->AwaitsAcknowledgement = true;
+}
+
 /// Leaves it to the idle timeout to end a connection whose answer is not read,
 /// also while all of the answer waits in the kernel.
-void CallerConnection::extendUserTimeout(TimePoint Now) {
-  if (this->HasExtendedTimeout)
+void CallerConnection::extendUserTimeout() {
+  if (this->HasExtendedTimeout || !this->AwaitsAcknowledgement)
     return;
-  if (this->unsentBytes() == 0 &&
-      (Now - this->SentAt > CallerUserTimeout ||
-       !hasUnacknowledgedBytes(bufferevent_getfd(this->Event.get()))))
+  this->AwaitsAcknowledgement =
+      this->unsentBytes() > 0 ||
+      hasUnacknowledgedBytes(bufferevent_getfd(this->Event.get()));
+  if (!this->AwaitsAcknowledgement)
     return;
   this->HasExtendedTimeout = true;
   setUserTimeout(bufferevent_getfd(this->Event.get()),
@@ -408,7 +417,7 @@
 }
 
 void CallerConnection::sweep(TimePoint Now) {
-  this->extendUserTimeout(Now);
+  this->extendUserTimeout();
   this->IdleLimit =
       this->IsBeyondLimit
           ? Duration(BeyondLimitIdle)
