--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -49,6 +49,27 @@
     return Callers;
   }
 
+  /// Answers each call with a large body. Returns that body.
+  std::string serveLargeAnswers() {
+    std::string Body(24 << 20, 'x');
+    this->OnCall = [Body](const std::shared_ptr<IncomingCall> &Call) {
+      Call->send(200, {}, Body);
+    };
+    return Body;
+  }
+
+  /// Reads \p Bytes from a caller's connection, for at most 5 s. Returns the
+  /// number of bytes read.
+  std::size_t readUpTo(std::size_t Bytes, RawSocket &Caller) {
+    std::size_t Read = 0;
+    const TimePoint Limit = EventLoop::now() + 5s;
+    while (Read < Bytes && EventLoop::now() < Limit) {
+      this->runFor(1ms);
+      Read += Caller.readSome(1 << 20);
+    }
+    return Read;
+  }
+
   void runFor(Duration Time) {
     this->Loop.runUntil([] { return false; }, Time);
   }
@@ -110,10 +131,7 @@
 // idle timeout, also after the timeout was lowered.
 TEST_F(CallerConnectionTest, AnAnswerThatIsReadSteadilyIsCarriedToItsEnd) {
   this->listen({.IdleTimeout = 5s});
-  const std::string Body(24 << 20, 'x');
-  this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
-    Call->send(200, {}, Body);
-  };
+  const std::string Body = this->serveLargeAnswers();
   for (const std::string_view KeepAlive : {"keep-alive", "close"}) {
     const auto Callers = this->connect(1);
     Callers[0]->write("GET / HTTP/1.1\r\nHost: h\r\nConnection: " +
@@ -139,10 +157,7 @@
 // Guards against an unread answer that keeps its connection open for ever.
 TEST_F(CallerConnectionTest, AnAnswerThatIsNotReadEndsWithTheIdleTimeout) {
   this->listen({.IdleTimeout = 500ms});
-  const std::string Body(24 << 20, 'x');
-  this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
-    Call->send(200, {}, Body);
-  };
+  const std::string Body = this->serveLargeAnswers();
   const auto Callers = this->connect(1);
   Callers[0]->write(Request);
   this->runFor(1500ms);
@@ -156,40 +171,22 @@
 // has sent its request.
 TEST_F(CallerConnectionTest, AnAnswerUnderWayOutlivesTheEndOfTheCallersSide) {
   this->listen({});
-  const std::string Body(24 << 20, 'x');
-  this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
-    Call->send(200, {}, Body);
-  };
+  const std::string Body = this->serveLargeAnswers();
   const auto Callers = this->connect(1);
   Callers[0]->write(Request);
   this->runFor(100ms);
   Callers[0]->endWriting();
-  std::size_t Read = 0;
-  const TimePoint Limit = EventLoop::now() + 5s;
-  while (Read < Body.size() && EventLoop::now() < Limit) {
-    this->runFor(1ms);
-    Read += Callers[0]->readSome(1 << 20);
-  }
-  EXPECT_GE(Read, Body.size());
+  EXPECT_GE(this->readUpTo(Body.size(), *Callers[0]), Body.size());
 }
 
 // Guards against cutting an answer whose reader pauses within the idle timeout.
 TEST_F(CallerConnectionTest, AnAnswerWhoseReaderPausesIsCarriedToItsEnd) {
   this->listen({.IdleTimeout = 10s});
-  const std::string Body(24 << 20, 'x');
-  this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
-    Call->send(200, {}, Body);
-  };
+  const std::string Body = this->serveLargeAnswers();
   const auto Callers = this->connect(1);
   Callers[0]->write(Request);
   this->runFor(6s);
-  std::size_t Read = 0;
-  const TimePoint Limit = EventLoop::now() + 5s;
-  while (Read < Body.size() && EventLoop::now() < Limit) {
-    this->runFor(1ms);
-    Read += Callers[0]->readSome(1 << 20);
-  }
-  EXPECT_GE(Read, Body.size());
+  EXPECT_GE(this->readUpTo(Body.size(), *Callers[0]), Body.size());
 }
 
 // Guards against closing connections that are idle within the timeout that was
