--- /dev/null
+++ b/review/stand-in/Cases.cpp
@@ -0,0 +1,306 @@
+#include "Cases.h"
+
+#include "Callers.h"
+#include "Engine.h"
+#include "KvStore.h"
+#include "Server.h"
+
+#include <algorithm>
+#include <unistd.h>
+
+namespace review {
+
+static constexpr const char *HostName = "pule25.example";
+static constexpr const char *Key = "jnbanfqasnmgkcuyj8pj";
+static constexpr const char *Service = "kafi81c";
+static constexpr const char *EngineService = "huvo11a";
+static constexpr const char *Model = "daka510000";
+/// The bounds of the deployment, as in the settings that Fleet writes.
+static constexpr std::int64_t ContactMs = 3000;
+static constexpr std::int64_t LeaseMs = 3000;
+
+/// Two routes to one plain service, as on a small deployment.
+static json configuration(const std::vector<Address> &KvStores,
+                          bool HasEngine) {
+  const auto Route = [](const char *Name, const char *Prefix,
+                        const char *Kind) -> json {
+    return {{"name", Name},    {"host", HostName},   {"pathPrefix", Prefix},
+            {"kind", Kind},    {"timeoutMs", 1500},  {"targetLatencyMs", 120},
+            {"priority", 2},   {"service", Service}, {"maxAttempts", 2},
+            {"public", false}, {"sticky", false},    {"resumable", false}};
+  };
+  json Services = json::array({{{"name", Service},
+                                {"healthPath", "/health"},
+                                {"maxConns", 96},
+                                {"protocol", "h1"},
+                                {"tls", false}}});
+  for (std::size_t I = 0; I < KvStores.size(); ++I)
+    Services.push_back({{"name", "daje37f" + std::to_string(I)},
+                        {"kvStore", KvStores[I].text()},
+                        {"zone", "pnw-b"},
+                        {"kvCapacity", 568523},
+                        {"linkMbps", 190000.0},
+                        {"maxInflight", 12},
+                        {"managed", true},
+                        {"first_ms", 0.5}});
+  const json Limits = {{"maxHeaderBytes", 16384},
+                       {"maxBodyBytes", 4194304},
+                       {"headerTimeoutMs", 3000},
+                       {"idleTimeoutMs", 15000}};
+  const json Tenant = {
+      {"name", "bozi300"}, {"apiKeys", {Key}}, {"priority", 1}};
+  if (HasEngine)
+    Services.push_back({{"name", EngineService},
+                        {"healthPath", "/health"},
+                        {"maxConns", 230},
+                        {"protocol", "h1"},
+                        {"tls", false},
+                        {"engine",
+                         {{"slots", 32},
+                          {"kvCapacity", 190833},
+                          {"kvTokenBytes", 18432},
+                          {"linkMbps", 180000.0},
+                          {"managed", true},
+                          {"maxInflight", 12},
+                          {"models", json::array({{{"name", Model}}})}}}});
+  return {{"version", 7},
+          {"routes", json::array({Route("r-buy", "/buy/", "unsafe"),
+                                  Route("r-look", "/look/", "safe")})},
+          {"services", Services},
+          {"limits", Limits},
+          {"tenants", json::array({Tenant})}};
+}
+
+namespace {
+
+/// A store, three servers of a plain service and gateways.
+struct Deployment {
+  Deployment(const CaseSettings &Settings, int Gateways, int WorkMs,
+             int KvStoreCount = 0, bool HasEngine = false)
+      : Log(Settings.RecordPath),
+        Network("127." + std::to_string(30 + getpid() % 90) + "." +
+                std::to_string(getpid() / 90 % 250) + "."),
+        Objects(Network + "200", Log) {
+    std::vector<Address> KvAddresses;
+    for (int I = 0; I < KvStoreCount; ++I) {
+      this->KvStores.push_back(
+          std::make_unique<KvStore>(this->Network + std::to_string(150 + I),
+                                    "kv-" + std::to_string(I), this->Log));
+      KvAddresses.push_back(this->KvStores.back()->address());
+    }
+    this->Objects.put("config", "main", configuration(KvAddresses, HasEngine));
+    for (int I = 0; I < 3; ++I)
+      this->Servers.push_back(std::make_unique<Server>(
+          this->Network + std::to_string(100 + I),
+          ServerSettings{.Id = "i-" + std::to_string(I) + "a91c2",
+                         .Service = Service,
+                         .Zone = "pnw-" +
+                                 std::string(1, static_cast<char>('a' + I)),
+                         .WorkMs = WorkMs},
+          this->Objects, this->Log));
+    sleepMs(200);
+    this->Gateways =
+        std::make_unique<Fleet>(FleetSettings{.Program = Settings.Program,
+                                              .Root = Settings.Root,
+                                              .Folder = Settings.Folder,
+                                              .Network = this->Network,
+                                              .Store = this->Objects.address(),
+                                              .Count = Gateways},
+                                this->Log);
+    if (!this->Gateways->waitUntilReady(15000))
+      throw std::runtime_error("the gateways are not ready");
+    this->ReadyAt = nowMs();
+  }
+
+  CallerSettings callers() const {
+    return {.Host = HostName,
+            .Key = Key,
+            .UnsafePath = "/buy/lot/",
+            .SafePath = "/look/lot/"};
+  }
+
+  Record Log;
+  std::string Network;
+  Store Objects;
+  std::vector<std::unique_ptr<Server>> Servers;
+  std::vector<std::unique_ptr<KvStore>> KvStores;
+  std::unique_ptr<Fleet> Gateways;
+  std::int64_t ReadyAt = 0;
+};
+
+} // namespace
+
+static std::string count(const char *What, std::size_t Number) {
+  return std::string(What) + " " + std::to_string(Number);
+}
+
+/// Shows how the requests ended.
+static void showOutcomes(Deployment &In, const std::vector<Outcome> &All) {
+  std::map<std::string, std::size_t> Ends;
+  for (const Outcome &Each : All)
+    ++Ends[Each.End == ReadEnd::Whole      ? std::to_string(Each.Status)
+           : Each.End == ReadEnd::TimedOut ? "no answer in time"
+                                           : "closed without an answer"];
+  for (const auto &[End, Number] : Ends)
+    In.Log.note("requests that ended with " + End + ": " +
+                std::to_string(Number));
+}
+
+/// Counts, by gateway, the requests from kept connections that a sound server
+/// has run and whose connection was closed without an answer (rule LOST).
+static std::vector<std::size_t> lostRequests(Deployment &In,
+                                             const std::vector<Outcome> &All) {
+  std::set<std::string> RunBySound;
+  for (const auto &From : In.Servers)
+    for (const Server::Arrival &Each : From->arrivals())
+      if (Each.HasRun)
+        RunBySound.insert(Each.Request);
+  std::vector<std::size_t> Lost(static_cast<std::size_t>(In.Gateways->count()));
+  for (const Outcome &Each : All)
+    if (Each.IsKept &&
+        (Each.End == ReadEnd::Closed || Each.End == ReadEnd::Cut) &&
+        Each.SentAt >= In.ReadyAt + ContactMs && RunBySound.contains(Each.Id)) {
+      ++Lost[static_cast<std::size_t>(Each.Gateway)];
+      In.Log.line("LOST: " + Each.Id + " through gateway " +
+                  std::to_string(Each.Gateway));
+    }
+  return Lost;
+}
+
+/// Judges the rules LOST and Fault after processes may have ended.
+static int judgeEnds(Deployment &In, const std::vector<Outcome> &All) {
+  showOutcomes(In, All);
+  const auto Lost = lostRequests(In, All);
+  bool IsLost = false;
+  int OftenEnded = 0;
+  for (int I = 0; I < In.Gateways->count(); ++I) {
+    const std::size_t Here = Lost[static_cast<std::size_t>(I)];
+    IsLost |= Here > 3;
+    OftenEnded += In.Gateways->ends(I) >= 3;
+    In.Log.note("gateway " + std::to_string(I) + ": ended by itself " +
+                std::to_string(In.Gateways->ends(I)) + " times, peak " +
+                std::to_string(In.Gateways->peakMb(I)) + " MB, " +
+                count("lost", Here));
+  }
+  // A tenth of the machines, two at least, three times each.
+  const bool IsFault = OftenEnded >= 2;
+  In.Log.note(std::string("LOST is ") + (IsLost ? "broken" : "kept") +
+              ", Fault is " + (IsFault ? "broken" : "kept"));
+  return IsLost || IsFault ? 1 : 0;
+}
+
+/// Bytes that can't be read, as they come through JSON, before a port.
+static constexpr const char *BadAddress =
+    "10.128.\xef\xbf\xbd\xef\xbf\xbd.9:8080";
+
+int playRegistryAddress(const CaseSettings &Settings) {
+  Deployment In(Settings, /*Gateways=*/6, /*WorkMs=*/30);
+  CallerSettings Calls = In.callers();
+  Calls.PerGateway = 4;
+  Calls.PerSecond = 3.6;
+  Callers Clients(Calls, *In.Gateways, In.Log);
+  sleepUntilMs(In.ReadyAt + 6000);
+  const std::int64_t Until = nowMs() + 10000;
+  if (Settings.HasTrouble)
+    In.Log.note(std::string("another writer begins to write entry i-02d9e6b4 "
+                            "with address ") +
+                BadAddress);
+  // It writes as often as a server; then the entry goes by its silence.
+  while (Settings.HasTrouble && nowMs() < Until) {
+    In.Objects.beat("i-02d9e6b4", {{"service", Service},
+                                   {"address", BadAddress},
+                                   {"zone", "pnw-a"},
+                                   {"version", "v1"},
+                                   {"slots", 6},
+                                   {"state", "ready"},
+                                   {"coldLeftMs", 0},
+                                   {"born", 1780000000000},
+                                   {"sequence", 1}});
+    sleepMs(Store::HeartbeatMs);
+  }
+  sleepUntilMs(Until + 8000);
+  Clients.stop();
+  return judgeEnds(In, Clients.outcomes());
+}
+
+int playEndlessStore(const CaseSettings &Settings) {
+  Deployment In(Settings, /*Gateways=*/3, /*WorkMs=*/30, /*KvStoreCount=*/5);
+  CallerSettings Calls = In.callers();
+  Calls.PerGateway = 6;
+  Calls.PerSecond = 5;
+  Callers Clients(Calls, *In.Gateways, In.Log);
+  sleepUntilMs(In.ReadyAt + 6000);
+  if (Settings.HasTrouble) {
+    // Together 120 MB/s, below the 1,000 Mbit/s of the link of a gateway.
+    In.KvStores[0]->setEndless(60000);
+    In.KvStores[1]->setEndless(60000);
+    In.Log.note("two of five stores answer with bytes without end from now on");
+  }
+  sleepUntilMs(In.ReadyAt + 26000);
+  Clients.stop();
+  return judgeEnds(In, Clients.outcomes());
+}
+
+/// Waits until \p Done holds; throws with \p What when it does not.
+template <typename Condition>
+static void waitFor(const char *What, std::int64_t ForMs, Condition Done) {
+  for (const std::int64_t Until = nowMs() + ForMs; !Done(); sleepMs(2))
+    if (nowMs() > Until)
+      throw std::runtime_error(std::string("no ") + What);
+}
+
+/// Returns whether two holders have given orders in turn (rule ONE).
+static bool judgeOrders(Deployment &In,
+                        const std::vector<Engine::Order> &Orders) {
+  bool IsBroken = false;
+  for (std::size_t I = 1; I < Orders.size(); ++I) {
+    const Engine::Order &A = Orders[I - 1];
+    const Engine::Order &B = Orders[I];
+    if (A.Holder == B.Holder || (B.At - A.At >= LeaseMs && B.Fence > A.Fence))
+      continue;
+    IsBroken = true;
+    In.Log.note("ONE: orders of " + A.Holder + " and then " + B.Holder +
+                " arrive within " + std::to_string(B.At - A.At) + " ms");
+  }
+  return IsBroken;
+}
+
+int playHoldersInTurn(const CaseSettings &Settings) {
+  Deployment In(Settings, /*Gateways=*/3, /*WorkMs=*/30, /*KvStoreCount=*/0,
+                /*HasEngine=*/true);
+  int Version = 0;
+  const auto NameNext = [&] {
+    In.Objects.put("versions", Model,
+                   {{"model", Model}, {"version", ++Version}});
+    In.Log.note("operator: names version " + std::to_string(Version));
+  };
+  NameNext();
+  Engine Server(In.Network + "120", "i-7f3a91c2", EngineService, Model,
+                In.Objects, In.Log);
+  sleepMs(4000);
+  NameNext();
+  waitFor("order for version 2", 15000,
+          [&] { return !Server.orders().empty(); });
+  // The machines are stopped in turn, the holder of the orders first.
+  bool IsBroken = false;
+  for (int Round = 0; Round < 3 && !IsBroken; ++Round) {
+    sleepMs(10000);
+    const std::string Holder = Server.orders().back().Holder;
+    // The holder asks for the state of the server before it sends an order.
+    Server.beSilentAtNextReport(550);
+    NameNext();
+    waitFor("call for the state of the server", 15000,
+            [&] { return Server.isSilent(); });
+    for (int I = 0; I < In.Gateways->count(); ++I)
+      if (Settings.HasTrouble && In.Gateways->nameOf(I) == Holder)
+        In.Gateways->terminate(I);
+    sleepMs(1000);
+    NameNext();
+    sleepMs(8000);
+    IsBroken = judgeOrders(In, Server.orders());
+  }
+  In.Log.note(std::string("ONE is ") + (IsBroken ? "broken" : "kept"));
+  return IsBroken ? 1 : 0;
+}
+
+} // namespace review
--- /dev/null
+++ b/review/stand-in/Cases.h
@@ -0,0 +1,28 @@
+// The cases that the stand-ins can play.
+
+#ifndef GALENAROUTE_REVIEW_CASES_H
+#define GALENAROUTE_REVIEW_CASES_H
+
+#include <string>
+
+namespace review {
+
+struct CaseSettings {
+  std::string Program;
+  std::string Root;
+  std::string Folder;
+  std::string RecordPath;
+  bool HasTrouble = true;
+};
+
+/// The address of a registry entry of another writer can't be read.
+int playRegistryAddress(const CaseSettings &Settings);
+/// A store of kept KV cache in trouble answers with bytes without end.
+int playEndlessStore(const CaseSettings &Settings);
+/// The holder of the orders is stopped as planned while a server that it has
+/// asked for its state is silent.
+int playHoldersInTurn(const CaseSettings &Settings);
+
+} // namespace review
+
+#endif // GALENAROUTE_REVIEW_CASES_H
