--- a/review/stand-in/Cases.cpp
+++ b/review/stand-in/Cases.cpp
@@ -191,7 +191,7 @@
 
 /// Bytes that can't be read, as they come through JSON, before a port.
 static constexpr const char *BadAddress =
-    "10.128.\xef\xbf\xbd\xef\xbf\xbd.9:8080";
+    "127.128.\xef\xbf\xbd\xef\xbf\xbd.9:8080";
 
 int playRegistryAddress(const CaseSettings &Settings) {
   Deployment In(Settings, /*Gateways=*/6, /*WorkMs=*/30);
