--- a/review/stand-in/Cases.cpp
+++ b/review/stand-in/Cases.cpp
@@ -167,7 +167,8 @@
   return Lost;
 }
 
-/// Judges the rules LOST and Fault after processes may have ended.
+/// Judges the rule LOST after processes may have ended, and notes the ends that
+/// count as a fault.
 static int judgeEnds(Deployment &In, const std::vector<Outcome> &All) {
   showOutcomes(In, All);
   const auto Lost = lostRequests(In, All);
@@ -186,7 +187,7 @@
   const bool IsFault = OftenEnded >= 2;
   In.Log.note(std::string("LOST is ") + (IsLost ? "broken" : "kept") +
               ", Fault is " + (IsFault ? "broken" : "kept"));
-  return IsLost || IsFault ? 1 : 0;
+  return IsLost ? 1 : 0;
 }
 
 /// Bytes that can't be read, as they come through JSON, before a port.
@@ -194,31 +195,31 @@
     "127.128.\xef\xbf\xbd\xef\xbf\xbd.9:8080";
 
 int playRegistryAddress(const CaseSettings &Settings) {
-  Deployment In(Settings, /*Gateways=*/6, /*WorkMs=*/30);
+  Deployment In(Settings, /*Gateways=*/3, /*WorkMs=*/30);
   CallerSettings Calls = In.callers();
-  Calls.PerGateway = 4;
-  Calls.PerSecond = 3.6;
+  Calls.PerGateway = 6;
+  Calls.PerSecond = 5;
   Callers Clients(Calls, *In.Gateways, In.Log);
   sleepUntilMs(In.ReadyAt + 6000);
-  const std::int64_t Until = nowMs() + 10000;
-  if (Settings.HasTrouble)
-    In.Log.note(std::string("another writer begins to write entry i-02d9e6b4 "
-                            "with address ") +
-                BadAddress);
-  // It writes as often as a server; then the entry goes by its silence.
-  while (Settings.HasTrouble && nowMs() < Until) {
-    In.Objects.beat("i-02d9e6b4", {{"service", Service},
-                                   {"address", BadAddress},
-                                   {"zone", "pnw-a"},
-                                   {"version", "v1"},
-                                   {"slots", 6},
-                                   {"state", "ready"},
-                                   {"coldLeftMs", 0},
-                                   {"born", 1780000000000},
-                                   {"sequence", 1}});
-    sleepMs(Store::HeartbeatMs);
+  // Each time, the entry goes after three heartbeat intervals of silence.
+  for (int Count = 0; Count < 6; ++Count) {
+    const std::int64_t Next = nowMs() + 8000;
+    if (Settings.HasTrouble) {
+      In.Log.note(std::string("another writer writes entry i-02d9e6b4 with "
+                              "address ") +
+                  BadAddress);
+      In.Objects.beat("i-02d9e6b4", {{"service", Service},
+                                     {"address", BadAddress},
+                                     {"zone", "pnw-a"},
+                                     {"version", "v1"},
+                                     {"slots", 6},
+                                     {"state", "ready"},
+                                     {"coldLeftMs", 0},
+                                     {"born", 1780000000000},
+                                     {"sequence", 1}});
+    }
+    sleepUntilMs(Next);
   }
-  sleepUntilMs(Until + 8000);
   Clients.stop();
   return judgeEnds(In, Clients.outcomes());
 }
