--- a/review/stand-in/Cases.cpp
+++ b/review/stand-in/Cases.cpp
@@ -18,6 +18,7 @@
 /// The bounds of the deployment, as in the settings that Fleet writes.
 static constexpr std::int64_t ContactMs = 3000;
 static constexpr std::int64_t LeaseMs = 3000;
+static constexpr std::int64_t RecoveryMs = 12000;
 
 /// Two routes to one plain service, as on a small deployment.
 static json configuration(const std::vector<Address> &KvStores,
@@ -224,6 +225,70 @@
   return judgeEnds(In, Clients.outcomes());
 }
 
+/// Returns how many of the requests that were sent within [\p From, \p To) were
+/// served, and how many there were.
+static std::pair<std::size_t, std::size_t>
+servedWithin(const std::vector<Outcome> &All, std::int64_t From,
+             std::int64_t To) {
+  std::pair<std::size_t, std::size_t> Result;
+  for (const Outcome &Each : All) {
+    if (Each.SentAt < From || Each.SentAt >= To)
+      continue;
+    ++Result.second;
+    Result.first +=
+        Each.End == ReadEnd::Whole && Each.Status == 200 && Each.IsSigned;
+  }
+  return Result;
+}
+
+int playUnreadableEntry(const CaseSettings &Settings) {
+  Deployment In(Settings, /*Gateways=*/3, /*WorkMs=*/30);
+  CallerSettings Calls = In.callers();
+  Calls.PerGateway = 4;
+  Calls.PerSecond = 3;
+  Callers Clients(Calls, *In.Gateways, In.Log);
+  // The other writer keeps its entry from expiring.
+  std::atomic<bool> Writes = false;
+  std::atomic<bool> Ends = false;
+  std::thread Writer([&] {
+    for (; !Ends; sleepMs(100))
+      if (Writes)
+        In.Objects.beat("i-02d9e6b4",
+                        {{"service", Store::CutText}, {"state", "ready"}});
+  });
+  sleepUntilMs(In.ReadyAt + 6000);
+  if (Settings.HasTrouble) {
+    In.Log.note("another writer writes entry i-02d9e6b4, which can't be read");
+    Writes = true;
+  }
+  sleepUntilMs(In.ReadyAt + 12000);
+  const std::int64_t KilledAt = nowMs();
+  In.Gateways->killAll(/*DownMs=*/1200);
+  const std::int64_t BackAt = KilledAt + 1200 + 1000;
+  sleepUntilMs(BackAt + RecoveryMs + 10000);
+  for (int I = 0; I < In.Gateways->count(); ++I)
+    In.Log.note("gateway " + std::to_string(I) + " says that it is " +
+                (In.Gateways->isReady(I) ? "ready" : "not ready"));
+  Clients.stop();
+  Ends = true;
+  Writer.join();
+  const std::vector<Outcome> All = Clients.outcomes();
+  showOutcomes(In, All);
+  const auto Before = servedWithin(All, 0, KilledAt);
+  const auto After = servedWithin(All, BackAt + RecoveryMs, INT64_MAX);
+  const auto Show = [&](const char *When, const auto &Of) {
+    In.Log.note(std::string("served ") + When + ": " +
+                std::to_string(Of.first) + " of " + std::to_string(Of.second));
+  };
+  Show("before the final fault", Before);
+  Show("later than recoveryS after the machines were back", After);
+  if (Before.first * 4 < Before.second || After.second < 20)
+    throw std::runtime_error("too little traffic to judge");
+  const bool IsBroken = After.first * 4 < After.second;
+  In.Log.note(std::string("RECOVER is ") + (IsBroken ? "broken" : "kept"));
+  return IsBroken ? 1 : 0;
+}
+
 int playEndlessStore(const CaseSettings &Settings) {
   Deployment In(Settings, /*Gateways=*/3, /*WorkMs=*/30, /*KvStoreCount=*/5);
   CallerSettings Calls = In.callers();
--- a/review/stand-in/Cases.h
+++ b/review/stand-in/Cases.h
@@ -17,6 +17,9 @@
 
 /// The address of a registry entry of another writer can't be read.
 int playRegistryAddress(const CaseSettings &Settings);
+/// A registry entry of another writer can't be read, and all gateways are
+/// killed.
+int playUnreadableEntry(const CaseSettings &Settings);
 /// A store of kept KV cache in trouble answers with bytes without end.
 int playEndlessStore(const CaseSettings &Settings);
 /// The holder of the orders is stopped as planned while a server that it has
--- a/review/stand-in/Fleet.cpp
+++ b/review/stand-in/Fleet.cpp
@@ -54,6 +54,18 @@
   this->Log.note("platform: SIGTERM to gateway " + std::to_string(Index));
 }
 
+void Fleet::killAll(std::int64_t DownMs) {
+  const std::lock_guard Guard(this->Lock);
+  for (Gateway &Each : this->Gateways) {
+    if (Each.Id < 0)
+      continue;
+    Each.IsTerminated = true;
+    Each.DownMs = DownMs;
+    ::kill(Each.Id, SIGKILL);
+  }
+  this->Log.note("platform: all gateways are killed");
+}
+
 void Fleet::writeSettings(int Index) const {
   const std::string Host = this->at(Index, 0).Host;
   const auto Listen = [&](int Offset) {
@@ -175,7 +187,8 @@
                  : "exit code " + std::to_string(WEXITSTATUS(Status))) +
             ", end " + std::to_string(Each.Ends));
         Each.Id = -1;
-        Each.RestartAt = nowMs() + RestartDelayMs;
+        Each.RestartAt =
+            nowMs() + std::max(RestartDelayMs, std::exchange(Each.DownMs, 0));
       }
     }
     sleepMs(10);
--- a/review/stand-in/Fleet.h
+++ b/review/stand-in/Fleet.h
@@ -35,6 +35,8 @@
   bool waitUntilReady(std::int64_t ForMs) const;
   /// Stops a gateway as planned work; it starts again after its end.
   void terminate(int Index);
+  /// Kills all gateways at once; they start again after \p DownMs.
+  void killAll(std::int64_t DownMs);
   /// Returns the name that the settings give to a gateway.
   std::string nameOf(int Index) const;
   /// How often a gateway ended by itself or for its memory.
@@ -49,6 +51,7 @@
     int PeakMb = 0;
     bool IsKilledForMemory = false;
     bool IsTerminated = false; ///< By SIGTERM.
+    std::int64_t DownMs = 0;   ///< Of a kill by the case.
   };
 
   Address at(int Index, int Offset) const;
--- a/review/stand-in/Main.cpp
+++ b/review/stand-in/Main.cpp
@@ -16,6 +16,7 @@
 int main(int Argc, char **Argv) {
   static const std::map<std::string, int (*)(const CaseSettings &)> Cases = {
       {"registry-address", playRegistryAddress},
+      {"unreadable-entry", playUnreadableEntry},
       {"endless-store", playEndlessStore},
       {"holders-in-turn", playHoldersInTurn},
   };
--- a/review/stand-in/Store.cpp
+++ b/review/stand-in/Store.cpp
@@ -54,7 +54,7 @@
                   const json &Spec, bool IsDeleted) {
   const Object Next{++this->Revision, IsDeleted, Spec};
   this->All[Kind].Named[Name] = Next;
-  this->All[Kind].History.push_back({Name, Next});
+  this->All[Kind].History.push_back({Name, Next, nowMs()});
   this->Changed.notify_all();
 }
 
@@ -80,6 +80,12 @@
 
 void Store::expireEntries() {
   const std::lock_guard Guard(this->Lock);
+  for (auto &[Kind, Each] : this->All)
+    while (!Each.History.empty() &&
+           nowMs() - Each.History.front().At > HistoryMs) {
+      Each.Forgotten = Each.History.front().State.Revision;
+      Each.History.pop_front();
+    }
   for (auto &[Id, Each] : this->All["servers"].Named) {
     const auto Last = this->LastBeat.find(Id);
     if (Each.IsDeleted || Last == this->LastBeat.end() ||
@@ -93,9 +99,13 @@
 }
 
 std::string Store::reply(int Status, const json &Body) const {
+  static constexpr std::string_view Mark = CutText;
+  std::string Text = Body.dump();
+  for (std::size_t At = Text.find(Mark); At != std::string::npos;
+       At = Text.find(Mark, At))
+    Text.replace(At, Mark.size(), "\\ud83c");
   return formatResponse(
-      Status, {{"Content-Type", "application/json"}, {"Store-Era", "1"}},
-      Body.dump());
+      Status, {{"Content-Type", "application/json"}, {"Store-Era", "1"}}, Text);
 }
 
 void Store::serve(Connection &Open) {
@@ -155,7 +165,7 @@
   while (true) {
     if (this->Stopping)
       return "";
-    if (Since > this->Revision)
+    if (Since > this->Revision || Since < this->All[Kind].Forgotten)
       return this->reply(410, json::object());
     json Events = json::array();
     for (const Event &Each : this->All[Kind].History)
--- a/review/stand-in/Store.h
+++ b/review/stand-in/Store.h
@@ -8,6 +8,7 @@
 #include "Record.h"
 
 #include <condition_variable>
+#include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -30,6 +31,13 @@
   void beat(const std::string &Id, const json &Spec);
 
   static constexpr std::int64_t HeartbeatMs = 1200;
+  /// How long changes are kept for watches.
+  static constexpr std::int64_t HistoryMs = 20000;
+
+  /// Stands for a text that its writer cut inside a character outside the
+  /// basic plane: the store hands out the half of it as the JSON escape that it
+  /// was given.
+  static constexpr const char *CutText = "@cut-text@";
 
 private:
   struct Object {
@@ -40,11 +48,13 @@
   struct Event {
     std::string Name;
     Object State;
+    std::int64_t At = 0;
   };
   /// The present objects and all changes of one kind.
   struct KindState {
     std::map<std::string, Object> Named;
-    std::vector<Event> History;
+    std::deque<Event> History;
+    std::uint64_t Forgotten = 0; ///< The last revision that has left History.
   };
   using Objects = std::map<std::string, KindState>;
 
