--- a/review/stand-in/Cases.cpp
+++ b/review/stand-in/Cases.cpp
@@ -1,7 +1,6 @@
 #include "Cases.h"
 
 #include "Callers.h"
-#include "Engine.h"
 #include "KvStore.h"
 #include "Server.h"
 
@@ -13,16 +12,12 @@
 static constexpr const char *HostName = "pule25.example";
 static constexpr const char *Key = "jnbanfqasnmgkcuyj8pj";
 static constexpr const char *Service = "kafi81c";
-static constexpr const char *EngineService = "huvo11a";
-static constexpr const char *Model = "daka510000";
 /// The bounds of the deployment, as in the settings that Fleet writes.
 static constexpr std::int64_t ContactMs = 3000;
-static constexpr std::int64_t LeaseMs = 3000;
 static constexpr std::int64_t RecoveryMs = 12000;
 
 /// Two routes to one plain service, as on a small deployment.
-static json configuration(const std::vector<Address> &KvStores,
-                          bool HasEngine) {
+static json configuration(const std::vector<Address> &KvStores) {
   const auto Route = [](const char *Name, const char *Prefix,
                         const char *Kind) -> json {
     return {{"name", Name},    {"host", HostName},   {"pathPrefix", Prefix},
@@ -50,20 +45,6 @@
                        {"idleTimeoutMs", 15000}};
   const json Tenant = {
       {"name", "bozi300"}, {"apiKeys", {Key}}, {"priority", 1}};
-  if (HasEngine)
-    Services.push_back({{"name", EngineService},
-                        {"healthPath", "/health"},
-                        {"maxConns", 230},
-                        {"protocol", "h1"},
-                        {"tls", false},
-                        {"engine",
-                         {{"slots", 32},
-                          {"kvCapacity", 190833},
-                          {"kvTokenBytes", 18432},
-                          {"linkMbps", 180000.0},
-                          {"managed", true},
-                          {"maxInflight", 12},
-                          {"models", json::array({{{"name", Model}}})}}}});
   return {{"version", 7},
           {"routes", json::array({Route("r-buy", "/buy/", "unsafe"),
                                   Route("r-look", "/look/", "safe")})},
@@ -77,7 +58,7 @@
 /// A store, three servers of a plain service and gateways.
 struct Deployment {
   Deployment(const CaseSettings &Settings, int Gateways, int WorkMs,
-             int KvStoreCount = 0, bool HasEngine = false)
+             int KvStoreCount = 0)
       : Log(Settings.RecordPath),
         Network("127." + std::to_string(30 + getpid() % 90) + "." +
                 std::to_string(getpid() / 90 % 250) + "."),
@@ -89,7 +70,7 @@
                                     "kv-" + std::to_string(I), this->Log));
       KvAddresses.push_back(this->KvStores.back()->address());
     }
-    this->Objects.put("config", "main", configuration(KvAddresses, HasEngine));
+    this->Objects.put("config", "main", configuration(KvAddresses));
     for (int I = 0; I < 3; ++I)
       this->Servers.push_back(std::make_unique<Server>(
           this->Network + std::to_string(100 + I),
@@ -307,66 +288,4 @@
   return judgeEnds(In, Clients.outcomes());
 }
 
-/// Waits until \p Done holds; throws with \p What when it does not.
-template <typename Condition>
-static void waitFor(const char *What, std::int64_t ForMs, Condition Done) {
-  for (const std::int64_t Until = nowMs() + ForMs; !Done(); sleepMs(2))
-    if (nowMs() > Until)
-      throw std::runtime_error(std::string("no ") + What);
-}
-
-/// Returns whether two holders have given orders in turn (rule ONE).
-static bool judgeOrders(Deployment &In,
-                        const std::vector<Engine::Order> &Orders) {
-  bool IsBroken = false;
-  for (std::size_t I = 1; I < Orders.size(); ++I) {
-    const Engine::Order &A = Orders[I - 1];
-    const Engine::Order &B = Orders[I];
-    if (A.Holder == B.Holder || (B.At - A.At >= LeaseMs && B.Fence > A.Fence))
-      continue;
-    IsBroken = true;
-    In.Log.note("ONE: orders of " + A.Holder + " and then " + B.Holder +
-                " arrive within " + std::to_string(B.At - A.At) + " ms");
-  }
-  return IsBroken;
-}
-
-int playHoldersInTurn(const CaseSettings &Settings) {
-  Deployment In(Settings, /*Gateways=*/3, /*WorkMs=*/30, /*KvStoreCount=*/0,
-                /*HasEngine=*/true);
-  int Version = 0;
-  const auto NameNext = [&] {
-    In.Objects.put("versions", Model,
-                   {{"model", Model}, {"version", ++Version}});
-    In.Log.note("operator: names version " + std::to_string(Version));
-  };
-  NameNext();
-  Engine Server(In.Network + "120", "i-7f3a91c2", EngineService, Model,
-                In.Objects, In.Log);
-  sleepMs(4000);
-  NameNext();
-  waitFor("order for version 2", 15000,
-          [&] { return !Server.orders().empty(); });
-  // The machines are stopped in turn, the holder of the orders first.
-  bool IsBroken = false;
-  for (int Round = 0; Round < 3 && !IsBroken; ++Round) {
-    sleepMs(10000);
-    const std::string Holder = Server.orders().back().Holder;
-    // The holder asks for the state of the server before it sends an order.
-    Server.beSilentAtNextReport(550);
-    NameNext();
-    waitFor("call for the state of the server", 15000,
-            [&] { return Server.isSilent(); });
-    for (int I = 0; I < In.Gateways->count(); ++I)
-      if (Settings.HasTrouble && In.Gateways->nameOf(I) == Holder)
-        In.Gateways->terminate(I);
-    sleepMs(1000);
-    NameNext();
-    sleepMs(8000);
-    IsBroken = judgeOrders(In, Server.orders());
-  }
-  In.Log.note(std::string("ONE is ") + (IsBroken ? "broken" : "kept"));
-  return IsBroken ? 1 : 0;
-}
-
 } // namespace review
--- a/review/stand-in/Cases.h
+++ b/review/stand-in/Cases.h
@@ -22,9 +22,6 @@
 int playUnreadableEntry(const CaseSettings &Settings);
 /// A store of kept KV cache in trouble answers with bytes without end.
 int playEndlessStore(const CaseSettings &Settings);
-/// The holder of the orders is stopped as planned while a server that it has
-/// asked for its state is silent.
-int playHoldersInTurn(const CaseSettings &Settings);
 
 } // namespace review
 
--- a/review/stand-in/Fleet.cpp
+++ b/review/stand-in/Fleet.cpp
@@ -42,24 +42,12 @@
   return "pnw-" + std::string(1, static_cast<char>('a' + Index % 3));
 }
 
-std::string Fleet::nameOf(int Index) const {
-  return "front-" + zoneOf(Index) + "-" + std::to_string(Index);
-}
-
-void Fleet::terminate(int Index) {
-  const std::lock_guard Guard(this->Lock);
-  Gateway &Stopped = this->Gateways[static_cast<std::size_t>(Index)];
-  Stopped.IsTerminated = true;
-  ::kill(Stopped.Id, SIGTERM);
-  this->Log.note("platform: SIGTERM to gateway " + std::to_string(Index));
-}
-
 void Fleet::killAll(std::int64_t DownMs) {
   const std::lock_guard Guard(this->Lock);
   for (Gateway &Each : this->Gateways) {
     if (Each.Id < 0)
       continue;
-    Each.IsTerminated = true;
+    Each.IsKilledByCase = true;
     Each.DownMs = DownMs;
     ::kill(Each.Id, SIGKILL);
   }
@@ -77,7 +65,7 @@
   const std::string Zone = zoneOf(Index);
   std::ofstream(this->Settings.Folder + "/gateway" + std::to_string(Index) +
                 ".toml")
-      << "node = \"" << this->nameOf(Index) << "\"\n"
+      << "node = \"front-" << Zone << "-" << Index << "\"\n"
       << "role = \"entry\"\nmachineClass = \"front\"\n"
       << "serves = [\"front\",\"control\",\"directory\"]\n"
       << "ipAddr = \"" << Host << "\"\nzone = \"" << Zone
@@ -179,7 +167,7 @@
         int Status = 0;
         if (::waitpid(Each.Id, &Status, WNOHANG) != Each.Id)
           continue;
-        Each.Ends += !std::exchange(Each.IsTerminated, false);
+        Each.Ends += !std::exchange(Each.IsKilledByCase, false);
         this->Log.note(
             "platform: gateway " + std::to_string(I) + " has ended, " +
             (WIFSIGNALED(Status)
--- a/review/stand-in/Fleet.h
+++ b/review/stand-in/Fleet.h
@@ -33,12 +33,8 @@
   bool isReady(int Index) const;
   /// Waits until all gateways say that they are ready.
   bool waitUntilReady(std::int64_t ForMs) const;
-  /// Stops a gateway as planned work; it starts again after its end.
-  void terminate(int Index);
   /// Kills all gateways at once; they start again after \p DownMs.
   void killAll(std::int64_t DownMs);
-  /// Returns the name that the settings give to a gateway.
-  std::string nameOf(int Index) const;
   /// How often a gateway ended by itself or for its memory.
   int ends(int Index);
   int peakMb(int Index);
@@ -50,8 +46,8 @@
     int Ends = 0;
     int PeakMb = 0;
     bool IsKilledForMemory = false;
-    bool IsTerminated = false; ///< By SIGTERM.
-    std::int64_t DownMs = 0;   ///< Of a kill by the case.
+    bool IsKilledByCase = false;
+    std::int64_t DownMs = 0; ///< Of a kill by the case.
   };
 
   Address at(int Index, int Offset) const;
--- a/review/stand-in/Main.cpp
+++ b/review/stand-in/Main.cpp
@@ -18,7 +18,6 @@
       {"registry-address", playRegistryAddress},
       {"unreadable-entry", playUnreadableEntry},
       {"endless-store", playEndlessStore},
-      {"holders-in-turn", playHoldersInTurn},
   };
   const auto Found = Argc == 6 ? Cases.find(Argv[1]) : Cases.end();
   if (Found == Cases.end()) {
