PartLease: the right to use stored parts ends before any process frees them

Cause: one process decided from the engines that it knew that older parts were out of use, and another one from what it knew that they were in use. A wait of 1.5 s joined the two verdicts. A gateway that was cut off did not hear of the newer weights and went on; one that had just started knew of the newer weights before it knew of any engine, and freed what all others used.

Change: the right to use parts of a version is a lease that ends by itself. It is renewed by each answer of the platform on named weights, counted from the sending of the call, and a fetch carries no later deadline. Parts are freed KeepTime after a process has itself learned of newer weights. Times are of BootClock. Peers report until when their view is complete by their own calls only; passed on in circles, such times would never run out.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -66,6 +66,12 @@
   return At && EventLoop::now() - *At <= MaxConfigAge;
 }
 
+static void dropCompleteUntil(
+    std::vector<std::pair<std::string, WatchProgress>> &Progress) {
+  for (auto &[Kind, Each] : Progress)
+    Each.CompleteUntil.reset();
+}
+
 static EntryRecord localRecord(const GatewaySettings &Settings) {
   EntryRecord Self;
   Self.Id = Settings.NodeId;
@@ -251,6 +257,7 @@
   this->Entries.self().Capacity = this->Settings.Cores;
   this->updateRetryBudgets();
   this->Services.WeightsLimit = this->Settings.WeightsLimit - WeightsMargin;
+  this->Services.PartTimes = partLeaseTimes(this->Settings.WeightsLimit);
   this->Services.OldWeightsLimit =
       fromSeconds(toSeconds(this->Settings.WeightsLimit) * OldWeightsShare);
   if (this->Listener && this->Services.Config)
@@ -322,7 +329,8 @@
       this->Upstreams.expire(EventLoop::now());
     if (this->Rates.hasLimits())
       this->updateRateMembers();
-    this->freeOutdatedBlocks();
+    this->renewPartRights();
+    this->freeOutdatedParts();
     this->checkStop();
   }));
 }
@@ -644,6 +652,11 @@
 }
 
 void ForwardGateway::onMessage(GossipMessage Message) {
+  if (this->mayHoldStaleMessages()) {
+    // The ages are too short by the time that the message waited.
+    dropCompleteUntil(Message.Status.Progress);
+    dropCompleteUntil(Message.Digest.Progress);
+  }
   this->Entries.receive(Message.Records, EventLoop::now());
   if (!Message.Status.From.empty())
     this->Statuses.receive(std::move(Message.Status), EventLoop::now());
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -108,6 +108,7 @@
   void sendWeightNotices(std::span<const SocketAddress> Targets);
   void onWeightNotices(std::span<const WeightNotice> Notices);
   void detectStall();
+  bool mayHoldStaleMessages();
   void onCall(std::shared_ptr<IncomingCall> Call);
   void gossip();
   void publishStatus();
@@ -126,8 +127,8 @@
   void onMessage(GossipMessage Message);
   void excludeWithheld(std::span<const std::string> Ids);
   void updateOrders();
-  std::uint64_t oldestUsefulWeights() const;
-  void freeOutdatedBlocks();
+  void renewPartRights();
+  void freeOutdatedParts();
   void updateZones();
   bool needsOrders(std::string_view Service) const;
   bool isPreferredFor(std::string_view Service);
@@ -166,7 +167,6 @@
   /// When this process started or noticed that the platform was restored.
   TimePoint EraSince = EventLoop::now();
   bool WasConfigOutdated = false; ///< In the last gossip round.
-  TimePoint OldestWeightsSince;
   StallDetector Stalls{BootClock::now()};
   /// Newest version by model whose announcement is stored on the platform.
   std::map<std::string, std::uint64_t> StoredWeights;
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -12,10 +12,6 @@
 
 using nlohmann::json;
 
-/// Delay from the last use of outdated cache blocks until they are freed, so
-/// that the other gateways learn of the new weights and fetches in progress
-/// end.
-static constexpr auto FreeDelay = std::chrono::milliseconds(1500);
 /// Fraction of a service's engines that may load weights at the same time; more
 /// would slow each other down.
 static constexpr double MaxLoadingShare = 1.0 / 6;
@@ -33,6 +29,8 @@
 /// Messages that waited in the socket while this process stood still are read
 /// within this time after the stall. The ages that they carry are too short.
 static constexpr Duration StaleMessageTime = std::chrono::milliseconds(200);
+/// The operator writes again within this time what a restored platform lacks.
+static constexpr Duration MaxRewriteTime = std::chrono::seconds(5);
 /// Between attempts to read a history while the platform does not answer.
 static constexpr Duration HistoryRetry = std::chrono::milliseconds(500);
 
@@ -44,6 +42,7 @@
     return;
   this->detectStall();
   const BootTime Now = BootClock::now();
+  noteVersion(this->Services.PartRights, Read->Model, Read->Version, Now);
   const auto Seen =
       noteNamed(this->Services.Weights[Read->Model], Read->Version,
                 {.IsFirst = !this->WeightNotices.confirmedAt(),
@@ -69,6 +68,14 @@
     this->Services.WeightsChanged.emit();
 }
 
+/// Returns whether messages that are read now may have waited in the socket
+/// while this process stood still.
+bool ForwardGateway::mayHoldStaleMessages() {
+  this->detectStall();
+  return this->Stalls.recentStall(BootClock::now(), StaleMessageTime)
+      .has_value();
+}
+
 void ForwardGateway::sendWeightNotices(std::span<const SocketAddress> Targets) {
   const std::vector<WeightNotice> Notices =
       weightNotices(this->Services.Weights,
@@ -82,9 +89,11 @@
 }
 
 void ForwardGateway::onWeightNotices(std::span<const WeightNotice> Notices) {
-  this->detectStall();
-  if (this->Stalls.recentStall(BootClock::now(), StaleMessageTime))
+  if (this->mayHoldStaleMessages())
     return;
+  for (const WeightNotice &Each : Notices)
+    noteVersion(this->Services.PartRights, Each.Model, Each.Version,
+                BootClock::now());
   if (!mergeNotices(this->Services.Weights, Notices, BootClock::now()))
     return;
   for (const WeightNotice &Each : Notices)
@@ -272,26 +281,6 @@
   this->Orders->setConfiguration(std::move(Next));
 }
 
-/// Returns the oldest weight version whose cache blocks are still useful: that
-/// of the engine furthest behind, or the newest version once half of the
-/// engines run it, since the newest needs the stores' capacity.
-std::uint64_t ForwardGateway::oldestUsefulWeights() const {
-  std::uint64_t Newest = 0;
-  for (const auto &[Model, Named] : this->Services.Weights)
-    Newest = std::max(Newest, Named.newest());
-  std::size_t Engines = 0;
-  std::size_t Current = 0;
-  std::uint64_t Least = Newest;
-  for (const auto &[Id, Entry] : this->Upstreams.entries()) {
-    if (!Entry.WeightVersion)
-      continue;
-    ++Engines;
-    Current += *Entry.WeightVersion >= Newest;
-    Least = std::min(Least, *Entry.WeightVersion);
-  }
-  return Current * 2 >= Engines ? Newest : Least;
-}
-
 /// Adds the zones of newly seen engines. Zones are never removed, so that the
 /// home zones of prompts don't move during a temporary zone failure.
 void ForwardGateway::updateZones() {
@@ -302,20 +291,33 @@
       Zones.push_back(Entry.Registered.Zone);
 }
 
-/// Stops the use of cache blocks of outdated weights and frees them after
-/// FreeDelay.
-void ForwardGateway::freeOutdatedBlocks() {
-  const TimePoint Now = EventLoop::now();
+/// Renews the right to use stored parts by what is known of named weights.
+void ForwardGateway::renewPartRights() {
+  // A copy from which the platform was restored may lack the newest version
+  // until the operator writes it again.
+  const bool MayLackVersions =
+      this->Parts.Api.Era.current() > 0 &&
+      EventLoop::now() - this->EraSince < MaxRewriteTime;
+  if (const auto Until = this->WeightNotices.completeUntil();
+      Until && !MayLackVersions)
+    confirm(this->Services.PartRights, *Until);
+}
+
+/// Frees the stored parts of weights that no process uses any more.
+void ForwardGateway::freeOutdatedParts() {
   this->updateZones();
-  const std::uint64_t Least = this->oldestUsefulWeights();
-  if (Least > this->Services.Reuse.LeastWeights) {
-    this->Services.Reuse.LeastWeights = Least;
-    this->OldestWeightsSince = Now;
-  }
-  if (Now - this->OldestWeightsSince < FreeDelay || this->StopRequestedAt)
+  if (this->StopRequestedAt ||
+      !this->isAssigned("stores", 1, this->liveGatewayIds()))
     return;
-  if (this->isAssigned("stores", 1, this->liveGatewayIds()))
-    this->Stores.freeOutdated(this->Services.Reuse.LeastWeights);
+  const BootTime Now = BootClock::now();
+  std::optional<std::uint64_t> Oldest;
+  for (const auto &[Model, Versions] : this->Services.PartRights.Known) {
+    const std::uint64_t Kept = oldestKept(this->Services.PartRights,
+                                          this->Services.PartTimes, Model, Now);
+    Oldest = std::min(Oldest.value_or(Kept), Kept);
+  }
+  if (Oldest)
+    this->Stores.freeOutdated(*Oldest);
 }
 
 bool ForwardGateway::needsOrders(std::string_view Service) const {
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -6,6 +6,10 @@
 
 using nlohmann::json;
 
+/// Upper limit of an age that another process reports; larger numbers would
+/// overflow a time.
+static constexpr Milliseconds MaxProgressAge = std::chrono::hours(24);
+
 static json toJson(const EntryRecord &Record) {
   return json::array({Record.Id, Record.Incarnation, Record.Heartbeat,
                       Record.Callers.toString(), Record.Gossip.toString(),
@@ -59,11 +63,18 @@
 
 using ProgressByKind = std::vector<std::pair<std::string, WatchProgress>>;
 
+/// Times of BootClock are sent as ages, which go on while a relay is suspended.
 static json toJson(const ProgressByKind &All) {
+  const BootTime Now = BootClock::now();
   json Result = json::array();
-  for (const auto &[Kind, Each] : All)
-    Result.push_back({Kind, Each.LastChange, Each.Digest,
-                      toMilliseconds(Each.Age), Each.Era});
+  for (const auto &[Kind, Each] : All) {
+    json Progress = {Kind, Each.LastChange, Each.Digest,
+                     toMilliseconds(Each.Age), Each.Era};
+    if (Each.CompleteUntil)
+      Progress.push_back(
+          std::chrono::ceil<Milliseconds>(Now - *Each.CompleteUntil).count());
+    Result.push_back(std::move(Progress));
+  }
   return Result;
 }
 
@@ -72,14 +83,25 @@
   return Progress.size() > 4 ? Progress.at(4).get<std::uint64_t>() : 0;
 }
 
+/// Nor until when their view holds all changes.
+static std::optional<BootTime> completeUntilOf(const json &Progress,
+                                               BootTime Now) {
+  if (Progress.size() <= 5)
+    return std::nullopt;
+  return Now - std::clamp(Milliseconds(Progress.at(5)), Milliseconds(0),
+                          MaxProgressAge);
+}
+
 static ProgressByKind progressFromJson(const json &Value) {
+  const BootTime Now = BootClock::now();
   ProgressByKind Result;
   for (const json &Each : Value)
-    Result.emplace_back(Each.at(0),
-                        WatchProgress{.LastChange = Each.at(1),
-                                      .Digest = Each.at(2),
-                                      .Age = Milliseconds(Each.at(3)),
-                                      .Era = eraOf(Each)});
+    Result.emplace_back(
+        Each.at(0), WatchProgress{.LastChange = Each.at(1),
+                                  .Digest = Each.at(2),
+                                  .Age = Milliseconds(Each.at(3)),
+                                  .Era = eraOf(Each),
+                                  .CompleteUntil = completeUntilOf(Each, Now)});
   return Result;
 }
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -155,11 +155,22 @@
       this->Customer && this->Customer->IsIsolated ? this->Customer->Name : "");
 }
 
-PartReusePlan ForwardRun::planCache(const std::string &Scope) {
+/// Returns how long from \p Now on stored parts of the service's model that
+/// were computed with \p Version may be used.
+Duration ForwardRun::partsUsableFor(std::uint64_t Version, BootTime Now) const {
+  return usableFor(this->Services.PartRights, this->Services.PartTimes,
+                   this->Service->Engine->Model, Version, Now);
+}
+
+PartReusePlan ForwardRun::planCache(std::optional<std::uint64_t> Version) {
   if (!this->Route->CarriesPrompt || !this->Service->Engine)
     return {};
-  return planReuse(this->Call.Parts, Scope, this->Services.Stores,
-                   this->Services.Reuse, EventLoop::now());
+  // Read before BootClock, so that a stall in between shortens the fetch.
+  const TimePoint Now = EventLoop::now();
+  return planReuse(this->Call.Parts, this->cacheScope(Version),
+                   this->Services.Stores, this->Services.Reuse,
+                   this->partsUsableFor(Version.value_or(0), BootClock::now()),
+                   Now);
 }
 
 /// Returns the weights named for the service's model, or null.
@@ -188,7 +199,12 @@
   Query.ScopeOf = [this](std::uint64_t Weights) {
     return this->cacheScope(Weights);
   };
-  Query.StoredIn = [this](const std::string &Key, std::uint32_t Tokens) {
+  Query.StoredIn = [this, Now = BootClock::now()](
+                       const std::string &Key,
+                       std::uint32_t Tokens) -> const StoreView * {
+    if (this->partsUsableFor(weightVersionOf(Key).value_or(0), Now) <=
+        Duration::zero())
+      return nullptr;
     return storeHolding(Key, Tokens, this->Services.Stores,
                         this->Services.Reuse, EventLoop::now());
   };
@@ -348,8 +364,7 @@
 }
 
 void ForwardRun::send(const UpstreamEntry &To, const UpstreamQuery &Query) {
-  const PartReusePlan Reuse =
-      this->planCache(this->cacheScope(To.WeightVersion));
+  const PartReusePlan Reuse = this->planCache(To.WeightVersion);
   const SendPlan Plan = this->planSend(To, Reuse);
   UpstreamExchangeSettings Settings;
   Settings.IsHead = this->Call.Method == "HEAD";
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -30,6 +30,7 @@
 #include "request/UpstreamTable.h"
 #include "request/WaitingRuns.h"
 #include "version/AnnouncedWeights.h"
+#include "version/PartLease.h"
 
 #include <random>
 
@@ -57,6 +58,8 @@
   sigc::signal<void()> WeightsChanged;
   std::vector<StoreView> Stores;
   ReuseSettings Reuse;
+  PartLease PartRights;
+  PartLeaseTimes PartTimes;
   CrashRecord Crashes;
   AnsweredKeys Answered;
   UnansweredSends Unanswered;
@@ -135,7 +138,8 @@
   UpstreamQuery query() const;
   const AnnouncedWeights *namedWeights() const;
   void notePrefillEnded();
-  PartReusePlan planCache(const std::string &Scope);
+  PartReusePlan planCache(std::optional<std::uint64_t> Version);
+  Duration partsUsableFor(std::uint64_t Version, BootTime Now) const;
   std::string cacheScope(std::optional<std::uint64_t> Version) const;
   bool onHead(const HttpHead &Head);
   bool isStreamAnswer() const;
--- a/src/request/PromptReuse.cpp
+++ b/src/request/PromptReuse.cpp
@@ -198,10 +198,10 @@
 PartReusePlan planReuse(std::span<const PromptPart> Parts,
                         std::string_view Scope,
                         std::span<const StoreView> Stores,
-                        const ReuseSettings &Settings, TimePoint Now) {
+                        const ReuseSettings &Settings, Duration UsableFor,
+                        TimePoint Now) {
   PartReusePlan Plan;
-  if (Parts.size() < 2 ||
-      weightVersionOf(Scope).value_or(0) < Settings.LeastWeights)
+  if (Parts.size() < 2 || UsableFor <= Duration::zero())
     return Plan;
   std::vector<PartLocation> Fetch(Parts.size());
   std::vector<PartLocation> Save(Parts.size());
@@ -223,13 +223,14 @@
       Fetch[I] = {Store->Address, Parts[I].Tokens};
       AnyFetch = true;
       Plan.StoredTokens += Parts[I].Tokens;
-      const std::int64_t Until = Contents.ClockMs +
-                                 toMilliseconds(Now - Contents.ReportedAt) +
-                                 toMilliseconds(Settings.FetchLimit);
+      const std::int64_t Until =
+          Contents.ClockMs + toMilliseconds(Now - Contents.ReportedAt) +
+          toMilliseconds(std::min(Settings.FetchLimit, UsableFor));
       Plan.FetchUntilMs = std::min(Plan.FetchUntilMs.value_or(Until), Until);
       continue;
     }
-    if (beginSave(*Store, Parts[I], Key, Settings, Now)) {
+    if (UsableFor >= Settings.MinSaveUse &&
+        beginSave(*Store, Parts[I], Key, Settings, Now)) {
       Save[I] = {Store->Address, 0};
       AnySave = true;
     }
--- a/src/request/PromptReuse.h
+++ b/src/request/PromptReuse.h
@@ -14,7 +14,7 @@
 // Guarantees: a part that is being written is never read. A part is fetched
 // only if a recent report of the store lists it as complete, and the fetch has
 // a deadline that passes before the store could have restarted and begun to
-// write the part again.
+// write the part again, and before any process may free the part.
 
 #ifndef GALENAROUTE_REQUEST_PROMPTREUSE_H
 #define GALENAROUTE_REQUEST_PROMPTREUSE_H
@@ -86,8 +86,8 @@
   std::uint32_t LargePartTokens = 2000;
   /// Smaller parts are cheaper to prefill than to transfer.
   std::uint32_t MinPartTokens = 48;
-  /// Parts computed with an older weight version are neither fetched nor saved.
-  std::uint64_t LeastWeights = 0;
+  /// A part that may be used for less time is not saved.
+  Duration MinSaveUse = std::chrono::seconds(4);
   /// Availability zones with engines; see homeZone().
   std::vector<std::string> Zones;
   /// Fraction of a store's capacity that may be used.
@@ -143,11 +143,13 @@
                                        std::uint64_t LeastWeights);
 
 /// Plans the reuse of \p Parts and records the requested saves in the contents
-/// of the stores.
+/// of the stores. Stored parts of \p Scope may be used for \p UsableFor from
+/// \p Now on, see version/PartLease.h; fetches end by then.
 PartReusePlan planReuse(std::span<const PromptPart> Parts,
                         std::string_view Scope,
                         std::span<const StoreView> Stores,
-                        const ReuseSettings &Settings, TimePoint Now);
+                        const ReuseSettings &Settings, Duration UsableFor,
+                        TimePoint Now);
 
 /// Returns the id of the last part that prompts share, which determines the
 /// home zone of a prompt; empty if there is none.
--- a/src/version/ObjectWatcher.cpp
+++ b/src/version/ObjectWatcher.cpp
@@ -42,6 +42,8 @@
        {"objects", std::to_string(this->Known.size())}});
   this->Revision = this->LastChange = this->Digest = 0;
   this->Known.clear();
+  this->CompleteUntil.reset();
+  this->OwnCompleteUntil.reset();
   this->NextRetry = this->Settings.Retry;
   this->listAnew();
 }
@@ -63,6 +65,11 @@
   this->IsDisconnected = false;
 }
 
+void ObjectWatcher::noteComplete(BootTime Until) {
+  this->OwnCompleteUntil = Until;
+  this->CompleteUntil = std::max(this->CompleteUntil, this->OwnCompleteUntil);
+}
+
 void ObjectWatcher::retry() {
   if (!this->IsDisconnected)
     log(LogLevel::Warn, "platform.lost", {{"kind", this->Kind}});
@@ -82,8 +89,10 @@
 }
 
 void ObjectWatcher::list(const std::string &After) {
-  if (After.empty())
+  if (After.empty()) {
     this->Listed.clear();
+    this->ListSentAt = BootClock::now();
+  }
   const std::uint64_t Call = ++this->Generation;
   this->Api.list(this->Kind, {}, After,
                  [this, Call, Alive = std::weak_ptr(this->Alive)](
@@ -123,6 +132,7 @@
     return true;
   });
   this->onResponse();
+  this->noteComplete(this->ListSentAt);
   this->Events.OnListed(this->Listed);
   this->awaitChanges();
 }
@@ -157,14 +167,14 @@
   this->Api.watch(
       this->Kind, this->Revision,
       this->IsLongPoll ? this->Settings.LongWait : this->Settings.Wait,
-      [this, Call,
+      [this, Call, SentAt = BootClock::now(),
        Alive = std::weak_ptr(this->Alive)](const PlatformList &Result) {
         if (!Alive.expired() && Call == this->Generation)
-          this->onWatch(Result);
+          this->onWatch(Result, SentAt);
       });
 }
 
-void ObjectWatcher::onWatch(const PlatformList &Result) {
+void ObjectWatcher::onWatch(const PlatformList &Result, BootTime SentAt) {
   this->IsLongPoll = false;
   if (Result.Status == PlatformStatus::Expired) {
     log(LogLevel::Warn, "platform.history_gone",
@@ -183,6 +193,7 @@
     this->Revision = Result.Revision;
   for (const PlatformObject &Each : Result.Objects)
     this->applyObject(Each);
+  this->noteComplete(SentAt);
   if (!Result.Objects.empty() && !this->IsSecondary)
     this->OnUpdates({this->Kind, Since, this->Revision, Result.Objects,
                      this->Api.Era.current()});
@@ -229,8 +240,8 @@
 
 WatchProgress ObjectWatcher::progress(TimePoint Now) const {
   return {this->LastChange, this->Digest,
-          Now - this->AnsweredAt.value_or(TimePoint{}),
-          this->Api.Era.current()};
+          Now - this->AnsweredAt.value_or(TimePoint{}), this->Api.Era.current(),
+          this->OwnCompleteUntil};
 }
 
 void ObjectWatcher::notePeerProgress(const WatchProgress &Peer, TimePoint Now) {
@@ -242,6 +253,7 @@
   if (!this->IsEraDoubted && Peer.LastChange == this->LastChange &&
       Peer.Digest == this->Digest) {
     this->ConfirmedAt = std::max(*this->ConfirmedAt, Now - Peer.Age);
+    this->CompleteUntil = std::max(this->CompleteUntil, Peer.CompleteUntil);
     this->BehindSince.reset();
     return;
   }
--- a/src/version/ObjectWatcher.h
+++ b/src/version/ObjectWatcher.h
@@ -39,6 +39,7 @@
 #define GALENAROUTE_VERSION_OBJECTWATCHER_H
 
 #include "connection/PlatformClient.h"
+#include "process/BootClock.h"
 #include "process/EventLoop.h"
 
 #include <map>
@@ -53,6 +54,9 @@
   std::uint64_t Digest = 0;     ///< Hash of all objects' names and revisions.
   Duration Age{};               ///< Time since the platform last responded.
   std::uint64_t Era = 0; ///< Of the platform, in which LastChange counts.
+  /// When the last answered call of that process was sent; all changes until
+  /// then were seen. Nothing if a peer does not tell.
+  std::optional<BootTime> CompleteUntil = std::nullopt;
 };
 
 /// Changes of the objects of a kind, forwarded to processes that do not watch.
@@ -106,6 +110,10 @@
   std::optional<TimePoint> confirmedAt() const { return this->ConfirmedAt; }
   /// Returns when the platform itself last responded.
   std::optional<TimePoint> answeredAt() const { return this->AnsweredAt; }
+  /// Returns a moment until which the view holds all changes: when the last
+  /// answered call was sent, by this process or by a peer whose view is the
+  /// same; nothing before the first list of an era.
+  std::optional<BootTime> completeUntil() const { return this->CompleteUntil; }
   const std::string &kind() const { return this->Kind; }
 
   /// Makes this a secondary or a primary watcher from the next call on.
@@ -138,9 +146,10 @@
   void applyObject(const PlatformObject &Object);
   void eraseKnown(const std::string &Name);
   void onList(const PlatformList &Result);
-  void onWatch(const PlatformList &Result);
+  void onWatch(const PlatformList &Result, BootTime SentAt);
   void retry();
   void onResponse();
+  void noteComplete(BootTime Until);
   void listAnew();
   void dropEra(const EraChange &Change);
   bool isCurrent() const;
@@ -159,6 +168,11 @@
   Duration NextRetry{};
   std::optional<TimePoint> ConfirmedAt;
   std::optional<TimePoint> AnsweredAt;
+  std::optional<BootTime> CompleteUntil;
+  /// The same by own calls only. Peers are told no more than this, since times
+  /// that are passed on in circles would grow with each transit.
+  std::optional<BootTime> OwnCompleteUntil;
+  BootTime ListSentAt; ///< Of the first page.
   bool IsSecondary = false;
   Duration BatchDelay{};
   bool IsLongPoll = false; ///< The pending call uses LongWait.
--- a/tests/ForwardDecisionsTest.cpp
+++ b/tests/ForwardDecisionsTest.cpp
@@ -162,8 +162,10 @@
     return *assignedStore(Part.Id, Part.Tokens, this->Stores, this->Settings)
                 ->Contents;
   }
-  PartReusePlan plan(TimePoint Now, std::string_view Scope = "w1") {
-    return planReuse(this->Parts, Scope, this->Stores, this->Settings, Now);
+  PartReusePlan plan(TimePoint Now, std::string_view Scope = "w1",
+                     Duration UsableFor = 10s) {
+    return planReuse(this->Parts, Scope, this->Stores, this->Settings,
+                     UsableFor, Now);
   }
 
   StoreContents A, B, C;
@@ -224,11 +226,26 @@
               Start);
   EXPECT_TRUE(outdatedParts(Contents, 1).empty());
   EXPECT_EQ(outdatedParts(Contents, 2), std::vector<std::string>{"w1/bb"});
-  this->Settings.LeastWeights = 2;
-  EXPECT_TRUE(this->plan(Start, "w1").Fetch.empty());
+  EXPECT_TRUE(this->plan(Start, "w1", 0s).Fetch.empty());
   EXPECT_FALSE(this->plan(Start, "w2").Fetch.empty());
 }
 
+// Guards against a fetch that outlasts the right to use the part, and against
+// saves of parts that go out of use before they are stored.
+TEST_F(StoreFixture, TransfersEndWithTheRightToUseTheParts) {
+  StoreContents &Contents = this->contentsOf(this->Parts[1]);
+  applyEvents(Contents,
+              {.Epoch = 7,
+               .Next = 2,
+               .ClockMs = 50000,
+               .Events = {{true, "w1", "bb", 8000}}},
+              Start);
+  const PartReusePlan Plan = this->plan(Start + 100ms, "w1", 300ms);
+  EXPECT_EQ(Plan.FetchUntilMs, 50000 + 100 + 300);
+  EXPECT_TRUE(Plan.Save.empty());
+  EXPECT_FALSE(this->plan(Start + 100ms).Save.empty());
+}
+
 // Many small parts. Guards against saving them in a slow store, where they
 // delayed every other fetch.
 TEST_F(StoreFixture, SlowStoresTakeLargePartsOnly) {
