SocketAddress: accept only addresses that can be connected to

Cause: parse() took any text before the colon. socketAddressOf() refused it at the connect, below a callback of the event loop, where nothing catches it.

Change: parse() accepts IPv4 numbers only. Every address from outside passes through it, so none can fail at a connect: registry entries, kvStore in the configuration, settings and records of peers. A host name could have blocked the loop in a look-up besides; the platform has no names.

--- a/src/connection/HttpTypes.cpp
+++ b/src/connection/HttpTypes.cpp
@@ -3,6 +3,7 @@
 #include "process/ErrorKind.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cctype>
 #include <charconv>
 
@@ -26,10 +27,17 @@
   return std::nullopt;
 }
 
+static bool isIpv4(std::string_view Text) {
+  in_addr Binary{};
+  // inet_pton would read only as far as a zero byte.
+  return Text.find('\0') == std::string_view::npos &&
+         inet_pton(AF_INET, std::string(Text).c_str(), &Binary) == 1;
+}
+
 SocketAddress SocketAddress::parse(std::string_view Text) {
   const std::size_t Colon = Text.rfind(':');
   SocketAddress Result;
-  if (Colon != std::string_view::npos && Colon > 0) {
+  if (Colon != std::string_view::npos && isIpv4(Text.substr(0, Colon))) {
     Result.Host = Text.substr(0, Colon);
     const std::string_view Digits = Text.substr(Colon + 1);
     const auto [End, Failure] = std::from_chars(
--- a/src/connection/HttpTypes.h
+++ b/src/connection/HttpTypes.h
@@ -43,7 +43,8 @@
   std::string Host;
   std::uint16_t Port = 0;
 
-  /// Parses `HOST:PORT`; throws Error(BadRequest) on anything else.
+  /// Parses `IP:PORT` with an IPv4 number; throws Error(BadRequest) on anything
+  /// else. A parsed address can be connected to without a further check.
   static SocketAddress parse(std::string_view Text);
   std::string toString() const;
   bool operator==(const SocketAddress &) const = default;
