HttpClient: report a connect that fails at once after start() has returned

When the kernel refuses a connect without a packet (no route, no port left, a multicast address), evhttp calls back inside evhttp_make_request(). The call was then reported before its owner had it, and begin() went on with an exchange that had ended. By reading, startDetached() also kept that exchange for ever, so that memory grew with each such call.

Change: such a failure is reported on the next turn of the loop, like one that evhttp_make_request() returns.

HttpClientCancelTest.AConnectThatFailsAtOnceIsReportedLater fails on (OnDone runs inside start()) and passes now.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -87,9 +87,14 @@
       evhttp_add_header(Fields, Each.Name.c_str(), Each.Value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(Request),
                  this->Call.Body.data(), this->Call.Body.size());
-    if (evhttp_make_request(this->Connection, Request,
-                            methodOf(this->Call.Method),
-                            this->Call.Path.c_str()) != 0) {
+    this->IsStarting = true;
+    const int Failure = evhttp_make_request(this->Connection, Request,
+                                            methodOf(this->Call.Method),
+                                            this->Call.Path.c_str());
+    this->IsStarting = false;
+    if (!this->Request)
+      return; // The connect has failed at once; see onDone().
+    if (Failure != 0) {
       // evhttp has freed the request.
       this->Request = nullptr;
       this->finishLater(HttpEnd::ConnectFailed);
@@ -228,6 +233,11 @@
     Self.Request = nullptr;
     if (!Self.Connection)
       return;
+    // The owner of this exchange does not know it yet.
+    if (Self.IsStarting) {
+      Self.finishLater(HttpEnd::ConnectFailed);
+      return;
+    }
     if (!Request || evhttp_request_get_response_code(Request) == 0) {
       Self.finish(Self.Result.BytesSent ? HttpEnd::Cut
                                         : HttpEnd::ConnectFailed);
@@ -248,6 +258,7 @@
   evhttp_request *Request = nullptr; ///< While evhttp has it.
   evbuffer_cb_entry *Sent = nullptr;
   bool Paused = false;
+  bool IsStarting = false; ///< evhttp_make_request() has not returned.
   TimePoint Started;
   TimePoint LastByte;
   sigc::connection Timer;
--- a/tests/HttpClientCancelTest.cpp
+++ b/tests/HttpClientCancelTest.cpp
@@ -64,6 +64,32 @@
   close(Peer);
 }
 
+// Guards against a call whose connect fails at once being reported before its
+// owner has it, and then a second time or never released.
+TEST(HttpClientCancelTest, AConnectThatFailsAtOnceIsReportedLater) {
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  // The kernel refuses connections to a multicast address without a packet.
+  const SocketAddress Unreachable = SocketAddress::parse("224.0.0.1:80");
+  bool IsStarting = true;
+  int Ends = 0;
+  const auto Call =
+      Client.start(HttpCallBuilder(Unreachable).get("/a").build(),
+                   {.OnDone = [&](const HttpResult &Result) {
+                     EXPECT_FALSE(IsStarting);
+                     EXPECT_EQ(Result.End, HttpEnd::ConnectFailed);
+                     ++Ends;
+                   }});
+  IsStarting = false;
+  Loop.runUntil([&] { return Ends > 0; }, 200ms);
+  EXPECT_EQ(Ends, 1);
+  const auto Held = std::make_shared<int>();
+  Client.startDetached(HttpCallBuilder(Unreachable).get("/b").build(),
+                       [Held](const HttpResult &) {});
+  Loop.runUntil([&] { return Held.use_count() == 1; }, 200ms);
+  EXPECT_EQ(Held.use_count(), 1);
+}
+
 // Guards against a cancelled call going out after all.
 TEST(HttpClientCancelTest, SendsNothingAfterACancel) {
   EventLoop Loop;
