Daemons: hold control signals back until their handlers stand

A SIGHUP in the first moments of a process ended it by its default action, so that a change of the settings beside a restart was a process that ended by itself (FAULT); a SIGTERM ended it without a planned stop.

Cause: handlers were installed only after the gateway had been built.

Change: SIGTERM, SIGINT and SIGHUP are blocked first of all in main(), before the logging library starts its threads, and unblocked once their handlers are installed; a signal that came before is handled then. What remains is the time in which the kernel and the loader start the program.

--- a/src/process/DaemonMain.cpp
+++ b/src/process/DaemonMain.cpp
@@ -1,5 +1,6 @@
 #include "process/DaemonProcess.h"
 #include "process/Log.h"
+#include "process/ProcessSignals.h"
 
 #include <csignal>
 #include <iostream>
@@ -12,12 +13,14 @@
   Process.Stopped.connect([&] { Loop.stop(); });
   Loop.onSignal(SIGTERM, [&] { Process.drain(); });
   Loop.onSignal(SIGINT, [&] { Process.drain(); });
+  unblockControlSignals();
   Process.start();
   Loop.run();
   return 0;
 }
 
 int main(int Argc, char **Argv) {
+  blockControlSignals();
   const std::vector<std::string> Arguments(Argv + 1, Argv + Argc);
   const SettingsResult Read = readSettings(Arguments);
   if (!Read.Settings) {
--- /dev/null
+++ b/src/process/ProcessSignals.h
@@ -0,0 +1,22 @@
+// Signals that reach a daemon before its event loop handles them.
+//
+//   int main() {
+//     blockControlSignals();      // first, before any thread is started
+//     ...
+//     Loop.onSignal(SIGTERM, ...);
+//     unblockControlSignals();    // once all handlers are installed
+//
+// Guarantees: a SIGTERM, SIGINT or SIGHUP that arrives between the two calls is
+// handled after the second one instead of ending the process.
+
+#ifndef GALENAROUTE_PROCESS_PROCESSSIGNALS_H
+#define GALENAROUTE_PROCESS_PROCESSSIGNALS_H
+
+namespace galenaroute {
+
+void blockControlSignals();
+void unblockControlSignals();
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_PROCESS_PROCESSSIGNALS_H
