FatalSignals: a crash leaves its signal and a backtrace

The record of the processes that ended by a segmentation fault (FAULT, LOST) says nothing of where. A handler for SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT, and so for uncaught exceptions, writes one line and a raw backtrace to standard error, on a stack of its own, and raises the signal again, so that the process ends as before. Nothing is paid until then.

StartSignalsProcessTest.AFatalSignalLeavesABacktrace shows the line and the offsets of a real process.

--- a/src/process/DaemonMain.cpp
+++ b/src/process/DaemonMain.cpp
@@ -1,4 +1,5 @@
 #include "process/DaemonProcess.h"
+#include "process/FatalSignals.h"
 #include "process/Log.h"
 #include "process/ProcessSignals.h"
 
@@ -21,6 +22,7 @@
 
 int main(int Argc, char **Argv) {
   blockControlSignals();
+  reportFatalSignals("galenarouted");
   const std::vector<std::string> Arguments(Argv + 1, Argv + Argc);
   const SettingsResult Read = readSettings(Arguments);
   if (!Read.Settings) {
--- a/tests/process/StartSignalsProcessTest.cpp
+++ b/tests/process/StartSignalsProcessTest.cpp
@@ -1,4 +1,5 @@
-// Tests of signals that reach a daemon while it starts.
+// Tests of signals that reach a daemon while it starts, and of what a fatal one
+// leaves behind.
 
 #include "FakePlatformServer.h"
 #include "PlainConfig.h"
@@ -76,5 +77,19 @@
   EXPECT_EQ(this->Daemon->wait(15s), 0);
 }
 
+// Guards against a crash that leaves no trace of where it happened.
+TEST_F(StartSignalsProcessTest, AFatalSignalLeavesABacktrace) {
+  ASSERT_NO_FATAL_FAILURE(this->startWaiting());
+  this->Daemon->signal(SIGSEGV);
+  EXPECT_EQ(this->Daemon->wait(15s), -SIGSEGV);
+  const std::string Output = this->Daemon->output();
+  EXPECT_NE(Output.find("event=process.fatal program=galenaroute-platform "
+                        "signal=SIGSEGV\n"),
+            std::string::npos)
+      << Output;
+  EXPECT_NE(Output.find("galenaroute-platform("), std::string::npos) << Output;
+  ::close(this->Writer);
+}
+
 } // namespace
 } // namespace galenaroute
