CallbackGuard: an exception in a callback ends its event, not the process

For what is missed, the callbacks of libevent now have one boundary: a caller's connection is closed, a call to an upstream ends as after a malformed answer, a timer runs again at its next period, the callback of a call of the HTTP client has ended, and a watch goes on beside the object. The gossip channel and the HTTP server already had such a boundary.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -1,6 +1,7 @@
 #include "connection/CallListener.h"
 
 #include "connection/BufferedSocket.h"
+#include "process/CallbackGuard.h"
 #include "process/ErrorKind.h"
 #include "process/Log.h"
 
@@ -65,6 +66,8 @@
 private:
   enum class State { Reading, Answering, Flushing, Lingering };
 
+  template <typename Function>
+  static void guard(void *Self, std::string_view Where, Function Action);
   void onReadable();
   void onDrained();
   void onEvent(short What);
@@ -129,19 +132,16 @@
   bufferevent_setcb(
       this->Event.get(),
       [](bufferevent *, void *Self) {
-        const auto Kept =
-            static_cast<CallerConnection *>(Self)->shared_from_this();
-        Kept->onReadable();
+        guard(Self, "caller.read",
+              [](CallerConnection &Of) { Of.onReadable(); });
       },
       [](bufferevent *, void *Self) {
-        const auto Kept =
-            static_cast<CallerConnection *>(Self)->shared_from_this();
-        Kept->onDrained();
+        guard(Self, "caller.write",
+              [](CallerConnection &Of) { Of.onDrained(); });
       },
       [](bufferevent *, short What, void *Self) {
-        const auto Kept =
-            static_cast<CallerConnection *>(Self)->shared_from_this();
-        Kept->onEvent(What);
+        guard(Self, "caller.event",
+              [What](CallerConnection &Of) { Of.onEvent(What); });
       },
       this);
   evbuffer_add_cb(
@@ -157,6 +157,16 @@
   bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
 }
 
+/// Runs a callback of the connection, which is closed if the callback throws:
+/// its caller learns at once that there will be no answer.
+template <typename Function>
+void CallerConnection::guard(void *Self, std::string_view Where,
+                             Function Action) {
+  const auto Kept = static_cast<CallerConnection *>(Self)->shared_from_this();
+  if (!runGuarded(Where, [&] { Action(*Kept); }))
+    runGuarded("caller.close", [&] { Kept->close(); });
+}
+
 void CallerConnection::setState(State Next) {
   this->Current = Next;
   this->Since = EventLoop::now();
@@ -489,7 +499,10 @@
   this->Listener = evconnlistener_new_bind(
       Loop.base(),
       [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
-         void *Self) { static_cast<CallListener *>(Self)->accept(Socket); },
+         void *Self) {
+        runGuarded("caller.accept",
+                   [&] { static_cast<CallListener *>(Self)->accept(Socket); });
+      },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
       reinterpret_cast<const sockaddr *>(&To), sizeof To);
   if (!this->Listener)
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "connection/HttpClient.h"
 
+#include "process/CallbackGuard.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -167,7 +169,7 @@
     const auto OnDone = std::move(this->Callbacks.OnDone);
     const HttpResult Last = std::move(this->Result);
     if (OnDone)
-      OnDone(Last);
+      runGuarded("http.done", [&] { OnDone(Last); });
   }
 
   void checkTimeouts() {
@@ -208,7 +210,9 @@
     Self.applyPause();
     copyHead(Self, Request);
     if (Self.Callbacks.OnHead)
-      Self.Callbacks.OnHead(Self.Result.Status, Self.Result.Headers);
+      runGuarded("http.head", [&] {
+        Self.Callbacks.OnHead(Self.Result.Status, Self.Result.Headers);
+      });
     return 0;
   }
 
@@ -222,7 +226,7 @@
     Self.LastByte = EventLoop::now();
     Self.applyPause();
     if (Self.Callbacks.OnChunk)
-      Self.Callbacks.OnChunk(Bytes);
+      runGuarded("http.chunk", [&] { Self.Callbacks.OnChunk(Bytes); });
     else
       Self.Result.Body += Bytes;
   }
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -1,6 +1,7 @@
 #include "connection/UpstreamPool.h"
 
 #include "connection/BufferedSocket.h"
+#include "process/CallbackGuard.h"
 #include "process/Log.h"
 
 #include <algorithm>
@@ -47,6 +48,8 @@
 private:
   friend class UpstreamPool;
 
+  template <typename Function>
+  static void guard(void *Self, std::string_view Where, Function Action);
   void onConnected();
   void onReadable();
   void onEvent(short What);
@@ -92,19 +95,33 @@
                   },
               .OnComplete = [this] { this->onComplete(); }}) {}
 
+/// Runs a callback of the connection. If it throws, the call that waits for the
+/// answer is ended as after a malformed one.
+template <typename Function>
+void UpstreamConnection::guard(void *Self, std::string_view Where,
+                               Function Action) {
+  const auto Kept = static_cast<UpstreamConnection *>(Self)->shared_from_this();
+  if (runGuarded(Where, [&] { Action(*Kept); }))
+    return;
+  runGuarded("upstream.end", [&] {
+    if (Kept->Current)
+      Kept->end(UpstreamEnd::Malformed, false);
+    else
+      Kept->Pool.forget(Kept);
+  });
+}
+
 bool UpstreamConnection::connect() {
   bufferevent_setcb(
       this->Event.get(),
       [](bufferevent *, void *Self) {
-        const auto Kept =
-            static_cast<UpstreamConnection *>(Self)->shared_from_this();
-        Kept->onReadable();
+        guard(Self, "upstream.read",
+              [](UpstreamConnection &Of) { Of.onReadable(); });
       },
       nullptr,
       [](bufferevent *, short What, void *Self) {
-        const auto Kept =
-            static_cast<UpstreamConnection *>(Self)->shared_from_this();
-        Kept->onEvent(What);
+        guard(Self, "upstream.event",
+              [What](UpstreamConnection &Of) { Of.onEvent(What); });
       },
       this);
   const sockaddr_in Address = socketAddressOf(this->To);
--- a/src/process/EventLoop.cpp
+++ b/src/process/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include "process/EventLoop.h"
 
+#include "process/CallbackGuard.h"
+
 #include <csignal>
 #include <event2/event.h>
 #include <stdexcept>
@@ -60,7 +62,7 @@
     // Missed periods are skipped rather than run in a burst.
     if (Each->Period > Duration::zero())
       this->Pending.emplace(Now + Each->Period, Each);
-    Each->Signal.emit();
+    runGuarded("timer", [&] { Each->Signal.emit(); });
   }
   this->arm();
 }
@@ -117,7 +119,8 @@
   Added->Event = event_new(
       this->Base, Signal, EV_SIGNAL | EV_PERSIST,
       [](evutil_socket_t, short, void *Self) {
-        static_cast<SignalHandler *>(Self)->Handler();
+        runGuarded("signal",
+                   [&] { static_cast<SignalHandler *>(Self)->Handler(); });
       },
       Added.get());
   event_add(Added->Event, nullptr);
--- a/src/version/ObjectWatcher.cpp
+++ b/src/version/ObjectWatcher.cpp
@@ -1,5 +1,6 @@
 #include "version/ObjectWatcher.h"
 
+#include "process/CallbackGuard.h"
 #include "process/Log.h"
 #include "process/Rendezvous.h"
 
@@ -133,7 +134,7 @@
   });
   this->onResponse();
   this->noteComplete(this->ListSentAt);
-  this->Events.OnListed(this->Listed);
+  runGuarded("watch.listed", [&] { this->Events.OnListed(this->Listed); });
   this->awaitChanges();
 }
 
@@ -227,7 +228,8 @@
     this->Known[Object.Key.Name] = Object.Version;
     this->Digest ^= digestOf(Object.Key.Name, Object.Version);
   }
-  this->Events.OnObject(Object);
+  // The watch goes on beside an object that cannot be applied.
+  runGuarded("watch.object", [&] { this->Events.OnObject(Object); });
 }
 
 void ObjectWatcher::eraseKnown(const std::string &Name) {
