galenaroute-soak: registry entries of other writers, and failing upstreams

The soak had neither. A line callback.failed or process.fatal of a daemon breaks a promise of its own.

--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -36,7 +36,10 @@
   SoakRun Run(Settings);
   Run.play();
   const SoakHistory &History = Run.history();
-  const auto Found = checkHistory(History, {});
+  auto Found = checkHistory(History, {});
+  for (const char *Event : {"event=callback.failed", "event=process.fatal"})
+    for (const std::string &Line : Run.linesWith(Event))
+      Found.push_back({"no fault of the program shows", "", Line});
   std::size_t Served = 0;
   const auto Crashes =
       std::count_if(History.Arrivals.begin(), History.Arrivals.end(),
@@ -52,7 +55,8 @@
             << " calls on kept connections, " << History.Configs.Probes.size()
             << " calls to changing routes, " << Run.configs().changes()
             << " configurations, " << Run.configs().restorations()
-            << " restorations, " << History.Configs.Orders.size()
+            << " restorations, " << Run.foreign().changes()
+            << " foreign entries, " << History.Configs.Orders.size()
             << " orders of " << countHolders(History.Configs) << " holders, "
             << Found.size() << " promises broken" << std::endl;
   if (Found.empty())
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -25,6 +25,8 @@
 /// Share of the calls, in 1,000, that end the upstream that runs them.
 static constexpr std::uint64_t CrashingCalls = 6;
 static constexpr Duration SlowLink = 150ms;
+/// One incarnation of an upstream in this many fails all calls.
+static constexpr std::uint64_t FailingUpstreams = 10;
 /// Short pauses of single daemons, beside the faults.
 static constexpr Duration MinPause = 200ms;
 static constexpr Duration MaxPause = 1500ms;
@@ -74,6 +76,8 @@
                .Note = [this](const std::string &Line) { this->note(Line); },
                .Strike = [this](const Fault &Next) { this->strike(Next); },
                .NameWeights = [this] { this->Weights.name(); }}),
+      Foreign(this->Loop, this->Store, this->Settings.Seed),
+      FailRandom(this->Settings.Seed * 13 + 7),
       PauseRandom(this->Settings.Seed * 7 + 3) {
   nlohmann::json Config = withPrompts(testing_support::plainConfig());
   SoakWeights::addTo(Config);
@@ -131,6 +135,7 @@
       });
   Part.Link = std::make_unique<FaultyLink>(this->Loop, Address, this->Random());
   Part.IsUp = true;
+  Part.FailsAll = this->FailRandom() % FailingUpstreams == 0;
   this->registerUpstream(Part, "ready");
   // Half of the upstreams state limits.
   if (this->below(2) == 0)
@@ -213,6 +218,11 @@
                 [this, Index] { this->endUpstream(Index, /*Resets=*/true); });
     return;
   }
+  if (this->Upstreams[Index].FailsAll) {
+    Named.add("Server-Stamp", "x");
+    Call->send(500, Named, "");
+    return;
+  }
   // One answer in 100 breaks off.
   const bool IsCut = this->below(100) == 0;
   Named.add("Server-Stamp", "x");
@@ -554,6 +564,7 @@
   }
   this->Weights.nameUntil(this->Begun + Last);
   this->Configs.play(this->Begun + Last);
+  this->Foreign.playFor(Last);
   this->pauseLater(this->Begun + Last);
   const sigc::connection Steps =
       this->Loop.timers().every(StepPeriod, [this] { this->step(); });
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -17,6 +17,7 @@
 #include "RawSocket.h"
 #include "SoakConfigs.h"
 #include "SoakConnections.h"
+#include "SoakForeignEntries.h"
 #include "SoakPrompts.h"
 #include "SoakWeights.h"
 #include "connection/CallListener.h"
@@ -51,6 +52,7 @@
   /// Returns how many weight versions were named during the faults.
   std::size_t namedWeights() const { return this->Weights.named(); }
   const SoakConfigs &configs() const { return this->Configs; }
+  const SoakForeignEntries &foreign() const { return this->Foreign; }
   /// Lines on what was done, with seconds from the start of the traffic.
   const std::vector<std::string> &timeline() const { return this->Timeline; }
   /// Lines of the daemons' logs that name \p Text.
@@ -72,6 +74,7 @@
     std::unique_ptr<FaultyLink> Link;
     std::string Id;
     bool IsUp = false;
+    bool FailsAll = false; ///< Answers 500 to each call.
     TimePoint HarmedUntil;
   };
   struct OpenCall {
@@ -122,6 +125,8 @@
   SoakWeights Weights;
   SoakConnections Kept;
   SoakConfigs Configs;
+  SoakForeignEntries Foreign;
+  std::mt19937_64 FailRandom;
   std::mt19937_64 PauseRandom;
   std::vector<std::string> Timeline;
   TimePoint Begun;
