PromptReuse: outdated parts are judged by the weights of their own model

With two models, all versions were compared with the newest one of any model, so that the model with the lower numbers had all of its stored parts freed while they were in use. Since the lease on parts, the lowest version of any model decided, which kept old parts of the others for ever instead.

Cause: the scope of a part named the version and not the model.

Change: scopes name the model, and parts are freed by the oldest version kept of their own model. Scopes without a model, which daemons of the release before wrote, are freed once they are outdated for all models. Keys of parts are split at the last slash, since names of customers may hold one. store.free tells the first scope in place of one version.

StoreFixture.EachModelHasItsOwnOutdatedParts; it cannot be built before, where scopes have no model.

--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -310,14 +310,16 @@
       !this->isAssigned("stores", 1, this->liveGatewayIds()))
     return;
   const BootTime Now = BootClock::now();
-  std::optional<std::uint64_t> Oldest;
+  VersionsByModel Oldest;
+  std::optional<std::uint64_t> OldestOfAll;
   for (const auto &[Model, Versions] : this->Services.PartRights.Known) {
     const std::uint64_t Kept = oldestKept(this->Services.PartRights,
                                           this->Services.PartTimes, Model, Now);
-    Oldest = std::min(Oldest.value_or(Kept), Kept);
+    Oldest[modelKey(Model)] = Kept;
+    OldestOfAll = std::min(OldestOfAll.value_or(Kept), Kept);
   }
-  if (Oldest)
-    this->Stores.freeOutdated(*Oldest);
+  Oldest[NoModel] = OldestOfAll.value_or(0);
+  this->Stores.freeOutdated(Oldest);
 }
 
 bool ForwardGateway::needsOrders(std::string_view Service) const {
--- a/src/process/StoreFollower.cpp
+++ b/src/process/StoreFollower.cpp
@@ -77,15 +77,15 @@
   return Result;
 }
 
-void StoreFollower::freeOutdated(std::uint64_t MinWeights) {
+void StoreFollower::freeOutdated(const VersionsByModel &Oldest) {
   const TimePoint Now = EventLoop::now();
   for (const auto &[Name, Each] : this->Stores) {
     if (Each->IsUnreachable || !Each->Contents.IsKnown ||
         Now - Each->FreedAt < FreePeriod)
       continue;
     std::vector<std::pair<std::string, std::string>> Parts;
-    for (const std::string &Key : outdatedParts(Each->Contents, MinWeights)) {
-      const std::size_t Slash = Key.find('/');
+    for (const std::string &Key : outdatedParts(Each->Contents, Oldest)) {
+      const std::size_t Slash = Key.rfind('/');
       Parts.emplace_back(Key.substr(0, Slash), Key.substr(Slash + 1));
     }
     if (Parts.empty())
@@ -94,7 +94,7 @@
     log(LogLevel::Info, "store.free",
         {{"store", Name},
          {"parts", std::to_string(Parts.size())},
-         {"least_weights", std::to_string(MinWeights)}});
+         {"first", Parts.front().first}});
     this->Feed.free(Each->Address, Each->Contents.Epoch, Parts);
   }
 }
--- a/src/process/StoreFollower.h
+++ b/src/process/StoreFollower.h
@@ -68,9 +68,9 @@
       [](const StoreUpdate &) {};
   void receive(const StoreUpdate &Update);
   std::vector<StoreView> views();
-  /// Frees the parts that were computed with weights older than \p
-  /// MinWeights; nothing may use them any more.
-  void freeOutdated(std::uint64_t MinWeights);
+  /// Frees the parts of weights that are older than those in \p Oldest; nothing
+  /// may use them any more.
+  void freeOutdated(const VersionsByModel &Oldest);
 
 private:
   struct Store {
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -151,7 +151,7 @@
 
 std::string ForwardRun::cacheScope(std::optional<std::uint64_t> Version) const {
   return scopeOf(
-      Version.value_or(0),
+      this->Service->Engine->Model, Version.value_or(0),
       this->Customer && this->Customer->IsIsolated ? this->Customer->Name : "");
 }
 
@@ -202,8 +202,9 @@
   Query.StoredIn = [this, Now = BootClock::now()](
                        const std::string &Key,
                        std::uint32_t Tokens) -> const StoreView * {
-    if (this->partsUsableFor(weightVersionOf(Key).value_or(0), Now) <=
-        Duration::zero())
+    if (const auto Weights = weightsOf(Key);
+        !Weights ||
+        this->partsUsableFor(Weights->Version, Now) <= Duration::zero())
       return nullptr;
     return storeHolding(Key, Tokens, this->Services.Stores,
                         this->Services.Reuse, EventLoop::now());
--- a/src/request/PromptReuse.cpp
+++ b/src/request/PromptReuse.cpp
@@ -139,7 +139,8 @@
 const StoreView *storeHolding(const std::string &Key, std::uint32_t Tokens,
                               std::span<const StoreView> Stores,
                               const ReuseSettings &Settings, TimePoint Now) {
-  const std::string_view Part = std::string_view(Key).substr(Key.find('/') + 1);
+  const std::string_view Part =
+      std::string_view(Key).substr(Key.rfind('/') + 1);
   const StoreView *Store = assignedStore(Part, Tokens, Stores, Settings);
   if (!Store || !isTrusted(Store->Contents, Settings, Now) ||
       !Store->Contents->Held.contains(Key))
@@ -147,8 +148,14 @@
   return Store;
 }
 
-std::string scopeOf(std::uint64_t Version, std::string_view IsolatedCustomer) {
-  std::string Scope = "w" + std::to_string(Version);
+std::uint64_t modelKey(std::string_view Model) {
+  return std::max<std::uint64_t>(NoModel + 1, stableHash(Model));
+}
+
+std::string scopeOf(std::string_view Model, std::uint64_t Version,
+                    std::string_view IsolatedCustomer) {
+  std::string Scope =
+      "w" + std::to_string(Version) + "-" + std::to_string(modelKey(Model));
   if (!IsolatedCustomer.empty()) {
     Scope += '.';
     Scope += IsolatedCustomer;
@@ -156,24 +163,31 @@
   return Scope;
 }
 
-std::optional<std::uint64_t> weightVersionOf(std::string_view Scope) {
-  std::uint64_t Version = 0;
+std::optional<PartWeights> weightsOf(std::string_view Scope) {
+  PartWeights Weights;
   if (!Scope.starts_with('w'))
     return std::nullopt;
-  const auto Read =
-      std::from_chars(Scope.data() + 1, Scope.data() + Scope.size(), Version);
-  if (Read.ec != std::errc())
+  const char *const End = Scope.data() + Scope.size();
+  const auto Version = std::from_chars(Scope.data() + 1, End, Weights.Version);
+  if (Version.ec != std::errc())
+    return std::nullopt;
+  if (Version.ptr != End && *Version.ptr == '-' &&
+      std::from_chars(Version.ptr + 1, End, Weights.Model).ec != std::errc())
     return std::nullopt;
-  return Version;
+  return Weights;
 }
 
 std::vector<std::string> outdatedParts(const StoreContents &Contents,
-                                       std::uint64_t LeastWeights) {
+                                       const VersionsByModel &Oldest) {
   std::vector<std::string> Result;
-  for (const auto &[Key, Tokens] : Contents.Held)
-    if (const auto Weights = weightVersionOf(Key);
-        Weights && *Weights < LeastWeights)
+  for (const auto &[Key, Tokens] : Contents.Held) {
+    const auto Weights = weightsOf(Key);
+    if (!Weights)
+      continue;
+    const auto Kept = Oldest.find(Weights->Model);
+    if (Kept != Oldest.end() && Weights->Version < Kept->second)
       Result.push_back(Key);
+  }
   return Result;
 }
 
--- a/src/request/PromptReuse.h
+++ b/src/request/PromptReuse.h
@@ -128,19 +128,36 @@
                               std::span<const StoreView> Stores,
                               const ReuseSettings &Settings, TimePoint Now);
 
-/// Returns the scope of parts computed with weight version \p Version.
-/// An isolated customer has its own scopes; \p IsolatedCustomer is empty for
-/// all others.
-std::string scopeOf(std::uint64_t Version, std::string_view IsolatedCustomer);
+/// Returns the key of \p Model in scopes; never NoModel.
+std::uint64_t modelKey(std::string_view Model);
+
+/// The model key of scopes that name no model, as daemons of the release before
+/// wrote them.
+inline constexpr std::uint64_t NoModel = 0;
+
+/// Returns the scope of parts computed with weight version \p Version of \p
+/// Model. An isolated customer has its own scopes; \p IsolatedCustomer is empty
+/// for all others.
+std::string scopeOf(std::string_view Model, std::uint64_t Version,
+                    std::string_view IsolatedCustomer);
+
+/// The weights that parts were computed with.
+struct PartWeights {
+  std::uint64_t Model = NoModel; ///< See modelKey().
+  std::uint64_t Version = 0;
+};
+
+/// Returns the weights of a scope or of a partKey(), or nothing if it doesn't
+/// have the form of scopeOf().
+std::optional<PartWeights> weightsOf(std::string_view Scope);
 
-/// Returns the weight version of a scope or of a partKey(), or nothing if it
-/// doesn't have the form of scopeOf().
-std::optional<std::uint64_t> weightVersionOf(std::string_view Scope);
+/// Weight versions by modelKey().
+using VersionsByModel = std::map<std::uint64_t, std::uint64_t>;
 
-/// Returns the keys of the parts that were computed with a weight version below
-/// \p LeastWeights.
+/// Returns the keys of the parts that were computed with weights of a model in
+/// \p Oldest that are older than its version there.
 std::vector<std::string> outdatedParts(const StoreContents &Contents,
-                                       std::uint64_t LeastWeights);
+                                       const VersionsByModel &Oldest);
 
 /// Plans the reuse of \p Parts and records the requested saves in the contents
 /// of the stores. Stored parts of \p Scope may be used for \p UsableFor from
--- a/tests/ForwardDecisionsTest.cpp
+++ b/tests/ForwardDecisionsTest.cpp
@@ -208,7 +208,7 @@
               Start);
   EXPECT_FALSE(this->plan(Start).Fetch.empty());
   EXPECT_TRUE(this->plan(Start, "w2").Fetch.empty());
-  EXPECT_TRUE(this->plan(Start, scopeOf(1, "isolated")).Fetch.empty());
+  EXPECT_TRUE(this->plan(Start, scopeOf("m", 1, "isolated")).Fetch.empty());
   EXPECT_TRUE(this->plan(Start + 5s).Fetch.empty()) << "not reached recently";
   applyEvents(Contents, {.Epoch = 8, .Next = 1, .ClockMs = 51000}, Start);
   EXPECT_TRUE(this->plan(Start).Fetch.empty()) << "it has restarted";
@@ -224,12 +224,35 @@
                .ClockMs = 50000,
                .Events = {{true, "w1", "bb", 8000}, {true, "w2", "bb", 8000}}},
               Start);
-  EXPECT_TRUE(outdatedParts(Contents, 1).empty());
-  EXPECT_EQ(outdatedParts(Contents, 2), std::vector<std::string>{"w1/bb"});
+  EXPECT_TRUE(outdatedParts(Contents, {{NoModel, 1}}).empty());
+  EXPECT_EQ(outdatedParts(Contents, {{NoModel, 2}}),
+            std::vector<std::string>{"w1/bb"});
   EXPECT_TRUE(this->plan(Start, "w1", 0s).Fetch.empty());
   EXPECT_FALSE(this->plan(Start, "w2").Fetch.empty());
 }
 
+// Guards against comparing the weight versions of two models, which freed all
+// parts of the one with the lower numbers.
+TEST_F(StoreFixture, EachModelHasItsOwnOutdatedParts) {
+  StoreContents Contents;
+  std::vector<std::string> Scopes;
+  for (const char *Model : {"a/b", "c"})
+    for (const std::uint64_t Version : {3, 50})
+      Scopes.push_back(scopeOf(Model, Version, "x/y"));
+  for (const std::string &Scope : Scopes)
+    applyEvents(Contents,
+                {.Epoch = 7, .Next = 2, .Events = {{true, Scope, "bb", 100}}},
+                Start);
+  EXPECT_EQ(weightsOf(Scopes[3])->Version, 50U);
+  EXPECT_EQ(weightsOf(Scopes[3])->Model, modelKey("c"));
+  EXPECT_FALSE(weightsOf("w3-x"));
+  EXPECT_FALSE(weightsOf("other"));
+  EXPECT_EQ(
+      outdatedParts(Contents, {{modelKey("a/b"), 50}, {modelKey("c"), 3}}),
+      std::vector<std::string>{partKey(Scopes[0], "bb")});
+  EXPECT_TRUE(outdatedParts(Contents, {{NoModel, 50}}).empty());
+}
+
 // Guards against a fetch that outlasts the right to use the part, and against
 // saves of parts that go out of use before they are stored.
 TEST_F(StoreFixture, TransfersEndWithTheRightToUseTheParts) {
--- a/tests/PartsFleetTest.cpp
+++ b/tests/PartsFleetTest.cpp
@@ -124,6 +124,9 @@
 class PartsFleetTest : public testing::Test {
 protected:
   static constexpr Duration WeightsLimit = 4s;
+  /// The scopes of versions 1 and 2.
+  const std::string Old = scopeOf("w", 1, "");
+  const std::string New = scopeOf("w", 2, "");
 
   struct Gateway {
     std::unique_ptr<FakePlatform> Api;
@@ -135,7 +138,7 @@
     this->Data->write({"config", "main"}, partsConfig(freeAddress()));
     this->name(1);
     this->announceEngine(1);
-    for (const char *Scope : {"w1", "w2"})
+    for (const std::string &Scope : {Old, New})
       this->Store.add(Scope, "aa");
     this->Timer = this->Loop.timers().every(5ms, [this] {
       for (Gateway &Each : this->Gateways)
@@ -217,11 +220,11 @@
 TEST_F(PartsFleetTest, PartsOfPresentWeightsStayInUse) {
   Gateway &Only = this->addGateway(this->Data);
   this->callFor(WeightsLimit + 1s, Only);
-  const int Before = this->Store.Fetches["w1"];
+  const int Before = this->Store.Fetches[Old];
   EXPECT_GT(Before, 0);
   this->callFor(500ms, Only);
-  EXPECT_GT(this->Store.Fetches["w1"], Before);
-  EXPECT_EQ(this->Store.Frees["w1"], 0);
+  EXPECT_GT(this->Store.Fetches[Old], Before);
+  EXPECT_EQ(this->Store.Frees[Old], 0);
 }
 
 // Guards against parts that are freed while a gateway that is cut off, and so
@@ -230,17 +233,17 @@
   this->addGateway(this->Data);
   Gateway &CutOff = this->addGateway(this->Data);
   this->callFor(500ms, CutOff);
-  EXPECT_GT(this->Store.Fetches["w1"], 0);
+  EXPECT_GT(this->Store.Fetches[Old], 0);
   CutOff.Api->Outage = true;
   this->name(2);
   this->announceEngine(2);
   this->callFor(WeightsLimit + 2s, CutOff);
   EXPECT_EQ(this->Store.FreedInUse, 0);
-  EXPECT_GT(this->Store.Frees["w1"], 0);
-  EXPECT_EQ(this->Store.Frees["w2"], 0);
-  const int Before = this->Store.Fetches["w1"];
+  EXPECT_GT(this->Store.Frees[Old], 0);
+  EXPECT_EQ(this->Store.Frees[New], 0);
+  const int Before = this->Store.Fetches[Old];
   this->callFor(300ms, CutOff);
-  EXPECT_EQ(this->Store.Fetches["w1"], Before);
+  EXPECT_EQ(this->Store.Fetches[Old], Before);
 }
 
 // Guards against a gateway that has just started, knows of newer weights but of
@@ -254,7 +257,7 @@
   this->addGateway(WithoutEngines);
   this->callFor(WeightsLimit + 1s, Running);
   EXPECT_EQ(this->Store.FreedInUse, 0);
-  EXPECT_GT(this->Store.Frees["w1"], 0);
+  EXPECT_GT(this->Store.Frees[Old], 0);
 }
 
 } // namespace
--- a/tests/SharedUseTest.cpp
+++ b/tests/SharedUseTest.cpp
@@ -235,7 +235,9 @@
     Query.Parts = Parts;
     Query.Subject = lastSharedPart(Parts);
     Query.HomeZone = "a";
-    Query.ScopeOf = [](std::uint64_t Weights) { return scopeOf(Weights, ""); };
+    Query.ScopeOf = [](std::uint64_t Weights) {
+      return scopeOf("m", Weights, "");
+    };
     Query.StoredIn = [](const std::string &, std::uint32_t) {
       return static_cast<const StoreView *>(nullptr);
     };
