PartsFleetTest: initialize a const member, as clang requires

clang-tidy found the fixture's default constructor deleted: a const member of a class without a constructor of its own needs an initializer. g++ accepts it.

--- a/tests/PartsFleetTest.cpp
+++ b/tests/PartsFleetTest.cpp
@@ -207,7 +207,7 @@
   EventLoop Loop;
   FakePartStore Store{Loop};
   const FetchCodec Codec{Store};
-  const platform::ObjectReader Reader;
+  const platform::ObjectReader Reader{};
   IdleOrders Orders;
   std::shared_ptr<FakeStore> Data = std::make_shared<FakeStore>();
   LimitedUpstream Engine{Loop};
