UpstreamPool: a cancelled exchange keeps its handlers

cancel() cleared the handlers of the connection, and it may be called from inside one of them, which was then destroyed while it ran. The handlers of ForwardRun hold only a pointer and read nothing after the call, so by reading no call was harmed; a handler that reads a capture afterwards reads freed or cleared memory.

Change: the handlers stay until the next exchange or the end of the connection. No handler is called once the exchange is cancelled, as before.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -303,8 +303,8 @@
 
 void UpstreamConnection::cancel() {
   this->ConnectTimer.disconnect();
+  // The handlers stay, since one of them may be running.
   this->Current = nullptr;
-  this->Events = {};
   this->Pool.forget(this->shared_from_this());
 }
 
