UpstreamPool: forget a connection once

The guard of a callback that has thrown forgets a connection without an exchange. If the callback had cancelled its exchange before, the connection was counted out twice, and more connections could be opened to that upstream than its limit allows. Found in a second reading of the guard.

CallbackGuardTest.AConnectionIsForgottenOnce counts 0 connections instead of 1 without the change.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <netinet/in.h>
+#include <utility>
 
 namespace galenaroute {
 
@@ -77,6 +78,7 @@
   bool IsForeign = false; ///< The answer being read is dropped.
   bool AnswerDone = false;
   bool IsPaused = false; ///< The answer is not read on.
+  bool IsForgotten = false;
   int SkippedAnswers = 0;
   sigc::connection ConnectTimer;
 };
@@ -391,6 +393,9 @@
 }
 
 void UpstreamPool::forget(std::shared_ptr<UpstreamConnection> Connection) {
+  // A callback that has thrown may have cancelled the exchange before.
+  if (std::exchange(Connection->IsForgotten, true))
+    return;
   // Destruction may come later, from inside a callback of this connection.
   bufferevent_disable(Connection->Event.get(), EV_READ | EV_WRITE);
   bufferevent_setcb(Connection->Event.get(), nullptr, nullptr, nullptr,
--- a/tests/CallbackGuardTest.cpp
+++ b/tests/CallbackGuardTest.cpp
@@ -69,6 +69,39 @@
   EXPECT_EQ(Pool.connections(At), 0U);
 }
 
+// Guards against a connection that is counted out twice, when the handler that
+// throws has ended its exchange before, so that more are opened than allowed.
+TEST(CallbackGuardTest, AConnectionIsForgottenOnce) {
+  EventLoop Loop;
+  const SocketAddress At = freeAddress();
+  std::vector<std::shared_ptr<IncomingCall>> Open;
+  CallListener Listener(Loop, At, CallerLimits{},
+                        [&](const std::shared_ptr<IncomingCall> &Call) {
+                          if (Call->Head.Target == "/throw")
+                            Call->send(200, {}, "ok");
+                          else
+                            Open.push_back(Call);
+                        });
+  UpstreamPool Pool(Loop);
+  const UpstreamExchangeEvents Idle = {
+      .OnHead = [](const HttpHead &) { return true; },
+      .OnBody = [](std::string_view) {},
+      .OnEnd = [](UpstreamEnd) {}};
+  const auto Kept =
+      Pool.start(At, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", {}, Idle);
+  std::unique_ptr<UpstreamExchange> Thrown;
+  bool HasThrown = false;
+  UpstreamExchangeEvents Throws = Idle;
+  Throws.OnHead = [&](const HttpHead &) -> bool {
+    Thrown.reset();
+    HasThrown = true;
+    throw std::runtime_error("test");
+  };
+  Thrown = Pool.start(At, "GET /throw HTTP/1.1\r\nHost: h\r\n\r\n", {}, Throws);
+  EXPECT_TRUE(Loop.runUntil([&] { return HasThrown && !Open.empty(); }, 1s));
+  EXPECT_EQ(Pool.connections(At), 1U);
+}
+
 // Guards against a process that hears of no further change after an object that
 // it could not apply.
 TEST(CallbackGuardTest, AWatchGoesOnBesideAnObjectThatThrows) {
