--- a/src/process/BootClock.h
+++ b/src/process/BootClock.h
@@ -32,6 +32,10 @@
 };
 using BootTime = BootClock::time_point;
 
+/// Upper limit of an age that another process reports; larger numbers would
+/// overflow a time.
+inline constexpr Milliseconds MaxReportedAge = std::chrono::hours(24);
+
 /// Detects periods in which the process did not run: it was stopped, or its VM
 /// was frozen or suspended.
 class StallDetector {
--- a/src/process/FatalSignals.cpp
+++ b/src/process/FatalSignals.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <csignal>
 #include <cstddef>
-#include <cstring>
 #include <execinfo.h>
 #include <string_view>
 #include <unistd.h>
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -26,10 +26,9 @@
 static constexpr auto LateRequestTime = std::chrono::milliseconds(300);
 /// A stop completes this long before the platform would kill the process.
 static constexpr auto StopMargin = std::chrono::milliseconds(400);
-/// For this long after its start, or after it noticed that the platform was
-/// restored, a process awaits a configuration that other gateways have in
-/// force. The operator writes it again by then if the copy lacks it.
-static constexpr Duration MaxConfigWait = std::chrono::seconds(5);
+/// The operator writes again within this time what the copy lacks from which
+/// the platform was restored.
+static constexpr Duration MaxRewriteTime = std::chrono::seconds(5);
 /// Open calls per core at which a gateway reports full load.
 static constexpr double CallsPerCore = 400;
 /// A rollout updates the engines in waves, and each wave starts at the next
@@ -445,6 +444,12 @@
   return Result;
 }
 
+/// Returns whether the platform may not have back yet what a restoration took
+/// away: this process has just started, or noticed the restoration.
+bool ForwardGateway::mayPlatformLackObjects() const {
+  return EventLoop::now() - this->EraSince < MaxRewriteTime;
+}
+
 bool ForwardGateway::isReady() const {
   return !this->StopRequestedAt && this->Services.Config &&
          !this->Upstreams.entries().empty() && !this->isConfigOutdated();
@@ -455,7 +460,7 @@
 /// platform then lost it, and awaits the newer one.
 bool ForwardGateway::isConfigOutdated() const {
   const TimePoint Now = EventLoop::now();
-  if (!this->Services.Config || Now - this->EraSince >= MaxConfigWait)
+  if (!this->Services.Config || !this->mayPlatformLackObjects())
     return false;
   std::uint64_t Newest = 0;
   this->Entries.forEachAlive(Now, [&](const EntryRecord &Each) {
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -137,6 +137,7 @@
   UpstreamTable::ConnectionCapacity
   connectionRoom(const UpstreamEntry &Entry) const;
   std::size_t gatewayCount() const;
+  bool mayPlatformLackObjects() const;
   bool isConfigOutdated() const;
   void logConfigOutdated();
 
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -29,8 +29,6 @@
 /// Messages that waited in the socket while this process stood still are read
 /// within this time after the stall. The ages that they carry are too short.
 static constexpr Duration StaleMessageTime = std::chrono::milliseconds(200);
-/// The operator writes again within this time what a restored platform lacks.
-static constexpr Duration MaxRewriteTime = std::chrono::seconds(5);
 /// Between attempts to read a history while the platform does not answer.
 static constexpr Duration HistoryRetry = std::chrono::milliseconds(500);
 
@@ -296,8 +294,7 @@
   // A copy from which the platform was restored may lack the newest version
   // until the operator writes it again.
   const bool MayLackVersions =
-      this->Parts.Api.Era.current() > 0 &&
-      EventLoop::now() - this->EraSince < MaxRewriteTime;
+      this->Parts.Api.Era.current() > 0 && this->mayPlatformLackObjects();
   if (const auto Until = this->WeightNotices.completeUntil();
       Until && !MayLackVersions)
     confirm(this->Services.PartRights, *Until);
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -6,10 +6,6 @@
 
 using nlohmann::json;
 
-/// Upper limit of an age that another process reports; larger numbers would
-/// overflow a time.
-static constexpr Milliseconds MaxProgressAge = std::chrono::hours(24);
-
 static json toJson(const EntryRecord &Record) {
   return json::array({Record.Id, Record.Incarnation, Record.Heartbeat,
                       Record.Callers.toString(), Record.Gossip.toString(),
@@ -83,13 +79,14 @@
   return Progress.size() > 4 ? Progress.at(4).get<std::uint64_t>() : 0;
 }
 
-/// Nor until when their view holds all changes.
+/// Daemons of the release before do not tell until when their view holds all
+/// changes.
 static std::optional<BootTime> completeUntilOf(const json &Progress,
                                                BootTime Now) {
   if (Progress.size() <= 5)
     return std::nullopt;
   return Now - std::clamp(Milliseconds(Progress.at(5)), Milliseconds(0),
-                          MaxProgressAge);
+                          MaxReportedAge);
 }
 
 static ProgressByKind progressFromJson(const json &Value) {
--- a/src/version/AnnouncedWeights.cpp
+++ b/src/version/AnnouncedWeights.cpp
@@ -4,9 +4,6 @@
 
 namespace galenaroute {
 
-/// Upper limit of an age that another process reports; larger numbers would
-/// overflow a time.
-static constexpr Milliseconds MaxNoticeAge = std::chrono::hours(24);
 /// Earlier observations of the same announcement replace later ones only if
 /// they differ by more, since a relayed age is shorter by its transit time.
 static constexpr Duration AgeNoise = std::chrono::milliseconds(20);
@@ -103,7 +100,7 @@
     if (!All.contains(Each.Model) && All.size() >= MaxNoticedModels)
       continue;
     const Milliseconds Age =
-        std::clamp(Each.Age, Milliseconds(0), MaxNoticeAge);
+        std::clamp(Each.Age, Milliseconds(0), MaxReportedAge);
     Changed |= noteAnnounced(All[Each.Model], Each.Version,
                              {Now - Age, AnnouncementSource::Observed});
   }
--- a/src/version/PartLease.h
+++ b/src/version/PartLease.h
@@ -1,10 +1,10 @@
 // Decides until when stored KV cache parts of a weight version may be used, and
 // when they may be freed.
 //
-//   confirm(Lease, AsOf);                     // nothing newer was named by
-//   then noteVersion(Lease, Model, Version, Now);  // first sight of a named
-//   version usableFor(Lease, Times, Model, Version, Now)   // before a fetch
-//   oldestKept(Lease, Times, Model, Now)           // before a free
+//   noteVersion(Lease, Model, Version, Now); // when a version is heard of
+//   confirm(Lease, AsOf);         // all that was named until AsOf is known
+//   usableFor(Lease, Times, Model, Version, Now); // before a fetch
+//   oldestKept(Lease, Times, Model, Now);         // before a free
 //
 // Any process may be cut off from the others, stand still or start, so none can
 // be asked whether it still uses a part. Instead, the right to use the parts of
--- a/tests/ForwardDecisionsTest.cpp
+++ b/tests/ForwardDecisionsTest.cpp
@@ -162,6 +162,15 @@
     return *assignedStore(Part.Id, Part.Tokens, this->Stores, this->Settings)
                 ->Contents;
   }
+  /// Lets the store of the large part report it in \p Scopes.
+  StoreContents &reportLargePart(std::initializer_list<std::string> Scopes) {
+    StoreContents &Contents = this->contentsOf(this->Parts[1]);
+    StoreEventBatch Batch{.Epoch = 7, .Next = 2, .ClockMs = 50000};
+    for (const std::string &Each : Scopes)
+      Batch.Events.push_back({true, Each, "bb", 8000});
+    applyEvents(Contents, Batch, Start);
+    return Contents;
+  }
   PartReusePlan plan(TimePoint Now, std::string_view Scope = "w1",
                      Duration UsableFor = 10s) {
     return planReuse(this->Parts, Scope, this->Stores, this->Settings,
@@ -199,13 +208,7 @@
 // Guards against fetching cached parts of other weights, of another customer's
 // scope, or of a store that may have restarted.
 TEST_F(StoreFixture, PartsOfOtherScopesOrStaleStoresAreNotFetched) {
-  StoreContents &Contents = this->contentsOf(this->Parts[1]);
-  applyEvents(Contents,
-              {.Epoch = 7,
-               .Next = 2,
-               .ClockMs = 50000,
-               .Events = {{true, "w1", "bb", 8000}}},
-              Start);
+  StoreContents &Contents = this->reportLargePart({"w1"});
   EXPECT_FALSE(this->plan(Start).Fetch.empty());
   EXPECT_TRUE(this->plan(Start, "w2").Fetch.empty());
   EXPECT_TRUE(this->plan(Start, scopeOf("m", 1, "isolated")).Fetch.empty());
@@ -217,13 +220,7 @@
 // Guards against freeing parts that engines with older weights still use, and
 // against keeping outdated parts indefinitely.
 TEST_F(StoreFixture, OutdatedPartsAreNeitherFetchedNorKept) {
-  StoreContents &Contents = this->contentsOf(this->Parts[1]);
-  applyEvents(Contents,
-              {.Epoch = 7,
-               .Next = 2,
-               .ClockMs = 50000,
-               .Events = {{true, "w1", "bb", 8000}, {true, "w2", "bb", 8000}}},
-              Start);
+  const StoreContents &Contents = this->reportLargePart({"w1", "w2"});
   EXPECT_TRUE(outdatedParts(Contents, {{NoModel, 1}}).empty());
   EXPECT_EQ(outdatedParts(Contents, {{NoModel, 2}}),
             std::vector<std::string>{"w1/bb"});
@@ -256,13 +253,7 @@
 // Guards against a fetch that outlasts the right to use the part, and against
 // saves of parts that go out of use before they are stored.
 TEST_F(StoreFixture, TransfersEndWithTheRightToUseTheParts) {
-  StoreContents &Contents = this->contentsOf(this->Parts[1]);
-  applyEvents(Contents,
-              {.Epoch = 7,
-               .Next = 2,
-               .ClockMs = 50000,
-               .Events = {{true, "w1", "bb", 8000}}},
-              Start);
+  this->reportLargePart({"w1"});
   const PartReusePlan Plan = this->plan(Start + 100ms, "w1", 300ms);
   EXPECT_EQ(Plan.FetchUntilMs, 50000 + 100 + 300);
   EXPECT_TRUE(Plan.Save.empty());
