UpstreamPool: tell what ended a connection

Callers saw requests end without an answer. A send that ended as broken could have been closed or reset by its upstream, or given up by the kernel after a second without acknowledgments; the log had one outcome for all of them.

call.send_ended gains cause (closed, reset, no_acknowledgment, refused, connect_timeout) and silent_ms, the time since the last progress of the send. UpstreamPoolTest.TellsWhatEndedAConnection passes.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -5,7 +5,9 @@
 #include "process/Log.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <netinet/in.h>
 #include <utility>
 
@@ -28,6 +30,26 @@
 /// read.
 static constexpr std::size_t LongRequestBytes = 32 << 10;
 
+std::string_view toString(UpstreamCause Cause) {
+  switch (Cause) {
+  case UpstreamCause::None:
+    return "-";
+  case UpstreamCause::Closed:
+    return "closed";
+  case UpstreamCause::Reset:
+    return "reset";
+  case UpstreamCause::NoAcknowledgment:
+    return "no_acknowledgment";
+  case UpstreamCause::Refused:
+    return "refused";
+  case UpstreamCause::ConnectTimeout:
+    return "connect_timeout";
+  case UpstreamCause::Other:
+    return "other";
+  }
+  return "unknown";
+}
+
 class UpstreamConnection
     : public std::enable_shared_from_this<UpstreamConnection> {
 public:
@@ -151,6 +173,7 @@
   }
   this->ConnectTimer =
       this->Pool.Loop.timers().after(With.ConnectTimeout, [this] {
+        this->Current->Cause = UpstreamCause::ConnectTimeout;
         this->end(UpstreamEnd::ConnectFailed, false);
       });
 }
@@ -259,7 +282,28 @@
             this->KeepAlive && this->HasFraming && Written);
 }
 
+/// Returns why the connection ended. \p Error is the errno of its socket.
+static UpstreamCause causeOf(short What, int Error, const SocketAddress &To) {
+  if (!(What & BEV_EVENT_ERROR))
+    return What & BEV_EVENT_EOF ? UpstreamCause::Closed : UpstreamCause::None;
+  switch (Error) {
+  case ECONNRESET:
+  case EPIPE:
+    return UpstreamCause::Reset;
+  case ETIMEDOUT:
+    return UpstreamCause::NoAcknowledgment;
+  case ECONNREFUSED:
+    return UpstreamCause::Refused;
+  default:
+    log(LogLevel::Warn, "upstream.socket_error",
+        {{"upstream", To.toString()}, {"error", std::strerror(Error)}});
+    return UpstreamCause::Other;
+  }
+}
+
 void UpstreamConnection::onEvent(short What) {
+  // The error is that of the last call on the socket.
+  const int Error = EVUTIL_SOCKET_ERROR();
   if (What & BEV_EVENT_CONNECTED) {
     if (this->Current)
       this->onConnected();
@@ -269,6 +313,7 @@
     this->Pool.forget(this->shared_from_this());
     return;
   }
+  this->Current->Cause = causeOf(What, Error, this->To);
   if (!this->Connected) {
     this->end(UpstreamEnd::ConnectFailed, false);
     return;
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -32,6 +32,20 @@
   Malformed,     ///< What was received is not an answer.
 };
 
+/// What ended a connection, where the exchange did not complete on it.
+enum class UpstreamCause {
+  None,             ///< Known from UpstreamEnd alone.
+  Closed,           ///< The upstream closed it.
+  Reset,            ///< The upstream or its machine reset it.
+  NoAcknowledgment, ///< The kernel gave up a link that acknowledged nothing.
+  Refused,          ///< Nothing listens at the address.
+  ConnectTimeout,   ///< No connection within the connect timeout.
+  Other,            ///< Another error of the socket; it is logged.
+};
+
+/// Returns the name of \p Cause in log lines; "-" for None.
+std::string_view toString(UpstreamCause Cause);
+
 struct UpstreamExchangeSettings {
   Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// How long data to the upstream may stay unacknowledged.
@@ -75,6 +89,8 @@
   bool wasSent() const { return this->Sent; }
   /// Whether the connection had served a request before.
   bool usedKeptConnection() const { return this->Kept; }
+  /// What ended the connection; set before OnEnd is called.
+  UpstreamCause cause() const { return this->Cause; }
 
 private:
   friend class UpstreamConnection;
@@ -82,6 +98,7 @@
   std::weak_ptr<UpstreamConnection> Connection;
   bool Sent = false;
   bool Kept = false;
+  UpstreamCause Cause = UpstreamCause::None;
 };
 
 class UpstreamPool {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -147,7 +147,8 @@
   void onEvent(const StreamEvent &Event);
   void onEnd(UpstreamEnd End);
   SendOutcome outcomeOf(UpstreamEnd End) const;
-  void onOutcome(SendOutcome Outcome);
+  void onOutcome(SendOutcome Outcome,
+                 UpstreamCause Cause = UpstreamCause::None);
   void noteOutcome(SendOutcome Outcome);
   bool isProvenAnswer() const;
   void notePartsAnswered(TimePoint Now);
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -47,11 +47,12 @@
 
 void ForwardRun::onEnd(UpstreamEnd End) {
   const bool WasSent = this->Exchange->wasSent();
+  const UpstreamCause Cause = this->Exchange->cause();
   this->Exchange.reset();
   SendOutcome Outcome = this->outcomeOf(End);
   if (Outcome == SendOutcome::Broken && !WasSent)
     Outcome = SendOutcome::NotSent;
-  this->onOutcome(Outcome);
+  this->onOutcome(Outcome, Cause);
 }
 
 static std::string_view toString(SendOutcome Outcome) {
@@ -184,7 +185,7 @@
           .TimeLeft = this->timeLeft()};
 }
 
-void ForwardRun::onOutcome(SendOutcome Outcome) {
+void ForwardRun::onOutcome(SendOutcome Outcome, UpstreamCause Cause) {
   this->StallTimer.disconnect();
   if (this->Current == Phase::Done)
     return;
@@ -204,6 +205,9 @@
          {"content", keyName(this->Signature)},
          {"upstream", this->UpstreamId},
          {"outcome", std::string(toString(Outcome))},
+         {"cause", std::string(toString(Cause))},
+         {"silent_ms",
+          std::to_string(toMilliseconds(EventLoop::now() - this->ProgressAt))},
          {"status", std::to_string(this->HasAnswer ? this->Answer.Status : 0)},
          {"after_ms",
           std::to_string(toMilliseconds(EventLoop::now() - this->SentAt))},
--- a/tests/ForwardConnectionsTest.cpp
+++ b/tests/ForwardConnectionsTest.cpp
@@ -211,6 +211,27 @@
 constexpr std::string_view Whole =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+// Guards against log lines that do not tell a close, a reset and a refused
+// connection apart.
+TEST_F(UpstreamPoolTest, TellsWhatEndedAConnection) {
+  Outcome Closed;
+  const auto First = this->start(Closed);
+  this->accept()->close();
+  ASSERT_TRUE(this->ended(Closed));
+  Outcome Reset;
+  const auto Second = this->start(Reset);
+  this->accept()->reset();
+  ASSERT_TRUE(this->ended(Reset));
+  Outcome Refused;
+  const auto Third =
+      this->Pool.start(freeAddress(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {},
+                       {.OnEnd = [&](UpstreamEnd End) { Refused.End = End; }});
+  ASSERT_TRUE(this->ended(Refused));
+  EXPECT_EQ(toString(First->cause()), "closed");
+  EXPECT_EQ(toString(Second->cause()), "reset");
+  EXPECT_EQ(toString(Third->cause()), "refused");
+}
+
 // Guards against bytes that were already parsed counting as left over, which
 // opened a connection for every call.
 TEST_F(UpstreamPoolTest, AConnectionIsUsedAgain) {
