--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <stdexcept>
 #include <string>
 #include <sys/socket.h>
@@ -109,6 +110,21 @@
     this->Socket = -1;
   }
   bool isClosed() const { return this->Socket < 0; }
+  /// Drops all that arrives from the peer, as a machine does that has stopped
+  /// or lost its link: the kernel acknowledges nothing until acceptArriving()
+  /// is called.
+  void dropArriving() {
+    sock_filter AcceptNothing{.code = BPF_RET | BPF_K, .k = 0};
+    const sock_fprog Filter{.len = 1, .filter = &AcceptNothing};
+    if (setsockopt(this->Socket, SOL_SOCKET, SO_ATTACH_FILTER, &Filter,
+                   sizeof Filter) != 0)
+      throw std::runtime_error("cannot attach a socket filter");
+  }
+  void acceptArriving() {
+    const int Unused = 0;
+    setsockopt(this->Socket, SOL_SOCKET, SO_DETACH_FILTER, &Unused,
+               sizeof Unused);
+  }
   /// Closes the connection with a reset.
   void reset() {
     const linger Now{1, 0};
