--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -7,9 +7,6 @@
 
 namespace galenaroute {
 
-/// Maximum idle time of a connection that is reused for a call that must not be
-/// repeated, since a longer idle connection may be closing.
-static constexpr Duration MaxIdleNonRepeatable = std::chrono::milliseconds(900);
 /// Retry-After where the delay cannot be estimated.
 static constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(250);
 /// Retry-After while a service has no upstream. A replacement registers within
@@ -18,13 +15,9 @@
 /// Jitter added to Retry-After, as a fraction of it, so that callers that were
 /// refused together do not retry together.
 static constexpr double RetryAfterJitter = 0.25;
-/// Minimum deadline passed to an upstream; it could not use less.
-static constexpr Duration MinSendTime = std::chrono::milliseconds(5);
 /// Fraction of an engine's memory assumed to cache parts; running calls use the
 /// rest.
 static constexpr double CacheMemoryShare = 0.6;
-/// Bytes of a stream that wait for its caller before the upstream has to wait.
-static constexpr std::size_t MaxStreamBacklog = 1 << 20;
 /// Maximum upstreams that permits are requested from for one call. Permits that
 /// come too late are returned unused.
 static constexpr std::size_t MaxPermitRequests = 8;
@@ -41,9 +34,10 @@
 
 ForwardRun::~ForwardRun() {
   --this->Services.OpenRuns;
-  this->StallTimer.disconnect();
+  // The handlers of an exchange refer to this run.
+  for (const auto &Each : this->Live)
+    Each->Exchange.reset();
   this->DeadlineTimer.disconnect();
-  this->WeightsTimer.disconnect();
   this->WeightsChanged.disconnect();
   this->BacklogSent.disconnect();
   this->ProcessEnding.disconnect();
@@ -70,7 +64,7 @@
   const auto Self = this->shared_from_this();
   this->Incoming->CallerLeft.connect([Self] { Self->onCallerLeft(); });
   this->BacklogSent =
-      this->Incoming->BacklogSent.connect([this] { this->resumeUpstream(); });
+      this->Incoming->BacklogSent.connect([this] { this->resumeUpstreams(); });
   this->ProcessEnding =
       this->Services.ProcessEnding.connect([this] { this->onProcessEnding(); });
   try {
@@ -83,7 +77,7 @@
   noteCall(this->budget());
   if (this->Service->Engine)
     this->WeightsChanged = this->Services.WeightsChanged.connect(
-        [this] { this->armWeightsTimer(); });
+        [this] { this->armWeightsTimers(); });
   this->DeadlineTimer = this->Services.Loop.timers().after(
       this->timeLeft(), [Self] { Self->onTimeout(); });
   this->attempt();
@@ -227,6 +221,12 @@
   // Calls that are queued already may be more urgent.
   if (this->queue().size() == 0 && this->trySend())
     return;
+  this->enqueue();
+}
+
+void ForwardRun::enqueue() {
+  this->WaitingSince = EventLoop::now();
+  this->IsQueued = true;
   this->queue().add(this->shared_from_this());
 }
 
@@ -267,7 +267,12 @@
 }
 
 bool ForwardRun::trySend() {
-  if (this->endIfBlocked())
+  if (!this->Live.empty() && !this->canTryAnother()) {
+    this->IsQueued = false;
+    this->armStallTimer(this->Live.back());
+    return true;
+  }
+  if (this->Live.empty() && this->endIfBlocked())
     return true;
   const UpstreamQuery Query = this->query();
   const UpstreamTable::Chosen To =
@@ -275,8 +280,12 @@
   this->requestPermits(To);
   if (!To.Entry)
     return false;
-  this->PendingPromptTokens = To.TokensToPrefill;
-  this->send(*To.Entry, Query);
+  this->IsQueued = false;
+  if (!this->Live.empty()) {
+    spendRetry(this->budget());
+    this->noteStalled(*this->Live.back(), To.Entry->Registered.Id);
+  }
+  this->send(*To.Entry, Query, To.TokensToPrefill);
   return true;
 }
 
@@ -331,6 +340,11 @@
 }
 
 void ForwardRun::onQueueTimeout(Duration LongestWait) {
+  this->IsQueued = false;
+  if (!this->Live.empty()) {
+    this->armStallTimer(this->Live.back());
+    return;
+  }
   this->refuseOrFail(
       "no upstream has free capacity",
       retryAfterDelay(LongestWait, this->timeLeft(), this->draw()));
@@ -345,287 +359,14 @@
     this->refuse(Reason, RetryAfter);
 }
 
-SendPlan ForwardRun::planSend(const UpstreamEntry &To,
-                              const PartReusePlan &Reuse) const {
-  SendPlan Plan;
-  Plan.Instance = To.Registered.Id;
-  if (this->Customer)
-    Plan.Customer = this->Customer->Name;
-  Plan.TimeLeft = std::max(this->timeLeft(), MinSendTime);
-  Plan.ResumeAfter = this->LastEvent;
-  if (!this->Service->Engine)
-    return Plan;
-  Plan.Urgency = std::clamp(this->priority(), 0, 9);
-  Plan.WeightVersion = To.WeightVersion;
-  Plan.CacheScope = this->cacheScope(To.WeightVersion);
-  Plan.Fetch = Reuse.Fetch;
-  Plan.Save = Reuse.Save;
-  Plan.FetchUntilMs = Reuse.FetchUntilMs;
-  return Plan;
-}
-
-void ForwardRun::send(const UpstreamEntry &To, const UpstreamQuery &Query) {
-  const PartReusePlan Reuse = this->planCache(To.WeightVersion);
-  const SendPlan Plan = this->planSend(To, Reuse);
-  UpstreamExchangeSettings Settings;
-  Settings.IsHead = this->Call.Method == "HEAD";
-  Settings.LongRequestTimeout = this->timeLeft();
-  Settings.MaxIdle = this->Route->Repeat == Repeatability::Once
-                         ? MaxIdleNonRepeatable
-                         : MaxIdleRepeatable;
-  this->UpstreamId = To.Registered.Id;
-  this->Incarnation = To.Incarnation;
-  this->SentWeights = this->Service->Engine ? To.WeightVersion : std::nullopt;
-  this->Services.Upstreams.noteParts(this->UpstreamId, Query);
-  this->TriedUpstreams.push_back(this->UpstreamId);
-  this->HasAnswer = false;
-  this->Body.clear();
-  this->Splitter.clear();
-  this->SentAt = this->ProgressAt = EventLoop::now();
-  this->HasStalledOnce = false;
-  this->IsPaused = false;
-  this->Events = 0;
-  this->IsFramed = false;
-  this->RefusalsConnection.disconnect();
-  this->RefusalsConnection = this->Services.RefusalsChanged.connect(
-      [this] { this->onRefusalsChanged(); });
-  if (this->Current == Phase::Waiting)
-    this->Current = Phase::Sent;
-  this->Services.Upstreams.noteSent(this->UpstreamId, this->PendingPromptTokens,
-                                    this->callTokens());
-  this->Exchange = this->Services.Pool.start(
-      To.Registered.Address,
-      this->Services.Codec.writeRequest(this->Call, Plan, this->Incoming->Body),
-      Settings,
-      {.OnHead = [this](const HttpHead &Head) { return this->onHead(Head); },
-       .OnBody = [this](std::string_view Bytes) { this->onBody(Bytes); },
-       .OnEnd =
-           [this](UpstreamEnd End) {
-             const auto Self = this->shared_from_this();
-             this->onEnd(End);
-           }});
-  const auto PeerUse = this->Services.Upstreams.peerUseAt(To);
-  const auto Superseded = this->supersededFor();
-  log(LogLevel::Info, "call.sent",
-      {{"call", this->Call.Id},
-       {"content", keyName(this->Signature)},
-       {"route", this->Route->Name},
-       {"upstream", this->UpstreamId},
-       {"send", std::to_string(this->Sends + 1)},
-       {"left_ms", std::to_string(toMilliseconds(this->timeLeft()))},
-       {"weights", std::to_string(To.WeightVersion.value_or(0))},
-       {"superseded_ms",
-        Superseded ? std::to_string(toMilliseconds(*Superseded)) : "-"},
-       {"own_calls", std::to_string(To.OwnCalls)},
-       {"running", To.Load ? std::to_string(To.Load->Running) : "-"},
-       {"waiting", To.Load ? std::to_string(To.Load->Waiting) : "-"},
-       {"slowdown", To.Load ? std::to_string(To.Load->Slowdown) : "-"},
-       {"own_tokens", std::to_string(To.OwnTokens)},
-       {"tokens_ahead", std::to_string(To.TokensAhead)},
-       {"others_calls", PeerUse ? std::to_string(PeerUse->Calls) : "-"},
-       {"others_tokens", PeerUse ? std::to_string(PeerUse->Tokens) : "-"},
-       {"others_ahead", PeerUse ? std::to_string(PeerUse->TokensAhead) : "-"},
-       {"load_age_ms",
-        To.Load ? std::to_string(toMilliseconds(this->SentAt - To.ReportedAt))
-                : "-"},
-       {"tokens_to_read", std::to_string(this->PendingPromptTokens)},
-       {"stored_tokens", std::to_string(Reuse.StoredTokens)},
-       {"shared_tokens", std::to_string(Reuse.SharedTokens)}});
-  this->Services.OnSent(To, this->PendingPromptTokens);
-  this->armStallTimer();
-  this->armWeightsTimer();
-}
-
-/// Returns for how long the weights that the call was sent to have been
-/// superseded, or nothing.
-std::optional<Duration> ForwardRun::supersededFor() const {
-  const AnnouncedWeights *Named = this->namedWeights();
-  if (!Named || !this->SentWeights)
-    return std::nullopt;
-  const auto Since = supersededAt(*Named, *this->SentWeights);
-  return Since ? std::optional(BootClock::now() - *Since) : std::nullopt;
-}
-
-/// A call queued at an engine with old weights must not begin there after the
-/// deadline for the newer version, which may be announced while it waits.
-void ForwardRun::armWeightsTimer() {
-  this->WeightsTimer.disconnect();
-  if (this->Current == Phase::Done || !this->Exchange || this->hasBegun())
-    return;
-  const auto Superseded = this->supersededFor();
-  if (!Superseded)
-    return;
-  this->WeightsTimer = this->Services.Loop.timers().after(
-      std::max(this->Services.WeightsLimit - *Superseded, Duration::zero()),
-      [Self = this->shared_from_this()] { Self->onWeightsDeadline(); });
-}
-
-void ForwardRun::onWeightsDeadline() {
-  if (this->Current == Phase::Done || !this->Exchange || this->hasBegun())
-    return;
-  this->abandonSend(SendOutcome::Stalled);
-}
-
-/// Cancels the send in flight. \p IfSent is its outcome if the call was sent.
-void ForwardRun::abandonSend(SendOutcome IfSent) {
-  const bool WasSent = this->Exchange->wasSent();
-  this->Exchange.reset();
-  this->onOutcome(WasSent ? IfSent : SendOutcome::NotSent);
-}
-
-void ForwardRun::armStallTimer() {
-  this->StallTimer.disconnect();
-  if (this->IsPaused)
-    return;
-  if (const auto Limit =
-          stallLimit(*this->Route, this->FirstEventAt.has_value()))
-    this->StallTimer = this->Services.Loop.timers().after(
-        *Limit, [Self = this->shared_from_this()] {
-          Self->onStall(StallCheck::First);
-        });
-}
-
-bool ForwardRun::onHead(const HttpHead &Head) {
-  CallAnswer Read = this->Services.Codec.readAnswer(Head);
-  // On a reused connection, an answer without a call id may be a late duplicate
-  // of an earlier answer.
-  const bool IsForeign = Read.CallId.empty()
-                             ? this->Exchange->usedKeptConnection()
-                             : Read.CallId != this->Call.Id;
-  if (IsForeign) {
-    log(LogLevel::Warn, "answer.foreign",
-        {{"call", this->Call.Id},
-         {"upstream", this->UpstreamId},
-         {"answers", Read.CallId}});
-    return false;
-  }
-  this->Answer = std::move(Read);
-  this->HasAnswer = true;
-  this->IsFramed = Head.HasFraming || Head.Status == 204 ||
-                   Head.Status == 304 || this->Call.Method == "HEAD";
-  UpstreamTable &Upstreams = this->Services.Upstreams;
-  const TimePoint Now = EventLoop::now();
-  this->ProgressAt = Now;
-  Upstreams.noteProgress(this->UpstreamId, Now);
-  if (this->Answer.IsLeaving)
-    Upstreams.noteLeaving(this->UpstreamId);
-  if (this->Answer.PauseFor)
-    Upstreams.notePaused(this->UpstreamId, Now + *this->Answer.PauseFor, Now);
-  if (const UpstreamEntry *From = Upstreams.find(this->UpstreamId);
-      From && From->Incarnation == this->Incarnation)
-    this->Services.OnRateLimit(*From, this->Answer.RateLimit);
-  if (this->Answer.Load)
-    Upstreams.noteLoad(this->UpstreamId, *this->Answer.Load, Now);
-  if (this->Answer.WeightVersion)
-    Upstreams.noteWeights(this->UpstreamId, *this->Answer.WeightVersion);
-  return true;
-}
-
-/// Returns whether the answer being received is an event stream, which is
-/// forwarded as it arrives.
-bool ForwardRun::isStreamAnswer() const {
-  return this->Route->IsStream && this->Answer.Status == 200 &&
-         this->Answer.IsSigned && !this->Answer.IsEncoded;
-}
-
-void ForwardRun::onBody(std::string_view Bytes) {
-  if (!this->isStreamAnswer()) {
-    this->Body += Bytes;
-    return;
-  }
-  if (this->Splitter.feed(
-          Bytes, [this](const StreamEvent &Event) { this->onEvent(Event); }))
-    return;
-  log(LogLevel::Warn, "stream.event_too_long",
-      {{"call", this->Call.Id}, {"upstream", this->UpstreamId}});
-  this->Splitter.clear();
-  if (this->Current == Phase::Done)
-    return;
-  // Ended outside the parser, which is still reporting from these bytes.
-  this->StallTimer.disconnect();
-  this->StallTimer = this->Services.Loop.timers().after(
-      Duration::zero(), [Self = this->shared_from_this()] {
-        if (Self->Current != Phase::Done && Self->Exchange)
-          Self->abandonSend(SendOutcome::Broken);
-      });
-}
-
-void ForwardRun::onEvent(const StreamEvent &Event) {
-  if (this->Current == Phase::Done)
-    return;
-  if (++this->Events == MinEventsOfAnswer)
-    this->notePartsAnswered(EventLoop::now());
-  if (Event.Id && this->LastEvent && *Event.Id <= *this->LastEvent) {
-    log(LogLevel::Warn, "stream.event_repeated",
-        {{"call", this->Call.Id}, {"event", std::to_string(*Event.Id)}});
-    return;
-  }
-  this->beginStream();
-  const TimePoint Now = EventLoop::now();
-  if (this->LastEventAt != TimePoint{})
-    this->LongestPause = std::max(this->LongestPause, Now - this->LastEventAt);
-  this->LastEventAt = this->ProgressAt = Now;
-  if (Event.Id)
-    this->LastEvent = Event.Id;
-  this->Incoming->write(Event.Bytes);
-  // In a numbered stream, an event without a number, such as a comment, does
-  // not show progress of the engine.
-  if (Event.Id || !this->LastEvent)
-    this->armStallTimer();
-  if (this->Incoming->unsentBytes() > MaxStreamBacklog)
-    this->pauseUpstream();
-}
-
-/// Makes the upstream wait for the caller. Its silence meanwhile is no stall.
-void ForwardRun::pauseUpstream() {
-  if (this->IsPaused || !this->Exchange)
-    return;
-  this->IsPaused = true;
-  this->StallTimer.disconnect();
-  this->Exchange->pauseReading();
-  this->Services.Stats.decision("stream.paused");
-}
-
-void ForwardRun::resumeUpstream() {
-  if (!this->IsPaused)
-    return;
-  this->IsPaused = false;
-  if (!this->Exchange)
-    return;
-  this->ProgressAt = EventLoop::now();
-  this->Exchange->resumeReading();
-  this->armStallTimer();
-}
-
-/// Notes that the prompt of the send in flight was prefilled or never will be.
-void ForwardRun::notePrefillEnded() {
-  if (this->PendingPromptTokens == 0)
-    return;
-  this->Services.Upstreams.notePrefillEnded(this->UpstreamId,
-                                            this->PendingPromptTokens);
-  this->PendingPromptTokens = 0;
-  this->queue().wake();
-}
-
-void ForwardRun::beginStream() {
-  this->notePrefillEnded();
-  if (this->Current == Phase::Streaming)
-    return;
-  this->Current = Phase::Streaming;
-  this->FirstEventAt = EventLoop::now();
-  this->Services.Stats.firstToken(
-      this->Service->Name, *this->FirstEventAt - this->Incoming->Arrived);
-  this->Incoming->begin(this->Answer.Status, this->Answer.ForwardedHeaders);
-}
-
 void ForwardRun::onTimeout() {
   if (this->Current == Phase::Done)
     return;
   const auto Self = this->shared_from_this();
-  if (this->Exchange)
+  for (const auto &Each : this->Live)
     this->Services.Upstreams.noteFailure(
-        this->UpstreamId, TimedOutFailureWeight, EventLoop::now());
-  this->cancelSend("timed_out");
+        Each->UpstreamId, TimedOutFailureWeight, EventLoop::now());
+  this->cancelSends("timed_out");
   if (this->Current == Phase::Streaming) {
     this->Incoming->abort();
     this->finish("deadline_exceeded");
@@ -641,7 +382,7 @@
   if (this->Current == Phase::Done)
     return;
   const auto Self = this->shared_from_this();
-  this->cancelSend("caller_left");
+  this->cancelSends("caller_left");
   this->finish("caller_left");
 }
 
@@ -650,13 +391,15 @@
   if (this->Current == Phase::Done)
     return;
   const auto Self = this->shared_from_this();
-  this->cancelSend("process_ended");
+  this->cancelSends("process_ended");
   this->refuseOrFail("this process ends", DefaultRetryAfter);
 }
 
-void ForwardRun::deliver() {
-  if (this->isStreamAnswer()) {
-    this->beginStream();
+/// Ends the call with the answer of \p Send, which has ended.
+void ForwardRun::deliver(ForwardSend &Send) {
+  this->UpstreamId = Send.UpstreamId;
+  if (this->isStreamAnswer(Send)) {
+    this->beginStream(Send);
     this->Incoming->finish();
   } else if (this->Current == Phase::Streaming) {
     // Another upstream did not continue the resumed stream.
@@ -664,10 +407,10 @@
     this->finish("stream_lost");
     return;
   } else {
-    this->Incoming->send(this->Answer.Status, this->Answer.ForwardedHeaders,
-                         this->Body);
+    this->Incoming->send(Send.Answer.Status, Send.Answer.ForwardedHeaders,
+                         Send.Body);
   }
-  this->finish(this->Answer.Status < 500 ? "ok" : "upstream_error");
+  this->finish(Send.Answer.Status < 500 ? "ok" : "upstream_error");
 }
 
 Duration ForwardRun::retryAfter() {
@@ -705,6 +448,10 @@
     this->finish("stream_lost");
     return;
   }
+  if (this->ServerError) {
+    this->deliver(*this->ServerError);
+    return;
+  }
   HttpHeaders Headers =
       this->Services.Codec.localAnswerHeaders(this->Call.Id, std::nullopt);
   Headers.add("Content-Type", "application/json");
@@ -733,9 +480,8 @@
   this->Services.Stats.requestEnded(this->Service ? this->Service->Name : "-",
                                     std::string(Outcome), Elapsed);
   this->Current = Phase::Done;
-  this->StallTimer.disconnect();
+  this->IsQueued = false;
   this->DeadlineTimer.disconnect();
-  this->WeightsTimer.disconnect();
   this->WeightsChanged.disconnect();
   this->BacklogSent.disconnect();
   this->ProcessEnding.disconnect();
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -8,10 +8,15 @@
 // PromptReuse the cached parts to use, and ForwardRules the step after a failed
 // send.
 //
+// A send that makes no progress is kept while another upstream is tried, since
+// a sound upstream may be silent for a second or so. The first of the two that
+// makes progress is continued, and the other one is cancelled.
+//
 // Guarantees: exactly one final answer, or an aborted connection if the answer
-// had begun; the send in flight is cancelled when the caller disconnects; a
+// had begun; the sends in flight are cancelled when the caller disconnects; a
 // stream is forwarded in whole events, each exactly once; its upstream waits
-// while the caller is far behind, so that memory is bounded.
+// while the caller is far behind, so that memory is bounded; no send is
+// cancelled for its silence alone.
 
 #ifndef GALENAROUTE_REQUEST_FORWARDRUN_H
 #define GALENAROUTE_REQUEST_FORWARDRUN_H
@@ -22,8 +27,8 @@
 #include "process/Metrics.h"
 #include "request/AnsweredKeys.h"
 #include "request/CrashRecord.h"
-#include "request/EventStream.h"
 #include "request/ForwardRules.h"
+#include "request/ForwardSend.h"
 #include "request/PromptReuse.h"
 #include "request/RetryBudget.h"
 #include "request/UnansweredSends.h"
@@ -118,7 +123,8 @@
   /// Ends a call that found no upstream within its queueing time. \p
   /// LongestWait is the longest wait in the queue.
   void onQueueTimeout(Duration LongestWait);
-  bool isDone() const { return this->Current == Phase::Done; }
+  /// Returns whether the call no longer waits for an upstream.
+  bool hasLeftQueue() const { return !this->IsQueued; }
   WaitingCall waiting() const;
 
 private:
@@ -129,54 +135,71 @@
   bool endIfBlocked();
   void refuseOrFail(std::string_view Reason, Duration RetryAfter);
   void attempt();
+  void enqueue();
   int priority() const;
   std::uint32_t callTokens() const;
   WaitingRuns &queue();
   void requestPermits(const UpstreamTable::Chosen &Choice);
-  void send(const UpstreamEntry &To, const UpstreamQuery &Query);
+  void send(const UpstreamEntry &To, const UpstreamQuery &Query,
+            std::uint32_t TokensToPrefill);
   SendPlan planSend(const UpstreamEntry &To, const PartReusePlan &Reuse) const;
+  UpstreamExchangeEvents eventsOf(const std::shared_ptr<ForwardSend> &Send);
+  void logSent(const ForwardSend &Send, const UpstreamEntry &To,
+               const PartReusePlan &Reuse);
   UpstreamQuery query() const;
   const AnnouncedWeights *namedWeights() const;
-  void notePrefillEnded();
+  void notePrefillEnded(ForwardSend &Send);
   PartReusePlan planCache(std::optional<std::uint64_t> Version);
   Duration partsUsableFor(std::uint64_t Version, BootTime Now) const;
   std::string cacheScope(std::optional<std::uint64_t> Version) const;
-  bool onHead(const HttpHead &Head);
-  bool isStreamAnswer() const;
-  void onBody(std::string_view Bytes);
-  void onEvent(const StreamEvent &Event);
-  void onEnd(UpstreamEnd End);
-  SendOutcome outcomeOf(UpstreamEnd End) const;
-  void onOutcome(SendOutcome Outcome,
-                 UpstreamCause Cause = UpstreamCause::None);
-  void noteOutcome(SendOutcome Outcome);
-  bool isProvenAnswer() const;
+  bool onHead(ForwardSend &Send, const HttpHead &Head);
+  bool isStreamAnswer(const ForwardSend &Send) const;
+  void onBody(const std::shared_ptr<ForwardSend> &Send, std::string_view Bytes);
+  void onEvent(const std::shared_ptr<ForwardSend> &Send,
+               const StreamEvent &Event);
+  void onEnd(const std::shared_ptr<ForwardSend> &Send, UpstreamEnd End);
+  SendOutcome outcomeOf(const ForwardSend &Send, UpstreamEnd End) const;
+  void onOutcome(const std::shared_ptr<ForwardSend> &Send, SendOutcome Outcome);
+  void noteOutcome(ForwardSend &Send, SendOutcome Outcome);
+  void continueOthers(const std::shared_ptr<ForwardSend> &Ended,
+                      SendOutcome Outcome, bool WasLatest);
+  std::string_view nextName(ForwardStep Step) const;
+  void logSendEnded(const ForwardSend &Send, SendOutcome Outcome,
+                    std::string_view Next);
+  bool isProvenAnswer(const ForwardSend &Send) const;
+  bool isContinuation(const ForwardSend &Send, SendOutcome Outcome) const;
   void notePartsAnswered(TimePoint Now);
-  UnansweredSend suspectSend(TimePoint Now) const;
-  void recordSendCrash(TimePoint Now);
-  void noteUnansweredSend(TimePoint Now);
-  bool hasBegun() const;
+  UnansweredSend suspectSend(const ForwardSend &Send, TimePoint Now) const;
+  void recordSendCrash(const ForwardSend &Send, TimePoint Now);
+  void noteUnansweredSend(const ForwardSend &Send, TimePoint Now);
+  bool hasBegun(const ForwardSend &Send) const;
   void onRefusalsChanged();
   enum class StallCheck { First, Repeated };
-  void onStall(StallCheck Check);
-  bool canFailOver();
+  void onStall(const std::shared_ptr<ForwardSend> &Send, StallCheck Check);
+  void tryAnother(const std::shared_ptr<ForwardSend> &Silent);
+  bool canTryAnother();
+  void noteStalled(ForwardSend &Send, std::string_view Other);
   ForwardProgress progress();
   void onTimeout();
   void onCallerLeft();
   void onProcessEnding();
-  void armStallTimer();
-  void pauseUpstream();
-  void resumeUpstream();
-  std::optional<Duration> supersededFor() const;
-  void armWeightsTimer();
-  void onWeightsDeadline();
-  void abandonSend(SendOutcome IfSent);
-  void beginStream();
-  void deliver();
+  void armStallTimer(const std::shared_ptr<ForwardSend> &Send);
+  void pauseUpstream(ForwardSend &Send);
+  void resumeUpstreams();
+  std::optional<Duration> supersededFor(const ForwardSend &Send) const;
+  void armWeightsTimers();
+  void armWeightsTimer(const std::shared_ptr<ForwardSend> &Send);
+  void onWeightsDeadline(const std::shared_ptr<ForwardSend> &Send);
+  void abandonSend(const std::shared_ptr<ForwardSend> &Send,
+                   SendOutcome IfSent);
+  void keepOnly(const ForwardSend &Send);
+  void beginStream(ForwardSend &Send);
+  void deliver(ForwardSend &Send);
   void refuse(std::string_view Reason, Duration RetryAfter);
   void fail(ErrorKind Kind, std::string_view Reason);
   void finish(std::string_view Outcome);
-  void cancelSend(std::string_view Reason);
+  void cancelSends(std::string_view Reason);
+  void cancelSend(ForwardSend &Send, std::string_view Reason);
   double draw();
   Duration timeLeft() const;
   Duration retryAfter();
@@ -195,33 +218,22 @@
   TimePoint WaitingSince;
   Phase Current = Phase::Waiting;
 
-  std::unique_ptr<UpstreamExchange> Exchange;
-  std::string UpstreamId;
-  std::uint64_t Incarnation = 0; ///< Of the upstream, see incarnationKey().
-  std::optional<std::uint64_t> SentWeights; ///< Of the upstream at the send.
+  /// The sends in flight, the latest one last. There are several only while
+  /// none of them makes progress.
+  std::vector<std::shared_ptr<ForwardSend>> Live;
+  /// A server error, which is delivered if no other send succeeds.
+  std::shared_ptr<ForwardSend> ServerError;
+  std::string UpstreamId; ///< Of the latest send.
   std::vector<std::string> TriedUpstreams;
-  CallAnswer Answer;
-  bool HasAnswer = false;
-  bool HasStalledOnce = false; ///< In the send in flight.
-  bool IsPaused = false;       ///< The send in flight waits for the caller.
-  int Events = 0;              ///< Whole events in the send in flight.
-  bool IsFramed = false;       ///< The answer states where it ends.
-  std::string Body;
-  EventSplitter Splitter;
+  bool IsQueued = false; ///< Waits for an upstream, see WaitingRuns.
   std::optional<std::uint64_t> LastEvent;
-  /// Prompt tokens of the send in flight until its prefill has ended.
-  std::uint32_t PendingPromptTokens = 0;
-  int Sends = 0;
+  int Sends = 0; ///< That have ended, as PossibleRuns.
   int PossibleRuns = 0;
   int ConnectFailures = 0;
-  TimePoint SentAt;
-  TimePoint ProgressAt; ///< Last progress of the send in flight.
   std::optional<TimePoint> FirstEventAt;
   TimePoint LastEventAt;
   Duration LongestPause{}; ///< Between two forwarded events.
-  sigc::connection StallTimer;
   sigc::connection DeadlineTimer;
-  sigc::connection WeightsTimer;
   sigc::connection WeightsChanged;
   sigc::connection BacklogSent;
   sigc::connection ProcessEnding;
--- /dev/null
+++ b/src/request/ForwardSend.cpp
@@ -0,0 +1,332 @@
+// The sends of a ForwardRun: what is sent, and how the answer is received.
+
+#include "process/Log.h"
+#include "request/ForwardRun.h"
+
+#include <algorithm>
+
+namespace galenaroute {
+
+/// Maximum idle time of a connection that is reused for a call that must not be
+/// repeated, since a longer idle connection may be closing.
+static constexpr Duration MaxIdleNonRepeatable = std::chrono::milliseconds(900);
+/// Minimum deadline passed to an upstream; it could not use less.
+static constexpr Duration MinSendTime = std::chrono::milliseconds(5);
+/// Bytes of a stream that wait for its caller before the upstream has to wait.
+static constexpr std::size_t MaxStreamBacklog = 1 << 20;
+
+SendPlan ForwardRun::planSend(const UpstreamEntry &To,
+                              const PartReusePlan &Reuse) const {
+  SendPlan Plan;
+  Plan.Instance = To.Registered.Id;
+  if (this->Customer)
+    Plan.Customer = this->Customer->Name;
+  Plan.TimeLeft = std::max(this->timeLeft(), MinSendTime);
+  Plan.ResumeAfter = this->LastEvent;
+  if (!this->Service->Engine)
+    return Plan;
+  Plan.Urgency = std::clamp(this->priority(), 0, 9);
+  Plan.WeightVersion = To.WeightVersion;
+  Plan.CacheScope = this->cacheScope(To.WeightVersion);
+  Plan.Fetch = Reuse.Fetch;
+  Plan.Save = Reuse.Save;
+  Plan.FetchUntilMs = Reuse.FetchUntilMs;
+  return Plan;
+}
+
+UpstreamExchangeEvents
+ForwardRun::eventsOf(const std::shared_ptr<ForwardSend> &Send) {
+  return {
+      .OnHead = [this, Send](
+                    const HttpHead &Head) { return this->onHead(*Send, Head); },
+      .OnBody = [this,
+                 Send](std::string_view Bytes) { this->onBody(Send, Bytes); },
+      .OnEnd =
+          [this, Send](UpstreamEnd End) {
+            const auto Self = this->shared_from_this();
+            this->onEnd(Send, End);
+          }};
+}
+
+void ForwardRun::send(const UpstreamEntry &To, const UpstreamQuery &Query,
+                      std::uint32_t TokensToPrefill) {
+  const PartReusePlan Reuse = this->planCache(To.WeightVersion);
+  const SendPlan Plan = this->planSend(To, Reuse);
+  UpstreamExchangeSettings Settings;
+  Settings.IsHead = this->Call.Method == "HEAD";
+  Settings.LongRequestTimeout = this->timeLeft();
+  Settings.MaxIdle = this->Route->Repeat == Repeatability::Once
+                         ? MaxIdleNonRepeatable
+                         : MaxIdleRepeatable;
+  const auto Send = std::make_shared<ForwardSend>();
+  Send->UpstreamId = To.Registered.Id;
+  Send->Incarnation = To.Incarnation;
+  if (this->Service->Engine)
+    Send->Weights = To.WeightVersion;
+  Send->PendingPromptTokens = TokensToPrefill;
+  Send->SentAt = Send->ProgressAt = EventLoop::now();
+  this->UpstreamId = Send->UpstreamId;
+  this->Services.Upstreams.noteParts(Send->UpstreamId, Query);
+  this->TriedUpstreams.push_back(Send->UpstreamId);
+  this->RefusalsConnection.disconnect();
+  this->RefusalsConnection = this->Services.RefusalsChanged.connect(
+      [this] { this->onRefusalsChanged(); });
+  if (this->Current == Phase::Waiting)
+    this->Current = Phase::Sent;
+  this->Services.Upstreams.noteSent(Send->UpstreamId, TokensToPrefill,
+                                    this->callTokens());
+  Send->Exchange = this->Services.Pool.start(
+      To.Registered.Address,
+      this->Services.Codec.writeRequest(this->Call, Plan, this->Incoming->Body),
+      Settings, this->eventsOf(Send));
+  // The latest send shows whether a further upstream is to be tried.
+  for (const auto &Each : this->Live)
+    Each->StallTimer.disconnect();
+  this->Live.push_back(Send);
+  this->logSent(*Send, To, Reuse);
+  this->Services.OnSent(To, TokensToPrefill);
+  this->armStallTimer(Send);
+  this->armWeightsTimer(Send);
+}
+
+void ForwardRun::logSent(const ForwardSend &Send, const UpstreamEntry &To,
+                         const PartReusePlan &Reuse) {
+  const auto PeerUse = this->Services.Upstreams.peerUseAt(To);
+  const auto Superseded = this->supersededFor(Send);
+  log(LogLevel::Info, "call.sent",
+      {{"call", this->Call.Id},
+       {"content", keyName(this->Signature)},
+       {"route", this->Route->Name},
+       {"upstream", Send.UpstreamId},
+       {"send",
+        std::to_string(this->Sends + static_cast<int>(this->Live.size()))},
+       {"left_ms", std::to_string(toMilliseconds(this->timeLeft()))},
+       {"weights", std::to_string(To.WeightVersion.value_or(0))},
+       {"superseded_ms",
+        Superseded ? std::to_string(toMilliseconds(*Superseded)) : "-"},
+       {"own_calls", std::to_string(To.OwnCalls)},
+       {"running", To.Load ? std::to_string(To.Load->Running) : "-"},
+       {"waiting", To.Load ? std::to_string(To.Load->Waiting) : "-"},
+       {"slowdown", To.Load ? std::to_string(To.Load->Slowdown) : "-"},
+       {"own_tokens", std::to_string(To.OwnTokens)},
+       {"tokens_ahead", std::to_string(To.TokensAhead)},
+       {"others_calls", PeerUse ? std::to_string(PeerUse->Calls) : "-"},
+       {"others_tokens", PeerUse ? std::to_string(PeerUse->Tokens) : "-"},
+       {"others_ahead", PeerUse ? std::to_string(PeerUse->TokensAhead) : "-"},
+       {"load_age_ms",
+        To.Load ? std::to_string(toMilliseconds(Send.SentAt - To.ReportedAt))
+                : "-"},
+       {"tokens_to_read", std::to_string(Send.PendingPromptTokens)},
+       {"stored_tokens", std::to_string(Reuse.StoredTokens)},
+       {"shared_tokens", std::to_string(Reuse.SharedTokens)}});
+}
+
+/// Returns for how long the weights that the call was sent to have been
+/// superseded, or nothing.
+std::optional<Duration>
+ForwardRun::supersededFor(const ForwardSend &Send) const {
+  const AnnouncedWeights *Named = this->namedWeights();
+  if (!Named || !Send.Weights)
+    return std::nullopt;
+  const auto Since = supersededAt(*Named, *Send.Weights);
+  return Since ? std::optional(BootClock::now() - *Since) : std::nullopt;
+}
+
+void ForwardRun::armWeightsTimers() {
+  for (const auto &Each : this->Live)
+    this->armWeightsTimer(Each);
+}
+
+/// A call queued at an engine with old weights must not begin there after the
+/// deadline for the newer version, which may be announced while it waits.
+void ForwardRun::armWeightsTimer(const std::shared_ptr<ForwardSend> &Send) {
+  Send->WeightsTimer.disconnect();
+  if (this->Current == Phase::Done || !Send->Exchange || this->hasBegun(*Send))
+    return;
+  const auto Superseded = this->supersededFor(*Send);
+  if (!Superseded)
+    return;
+  Send->WeightsTimer = this->Services.Loop.timers().after(
+      std::max(this->Services.WeightsLimit - *Superseded, Duration::zero()),
+      [Self = this->shared_from_this(), Send] {
+        Self->onWeightsDeadline(Send);
+      });
+}
+
+void ForwardRun::onWeightsDeadline(const std::shared_ptr<ForwardSend> &Send) {
+  if (this->Current == Phase::Done || !Send->Exchange || this->hasBegun(*Send))
+    return;
+  this->abandonSend(Send, SendOutcome::Stalled);
+}
+
+/// Cancels \p Send. \p IfSent is its outcome if the call was sent.
+void ForwardRun::abandonSend(const std::shared_ptr<ForwardSend> &Send,
+                             SendOutcome IfSent) {
+  const bool WasSent = Send->Exchange->wasSent();
+  Send->Exchange.reset();
+  this->onOutcome(Send, WasSent ? IfSent : SendOutcome::NotSent);
+}
+
+void ForwardRun::armStallTimer(const std::shared_ptr<ForwardSend> &Send) {
+  Send->StallTimer.disconnect();
+  if (Send->IsPaused)
+    return;
+  if (const auto Limit =
+          stallLimit(*this->Route, this->FirstEventAt.has_value()))
+    Send->StallTimer = this->Services.Loop.timers().after(
+        *Limit, [Self = this->shared_from_this(), Send] {
+          Self->onStall(Send, StallCheck::First);
+        });
+}
+
+bool ForwardRun::onHead(ForwardSend &Send, const HttpHead &Head) {
+  CallAnswer Read = this->Services.Codec.readAnswer(Head);
+  // On a reused connection, an answer without a call id may be a late duplicate
+  // of an earlier answer.
+  const bool IsForeign = Read.CallId.empty()
+                             ? Send.Exchange->usedKeptConnection()
+                             : Read.CallId != this->Call.Id;
+  if (IsForeign) {
+    log(LogLevel::Warn, "answer.foreign",
+        {{"call", this->Call.Id},
+         {"upstream", Send.UpstreamId},
+         {"answers", Read.CallId}});
+    return false;
+  }
+  Send.Answer = std::move(Read);
+  Send.HasAnswer = true;
+  Send.IsFramed = Head.HasFraming || Head.Status == 204 || Head.Status == 304 ||
+                  this->Call.Method == "HEAD";
+  UpstreamTable &Upstreams = this->Services.Upstreams;
+  const TimePoint Now = EventLoop::now();
+  Send.ProgressAt = Now;
+  Upstreams.noteProgress(Send.UpstreamId, Now);
+  if (Send.Answer.IsLeaving)
+    Upstreams.noteLeaving(Send.UpstreamId);
+  if (Send.Answer.PauseFor)
+    Upstreams.notePaused(Send.UpstreamId, Now + *Send.Answer.PauseFor, Now);
+  if (const UpstreamEntry *From = Upstreams.find(Send.UpstreamId);
+      From && From->Incarnation == Send.Incarnation)
+    this->Services.OnRateLimit(*From, Send.Answer.RateLimit);
+  if (Send.Answer.Load)
+    Upstreams.noteLoad(Send.UpstreamId, *Send.Answer.Load, Now);
+  if (Send.Answer.WeightVersion)
+    Upstreams.noteWeights(Send.UpstreamId, *Send.Answer.WeightVersion);
+  return true;
+}
+
+/// Returns whether the answer to \p Send is an event stream, which is forwarded
+/// as it arrives.
+bool ForwardRun::isStreamAnswer(const ForwardSend &Send) const {
+  return this->Route->IsStream && Send.Answer.Status == 200 &&
+         Send.Answer.IsSigned && !Send.Answer.IsEncoded;
+}
+
+void ForwardRun::onBody(const std::shared_ptr<ForwardSend> &Send,
+                        std::string_view Bytes) {
+  if (!this->isStreamAnswer(*Send)) {
+    Send->Body += Bytes;
+    return;
+  }
+  if (Send->Splitter.feed(Bytes, [this, &Send](const StreamEvent &Event) {
+        this->onEvent(Send, Event);
+      }))
+    return;
+  log(LogLevel::Warn, "stream.event_too_long",
+      {{"call", this->Call.Id}, {"upstream", Send->UpstreamId}});
+  Send->Splitter.clear();
+  if (this->Current == Phase::Done)
+    return;
+  // Ended outside the parser, which is still reporting from these bytes.
+  Send->StallTimer.disconnect();
+  Send->StallTimer = this->Services.Loop.timers().after(
+      Duration::zero(), [Self = this->shared_from_this(), Send] {
+        if (Self->Current != Phase::Done && Send->Exchange)
+          Self->abandonSend(Send, SendOutcome::Broken);
+      });
+}
+
+void ForwardRun::onEvent(const std::shared_ptr<ForwardSend> &Send,
+                         const StreamEvent &Event) {
+  if (this->Current == Phase::Done || !Send->Exchange)
+    return;
+  if (++Send->Events == MinEventsOfAnswer)
+    this->notePartsAnswered(EventLoop::now());
+  if (Event.Id && this->LastEvent && *Event.Id <= *this->LastEvent) {
+    log(LogLevel::Warn, "stream.event_repeated",
+        {{"call", this->Call.Id}, {"event", std::to_string(*Event.Id)}});
+    return;
+  }
+  // In a numbered stream, an event without a number, such as a comment, does
+  // not show progress of the engine.
+  const bool IsProgress = Event.Id || !this->LastEvent;
+  if (IsProgress)
+    this->keepOnly(*Send);
+  else if (Send != this->Live.front())
+    return;
+  this->beginStream(*Send);
+  const TimePoint Now = EventLoop::now();
+  if (this->LastEventAt != TimePoint{})
+    this->LongestPause = std::max(this->LongestPause, Now - this->LastEventAt);
+  this->LastEventAt = Send->ProgressAt = Now;
+  if (Event.Id)
+    this->LastEvent = Event.Id;
+  this->Incoming->write(Event.Bytes);
+  if (IsProgress)
+    this->armStallTimer(Send);
+  if (this->Incoming->unsentBytes() > MaxStreamBacklog)
+    this->pauseUpstream(*Send);
+}
+
+/// Continues with \p Send, which makes progress, and cancels the other sends.
+void ForwardRun::keepOnly(const ForwardSend &Send) {
+  this->IsQueued = false;
+  const auto Sends = this->Live;
+  for (const auto &Each : Sends)
+    if (Each.get() != &Send)
+      this->cancelSend(*Each, "superseded");
+}
+
+/// Makes the upstream wait for the caller. Its silence meanwhile is no stall.
+void ForwardRun::pauseUpstream(ForwardSend &Send) {
+  if (Send.IsPaused)
+    return;
+  Send.IsPaused = true;
+  Send.StallTimer.disconnect();
+  Send.Exchange->pauseReading();
+  this->Services.Stats.decision("stream.paused");
+}
+
+void ForwardRun::resumeUpstreams() {
+  for (const auto &Each : this->Live) {
+    if (!Each->IsPaused)
+      continue;
+    Each->IsPaused = false;
+    Each->ProgressAt = EventLoop::now();
+    Each->Exchange->resumeReading();
+    this->armStallTimer(Each);
+  }
+}
+
+/// Notes that the prompt of \p Send was prefilled or never will be.
+void ForwardRun::notePrefillEnded(ForwardSend &Send) {
+  if (Send.PendingPromptTokens == 0)
+    return;
+  this->Services.Upstreams.notePrefillEnded(Send.UpstreamId,
+                                            Send.PendingPromptTokens);
+  Send.PendingPromptTokens = 0;
+  this->queue().wake();
+}
+
+void ForwardRun::beginStream(ForwardSend &Send) {
+  this->notePrefillEnded(Send);
+  if (this->Current == Phase::Streaming)
+    return;
+  this->Current = Phase::Streaming;
+  this->FirstEventAt = EventLoop::now();
+  this->Services.Stats.firstToken(
+      this->Service->Name, *this->FirstEventAt - this->Incoming->Arrived);
+  this->Incoming->begin(Send.Answer.Status, Send.Answer.ForwardedHeaders);
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/request/ForwardSend.h
@@ -0,0 +1,51 @@
+// One send of a forwarded call to an upstream, and what it has answered so far.
+//
+// ForwardRun makes the sends of its call and reads and changes them; see there.
+
+#ifndef GALENAROUTE_REQUEST_FORWARDSEND_H
+#define GALENAROUTE_REQUEST_FORWARDSEND_H
+
+#include "connection/UpstreamPool.h"
+#include "request/EventStream.h"
+#include "request/ForwardCall.h"
+
+#include <sigc++/sigc++.h>
+
+namespace galenaroute {
+
+struct ForwardSend {
+  ForwardSend() = default;
+  ~ForwardSend() { this->disconnectTimers(); }
+  ForwardSend(const ForwardSend &) = delete;
+  ForwardSend &operator=(const ForwardSend &) = delete;
+
+  void disconnectTimers() {
+    this->StallTimer.disconnect();
+    this->WeightsTimer.disconnect();
+  }
+
+  std::unique_ptr<UpstreamExchange> Exchange; ///< Null once it has ended.
+  UpstreamCause Cause = UpstreamCause::None;  ///< Of the end of its connection.
+  std::string UpstreamId;
+  std::uint64_t Incarnation = 0; ///< Of the upstream, see incarnationKey().
+  std::optional<std::uint64_t> Weights; ///< Of the upstream at the send.
+  CallAnswer Answer;
+  bool HasAnswer = false;      ///< The head of the answer has been read.
+  bool IsFramed = false;       ///< The answer states where it ends.
+  bool HasStalledOnce = false; ///< Its stall limit was extended.
+  bool IsStalled = false;      ///< Another upstream was tried beside it.
+  bool IsPaused = false;       ///< The upstream waits for the caller.
+  int Events = 0;              ///< Whole events received.
+  std::string Body;
+  EventSplitter Splitter;
+  /// Prompt tokens counted at the upstream until its prefill has ended.
+  std::uint32_t PendingPromptTokens = 0;
+  TimePoint SentAt;
+  TimePoint ProgressAt;
+  sigc::connection StallTimer;
+  sigc::connection WeightsTimer;
+};
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_REQUEST_FORWARDSEND_H
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -22,7 +22,8 @@
 static constexpr double StalledFailureWeight = 1;
 static constexpr double FailedFailureWeight = 0.1;
 
-SendOutcome ForwardRun::outcomeOf(UpstreamEnd End) const {
+SendOutcome ForwardRun::outcomeOf(const ForwardSend &Send,
+                                  UpstreamEnd End) const {
   switch (End) {
   case UpstreamEnd::ConnectFailed:
     return SendOutcome::NotSent;
@@ -32,27 +33,28 @@
   case UpstreamEnd::Complete:
     break;
   }
-  const CallAnswer &Read = this->Answer;
+  const CallAnswer &Read = Send.Answer;
   if (Read.NotRun || Read.IsMisdirected)
     return SendOutcome::NotRun;
   if (!Read.IsSigned || Read.IsEncoded)
     return SendOutcome::Broken;
   // Only a stream that was resumed after its last event may be empty.
-  const bool MayBeEmpty = this->IsFramed && this->LastEvent;
-  if (this->isStreamAnswer() &&
-      (this->Splitter.hasPartialEvent() || (this->Events == 0 && !MayBeEmpty)))
+  const bool MayBeEmpty = Send.IsFramed && this->LastEvent;
+  if (this->isStreamAnswer(Send) &&
+      (Send.Splitter.hasPartialEvent() || (Send.Events == 0 && !MayBeEmpty)))
     return SendOutcome::Broken;
   return Read.Status >= 500 ? SendOutcome::Failed : SendOutcome::Succeeded;
 }
 
-void ForwardRun::onEnd(UpstreamEnd End) {
-  const bool WasSent = this->Exchange->wasSent();
-  const UpstreamCause Cause = this->Exchange->cause();
-  this->Exchange.reset();
-  SendOutcome Outcome = this->outcomeOf(End);
+void ForwardRun::onEnd(const std::shared_ptr<ForwardSend> &Send,
+                       UpstreamEnd End) {
+  const bool WasSent = Send->Exchange->wasSent();
+  Send->Cause = Send->Exchange->cause();
+  Send->Exchange.reset();
+  SendOutcome Outcome = this->outcomeOf(*Send, End);
   if (Outcome == SendOutcome::Broken && !WasSent)
     Outcome = SendOutcome::NotSent;
-  this->onOutcome(Outcome, Cause);
+  this->onOutcome(Send, Outcome);
 }
 
 static std::string_view toString(SendOutcome Outcome) {
@@ -86,10 +88,10 @@
   }
 }
 
-/// Returns whether the answer received shows that the upstream did not crash as
-/// it began to write. One that ends with its connection does not show this.
-bool ForwardRun::isProvenAnswer() const {
-  return this->IsFramed || this->Events >= MinEventsOfAnswer;
+/// Returns whether the answer to \p Send shows that the upstream did not crash
+/// as it began to write. One that ends with its connection does not show this.
+bool ForwardRun::isProvenAnswer(const ForwardSend &Send) const {
+  return Send.IsFramed || Send.Events >= MinEventsOfAnswer;
 }
 
 /// Clears the parts of the prompt: an upstream has begun to answer the call.
@@ -101,95 +103,116 @@
     this->Services.OnCrashesChanged(Each.Key, Each.Crashes);
 }
 
-/// Returns the send in flight, which ends without an answer, with the keys that
-/// may have crashed its upstream.
-UnansweredSend ForwardRun::suspectSend(TimePoint Now) const {
-  UnansweredSend Send{this->Incarnation, this->CrashKeys, this->SentAt, Now};
-  if (this->Events >= MinEventsOfAnswer)
-    Send.Keys.resize(1);
-  return Send;
+/// Returns \p Send, which ends without an answer, with the keys that may have
+/// crashed its upstream.
+UnansweredSend ForwardRun::suspectSend(const ForwardSend &Send,
+                                       TimePoint Now) const {
+  UnansweredSend Suspect{Send.Incarnation, this->CrashKeys, Send.SentAt, Now};
+  if (Send.Events >= MinEventsOfAnswer)
+    Suspect.Keys.resize(1);
+  return Suspect;
 }
 
-/// Records a possible crash: the send in flight ended without an answer.
-void ForwardRun::recordSendCrash(TimePoint Now) {
-  recordCrash(this->Services, this->suspectSend(Now), this->UpstreamId,
+/// Records a possible crash: \p Send ended without an answer.
+void ForwardRun::recordSendCrash(const ForwardSend &Send, TimePoint Now) {
+  recordCrash(this->Services, this->suspectSend(Send, Now), Send.UpstreamId,
               this->Call.Id);
 }
 
-/// Notes that the send in flight was abandoned without an answer. It counts as
-/// a crash if the upstream has ended or ends soon.
-void ForwardRun::noteUnansweredSend(TimePoint Now) {
-  const UpstreamEntry *At = this->Services.Upstreams.find(this->UpstreamId);
-  if (!At || At->Incarnation != this->Incarnation) {
-    this->recordSendCrash(Now);
+/// Notes that \p Send was abandoned without an answer. It counts as a crash if
+/// the upstream has ended or ends soon.
+void ForwardRun::noteUnansweredSend(const ForwardSend &Send, TimePoint Now) {
+  const UpstreamEntry *At = this->Services.Upstreams.find(Send.UpstreamId);
+  if (!At || At->Incarnation != Send.Incarnation) {
+    this->recordSendCrash(Send, Now);
     return;
   }
-  if (Now - std::max(At->ProgressAt, this->SentAt) >= MinCrashSilence)
-    noteUnanswered(this->Services.Unanswered, this->suspectSend(Now));
+  if (Now - std::max(At->ProgressAt, Send.SentAt) >= MinCrashSilence)
+    noteUnanswered(this->Services.Unanswered, this->suspectSend(Send, Now));
 }
 
-/// Updates the shared records with the outcome of a send.
-void ForwardRun::noteOutcome(SendOutcome Outcome) {
+/// Updates the shared records with the outcome of \p Send.
+void ForwardRun::noteOutcome(ForwardSend &Send, SendOutcome Outcome) {
   UpstreamTable &Upstreams = this->Services.Upstreams;
   const TimePoint Now = EventLoop::now();
-  this->notePrefillEnded();
-  Upstreams.noteEnded(this->UpstreamId, this->callTokens());
+  this->notePrefillEnded(Send);
+  Upstreams.noteEnded(Send.UpstreamId, this->callTokens());
   this->queue().wake();
   switch (Outcome) {
   case SendOutcome::Succeeded:
-    Upstreams.noteSuccess(this->UpstreamId);
-    if (this->isProvenAnswer()) {
+    Upstreams.noteSuccess(Send.UpstreamId);
+    if (this->isProvenAnswer(Send)) {
       if (const std::size_t Cleared =
               noteSuccess(this->Services.Crashes, this->Signature, Now);
           Cleared > 0)
         this->Services.OnCrashesChanged(this->Signature, Cleared);
       // With another status, the prompt need not have been read.
-      if (this->Answer.Status < 300)
+      if (Send.Answer.Status < 300)
         this->notePartsAnswered(Now);
     } else {
-      noteUnanswered(this->Services.Unanswered, this->suspectSend(Now));
+      noteUnanswered(this->Services.Unanswered, this->suspectSend(Send, Now));
     }
     return;
   case SendOutcome::Failed:
-    Upstreams.noteFailure(this->UpstreamId, FailedFailureWeight, Now);
+    Upstreams.noteFailure(Send.UpstreamId, FailedFailureWeight, Now);
     return;
   case SendOutcome::NotRun:
     // An answer that states its weights has been noted already.
     if (const AnnouncedWeights *Named = this->namedWeights();
-        Named && this->Answer.IsMisdirected && !this->Answer.WeightVersion)
-      Upstreams.noteWeights(this->UpstreamId, Named->newest());
-    Upstreams.suspendUntil(this->UpstreamId, Now + RefusalBackoff);
+        Named && Send.Answer.IsMisdirected && !Send.Answer.WeightVersion)
+      Upstreams.noteWeights(Send.UpstreamId, Named->newest());
+    Upstreams.suspendUntil(Send.UpstreamId, Now + RefusalBackoff);
     return;
   case SendOutcome::NotSent:
-    Upstreams.noteFailure(this->UpstreamId, NotSentFailureWeight, Now);
+    Upstreams.noteFailure(Send.UpstreamId, NotSentFailureWeight, Now);
     return;
   case SendOutcome::Stalled:
-    this->noteUnansweredSend(Now);
-    Upstreams.noteFailure(this->UpstreamId, StalledFailureWeight, Now);
+    this->noteUnansweredSend(Send, Now);
+    if (!Send.IsStalled)
+      Upstreams.noteFailure(Send.UpstreamId, StalledFailureWeight, Now);
     return;
   case SendOutcome::Broken:
-    this->recordSendCrash(Now);
-    Upstreams.noteFailure(this->UpstreamId, BrokenFailureWeight, Now);
+    this->recordSendCrash(Send, Now);
+    Upstreams.noteFailure(Send.UpstreamId, BrokenFailureWeight, Now);
     return;
   }
 }
 
-/// Returns the progress of the call, for nextStep().
+/// Returns the progress of the call, for nextStep(). Sends in flight may have
+/// run.
 ForwardProgress ForwardRun::progress() {
-  return {.Repeat = this->Route->Repeat,
-          .Sends = this->Sends,
-          .PossibleRuns = this->PossibleRuns,
-          .MaxUpstreams = this->Route->MaxUpstreams,
-          .ConnectFailures = this->ConnectFailures,
-          .HasBudget = hasRetry(this->budget()),
-          .TimeLeft = this->timeLeft()};
+  ForwardProgress Result{.Repeat = this->Route->Repeat,
+                         .Sends = this->Sends,
+                         .PossibleRuns = this->PossibleRuns,
+                         .MaxUpstreams = this->Route->MaxUpstreams,
+                         .ConnectFailures = this->ConnectFailures,
+                         .HasBudget = hasRetry(this->budget()),
+                         .TimeLeft = this->timeLeft()};
+  for (const auto &Each : this->Live) {
+    if (!Each->Exchange->wasSent())
+      continue;
+    ++Result.Sends;
+    ++Result.PossibleRuns;
+  }
+  return Result;
+}
+
+/// Returns whether \p Send, which has ended with \p Outcome, answers the call
+/// or completes its stream.
+bool ForwardRun::isContinuation(const ForwardSend &Send,
+                                SendOutcome Outcome) const {
+  return Outcome == SendOutcome::Succeeded &&
+         (this->Current != Phase::Streaming || this->isStreamAnswer(Send));
 }
 
-void ForwardRun::onOutcome(SendOutcome Outcome, UpstreamCause Cause) {
-  this->StallTimer.disconnect();
+void ForwardRun::onOutcome(const std::shared_ptr<ForwardSend> &Send,
+                           SendOutcome Outcome) {
+  Send->disconnectTimers();
   if (this->Current == Phase::Done)
     return;
-  this->noteOutcome(Outcome);
+  const bool WasLatest = Send == this->Live.back();
+  std::erase(this->Live, Send);
+  this->noteOutcome(*Send, Outcome);
   if (Outcome == SendOutcome::NotSent) {
     ++this->ConnectFailures;
   } else {
@@ -197,30 +220,18 @@
     if (Outcome != SendOutcome::NotRun)
       ++this->PossibleRuns;
   }
+  if (this->isContinuation(*Send, Outcome))
+    this->cancelSends("superseded");
   const ForwardStep Step = nextStep(this->progress(), Outcome);
-  if (Outcome != SendOutcome::Succeeded) {
-    this->Services.Stats.decision("send." + std::string(toString(Outcome)));
-    log(LogLevel::Warn, "call.send_ended",
-        {{"call", this->Call.Id},
-         {"content", keyName(this->Signature)},
-         {"upstream", this->UpstreamId},
-         {"outcome", std::string(toString(Outcome))},
-         {"cause", std::string(toString(Cause))},
-         {"silent_ms",
-          std::to_string(toMilliseconds(EventLoop::now() - this->ProgressAt))},
-         {"status", std::to_string(this->HasAnswer ? this->Answer.Status : 0)},
-         {"after_ms",
-          std::to_string(toMilliseconds(EventLoop::now() - this->SentAt))},
-         {"possible_runs", std::to_string(this->PossibleRuns)},
-         {"budget_left", std::to_string(this->budget().Available)},
-         {"next", Step == ForwardStep::Retry     ? "retry"
-                  : Step == ForwardStep::Deliver ? "deliver"
-                  : Step == ForwardStep::Refuse  ? "refuse"
-                                                 : "fail"}});
+  if (Outcome != SendOutcome::Succeeded || !this->Live.empty())
+    this->logSendEnded(*Send, Outcome, this->nextName(Step));
+  if (!this->Live.empty()) {
+    this->continueOthers(Send, Outcome, WasLatest);
+    return;
   }
   switch (Step) {
   case ForwardStep::Deliver:
-    this->deliver();
+    this->deliver(*Send);
     return;
   case ForwardStep::Retry:
     if (Outcome != SendOutcome::NotSent)
@@ -236,89 +247,168 @@
   }
 }
 
-/// Returns whether the upstream has begun to answer the send in flight. The
-/// head of a stream may be sent while the call still waits.
-bool ForwardRun::hasBegun() const {
-  return this->Events > 0 || (this->HasAnswer && !this->isStreamAnswer());
+/// Goes on with the sends that are still in flight after \p Ended, which did
+/// not answer the call.
+void ForwardRun::continueOthers(const std::shared_ptr<ForwardSend> &Ended,
+                                SendOutcome Outcome, bool WasLatest) {
+  if (Outcome == SendOutcome::Failed && this->Current != Phase::Streaming)
+    this->ServerError = Ended;
+  if (Outcome == SendOutcome::NotSent)
+    returnRetry(this->budget());
+  if (WasLatest)
+    this->tryAnother(this->Live.back());
+}
+
+/// Returns what follows a send, for the log.
+std::string_view ForwardRun::nextName(ForwardStep Step) const {
+  if (!this->Live.empty())
+    return "others";
+  switch (Step) {
+  case ForwardStep::Deliver:
+    return "deliver";
+  case ForwardStep::Retry:
+    return "retry";
+  case ForwardStep::Refuse:
+    return "refuse";
+  case ForwardStep::Fail:
+    return "fail";
+  }
+  return "unknown";
+}
+
+void ForwardRun::logSendEnded(const ForwardSend &Send, SendOutcome Outcome,
+                              std::string_view Next) {
+  this->Services.Stats.decision("send." + std::string(toString(Outcome)));
+  log(LogLevel::Warn, "call.send_ended",
+      {{"call", this->Call.Id},
+       {"content", keyName(this->Signature)},
+       {"upstream", Send.UpstreamId},
+       {"outcome", std::string(toString(Outcome))},
+       {"cause", std::string(toString(Send.Cause))},
+       {"silent_ms",
+        std::to_string(toMilliseconds(EventLoop::now() - Send.ProgressAt))},
+       {"status", std::to_string(Send.HasAnswer ? Send.Answer.Status : 0)},
+       {"after_ms",
+        std::to_string(toMilliseconds(EventLoop::now() - Send.SentAt))},
+       {"possible_runs", std::to_string(this->PossibleRuns)},
+       {"budget_left", std::to_string(this->budget().Available)},
+       {"next", std::string(Next)}});
 }
 
-/// Withdraws a send that has got no answer yet once the call is blocked, since
-/// it would crash the upstream when that begins to write.
+/// Returns whether the upstream has begun to answer \p Send. The head of a
+/// stream may be sent while the call still waits.
+bool ForwardRun::hasBegun(const ForwardSend &Send) const {
+  return Send.Events > 0 || (Send.HasAnswer && !this->isStreamAnswer(Send));
+}
+
+/// Withdraws the sends that have got no answer yet once the call is blocked,
+/// since they would crash an upstream when that begins to write.
 void ForwardRun::onRefusalsChanged() {
-  if (this->Current == Phase::Done || !this->Exchange || this->hasBegun() ||
+  if (this->Current == Phase::Done || this->Live.empty() ||
       !refusedUntil(this->Services.Crashes, this->CrashKeys, EventLoop::now()))
     return;
   const auto Self = this->shared_from_this();
-  this->cancelSend("content_blocked");
-  this->endIfBlocked();
+  const auto Sends = this->Live;
+  for (const auto &Each : Sends)
+    if (!this->hasBegun(*Each))
+      this->cancelSend(*Each, "content_blocked");
+  if (this->Live.empty())
+    this->endIfBlocked();
+  else if (this->Live.size() < Sends.size())
+    this->armStallTimer(this->Live.back());
 }
 
-void ForwardRun::onStall(StallCheck Check) {
-  if (this->Current == Phase::Done || !this->Exchange)
+void ForwardRun::onStall(const std::shared_ptr<ForwardSend> &Send,
+                         StallCheck Check) {
+  if (this->Current == Phase::Done || !Send->Exchange)
     return;
   // What arrived while the process stood still is read first.
-  if (Check == StallCheck::First && this->Exchange->hasUnreadInput()) {
-    this->StallTimer = this->Services.Loop.timers().after(
-        UnreadInputDelay, [Self = this->shared_from_this()] {
-          Self->onStall(StallCheck::Repeated);
+  if (Check == StallCheck::First && Send->Exchange->hasUnreadInput()) {
+    Send->StallTimer = this->Services.Loop.timers().after(
+        UnreadInputDelay, [Self = this->shared_from_this(), Send] {
+          Self->onStall(Send, StallCheck::Repeated);
         });
     return;
   }
   // An upstream that makes progress on other calls is busy, not stalled; its
   // limit is extended once.
-  const UpstreamEntry *At = this->Services.Upstreams.find(this->UpstreamId);
-  if (At && At->ProgressAt > this->ProgressAt && !this->HasStalledOnce) {
-    this->HasStalledOnce = true;
-    this->StallTimer = this->Services.Loop.timers().after(
-        BusyStallExtension, [Self = this->shared_from_this()] {
-          Self->onStall(StallCheck::First);
+  const UpstreamEntry *At = this->Services.Upstreams.find(Send->UpstreamId);
+  if (At && At->ProgressAt > Send->ProgressAt && !Send->HasStalledOnce) {
+    Send->HasStalledOnce = true;
+    Send->StallTimer = this->Services.Loop.timers().after(
+        BusyStallExtension, [Self = this->shared_from_this(), Send] {
+          Self->onStall(Send, StallCheck::First);
         });
     return;
   }
-  // A slow send is abandoned only if another upstream has capacity now.
-  // Otherwise a healthy stream would be cut because the fleet is busy.
-  if (this->canFailOver()) {
-    this->abandonSend(SendOutcome::Stalled);
-    return;
-  }
-  this->armStallTimer();
+  this->tryAnother(Send);
 }
 
-/// Returns whether the send in flight may be abandoned and another upstream has
-/// capacity for the call.
-bool ForwardRun::canFailOver() {
-  ForwardProgress Progress = this->progress();
-  if (this->Exchange->wasSent()) {
-    ++Progress.Sends;
-    ++Progress.PossibleRuns;
-  }
+/// Tries another upstream beside \p Silent, which makes no progress, if one has
+/// capacity now or other calls wait for one.
+void ForwardRun::tryAnother(const std::shared_ptr<ForwardSend> &Silent) {
+  if (this->queue().size() > 0 && this->canTryAnother())
+    this->enqueue();
+  else if (!this->trySend())
+    this->armStallTimer(Silent);
+}
+
+/// Returns whether the call may be sent to another upstream beside the sends in
+/// flight.
+bool ForwardRun::canTryAnother() {
+  return this->ConnectFailures < MaxConnectFailures &&
+         nextStep(this->progress(), SendOutcome::Stalled) ==
+             ForwardStep::Retry &&
+         !refusedUntil(this->Services.Crashes, this->CrashKeys,
+                       EventLoop::now());
+}
+
+/// Notes that \p Send makes no progress and that the call is sent to the
+/// upstream \p Other too.
+void ForwardRun::noteStalled(ForwardSend &Send, std::string_view Other) {
   const TimePoint Now = EventLoop::now();
-  return nextStep(Progress, SendOutcome::Stalled) == ForwardStep::Retry &&
-         !refusedUntil(this->Services.Crashes, this->CrashKeys, Now) &&
-         this->Services.Upstreams.choose(this->query(), Now).Entry != nullptr;
+  if (!std::exchange(Send.IsStalled, true)) {
+    this->Services.Upstreams.noteFailure(Send.UpstreamId, StalledFailureWeight,
+                                         Now);
+    this->Services.Stats.decision("send.stalled");
+  }
+  log(LogLevel::Warn, "call.send_stalled",
+      {{"call", this->Call.Id},
+       {"upstream", Send.UpstreamId},
+       {"after_ms", std::to_string(toMilliseconds(Now - Send.SentAt))},
+       {"silent_ms", std::to_string(toMilliseconds(Now - Send.ProgressAt))},
+       {"other", std::string(Other)}});
 }
 
-/// Cancels the send in flight, if there is one, with \p Reason as its outcome.
-void ForwardRun::cancelSend(std::string_view Reason) {
-  if (!this->Exchange)
-    return;
-  const bool WasSent = this->Exchange->wasSent();
-  this->Exchange.reset();
+void ForwardRun::cancelSends(std::string_view Reason) {
+  const auto Sends = this->Live;
+  for (const auto &Each : Sends)
+    this->cancelSend(*Each, Reason);
+}
+
+/// Cancels \p Send with \p Reason as its outcome.
+void ForwardRun::cancelSend(ForwardSend &Send, std::string_view Reason) {
+  const bool WasSent = Send.Exchange->wasSent();
+  Send.Exchange.reset();
+  Send.disconnectTimers();
   this->Services.Stats.decision("send." + std::string(Reason));
   log(LogLevel::Info, "call.send_ended",
       {{"call", this->Call.Id},
        {"content", keyName(this->Signature)},
-       {"upstream", this->UpstreamId},
+       {"upstream", Send.UpstreamId},
        {"outcome", std::string(Reason)},
-       {"status", std::to_string(this->HasAnswer ? this->Answer.Status : 0)},
+       {"status", std::to_string(Send.HasAnswer ? Send.Answer.Status : 0)},
        {"after_ms",
-        std::to_string(toMilliseconds(EventLoop::now() - this->SentAt))}});
-  this->notePrefillEnded();
-  this->Services.Upstreams.noteEnded(this->UpstreamId, this->callTokens());
-  if (!WasSent)
-    return;
-  ++this->PossibleRuns;
-  this->noteUnansweredSend(EventLoop::now());
+        std::to_string(toMilliseconds(EventLoop::now() - Send.SentAt))}});
+  this->notePrefillEnded(Send);
+  this->Services.Upstreams.noteEnded(Send.UpstreamId, this->callTokens());
+  if (WasSent) {
+    ++this->Sends;
+    ++this->PossibleRuns;
+    this->noteUnansweredSend(Send, EventLoop::now());
+  }
+  std::erase_if(this->Live,
+                [&Send](const auto &Each) { return Each.get() == &Send; });
 }
 
 } // namespace galenaroute
--- a/src/request/RetryBudget.h
+++ b/src/request/RetryBudget.h
@@ -53,6 +53,11 @@
   Budget.Available = std::max(0.0, Budget.Available - 1);
 }
 
+/// Takes back a spendRetry() for a retry that reached no upstream.
+inline void returnRetry(RetryBudget &Budget) {
+  Budget.Available = std::min(Budget.Capacity, Budget.Available + 1);
+}
+
 } // namespace galenaroute
 
 #endif // GALENAROUTE_REQUEST_RETRYBUDGET_H
--- a/src/request/WaitingRuns.cpp
+++ b/src/request/WaitingRuns.cpp
@@ -13,7 +13,8 @@
 static constexpr int MaxFailedTries = 12;
 
 void WaitingRuns::add(std::shared_ptr<ForwardRun> Run) {
-  this->Runs.push_back(std::move(Run));
+  if (std::find(this->Runs.begin(), this->Runs.end(), Run) == this->Runs.end())
+    this->Runs.push_back(std::move(Run));
   if (!this->IsWakeScheduled && this->Timer.empty())
     this->Timer =
         this->Loop.timers().after(PollInterval, [this] { this->dispatch(); });
@@ -38,7 +39,8 @@
 void WaitingRuns::dispatch() {
   this->IsWakeScheduled = false;
   this->Timer.disconnect();
-  std::erase_if(this->Runs, [](const auto &Each) { return Each->isDone(); });
+  std::erase_if(this->Runs,
+                [](const auto &Each) { return Each->hasLeftQueue(); });
   const TimePoint Now = EventLoop::now();
   const Duration Longest = this->longestWait(Now);
   std::vector<WaitingCall> Calls;
@@ -51,7 +53,7 @@
   int FailedTries = 0;
   for (const std::size_t I : Order) {
     const auto &Run = Waiting[I];
-    if (Run->isDone())
+    if (Run->hasLeftQueue())
       continue;
     if (FailedTries < MaxFailedTries && Run->trySend())
       continue;
--- a/tests/SilentUpstreamTest.cpp
+++ b/tests/SilentUpstreamTest.cpp
@@ -75,6 +75,102 @@
   EXPECT_TRUE(this->callerReceives("HTTP/1.1 200 ")) << this->Caller->read();
 }
 
+// Guards against a stream that is lost because the upstream asked to resume it
+// fails in some other way, while the first one goes on.
+TEST_F(SilentUpstreamTest, AStreamOutlastsTheFailureOfItsResumption) {
+  const std::string Failures[] = {
+      "", "nonsense\r\n\r\n",
+      head("500 Error", "Server-Stamp: x\r\nContent-Length: 2\r\n") + "no",
+      head("404 Gone", "Server-Stamp: x\r\nContent-Length: 2\r\n") + "no",
+      this->StreamHead + chunk("id: 1\ndata: a\n\nid: 2\nda")};
+  for (const std::string &Failure : Failures) {
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    const auto Silent = this->beginStream("/stream/a");
+    const auto Other = this->waitForArrival();
+    Other->write(Failure);
+    Other->reset();
+    this->runFor(100ms);
+    EXPECT_FALSE(Silent->hasEnded()) << Failure;
+    EXPECT_TRUE(this->endsWhole(*Silent)) << Failure;
+    this->Services.Crashes = {};
+    for (const char *Id : {"u0", "u1"})
+      this->Table.noteSuccess(Id);
+  }
+}
+
+// Guards against two upstreams that both work on a call after one of them has
+// gone on, and against events that are forwarded twice.
+TEST_F(SilentUpstreamTest, OnlyOneUpstreamContinuesAStream) {
+  for (const bool FirstGoesOn : {true, false}) {
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    const auto Silent = this->beginStream("/stream/a");
+    const auto Other = this->waitForArrival();
+    EXPECT_NE(Other->read().find("Last-Event-Id: 1\r\n"), std::string::npos);
+    RawSocket &Continued = FirstGoesOn ? *Silent : *Other;
+    RawSocket &Cancelled = FirstGoesOn ? *Other : *Silent;
+    if (!FirstGoesOn)
+      Other->write(this->StreamHead);
+    Continued.write(chunk("id: 2\ndata: b\n\n"));
+    ASSERT_TRUE(this->callerReceives("data: b"));
+    EXPECT_TRUE(
+        this->Loop.runUntil([&] { return Cancelled.hasEnded(); }, 300ms));
+    Continued.write(chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(this->callerReceives("\r\n0\r\n\r\n"));
+    for (const std::string Id : {"id: 1\n", "id: 2\n", "id: 3\n"})
+      EXPECT_EQ(countOf(this->Caller->read(), Id), 1);
+    EXPECT_TRUE(this->waitUntil([&] { return this->Services.OpenRuns == 0; }));
+    EXPECT_EQ(this->Table.find("u0")->OwnCalls, 0);
+    EXPECT_EQ(this->Table.find("u1")->OwnCalls, 0);
+  }
+}
+
+// Guards against a server error that replaces the answer of an upstream that is
+// only silent, and against its loss if that one fails.
+TEST_F(SilentUpstreamTest, AServerErrorIsDeliveredOnlyIfNoOtherSendSucceeds) {
+  for (const bool FirstSucceeds : {true, false}) {
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    this->sendCall("/safe/a");
+    const auto Silent = this->waitForArrival();
+    this->waitForArrival()->write(
+        head("500 Error", "Server-Stamp: x\r\nContent-Length: 2\r\n") + "no");
+    this->runFor(100ms);
+    EXPECT_EQ(this->Caller->read(), "");
+    if (FirstSucceeds)
+      Silent->write(Ok);
+    else
+      Silent->reset();
+    EXPECT_TRUE(this->callerReceives(FirstSucceeds ? "HTTP/1.1 200 "
+                                                   : "HTTP/1.1 500 "));
+  }
+}
+
+// Guards against a silent stream that is cut because other calls wait for the
+// upstream that could resume it.
+TEST_F(SilentUpstreamTest, AStreamOutlastsAQueueForItsResumption) {
+  const auto Silent = this->beginStream("/stream/a");
+  for (const char *Id : {"u0", "u1"})
+    this->Table.suspendUntil(Id, EventLoop::now() + 700ms);
+  RawSocket Queued(RawSocket::connectTo(this->Address));
+  Queued.write("POST /once/b HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\n"
+               "Authorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody");
+  this->runFor(1100ms);
+  EXPECT_FALSE(Silent->hasEnded());
+  EXPECT_TRUE(this->endsWhole(*Silent)) << this->Caller->read();
+}
+
+// Guards against a silent send that outlives its caller.
+TEST_F(SilentUpstreamTest, AllSendsAreCancelledWhenTheCallerLeaves) {
+  const auto Silent = this->beginStream("/stream/a");
+  const auto Other = this->waitForArrival();
+  this->Caller->close();
+  EXPECT_TRUE(
+      this->waitUntil([&] { return Silent->hasEnded() && Other->hasEnded(); }));
+  EXPECT_TRUE(this->waitUntil([&] { return this->Services.OpenRuns == 0; }));
+}
+
 // Guards against a stream that is cut because one keep-alive probe was lost.
 TEST_F(SilentUpstreamTest, AStreamOutlastsALinkThatIsSilentForASecond) {
   const auto Peer = this->beginStream("/oncestream/a");
