UpstreamPool: outlast links that are silent for up to two seconds

Callers lost streams and got 502 for calls that must not be sent twice when the link or the machine of a sound upstream was silent for about a second. The kernel uses TCP_USER_TIMEOUT (1 s) instead of TCP_KEEPCNT, so that one lost keep-alive probe ended a connection 2 s after its last traffic, and a request sent into a silence was given up after 1.4 s.

The limit is 3.5 s now. A connection without traffic ends with the probe that is due after 4 s, so that two lost probes in a row do not end it; data that is not acknowledged ends it 3.5 s after the kernel has first sent it again. Calls that may be repeated are tried at another upstream after the stall limit as before. So that a kept connection that is silent for good is not handed calls until then, the kernel is asked (TCP_INFO) whether a probe or data sent again is unanswered before it is used again; it is closed then. A socket whose kernel does not tell counts as usable.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -12,14 +12,17 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace galenaroute {
 
-/// Keep-alive probes: first after this many seconds without traffic, then one
-/// a second, and the connection ends after two without an answer.
+/// Keep-alive probes: the first after this many seconds without traffic, then
+/// one a second. The kernel ends the connection with the first probe that is
+/// due later than the user timeout; where it ignores that, after three
+/// unanswered ones.
 static constexpr int KeepAliveIdleSeconds = 1;
 static constexpr int KeepAliveProbeSeconds = 1;
-static constexpr int KeepAliveProbes = 2;
+static constexpr int KeepAliveProbes = 3;
 
 static void setOption(int Socket, int Level, int Name, int Value) {
   if (setsockopt(Socket, Level, Name, &Value, sizeof Value) != 0)
@@ -46,6 +49,18 @@
   return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
 }
 
+bool isLinkSilent(int Socket) {
+  tcp_info Info{};
+  socklen_t Size = sizeof Info;
+  if (::getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Info, &Size) == 0)
+    return Info.tcpi_probes > 0 || Info.tcpi_retransmits > 0;
+  static bool IsLogged = false;
+  if (!std::exchange(IsLogged, true))
+    log(LogLevel::Warn, "socket.info_unavailable",
+        {{"error", std::strerror(errno)}});
+  return false;
+}
+
 bool isPending(bufferevent *Event, short PollEvents) {
   pollfd Socket{
       .fd = bufferevent_getfd(Event), .events = PollEvents, .revents = 0};
--- a/src/connection/BufferedSocket.h
+++ b/src/connection/BufferedSocket.h
@@ -32,6 +32,11 @@
 /// Returns whether the kernel holds bytes that the peer has not acknowledged.
 bool hasUnacknowledgedBytes(int Socket);
 
+/// Returns whether a keep-alive probe or data sent again awaits an
+/// acknowledgment, as on a link that has gone silent. Returns false if the
+/// kernel does not tell, which is logged once.
+bool isLinkSilent(int Socket);
+
 /// Returns whether the socket has one of \p PollEvents that the loop has not
 /// handled yet.
 bool isPending(bufferevent *Event, short PollEvents);
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -63,6 +63,9 @@
   void pauseReading();
   void resumeReading();
   bool hasUnreadInput() const;
+  bool isSilent() const {
+    return isLinkSilent(bufferevent_getfd(this->Event.get()));
+  }
   bool isUsable(TimePoint Now, Duration MaxIdle) const {
     return Now < this->KeepUntil && Now - this->IdleSince < MaxIdle;
   }
@@ -398,22 +401,40 @@
 
 UpstreamPool::~UpstreamPool() { this->SweepTimer.disconnect(); }
 
+/// Returns an idle connection to \p To that may be used, or null. Closes those
+/// whose link is silent.
+std::shared_ptr<UpstreamConnection>
+UpstreamPool::takeIdle(const SocketAddress &To, Duration MaxIdle) {
+  const TimePoint Now = EventLoop::now();
+  while (true) {
+    const auto It = this->Targets.find(To);
+    if (It == this->Targets.end() || It->second.Idle.empty())
+      return nullptr;
+    // The connection used last is the least likely to be closing.
+    std::shared_ptr<UpstreamConnection> Last = It->second.Idle.back();
+    if (!Last->isUsable(Now, MaxIdle))
+      return nullptr;
+    if (!Last->isSilent()) {
+      It->second.Idle.pop_back();
+      return Last;
+    }
+    log(LogLevel::Info, "upstream.idle_silent",
+        {{"upstream", To.toString()},
+         {"idle_ms", std::to_string(toMilliseconds(Now - Last->IdleSince))}});
+    this->forget(Last);
+  }
+}
+
 std::unique_ptr<UpstreamExchange>
 UpstreamPool::start(const SocketAddress &To, std::string Request,
                     const UpstreamExchangeSettings &Settings,
                     UpstreamExchangeEvents Events) {
-  Target &At = this->Targets[To];
-  const TimePoint Now = EventLoop::now();
-  std::shared_ptr<UpstreamConnection> Connection;
-  // The connection used last is the least likely to be closing.
-  if (!At.Idle.empty() && At.Idle.back()->isUsable(Now, Settings.MaxIdle)) {
-    Connection = std::move(At.Idle.back());
-    At.Idle.pop_back();
-  }
+  std::shared_ptr<UpstreamConnection> Connection =
+      this->takeIdle(To, Settings.MaxIdle);
   const bool IsNew = !Connection;
   if (IsNew) {
     Connection = std::make_shared<UpstreamConnection>(*this, To);
-    ++At.Total;
+    ++this->Targets[To].Total;
     ++this->Opened;
   }
   this->Busy[Connection.get()] = Connection;
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -9,8 +9,9 @@
 // connection, end the connection and are handed to nobody; an answer that the
 // caller of start() does not accept in OnHead is read and dropped, and the
 // next one is awaited; a connection is used again only when its last request
-// was written whole and its last answer was complete. Nothing is called inside
-// start(). OnEnd is called exactly once unless the exchange is destroyed.
+// was written whole, its last answer was complete and its peer has acknowledged
+// the keep-alive probes since. Nothing is called inside start(). OnEnd is
+// called exactly once unless the exchange is destroyed.
 
 #ifndef GALENAROUTE_CONNECTION_UPSTREAMPOOL_H
 #define GALENAROUTE_CONNECTION_UPSTREAMPOOL_H
@@ -48,8 +49,10 @@
 
 struct UpstreamExchangeSettings {
   Duration ConnectTimeout = std::chrono::milliseconds(400);
-  /// How long data to the upstream may stay unacknowledged.
-  Duration UserTimeout = std::chrono::milliseconds(1000);
+  /// How long data to the upstream may stay unacknowledged. Probes are due each
+  /// second without traffic, so a link that is silent for two seconds loses two
+  /// of them and must answer the third.
+  Duration UserTimeout = std::chrono::milliseconds(3500);
   /// The same for a request so long that it can fill the window of an upstream
   /// that pauses, which the kernel treats like a silent link.
   Duration LongRequestTimeout = std::chrono::seconds(15);
@@ -132,6 +135,8 @@
     std::size_t Total = 0;
   };
 
+  std::shared_ptr<UpstreamConnection> takeIdle(const SocketAddress &To,
+                                               Duration MaxIdle);
   void release(const std::shared_ptr<UpstreamConnection> &Connection);
   void forget(std::shared_ptr<UpstreamConnection> Connection);
   void sweep();
--- a/tests/ForwardConnectionsTest.cpp
+++ b/tests/ForwardConnectionsTest.cpp
@@ -251,6 +251,60 @@
   EXPECT_EQ(this->Pool.opened(), 1U);
 }
 
+// Guards against calls on a kept connection whose link has gone silent: each of
+// them would wait until the kernel gives the connection up.
+TEST_F(UpstreamPoolTest, AnIdleConnectionWithASilentLinkIsNotUsedAgain) {
+  Outcome First;
+  Outcome Second;
+  Outcome Third;
+  const auto A = this->start(First);
+  const auto Peer = this->accept();
+  Peer->write(Whole);
+  ASSERT_TRUE(this->ended(First));
+  this->Loop.runUntil([] { return false; }, 1200ms);
+  const auto B = this->start(Second);
+  EXPECT_TRUE(B->usedKeptConnection()) << "the probe was answered";
+  Peer->write(Whole);
+  ASSERT_TRUE(this->ended(Second));
+  Peer->dropArriving();
+  this->Loop.runUntil([] { return false; }, 1200ms);
+  const auto C = this->start(Third);
+  EXPECT_FALSE(C->usedKeptConnection());
+  this->accept()->write(Whole);
+  EXPECT_TRUE(this->ended(Third));
+  EXPECT_EQ(this->Pool.connections(this->Server.Address), 1U);
+}
+
+// Guards against connections that are kept for long after their link has gone
+// silent for good, with a request on the way and after it was acknowledged.
+TEST_F(UpstreamPoolTest, ALinkThatStaysSilentIsNoticedWithinFiveSeconds) {
+  Outcome Warm;
+  Outcome OnTheWay;
+  Outcome Acknowledged;
+  const auto A = this->start(Warm);
+  const auto First = this->accept();
+  First->write(Whole);
+  ASSERT_TRUE(this->ended(Warm));
+  First->dropArriving();
+  const TimePoint From = EventLoop::now();
+  const auto B = this->start(OnTheWay);
+  ASSERT_TRUE(B->usedKeptConnection());
+  const auto C = this->start(Acknowledged);
+  const auto Second = this->accept();
+  this->Loop.runUntil([&] { return !Second->read().empty(); }, 3s);
+  Second->dropArriving();
+  for (const Outcome *Each : {&OnTheWay, &Acknowledged}) {
+    ASSERT_TRUE(this->Loop.runUntil([&] { return Each->End.has_value(); }, 5s));
+    const Duration After = EventLoop::now() - From;
+    EXPECT_GT(After, 3s);
+    EXPECT_LT(After, 5s);
+    this->RecordProperty(Each == &OnTheWay ? "on_the_way_ms" : "waiting_ms",
+                         std::to_string(toMilliseconds(After)));
+  }
+  EXPECT_EQ(toString(B->cause()), "no_acknowledgment");
+  EXPECT_EQ(toString(C->cause()), "no_acknowledgment");
+}
+
 // Guards against another call's late answer being handed on.
 TEST_F(UpstreamPoolTest, SkipsAnAnswerToAnotherCall) {
   Outcome Into;
