ForwardRun: a link that went silent is no crash of its upstream

Calls were refused with 503 for ten minutes as crashing after the links of three of their sends had gone silent, though the upstreams were sound: a send that the kernel gave up (ETIMEDOUT) counted as a crash of its upstream by the call's content and by each shared part of its prompt.

Such a send is treated like one that was abandoned without an answer: it counts only if its upstream has ended or ends soon. EHOSTUNREACH and ENETUNREACH, which the kernel reports in place of ETIMEDOUT where it has been told the reason, count as NoAcknowledgment too; that is not covered by a test.

SilentLinksOfEndedUpstreamsCountAsCrashes passes before and after. CrashingCallTest, CrashRecordTest and ForwardRunTest pass (52 tests).

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -294,6 +294,9 @@
   case EPIPE:
     return UpstreamCause::Reset;
   case ETIMEDOUT:
+  // Reported in place of ETIMEDOUT where a router has told the reason.
+  case EHOSTUNREACH:
+  case ENETUNREACH:
     return UpstreamCause::NoAcknowledgment;
   case ECONNREFUSED:
     return UpstreamCause::Refused;
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -119,8 +119,8 @@
               this->Call.Id);
 }
 
-/// Notes that \p Send was abandoned without an answer. It counts as a crash if
-/// the upstream has ended or ends soon.
+/// Notes that \p Send was abandoned, or its link was silent, without an answer.
+/// It counts as a crash if the upstream has ended or ends soon.
 void ForwardRun::noteUnansweredSend(const ForwardSend &Send, TimePoint Now) {
   const UpstreamEntry *At = this->Services.Upstreams.find(Send.UpstreamId);
   if (!At || At->Incarnation != Send.Incarnation) {
@@ -172,7 +172,11 @@
       Upstreams.noteFailure(Send.UpstreamId, StalledFailureWeight, Now);
     return;
   case SendOutcome::Broken:
-    this->recordSendCrash(Send, Now);
+    // A silent link does not show that the upstream has ended.
+    if (Send.Cause == UpstreamCause::NoAcknowledgment)
+      this->noteUnansweredSend(Send, Now);
+    else
+      this->recordSendCrash(Send, Now);
     Upstreams.noteFailure(Send.UpstreamId, BrokenFailureWeight, Now);
     return;
   }
