UpstreamPool: see connections that were established during a standstill

After a standstill of the process, the connect timer ran before the loop had seen that the connection was established or refused. A sound upstream counted as down then, and a call with no upstream left was refused.

If the socket has an event that the loop has not handled yet, the timer gives the loop 20 ms to handle it.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <cstring>
 #include <netinet/in.h>
+#include <poll.h>
 #include <utility>
 
 namespace galenaroute {
@@ -19,6 +20,8 @@
 /// way when a request is sent.
 static constexpr auto KeepTimeMargin = std::chrono::milliseconds(400);
 static constexpr auto SweepPeriod = std::chrono::milliseconds(500);
+/// Enough for the loop to handle a connection that is established.
+static constexpr auto PendingConnectDelay = std::chrono::milliseconds(20);
 /// Answers before the one awaited that are skipped on one connection: late ones
 /// to earlier requests, and interim ones. A server in trouble may send them
 /// without end.
@@ -76,6 +79,8 @@
 
   template <typename Function>
   static void guard(void *Self, std::string_view Where, Function Action);
+  enum class ConnectCheck { First, Repeated };
+  void onConnectTimeout(ConnectCheck Check);
   void onConnected();
   void onReadable();
   void onEvent(short What);
@@ -176,11 +181,24 @@
   }
   this->ConnectTimer =
       this->Pool.Loop.timers().after(With.ConnectTimeout, [this] {
-        this->Current->Cause = UpstreamCause::ConnectTimeout;
-        this->end(UpstreamEnd::ConnectFailed, false);
+        this->onConnectTimeout(ConnectCheck::First);
       });
 }
 
+void UpstreamConnection::onConnectTimeout(ConnectCheck Check) {
+  // A connection that was established while the process stood still has not
+  // been seen by the loop yet.
+  if (Check == ConnectCheck::First && isPending(this->Event.get(), POLLOUT)) {
+    this->ConnectTimer =
+        this->Pool.Loop.timers().after(PendingConnectDelay, [this] {
+          this->onConnectTimeout(ConnectCheck::Repeated);
+        });
+    return;
+  }
+  this->Current->Cause = UpstreamCause::ConnectTimeout;
+  this->end(UpstreamEnd::ConnectFailed, false);
+}
+
 void UpstreamConnection::onConnected() {
   this->ConnectTimer.disconnect();
   const Duration Timeout = this->Request.size() > LongRequestBytes
--- a/tests/ForwardConnectionsTest.cpp
+++ b/tests/ForwardConnectionsTest.cpp
@@ -6,6 +6,7 @@
 
 #include <fstream>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace galenaroute {
 namespace {
@@ -305,6 +306,31 @@
   EXPECT_EQ(toString(C->cause()), "no_acknowledgment");
 }
 
+// Guards against a connection that counts as failed since the process stood
+// still while it was established, and its timer ran first.
+TEST_F(UpstreamPoolTest, AConnectDuringAStandstillSucceeds) {
+  Outcome Into;
+  const auto Exchange = this->start(Into);
+  std::this_thread::sleep_for(600ms);
+  this->Loop.runUntil([&] { return Exchange->wasSent() || Into.End; }, 1s);
+  EXPECT_TRUE(Exchange->wasSent());
+  this->accept()->write(Whole);
+  ASSERT_TRUE(this->ended(Into));
+  EXPECT_EQ(*Into.End, UpstreamEnd::Complete);
+}
+
+// Guards against a refused connection that is logged as one that took too long.
+TEST_F(UpstreamPoolTest, ARefusalDuringAStandstillIsToldAsOne) {
+  Outcome Into;
+  const auto Exchange =
+      this->Pool.start(freeAddress(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {},
+                       {.OnEnd = [&](UpstreamEnd End) { Into.End = End; }});
+  std::this_thread::sleep_for(600ms);
+  ASSERT_TRUE(this->ended(Into));
+  EXPECT_EQ(*Into.End, UpstreamEnd::ConnectFailed);
+  EXPECT_EQ(toString(Exchange->cause()), "refused");
+}
+
 // Guards against another call's late answer being handed on.
 TEST_F(UpstreamPoolTest, SkipsAnAnswerToAnotherCall) {
   Outcome Into;
