ForwardRun: read what arrived before a call is withdrawn for old weights

A call must not begin on replaced weights after the deadline for the newer ones, so a send that has not begun by then is abandoned. After the process stood still, that timer runs before the loop reads the sockets: a stream whose first event waited there was cancelled, and its caller got 502 (a route that may not repeat).

WeightsDeadlineTest.ACallThatBeganDuringAStandstillIsNotWithdrawn failed before in 3 of 3 runs. Now the timer waits 20 ms once if input is unread, as the stall timer does; 3 of 3 runs pass. ACallThatHasNotBegunIsWithdrawn passes before and after: the head of a stream alone does not put the withdrawal off.

--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -190,6 +190,7 @@
   void armWeightsTimers();
   void armWeightsTimer(const std::shared_ptr<ForwardSend> &Send);
   void onWeightsDeadline(const std::shared_ptr<ForwardSend> &Send);
+  void withdrawIfNotBegun(const std::shared_ptr<ForwardSend> &Send);
   void abandonSend(const std::shared_ptr<ForwardSend> &Send,
                    SendOutcome IfSent);
   void keepOnly(const ForwardSend &Send);
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -154,9 +154,21 @@
 }
 
 void ForwardRun::onWeightsDeadline(const std::shared_ptr<ForwardSend> &Send) {
-  if (this->Current == Phase::Done || !Send->Exchange || this->hasBegun(*Send))
+  if (this->Current == Phase::Done || !Send->Exchange)
     return;
-  this->abandonSend(Send, SendOutcome::Stalled);
+  // An event that arrived while the process stood still is read first.
+  if (Send->Exchange->hasUnreadInput())
+    Send->WeightsTimer = this->Services.Loop.timers().after(
+        UnreadInputDelay, [Self = this->shared_from_this(), Send] {
+          Self->withdrawIfNotBegun(Send);
+        });
+  else
+    this->withdrawIfNotBegun(Send);
+}
+
+void ForwardRun::withdrawIfNotBegun(const std::shared_ptr<ForwardSend> &Send) {
+  if (this->Current != Phase::Done && Send->Exchange && !this->hasBegun(*Send))
+    this->abandonSend(Send, SendOutcome::Stalled);
 }
 
 /// Cancels \p Send. \p IfSent is its outcome if the call was sent.
--- a/src/request/ForwardSend.h
+++ b/src/request/ForwardSend.h
@@ -13,6 +13,9 @@
 
 namespace galenaroute {
 
+/// Enough for the loop to handle input that waits.
+inline constexpr Duration UnreadInputDelay = std::chrono::milliseconds(20);
+
 struct ForwardSend {
   ForwardSend() = default;
   ~ForwardSend() { this->disconnectTimers(); }
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -12,8 +12,6 @@
 /// Extension of the stall limit for a busy upstream. Callers give up after 2 s
 /// without an event.
 static constexpr Duration BusyStallExtension = std::chrono::milliseconds(1000);
-/// Enough for the loop to handle input that waits.
-static constexpr Duration UnreadInputDelay = std::chrono::milliseconds(20);
 /// Weight of each outcome in the failure score of the upstream. One that cannot
 /// be connected to is down; one that answers with an error is up, and the call
 /// may be the cause; one that is too slow for a caller may only be busy.
