EventLoop: timers fire while handlers of I/O add timers

Timers of a busy process could be put off without end: libevent takes back an event that is about to fire when event_add() is called for it, and each timer that a handler of I/O added armed the event again. Time limits, heartbeats and polls then waited until a turn of the loop in which no handler added a timer.

The event is armed again only if the next timer is earlier than the one it is armed for. EventLoopTest.TimersFireWhileHandlersOfIoAddTimers, a handler that is called in each turn and adds a timer: a timer of 10 ms had not fired after 1 s before (1 of 1 runs), and fires at 14 ms now.

--- a/src/process/EventLoop.cpp
+++ b/src/process/EventLoop.cpp
@@ -49,6 +49,7 @@
 
 void TimerService::fire() {
   const TimePoint Now = Clock::now();
+  this->ArmedFor = TimePoint::max();
   // Due timers are removed before their slots run, because slots may add
   // timers.
   std::vector<std::shared_ptr<Entry>> Due;
@@ -75,9 +76,17 @@
     this->Pending.erase(this->Pending.begin());
   if (this->Pending.empty()) {
     event_del(this->Event);
+    this->ArmedFor = TimePoint::max();
     return;
   }
-  const timeval Wait = toTimeval(this->Pending.begin()->first - Clock::now());
+  // event_add() takes back an event that is about to fire, so an event that is
+  // early enough is left alone; otherwise handlers of I/O that add timers could
+  // put off all timers without end.
+  const TimePoint Next = this->Pending.begin()->first;
+  if (Next >= this->ArmedFor)
+    return;
+  this->ArmedFor = Next;
+  const timeval Wait = toTimeval(Next - Clock::now());
   event_add(this->Event, &Wait);
 }
 
--- a/src/process/EventLoop.h
+++ b/src/process/EventLoop.h
@@ -55,6 +55,8 @@
   void arm();
 
   event *Event;
+  /// When Event is due; TimePoint::max() if it is not armed.
+  TimePoint ArmedFor = TimePoint::max();
   Queue Pending;
 };
 
