EventLoop: read what arrived during a standstill before late timers

After SIGSTOP and SIGCONT, or any signal whose handler takes long, the wait for I/O ends with EINTR. libevent then runs the timers that are due without a look at the sockets, so a time limit ended calls whose answer had arrived meanwhile: the answer was taken for the silence of a sound upstream.

A timer that is more than 5 ms late now runs after one more poll for I/O. HttpTest.ReadsWhatArrivedDuringAStandstillBeforeItTimesOut: a call with a limit of 300 ms, an answer 100 ms after the call, a standstill of 400 ms; before: "timed out" (1 of 1 runs), now the answer.

Still possible: an answer of more than one read (16 kB) that waits in the socket when the limit of its whole exchange has passed.

--- a/src/process/EventLoop.cpp
+++ b/src/process/EventLoop.cpp
@@ -8,6 +8,9 @@
 
 namespace galenaroute {
 
+/// A timer that is later than this runs only after one more poll for I/O.
+static constexpr auto MaxLateness = std::chrono::milliseconds(5);
+
 static timeval toTimeval(Duration Span) {
   using namespace std::chrono;
   const auto Micros =
@@ -49,6 +52,17 @@
 
 void TimerService::fire() {
   const TimePoint Now = Clock::now();
+  // SIGCONT ends the wait for I/O without a look at what arrived while the
+  // process was stopped; a time limit must not end what has already come in.
+  // TimePoint::min() stands for an event that is due after the next poll.
+  const bool HasPolled = this->ArmedFor == TimePoint::min();
+  if (!HasPolled && !this->Pending.empty() &&
+      Now - this->Pending.begin()->first > MaxLateness) {
+    this->ArmedFor = TimePoint::min();
+    const timeval Immediately{};
+    event_add(this->Event, &Immediately);
+    return;
+  }
   this->ArmedFor = TimePoint::max();
   // Due timers are removed before their slots run, because slots may add
   // timers.
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -5,7 +5,10 @@
 #include "connection/HttpServer.h"
 #include "process/ErrorKind.h"
 
+#include <csignal>
 #include <gtest/gtest.h>
+#include <pthread.h>
+#include <thread>
 
 namespace galenaroute {
 namespace {
@@ -83,6 +86,44 @@
   EXPECT_TRUE(Result.BytesSent);
 }
 
+// Guards against the loss of an answer that arrives while the process stands
+// still for longer than the time limit of the call.
+TEST_F(HttpTest, ReadsWhatArrivedDuringAStandstillBeforeItTimesOut) {
+  // A signal interrupts the loop's wait as SIGSTOP and SIGCONT do; the process
+  // stands still in the handler.
+  struct sigaction Standstill {};
+  struct sigaction Before {};
+  Standstill.sa_handler = [](int) { usleep(400000); };
+  ASSERT_EQ(sigaction(SIGUSR2, &Standstill, &Before), 0);
+  RawListener Listener;
+  const pthread_t LoopThread = pthread_self();
+  std::thread Upstream([&] {
+    int Socket = -1;
+    while ((Socket = Listener.accept()) < 0)
+      std::this_thread::sleep_for(1ms);
+    RawSocket Peer(Socket);
+    while (!Peer.read().ends_with("\r\n\r\n"))
+      std::this_thread::sleep_for(1ms);
+    std::this_thread::sleep_for(50ms);
+    pthread_kill(LoopThread, SIGUSR2);
+    std::this_thread::sleep_for(50ms);
+    Peer.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+    std::this_thread::sleep_for(500ms);
+  });
+  std::optional<HttpResult> Last;
+  const auto Exchange = this->Client.start(
+      HttpCallBuilder(Listener.Address).get("/").totalTimeout(300ms).build(),
+      {.OnDone = [&](const HttpResult &Result) { Last = Result; }});
+  // Without the periods of runUntil(), so that the signal meets a waiting loop.
+  const auto Stop = this->Loop.timers().after(1s, [&] { this->Loop.stop(); });
+  this->Loop.run();
+  Upstream.join();
+  sigaction(SIGUSR2, &Before, nullptr);
+  ASSERT_TRUE(Last);
+  EXPECT_EQ(Last->End, HttpEnd::Complete);
+  EXPECT_EQ(Last->Body, "body");
+}
+
 // Guards against upstream work going on for a caller that has gone away.
 TEST_F(HttpTest, TellsTheHandlerThatTheCallerLeft) {
   std::shared_ptr<HttpReply> Held;
