WaitingRuns: calls that no upstream has come before silent streams

Found in review. Calls were refused with 503 although an upstream could take them: streams that a silent upstream may still continue waited in the same queue for another one, and used up the failed tries of each pass before younger calls.

A pass tries the calls that no upstream has first, and counts the failed tries of both kinds apart. Silent streams no longer make new calls wait in the queue. A pass that was woken by one of its own calls leaves one timer, not two. SilentStreamsInTheQueueDoNotDelayCalls guards against it.

--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -125,6 +125,9 @@
   void onQueueTimeout(Duration LongestWait);
   /// Returns whether the call no longer waits for an upstream.
   bool hasLeftQueue() const { return !this->IsQueued; }
+  /// Returns whether an upstream may still answer while the call waits for
+  /// another one.
+  bool hasSendInFlight() const { return !this->Live.empty(); }
   WaitingCall waiting() const;
 
 private:
--- a/src/request/WaitingRuns.cpp
+++ b/src/request/WaitingRuns.cpp
@@ -29,6 +29,13 @@
       this->Loop.timers().after(Duration::zero(), [this] { this->dispatch(); });
 }
 
+std::size_t WaitingRuns::size() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->Runs.begin(), this->Runs.end(), [](const auto &Each) {
+        return !Each->hasLeftQueue() && !Each->hasSendInFlight();
+      }));
+}
+
 Duration WaitingRuns::longestWait(TimePoint Now) const {
   Duration Longest{};
   for (const auto &Each : this->Runs)
@@ -46,26 +53,32 @@
   std::vector<WaitingCall> Calls;
   for (const auto &Each : this->Runs)
     Calls.push_back(Each->waiting());
-  const std::vector<std::size_t> Order =
-      sendingOrder(Calls, this->Settings, Now);
+  std::vector<std::size_t> Order = sendingOrder(Calls, this->Settings, Now);
+  std::stable_partition(Order.begin(), Order.end(), [this](std::size_t I) {
+    return !this->Runs[I]->hasSendInFlight();
+  });
   const auto Waiting = std::move(this->Runs);
   this->Runs.clear();
-  int FailedTries = 0;
+  int FailedTries[2] = {};
   for (const std::size_t I : Order) {
     const auto &Run = Waiting[I];
     if (Run->hasLeftQueue())
       continue;
-    if (FailedTries < MaxFailedTries && Run->trySend())
+    int &Failed = FailedTries[Run->hasSendInFlight() ? 1 : 0];
+    if (Failed < MaxFailedTries && Run->trySend())
       continue;
-    ++FailedTries;
+    ++Failed;
     if (hasQueueTimedOut(Calls[I], this->Settings, Now))
       Run->onQueueTimeout(Longest);
     else
       this->Runs.push_back(Run);
   }
-  if (!this->Runs.empty())
+  // A call that was sent may have woken the queue.
+  if (!this->Runs.empty() && !this->IsWakeScheduled) {
+    this->Timer.disconnect();
     this->Timer =
         this->Loop.timers().after(PollInterval, [this] { this->dispatch(); });
+  }
 }
 
 } // namespace galenaroute
--- a/src/request/WaitingRuns.h
+++ b/src/request/WaitingRuns.h
@@ -4,9 +4,10 @@
 //   Waiting.add(Run);
 //   Waiting.wake();      // when capacity may have become free
 //
-// ForwardQueue decides the order of calls and when they time out. Guarantees: a
-// pass over the queue stops sending after a bounded number of failed tries; a
-// call is sent, refused or kept, never dropped.
+// ForwardQueue decides the order of calls and when they time out. Calls that a
+// silent upstream may still answer come after those that no upstream has.
+// Guarantees: a pass over the queue stops sending either kind after a bounded
+// number of failed tries; a call is sent, refused or kept, never dropped.
 
 #ifndef GALENAROUTE_REQUEST_WAITINGRUNS_H
 #define GALENAROUTE_REQUEST_WAITINGRUNS_H
@@ -32,7 +33,8 @@
   void wake();
   /// Returns the longest wait of the queued calls.
   Duration longestWait(TimePoint Now) const;
-  std::size_t size() const { return this->Runs.size(); }
+  /// Counts the calls that no upstream has.
+  std::size_t size() const;
 
 private:
   void dispatch();
--- a/tests/SilentUpstreamTest.cpp
+++ b/tests/SilentUpstreamTest.cpp
@@ -2,6 +2,8 @@
 
 #include "ForwardRunFixture.h"
 
+#include <thread>
+
 namespace galenaroute {
 namespace {
 
@@ -161,6 +163,34 @@
   EXPECT_TRUE(this->endsWhole(*Silent)) << this->Caller->read();
 }
 
+// Guards against calls that are refused because silent streams in the queue use
+// up the tries of each pass.
+TEST_F(SilentUpstreamTest, SilentStreamsInTheQueueDoNotDelayCalls) {
+  this->Table.suspendUntil("u1", EventLoop::now() + 10s);
+  std::vector<std::unique_ptr<RawSocket>> Callers;
+  std::vector<std::unique_ptr<RawSocket>> Peers;
+  for (int I = 0; I < 14; ++I) {
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    Peers.push_back(this->beginStream("/stream/" + std::to_string(I)));
+    Callers.push_back(std::move(this->Caller));
+  }
+  this->runFor(900ms);
+  this->Table.suspendUntil("u0", EventLoop::now() + 1200ms);
+  RawSocket Queued(RawSocket::connectTo(this->Address));
+  Queued.write("POST /once/b HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\n"
+               "Authorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody");
+  int Arrived = -1;
+  this->Loop.runUntil(
+      [&] {
+        Arrived = Arrived < 0 ? this->Servers[0].accept() : Arrived;
+        return Arrived >= 0 || !Queued.read().empty();
+      },
+      2500ms);
+  EXPECT_GE(Arrived, 0) << Queued.read();
+  RawSocket Closed(Arrived);
+}
+
 // Guards against a silent send that outlives its caller.
 TEST_F(SilentUpstreamTest, AllSendsAreCancelledWhenTheCallerLeaves) {
   const auto Silent = this->beginStream("/stream/a");
