ForwardRun: an upstream that is being connected counts as tried

Found in review. A call could reach three upstreams where its route allows two: after a standstill of the process, the stall timer of the second send ran while its connection was being established, and only sends whose bytes had left counted.

AnUpstreamThatIsBeingConnectedCounts guards against it.

--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -180,8 +180,8 @@
   }
 }
 
-/// Returns the progress of the call, for nextStep(). Sends in flight may have
-/// run.
+/// Returns the progress of the call, for nextStep(). Sends in flight may run,
+/// also while they are still being connected.
 ForwardProgress ForwardRun::progress() {
   ForwardProgress Result{.Repeat = this->Route->Repeat,
                          .Sends = this->Sends,
@@ -190,12 +190,9 @@
                          .ConnectFailures = this->ConnectFailures,
                          .HasBudget = hasRetry(this->budget()),
                          .TimeLeft = this->timeLeft()};
-  for (const auto &Each : this->Live) {
-    if (!Each->Exchange->wasSent())
-      continue;
-    ++Result.Sends;
-    ++Result.PossibleRuns;
-  }
+  const int InFlight = static_cast<int>(this->Live.size());
+  Result.Sends += InFlight;
+  Result.PossibleRuns += InFlight;
   return Result;
 }
 
--- a/tests/SilentUpstreamTest.cpp
+++ b/tests/SilentUpstreamTest.cpp
@@ -191,6 +191,33 @@
   RawSocket Closed(Arrived);
 }
 
+// Guards against a call at more upstreams than its route allows, since one that
+// is still being connected did not count.
+TEST_F(SilentUpstreamTest, AnUpstreamThatIsBeingConnectedCounts) {
+  RawListener Third;
+  RegisteredUpstream Added;
+  Added.Id = "u2";
+  Added.Service = "s";
+  Added.Address = Third.Address;
+  this->Table.put(Added, EventLoop::now());
+  this->sendCall("/safe/a");
+  // The process stands still as the second connection is established.
+  this->waitUntil([&] {
+    return this->Table.find("u0")->OwnCalls + this->Table.find("u1")->OwnCalls +
+               this->Table.find("u2")->OwnCalls ==
+           2;
+  });
+  std::this_thread::sleep_for(600ms);
+  this->runFor(300ms);
+  int Connections = 0;
+  for (const RawListener *Each : {&this->Servers[0], &this->Servers[1], &Third})
+    if (const int Socket = Each->accept(); Socket >= 0) {
+      RawSocket Closed(Socket);
+      ++Connections;
+    }
+  EXPECT_EQ(Connections, 2);
+}
+
 // Guards against a silent send that outlives its caller.
 TEST_F(SilentUpstreamTest, AllSendsAreCancelledWhenTheCallerLeaves) {
   const auto Silent = this->beginStream("/stream/a");
