ForwardRun: nothing follows an event that is too long

A stream lost an event of more than 256 kB and went on with the next one: the send was to end by its stall timer, which an event in the same read armed again.

Such a send has a timer of its own for its end, and what follows in its answer is dropped. NothingFollowsAnEventThatIsTooLong guards against it.

--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -237,6 +237,8 @@
 void ForwardRun::onBody(const std::shared_ptr<ForwardSend> &Send,
                         std::string_view Bytes) {
   if (!this->isStreamAnswer(*Send)) {
+  if (Send->IsBroken)
+    return;
     Send->Body += Bytes;
     return;
   }
@@ -250,8 +252,8 @@
   if (this->Current == Phase::Done)
     return;
   // Ended outside the parser, which is still reporting from these bytes.
-  Send->StallTimer.disconnect();
-  Send->StallTimer = this->Services.Loop.timers().after(
+  Send->IsBroken = true;
+  Send->EndTimer = this->Services.Loop.timers().after(
       Duration::zero(), [Self = this->shared_from_this(), Send] {
         if (Self->Current != Phase::Done && Send->Exchange)
           Self->abandonSend(Send, SendOutcome::Broken);
--- a/src/request/ForwardSend.h
+++ b/src/request/ForwardSend.h
@@ -25,6 +25,7 @@
   void disconnectTimers() {
     this->StallTimer.disconnect();
     this->WeightsTimer.disconnect();
+    this->EndTimer.disconnect();
   }
 
   std::unique_ptr<UpstreamExchange> Exchange; ///< Null once it has ended.
@@ -38,6 +39,7 @@
   bool HasStalledOnce = false; ///< Its stall limit was extended.
   bool IsStalled = false;      ///< Another upstream was tried beside it.
   bool IsPaused = false;       ///< The upstream waits for the caller.
+  bool IsBroken = false;       ///< What follows in its answer is dropped.
   int Events = 0;              ///< Whole events received.
   std::string Body;
   EventSplitter Splitter;
@@ -49,6 +51,7 @@
   sigc::connection WeightsTimer;
 };
 
+  sigc::connection EndTimer; ///< Ends it outside of its parser.
 } // namespace galenaroute
 
 #endif // GALENAROUTE_REQUEST_FORWARDSEND_H
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -492,6 +492,30 @@
   EXPECT_EQ(this->Caller->read().find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a stream that goes on behind an event that was dropped, since
+// later bytes of the same read put off its end.
+TEST_F(ForwardRunTest, NothingFollowsAnEventThatIsTooLong) {
+  for (const std::string Path : {"/oncestream/a", "/stream/a"}) {
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    this->sendCall(Path);
+    const auto Peer = this->waitForArrival();
+    Peer->write(this->StreamHead + chunk("id: 1\ndata: a\n\n"));
+    ASSERT_TRUE(this->callerReceives("data: a"));
+    const std::string Rest =
+        chunk("id: 2\ndata: " +
+              std::string(EventSplitter::MaxEventBytes, 'x')) +
+        chunk("\n\nid: 3\ndata: c\n\n") + "0\r\n\r\n";
+    std::string_view Unsent = Rest;
+    this->waitUntil([&] {
+      Unsent.remove_prefix(Peer->writeSome(Unsent));
+      return Unsent.empty();
+    });
+    this->Loop.runUntil([] { return false; }, 300ms);
+    EXPECT_EQ(countOf(this->Caller->read(), "data: c"), 0) << Path;
+  }
+}
+
 // Guards against ending a stream whose reader is slower than its upstream. The
 // upstream waits instead, and memory stays bounded.
 TEST_F(ForwardRunTest, AStreamFasterThanItsReaderIsForwardedWhole) {
