ForwardRun: forward events without a number of a send that is continued

Found in review. A stream ended as whole without its last event: events without a number that a resumption sent while the silent send was kept were dropped, as they do not show progress.

They are held, up to the limit of one event, and forwarded when the send is continued. AnUnnumberedEventOfTheResumptionIsForwarded guards against it.

--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -196,6 +196,7 @@
   void withdrawIfNotBegun(const std::shared_ptr<ForwardSend> &Send);
   void abandonSend(const std::shared_ptr<ForwardSend> &Send,
                    SendOutcome IfSent);
+  void holdEvent(ForwardSend &Send, const StreamEvent &Event);
   void keepOnly(const ForwardSend &Send);
   void beginStream(ForwardSend &Send);
   void deliver(ForwardSend &Send);
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -4,6 +4,7 @@
 #include "request/ForwardRun.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace galenaroute {
 
@@ -236,9 +237,9 @@
 
 void ForwardRun::onBody(const std::shared_ptr<ForwardSend> &Send,
                         std::string_view Bytes) {
-  if (!this->isStreamAnswer(*Send)) {
   if (Send->IsBroken)
     return;
+  if (!this->isStreamAnswer(*Send)) {
     Send->Body += Bytes;
     return;
   }
@@ -274,10 +275,12 @@
   // In a numbered stream, an event without a number, such as a comment, does
   // not show progress of the engine.
   const bool IsProgress = Event.Id || !this->LastEvent;
-  if (IsProgress)
+  if (IsProgress) {
     this->keepOnly(*Send);
-  else if (Send != this->Live.front())
+  } else if (Send != this->Live.front()) {
+    this->holdEvent(*Send, Event);
     return;
+  }
   this->beginStream(*Send);
   const TimePoint Now = EventLoop::now();
   if (this->LastEventAt != TimePoint{})
@@ -292,6 +295,16 @@
     this->pauseUpstream(*Send);
 }
 
+/// Keeps an event that is forwarded only if \p Send is continued.
+void ForwardRun::holdEvent(ForwardSend &Send, const StreamEvent &Event) {
+  if (Send.HeldEvents.size() + Event.Bytes.size() <=
+      EventSplitter::MaxEventBytes)
+    Send.HeldEvents += Event.Bytes;
+  else
+    log(LogLevel::Warn, "stream.event_dropped",
+        {{"call", this->Call.Id}, {"upstream", Send.UpstreamId}});
+}
+
 /// Continues with \p Send, which makes progress, and cancels the other sends.
 void ForwardRun::keepOnly(const ForwardSend &Send) {
   this->IsQueued = false;
@@ -332,15 +345,19 @@
   this->queue().wake();
 }
 
+/// Begins the answer to the caller if it has not begun, and forwards the events
+/// of \p Send that were held.
 void ForwardRun::beginStream(ForwardSend &Send) {
   this->notePrefillEnded(Send);
-  if (this->Current == Phase::Streaming)
-    return;
-  this->Current = Phase::Streaming;
-  this->FirstEventAt = EventLoop::now();
-  this->Services.Stats.firstToken(
-      this->Service->Name, *this->FirstEventAt - this->Incoming->Arrived);
-  this->Incoming->begin(Send.Answer.Status, Send.Answer.ForwardedHeaders);
+  if (this->Current != Phase::Streaming) {
+    this->Current = Phase::Streaming;
+    this->FirstEventAt = EventLoop::now();
+    this->Services.Stats.firstToken(
+        this->Service->Name, *this->FirstEventAt - this->Incoming->Arrived);
+    this->Incoming->begin(Send.Answer.Status, Send.Answer.ForwardedHeaders);
+  }
+  if (!Send.HeldEvents.empty())
+    this->Incoming->write(std::exchange(Send.HeldEvents, {}));
 }
 
 } // namespace galenaroute
--- a/src/request/ForwardSend.h
+++ b/src/request/ForwardSend.h
@@ -43,15 +43,17 @@
   int Events = 0;              ///< Whole events received.
   std::string Body;
   EventSplitter Splitter;
+  /// Events without a number that came while another send may still go on.
+  std::string HeldEvents;
   /// Prompt tokens counted at the upstream until its prefill has ended.
   std::uint32_t PendingPromptTokens = 0;
   TimePoint SentAt;
   TimePoint ProgressAt;
   sigc::connection StallTimer;
   sigc::connection WeightsTimer;
+  sigc::connection EndTimer; ///< Ends it outside of its parser.
 };
 
-  sigc::connection EndTimer; ///< Ends it outside of its parser.
 } // namespace galenaroute
 
 #endif // GALENAROUTE_REQUEST_FORWARDSEND_H
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -390,6 +390,8 @@
   const bool WasSent = Send.Exchange->wasSent();
   Send.Exchange.reset();
   Send.disconnectTimers();
+  std::erase_if(this->Live,
+                [&Send](const auto &Each) { return Each.get() == &Send; });
   this->Services.Stats.decision("send." + std::string(Reason));
   log(LogLevel::Info, "call.send_ended",
       {{"call", this->Call.Id},
@@ -406,8 +408,6 @@
     ++this->PossibleRuns;
     this->noteUnansweredSend(Send, EventLoop::now());
   }
-  std::erase_if(this->Live,
-                [&Send](const auto &Each) { return Each.get() == &Send; });
 }
 
 } // namespace galenaroute
--- a/tests/SilentUpstreamTest.cpp
+++ b/tests/SilentUpstreamTest.cpp
@@ -163,6 +163,16 @@
   EXPECT_TRUE(this->endsWhole(*Silent)) << this->Caller->read();
 }
 
+// Guards against a last event without a number that is dropped while the silent
+// send is kept.
+TEST_F(SilentUpstreamTest, AnUnnumberedEventOfTheResumptionIsForwarded) {
+  const auto Silent = this->beginStream("/stream/a");
+  const auto Other = this->waitForArrival();
+  Other->write(this->StreamHead + chunk("data: done\n\n") + "0\r\n\r\n");
+  EXPECT_TRUE(this->callerReceives("\r\n0\r\n\r\n")) << this->Caller->read();
+  EXPECT_EQ(countOf(this->Caller->read(), "data: done"), 1);
+}
+
 // Guards against calls that are refused because silent streams in the queue use
 // up the tries of each pass.
 TEST_F(SilentUpstreamTest, SilentStreamsInTheQueueDoNotDelayCalls) {
