SilentUpstreamTest: an answer that waits unread at the deadline

Found in review: 504 for a call whose whole answer was in the socket 0.2 s before its deadline, because the process stood still over it.

--- a/tests/SilentUpstreamTest.cpp
+++ b/tests/SilentUpstreamTest.cpp
@@ -228,6 +228,18 @@
   EXPECT_EQ(Connections, 2);
 }
 
+// Guards against an answer that is replaced by 504 because the process stood
+// still over the deadline with the answer unread.
+TEST_F(SilentUpstreamTest, AnAnswerBeforeTheDeadlineOutlastsAStandstill) {
+  this->sendCall("/once/a", "Deadline-Ms: 700\r\n");
+  const auto Peer = this->waitForArrival();
+  Peer->write(Ok);
+  std::this_thread::sleep_for(900ms);
+  ASSERT_TRUE(this->callerReceives("HTTP/1.1 "));
+  EXPECT_TRUE(this->Caller->read().starts_with("HTTP/1.1 200"))
+      << this->Caller->read();
+}
+
 // Guards against a silent send that outlives its caller.
 TEST_F(SilentUpstreamTest, AllSendsAreCancelledWhenTheCallerLeaves) {
   const auto Silent = this->beginStream("/stream/a");
