Attempt: keep a silent connection until another one goes on

The daemon closed a silent connection before it had another one. A repeatable call of a plain service whose upstream was silent for longer than the stall limit (2 s) failed with upstream_failed if the next upstream broke the call or none was available, though the first would have answered. A stream whose engine accepted no new connections, as one that stops and finishes its streams, ended with stream_lost 150 ms after the stall limit.

A silent connection now stays open while another one is tried. The first that makes progress is continued and the others are closed: for a plain service an answer, for an engine a head with status 200 or a line of the run. If the others fail, the silent connection is waited for again, a call until its deadline, a stream for one more stall limit. Calls that may not be repeated are sent once, as before; offsets keep text from being delivered twice.

Cost: a slow call occupies up to three upstreams (max-sends) until one answers; before, the slow ones were closed, but had been started as well.

--- a/src/process/DaemonSettings.cpp
+++ b/src/process/DaemonSettings.cpp
@@ -191,8 +191,8 @@
   Table.milliseconds("connect-timeout-ms", Settings.ConnectTimeout,
                      "Time to connect to an upstream", 10, 30000);
   Table.milliseconds("stall-timeout-ms", Settings.StallTimeout,
-                     "Inactivity after which a stream is resumed on a new "
-                     "connection",
+                     "Inactivity after which a new connection or another "
+                     "upstream is tried",
                      50, 600000);
   Table.milliseconds("max-stream-ms", Settings.MaxStream,
                      "Longest streamed answer", 1000, 86400000);
--- a/src/request/Attempt.cpp
+++ b/src/request/Attempt.cpp
@@ -67,6 +67,7 @@
     this->State.Attempt = Event.Attempt;
     this->State.Offset = 0;
     this->State.EmptyResumes = 0;
+    this->State.ReturnedToSilent = false;
     ++this->State.Sends;
     this->open(false);
     this->addAction(Kind::Send);
@@ -79,14 +80,23 @@
   }
 
   void on(const attempt::Head &Event) {
+    if (Event.Status == 200)
+      this->continueSilent(Event.Connection);
     if (!this->isCurrent(Event.Connection))
       return;
     this->State.HeadStatus = Event.Status;
     this->State.LastProgress = this->Now;
+    // The engine has moved the run to this connection.
+    if (Event.Status == 200)
+      this->closeSilent();
   }
 
   void on(const attempt::Line &Event) {
-    if (!this->isCurrent(Event.Connection) || !this->State.Policy.Model)
+    if (!this->State.Policy.Model)
+      return;
+    if (Event.Attempt == this->State.Attempt)
+      this->continueSilent(Event.Connection);
+    if (!this->isCurrent(Event.Connection))
       return;
     if (!this->isCurrentAttempt(Event.Attempt))
       return;
@@ -104,12 +114,16 @@
       this->resumeLater();
       return;
     }
+    this->closeSilent();
+    this->State.ReturnedToSilent = false;
     this->State.EmptyResumes = 0;
     this->State.Offset = Event.Offset + 1;
     this->acceptText(Event.Text);
   }
 
   void on(const attempt::Done &Event) {
+    if (this->State.Policy.Model && Event.Attempt == this->State.Attempt)
+      this->continueSilent(Event.Connection);
     if (!this->isCurrent(Event.Connection) || !this->State.Policy.Model ||
         !this->isCurrentAttempt(Event.Attempt))
       return;
@@ -131,6 +145,7 @@
     if (!Wanted)
       return;
     AttemptAction &Last = this->addAction(Kind::Complete);
+    Last.Connection = Event.Connection;
     Last.Text = std::move(this->State.Text);
   }
 
@@ -143,6 +158,14 @@
   }
 
   void on(const attempt::Ended &Event) {
+    // A silent call of a plain service that ends with an answer is the first to
+    // go on. One that fails leaves the others to it.
+    if (!this->State.Policy.Model && Event.Complete &&
+        !isPlainBusy(Event.Status))
+      this->continueSilent(Event.Connection);
+    std::erase_if(this->State.Silent, [&](const SilentConnection &Each) {
+      return Each.Connection == Event.Connection;
+    });
     if (!this->isCurrent(Event.Connection))
       return;
     this->State.Connection = 0;
--- a/src/request/Attempt.h
+++ b/src/request/Attempt.h
@@ -17,6 +17,9 @@
 //   disconnected;
 // - a call that is not repeatable is sent again only while it is known that no
 //   byte of it reached the kernel;
+// - silence alone ends nothing that may be repeated: a silent connection stays
+//   open while another one is tried, the first that goes on is continued, and
+//   the others are closed;
 // - Fail carries a kind whose table row says "not run" only when every send
 //   failed before a byte was sent, or was refused by an engine before running.
 
@@ -70,6 +73,15 @@
   Finished,
 };
 
+/// A connection that made no progress within the stall limit and stays open
+/// while another one is tried.
+struct SilentConnection {
+  std::uint64_t Connection = 0;
+  std::string Upstream;
+  bool Resuming = false;
+  int HeadStatus = 0;
+};
+
 /// The state of one request, changed only by stepAttempt().
 struct AttemptState {
   AttemptPolicy Policy;
@@ -83,6 +95,9 @@
   std::uint64_t LastConnection = 0; ///< The highest number used so far.
   bool Resuming = false; ///< Whether the current connection is a resume.
   int HeadStatus = 0;    ///< Status of the current connection; 0: no head yet.
+  std::vector<SilentConnection> Silent;
+  /// The silent connection is the current one again, after its resumes failed.
+  bool ReturnedToSilent = false;
   int Sends = 0;
   int EmptyResumes = 0;
   bool MayHaveRun = false;   ///< Some send may have run.
--- a/src/request/AttemptRules.cpp
+++ b/src/request/AttemptRules.cpp
@@ -9,8 +9,7 @@
   return Status == 409 || Status == 429 || Status == 503;
 }
 
-/// Returns whether a plain service is overloaded; another server may not be.
-static bool isBusy(int Status) { return Status == 429 || Status == 503; }
+bool isPlainBusy(int Status) { return Status == 429 || Status == 503; }
 
 TimePoint attemptDeadline(const AttemptState &State) {
   TimePoint Result =
@@ -65,6 +64,47 @@
   this->State.Connection = 0;
 }
 
+void AttemptRules::setSilent() {
+  this->State.Silent.push_back({this->State.Connection, this->State.Upstream,
+                                this->State.Resuming, this->State.HeadStatus});
+  this->State.Connection = 0;
+}
+
+void AttemptRules::closeSilent() {
+  for (const SilentConnection &Each : this->State.Silent) {
+    AttemptAction &Added = this->addAction(Kind::Close);
+    Added.Connection = Each.Connection;
+    Added.Upstream = Each.Upstream;
+  }
+  this->State.Silent.clear();
+}
+
+bool AttemptRules::continueSilent(std::uint64_t Connection) {
+  const auto It = std::find_if(
+      this->State.Silent.begin(), this->State.Silent.end(),
+      [&](const auto &Each) { return Each.Connection == Connection; });
+  if (It == this->State.Silent.end())
+    return false;
+  const SilentConnection Continued = *It;
+  this->State.Silent.erase(It);
+  this->close();
+  this->State.Connection = Continued.Connection;
+  this->State.Upstream = Continued.Upstream;
+  this->State.Resuming = Continued.Resuming;
+  this->State.HeadStatus = Continued.HeadStatus;
+  this->State.LastProgress = this->Now;
+  if (this->State.Phase != AttemptPhase::Lingering)
+    this->State.Phase = AttemptPhase::Connected;
+  return true;
+}
+
+bool AttemptRules::returnToSilent() {
+  if (this->State.Silent.empty())
+    return false;
+  this->record("attempt.awaited", this->State.Silent.back().Upstream);
+  return this->continueSilent(this->State.Silent.back().Connection);
+}
+
 void AttemptRules::choose() {
   this->State.Phase = AttemptPhase::Choosing;
   this->addAction(Kind::Choose);
@@ -78,8 +118,14 @@
 }
 
 void AttemptRules::resumeLater() {
-  if (this->State.EmptyResumes >= this->State.Policy.MaxEmptyResumes)
-    return this->attemptLost();
+  if (this->State.EmptyResumes >= this->State.Policy.MaxEmptyResumes) {
+    // The engine may still go on with the stream, for example if it accepts no
+    // new connections while it stops.
+    this->State.ReturnedToSilent = this->returnToSilent();
+    if (!this->State.ReturnedToSilent)
+      this->attemptLost();
+    return;
+  }
   this->State.WakeAt =
       this->Now + (this->State.EmptyResumes == 0
                        ? Duration::zero()
@@ -145,8 +191,12 @@
     this->storeOutcome(true);
     return this->fail(ErrorKind::OutcomeUnknown);
   }
-  if (this->State.Policy.Repeatable && isBusy(Event.Status) && this->mayRetry())
-    return this->retryElsewhere();
+  if (this->State.Policy.Repeatable && isPlainBusy(Event.Status)) {
+    if (this->mayRetry())
+      return this->retryElsewhere();
+    if (this->returnToSilent())
+      return;
+  }
   this->storeOutcome(false);
   this->State.Phase = AttemptPhase::Finished;
   if (!this->State.CallerDisconnected)
@@ -165,6 +215,7 @@
 }
 
 void AttemptRules::attemptLost() {
+  this->closeSilent();
   this->record("attempt.lost", this->State.Attempt);
   this->State.MayHaveRun = true;
   // The run may still be in progress behind a broken network path.
@@ -200,6 +251,8 @@
   // A retry by the caller can't help, so it gets the specific error.
   if (Reason == ErrorKind::CrashesUpstreams)
     return this->fail(Reason);
+  if (this->returnToSilent())
+    return;
   if (this->State.MayHaveRun)
     return this->fail(ErrorKind::UpstreamFailed);
   const ErrorKind Failure =
@@ -261,8 +314,16 @@
     return;
   if (this->State.Policy.Model) {
     this->record("attempt.stalled", this->State.Upstream);
-    this->close();
     this->State.MayHaveRun = true;
+    if (this->State.ReturnedToSilent) {
+      this->close();
+      return this->attemptLost();
+    }
+    // The run is carried by one connection, so one that is silent is enough.
+    if (this->State.Silent.empty())
+      this->setSilent();
+    else
+      this->close();
     // An engine that has sent a response head works and may only have queued
     // the run; the deadline limits the wait.
     if (this->State.HeadStatus == 200)
@@ -277,7 +338,7 @@
     return;
   }
   this->record("attempt.stalled", this->State.Upstream);
-  this->close();
+  this->setSilent();
   this->State.MayHaveRun = true;
   this->retryElsewhere();
 }
--- a/src/request/AttemptRules.h
+++ b/src/request/AttemptRules.h
@@ -11,6 +11,9 @@
 /// Returns the deadline for answering the request of \p State.
 TimePoint attemptDeadline(const AttemptState &State);
 
+/// Returns whether a plain service is overloaded; another server may not be.
+bool isPlainBusy(int Status);
+
 /// One step of the state machine: the state and the actions so far.
 class AttemptRules {
 public:
@@ -18,6 +21,8 @@
       : State(std::move(State)), Now(Now), RetryAllowed(RetryAllowed) {}
 
   AttemptStep take() {
+    if (this->State.Phase == AttemptPhase::Finished)
+      this->closeSilent();
     return {std::move(this->State), std::move(this->Actions)};
   }
 
@@ -37,6 +42,20 @@
 
   void close();
 
+  /// Keeps the current connection open as a silent one.
+  void setSilent();
+
+  /// Closes all silent connections.
+  void closeSilent();
+
+  /// Makes the silent connection \p Connection the current one. Returns false
+  /// if there is none.
+  bool continueSilent(std::uint64_t Connection);
+
+  /// Waits for the last silent connection again. Returns false if there is
+  /// none.
+  bool returnToSilent();
+
   void choose();
 
   void resume();
--- a/src/request/ModelRun.cpp
+++ b/src/request/ModelRun.cpp
@@ -2,6 +2,7 @@
 
 #include "process/Sha256.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace galenaroute {
@@ -89,7 +90,7 @@
   case Kind::Resume:
     return this->resume(Action);
   case Kind::Close:
-    return this->close();
+    return this->close(Action.Connection);
   case Kind::Cancel:
     if (const SocketAddress *To = this->addressOf(Action.Upstream))
       this->Context.Engines.cancel(*To, Action.Attempt);
@@ -104,11 +105,11 @@
 }
 
 void ModelRun::send(const AttemptAction &Action) {
-  this->close();
+  this->closeReplaced();
   std::vector<std::string> Keys;
   for (const BlockKey &Key : this->Ticket.keys())
     Keys.push_back(toHex(Key));
-  this->Stream = this->Context.Engines.generate(
+  this->Streams[Action.Connection] = this->Context.Engines.generate(
       *this->addressOf(Action.Upstream),
       {.Attempt = Action.Attempt,
        .Customer = this->Info.Customer,
@@ -123,12 +124,13 @@
 }
 
 void ModelRun::resume(const AttemptAction &Action) {
-  this->close();
-  this->Stream = this->Context.Engines.resume(
+  this->closeReplaced();
+  auto &Stream = this->Streams[Action.Connection];
+  Stream = this->Context.Engines.resume(
       *this->addressOf(Action.Upstream), Action.Attempt, this->Info.Customer,
       Action.Offset, this->callbacks(Action.Connection));
   if (this->State.Paused)
-    this->Stream->pauseReading();
+    Stream->pauseReading();
 }
 
 EngineCallbacks ModelRun::callbacks(std::uint64_t Connection) {
@@ -154,8 +156,7 @@
                       std::optional<EngineLine> Line) {
   if (!Line)
     return this->post(attempt::BadLine{Connection});
-  if (Connection == this->State.Connection &&
-      Line->Attempt == this->State.Attempt)
+  if (Line->Attempt == this->State.Attempt)
     this->Ticket.firstToken();
   if (!Line->IsDone)
     return this->post(attempt::Line{Connection, std::move(Line->Attempt),
@@ -170,10 +171,23 @@
       attempt::Done{Connection, std::move(Line->Attempt), Line->Tokens, Whole});
 }
 
-void ModelRun::close() {
-  if (!this->Stream)
+void ModelRun::closeReplaced() {
+  std::vector<std::uint64_t> Replaced;
+  for (const auto &[Connection, Stream] : this->Streams)
+    if (std::none_of(this->State.Silent.begin(), this->State.Silent.end(),
+                     [Number = Connection](const SilentConnection &Each) {
+                       return Each.Connection == Number;
+                     }))
+      Replaced.push_back(Connection);
+  for (const std::uint64_t Each : Replaced)
+    this->close(Each);
+}
+
+void ModelRun::close(std::uint64_t Connection) {
+  auto Node = this->Streams.extract(Connection);
+  if (!Node)
     return;
-  this->Closed.push_back(std::move(this->Stream));
+  this->Closed.push_back(std::move(Node.mapped()));
   if (this->Closed.size() == 1)
     this->ClosedTimer = this->Context.Loop.timers().after(
         Duration::zero(), [this] { this->Closed.clear(); });
@@ -197,8 +211,8 @@
   // engine's connection applies backpressure instead of buffering the text
   // here.
   this->post(attempt::Paused{});
-  if (this->Stream)
-    this->Stream->pauseReading();
+  for (const auto &[Connection, Stream] : this->Streams)
+    Stream->pauseReading();
   this->BufferTimer = this->Context.Loop.timers().every(
       BufferPoll, [this] { this->checkBuffer(); });
 }
@@ -208,13 +222,14 @@
       this->Context.Settings.MaxCallerBufferBytes / 2)
     return;
   this->BufferTimer.disconnect();
-  if (this->Stream)
-    this->Stream->resumeReading();
+  for (const auto &[Connection, Stream] : this->Streams)
+    Stream->resumeReading();
   this->post(attempt::Unpaused{});
 }
 
 void ModelRun::finish(const AttemptAction &Action) {
-  this->Context.Engines.finish(std::move(this->Stream));
+  if (auto Node = this->Streams.extract(Action.Connection))
+    this->Context.Engines.finish(std::move(Node.mapped()));
   this->Ticket.finished(static_cast<double>(this->End.Tokens));
   this->Context.Stats.promptTokens(this->Info.Service,
                                    static_cast<double>(this->End.PromptTokens),
--- a/src/request/ModelRun.h
+++ b/src/request/ModelRun.h
@@ -27,7 +27,9 @@
   void resume(const AttemptAction &Action);
   EngineCallbacks callbacks(std::uint64_t Connection);
   void onLine(std::uint64_t Connection, std::optional<EngineLine> Line);
-  void close();
+  void close(std::uint64_t Connection);
+  /// Closes the streams that have ended or are replaced; silent ones stay open.
+  void closeReplaced();
   void sendText(const AttemptAction &Action);
   void finish(const AttemptAction &Action);
   void checkBuffer();
@@ -35,7 +37,8 @@
   PromptRequest Prompt;
   AnswerHead Head;
   AnswerEnd End;
-  std::unique_ptr<EngineStream> Stream;
+  /// By connection; all but the last one are silent.
+  std::map<std::uint64_t, std::unique_ptr<EngineStream>> Streams;
   DispatchTicket Ticket;
   TimePoint LastTokenAt{};
   // Streams must outlive their own callbacks, so closed ones are destroyed from
--- a/src/request/PlainRun.cpp
+++ b/src/request/PlainRun.cpp
@@ -95,8 +95,9 @@
   case Kind::Send:
     return this->send(Action);
   case Kind::Close:
-    this->Ticket.failed(AttemptFailure::Cancelled);
-    this->Exchange.reset();
+    if (Action.Connection == this->TicketConnection)
+      this->Ticket.failed(AttemptFailure::Cancelled);
+    this->Exchanges.erase(Action.Connection);
     return;
   case Kind::Complete:
     this->Info.Reply.send(this->Result.Status,
@@ -173,13 +174,16 @@
     Builder.newConnection();
   HttpCall Sent = Builder.build();
   Sent.MaxBodyBytes = this->Context.Settings.MaxAnswerBytes;
-  this->Exchange = this->Context.Http.start(
+  this->TicketConnection = Action.Connection;
+  this->Exchanges[Action.Connection] = this->Context.Http.start(
       std::move(Sent), {.OnDone = [this, Connection = Action.Connection](
                                       const HttpResult &Ended) {
-        if (Ended.End == HttpEnd::Complete && Ended.Status != 429)
-          this->Ticket.finished(0);
-        else
-          report(this->Ticket, Ended);
+        if (Connection == this->TicketConnection) {
+          if (Ended.End == HttpEnd::Complete && Ended.Status != 429)
+            this->Ticket.finished(0);
+          else
+            report(this->Ticket, Ended);
+        }
         this->Result = Ended;
         this->post(attempt::Ended{Connection, Ended.End == HttpEnd::Complete,
                                   Ended.BytesSent, Ended.Status});
--- a/src/request/PlainRun.h
+++ b/src/request/PlainRun.h
@@ -46,8 +46,10 @@
   PlainCall Call;
   ClaimAnswer Claim;
   HttpResult Result; ///< Of the last exchange that ended.
-  std::unique_ptr<HttpExchange> Exchange;
+  /// The open connections; all but the last one are silent.
+  std::map<std::uint64_t, std::unique_ptr<HttpExchange>> Exchanges;
   DispatchTicket Ticket;
+  std::uint64_t TicketConnection = 0; ///< The connection that Ticket tracks.
 };
 
 } // namespace galenaroute
--- a/tests/AttemptTest.cpp
+++ b/tests/AttemptTest.cpp
@@ -341,6 +341,122 @@
   EXPECT_TRUE(Run.Violations.empty());
 }
 
+// Guards against the loss of an answer whose upstream is silent for longer than
+// the stall limit, while the other upstream is silent too or breaks.
+TEST(AttemptTest, ASilentCallCompletesWhileAnotherUpstreamIsTried) {
+  Driver Run(newAttempt(policyOf(false, true)));
+  Run.choose("u");
+  Run.Now += 2s;
+  Run.post(attempt::Tick{});
+  Run.choose("v");
+  EXPECT_EQ(Run.count(Kind::Send), 2);
+  EXPECT_FALSE(Run.has(Kind::Close));
+  Run.post(attempt::Ended{1, true, true, 200});
+  EXPECT_TRUE(Run.has(Kind::Complete));
+  // Only the second one is left to be closed.
+  ASSERT_EQ(Run.count(Kind::Close), 1);
+  EXPECT_EQ(std::find_if(Run.Log.begin(), Run.Log.end(),
+                         [](const AttemptAction &Each) {
+                           return Each.What == Kind::Close;
+                         })
+                ->Connection,
+            2U);
+}
+
+TEST(AttemptTest, ASilentCallIsAwaitedAfterTheOtherUpstreamFailed) {
+  Driver Run(newAttempt(policyOf(false, true)));
+  Run.choose("u");
+  Run.Now += 2s;
+  Run.post(attempt::Tick{});
+  Run.choose("v");
+  Run.RetryAllowed = false;
+  Run.end(false, true, 0);
+  EXPECT_FALSE(Run.has(Kind::Fail));
+  Run.post(attempt::Ended{1, true, true, 200});
+  EXPECT_TRUE(Run.has(Kind::Complete));
+  EXPECT_TRUE(Run.Violations.empty());
+}
+
+TEST(AttemptTest, ASilentCallIsAwaitedWhenNoOtherUpstreamIsAvailable) {
+  Driver Run(newAttempt(policyOf(false, true)));
+  Run.choose("u");
+  Run.Now += 2s;
+  Run.post(attempt::Tick{});
+  Run.post(attempt::NoneAvailable{});
+  EXPECT_FALSE(Run.has(Kind::Fail));
+  Run.post(attempt::Ended{1, true, true, 200});
+  EXPECT_TRUE(Run.has(Kind::Complete));
+}
+
+// Guards against waiting for calls that nobody answers.
+TEST(AttemptTest, SilentCallsEndAtTheDeadline) {
+  Driver Run(newAttempt(policyOf(false, true)));
+  Run.choose("u");
+  Run.Now += 2s;
+  Run.post(attempt::Tick{});
+  Run.choose("v");
+  Run.Now = TimePoint(30s);
+  Run.post(attempt::Tick{});
+  EXPECT_EQ(Run.failure(), ErrorKind::DeadlineExceeded);
+  EXPECT_EQ(Run.count(Kind::Close), 2);
+}
+
+/// Starts a stream that goes silent after one token and whose resumes fail as
+/// at an engine that accepts no new connections.
+void failAllResumes(Driver &Run) {
+  Run.choose("u");
+  Run.post(attempt::Head{Run.State.Connection, 200});
+  Run.line(0);
+  Run.Now += 2s;
+  Run.post(attempt::Tick{});
+  for (int I = 0; I < 4; ++I) {
+    Run.end(false, false, 0);
+    Run.Now += 100ms;
+    Run.post(attempt::Tick{});
+  }
+}
+
+// Guards against the loss of a stream that goes on after a silence, at an
+// engine that finishes its streams but accepts no new connections.
+TEST(AttemptTest, ASilentStreamGoesOnWhenItCannotBeResumed) {
+  Driver Run(newAttempt(policyOf(true, true)));
+  failAllResumes(Run);
+  EXPECT_FALSE(Run.has(Kind::Fail));
+  for (std::uint64_t I = 1; I < AnswerTokens; ++I)
+    Run.post(attempt::Line{1, "a1", I, tokenOf("a1", I)});
+  Run.post(attempt::Done{1, "a1", AnswerTokens});
+  EXPECT_EQ(Run.Delivered, answerOf("a1", 0));
+  EXPECT_TRUE(Run.has(Kind::Complete));
+  EXPECT_FALSE(Run.has(Kind::Cancel));
+  EXPECT_TRUE(Run.Violations.empty());
+}
+
+// Guards against waiting for ever for an engine that is silent for good.
+TEST(AttemptTest, ASilentStreamThatCannotBeResumedIsLostAtTheNextStall) {
+  Driver Run(newAttempt(policyOf(true, true)));
+  failAllResumes(Run);
+  Run.Now += 2s;
+  Run.post(attempt::Tick{});
+  EXPECT_EQ(Run.failure(), ErrorKind::StreamLost);
+  EXPECT_EQ(Run.count(Kind::Cancel), 1);
+}
+
+// Guards against two connections that carry the same stream.
+TEST(AttemptTest, ASilentStreamIsClosedWhenItsResumeHasBegun) {
+  Driver Run(newAttempt(policyOf(true, true)));
+  Run.choose("u");
+  Run.post(attempt::Head{1, 200});
+  Run.line(0);
+  Run.Now += 2s;
+  Run.post(attempt::Tick{});
+  EXPECT_FALSE(Run.has(Kind::Close));
+  Run.post(attempt::Head{2, 200});
+  EXPECT_EQ(Run.count(Kind::Close), 1);
+  Run.post(attempt::Line{1, "a1", 1, tokenOf("a1", 1)});
+  EXPECT_EQ(Run.State.Offset, 1U);
+  EXPECT_EQ(Run.State.Connection, 2U);
+}
+
 TEST(AttemptTest, RetriesStopWhenTheBudgetIsSpent) {
   Driver Run(newAttempt(policyOf(true, false)));
   Run.choose("u");
--- a/tests/DaemonTest.cpp
+++ b/tests/DaemonTest.cpp
@@ -72,6 +72,42 @@
   EXPECT_TRUE(Result.Body.ends_with("data: [DONE]\n\n")) << Result.Body;
 }
 
+// Guards against the loss of a stream that goes on after a silence, at an
+// engine that accepts no new connections.
+TEST_F(DaemonFixture, ASilentStreamGoesOnWhenItCannotBeResumed) {
+  this->Settings.StallTimeout = 300ms;
+  this->One.Answer = [this](const HttpRequest &Request, const ReplyPtr &Reply) {
+    const std::string Id = attemptOf(Request);
+    Reply->startStream(200, {});
+    Reply->write(textLine(Id, 0, "bib"));
+    this->One.stop();
+    this->Loop.timers().after(600ms, [Id, Reply] {
+      Reply->write(textLine(Id, 1, " 7") + doneLine(Id, 2));
+      Reply->endStream();
+    });
+  };
+  const HttpResult Result = this->prompt(true);
+  EXPECT_TRUE(Result.Body.ends_with("data: [DONE]\n\n")) << Result.Body;
+  EXPECT_TRUE(this->Two.Requests.empty());
+}
+
+// Guards against the loss of an answer that comes after a silence, when the
+// other upstream breaks the call.
+TEST_F(DaemonFixture, ASilentCallIsAnsweredAfterTheOtherUpstreamBroke) {
+  this->One.Answer = [this](const HttpRequest &, const ReplyPtr &Reply) {
+    this->Loop.timers().after(500ms, [Reply] {
+      Reply->send(200, {{"Content-Type", "text/plain"}}, "form 7");
+    });
+  };
+  this->Two.Answer = [](const HttpRequest &, const ReplyPtr &Reply) {
+    Reply->abort();
+  };
+  const HttpResult Result =
+      this->call("GET", "/services/desk/forms", "", credentials());
+  EXPECT_EQ(Result.Status, 200) << Result.Body;
+  EXPECT_EQ(Result.Body, "form 7");
+}
+
 // Guards against text of another attempt in a caller's response.
 TEST_F(DaemonFixture, DropsLinesOfOtherAttempts) {
   this->One.Answer = [](const HttpRequest &Request, const ReplyPtr &Reply) {
