soak: upstreams that fall silent and go on

The soak's silences were those of single upstreams on a link that went on acknowledging, so that it did not find answers lost to a silent upstream.

Six upstreams of two services now fall silent for 0.3 to 1.8 s, one, two or all of a service at once: their process, which neither reads nor writes, or their machine, which acknowledges nothing (a socket filter at the upstream's end of the connection). Beside this they refuse calls, are full, crash or are silent for good, and configurations change weights, timeouts and the customer. Calls that may be repeated or not and streams that may be resumed or not are sent on kept connections. The upstreams of the other kept connections fall silent in the same two ways, one or both of a service.

New checks: a silence does not cut or fail a call; no call is held until its deadline; each event comes once; calls beside a machine that is gone are served elsewhere; runs of these calls are counted. SoakHistoryTest shows of each that it can fail.

--- a/soak/ConnectionChecks.cpp
+++ b/soak/ConnectionChecks.cpp
@@ -15,19 +15,22 @@
 /// Share of the grace time after which a stop may end answers under way.
 static constexpr double StopShare = 5.0 / 6;
 
-Duration idleLimitIn(const ConnectionHistory &History, TimePoint From,
-                     TimePoint To, Duration ApplyTime) {
+Duration smallestLimitIn(const std::vector<LimitView> &Limits, TimePoint From,
+                         TimePoint To, Duration ApplyTime) {
   Duration Smallest = Duration::max();
-  for (std::size_t I = 0; I < History.IdleLimits.size(); ++I) {
-    const IdleLimitView &Each = History.IdleLimits[I];
-    const bool IsLast = I + 1 == History.IdleLimits.size();
-    if (Each.At <= To &&
-        (IsLast || History.IdleLimits[I + 1].At + ApplyTime >= From))
-      Smallest = std::min(Smallest, Each.Limit);
+  for (std::size_t I = 0; I < Limits.size(); ++I) {
+    const bool IsLast = I + 1 == Limits.size();
+    if (Limits[I].At <= To && (IsLast || Limits[I + 1].At + ApplyTime >= From))
+      Smallest = std::min(Smallest, Limits[I].Limit);
   }
   return Smallest;
 }
 
+Duration idleLimitIn(const ConnectionHistory &History, TimePoint From,
+                     TimePoint To, Duration ApplyTime) {
+  return smallestLimitIn(History.IdleLimits, From, To, ApplyTime);
+}
+
 /// Returns whether the daemon was killed, or began again, around a call.
 static bool wasKilled(const SoakHistory &History, const SoakBounds &Bounds,
                       const KeptCallView &Call) {
@@ -58,7 +61,7 @@
       });
 }
 
-static std::string describe(const KeptCallView &Call, Duration Limit) {
+std::string describe(const KeptCallView &Call, Duration Limit) {
   const auto Ms = [](Duration Time) {
     return std::to_string(toMilliseconds(Time)) + " ms";
   };
@@ -70,33 +73,46 @@
          (Call.HasGivenUp ? " by the caller" : "");
 }
 
+bool hasReachedDeadline(const KeptCallView &Call) {
+  return *Call.EndedAt >= Call.SentAt + Call.Deadline - DeadlineSlack;
+}
+
+bool hasExcuse(const SoakHistory &History, const SoakBounds &Bounds,
+               const KeptCallView &Call) {
+  return Call.HasBrokenOff || wasKilled(History, Bounds, Call) ||
+         wasStopped(History, Bounds, Call);
+}
+
+void checkConnection(const SoakHistory &History, const SoakBounds &Bounds,
+                     const std::string &Id, const KeptCallView &Call,
+                     std::vector<BrokenPromise> &Found) {
+  if (!Call.EndedAt)
+    return;
+  const Duration Limit = idleLimitIn(History.Connections, Call.IdleSince,
+                                     Call.SentAt, Bounds.ConfigApply);
+  if (Call.IsWhole) {
+    if (Call.Status == 200 && !Call.IsOwn)
+      Found.push_back({"own whole answer", Id, describe(Call, Limit)});
+    else if (Call.Status >= 300 && Call.Status < 500 && Call.Status != 408 &&
+             Call.Status != 421 && Call.Status != 429)
+      Found.push_back(
+          {"proper calls are not denied", Id, describe(Call, Limit)});
+    return;
+  }
+  const bool WasIdleTooLong = Call.Status == 0 && Limit != Duration::max() &&
+                              Call.SentAt - Call.IdleSince > Limit * ReuseShare;
+  if (WasIdleTooLong || hasReachedDeadline(Call) ||
+      hasExcuse(History, Bounds, Call))
+    return;
+  Found.push_back({Call.Status == 0 ? "a whole request gets an answer"
+                                    : "a begun answer is carried to its end",
+                   Id, describe(Call, Limit)});
+}
+
 void checkConnections(const SoakHistory &History, const SoakBounds &Bounds,
                       std::vector<BrokenPromise> &Found) {
-  for (const auto &[Id, Call] : History.Connections.Calls) {
-    if (!Call.EndedAt)
-      continue;
-    const Duration Limit = idleLimitIn(History.Connections, Call.IdleSince,
-                                       Call.SentAt, Bounds.ConfigApply);
-    if (Call.IsWhole) {
-      if (Call.Status == 200 && !Call.IsOwn)
-        Found.push_back({"own whole answer", Id, describe(Call, Limit)});
-      else if (Call.Status >= 300 && Call.Status < 500 && Call.Status != 408 &&
-               Call.Status != 421 && Call.Status != 429)
-        Found.push_back(
-            {"proper calls are not denied", Id, describe(Call, Limit)});
-      continue;
-    }
-    const bool WasIdleTooLong =
-        Call.Status == 0 && Limit != Duration::max() &&
-        Call.SentAt - Call.IdleSince > Limit * ReuseShare;
-    if (WasIdleTooLong || Call.HasBrokenOff ||
-        *Call.EndedAt >= Call.SentAt + Call.Deadline - DeadlineSlack ||
-        wasKilled(History, Bounds, Call) || wasStopped(History, Bounds, Call))
-      continue;
-    Found.push_back({Call.Status == 0 ? "a whole request gets an answer"
-                                      : "a begun answer is carried to its end",
-                     Id, describe(Call, Limit)});
-  }
+  for (const auto &[Id, Call] : History.Connections.Calls)
+    checkConnection(History, Bounds, Id, Call, Found);
 }
 
 } // namespace galenaroute::soak
--- a/soak/ConnectionChecks.h
+++ b/soak/ConnectionChecks.h
@@ -32,25 +32,38 @@
   bool HasBrokenOff = false; ///< The upstream broke off its answer.
 };
 
-/// An idle limit that the store has acknowledged.
-struct IdleLimitView {
+/// A limit of the configuration that the store has acknowledged.
+struct LimitView {
   TimePoint At;
   Duration Limit{};
 };
 
 struct ConnectionHistory {
   std::map<std::string, KeptCallView> Calls; ///< By id.
-  std::vector<IdleLimitView> IdleLimits;     ///< In order of time.
+  std::vector<LimitView> IdleLimits;         ///< In order of time.
 };
 
-/// Returns the smallest idle limit that applied at some moment of a time: the
+/// Returns the smallest of \p Limits that applied at some moment of a time: the
 /// newest, and the one before for as long as \p ApplyTime after it.
+Duration smallestLimitIn(const std::vector<LimitView> &Limits, TimePoint From,
+                         TimePoint To, Duration ApplyTime);
 Duration idleLimitIn(const ConnectionHistory &History, TimePoint From,
                      TimePoint To, Duration ApplyTime);
 
+/// Returns whether a call was cut by its upstream, by a kill of the daemon or
+/// by the end of a planned stop.
+bool hasExcuse(const SoakHistory &History, const SoakBounds &Bounds,
+               const KeptCallView &Call);
+/// Returns whether a call lasted until its deadline.
+bool hasReachedDeadline(const KeptCallView &Call);
+std::string describe(const KeptCallView &Call, Duration Limit);
+
 /// A whole request gets an answer or a refusal, and an answer that has begun is
 /// carried to its end. Freezes, hang-ups, the loss of the store and changes of
 /// the configuration are no excuse; kills are.
+void checkConnection(const SoakHistory &History, const SoakBounds &Bounds,
+                     const std::string &Id, const KeptCallView &Call,
+                     std::vector<BrokenPromise> &Found);
 void checkConnections(const SoakHistory &History, const SoakBounds &Bounds,
                       std::vector<BrokenPromise> &Found);
 
--- a/soak/FaultyLink.cpp
+++ b/soak/FaultyLink.cpp
@@ -4,13 +4,12 @@
 
 #include <cstring>
 #include <deque>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
 namespace galenaroute::soak {
 
-/// Longest piece that is passed on at once; heads and chunks are cut anywhere.
-static constexpr std::size_t MaxPiece = 700;
 /// Between looks at bytes that are limited or kept back.
 static constexpr Duration LookAgain = std::chrono::milliseconds(10);
 /// Waiting on the way of one direction; above this, reading stops.
@@ -34,8 +33,8 @@
 static std::size_t indexOf(int Side) { return static_cast<std::size_t>(Side); }
 
 FaultyLink::FaultyLink(EventLoop &Loop, SocketAddress Target,
-                       std::uint64_t Seed)
-    : Loop(Loop), Target(std::move(Target)), Random(Seed) {
+                       std::uint64_t Seed, std::size_t MaxPiece)
+    : Loop(Loop), Target(std::move(Target)), Random(Seed), MaxPiece(MaxPiece) {
   sockaddr_in Own = socketAddressOf(this->Address);
   this->Listener = evconnlistener_new_bind(
       Loop.base(),
@@ -59,7 +58,32 @@
                               : this->Harm.IsSilentFromTarget;
 }
 
-void FaultyLink::setHarm(const LinkHarm &Next) { this->Harm = Next; }
+/// Attaches or detaches a filter that accepts nothing, so that the kernel drops
+/// what arrives before it is acknowledged.
+void FaultyLink::applyFilter(int Socket) const {
+  sock_filter AcceptNothing{.code = BPF_RET | BPF_K, .k = 0};
+  const sock_fprog Filter{.len = 1, .filter = &AcceptNothing};
+  const int Unused = 0;
+  if (!this->Harm.DropsArriving)
+    // Fails where no filter is attached.
+    setsockopt(Socket, SOL_SOCKET, SO_DETACH_FILTER, &Unused, sizeof Unused);
+  else if (setsockopt(Socket, SOL_SOCKET, SO_ATTACH_FILTER, &Filter,
+                      sizeof Filter) != 0)
+    throw Error(ErrorKind::Internal,
+                std::string("a link cannot be made silent: ") +
+                    std::strerror(errno));
+}
+
+void FaultyLink::setHarm(const LinkHarm &Next) {
+  const bool IsNew = this->Harm.DropsArriving != Next.DropsArriving;
+  this->Harm = Next;
+  if (!IsNew)
+    return;
+  this->applyFilter(evconnlistener_get_fd(this->Listener));
+  for (const auto &[Id, Each] : this->Pairs)
+    this->applyFilter(bufferevent_getfd(
+        Each->Ends[indexOf(static_cast<int>(Side::Caller))].get()));
+}
 
 void FaultyLink::resetAll() {
   while (!this->Pairs.empty())
@@ -67,6 +91,7 @@
 }
 
 void FaultyLink::accept(int Socket) {
+  this->applyFilter(Socket);
   const std::uint64_t Id = ++this->LastId;
   auto Added = std::make_unique<Pair>();
   const auto Open = [&](int Fd) {
@@ -121,8 +146,8 @@
   Duration Pause = LookAgain;
   if (!this->isSilent(From) && At.OnTheWay[I] < MaxOnTheWay) {
     const std::size_t Length = std::min(
-        evbuffer_get_length(Input),
-        std::uniform_int_distribution<std::size_t>(1, MaxPiece)(this->Random));
+        evbuffer_get_length(Input), std::uniform_int_distribution<std::size_t>(
+                                        1, this->MaxPiece)(this->Random));
     std::string Bytes(Length, '\0');
     evbuffer_remove(Input, Bytes.data(), Length);
     if (Length == 0 && !At.HasEnded[I])
--- a/soak/FaultyLink.h
+++ b/soak/FaultyLink.h
@@ -25,12 +25,27 @@
   Duration Delay{};              ///< In each direction.
   bool IsSilentToTarget = false; ///< Bytes are kept back, and not reset.
   bool IsSilentFromTarget = false;
+  /// Nothing that callers send is acknowledged, nor are connections made.
+  bool DropsArriving = false;
   std::size_t BytesPerSecond = 0; ///< 0: not limited.
 };
 
+/// A machine or its link that is silent both ways.
+inline constexpr LinkHarm SilentMachine{.IsSilentToTarget = true,
+                                        .IsSilentFromTarget = true,
+                                        .DropsArriving = true};
+/// A process that neither reads nor writes; its kernel acknowledges.
+inline constexpr LinkHarm SilentProcess{.IsSilentToTarget = true,
+                                        .IsSilentFromTarget = true};
+
 class FaultyLink {
 public:
-  FaultyLink(EventLoop &Loop, SocketAddress Target, std::uint64_t Seed);
+  /// Longest piece that is passed on at once; heads and chunks are cut
+  /// anywhere.
+  static constexpr std::size_t ShortPiece = 700;
+
+  FaultyLink(EventLoop &Loop, SocketAddress Target, std::uint64_t Seed,
+             std::size_t MaxPiece = ShortPiece);
   ~FaultyLink();
   FaultyLink(const FaultyLink &) = delete;
   FaultyLink &operator=(const FaultyLink &) = delete;
@@ -51,11 +66,13 @@
   void passOn(std::uint64_t Id, Side From);
   void close(std::uint64_t Id, bool Resets);
   bool isSilent(Side From) const;
+  void applyFilter(int Socket) const;
 
   EventLoop &Loop;
   SocketAddress Target;
   SocketAddress Address{"127.0.0.1", 0};
   std::mt19937_64 Random;
+  std::size_t MaxPiece;
   LinkHarm Harm;
   evconnlistener *Listener = nullptr;
   std::map<std::uint64_t, std::unique_ptr<Pair>> Pairs;
--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -203,6 +203,7 @@
   checkRecovery(History, Bounds, Found);
   checkPrompts(History, Bounds, Found);
   checkConnections(History, Bounds, Found);
+  checkSilences(History, Bounds, Found);
   checkConfigOrder(History, Found);
   checkConfigTimes(History, Bounds, Found);
   checkOrders(History, Bounds, Found);
--- a/soak/History.h
+++ b/soak/History.h
@@ -13,6 +13,7 @@
 #include "PromptHistory.h"
 #include "RateLimitCheck.h"
 #include "RestoreChecks.h"
+#include "SilenceChecks.h"
 #include "WeightsCheck.h"
 #include "process/Clock.h"
 
@@ -81,6 +82,7 @@
   testing_support::WeightsHistory Weights;
   PromptHistory Prompts;
   ConnectionHistory Connections;
+  SilenceHistory Silences;
   ConfigHistory Configs;
   TimePoint LastFaultAt; ///< When the last fault ended.
   TimePoint EndedAt;     ///< When callers stopped sending.
--- a/soak/SoakConfigs.cpp
+++ b/soak/SoakConfigs.cpp
@@ -163,6 +163,7 @@
     this->moveRoute();
   }
   ++this->Changes;
+  this->Parts.Amend(this->Config);
   this->put();
 }
 
--- a/soak/SoakConfigs.h
+++ b/soak/SoakConfigs.h
@@ -32,6 +32,8 @@
   std::function<void(const Fault &Next)> Strike;
   /// Names new weights, so that engines get orders.
   std::function<void()> NameWeights;
+  /// Makes further changes to a configuration before it is written.
+  std::function<void(nlohmann::json &Config)> Amend;
 };
 
 class SoakConfigs {
--- a/soak/SoakConnections.cpp
+++ b/soak/SoakConnections.cpp
@@ -26,11 +26,12 @@
 static constexpr Duration PieceGap = 250ms;
 /// Pauses of readers stay below the least idle limit of a configuration.
 static constexpr Duration ReaderPause = 700ms;
-static constexpr Duration MinSilence = 700ms;
-static constexpr Duration MaxSilence = 1300ms;
+static constexpr Duration MinSilence = 300ms;
+static constexpr Duration MaxSilence = 1800ms;
 static constexpr Duration MinSilenceGap = 500ms;
 static constexpr Duration MaxSilenceGap = 3s;
 static constexpr std::uint64_t BrokenOffOneIn = 20;
+static constexpr std::size_t LongPiece = 64 << 10;
 
 std::optional<PlainAnswer> parseAnswer(const std::string &Text) {
   const std::size_t Head = Text.find("\r\n\r\n");
@@ -100,9 +101,11 @@
         [this, I](const std::shared_ptr<IncomingCall> &Call) {
           this->onCall(I, Call);
         });
+    this->Upstreams[I].Link =
+        std::make_unique<FaultyLink>(this->Loop, At, this->Random(), LongPiece);
     this->Store.put("servers", "kept" + std::to_string(I),
                     {{"service", this->Upstreams[I].Service},
-                     {"address", At.toString()},
+                     {"address", this->Upstreams[I].Link->address().toString()},
                      {"zone", "z0"},
                      {"version", "1"},
                      {"slots", 100},
@@ -117,32 +120,39 @@
   this->silenceLater();
 }
 
+/// Lets an upstream fall silent with its process or its whole machine.
+void SoakConnections::silence(std::size_t Index) {
+  const bool IsMachine = this->below(2) == 0;
+  const Duration For =
+      MinSilence + Milliseconds(this->below(static_cast<std::uint64_t>(
+                       toMilliseconds(MaxSilence - MinSilence))));
+  Upstream &Part = this->Upstreams[Index];
+  const TimePoint Now = EventLoop::now();
+  if (Now < Part.SilentUntil)
+    return;
+  Part.SilentUntil = Now + For;
+  Part.Link->setHarm(IsMachine ? SilentMachine : SilentProcess);
+  this->Note(
+      (IsMachine ? "machine of kept upstream " : "process of kept upstream ") +
+      std::to_string(Index) + " is silent for " +
+      std::to_string(toMilliseconds(For)) + " ms");
+  this->after(For, [&Part] { Part.Link->setHarm({}); });
+}
+
+/// Lets one upstream of a service fall silent, or both.
 void SoakConnections::silenceLater() {
-  const auto Drawn = [this](Duration Least, Duration Most) {
-    return Least + Milliseconds(this->below(static_cast<std::uint64_t>(
-                       toMilliseconds(Most - Least))));
-  };
-  this->after(Drawn(MinSilenceGap, MaxSilenceGap), [this, Drawn] {
+  const Duration Gap =
+      MinSilenceGap + Milliseconds(this->below(static_cast<std::uint64_t>(
+                          toMilliseconds(MaxSilenceGap - MinSilenceGap))));
+  this->after(Gap, [this] {
     const std::size_t Index = this->below(UpstreamCount);
-    const Duration For = Drawn(MinSilence, MaxSilence);
-    this->Upstreams[Index].SilentUntil = EventLoop::now() + For;
-    this->Note("kept upstream " + std::to_string(Index) + " is silent for " +
-               std::to_string(toMilliseconds(For)) + " ms");
+    this->silence(Index);
+    if (this->below(2) == 0)
+      this->silence((Index + 2) % UpstreamCount);
     this->silenceLater();
   });
 }
 
-void SoakConnections::speak(std::size_t Index, Duration Delay,
-                            const std::function<void()> &Action) {
-  this->after(Delay, [this, Index, Action] {
-    const TimePoint Until = this->Upstreams[Index].SilentUntil;
-    if (EventLoop::now() < Until)
-      this->speak(Index, Until - EventLoop::now(), Action);
-    else
-      Action();
-  });
-}
-
 void SoakConnections::onCall(std::size_t Index,
                              const std::shared_ptr<IncomingCall> &Call) {
   const std::string Id(Call->Head.Headers.find("Request-Id").value_or(""));
@@ -159,7 +169,7 @@
     if (const auto Seen = this->Seen.Calls.find(Id);
         BreaksOff && Seen != this->Seen.Calls.end())
       Seen->second.HasBrokenOff = true;
-    this->speak(Index, 2ms, [this, Index, Call, Headers, Text, BreaksOff] {
+    this->after(2ms, [this, Index, Call, Headers, Text, BreaksOff] {
       Call->begin(200, Headers);
       Call->write(Text);
       this->stream(Index, Call, StreamPieces, BreaksOff);
@@ -167,7 +177,7 @@
     return;
   }
   const std::size_t Size = Target.ends_with("/large") ? LargeBytes : 100;
-  this->speak(Index, 2ms, [Call, Headers, Text, Size] {
+  this->after(2ms, [Call, Headers, Text, Size] {
     if (Call->isOpen())
       Call->send(200, Headers, Text + std::string(Size, 'b'));
   });
@@ -176,7 +186,7 @@
 void SoakConnections::stream(std::size_t Index,
                              const std::shared_ptr<IncomingCall> &Call,
                              int Left, bool BreaksOff) {
-  this->speak(Index, PieceGap, [this, Index, Call, Left, BreaksOff] {
+  this->after(PieceGap, [this, Index, Call, Left, BreaksOff] {
     if (!Call->isOpen())
       return;
     if (Left == 0) {
--- a/soak/SoakConnections.h
+++ b/soak/SoakConnections.h
@@ -14,6 +14,7 @@
 #ifndef GALENAROUTE_SOAK_SOAKCONNECTIONS_H
 #define GALENAROUTE_SOAK_SOAKCONNECTIONS_H
 
+#include "FaultyLink.h"
 #include "History.h"
 #include "RawSocket.h"
 #include "connection/CallListener.h"
@@ -71,6 +72,7 @@
   struct Upstream {
     std::string Service;
     std::shared_ptr<CallListener> Listener;
+    std::unique_ptr<FaultyLink> Link;
     TimePoint SilentUntil;
   };
 
@@ -82,9 +84,7 @@
   void onCall(std::size_t Index, const std::shared_ptr<IncomingCall> &Call);
   void stream(std::size_t Index, const std::shared_ptr<IncomingCall> &Call,
               int Left, bool BreaksOff);
-  /// Acts after \p Delay, or later when the upstream speaks again.
-  void speak(std::size_t Index, Duration Delay,
-             const std::function<void()> &Action);
+  void silence(std::size_t Index);
   void silenceLater();
   void after(Duration Delay, const std::function<void()> &Action);
   std::uint64_t below(std::uint64_t Bound) { return this->Random() % Bound; }
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -32,6 +32,19 @@
   return Holders.size();
 }
 
+/// Returns how calls to upstreams that fall silent ended, by status; 0 without
+/// an answer.
+static std::string countEnds(const SilenceHistory &Seen) {
+  std::map<int, std::size_t> Counts;
+  for (const auto &[Id, Call] : Seen.Calls)
+    ++Counts[Call.Status];
+  std::string Result;
+  for (const auto &[Status, Count] : Counts)
+    Result += (Result.empty() ? "" : " ") + std::to_string(Count) + " x " +
+              std::to_string(Status);
+  return Result;
+}
+
 static bool play(const SoakSettings &Settings) {
   SoakRun Run(Settings);
   Run.play();
@@ -52,13 +65,17 @@
             << " planned stops, " << Run.namedWeights() << " versions named, "
             << countOlder(History.Weights) << " calls on older weights, "
             << History.Connections.Calls.size()
-            << " calls on kept connections, " << History.Configs.Probes.size()
-            << " calls to changing routes, " << Run.configs().changes()
-            << " configurations, " << Run.configs().restorations()
-            << " restorations, " << Run.foreign().changes()
-            << " foreign entries, " << History.Configs.Orders.size()
-            << " orders of " << countHolders(History.Configs) << " holders, "
-            << Found.size() << " promises broken" << std::endl;
+            << " calls on kept connections, " << History.Silences.Calls.size()
+            << " to upstreams with " << Run.silences().silences()
+            << " silences and " << Run.silences().silencesForGood()
+            << " for good, " << countEnds(History.Silences) << ", "
+            << History.Configs.Probes.size() << " calls to changing routes, "
+            << Run.configs().changes() << " configurations, "
+            << Run.configs().restorations() << " restorations, "
+            << Run.foreign().changes() << " foreign entries, "
+            << History.Configs.Orders.size() << " orders of "
+            << countHolders(History.Configs) << " holders, " << Found.size()
+            << " promises broken" << std::endl;
   if (Found.empty())
     return true;
   for (const std::string &Each : Run.timeline())
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -67,6 +67,9 @@
       Kept(this->Loop, this->Store, this->Places, this->Settings.Seed,
            this->History.Connections,
            [this](const std::string &Line) { this->note(Line); }),
+      Silences(this->Loop, this->Store, this->Places, this->Settings.Seed,
+               {.Seen = this->History,
+                .Note = [this](const std::string &Line) { this->note(Line); }}),
       Configs(this->Loop, this->Store, this->Places, this->Settings.Seed,
               {.Seen = this->History,
                .IncarnationOf =
@@ -75,12 +78,17 @@
                    },
                .Note = [this](const std::string &Line) { this->note(Line); },
                .Strike = [this](const Fault &Next) { this->strike(Next); },
-               .NameWeights = [this] { this->Weights.name(); }}),
+               .NameWeights = [this] { this->Weights.name(); },
+               .Amend =
+                   [this](nlohmann::json &Config) {
+                     this->Silences.changeConfig(Config);
+                   }}),
       Foreign(this->Loop, this->Store, this->Settings.Seed),
       FailRandom(this->Settings.Seed * 13 + 7),
       PauseRandom(this->Settings.Seed * 7 + 3) {
   nlohmann::json Config = withPrompts(testing_support::plainConfig());
   SoakWeights::addTo(Config);
+  this->Silences.addTo(Config);
   this->Configs.write(std::move(Config));
   this->Daemons.resize(this->Settings.Faults.Daemons);
   this->Upstreams.resize(this->Settings.Faults.Upstreams);
@@ -520,6 +528,7 @@
   this->readAnswers();
   this->Prompts.step();
   this->Kept.step();
+  this->Silences.step();
   this->Configs.step();
   this->watchStops();
   const TimePoint Now = EventLoop::now();
@@ -546,6 +555,7 @@
     this->startUpstream(I);
   this->Weights.start();
   this->Kept.start();
+  this->Silences.start();
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     this->Harness.waitFor("daemon " + std::to_string(I), [&] {
       return this->Harness.get(this->Places.readyAddress(I), "/api/ready")
@@ -573,6 +583,7 @@
   this->IsSending = false;
   this->Prompts.stop();
   this->Kept.stop();
+  this->Silences.stop();
   this->Configs.finish();
   this->History.EndedAt = EventLoop::now();
   // A stop that is under way, and the last calls.
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -19,6 +19,7 @@
 #include "SoakConnections.h"
 #include "SoakForeignEntries.h"
 #include "SoakPrompts.h"
+#include "SoakSilences.h"
 #include "SoakWeights.h"
 #include "connection/CallListener.h"
 #include "process/FakePlatformServer.h"
@@ -52,6 +53,7 @@
   /// Returns how many weight versions were named during the faults.
   std::size_t namedWeights() const { return this->Weights.named(); }
   const SoakConfigs &configs() const { return this->Configs; }
+  const SoakSilences &silences() const { return this->Silences; }
   const SoakForeignEntries &foreign() const { return this->Foreign; }
   /// Lines on what was done, with seconds from the start of the traffic.
   const std::vector<std::string> &timeline() const { return this->Timeline; }
@@ -124,6 +126,7 @@
   SoakHistory History;
   SoakWeights Weights;
   SoakConnections Kept;
+  SoakSilences Silences;
   SoakConfigs Configs;
   SoakForeignEntries Foreign;
   std::mt19937_64 FailRandom;
--- a/tests/SoakHistoryTest.cpp
+++ b/tests/SoakHistoryTest.cpp
@@ -414,6 +414,148 @@
   EXPECT_EQ(this->broken(), "0");
 }
 
+/// Adds a call to upstreams that fall silent, which ended as whole 3 s later.
+static SilenceCallView &silenceCall(SoakHistory &History, bool MayRepeat,
+                                    int Status) {
+  SilenceCallView &Call = History.Silences.Calls["q"];
+  Call = {};
+  Call.MayRepeat = MayRepeat;
+  Call.SentAt = Start;
+  Call.Deadline = 6s;
+  Call.EndedAt = Start + 3s;
+  Call.Status = Status;
+  Call.IsWhole = Status != 0;
+  Call.IsOwn = Status == 200;
+  return Call;
+}
+
+TEST_F(SoakHistoryTest, ACallThatASilenceCutsIsFound) {
+  SilenceCallView &Call = silenceCall(this->History, true, 200);
+  EXPECT_EQ(this->broken(), "0");
+  Call.IsWhole = false;
+  EXPECT_EQ(this->broken(), "a begun answer is carried to its end");
+  Call.Status = 0;
+  EXPECT_EQ(this->broken(), "a whole request gets an answer");
+  Call.HasBrokenOff = true;
+  EXPECT_EQ(this->broken(), "0") << "its upstream crashed";
+}
+
+TEST_F(SoakHistoryTest, ACallThatASilenceFailsIsFound) {
+  for (const bool MayRepeat : {true, false}) {
+    for (const int Status : {500, 502, 504}) {
+      SilenceCallView &Call = silenceCall(this->History, MayRepeat, Status);
+      EXPECT_EQ(this->broken(), "silence is no failure");
+      Call.HasBrokenOff = true;
+      EXPECT_EQ(this->broken(), "0") << "its upstream crashed";
+    }
+    silenceCall(this->History, MayRepeat, 503);
+    EXPECT_EQ(this->broken(), "0") << "it was refused";
+  }
+  silenceCall(this->History, true, 401);
+  EXPECT_EQ(this->broken(), "proper calls are not denied");
+}
+
+TEST_F(SoakHistoryTest, AMachineThatIsGoneExcusesOnlyCallsThatWereSentThere) {
+  SilenceCallView &Call = silenceCall(this->History, false, 502);
+  const TimePoint Late = *Call.EndedAt - 1800ms;
+  this->History.Silences.Gone = {{"u0", Late, Late + 12s}};
+  EXPECT_EQ(this->broken(), "0");
+  Call.Ran = {"u0"};
+  EXPECT_EQ(this->broken(), "0");
+  Call.IsWhole = false;
+  Call.Status = 0;
+  EXPECT_EQ(this->broken(), "0");
+  Call.MayRepeat = true;
+  EXPECT_EQ(this->broken(), "a whole request gets an answer");
+  Call.Status = 200;
+  EXPECT_EQ(this->broken(), "0") << "retries may be used up";
+  Call.IsWhole = true;
+  Call.Status = 502;
+  Call.Ran = {"u1"};
+  EXPECT_EQ(this->broken(), "silence is no failure") << "ran elsewhere";
+  Call.Ran.clear();
+  this->History.Silences.Gone[0].From = Late + 1ms;
+  EXPECT_EQ(this->broken(), "silence is no failure") << "might have gone on";
+  this->History.Silences.Gone = {{"u0", Start - 20s, Start - 1ms}};
+  EXPECT_EQ(this->broken(), "silence is no failure") << "was replaced";
+}
+
+TEST_F(SoakHistoryTest, CallsThatAreNotServedBesideAGoneMachineAreFound) {
+  this->History.Silences.Gone = {{"u0", Start, Start + 12s}};
+  for (int I = 0; I < 20; ++I)
+    this->History.Silences.Calls[std::to_string(I)] =
+        silenceCall(this->History, true, I < 12 ? 200 : 503);
+  this->History.Silences.Calls.erase("q");
+  EXPECT_EQ(this->broken(), "0");
+  this->History.Silences.Calls["0"].Status = 503;
+  EXPECT_EQ(this->broken(), "calls are served beside a machine that is gone");
+  this->History.Silences.Gone[0].From = Start + 1ms;
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, FreezesDoNotExcuseACallThatASilenceFails) {
+  silenceCall(this->History, true, 502);
+  this->History.Disturbances.push_back(
+      {0, Start, Start + 1s, false, DisturbanceKind::Freeze});
+  EXPECT_EQ(this->broken(), "silence is no failure");
+  this->History.Disturbances.back().Kind = DisturbanceKind::Kill;
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, ACallThatIsHeldUntilItsDeadlineIsFound) {
+  for (const int Status : {0, 503, 504}) {
+    SilenceCallView &Call = silenceCall(this->History, true, Status);
+    Call.EndedAt = Start + 6s;
+    this->History.Disturbances = {{0, Start, Start + 7s, true}};
+    EXPECT_EQ(this->broken(), "no call is held until its deadline");
+    this->History.Disturbances[0].IsStoreOnly = false;
+    EXPECT_EQ(this->broken(), "0") << "the daemon stood still";
+    this->History.Disturbances[0].Daemon = 1;
+    EXPECT_EQ(this->broken(), "no call is held until its deadline");
+  }
+  silenceCall(this->History, true, 200).EndedAt = Start + 6s;
+  EXPECT_EQ(this->broken(), "0");
+}
+
+TEST_F(SoakHistoryTest, EventsThatASilenceLosesOrRepeatsAreFound) {
+  const auto Broken = [this](std::vector<int> Events, bool IsWhole) {
+    SilenceCallView &Call = silenceCall(this->History, true, 200);
+    Call.IsStream = true;
+    Call.EventsOfWhole = 3;
+    Call.Events = std::move(Events);
+    Call.IsWhole = IsWhole;
+    // A cut has a check of its own.
+    Call.HasBrokenOff = !IsWhole;
+    return this->broken();
+  };
+  EXPECT_EQ(Broken({1, 2, 3}, true), "0");
+  EXPECT_EQ(Broken({1, 2}, false), "0");
+  const std::string Promise = "a whole stream has each event once";
+  EXPECT_EQ(Broken({1, 2}, true), Promise);
+  EXPECT_EQ(Broken({1, 3}, true), Promise);
+  EXPECT_EQ(Broken({1, 2, 3, 3}, true), Promise);
+  EXPECT_EQ(Broken({1, 2, 2}, false), Promise);
+  EXPECT_EQ(Broken({2}, false), Promise);
+}
+
+TEST_F(SoakHistoryTest, RunsBesideASilenceAreCounted) {
+  SilenceCallView &Once = silenceCall(this->History, false, 200);
+  Once.Runs = 1;
+  Once.Ran = {"u0"};
+  EXPECT_EQ(this->broken(), "0");
+  Once.Runs = 2;
+  EXPECT_EQ(this->broken(), "at most once");
+  SilenceCallView &Safe = silenceCall(this->History, true, 200);
+  Safe.Runs = 2;
+  Safe.Ran = {"u0", "u1"};
+  EXPECT_EQ(this->broken(), "0");
+  Safe.Ran.insert("u2");
+  EXPECT_EQ(this->broken(), "at most two upstreams");
+  SilenceCallView &Refused = silenceCall(this->History, false, 503);
+  Refused.Runs = 1;
+  EXPECT_EQ(this->broken(), "not run is true");
+}
+
 // Callers rely on the smaller of two limits while a new one is applied.
 TEST_F(SoakHistoryTest, IdleLimitsCountUntilTheNextIsInForce) {
   const ConnectionHistory Seen{.IdleLimits = {{Start, 1s}, {Start + 10s, 4s}}};
