--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -17,6 +17,19 @@
 
 namespace galenaroute {
 
+/// Begins or ends to drop all that arrives at \p Socket: its kernel
+/// acknowledges nothing. Connections inherit this from the socket that listens
+/// for them.
+inline void setDropping(int Socket, bool Drops) {
+  sock_filter AcceptNothing{.code = BPF_RET | BPF_K, .k = 0};
+  const sock_fprog Filter{.len = 1, .filter = &AcceptNothing};
+  if (setsockopt(Socket, SOL_SOCKET,
+                 Drops ? SO_ATTACH_FILTER : SO_DETACH_FILTER, &Filter,
+                 sizeof Filter) != 0 &&
+      Drops)
+    throw std::runtime_error("cannot attach a socket filter");
+}
+
 /// A non-blocking connection.
 class RawSocket {
 public:
@@ -113,18 +126,8 @@
   /// Drops all that arrives from the peer, as a machine does that has stopped
   /// or lost its link: the kernel acknowledges nothing until acceptArriving()
   /// is called.
-  void dropArriving() {
-    sock_filter AcceptNothing{.code = BPF_RET | BPF_K, .k = 0};
-    const sock_fprog Filter{.len = 1, .filter = &AcceptNothing};
-    if (setsockopt(this->Socket, SOL_SOCKET, SO_ATTACH_FILTER, &Filter,
-                   sizeof Filter) != 0)
-      throw std::runtime_error("cannot attach a socket filter");
-  }
-  void acceptArriving() {
-    const int Unused = 0;
-    setsockopt(this->Socket, SOL_SOCKET, SO_DETACH_FILTER, &Unused,
-               sizeof Unused);
-  }
+  void dropArriving() { setDropping(this->Socket, true); }
+  void acceptArriving() { setDropping(this->Socket, false); }
   /// Closes the connection with a reset.
   void reset() {
     const linger Now{1, 0};
@@ -166,6 +169,10 @@
 
   /// Returns the socket of a new connection, or -1 if there is none.
   int accept() const { return ::accept(this->Socket, nullptr, nullptr); }
+  /// Begins or ends to drop the opening packets of connections.
+  void setDropping(bool Drops) {
+    galenaroute::setDropping(this->Socket, Drops);
+  }
 
   SocketAddress Address;
 
