Crash records: a registry entry that lapses is no proof of a crash

Calls that were abandoned without an answer in the 6 s before the entry of their upstream went count as crashes of it. Entries also lapse while the upstream runs: when it is cut off from the platform, or the platform was away. After calls with a common part were left by their callers and all entries lapsed, each further call with that part got 503 with Retry-After 597 s, though all upstreams were back after 2 s.

An abandoned send no longer counts if its upstream began to answer another call after it. An incarnation that is registered again was running, so its earlier crashes are dropped and later reports of them are ignored; a copy from which the platform was restored may list ended upstreams, so an entry that went before the restoration does not count as running.

UpstreamTable::remove() is told the time.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -140,9 +140,13 @@
   this->Upstreams.OnUnavailable = [this](const SocketAddress &Address) {
     this->Pool.closeIdle(Address);
   };
-  this->Upstreams.OnUnexpectedEnd = [this](const RegisteredUpstream &Ended) {
+  this->Upstreams.OnUnexpectedEnd = [this](const UpstreamEntry &Ended) {
     this->onUpstreamEnded(Ended);
   };
+  this->Upstreams.OnReturned = [this](const UpstreamEntry &Returned,
+                                      TimePoint RemovedAt) {
+    this->onUpstreamReturned(Returned, RemovedAt);
+  };
   this->applySettings();
   for (ObjectWatcher *Each : {&this->Registry, &this->WeightNotices})
     Each->OnUpdates = [this](const ObjectUpdates &News) {
@@ -379,7 +383,7 @@
 
 void ForwardGateway::onUpstream(const PlatformObject &Object) {
   if (Object.Deleted) {
-    this->Upstreams.remove(Object.Key.Name);
+    this->Upstreams.remove(Object.Key.Name, EventLoop::now());
     this->updateOrders();
     return;
   }
@@ -391,13 +395,29 @@
 }
 
 /// Handles an upstream that ended without notice: calls that timed out there
-/// shortly before may have crashed it.
-void ForwardGateway::onUpstreamEnded(const RegisteredUpstream &Ended) {
-  const TimePoint Now = EventLoop::now();
-  const std::uint64_t Upstream = incarnationKey(Ended.Id, Ended.BornMs);
-  for (const UnansweredSend &Each :
-       takeUnanswered(this->Services.Unanswered, Upstream, Now))
-    recordCrash(this->Services, Each, Ended.Id, /*Call=*/"-");
+/// shortly before may have crashed it, unless it answered others after them.
+void ForwardGateway::onUpstreamEnded(const UpstreamEntry &Ended) {
+  for (const UnansweredSend &Each : takeUnanswered(
+           this->Services.Unanswered, Ended.Incarnation, EventLoop::now()))
+    if (Each.EndedAt >= Ended.ProgressAt)
+      recordCrash(this->Services, Each, Ended.Registered.Id, /*Call=*/"-");
+}
+
+/// Handles an upstream that only its registry entry had left, so that no call
+/// has crashed it.
+void ForwardGateway::onUpstreamReturned(const UpstreamEntry &Returned,
+                                        TimePoint RemovedAt) {
+  // A copy from which the platform was restored lists ended upstreams, too.
+  if (this->mayPlatformLackObjects() && RemovedAt < this->EraSince)
+    return;
+  for (const std::uint64_t Key : noteRunning(
+           this->Services.Crashes, Returned.Incarnation, EventLoop::now())) {
+    log(LogLevel::Info, "content.not_broken",
+        {{"content", keyName(Key)},
+         {"upstream", Returned.Registered.Id},
+         {"crashes", std::to_string(crashCount(this->Services.Crashes, Key))}});
+    this->Services.OnCrashesChanged(Key, 0);
+  }
 }
 
 /// Returns the ids of the other live gateways that \p Filter accepts. The views
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -92,7 +92,8 @@
   void onEraChanged(const EraChange &Change);
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
-  void onUpstreamEnded(const RegisteredUpstream &Ended);
+  void onUpstreamEnded(const UpstreamEntry &Ended);
+  void onUpstreamReturned(const UpstreamEntry &Returned, TimePoint RemovedAt);
   void onWeights(const PlatformObject &Object);
   using GatewayFilter = std::function<bool(const EntryRecord &Entry)>;
   static bool acceptsAny(const EntryRecord &) { return true; }
--- a/src/request/CrashRecord.cpp
+++ b/src/request/CrashRecord.cpp
@@ -104,6 +104,13 @@
   return true;
 }
 
+/// Returns whether the upstream was found to run after \p Seen.
+static bool isDisproved(const CrashRecord &Record,
+                        const CrashObservation &Seen) {
+  const auto It = Record.RunningAt.find(Seen.Upstream);
+  return It != Record.RunningAt.end() && Seen.At <= It->second;
+}
+
 bool noteCrash(CrashRecord &Record, std::uint64_t Key, std::uint64_t Upstream,
                TimePoint Now) {
   const bool IsNew = addObservation(Record.Keys[Key], {Upstream, Now});
@@ -121,6 +128,25 @@
       [&](const CrashObservation &Each) { return Each.At <= At; });
 }
 
+std::vector<std::uint64_t> noteRunning(CrashRecord &Record,
+                                       std::uint64_t Upstream, TimePoint Now) {
+  auto &RunningAt = Record.RunningAt;
+  if (RunningAt.size() >= MaxRunningUpstreams)
+    RunningAt.erase(std::min_element(
+        RunningAt.begin(), RunningAt.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; }));
+  RunningAt.insert_or_assign(Upstream, Now);
+  std::vector<std::uint64_t> Result;
+  for (auto &[Key, Evidence] : Record.Keys)
+    if (std::erase_if(Evidence.Observations, [&](const CrashObservation &Seen) {
+          return isDisproved(Record, Seen);
+        }) > 0)
+      Result.push_back(Key);
+  for (const std::uint64_t Key : Result)
+    updateEstablished(Record, Key);
+  return Result;
+}
+
 std::size_t noteSuccess(CrashRecord &Record, std::uint64_t Key, TimePoint Now) {
   const auto It = Record.Keys.find(Key);
   if (It == Record.Keys.end())
@@ -233,9 +259,9 @@
     Changed = clearUntil(Record.Keys[Report.Key],
                          timeOf(*Report.ClearedAge, Now)) > 0;
   for (const CrashReport::Observation &Each : Report.Observations)
-    if (isRecent(Each.Age))
-      Changed |= addObservation(Record.Keys[Report.Key],
-                                {Each.Upstream, timeOf(Each.Age, Now)});
+    if (const CrashObservation Seen{Each.Upstream, timeOf(Each.Age, Now)};
+        isRecent(Each.Age) && !isDisproved(Record, Seen))
+      Changed |= addObservation(Record.Keys[Report.Key], Seen);
   updateEstablished(Record, Report.Key);
   evictExcess(Record);
   return Changed;
@@ -272,6 +298,9 @@
 }
 
 void expireCrashes(CrashRecord &Record, TimePoint Now) {
+  std::erase_if(Record.RunningAt, [&](const auto &Each) {
+    return Now - Each.second >= CrashRetention;
+  });
   for (auto It = Record.Keys.begin(); It != Record.Keys.end();) {
     const auto Current = It++;
     CrashEvidence &Evidence = Current->second;
--- a/src/request/CrashRecord.h
+++ b/src/request/CrashRecord.h
@@ -54,6 +54,8 @@
 /// refusal and may have fixed the upstreams.
 inline constexpr Duration CrashRetention = std::chrono::minutes(10);
 inline constexpr std::size_t MaxCrashKeys = 4096;
+/// Maximum incarnations that are remembered as running.
+inline constexpr std::size_t MaxRunningUpstreams = 4096;
 /// Maximum kept per key. The crashes of several keys are compared, so more are
 /// kept than MaxCrashes.
 inline constexpr std::size_t MaxCrashObservations = 16;
@@ -75,6 +77,8 @@
   std::unordered_map<std::uint64_t, CrashEvidence> Keys;
   /// Keys with enough crashes that calls with them may be refused.
   std::unordered_set<std::uint64_t> Established;
+  /// When incarnations that seemed to have ended were found to run.
+  std::unordered_map<std::uint64_t, TimePoint> RunningAt;
 };
 
 /// The crashes of one key, as exchanged between gateways. Carries ages
@@ -114,6 +118,12 @@
 /// clears.
 std::size_t noteSuccess(CrashRecord &Record, std::uint64_t Key, TimePoint Now);
 
+/// Records that the incarnation runs, so that it has not crashed before.
+/// Returns the keys with crashes of it, which no longer count, also when other
+/// gateways report them.
+std::vector<std::uint64_t> noteRunning(CrashRecord &Record,
+                                       std::uint64_t Upstream, TimePoint Now);
+
 /// Returns the number of crashes at which the key was observed.
 std::size_t crashCount(const CrashRecord &Record, std::uint64_t Key);
 
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -18,6 +18,8 @@
 /// Maximum incarnations remembered as leaving. A fleet of thousands of
 /// upstreams replaces a few hundred a day.
 static constexpr std::size_t MaxLeavingIncarnations = 4096;
+/// Maximum upstreams remembered that were removed without an announcement.
+static constexpr std::size_t MaxLapsedUpstreams = 4096;
 
 /// Fraction of the stored tokens that a home engine is expected to fetch.
 static constexpr double HomeMissShare = 0.3;
@@ -41,7 +43,7 @@
       IsKnown && (It->second.Registered.BornMs != Upstream.BornMs ||
                   !(It->second.Registered.Address == Upstream.Address));
   if (IsRestarted)
-    this->remove(Upstream.Id);
+    this->remove(Upstream.Id, Now);
   UpstreamEntry &Entry = this->Entries[Upstream.Id];
   const bool Changed =
       !IsKnown || IsRestarted ||
@@ -69,19 +71,28 @@
          {"born_ms", std::to_string(Upstream.BornMs)},
          {"leaving", Upstream.IsLeaving ? "yes" : "no"},
          {"weights", std::to_string(Entry.WeightVersion.value_or(0))}});
+  if (const auto Found = this->Lapsed.find(Upstream.Id);
+      Found != this->Lapsed.end()) {
+    const LapsedUpstream Before = Found->second;
+    this->Lapsed.erase(Found);
+    if (!IsKnown && Upstream.BornMs != 0 &&
+        Before.Incarnation == Entry.Incarnation)
+      this->OnReturned(Entry, Before.RemovedAt);
+  }
 }
 
-void UpstreamTable::remove(std::string_view Id) {
+void UpstreamTable::remove(std::string_view Id, TimePoint Now) {
   const auto It = this->Entries.find(Id);
   if (It == this->Entries.end())
     return;
   log(LogLevel::Info, "upstream.gone", {{"upstream", It->first}});
-  const RegisteredUpstream Removed = It->second.Registered;
-  const bool WasLeaving = It->second.isLeaving();
+  const UpstreamEntry Removed = std::move(It->second);
   this->Entries.erase(It);
-  this->OnUnavailable(Removed.Address);
-  if (!WasLeaving)
-    this->OnUnexpectedEnd(Removed);
+  this->OnUnavailable(Removed.Registered.Address);
+  if (Removed.isLeaving())
+    return;
+  this->rememberLapsed(Removed, Now);
+  this->OnUnexpectedEnd(Removed);
 }
 
 void UpstreamTable::retain(const std::set<std::string> &Ids, TimePoint Now) {
@@ -97,7 +108,7 @@
         Now - *Entry.MissingSince > this->Settings.MissingRetention)
       Expired.push_back(Id);
   for (const std::string &Id : Expired)
-    this->remove(Id);
+    this->remove(Id, Now);
 }
 
 const UpstreamEntry *UpstreamTable::find(std::string_view Id) const {
@@ -426,6 +437,17 @@
        {"for_ms", std::to_string(toMilliseconds(Until - Now))}});
 }
 
+void UpstreamTable::rememberLapsed(const UpstreamEntry &Upstream,
+                                   TimePoint Now) {
+  if (this->Lapsed.size() >= MaxLapsedUpstreams)
+    this->Lapsed.erase(
+        std::min_element(this->Lapsed.begin(), this->Lapsed.end(),
+                         [](const auto &A, const auto &B) {
+                           return A.second.RemovedAt < B.second.RemovedAt;
+                         }));
+  this->Lapsed[Upstream.Registered.Id] = {Upstream.Incarnation, Now};
+}
+
 void UpstreamTable::rememberLeaving(const RegisteredUpstream &Upstream) {
   if (this->LeavingIncarnations.size() >= MaxLeavingIncarnations &&
       !this->LeavingIncarnations.contains(Upstream.Id))
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -162,7 +162,7 @@
 
   /// Adds or updates an entry of the registry.
   void put(const RegisteredUpstream &Upstream, TimePoint Now);
-  void remove(std::string_view Id);
+  void remove(std::string_view Id, TimePoint Now);
   /// Applies a complete list: entries not in \p Ids expire unless they return.
   void retain(const std::set<std::string> &Ids, TimePoint Now);
   /// Removes entries that have been missing for too long.
@@ -233,8 +233,13 @@
       [](const UpstreamEntry &) { return CallPermission{}; };
   /// Called with an upstream that was removed or has restarted without
   /// announcing that it leaves.
-  std::function<void(const RegisteredUpstream &Ended)> OnUnexpectedEnd =
-      [](const RegisteredUpstream &) {};
+  std::function<void(const UpstreamEntry &Ended)> OnUnexpectedEnd =
+      [](const UpstreamEntry &) {};
+  /// Called with an upstream that was removed at \p RemovedAt without
+  /// announcing that it leaves, and that is registered again as the same
+  /// incarnation.
+  std::function<void(const UpstreamEntry &Returned, TimePoint RemovedAt)>
+      OnReturned = [](const UpstreamEntry &, TimePoint) {};
   /// Called with the address of an upstream that was removed, has restarted or
   /// announced that it leaves.
   std::function<void(const SocketAddress &Address)> OnUnavailable =
@@ -277,6 +282,14 @@
   /// Incarnations that announced that they leave, by id; bounded by
   /// MaxLeavingIncarnations.
   std::map<std::string, std::int64_t, std::less<>> LeavingIncarnations;
+  /// An incarnation that was removed without announcing that it leaves.
+  struct LapsedUpstream {
+    std::uint64_t Incarnation = 0;
+    TimePoint RemovedAt;
+  };
+  void rememberLapsed(const UpstreamEntry &Upstream, TimePoint Now);
+  /// By id; bounded by MaxLapsedUpstreams.
+  std::map<std::string, LapsedUpstream, std::less<>> Lapsed;
   std::map<std::string, UpstreamEntry, std::less<>> Entries;
 };
 
--- a/tests/CrashRecordTest.cpp
+++ b/tests/CrashRecordTest.cpp
@@ -132,6 +132,23 @@
     noteCrash(Record, Key, Upstream, At);
 }
 
+// Guards against crashes that are held against a call although the upstreams
+// run, and against their return with the report of another gateway.
+TEST(CrashRecordTest, CrashesOfUpstreamsThatRunDoNotCount) {
+  CrashRecord Record;
+  for (std::uint64_t Upstream = 1; Upstream <= 3; ++Upstream)
+    noteCrash(Record, 5, Upstream, Start);
+  const CrashReport Before = crashReport(Record, 5, Start + 1s);
+  ASSERT_TRUE(refusedUntil(Record, 5, Start + 1s));
+  EXPECT_EQ(noteRunning(Record, 1, Start + 1s), std::vector<std::uint64_t>{5});
+  EXPECT_FALSE(refusedUntil(Record, 5, Start + 1s));
+  EXPECT_FALSE(mergeReport(Record, Before, Start + 1s));
+  EXPECT_EQ(crashCount(Record, 5), 2u);
+  // A later crash of the same incarnation counts.
+  EXPECT_TRUE(noteCrash(Record, 5, 1, Start + 5s));
+  EXPECT_TRUE(refusedUntil(Record, 5, Start + 5s));
+}
+
 // Guards against letting all calls with a crashing part pass because no two of
 // them are alike.
 TEST(CrashRecordTest, CallsThatShareACrashingPartAreRefused) {
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -399,7 +399,7 @@
 // call, reaching the next caller on a reused connection.
 TEST_F(ForwardRunTest, ALateDuplicateAnswerReachesNoOtherCaller) {
   for (const std::string Id : {"Request-Id: r1\r\n", ""}) {
-    this->Table.remove("u1");
+    this->Table.remove("u1", EventLoop::now());
     this->Pool.closeIdle(this->Servers[0].Address);
     this->Caller =
         std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
--- a/tests/SilentLinkTest.cpp
+++ b/tests/SilentLinkTest.cpp
@@ -93,7 +93,7 @@
 TEST_F(SilentLinkTest, SilentLinksOfEndedUpstreamsCountAsCrashes) {
   this->silenceAllLinks(true);
   for (std::size_t I = 0; I < UpstreamCount; ++I)
-    this->Table.remove("u" + std::to_string(I));
+    this->Table.remove("u" + std::to_string(I), EventLoop::now());
   this->waitForFailures();
   EXPECT_FALSE(this->Services.Crashes.Established.empty());
 }
--- a/tests/UpstreamTableTest.cpp
+++ b/tests/UpstreamTableTest.cpp
@@ -68,7 +68,7 @@
     this->Table.put(Leaving, Start);
   }
   EXPECT_EQ(this->choose(), "e0");
-  this->Table.remove("e0");
+  this->Table.remove("e0", Start);
   EXPECT_EQ(this->choose(), "");
 }
 
@@ -264,7 +264,7 @@
   EXPECT_NE(this->choose(this->Parts), Home);
   this->Table.put(engine(Number), Start);
   EXPECT_NE(this->choose(this->Parts), Home) << "listed again as ready";
-  this->Table.remove(Home);
+  this->Table.remove(Home, Start);
   this->Table.put(engine(Number), Start);
   EXPECT_NE(this->choose(this->Parts), Home)
       << "returned after its entry expired";
@@ -319,7 +319,7 @@
   this->Table.noteLeaving("e0");
   EXPECT_EQ(this->Table.availableAt("m"), Start + 2001ms);
   for (int I = 0; I < 12; ++I)
-    this->Table.remove("e" + std::to_string(I));
+    this->Table.remove("e" + std::to_string(I), Start);
   EXPECT_EQ(this->Table.availableAt("m"), std::nullopt);
 }
 
