ForwardRun: forwarding an event copies no list of sends

keepOnly() copied the list of sends in flight for each event of each stream, though there is nearly always one send and nothing to cancel. It returns early then. 54 tests of forwarded calls and silent upstreams pass; behaviour is the same.

--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -308,6 +308,8 @@
 /// Continues with \p Send, which makes progress, and cancels the other sends.
 void ForwardRun::keepOnly(const ForwardSend &Send) {
   this->IsQueued = false;
+  if (this->Live.size() == 1)
+    return;
   const auto Sends = this->Live;
   for (const auto &Each : Sends)
     if (Each.get() != &Send)
