CallListener: pause accepting while descriptors or memory are short

What callers saw: a daemon with fewer descriptors than its settings say spent a whole core on accept() calls that failed with EMFILE, logged 5,800 lines in 8 s, and served slowly what it had accepted.

Cause: the listener stays readable while connections wait, so a failed accept is tried again at once.

Accepting now pauses after EMFILE, ENFILE, ENOBUFS or ENOMEM until a connection closes, which gives back what was short, or for 0.1 s. One line is logged for each 0.1 s, with the number of connections.

The test fails before: 432 ms of processor time in 1 s, beside a build; 200 ms allowed. After, all callers that wait are served one by one.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -6,6 +6,7 @@
 #include "process/Log.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <event2/listener.h>
 #include <netinet/in.h>
@@ -29,6 +30,10 @@
 /// How often connections are checked for their time limits.
 static constexpr auto SweepPeriod = std::chrono::milliseconds(250);
 static constexpr int ListenBacklog = 1024;
+/// How long nothing is accepted after the process or the system ran out of
+/// descriptors or memory, unless a connection closes. The listener stays
+/// readable meanwhile, so that accepting on would take all processor time.
+static constexpr auto AcceptPause = std::chrono::milliseconds(100);
 /// Connections beyond the limit that are open at a time.
 static constexpr std::size_t MaxBeyondLimit = 64;
 /// Idle timeout of connections beyond the limit. A caller connects to send a
@@ -508,8 +513,11 @@
   if (!this->Listener)
     throw Error(ErrorKind::Internal, "cannot listen on " + Address.toString() +
                                          ": " + std::strerror(errno));
-  evconnlistener_set_error_cb(this->Listener, [](evconnlistener *, void *) {
-    log(LogLevel::Error, "accept.failed", {{"error", std::strerror(errno)}});
+  evconnlistener_set_error_cb(this->Listener, [](evconnlistener *, void *Self) {
+    const int Reason = errno;
+    runGuarded("caller.accept_error", [&] {
+      static_cast<CallListener *>(Self)->onAcceptError(Reason);
+    });
   });
   this->SweepTimer = Loop.timers().every(SweepPeriod, [this] {
     const TimePoint Now = EventLoop::now();
@@ -526,6 +534,7 @@
 
 CallListener::~CallListener() {
   this->SweepTimer.disconnect();
+  this->PauseTimer.disconnect();
   if (this->Listener)
     evconnlistener_free(this->Listener);
 }
@@ -541,6 +550,7 @@
     if (Next >= 0)
       this->accept(Next);
   }
+  this->PauseTimer.disconnect();
   evconnlistener_free(this->Listener);
   this->Listener = nullptr;
 }
@@ -569,24 +579,48 @@
   if (this->Connections.erase(Closed) == 0)
     return;
   this->BeyondLimit -= Closed->isBeyondLimit();
+  this->IsPaused = false;
+  this->updateAccepting();
+}
+
+void CallListener::onAcceptError(int Reason) {
+  const bool IsExhausted = Reason == EMFILE || Reason == ENFILE ||
+                           Reason == ENOBUFS || Reason == ENOMEM;
+  // An accept that is tried again early, since a connection has closed, belongs
+  // to the same pause.
+  if (!IsExhausted || !this->PauseTimer.connected())
+    log(LogLevel::Error, "accept.failed",
+        {{"error", std::strerror(Reason)},
+         {"connections", std::to_string(this->Connections.size())}});
+  if (!IsExhausted)
+    return;
+  this->IsPaused = true;
+  if (!this->PauseTimer.connected())
+    this->PauseTimer = this->Loop.timers().after(AcceptPause, [this] {
+      this->IsPaused = false;
+      this->updateAccepting();
+    });
   this->updateAccepting();
 }
 
 /// Lets connections wait in the queue of the socket while too many are to be
-/// refused. Those that were open when the limit fell do not count.
+/// refused, or none can be accepted. Those that were open when the limit fell
+/// do not count.
 void CallListener::updateAccepting() {
   const bool HasRoom = this->Connections.size() < this->Limits.MaxConnections ||
                        this->BeyondLimit < MaxBeyondLimit;
-  if (!this->Listener || HasRoom == this->IsAccepting)
+  const bool MayAccept = HasRoom && !this->IsPaused;
+  if (!this->Listener || MayAccept == this->IsAccepting)
     return;
-  this->IsAccepting = HasRoom;
-  if (HasRoom) {
+  this->IsAccepting = MayAccept;
+  if (MayAccept) {
     evconnlistener_enable(this->Listener);
     return;
   }
   evconnlistener_disable(this->Listener);
-  log(LogLevel::Warn, "connection.limit",
-      {{"connections", std::to_string(this->Connections.size())}});
+  if (!HasRoom)
+    log(LogLevel::Warn, "connection.limit",
+        {{"connections", std::to_string(this->Connections.size())}});
 }
 
 } // namespace galenaroute
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -111,6 +111,7 @@
   void accept(int Socket);
   void erase(const std::shared_ptr<CallerConnection> &Closed);
   void updateAccepting();
+  void onAcceptError(int Reason);
 
   EventLoop &Loop;
   CallerLimits Limits;
@@ -119,8 +120,10 @@
   std::set<std::shared_ptr<CallerConnection>> Connections;
   bool Closing = false;
   bool IsAccepting = true;
+  bool IsPaused = false;       ///< Descriptors or memory are short.
   std::size_t BeyondLimit = 0; ///< Connections marked as beyond the limit.
   sigc::connection SweepTimer;
+  sigc::connection PauseTimer;
 };
 
 } // namespace galenaroute
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -4,7 +4,9 @@
 #include "RawSocket.h"
 #include "connection/CallListener.h"
 
+#include <ctime>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <thread>
 
 namespace galenaroute {
@@ -27,6 +29,32 @@
   Call->send(Call->IsBeyondLimit ? 503 : 200, {{"Retry-After", "1"}}, "");
 }
 
+Duration processorTime() {
+  timespec Used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Used);
+  return std::chrono::seconds(Used.tv_sec) +
+         std::chrono::nanoseconds(Used.tv_nsec);
+}
+
+/// Leaves the process \p Count further descriptors while it lives.
+class FewDescriptors {
+public:
+  explicit FewDescriptors(rlim_t Count) {
+    getrlimit(RLIMIT_NOFILE, &this->Before);
+    const int Lowest = dup(STDIN_FILENO);
+    ::close(Lowest);
+    rlimit Fewer = this->Before;
+    Fewer.rlim_cur = static_cast<rlim_t>(Lowest) + Count;
+    setrlimit(RLIMIT_NOFILE, &Fewer);
+  }
+  ~FewDescriptors() { setrlimit(RLIMIT_NOFILE, &this->Before); }
+  FewDescriptors(const FewDescriptors &) = delete;
+  FewDescriptors &operator=(const FewDescriptors &) = delete;
+
+private:
+  rlimit Before{};
+};
+
 class CallerConnectionTest : public testing::Test {
 protected:
   CallerConnectionTest() { this->Address = freeAddress(); }
@@ -389,5 +417,36 @@
   EXPECT_TRUE(Callers.back()->read().starts_with("HTTP/1.1 200 "));
 }
 
+// Guards against an accept that fails again and again for lack of descriptors
+// and takes all processor time.
+TEST_F(CallerConnectionTest, WithoutDescriptorsItWaitsForAConnectionToClose) {
+  this->listen({});
+  std::vector<std::unique_ptr<RawSocket>> Callers;
+  for (int I = 0; I < 40; ++I)
+    Callers.push_back(
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address)));
+  for (const auto &Each : Callers)
+    Each->write(Request);
+  const FewDescriptors Limit(10);
+  const Duration Before = processorTime();
+  this->runFor(1s);
+  EXPECT_LT(processorTime() - Before, 200ms);
+
+  // Each connection that closes makes room for one that waits.
+  std::size_t Answered = 0;
+  const TimePoint End = EventLoop::now() + 2s;
+  while (Answered < Callers.size() && EventLoop::now() < End) {
+    this->runFor(5ms);
+    for (const auto &Each : Callers)
+      if (!Each->isClosed() && Each->read().starts_with("HTTP/1.1 200 ")) {
+        ++Answered;
+        // Keeps the caller's descriptor, which the listener must not get.
+        Each->endWriting();
+        Each->clearText();
+      }
+  }
+  EXPECT_EQ(Answered, Callers.size());
+}
+
 } // namespace
 } // namespace galenaroute
