Share the descriptors that the process really has

What callers saw: where a process may open fewer descriptors than its settings say, callers' connections used up all of them. None was left for connections to upstreams and the platform: every call got 503.

Cause: the limit on connections came from limits.maxFds alone, with at least 256, whatever RLIMIT_NOFILE was. The listeners for readiness, addresses and metrics could take 400 each besides, more than the 1,200 that were kept back.

The soft limit is now raised to the setting as far as the hard limit allows, and the smaller of the two is shared out (process/Descriptors). It is logged as descriptors.shared, a warning if it is below the setting.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -34,8 +34,6 @@
 /// descriptors or memory, unless a connection closes. The listener stays
 /// readable meanwhile, so that accepting on would take all processor time.
 static constexpr auto AcceptPause = std::chrono::milliseconds(100);
-/// Connections beyond the limit that are open at a time.
-static constexpr std::size_t MaxBeyondLimit = 64;
 /// Idle timeout of connections beyond the limit. A caller connects to send a
 /// request.
 static constexpr auto BeyondLimitIdle = std::chrono::seconds(1);
@@ -608,7 +606,7 @@
 /// do not count.
 void CallListener::updateAccepting() {
   const bool HasRoom = this->Connections.size() < this->Limits.MaxConnections ||
-                       this->BeyondLimit < MaxBeyondLimit;
+                       this->BeyondLimit < this->Limits.MaxRefused;
   const bool MayAccept = HasRoom && !this->IsPaused;
   if (!this->Listener || MayAccept == this->IsAccepting)
     return;
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -39,6 +39,8 @@
   /// Calls on connections beyond this limit are marked, see
   /// IncomingCall::IsBeyondLimit.
   std::size_t MaxConnections = 3000;
+  /// Connections beyond the limit that are open at a time.
+  std::size_t MaxRefused = 64;
 };
 
 /// A request that waits for its answer.
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -258,6 +258,7 @@
 /// Applies the settings that may change at run time.
 void ForwardGateway::applySettings() {
   this->Entries.self().Capacity = this->Settings.Cores;
+  this->updateDescriptorShares();
   this->updateRetryBudgets();
   this->Services.WeightsLimit = this->Settings.WeightsLimit - WeightsMargin;
   this->Services.PartTimes = partLeaseTimes(this->Settings.WeightsLimit);
@@ -267,6 +268,22 @@
     this->Listener->setLimits(this->callerLimits());
 }
 
+void ForwardGateway::updateDescriptorShares() {
+  const std::size_t Available =
+      reserveDescriptors(this->Settings.MaxDescriptors);
+  const DescriptorShares Next = shareDescriptors(Available);
+  if (std::exchange(this->Descriptors, Next) == Next)
+    return;
+  log(Available < this->Settings.MaxDescriptors ? LogLevel::Warn
+                                                : LogLevel::Info,
+      "descriptors.shared",
+      {{"settings", std::to_string(this->Settings.MaxDescriptors)},
+       {"available", std::to_string(Available)},
+       {"calls", std::to_string(Next.Calls.Served)},
+       {"refused", std::to_string(Next.Calls.Refused)},
+       {"endpoint", std::to_string(Next.Endpoint.Served)}});
+}
+
 /// Divides the retry budget among the gateways. Unreachable gateways keep their
 /// share, since they may only be partitioned from this one.
 void ForwardGateway::updateRetryBudgets() {
@@ -290,7 +307,8 @@
                       .MaxBodyBytes = Limits.MaxBodyBytes},
           .HeadTimeout = Limits.HeaderTimeout,
           .IdleTimeout = Limits.IdleTimeout,
-          .MaxConnections = this->Settings.MaxConnections};
+          .MaxConnections = this->Descriptors.Calls.Served,
+          .MaxRefused = this->Descriptors.Calls.Refused};
 }
 
 ForwardGateway::~ForwardGateway() {
@@ -306,7 +324,8 @@
 void ForwardGateway::start() {
   this->Listener = std::make_unique<CallListener>(
       this->Loop, this->Settings.Callers,
-      CallerLimits{.MaxConnections = this->Settings.MaxConnections},
+      CallerLimits{.MaxConnections = this->Descriptors.Calls.Served,
+                   .MaxRefused = this->Descriptors.Calls.Refused},
       [this](std::shared_ptr<IncomingCall> Call) {
         this->onCall(std::move(Call));
       });
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -15,6 +15,7 @@
 #define GALENAROUTE_PROCESS_FORWARDGATEWAY_H
 
 #include "process/CrashExchange.h"
+#include "process/Descriptors.h"
 #include "process/EntryChannel.h"
 #include "process/RateExchange.h"
 #include "process/StatusExchange.h"
@@ -35,7 +36,7 @@
   SocketAddress Gossip;
   std::vector<SocketAddress> GossipSeeds;
   double Cores = 1;
-  std::size_t MaxConnections = 3000;
+  std::size_t MaxDescriptors = 4096; ///< The process may have fewer.
   /// Retry budget of all gateways together: a fraction of the calls plus a
   /// fixed number for each window.
   double RetryShare = 0.2;
@@ -84,11 +85,13 @@
   std::vector<SocketAddress> addressesFor(std::string_view Zone);
   const UpstreamTable &upstreams() const { return this->Upstreams; }
   Metrics &stats() { return this->Stats; }
+  const DescriptorShares &descriptors() const { return this->Descriptors; }
 
 private:
   void applySettings();
   void updateRetryBudgets();
   CallerLimits callerLimits() const;
+  void updateDescriptorShares();
   void onEraChanged(const EraChange &Change);
   void onConfig(const PlatformObject &Object);
   void onUpstream(const PlatformObject &Object);
@@ -144,6 +147,7 @@
 
   EventLoop &Loop;
   GatewaySettings Settings;
+  DescriptorShares Descriptors;
   GatewayParts Parts;
   std::mt19937_64 Random{std::random_device{}()};
   Metrics Stats;
--- a/tests/process/LostRequestProcessTest.cpp
+++ b/tests/process/LostRequestProcessTest.cpp
@@ -18,8 +18,9 @@
 
 class LostRequestProcessTest : public testing::Test {
 protected:
-  /// Starts the daemon with \p Limits in its configuration.
-  void start(const nlohmann::json &Limits) {
+  /// Starts the daemon with \p Limits in its configuration and, unless 0, at
+  /// most \p Descriptors file descriptors.
+  void start(const nlohmann::json &Limits, int Descriptors = 0) {
     this->configure(1, Limits);
     this->Api.put("servers", "u0",
                   {{"service", "d"},
@@ -32,8 +33,19 @@
                    {"born", 1}});
     this->Settings = this->Places.writeSettings(this->Harness.folder(), 0, "z",
                                                 this->Api.address());
-    this->Daemon = &this->Harness.start("galenaroute-platform",
-                                        {"--settings", this->Settings});
+    if (Descriptors == 0) {
+      this->Daemon = &this->Harness.start("galenaroute-platform",
+                                          {"--settings", this->Settings});
+    } else {
+      this->LimitedDaemon = std::make_unique<Program>(
+          "/bin/sh",
+          std::vector<std::string>{
+              "-c", R"(ulimit -n "$0" && exec "$1" --settings "$2")",
+              std::to_string(Descriptors),
+              GALENAROUTE_BUILD_DIR "/galenaroute-platform", this->Settings},
+          this->Harness.folder() + "/limited.log");
+      this->Daemon = this->LimitedDaemon.get();
+    }
     this->Harness.waitFor("the daemon", [&] {
       return this->Harness.get(this->Places.readyAddress(0), "/api/ready")
                  .Status == 200;
@@ -100,6 +112,7 @@
   FakePlatformServer Api{this->Harness.loop()};
   LimitedUpstream Upstream{this->Harness.loop(), 5ms};
   std::string Settings; ///< Path of the daemon's settings file.
+  std::unique_ptr<Program> LimitedDaemon;
   Program *Daemon = nullptr;
   std::vector<std::unique_ptr<RawSocket>> Callers;
   int Sent = 0;
@@ -193,6 +206,22 @@
   EXPECT_EQ(this->Daemon->wait(10s), 0);
 }
 
+// Guards against callers that use up the descriptors which upstreams need.
+TEST_F(LostRequestProcessTest, BesideIdleCallersOfAProcessWithFewDescriptors) {
+  this->start({{"idleTimeoutMs", 5000}}, 300);
+  this->connect();
+  std::vector<std::unique_ptr<RawSocket>> Idle;
+  for (int I = 0; I < 400; ++I)
+    Idle.push_back(std::make_unique<RawSocket>(
+        RawSocket::connectTo(this->Places.callerAddress(0))));
+  this->wait(300ms);
+  this->send();
+  EXPECT_EQ(this->answered(), this->Callers.size());
+  for (const auto &Each : this->Callers)
+    EXPECT_TRUE(Each->text().starts_with("HTTP/1.1 200 ")) << Each->text();
+  EXPECT_EQ(this->Daemon->output().find("accept.failed"), std::string::npos);
+}
+
 // Guards against a process that ends as soon as it goes on after a standstill
 // near the end of its stop: connections that it has only then accepted, and
 // their requests, would be reset.
