ForwardRun: log what explains the silence of a stalled send

The exchange tells whether its link is silent, the table notes when bytes of any answer last came from an upstream, and both lines name the reason.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -67,7 +67,8 @@
   void resumeReading();
   bool hasUnreadInput() const;
   bool isSilent() const {
-    return isLinkSilent(bufferevent_getfd(this->Event.get()));
+    return this->Connected &&
+           isLinkSilent(bufferevent_getfd(this->Event.get()));
   }
   bool isUsable(TimePoint Now, Duration MaxIdle) const {
     return Now < this->KeepUntil && Now - this->IdleSince < MaxIdle;
@@ -400,6 +401,11 @@
   return Open && Open->hasUnreadInput();
 }
 
+bool UpstreamExchange::isLinkSilent() const {
+  const auto Open = this->Connection.lock();
+  return Open && Open->isSilent();
+}
+
 void UpstreamExchange::pauseReading() {
   if (const auto Open = this->Connection.lock())
     Open->pauseReading();
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -88,6 +88,11 @@
   /// of the process, timers may run before what arrived meanwhile is read.
   bool hasUnreadInput() const;
 
+  /// Returns whether the link leaves a probe, or data that was sent again,
+  /// unacknowledged. A probe that was just sent looks the same. False while the
+  /// connection is not established.
+  bool isLinkSilent() const;
+
   /// Whether any byte of the request was handed to the kernel.
   bool wasSent() const { return this->Sent; }
   /// Whether the connection had served a request before.
--- a/src/request/ForwardRules.cpp
+++ b/src/request/ForwardRules.cpp
@@ -39,6 +39,33 @@
   return ForwardStep::Fail;
 }
 
+std::string_view toString(Silence What) {
+  switch (What) {
+  case Silence::Unexplained:
+    return "unexplained";
+  case Silence::NotSent:
+    return "not_sent";
+  case Silence::Link:
+    return "link_silent";
+  case Silence::Busy:
+    return "busy_elsewhere";
+  case Silence::TooLong:
+    return "silent_too_long";
+  }
+  return "unknown";
+}
+
+Silence explainSilence(const SilentSend &Send) {
+  if (!Send.WasSent)
+    return Silence::NotSent;
+  if (Send.LinkSilentFor >= MinLinkSilence)
+    return Silence::Link;
+  if (Send.SinceHeard < Send.SinceProgress && Send.SinceHeard <= MaxHeardAge)
+    return Silence::Busy;
+  return Send.SinceHeard >= MaxSoundSilence ? Silence::TooLong
+                                            : Silence::Unexplained;
+}
+
 std::optional<Duration> stallLimit(const ForwardRoute &Route, bool HasBegun) {
   if (Route.Repeat == Repeatability::Once || Route.MaxUpstreams < 2)
     return std::nullopt;
--- a/src/request/ForwardRules.h
+++ b/src/request/ForwardRules.h
@@ -13,6 +13,8 @@
 #include "process/Clock.h"
 #include "version/ForwardConfig.h"
 
+#include <string_view>
+
 namespace galenaroute {
 
 /// How a send ended.
@@ -43,6 +45,37 @@
   Fail,   ///< The call may have run.
 };
 
+/// What explains that a send makes no progress.
+enum class Silence {
+  Unexplained, ///< The upstream may stand still and go on.
+  NotSent,     ///< Its connection is not established.
+  Link,        ///< Its link acknowledges nothing.
+  Busy,        ///< The upstream sends bytes of other answers, or no events.
+  TooLong,     ///< A sound upstream is not silent for so long.
+};
+
+/// Returns the name of \p What in log lines.
+std::string_view toString(Silence What);
+
+struct SilentSend {
+  bool WasSent = false;
+  Duration LinkSilentFor{}; ///< Zero while its link acknowledges.
+  Duration SinceProgress{};
+  Duration SinceHeard{}; ///< Since the upstream sent bytes of any answer.
+};
+
+/// How long checks must find a link silent. A probe that was just sent looks
+/// like one that is lost.
+inline constexpr Duration MinLinkSilence = std::chrono::milliseconds(100);
+/// An upstream that was heard within this time works. Less than any stall
+/// limit, so that it was heard well after the progress of a stalled send.
+inline constexpr Duration MaxHeardAge = std::chrono::milliseconds(300);
+/// A sound upstream may be silent for a second or so.
+inline constexpr Duration MaxSoundSilence = std::chrono::seconds(2);
+
+/// Returns what explains the silence of \p Send.
+Silence explainSilence(const SilentSend &Send);
+
 /// A retry is not started with less time left than this.
 inline constexpr Duration MinTimeForRetry = std::chrono::milliseconds(60);
 /// Maximum sends of one call, including those that upstreams refuse.
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -181,6 +181,8 @@
   void onStall(const std::shared_ptr<ForwardSend> &Send, StallCheck Check);
   void tryAnother(const std::shared_ptr<ForwardSend> &Silent);
   bool canTryAnother();
+  Silence silenceOf(ForwardSend &Send);
+  Duration sinceHeard(const ForwardSend &Send, TimePoint Now) const;
   void noteStalled(ForwardSend &Send, std::string_view Other);
   ForwardProgress progress();
   void onTimeout();
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -65,7 +65,7 @@
   if (this->Service->Engine)
     Send->Weights = To.WeightVersion;
   Send->PendingPromptTokens = TokensToPrefill;
-  Send->SentAt = Send->ProgressAt = EventLoop::now();
+  Send->SentAt = Send->ProgressAt = Send->HeardAt = EventLoop::now();
   this->UpstreamId = Send->UpstreamId;
   this->Services.Upstreams.noteParts(Send->UpstreamId, Query);
   this->TriedUpstreams.push_back(Send->UpstreamId);
@@ -212,8 +212,9 @@
                   this->Call.Method == "HEAD";
   UpstreamTable &Upstreams = this->Services.Upstreams;
   const TimePoint Now = EventLoop::now();
-  Send.ProgressAt = Now;
+  Send.ProgressAt = Send.HeardAt = Now;
   Upstreams.noteProgress(Send.UpstreamId, Now);
+  Upstreams.noteHeard(Send.UpstreamId, Now);
   if (Send.Answer.IsLeaving)
     Upstreams.noteLeaving(Send.UpstreamId);
   if (Send.Answer.PauseFor)
@@ -239,6 +240,8 @@
                         std::string_view Bytes) {
   if (Send->IsBroken)
     return;
+  Send->HeardAt = EventLoop::now();
+  this->Services.Upstreams.noteHeard(Send->UpstreamId, Send->HeardAt);
   if (!this->isStreamAnswer(*Send)) {
     Send->Body += Bytes;
     return;
--- a/src/request/ForwardSend.h
+++ b/src/request/ForwardSend.h
@@ -8,6 +8,7 @@
 #include "connection/UpstreamPool.h"
 #include "request/EventStream.h"
 #include "request/ForwardCall.h"
+#include "request/ForwardRules.h"
 
 #include <sigc++/sigc++.h>
 
@@ -49,6 +50,11 @@
   std::uint32_t PendingPromptTokens = 0;
   TimePoint SentAt;
   TimePoint ProgressAt;
+  TimePoint HeardAt; ///< When bytes of its answer last arrived.
+  /// Since when checks have found its link silent, without a break.
+  std::optional<TimePoint> LinkSilentSince;
+  /// What explained its silence when another upstream was tried beside it.
+  std::optional<Silence> StalledBy;
   sigc::connection StallTimer;
   sigc::connection WeightsTimer;
   sigc::connection EndTimer; ///< Ends it outside of its parser.
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -55,6 +55,11 @@
   this->onOutcome(Send, Outcome);
 }
 
+/// Returns why another upstream was tried beside \p Send, for the log.
+static std::string stalledBy(const ForwardSend &Send) {
+  return Send.StalledBy ? std::string(toString(*Send.StalledBy)) : "-";
+}
+
 static std::string_view toString(SendOutcome Outcome) {
   switch (Outcome) {
   case SendOutcome::NotSent:
@@ -286,6 +291,7 @@
        {"cause", std::string(toString(Send.Cause))},
        {"silent_ms",
         std::to_string(toMilliseconds(EventLoop::now() - Send.ProgressAt))},
+       {"stalled", stalledBy(Send)},
        {"status", std::to_string(Send.HasAnswer ? Send.Answer.Status : 0)},
        {"after_ms",
         std::to_string(toMilliseconds(EventLoop::now() - Send.SentAt))},
@@ -362,10 +368,33 @@
                        EventLoop::now());
 }
 
+/// Checks what explains that \p Send, which is in flight, makes no progress.
+Silence ForwardRun::silenceOf(ForwardSend &Send) {
+  const TimePoint Now = EventLoop::now();
+  if (!Send.Exchange->isLinkSilent())
+    Send.LinkSilentSince.reset();
+  else if (!Send.LinkSilentSince)
+    Send.LinkSilentSince = Now;
+  SilentSend View{.WasSent = Send.Exchange->wasSent(),
+                  .SinceProgress = Now - Send.ProgressAt,
+                  .SinceHeard = this->sinceHeard(Send, Now)};
+  if (Send.LinkSilentSince)
+    View.LinkSilentFor = Now - *Send.LinkSilentSince;
+  return explainSilence(View);
+}
+
+/// Returns how long ago the upstream of \p Send sent bytes of any answer.
+Duration ForwardRun::sinceHeard(const ForwardSend &Send, TimePoint Now) const {
+  const UpstreamEntry *At = this->Services.Upstreams.find(Send.UpstreamId);
+  const bool IsSame = At && At->Incarnation == Send.Incarnation;
+  return Now - (IsSame ? std::max(At->HeardAt, Send.HeardAt) : Send.HeardAt);
+}
+
 /// Notes that \p Send makes no progress and that the call is sent to the
 /// upstream \p Other too.
 void ForwardRun::noteStalled(ForwardSend &Send, std::string_view Other) {
   const TimePoint Now = EventLoop::now();
+  Send.StalledBy = this->silenceOf(Send);
   if (!std::exchange(Send.IsStalled, true)) {
     this->Services.Upstreams.noteFailure(Send.UpstreamId, StalledFailureWeight,
                                          Now);
@@ -376,6 +405,9 @@
        {"upstream", Send.UpstreamId},
        {"after_ms", std::to_string(toMilliseconds(Now - Send.SentAt))},
        {"silent_ms", std::to_string(toMilliseconds(Now - Send.ProgressAt))},
+       {"heard_ms",
+        std::to_string(toMilliseconds(this->sinceHeard(Send, Now)))},
+       {"reason", std::string(toString(*Send.StalledBy))},
        {"other", std::string(Other)}});
 }
 
@@ -398,6 +430,7 @@
        {"content", keyName(this->Signature)},
        {"upstream", Send.UpstreamId},
        {"outcome", std::string(Reason)},
+       {"stalled", stalledBy(Send)},
        {"status", std::to_string(Send.HasAnswer ? Send.Answer.Status : 0)},
        {"after_ms",
         std::to_string(toMilliseconds(EventLoop::now() - Send.SentAt))}});
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -517,6 +517,11 @@
     Entry->ProgressAt = Now;
 }
 
+void UpstreamTable::noteHeard(std::string_view Id, TimePoint Now) {
+  if (UpstreamEntry *Entry = this->findMutable(Id))
+    Entry->HeardAt = Now;
+}
+
 void UpstreamTable::noteSuccess(std::string_view Id) {
   if (UpstreamEntry *Entry = this->findMutable(Id))
     Entry->FailureScore /= 2;
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -55,6 +55,7 @@
   std::uint64_t OwnTokens = 0;
   std::uint32_t UseKey = 0; ///< See useKey().
   TimePoint ProgressAt;     ///< When it last began to answer a call.
+  TimePoint HeardAt;        ///< When it last sent bytes of any answer.
   TimePoint SuspendedUntil; ///< No calls until then, as after a refusal.
   TimePoint PausedUntil;    ///< Backoff that it asked for.
   /// It announced that it leaves, in an answer or in the registry. The registry
@@ -225,6 +226,7 @@
   void noteLoad(std::string_view Id, const UpstreamLoad &Load, TimePoint Now);
   void noteFailure(std::string_view Id, double Weight, TimePoint Now);
   void noteProgress(std::string_view Id, TimePoint Now);
+  void noteHeard(std::string_view Id, TimePoint Now);
   void noteSuccess(std::string_view Id);
   void noteWeights(std::string_view Id, std::uint64_t Version);
 
