soak: upstreams, callers and the store as processes that get signals

The soak keeps upstreams, callers and the store in one process on one loop with the project's own HTTP code. None of them stands still, is killed or reads with another parser, daemons start only once their predecessor is gone, and nothing checks that an upstream has stopped working on a stream that goes on elsewhere.

galenaroute-process-soak runs each part as a process: upstreams and callers with plain sockets and a parser of their own, the store, and daemons with limits of descriptors and memory. They get SIGKILL, SIGTERM, SIGSTOP and SIGHUP; successors start while predecessors drain or are killed. The parts write what they do with times of one clock, and checks over plain structs judge it after the run.

--- /dev/null
+++ b/soak/process/ChildProcess.cpp
@@ -0,0 +1,73 @@
+#include "ChildProcess.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace galenaroute::process_soak {
+
+static void limit(__rlimit_resource Resource, std::uint64_t Value) {
+  if (Value == 0)
+    return;
+  const rlimit Limit{Value, Value};
+  if (setrlimit(Resource, &Limit) != 0)
+    _exit(126);
+}
+
+ChildProcess::ChildProcess(const std::string &Path,
+                           const std::vector<std::string> &Arguments,
+                           const std::string &LogPath,
+                           const ProcessLimits &Limits) {
+  std::vector<char *> Argv = {const_cast<char *>(Path.c_str())};
+  for (const std::string &Each : Arguments)
+    Argv.push_back(const_cast<char *>(Each.c_str()));
+  Argv.push_back(nullptr);
+  const int Log =
+      open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  const pid_t Parent = getpid();
+  this->Id = fork();
+  if (this->Id < 0)
+    throw std::runtime_error("cannot start " + Path);
+  if (this->Id == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != Parent)
+      _exit(127);
+    // Handlers of the parent are gone with exec, what it ignores is not.
+    std::signal(SIGPIPE, SIG_DFL);
+    dup2(Log, STDOUT_FILENO);
+    dup2(Log, STDERR_FILENO);
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    limit(RLIMIT_NOFILE, Limits.Files);
+    limit(RLIMIT_AS, Limits.MemoryBytes);
+    execv(Path.c_str(), Argv.data());
+    _exit(127);
+  }
+  close(Log);
+}
+
+ChildProcess::~ChildProcess() {
+  this->signal(SIGKILL);
+  this->reap(0);
+}
+
+void ChildProcess::reap(int Options) {
+  int Status = 0;
+  if (!this->Code && waitpid(this->Id, &Status, Options) == this->Id)
+    this->Code = WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
+}
+
+bool ChildProcess::poll() {
+  this->reap(WNOHANG);
+  return this->Code.has_value();
+}
+
+void ChildProcess::signal(int Number) {
+  if (!this->poll())
+    kill(this->Id, Number);
+}
+
+} // namespace galenaroute::process_soak
--- /dev/null
+++ b/soak/process/ProcessHistory.cpp
@@ -0,0 +1,94 @@
+#include "ProcessHistory.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace galenaroute::process_soak {
+
+static RequestEnd parseEnd(const std::string &Text) {
+  static const std::map<std::string, RequestEnd> Ends = {
+      {"whole", RequestEnd::Whole},        {"cut", RequestEnd::Cut},
+      {"none", RequestEnd::None},          {"unsent", RequestEnd::Unsent},
+      {"left", RequestEnd::Left},          {"expired", RequestEnd::Expired},
+      {"malformed", RequestEnd::Malformed}};
+  return Ends.at(Text);
+}
+
+void readCallers(const std::vector<JournalLine> &Lines,
+                 ProcessHistory &History) {
+  for (const JournalLine &Line : Lines) {
+    const auto Found = History.Requests.find(Line.Call);
+    std::istringstream Detail(Line.Detail);
+    if (Line.Event == "sending") {
+      RequestView &New = History.Requests[Line.Call];
+      New.SentAt = Line.At;
+      Detail >> New.Route >> New.Daemon;
+      continue;
+    }
+    if (Found == History.Requests.end()) {
+      History.Foreign.push_back(Line.Call + ": " + Line.Detail);
+      continue;
+    }
+    RequestView &Request = Found->second;
+    if (Line.Event == "sent") {
+      Request.SentAt = Line.At;
+    } else if (Line.Event == "head") {
+      std::string Stamp;
+      Detail >> Request.Status >> Stamp;
+      Request.IsStamped = Stamp != "-";
+    } else if (Line.Event == "event") {
+      Request.Events.push_back(std::stoi(Line.Detail));
+    } else if (Line.Event == "foreign") {
+      Request.Foreign = Line.Detail;
+    } else if (Line.Event == "end") {
+      Request.End = parseEnd(Line.Detail);
+      Request.EndedAt = Line.At;
+    }
+  }
+}
+
+void readUpstream(const std::string &Upstream,
+                  const std::vector<JournalLine> &Lines,
+                  ProcessHistory &History) {
+  std::map<std::string, WorkView> Open;
+  const auto Close = [&](const std::string &Call) {
+    const auto Found = Open.find(Call);
+    if (Found == Open.end())
+      return;
+    auto &Works = History.Works[Call];
+    const auto Place =
+        std::find_if(Works.begin(), Works.end(), [&](auto &Each) {
+          return Each.AcceptedAt > Found->second.AcceptedAt;
+        });
+    Works.insert(Place, Found->second);
+    Open.erase(Found);
+  };
+  for (const JournalLine &Line : Lines) {
+    if (Line.Event == "accepted") {
+      Close(Line.Call);
+      Open[Line.Call] = {.Upstream = Upstream,
+                         .AcceptedAt = Line.At,
+                         .After = std::stoi(Line.Detail),
+                         .LastAt = Line.At};
+      continue;
+    }
+    const auto Found = Open.find(Line.Call);
+    if (Found == Open.end())
+      continue;
+    WorkView &Work = Found->second;
+    Work.LastAt = Line.At;
+    if ((Line.Event == "begun" || Line.Event == "event") && !Work.BegunAt)
+      Work.BegunAt = Line.At;
+    if (Line.Event == "ended" || Line.Event == "broke" ||
+        Line.Event == "closed") {
+      Work.HasEnded = Line.Event == "ended";
+      Work.HasBroken = Line.Event == "broke";
+      Work.OverAt = Line.At;
+      Close(Line.Call);
+    }
+  }
+  while (!Open.empty())
+    Close(std::string(Open.begin()->first));
+}
+
+} // namespace galenaroute::process_soak
--- /dev/null
+++ b/soak/process/ProcessPlan.h
@@ -0,0 +1,52 @@
+// What a process soak does to its processes and when, drawn from its seed.
+//
+//   for (const Deed &Each : drawPlan({.Seed = 7})) ...
+
+#ifndef GALENAROUTE_SOAK_PROCESS_PROCESSPLAN_H
+#define GALENAROUTE_SOAK_PROCESS_PROCESSPLAN_H
+
+#include "process/Clock.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace galenaroute::process_soak {
+
+enum class DeedKind {
+  Kill,            ///< SIGKILL to a daemon; a successor starts at once.
+  KillAndHangUp,   ///< The successor gets SIGHUP shortly after its start.
+  KillAndStop,     ///< The successor gets SIGTERM shortly after its start.
+  Stop,            ///< SIGTERM to a daemon; a successor starts meanwhile.
+  Freeze,          ///< SIGSTOP and SIGCONT to a daemon.
+  HangUp,          ///< SIGHUP to a daemon.
+  RewriteSettings, ///< The settings file is half written for a moment.
+  SilenceUpstream, ///< SIGSTOP and SIGCONT.
+  KillUpstream,    ///< SIGKILL; it is back at its address later.
+  LeaveUpstream,   ///< SIGTERM; it is back once it has left.
+  FreezeStore,     ///< SIGSTOP and SIGCONT.
+  Configure,       ///< A new configuration.
+};
+
+const char *toString(DeedKind Kind);
+
+struct Deed {
+  Duration At{}; ///< Since the faults begin.
+  DeedKind Kind = DeedKind::Kill;
+  std::size_t Target = 0;
+  Duration For{};    ///< How long, or how long until the second part.
+  bool Flag = false; ///< Of rewritten settings: followed by SIGHUP.
+};
+
+struct PlanSettings {
+  std::uint64_t Seed = 1;
+  Duration Length = std::chrono::seconds(20);
+  std::size_t Daemons = 5;
+  std::size_t Upstreams = 6;
+};
+
+/// Returns the plan in order of time.
+std::vector<Deed> drawPlan(const PlanSettings &Settings);
+
+} // namespace galenaroute::process_soak
+
+#endif // GALENAROUTE_SOAK_PROCESS_PROCESSPLAN_H
--- /dev/null
+++ b/soak/process/ProcessRun.cpp
@@ -0,0 +1,604 @@
+#include "ProcessRun.h"
+
+#include "Parts.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <netinet/in.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace galenaroute::process_soak {
+
+using namespace std::chrono_literals;
+
+/// Time for daemons and upstreams to find one another.
+static constexpr Duration SettleTime = 1500ms;
+/// Requests sent this long after the recovery time are counted.
+static constexpr Duration CountedTime = 3s;
+static constexpr Duration ReapPeriod = 5ms;
+static constexpr Duration ProbePeriod = 250ms;
+static constexpr Duration CallLimit = 1s;
+static constexpr Duration StartLimit = 10s;
+/// A process that ended by itself is started again after this time.
+static constexpr Duration RestartDelay = 300ms;
+/// From the end of the grace time until a process is killed.
+static constexpr Duration KillDelay = 2s;
+static constexpr Duration CallersLimit = 12s;
+/// Limits of the machines of the smaller site.
+static constexpr ProcessLimits DaemonLimits{.Files = 4200,
+                                            .MemoryBytes = 110'000'000};
+static constexpr std::size_t CallersOfProcess = 100;
+static constexpr int UpstreamPort = 9000;
+static constexpr int LockPort = 9999;
+static constexpr int Networks = 200;
+static constexpr std::size_t Services = 2;
+
+static volatile std::sig_atomic_t WasInterrupted = 0;
+
+void catchInterrupts() {
+  for (const int Each : {SIGINT, SIGTERM, SIGHUP})
+    std::signal(Each, [](int) { WasInterrupted = 1; });
+}
+
+/// Binds an address of a loopback network that no other run has taken, and
+/// returns its number.
+static int lockNetwork(int &Lock) {
+  for (int I = 0; I < Networks; ++I) {
+    const int Network = 20 + (getpid() + I) % Networks;
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_port = htons(LockPort);
+    At.sin_addr.s_addr =
+        htonl(127U << 24 | static_cast<std::uint32_t>(Network) << 16 | 0x0301);
+    Lock = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bind(Lock, reinterpret_cast<const sockaddr *>(&At), sizeof At) == 0)
+      return Network;
+    close(Lock);
+  }
+  throw std::runtime_error("no loopback network is free");
+}
+
+static std::string readText(const std::string &Path) {
+  std::ifstream File(Path);
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+ProcessRun::ProcessRun(RunSettings Given)
+    : Settings(std::move(Given)),
+      Name("s" + std::to_string(this->Settings.Plan.Seed) + "p" +
+           std::to_string(getpid())),
+      Folder(this->Settings.BuildDir + "/process-soak/" + this->Name),
+      Places{.Count = this->Settings.Plan.Daemons,
+             .Network = lockNetwork(this->NetworkLock),
+             .GraceSeconds =
+                 static_cast<int>(toSeconds(ProcessBounds().Grace))} {
+  std::filesystem::create_directories(this->Folder);
+  this->Daemons.resize(this->Settings.Plan.Daemons);
+  this->Upstreams.resize(this->Settings.Plan.Upstreams);
+}
+
+ProcessRun::~ProcessRun() {
+  for (sigc::connection &Each : this->Timers)
+    Each.disconnect();
+  close(this->NetworkLock);
+}
+
+ProcessBounds ProcessRun::bounds() const {
+  return {.EventsOfWhole = EventsOfStream};
+}
+
+void ProcessRun::note(const std::string &Line) {
+  char Time[16];
+  std::snprintf(Time, sizeof Time, "%8.3f ",
+                toSeconds(EventLoop::now() - this->Begun));
+  this->Timeline.push_back(Time + Line);
+}
+
+void ProcessRun::after(Duration Delay, const std::function<void()> &Do) {
+  this->Timers.push_back(this->Loop.timers().after(Delay, Do));
+}
+
+bool ProcessRun::waitFor(const std::function<bool()> &Done, Duration Limit) {
+  const bool Result = this->Loop.runUntil(
+      [&Done] { return WasInterrupted != 0 || Done(); }, Limit);
+  if (WasInterrupted != 0)
+    throw Interrupted();
+  return Result;
+}
+
+void ProcessRun::runFor(Duration Time) {
+  this->waitFor([] { return false; }, Time);
+}
+
+std::unique_ptr<ChildProcess>
+ProcessRun::startPart(const std::string &Name,
+                      std::vector<std::string> Arguments) {
+  Arguments.insert(Arguments.end(),
+                   {"--journal", this->pathOf(Name + ".journal")});
+  return std::make_unique<ChildProcess>(
+      this->Settings.BuildDir + "/galenaroute-process-soak-part", Arguments,
+      this->pathOf(Name + ".out"), ProcessLimits());
+}
+
+void ProcessRun::startStore() {
+  const std::string File = this->pathOf("store.address");
+  this->Store =
+      this->startPart("store", {"--role", "store", "--address-file", File});
+  if (!this->waitFor([&] { return std::filesystem::exists(File); }, StartLimit))
+    throw std::runtime_error("the store does not start");
+  this->StoreAddress = SocketAddress::parse(readText(File));
+}
+
+void ProcessRun::startCallers() {
+  std::string Addresses;
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I)
+    Addresses += (I == 0 ? "" : ",") + this->Places.callerAddress(I).toString();
+  for (std::size_t Left = this->Settings.Callers; Left > 0;) {
+    const std::size_t Count = std::min(Left, CallersOfProcess);
+    const std::string Number = std::to_string(this->Callers.size());
+    this->Callers.push_back(this->startPart(
+        "callers" + Number,
+        {"--role", "callers", "--daemons", Addresses, "--count",
+         std::to_string(Count), "--prefix", this->Name + "." + Number, "--seed",
+         std::to_string(this->Settings.Plan.Seed * 1000 + Left)}));
+    Left -= Count;
+  }
+}
+
+void ProcessRun::startDaemon(std::size_t Index) {
+  DaemonPart &Part = this->Daemons[Index];
+  if (this->IsEnding)
+    return;
+  // A successor may have started already.
+  if (!Part.Running.empty()) {
+    const auto &Signals = this->History.Lives[Part.Running.back().Life].Signals;
+    if (std::none_of(Signals.begin(), Signals.end(), [](const auto &Each) {
+          return Each.Number == SIGKILL || Each.Number == SIGTERM;
+        }))
+      return;
+  }
+  const std::string Log =
+      this->pathOf("daemon" + std::to_string(Index) + ".log");
+  LifeView Life{.Daemon = Index, .StartedAt = EventLoop::now()};
+  auto Child = std::make_unique<ChildProcess>(
+      this->Settings.BuildDir + "/galenaroute-platform",
+      std::vector<std::string>{"--settings", Part.Settings}, Log, DaemonLimits);
+  Life.Process = Child->id();
+  if (Part.Running.empty())
+    Life.AloneAt = Life.StartedAt;
+  Part.Running.push_back({std::move(Child), this->History.Lives.size()});
+  this->History.Lives.push_back(Life);
+  this->note("daemon " + std::to_string(Index) + " starts as process " +
+             std::to_string(Life.Process));
+}
+
+void ProcessRun::startUpstream(std::size_t Index) {
+  UpstreamPart &Part = this->Upstreams[Index];
+  if (Part.Child || this->IsEnding)
+    return;
+  Part.Id = this->Name + "u" + std::to_string(Index) + "-" +
+            std::to_string(this->UpstreamIds.size());
+  this->UpstreamIds.push_back(Part.Id);
+  Part.IsLeaving = false;
+  Part.SilentUntil = {};
+  Part.Child = this->startPart(
+      Part.Id,
+      {"--role", "upstream", "--id", Part.Id, "--store",
+       this->StoreAddress.toString(), "--service",
+       "d" + std::to_string(Index % Services), "--address",
+       "127." + std::to_string(this->Places.Network) + ".1." +
+           std::to_string(Index + 2) + ":" + std::to_string(UpstreamPort),
+       "--seed",
+       std::to_string(this->Settings.Plan.Seed * 1000 +
+                      this->UpstreamIds.size())});
+}
+
+void ProcessRun::signalDaemon(std::size_t Index, int Number) {
+  DaemonPart &Part = this->Daemons[Index];
+  if (Part.Running.empty())
+    return;
+  DaemonPart::Process &Newest = Part.Running.back();
+  if (Newest.Child->poll())
+    return;
+  this->History.Lives[Newest.Life].Signals.push_back(
+      {EventLoop::now(), Number});
+  Newest.Child->signal(Number);
+}
+
+void ProcessRun::stopDaemon(std::size_t Index) {
+  DaemonPart &Part = this->Daemons[Index];
+  if (Part.Running.empty())
+    return;
+  const std::size_t Life = Part.Running.back().Life;
+  this->signalDaemon(Index, SIGTERM);
+  this->after(this->bounds().Grace + KillDelay, [this, Index, Life] {
+    for (DaemonPart::Process &Each : this->Daemons[Index].Running)
+      if (Each.Life == Life) {
+        this->History.Lives[Life].Signals.push_back(
+            {EventLoop::now(), SIGKILL});
+        Each.Child->signal(SIGKILL);
+      }
+  });
+}
+
+void ProcessRun::replaceDaemon(const Deed &Next) {
+  const std::size_t Index = Next.Target;
+  const auto Start = [this, Index] { this->startDaemon(Index); };
+  if (Next.Kind == DeedKind::Stop) {
+    this->stopDaemon(Index);
+    this->after(Next.For, Start);
+    return;
+  }
+  this->signalDaemon(Index, SIGKILL);
+  if (Next.Kind == DeedKind::Kill) {
+    this->after(Next.For, Start);
+    return;
+  }
+  Start();
+  this->after(Next.For, [this, Index, Kind = Next.Kind, Start] {
+    if (Kind == DeedKind::KillAndHangUp) {
+      this->signalDaemon(Index, SIGHUP);
+    } else {
+      this->stopDaemon(Index);
+      this->after(RestartDelay, Start);
+    }
+  });
+}
+
+void ProcessRun::freezeDaemon(std::size_t Index, Duration For) {
+  DaemonPart &Part = this->Daemons[Index];
+  const TimePoint From = EventLoop::now();
+  Part.FrozenUntil = std::max(Part.FrozenUntil, From + For);
+  for (DaemonPart::Process &Each : Part.Running)
+    Each.Child->signal(SIGSTOP);
+  this->after(For, [this, Index, From] {
+    DaemonPart &Again = this->Daemons[Index];
+    if (EventLoop::now() >= Again.FrozenUntil)
+      for (DaemonPart::Process &Each : Again.Running)
+        Each.Child->signal(SIGCONT);
+    this->History.Freezes[Index].push_back({From, EventLoop::now()});
+  });
+}
+
+void ProcessRun::rewriteSettings(std::size_t Index, Duration Half,
+                                 bool HangsUp) {
+  const std::string &Path = this->Daemons[Index].Settings;
+  const std::string Text = readText(Path + ".whole");
+  std::ofstream(Path) << Text.substr(0, Text.size() / 2);
+  this->after(Half, [this, Index, Path, Text, HangsUp] {
+    std::ofstream(Path) << Text;
+    if (HangsUp)
+      this->signalDaemon(Index, SIGHUP);
+  });
+}
+
+void ProcessRun::silenceUpstream(std::size_t Index, Duration For) {
+  UpstreamPart &Part = this->Upstreams[Index];
+  if (!Part.Child)
+    return;
+  const TimePoint From = EventLoop::now();
+  Part.SilentUntil = std::max(Part.SilentUntil, From + For);
+  Part.Child->signal(SIGSTOP);
+  this->after(For, [this, Index, From, Id = Part.Id] {
+    UpstreamPart &Again = this->Upstreams[Index];
+    if (Again.Id == Id && Again.Child && EventLoop::now() >= Again.SilentUntil)
+      Again.Child->signal(SIGCONT);
+    this->History.Silences[Id].push_back({From, EventLoop::now()});
+  });
+}
+
+void ProcessRun::endUpstream(std::size_t Index, int Number, Duration Away) {
+  UpstreamPart &Part = this->Upstreams[Index];
+  if (!Part.Child || Part.IsLeaving)
+    return;
+  Part.IsLeaving = true;
+  if (Number == SIGKILL)
+    this->History.UpstreamEnds[Part.Id] = EventLoop::now();
+  Part.Child->signal(Number);
+  this->after(Away, [this, Index] { this->startUpstream(Index); });
+}
+
+void ProcessRun::freezeStore(Duration For) {
+  const TimePoint From = EventLoop::now();
+  this->StoreFrozenUntil = std::max(this->StoreFrozenUntil, From + For);
+  this->Store->signal(SIGSTOP);
+  this->after(For, [this, From] {
+    if (EventLoop::now() >= this->StoreFrozenUntil)
+      this->Store->signal(SIGCONT);
+    this->History.StoreFreezes.push_back({From, EventLoop::now()});
+  });
+}
+
+/// Writes a configuration that differs from the one before.
+void ProcessRun::configure() {
+  if (this->IsConfiguring)
+    return;
+  this->ConfigVersion += 1 + this->ConfigVersion % 3;
+  this->putConfig();
+}
+
+void ProcessRun::putConfig() {
+  const std::uint64_t Version = this->ConfigVersion;
+  struct {
+    const char *Name;
+    const char *Kind;
+    bool MayRepeat;
+  } const Kinds[] = {{"safe", "safe", true},
+                     {"once", "unsafe", false},
+                     {"stream", "stream", true},
+                     {"oncestream", "stream", false}};
+  nlohmann::json Config = {{"version", Version},
+                           {"limits",
+                            {{"maxHeaderBytes", 16384},
+                             {"maxBodyBytes", 1 << 20},
+                             {"headerTimeoutMs", 2000},
+                             {"idleTimeoutMs", 2000 + Version * 700 % 2000}}}};
+  for (const auto &Each : Kinds) {
+    nlohmann::json Route = {
+        {"name", Each.Name},
+        {"host", "h"},
+        {"pathPrefix", std::string("/") + Each.Name + "/"},
+        {"kind", Each.Kind},
+        {"timeoutMs", toMilliseconds(this->bounds().Timeout)},
+        {"targetLatencyMs", 200},
+        {"priority", 1},
+        {"service", "d0"},
+        {"maxAttempts", Each.MayRepeat ? 2 : 1},
+        {"public", true}};
+    if (std::string(Each.Kind) == "stream") {
+      Route["gapAimMs"] = 200;
+      Route["resumable"] = Each.MayRepeat;
+    }
+    for (std::size_t I = 0; I < Services; ++I)
+      Route["split"].push_back({{"service", "d" + std::to_string(I)},
+                                {"weight", 1 + (Version / (I + 1)) % 3}});
+    Config["routes"].push_back(Route);
+  }
+  for (std::size_t I = 0; I < Services; ++I)
+    Config["services"].push_back(
+        {{"name", "d" + std::to_string(I)}, {"maxConns", 400}});
+  this->IsConfiguring = true;
+  this->Client.startDetached(
+      HttpCallBuilder(this->StoreAddress)
+          .put("/api/objects/config/main",
+               nlohmann::json{
+                   {"metadata",
+                    {{"name", "main"}, {"revision", this->ConfigRevision}}},
+                   {"spec", Config}}
+                   .dump())
+          .header("Content-Type", "application/json")
+          .totalTimeout(CallLimit)
+          .newConnection()
+          .build(),
+      [this, Version](const HttpResult &Result) {
+        const auto Body = nlohmann::json::parse(Result.Body, nullptr, false);
+        if (Body.is_object() && Body.contains("metadata"))
+          this->ConfigRevision =
+              Body["metadata"].value("revision", std::uint64_t{0});
+        if (Result.isSuccess()) {
+          this->note("configuration " + std::to_string(Version));
+          this->IsConfiguring = false;
+        } else if (!this->IsEnding) {
+          this->after(RestartDelay, [this] { this->putConfig(); });
+        }
+      });
+}
+
+void ProcessRun::act(const Deed &Next) {
+  this->note(std::string(toString(Next.Kind)) + " " +
+             std::to_string(Next.Target) + " " +
+             std::to_string(toMilliseconds(Next.For)) + " ms");
+  this->History.LastFaultAt =
+      std::max(this->History.LastFaultAt, EventLoop::now() + Next.For);
+  switch (Next.Kind) {
+  case DeedKind::Kill:
+  case DeedKind::KillAndHangUp:
+  case DeedKind::KillAndStop:
+  case DeedKind::Stop:
+    this->replaceDaemon(Next);
+    return;
+  case DeedKind::Freeze:
+    this->freezeDaemon(Next.Target, Next.For);
+    return;
+  case DeedKind::HangUp:
+    this->signalDaemon(Next.Target, SIGHUP);
+    return;
+  case DeedKind::RewriteSettings:
+    this->rewriteSettings(Next.Target, Next.For, Next.Flag);
+    return;
+  case DeedKind::SilenceUpstream:
+    this->silenceUpstream(Next.Target, Next.For);
+    return;
+  case DeedKind::KillUpstream:
+    this->endUpstream(Next.Target, SIGKILL, Next.For);
+    return;
+  case DeedKind::LeaveUpstream:
+    this->endUpstream(Next.Target, SIGTERM, Next.For);
+    return;
+  case DeedKind::FreezeStore:
+    this->freezeStore(Next.For);
+    return;
+  case DeedKind::Configure:
+    this->configure();
+    return;
+  }
+}
+
+void ProcessRun::reap() {
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    auto &Running = this->Daemons[I].Running;
+    for (std::size_t At = 0; At < Running.size();) {
+      if (!Running[At].Child->poll()) {
+        ++At;
+        continue;
+      }
+      LifeView &Life = this->History.Lives[Running[At].Life];
+      Life.EndedAt = EventLoop::now();
+      Life.ExitCode = Running[At].Child->exitCode();
+      this->note("daemon " + std::to_string(I) + " process " +
+                 std::to_string(Life.Process) + " has ended with " +
+                 std::to_string(Life.ExitCode));
+      const bool IsNewest = At + 1 == Running.size();
+      Running.erase(Running.begin() + static_cast<std::ptrdiff_t>(At));
+      if (IsNewest && std::none_of(Life.Signals.begin(), Life.Signals.end(),
+                                   [](const SignalView &Each) {
+                                     return Each.Number != SIGHUP;
+                                   }))
+        this->after(RestartDelay, [this, I] { this->startDaemon(I); });
+    }
+    if (Running.size() == 1) {
+      LifeView &Life = this->History.Lives[Running[0].Life];
+      Life.AloneAt = Life.AloneAt.value_or(EventLoop::now());
+    }
+  }
+  this->reapUpstreams();
+}
+
+void ProcessRun::reapUpstreams() {
+  for (std::size_t I = 0; I < this->Upstreams.size(); ++I) {
+    UpstreamPart &Part = this->Upstreams[I];
+    if (!Part.Child || !Part.Child->poll())
+      continue;
+    this->History.UpstreamEnds.try_emplace(Part.Id, EventLoop::now());
+    if (Part.Child->exitCode() > 0)
+      this->note("upstream " + Part.Id + " ended with " +
+                 std::to_string(Part.Child->exitCode()));
+    Part.Child.reset();
+    this->after(RestartDelay, [this, I] { this->startUpstream(I); });
+  }
+}
+
+/// Asks daemons that run alone at their address whether they are ready.
+void ProcessRun::probe() {
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    const auto &Running = this->Daemons[I].Running;
+    if (Running.size() != 1 || this->History.Lives[Running[0].Life].ReadyAt)
+      continue;
+    this->Client.startDetached(
+        HttpCallBuilder(this->Places.readyAddress(I))
+            .get("/api/ready")
+            .totalTimeout(ProbePeriod)
+            .newConnection()
+            .build(),
+        [this, Life = Running[0].Life](const HttpResult &Result) {
+          if (Result.Status == 200)
+            this->History.Lives[Life].ReadyAt = EventLoop::now();
+        });
+  }
+}
+
+void ProcessRun::play() {
+  this->startStore();
+  this->configure();
+  for (std::size_t I = 0; I < this->Upstreams.size(); ++I)
+    this->startUpstream(I);
+  if (!this->waitFor([this] { return !this->IsConfiguring; }, StartLimit))
+    throw std::runtime_error("the store takes no configuration");
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    std::string &Path = this->Daemons[I].Settings;
+    Path =
+        this->Places.writeSettings(this->Folder, I, "z0", this->StoreAddress);
+    std::filesystem::copy_file(Path, Path + ".whole");
+    this->startDaemon(I);
+  }
+  this->Timers.push_back(
+      this->Loop.timers().every(ReapPeriod, [this] { this->reap(); }));
+  this->Timers.push_back(
+      this->Loop.timers().every(ProbePeriod, [this] { this->probe(); }));
+  const bool AreReady = this->waitFor(
+      [this] {
+        return std::all_of(
+            this->History.Lives.begin(), this->History.Lives.end(),
+            [](const LifeView &Each) { return Each.ReadyAt.has_value(); });
+      },
+      StartLimit);
+  if (!AreReady)
+    throw std::runtime_error("the daemons do not start; see " + this->Folder);
+  this->startCallers();
+  this->runFor(SettleTime);
+  this->Begun = EventLoop::now();
+  this->History.LastFaultAt = this->Begun;
+  for (const Deed &Each : drawPlan(this->Settings.Plan))
+    this->after(Each.At, [this, Each] { this->act(Each); });
+  this->runFor(this->Settings.Plan.Length);
+  this->runFor(this->History.LastFaultAt + this->bounds().Recovery +
+               CountedTime - EventLoop::now());
+  this->History.EndedAt = EventLoop::now();
+  this->endCallers();
+  this->endDaemons();
+  this->readFiles();
+}
+
+void ProcessRun::endCallers() {
+  for (const auto &Each : this->Callers)
+    Each->signal(SIGTERM);
+  const bool HaveEnded = this->waitFor(
+      [this] {
+        return std::all_of(this->Callers.begin(), this->Callers.end(),
+                           [](const auto &Each) { return Each->poll(); });
+      },
+      CallersLimit);
+  if (!HaveEnded)
+    throw std::runtime_error("the callers do not end; see " + this->Folder);
+}
+
+void ProcessRun::endDaemons() {
+  this->IsEnding = true;
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I)
+    this->stopDaemon(I);
+  this->waitFor(
+      [this] {
+        return std::all_of(
+            this->Daemons.begin(), this->Daemons.end(),
+            [](const DaemonPart &Each) { return Each.Running.empty(); });
+      },
+      this->bounds().Grace + 2 * KillDelay);
+  for (UpstreamPart &Each : this->Upstreams)
+    Each.Child.reset();
+}
+
+void ProcessRun::readFiles() {
+  for (std::size_t I = 0; I < this->Callers.size(); ++I)
+    readCallers(
+        readJournal(this->pathOf("callers" + std::to_string(I) + ".journal")),
+        this->History);
+  for (const std::string &Each : this->UpstreamIds)
+    readUpstream(Each, readJournal(this->pathOf(Each + ".journal")),
+                 this->History);
+}
+
+std::vector<std::string> ProcessRun::linesOf(const std::string &Request) const {
+  std::multimap<TimePoint, std::string> Sorted;
+  std::vector<std::string> Logged;
+  for (const auto &Entry : std::filesystem::directory_iterator(this->Folder)) {
+    const std::filesystem::path &Path = Entry.path();
+    if (Path.extension() == ".journal") {
+      for (const JournalLine &Line : readJournal(Path))
+        if (Line.Call == Request)
+          Sorted.emplace(Line.At, Path.stem().string() + " " + Line.Event +
+                                      " " + Line.Detail);
+    } else if (Path.extension() == ".log") {
+      std::ifstream File(Path);
+      for (std::string Line; std::getline(File, Line);)
+        if (Line.find("call=" + Request + " ") != std::string::npos)
+          Logged.push_back(Path.stem().string() + ": " + Line);
+    }
+  }
+  std::vector<std::string> Result;
+  for (const auto &[At, Text] : Sorted) {
+    char Time[16];
+    std::snprintf(Time, sizeof Time, "%8.3f ", toSeconds(At - this->Begun));
+    Result.push_back(Time + Text);
+  }
+  Result.insert(Result.end(), Logged.begin(), Logged.end());
+  return Result;
+}
+
+} // namespace galenaroute::process_soak
--- /dev/null
+++ b/soak/process/ProcessRun.h
@@ -0,0 +1,138 @@
+// Plays one seed of a process soak: starts the store, upstreams, callers and
+// daemons as processes, does to them what the plan says and collects what they
+// saw.
+//
+//   ProcessRun Run(Settings);
+//   Run.play();
+//   checkProcesses(Run.history(), Run.bounds());
+//
+// All processes have ended when it goes out of scope.
+
+#ifndef GALENAROUTE_SOAK_PROCESS_PROCESSRUN_H
+#define GALENAROUTE_SOAK_PROCESS_PROCESSRUN_H
+
+#include "ChildProcess.h"
+#include "ProcessChecks.h"
+#include "ProcessPlan.h"
+#include "connection/HttpClient.h"
+#include "process/PlatformDaemons.h"
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace galenaroute::process_soak {
+
+struct RunSettings {
+  std::string BuildDir;
+  PlanSettings Plan;
+  std::size_t Callers = 80;
+};
+
+/// Thrown by ProcessRun::play() after SIGINT or SIGTERM.
+struct Interrupted : std::runtime_error {
+  Interrupted() : std::runtime_error("interrupted") {}
+};
+
+class ProcessRun {
+public:
+  explicit ProcessRun(RunSettings Settings);
+  ~ProcessRun();
+  ProcessRun(const ProcessRun &) = delete;
+  ProcessRun &operator=(const ProcessRun &) = delete;
+
+  void play();
+
+  const ProcessHistory &history() const { return this->History; }
+  ProcessBounds bounds() const;
+  const std::vector<std::string> &timeline() const { return this->Timeline; }
+  /// Returns the lines of all parts that name a request.
+  std::vector<std::string> linesOf(const std::string &Request) const;
+  /// Holds the files of all parts.
+  const std::string &folder() const { return this->Folder; }
+  TimePoint begun() const { return this->Begun; }
+
+private:
+  struct DaemonPart {
+    std::string Settings; ///< Path.
+    struct Process {
+      std::unique_ptr<ChildProcess> Child;
+      std::size_t Life = 0; ///< Index in the history.
+    };
+    std::vector<Process> Running; ///< The newest is last.
+    TimePoint FrozenUntil;
+  };
+  struct UpstreamPart {
+    std::unique_ptr<ChildProcess> Child;
+    std::string Id;
+    TimePoint SilentUntil;
+    bool IsLeaving = false;
+  };
+
+  std::string pathOf(const std::string &Name) const {
+    return this->Folder + "/" + Name;
+  }
+  std::unique_ptr<ChildProcess> startPart(const std::string &Name,
+                                          std::vector<std::string> Arguments);
+  void startStore();
+  void startCallers();
+  void startDaemon(std::size_t Index);
+  void startUpstream(std::size_t Index);
+
+  void act(const Deed &Next);
+  void replaceDaemon(const Deed &Next);
+  void freezeDaemon(std::size_t Index, Duration For);
+  void stopDaemon(std::size_t Index);
+  void signalDaemon(std::size_t Index, int Number);
+  void rewriteSettings(std::size_t Index, Duration Half, bool HangsUp);
+  void silenceUpstream(std::size_t Index, Duration For);
+  void endUpstream(std::size_t Index, int Number, Duration Away);
+  void freezeStore(Duration For);
+  void configure();
+  void putConfig();
+
+  /// Notices processes that have ended.
+  void reap();
+  void reapUpstreams();
+  void probe();
+  void after(Duration Delay, const std::function<void()> &Do);
+  void runFor(Duration Time);
+  bool waitFor(const std::function<bool()> &Done, Duration Limit);
+  void endCallers();
+  void endDaemons();
+  void readFiles();
+  void note(const std::string &Line);
+
+  RunSettings Settings;
+  std::string Name; ///< Begins the ids of requests and upstreams.
+  std::string Folder;
+  int NetworkLock = -1;
+  testing_support::PlatformDaemons Places;
+  EventLoop Loop;
+  HttpClient Client{Loop};
+  std::vector<sigc::connection> Timers;
+  TimePoint Begun = EventLoop::now();
+  bool IsEnding = false;
+
+  std::unique_ptr<ChildProcess> Store;
+  SocketAddress StoreAddress;
+  TimePoint StoreFrozenUntil;
+  std::vector<std::unique_ptr<ChildProcess>> Callers;
+  std::vector<DaemonPart> Daemons;
+  std::vector<UpstreamPart> Upstreams;
+  std::vector<std::string> UpstreamIds;
+  std::uint64_t ConfigVersion = 0;
+  std::uint64_t ConfigRevision = 0;
+  bool IsConfiguring = false;
+
+  ProcessHistory History;
+  std::vector<std::string> Timeline;
+};
+
+/// From now on SIGINT and SIGTERM end a run.
+void catchInterrupts();
+
+} // namespace galenaroute::process_soak
+
+#endif // GALENAROUTE_SOAK_PROCESS_PROCESSRUN_H
--- /dev/null
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -0,0 +1,324 @@
+// Shows of each check of the process soak that it can fail, with faked
+// histories.
+
+#include "Journal.h"
+#include "PlainHttp.h"
+#include "ProcessChecks.h"
+#include "ProcessPlan.h"
+
+#include <algorithm>
+#include <csignal>
+#include <gtest/gtest.h>
+
+namespace galenaroute::process_soak {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{1h};
+
+class ProcessSoakChecksTest : public testing::Test {
+protected:
+  ProcessSoakChecksTest() {
+    this->History.LastFaultAt = Start;
+    this->History.EndedAt = Start + 1min;
+  }
+
+  RequestView &request(const std::string &Id, const std::string &Route) {
+    RequestView &Request = this->History.Requests[Id];
+    Request = {.Route = Route,
+               .SentAt = Start,
+               .EndedAt = Start + 1s,
+               .End = RequestEnd::Whole,
+               .Status = 200,
+               .IsStamped = true};
+    if (Request.isStream())
+      for (int I = 1; I <= ProcessBounds().EventsOfWhole; ++I)
+        Request.Events.push_back(I);
+    return Request;
+  }
+  WorkView &work(const std::string &Id, const std::string &Upstream,
+                 Duration From, Duration Begun, Duration Last) {
+    this->History.Works[Id].push_back({.Upstream = Upstream,
+                                       .AcceptedAt = Start + From,
+                                       .BegunAt = Start + Begun,
+                                       .LastAt = Start + Last,
+                                       .OverAt = Start + Last});
+    return this->History.Works[Id].back();
+  }
+  LifeView &life(std::size_t Daemon = 0) {
+    this->History.Lives.push_back({.Daemon = Daemon,
+                                   .StartedAt = Start - 1min,
+                                   .ReadyAt = Start - 50s,
+                                   .AloneAt = Start - 1min});
+    return this->History.Lives.back();
+  }
+  void addServed() {
+    for (int I = 0; I < 40; ++I)
+      this->request("r" + std::to_string(I), "safe").SentAt = Start + 13s;
+  }
+  /// What \p Check finds: the one promise that is broken, or how many are.
+  template <typename CheckFunction>
+  std::string broken(CheckFunction Check) const {
+    BrokenPromises Found;
+    Check(this->History, ProcessBounds(), Found);
+    return Found.size() == 1 ? Found[0].Promise : std::to_string(Found.size());
+  }
+
+  ProcessHistory History;
+};
+
+TEST_F(ProcessSoakChecksTest, ASoundHistoryBreaksNothing) {
+  this->addServed();
+  this->life();
+  this->request("a", "once");
+  this->work("a", "u1", 0ms, 10ms, 20ms);
+  EXPECT_TRUE(checkProcesses(this->History, {}).empty());
+}
+
+TEST_F(ProcessSoakChecksTest, AProcessEndsByItself) {
+  LifeView &Life = this->life();
+  Life.EndedAt = Start;
+  Life.ExitCode = 1;
+  EXPECT_EQ(this->broken(checkEnds), "no process ends by itself");
+  Life.ExitCode = -SIGHUP;
+  Life.Signals = {{Start, SIGHUP}};
+  EXPECT_EQ(this->broken(checkEnds), "no process ends by itself");
+  Life.ExitCode = -SIGTERM;
+  Life.Signals = {{Start, SIGTERM}};
+  EXPECT_EQ(this->broken(checkEnds), "no process ends by itself");
+  Life.ExitCode = 0;
+  EXPECT_EQ(this->broken(checkEnds), "0");
+  Life.ExitCode = -SIGKILL;
+  Life.Signals = {{Start, SIGKILL}};
+  EXPECT_EQ(this->broken(checkEnds), "0");
+}
+
+TEST_F(ProcessSoakChecksTest, AStopTakesTooLong) {
+  LifeView &Life = this->life();
+  Life.Signals = {{Start, SIGTERM}, {Start + 10s, SIGKILL}};
+  Life.EndedAt = Start + 10s;
+  Life.ExitCode = -SIGKILL;
+  EXPECT_EQ(this->broken(checkEnds), "a planned stop ends in time");
+  this->History.Freezes[0] = {{Start + 1s, Start + 3500ms}};
+  EXPECT_EQ(this->broken(checkEnds), "0");
+}
+
+TEST_F(ProcessSoakChecksTest, AStartNeverServes) {
+  LifeView &Life = this->life();
+  Life.ReadyAt.reset();
+  EXPECT_EQ(this->broken(checkStarts), "each start ends up serving");
+  Life.Signals = {{Life.StartedAt + 5s, SIGKILL}};
+  EXPECT_EQ(this->broken(checkStarts), "0");
+}
+
+TEST_F(ProcessSoakChecksTest, AnUnsafeRequestRunsTwice) {
+  for (const std::string Route : {"once", "oncestream", "safe", "stream"}) {
+    this->History.Works.clear();
+    this->History.Requests.clear();
+    this->request("a", Route);
+    this->work("a", "u1", 0ms, 10ms, 20ms);
+    EXPECT_EQ(this->broken(checkRunsOnce), "0");
+    this->work("a", "u2", 30ms, 40ms, 50ms);
+    EXPECT_EQ(this->broken(checkRunsOnce),
+              Route.starts_with("once") ? "runs at most once" : "0");
+  }
+}
+
+TEST_F(ProcessSoakChecksTest, TheUpstreamBeforeWorksOn) {
+  const std::string Broken = "the upstream before has stopped";
+  this->request("a", "stream");
+  this->work("a", "u1", 0ms, 10ms, 1300ms);
+  this->work("a", "u2", 800ms, 850ms, 1200ms);
+  EXPECT_EQ(this->broken(checkHandovers), Broken);
+  this->History.Silences["u1"] = {{Start, Start + 1290ms}};
+  EXPECT_EQ(this->broken(checkHandovers), Broken);
+  // Out of reach.
+  this->History.Silences["u1"] = {{Start - 1s, Start + 1290ms}};
+  EXPECT_EQ(this->broken(checkHandovers), "0");
+  this->History.Silences.clear();
+  this->History.Freezes[0] = {{Start - 2s, Start - 1900ms}};
+  EXPECT_EQ(this->broken(checkHandovers), "0");
+  this->History.Freezes[0] = {{Start - 5s, Start - 4s}};
+  this->History.Freezes[1] = {{Start - 1s, Start}};
+  EXPECT_EQ(this->broken(checkHandovers), Broken);
+  this->History.Works["a"][0].LastAt = Start + 1250ms;
+  EXPECT_EQ(this->broken(checkHandovers), "0");
+}
+
+TEST_F(ProcessSoakChecksTest, TheUpstreamBeforeReadsTheRequestLater) {
+  this->request("a", "stream");
+  this->work("a", "u2", 800ms, 850ms, 1200ms).HasEnded = true;
+  this->work("a", "u1", 1500ms, 1510ms, 1520ms);
+  EXPECT_EQ(this->broken(checkHandovers), "0");
+  this->History.Silences["u1"] = {{Start, Start + 1495ms}};
+  EXPECT_EQ(this->broken(checkHandovers), "the upstream before has stopped");
+  // The request goes on at u1 because u2 broke off.
+  this->History.Works["a"][0].HasEnded = false;
+  this->History.Works["a"][0].HasBroken = true;
+  EXPECT_EQ(this->broken(checkHandovers), "0");
+}
+
+TEST_F(ProcessSoakChecksTest, ARefusedRequestRuns) {
+  for (const int Status : {408, 421, 429, 503}) {
+    RequestView &Request = this->request("a", "once");
+    Request.Status = Status;
+    Request.IsStamped = false;
+    this->History.Works.clear();
+    EXPECT_EQ(this->broken(checkRefusals), "0");
+    // Also later than the answer.
+    this->work("a", "u1", 5s, 6s, 6s);
+    EXPECT_EQ(this->broken(checkRefusals), "not run is true");
+    Request.Status = 502;
+    EXPECT_EQ(this->broken(checkRefusals), "0");
+  }
+}
+
+TEST_F(ProcessSoakChecksTest, ARequestGetsNoAnswer) {
+  const std::string Broken = "a whole request gets an answer";
+  RequestView &Request = this->request("a", "once");
+  Request.End = RequestEnd::None;
+  EXPECT_EQ(this->broken(checkAnswers), Broken);
+  // It crossed the close of the connection, and nothing had run.
+  Request.EndedAt = Start + 150ms;
+  EXPECT_EQ(this->broken(checkAnswers), "0");
+  this->work("a", "u1", 10ms, 20ms, 30ms);
+  EXPECT_EQ(this->broken(checkAnswers), Broken);
+  Request.EndedAt = Start + 5s;
+  EXPECT_EQ(this->broken(checkAnswers), "0");
+  Request.End = RequestEnd::Expired;
+  EXPECT_EQ(this->broken(checkAnswers), Broken);
+  Request.EndedAt = Start + 1s;
+  Request.End = RequestEnd::None;
+  LifeView &Life = this->life();
+  Life.Signals = {{Start - 1s, SIGTERM}};
+  Life.EndedAt = Start + 2s;
+  EXPECT_EQ(this->broken(checkAnswers), Broken);
+  Life.Signals = {{Start + 500ms, SIGHUP}};
+  EXPECT_EQ(this->broken(checkAnswers), Broken);
+  Life.Signals = {{Start + 500ms, SIGKILL}};
+  EXPECT_EQ(this->broken(checkAnswers), "0");
+}
+
+TEST_F(ProcessSoakChecksTest, AnAnswerIsCut) {
+  const std::string Broken = "an answer is carried to its end";
+  this->request("a", "stream").End = RequestEnd::Cut;
+  WorkView &Work = this->work("a", "u1", 0ms, 10ms, 900ms);
+  EXPECT_EQ(this->broken(checkAnswers), Broken);
+  Work.HasBroken = true;
+  EXPECT_EQ(this->broken(checkAnswers), "0");
+  Work.HasBroken = false;
+  this->History.UpstreamEnds["u1"] = Start + 800ms;
+  EXPECT_EQ(this->broken(checkAnswers), "0");
+  this->History.UpstreamEnds["u1"] = Start + 2s;
+  EXPECT_EQ(this->broken(checkAnswers), Broken);
+}
+
+TEST_F(ProcessSoakChecksTest, AStreamLosesOrRepeatsEvents) {
+  RequestView &Request = this->request("a", "stream");
+  EXPECT_EQ(this->broken(checkEvents), "0");
+  Request.Events.pop_back();
+  EXPECT_EQ(this->broken(checkEvents), "a whole stream has all events");
+  Request.Events.push_back(11);
+  EXPECT_EQ(this->broken(checkEvents), "events come once and in order");
+  Request.Events = {1, 3};
+  Request.End = RequestEnd::Cut;
+  EXPECT_EQ(this->broken(checkEvents), "events come once and in order");
+}
+
+TEST_F(ProcessSoakChecksTest, AnAnswerBelongsToAnother) {
+  this->request("a", "safe").Foreign = "answer to b:";
+  EXPECT_EQ(this->broken(checkOwnAnswers), "answers are the caller's own");
+  this->History.Requests.clear();
+  this->History.Foreign = {"bytes without a request"};
+  EXPECT_EQ(this->broken(checkOwnAnswers), "answers are the caller's own");
+}
+
+TEST_F(ProcessSoakChecksTest, ServiceDoesNotRecover) {
+  EXPECT_EQ(this->broken(checkRecovery), "service recovers");
+  this->addServed();
+  EXPECT_EQ(this->broken(checkRecovery), "0");
+  for (auto &[Id, Each] : this->History.Requests)
+    Each.Status = 503;
+  EXPECT_EQ(this->broken(checkRecovery), "service recovers");
+}
+
+// Guards against histories that are read wrongly, so that checks see nothing.
+TEST_F(ProcessSoakChecksTest, JournalsBecomeHistories) {
+  std::vector<JournalLine> Lines;
+  for (const char *Text :
+       {"1000 sending a once 3 kept", "2000 sent a", "5000 head a 200 u1",
+        "6000 end a whole", "7000 foreign c0 bytes"})
+    Lines.push_back(*parseJournalLine(Text));
+  ProcessHistory Read;
+  readCallers(Lines, Read);
+  const RequestView &Request = Read.Requests.at("a");
+  EXPECT_EQ(Request.Route, "once");
+  EXPECT_EQ(Request.Daemon, 3U);
+  EXPECT_EQ(Request.SentAt, TimePoint(2ms));
+  EXPECT_EQ(Request.EndedAt, TimePoint(6ms));
+  EXPECT_EQ(Request.End, RequestEnd::Whole);
+  EXPECT_EQ(Request.Status, 200);
+  EXPECT_TRUE(Request.IsStamped);
+  EXPECT_EQ(Read.Foreign.size(), 1U);
+
+  Lines.clear();
+  for (const char *Text : {"1000 started u1", "2000 accepted a 4",
+                           "3000 event a 5", "4000 event a 6", "5000 closed a",
+                           "6000 accepted a 6", "7000 refused b 503"})
+    Lines.push_back(*parseJournalLine(Text));
+  readUpstream("u1", Lines, Read);
+  ASSERT_EQ(Read.Works.size(), 1U);
+  const std::vector<WorkView> &Works = Read.Works.at("a");
+  ASSERT_EQ(Works.size(), 2U);
+  EXPECT_EQ(Works[0].After, 4);
+  EXPECT_EQ(Works[0].BegunAt, TimePoint(3ms));
+  EXPECT_EQ(Works[0].LastAt, TimePoint(5ms));
+  EXPECT_EQ(Works[0].OverAt, TimePoint(5ms));
+  EXPECT_FALSE(Works[0].HasEnded);
+  EXPECT_FALSE(Works[1].BegunAt);
+  EXPECT_FALSE(Works[1].OverAt);
+}
+
+// Guards against a reader that takes part of a message for all of it.
+TEST_F(ProcessSoakChecksTest, MessagesAreReadInPieces) {
+  const std::string Chunked = "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n"
+                              "Request-Id: a\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0"
+                              "\r\n\r\n";
+  const std::string Plain = "HTTP/1.1 503 x\r\ncontent-length: 2\r\n\r\nno";
+  MessageReader Reader(MessageKind::Answer);
+  for (std::size_t I = 0; I < Chunked.size(); ++I) {
+    EXPECT_FALSE(Reader.isWhole()) << I;
+    Reader.feed(Chunked.substr(I, 1));
+  }
+  ASSERT_TRUE(Reader.isWhole());
+  EXPECT_EQ(Reader.head().find("request-id"), "a");
+  EXPECT_EQ(Reader.takeBody(), "abcde");
+  EXPECT_FALSE(Reader.hasRest());
+  Reader.feed(Plain);
+  EXPECT_TRUE(Reader.hasRest());
+  Reader.next();
+  ASSERT_TRUE(Reader.isWhole());
+  EXPECT_EQ(Reader.head().status(), 503);
+  EXPECT_EQ(Reader.takeBody(), "no");
+  EXPECT_FALSE(Reader.isMalformed());
+}
+
+TEST_F(ProcessSoakChecksTest, TheSeedDecidesThePlan) {
+  const auto Times = [](std::uint64_t Seed) {
+    std::vector<Duration> Result;
+    for (const Deed &Each : drawPlan({.Seed = Seed}))
+      Result.push_back(Each.At);
+    return Result;
+  };
+  EXPECT_EQ(Times(1), Times(1));
+  EXPECT_NE(Times(1), Times(2));
+  const auto Plan = drawPlan({.Seed = 3, .Length = 60s});
+  for (int I = 0; I <= static_cast<int>(DeedKind::Configure); ++I)
+    EXPECT_TRUE(std::any_of(Plan.begin(), Plan.end(), [&](const Deed &Each) {
+      return static_cast<int>(Each.Kind) == I;
+    })) << I;
+}
+
+} // namespace
+} // namespace galenaroute::process_soak
