CallListener: refuse callers beyond the limit as fast as they take it

Cause: 64 refused connections could be open at a time, and each stayed for 1 s after its 503, to spare callers a reset. So 64 a second were refused; all others waited in the queue of the listener.

While all places are taken, a refused connection is now closed once the caller's kernel has acknowledged the answer and the end, its request was read whole and nothing has arrived since. Closing then is no reset. With fewer callers they still stay for 1 s.

The log tells what waits: connection.limit has the length of the listener's queue, and connection.limit_ended how many were refused and how many waited at most. There is one line for each such time, not one for each time that the places were taken.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -49,6 +49,21 @@
   return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
 }
 
+bool isAllAcknowledged(int Socket) {
+  int Bytes = 0;
+  return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes == 0;
+}
+
+std::optional<std::size_t> waitingConnections(int ListeningSocket) {
+  tcp_info Info{};
+  socklen_t Size = sizeof Info;
+  if (::getsockopt(ListeningSocket, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0 ||
+      Info.tcpi_state != TCP_LISTEN)
+    return std::nullopt;
+  // For a listening socket, Linux reports the length of its queue here.
+  return Info.tcpi_unacked;
+}
+
 bool isLinkSilent(int Socket) {
   tcp_info Info{};
   socklen_t Size = sizeof Info;
--- a/src/connection/BufferedSocket.h
+++ b/src/connection/BufferedSocket.h
@@ -11,6 +11,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <memory>
+#include <optional>
 
 namespace galenaroute {
 
@@ -32,6 +33,14 @@
 /// Returns whether the kernel holds bytes that the peer has not acknowledged.
 bool hasUnacknowledgedBytes(int Socket);
 
+/// Returns whether the peer has acknowledged all that was sent, the end of the
+/// own side too. Returns false if the kernel does not tell.
+bool isAllAcknowledged(int Socket);
+
+/// Returns how many connections wait to be accepted by a listening socket, or
+/// no value if the kernel does not tell.
+std::optional<std::size_t> waitingConnections(int ListeningSocket);
+
 /// Returns whether a keep-alive probe or data sent again awaits an
 /// acknowledgment, as on a link that has gone silent. Returns false if the
 /// kernel does not tell, which is logged once.
--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -29,6 +29,11 @@
 static constexpr auto MaxLingerTime = std::chrono::seconds(10);
 /// How often connections are checked for their time limits.
 static constexpr auto SweepPeriod = std::chrono::milliseconds(250);
+/// How often, while no further connection can be refused, refused ones are
+/// checked for whether their callers have received the answer.
+static constexpr auto ReclaimPeriod = std::chrono::milliseconds(10);
+/// A time at the limit of connections ends when none was beyond it for so long.
+static constexpr auto LimitEndTime = std::chrono::seconds(1);
 static constexpr int ListenBacklog = 1024;
 /// How long nothing is accepted after the process or the system ran out of
 /// descriptors or memory, unless a connection closes. The listener stays
@@ -61,7 +66,7 @@
   void closeFor(std::string_view Reason, Duration Age);
   void sweep(TimePoint Now);
   bool isQuiet() const;
-  bool isBeyondLimit() const { return this->IsBeyondLimit; }
+  bool hasReceivedRefusal() const;
   std::size_t unsentBytes() const {
     return evbuffer_get_length(bufferevent_get_output(this->Event.get()));
   }
@@ -400,6 +405,14 @@
   return true;
 }
 
+/// Returns whether the answer of a refused connection is in the caller's
+/// kernel, and nothing has arrived that would make closing a reset.
+bool CallerConnection::hasReceivedRefusal() const {
+  return this->Current == State::Lingering && !this->IsSending &&
+         isAllAcknowledged(bufferevent_getfd(this->Event.get())) &&
+         !hasUnreadInput(this->Event.get());
+}
+
 /// Closes the connection for exceeding a time limit.
 void CallerConnection::closeFor(std::string_view Reason, Duration Age) {
   log(LogLevel::Info, "connection.closed",
@@ -517,12 +530,67 @@
       static_cast<CallListener *>(Self)->onAcceptError(Reason);
     });
   });
-  this->SweepTimer = Loop.timers().every(SweepPeriod, [this] {
-    const TimePoint Now = EventLoop::now();
-    const auto All = this->Connections;
-    for (const auto &Each : All)
-      Each->sweep(Now);
-  });
+  this->SweepTimer =
+      Loop.timers().every(SweepPeriod, [this] { this->sweep(); });
+}
+
+void CallListener::sweep() {
+  const TimePoint Now = EventLoop::now();
+  const auto All = this->Connections;
+  for (const auto &Each : All)
+    Each->sweep(Now);
+  this->checkLimitEnd(Now);
+}
+
+/// Closes refused connections whose callers have received the answer, since
+/// others wait for theirs.
+void CallListener::reclaimRefused() {
+  const auto All = this->BeyondLimit;
+  for (const auto &Each : All)
+    if (Each->hasReceivedRefusal())
+      Each->close();
+}
+
+/// Returns the number of connections that wait to be accepted, for the log.
+std::string CallListener::waiting() const {
+  const auto Count =
+      this->Listener ? waitingConnections(evconnlistener_get_fd(this->Listener))
+                     : std::nullopt;
+  return Count ? std::to_string(*Count) : "-";
+}
+
+/// Counts a connection beyond the limit.
+void CallListener::noteLimit() {
+  if (!this->AtLimit) {
+    this->AtLimit.emplace(LimitPeriod{.Since = EventLoop::now()});
+    log(LogLevel::Warn, "connection.limit",
+        {{"connections", std::to_string(this->Connections.size())},
+         {"waiting", this->waiting()}});
+  }
+  this->AtLimit->LastAt = EventLoop::now();
+  ++this->AtLimit->Refused;
+}
+
+void CallListener::checkLimitEnd(TimePoint Now) {
+  if (!this->AtLimit)
+    return;
+  if (this->Listener)
+    this->AtLimit->MostWaiting = std::max(
+        this->AtLimit->MostWaiting,
+        waitingConnections(evconnlistener_get_fd(this->Listener)).value_or(0));
+  if (!this->BeyondLimit.empty()) {
+    this->AtLimit->LastAt = Now;
+    return;
+  }
+  if (Now - this->AtLimit->LastAt < LimitEndTime)
+    return;
+  log(LogLevel::Info, "connection.limit_ended",
+      {{"connections", std::to_string(this->Connections.size())},
+       {"for_ms", std::to_string(toMilliseconds(this->AtLimit->LastAt -
+                                                this->AtLimit->Since))},
+       {"refused", std::to_string(this->AtLimit->Refused)},
+       {"most_waiting", std::to_string(this->AtLimit->MostWaiting)}});
+  this->AtLimit.reset();
 }
 
 void CallListener::setLimits(const CallerLimits &Next) {
@@ -533,6 +601,7 @@
 CallListener::~CallListener() {
   this->SweepTimer.disconnect();
   this->PauseTimer.disconnect();
+  this->ReclaimTimer.disconnect();
   if (this->Listener)
     evconnlistener_free(this->Listener);
 }
@@ -549,6 +618,7 @@
       this->accept(Next);
   }
   this->PauseTimer.disconnect();
+  this->ReclaimTimer.disconnect();
   evconnlistener_free(this->Listener);
   this->Listener = nullptr;
 }
@@ -567,16 +637,20 @@
 void CallListener::accept(int Socket) {
   const bool IsBeyondLimit =
       this->Connections.size() >= this->Limits.MaxConnections;
-  this->Connections.insert(
-      std::make_shared<CallerConnection>(*this, Socket, IsBeyondLimit));
-  this->BeyondLimit += IsBeyondLimit;
+  const auto Accepted =
+      std::make_shared<CallerConnection>(*this, Socket, IsBeyondLimit);
+  this->Connections.insert(Accepted);
+  if (IsBeyondLimit) {
+    this->BeyondLimit.insert(Accepted);
+    this->noteLimit();
+  }
   this->updateAccepting();
 }
 
 void CallListener::erase(const std::shared_ptr<CallerConnection> &Closed) {
   if (this->Connections.erase(Closed) == 0)
     return;
-  this->BeyondLimit -= Closed->isBeyondLimit();
+  this->BeyondLimit.erase(Closed);
   this->IsPaused = false;
   this->updateAccepting();
 }
@@ -589,7 +663,8 @@
   if (!IsExhausted || !this->PauseTimer.connected())
     log(LogLevel::Error, "accept.failed",
         {{"error", std::strerror(Reason)},
-         {"connections", std::to_string(this->Connections.size())}});
+         {"connections", std::to_string(this->Connections.size())},
+         {"waiting", this->waiting()}});
   if (!IsExhausted)
     return;
   this->IsPaused = true;
@@ -606,19 +681,20 @@
 /// do not count.
 void CallListener::updateAccepting() {
   const bool HasRoom = this->Connections.size() < this->Limits.MaxConnections ||
-                       this->BeyondLimit < this->Limits.MaxRefused;
+                       this->BeyondLimit.size() < this->Limits.MaxRefused;
   const bool MayAccept = HasRoom && !this->IsPaused;
   if (!this->Listener || MayAccept == this->IsAccepting)
     return;
   this->IsAccepting = MayAccept;
+  this->ReclaimTimer.disconnect();
   if (MayAccept) {
     evconnlistener_enable(this->Listener);
     return;
   }
   evconnlistener_disable(this->Listener);
   if (!HasRoom)
-    log(LogLevel::Warn, "connection.limit",
-        {{"connections", std::to_string(this->Connections.size())}});
+    this->ReclaimTimer = this->Loop.timers().every(
+        ReclaimPeriod, [this] { this->reclaimRefused(); });
 }
 
 } // namespace galenaroute
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -6,8 +6,9 @@
 // A request is handed over once its body is complete. Requests that are
 // malformed or too large are answered here and their connection is closed.
 //
-// A few connections beyond the limit are accepted so that their calls can be
-// refused with an answer. Further ones wait in the queue of the socket.
+// Some connections beyond the limit are accepted so that their calls can be
+// refused with an answer. Further ones wait in the queue of the socket until a
+// caller has received its refusal.
 //
 // Guarantees: the answer to a request reaches only the connection on which the
 // request came, and only while that request is the one being answered;
@@ -22,6 +23,7 @@
 #include "process/EventLoop.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 
@@ -114,6 +116,11 @@
   void erase(const std::shared_ptr<CallerConnection> &Closed);
   void updateAccepting();
   void onAcceptError(int Reason);
+  void sweep();
+  void reclaimRefused();
+  std::string waiting() const;
+  void noteLimit();
+  void checkLimitEnd(TimePoint Now);
 
   EventLoop &Loop;
   CallerLimits Limits;
@@ -122,10 +129,20 @@
   std::set<std::shared_ptr<CallerConnection>> Connections;
   bool Closing = false;
   bool IsAccepting = true;
-  bool IsPaused = false;       ///< Descriptors or memory are short.
-  std::size_t BeyondLimit = 0; ///< Connections marked as beyond the limit.
+  bool IsPaused = false; ///< Descriptors or memory are short.
+  /// Of Connections, those beyond the limit.
+  std::set<std::shared_ptr<CallerConnection>> BeyondLimit;
+  /// A time in which the limit of connections is exceeded.
+  struct LimitPeriod {
+    TimePoint Since;
+    TimePoint LastAt; ///< When a connection was last beyond the limit.
+    std::size_t Refused = 0;
+    std::size_t MostWaiting = 0;
+  };
+  std::optional<LimitPeriod> AtLimit;
   sigc::connection SweepTimer;
   sigc::connection PauseTimer;
+  sigc::connection ReclaimTimer;
 };
 
 } // namespace galenaroute
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -2,6 +2,7 @@
 // connection must survive, and which limits end it.
 
 #include "RawSocket.h"
+#include "connection/BufferedSocket.h"
 #include "connection/CallListener.h"
 
 #include <ctime>
@@ -417,6 +418,41 @@
   EXPECT_TRUE(Callers.back()->read().starts_with("HTTP/1.1 200 "));
 }
 
+// Guards against callers beyond the limit that get no answer while those who
+// were refused before them keep their connections, and against a reset of a
+// refusal that was not read yet.
+TEST_F(CallerConnectionTest, ManyCallersBeyondTheLimitAreRefusedAtOnce) {
+  this->listen({.MaxConnections = 100});
+  this->OnCall = refuseBeyondLimit;
+  const auto Held = this->connect(100);
+  std::vector<std::unique_ptr<RawSocket>> Callers;
+  for (int I = 0; I < 600; ++I)
+    Callers.push_back(
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address)));
+  for (const auto &Each : Callers)
+    Each->write(Request);
+  this->runFor(1s);
+  std::size_t Refused = 0;
+  for (const auto &Each : Callers) {
+    Refused += Each->read().starts_with("HTTP/1.1 503 ");
+    EXPECT_FALSE(Each->wasReset());
+  }
+  EXPECT_EQ(Refused, Callers.size());
+  for (const auto &Each : Held)
+    EXPECT_FALSE(Each->hasEnded());
+}
+
+// Guards against a log that tells 0 connections waiting while there are some.
+TEST_F(CallerConnectionTest, ConnectionsThatWaitToBeAcceptedAreCounted) {
+  RawListener Queue;
+  EXPECT_EQ(waitingConnections(Queue.id()), 0U);
+  const RawSocket First(RawSocket::connectTo(Queue.Address));
+  const RawSocket Second(RawSocket::connectTo(Queue.Address));
+  EXPECT_EQ(waitingConnections(Queue.id()), 2U);
+  const RawSocket Accepted(Queue.accept());
+  EXPECT_EQ(waitingConnections(Queue.id()), 1U);
+}
+
 // Guards against an accept that fails again and again for lack of descriptors
 // and takes all processor time.
 TEST_F(CallerConnectionTest, WithoutDescriptorsItWaitsForAConnectionToClose) {
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -167,6 +167,7 @@
   RawListener(const RawListener &) = delete;
   RawListener &operator=(const RawListener &) = delete;
 
+  int id() const { return this->Socket; }
   /// Returns the socket of a new connection, or -1 if there is none.
   int accept() const { return ::accept(this->Socket, nullptr, nullptr); }
   /// Begins or ends to drop the opening packets of connections.
