Show what a caller gets that ends its side before its answer

A caller that ends its own side of the connection after a whole request counts as having left. On Linux nothing but bytes on the connection tells that from a close: keep-alive probes are acknowledged in both cases, and the state of the socket is the same.

--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -418,6 +418,36 @@
   EXPECT_TRUE(Callers.back()->read().starts_with("HTTP/1.1 200 "));
 }
 
+// Guards against work for a caller that has left: the end of its side is all
+// that a close shows, so a caller that only ends its side gets no answer that
+// has not begun.
+TEST_F(CallerConnectionTest, ACallerThatEndsItsSideBeforeItsAnswerHasLeft) {
+  this->listen({});
+  for (const bool Closes : {true, false}) {
+    bool HasLeft = false;
+    std::shared_ptr<IncomingCall> Open;
+    this->OnCall = [&](const std::shared_ptr<IncomingCall> &Call) {
+      Open = Call;
+      Call->CallerLeft.connect([&] { HasLeft = true; });
+    };
+    const auto Callers = this->connect(1);
+    Callers[0]->write(Request);
+    this->runFor(50ms);
+    ASSERT_TRUE(Open);
+    if (Closes)
+      Callers[0]->close();
+    else
+      Callers[0]->endWriting();
+    this->runFor(50ms);
+    EXPECT_TRUE(HasLeft);
+    if (Closes)
+      continue;
+    EXPECT_TRUE(Callers[0]->hasEnded());
+    EXPECT_FALSE(Callers[0]->wasReset());
+    EXPECT_TRUE(Callers[0]->text().empty());
+  }
+}
+
 // Guards against callers beyond the limit that get no answer while those who
 // were refused before them keep their connections, and against a reset of a
 // refusal that was not read yet.
