process soak: a signal right after a start reaches the program

A process that the soak starts has the handlers of its parent until exec. The soak now waits until the program is in place.

--- a/soak/process/ChildProcess.cpp
+++ b/soak/process/ChildProcess.cpp
@@ -1,7 +1,9 @@
 #include "ChildProcess.h"
 
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/resource.h>
@@ -29,6 +31,12 @@
   const int Log =
       open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   const pid_t Parent = getpid();
+  // The kernel closes the child's end of this pipe once the program is in
+  // place. A signal before that would reach the handlers of the parent, which
+  // the child has until then, and be lost.
+  int Pipe[2];
+  if (pipe2(Pipe, O_CLOEXEC) != 0)
+    throw std::runtime_error("cannot open a pipe");
   this->Id = fork();
   if (this->Id < 0)
     throw std::runtime_error("cannot start " + Path);
@@ -40,13 +48,18 @@
     std::signal(SIGPIPE, SIG_DFL);
     dup2(Log, STDOUT_FILENO);
     dup2(Log, STDERR_FILENO);
-    close_range(STDERR_FILENO + 1, ~0U, 0);
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     limit(RLIMIT_NOFILE, Limits.Files);
     limit(RLIMIT_AS, Limits.MemoryBytes);
     execv(Path.c_str(), Argv.data());
     _exit(127);
   }
   close(Log);
+  close(Pipe[1]);
+  char Nothing = 0;
+  while (read(Pipe[0], &Nothing, 1) < 0 && errno == EINTR) {
+  }
+  close(Pipe[0]);
 }
 
 ChildProcess::~ChildProcess() {
