process soak: starts while the address or the settings are not there

New faults: a connection takes the caller address of a daemon before its successor starts, and the settings file is half written or missing for a moment during a start.

--- a/soak/process/PollLoop.cpp
+++ b/soak/process/PollLoop.cpp
@@ -111,9 +111,9 @@
   return Socket;
 }
 
-int connectTo(const std::string &Address) {
+/// Begins to connect; closes the socket if that fails.
+static int beginConnecting(int Socket, const std::string &Address) {
   const sockaddr_in To = parseAddress(Address);
-  const int Socket = openSocket();
   if (connect(Socket, reinterpret_cast<const sockaddr *>(&To), sizeof To) ==
           0 ||
       errno == EINPROGRESS)
@@ -122,6 +122,26 @@
   return -1;
 }
 
+int connectTo(const std::string &Address) {
+  return beginConnecting(openSocket(), Address);
+}
+
+int connectFrom(const std::string &Own, const std::string &Address) {
+  const sockaddr_in From = parseAddress(Own);
+  const int Socket = openSocket();
+  // Connections that have ended are no obstacle; this one is.
+  int Reuse = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Reuse, sizeof Reuse);
+  if (bind(Socket, reinterpret_cast<const sockaddr *>(&From), sizeof From) !=
+      0) {
+    close(Socket);
+    return -1;
+  }
+  Reuse = 0;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Reuse, sizeof Reuse);
+  return beginConnecting(Socket, Address);
+}
+
 ReadResult readAll(int Socket, std::string &Text) {
   char Buffer[16384];
   while (true) {
--- a/soak/process/PollLoop.h
+++ b/soak/process/PollLoop.h
@@ -50,6 +50,10 @@
 /// Opens a socket that does not block and begins to connect; -1 if it cannot.
 int connectTo(const std::string &Address);
 
+/// The same from an address of this machine, which no other socket can use
+/// until the connection is closed; -1 if one does.
+int connectFrom(const std::string &Own, const std::string &Address);
+
 enum class ReadResult { Open, Closed };
 
 /// Appends to \p Text all that can be read without blocking.
--- a/soak/process/ProcessPlan.cpp
+++ b/soak/process/ProcessPlan.cpp
@@ -30,11 +30,15 @@
     {DeedKind::LeaveUpstream, 4000, 9000, 100, 1000},
     {DeedKind::FreezeStore, 6000, 12000, 200, 1500},
     {DeedKind::Configure, 500, 3000, 0, 0},
+    {DeedKind::KillAndOccupy, 6000, 15000, 200, 1500},
+    {DeedKind::KillAndRewrite, 5000, 12000, 20, 300},
 };
 constexpr double UsualDaemons = 5;
 constexpr double UsualUpstreams = 6;
 
-bool isForDaemons(DeedKind Kind) { return Kind <= DeedKind::RewriteSettings; }
+bool isForDaemons(DeedKind Kind) {
+  return Kind <= DeedKind::RewriteSettings || Kind >= DeedKind::KillAndOccupy;
+}
 bool isForUpstreams(DeedKind Kind) {
   return Kind >= DeedKind::SilenceUpstream && Kind <= DeedKind::LeaveUpstream;
 }
@@ -42,10 +46,20 @@
 } // namespace
 
 const char *toString(DeedKind Kind) {
-  static constexpr const char *Names[] = {
-      "kill",          "kill_and_hang_up", "kill_and_stop", "stop",
-      "freeze",        "hang_up",          "rewrite",       "silence_upstream",
-      "kill_upstream", "leave_upstream",   "freeze_store",  "configure"};
+  static constexpr const char *Names[] = {"kill",
+                                          "kill_and_hang_up",
+                                          "kill_and_stop",
+                                          "stop",
+                                          "freeze",
+                                          "hang_up",
+                                          "rewrite",
+                                          "silence_upstream",
+                                          "kill_upstream",
+                                          "leave_upstream",
+                                          "freeze_store",
+                                          "configure",
+                                          "kill_and_occupy",
+                                          "kill_and_rewrite"};
   return Names[static_cast<std::size_t>(Kind)];
 }
 
--- a/soak/process/ProcessPlan.h
+++ b/soak/process/ProcessPlan.h
@@ -25,6 +25,8 @@
   LeaveUpstream,   ///< SIGTERM; it is back once it has left.
   FreezeStore,     ///< SIGSTOP and SIGCONT.
   Configure,       ///< A new configuration.
+  KillAndOccupy,   ///< Another socket has the successor's address meanwhile.
+  KillAndRewrite,  ///< The successor's settings are half written or missing.
 };
 
 const char *toString(DeedKind Kind);
@@ -33,8 +35,9 @@
   Duration At{}; ///< Since the faults begin.
   DeedKind Kind = DeedKind::Kill;
   std::size_t Target = 0;
-  Duration For{};    ///< How long, or how long until the second part.
-  bool Flag = false; ///< Of rewritten settings: followed by SIGHUP.
+  Duration For{}; ///< How long, or how long until the second part.
+  /// Of rewritten settings: followed by SIGHUP, or missing meanwhile.
+  bool Flag = false;
 };
 
 struct PlanSettings {
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -1,6 +1,7 @@
 #include "ProcessRun.h"
 
 #include "Parts.h"
+#include "PollLoop.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -28,6 +29,9 @@
 static constexpr Duration RestartDelay = 300ms;
 /// From the end of the grace time until a process is killed.
 static constexpr Duration KillDelay = 2s;
+/// How often and how long an address is tried to be taken.
+static constexpr Duration OccupyDelay = 1ms;
+static constexpr Duration OccupyLimit = 100ms;
 static constexpr Duration CallersLimit = 12s;
 /// Limits of the machines of the smaller site.
 static constexpr ProcessLimits DaemonLimits{.Files = 4200,
@@ -87,6 +91,8 @@
 ProcessRun::~ProcessRun() {
   for (sigc::connection &Each : this->Timers)
     Each.disconnect();
+  for (const int Each : this->Occupying)
+    close(Each);
   close(this->NetworkLock);
 }
 
@@ -241,7 +247,18 @@
     this->after(Next.For, Start);
     return;
   }
+  if (Next.Kind == DeedKind::KillAndOccupy) {
+    this->occupyAddress(Index, Next.For, EventLoop::now() + OccupyLimit);
+    this->after(OccupyLimit / 2, Start);
+    return;
+  }
+  if (Next.Kind == DeedKind::KillAndRewrite)
+    this->rewriteSettings(Index, Next.For,
+                          Next.Flag ? "" : this->halfSettings(Index),
+                          /*HangsUp=*/false);
   Start();
+  if (Next.Kind == DeedKind::KillAndRewrite)
+    return;
   this->after(Next.For, [this, Index, Kind = Next.Kind, Start] {
     if (Kind == DeedKind::KillAndHangUp) {
       this->signalDaemon(Index, SIGHUP);
@@ -267,18 +284,48 @@
   });
 }
 
+std::string ProcessRun::halfSettings(std::size_t Index) const {
+  const std::string Whole = readText(this->Daemons[Index].Settings + ".whole");
+  return Whole.substr(0, Whole.size() / 2);
+}
+
+/// Lets the settings file be as \p Meanwhile for a time; removed if that is
+/// empty.
 void ProcessRun::rewriteSettings(std::size_t Index, Duration Half,
-                                 bool HangsUp) {
+                                 const std::string &Meanwhile, bool HangsUp) {
   const std::string &Path = this->Daemons[Index].Settings;
-  const std::string Text = readText(Path + ".whole");
-  std::ofstream(Path) << Text.substr(0, Text.size() / 2);
-  this->after(Half, [this, Index, Path, Text, HangsUp] {
-    std::ofstream(Path) << Text;
+  if (Meanwhile.empty())
+    std::filesystem::remove(Path);
+  else
+    std::ofstream(Path) << Meanwhile;
+  this->after(Half, [this, Index, Path, HangsUp] {
+    std::ofstream(Path) << readText(Path + ".whole");
     if (HangsUp)
       this->signalDaemon(Index, SIGHUP);
   });
 }
 
+/// Opens a connection from the address of a daemon whose process is ending,
+/// as soon as that is possible, and closes it after \p For.
+void ProcessRun::occupyAddress(std::size_t Index, Duration For,
+                               TimePoint Until) {
+  const int Socket = connectFrom(this->Places.callerAddress(Index).toString(),
+                                 this->StoreAddress.toString());
+  if (Socket < 0) {
+    if (EventLoop::now() < Until)
+      this->after(OccupyDelay, [this, Index, For, Until] {
+        this->occupyAddress(Index, For, Until);
+      });
+    return;
+  }
+  this->note("address of daemon " + std::to_string(Index) + " is taken");
+  this->Occupying.push_back(Socket);
+  this->after(For, [this, Socket] {
+    resetSocket(Socket);
+    std::erase(this->Occupying, Socket);
+  });
+}
+
 void ProcessRun::silenceUpstream(std::size_t Index, Duration For) {
   UpstreamPart &Part = this->Upstreams[Index];
   if (!Part.Child)
@@ -402,6 +449,8 @@
   case DeedKind::KillAndHangUp:
   case DeedKind::KillAndStop:
   case DeedKind::Stop:
+  case DeedKind::KillAndOccupy:
+  case DeedKind::KillAndRewrite:
     this->replaceDaemon(Next);
     return;
   case DeedKind::Freeze:
@@ -411,7 +460,8 @@
     this->signalDaemon(Next.Target, SIGHUP);
     return;
   case DeedKind::RewriteSettings:
-    this->rewriteSettings(Next.Target, Next.For, Next.Flag);
+    this->rewriteSettings(Next.Target, Next.For,
+                          this->halfSettings(Next.Target), Next.Flag);
     return;
   case DeedKind::SilenceUpstream:
     this->silenceUpstream(Next.Target, Next.For);
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -85,7 +85,10 @@
   void freezeDaemon(std::size_t Index, Duration For);
   void stopDaemon(std::size_t Index);
   void signalDaemon(std::size_t Index, int Number);
-  void rewriteSettings(std::size_t Index, Duration Half, bool HangsUp);
+  void rewriteSettings(std::size_t Index, Duration Half,
+                       const std::string &Meanwhile, bool HangsUp);
+  std::string halfSettings(std::size_t Index) const;
+  void occupyAddress(std::size_t Index, Duration For, TimePoint Until);
   void silenceUpstream(std::size_t Index, Duration For);
   void endUpstream(std::size_t Index, int Number, Duration Away);
   void freezeStore(Duration For);
@@ -119,6 +122,7 @@
   SocketAddress StoreAddress;
   TimePoint StoreFrozenUntil;
   std::vector<std::unique_ptr<ChildProcess>> Callers;
+  std::vector<int> Occupying; ///< Sockets.
   std::vector<DaemonPart> Daemons;
   std::vector<UpstreamPart> Upstreams;
   std::vector<std::string> UpstreamIds;
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -314,7 +314,7 @@
   EXPECT_EQ(Times(1), Times(1));
   EXPECT_NE(Times(1), Times(2));
   const auto Plan = drawPlan({.Seed = 3, .Length = 60s});
-  for (int I = 0; I <= static_cast<int>(DeedKind::Configure); ++I)
+  for (int I = 0; I <= static_cast<int>(DeedKind::KillAndRewrite); ++I)
     EXPECT_TRUE(std::any_of(Plan.begin(), Plan.end(), [&](const Deed &Each) {
       return static_cast<int>(Each.Kind) == I;
     })) << I;
