BindRetry: a start waits for an address that is in use

What callers saw: a daemon that was started while its predecessor still drained, or right after that one had been killed, ended with 1 ("Address already in use") and stayed away, so that its share of the fleet was gone and its address refused connections.

Cause: the listeners for callers, readiness, directory and metrics and the channel for gossip threw on the first error of bind, whatever it was. Of the errors that bind, listen and socket return, most pass without the process's doing: the address is held by a process that is about to end or by a connection, it is not configured yet, or descriptors are short.

All of these sockets now wait through BindRetry, which tries every 50 ms and logs listen.waiting and listen.bound; only an address that the process can never use still throws. The rest of the process runs meanwhile. It is not ready, and therefore not named by other gateways, until its addresses for callers and for gossip are both bound; without gossip it counts itself as cut off and issues no permits. SO_REUSEADDR without SO_REUSEPORT lets one socket listen at a time, also where two wait. A process that is told to stop while it waits makes no further attempts and ends with 0.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -510,26 +510,9 @@
 
 CallListener::CallListener(EventLoop &Loop, const SocketAddress &Address,
                            CallerLimits Limits, Handler OnCall)
-    : Loop(Loop), Limits(Limits), OnCall(std::move(OnCall)) {
-  const sockaddr_in To = socketAddressOf(Address);
-  this->Listener = evconnlistener_new_bind(
-      Loop.base(),
-      [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
-         void *Self) {
-        runGuarded("caller.accept",
-                   [&] { static_cast<CallListener *>(Self)->accept(Socket); });
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, ListenBacklog,
-      reinterpret_cast<const sockaddr *>(&To), sizeof To);
-  if (!this->Listener)
-    throw Error(ErrorKind::Internal, "cannot listen on " + Address.toString() +
-                                         ": " + std::strerror(errno));
-  evconnlistener_set_error_cb(this->Listener, [](evconnlistener *, void *Self) {
-    const int Reason = errno;
-    runGuarded("caller.accept_error", [&] {
-      static_cast<CallListener *>(Self)->onAcceptError(Reason);
-    });
-  });
+    : Loop(Loop), Limits(Limits), OnCall(std::move(OnCall)),
+      Binding(Loop, Address,
+              [this, Address] { return this->tryListen(Address); }) {
   this->SweepTimer =
       Loop.timers().every(SweepPeriod, [this] { this->sweep(); });
 }
@@ -593,6 +576,32 @@
   this->AtLimit.reset();
 }
 
+/// Returns zero or an errno.
+int CallListener::tryListen(const SocketAddress &Address) {
+  const int Bound = listenAt(Address, ListenBacklog);
+  if (Bound < 0)
+    return errno;
+  this->Listener = evconnlistener_new(
+      this->Loop.base(),
+      [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
+         void *Self) {
+        runGuarded("caller.accept",
+                   [&] { static_cast<CallListener *>(Self)->accept(Socket); });
+      },
+      this, LEV_OPT_CLOSE_ON_FREE, /*backlog=*/0, Bound);
+  if (!this->Listener) {
+    evutil_closesocket(Bound);
+    return ENOMEM;
+  }
+  evconnlistener_set_error_cb(this->Listener, [](evconnlistener *, void *Self) {
+    const int Reason = errno;
+    runGuarded("caller.accept_error", [&] {
+      static_cast<CallListener *>(Self)->onAcceptError(Reason);
+    });
+  });
+  return 0;
+}
+
 void CallListener::setLimits(const CallerLimits &Next) {
   this->Limits = Next;
   this->updateAccepting();
@@ -607,6 +616,7 @@
 }
 
 void CallListener::stopAccepting() {
+  this->Binding.cancel();
   if (!this->Listener)
     return;
   // Closing the listener resets connections that wait to be accepted, whose
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -19,6 +19,7 @@
 #ifndef GALENAROUTE_CONNECTION_CALLLISTENER_H
 #define GALENAROUTE_CONNECTION_CALLLISTENER_H
 
+#include "connection/BindRetry.h"
 #include "connection/HttpParser.h"
 #include "process/EventLoop.h"
 
@@ -87,7 +88,8 @@
 public:
   using Handler = std::function<void(std::shared_ptr<IncomingCall> Call)>;
 
-  /// Listens on \p Address; throws Error(Internal) when that fails.
+  /// Listens on \p Address, as soon as it is available; see BindRetry. Throws
+  /// Error if it is no address on which this process may listen.
   CallListener(EventLoop &Loop, const SocketAddress &Address,
                CallerLimits Limits, Handler OnCall);
   ~CallListener();
@@ -98,10 +100,13 @@
   /// not apply to an idle period or an answer that began before.
   void setLimits(const CallerLimits &Next);
 
+  /// Returns whether the address has been taken, so that callers can connect.
+  bool isBound() const { return this->Binding.isBound(); }
+
   /// From now on each answer closes its connection.
   void closeAfterAnswers() { this->Closing = true; }
-  /// Takes in the connections that wait and refuses further ones. Those that
-  /// are open are still served.
+  /// Takes in the connections that wait and refuses further ones, or gives up
+  /// waiting for the address. Connections that are open are still served.
   void stopAccepting();
   /// Returns whether no request is being read or answered, or waits unread in a
   /// socket, and no caller is sending the rest of a refused one.
@@ -112,6 +117,7 @@
 
 private:
   friend class CallerConnection;
+  int tryListen(const SocketAddress &Address);
   void accept(int Socket);
   void erase(const std::shared_ptr<CallerConnection> &Closed);
   void updateAccepting();
@@ -125,7 +131,8 @@
   EventLoop &Loop;
   CallerLimits Limits;
   Handler OnCall;
-  evconnlistener *Listener; ///< Null after stopAccepting().
+  /// Null until the address is taken and after stopAccepting().
+  evconnlistener *Listener = nullptr;
   std::set<std::shared_ptr<CallerConnection>> Connections;
   bool Closing = false;
   bool IsAccepting = true;
@@ -143,6 +150,7 @@
   sigc::connection SweepTimer;
   sigc::connection PauseTimer;
   sigc::connection ReclaimTimer;
+  BindRetry Binding;
 };
 
 } // namespace galenaroute
--- a/src/process/EntryChannel.cpp
+++ b/src/process/EntryChannel.cpp
@@ -1,7 +1,6 @@
 #include "process/EntryChannel.h"
 
 #include "connection/BufferedSocket.h"
-#include "process/ErrorKind.h"
 #include "process/Log.h"
 
 #include <array>
@@ -10,38 +9,54 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace galenaroute {
 
 EntryChannel::EntryChannel(EventLoop &Loop, const SocketAddress &Own,
                            OnMessage Deliver)
-    : Deliver(std::move(Deliver)),
-      Socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0)) {
+    : Loop(Loop), Deliver(std::move(Deliver)),
+      Binding(Loop, Own, [this, Own] { return this->tryBind(Own); }) {}
+
+/// Returns zero or an errno.
+int EntryChannel::tryBind(const SocketAddress &Own) {
   const sockaddr_in Address = socketAddressOf(Own);
-  if (this->Socket < 0 ||
-      ::bind(this->Socket, reinterpret_cast<const sockaddr *>(&Address),
+  const int Bound =
+      ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Bound < 0)
+    return errno;
+  if (::bind(Bound, reinterpret_cast<const sockaddr *>(&Address),
              sizeof Address) != 0) {
-    const std::string Reason = std::strerror(errno);
-    if (this->Socket >= 0)
-      evutil_closesocket(this->Socket);
-    throw Error(ErrorKind::Internal,
-                "cannot listen on " + Own.toString() + ": " + Reason);
+    const int Error = errno;
+    evutil_closesocket(Bound);
+    return Error;
   }
   this->Readable = event_new(
-      Loop.base(), this->Socket, EV_READ | EV_PERSIST,
+      this->Loop.base(), Bound, EV_READ | EV_PERSIST,
       [](evutil_socket_t, short, void *Self) {
         static_cast<EntryChannel *>(Self)->receive();
       },
       this);
-  event_add(this->Readable, nullptr);
+  if (!this->Readable || event_add(this->Readable, nullptr) != 0) {
+    if (this->Readable)
+      event_free(std::exchange(this->Readable, nullptr));
+    evutil_closesocket(Bound);
+    return ENOMEM;
+  }
+  this->Socket = Bound;
+  return 0;
 }
 
 EntryChannel::~EntryChannel() {
+  if (this->Socket < 0)
+    return;
   event_free(this->Readable);
   evutil_closesocket(this->Socket);
 }
 
 void EntryChannel::send(const SocketAddress &To, const std::string &Bytes) {
+  if (!this->isBound())
+    return;
   const sockaddr_in Address = socketAddressOf(To);
   const ssize_t Sent =
       ::sendto(this->Socket, Bytes.data(), Bytes.size(), 0,
--- a/src/process/EntryChannel.h
+++ b/src/process/EntryChannel.h
@@ -4,12 +4,14 @@
 //   Channel.send(Other, encodeGossip(Message));
 //
 // Guarantees: sending never blocks; a message arrives complete or not at all;
-// malformed messages are logged and dropped. The constructor throws Error if
-// the address can't be bound.
+// malformed messages are logged and dropped. While the address is unavailable,
+// the channel waits for it, see BindRetry, and sends nothing. The constructor
+// throws Error if the address is none that this process may use.
 
 #ifndef GALENAROUTE_PROCESS_ENTRYCHANNEL_H
 #define GALENAROUTE_PROCESS_ENTRYCHANNEL_H
 
+#include "connection/BindRetry.h"
 #include "process/EventLoop.h"
 #include "process/GossipMessages.h"
 
@@ -32,13 +34,18 @@
   EntryChannel &operator=(const EntryChannel &) = delete;
 
   void send(const SocketAddress &To, const std::string &Bytes);
+  /// Returns whether the address has been taken.
+  bool isBound() const { return this->Binding.isBound(); }
 
 private:
+  int tryBind(const SocketAddress &Own);
   void receive();
 
+  EventLoop &Loop;
   OnMessage Deliver;
   int Socket = -1;
   struct event *Readable = nullptr;
+  BindRetry Binding;
 };
 
 } // namespace galenaroute
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -247,9 +247,12 @@
 }
 
 void ForwardGateway::updateRateMembers() {
-  // Without contact to the platform or to other gateways, this one may be cut
-  // off from a fleet of which it has not heard yet.
-  const bool MayBeCutOff = !this->reachesPlatform() && this->GatewayCount == 1;
+  // Without contact to the platform or to other gateways, or while its address
+  // for gossip is unavailable, this one may be cut off from a fleet of which it
+  // has not heard yet.
+  const bool MayBeCutOff =
+      this->GatewayCount == 1 &&
+      (!this->reachesPlatform() || !this->Channel->isBound());
   const std::size_t Seeds = this->Settings.GossipSeeds.size();
   this->Rates.updateMembers(
       std::max(this->KnownCount, MayBeCutOff ? Seeds + 1 : 1));
@@ -490,8 +493,10 @@
 }
 
 bool ForwardGateway::isReady() const {
-  return !this->StopRequestedAt && this->Services.Config &&
-         !this->Upstreams.entries().empty() && !this->isConfigOutdated();
+  return !this->StopRequestedAt && this->Listener && this->Channel &&
+         this->Listener->isBound() && this->Channel->isBound() &&
+         this->Services.Config && !this->Upstreams.entries().empty() &&
+         !this->isConfigOutdated();
 }
 
 /// Returns whether this process has started with a configuration that is older
@@ -729,6 +734,10 @@
       {{"open_calls", std::to_string(this->Services.OpenRuns)}});
   this->StopRequestedAt = EventLoop::now();
   this->Stats.Draining.Set(1);
+  // A process that is about to end must not take the address from its
+  // successor.
+  if (!this->Listener->isBound())
+    this->Listener->stopAccepting();
   this->Listener->closeAfterAnswers();
   this->Orders->resign();
   this->Rates.leave();
