SettingsWait: a start waits for an unfinished settings file

Cause: the file was read once. A running process reads a bad file again, since it may be half written, but one that starts did not.

awaitSettings() reads the file again every 50 ms for up to 5 s, logs each distinct error once, and then throws the last one as before. SIGTERM and SIGINT are blocked at that time; sigtimedwait takes them as the pause between two reads, so a process that is told to stop ends at once with 0.

With the program of before, AnUnfinishedSettingsFileIsReadAgain fails for a missing, an empty and a half-written file, and AStopWhileTheSettingsAreMissingIsAPlannedStop fails since the process has ended with 1.

A store that is away at the start has not ended one before either; AStoreThatAnswersLateDelaysTheStartOnly shows it, and passes on the program of before.

--- a/src/process/ProcessSignals.h
+++ b/src/process/ProcessSignals.h
@@ -12,11 +12,17 @@
 #ifndef GALENAROUTE_PROCESS_PROCESSSIGNALS_H
 #define GALENAROUTE_PROCESS_PROCESSSIGNALS_H
 
+#include "process/Clock.h"
+
 namespace galenaroute {
 
 void blockControlSignals();
 void unblockControlSignals();
 
+/// Waits for SIGTERM or SIGINT while they are blocked. Returns whether one
+/// arrived within \p Limit; it is then consumed.
+bool awaitStopSignal(Duration Limit);
+
 } // namespace galenaroute
 
 #endif // GALENAROUTE_PROCESS_PROCESSSIGNALS_H
--- a/tests/process/StartSignalsProcessTest.cpp
+++ b/tests/process/StartSignalsProcessTest.cpp
@@ -18,6 +18,14 @@
 using namespace std::chrono_literals;
 using namespace testing_support;
 
+std::size_t countOf(std::string_view Text, std::string_view Part) {
+  std::size_t Count = 0;
+  for (std::size_t At = Text.find(Part); At != std::string_view::npos;
+       At = Text.find(Part, At + Part.size()))
+    ++Count;
+  return Count;
+}
+
 class StartSignalsProcessTest : public testing::Test {
 protected:
   /// Starts a daemon whose settings come from a pipe, so that it waits for
@@ -77,6 +85,95 @@
   EXPECT_EQ(this->Daemon->wait(15s), 0);
 }
 
+// Guards against a start that fails for good because the settings file is
+// missing, empty or half written for a moment.
+TEST_F(StartSignalsProcessTest, AnUnfinishedSettingsFileIsReadAgain) {
+  this->Api.put("config", "main", plainConfig());
+  const std::string Path = this->Places.writeSettings(this->Harness.folder(), 0,
+                                                      "z", this->Api.address());
+  std::ifstream File(Path);
+  const std::string Text{std::istreambuf_iterator<char>(File), {}};
+  const std::vector<std::optional<std::string>> Unfinished = {
+      std::nullopt, "", Text.substr(0, Text.size() / 2)};
+  for (const auto &Each : Unfinished) {
+    std::filesystem::remove(Path);
+    if (Each)
+      std::ofstream(Path) << *Each;
+    Program &Started =
+        this->Harness.start("galenaroute-platform", {"--settings", Path});
+    this->Harness.loop().runUntil([] { return false; }, 300ms);
+    EXPECT_TRUE(Started.isRunning()) << Started.output();
+    std::ofstream(Path) << Text;
+    this->Harness.loop().runUntil(
+        [&] {
+          return !Started.isRunning() ||
+                 this->Harness.get(this->Places.readyAddress(0), "/api/ready")
+                         .Status != 0;
+        },
+        5s);
+    EXPECT_TRUE(Started.isRunning()) << Started.output();
+    EXPECT_EQ(countOf(Started.output(), "event=settings.waiting"), 1U)
+        << Started.output();
+    EXPECT_EQ(Started.stop(), 0);
+  }
+}
+
+// Guards against a process that waits forever for settings that stay missing or
+// invalid, and against one that ends without the reason.
+TEST_F(StartSignalsProcessTest, MissingSettingsEndTheStart) {
+  Program &Started = this->Harness.start(
+      "galenaroute-platform", {"--settings", this->Harness.folder() + "/none"});
+  EXPECT_EQ(Started.wait(10s), 1);
+  EXPECT_NE(
+      Started.output().find("galenaroute-platform: cannot open settings file"),
+      std::string::npos)
+      << Started.output();
+}
+
+// Guards against a stop that ends with an error, or late, because the process
+// waits for its settings.
+TEST_F(StartSignalsProcessTest, AStopWhileTheSettingsAreMissingIsAPlannedStop) {
+  for (const int Each : {SIGTERM, SIGINT}) {
+    Program &Started =
+        this->Harness.start("galenaroute-platform",
+                            {"--settings", this->Harness.folder() + "/none"});
+    this->Harness.waitFor("the wait", [&] {
+      return countOf(Started.output(), "event=settings.waiting") > 0;
+    });
+    Started.signal(SIGHUP);
+    Started.signal(Each);
+    EXPECT_EQ(Started.wait(2s), 0);
+  }
+}
+
+// Guards against a start that fails, or never gets ready, because the store
+// does not answer at that time.
+TEST_F(StartSignalsProcessTest, AStoreThatAnswersLateDelaysTheStartOnly) {
+  this->Api.put("config", "main", plainConfig());
+  this->Api.put("servers", "u0",
+                {{"service", "d"},
+                 {"address", "127.0.0.1:9"},
+                 {"zone", "z"},
+                 {"version", "1"},
+                 {"slots", 50},
+                 {"state", "ready"},
+                 {"sequence", 1},
+                 {"born", 1}});
+  const std::string Path = this->Places.writeSettings(this->Harness.folder(), 0,
+                                                      "z", this->Api.address());
+  this->Api.setSilent(true);
+  Program &Started =
+      this->Harness.start("galenaroute-platform", {"--settings", Path});
+  const auto IsReady = [&] {
+    return this->Harness.get(this->Places.readyAddress(0), "/api/ready")
+               .Status == 200;
+  };
+  EXPECT_FALSE(this->Harness.loop().runUntil(IsReady, 2s));
+  EXPECT_TRUE(Started.isRunning()) << Started.output();
+  this->Api.setSilent(false);
+  EXPECT_TRUE(this->Harness.loop().runUntil(IsReady, 10s)) << Started.output();
+}
+
 // Guards against a crash that leaves no trace of where it happened.
 TEST_F(StartSignalsProcessTest, AFatalSignalLeavesABacktrace) {
   ASSERT_NO_FATAL_FAILURE(this->startWaiting());
