BufferedSocket: outgoing connections do not hold the port of a listener

What callers saw: nobody answered at an address whose port an outgoing connection had as its own; the TIME_WAIT of such a connection holds the port for a minute after its end.

Cause: bind ignores a connection or TIME_WAIT at the port only if both sockets have SO_REUSEADDR. Listeners had it, connections to upstreams, to the store and to peers did not.

They get it right after the connect has begun. The kernel looks at the option when the port is bound, and a TIME_WAIT inherits it, so no socket has to be created ahead of the connect. It does not change which port the kernel chooses, and two listeners at one address remain impossible.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -44,6 +44,11 @@
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
+void allowListeningOnLocalPort(int Socket) {
+  if (Socket >= 0)
+    setOption(Socket, SOL_SOCKET, SO_REUSEADDR, 1);
+}
+
 bool hasUnacknowledgedBytes(int Socket) {
   int Bytes = 0;
   return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
--- a/src/connection/BufferedSocket.h
+++ b/src/connection/BufferedSocket.h
@@ -30,6 +30,12 @@
 /// window holds back, ends the connection.
 void setUserTimeout(int Socket, Duration Timeout);
 
+/// Lets a listener take the local port of an outgoing connection while the
+/// connection is open and in its TIME_WAIT. Without this, the next process of
+/// this machine that listens on the port would have to wait. Does nothing if
+/// \p Socket is negative.
+void allowListeningOnLocalPort(int Socket);
+
 /// Returns whether the kernel holds bytes that the peer has not acknowledged.
 bool hasUnacknowledgedBytes(int Socket);
 
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "connection/HttpClient.h"
 
+#include "connection/BufferedSocket.h"
 #include "process/CallbackGuard.h"
 
 #include <event2/buffer.h>
@@ -102,6 +103,7 @@
       this->finishLater(HttpEnd::ConnectFailed);
       return;
     }
+    allowListeningOnLocalPort(bufferevent_getfd(Stream));
     this->checkTimeouts();
   }
 
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "connection/PeerLink.h"
 
+#include "connection/BufferedSocket.h"
 #include "process/ErrorKind.h"
 
 #include <arpa/inet.h>
@@ -105,6 +106,8 @@
                                  reinterpret_cast<sockaddr *>(&Address),
                                  sizeof(Address)) != 0)
     Result->close("cannot connect to " + To.toString());
+  else
+    allowListeningOnLocalPort(bufferevent_getfd(Result->Stream));
   return Result;
 }
 
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -158,9 +158,12 @@
       },
       this);
   const sockaddr_in Address = socketAddressOf(this->To);
-  return bufferevent_socket_connect(
-             this->Event.get(), reinterpret_cast<const sockaddr *>(&Address),
-             sizeof Address) == 0;
+  const bool IsStarted =
+      bufferevent_socket_connect(this->Event.get(),
+                                 reinterpret_cast<const sockaddr *>(&Address),
+                                 sizeof Address) == 0;
+  allowListeningOnLocalPort(bufferevent_getfd(this->Event.get()));
+  return IsStarted;
 }
 
 void UpstreamConnection::begin(UpstreamExchange &For, std::string Text,
--- a/tests/BindRetryTest.cpp
+++ b/tests/BindRetryTest.cpp
@@ -2,6 +2,8 @@
 
 #include "RawSocket.h"
 #include "connection/CallListener.h"
+#include "connection/HttpClient.h"
+#include "connection/UpstreamPool.h"
 #include "process/ErrorKind.h"
 
 #include <gtest/gtest.h>
@@ -83,6 +85,63 @@
   EXPECT_EQ(this->call(), "answer");
 }
 
+// Guards against a start that waits for the end of an outgoing connection of
+// another of our processes, or for up to a minute of its TIME_WAIT.
+TEST_F(BindRetryTest, OutgoingConnectionsDoNotHoldThePort) {
+  // The kernel may give a port to connections of other programs, too, which do
+  // hold it.
+  constexpr std::size_t Count = 10;
+  const RawListener Server;
+  UpstreamPool Pool(this->Loop);
+  HttpClient Client(this->Loop);
+  const auto CountListenable = [&](const std::vector<SocketAddress> &Ports) {
+    std::size_t Result = 0;
+    for (const SocketAddress &Each : Ports) {
+      this->Address = Each;
+      Result += this->listen("")->isBound();
+    }
+    return Result;
+  };
+  const auto Check = [&](const std::function<std::shared_ptr<void>()> &Start) {
+    std::vector<std::shared_ptr<void>> Outgoing;
+    std::vector<std::unique_ptr<RawSocket>> Accepted;
+    std::vector<SocketAddress> Ports;
+    for (std::size_t I = 0; I < Count; ++I)
+      Outgoing.push_back(Start());
+    ASSERT_TRUE(this->Loop.runUntil(
+        [&] {
+          const int Next = Server.accept();
+          if (Next >= 0) {
+            sockaddr_in Peer{};
+            socklen_t Size = sizeof Peer;
+            getpeername(Next, reinterpret_cast<sockaddr *>(&Peer), &Size);
+            Ports.push_back({"127.0.0.1", ntohs(Peer.sin_port)});
+            Accepted.push_back(std::make_unique<RawSocket>(Next));
+          }
+          return Ports.size() == Count;
+        },
+        2s));
+    EXPECT_GT(CountListenable(Ports), 0U) << "open";
+    Outgoing.clear();
+    EXPECT_TRUE(this->Loop.runUntil(
+        [&] {
+          return std::all_of(Accepted.begin(), Accepted.end(),
+                             [](const auto &Each) { return Each->hasEnded(); });
+        },
+        2s));
+    Accepted.clear();
+    EXPECT_GT(CountListenable(Ports), 0U) << "in TIME_WAIT";
+  };
+  Check([&]() -> std::shared_ptr<void> {
+    return Pool.start(Server.Address, "GET / HTTP/1.1\r\n\r\n", {}, {});
+  });
+  Check([&]() -> std::shared_ptr<void> {
+    return Client.start(
+        HttpCallBuilder(Server.Address).get("/").newConnection().build(),
+        {.OnDone = [](const HttpResult &) {}});
+  });
+}
+
 // Guards against a start that fails while descriptors are short.
 TEST_F(BindRetryTest, WaitsForADescriptor) {
   rlimit Before{};
