DaemonProcess: galenarouted waits for addresses that are in use

What was seen: galenarouted ended with 1 if its address for callers or for peers was in use at the start, as galenaroute-platform did.

Cause: HttpServer::listen and PeerNetwork::start throw on any error of bind.

Both now have a variant that returns the errno, and DaemonProcess binds through BindRetry: first the peer address, without accepting links, then the address for callers, and then it joins the other daemons. Members are named to callers, so a daemon must not be one before it accepts calls. A stop cancels the wait.

Evidence: TheOwnDaemonWaitsForItsAddresses fails with the program of before, which ends, and passes now: one of two daemons that wait for addresses held by connections is stopped and ends with 0, the other one serves once both addresses are free.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -2,6 +2,8 @@
 
 #include "process/ErrorKind.h"
 
+#include <cerrno>
+#include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -257,16 +259,24 @@
 HttpServer::~HttpServer() { evhttp_free(this->Http); }
 
 std::uint16_t HttpServer::listen(const SocketAddress &Address) {
+  if (const int Failure = this->tryListen(Address))
+    throw Error(ErrorKind::Internal, "cannot listen at " + Address.toString() +
+                                         ": " + std::strerror(Failure));
+  return this->Port;
+}
+
+int HttpServer::tryListen(const SocketAddress &Address) {
+  errno = 0;
   this->Socket = evhttp_bind_socket_with_handle(
       this->Http, Address.Host.c_str(), Address.Port);
   if (!this->Socket)
-    throw Error(ErrorKind::Internal, "cannot listen at " + Address.Host + ":" +
-                                         std::to_string(Address.Port));
+    return errno != 0 ? errno : EINVAL; // The host name has no address.
   sockaddr_in Bound{};
   socklen_t Size = sizeof(Bound);
   getsockname(evhttp_bound_socket_get_fd(this->Socket),
               reinterpret_cast<sockaddr *>(&Bound), &Size);
-  return ntohs(Bound.sin_port);
+  this->Port = ntohs(Bound.sin_port);
+  return 0;
 }
 
 void HttpServer::stopListening() {
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -120,9 +120,15 @@
   void handle(Handler Handle) { this->Handle = std::move(Handle); }
 
   /// Accepts connections at \p Address; returns the port, which is chosen by
-  /// the kernel where \p Address has port zero.
+  /// the kernel where \p Address has port zero. Throws Error(Internal) when
+  /// that fails.
   std::uint16_t listen(const SocketAddress &Address);
 
+  /// The same without an exception: returns zero, or an errno. For BindRetry.
+  int tryListen(const SocketAddress &Address);
+  /// Returns the port of the last successful listen() or tryListen().
+  std::uint16_t port() const { return this->Port; }
+
   /// Accepts no more connections; open ones go on.
   void stopListening();
 
@@ -136,6 +142,7 @@
   EventLoop &Loop;
   evhttp *Http;
   evhttp_bound_socket *Socket = nullptr;
+  std::uint16_t Port = 0;
   Handler Handle;
   std::shared_ptr<std::size_t> Unsent = std::make_shared<std::size_t>(0);
 };
--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -86,12 +86,25 @@
 
 std::uint16_t Daemon::start() {
   const DaemonSettings &Settings = this->Deps.Settings;
-  const std::uint16_t Port = this->Server.listen(Settings.Listen);
+  this->Server.listen(Settings.Listen);
+  this->logStarted();
+  return this->Server.port();
+}
+
+int Daemon::tryStart() {
+  const int Failure = this->Server.tryListen(this->Deps.Settings.Listen);
+  if (Failure == 0)
+    this->logStarted();
+  return Failure;
+}
+
+void Daemon::logStarted() const {
+  const DaemonSettings &Settings = this->Deps.Settings;
   log(LogLevel::Info, "daemon.started",
       {{"node", Settings.NodeId},
        {"zone", Settings.Zone},
-       {"listen", Settings.Listen.Host + ":" + std::to_string(Port)}});
-  return Port;
+       {"listen",
+        Settings.Listen.Host + ":" + std::to_string(this->Server.port())}});
 }
 
 std::vector<EntryAddress> Daemon::entries() const {
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -26,8 +26,11 @@
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
 
-  /// Starts listening for callers. Returns the bound port.
+  /// Starts listening for callers. Returns the bound port. Throws Error if the
+  /// address cannot be bound.
   std::uint16_t start();
+  /// The same without an exception: returns zero or an errno.
+  int tryStart();
 
   /// Begins a graceful stop. Further calls have no effect.
   void drain();
@@ -56,6 +59,7 @@
     std::shared_ptr<Timeline> Events;
   };
   explicit Daemon(Parts Deps);
+  void logStarted() const;
   void finish();
   void stopIfIdle();
   std::vector<EntryAddress> entries() const;
--- a/src/process/DaemonProcess.cpp
+++ b/src/process/DaemonProcess.cpp
@@ -11,7 +11,8 @@
 static constexpr auto OrderTimeout = std::chrono::milliseconds(1000);
 
 DaemonProcess::DaemonProcess(EventLoop &Loop, const DaemonSettings &Settings)
-    : PlatformHttp(Loop), Api(PlatformHttp, Settings.Platform),
+    : Loop(Loop), Callers(Settings.Listen), PeerAddress(Settings.PeerListen),
+      PlatformHttp(Loop), Api(PlatformHttp, Settings.Platform),
       Events(
           std::make_shared<Timeline>(Settings.NodeId, Settings.TimelineEvents)),
       Config(std::make_shared<ConfigWatcher>(Api, Loop.timers(),
@@ -47,9 +48,36 @@
 DaemonProcess::~DaemonProcess() = default;
 
 void DaemonProcess::start() {
-  this->Node->start();
+  this->PeerBinding.emplace(this->Loop, this->PeerAddress,
+                            [this] { return this->listenForPeers(); });
+}
+
+int DaemonProcess::listenForPeers() {
+  if (const int Failure = this->Peers.network().tryListen())
+    return Failure;
+  this->CallerBinding.emplace(this->Loop, this->Callers,
+                              [this] { return this->listenForCallers(); });
+  return 0;
+}
+
+/// Joins the other daemons, which name this one to callers, once it accepts
+/// calls.
+int DaemonProcess::listenForCallers() {
+  if (const int Failure = this->Node->tryStart())
+    return Failure;
   this->Peers.start();
   this->ConfigsOfPeers.start();
+  return 0;
+}
+
+void DaemonProcess::drain() {
+  // A process that is about to end must not take the addresses from its
+  // successor.
+  for (std::optional<BindRetry> *Each :
+       {&this->PeerBinding, &this->CallerBinding})
+    if (*Each)
+      (*Each)->cancel();
+  this->Node->drain();
 }
 
 bool DaemonProcess::isPreferredFor(std::string_view Service) const {
--- a/src/process/DaemonProcess.h
+++ b/src/process/DaemonProcess.h
@@ -14,11 +14,14 @@
 #ifndef GALENAROUTE_PROCESS_DAEMONPROCESS_H
 #define GALENAROUTE_PROCESS_DAEMONPROCESS_H
 
+#include "connection/BindRetry.h"
 #include "process/ConfigPeers.h"
 #include "process/Daemon.h"
 #include "process/PeerServices.h"
 #include "version/OrderController.h"
 
+#include <optional>
+
 namespace galenaroute {
 
 class DaemonProcess {
@@ -28,19 +31,26 @@
   DaemonProcess(const DaemonProcess &) = delete;
   DaemonProcess &operator=(const DaemonProcess &) = delete;
 
-  /// Starts listening for callers and peers and watching the platform.
+  /// Starts listening for callers and peers and watching the platform, as soon
+  /// as both addresses are available; see BindRetry. Throws Error if one of
+  /// them is none on which this process may listen.
   void start();
 
   /// Begins a graceful stop.
-  void drain() { this->Node->drain(); }
+  void drain();
 
   /// Emitted when a graceful stop is complete.
   sigc::signal<void()> Stopped;
 
 private:
+  int listenForPeers();
+  int listenForCallers();
   bool isPreferredFor(std::string_view Service) const;
   void onVms(const std::vector<VmRecord> &Vms);
 
+  EventLoop &Loop;
+  SocketAddress Callers;
+  SocketAddress PeerAddress;
   HttpClient PlatformHttp;
   HttpPlatform Api;
   std::shared_ptr<Timeline> Events;
@@ -50,6 +60,8 @@
   std::unique_ptr<Daemon> Node;
   HttpUpstreamOrders UpstreamCalls;
   std::unique_ptr<OrderController> Orders;
+  std::optional<BindRetry> CallerBinding;
+  std::optional<BindRetry> PeerBinding;
 };
 
 } // namespace galenaroute
--- a/src/process/PeerNetwork.cpp
+++ b/src/process/PeerNetwork.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
 #include <event2/listener.h>
 #include <event2/util.h>
 
@@ -60,7 +62,8 @@
     evconnlistener_free(this->Listener);
 }
 
-void PeerNetwork::start() {
+int PeerNetwork::tryListen() {
+  errno = 0;
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(this->Settings.Listen.Port);
@@ -70,13 +73,24 @@
         this->Loop.base(),
         [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
            void *Self) { static_cast<PeerNetwork *>(Self)->accept(Socket); },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, /*backlog=*/128,
-        reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_DISABLED,
+        /*backlog=*/128, reinterpret_cast<sockaddr *>(&Address),
+        sizeof(Address));
   if (!this->Listener)
+    return errno != 0 ? errno : EINVAL; // The host is no IPv4 address.
+  return 0;
+}
+
+void PeerNetwork::start() {
+  const int Failure = this->Listener ? 0 : this->tryListen();
+  if (Failure != 0)
     throw Error(ErrorKind::Internal, "cannot listen for peers at " +
-                                         this->Settings.Listen.toString());
+                                         this->Settings.Listen.toString() +
+                                         ": " + std::strerror(Failure));
+  evconnlistener_enable(this->Listener);
   MemberInfo &Self = this->State.Self;
   if (Self.PeerAddress.Port == 0) {
+    sockaddr_in Address{};
     socklen_t Size = sizeof(Address);
     getsockname(evconnlistener_get_fd(this->Listener),
                 reinterpret_cast<sockaddr *>(&Address), &Size);
--- a/src/process/PeerNetwork.h
+++ b/src/process/PeerNetwork.h
@@ -61,9 +61,12 @@
   PeerNetwork(const PeerNetwork &) = delete;
   PeerNetwork &operator=(const PeerNetwork &) = delete;
 
-  /// Binds the socket and starts to connect to other daemons. Throws Error if
-  /// the address cannot be bound.
+  /// Binds the socket, unless tryListen() has done so, and starts to connect to
+  /// other daemons. Throws Error if the address cannot be bound.
   void start();
+  /// Binds the socket; links are accepted from start() on. Returns zero or an
+  /// errno.
+  int tryListen();
 
   /// Calls \p Handle for each message of \p Type.
   void handle(const std::string &Type, Handler Handle);
--- a/tests/process/AddressInUseProcessTest.cpp
+++ b/tests/process/AddressInUseProcessTest.cpp
@@ -202,5 +202,35 @@
   EXPECT_EQ(Waiting.wait(std::chrono::seconds(this->Places.GraceSeconds)), 0);
 }
 
+// Guards against a start of the product's own daemon that fails while one of
+// its addresses is in use, and against a stop that fails then.
+TEST_F(AddressInUseProcessTest, TheOwnDaemonWaitsForItsAddresses) {
+  const Program &Platform = this->Harness.startEmulator("platform", {});
+  const SocketAddress Callers = ProcessHarness::freeAddress();
+  const SocketAddress Peers = ProcessHarness::freeAddress();
+  const auto Start = [&]() -> Program & {
+    Program &Result = this->Harness.start(
+        "galenarouted",
+        {"--listen", Callers.toString(), "--peer-listen", Peers.toString(),
+         "--platform", Platform.address().toString(), "--zone", "z", "--seeds",
+         Peers.toString(), "--keep-ms", "200"});
+    Result.setAddress(Callers);
+    return Result;
+  };
+  const auto CallerHolder = this->connectFrom(Callers);
+  const auto PeerHolder = this->connectFrom(Peers);
+  Program &Stopped = Start();
+  Program &Waiting = Start();
+  for (const Program *Each : {&Stopped, &Waiting})
+    this->waitForLog(*Each, "listen.waiting", Peers);
+  Stopped.signal(SIGTERM);
+  EXPECT_EQ(Stopped.wait(10s), 0);
+  PeerHolder->reset();
+  this->waitForLog(Waiting, "listen.waiting", Callers);
+  CallerHolder->reset();
+  this->Harness.waitUntilAnswers(Waiting, "/v1/status");
+  EXPECT_EQ(Waiting.stop(), 0);
+}
+
 } // namespace
 } // namespace galenaroute
