--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -69,11 +69,16 @@
         });
   }
 
+  /// Connects without letting the listener accept.
+  std::vector<std::unique_ptr<RawSocket>> queue(std::size_t Count) {
+    std::vector<std::unique_ptr<RawSocket>> Callers(Count);
+    for (std::unique_ptr<RawSocket> &Each : Callers)
+      Each = std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+    return Callers;
+  }
+
   std::vector<std::unique_ptr<RawSocket>> connect(std::size_t Count) {
-    std::vector<std::unique_ptr<RawSocket>> Callers;
-    for (std::size_t I = 0; I < Count; ++I)
-      Callers.push_back(
-          std::make_unique<RawSocket>(RawSocket::connectTo(this->Address)));
+    auto Callers = this->queue(Count);
     this->runFor(50ms);
     return Callers;
   }
@@ -455,10 +460,7 @@
   this->listen({.MaxConnections = 100});
   this->OnCall = refuseBeyondLimit;
   const auto Held = this->connect(100);
-  std::vector<std::unique_ptr<RawSocket>> Callers;
-  for (int I = 0; I < 600; ++I)
-    Callers.push_back(
-        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address)));
+  const auto Callers = this->queue(600);
   for (const auto &Each : Callers)
     Each->write(Request);
   this->runFor(1s);
@@ -487,10 +489,7 @@
 // and takes all processor time.
 TEST_F(CallerConnectionTest, WithoutDescriptorsItWaitsForAConnectionToClose) {
   this->listen({});
-  std::vector<std::unique_ptr<RawSocket>> Callers;
-  for (int I = 0; I < 40; ++I)
-    Callers.push_back(
-        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address)));
+  const auto Callers = this->queue(40);
   for (const auto &Each : Callers)
     Each->write(Request);
   const FewDescriptors Limit(10);
--- a/tests/process/LostRequestProcessTest.cpp
+++ b/tests/process/LostRequestProcessTest.cpp
@@ -42,7 +42,8 @@
           std::vector<std::string>{
               "-c", R"(ulimit -n "$0" && exec "$1" --settings "$2")",
               std::to_string(Descriptors),
-              GALENAROUTE_BUILD_DIR "/galenaroute-platform", this->Settings},
+              std::string(GALENAROUTE_BUILD_DIR) + "/galenaroute-platform",
+              this->Settings},
           this->Harness.folder() + "/limited.log");
       this->Daemon = this->LimitedDaemon.get();
     }
@@ -210,10 +211,10 @@
 TEST_F(LostRequestProcessTest, BesideIdleCallersOfAProcessWithFewDescriptors) {
   this->start({{"idleTimeoutMs", 5000}}, 300);
   this->connect();
-  std::vector<std::unique_ptr<RawSocket>> Idle;
-  for (int I = 0; I < 400; ++I)
-    Idle.push_back(std::make_unique<RawSocket>(
-        RawSocket::connectTo(this->Places.callerAddress(0))));
+  std::vector<std::unique_ptr<RawSocket>> Idle(400);
+  for (std::unique_ptr<RawSocket> &Each : Idle)
+    Each = std::make_unique<RawSocket>(
+        RawSocket::connectTo(this->Places.callerAddress(0)));
   this->wait(300ms);
   this->send();
   EXPECT_EQ(this->answered(), this->Callers.size());
