process soak: requests that are read late are told apart; no long silences

An upstream that stood still before it had read a request reads it afterwards, at times together with the close of its connection. The check reported this as work that went on; it is now a promise of its own, with the same bound.

SIGSTOPs of one upstream that overlapped made a silence of 2.9 s, longer than the 2 s after which it counts as out of reach, and the check saw only the single ones. An upstream that stands still gets no second one.

--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -158,7 +158,7 @@
       continue;
     const auto &Works = worksOf(History, Id);
     Duration Longest = Duration::zero();
-    std::string What;
+    BrokenPromise Worst;
     for (const WorkView &Second : Works)
       for (const WorkView &First : Works) {
         if (&First == &Second || !Second.BegunAt ||
@@ -182,11 +182,18 @@
             IsExcused(History.StoreFreezes, Duration::zero()))
           continue;
         Longest = Late;
-        What = First.Upstream + " was at work " + milliseconds(Late) +
-               " after " + Second.Upstream + " had begun";
+        const bool HasBegunLater = First.AcceptedAt > *Second.BegunAt;
+        Worst = {HasBegunLater ? "the upstream before does not begin later"
+                               : "the upstream before has stopped",
+                 Id,
+                 First.Upstream +
+                     (HasBegunLater ? " read the request later, and was done "
+                                    : " was at work ") +
+                     milliseconds(Late) + " after " + Second.Upstream +
+                     " had begun"};
       }
     if (Longest > Duration::zero())
-      Found.push_back({"the upstream before has stopped", Id, What});
+      Found.push_back(Worst);
   }
 }
 
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -328,14 +328,15 @@
 
 void ProcessRun::silenceUpstream(std::size_t Index, Duration For) {
   UpstreamPart &Part = this->Upstreams[Index];
-  if (!Part.Child)
-    return;
   const TimePoint From = EventLoop::now();
-  Part.SilentUntil = std::max(Part.SilentUntil, From + For);
+  // Silences that overlap would be longer than the longest that is drawn.
+  if (!Part.Child || From < Part.SilentUntil)
+    return;
+  Part.SilentUntil = From + For;
   Part.Child->signal(SIGSTOP);
   this->after(For, [this, Index, From, Id = Part.Id] {
     UpstreamPart &Again = this->Upstreams[Index];
-    if (Again.Id == Id && Again.Child && EventLoop::now() >= Again.SilentUntil)
+    if (Again.Id == Id && Again.Child)
       Again.Child->signal(SIGCONT);
     this->History.Silences[Id].push_back({From, EventLoop::now()});
   });
