daemons: block the control signals before the libraries are loaded

A SIGHUP, SIGTERM or SIGINT between exec and main() took its default action and ended the process: a planned stop counted as a crash, a change of the settings ended a process that had just been started.

Most of that time is the dynamic linker's, which maps and relocates ten libraries before any code of the program runs; DT_PREINIT_ARRAY comes after it. They block the signals, then load the daemon as a library from their own folder.

StartSignalsProcessTest.AReloadWhileLibrariesAreLoadedIsHandled sends SIGHUP as soon as the C++ library shows in the process's memory map.

What is left is the time that the kernel and the linker take for the C library.

--- a/src/process/DaemonMain.cpp
+++ b/src/process/DaemonMain.cpp
@@ -1,3 +1,4 @@
+#include "process/DaemonEntry.h"
 #include "process/DaemonProcess.h"
 #include "process/FatalSignals.h"
 #include "process/Log.h"
@@ -20,8 +21,7 @@
   return 0;
 }
 
-int main(int Argc, char **Argv) {
-  blockControlSignals();
+int runDaemon(int Argc, char **Argv) {
   reportFatalSignals("galenarouted");
   const std::vector<std::string> Arguments(Argv + 1, Argv + Argc);
   const SettingsResult Read = readSettings(Arguments);
--- a/src/process/ProcessSignals.h
+++ b/src/process/ProcessSignals.h
@@ -1,8 +1,8 @@
 // Signals that reach a daemon before its event loop handles them.
 //
-//   int main() {
-//     blockControlSignals();      // first, before any thread is started
-//     ...
+//   blockControlSignals();        // first in main(), see LaunchMain.cpp
+//   ...
+//   int runDaemon(...) {
 //     Loop.onSignal(SIGTERM, ...);
 //     unblockControlSignals();    // once all handlers are installed
 //
--- a/tests/process/StartSignalsProcessTest.cpp
+++ b/tests/process/StartSignalsProcessTest.cpp
@@ -77,6 +77,40 @@
   EXPECT_EQ(this->Daemon->stop(), 0);
 }
 
+/// Returns whether the process runs the daemon and has begun to load the C++
+/// library.
+bool hasBegunToLoad(pid_t Process) {
+  std::ifstream File("/proc/" + std::to_string(Process) + "/maps");
+  const std::string Maps{std::istreambuf_iterator<char>(File), {}};
+  return Maps.find("/galenaroute-platform") != std::string::npos &&
+         Maps.find("/libstdc++") != std::string::npos;
+}
+
+// Guards against a signal that ends a process while its libraries are loaded.
+TEST_F(StartSignalsProcessTest, AReloadWhileLibrariesAreLoadedIsHandled) {
+  static constexpr int Starts = 20;
+  const std::string Settings = this->Harness.folder() + "/settings.pipe";
+  ASSERT_EQ(mkfifo(Settings.c_str(), 0600), 0);
+  for (int I = 0; I < Starts; ++I) {
+    Program &Started =
+        this->Harness.start("galenaroute-platform", {"--settings", Settings});
+    const TimePoint Begun = Clock::now();
+    while (!hasBegunToLoad(Started.id()) && Clock::now() - Begun < 15s) {
+    }
+    Started.signal(SIGHUP);
+    // The daemon opens its settings once it is loaded.
+    int Writer = -1;
+    this->Harness.waitFor("the daemon or its end", [&] {
+      Writer = open(Settings.c_str(), O_WRONLY | O_NONBLOCK);
+      return Writer >= 0 || !Started.isRunning();
+    });
+    ASSERT_GE(Writer, 0) << "start " << I << " ended with " << Started.wait(1s);
+    Started.signal(SIGKILL);
+    Started.wait(15s);
+    ::close(Writer);
+  }
+}
+
 // Guards against a planned stop that ends a process as a kill would.
 TEST_F(StartSignalsProcessTest, AStopDuringTheStartIsAPlannedStop) {
   ASSERT_NO_FATAL_FAILURE(this->startWaiting());
