process soak: an upstream that breaks off inside an answer is an excuse

The check of whole requests excused an upstream that broke off only where the caller had seen the head of the answer. The rule does not count answers that the server broke off. A request whose upstream was killed before it began still needs an answer.

--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -210,10 +210,14 @@
   }
 }
 
-/// Whether an upstream may have ended the answer.
+/// Whether an upstream may have ended the answer. One that the caller has seen
+/// nothing of must have begun: what the daemon had not sent yet is lost when it
+/// resets the connection.
 static bool mayBeBroken(const ProcessHistory &History, const RequestView &Of,
                         const std::vector<WorkView> &Works) {
   return std::any_of(Works.begin(), Works.end(), [&](const WorkView &Each) {
+    if (Of.End == RequestEnd::None && !Each.BegunAt)
+      return false;
     const auto End = History.UpstreamEnds.find(Each.Upstream);
     return Each.HasBroken ||
            (End != History.UpstreamEnds.end() && !Each.HasEnded &&
@@ -258,7 +262,7 @@
         Time >= Bounds.Timeout - TimerSlack ||
         // A request that crosses the close of its connection was not read.
         (HasNone && Works.empty() && Time <= Bounds.LossSlack) ||
-        (!HasNone && mayBeBroken(History, Request, Works)))
+        mayBeBroken(History, Request, Works))
       continue;
     Found.push_back({HasNone ? "a whole request gets an answer"
                              : "an answer is carried to its end",
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -37,6 +37,9 @@
 static constexpr ProcessLimits DaemonLimits{.Files = 4200,
                                             .MemoryBytes = 110'000'000};
 static constexpr std::size_t CallersOfProcess = 100;
+/// What differs between two settings files of a daemon.
+static constexpr std::string_view ChangedSetting = "budgetSlack = ";
+static constexpr int LeastSlack = 54;
 static constexpr int UpstreamPort = 9000;
 static constexpr int LockPort = 9999;
 static constexpr int Networks = 200;
@@ -299,7 +302,11 @@
   else
     std::ofstream(Path) << Meanwhile;
   this->after(Half, [this, Index, Path, HangsUp] {
-    std::ofstream(Path) << readText(Path + ".whole");
+    std::string Text = readText(Path + ".whole");
+    const std::size_t At = Text.find(ChangedSetting) + ChangedSetting.size();
+    Text.replace(At, Text.find('\n', At) - At,
+                 std::to_string(LeastSlack + ++this->Rewrites));
+    std::ofstream(Path) << Text;
     if (HangsUp)
       this->signalDaemon(Index, SIGHUP);
   });
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -126,6 +126,7 @@
   std::vector<DaemonPart> Daemons;
   std::vector<UpstreamPart> Upstreams;
   std::vector<std::string> UpstreamIds;
+  int Rewrites = 0; ///< Of settings files.
   std::uint64_t ConfigVersion = 0;
   std::uint64_t ConfigRevision = 0;
   bool IsConfiguring = false;
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -1,6 +1,7 @@
 // Shows of each check of the process soak that it can fail, with faked
 // histories.
 
+#include "ChildProcess.h"
 #include "Journal.h"
 #include "PlainHttp.h"
 #include "ProcessChecks.h"
@@ -8,7 +9,11 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <thread>
+#include <unistd.h>
 
 namespace galenaroute::process_soak {
 namespace {
@@ -211,6 +216,12 @@
   Work.HasBroken = false;
   this->History.UpstreamEnds["u1"] = Start + 800ms;
   EXPECT_EQ(this->broken(checkAnswers), "0");
+  // Its head may be lost with it, but only if there was one.
+  this->History.Requests["a"].End = RequestEnd::None;
+  EXPECT_EQ(this->broken(checkAnswers), "0");
+  Work.BegunAt.reset();
+  EXPECT_EQ(this->broken(checkAnswers), "a whole request gets an answer");
+  this->History.Requests["a"].End = RequestEnd::Cut;
   this->History.UpstreamEnds["u1"] = Start + 2s;
   EXPECT_EQ(this->broken(checkAnswers), Broken);
 }
@@ -305,6 +316,23 @@
   EXPECT_FALSE(Reader.isMalformed());
 }
 
+// Guards against daemons that play without the limits of their machine.
+TEST_F(ProcessSoakChecksTest, ProcessesHaveTheirLimits) {
+  const std::string Log =
+      testing::TempDir() + "process_soak_limits" + std::to_string(getpid());
+  {
+    ChildProcess Child("/bin/sh", {"-c", "ulimit -n; ulimit -v; kill -TERM $$"},
+                       Log, {.Files = 4200, .MemoryBytes = 112'640'000});
+    while (!Child.poll())
+      std::this_thread::sleep_for(1ms);
+    EXPECT_EQ(Child.exitCode(), -SIGTERM);
+  }
+  std::ifstream File(Log);
+  const std::string Text{std::istreambuf_iterator<char>(File), {}};
+  EXPECT_EQ(Text, "4200\n110000\n");
+  std::filesystem::remove(Log);
+}
+
 TEST_F(ProcessSoakChecksTest, TheSeedDecidesThePlan) {
   const auto Times = [](std::uint64_t Seed) {
     std::vector<Duration> Result;
