--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -305,18 +305,23 @@
 
 void checkRecovery(const ProcessHistory &History, const ProcessBounds &Bounds,
                    BrokenPromises &Found) {
-  std::size_t Sent = 0;
-  std::size_t Served = 0;
+  struct {
+    std::size_t Sent = 0;
+    std::size_t Served = 0;
+    bool isServed() const { return this->Served * 4 >= this->Sent; }
+  } Before, After;
   for (const auto &[Id, Request] : History.Requests) {
-    if (Request.SentAt < History.LastFaultAt + Bounds.Recovery)
+    if (Request.SentAt >= History.LastFaultAt &&
+        Request.SentAt < History.LastFaultAt + Bounds.Recovery)
       continue;
-    ++Sent;
-    Served += Request.Status == 200 && Request.End == RequestEnd::Whole;
+    auto &Count = Request.SentAt < History.LastFaultAt ? Before : After;
+    ++Count.Sent;
+    Count.Served += Request.Status == 200 && Request.End == RequestEnd::Whole;
   }
-  if (Sent < FewestRecovered || Served * 4 < Sent)
+  if (After.Sent < FewestRecovered || (Before.isServed() && !After.isServed()))
     Found.push_back({"service recovers", "",
-                     std::to_string(Served) + " of " + std::to_string(Sent) +
-                         " requests were served"});
+                     std::to_string(After.Served) + " of " +
+                         std::to_string(After.Sent) + " requests were served"});
 }
 
 BrokenPromises checkProcesses(const ProcessHistory &History,
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -253,6 +253,11 @@
   for (auto &[Id, Each] : this->History.Requests)
     Each.Status = 503;
   EXPECT_EQ(this->broken(checkRecovery), "service recovers");
+  // Callers asked for more than upstreams could serve from the beginning.
+  this->request("before", "safe").SentAt = Start - 1s;
+  EXPECT_EQ(this->broken(checkRecovery), "service recovers");
+  this->History.Requests["before"].Status = 503;
+  EXPECT_EQ(this->broken(checkRecovery), "0");
 }
 
 // Guards against histories that are read wrongly, so that checks see nothing.
