ForwardRun: no stream goes on elsewhere beside a process that stands still

The stall limit, 0.4 to 0.8 s, allowed a second send beside a silent one, and the first event of the second cancelled the first. A process that stands still (SIGSTOP of 0.2 to 1.8 s; its kernel acknowledges) notices the cancellation only when it goes on.

A stream, or a call to a model engine, is now tried elsewhere only while each send in flight is explained: its link acknowledges nothing in two checks, its connection is not established, its upstream sends bytes of other answers, or nothing came from it for 1.6 s beyond the time in which an event is due. One that goes on within 2 s then notices the cancellation within the 0.4 s that the rule allows. Evidence is checked at the stall limit, every 100 ms, and again when a queued call is sent. The same class: a stream withdrawn for older weights went on elsewhere at once; it waits for the same evidence. Plain calls that may be repeated keep the stall limit, see docs/decisions.md. An event without a number no longer counts as progress of a numbered stream for the limits. Time during which this process makes an upstream wait is no silence.

StandstillTest plays 60 drawn silences: 25 overlaps of more than 400 ms before, none after. A second upstream is tried 1.1 to 1.2 s after the last event beside a dead link and 0.8 s beside a busy upstream, as before; beside a process that is silent for good after 1.6 s, before 0.4 to 0.8 s. Failing before: the five of Drawn/StandstillTest, StandstillForGoodTest.*, SilentStreamTest.AQueuedStreamIsSentOnRecentEvidenceOnly, AWithdrawnStreamWaitsUntilItsUpstreamIsHeard.

Two tests of SilentUpstreamTest let the silence last until a second upstream may be tried, 1.5 s and 2.1 s instead of 0 and 0.9 s, since the queue that they check is not reached earlier; their checks are the same. SilenceTableTest (60) with its bound of 2.5 s, ForwardRunTest, SilentUpstreamTest, SilentLinkTest, WeightsDeadlineTest, CrashingCall*, LapsedEntries*, PlannedStop*, UpstreamPoolTest and UpstreamTable* pass.

--- a/src/request/ForwardRules.cpp
+++ b/src/request/ForwardRules.cpp
@@ -55,6 +55,11 @@
   return "unknown";
 }
 
+Duration maxSilence(const ForwardRoute &Route, bool HasBegun) {
+  return (HasBegun ? Route.GapTarget : Route.Target) + MaxSoundSilence -
+         MaxOverlap;
+}
+
 Silence explainSilence(const SilentSend &Send) {
   if (!Send.WasSent)
     return Silence::NotSent;
@@ -62,7 +67,7 @@
     return Silence::Link;
   if (Send.SinceHeard < Send.SinceProgress && Send.SinceHeard <= MaxHeardAge)
     return Silence::Busy;
-  return Send.SinceHeard >= MaxSoundSilence ? Silence::TooLong
+  return Send.SinceHeard >= Send.MaxSilence ? Silence::TooLong
                                             : Silence::Unexplained;
 }
 
--- a/src/request/ForwardRules.h
+++ b/src/request/ForwardRules.h
@@ -62,6 +62,7 @@
   Duration LinkSilentFor{}; ///< Zero while its link acknowledges.
   Duration SinceProgress{};
   Duration SinceHeard{}; ///< Since the upstream sent bytes of any answer.
+  Duration MaxSilence{}; ///< See maxSilence().
 };
 
 /// How long checks must find a link silent. A probe that was just sent looks
@@ -70,8 +71,16 @@
 /// An upstream that was heard within this time works. Less than any stall
 /// limit, so that it was heard well after the progress of a stalled send.
 inline constexpr Duration MaxHeardAge = std::chrono::milliseconds(300);
-/// A sound upstream may be silent for a second or so.
+/// Beyond the time in which an answer is due, a sound upstream may be silent
+/// for a second or so.
 inline constexpr Duration MaxSoundSilence = std::chrono::seconds(2);
+/// How long an upstream may go on with a call that goes on at another one.
+inline constexpr Duration MaxOverlap = std::chrono::milliseconds(400);
+
+/// Returns the time without a byte after which a call of \p Route may go on at
+/// another upstream: one that goes on later was silent for longer than a sound
+/// one.
+Duration maxSilence(const ForwardRoute &Route, bool HasBegun);
 
 /// Returns what explains the silence of \p Send.
 Silence explainSilence(const SilentSend &Send);
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -42,6 +42,7 @@
   this->BacklogSent.disconnect();
   this->ProcessEnding.disconnect();
   this->RefusalsConnection.disconnect();
+  this->WithdrawalTimer.disconnect();
 }
 
 /// Returns a random number, uniform in [0, 1).
@@ -218,6 +219,12 @@
   this->WaitingSince = EventLoop::now();
   if (this->endIfBlocked() || this->refuseIfNoCapacity())
     return;
+  if (!this->isWithdrawnFromAll()) {
+    this->WithdrawalTimer = this->Services.Loop.timers().after(
+        SilenceCheckInterval,
+        [Self = this->shared_from_this()] { Self->attempt(); });
+    return;
+  }
   // Calls that are queued already may be more urgent.
   if (this->queue().size() == 0 && this->trySend())
     return;
@@ -267,11 +274,8 @@
 }
 
 bool ForwardRun::trySend() {
-  if (!this->Live.empty() && !this->canTryAnother()) {
-    this->IsQueued = false;
-    this->armStallTimer(this->Live.back());
+  if (!this->Live.empty() && this->staysWithSendsInFlight())
     return true;
-  }
   if (this->Live.empty() && this->endIfBlocked())
     return true;
   const UpstreamQuery Query = this->query();
@@ -486,6 +490,7 @@
   this->BacklogSent.disconnect();
   this->ProcessEnding.disconnect();
   this->RefusalsConnection.disconnect();
+  this->WithdrawalTimer.disconnect();
   // Drops the last reference after the caller of this function has returned.
   this->Services.Loop.timers().after(
       Duration::zero(), [Self] { Self->Incoming->CallerLeft.clear(); });
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -10,7 +10,11 @@
 //
 // A send that makes no progress is kept while another upstream is tried, since
 // a sound upstream may be silent for a second or so. The first of the two that
-// makes progress is continued, and the other one is cancelled.
+// makes progress is continued, and the other one is cancelled. A stream, or a
+// call to a model engine, goes on at another upstream only while the first one
+// is not reached, is seen to work, or has been silent for longer than a sound
+// one: a process that stands still would work on it again before it notices
+// that it was cancelled.
 //
 // Guarantees: exactly one final answer, or an aborted connection if the answer
 // had begun; the sends in flight are cancelled when the caller disconnects; a
@@ -181,7 +185,12 @@
   void onStall(const std::shared_ptr<ForwardSend> &Send, StallCheck Check);
   void tryAnother(const std::shared_ptr<ForwardSend> &Silent);
   bool canTryAnother();
+  bool mayGoOnElsewhere();
+  bool staysWithSendsInFlight();
+  void armSilenceCheck(const std::shared_ptr<ForwardSend> &Send);
+  bool isWithdrawnFromAll();
   Silence silenceOf(ForwardSend &Send);
+  Duration maxSilence() const;
   Duration sinceHeard(const ForwardSend &Send, TimePoint Now) const;
   void noteStalled(ForwardSend &Send, std::string_view Other);
   ForwardProgress progress();
@@ -228,6 +237,9 @@
   /// The sends in flight, the latest one last. There are several only while
   /// none of them makes progress.
   std::vector<std::shared_ptr<ForwardSend>> Live;
+  /// Cancelled sends that may not have noticed it yet.
+  std::vector<std::shared_ptr<ForwardSend>> Withdrawn;
+  sigc::connection WithdrawalTimer;
   /// A server error, which is delivered if no other send succeeds.
   std::shared_ptr<ForwardSend> ServerError;
   std::string UpstreamId; ///< Of the latest send.
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -168,8 +168,14 @@
 }
 
 void ForwardRun::withdrawIfNotBegun(const std::shared_ptr<ForwardSend> &Send) {
-  if (this->Current != Phase::Done && Send->Exchange && !this->hasBegun(*Send))
-    this->abandonSend(Send, SendOutcome::Stalled);
+  if (this->Current == Phase::Done || !Send->Exchange || this->hasBegun(*Send))
+    return;
+  // The upstream may stand still and begin the call before it notices.
+  if (this->silenceOf(*Send) == Silence::Unexplained) {
+    Send->WithdrawnAt = EventLoop::now();
+    this->Withdrawn.push_back(Send);
+  }
+  this->abandonSend(Send, SendOutcome::Stalled);
 }
 
 /// Cancels \p Send. \p IfSent is its outcome if the call was sent.
@@ -288,12 +294,15 @@
   const TimePoint Now = EventLoop::now();
   if (this->LastEventAt != TimePoint{})
     this->LongestPause = std::max(this->LongestPause, Now - this->LastEventAt);
-  this->LastEventAt = Send->ProgressAt = Now;
+  this->LastEventAt = Now;
   if (Event.Id)
     this->LastEvent = Event.Id;
   this->Incoming->write(Event.Bytes);
-  if (IsProgress)
+  if (IsProgress) {
+    Send->ProgressAt = Now;
+    Send->IsHeldBack = false;
     this->armStallTimer(Send);
+  }
   if (this->Incoming->unsentBytes() > MaxStreamBacklog)
     this->pauseUpstream(*Send);
 }
@@ -334,7 +343,7 @@
     if (!Each->IsPaused)
       continue;
     Each->IsPaused = false;
-    Each->ProgressAt = EventLoop::now();
+    Each->ProgressAt = Each->HeardAt = EventLoop::now();
     Each->Exchange->resumeReading();
     this->armStallTimer(Each);
   }
--- a/src/request/ForwardSend.h
+++ b/src/request/ForwardSend.h
@@ -17,6 +17,9 @@
 /// Enough for the loop to handle input that waits.
 inline constexpr Duration UnreadInputDelay = std::chrono::milliseconds(20);
 
+/// Interval of checks whether a call may go on at another upstream.
+inline constexpr Duration SilenceCheckInterval = std::chrono::milliseconds(100);
+
 struct ForwardSend {
   ForwardSend() = default;
   ~ForwardSend() { this->disconnectTimers(); }
@@ -38,6 +41,7 @@
   bool HasAnswer = false;      ///< The head of the answer has been read.
   bool IsFramed = false;       ///< The answer states where it ends.
   bool HasStalledOnce = false; ///< Its stall limit was extended.
+  bool IsHeldBack = false;     ///< No other is tried, see explainSilence().
   bool IsStalled = false;      ///< Another upstream was tried beside it.
   bool IsPaused = false;       ///< The upstream waits for the caller.
   bool IsBroken = false;       ///< What follows in its answer is dropped.
@@ -53,6 +57,7 @@
   TimePoint HeardAt; ///< When bytes of its answer last arrived.
   /// Since when checks have found its link silent, without a break.
   std::optional<TimePoint> LinkSilentSince;
+  TimePoint WithdrawnAt; ///< See ForwardRun::Withdrawn.
   /// What explained its silence when another upstream was tried beside it.
   std::optional<Silence> StalledBy;
   sigc::connection StallTimer;
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -327,7 +327,7 @@
                          StallCheck Check) {
   if (this->Current == Phase::Done || !Send->Exchange)
     return;
-  // What arrived while the process stood still is read first.
+  // What arrived, as while the process stood still, is read first.
   if (Check == StallCheck::First && Send->Exchange->hasUnreadInput()) {
     Send->StallTimer = this->Services.Loop.timers().after(
         UnreadInputDelay, [Self = this->shared_from_this(), Send] {
@@ -352,12 +352,74 @@
 /// Tries another upstream beside \p Silent, which makes no progress, if one has
 /// capacity now or other calls wait for one.
 void ForwardRun::tryAnother(const std::shared_ptr<ForwardSend> &Silent) {
-  if (this->queue().size() > 0 && this->canTryAnother())
+  if (this->staysWithSendsInFlight())
+    return;
+  if (this->queue().size() > 0)
     this->enqueue();
   else if (!this->trySend())
     this->armStallTimer(Silent);
 }
 
+/// Returns whether the call is not to be sent to another upstream now, and arms
+/// the timer after which this is checked again.
+bool ForwardRun::staysWithSendsInFlight() {
+  const auto Latest = this->Live.back();
+  if (!this->canTryAnother())
+    this->armStallTimer(Latest);
+  else if (!this->mayGoOnElsewhere())
+    this->armSilenceCheck(Latest);
+  else
+    return false;
+  this->IsQueued = false;
+  return true;
+}
+
+/// Returns whether no upstream that the call was sent to may work on it for
+/// long once it goes on at another one.
+bool ForwardRun::mayGoOnElsewhere() {
+  if (!this->Route->IsStream && !this->Service->Engine)
+    return true;
+  // Each check counts for the time for which links are found silent.
+  bool IsExplained = this->isWithdrawnFromAll();
+  for (const auto &Each : this->Live)
+    IsExplained = this->silenceOf(*Each) != Silence::Unexplained && IsExplained;
+  return IsExplained;
+}
+
+void ForwardRun::armSilenceCheck(const std::shared_ptr<ForwardSend> &Send) {
+  Send->StallTimer.disconnect();
+  if (Send->IsPaused)
+    return;
+  const TimePoint Now = EventLoop::now();
+  const Duration SinceHeard = this->sinceHeard(*Send, Now);
+  if (!std::exchange(Send->IsHeldBack, true))
+    log(LogLevel::Info, "call.send_silent",
+        {{"call", this->Call.Id},
+         {"upstream", Send->UpstreamId},
+         {"after_ms", std::to_string(toMilliseconds(Now - Send->SentAt))},
+         {"silent_ms", std::to_string(toMilliseconds(Now - Send->ProgressAt))},
+         {"heard_ms", std::to_string(toMilliseconds(SinceHeard))}});
+  Duration Next = SilenceCheckInterval;
+  if (const Duration Limit = this->maxSilence(); SinceHeard < Limit)
+    Next = std::min(Next, Limit - SinceHeard);
+  Send->StallTimer = this->Services.Loop.timers().after(
+      Next, [Self = this->shared_from_this(), Send] {
+        Self->onStall(Send, StallCheck::First);
+      });
+}
+
+/// Returns whether the upstreams of the sends that were withdrawn have noticed
+/// it, are not reached, or were silent for longer than a sound one.
+bool ForwardRun::isWithdrawnFromAll() {
+  const TimePoint Now = EventLoop::now();
+  std::erase_if(this->Withdrawn, [this, Now](const auto &Each) {
+    const Duration SinceHeard = this->sinceHeard(*Each, Now);
+    return SinceHeard < Now - Each->WithdrawnAt ||
+           SinceHeard >= this->maxSilence();
+  });
+  return this->Withdrawn.empty();
+}
+
 /// Returns whether the call may be sent to another upstream beside the sends in
 /// flight.
 bool ForwardRun::canTryAnother() {
@@ -377,12 +439,17 @@
     Send.LinkSilentSince = Now;
   SilentSend View{.WasSent = Send.Exchange->wasSent(),
                   .SinceProgress = Now - Send.ProgressAt,
-                  .SinceHeard = this->sinceHeard(Send, Now)};
+                  .SinceHeard = this->sinceHeard(Send, Now),
+                  .MaxSilence = this->maxSilence()};
   if (Send.LinkSilentSince)
     View.LinkSilentFor = Now - *Send.LinkSilentSince;
   return explainSilence(View);
 }
 
+Duration ForwardRun::maxSilence() const {
+  return galenaroute::maxSilence(*this->Route, this->FirstEventAt.has_value());
+}
+
 /// Returns how long ago the upstream of \p Send sent bytes of any answer.
 Duration ForwardRun::sinceHeard(const ForwardSend &Send, TimePoint Now) const {
   const UpstreamEntry *At = this->Services.Upstreams.find(Send.UpstreamId);
