ForwardGateway: a share is kept while the gossip address is in use

Cause: a gateway whose address for gossip is still its predecessor's accepts calls as soon as it has its address for callers, but hears no other gateway. It took itself for the only one and so the whole limit of connections to an upstream, and the whole retry budget, for itself.

Until the address is its own it counts its seeds as members, since these keep their shares. This replaces the special case for rates only.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -247,12 +247,9 @@
 }
 
 void ForwardGateway::updateRateMembers() {
-  // Without contact to the platform or to other gateways, or while its address
-  // for gossip is unavailable, this one may be cut off from a fleet of which it
-  // has not heard yet.
-  const bool MayBeCutOff =
-      this->GatewayCount == 1 &&
-      (!this->reachesPlatform() || !this->Channel->isBound());
+  // Without contact to the platform or to other gateways, this one may be cut
+  // off from a fleet of which it has not heard yet.
+  const bool MayBeCutOff = !this->reachesPlatform() && this->GatewayCount == 1;
   const std::size_t Seeds = this->Settings.GossipSeeds.size();
   this->Rates.updateMembers(
       std::max(this->KnownCount, MayBeCutOff ? Seeds + 1 : 1));
@@ -544,6 +541,10 @@
                                 (CallsPerCore * this->Settings.Cores));
   this->GatewayCount = this->Entries.countAlive(Now) + 1;
   this->KnownCount = this->Entries.fleetSize(Now);
+  // The others cannot be heard yet, and have their shares all the same.
+  if (!this->Channel->isBound())
+    this->KnownCount =
+        std::max(this->KnownCount, this->Settings.GossipSeeds.size() + 1);
   this->Statuses.update(Now);
   this->updateRateMembers();
   this->assignWatchers();
--- a/tests/GatewayFleet.h
+++ b/tests/GatewayFleet.h
@@ -51,6 +51,9 @@
   const SocketAddress &callerAddress(std::size_t Index) const {
     return this->Settings[Index].Callers;
   }
+  const SocketAddress &gossipAddress(std::size_t Index) const {
+    return this->Settings[Index].Gossip;
+  }
 
   /// Starts the gateway, or restarts it with no state, as after a kill.
   void start(std::size_t Index) {
