--- a/tests/process/StandardDescriptorsProcessTest.cpp
+++ b/tests/process/StandardDescriptorsProcessTest.cpp
@@ -27,10 +27,10 @@
         this->Harness.folder(), 0, "z", this->Api.address());
     this->Daemon = std::make_unique<Program>(
         "/bin/sh",
-        std::vector<std::string>{"-c", "exec \"$0\" \"$@\" " + Redirections,
-                                 GALENAROUTE_BUILD_DIR "/galenaroute-platform",
-                                 "--settings", Settings, "--log-level",
-                                 "debug"},
+        std::vector<std::string>{
+            "-c", "exec \"$0\" \"$@\" " + Redirections,
+            std::string(GALENAROUTE_BUILD_DIR) + "/galenaroute-platform",
+            "--settings", Settings, "--log-level", "debug"},
         this->Harness.folder() + "/daemon.log");
     this->Harness.waitFor("the daemon", [&] { return this->answers(); });
   }
