soak: close the sockets of connections that are refused

RawSocket::connectTo() left its socket open when the connection was refused, as it is while a daemon is down.

galenaroute-soak now counts its descriptors before the first seed and after each one, and fails when a run leaves some open.

--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <filesystem>
 #include <iostream>
 #include <set>
 #include <unistd.h>
@@ -95,6 +96,12 @@
   return false;
 }
 
+/// Returns the number of open descriptors of this process.
+static std::ptrdiff_t countDescriptors() {
+  return std::distance(std::filesystem::directory_iterator("/proc/self/fd"),
+                       std::filesystem::directory_iterator());
+}
+
 int main(int Argc, char **Argv) {
   CLI::App App("Plays faults against real daemons and checks what callers and "
                "upstreams see");
@@ -128,8 +135,16 @@
   Settings.Faults.Longest = fromSeconds(LongestMs / 1000);
   int Failed = 0;
   try {
-    for (int I = 0; I < Seeds; ++I, ++Settings.Seed)
-      Failed += !play(Settings);
+    const std::ptrdiff_t Before = countDescriptors();
+    for (int I = 0; I < Seeds; ++I, ++Settings.Seed) {
+      bool HasPassed = play(Settings);
+      if (const std::ptrdiff_t After = countDescriptors(); After > Before) {
+        std::cout << "BROKEN a run closes its descriptors: " << Before
+                  << " open before, " << After << " after it\n";
+        HasPassed = false;
+      }
+      Failed += !HasPassed;
+    }
   } catch (const std::exception &Failure) {
     std::cerr << "seed " << Settings.Seed << ": " << Failure.what() << '\n';
     return 2;
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -47,8 +47,10 @@
     Address.sin_port = htons(To.Port);
     inet_pton(AF_INET, To.Host.c_str(), &Address.sin_addr);
     if (::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
-                  sizeof Address) != 0)
+                  sizeof Address) != 0) {
+      ::close(Socket);
       throw std::runtime_error("cannot connect to " + To.toString());
+    }
     return Socket;
   }
 
