--- a/soak/SoakConfigs.cpp
+++ b/soak/SoakConfigs.cpp
@@ -286,7 +286,8 @@
   Next.View = {.Route = Names[this->below(Names.size())],
                .Daemon = this->below(this->Places.Count),
                .SentAt = EventLoop::now(),
-               .Call = "p" + std::to_string(++this->LastProbe)};
+               .Call = this->Places.RunPrefix + "p" +
+                       std::to_string(++this->LastProbe)};
   Next.View.Incarnation = this->Parts.IncarnationOf(Next.View.Daemon);
   try {
     Next.Socket = std::make_unique<RawSocket>(
--- a/soak/SoakConnections.cpp
+++ b/soak/SoakConnections.cpp
@@ -244,7 +244,7 @@
   const char *Path = Each.How == Pace::Large    ? "/kept/large"
                      : Each.How == Pace::Stream ? "/kept/stream"
                                                 : "/kept/plain";
-  Each.Call = "k" + std::to_string(++this->Sent);
+  Each.Call = this->Places.RunPrefix + "k" + std::to_string(++this->Sent);
   this->Seen.Calls[Each.Call] = {.Daemon = Each.Daemon,
                                  .IdleSince = Each.IdleSince,
                                  .SentAt = Now,
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 namespace galenaroute::soak {
 
@@ -39,13 +40,21 @@
 static constexpr Duration MaxLimitTime = 6s;
 static constexpr std::size_t ThrottledLink = 3000;
 
+/// Returns what the names of calls and upstreams of a run begin with. Upstreams
+/// of all runs share an address, so that a call of another run may arrive.
+static std::string runPrefix(std::uint64_t Seed) {
+  return std::to_string(getpid()) + "-" + std::to_string(Seed) + "-";
+}
+
 SoakRun::SoakRun(SoakSettings Given)
     : Settings(std::move(Given)), Places{.Count = this->Settings.Faults.Daemons,
                                          .Network = this->Settings.Network,
                                          .GraceSeconds = 4,
                                          .VersionMs =
                                              static_cast<int>(toMilliseconds(
-                                                 SoakBounds().WeightsLimit))},
+                                                 SoakBounds().WeightsLimit)),
+                                         .RunPrefix =
+                                             runPrefix(this->Settings.Seed)},
       Random(this->Settings.Seed), Harness(this->Settings.BuildDir),
       Loop(this->Harness.loop()), Store(this->Loop),
       Prompts(this->Loop, this->Store, this->Places),
@@ -134,7 +143,8 @@
 
 void SoakRun::startUpstream(std::size_t Index) {
   UpstreamPart &Part = this->Upstreams[Index];
-  Part.Id = "u" + std::to_string(Index) + "-" + std::to_string(++this->Starts);
+  Part.Id = this->Places.RunPrefix + "u" + std::to_string(Index) + "-" +
+            std::to_string(++this->Starts);
   const SocketAddress Address = testing_support::ProcessHarness::freeAddress();
   Part.Listener = std::make_shared<CallListener>(
       this->Loop, Address, CallerLimits{},
@@ -432,7 +442,8 @@
 }
 
 void SoakRun::sendCall() {
-  const std::string Id = "c" + std::to_string(++this->Sent);
+  const std::string Id =
+      this->Places.RunPrefix + "c" + std::to_string(++this->Sent);
   CallerView Call;
   Call.IsOnce = this->below(2) == 0;
   Call.Path = Call.IsOnce ? "/once/a" : "/safe/a?x=1";
@@ -447,7 +458,8 @@
 
 /// Sends a call to the engines.
 void SoakRun::sendEngineCall() {
-  const std::string Id = "c" + std::to_string(++this->Sent);
+  const std::string Id =
+      this->Places.RunPrefix + "c" + std::to_string(++this->Sent);
   CallerView Call = this->Weights.drawCall(Id);
   Call.Daemon = this->Weights.below(this->Daemons.size());
   this->send(Id, Call);
--- a/soak/SoakSilences.cpp
+++ b/soak/SoakSilences.cpp
@@ -172,8 +172,8 @@
   const std::size_t Service = Index % ServiceCount;
   const SocketAddress At = testing_support::ProcessHarness::freeAddress();
   Part.Service = "q" + std::to_string(Service);
-  Part.Id =
-      "quiet" + std::to_string(Index) + "-" + std::to_string(++this->Starts);
+  Part.Id = this->Places.RunPrefix + "quiet" + std::to_string(Index) + "-" +
+            std::to_string(++this->Starts);
   Part.Slots = SlotsOf[Service];
   Part.Listener = std::make_shared<CallListener>(
       this->Loop, At, CallerLimits{},
@@ -400,7 +400,7 @@
     return;
   }
   const RouteKind &Route = Routes[this->below(std::size(Routes))];
-  Each.Call = "q" + std::to_string(++this->Sent);
+  Each.Call = this->Places.RunPrefix + "q" + std::to_string(++this->Sent);
   SilenceCallView &Call = this->Parts.Seen.Silences.Calls[Each.Call];
   Call.Daemon = Each.Daemon;
   Call.IdleSince = Each.IdleSince;
--- a/tests/process/PlatformDaemons.h
+++ b/tests/process/PlatformDaemons.h
@@ -18,6 +18,9 @@
   int Network = 0;
   int GraceSeconds = 2;
   int VersionMs = 15000; ///< Time in which older weights go out of use.
+  /// Names of calls and upstreams begin with it; differs between runs that
+  /// overlap in time.
+  std::string RunPrefix = {};
 
   static constexpr std::uint16_t CallerPort = 18005;
   static constexpr std::uint16_t ReadyPort = CallerPort + 1;
