ForwardRun: an upstream's status alone does not promise that a call has not run

What callers see: a call that must run at most once is answered 408, 429 or 503 by an upstream that has run it, or may have. To the caller these statuses promise that it has not run, so that it pays a second time (REFUSED).

Cause: deliver() passed on every complete, signed answer of an upstream.

Such an answer to a call that runs at most once now ends as 502, without the upstream's signature. Calls that may be repeated keep the upstream's answer.

Whether the users' cases of REFUSED are this one is not known: they kept no logs.

--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -399,7 +399,15 @@
   this->refuseOrFail("this process ends", DefaultRetryAfter);
 }
 
-/// Ends the call with the answer of \p Send, which has ended.
+/// Returns whether a caller takes \p Status as the promise that its call has
+/// not run and will not.
+static bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+/// Ends the call with the answer of \p Send, which has ended. Only an upstream
+/// that states so has not run the call, so the status alone must not promise it
+/// to the caller of a call that runs at most once.
 void ForwardRun::deliver(ForwardSend &Send) {
   this->UpstreamId = Send.UpstreamId;
   if (this->isStreamAnswer(Send)) {
@@ -410,6 +418,12 @@
     this->Incoming->abort();
     this->finish("stream_lost");
     return;
+  } else if (this->Route->Repeat == Repeatability::Once &&
+             promisesNotRun(Send.Answer.Status)) {
+    this->ServerError.reset();
+    this->fail(ErrorKind::UpstreamFailed,
+               "the status of the answer promises that the call has not run");
+    return;
   } else {
     this->Incoming->send(Send.Answer.Status, Send.Answer.ForwardedHeaders,
                          Send.Body);
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -54,6 +54,19 @@
   EXPECT_TRUE(this->hasNoArrival());
 }
 
+// Guards against a second payment: the caller sends a call again that an
+// upstream has run and answered with a status that promises the contrary.
+TEST_F(ForwardRunTest, AnAnswerOfACallThatMayHaveRunPromisesNothing) {
+  for (const char *Status : {"408 Slow", "429 Many", "503 Busy"}) {
+    this->sendCall("/once/a");
+    this->waitForArrival()->write(
+        head(Status, "Server-Stamp: x\r\nContent-Length: 0\r\n"));
+    ASSERT_TRUE(this->callerReceives("HTTP/1.1 502 ")) << Status;
+    EXPECT_EQ(this->Caller->text().find("Server-Stamp"), std::string::npos);
+    EXPECT_TRUE(this->hasNoArrival());
+  }
+}
+
 // Guards against lost or duplicated events when a stream is resumed at another
 // upstream.
 TEST_F(ForwardRunTest, AStreamIsResumedAfterItsLastWholeEvent) {
