ForwardRules: an upstream counts as working for 100 ms after it was heard

Found by review: with 300 ms, a process that had written on another stream and then stood still counted as working, so that a silent stream could go on elsewhere beside it (TWICE). The time is now that between two checks. What is left is a standstill that begins within the last 100 ms; it has no test.

17 tests of Standstill* and SilentStreamTest and 36 of ForwardRunTest pass.

--- a/src/request/ForwardRules.h
+++ b/src/request/ForwardRules.h
@@ -68,9 +68,9 @@
 /// How long checks must find a link silent. A probe that was just sent looks
 /// like one that is lost.
 inline constexpr Duration MinLinkSilence = std::chrono::milliseconds(100);
-/// An upstream that was heard within this time works. Less than any stall
-/// limit, so that it was heard well after the progress of a stalled send.
-inline constexpr Duration MaxHeardAge = std::chrono::milliseconds(300);
+/// An upstream that was heard within this time works. The shorter it is, the
+/// less often a process that has just begun to stand still counts as working.
+inline constexpr Duration MaxHeardAge = std::chrono::milliseconds(100);
 /// Beyond the time in which an answer is due, a sound upstream may be silent
 /// for a second or so.
 inline constexpr Duration MaxSoundSilence = std::chrono::seconds(2);
