process soak: a request that is read together with the close has not run

"The upstream before does not begin later" counted an upstream that stood still before it had read a request and then read it together with the close of its connection. The rule is about servers that work on a request, and a request runs from its first event on (the users' protocol), so that the case is allowed. An upstream that begins the late request still breaks the promise; the test shows both.

--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -164,6 +164,10 @@
         if (&First == &Second || !Second.BegunAt ||
             !isEarlier(History, First, Second))
           continue;
+        // A request runs from its first event on. One that is read late,
+        // together with the close of its connection, has not run.
+        if (First.AcceptedAt > *Second.BegunAt && !First.BegunAt)
+          continue;
         const Duration Late = First.LastAt - *Second.BegunAt;
         if (Late <= std::max(Longest, Bounds.Handover) ||
             wasDisturbed(History, Request.Daemon,
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -159,6 +159,10 @@
   this->History.Silences["u1"] = {{Start, Start + 1495ms}};
   EXPECT_EQ(this->broken(checkHandovers),
             "the upstream before does not begin later");
+  // u1 reads the request together with the close of its connection.
+  this->History.Works["a"][1].BegunAt.reset();
+  EXPECT_EQ(this->broken(checkHandovers), "0");
+  this->History.Works["a"][1].BegunAt = Start + 1510ms;
   // The request goes on at u1 because u2 broke off.
   this->History.Works["a"][0].HasEnded = false;
   this->History.Works["a"][0].HasBroken = true;
