CallListener, BufferedSocket: one query of the kernel serves each use

Found by reading the change once more: isAllAcknowledged() and hasUnacknowledgedBytes() made the same call with opposite answers, and the length of the listener's queue was read in two places with the same check of the listener. unacknowledgedBytes() and waiting() now serve all uses; where the kernel does not tell, the answers are as before. Behaviour is unchanged.

64 tests of CallerConnection*, CallListener*, LostRequest*, PlannedStop*, SilentLink*, UpstreamPool* and those of starts pass; lint and format are clean.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -49,14 +49,11 @@
     setOption(Socket, SOL_SOCKET, SO_REUSEADDR, 1);
 }
 
-bool hasUnacknowledgedBytes(int Socket) {
+std::optional<std::size_t> unacknowledgedBytes(int Socket) {
   int Bytes = 0;
-  return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
-}
-
-bool isAllAcknowledged(int Socket) {
-  int Bytes = 0;
-  return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes == 0;
+  if (::ioctl(Socket, SIOCOUTQ, &Bytes) != 0)
+    return std::nullopt;
+  return static_cast<std::size_t>(Bytes);
 }
 
 std::optional<std::size_t> waitingConnections(int ListeningSocket) {
--- a/src/connection/BufferedSocket.h
+++ b/src/connection/BufferedSocket.h
@@ -36,12 +36,9 @@
 /// \p Socket is negative.
 void allowListeningOnLocalPort(int Socket);
 
-/// Returns whether the kernel holds bytes that the peer has not acknowledged.
-bool hasUnacknowledgedBytes(int Socket);
-
-/// Returns whether the peer has acknowledged all that was sent, the end of the
-/// own side too. Returns false if the kernel does not tell.
-bool isAllAcknowledged(int Socket);
+/// Returns how many bytes the peer has not acknowledged, the end of the own
+/// side counted as one, or no value if the kernel does not tell.
+std::optional<std::size_t> unacknowledgedBytes(int Socket);
 
 /// Returns how many connections wait to be accepted by a listening socket, or
 /// no value if the kernel does not tell.
--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -409,7 +409,7 @@
 /// kernel, and nothing has arrived that would make closing a reset.
 bool CallerConnection::hasReceivedRefusal() const {
   return this->Current == State::Lingering && !this->IsSending &&
-         isAllAcknowledged(bufferevent_getfd(this->Event.get())) &&
+         unacknowledgedBytes(bufferevent_getfd(this->Event.get())) == 0U &&
          !hasUnreadInput(this->Event.get());
 }
 
@@ -434,7 +434,7 @@
     return;
   this->AwaitsAcknowledgement =
       this->unsentBytes() > 0 ||
-      hasUnacknowledgedBytes(bufferevent_getfd(this->Event.get()));
+      unacknowledgedBytes(bufferevent_getfd(this->Event.get())).value_or(0) > 0;
   if (!this->AwaitsAcknowledgement)
     return;
   this->HasExtendedTimeout = true;
@@ -534,11 +534,15 @@
       Each->close();
 }
 
-/// Returns the number of connections that wait to be accepted, for the log.
-std::string CallListener::waiting() const {
-  const auto Count =
-      this->Listener ? waitingConnections(evconnlistener_get_fd(this->Listener))
-                     : std::nullopt;
+/// Returns the number of connections that wait to be accepted, or no value if
+/// it is not known.
+std::optional<std::size_t> CallListener::waiting() const {
+  if (!this->Listener)
+    return std::nullopt;
+  return waitingConnections(evconnlistener_get_fd(this->Listener));
+}
+
+static std::string countText(std::optional<std::size_t> Count) {
   return Count ? std::to_string(*Count) : "-";
 }
 
@@ -548,7 +552,7 @@
     this->AtLimit.emplace(LimitPeriod{.Since = EventLoop::now()});
     log(LogLevel::Warn, "connection.limit",
         {{"connections", std::to_string(this->Connections.size())},
-         {"waiting", this->waiting()}});
+         {"waiting", countText(this->waiting())}});
   }
   this->AtLimit->LastAt = EventLoop::now();
   ++this->AtLimit->Refused;
@@ -557,10 +561,8 @@
 void CallListener::checkLimitEnd(TimePoint Now) {
   if (!this->AtLimit)
     return;
-  if (this->Listener)
-    this->AtLimit->MostWaiting = std::max(
-        this->AtLimit->MostWaiting,
-        waitingConnections(evconnlistener_get_fd(this->Listener)).value_or(0));
+  this->AtLimit->MostWaiting =
+      std::max(this->AtLimit->MostWaiting, this->waiting().value_or(0));
   if (!this->BeyondLimit.empty()) {
     this->AtLimit->LastAt = Now;
     return;
@@ -674,7 +676,7 @@
     log(LogLevel::Error, "accept.failed",
         {{"error", std::strerror(Reason)},
          {"connections", std::to_string(this->Connections.size())},
-         {"waiting", this->waiting()}});
+         {"waiting", countText(this->waiting())}});
   if (!IsExhausted)
     return;
   this->IsPaused = true;
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -124,7 +124,7 @@
   void onAcceptError(int Reason);
   void sweep();
   void reclaimRefused();
-  std::string waiting() const;
+  std::optional<std::size_t> waiting() const;
   void noteLimit();
   void checkLimitEnd(TimePoint Now);
 
