FatalSignals: report a fault on standard output, with its address, call and frames

The users' record of a segmentation fault held no line of the process: its report went to standard error, which was not kept, and named neither the address nor the call, so that an overflow of the stack, a null pointer and freed memory looked the same.

The line now also goes to standard output, in the form of the log, and names the address, how deep in the stack it is, the call that was worked on, and the stack of addresses as offsets that addr2line resolves. StartSignalsProcessTest.AFatalSignalLeavesABacktrace checks the line; it failed before, as there was none on standard output.

--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -1,6 +1,7 @@
 #include "request/ForwardRun.h"
 
 #include "process/ErrorKind.h"
+#include "process/FatalSignals.h"
 #include "process/Log.h"
 
 #include <algorithm>
@@ -88,6 +89,7 @@
 /// the call was answered here.
 bool ForwardRun::admit() {
   this->Call = this->Services.Codec.readRequest(this->Incoming->Head);
+  const RunningCall Scope(this->Call.Id);
   if (this->Incoming->IsBeyondLimit) {
     this->refuse("too many connections are open", DefaultRetryAfter);
     return false;
@@ -226,6 +228,7 @@
 }
 
 void ForwardRun::attempt() {
+  const RunningCall Scope(this->Call.Id);
   if (this->Current == Phase::Done)
     return;
   this->WaitingSince = EventLoop::now();
@@ -308,6 +311,7 @@
 }
 
 bool ForwardRun::trySend() {
+  const RunningCall Scope(this->Call.Id);
   if (!this->Live.empty() && this->staysWithSendsInFlight())
     return true;
   if (this->Live.empty() && this->endIfBlocked())
@@ -501,6 +505,7 @@
 }
 
 void ForwardRun::onQueueTimeout(Duration LongestWait) {
+  const RunningCall Scope(this->Call.Id);
   this->noteQueueLeft();
   this->IsQueued = false;
   if (!this->Live.empty()) {
@@ -526,6 +531,7 @@
 }
 
 void ForwardRun::onTimeout() {
+  const RunningCall Scope(this->Call.Id);
   if (this->Current == Phase::Done)
     return;
   const auto Self = this->shared_from_this();
@@ -545,6 +551,7 @@
 }
 
 void ForwardRun::onCallerLeft() {
+  const RunningCall Scope(this->Call.Id);
   if (this->Current == Phase::Done)
     return;
   const auto Self = this->shared_from_this();
@@ -554,6 +561,7 @@
 
 /// Answers the call, since a closed connection would tell its caller less.
 void ForwardRun::onProcessEnding() {
+  const RunningCall Scope(this->Call.Id);
   if (this->Current == Phase::Done)
     return;
   const auto Self = this->shared_from_this();
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -1,6 +1,7 @@
 // The sends of a ForwardRun: what is sent, and how the answer is received.
 
 #include "connection/BufferedSocket.h"
+#include "process/FatalSignals.h"
 #include "process/Log.h"
 #include "request/ForwardRun.h"
 
@@ -46,16 +47,22 @@
 
 UpstreamExchangeEvents
 ForwardRun::eventsOf(const std::shared_ptr<ForwardSend> &Send) {
-  return {
-      .OnHead = [this, Send](
-                    const HttpHead &Head) { return this->onHead(*Send, Head); },
-      .OnBody = [this,
-                 Send](std::string_view Bytes) { this->onBody(Send, Bytes); },
-      .OnEnd =
-          [this, Send](UpstreamEnd End) {
-            const auto Self = this->shared_from_this();
-            this->onEnd(Send, End);
-          }};
+  return {.OnHead =
+              [this, Send](const HttpHead &Head) {
+                const RunningCall Scope(this->Call.Id);
+                return this->onHead(*Send, Head);
+              },
+          .OnBody =
+              [this, Send](std::string_view Bytes) {
+                const RunningCall Scope(this->Call.Id);
+                this->onBody(Send, Bytes);
+              },
+          .OnEnd =
+              [this, Send](UpstreamEnd End) {
+                const auto Self = this->shared_from_this();
+                const RunningCall Scope(this->Call.Id);
+                this->onEnd(Send, End);
+              }};
 }
 
 void ForwardRun::send(const UpstreamTable::Chosen &Choice,
@@ -444,6 +451,7 @@
 }
 
 void ForwardRun::resumeUpstreams() {
+  const RunningCall Scope(this->Call.Id);
   for (const auto &Each : this->Live)
     this->resumeUpstream(Each);
 }
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -1,6 +1,7 @@
 // The end of a send of a ForwardRun: its outcome, the updates of the shared
 // records, and the next step.
 
+#include "process/FatalSignals.h"
 #include "process/Log.h"
 #include "request/CrashSuspects.h"
 #include "request/ForwardRun.h"
@@ -334,6 +335,7 @@
 /// Withdraws the sends that have got no answer yet once the call is blocked,
 /// since they would crash an upstream when that begins to write.
 void ForwardRun::onRefusalsChanged() {
+  const RunningCall Scope(this->Call.Id);
   if (this->Current == Phase::Done || this->Live.empty() ||
       !refusedUntil(this->Services.Crashes, this->CrashKeys, EventLoop::now()))
     return;
@@ -350,6 +352,7 @@
 
 void ForwardRun::onStall(const std::shared_ptr<ForwardSend> &Send,
                          StallCheck Check) {
+  const RunningCall Scope(this->Call.Id);
   if (this->Current == Phase::Done || !Send->Exchange)
     return;
   // What arrived, as while the process stood still, is read first.
--- a/tests/process/StartSignalsProcessTest.cpp
+++ b/tests/process/StartSignalsProcessTest.cpp
@@ -214,10 +214,14 @@
   this->Daemon->signal(SIGSEGV);
   EXPECT_EQ(this->Daemon->wait(15s), -SIGSEGV);
   const std::string Output = this->Daemon->output();
-  EXPECT_NE(Output.find("event=process.fatal program=galenaroute-platform "
-                        "signal=SIGSEGV\n"),
-            std::string::npos)
-      << Output;
+  // Once where the log is, and once beside the backtrace.
+  const std::string Line =
+      "Z level=ERROR event=process.fatal program=galenaroute-platform "
+      "signal=SIGSEGV address=- stack_bytes=- call=- frames=";
+  const std::size_t First = Output.find(Line);
+  ASSERT_NE(First, std::string::npos) << Output;
+  EXPECT_NE(Output.find(Line, First + 1), std::string::npos) << Output;
+  EXPECT_NE(Output.find(",+0x", First), std::string::npos) << Output;
   EXPECT_NE(Output.find("galenaroute-platform("), std::string::npos) << Output;
   ::close(this->Writer);
 }
