CallerConnection, UpstreamPool: connections without memory end cleanly

A process of which the users' machine had little memory left ended by SIGSEGV: bufferevent_socket_new() returns null when an allocation fails, and bufferevent_setcb() then reads it.

newBufferEvent() throws std::bad_alloc and closes the socket. An answer that loses a piece because evbuffer_add() fails resets its connection, since the rest would reach the caller behind a gap; a request that cannot be written was not sent.

CallerConnectionTest.AConnectionWithoutMemoryIsClosed and AnAnswerWithoutMemoryForAPieceIsReset let libevent's allocations fail.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -9,6 +9,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <new>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -30,6 +31,17 @@
         {{"option", std::to_string(Name)}, {"error", std::strerror(errno)}});
 }
 
+BufferEventPtr newBufferEvent(event_base *Base, int Socket) {
+  BufferEventPtr Result(bufferevent_socket_new(
+      Base, Socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+  if (!Result) {
+    if (Socket >= 0)
+      evutil_closesocket(Socket);
+    throw std::bad_alloc();
+  }
+  return Result;
+}
+
 /// The kernel doubles both sizes. The first gives the window that connections
 /// begin with by default; a smaller one is less than a segment on loopback,
 /// which delays each window.
--- a/src/connection/BufferedSocket.h
+++ b/src/connection/BufferedSocket.h
@@ -20,6 +20,11 @@
 };
 using BufferEventPtr = std::unique_ptr<bufferevent, BufferEventDeleter>;
 
+/// Returns a bufferevent with deferred callbacks for \p Socket, which it closes
+/// when it is freed; -1 for one that is still to be connected. Throws
+/// std::bad_alloc when memory is short, and closes \p Socket then.
+BufferEventPtr newBufferEvent(event_base *Base, int Socket);
+
 /// Sets the options of a TCP socket: no delay, and limits after which data
 /// that is not acknowledged, or a peer that does not answer keep-alive probes,
 /// ends the connection. A connection may go silent without a reset, and only
--- a/src/connection/CallerConnection.cpp
+++ b/src/connection/CallerConnection.cpp
@@ -4,6 +4,8 @@
 #include "process/Log.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -55,9 +57,7 @@
 
 CallerConnection::CallerConnection(CallListener &Owner, int Socket,
                                    bool IsBeyondLimit)
-    : Owner(Owner), Event(bufferevent_socket_new(Owner.Loop.base(), Socket,
-                                                 BEV_OPT_CLOSE_ON_FREE |
-                                                     BEV_OPT_DEFER_CALLBACKS)),
+    : Owner(Owner), Event(newBufferEvent(Owner.Loop.base(), Socket)),
       Parser(
           HttpParser::Side::Request, Owner.Limits.Message,
           {.OnHead =
@@ -264,7 +264,7 @@
   static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
   const auto Expected = this->Head.Headers.find("Expect");
   if (Expected && equalsIgnoringCase(*Expected, "100-continue"))
-    bufferevent_write(this->Event.get(), Continue.data(), Continue.size());
+    this->add(Continue);
 }
 
 void CallerConnection::onRequest() {
@@ -322,6 +322,22 @@
     this->sendWhole(Status, {}, {});
 }
 
+/// Adds to what is sent. Where memory is missing, the connection is reset from
+/// the loop: what follows must not reach the caller behind a gap.
+void CallerConnection::add(std::string_view Bytes) {
+  if (this->HasLostBytes || Bytes.empty() ||
+      evbuffer_add(bufferevent_get_output(this->Event.get()), Bytes.data(),
+                   Bytes.size()) == 0)
+    return;
+  this->HasLostBytes = true;
+  this->EndsWithClose = true;
+  log(LogLevel::Error, "answer.lost_bytes",
+      {{"bytes", std::to_string(Bytes.size())},
+       {"held_bytes", std::to_string(this->heldBytes())}});
+  bufferevent_trigger_event(this->Event.get(), BEV_EVENT_ERROR,
+                            BEV_TRIG_DEFER_CALLBACKS);
+}
+
 void CallerConnection::writeHead(int Status, const HttpHeaders &Headers,
                                  std::string_view Framing) {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
@@ -335,7 +351,7 @@
   if (!this->KeepAlive)
     appendField(Text, "Connection", "close");
   Text += "\r\n";
-  bufferevent_write(this->Event.get(), Text.data(), Text.size());
+  this->add(Text);
 }
 
 void CallerConnection::sendWhole(int Status, const HttpHeaders &Headers,
@@ -345,8 +361,8 @@
                   HasBody ? "Content-Length: " + std::to_string(Body.size()) +
                                 "\r\n"
                           : std::string());
-  if (HasBody && !this->IsHeadRequest && !Body.empty())
-    bufferevent_write(this->Event.get(), Body.data(), Body.size());
+  if (HasBody && !this->IsHeadRequest)
+    this->add(Body);
   this->endAnswer();
 }
 
@@ -362,18 +378,21 @@
 void CallerConnection::write(std::string_view Bytes) {
   if (Bytes.empty())
     return;
-  evbuffer *Output = bufferevent_get_output(this->Event.get());
-  if (this->Chunked)
-    evbuffer_add_printf(Output, "%zx\r\n", Bytes.size());
-  evbuffer_add(Output, Bytes.data(), Bytes.size());
+  if (this->Chunked) {
+    std::array<char, 24> Size{};
+    const int Length =
+        std::snprintf(Size.data(), Size.size(), "%zx\r\n", Bytes.size());
+    this->add({Size.data(), static_cast<std::size_t>(Length)});
+  }
+  this->add(Bytes);
   if (this->Chunked)
-    evbuffer_add(Output, "\r\n", 2);
+    this->add("\r\n");
   this->recharge();
 }
 
 void CallerConnection::finish() {
   if (this->Chunked)
-    bufferevent_write(this->Event.get(), "0\r\n\r\n", 5);
+    this->add("0\r\n\r\n");
   this->endAnswer();
 }
 
@@ -386,6 +405,8 @@
   this->Chunked = false;
   this->setState(State::Flushing);
   this->recharge();
+  if (this->HasLostBytes)
+    return;
   if (this->unsentBytes() == 0)
     this->onDrained();
   else if (this->KeepAlive && this->unsentBytes() <= MaxPipelinedUnsent)
@@ -401,6 +422,8 @@
 }
 
 void CallerConnection::onDrained() {
+  if (this->HasLostBytes)
+    return;
   if (const auto Answered = this->Call;
       Answered && this->Current == State::Answering &&
       this->unsentBytes() <= IncomingCall::LowBacklog) {
--- a/src/connection/CallerConnection.h
+++ b/src/connection/CallerConnection.h
@@ -63,6 +63,7 @@
   bool grow(std::size_t Bytes);
   void recharge();
   std::size_t heldBytes() const;
+  void add(std::string_view Bytes);
   void writeHead(int Status, const HttpHeaders &Headers,
                  std::string_view Framing);
   void endAnswer();
@@ -102,7 +103,8 @@
   bool IsBeyondLimit;
   bool IsSending = false; ///< May send the rest of a refused request.
   bool KeepsBody = true;
-  bool HasNoRoom = false; ///< For the request that is being read.
+  bool HasNoRoom = false;    ///< For the request that is being read.
+  bool HasLostBytes = false; ///< See add().
 };
 
 } // namespace galenaroute
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -141,9 +141,7 @@
 
 UpstreamConnection::UpstreamConnection(UpstreamPool &Pool, SocketAddress To)
     : Pool(Pool), To(std::move(To)),
-      Event(bufferevent_socket_new(Pool.Loop.base(), -1,
-                                   BEV_OPT_CLOSE_ON_FREE |
-                                       BEV_OPT_DEFER_CALLBACKS)),
+      Event(newBufferEvent(Pool.Loop.base(), -1)),
       Parser(HttpParser::Side::Response, AnswerLimits,
              {.OnHead = [this](HttpHead &Head) { return this->onHead(Head); },
               .OnBody =
@@ -241,10 +239,15 @@
     setUserTimeout(Socket, Timeout);
   this->Connected = true;
   this->UserTimeout = Timeout;
-  this->Current->Sent = true;
-  bufferevent_write(this->Event.get(), this->Request.data(),
-                    this->Request.size());
+  this->Current->Sent =
+      bufferevent_write(this->Event.get(), this->Request.data(),
+                        this->Request.size()) == 0;
   dropText(this->Request);
+  // Without memory for the request nothing was sent. The exchange ends from the
+  // loop, since nothing is called inside start().
+  if (!this->Current->Sent)
+    bufferevent_trigger_event(this->Event.get(), BEV_EVENT_ERROR,
+                              BEV_TRIG_DEFER_CALLBACKS);
   bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
 }
 
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -5,7 +5,9 @@
 #include "connection/BufferedSocket.h"
 #include "connection/CallListener.h"
 
+#include <cstdlib>
 #include <ctime>
+#include <event2/event.h>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
 #include <thread>
@@ -56,6 +58,30 @@
   rlimit Before{};
 };
 
+/// Lets allocations of libevent above a size fail while it lives.
+class LibeventWithoutMemory {
+public:
+  explicit LibeventWithoutMemory(std::size_t Bytes) {
+    MaxBytes = Bytes;
+    event_set_mem_functions(
+        [](std::size_t Size) {
+          return Size > MaxBytes ? nullptr : std::malloc(Size);
+        },
+        [](void *Before, std::size_t Size) {
+          return Size > MaxBytes ? nullptr : std::realloc(Before, Size);
+        },
+        std::free);
+  }
+  ~LibeventWithoutMemory() {
+    event_set_mem_functions(nullptr, nullptr, nullptr);
+  }
+  LibeventWithoutMemory(const LibeventWithoutMemory &) = delete;
+  LibeventWithoutMemory &operator=(const LibeventWithoutMemory &) = delete;
+
+private:
+  static inline std::size_t MaxBytes = 0;
+};
+
 class CallerConnectionTest : public testing::Test {
 protected:
   CallerConnectionTest() { this->Address = freeAddress(); }
@@ -528,5 +554,50 @@
   EXPECT_EQ(Answered, Callers.size());
 }
 
+// Guards against a null pointer where libevent has no memory for a connection.
+TEST_F(CallerConnectionTest, AConnectionWithoutMemoryIsClosed) {
+  this->listen({});
+  auto Callers = this->queue(1);
+  {
+    const LibeventWithoutMemory Short(0);
+    EXPECT_TRUE(this->Loop.runUntil(
+        [&] {
+          Callers[0]->read();
+          return Callers[0]->isOver();
+        },
+        2s));
+  }
+  this->OnCall = [](const std::shared_ptr<IncomingCall> &Call) {
+    Call->send(200, {}, "answer");
+  };
+  Callers = this->connect(1);
+  Callers[0]->write(Request);
+  EXPECT_TRUE(this->Loop.runUntil(
+      [&] { return Callers[0]->read().ends_with("answer"); }, 2s));
+}
+
+// Guards against an answer with a gap that its caller takes for whole.
+TEST_F(CallerConnectionTest, AnAnswerWithoutMemoryForAPieceIsReset) {
+  this->OnCall = [](const std::shared_ptr<IncomingCall> &Call) {
+    Call->begin(200, {});
+    Call->write("first");
+    const LibeventWithoutMemory Short(4096);
+    Call->write(std::string(1 << 20, 'x'));
+    Call->write("last");
+    Call->finish();
+  };
+  this->listen({});
+  const auto Callers = this->connect(1);
+  Callers[0]->write(Request);
+  EXPECT_TRUE(this->Loop.runUntil(
+      [&] {
+        Callers[0]->read();
+        return Callers[0]->isOver();
+      },
+      2s));
+  EXPECT_FALSE(Callers[0]->text().ends_with("0\r\n\r\n"));
+  EXPECT_EQ(Callers[0]->text().find("last"), std::string::npos);
+}
+
 } // namespace
 } // namespace galenaroute
