ForwardRun: a send that fails for lack of memory counts nowhere

An exception between the start of an exchange and its entry in the list of sends left an exchange whose end read the last element of an empty list, and a count of calls in flight that never fell (by reading). The list has room before the exchange starts, counts follow it, and the call is refused, or failed if it may have run.

--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -5,6 +5,7 @@
 #include "process/Log.h"
 
 #include <algorithm>
+#include <new>
 
 namespace galenaroute {
 
@@ -334,7 +335,12 @@
     spendRetry(this->budget());
     this->noteStalled(*this->Live.back(), To.Entry->Registered.Id);
   }
-  this->send(To, Query);
+  try {
+    this->send(To, Query);
+  } catch (const std::bad_alloc &) {
+    this->cancelSends("memory_short");
+    this->refuseOrFail("memory is short", DefaultRetryAfter);
+  }
   return true;
 }
 
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -85,6 +85,12 @@
   Send->PendingWork = Choice.Work;
   Send->Class = Query.Class;
   Send->SentAt = Send->ProgressAt = Send->HeardAt = EventLoop::now();
+  // Where memory is missing for the exchange, nothing is counted.
+  this->Live.reserve(this->Live.size() + 1);
+  Send->Exchange = this->Services.Pool.start(
+      To.Registered.Address,
+      this->Services.Codec.writeRequest(this->Call, Plan, this->Incoming->Body),
+      Settings, this->eventsOf(Send));
   this->UpstreamId = Send->UpstreamId;
   this->Services.Upstreams.noteParts(Send->UpstreamId, Query);
   this->TriedUpstreams.push_back(Send->UpstreamId);
@@ -95,10 +101,6 @@
     this->Current = Phase::Sent;
   this->Services.Upstreams.noteSent(Send->UpstreamId, Choice.Work,
                                     this->callTokens(), Query.Class);
-  Send->Exchange = this->Services.Pool.start(
-      To.Registered.Address,
-      this->Services.Codec.writeRequest(this->Call, Plan, this->Incoming->Body),
-      Settings, this->eventsOf(Send));
   // The latest send shows whether a further upstream is to be tried.
   for (const auto &Each : this->Live)
     Each->StallTimer.disconnect();
