daemons: limit the stacks of the logging library's threads

liblog4cplus starts four idle threads when it is loaded, each with 8 MB of address space: 33 of 44 MB that an idle daemon had mapped. A machine of 110 MB that limits the address space has little left for calls.

The launcher sets the default size of stacks to 256 KB before it loads the daemon.

--- a/src/process/LaunchMain.cpp
+++ b/src/process/LaunchMain.cpp
@@ -11,6 +11,7 @@
 #include "process/DaemonEntry.h"
 #include "process/DaemonImage.h"
 #include "process/ProcessSignals.h"
+#include "process/ThreadStacks.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -55,6 +56,7 @@
 int main(int Argc, char **Argv) {
   galenaroute::blockControlSignals();
   openStandardDescriptors();
+  galenaroute::limitThreadStacks();
   void *const Library = loadDaemon();
   if (Library == nullptr)
     return EXIT_FAILURE;
