MemoryReserve: a failed allocation takes the reserve, and the largest connections give way

Callers saw the process end, by SIGSEGV or SIGABRT, with all calls in it.

MemoryReserve keeps 4 MB of address space back. A failed allocation of operator new or of libevent gives it up and is tried again; from the loop, nothing more is granted to connections and the largest of them are ended until the reserve is whole. The budget of connections follows the address space that the process has, where that is less than the machine's memory.

MixedClientsProcessTest.WithoutFreeAddressSpaceDoNotEndTheProcess ended by a signal before.

--- a/src/connection/CallListener.cpp
+++ b/src/connection/CallListener.cpp
@@ -100,6 +100,20 @@
   const TimePoint Now = EventLoop::now();
   if (Now < this->NextShedAt)
     return false;
+  if (this->shed(For, this->Limits.GiveWayAfter))
+    return true;
+  this->NextShedAt = Now + ShedPause;
+  return false;
+}
+
+bool CallListener::shedLargest() {
+  return this->shed(nullptr, Duration::zero());
+}
+
+/// Ends the largest connection other than \p For that made no progress for
+/// \p MinSilence. Returns whether there was one.
+bool CallListener::shed(const CallerConnection *For, Duration MinSilence) {
+  const TimePoint Now = EventLoop::now();
   std::vector<std::shared_ptr<CallerConnection>> Each(this->Connections.begin(),
                                                       this->Connections.end());
   std::vector<MemoryHolder> Holders;
@@ -109,17 +123,15 @@
     if (Next.get() == For)
       Holders.back().MayEnd = false;
   }
-  while (const auto Chosen =
-             chooseToShed(Holders, this->Limits.GiveWayAfter,
-                          2 * CallerConnection::ConnectionBytes)) {
+  while (const auto Chosen = chooseToShed(
+             Holders, MinSilence, 2 * CallerConnection::ConnectionBytes)) {
     // After the process stood still, what arrived meanwhile is progress.
-    if (!Each[*Chosen]->hasUnread()) {
+    if (MinSilence == Duration::zero() || !Each[*Chosen]->hasUnread()) {
       Each[*Chosen]->giveWay(Now);
       return true;
     }
     Holders[*Chosen].MayEnd = false;
   }
-  this->NextShedAt = Now + ShedPause;
   return false;
 }
 
--- a/src/connection/CallListener.h
+++ b/src/connection/CallListener.h
@@ -133,6 +133,9 @@
   /// Takes in the connections that wait and refuses further ones, or gives up
   /// waiting for the address. Connections that are open are still served.
   void stopAccepting();
+  /// Ends the largest connection that nothing promises an answer of a running
+  /// call, also one that makes progress. Returns whether there was one.
+  bool shedLargest();
   /// Returns whether no request is being read or answered, or waits unread in a
   /// socket, and no caller is sending the rest of a refused one.
   bool isQuiet() const;
@@ -153,6 +156,7 @@
   void noteLimit();
   void checkLimitEnd(TimePoint Now);
   bool shedOne(const CallerConnection *For);
+  bool shed(const CallerConnection *For, Duration MinSilence);
   void shedExcess();
 
   EventLoop &Loop;
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -88,12 +88,11 @@
 ForwardGateway::ForwardGateway(EventLoop &Loop, GatewaySettings InitialSettings,
                                GatewayParts Parts)
     : Loop(Loop), Settings(std::move(InitialSettings)), Parts(Parts),
-      Memory(memoryLimits(
-          this->Settings.MemoryBytes.value_or(DefaultMemoryBytes))),
-      Pool(Loop, Parts.Answers), Upstreams(this->Settings.Upstreams,
-                                           [this](const UpstreamEntry &Entry) {
-                                             return this->connectionRoom(Entry);
-                                           }),
+      Memory(memoryLimits(this->usableMemory())), Pool(Loop, Parts.Answers),
+      Upstreams(this->Settings.Upstreams,
+                [this](const UpstreamEntry &Entry) {
+                  return this->connectionRoom(Entry);
+                }),
       Services{.Loop = Loop,
                .Codec = Parts.Codec,
                .Pool = Pool,
@@ -267,11 +266,28 @@
       std::max(this->KnownCount, MayBeCutOff ? Seeds + 1 : 1));
 }
 
+/// Returns the memory of the machine, or less if this process may not map as
+/// much.
+std::size_t ForwardGateway::usableMemory() const {
+  const std::size_t Stated =
+      this->Settings.MemoryBytes.value_or(DefaultMemoryBytes);
+  return std::min(Stated, this->AddressSpace.value_or(Stated));
+}
+
+MemoryReserveEvents ForwardGateway::memoryEvents() {
+  return {.OnShort =
+              [this] {
+                this->Memory.setShort(true);
+                this->Stats.decision("memory.short");
+              },
+          .Free = [this] { return this->Listener->shedLargest(); },
+          .OnRestored = [this] { this->Memory.setShort(false); }};
+}
+
 /// Applies the settings that may change at run time.
 void ForwardGateway::applySettings() {
   this->Entries.self().Capacity = this->Settings.Cores;
-  this->Memory.setLimits(
-      memoryLimits(this->Settings.MemoryBytes.value_or(DefaultMemoryBytes)));
+  this->Memory.setLimits(memoryLimits(this->usableMemory()));
   this->Parts.Answers->setWaitBytes(this->Memory.limit(MemoryPart::Upstreams));
   this->updateDescriptorShares();
   this->updateRetryBudgets();
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -17,6 +17,7 @@
 #include "process/CrashExchange.h"
 #include "process/Descriptors.h"
 #include "process/EntryChannel.h"
+#include "process/MemoryReserve.h"
 #include "process/RateExchange.h"
 #include "process/StatusExchange.h"
 #include "process/StoreFollower.h"
@@ -105,10 +106,14 @@
   const UpstreamTable &upstreams() const { return this->Upstreams; }
   Metrics &stats() { return this->Stats; }
   const DescriptorShares &descriptors() const { return this->Descriptors; }
+  /// What follows when the memory reserve of the process is given up; valid
+  /// after start().
+  MemoryReserveEvents memoryEvents();
   /// Adds to \p Limits those of the machine's memory and of `[door]`.
   void addDoorLimits(CallerLimits &Limits, MemoryPart Part);
 
 private:
+  std::size_t usableMemory() const;
   void applySettings();
   void updateRetryBudgets();
   CallerLimits callerLimits();
@@ -186,6 +191,8 @@
   GatewayParts Parts;
   std::mt19937_64 Random{std::random_device{}()};
   Metrics Stats;
+  /// That was free when this process started; nothing if it is not limited.
+  std::optional<std::size_t> AddressSpace = freeAddressSpace();
   MemoryBudget Memory;
   UpstreamPool Pool;
   UpstreamTable Upstreams;
--- a/src/process/MemoryBudget.cpp
+++ b/src/process/MemoryBudget.cpp
@@ -20,6 +20,8 @@
 
 bool MemoryBudget::mayGrow(MemoryPart Part, std::size_t Held,
                            std::size_t More) const {
+  if (this->IsShort)
+    return false;
   const std::size_t Limit = this->limit(Part);
   const std::size_t Used = this->used(Part);
   const std::size_t Others = Used - std::min(Used, Held);
--- a/src/process/MemoryBudget.h
+++ b/src/process/MemoryBudget.h
@@ -55,6 +55,8 @@
 
   /// Charges that exceed a lowered limit stay; no further ones are granted.
   void setLimits(const MemoryLimits &Next) { this->Limits = Next; }
+  /// While memory is short, nothing is granted.
+  void setShort(bool Short) { this->IsShort = Short; }
   std::size_t limit(MemoryPart Part) const {
     return this->Limits.Parts.at(static_cast<std::size_t>(Part));
   }
@@ -71,6 +73,7 @@
 private:
   friend class MemoryCharge;
   MemoryLimits Limits;
+  bool IsShort = false;
   std::array<std::size_t, MemoryPartCount> Used{};
 };
 
--- /dev/null
+++ b/src/process/MemoryReserve.cpp
@@ -0,0 +1,119 @@
+#include "process/MemoryReserve.h"
+
+#include "process/Log.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <event2/event.h>
+#include <fstream>
+#include <malloc.h>
+#include <new>
+#include <sys/mman.h>
+#include <sys/resource.h>
+#include <unistd.h>
+#include <utility>
+
+namespace galenaroute {
+
+/// How often it is checked whether the reserve was given up. What is left then
+/// has to last for this long.
+static constexpr auto CheckPeriod = std::chrono::milliseconds(20);
+/// Connections closed in one check, so that the loop also reads what arrives.
+static constexpr int MaxFreedPerCheck = 16;
+static MemoryReserve *Active = nullptr;
+
+/// Called by operator new, which tries again when this returns.
+static void onNewFailed() {
+  if (Active == nullptr || !Active->release())
+    throw std::bad_alloc();
+}
+
+static void *mallocWithReserve(std::size_t Bytes) {
+  void *Result = std::malloc(Bytes);
+  while (Result == nullptr && Active != nullptr && Active->release())
+    Result = std::malloc(Bytes);
+  return Result;
+}
+
+static void *reallocWithReserve(void *Before, std::size_t Bytes) {
+  void *Result = std::realloc(Before, Bytes);
+  while (Result == nullptr && Bytes > 0 && Active != nullptr &&
+         Active->release())
+    Result = std::realloc(Before, Bytes);
+  return Result;
+}
+
+MemoryReserve::MemoryReserve(EventLoop &Loop, MemoryReserveEvents Events,
+                             std::size_t Bytes)
+    : Events(std::move(Events)), Bytes(Bytes) {
+  this->acquire();
+  Active = this;
+  std::set_new_handler(onNewFailed);
+  // These allocate like the default ones, so that it does not matter what was
+  // allocated before.
+  event_set_mem_functions(mallocWithReserve, reallocWithReserve, std::free);
+  this->Timer = Loop.timers().every(CheckPeriod, [this] { this->check(); });
+}
+
+MemoryReserve::~MemoryReserve() {
+  this->Timer.disconnect();
+  event_set_mem_functions(nullptr, nullptr, nullptr);
+  std::set_new_handler(nullptr);
+  Active = nullptr;
+  this->release();
+}
+
+bool MemoryReserve::acquire() {
+  void *const Mapped =
+      mmap(nullptr, this->Bytes, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+  if (Mapped != MAP_FAILED)
+    this->Block = Mapped;
+  return this->isWhole();
+}
+
+bool MemoryReserve::release() {
+  if (!this->isWhole())
+    return false;
+  munmap(this->Block, this->Bytes);
+  this->Block = nullptr;
+  return true;
+}
+
+void MemoryReserve::check() {
+  if (this->isWhole())
+    return;
+  if (!std::exchange(this->IsShort, true)) {
+    log(LogLevel::Error, "memory.short",
+        {{"free_bytes",
+          std::to_string(freeAddressSpace().value_or(std::size_t{0}))}});
+    this->Events.OnShort();
+  }
+  int Freed = 0;
+  while (Freed < MaxFreedPerCheck && this->Events.Free())
+    ++Freed;
+  // What was freed goes back to the system, from which the reserve is taken.
+  malloc_trim(0);
+  if (!this->acquire())
+    return;
+  this->IsShort = false;
+  log(LogLevel::Info, "memory.restored", {{"freed", std::to_string(Freed)}});
+  this->Events.OnRestored();
+}
+
+std::optional<std::size_t> freeAddressSpace() {
+  rlimit Limit{};
+  if (::getrlimit(RLIMIT_AS, &Limit) != 0 || Limit.rlim_cur == RLIM_INFINITY)
+    return std::nullopt;
+  std::ifstream Sizes("/proc/self/statm");
+  std::size_t Pages = 0;
+  if (!(Sizes >> Pages)) {
+    log(LogLevel::Warn, "memory.size_unknown",
+        {{"limit", std::to_string(Limit.rlim_cur)}});
+    return std::nullopt;
+  }
+  const std::size_t Used =
+      Pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+  return Limit.rlim_cur - std::min<std::size_t>(Limit.rlim_cur, Used);
+}
+
+} // namespace galenaroute
--- /dev/null
+++ b/src/process/MemoryReserve.h
@@ -0,0 +1,66 @@
+// Memory that is kept back for when an allocation fails.
+//
+//   MemoryReserve Reserve(Loop, {.OnShort = [&] { stopGranting(); },
+//                                .Free = [&] { return closeOne(); },
+//                                .OnRestored = [&] { grantAgain(); }});
+//
+// libsigc++ ends the process when an allocation fails inside of it, and
+// libevent returns null from functions that are seldom checked. So the reserve
+// is given up instead, the allocation is tried again, and memory is freed from
+// the loop until the reserve is whole.
+//
+// Guarantees: OnShort, Free and OnRestored are called from the loop only, and
+// OnShort and OnRestored in turn. The reserve takes address space, no memory.
+// There is one for the process, and allocations fail as usual without it.
+
+#ifndef GALENAROUTE_PROCESS_MEMORYRESERVE_H
+#define GALENAROUTE_PROCESS_MEMORYRESERVE_H
+
+#include "process/EventLoop.h"
+
+#include <optional>
+
+namespace galenaroute {
+
+struct MemoryReserveEvents {
+  /// The reserve was given up.
+  std::function<void()> OnShort = [] {};
+  /// Frees some memory. Returns false if there is nothing to free now.
+  std::function<bool()> Free = [] { return false; };
+  /// The reserve is whole again.
+  std::function<void()> OnRestored = [] {};
+};
+
+class MemoryReserve {
+public:
+  static constexpr std::size_t DefaultBytes = 4 << 20;
+
+  /// There must be no other one.
+  MemoryReserve(EventLoop &Loop, MemoryReserveEvents Events,
+                std::size_t Bytes = DefaultBytes);
+  ~MemoryReserve();
+  MemoryReserve(const MemoryReserve &) = delete;
+  MemoryReserve &operator=(const MemoryReserve &) = delete;
+
+  bool isWhole() const { return this->Block != nullptr; }
+  /// Gives up the reserve. Returns whether there was one.
+  bool release();
+
+private:
+  bool acquire();
+  void check();
+
+  MemoryReserveEvents Events;
+  std::size_t Bytes;
+  void *Block = nullptr;
+  bool IsShort = false; ///< As told by OnShort and OnRestored.
+  sigc::connection Timer;
+};
+
+/// Returns the bytes that this process may still map, or nothing if it has no
+/// limit on its address space.
+std::optional<std::size_t> freeAddressSpace();
+
+} // namespace galenaroute
+
+#endif // GALENAROUTE_PROCESS_MEMORYRESERVE_H
--- a/tests/process/MisbehavingClientsProcessTest.cpp
+++ b/tests/process/MisbehavingClientsProcessTest.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <filesystem>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 namespace galenaroute {
 namespace {
@@ -300,6 +301,13 @@
               MaxMemory);
   }
 
+  /// Leaves the daemon \p Bytes of address space beyond what it has mapped.
+  void limitAddressSpace(std::size_t Bytes) {
+    const rlim_t Limit = memoryOf(this->Daemon->id(), "VmSize") + Bytes;
+    const rlimit Limits{.rlim_cur = Limit, .rlim_max = Limit};
+    ASSERT_EQ(prlimit(this->Daemon->id(), RLIMIT_AS, &Limits, nullptr), 0);
+  }
+
   void wait(Duration Time) {
     this->Harness.loop().runUntil([] { return false; }, Time);
   }
@@ -436,5 +444,17 @@
   this->expectSound();
 }
 
+// Guards against a process that a failed allocation ends, with all of its
+// calls.
+TEST_F(MixedClientsProcessTest, WithoutFreeAddressSpaceDoNotEndTheProcess) {
+  this->start();
+  this->limitAddressSpace(1 << 20);
+  this->addCallers();
+  this->act(2500ms);
+  EXPECT_NE(this->Daemon->output().find("event=memory.short"),
+            std::string::npos);
+  this->expectSound();
+}
+
 } // namespace
 } // namespace galenaroute
