MemoryReserve: a fragmented heap does not leave the process short for good

After an allocation had failed once, callers got 503 ("no room for the call") from the process for as long as it lived: what the connections gave back lay in the heap between blocks in use, could not be returned to the system, and the reserve of 4 MB was never mapped again.

What malloc() holds free serves allocations, too, so it counts towards the reserve, and as much of the rest as there is address space for is mapped.

MemoryReserveTest.AFragmentedHeapRestoresTheReserve failed before.

--- a/src/process/MemoryReserve.cpp
+++ b/src/process/MemoryReserve.cpp
@@ -20,6 +20,8 @@
 static constexpr auto CheckPeriod = std::chrono::milliseconds(20);
 /// Connections closed in one check, so that the loop also reads what arrives.
 static constexpr int MaxFreedPerCheck = 16;
+/// A smaller block would not serve the allocations that malloc() maps.
+static constexpr std::size_t MinBlockBytes = 256 << 10;
 static MemoryReserve *Active = nullptr;
 
 /// Called by operator new, which tries again when this returns.
@@ -63,29 +65,41 @@
   this->release();
 }
 
-bool MemoryReserve::acquire() {
-  void *const Mapped =
-      mmap(nullptr, this->Bytes, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
-  if (Mapped != MAP_FAILED)
+/// Returns the bytes that malloc() holds free for further allocations.
+static std::size_t freeHeapBytes() { return mallinfo2().fordblks; }
+
+/// Maps as much of the reserve as there is address space for.
+void MemoryReserve::acquire() {
+  for (std::size_t Next = this->Bytes;
+       this->Block == nullptr && Next >= MinBlockBytes; Next /= 2) {
+    void *const Mapped =
+        mmap(nullptr, Next, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+    if (Mapped == MAP_FAILED)
+      continue;
     this->Block = Mapped;
-  return this->isWhole();
+    this->BlockBytes = Next;
+  }
+  this->IsWhole = this->BlockBytes + freeHeapBytes() >= this->Bytes;
 }
 
 bool MemoryReserve::release() {
-  if (!this->isWhole())
+  this->IsWhole = false;
+  if (this->Block == nullptr)
     return false;
-  munmap(this->Block, this->Bytes);
+  munmap(this->Block, this->BlockBytes);
   this->Block = nullptr;
+  this->BlockBytes = 0;
   return true;
 }
 
 void MemoryReserve::check() {
-  if (this->isWhole())
+  if (this->IsWhole)
     return;
   if (!std::exchange(this->IsShort, true)) {
     log(LogLevel::Error, "memory.short",
         {{"free_bytes",
-          std::to_string(freeAddressSpace().value_or(std::size_t{0}))}});
+          std::to_string(freeAddressSpace().value_or(std::size_t{0}))},
+         {"free_heap_bytes", std::to_string(freeHeapBytes())}});
     this->Events.OnShort();
   }
   int Freed = 0;
@@ -93,10 +107,16 @@
     ++Freed;
   // What was freed goes back to the system, from which the reserve is taken.
   malloc_trim(0);
-  if (!this->acquire())
+  // A part of the reserve may be mapped already.
+  this->release();
+  this->acquire();
+  if (!this->IsWhole)
     return;
   this->IsShort = false;
-  log(LogLevel::Info, "memory.restored", {{"freed", std::to_string(Freed)}});
+  log(LogLevel::Info, "memory.restored",
+      {{"freed", std::to_string(Freed)},
+       {"mapped_bytes", std::to_string(this->BlockBytes)},
+       {"free_heap_bytes", std::to_string(freeHeapBytes())}});
   this->Events.OnRestored();
 }
 
--- a/src/process/MemoryReserve.h
+++ b/src/process/MemoryReserve.h
@@ -11,6 +11,8 @@
 //
 // Guarantees: OnShort, Free and OnRestored are called from the loop only, and
 // OnShort and OnRestored in turn. The reserve takes address space, no memory.
+// What malloc() holds free counts towards it, so that a fragmented heap, which
+// cannot be returned to the system, does not leave the process short for good.
 // There is one for the process, and allocations fail as usual without it.
 
 #ifndef GALENAROUTE_PROCESS_MEMORYRESERVE_H
@@ -42,17 +44,19 @@
   MemoryReserve(const MemoryReserve &) = delete;
   MemoryReserve &operator=(const MemoryReserve &) = delete;
 
-  bool isWhole() const { return this->Block != nullptr; }
-  /// Gives up the reserve. Returns whether there was one.
+  bool isWhole() const { return this->IsWhole; }
+  /// Gives up the reserve. Returns whether address space became free.
   bool release();
 
 private:
-  bool acquire();
+  void acquire();
   void check();
 
   MemoryReserveEvents Events;
   std::size_t Bytes;
   void *Block = nullptr;
+  std::size_t BlockBytes = 0;
+  bool IsWhole = false;
   bool IsShort = false; ///< As told by OnShort and OnRestored.
   sigc::connection Timer;
 };
--- a/tests/MemoryReserveTest.cpp
+++ b/tests/MemoryReserveTest.cpp
@@ -61,6 +61,27 @@
   EXPECT_EQ(Restorations, 1);
 }
 
+// Guards against a process that stays short for good because what it has freed
+// lies between blocks in use and cannot be returned to the system.
+TEST(MemoryReserveTest, AFragmentedHeapRestoresTheReserve) {
+  static constexpr std::size_t BlockBytes = 1024;
+  static constexpr std::size_t KeptEvery = 64;
+  EventLoop Loop;
+  std::vector<std::unique_ptr<char[]>> Blocks;
+  Blocks.reserve(64 * Megabyte / BlockBytes);
+  int Restorations = 0;
+  const LittleAddressSpace Limit(20 * Megabyte);
+  MemoryReserve Reserve(Loop, {.OnRestored = [&] { ++Restorations; }});
+  ASSERT_TRUE(Reserve.isWhole());
+  while (Reserve.isWhole() || *freeAddressSpace() > Megabyte)
+    Blocks.push_back(std::make_unique<char[]>(BlockBytes));
+  for (std::size_t I = 0; I + 1 < Blocks.size(); ++I)
+    if (I % KeptEvery != 0)
+      Blocks[I].reset();
+  EXPECT_TRUE(Loop.runUntil([&] { return Restorations > 0; }, 2s));
+  EXPECT_TRUE(Reserve.isWhole());
+}
+
 // Guards against an allocation that is tried without end.
 TEST(MemoryReserveTest, AnAllocationBeyondTheReserveFails) {
   EventLoop Loop;
