MemoryReserve: connections and answers stop growing with the failed allocation

A process without free address space ended by SIGABRT, with all of its calls. The reserve was given up by a failed allocation, but connections and answers were granted memory for up to 20 ms more, until the check from the loop. They used up the 4 MB of the reserve, and the next failure came from a place that cannot fail: the destructor of a JSON value, which allocates (frames of the fatal line: errorBody, ForwardRun::fail).

The failed allocation itself now sets the flags by which MemoryBudget grants nothing and ResponseBudget drops what is not short.

--- a/src/connection/ResponseBudget.cpp
+++ b/src/connection/ResponseBudget.cpp
@@ -23,10 +23,16 @@
          this->Budget->largest() == this;
 }
 
-bool ResponseBudget::Charge::set(std::size_t Next) {
+bool ResponseBudget::Charge::set(std::size_t Next, std::size_t Length) {
   if (this->IsDropped)
     return false;
   ResponseBudget &Shared = *this->Budget;
+  if (Shared.IsShort && Next > this->Bytes &&
+      std::max(Next, Length) > ShortBytes) {
+    this->IsDropped = true;
+    this->release();
+    return false;
+  }
   Shared.Held += Next - this->Bytes;
   this->Bytes = Next;
   if (Next > 0)
--- a/src/connection/ResponseBudget.h
+++ b/src/connection/ResponseBudget.h
@@ -18,6 +18,7 @@
 #ifndef GALENAROUTE_CONNECTION_RESPONSEBUDGET_H
 #define GALENAROUTE_CONNECTION_RESPONSEBUDGET_H
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -54,7 +55,8 @@
 
     /// Sets the bytes held. Returns false if this response is dropped, also at
     /// all later calls; OnDropped is not called for it.
-    [[nodiscard]] bool set(std::size_t Next);
+    /// \p Length is that of the whole response as far as it is known.
+    [[nodiscard]] bool set(std::size_t Next, std::size_t Length = 0);
 
     /// Returns whether more of this response should be read now: the sum of all
     /// is within the lower limit, or this one is short or the largest. \p
@@ -72,6 +74,9 @@
   };
 
   std::size_t held() const { return this->Held; }
+  /// While memory is short, responses that are not short ones are dropped. May
+  /// be called on any thread.
+  void setShort(bool Short) { this->IsShort = Short; }
   /// Sets the sum above which long responses wait.
   void setWaitBytes(std::size_t Bytes) { this->WaitBytes = Bytes; }
 
@@ -85,6 +90,7 @@
   std::size_t MaxBytes;
   std::size_t WaitBytes;
   std::size_t Held = 0;
+  std::atomic<bool> IsShort = false;
   std::set<Charge *> Charges; ///< Those that hold bytes.
 };
 
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -274,14 +274,16 @@
   return std::min(Stated, this->AddressSpace.value_or(Stated));
 }
 
+void ForwardGateway::setMemoryShort(bool Short) {
+  this->Memory.setShort(Short);
+  this->Parts.Answers->setShort(Short);
+}
+
 MemoryReserveEvents ForwardGateway::memoryEvents() {
-  return {.OnShort =
-              [this] {
-                this->Memory.setShort(true);
-                this->Stats.decision("memory.short");
-              },
+  return {.OnReleased = [this] { this->setMemoryShort(true); },
+          .OnShort = [this] { this->Stats.decision("memory.short"); },
           .Free = [this] { return this->Listener->shedLargest(); },
-          .OnRestored = [this] { this->Memory.setShort(false); }};
+          .OnRestored = [this] { this->setMemoryShort(false); }};
 }
 
 /// Applies the settings that may change at run time.
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -114,6 +114,7 @@
 
 private:
   std::size_t usableMemory() const;
+  void setMemoryShort(bool Short);
   void applySettings();
   void updateRetryBudgets();
   CallerLimits callerLimits();
--- a/src/process/MemoryBudget.h
+++ b/src/process/MemoryBudget.h
@@ -21,6 +21,7 @@
 #include "process/Clock.h"
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <optional>
@@ -55,7 +56,7 @@
 
   /// Charges that exceed a lowered limit stay; no further ones are granted.
   void setLimits(const MemoryLimits &Next) { this->Limits = Next; }
-  /// While memory is short, nothing is granted.
+  /// While memory is short, nothing is granted. May be called on any thread.
   void setShort(bool Short) { this->IsShort = Short; }
   std::size_t limit(MemoryPart Part) const {
     return this->Limits.Parts.at(static_cast<std::size_t>(Part));
@@ -73,7 +74,7 @@
 private:
   friend class MemoryCharge;
   MemoryLimits Limits;
-  bool IsShort = false;
+  std::atomic<bool> IsShort = false;
   std::array<std::size_t, MemoryPartCount> Used{};
 };
 
--- a/src/process/MemoryReserve.cpp
+++ b/src/process/MemoryReserve.cpp
@@ -76,24 +76,26 @@
         mmap(nullptr, Next, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
     if (Mapped == MAP_FAILED)
       continue;
-    this->Block = Mapped;
     this->BlockBytes = Next;
+    this->Block = Mapped;
   }
-  this->IsWhole = this->BlockBytes + freeHeapBytes() >= this->Bytes;
+  this->IsWhole =
+      (this->Block == nullptr ? 0 : this->BlockBytes) + freeHeapBytes() >=
+      this->Bytes;
 }
 
 bool MemoryReserve::release() {
   this->IsWhole = false;
-  if (this->Block == nullptr)
+  void *const Mapped = this->Block.exchange(nullptr);
+  if (Mapped == nullptr)
     return false;
-  munmap(this->Block, this->BlockBytes);
-  this->Block = nullptr;
-  this->BlockBytes = 0;
+  munmap(Mapped, this->BlockBytes);
+  this->Events.OnReleased();
   return true;
 }
 
 void MemoryReserve::check() {
-  if (this->IsWhole)
+  if (this->isWhole())
     return;
   if (!std::exchange(this->IsShort, true)) {
     log(LogLevel::Error, "memory.short",
@@ -110,7 +112,7 @@
   // A part of the reserve may be mapped already.
   this->release();
   this->acquire();
-  if (!this->IsWhole)
+  if (!this->isWhole())
     return;
   this->IsShort = false;
   log(LogLevel::Info, "memory.restored",
--- a/src/process/MemoryReserve.h
+++ b/src/process/MemoryReserve.h
@@ -10,7 +10,8 @@
 // the loop until the reserve is whole.
 //
 // Guarantees: OnShort, Free and OnRestored are called from the loop only, and
-// OnShort and OnRestored in turn. The reserve takes address space, no memory.
+// OnShort and OnRestored in turn. OnReleased is called inside of the allocation
+// that failed, on any thread. The reserve takes address space, no memory.
 // What malloc() holds free counts towards it, so that a fragmented heap, which
 // cannot be returned to the system, does not leave the process short for good.
 // There is one for the process, and allocations fail as usual without it.
@@ -20,12 +21,16 @@
 
 #include "process/EventLoop.h"
 
+#include <atomic>
 #include <optional>
 
 namespace galenaroute {
 
 struct MemoryReserveEvents {
-  /// The reserve was given up.
+  /// The reserve has just been given up. Must not allocate. What grows beyond
+  /// it before the loop goes on is lost.
+  std::function<void()> OnReleased = [] {};
+  /// The reserve was given up; called soon after OnReleased.
   std::function<void()> OnShort = [] {};
   /// Frees some memory. Returns false if there is nothing to free now.
   std::function<bool()> Free = [] { return false; };
@@ -44,7 +49,7 @@
   MemoryReserve(const MemoryReserve &) = delete;
   MemoryReserve &operator=(const MemoryReserve &) = delete;
 
-  bool isWhole() const { return this->IsWhole; }
+  bool isWhole() const { return this->IsWhole.load(); }
   /// Gives up the reserve. Returns whether address space became free.
   bool release();
 
@@ -54,9 +59,10 @@
 
   MemoryReserveEvents Events;
   std::size_t Bytes;
-  void *Block = nullptr;
+  // The thread that writes the log may also give up the reserve.
+  std::atomic<void *> Block = nullptr;
   std::size_t BlockBytes = 0;
-  bool IsWhole = false;
+  std::atomic<bool> IsWhole = false;
   bool IsShort = false; ///< As told by OnShort and OnRestored.
   sigc::connection Timer;
 };
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -305,7 +305,7 @@
           if (Self && Dropped)
             Self->dropBody(Dropped);
         });
-  if (!Send->BodyCharge->set(Send->Body.size() + Bytes.size()))
+  if (!Send->BodyCharge->set(Send->Body.size() + Bytes.size(), Send->Length))
     return false;
   // Growing by doubling would hold up to three times the bytes.
   if (Send->Body.empty())
--- a/tests/MemoryReserveTest.cpp
+++ b/tests/MemoryReserveTest.cpp
@@ -82,6 +82,19 @@
   EXPECT_TRUE(Reserve.isWhole());
 }
 
+// Guards against connections that go on to grow until the loop runs, and so use
+// up what the reserve has left.
+TEST(MemoryReserveTest, TheReleaseIsToldInsideOfTheAllocation) {
+  EventLoop Loop;
+  int Releases = 0;
+  const LittleAddressSpace Limit(20 * Megabyte);
+  const MemoryReserve Reserve(Loop, {.OnReleased = [&] { ++Releases; }});
+  std::vector<std::unique_ptr<char[]>> Blocks;
+  while (Reserve.isWhole())
+    Blocks.push_back(std::make_unique<char[]>(Megabyte));
+  EXPECT_EQ(Releases, 1);
+}
+
 // Guards against an allocation that is tried without end.
 TEST(MemoryReserveTest, AnAllocationBeyondTheReserveFails) {
   EventLoop Loop;
--- a/tests/ResponseLimitsTest.cpp
+++ b/tests/ResponseLimitsTest.cpp
@@ -42,6 +42,22 @@
   EXPECT_EQ(Budget->held(), 0U);
 }
 
+// Guards against responses that go on to grow while an allocation has failed.
+TEST(ResponseBudgetTest, WhileMemoryIsShortOnlyShortResponsesGrow) {
+  const auto Budget = std::make_shared<ResponseBudget>(8 * MiB);
+  ResponseBudget::Charge Long(Budget, [] {});
+  ResponseBudget::Charge Announced(Budget, [] {});
+  ResponseBudget::Charge Short(Budget, [] {});
+  EXPECT_TRUE(Long.set(MiB));
+  Budget->setShort(true);
+  EXPECT_FALSE(Long.set(MiB + 1));
+  EXPECT_EQ(Budget->held(), 0U);
+  EXPECT_FALSE(Announced.set(1, MiB));
+  EXPECT_TRUE(Short.set(ResponseBudget::ShortBytes));
+  Budget->setShort(false);
+  EXPECT_TRUE(Short.set(MiB));
+}
+
 // Guards against long responses that are dropped where waiting would do, and
 // against responses that all wait for one another.
 TEST(ResponseBudgetTest, LongResponsesWaitWhileALargerOneIsRead) {
--- a/tests/process/MisbehavingClientsProcessTest.cpp
+++ b/tests/process/MisbehavingClientsProcessTest.cpp
@@ -295,7 +295,8 @@
                      "ordinary\r\nContent-Length: 4\r\n\r\nbody");
     this->Harness.loop().runUntil(
         [&] { return Caller.read().ends_with("answer"); }, 5s);
-    EXPECT_TRUE(Caller.text().starts_with("HTTP/1.1 200 ")) << Caller.text();
+    EXPECT_TRUE(Caller.text().starts_with("HTTP/1.1 200 "))
+        << Caller.text() << this->Daemon->output();
     EXPECT_TRUE(this->Daemon->isRunning());
     EXPECT_LE(memoryOf(this->Daemon->id(), "VmHWM") + this->MostQueued,
               MaxMemory);
