ForwardRun: a stream goes on only at the software version that began it

Callers got texts that two software versions of an upstream had written, with status 200 and nothing that showed it: within one answer, and over the attempts of a caller, which names in Resumes the attempt that brought the first event. Nothing read the version of an upstream or Resumes.

Within an answer, the version is that of the first event that was forwarded. Over attempts, StreamOrigins has a record of each stream, and StreamOriginStore keeps the records on the platform while a service has several versions, so that they outlast all processes. A stream without a record is refused as not run.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -140,7 +140,8 @@
                    },
                .OnRefusalsChanged =
                    [this] { this->Services.RefusalsChanged.emit(); }}),
-      Rates(this->Entries, this->rateParts()) {
+      Rates(this->Entries, this->rateParts()),
+      StreamStore(this->streamStoreParts()) {
   this->Upstreams.OnUnavailable = [this](const SocketAddress &Address) {
     this->Pool.closeIdle(Address);
   };
@@ -170,6 +171,7 @@
     this->Crashes.publish(Key, Cleared);
   };
   this->connectRates();
+  this->connectStreams();
   this->Services.OnSent = [this](const UpstreamEntry &To,
                                  std::uint32_t Tokens) {
     if (this->Rates.limitOf(To.Incarnation))
@@ -215,6 +217,36 @@
           }};
 }
 
+StreamOriginStoreParts ForwardGateway::streamStoreParts() {
+  return {.Loop = this->Loop,
+          .Api = this->Parts.Api,
+          .Streams = this->Services.Streams,
+          .NodeId = this->Settings.NodeId,
+          .RegisteredVersions = [this] { return this->registeredVersions(); },
+          .IsRegistryCurrent =
+              [this] { return isRecent(this->Registry.confirmedAt()); },
+          .GatewayCount = [this] { return this->gatewayCount(); }};
+}
+
+/// Lets calls find where the streams began that their callers take up.
+void ForwardGateway::connectStreams() {
+  this->Services.OnlyVersion = [this](std::string_view Service) {
+    return this->StreamStore.onlyVersion(Service);
+  };
+  this->Services.ListStreams = [this] { this->StreamStore.list(); };
+  this->StreamStore.Listed.connect([this](const StreamOrigins *Stored) {
+    this->Services.StreamsListed.emit(Stored);
+  });
+}
+
+VersionsByService ForwardGateway::registeredVersions() const {
+  VersionsByService Result;
+  for (const auto &[Id, Entry] : this->Upstreams.entries())
+    if (this->ResumableServices.contains(Entry.Registered.Service))
+      Result[Entry.Registered.Service].insert(Entry.Registered.SoftwareVersion);
+  return Result;
+}
+
 /// Lets calls and the choice of upstreams use the shared rate limits.
 void ForwardGateway::connectRates() {
   this->Upstreams.PermissionOf = [this](const UpstreamEntry &Entry) {
@@ -402,6 +434,7 @@
   if (this->Evacuations)
     this->Evacuations->start();
   this->Crashes.start();
+  this->StreamStore.start();
   this->gossip();
   this->publishStatus();
   this->Timers.push_back(
@@ -432,6 +465,7 @@
   this->EraSince = EventLoop::now();
   this->StoredWeights.clear();
   this->Crashes.onEraChanged();
+  this->StreamStore.onEraChanged();
 }
 
 void ForwardGateway::onCall(std::shared_ptr<IncomingCall> Call) {
@@ -457,6 +491,11 @@
       std::make_shared<const ForwardConfig>(std::move(*Read));
   const ForwardConfig &Config = *this->Services.Config;
   this->Stats.ConfigEpoch.Set(static_cast<double>(Config.Version));
+  this->ResumableServices.clear();
+  for (const ForwardRoute &Route : Config.Routes)
+    if (Route.IsStream && Route.Repeat == Repeatability::Resumable)
+      for (const WeightedService &Each : Route.Services)
+        this->ResumableServices.insert(Each.Service);
   this->Stores.follow(Config);
   this->Services.Stores = this->Stores.views();
   this->setCustomers(Config);
@@ -495,6 +534,8 @@
   }
   if (auto Read = this->Parts.Source.readUpstream(Object)) {
     this->Upstreams.put(*Read, EventLoop::now());
+    if (this->ResumableServices.contains(Read->Service))
+      this->StreamStore.noteUpstream(Read->Service, Read->SoftwareVersion);
     this->limitIfCold(*this->Upstreams.find(Read->Id));
   } else {
     // What it named before is no longer registered.
@@ -646,6 +687,7 @@
                                 ? this->Services.Reuse.Zones.size() + 1
                                 : Count);
   this->updateRetryBudgets();
+  this->Services.StreamStorePeriod = StreamOriginStore::periodFor(Count);
   const std::string Message =
       encodeGossip({.Records = this->Entries.makeGossip(Now, this->Random)});
   const std::vector<SocketAddress> Targets =
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -21,6 +21,7 @@
 #include "process/RateExchange.h"
 #include "process/StatusExchange.h"
 #include "process/StoreFollower.h"
+#include "process/StreamOriginStore.h"
 #include "request/ForwardRun.h"
 #include "version/ForwardSource.h"
 #include "version/ObjectWatcher.h"
@@ -159,6 +160,9 @@
   void updateCustomerMetrics();
   void sendToZone(const GossipMessage &Message);
   RateExchangeParts rateParts();
+  StreamOriginStoreParts streamStoreParts();
+  void connectStreams();
+  VersionsByService registeredVersions() const;
   void connectRates();
   void updateRateMembers();
   void limitIfCold(const UpstreamEntry &Entry);
@@ -214,6 +218,9 @@
   StatusExchange Statuses;
   CrashExchange Crashes;
   RateExchange Rates;
+  StreamOriginStore StreamStore;
+  /// Whose streams may be taken up, by the configuration in force.
+  std::set<std::string, std::less<>> ResumableServices;
   /// Live gateways including this one; updated by gossip().
   std::size_t GatewayCount = 1;
   /// Known gateways including this one and those that are not heard; updated by
--- /dev/null
+++ b/src/process/StreamOriginStore.cpp
@@ -0,0 +1,356 @@
+#include "process/StreamOriginStore.h"
+
+#include "process/Clock.h"
+#include "process/ErrorKind.h"
+#include "process/Log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace galenaroute {
+
+using nlohmann::json;
+
+static constexpr std::string_view StoredKind = "stream-versions";
+static constexpr std::string_view GatewayPrefix = "gateway.";
+static constexpr std::string_view ServicePrefix = "service.";
+
+/// Between two writes of a gateway in a small fleet. What was begun since the
+/// last one is lost if all processes are killed.
+static constexpr Duration MinPeriod = std::chrono::milliseconds(200);
+/// Writes per second of all gateways together. Platforms accept 400.
+static constexpr double MaxWritesPerSecond = 40;
+/// Objects that were not written for so long belong to gateways or eras that
+/// are gone.
+static constexpr std::int64_t MaxObjectAgeMs = 600'000;
+static constexpr std::size_t KeyDigits = 16;
+
+StreamOriginStore::StreamOriginStore(StreamOriginStoreParts Parts)
+    : Parts(std::move(Parts)) {}
+
+StreamOriginStore::~StreamOriginStore() { this->Timer.disconnect(); }
+
+Duration StreamOriginStore::periodFor(std::size_t Gateways) {
+  return std::max(MinPeriod, fromSeconds(static_cast<double>(Gateways) /
+                                         MaxWritesPerSecond));
+}
+
+void StreamOriginStore::start() { this->tick(); }
+
+void StreamOriginStore::tick() {
+  const TimePoint Now = EventLoop::now();
+  this->Timer = this->Parts.Loop.timers().after(
+      periodFor(this->Parts.GatewayCount()), [this] { this->tick(); });
+  this->Parts.Streams.expire(Now);
+  for (const auto &[Service, Versions] : this->Parts.RegisteredVersions())
+    for (const std::string &Each : Versions)
+      noteRegistered(this->Services[Service].Versions, Each, Now);
+  if (!this->HasListed) {
+    this->list();
+    return;
+  }
+  this->storeAllVersions();
+  if (this->hasSeveralVersions())
+    this->storeRecords();
+}
+
+void StreamOriginStore::noteUpstream(const std::string &Name,
+                                     const std::string &Version) {
+  Service &Of = this->Services[Name];
+  noteRegistered(Of.Versions, Version, EventLoop::now());
+  if (this->HasListed && !Of.Versions.Stored.contains(Version))
+    this->storeVersions(Name);
+}
+
+void StreamOriginStore::storeAllVersions() {
+  for (const auto &[Name, Each] : this->Services)
+    if (this->versionsToStore(Each) != Each.Versions.Stored)
+      this->storeVersions(Name);
+}
+
+std::set<std::string>
+StreamOriginStore::versionsToStore(const Service &Of) const {
+  return galenaroute::versionsToStore(
+      Of.Versions, this->Parts.IsRegistryCurrent(), StreamOrigins::Retention,
+      EventLoop::now());
+}
+
+void StreamOriginStore::onEraChanged() {
+  this->IsOwnUnknown = true;
+  this->StoredCount = 0;
+  for (auto &[Name, Each] : this->Services)
+    dropStored(Each.Versions, EventLoop::now());
+}
+
+bool StreamOriginStore::hasSeveralVersions() const {
+  return std::any_of(this->Services.begin(), this->Services.end(),
+                     [](const auto &Each) {
+                       return knownVersions(Each.second.Versions).size() > 1;
+                     });
+}
+
+std::optional<std::string>
+StreamOriginStore::onlyVersion(std::string_view Name) const {
+  const auto Found = this->Services.find(Name);
+  if (!this->HasListed || Found == this->Services.end() ||
+      !this->Parts.IsRegistryCurrent())
+    return std::nullopt;
+  return galenaroute::onlyVersion(Found->second.Versions);
+}
+
+void StreamOriginStore::list() {
+  if (this->IsListing)
+    return;
+  this->IsListing = true;
+  this->ListedStreams = {};
+  this->listAfter({});
+}
+
+void StreamOriginStore::listAfter(const std::string &Name) {
+  this->Parts.Api.list(
+      std::string(StoredKind), {}, Name,
+      [this, Alive = std::weak_ptr(this->Alive)](const PlatformList &Page) {
+        if (!Alive.expired())
+          this->onPage(Page);
+      });
+}
+
+void StreamOriginStore::onPage(const PlatformList &Page) {
+  if (Page.Status == PlatformStatus::Ok) {
+    for (const PlatformObject &Each : Page.Objects)
+      this->readObject(Each);
+    if (Page.More && !Page.lastName().empty()) {
+      this->listAfter(Page.lastName());
+      return;
+    }
+    if (!std::exchange(this->HasListed, true)) {
+      this->IsOwnUnknown = false;
+      this->storeAllVersions();
+    }
+  }
+  this->IsListing = false;
+  this->Listed.emit(Page.Status == PlatformStatus::Ok ? &this->ListedStreams
+                                                      : nullptr);
+  this->ListedStreams = {};
+}
+
+void StreamOriginStore::readObject(const PlatformObject &Object) {
+  try {
+    if (Object.Key.Name.starts_with(ServicePrefix))
+      this->readService(Object);
+    else if (Object.Key.Name.starts_with(GatewayPrefix))
+      this->readRecords(Object);
+    if (!this->HasListed)
+      this->removeOutdated(Object, Object.Value.at("written_ms"));
+  } catch (const std::exception &Failure) {
+    // The next write replaces a malformed object of this era.
+    log(LogLevel::Warn, "streams.stored_malformed",
+        {{"name", Object.Key.Name}, {"message", Failure.what()}});
+  }
+}
+
+void StreamOriginStore::readService(const PlatformObject &Object) {
+  const std::string Name = Object.Value.at("service");
+  const std::set<std::string> Stored = Object.Value.at("versions");
+  SoftwareVersions &Versions = this->Services[Name].Versions;
+  const TimePoint Now = EventLoop::now();
+  if (Object.Key == this->keyOf(std::string(ServicePrefix) + Name))
+    noteStored(Versions, Stored, StreamOrigins::Retention, Now);
+  else
+    for (const std::string &Each : Stored)
+      noteKnown(Versions, Each, Now);
+}
+
+static StreamKey keyFromText(std::string_view Text) {
+  StreamKey Key = 0;
+  const auto Read =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Key, 16);
+  if (Read.ec != std::errc() || Read.ptr != Text.data() + Text.size())
+    throw Error(ErrorKind::BadRequest,
+                "malformed key of a stream: " + std::string(Text));
+  return Key;
+}
+
+static void addRecords(StreamOrigins &Into, const json &Value) {
+  for (const json &Group : Value.at("streams")) {
+    const StreamOrigin Origin{Group.at("service"), Group.at("version")};
+    const std::string Keys = Group.at("keys");
+    for (std::size_t I = 0; I < Keys.size(); I += KeyDigits)
+      Into.add(keyFromText(std::string_view(Keys).substr(I, KeyDigits)), Origin,
+               EventLoop::now());
+  }
+}
+
+void StreamOriginStore::readRecords(const PlatformObject &Object) {
+  addRecords(this->ListedStreams, Object.Value);
+  if (Object.Key == this->ownKey() && !this->HasListed)
+    this->adoptOwn(Object);
+}
+
+/// Takes over the records that a predecessor of this process has stored, which
+/// the next write would replace.
+void StreamOriginStore::adoptOwn(const PlatformObject &Object) {
+  this->OwnRevision = Object.Version;
+  try {
+    addRecords(this->Parts.Streams, Object.Value);
+  } catch (const std::exception &Failure) {
+    log(LogLevel::Warn, "streams.stored_malformed",
+        {{"name", Object.Key.Name}, {"message", Failure.what()}});
+  }
+}
+
+void StreamOriginStore::removeOutdated(const PlatformObject &Object,
+                                       std::int64_t WrittenMs) {
+  if (wallMilliseconds() - WrittenMs < MaxObjectAgeMs)
+    return;
+  const bool IsService = Object.Key.Name.starts_with(ServicePrefix);
+  if (Object.Key == this->ownKey() ||
+      (IsService &&
+       Object.Key ==
+           this->keyOf(std::string(ServicePrefix) +
+                       Object.Value.at("service").get<std::string>())))
+    return;
+  this->Parts.Api.remove(
+      Object.Key, Object.Version,
+      [Name = Object.Key.Name](const PlatformResult &Done) {
+        if (Done.Status == PlatformStatus::Ok)
+          log(LogLevel::Info, "streams.stored_removed", {{"name", Name}});
+      });
+}
+
+/// Returns the key of an object of this era.
+ObjectKey StreamOriginStore::keyOf(const std::string &Name) const {
+  return {std::string(StoredKind),
+          eraName(Name, this->Parts.Api.Era.current())};
+}
+
+ObjectKey StreamOriginStore::ownKey() const {
+  return this->keyOf(std::string(GatewayPrefix) + this->Parts.NodeId);
+}
+
+/// Stores the versions of a service, unless another gateway has done so.
+void StreamOriginStore::storeVersions(const std::string &Name) {
+  if (std::exchange(this->Services[Name].IsWriting, true))
+    return;
+  const ObjectKey Key = this->keyOf(std::string(ServicePrefix) + Name);
+  this->Parts.Api.get(Key,
+                      [this, Key, Name, Alive = std::weak_ptr(this->Alive)](
+                          const PlatformResult &Read) {
+                        if (Alive.expired())
+                          return;
+                        // A failed attempt is repeated in the next period.
+                        if (Read.Status == PlatformStatus::Ok ||
+                            Read.Status == PlatformStatus::NotFound)
+                          this->writeVersions(Name, Key, Read);
+                        else
+                          this->Services[Name].IsWriting = false;
+                      });
+}
+
+void StreamOriginStore::writeVersions(const std::string &Name,
+                                      const ObjectKey &Key,
+                                      const PlatformResult &Read) {
+  if (Read.Status == PlatformStatus::Ok) {
+    PlatformObject Object = Read.Object;
+    Object.Key = Key;
+    this->readObject(Object);
+  }
+  Service &Of = this->Services[Name];
+  const std::set<std::string> Wanted = this->versionsToStore(Of);
+  if (Wanted == Of.Versions.Stored) {
+    Of.IsWriting = false;
+    return;
+  }
+  this->Parts.Api.put(
+      Key,
+      {{"service", Name},
+       {"versions", Wanted},
+       {"written_ms", wallMilliseconds()}},
+      Read.Status == PlatformStatus::Ok ? Read.Object.Version
+                                        : Platform::MustNotExist,
+      [this, Name, Key, Wanted,
+       Alive = std::weak_ptr(this->Alive)](const PlatformResult &Written) {
+        if (Alive.expired())
+          return;
+        Service &Done = this->Services[Name];
+        Done.IsWriting = false;
+        if (Written.Status != PlatformStatus::Ok ||
+            !(Key == this->keyOf(std::string(ServicePrefix) + Name)))
+          return;
+        noteStored(Done.Versions, Wanted, StreamOrigins::Retention,
+                   EventLoop::now());
+        std::string Text;
+        for (const std::string &Each : Wanted)
+          Text += (Text.empty() ? "" : ",") + Each;
+        log(LogLevel::Info, "streams.versions_stored",
+            {{"service", Name}, {"versions", Text}});
+      });
+}
+
+static std::string keyText(StreamKey Key) {
+  char Text[KeyDigits + 1];
+  std::snprintf(Text, sizeof Text, "%016llx",
+                static_cast<unsigned long long>(Key));
+  return Text;
+}
+
+/// Stores the records of this process if there are new ones.
+void StreamOriginStore::storeRecords() {
+  if (this->IsWriting || this->StoredCount == this->Parts.Streams.countBegun())
+    return;
+  if (this->IsOwnUnknown) {
+    this->readOwn();
+    return;
+  }
+  std::map<std::pair<std::string, std::string>, std::string> Keys;
+  for (const auto &[Key, Each] : this->Parts.Streams.records())
+    if (!Each.IsAmbiguous)
+      Keys[{Each.Origin.Service, Each.Origin.Version}] += keyText(Key);
+  json Groups = json::array();
+  for (auto &[Origin, Text] : Keys)
+    Groups.push_back({{"service", Origin.first},
+                      {"version", Origin.second},
+                      {"keys", std::move(Text)}});
+  this->IsWriting = true;
+  this->Parts.Api.put(
+      this->ownKey(),
+      {{"written_ms", wallMilliseconds()}, {"streams", std::move(Groups)}},
+      this->OwnRevision,
+      [this, Count = this->Parts.Streams.countBegun(),
+       Alive = std::weak_ptr(this->Alive)](const PlatformResult &Written) {
+        if (Alive.expired())
+          return;
+        this->IsWriting = false;
+        if (Written.Status == PlatformStatus::Ok) {
+          this->OwnRevision = Written.Object.Version;
+          this->StoredCount = Count;
+        } else if (Written.Status != PlatformStatus::Unavailable) {
+          this->IsOwnUnknown = true;
+        }
+      });
+}
+
+/// Reads the own object, whose revision is not known.
+void StreamOriginStore::readOwn() {
+  this->IsWriting = true;
+  const ObjectKey Key = this->ownKey();
+  this->Parts.Api.get(Key, [this, Key, Alive = std::weak_ptr(this->Alive)](
+                               const PlatformResult &Read) {
+    if (Alive.expired())
+      return;
+    this->IsWriting = false;
+    if (!(Key == this->ownKey()) || (Read.Status != PlatformStatus::Ok &&
+                                     Read.Status != PlatformStatus::NotFound))
+      return;
+    this->OwnRevision = Platform::MustNotExist;
+    if (Read.Status == PlatformStatus::Ok)
+      this->adoptOwn(Read.Object);
+    this->IsOwnUnknown = false;
+    this->storeRecords();
+  });
+}
+
+} // namespace galenaroute
--- a/src/request/ForwardCall.h
+++ b/src/request/ForwardCall.h
@@ -39,8 +39,16 @@
   std::vector<PromptPart> Parts;
   std::uint32_t OutputTokens = 0;           ///< Maximum to generate.
   std::optional<std::uint64_t> ResumeAfter; ///< Id of the last event received.
+  /// Id of the attempt that brought the first event of the stream that the
+  /// caller takes up; empty if it names none.
+  std::string Resumes;
   HttpHeaders ForwardedHeaders; ///< Fields that are forwarded unchanged.
 
+  /// Returns whether the caller has received a part of the answer before.
+  bool takesUpStream() const {
+    return this->ResumeAfter.has_value() || !this->Resumes.empty();
+  }
+
   /// The target without its query.
   std::string_view path() const {
     const std::string_view All = this->Target;
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -45,6 +45,8 @@
   this->ProcessEnding.disconnect();
   this->RefusalsConnection.disconnect();
   this->WithdrawalTimer.disconnect();
+  this->StreamsListed.disconnect();
+  this->ListTimer.disconnect();
 }
 
 /// Returns a random number, uniform in [0, 1).
@@ -77,12 +79,20 @@
     this->fail(Failure.Kind, Failure.what());
     return;
   }
+  this->DeadlineTimer = this->Services.Loop.timers().after(
+      this->timeLeft(), [Self] { Self->onTimeout(); });
+  if (this->isResumable() && this->Call.takesUpStream())
+    this->findOrigin();
+  else
+    this->beginForwarding();
+}
+
+/// Sends the call, whose service is known.
+void ForwardRun::beginForwarding() {
   noteCall(this->budget());
   if (this->Service->Engine)
     this->WeightsChanged = this->Services.WeightsChanged.connect(
         [this] { this->armWeightsTimers(); });
-  this->DeadlineTimer = this->Services.Loop.timers().after(
-      this->timeLeft(), [Self] { Self->onTimeout(); });
   this->attempt();
 }
 
@@ -140,18 +150,25 @@
                  DefaultRetryAfter);
     return false;
   }
-  this->Service = &Found->second;
   const Duration Limit = std::min(
       this->Call.TimeLeft.value_or(this->Route->Timeout), this->Route->Timeout);
   this->Deadline = this->Incoming->Arrived + Limit;
   this->LastEvent = this->Call.ResumeAfter;
   this->Signature = callContentHash(this->Customer ? this->Customer->Name : "",
                                     this->Call.Target, this->Incoming->Body);
-  this->CrashKeys =
-      crashKeys(this->Signature, this->Service->Name, this->Call.Parts);
+  this->setService(Found->second);
+  if (this->isResumable())
+    this->Stream = streamKey(this->Customer ? this->Customer->Name : "",
+                             this->Call.Resumes.empty() ? this->Call.Id
+                                                        : this->Call.Resumes);
   return true;
 }
 
+void ForwardRun::setService(const ForwardService &Next) {
+  this->Service = &Next;
+  this->CrashKeys = crashKeys(this->Signature, Next.Name, this->Call.Parts);
+}
+
 std::string ForwardRun::cacheScope(std::optional<std::uint64_t> Version) const {
   return scopeOf(
       this->Service->Engine->Model, Version.value_or(0),
@@ -189,6 +206,8 @@
   Query.Service = this->Service->Name;
   Query.Excluded = this->TriedUpstreams;
   Query.Draw = this->Services.Random();
+  if (this->Origin)
+    Query.SoftwareVersion = this->Origin->Version;
   if (!this->Service->Engine)
     return Query;
   if (const AnnouncedWeights *Named = this->namedWeights()) {
@@ -233,7 +252,8 @@
   if (this->Current == Phase::Done)
     return;
   this->WaitingSince = EventLoop::now();
-  if (this->endIfBlocked() || this->refuseIfNoCapacity())
+  if (this->endIfBlocked() || this->endIfNoUpstreamOfVersion() ||
+      this->refuseIfNoCapacity())
     return;
   if (!this->isWithdrawnFromAll()) {
     this->WithdrawalTimer = this->Services.Loop.timers().after(
@@ -319,7 +339,8 @@
     return true;
   if (!this->Services.MaySend())
     return false;
-  if (this->Live.empty() && this->endIfEvacuated())
+  if (this->Live.empty() &&
+      (this->endIfEvacuated() || this->endIfNoUpstreamOfVersion()))
     return true;
   const UpstreamQuery Query = this->query();
   this->Services.Upstreams.noteWanted(Query, EventLoop::now());
@@ -704,6 +725,11 @@
   this->ProcessEnding.disconnect();
   this->RefusalsConnection.disconnect();
   this->WithdrawalTimer.disconnect();
+  this->StreamsListed.disconnect();
+  this->ListTimer.disconnect();
+  if (this->isResumable())
+    this->Services.Streams.noteEnded(this->Stream, Outcome == "ok",
+                                     EventLoop::now());
   // Drops the last reference after the caller of this function has returned.
   this->Services.Loop.timers().after(
       Duration::zero(), [Self] { Self->Incoming->CallerLeft.clear(); });
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -38,6 +38,7 @@
 #include "request/PromptReuse.h"
 #include "request/QueueAdmission.h"
 #include "request/RetryBudget.h"
+#include "request/StreamOrigins.h"
 #include "request/UnansweredSends.h"
 #include "request/UpstreamTable.h"
 #include "request/WaitingRuns.h"
@@ -110,6 +111,17 @@
   /// Time after the naming of a version by which calls must have begun if they
   /// run on older weights.
   Duration WeightsLimit = std::chrono::seconds(15);
+  StreamOrigins Streams; ///< Of the streams that this process forwards.
+  /// Returns the software version that has begun all streams of a service, or
+  /// nothing if there are several or that is not known.
+  std::function<std::optional<std::string>(std::string_view Service)>
+      OnlyVersion = [](std::string_view) { return std::string(); };
+  /// Lists the origins of streams that all gateways have stored.
+  std::function<void()> ListStreams = [] {};
+  /// Emitted with what was listed, or null.
+  sigc::signal<void(const StreamOrigins *Stored)> StreamsListed;
+  /// Time after which a gateway has stored the origins of new streams.
+  Duration StreamStorePeriod = std::chrono::milliseconds(200);
   /// Emitted shortly before the process ends with calls in progress.
   sigc::signal<void()> ProcessEnding;
   bool IsStopping = false;  ///< New calls are refused.
@@ -145,12 +157,25 @@
   /// Returns whether an upstream may still answer while the call waits for
   /// another one.
   bool hasSendInFlight() const { return !this->Live.empty(); }
+  /// Returns whether only some of the upstreams of the service may answer the
+  /// call, by their software version.
+  bool needsVersion() const;
   WaitingCall waiting() const;
 
 private:
   enum class Phase { Waiting, Sent, Streaming, Done };
 
   bool admit();
+  void setService(const ForwardService &Next);
+  void beginForwarding();
+  bool isResumable() const;
+  void findOrigin();
+  void listStreams();
+  void onStreamsListed(const StreamOrigins *Stored);
+  void continueSearch();
+  void goOnAt(const StreamOrigin &Found, OriginSource Source);
+  bool endIfNoUpstreamOfVersion();
+  void setOrigin(const ForwardSend &First);
   bool refuseIfNoCapacity();
   bool endIfBlocked();
   bool endIfEvacuated();
@@ -275,6 +300,13 @@
   bool IsQueued = false; ///< Waits for an upstream, see WaitingRuns.
   std::optional<WaitEstimate> WaitExpected; ///< If refused for it.
   std::optional<std::uint64_t> LastEvent;
+  /// Of the stream that is forwarded. Once it is known, the call is sent to
+  /// upstreams of this version only.
+  std::optional<StreamOrigin> Origin;
+  StreamKey Stream = 0; ///< Key of a stream that may be resumed.
+  OriginSearch Search;  ///< Of a stream that the caller takes up.
+  sigc::connection StreamsListed;
+  sigc::connection ListTimer;
   int Sends = 0; ///< That have ended, as PossibleRuns.
   int PossibleRuns = 0;
   int ConnectFailures = 0;
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -79,6 +79,7 @@
   const auto Send = std::make_shared<ForwardSend>();
   Send->UpstreamId = To.Registered.Id;
   Send->Incarnation = To.Incarnation;
+  Send->SoftwareVersion = To.Registered.SoftwareVersion;
   if (this->Service->Engine)
     Send->Weights = To.WeightVersion;
   Send->TokensToPrefill = Choice.TokensToPrefill;
@@ -130,6 +131,7 @@
        {"send",
         std::to_string(this->Sends + static_cast<int>(this->Live.size()))},
        {"left_ms", std::to_string(toMilliseconds(this->timeLeft()))},
+       {"software", Send.SoftwareVersion},
        {"weights", std::to_string(To.WeightVersion.value_or(0))},
        {"superseded_ms",
         Superseded ? std::to_string(toMilliseconds(*Superseded)) : "-"},
@@ -485,6 +487,7 @@
   this->notePrefillEnded(Send);
   if (this->Current != Phase::Streaming) {
     this->Current = Phase::Streaming;
+    this->setOrigin(Send);
     this->FirstEventAt = EventLoop::now();
     this->Services.Stats.firstToken(
         this->Service->Name, *this->FirstEventAt - this->Incoming->Arrived);
--- a/src/request/ForwardSend.h
+++ b/src/request/ForwardSend.h
@@ -37,7 +37,8 @@
   UpstreamCause Cause = UpstreamCause::None;  ///< Of the end of its connection.
   std::string UpstreamId;
   std::uint64_t Incarnation = 0; ///< Of the upstream, see incarnationKey().
-  std::optional<std::uint64_t> Weights; ///< Of the upstream at the send.
+  std::string SoftwareVersion;   ///< Of the upstream at the send, as Weights.
+  std::optional<std::uint64_t> Weights;
   CallAnswer Answer;
   bool HasAnswer = false;      ///< The head of the answer has been read.
   bool IsFramed = false;       ///< The answer states where it ends.
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -323,6 +323,8 @@
         std::to_string(toMilliseconds(EventLoop::now() - Send.SentAt))},
        {"possible_runs", std::to_string(this->PossibleRuns)},
        {"budget_left", std::to_string(this->budget().Available)},
+       {"software", Send.SoftwareVersion},
+       {"software_wanted", this->Origin ? this->Origin->Version : "-"},
        {"next", std::string(Next)}});
 }
 
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -42,6 +42,7 @@
   const bool Changed =
       !IsKnown || IsRestarted ||
       Entry.Registered.IsLeaving != Upstream.IsLeaving ||
+      Entry.Registered.SoftwareVersion != Upstream.SoftwareVersion ||
       Entry.Registered.WeightVersions != Upstream.WeightVersions;
   Entry.Registered = Upstream;
   Entry.Incarnation = incarnationKey(Upstream.Id, Upstream.BornMs);
@@ -66,6 +67,7 @@
          {"address", Upstream.Address.toString()},
          {"born_ms", std::to_string(Upstream.BornMs)},
          {"leaving", Upstream.IsLeaving ? "yes" : "no"},
+         {"software", Upstream.SoftwareVersion},
          {"weights", std::to_string(Entry.WeightVersion.value_or(0))}});
   if (const auto Found = this->Lapsed.find(Upstream.Id);
       Found != this->Lapsed.end()) {
@@ -137,6 +139,17 @@
   return HasUpstreams;
 }
 
+bool UpstreamTable::hasSoftware(std::string_view Service,
+                                std::string_view Version) const {
+  return std::any_of(this->Entries.begin(), this->Entries.end(),
+                     [&](const auto &Each) {
+                       const UpstreamEntry &Entry = Each.second;
+                       return Entry.Registered.Service == Service &&
+                              Entry.Registered.SoftwareVersion == Version &&
+                              !Entry.isLeaving() && !this->isEvacuated(Entry);
+                     });
+}
+
 const UpstreamEntry *UpstreamTable::find(std::string_view Id) const {
   const auto It = this->Entries.find(Id);
   return It == this->Entries.end() ? nullptr : &It->second;
@@ -165,6 +178,9 @@
     return false;
   if (Entry.WeightVersion && *Entry.WeightVersion < Query.MinWeightVersion)
     return false;
+  if (Query.SoftwareVersion &&
+      Entry.Registered.SoftwareVersion != *Query.SoftwareVersion)
+    return false;
   return std::find(Query.Excluded.begin(), Query.Excluded.end(),
                    Entry.Registered.Id) == Query.Excluded.end();
 }
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -35,6 +35,7 @@
   std::string Zone;
   int Slots = 1;
   bool IsLeaving = false;
+  std::string SoftwareVersion;
   Duration WarmUp{};       ///< Remaining time of slow start.
   std::int64_t BornMs = 0; ///< Unix time of its start; identifies incarnations.
   std::map<std::string, std::uint64_t> WeightVersions; ///< By model.
@@ -166,6 +167,8 @@
   std::uint64_t Draw = 0; ///< Random; selects the random candidates.
   std::optional<std::uint64_t> NewestWeightVersion;
   std::uint64_t MinWeightVersion = 0; ///< Engines with older ones are excluded.
+  /// Upstreams with other software are excluded.
+  std::optional<std::string_view> SoftwareVersion;
 };
 
 /// Returns how many of the \p MaxConnections that an upstream accepts from all
@@ -213,6 +216,9 @@
     return !this->EvacuatedZones.empty() &&
            this->EvacuatedZones.contains(Entry.Registered.Zone);
   }
+  /// Returns whether an upstream of the service that takes new calls runs the
+  /// software version.
+  bool hasSoftware(std::string_view Service, std::string_view Version) const;
   /// Returns whether the service has upstreams, all in evacuated zones.
   bool isServiceEvacuated(std::string_view Service) const;
 
--- a/src/request/WaitingRuns.cpp
+++ b/src/request/WaitingRuns.cpp
@@ -47,7 +47,8 @@
 std::size_t WaitingRuns::size() const {
   return static_cast<std::size_t>(
       std::count_if(this->Runs.begin(), this->Runs.end(), [](const auto &Each) {
-        return !Each->hasLeftQueue() && !Each->hasSendInFlight();
+        return !Each->hasLeftQueue() && !Each->hasSendInFlight() &&
+               !Each->needsVersion();
       }));
 }
 
@@ -55,6 +56,7 @@
   return std::any_of(
       this->Runs.begin(), this->Runs.end(), [&](const auto &Each) {
         return !Each->hasLeftQueue() && !Each->hasSendInFlight() &&
+               !Each->needsVersion() &&
                goesBefore(Each->waiting(), Next, this->Settings, Now);
       });
 }
@@ -90,13 +92,17 @@
       });
   const int MaxOfPriority =
       HasPriorities ? MaxFailedTriesOfPriority : MaxFailedTries;
-  int FailedTries[2] = {};
+  // Upstreams may have room for some software versions only.
+  enum { NoUpstream, SendInFlight, NeedsVersion, TryKinds };
+  int FailedTries[TryKinds] = {};
   std::map<int, int> FailedOfPriority;
   for (const std::size_t I : Order) {
     const auto &Run = Waiting[I];
     if (Run->hasLeftQueue())
       continue;
-    int &Failed = FailedTries[Run->hasSendInFlight() ? 1 : 0];
+    int &Failed = FailedTries[Run->needsVersion()      ? NeedsVersion
+                              : Run->hasSendInFlight() ? SendInFlight
+                                                       : NoUpstream];
     int &OfPriority = FailedOfPriority[Calls[I].Priority];
     if (Failed < MaxFailedTries && OfPriority < MaxOfPriority) {
       if (Run->trySend())
--- a/src/request/WaitingRuns.h
+++ b/src/request/WaitingRuns.h
@@ -34,9 +34,9 @@
   void wake();
   /// Returns the longest wait of the queued calls.
   Duration longestWait(TimePoint Now) const;
-  /// Counts the calls that no upstream has.
+  /// Counts the calls that no upstream has and any may have.
   std::size_t size() const;
-  /// Returns whether a call that no upstream has goes before a new one.
+  /// Returns whether a call that size() counts goes before a new one.
   bool hasAheadOf(const WaitingCall &Next, TimePoint Now) const;
   /// Returns the work of the calls with a class that no upstream has, as of the
   /// last pass over the queue.
