StreamOriginStore: store records every 100 ms; refuse unknown streams briefly

A record comes within a period or not at all, so a caller is told to return after two periods, and learns sooner that its stream is lost.

--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -20,9 +20,9 @@
 
 /// Between two writes of a gateway in a small fleet. What was begun since the
 /// last one is lost if all processes are killed.
-static constexpr Duration MinPeriod = std::chrono::milliseconds(200);
+static constexpr Duration MinPeriod = std::chrono::milliseconds(100);
 /// Writes per second of all gateways together. Platforms accept 400.
-static constexpr double MaxWritesPerSecond = 40;
+static constexpr double MaxWritesPerSecond = 60;
 /// Objects that were not written for so long belong to gateways or eras that
 /// are gone.
 static constexpr std::int64_t MaxObjectAgeMs = 600'000;
--- a/src/process/StreamOriginStore.h
+++ b/src/process/StreamOriginStore.h
@@ -15,8 +15,8 @@
 // versions.
 //
 // Guarantees: a process that has just started keeps the records that its
-// predecessor stored; nothing waits for a write. All gateways together use a
-// tenth of the writes that the platform allows.
+// predecessor stored; nothing waits for a write. All gateways together make
+// a bounded number of writes a second.
 
 #ifndef GALENAROUTE_PROCESS_STREAMORIGINSTORE_H
 #define GALENAROUTE_PROCESS_STREAMORIGINSTORE_H
--- a/src/request/ForwardResume.cpp
+++ b/src/request/ForwardResume.cpp
@@ -9,9 +9,12 @@
 
 namespace galenaroute {
 
-/// Retry-After of a stream whose origin is not known or has no upstream. A
-/// process that has just started, or an upstream that crashed, may return.
+/// Retry-After of a stream whose origin has no upstream. One that crashed may
+/// return.
 static constexpr Duration OriginRetryAfter = std::chrono::seconds(1);
+/// Periods in which a record is stored, if at all. A caller that waits longer
+/// waits in vain.
+static constexpr int RetryPeriods = 2;
 
 bool ForwardRun::isResumable() const {
   return this->Route && this->Route->IsStream &&
@@ -57,7 +60,7 @@
                      ? "the software version that began the stream is not known"
                      : "the call takes up a stream without naming it, and its "
                        "service has several software versions",
-                 OriginRetryAfter);
+                 RetryPeriods * this->Services.StreamStorePeriod);
     return;
   }
 }
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -121,7 +121,7 @@
   /// Emitted with what was listed, or null.
   sigc::signal<void(const StreamOrigins *Stored)> StreamsListed;
   /// Time after which a gateway has stored the origins of new streams.
-  Duration StreamStorePeriod = std::chrono::milliseconds(200);
+  Duration StreamStorePeriod = std::chrono::milliseconds(100);
   /// Emitted shortly before the process ends with calls in progress.
   sigc::signal<void()> ProcessEnding;
   bool IsStopping = false;  ///< New calls are refused.
