process soak: streams of several software versions, taken up by callers

Upstreams have a version in their registry entry, drawn at each start, and write service and version into each event. Callers take up streams that broke off, up to three times within their deadline.

New promises: a stream holds events of one version, events go on where a stream broke off, streams are taken up. A request whose Deadline-Ms is shorter than the timeout of its route is excused when that has passed; all other requests are checked as before.

--- a/soak/process/CallersPart.cpp
+++ b/soak/process/CallersPart.cpp
@@ -4,6 +4,7 @@
 #include "PlainHttp.h"
 #include "PollLoop.h"
 
+#include <algorithm>
 #include <memory>
 #include <random>
 #include <unistd.h>
@@ -23,6 +24,11 @@
 static constexpr std::uint64_t LongestIdleMs = 1500;
 static constexpr std::uint64_t LongBreakOneIn = 12;
 static constexpr std::uint64_t NewConnectionOneIn = 6;
+/// A stream that may be resumed loses its connection at one event in so many.
+static constexpr std::uint64_t ResetOneIn = 60;
+static constexpr int MostTakeUps = 3;
+/// A stream is not taken up with less time left.
+static constexpr Duration LeastTime = 200ms;
 
 namespace {
 
@@ -32,8 +38,10 @@
 };
 constexpr RouteKind Routes[] = {
     {"safe", false}, {"once", false}, {"stream", true}, {"oncestream", true}};
+constexpr std::size_t ResumableRoute = 2;
 
-/// One caller after the other request on kept connections.
+/// One caller after the other request on kept connections. Streams that broke
+/// off are taken up on new ones.
 class Caller {
 public:
   Caller(PollLoop &Loop, const Journal &Log, const PartOptions &Options,
@@ -66,6 +74,8 @@
   void begin() {
     if (isTerminated())
       return;
+    if (this->hasBegun() && this->timeLeft() < LeastTime)
+      this->FirstAttempt.clear();
     if (this->Socket >= 0) {
       this->send();
       return;
@@ -90,37 +100,50 @@
     });
   }
 
-  void retryLater() {
+  void retryLater(Duration Delay = RetryDelay) {
     ++this->Step;
-    this->after(RetryDelay, [this] { this->begin(); });
+    this->after(Delay, [this] { this->begin(); });
   }
 
+  /// Whether the present stream has had an event; later requests take it up.
+  bool hasBegun() const { return !this->FirstAttempt.empty(); }
+  Duration timeLeft() const { return this->Until - Clock::now(); }
+
   void send() {
     ++this->Step;
-    const RouteKind &Route = Routes[this->drawn(0, std::size(Routes) - 1)];
+    if (!this->hasBegun()) {
+      this->Route = this->drawn(0, std::size(Routes) - 1);
+      this->LastEvent = this->TakeUps = 0;
+      this->Until = Clock::now() + Deadline;
+      this->Body.assign(this->drawn(1, 3000), 'b');
+    }
+    const RouteKind &Route = Routes[this->Route];
+    const std::string Limit = std::to_string(
+        toMilliseconds(std::max<Duration>(this->timeLeft(), 1ms)));
     this->Call = this->Name + "." + std::to_string(++this->LastCall);
     this->IsStream = Route.IsStream;
-    this->LastEvent = 0;
     this->HasHead = this->IsForeign = this->IsSent = false;
     this->Text.clear();
-    const std::string Body(this->drawn(1, 3000), 'b');
-    std::string Bytes =
-        std::string("POST /") + Route.Name +
-        "/a HTTP/1.1\r\nHost: h\r\nRequest-Id: " + this->Call +
-        "\r\nDeadline-Ms: " + std::to_string(toMilliseconds(Deadline)) + "\r\n";
+    std::string Bytes = std::string("POST /") + Route.Name +
+                        "/a HTTP/1.1\r\nHost: h\r\nRequest-Id: " + this->Call +
+                        "\r\nDeadline-Ms: " + Limit + "\r\n";
+    if (this->hasBegun())
+      Bytes += "Last-Event-Id: " + std::to_string(this->LastEvent) +
+               "\r\nResumes: " + this->FirstAttempt + "\r\n";
     if (this->drawn(0, 2) == 0) {
       char Size[24];
-      std::snprintf(Size, sizeof Size, "%zx\r\n", Body.size());
-      Bytes += "Transfer-Encoding: chunked\r\n\r\n" + (Size + Body) +
+      std::snprintf(Size, sizeof Size, "%zx\r\n", this->Body.size());
+      Bytes += "Transfer-Encoding: chunked\r\n\r\n" + (Size + this->Body) +
                "\r\n0\r\n\r\n";
     } else {
-      Bytes +=
-          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+      Bytes += "Content-Length: " + std::to_string(this->Body.size()) +
+               "\r\n\r\n" + this->Body;
     }
-    this->Log.write("sending", this->Call,
-                    std::string(Route.Name) + " " +
-                        std::to_string(this->Daemon) +
-                        (this->IsFresh ? " fresh" : " kept"));
+    this->Log.write(
+        "sending", this->Call,
+        std::string(Route.Name) + " " + std::to_string(this->Daemon) +
+            (this->IsFresh ? " fresh " : " kept ") + Limit + " " +
+            std::to_string(this->LastEvent) + " " + this->FirstAttempt);
     this->IsFresh = false;
     this->after(Patience, [this] { this->end("expired"); });
     // Some requests arrive in two parts.
@@ -220,13 +243,21 @@
     }
     std::size_t End = 0;
     while ((End = this->Text.find("\n\n")) != std::string::npos) {
-      const std::string Event = this->Text.substr(0, End + 1);
+      const std::string Event = this->Text.substr(0, End);
       this->Text.erase(0, End + 2);
       this->LastEvent = std::atoi(Event.c_str() + 4);
-      this->Log.write("event", this->Call, std::to_string(this->LastEvent));
-      if (Event != "id: " + std::to_string(this->LastEvent) +
-                       "\ndata: " + this->Call + "\n")
+      const std::string Start = "id: " + std::to_string(this->LastEvent) +
+                                "\ndata: " + this->Call + " ";
+      const std::string Version =
+          Event.substr(std::min(Start.size(), Event.size()));
+      if (!Event.starts_with(Start) || Version.empty() ||
+          Version.find_first_of(" \n") != std::string::npos)
         this->noteForeign("another event");
+      this->Log.write("event", this->Call,
+                      std::to_string(this->LastEvent) + " " +
+                          Version.substr(0, Version.find('\n')));
+      if (this->Route == ResumableRoute && !this->hasBegun())
+        this->FirstAttempt = this->Call;
     }
   }
 
@@ -238,12 +269,19 @@
   /// Abandons the stream if it does not go on.
   void expectMore() {
     ++this->Step;
+    if (this->hasBegun() && this->drawn(1, ResetOneIn) == 1) {
+      resetSocket(this->forgetSocket());
+      this->end("left");
+      return;
+    }
     this->after(StreamGap, [this] { this->end("left"); });
   }
 
   void end(std::string_view How, bool Keeps = false) {
     this->Log.write("end", this->Call, How);
     this->Call.clear();
+    if (this->takeUp())
+      return;
     Keeps = Keeps && this->IsSent &&
             this->Reader.head().find("Connection") != "close" &&
             this->drawn(1, NewConnectionOneIn) != 1;
@@ -257,13 +295,37 @@
     this->think();
   }
 
-  void disconnect() {
-    if (this->Socket < 0)
-      return;
+  /// Tries again to go on with a stream that broke off; returns whether it
+  /// does.
+  bool takeUp() {
+    if (!this->hasBegun())
+      return false;
+    const int Answer = this->HasHead ? this->Status : 0;
+    if ((Answer == 200 && this->Reader.isWhole()) ||
+        this->LastEvent >= EventsOfStream || this->TakeUps++ >= MostTakeUps) {
+      this->FirstAttempt.clear();
+      return false;
+    }
+    const int Seconds =
+        Answer == 503
+            ? std::atoi(this->Reader.head().find("Retry-After").c_str())
+            : 0;
+    this->disconnect();
+    this->retryLater(std::max<Duration>(
+        RetryDelay, std::min<Duration>(std::chrono::seconds(Seconds),
+                                       this->timeLeft() / 3)));
+    return true;
+  }
+
+  int forgetSocket() {
     this->Loop.forget(this->Socket);
-    close(this->Socket);
-    this->Socket = -1;
     this->IsConnecting = false;
+    return std::exchange(this->Socket, -1);
+  }
+
+  void disconnect() {
+    if (this->Socket >= 0)
+      close(this->forgetSocket());
   }
 
   PollLoop &Loop;
@@ -278,6 +340,13 @@
   bool IsConnecting = false;
   bool IsFresh = true;
   MessageReader Reader{MessageKind::Answer};
+  // Of the present request and, if it is a stream, those that take it up.
+  std::size_t Route = 0;
+  TimePoint Until;
+  std::string Body;
+  std::string FirstAttempt; ///< Which brought the first event, or empty.
+  int LastEvent = 0;
+  int TakeUps = 0;
   // Of the present request.
   std::string Call; ///< Empty: none.
   bool IsStream = false;
@@ -285,7 +354,6 @@
   bool HasHead = false;
   bool IsForeign = false;
   int Status = 0;
-  int LastEvent = 0;
   std::string Out;
   std::string Unsent;
   std::string Text;
--- a/soak/process/PartMain.cpp
+++ b/soak/process/PartMain.cpp
@@ -20,6 +20,7 @@
   App.add_option("--id", Options.Id);
   App.add_option("--address", Options.Address);
   App.add_option("--service", Options.Service);
+  App.add_option("--version", Options.Version);
   App.add_option("--daemons", Options.Daemons)->delimiter(',');
   App.add_option("--count", Options.Count);
   App.add_option("--length-ms", Options.LengthMs);
--- a/soak/process/Parts.h
+++ b/soak/process/Parts.h
@@ -21,6 +21,7 @@
   std::string Id;
   std::string Address;
   std::string Service;
+  std::string Version; ///< Of its software.
   // Of callers.
   std::vector<std::string> Daemons; ///< Addresses.
   std::size_t Count = 0;
--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -12,6 +12,7 @@
 /// The timeout of a route may pass this much sooner than the caller sees it.
 static constexpr Duration TimerSlack = std::chrono::milliseconds(50);
 static constexpr std::size_t FewestRecovered = 20;
+static constexpr std::size_t FewestTakeUps = 12;
 
 static std::string milliseconds(Duration Time) {
   return std::to_string(toMilliseconds(Time)) + " ms";
@@ -263,7 +264,7 @@
     }
     const bool HasNone = Request.End == RequestEnd::None;
     if ((!HasNone && Request.End != RequestEnd::Cut) ||
-        Time >= Bounds.Timeout - TimerSlack ||
+        Time >= std::min(Bounds.Timeout, Request.Limit) - TimerSlack ||
         // A request that crosses the close of its connection was not read.
         (HasNone && Works.empty() && Time <= Bounds.LossSlack) ||
         mayBeBroken(History, Request, Works))
@@ -278,6 +279,24 @@
   }
 }
 
+using Attempt = std::pair<const std::string, RequestView>;
+
+/// Returns the requests for each stream in order of time, by the first one that
+/// brought an event.
+static std::map<std::string, std::vector<const Attempt *>>
+attemptsOf(const ProcessHistory &History) {
+  std::map<std::string, std::vector<const Attempt *>> Result;
+  for (const Attempt &Each : History.Requests)
+    if (Each.second.isStream())
+      Result[Each.second.First.empty() ? Each.first : Each.second.First]
+          .push_back(&Each);
+  for (auto &[First, Attempts] : Result)
+    std::sort(Attempts.begin(), Attempts.end(), [](auto *One, auto *Other) {
+      return One->second.SentAt < Other->second.SentAt;
+    });
+  return Result;
+}
+
 void checkEvents(const ProcessHistory &History, const ProcessBounds &Bounds,
                  BrokenPromises &Found) {
   for (const auto &[Id, Request] : History.Requests) {
@@ -285,14 +304,101 @@
       continue;
     bool IsInOrder = true;
     for (std::size_t I = 0; I < Request.Events.size(); ++I)
-      IsInOrder = IsInOrder && Request.Events[I] == static_cast<int>(I) + 1;
+      IsInOrder = IsInOrder &&
+                  Request.Events[I] == Request.After + static_cast<int>(I) + 1;
     const auto Count = static_cast<int>(Request.Events.size());
     if (!IsInOrder)
       Found.push_back({"events come once and in order", Id, ""});
-    else if (Request.End == RequestEnd::Whole && Count != Bounds.EventsOfWhole)
+    else if (Request.End == RequestEnd::Whole &&
+             Request.After + Count != Bounds.EventsOfWhole)
       Found.push_back({"a whole stream has all events", Id,
                        std::to_string(Count) + " events"});
   }
+  for (const auto &[First, Attempts] : attemptsOf(History)) {
+    int Last = 0;
+    for (const Attempt *Each : Attempts)
+      for (const int Event : Each->second.Events) {
+        if (Event != Last + 1 && Attempts.size() > 1)
+          Found.push_back({"events go on where a stream broke off", Each->first,
+                           "event " + std::to_string(Event) + " after " +
+                               std::to_string(Last) + " of " + First});
+        Last = Event;
+      }
+  }
+}
+
+void checkVersions(const ProcessHistory &History, const ProcessBounds &,
+                   BrokenPromises &Found) {
+  for (const auto &[First, Attempts] : attemptsOf(History)) {
+    std::string Origin;
+    std::string Other;
+    const Attempt *Joined = nullptr;
+    for (const Attempt *Each : Attempts)
+      for (const std::string &Version : Each->second.Versions) {
+        if (Origin.empty())
+          Origin = Version;
+        if (Version != Origin && Joined == nullptr) {
+          Joined = Each;
+          Other = Version;
+        }
+      }
+    if (Joined != nullptr)
+      Found.push_back({"a stream holds events of one version", Joined->first,
+                       Other + " after " + Origin + " of " + First});
+  }
+}
+
+/// Whether two upstreams were there that can go on with a stream.
+static bool hasTwoUpstreams(const ProcessHistory &History,
+                            const std::string &Version, TimePoint From,
+                            TimePoint Until) {
+  return std::count_if(History.Upstreams.begin(), History.Upstreams.end(),
+                       [&](const auto &Named) {
+                         const UpstreamView &Each = Named.second;
+                         return Each.Version == Version &&
+                                Each.StartedAt <= From &&
+                                Each.EndsAt.value_or(Until) >= Until;
+                       }) >= 2;
+}
+
+BeginCounts countBegins(const ProcessHistory &History,
+                        const ProcessBounds &Bounds) {
+  BeginCounts Counts;
+  for (const auto &[Id, Request] : History.Requests) {
+    if (Request.Route != "stream" || Request.End == RequestEnd::Open ||
+        Request.End == RequestEnd::Unsent)
+      continue;
+    const TimePoint From = Request.SentAt - Bounds.Contact;
+    const TimePoint Until = Request.FirstEventAt.value_or(Request.EndedAt);
+    if (wasDisturbed(History, Request.Daemon, From, Until) ||
+        overlap(History.StoreFreezes, From, Until) > Duration::zero())
+      continue;
+    const bool HasBegun = Request.Status == 200 && Request.FirstEventAt;
+    if (Request.First.empty()) {
+      ++Counts.New;
+      Counts.NewBegun += HasBegun;
+      continue;
+    }
+    const auto First = History.Requests.find(Request.First);
+    if (First == History.Requests.end() || First->second.Versions.empty() ||
+        !hasTwoUpstreams(History, First->second.Versions.front(), From, Until))
+      continue;
+    ++Counts.TakenUp;
+    Counts.WentOn += HasBegun;
+  }
+  return Counts;
+}
+
+void checkTakeUps(const ProcessHistory &History, const ProcessBounds &Bounds,
+                  BrokenPromises &Found) {
+  const BeginCounts Counts = countBegins(History, Bounds);
+  if (Counts.TakenUp >= FewestTakeUps &&
+      2 * Counts.WentOn * Counts.New < Counts.NewBegun * Counts.TakenUp)
+    Found.push_back({"streams are taken up", "",
+                     std::to_string(Counts.WentOn) + " of " +
+                         std::to_string(Counts.TakenUp) + " went on, " +
+                         std::to_string(Counts.NewBegun) + " of " +
+                         std::to_string(Counts.New) + " new ones began"});
 }
 
 void checkOwnAnswers(const ProcessHistory &History, const ProcessBounds &,
@@ -360,8 +466,8 @@
   BrokenPromises Found;
   for (const auto &Check :
        {checkEnds, checkStarts, checkRunsOnce, checkHandovers, checkRefusals,
-        checkAnswers, checkEvents, checkOwnAnswers, checkRecovery,
-        checkResources, checkLastRequests})
+        checkAnswers, checkEvents, checkVersions, checkTakeUps, checkOwnAnswers,
+        checkRecovery, checkResources, checkLastRequests})
     Check(History, Bounds, Found);
   return Found;
 }
--- a/soak/process/ProcessChecks.h
+++ b/soak/process/ProcessChecks.h
@@ -52,12 +52,20 @@
 /// Each whole request gets an answer, and each answer its end.
 void checkAnswers(const ProcessHistory &History, const ProcessBounds &Bounds,
                   BrokenPromises &Found);
-/// A stream has each event once and in order, up to its end.
+/// A stream has each event once and in order, up to its end, also over the
+/// requests that take it up.
 void checkEvents(const ProcessHistory &History, const ProcessBounds &Bounds,
                  BrokenPromises &Found);
 /// Answers belong to their requests.
 void checkOwnAnswers(const ProcessHistory &History, const ProcessBounds &Bounds,
                      BrokenPromises &Found);
+/// The events of a stream are of one version of an upstream's software, also
+/// over the requests that take it up.
+void checkVersions(const ProcessHistory &History, const ProcessBounds &Bounds,
+                   BrokenPromises &Found);
+/// Requests that take up streams go on half as often as new streams begin.
+void checkTakeUps(const ProcessHistory &History, const ProcessBounds &Bounds,
+                  BrokenPromises &Found);
 /// Calls are served again after the last fault.
 void checkRecovery(const ProcessHistory &History, const ProcessBounds &Bounds,
                    BrokenPromises &Found);
@@ -75,6 +83,16 @@
 /// How many streams more than one upstream began.
 std::size_t countHandovers(const ProcessHistory &History);
 
+/// Streams that began, of all that did where nothing excuses a failure.
+struct BeginCounts {
+  std::size_t New = 0;
+  std::size_t NewBegun = 0;
+  std::size_t TakenUp = 0;
+  std::size_t WentOn = 0;
+};
+BeginCounts countBegins(const ProcessHistory &History,
+                        const ProcessBounds &Bounds);
+
 } // namespace galenaroute::process_soak
 
 #endif // GALENAROUTE_SOAK_PROCESS_PROCESSCHECKS_H
--- a/soak/process/ProcessHistory.cpp
+++ b/soak/process/ProcessHistory.cpp
@@ -22,7 +22,12 @@
     if (Line.Event == "sending") {
       RequestView &New = History.Requests[Line.Call];
       New.SentAt = Line.At;
-      Detail >> New.Route >> New.Daemon;
+      std::string Connection;
+      std::int64_t LimitMs = 0;
+      Detail >> New.Route >> New.Daemon >> Connection;
+      if (Detail >> LimitMs >> New.After)
+        New.Limit = Milliseconds(LimitMs);
+      Detail >> New.First;
       continue;
     }
     if (Found == History.Requests.end()) {
@@ -37,7 +42,9 @@
       Detail >> Request.Status >> Stamp;
       Request.IsStamped = Stamp != "-";
     } else if (Line.Event == "event") {
-      Request.Events.push_back(std::stoi(Line.Detail));
+      Detail >> Request.Events.emplace_back() >>
+          Request.Versions.emplace_back();
+      Request.FirstEventAt = Request.FirstEventAt.value_or(Line.At);
     } else if (Line.Event == "foreign") {
       Request.Foreign = Line.Detail;
     } else if (Line.Event == "end") {
--- a/soak/process/ProcessHistory.h
+++ b/soak/process/ProcessHistory.h
@@ -40,6 +40,13 @@
   int Status = 0; ///< 0: no head of an answer was read.
   bool IsStamped = false;
   std::vector<int> Events;
+  std::vector<std::string> Versions; ///< Of what wrote each event.
+  std::optional<TimePoint> FirstEventAt;
+  // Of one that takes up a stream.
+  std::string First; ///< The request that brought its first event, or empty.
+  int After = 0;     ///< Last-Event-Id.
+  /// Deadline-Ms.
+  Duration Limit = std::chrono::hours(1);
   std::string Foreign; ///< What of the answer was not its own.
   bool isStream() const { return this->Route.ends_with("stream"); }
   bool mayRepeat() const { return !this->Route.starts_with("once"); }
@@ -57,6 +64,13 @@
   bool HasBroken = false;
 };
 
+/// The life of one incarnation of an upstream.
+struct UpstreamView {
+  std::string Version; ///< As in its events.
+  TimePoint StartedAt;
+  std::optional<TimePoint> EndsAt; ///< When it was killed or began to leave.
+};
+
 struct SignalView {
   TimePoint At;
   int Number = 0;
@@ -93,6 +107,7 @@
   std::map<std::size_t, std::vector<Span>> Freezes; ///< Of daemons.
   std::vector<Span> StoreFreezes;
   std::map<std::string, std::vector<Span>> Silences; ///< By upstream.
+  std::map<std::string, UpstreamView> Upstreams;
   /// When upstreams were killed or had left.
   std::map<std::string, TimePoint> UpstreamEnds;
   TimePoint LastFaultAt;
--- a/soak/process/ProcessPlan.h
+++ b/soak/process/ProcessPlan.h
@@ -27,6 +27,7 @@
   Configure,       ///< A new configuration.
   KillAndOccupy,   ///< Another socket has the successor's address meanwhile.
   KillAndRewrite,  ///< The successor's settings are half written or missing.
+  KillAll,         ///< SIGKILL to all daemons; successors start later.
 };
 
 const char *toString(DeedKind Kind);
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <netinet/in.h>
+#include <random>
 #include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -219,6 +220,17 @@
              std::to_string(Life.Process));
 }
 
+/// Draws the software version of the next upstream. With even seeds all have
+/// one version until the first of them is started again.
+std::string ProcessRun::drawVersion() const {
+  const std::uint64_t Seed = this->Settings.Plan.Seed;
+  const std::size_t Started = this->UpstreamIds.size();
+  if (Seed % 2 == 0 && Started <= this->Upstreams.size())
+    return "1";
+  std::mt19937_64 Random(Seed * 1000 + Started);
+  return std::to_string(1 + Random() % this->Settings.Versions);
+}
+
 void ProcessRun::startUpstream(std::size_t Index) {
   UpstreamPart &Part = this->Upstreams[Index];
   if (Part.Child || this->IsEnding)
@@ -228,11 +240,17 @@
   this->UpstreamIds.push_back(Part.Id);
   Part.IsLeaving = false;
   Part.SilentUntil = {};
+  const std::string Service = "d" + std::to_string(Index % Services);
+  const std::string Version = this->drawVersion();
+  this->History.Upstreams[Part.Id] = {.Version = Service + "/" + Version,
+                                      .StartedAt = EventLoop::now()};
+  this->note("upstream " + Part.Id + " starts with version " + Service + "/" +
+             Version);
   Part.Child = this->startPart(
       Part.Id,
       {"--role", "upstream", "--id", Part.Id, "--store",
-       this->StoreAddress.toString(), "--service",
-       "d" + std::to_string(Index % Services), "--address",
+       this->StoreAddress.toString(), "--service", Service, "--version",
+       Version, "--address",
        "127." + std::to_string(this->Places.Network) + ".1." +
            std::to_string(Index + 2) + ":" + std::to_string(UpstreamPort),
        "--seed",
@@ -303,6 +321,18 @@
   });
 }
 
+/// Kills the processes of all daemons, also those that drain.
+void ProcessRun::killDaemons(Duration Away) {
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    for (DaemonPart::Process &Each : this->Daemons[I].Running) {
+      this->History.Lives[Each.Life].Signals.push_back(
+          {EventLoop::now(), SIGKILL});
+      Each.Child->signal(SIGKILL);
+    }
+    this->after(Away, [this, I] { this->startDaemon(I); });
+  }
+}
+
 void ProcessRun::freezeDaemon(std::size_t Index, Duration For) {
   DaemonPart &Part = this->Daemons[Index];
   const TimePoint From = EventLoop::now();
@@ -385,6 +415,7 @@
   if (!Part.Child || Part.IsLeaving)
     return;
   Part.IsLeaving = true;
+  this->History.Upstreams[Part.Id].EndsAt = EventLoop::now();
   if (Number == SIGKILL)
     this->History.UpstreamEnds[Part.Id] = EventLoop::now();
   Part.Child->signal(Number);
@@ -492,6 +523,9 @@
   case DeedKind::KillAndRewrite:
     this->replaceDaemon(Next);
     return;
+  case DeedKind::KillAll:
+    this->killDaemons(Next.For);
+    return;
   case DeedKind::Freeze:
     this->freezeDaemon(Next.Target, Next.For);
     return;
@@ -556,6 +590,8 @@
     if (!Part.Child || !Part.Child->poll())
       continue;
     this->History.UpstreamEnds.try_emplace(Part.Id, EventLoop::now());
+    auto &EndsAt = this->History.Upstreams[Part.Id].EndsAt;
+    EndsAt = EndsAt.value_or(EventLoop::now());
     if (Part.Child->exitCode() > 0)
       this->note("upstream " + Part.Id + " ended with " +
                  std::to_string(Part.Child->exitCode()));
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -29,6 +29,7 @@
   PlanSettings Plan;
   std::size_t Callers = 80;
   std::size_t Misbehaving = 48; ///< Clients, of one connection each.
+  std::size_t Versions = 2;     ///< Of the software of upstreams.
 };
 
 /// Thrown by ProcessRun::play() after SIGINT or SIGTERM.
@@ -82,9 +83,11 @@
   void startMisbehaving();
   void startDaemon(std::size_t Index);
   void startUpstream(std::size_t Index);
+  std::string drawVersion() const;
 
   void act(const Deed &Next);
   void replaceDaemon(const Deed &Next);
+  void killDaemons(Duration Away);
   void freezeDaemon(std::size_t Index, Duration For);
   void stopDaemon(std::size_t Index);
   void signalDaemon(std::size_t Index, int Number);
--- a/soak/process/ProcessSoakMain.cpp
+++ b/soak/process/ProcessSoakMain.cpp
@@ -28,7 +28,9 @@
   return Result;
 }
 
-static void printCounts(std::uint64_t Seed, const ProcessHistory &History) {
+static void printCounts(std::uint64_t Seed, const ProcessHistory &History,
+                        const ProcessBounds &Bounds) {
+  const BeginCounts Begins = countBegins(History, Bounds);
   std::map<int, std::size_t> Statuses;
   for (const auto &[Id, Each] : History.Requests)
     ++Statuses[Each.Status];
@@ -41,7 +43,10 @@
             << ", left: " << countEnded(History, RequestEnd::Left)
             << ", expired: " << countEnded(History, RequestEnd::Expired)
             << "), " << History.Lives.size() << " starts, "
-            << countHandovers(History) << " streams begun elsewhere, at most "
+            << countHandovers(History) << " streams begun elsewhere, "
+            << Begins.NewBegun << " of " << Begins.New << " begun and "
+            << Begins.WentOn << " of " << Begins.TakenUp
+            << " taken up where nothing excuses it, at most "
             << mostOf(History, &LifeView::MostMemory) / 1024 << " KiB and "
             << mostOf(History, &LifeView::MostDescriptors)
             << " descriptors in a daemon";
@@ -50,7 +55,7 @@
 static bool report(const ProcessRun &Run, std::uint64_t Seed) {
   const ProcessHistory &History = Run.history();
   const BrokenPromises Found = checkProcesses(History, Run.bounds());
-  printCounts(Seed, History);
+  printCounts(Seed, History, Run.bounds());
   std::cout << ", " << Found.size() << " promises broken" << std::endl;
   if (Found.empty())
     return true;
@@ -107,6 +112,9 @@
   App.add_option("--misbehaving", Settings.Misbehaving,
                  "Number of misbehaving clients, of one connection each")
       ->check(CLI::Range(0, 500));
+  App.add_option("--versions", Settings.Versions,
+                 "Number of software versions of upstreams")
+      ->check(CLI::Range(1, 9));
   CLI11_PARSE(App, Argc, Argv);
   Settings.Plan.Length = fromSeconds(Seconds);
   catchInterrupts();
--- a/soak/process/UpstreamPart.cpp
+++ b/soak/process/UpstreamPart.cpp
@@ -71,7 +71,7 @@
       Spec = {{"service", this->Options.Service},
               {"address", this->Options.Address},
               {"zone", "z0"},
-              {"version", "1"},
+              {"version", this->Options.Version},
               {"slots", this->Slots},
               {"state", this->State},
               {"sequence", ++this->Sequence},
@@ -317,8 +317,10 @@
                        });
   }
 
-  static std::string eventOf(const std::string &Call, int Number) {
-    return "id: " + std::to_string(Number) + "\ndata: " + Call + "\n\n";
+  /// Names what wrote it, so that a stream of two versions shows.
+  std::string eventOf(const std::string &Call, int Number) const {
+    return "id: " + std::to_string(Number) + "\ndata: " + Call + " " +
+           this->Options.Service + "/" + this->Options.Version + "\n\n";
   }
 
   bool isAtWork(Id Of, const std::string &Call) {
