streams: a take-up on a split route needs the version of all its services

Without a record, a take-up drew one of the services of its route and went on there if that service had one version, although another service may have begun the stream at another version.

Such a take-up now needs one version that all services of the route share, and the origins of streams are stored as soon as the services differ.

--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -86,10 +86,11 @@
 }
 
 bool StreamOriginStore::hasSeveralVersions() const {
-  return std::any_of(this->Services.begin(), this->Services.end(),
-                     [](const auto &Each) {
-                       return knownVersions(Each.second.Versions).size() > 1;
-                     });
+  // A route may split calls among services.
+  std::set<std::string> All;
+  for (const auto &[Name, Each] : this->Services)
+    All.merge(knownVersions(Each.Versions));
+  return All.size() > 1;
 }
 
 std::optional<std::string>
--- a/src/process/StreamOriginStore.h
+++ b/src/process/StreamOriginStore.h
@@ -11,8 +11,8 @@
 // (see PlatformEra.h). That of a service names the versions that may have
 // begun a stream that is still taken up: it answers for all streams while there
 // is one. That of a gateway holds the records of the streams which it began,
-// and is written at most once a period, and only while a service has several
-// versions.
+// and is written at most once a period, and only while the services have
+// several versions among them.
 //
 // Guarantees: a process that has just started keeps the records that its
 // predecessor stored; nothing waits for a write. All gateways together use a
--- a/src/request/ForwardResume.cpp
+++ b/src/request/ForwardResume.cpp
@@ -22,6 +22,16 @@
   return this->Origin && !this->Services.OnlyVersion(this->Service->Name);
 }
 
+/// Returns the software version that has begun all streams of the route, or
+/// nothing. Another service of the route may have begun the stream.
+std::optional<std::string> ForwardRun::onlyVersionOfRoute() const {
+  const auto Result = this->Services.OnlyVersion(this->Service->Name);
+  for (const WeightedService &Each : this->Route->Services)
+    if (this->Services.OnlyVersion(Each.Service) != Result)
+      return std::nullopt;
+  return Result;
+}
+
 /// Finds where the stream began that the caller takes up, and goes on there.
 void ForwardRun::findOrigin() {
   const RunningCall Scope(this->Call.Id);
@@ -31,7 +41,7 @@
     this->goOnAt(*Found, OriginSource::Record);
     return;
   }
-  if (const auto Version = this->Services.OnlyVersion(this->Service->Name)) {
+  if (const auto Version = this->onlyVersionOfRoute()) {
     this->goOnAt({this->Service->Name, *Version}, OriginSource::OnlyOne);
     return;
   }
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -169,6 +169,7 @@
   void setService(const ForwardService &Next);
   void beginForwarding();
   bool isResumable() const;
+  std::optional<std::string> onlyVersionOfRoute() const;
   void findOrigin();
   void listStreams();
   void onStreamsListed(const StreamOrigins *Stored);
--- a/tests/StreamOriginStoreTest.cpp
+++ b/tests/StreamOriginStoreTest.cpp
@@ -27,7 +27,8 @@
                .NodeId = NodeId,
                .RegisteredVersions =
                    [this] {
-                     return VersionsByService{{"s", this->Versions}};
+                     return VersionsByService{{"s", this->Versions},
+                                              {"t", this->OtherVersions}};
                    },
                .IsRegistryCurrent = [] { return true; },
                .GatewayCount = [] { return std::size_t{2}; }}) {
@@ -51,6 +52,7 @@
   EventLoop &Loop;
   FakePlatform Api;
   std::set<std::string> Versions;
+  std::set<std::string> OtherVersions; ///< Of another service.
   StreamOrigins Streams;
   StreamOriginStore Store;
 
@@ -101,6 +103,19 @@
   EXPECT_EQ(countPuts(*First), Before);
 }
 
+// Guards against streams whose service is not known any more, where a route
+// has two services with a version each.
+TEST_F(StreamOriginStoreTest, ServicesOfDifferentVersionsNeedRecords) {
+  auto First = this->start("n0", {"1"});
+  First->OtherVersions = {"2"};
+  this->wait(100ms);
+  First->Streams.noteBegun(7, Old, EventLoop::now());
+  this->wait(500ms);
+  First.reset();
+  const auto Next = this->start("n0", {"1"});
+  EXPECT_EQ(Next->list(7), Old);
+}
+
 // Guards against streams that no process knows any more once all were killed:
 // also those that began before there was a second version.
 TEST_F(StreamOriginStoreTest, RecordsOutlastAllProcesses) {
--- a/tests/StreamVersionsRunTest.cpp
+++ b/tests/StreamVersionsRunTest.cpp
@@ -187,6 +187,31 @@
   EXPECT_EQ(this->Lists, 0);
 }
 
+// Guards against a stream that another service of its route has begun, at a
+// version that the service which is drawn now has never had.
+TEST_F(StreamVersionsRunTest, AllServicesOfTheRouteCount) {
+  this->Config.Services["t"] = {.Name = "t"};
+  this->Config.Routes[0].Services = {{"s", 1}, {"t", 0}};
+  this->Config.index();
+  this->Services.Config = std::make_shared<const ForwardConfig>(this->Config);
+  std::optional<std::string> Other;
+  this->Services.OnlyVersion = [&](std::string_view Name) {
+    return Name == "s" ? std::optional<std::string>("1") : Other;
+  };
+  this->takeUp("first");
+  EXPECT_TRUE(this->callerReceives("HTTP/1.1 503 "));
+  EXPECT_TRUE(this->hasNoArrival());
+  this->renewCaller();
+  Other = "2";
+  this->takeUp("first");
+  EXPECT_TRUE(this->callerReceives("HTTP/1.1 503 "));
+  EXPECT_TRUE(this->hasNoArrival());
+  this->renewCaller();
+  Other = "1";
+  this->takeUp("first");
+  this->finishStream(*this->waitForArrival());
+}
+
 // Guards against a caller that leaves while its stream is looked for.
 TEST_F(StreamVersionsRunTest, ACallerMayLeaveDuringTheSearch) {
   this->takeUp("first");
