process soak: a stream may go on at another service of the same version

The check of versions compared the service too. A stream without a record may go on at another service of its route, as before, if both have the same one version (docs/design/software-versions.md); that is not a join of two versions. All other joins are still reported.

An upstream that is ended by a signal other than SIGKILL is noted: a soak that is started from a shell that ends loses its stopped upstreams by SIGHUP.

--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -327,6 +327,12 @@
   }
 }
 
+/// Without the service. A stream without a record may go on at another service
+/// of its route, but only if that has the same version.
+static std::string_view softwareOf(std::string_view Version) {
+  return Version.substr(Version.find('/') + 1);
+}
+
 void checkVersions(const ProcessHistory &History, const ProcessBounds &,
                    BrokenPromises &Found) {
   for (const auto &[First, Attempts] : attemptsOf(History)) {
@@ -337,7 +343,7 @@
       for (const std::string &Version : Each->second.Versions) {
         if (Origin.empty())
           Origin = Version;
-        if (Version != Origin && Joined == nullptr) {
+        if (softwareOf(Version) != softwareOf(Origin) && Joined == nullptr) {
           Joined = Each;
           Other = Version;
         }
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -592,7 +592,7 @@
     this->History.UpstreamEnds.try_emplace(Part.Id, EventLoop::now());
     auto &EndsAt = this->History.Upstreams[Part.Id].EndsAt;
     EndsAt = EndsAt.value_or(EventLoop::now());
-    if (Part.Child->exitCode() > 0)
+    if (Part.Child->exitCode() != 0 && Part.Child->exitCode() != -SIGKILL)
       this->note("upstream " + Part.Id + " ended with " +
                  std::to_string(Part.Child->exitCode()));
     Part.Child.reset();
