StreamOriginStore: records while the services of one route have several versions

Records were written all the time where services that no route joins number their versions differently. Only the services of one route are compared now. StreamOriginStoreTest.ServicesOfSeparateRoutesNeedNoRecords covers it.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -492,10 +492,17 @@
   const ForwardConfig &Config = *this->Services.Config;
   this->Stats.ConfigEpoch.Set(static_cast<double>(Config.Version));
   this->ResumableServices.clear();
-  for (const ForwardRoute &Route : Config.Routes)
-    if (Route.IsStream && Route.Repeat == Repeatability::Resumable)
-      for (const WeightedService &Each : Route.Services)
-        this->ResumableServices.insert(Each.Service);
+  std::set<std::set<std::string>> PerRoute;
+  for (const ForwardRoute &Route : Config.Routes) {
+    if (!Route.IsStream || Route.Repeat != Repeatability::Resumable)
+      continue;
+    std::set<std::string> Names;
+    for (const WeightedService &Each : Route.Services)
+      Names.insert(Each.Service);
+    this->ResumableServices.insert(Names.begin(), Names.end());
+    PerRoute.insert(std::move(Names));
+  }
+  this->StreamStore.setServices(std::move(PerRoute));
   this->Stores.follow(Config);
   this->Services.Stores = this->Stores.views();
   this->setCustomers(Config);
--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -86,11 +86,15 @@
 }
 
 bool StreamOriginStore::hasSeveralVersions() const {
-  // A route may split calls among services.
-  std::set<std::string> All;
-  for (const auto &[Name, Each] : this->Services)
-    All.merge(knownVersions(Each.Versions));
-  return All.size() > 1;
+  return std::any_of(this->Groups.begin(), this->Groups.end(),
+                     [this](const auto &Group) {
+                       std::set<std::string> All;
+                       for (const std::string &Name : Group)
+                         if (const auto Found = this->Services.find(Name);
+                             Found != this->Services.end())
+                           All.merge(knownVersions(Found->second.Versions));
+                       return All.size() > 1;
+                     });
 }
 
 std::optional<std::string>
--- a/src/process/StreamOriginStore.h
+++ b/src/process/StreamOriginStore.h
@@ -11,8 +11,8 @@
 // (see PlatformEra.h). That of a service names the versions that may have
 // begun a stream that is still taken up: it answers for all streams while there
 // is one. That of a gateway holds the records of the streams which it began,
-// and is written at most once a period, and only while the services have
-// several versions among them.
+// and is written at most once a period, and only while the services of a route
+// have several versions among them.
 //
 // Guarantees: a process that has just started keeps the records that its
 // predecessor stored; nothing waits for a write. All gateways together make
@@ -57,6 +57,10 @@
 
   /// Starts to read what is stored.
   void start();
+  /// Sets the services that each route leads to whose streams may be taken up.
+  void setServices(std::set<std::set<std::string>> PerRoute) {
+    this->Groups = std::move(PerRoute);
+  }
   /// To be called when an upstream of a service whose streams may be taken up
   /// is registered.
   void noteUpstream(const std::string &Service, const std::string &Version);
@@ -102,7 +106,8 @@
 
   StreamOriginStoreParts Parts;
   std::map<std::string, Service, std::less<>> Services;
-  bool HasListed = false; ///< Since the start.
+  std::set<std::set<std::string>> Groups; ///< Services by route.
+  bool HasListed = false;                 ///< Since the start.
   bool IsListing = false;
   StreamOrigins ListedStreams; ///< Of the list that is being read.
   std::uint64_t OwnRevision = Platform::MustNotExist;
--- a/tests/StreamOriginStoreTest.cpp
+++ b/tests/StreamOriginStoreTest.cpp
@@ -32,6 +32,7 @@
                    },
                .IsRegistryCurrent = [] { return true; },
                .GatewayCount = [] { return std::size_t{2}; }}) {
+    this->Store.setServices({{"s", "t"}});
     this->Drain = Loop.timers().every(2ms, [this] { this->Api.drain(10); });
     this->Store.Listed.connect([this](const StreamOrigins *Stored) {
       this->Found = Stored ? Stored->find(this->Wanted) : std::nullopt;
@@ -116,6 +117,19 @@
   EXPECT_EQ(Next->list(7), Old);
 }
 
+// Guards against records that are written all the time, since services that no
+// route joins number their versions differently.
+TEST_F(StreamOriginStoreTest, ServicesOfSeparateRoutesNeedNoRecords) {
+  const auto First = this->start("n0", {"1"});
+  First->Store.setServices({{"s"}, {"t"}});
+  First->OtherVersions = {"2"};
+  this->wait(500ms);
+  const int Before = countPuts(*First);
+  First->Streams.noteBegun(7, Old, EventLoop::now());
+  this->wait(300ms);
+  EXPECT_EQ(countPuts(*First), Before);
+}
+
 // Guards against streams that no process knows any more once all were killed:
 // also those that began before there was a second version.
 TEST_F(StreamOriginStoreTest, RecordsOutlastAllProcesses) {
