--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -110,7 +110,7 @@
   if (this->IsListing)
     return;
   this->IsListing = true;
-  this->ListedStreams = {};
+  this->ListedStreams = StreamOrigins(MaxListed);
   this->listAfter({});
 }
 
@@ -139,7 +139,7 @@
   this->IsListing = false;
   this->Listed.emit(Page.Status == PlatformStatus::Ok ? &this->ListedStreams
                                                       : nullptr);
-  this->ListedStreams = {};
+  this->ListedStreams = StreamOrigins(MaxListed);
 }
 
 void StreamOriginStore::readObject(const PlatformObject &Object) {
--- a/src/process/StreamOriginStore.h
+++ b/src/process/StreamOriginStore.h
@@ -80,6 +80,9 @@
   static Duration periodFor(std::size_t Gateways);
 
 private:
+  /// Records of all gateways that are kept while they are read, about 10 MB.
+  static constexpr std::size_t MaxListed = 65536;
+
   struct Service {
     SoftwareVersions Versions;
     bool IsWriting = false;
@@ -109,7 +112,8 @@
   std::set<std::set<std::string>> Groups; ///< Services by route.
   bool HasListed = false;                 ///< Since the start.
   bool IsListing = false;
-  StreamOrigins ListedStreams; ///< Of the list that is being read.
+  /// Of the list that is being read.
+  StreamOrigins ListedStreams{MaxListed};
   std::uint64_t OwnRevision = Platform::MustNotExist;
   /// The own object may have another revision than OwnRevision.
   bool IsOwnUnknown = true;
--- a/src/request/StreamOrigins.cpp
+++ b/src/request/StreamOrigins.cpp
@@ -27,7 +27,7 @@
                                                 TimePoint Now) {
   auto Found = this->Records.find(Key);
   if (Found == this->Records.end()) {
-    if (this->Records.size() >= MaxRecords)
+    if (this->Records.size() >= this->MaxRecords)
       return nullptr;
     Found = this->Records.try_emplace(Key, Record{.Origin = Origin}).first;
   }
--- a/src/request/StreamOrigins.h
+++ b/src/request/StreamOrigins.h
@@ -47,8 +47,11 @@
   /// The same for a stream that was sent to its end, which its caller may not
   /// have received.
   static constexpr Duration WholeRetention = std::chrono::seconds(5);
-  /// Streams beyond this are not recorded.
-  static constexpr std::size_t MaxRecords = 16384;
+  static constexpr std::size_t DefaultMaxRecords = 16384;
+
+  /// Streams beyond \p MaxRecords are not recorded.
+  explicit StreamOrigins(std::size_t MaxRecords = DefaultMaxRecords)
+      : MaxRecords(MaxRecords) {}
 
   struct Record {
     StreamOrigin Origin;
@@ -74,6 +77,7 @@
 private:
   Record *recordFor(StreamKey Key, const StreamOrigin &Origin, TimePoint Now);
 
+  std::size_t MaxRecords;
   std::unordered_map<StreamKey, Record> Records;
   std::uint64_t Begun = 0;
 };
--- a/tests/StreamOriginsTest.cpp
+++ b/tests/StreamOriginsTest.cpp
@@ -54,11 +54,11 @@
 // Guards against records without bound.
 TEST(StreamOriginsTest, RecordsAreBounded) {
   StreamOrigins Streams;
-  for (StreamKey Key = 0; Key < StreamOrigins::MaxRecords; ++Key)
+  for (StreamKey Key = 0; Key < StreamOrigins::DefaultMaxRecords; ++Key)
     ASSERT_TRUE(Streams.noteBegun(Key, First, {}));
-  EXPECT_FALSE(Streams.noteBegun(StreamOrigins::MaxRecords, First, {}));
+  EXPECT_FALSE(Streams.noteBegun(StreamOrigins::DefaultMaxRecords, First, {}));
   EXPECT_TRUE(Streams.noteBegun(0, First, {}));
-  EXPECT_EQ(Streams.records().size(), StreamOrigins::MaxRecords);
+  EXPECT_EQ(Streams.records().size(), StreamOrigins::DefaultMaxRecords);
 }
 
 // Guards against a call that goes on without an origin, waits for one without
