HttpClient: a time check does not outlive its exchange

A process could end by SIGSEGV, with all calls in it, up to the time limit of a call after the answer to that call exceeded a limit: one of its size, or the common limit of answers while memory is short. The calls are those to stores, engines and the platform.

finishLater() replaced the connection of the timer that checks the time limits without disconnecting it. The timer stayed due and had a plain pointer to the exchange, which its owner destroys when it has ended. If another exchange had taken the address by then, its own check was replaced in the same way.

HttpClientCancelTest.AnExchangeThatEndsEarlyLeavesNoTimer failed before, with one timer left, and under AddressSanitizer with a heap-use-after-free in the lambda of checkTimeouts(). It passes now in both builds.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -170,6 +170,8 @@
   }
 
   void finishLater(HttpEnd End) {
+    // The check of the time limits is still due. It must not outlive this.
+    this->Timer.disconnect();
     this->Timer = this->Client.Loop.timers().after(
         Duration::zero(), [this, End] { this->finish(End); });
   }
--- a/tests/HttpClientCancelTest.cpp
+++ b/tests/HttpClientCancelTest.cpp
@@ -3,6 +3,7 @@
 #include "connection/HttpClient.h"
 
 #include <arpa/inet.h>
+#include <event2/event.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <thread>
@@ -107,5 +108,44 @@
   close(Peer);
 }
 
+// Guards against a time check that runs on a freed exchange: one whose answer
+// exceeds the common limit ends, and its owner destroys it, while a check is
+// due.
+TEST(HttpClientCancelTest, AnExchangeThatEndsEarlyLeavesNoTimer) {
+  EventLoop Loop;
+  {
+    HttpClient Client(Loop, std::make_shared<ResponseBudget>(/*MaxBytes=*/64));
+    const RawServer Server;
+    std::optional<HttpEnd> End;
+    Client.startDetached(HttpCallBuilder(Server.Address)
+                             .get("/a")
+                             .totalTimeout(400ms)
+                             .newConnection()
+                             .build(),
+                         [&](const HttpResult &Result) { End = Result.End; });
+    Loop.runUntil([] { return false; }, 50ms);
+    const int Peer = Server.accept();
+    const std::string Answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" +
+        std::string(100, 'a');
+    ASSERT_EQ(write(Peer, Answer.data(), Answer.size()),
+              static_cast<ssize_t>(Answer.size()));
+    ASSERT_TRUE(Loop.runUntil([&] { return End.has_value(); }, 300ms));
+    EXPECT_EQ(End, HttpEnd::TooLarge);
+    Loop.runUntil([] { return false; }, 20ms);
+    close(Peer);
+  }
+  // Cancelled timers are removed when the next ones have run.
+  bool HasRun = false;
+  Loop.timers().after(Duration::zero(), [&] { HasRun = true; });
+  ASSERT_TRUE(Loop.runUntil([&] { return HasRun; }, 300ms));
+  // runUntil() leaves a timer of its own.
+  std::this_thread::sleep_for(20ms);
+  event_base_loop(Loop.base(), EVLOOP_NONBLOCK);
+  EXPECT_EQ(event_base_get_num_events(Loop.base(), EVENT_BASE_COUNT_ADDED), 0);
+  // Under a sanitizer, the check itself is seen.
+  Loop.runUntil([] { return false; }, 500ms);
+}
+
 } // namespace
 } // namespace galenaroute
