GossipMessages: a deeply nested datagram does not use up the stack

A datagram to the gossip port could end a gateway by SIGSEGV, with all calls in it. The CBOR reader of the JSON library recurses for each level, so a message of 16 KB, the largest that is received, took between 4 and 6 MB of stack in a RelWithDebInfo build (by runs with `ulimit -s`). That fits into the usual 8 MB, but the stack counts towards a limit of the address space, and cannot grow when that is used up.

isBoundedCbor() checks the nesting before the message is read, without recursion. It also refuses tags and items of indefinite length, which no gateway sends: nested chunks of a text recurse, too.

--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -1,5 +1,8 @@
 #include "process/GossipMessages.h"
 
+#include "process/CborDepth.h"
+#include "process/ErrorKind.h"
+
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -8,6 +11,9 @@
 
 using nlohmann::json;
 
+/// Objects of the platform, which some messages carry, nest up to 128 levels.
+static constexpr std::size_t MaxDepth = 160;
+
 static json toJson(const EntryRecord &Record) {
   return json::array({Record.Id, Record.Incarnation, Record.Heartbeat,
                       Record.Callers.toString(), Record.Gossip.toString(),
@@ -503,6 +509,8 @@
 }
 
 GossipMessage decodeGossip(std::string_view Bytes) {
+  if (!isBoundedCbor(Bytes, MaxDepth))
+    throw Error(ErrorKind::BadRequest, "the message is nested too deeply");
   const json Value = json::from_cbor(Bytes.begin(), Bytes.end());
   GossipMessage Result;
   if (Value.is_object() && Value.contains("store"))
--- a/src/process/GossipMessages.h
+++ b/src/process/GossipMessages.h
@@ -44,7 +44,8 @@
 
 std::string encodeGossip(const GossipMessage &Message);
 
-/// Throws nlohmann::json::exception when \p Bytes are malformed.
+/// Throws nlohmann::json::exception or Error(BadRequest) when \p Bytes are
+/// malformed.
 GossipMessage decodeGossip(std::string_view Bytes);
 
 } // namespace galenaroute
