PeerLink: chunks of text that nest do not use up the stack

A message of a peer could end a daemon by SIGSEGV. The depth of messages was checked by a first pass of the CBOR reader that counted arrays and maps. But the reader recurses, without a call of the counter, where a chunk of a text or of bytes of indefinite length begins another one, so that the first pass itself used up the stack: 200,000 bytes of 0x7f were enough, and links accept 256 KB.

isBoundedCbor() replaces the first pass.

PeerMessageTest.RefusesDeepNestingAndRoundTrips, which now also sends such texts and bytes, ended by SIGSEGV before.

--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "connection/PeerLink.h"
 
 #include "connection/BufferedSocket.h"
+#include "process/CborDepth.h"
 #include "process/ErrorKind.h"
 
 #include <arpa/inet.h>
@@ -17,38 +18,12 @@
 
 /// The CBOR reader recurses once per level, so hostile nesting would exhaust
 /// the stack. Our own messages have five levels at most.
-constexpr int MaxDepth = 16;
+constexpr std::size_t MaxDepth = 16;
 
 /// A stamp further ahead than this comes from a broken clock and would pull
 /// the clocks of all daemons along.
 constexpr std::int64_t MaxAheadMicros = 60'000'000;
 
-/// Accepts a document whose nesting is limited; keeps nothing.
-class DepthCheck : public nlohmann::json_sax<json> {
-public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(json::number_integer_t) override { return true; }
-  bool number_unsigned(json::number_unsigned_t) override { return true; }
-  bool number_float(json::number_float_t, const json::string_t &) override {
-    return true;
-  }
-  bool string(json::string_t &) override { return true; }
-  bool binary(json::binary_t &) override { return true; }
-  bool key(json::string_t &) override { return true; }
-  bool start_object(std::size_t) override { return ++this->Depth <= MaxDepth; }
-  bool end_object() override { return --this->Depth >= 0; }
-  bool start_array(std::size_t) override { return ++this->Depth <= MaxDepth; }
-  bool end_array() override { return --this->Depth >= 0; }
-  bool parse_error(std::size_t, const std::string &,
-                   const json::exception &) override {
-    return false;
-  }
-
-private:
-  int Depth = 0;
-};
-
 std::int64_t wallMicros() {
   using namespace std::chrono;
   return duration_cast<microseconds>(system_clock::now().time_since_epoch())
@@ -68,9 +43,7 @@
 
 std::optional<PeerMessage> decodePeerMessage(std::string_view Bytes) {
   try {
-    DepthCheck Check;
-    if (!json::sax_parse(Bytes.begin(), Bytes.end(), &Check,
-                         json::input_format_t::cbor))
+    if (!isBoundedCbor(Bytes, MaxDepth))
       return std::nullopt;
     json Whole = json::from_cbor(Bytes.begin(), Bytes.end(), /*strict=*/true,
                                  /*allow_exceptions=*/false);
--- a/tests/PeerNetworkTest.cpp
+++ b/tests/PeerNetworkTest.cpp
@@ -212,7 +212,10 @@
 }
 
 TEST(PeerMessageTest, RefusesDeepNestingAndRoundTrips) {
-  EXPECT_FALSE(decodePeerMessage(std::string(200000, '\x81')));
+  // An array, an array without a length, a text and bytes in chunks, a tag.
+  for (const char Opening : {'\x81', '\x9f', '\x7f', '\x5f', '\xc1'})
+    EXPECT_FALSE(decodePeerMessage(std::string(200000, Opening)))
+        << static_cast<int>(Opening);
   const auto Result =
       decodePeerMessage(encodePeerMessage({"load", {{"n", 3}}, {1234567, 8}}));
   ASSERT_TRUE(Result);
