ForwardRun: a send that has begun is cancelled when memory is short

A caller got 503 with "memory is short" and "run":"not_run" for a call that then reached an upstream and ran there, also for a call that must not run twice. The answer of the upstream would have been handed to a run that was freed by then (by reading: the handlers of an exchange have a plain pointer to the run).

Between the start of an exchange and its entry in the list of sends, four allocations may fail. The handlers keep the send, and the send keeps the exchange, so that the exchange went on when the call was refused, unknown to its run. The entry now follows the start at once, and the count of calls at the upstream follows the entry.

--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -91,20 +91,22 @@
       To.Registered.Address,
       this->Services.Codec.writeRequest(this->Call, Plan, this->Incoming->Body),
       Settings, this->eventsOf(Send));
+  // The latest send shows whether a further upstream is to be tried.
+  for (const auto &Each : this->Live)
+    Each->StallTimer.disconnect();
+  // The handlers of the exchange keep it alive and refer to this run, so that
+  // it has to be listed before memory may be missing for anything else.
+  this->Live.push_back(Send);
+  this->Services.Upstreams.noteSent(Send->UpstreamId, Choice.Work,
+                                    this->callTokens(), Query.Class);
+  if (this->Current == Phase::Waiting)
+    this->Current = Phase::Sent;
   this->UpstreamId = Send->UpstreamId;
   this->Services.Upstreams.noteParts(Send->UpstreamId, Query);
   this->TriedUpstreams.push_back(Send->UpstreamId);
   this->RefusalsConnection.disconnect();
   this->RefusalsConnection = this->Services.RefusalsChanged.connect(
       [this] { this->onRefusalsChanged(); });
-  if (this->Current == Phase::Waiting)
-    this->Current = Phase::Sent;
-  this->Services.Upstreams.noteSent(Send->UpstreamId, Choice.Work,
-                                    this->callTokens(), Query.Class);
-  // The latest send shows whether a further upstream is to be tried.
-  for (const auto &Each : this->Live)
-    Each->StallTimer.disconnect();
-  this->Live.push_back(Send);
   this->Services.Stats.upstreamChosen(
       this->Service->Name, toString(Choice.Kind), Choice.Rank,
       Choice.EstimatedCalls / std::max(1, To.Registered.Slots));
