StoreFollower: answers of a replaced store are dropped

When a configuration gave a store another address, the contents of the store before were taken for those of the new one, so that calls were told to fetch parts that it does not hold, and the new one was polled twice as often for good.

The answer to a poll found its store by name. Almost always one is in flight, since each waits for events; it was applied to the store that had the name by then, and scheduled a poll beside the one of that store. The timer of one of the two was also not disconnected with the follower. An answer now belongs to the store that was asked.

StoreFollowerTest.IgnoresAnswersOfAStoreThatWasReplaced failed before: the part was known and two calls were open.

--- a/src/process/StoreFollower.cpp
+++ b/src/process/StoreFollower.cpp
@@ -123,9 +123,10 @@
     this->pollLater(Name, UpdateCheckPeriod);
     return;
   }
-  const auto Done = [this, Name, Alive = std::weak_ptr(this->Alive)](
+  // The store may be replaced by one at another address before it answers.
+  const auto Done = [this, Name, Session = std::weak_ptr(Polled.Session)](
                         std::optional<StoreEventBatch> Batch) {
-    if (!Alive.expired())
+    if (!Session.expired())
       this->onBatch(Name, std::move(Batch));
   };
   if (Polled.NeedsList)
--- a/src/process/StoreFollower.h
+++ b/src/process/StoreFollower.h
@@ -88,6 +88,8 @@
     TimePoint FreedAt;
     TimePoint ListedAt;
     sigc::connection Timer;
+    // Lets callbacks that outlive the store, or the follower, detect it.
+    std::shared_ptr<bool> Session = std::make_shared<bool>(true);
   };
 
   void poll(const std::string &Name);
@@ -100,7 +102,6 @@
   CacheFeed &Feed;
   std::map<std::string, std::unique_ptr<Store>> Stores;
   std::size_t Followers = 1;
-  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace galenaroute
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -156,6 +156,21 @@
   EXPECT_EQ(this->Feed.Calls[0].Wait, Duration::zero());
 }
 
+// Guards against the contents of a store being taken for those of the one that
+// has replaced it, and against polling that one twice as often for good.
+TEST_F(StoreFollowerTest, IgnoresAnswersOfAStoreThatWasReplaced) {
+  ASSERT_EQ(this->Feed.Calls.size(), 1U);
+  this->Config.Services["s"].Store->Address = {"10.0.0.2", 1};
+  this->Follower.follow(this->Config);
+  ASSERT_EQ(this->Feed.Calls.size(), 2U);
+  this->Feed.answer(added(7, 3, "a"));
+  EXPECT_FALSE(this->holds("a"));
+  this->Feed.answer(added(8, 5, "b"));
+  EXPECT_TRUE(this->holds("b"));
+  this->runFor(300ms);
+  EXPECT_EQ(this->Feed.Calls.size(), 1U);
+}
+
 // Guards against entries that keep polling a busy store at a fixed rate.
 TEST_F(StoreFollowerTest, BacksOffFromABusyStore) {
   int Refused = 0;
