WaitingRuns: a failed allocation does not drop the calls that wait

All calls that were queued for a service could wait in vain until their deadlines. A pass takes the calls out of the queue and puts back those that are not sent. An exception in between, as for a failed allocation, ended the pass with the remaining calls in neither place; one before left the queue without a timer.

Each call is now tried on its own, there is room to put all of them back before they are taken out, and the next pass is scheduled before this one begins.

WaitingRunsMemoryTest.AFailedAllocationKeepsTheOthersQueued failed before: the queue was empty and the call never arrived at an upstream.

--- a/src/request/WaitingRuns.cpp
+++ b/src/request/WaitingRuns.cpp
@@ -1,5 +1,6 @@
 #include "request/WaitingRuns.h"
 
+#include "process/CallbackGuard.h"
 #include "request/ForwardRun.h"
 
 #include <algorithm>
@@ -68,7 +69,10 @@
 
 void WaitingRuns::dispatch() {
   this->IsWakeScheduled = false;
+  // Also where memory is missing for this pass, there is a next one.
   this->Timer.disconnect();
+  this->Timer =
+      this->Loop.timers().after(PollInterval, [this] { this->dispatch(); });
   std::erase_if(this->Runs,
                 [](const auto &Each) { return Each->hasLeftQueue(); });
   const TimePoint Now = EventLoop::now();
@@ -80,8 +84,10 @@
   std::stable_partition(Order.begin(), Order.end(), [this](std::size_t I) {
     return !this->Runs[I]->hasSendInFlight();
   });
-  const auto Waiting = std::move(this->Runs);
-  this->Runs.clear();
+  std::vector<std::shared_ptr<ForwardRun>> Waiting;
+  Waiting.reserve(this->Runs.size());
+  // From here on there is room for all of them.
+  Waiting.swap(this->Runs);
   this->Backlog = {};
   const bool IsAssessing = std::exchange(this->IsAssessmentDue, false);
   const bool HasPriorities =
@@ -96,27 +102,35 @@
     const auto &Run = Waiting[I];
     if (Run->hasLeftQueue())
       continue;
-    int &Failed = FailedTries[Run->hasSendInFlight() ? 1 : 0];
-    int &OfPriority = FailedOfPriority[Calls[I].Priority];
-    if (Failed < MaxFailedTries && OfPriority < MaxOfPriority) {
-      if (Run->trySend())
-        continue;
-      ++Failed;
-      ++OfPriority;
-    }
-    if (hasQueueTimedOut(Calls[I], this->Settings, Now)) {
-      Run->onQueueTimeout(Longest);
-    } else if (!IsAssessing || !Run->refuseForBacklog(this->Backlog)) {
+    const bool Passed = runGuarded("queue.run", [&] {
+      int &Failed = FailedTries[Run->hasSendInFlight() ? 1 : 0];
+      int &OfPriority = FailedOfPriority[Calls[I].Priority];
+      if (Failed < MaxFailedTries && OfPriority < MaxOfPriority) {
+        if (Run->trySend())
+          return;
+        ++Failed;
+        ++OfPriority;
+      }
+      if (hasQueueTimedOut(Calls[I], this->Settings, Now)) {
+        Run->onQueueTimeout(Longest);
+      } else if (!IsAssessing || !Run->refuseForBacklog(this->Backlog)) {
+        this->Runs.push_back(Run);
+        this->addToBacklog(*Run, Calls[I], Now);
+      }
+    });
+    // The calls behind one that failed are not dropped with it.
+    if (!Passed && !Run->hasLeftQueue() &&
+        std::find(this->Runs.begin(), this->Runs.end(), Run) ==
+            this->Runs.end())
       this->Runs.push_back(Run);
-      this->addToBacklog(*Run, Calls[I], Now);
-    }
   }
   // A call that was sent may have woken the queue.
-  if (!this->Runs.empty() && !this->IsWakeScheduled) {
-    this->Timer.disconnect();
+  if (this->IsWakeScheduled)
+    return;
+  this->Timer.disconnect();
+  if (!this->Runs.empty())
     this->Timer =
         this->Loop.timers().after(PollInterval, [this] { this->dispatch(); });
-  }
 }
 
 } // namespace galenaroute
--- a/tests/ForwardRunMemoryTest.cpp
+++ b/tests/ForwardRunMemoryTest.cpp
@@ -113,5 +113,29 @@
   EXPECT_EQ(this->Pool.connections(this->Servers[0].Address), 0U);
 }
 
+class WaitingRunsMemoryTest : public ForwardRunFixture {};
+
+// Guards against a failed allocation in a pass over the queue that drops the
+// calls in it: they would wait in vain until their deadlines.
+TEST_F(WaitingRunsMemoryTest, AFailedAllocationKeepsTheOthersQueued) {
+  bool MaySend = false;
+  bool Fails = false;
+  this->Services.MaySend = [&] {
+    if (std::exchange(Fails, false))
+      throw std::bad_alloc();
+    return MaySend;
+  };
+  this->sendCall("/once/a");
+  ASSERT_TRUE(this->waitUntil([&] {
+    const auto Found = this->Services.Queues.find("s");
+    return Found != this->Services.Queues.end() && Found->second->size() == 1;
+  }));
+  Fails = true;
+  ASSERT_TRUE(this->waitUntil([&] { return !Fails; }));
+  EXPECT_EQ(this->Services.Queues["s"]->size(), 1U);
+  MaySend = true;
+  EXPECT_TRUE(this->waitForArrival());
+}
+
 } // namespace
 } // namespace galenaroute
