process soak: a fault that comes late moves the end of the run

Cause: the soak stood still until 12.424 s, after the time with faults had ended, and computed the end of the run from the faults it had played by then. Five more came later and moved the time in which service must recover past that end. Change: the end is computed again until it has passed. The check stays as it is.

--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -630,8 +630,12 @@
   for (const Deed &Each : drawPlan(this->Settings.Plan))
     this->after(Each.At, [this, Each] { this->act(Each); });
   this->runFor(this->Settings.Plan.Length);
-  this->runFor(this->History.LastFaultAt + this->bounds().Recovery +
-               CountedTime - EventLoop::now());
+  // A fault that comes late, on a busy machine, moves the end.
+  const auto End = [this] {
+    return this->History.LastFaultAt + this->bounds().Recovery + CountedTime;
+  };
+  while (EventLoop::now() < End())
+    this->runFor(End() - EventLoop::now());
   this->History.EndedAt = EventLoop::now();
   this->endMisbehaving();
   this->endCallers();
