process soak: play daemons that are built with sanitizers

A line of a report in a daemon's log is a broken promise, with and without the option. All other checks stay as they are.

--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -355,13 +355,19 @@
                        nameOf(Each) + " served no ordinary request"});
 }
 
+void checkSanitizers(const ProcessHistory &History, const ProcessBounds &,
+                     BrokenPromises &Found) {
+  for (const std::string &Each : History.SanitizerReports)
+    Found.push_back({"sanitizers report nothing", "", Each});
+}
+
 BrokenPromises checkProcesses(const ProcessHistory &History,
                               const ProcessBounds &Bounds) {
   BrokenPromises Found;
   for (const auto &Check :
        {checkEnds, checkStarts, checkRunsOnce, checkHandovers, checkRefusals,
         checkAnswers, checkEvents, checkOwnAnswers, checkRecovery,
-        checkResources, checkLastRequests})
+        checkResources, checkLastRequests, checkSanitizers})
     Check(History, Bounds, Found);
   return Found;
 }
--- a/soak/process/ProcessChecks.h
+++ b/soak/process/ProcessChecks.h
@@ -69,6 +69,10 @@
 void checkLastRequests(const ProcessHistory &History,
                        const ProcessBounds &Bounds, BrokenPromises &Found);
 
+/// Sanitizers have nothing to report.
+void checkSanitizers(const ProcessHistory &History, const ProcessBounds &Bounds,
+                     BrokenPromises &Found);
+
 BrokenPromises checkProcesses(const ProcessHistory &History,
                               const ProcessBounds &Bounds);
 
--- a/soak/process/ProcessHistory.cpp
+++ b/soak/process/ProcessHistory.cpp
@@ -91,4 +91,13 @@
     Close(std::string(Open.begin()->first));
 }
 
+void readSanitizerReports(std::size_t Daemon, std::istream &Log,
+                          ProcessHistory &History) {
+  for (std::string Line; std::getline(Log, Line);)
+    if (Line.find("ERROR: AddressSanitizer") != std::string::npos ||
+        Line.find("runtime error:") != std::string::npos)
+      History.SanitizerReports.push_back("daemon " + std::to_string(Daemon) +
+                                         ": " + Line);
+}
+
 } // namespace galenaroute::process_soak
--- a/soak/process/ProcessHistory.h
+++ b/soak/process/ProcessHistory.h
@@ -12,6 +12,7 @@
 
 #include "Journal.h"
 
+#include <istream>
 #include <map>
 #include <optional>
 #include <string>
@@ -95,6 +96,7 @@
   std::map<std::string, std::vector<Span>> Silences; ///< By upstream.
   /// When upstreams were killed or had left.
   std::map<std::string, TimePoint> UpstreamEnds;
+  std::vector<std::string> SanitizerReports; ///< First lines.
   TimePoint LastFaultAt;
   TimePoint EndedAt; ///< When callers sent no more.
 };
@@ -104,6 +106,9 @@
 void readUpstream(const std::string &Upstream,
                   const std::vector<JournalLine> &Lines,
                   ProcessHistory &History);
+/// Notes what sanitizers have written to a daemon's log.
+void readSanitizerReports(std::size_t Daemon, std::istream &Log,
+                          ProcessHistory &History);
 
 } // namespace galenaroute::process_soak
 
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <netinet/in.h>
 #include <sstream>
 #include <sys/socket.h>
@@ -34,9 +35,11 @@
 static constexpr Duration OccupyDelay = 1ms;
 static constexpr Duration OccupyLimit = 100ms;
 static constexpr Duration CallersLimit = 12s;
+/// Sanitizers delay the start of main(), where signals are blocked first.
+static constexpr Duration SanitizerStart = 500ms;
 /// Limits of the machines of the smaller site.
-static constexpr ProcessLimits DaemonLimits{.Files = 4200,
-                                            .MemoryBytes = 110'000'000};
+static constexpr std::uint64_t MachineFiles = 4200;
+static constexpr std::uint64_t MachineMemory = 110'000'000;
 static constexpr std::size_t CallersOfProcess = 100;
 /// `limits.memoryMb`, below the address space.
 static constexpr int MemoryMb = 48;
@@ -112,7 +115,9 @@
   const std::size_t Clients =
       this->Settings.Callers + this->Settings.Misbehaving;
   return {.EventsOfWhole = EventsOfStream,
-          .MemoryBytes = std::size_t{MemoryMb} << 20,
+          .MemoryBytes = this->Settings.HasSanitizers
+                             ? std::numeric_limits<std::size_t>::max()
+                             : std::size_t{MemoryMb} << 20,
           .Descriptors = std::min(MaxFds, 2 * Clients + OwnDescriptors)};
 }
 
@@ -204,12 +209,14 @@
         }))
       return;
   }
-  const std::string Log =
-      this->pathOf("daemon" + std::to_string(Index) + ".log");
   LifeView Life{.Daemon = Index, .StartedAt = EventLoop::now()};
   auto Child = std::make_unique<ChildProcess>(
       this->Settings.BuildDir + "/galenaroute-platform",
-      std::vector<std::string>{"--settings", Part.Settings}, Log, DaemonLimits);
+      std::vector<std::string>{"--settings", Part.Settings},
+      this->daemonLog(Index),
+      ProcessLimits{.Files = MachineFiles,
+                    .MemoryBytes =
+                        this->Settings.HasSanitizers ? 0 : MachineMemory});
   Life.Process = Child->id();
   if (Part.Running.empty())
     Life.AloneAt = Life.StartedAt;
@@ -247,6 +254,14 @@
   DaemonPart::Process &Newest = Part.Running.back();
   if (Newest.Child->poll())
     return;
+  const Duration Age =
+      EventLoop::now() - this->History.Lives[Newest.Life].StartedAt;
+  if (this->Settings.HasSanitizers && Number != SIGKILL &&
+      Age < SanitizerStart) {
+    this->after(SanitizerStart - Age,
+                [this, Index, Number] { this->signalDaemon(Index, Number); });
+    return;
+  }
   this->History.Lives[Newest.Life].Signals.push_back(
       {EventLoop::now(), Number});
   Newest.Child->signal(Number);
@@ -716,6 +731,10 @@
   for (const std::string &Each : this->UpstreamIds)
     readUpstream(Each, readJournal(this->pathOf(Each + ".journal")),
                  this->History);
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    std::ifstream Log(this->daemonLog(I));
+    readSanitizerReports(I, Log, this->History);
+  }
 }
 
 std::vector<std::string> ProcessRun::linesOf(const std::string &Request) const {
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -29,6 +29,9 @@
   PlanSettings Plan;
   std::size_t Callers = 80;
   std::size_t Misbehaving = 48; ///< Clients, of one connection each.
+  /// Daemons are built with sanitizers, which need more memory than the limits
+  /// of a machine leave.
+  bool HasSanitizers = false;
 };
 
 /// Thrown by ProcessRun::play() after SIGINT or SIGTERM.
@@ -74,6 +77,9 @@
   std::string pathOf(const std::string &Name) const {
     return this->Folder + "/" + Name;
   }
+  std::string daemonLog(std::size_t Index) const {
+    return this->pathOf("daemon" + std::to_string(Index) + ".log");
+  }
   std::unique_ptr<ChildProcess> startPart(const std::string &Name,
                                           std::vector<std::string> Arguments);
   void startStore();
--- a/soak/process/ProcessSoakMain.cpp
+++ b/soak/process/ProcessSoakMain.cpp
@@ -3,6 +3,7 @@
 #include "ProcessRun.h"
 
 #include <CLI/CLI.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <map>
@@ -84,6 +85,18 @@
   return HasPassed;
 }
 
+/// Daemons inherit these options. A report ends its process; the handlers of
+/// the daemon's own must not come before those of AddressSanitizer, which print
+/// the stack.
+static void setSanitizerOptions() {
+  setenv("ASAN_OPTIONS",
+         "abort_on_error=1:detect_leaks=0:detect_stack_use_after_return=1:"
+         "handle_segv=2:handle_sigbus=2:handle_sigfpe=2:handle_sigill=2",
+         /*replace=*/1);
+  setenv("UBSAN_OPTIONS", "halt_on_error=1:abort_on_error=1:print_stacktrace=1",
+         /*replace=*/1);
+}
+
 int main(int Argc, char **Argv) {
   CLI::App App("Plays signals against real daemons, upstreams, callers and a "
                "store, each a process, and checks what they see");
@@ -107,8 +120,13 @@
   App.add_option("--misbehaving", Settings.Misbehaving,
                  "Number of misbehaving clients, of one connection each")
       ->check(CLI::Range(0, 500));
+  App.add_flag("--sanitizers", Settings.HasSanitizers,
+               "Daemons are built with AddressSanitizer and "
+               "UndefinedBehaviorSanitizer");
   CLI11_PARSE(App, Argc, Argv);
   Settings.Plan.Length = fromSeconds(Seconds);
+  if (Settings.HasSanitizers)
+    setSanitizerOptions();
   catchInterrupts();
   int Failed = 0;
   try {
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
@@ -367,6 +368,21 @@
             "daemons serve once clients have gone");
 }
 
+// Guards against reports that a log holds and no check sees.
+TEST_F(ProcessSoakChecksTest, ASanitizerReports) {
+  std::istringstream Sound("INFO - process.started errors=0\n");
+  readSanitizerReports(0, Sound, this->History);
+  EXPECT_EQ(this->broken(checkSanitizers), "0");
+  for (const char *Each :
+       {"==7==ERROR: AddressSanitizer: heap-use-after-free on address 0x1",
+        "a.cpp:1:2: runtime error: null pointer passed as argument"}) {
+    this->History.SanitizerReports.clear();
+    std::istringstream Log(std::string("INFO - a\n") + Each + "\n");
+    readSanitizerReports(1, Log, this->History);
+    EXPECT_EQ(this->broken(checkSanitizers), "sanitizers report nothing");
+  }
+}
+
 // Guards against readings of /proc that find nothing and so hide all growth.
 TEST_F(ProcessSoakChecksTest, ProcessesAreMeasured) {
   ChildProcess Child("/bin/sleep", {"60"}, "/dev/null", {});
