process soak: slow readers of long streams, resets, 500s and dropped routes

Change: one caller in eight reads long streams of 12 events with 240 KB each slowly, so that daemons make upstreams wait; one request in 25 is reset; an incarnation of an upstream in four answers 500 to half of its requests; a configuration drops the routes of all streams, and half of the time a service, for 50 to 800 ms; SoakForeignEntries writes entries into the store, also ones whose address accepts no connection. An upstream notes that it has ended an answer once the last byte is with the kernel, since 2.9 MB may wait in it. An upstream that has answered 500 excuses no cut answer.

--- a/soak/SoakForeignEntries.cpp
+++ b/soak/SoakForeignEntries.cpp
@@ -13,7 +13,7 @@
                                              "a/b",
                                              "\"quoted\""};
 /// The first ones cannot be read; the others can, but not connected to.
-static const std::vector<std::string> Addresses = {
+static const std::vector<std::string> UnusableAddresses = {
     "10.\xef\xbf\xbd\xef\xbf\xbd.0.1:80",
     "host.example:80",
     "127.0.0.1:0",
@@ -29,11 +29,21 @@
 static const std::vector<json> ColdTimes = {0, -1000, 1000000000, "1"};
 static const std::vector<json> Zones = {"z0", "", "\xc4\x9f", 7};
 
+SoakForeignEntries::SoakForeignEntries(
+    EventLoop &Loop, testing_support::FakePlatformServer &Store,
+    std::uint64_t Seed, std::string Service)
+    : Loop(Loop), Store(Store), Random(Seed * 11 + 5),
+      Service(std::move(Service)), Addresses(UnusableAddresses) {}
+
 json SoakForeignEntries::drawEntry() {
-  json Entry = {{"service", "d"}, {"address", this->drawOf(Addresses)},
-                {"zone", "z0"},   {"version", "1"},
-                {"slots", 20},    {"state", "ready"},
-                {"sequence", 1},  {"born", ++this->Born}};
+  json Entry = {{"service", this->Service},
+                {"address", this->drawOf(this->Addresses)},
+                {"zone", "z0"},
+                {"version", "1"},
+                {"slots", 20},
+                {"state", "ready"},
+                {"sequence", 1},
+                {"born", ++this->Born}};
   switch (this->Random() % 6) {
   case 0:
     Entry["slots"] = this->drawOf(Slots);
--- a/soak/SoakForeignEntries.h
+++ b/soak/SoakForeignEntries.h
@@ -21,8 +21,11 @@
 public:
   SoakForeignEntries(EventLoop &Loop,
                      testing_support::FakePlatformServer &Store,
-                     std::uint64_t Seed)
-      : Loop(Loop), Store(Store), Random(Seed * 11 + 5) {}
+                     std::uint64_t Seed, std::string Service = "d");
+  /// Some entries have \p Address, which should not answer.
+  void addAddress(const std::string &Address) {
+    this->Addresses.push_back(Address);
+  }
   ~SoakForeignEntries() { this->Timer.disconnect(); }
   SoakForeignEntries(const SoakForeignEntries &) = delete;
   SoakForeignEntries &operator=(const SoakForeignEntries &) = delete;
@@ -42,6 +45,8 @@
   EventLoop &Loop;
   testing_support::FakePlatformServer &Store;
   std::mt19937_64 Random;
+  std::string Service;
+  std::vector<std::string> Addresses;
   std::set<std::string> Present; ///< Ids of the entries in the store.
   std::size_t Changes = 0;
   std::int64_t Born = 0;
--- a/soak/process/CallersPart.cpp
+++ b/soak/process/CallersPart.cpp
@@ -23,6 +23,13 @@
 static constexpr std::uint64_t LongestIdleMs = 1500;
 static constexpr std::uint64_t LongBreakOneIn = 12;
 static constexpr std::uint64_t NewConnectionOneIn = 6;
+static constexpr std::uint64_t ResettingOneIn = 25;
+static constexpr std::uint64_t LatestResetMs = 1500;
+/// Callers that read slowly read at most this much at a time.
+static constexpr std::uint64_t SlowCallerOneIn = 8;
+static constexpr std::size_t SlowReadBytes = 64 << 10;
+static constexpr std::uint64_t LongestReadPauseMs = 120;
+static constexpr int SlowReceiveBytes = 8 << 10;
 
 namespace {
 
@@ -32,6 +39,7 @@
 };
 constexpr RouteKind Routes[] = {
     {"safe", false}, {"once", false}, {"stream", true}, {"oncestream", true}};
+constexpr RouteKind LongStream = {"longstream", true};
 
 /// One caller after the other request on kept connections.
 class Caller {
@@ -39,7 +47,8 @@
   Caller(PollLoop &Loop, const Journal &Log, const PartOptions &Options,
          std::size_t Index)
       : Loop(Loop), Log(Log), Options(Options), Random(Options.Seed + Index),
-        Name(Options.Prefix + "." + std::to_string(Index)) {
+        Name(Options.Prefix + "." + std::to_string(Index)),
+        IsSlow(this->drawn(1, SlowCallerOneIn) == 1) {
     this->think();
   }
   bool isIdle() const { return this->Call.empty(); }
@@ -72,7 +81,8 @@
     }
     this->IsFresh = true;
     this->Daemon = this->drawn(0, this->Options.Daemons.size() - 1);
-    this->Socket = connectTo(this->Options.Daemons[this->Daemon]);
+    this->Socket = connectTo(this->Options.Daemons[this->Daemon],
+                             this->IsSlow ? SlowReceiveBytes : 0);
     if (this->Socket < 0) {
       this->retryLater();
       return;
@@ -80,9 +90,7 @@
     ++this->Step;
     this->IsConnecting = true;
     this->Reader = MessageReader(MessageKind::Answer);
-    this->Loop.watch(this->Socket, [this](bool CanRead, bool CanWrite) {
-      this->onSocket(CanRead, CanWrite);
-    });
+    this->watch();
     this->Loop.setWriting(this->Socket, true);
     this->after(ConnectPatience, [this] {
       this->disconnect();
@@ -90,6 +98,12 @@
     });
   }
 
+  void watch() {
+    this->Loop.watch(this->Socket, [this](bool CanRead, bool CanWrite) {
+      this->onSocket(CanRead, CanWrite);
+    });
+  }
+
   void retryLater() {
     ++this->Step;
     this->after(RetryDelay, [this] { this->begin(); });
@@ -97,9 +111,13 @@
 
   void send() {
     ++this->Step;
-    const RouteKind &Route = Routes[this->drawn(0, std::size(Routes) - 1)];
+    const RouteKind &Route =
+        this->IsSlow && this->drawn(0, 1) == 0
+            ? LongStream
+            : Routes[this->drawn(0, std::size(Routes) - 1)];
     this->Call = this->Name + "." + std::to_string(++this->LastCall);
     this->IsStream = Route.IsStream;
+    this->IsLong = &Route == &LongStream;
     this->LastEvent = 0;
     this->HasHead = this->IsForeign = this->IsSent = false;
     this->Text.clear();
@@ -123,6 +141,12 @@
                         (this->IsFresh ? " fresh" : " kept"));
     this->IsFresh = false;
     this->after(Patience, [this] { this->end("expired"); });
+    if (this->drawn(1, ResettingOneIn) == 1)
+      this->Loop.after(Milliseconds(this->drawn(1, LatestResetMs)),
+                       [this, Call = this->Call] {
+                         if (this->Call == Call)
+                           this->end("left", /*Keeps=*/false, /*Resets=*/true);
+                       });
     // Some requests arrive in two parts.
     const std::size_t First = this->drawn(0, 2) == 0
                                   ? this->drawn(1, Bytes.size() - 1)
@@ -169,7 +193,12 @@
 
   void read() {
     std::string Bytes;
-    const bool IsOver = readAll(this->Socket, Bytes) == ReadResult::Closed;
+    const bool Pauses = this->IsSlow && this->IsLong && !this->Call.empty();
+    const bool IsOver = readAll(this->Socket, Bytes,
+                                Pauses ? SlowReadBytes : std::string::npos) ==
+                        ReadResult::Closed;
+    if (Pauses && !IsOver && this->IsSent)
+      this->pause();
     if (this->Call.empty()) {
       if (!Bytes.empty())
         this->Log.write("foreign", this->Name, "bytes without a request");
@@ -192,6 +221,16 @@
       this->expectMore();
   }
 
+  /// Reads nothing for a moment.
+  void pause() {
+    this->Loop.forget(this->Socket);
+    this->Loop.after(Milliseconds(this->drawn(1, LongestReadPauseMs)),
+                     [this, Call = this->Call] {
+                       if (this->Call == Call)
+                         this->watch();
+                     });
+  }
+
   void readHead() {
     if (this->HasHead || !this->Reader.hasHead())
       return;
@@ -224,8 +263,7 @@
       this->Text.erase(0, End + 2);
       this->LastEvent = std::atoi(Event.c_str() + 4);
       this->Log.write("event", this->Call, std::to_string(this->LastEvent));
-      if (Event != "id: " + std::to_string(this->LastEvent) +
-                       "\ndata: " + this->Call + "\n")
+      if (Event + "\n" != eventOf(this->Call, this->LastEvent, this->IsLong))
         this->noteForeign("another event");
     }
   }
@@ -241,7 +279,7 @@
     this->after(StreamGap, [this] { this->end("left"); });
   }
 
-  void end(std::string_view How, bool Keeps = false) {
+  void end(std::string_view How, bool Keeps = false, bool Resets = false) {
     this->Log.write("end", this->Call, How);
     this->Call.clear();
     Keeps = Keeps && this->IsSent &&
@@ -249,19 +287,24 @@
             this->drawn(1, NewConnectionOneIn) != 1;
     if (Keeps) {
       this->Reader.next();
+      // A pause may have ended the watch.
+      this->watch();
       if (this->Reader.hasRest() || this->Reader.hasHead())
         this->Log.write("foreign", this->Name, "bytes after an answer");
     } else {
-      this->disconnect();
+      this->disconnect(Resets);
     }
     this->think();
   }
 
-  void disconnect() {
+  void disconnect(bool Resets = false) {
     if (this->Socket < 0)
       return;
     this->Loop.forget(this->Socket);
-    close(this->Socket);
+    if (Resets)
+      resetSocket(this->Socket);
+    else
+      close(this->Socket);
     this->Socket = -1;
     this->IsConnecting = false;
   }
@@ -271,6 +314,7 @@
   const PartOptions &Options;
   std::mt19937_64 Random;
   std::string Name;
+  bool IsSlow;
   std::uint64_t Step = 0;
   std::uint64_t LastCall = 0;
   int Socket = -1;
@@ -281,6 +325,7 @@
   // Of the present request.
   std::string Call; ///< Empty: none.
   bool IsStream = false;
+  bool IsLong = false;
   bool IsSent = false;
   bool HasHead = false;
   bool IsForeign = false;
--- a/soak/process/Parts.h
+++ b/soak/process/Parts.h
@@ -13,20 +13,26 @@
 /// Events of a whole stream.
 constexpr int EventsOfStream = 12;
 
+/// An event of the stream that answers \p Call. All of a long stream together
+/// exceed what kernels buffer of a connection.
+std::string eventOf(const std::string &Call, int Number, bool IsLong);
+
 struct PartOptions {
   std::string JournalPath;
   std::uint64_t Seed = 0;
   std::string Store; ///< Address.
+  /// Of an upstream; of the store, where it listens without an answer.
+  std::string Address;
   // Of an upstream.
   std::string Id;
-  std::string Address;
   std::string Service;
   // Of callers.
   std::vector<std::string> Daemons; ///< Addresses.
   std::size_t Count = 0;
   std::string Prefix; ///< Of the ids of requests.
-  // Of misbehaving clients.
-  std::int64_t LengthMs = 0; ///< In which they open their connections.
+  /// Of misbehaving clients, in which they open their connections; of the
+  /// store, in which another writer changes entries.
+  std::int64_t LengthMs = 0;
   // Of the store.
   std::string AddressFile; ///< To which it writes its address.
 };
--- a/soak/process/PollLoop.cpp
+++ b/soak/process/PollLoop.cpp
@@ -122,8 +122,12 @@
   return -1;
 }
 
-int connectTo(const std::string &Address) {
-  return beginConnecting(openSocket(), Address);
+int connectTo(const std::string &Address, int ReceiveBytes) {
+  const int Socket = openSocket();
+  if (ReceiveBytes != 0)
+    setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
+               sizeof ReceiveBytes);
+  return beginConnecting(Socket, Address);
 }
 
 int connectFrom(const std::string &Own, const std::string &Address) {
@@ -142,17 +146,18 @@
   return beginConnecting(Socket, Address);
 }
 
-ReadResult readAll(int Socket, std::string &Text) {
+ReadResult readAll(int Socket, std::string &Text, std::size_t Most) {
   char Buffer[16384];
-  while (true) {
+  while (Text.size() < Most) {
     const ssize_t Count = read(Socket, Buffer, sizeof Buffer);
     if (Count > 0)
       Text.append(Buffer, static_cast<std::size_t>(Count));
     else if (Count == 0 || (errno != EAGAIN && errno != EINTR))
       return ReadResult::Closed;
     else
-      return ReadResult::Open;
+      break;
   }
+  return ReadResult::Open;
 }
 
 bool writeSome(int Socket, std::string &Text) {
--- a/soak/process/PollLoop.h
+++ b/soak/process/PollLoop.h
@@ -48,7 +48,8 @@
 int listenAt(const std::string &Address);
 
 /// Opens a socket that does not block and begins to connect; -1 if it cannot.
-int connectTo(const std::string &Address);
+/// The kernel buffers about \p ReceiveBytes of what arrives; 0: what it likes.
+int connectTo(const std::string &Address, int ReceiveBytes = 0);
 
 /// The same from an address of this machine, which no other socket can use
 /// until the connection is closed; -1 if one does.
@@ -56,8 +57,10 @@
 
 enum class ReadResult { Open, Closed };
 
-/// Appends to \p Text all that can be read without blocking.
-ReadResult readAll(int Socket, std::string &Text);
+/// Appends to \p Text what can be read without blocking, until that is
+/// \p Most bytes or a little more.
+ReadResult readAll(int Socket, std::string &Text,
+                   std::size_t Most = std::string::npos);
 
 /// Writes what can be written of \p Text without blocking and removes it.
 /// Returns false if the connection is broken.
--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -225,7 +225,8 @@
     const auto End = History.UpstreamEnds.find(Each.Upstream);
     return Each.HasBroken ||
            (End != History.UpstreamEnds.end() && !Each.HasEnded &&
-            End->second >= Each.AcceptedAt && End->second <= Of.EndedAt);
+            !Each.HasFailed && End->second >= Each.AcceptedAt &&
+            End->second <= Of.EndedAt);
   });
 }
 
--- a/soak/process/ProcessHistory.h
+++ b/soak/process/ProcessHistory.h
@@ -26,7 +26,7 @@
   Cut,       ///< The connection ended inside an answer.
   None,      ///< The connection ended before any answer.
   Unsent,    ///< The connection ended before the request was sent.
-  Left,      ///< The caller left in a gap of a stream.
+  Left,      ///< The caller left in a gap of a stream, or at any time.
   Expired,   ///< The caller left after the deadline.
   Malformed, ///< No HTTP.
 };
@@ -56,6 +56,7 @@
   std::optional<TimePoint> OverAt;
   bool HasEnded = false; ///< It wrote its whole answer.
   bool HasBroken = false;
+  bool HasFailed = false; ///< It answered 500.
 };
 
 struct SignalView {
--- a/soak/process/ProcessPlan.cpp
+++ b/soak/process/ProcessPlan.cpp
@@ -32,12 +32,14 @@
     {DeedKind::Configure, 500, 3000, 0, 0},
     {DeedKind::KillAndOccupy, 6000, 15000, 200, 1500},
     {DeedKind::KillAndRewrite, 5000, 12000, 20, 300},
+    {DeedKind::DropRoutes, 1500, 4000, 50, 800},
 };
 constexpr double UsualDaemons = 5;
 constexpr double UsualUpstreams = 6;
 
 bool isForDaemons(DeedKind Kind) {
-  return Kind <= DeedKind::RewriteSettings || Kind >= DeedKind::KillAndOccupy;
+  return Kind <= DeedKind::RewriteSettings || Kind == DeedKind::KillAndOccupy ||
+         Kind == DeedKind::KillAndRewrite;
 }
 bool isForUpstreams(DeedKind Kind) {
   return Kind >= DeedKind::SilenceUpstream && Kind <= DeedKind::LeaveUpstream;
@@ -59,7 +61,8 @@
                                           "freeze_store",
                                           "configure",
                                           "kill_and_occupy",
-                                          "kill_and_rewrite"};
+                                          "kill_and_rewrite",
+                                          "drop_routes"};
   return Names[static_cast<std::size_t>(Kind)];
 }
 
--- a/soak/process/ProcessPlan.h
+++ b/soak/process/ProcessPlan.h
@@ -27,6 +27,7 @@
   Configure,       ///< A new configuration.
   KillAndOccupy,   ///< Another socket has the successor's address meanwhile.
   KillAndRewrite,  ///< The successor's settings are half written or missing.
+  DropRoutes, ///< Configurations lack routes, or also a service, meanwhile.
 };
 
 const char *toString(DeedKind Kind);
@@ -36,7 +37,8 @@
   DeedKind Kind = DeedKind::Kill;
   std::size_t Target = 0;
   Duration For{}; ///< How long, or how long until the second part.
-  /// Of rewritten settings: followed by SIGHUP, or missing meanwhile.
+  /// Of rewritten settings: followed by SIGHUP, or missing meanwhile. Of
+  /// dropped routes: a service is dropped with them.
   bool Flag = false;
 };
 
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -156,8 +156,14 @@
 
 void ProcessRun::startStore() {
   const std::string File = this->pathOf("store.address");
-  this->Store =
-      this->startPart("store", {"--role", "store", "--address-file", File});
+  this->Store = this->startPart(
+      "store",
+      {"--role", "store", "--address-file", File, "--address",
+       "127." + std::to_string(this->Places.Network) +
+           ".2.1:" + std::to_string(UpstreamPort),
+       "--length-ms",
+       std::to_string(toMilliseconds(SettleTime + this->Settings.Plan.Length)),
+       "--seed", std::to_string(this->Settings.Plan.Seed)});
   if (!this->waitFor([&] { return std::filesystem::exists(File); }, StartLimit))
     throw std::runtime_error("the store does not start");
   this->StoreAddress = SocketAddress::parse(readText(File));
@@ -425,6 +431,25 @@
   this->putConfig();
 }
 
+/// Drops the routes of all streams and adds them again after \p For.
+void ProcessRun::dropRoutes(Duration For, bool WithService) {
+  if (this->IsConfiguring || this->LacksStreams)
+    return;
+  this->LacksStreams = true;
+  this->LacksService = WithService;
+  this->configure();
+  this->after(For, [this] { this->restoreRoutes(); });
+}
+
+void ProcessRun::restoreRoutes() {
+  if (this->IsConfiguring) {
+    this->after(ReapPeriod, [this] { this->restoreRoutes(); });
+    return;
+  }
+  this->LacksStreams = this->LacksService = false;
+  this->configure();
+}
+
 void ProcessRun::putConfig() {
   const std::uint64_t Version = this->ConfigVersion;
   struct {
@@ -434,7 +459,9 @@
   } const Kinds[] = {{"safe", "safe", true},
                      {"once", "unsafe", false},
                      {"stream", "stream", true},
-                     {"oncestream", "stream", false}};
+                     {"oncestream", "stream", false},
+                     {"longstream", "stream", true}};
+  const std::size_t Present = this->LacksService ? Services - 1 : Services;
   nlohmann::json Config = {{"version", Version},
                            {"limits",
                             {{"maxHeaderBytes", 16384},
@@ -442,6 +469,9 @@
                              {"headerTimeoutMs", 2000},
                              {"idleTimeoutMs", 2000 + Version * 700 % 2000}}}};
   for (const auto &Each : Kinds) {
+    const bool IsStream = std::string_view(Each.Kind) == "stream";
+    if (IsStream && this->LacksStreams)
+      continue;
     nlohmann::json Route = {
         {"name", Each.Name},
         {"host", "h"},
@@ -453,16 +483,16 @@
         {"service", "d0"},
         {"maxAttempts", Each.MayRepeat ? 2 : 1},
         {"public", true}};
-    if (std::string(Each.Kind) == "stream") {
+    if (IsStream) {
       Route["gapAimMs"] = 200;
       Route["resumable"] = Each.MayRepeat;
     }
-    for (std::size_t I = 0; I < Services; ++I)
+    for (std::size_t I = 0; I < Present; ++I)
       Route["split"].push_back({{"service", "d" + std::to_string(I)},
                                 {"weight", 1 + (Version / (I + 1)) % 3}});
     Config["routes"].push_back(Route);
   }
-  for (std::size_t I = 0; I < Services; ++I)
+  for (std::size_t I = 0; I < Present; ++I)
     Config["services"].push_back(
         {{"name", "d" + std::to_string(I)}, {"maxConns", 400}});
   this->IsConfiguring = true;
@@ -484,7 +514,10 @@
           this->ConfigRevision =
               Body["metadata"].value("revision", std::uint64_t{0});
         if (Result.isSuccess()) {
-          this->note("configuration " + std::to_string(Version));
+          this->note("configuration " + std::to_string(Version) +
+                     (this->LacksService   ? " without streams and a service"
+                      : this->LacksStreams ? " without streams"
+                                           : ""));
           this->IsConfiguring = false;
         } else if (!this->IsEnding) {
           this->after(RestartDelay, [this] { this->putConfig(); });
@@ -532,6 +565,9 @@
   case DeedKind::Configure:
     this->configure();
     return;
+  case DeedKind::DropRoutes:
+    this->dropRoutes(Next.For, Next.Flag);
+    return;
   }
 }
 
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -102,6 +102,8 @@
   void endUpstream(std::size_t Index, int Number, Duration Away);
   void freezeStore(Duration For);
   void configure();
+  void dropRoutes(Duration For, bool WithService);
+  void restoreRoutes();
   void putConfig();
 
   /// Notices processes that have ended.
@@ -144,6 +146,8 @@
   std::uint64_t ConfigVersion = 0;
   std::uint64_t ConfigRevision = 0;
   bool IsConfiguring = false;
+  bool LacksStreams = false; ///< The configuration has no routes of streams.
+  bool LacksService = false; ///< It has one service less.
 
   ProcessHistory History;
   std::vector<std::string> Timeline;
--- a/soak/process/StorePart.cpp
+++ b/soak/process/StorePart.cpp
@@ -1,10 +1,13 @@
 #include "Parts.h"
 
+#include "PollLoop.h"
+#include "SoakForeignEntries.h"
 #include "process/FakePlatformServer.h"
 
 #include <csignal>
 #include <fstream>
 #include <map>
+#include <sys/socket.h>
 
 namespace galenaroute::process_soak {
 
@@ -13,6 +16,8 @@
 /// Entries of servers that are not renewed for this time are removed.
 static constexpr Duration EntryLapse = 2100ms;
 static constexpr Duration LapsePeriod = 200ms;
+/// Foreign entries with an address that does not answer, beside nine others.
+static constexpr int SilentShare = 4;
 
 namespace {
 
@@ -48,12 +53,25 @@
   TimePoint Last = EventLoop::now();
 };
 
+/// Listens without ever answering: its queue is full, so that further
+/// connections time out.
+void listenInSilence(const std::string &Address) {
+  listen(listenAt(Address), /*Backlog=*/0);
+  for (int I = 0; I < 2; ++I)
+    connectTo(Address);
+}
+
 } // namespace
 
 void runStore(const PartOptions &Options) {
   EventLoop Loop;
   testing_support::FakePlatformServer Server(Loop);
   const Lapses Removal(Loop, Server);
+  soak::SoakForeignEntries Foreign(Loop, Server, Options.Seed, "d0");
+  listenInSilence(Options.Address);
+  for (int I = 0; I < SilentShare; ++I)
+    Foreign.addAddress(Options.Address);
+  Foreign.playFor(Milliseconds(Options.LengthMs));
   Loop.onSignal(SIGTERM, [&Loop] { Loop.stop(); });
   std::ofstream(Options.AddressFile + ".new") << Server.address().toString();
   std::rename((Options.AddressFile + ".new").c_str(),
--- a/soak/process/UpstreamPart.cpp
+++ b/soak/process/UpstreamPart.cpp
@@ -23,6 +23,10 @@
 static constexpr std::uint64_t RefusedOneIn = 50;
 static constexpr std::uint64_t BrokenOneIn = 150;
 static constexpr std::uint64_t ClosingOneIn = 30;
+/// Incarnations that answer 500 to half of their requests.
+static constexpr std::uint64_t FailingOneIn = 4;
+/// Below the limit of the daemons on one event.
+static constexpr std::size_t LongEventBytes = 240'000;
 
 namespace {
 
@@ -154,7 +158,8 @@
 public:
   explicit Upstream(const PartOptions &Options)
       : Options(Options), Log(Options.JournalPath), Random(Options.Seed),
-        Slots(this->drawn(6, 40)), Listener(listenAt(Options.Address)),
+        Slots(this->drawn(6, 40)), IsFailing(this->drawn(1, FailingOneIn) == 1),
+        Listener(listenAt(Options.Address)),
         Entry(this->Loop, Options, this->Slots) {
     this->Loop.watch(this->Listener, [this](bool, bool) { this->accept(); });
   }
@@ -172,6 +177,9 @@
     std::string Out;
     std::string Call; ///< Of the request at work, or empty.
     bool IsLast = false;
+    bool IsLong = false; ///< A long stream.
+    /// Written to the journal once Out, with the rest of the answer, is sent.
+    std::string_view Ending;
   };
   using Id = std::uint64_t;
 
@@ -237,6 +245,11 @@
       return false;
     }
     this->Loop.setWriting(Peer.Socket, !Peer.Out.empty());
+    if (Peer.Out.empty() && !Peer.Ending.empty()) {
+      this->Log.write(std::exchange(Peer.Ending, {}), Peer.Call);
+      Peer.Call.clear();
+      --this->Running;
+    }
     if (Peer.Out.empty() && Peer.IsLast && Peer.Call.empty()) {
       this->drop(Of, "");
       return false;
@@ -303,6 +316,12 @@
     const int From = Last.empty() ? 0 : std::stoi(Last);
     this->Log.write("accepted", Call, std::to_string(From));
     const bool IsStream = Head.path().find("stream") != std::string::npos;
+    Peer.IsLong = Head.path().find("longstream") != std::string::npos;
+    if (this->IsFailing && this->drawn(0, 1) == 0) {
+      this->Loop.after(this->drawnMs(1, 30),
+                       [this, Of, Call] { this->answerFailed(Of, Call); });
+      return;
+    }
     const bool Breaks = this->drawn(1, BrokenOneIn) == 1;
     const bool HasChunks = this->drawn(0, 1) == 1;
     if (IsStream)
@@ -317,15 +336,21 @@
                        });
   }
 
-  static std::string eventOf(const std::string &Call, int Number) {
-    return "id: " + std::to_string(Number) + "\ndata: " + Call + "\n\n";
-  }
-
   bool isAtWork(Id Of, const std::string &Call) {
     const auto Found = this->Connections.find(Of);
     return Found != this->Connections.end() && Found->second.Call == Call;
   }
 
+  void answerFailed(Id Of, const std::string &Call) {
+    if (!this->isAtWork(Of, Call))
+      return;
+    this->finish(Of,
+                 this->headOf(this->Connections.at(Of), 500) +
+                     "Server-Stamp: " + this->Options.Id +
+                     "\r\nContent-Length: 0\r\n\r\n",
+                 "failed");
+  }
+
   void answer(Id Of, const std::string &Call, bool Breaks, bool HasChunks) {
     if (!this->isAtWork(Of, Call))
       return;
@@ -354,14 +379,14 @@
     this->finish(Of, Text);
   }
 
-  void finish(Id Of, const std::string &Text) {
+  void finish(Id Of, const std::string &Text,
+              std::string_view Ending = "ended") {
     Connection &Peer = this->Connections.at(Of);
-    this->Log.write("ended", Peer.Call);
-    Peer.Call.clear();
-    --this->Running;
+    Peer.Ending = Ending;
     this->send(Of, Text);
     // The next request may have been read meanwhile.
-    if (this->Connections.contains(Of) && Peer.Reader.isWhole())
+    if (this->Connections.contains(Of) && Peer.Call.empty() &&
+        Peer.Reader.isWhole())
       this->onRequest(Of);
   }
 
@@ -369,9 +394,10 @@
                    bool HasChunks) {
     if (!this->isAtWork(Of, Call))
       return;
+    const bool IsLong = this->Connections.at(Of).IsLong;
     std::size_t Length = 0;
     for (int I = Next; I <= EventsOfStream; ++I)
-      Length += eventOf(Call, I).size();
+      Length += eventOf(Call, I, IsLong).size();
     this->send(Of,
                this->headOf(this->Connections.at(Of), 200) +
                    "Server-Stamp: " + this->Options.Id +
@@ -392,7 +418,7 @@
       this->finish(Of, HasChunks ? "0\r\n\r\n" : "");
       return;
     }
-    std::string Event = eventOf(Call, Next);
+    std::string Event = eventOf(Call, Next, this->Connections.at(Of).IsLong);
     if (HasChunks) {
       char Size[24];
       std::snprintf(Size, sizeof Size, "%zx\r\n", Event.size());
@@ -418,6 +444,7 @@
   Journal Log;
   std::mt19937_64 Random;
   std::uint64_t Slots;
+  bool IsFailing;
   PollLoop Loop;
   int Listener;
   Registration Entry;
@@ -430,6 +457,11 @@
 
 } // namespace
 
+std::string eventOf(const std::string &Call, int Number, bool IsLong) {
+  return "id: " + std::to_string(Number) + "\ndata: " + Call +
+         std::string(IsLong ? LongEventBytes : 0, 'x') + "\n\n";
+}
+
 void runUpstream(const PartOptions &Options) {
   catchTermination();
   Upstream(Options).run();
