ForwardRun: bytes that waited for a slow caller do not show a live upstream

An upstream whose process stood still for 1.65 s was at work on two streams 506 and 795 ms after another upstream had begun them (400 ms allowed). Both sends were given up as busy_elsewhere, with heard_ms 77 and 13, though the process had stood still for 0.9 s. Cause: streams for slow readers wait in the buffers of the kernel, up to 2.9 MB each. What was read of them counted as a sign that the upstream is at work now, and so explained the silence of its other streams. Change: once an answer was paused, its bytes no longer count as heard from the upstream for other calls.

--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -363,7 +363,9 @@
   if (Send->IsBroken)
     return;
   Send->HeardAt = EventLoop::now();
-  this->Services.Upstreams.noteHeard(Send->UpstreamId, Send->HeardAt);
+  // Bytes that have waited do not show that the upstream still runs.
+  if (!Send->WasPaused)
+    this->Services.Upstreams.noteHeard(Send->UpstreamId, Send->HeardAt);
   if (!this->isStreamAnswer(*Send)) {
     if (!this->addToBody(Send, Bytes))
       this->dropBody(Send);
@@ -446,7 +448,7 @@
 void ForwardRun::pauseUpstream(ForwardSend &Send, const char *Decision) {
   if (Send.IsPaused)
     return;
-  Send.IsPaused = true;
+  Send.IsPaused = Send.WasPaused = true;
   Send.StallTimer.disconnect();
   Send.Exchange->pauseReading();
   this->Services.Stats.decision(Decision);
--- a/src/request/ForwardSend.h
+++ b/src/request/ForwardSend.h
@@ -45,8 +45,10 @@
   bool IsHeldBack = false;     ///< No other is tried, see explainSilence().
   bool IsStalled = false;      ///< Another upstream was tried beside it.
   bool IsPaused = false;       ///< The upstream waits, see pauseUpstream().
-  bool IsBroken = false;       ///< What follows in its answer is dropped.
-  int Events = 0;              ///< Whole events received.
+  /// It was paused, so that what is read of its answer may have waited.
+  bool WasPaused = false;
+  bool IsBroken = false; ///< What follows in its answer is dropped.
+  int Events = 0;        ///< Whole events received.
   std::string Body;
   /// What Body counts for; see ResponseBudget.
   std::optional<ResponseBudget::Charge> BodyCharge;
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -658,6 +658,38 @@
   EXPECT_TRUE(this->hasNoArrival());
 }
 
+// Guards against taking bytes that have waited for a slow reader for a sign
+// that their upstream still runs.
+TEST_F(ForwardRunTest, BytesThatWaitedForTheirReaderDoNotShowALiveUpstream) {
+  this->Config.Routes[0].Timeout = 20s;
+  this->Services.Config = std::make_shared<const ForwardConfig>(this->Config);
+  this->sendCall("/stream/a");
+  const auto Peer = this->waitForArrival();
+  std::string Stream = this->StreamHead;
+  for (std::size_t I = 1; I <= 480; ++I)
+    Stream += chunk("id: " + std::to_string(I) +
+                    "\ndata: " + std::string(32 << 10, 'x') + "\n\n");
+  std::string_view Unsent = Stream;
+  EXPECT_FALSE(this->Loop.runUntil(
+      [&] {
+        Unsent.remove_prefix(Peer->writeSome(Unsent.substr(0, 256 << 10)));
+        return Unsent.empty();
+      },
+      1500ms));
+  // The upstream writes nothing from here on.
+  const TimePoint Stopped = EventLoop::now();
+  std::size_t Read = 0;
+  this->Loop.runUntil(
+      [&] {
+        Read += this->Caller->take(512 << 10).size();
+        return false;
+      },
+      500ms);
+  EXPECT_GT(Read, std::size_t{2} << 20);
+  for (const char *Each : {"u0", "u1"})
+    EXPECT_LE(this->Table.find(Each)->HeardAt, Stopped) << Each;
+}
+
 // Guards against giving up a sound stream whose events arrived while the
 // process stood still.
 TEST_F(ForwardRunTest,
