--- a/soak/process/ProcessHistory.cpp
+++ b/soak/process/ProcessHistory.cpp
@@ -80,9 +80,10 @@
     if ((Line.Event == "begun" || Line.Event == "event") && !Work.BegunAt)
       Work.BegunAt = Line.At;
     if (Line.Event == "ended" || Line.Event == "broke" ||
-        Line.Event == "closed") {
+        Line.Event == "closed" || Line.Event == "failed") {
       Work.HasEnded = Line.Event == "ended";
       Work.HasBroken = Line.Event == "broke";
+      Work.HasFailed = Line.Event == "failed";
       Work.OverAt = Line.At;
       Close(Line.Call);
     }
@@ -91,4 +92,13 @@
     Close(std::string(Open.begin()->first));
 }
 
+void readSanitizerReports(std::size_t Daemon, std::istream &Log,
+                          ProcessHistory &History) {
+  for (std::string Line; std::getline(Log, Line);)
+    if (Line.find("ERROR: AddressSanitizer") != std::string::npos ||
+        Line.find("runtime error:") != std::string::npos)
+      History.SanitizerReports.push_back("daemon " + std::to_string(Daemon) +
+                                         ": " + Line);
+}
+
 } // namespace galenaroute::process_soak
--- a/soak/process/ProcessHistory.h
+++ b/soak/process/ProcessHistory.h
@@ -12,6 +12,7 @@
 
 #include "Journal.h"
 
+#include <istream>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,7 +26,7 @@
   Cut,       ///< The connection ended inside an answer.
   None,      ///< The connection ended before any answer.
   Unsent,    ///< The connection ended before the request was sent.
-  Left,      ///< The caller left in a gap of a stream.
+  Left,      ///< The caller left in a gap of a stream, or at any time.
   Expired,   ///< The caller left after the deadline.
   Malformed, ///< No HTTP.
 };
@@ -55,6 +56,7 @@
   std::optional<TimePoint> OverAt;
   bool HasEnded = false; ///< It wrote its whole answer.
   bool HasBroken = false;
+  bool HasFailed = false; ///< It answered 500.
 };
 
 struct SignalView {
@@ -95,6 +97,7 @@
   std::map<std::string, std::vector<Span>> Silences; ///< By upstream.
   /// When upstreams were killed or had left.
   std::map<std::string, TimePoint> UpstreamEnds;
+  std::vector<std::string> SanitizerReports; ///< First lines.
   TimePoint LastFaultAt;
   TimePoint EndedAt; ///< When callers sent no more.
 };
@@ -104,6 +107,9 @@
 void readUpstream(const std::string &Upstream,
                   const std::vector<JournalLine> &Lines,
                   ProcessHistory &History);
+/// Notes what sanitizers have written to a daemon's log.
+void readSanitizerReports(std::size_t Daemon, std::istream &Log,
+                          ProcessHistory &History);
 
 } // namespace galenaroute::process_soak
 
