--- a/soak/process/CallersPart.cpp
+++ b/soak/process/CallersPart.cpp
@@ -29,6 +29,13 @@
 static constexpr int MostTakeUps = 3;
 /// A stream is not taken up with less time left.
 static constexpr Duration LeastTime = 200ms;
+static constexpr std::uint64_t ResettingOneIn = 25;
+static constexpr std::uint64_t LatestResetMs = 1500;
+/// Callers that read slowly read at most this much at a time.
+static constexpr std::uint64_t SlowCallerOneIn = 8;
+static constexpr std::size_t SlowReadBytes = 64 << 10;
+static constexpr std::uint64_t LongestReadPauseMs = 120;
+static constexpr int SlowReceiveBytes = 8 << 10;
 
 namespace {
 
@@ -39,6 +46,7 @@
 constexpr RouteKind Routes[] = {
     {"safe", false}, {"once", false}, {"stream", true}, {"oncestream", true}};
 constexpr std::size_t ResumableRoute = 2;
+constexpr RouteKind LongStream = {"longstream", true};
 
 /// One caller after the other request on kept connections. Streams that broke
 /// off are taken up on new ones.
@@ -47,7 +55,8 @@
   Caller(PollLoop &Loop, const Journal &Log, const PartOptions &Options,
          std::size_t Index)
       : Loop(Loop), Log(Log), Options(Options), Random(Options.Seed + Index),
-        Name(Options.Prefix + "." + std::to_string(Index)) {
+        Name(Options.Prefix + "." + std::to_string(Index)),
+        IsSlow(this->drawn(1, SlowCallerOneIn) == 1) {
     this->think();
   }
   bool isIdle() const { return this->Call.empty(); }
@@ -82,7 +91,8 @@
     }
     this->IsFresh = true;
     this->Daemon = this->drawn(0, this->Options.Daemons.size() - 1);
-    this->Socket = connectTo(this->Options.Daemons[this->Daemon]);
+    this->Socket = connectTo(this->Options.Daemons[this->Daemon],
+                             this->IsSlow ? SlowReceiveBytes : 0);
     if (this->Socket < 0) {
       this->retryLater();
       return;
@@ -90,9 +100,7 @@
     ++this->Step;
     this->IsConnecting = true;
     this->Reader = MessageReader(MessageKind::Answer);
-    this->Loop.watch(this->Socket, [this](bool CanRead, bool CanWrite) {
-      this->onSocket(CanRead, CanWrite);
-    });
+    this->watch();
     this->Loop.setWriting(this->Socket, true);
     this->after(ConnectPatience, [this] {
       this->disconnect();
@@ -100,6 +108,12 @@
     });
   }
 
+  void watch() {
+    this->Loop.watch(this->Socket, [this](bool CanRead, bool CanWrite) {
+      this->onSocket(CanRead, CanWrite);
+    });
+  }
+
   void retryLater(Duration Delay = RetryDelay) {
     ++this->Step;
     this->after(Delay, [this] { this->begin(); });
@@ -112,12 +126,13 @@
   void send() {
     ++this->Step;
     if (!this->hasBegun()) {
+      this->IsLong = this->IsSlow && this->drawn(0, 1) == 0;
       this->Route = this->drawn(0, std::size(Routes) - 1);
       this->LastEvent = this->TakeUps = 0;
       this->Until = Clock::now() + Deadline;
       this->Body.assign(this->drawn(1, 3000), 'b');
     }
-    const RouteKind &Route = Routes[this->Route];
+    const RouteKind &Route = this->IsLong ? LongStream : Routes[this->Route];
     const std::string Limit = std::to_string(
         toMilliseconds(std::max<Duration>(this->timeLeft(), 1ms)));
     this->Call = this->Name + "." + std::to_string(++this->LastCall);
@@ -146,6 +161,12 @@
             std::to_string(this->LastEvent) + " " + this->FirstAttempt);
     this->IsFresh = false;
     this->after(Patience, [this] { this->end("expired"); });
+    if (this->drawn(1, ResettingOneIn) == 1)
+      this->Loop.after(Milliseconds(this->drawn(1, LatestResetMs)),
+                       [this, Call = this->Call] {
+                         if (this->Call == Call)
+                           this->end("left", /*Keeps=*/false, /*Resets=*/true);
+                       });
     // Some requests arrive in two parts.
     const std::size_t First = this->drawn(0, 2) == 0
                                   ? this->drawn(1, Bytes.size() - 1)
@@ -192,7 +213,12 @@
 
   void read() {
     std::string Bytes;
-    const bool IsOver = readAll(this->Socket, Bytes) == ReadResult::Closed;
+    const bool Pauses = this->IsSlow && this->IsLong && !this->Call.empty();
+    const bool IsOver = readAll(this->Socket, Bytes,
+                                Pauses ? SlowReadBytes : std::string::npos) ==
+                        ReadResult::Closed;
+    if (Pauses && !IsOver && this->IsSent)
+      this->pause();
     if (this->Call.empty()) {
       if (!Bytes.empty())
         this->Log.write("foreign", this->Name, "bytes without a request");
@@ -215,6 +241,16 @@
       this->expectMore();
   }
 
+  /// Reads nothing for a moment.
+  void pause() {
+    this->Loop.forget(this->Socket);
+    this->Loop.after(Milliseconds(this->drawn(1, LongestReadPauseMs)),
+                     [this, Call = this->Call] {
+                       if (this->Call == Call)
+                         this->watch();
+                     });
+  }
+
   void readHead() {
     if (this->HasHead || !this->Reader.hasHead())
       return;
@@ -248,15 +284,15 @@
       this->LastEvent = std::atoi(Event.c_str() + 4);
       const std::string Start = "id: " + std::to_string(this->LastEvent) +
                                 "\ndata: " + this->Call + " ";
-      const std::string Version =
-          Event.substr(std::min(Start.size(), Event.size()));
-      if (!Event.starts_with(Start) || Version.empty() ||
-          Version.find_first_of(" \n") != std::string::npos)
+      std::string Version = Event.substr(std::min(Start.size(), Event.size()));
+      Version.erase(std::min(Version.find('\n'), Version.size()));
+      if (Version.empty() || Version.find(' ') != std::string::npos ||
+          Event + "\n\n" !=
+              eventOf(this->Call, this->LastEvent, Version, this->IsLong))
         this->noteForeign("another event");
       this->Log.write("event", this->Call,
-                      std::to_string(this->LastEvent) + " " +
-                          Version.substr(0, Version.find('\n')));
-      if (this->Route == ResumableRoute && !this->hasBegun())
+                      std::to_string(this->LastEvent) + " " + Version);
+      if (this->Route == ResumableRoute && !this->IsLong && !this->hasBegun())
         this->FirstAttempt = this->Call;
     }
   }
@@ -270,34 +306,35 @@
   void expectMore() {
     ++this->Step;
     if (this->hasBegun() && this->drawn(1, ResetOneIn) == 1) {
-      resetSocket(this->forgetSocket());
-      this->end("left");
+      this->end("left", /*Keeps=*/false, /*Resets=*/true);
       return;
     }
     this->after(StreamGap, [this] { this->end("left"); });
   }
 
-  void end(std::string_view How, bool Keeps = false) {
+  void end(std::string_view How, bool Keeps = false, bool Resets = false) {
     this->Log.write("end", this->Call, How);
     this->Call.clear();
-    if (this->takeUp())
+    if (this->takeUp(Resets))
       return;
     Keeps = Keeps && this->IsSent &&
             this->Reader.head().find("Connection") != "close" &&
             this->drawn(1, NewConnectionOneIn) != 1;
     if (Keeps) {
       this->Reader.next();
+      // A pause may have ended the watch.
+      this->watch();
       if (this->Reader.hasRest() || this->Reader.hasHead())
         this->Log.write("foreign", this->Name, "bytes after an answer");
     } else {
-      this->disconnect();
+      this->disconnect(Resets);
     }
     this->think();
   }
 
   /// Tries again to go on with a stream that broke off; returns whether it
   /// does.
-  bool takeUp() {
+  bool takeUp(bool Resets) {
     if (!this->hasBegun())
       return false;
     const int Answer = this->HasHead ? this->Status : 0;
@@ -310,7 +347,7 @@
         Answer == 503
             ? std::atoi(this->Reader.head().find("Retry-After").c_str())
             : 0;
-    this->disconnect();
+    this->disconnect(Resets);
     this->retryLater(std::max<Duration>(
         RetryDelay, std::min<Duration>(std::chrono::seconds(Seconds),
                                        this->timeLeft() / 3)));
@@ -323,8 +360,12 @@
     return std::exchange(this->Socket, -1);
   }
 
-  void disconnect() {
-    if (this->Socket >= 0)
+  void disconnect(bool Resets = false) {
+    if (this->Socket < 0)
+      return;
+    if (Resets)
+      resetSocket(this->forgetSocket());
+    else
       close(this->forgetSocket());
   }
 
@@ -333,6 +374,7 @@
   const PartOptions &Options;
   std::mt19937_64 Random;
   std::string Name;
+  bool IsSlow;
   std::uint64_t Step = 0;
   std::uint64_t LastCall = 0;
   int Socket = -1;
@@ -350,6 +392,7 @@
   // Of the present request.
   std::string Call; ///< Empty: none.
   bool IsStream = false;
+  bool IsLong = false;
   bool IsSent = false;
   bool HasHead = false;
   bool IsForeign = false;
--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -226,7 +226,8 @@
     const auto End = History.UpstreamEnds.find(Each.Upstream);
     return Each.HasBroken ||
            (End != History.UpstreamEnds.end() && !Each.HasEnded &&
-            End->second >= Each.AcceptedAt && End->second <= Of.EndedAt);
+            !Each.HasFailed && End->second >= Each.AcceptedAt &&
+            End->second <= Of.EndedAt);
   });
 }
 
@@ -467,13 +468,19 @@
                        nameOf(Each) + " served no ordinary request"});
 }
 
+void checkSanitizers(const ProcessHistory &History, const ProcessBounds &,
+                     BrokenPromises &Found) {
+  for (const std::string &Each : History.SanitizerReports)
+    Found.push_back({"sanitizers report nothing", "", Each});
+}
+
 BrokenPromises checkProcesses(const ProcessHistory &History,
                               const ProcessBounds &Bounds) {
   BrokenPromises Found;
   for (const auto &Check :
        {checkEnds, checkStarts, checkRunsOnce, checkHandovers, checkRefusals,
         checkAnswers, checkEvents, checkVersions, checkTakeUps, checkOwnAnswers,
-        checkRecovery, checkResources, checkLastRequests})
+        checkRecovery, checkResources, checkLastRequests, checkSanitizers})
     Check(History, Bounds, Found);
   return Found;
 }
--- a/soak/process/ProcessHistory.h
+++ b/soak/process/ProcessHistory.h
@@ -12,6 +12,7 @@
 
 #include "Journal.h"
 
+#include <istream>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,7 +26,7 @@
   Cut,       ///< The connection ended inside an answer.
   None,      ///< The connection ended before any answer.
   Unsent,    ///< The connection ended before the request was sent.
-  Left,      ///< The caller left in a gap of a stream.
+  Left,      ///< The caller left in a gap of a stream, or at any time.
   Expired,   ///< The caller left after the deadline.
   Malformed, ///< No HTTP.
 };
@@ -62,6 +63,7 @@
   std::optional<TimePoint> OverAt;
   bool HasEnded = false; ///< It wrote its whole answer.
   bool HasBroken = false;
+  bool HasFailed = false; ///< It answered 500.
 };
 
 /// The life of one incarnation of an upstream.
@@ -110,6 +112,7 @@
   std::map<std::string, UpstreamView> Upstreams;
   /// When upstreams were killed or had left.
   std::map<std::string, TimePoint> UpstreamEnds;
+  std::vector<std::string> SanitizerReports; ///< First lines.
   TimePoint LastFaultAt;
   TimePoint EndedAt; ///< When callers sent no more.
 };
@@ -119,6 +122,9 @@
 void readUpstream(const std::string &Upstream,
                   const std::vector<JournalLine> &Lines,
                   ProcessHistory &History);
+/// Notes what sanitizers have written to a daemon's log.
+void readSanitizerReports(std::size_t Daemon, std::istream &Log,
+                          ProcessHistory &History);
 
 } // namespace galenaroute::process_soak
 
--- a/soak/process/ProcessPlan.cpp
+++ b/soak/process/ProcessPlan.cpp
@@ -33,6 +33,7 @@
     {DeedKind::KillAndOccupy, 6000, 15000, 200, 1500},
     {DeedKind::KillAndRewrite, 5000, 12000, 20, 300},
     {DeedKind::KillAll, 6000, 12000, 200, 2500},
+    {DeedKind::DropRoutes, 1500, 4000, 50, 800},
 };
 constexpr double UsualDaemons = 5;
 constexpr double UsualUpstreams = 6;
@@ -62,7 +63,8 @@
                                           "configure",
                                           "kill_and_occupy",
                                           "kill_and_rewrite",
-                                          "kill_all"};
+                                          "kill_all",
+                                          "drop_routes"};
   return Names[static_cast<std::size_t>(Kind)];
 }
 
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <netinet/in.h>
 #include <random>
 #include <sstream>
@@ -35,9 +36,11 @@
 static constexpr Duration OccupyDelay = 1ms;
 static constexpr Duration OccupyLimit = 100ms;
 static constexpr Duration CallersLimit = 12s;
+/// Sanitizers delay the start of main(), where signals are blocked first.
+static constexpr Duration SanitizerStart = 500ms;
 /// Limits of the machines of the smaller site.
-static constexpr ProcessLimits DaemonLimits{.Files = 4200,
-                                            .MemoryBytes = 110'000'000};
+static constexpr std::uint64_t MachineFiles = 4200;
+static constexpr std::uint64_t MachineMemory = 110'000'000;
 static constexpr std::size_t CallersOfProcess = 100;
 /// `limits.memoryMb`, below the address space.
 static constexpr int MemoryMb = 48;
@@ -113,7 +116,9 @@
   const std::size_t Clients =
       this->Settings.Callers + this->Settings.Misbehaving;
   return {.EventsOfWhole = EventsOfStream,
-          .MemoryBytes = std::size_t{MemoryMb} << 20,
+          .MemoryBytes = this->Settings.HasSanitizers
+                             ? std::numeric_limits<std::size_t>::max()
+                             : std::size_t{MemoryMb} << 20,
           .Descriptors = std::min(MaxFds, 2 * Clients + OwnDescriptors)};
 }
 
@@ -152,8 +157,14 @@
 
 void ProcessRun::startStore() {
   const std::string File = this->pathOf("store.address");
-  this->Store =
-      this->startPart("store", {"--role", "store", "--address-file", File});
+  this->Store = this->startPart(
+      "store",
+      {"--role", "store", "--address-file", File, "--address",
+       "127." + std::to_string(this->Places.Network) +
+           ".2.1:" + std::to_string(UpstreamPort),
+       "--length-ms",
+       std::to_string(toMilliseconds(SettleTime + this->Settings.Plan.Length)),
+       "--seed", std::to_string(this->Settings.Plan.Seed)});
   if (!this->waitFor([&] { return std::filesystem::exists(File); }, StartLimit))
     throw std::runtime_error("the store does not start");
   this->StoreAddress = SocketAddress::parse(readText(File));
@@ -205,12 +216,14 @@
         }))
       return;
   }
-  const std::string Log =
-      this->pathOf("daemon" + std::to_string(Index) + ".log");
   LifeView Life{.Daemon = Index, .StartedAt = EventLoop::now()};
   auto Child = std::make_unique<ChildProcess>(
       this->Settings.BuildDir + "/galenaroute-platform",
-      std::vector<std::string>{"--settings", Part.Settings}, Log, DaemonLimits);
+      std::vector<std::string>{"--settings", Part.Settings},
+      this->daemonLog(Index),
+      ProcessLimits{.Files = MachineFiles,
+                    .MemoryBytes =
+                        this->Settings.HasSanitizers ? 0 : MachineMemory});
   Life.Process = Child->id();
   if (Part.Running.empty())
     Life.AloneAt = Life.StartedAt;
@@ -265,6 +278,14 @@
   DaemonPart::Process &Newest = Part.Running.back();
   if (Newest.Child->poll())
     return;
+  const Duration Age =
+      EventLoop::now() - this->History.Lives[Newest.Life].StartedAt;
+  if (this->Settings.HasSanitizers && Number != SIGKILL &&
+      Age < SanitizerStart) {
+    this->after(SanitizerStart - Age,
+                [this, Index, Number] { this->signalDaemon(Index, Number); });
+    return;
+  }
   this->History.Lives[Newest.Life].Signals.push_back(
       {EventLoop::now(), Number});
   Newest.Child->signal(Number);
@@ -441,6 +462,25 @@
   this->putConfig();
 }
 
+/// Drops the routes of all streams and adds them again after \p For.
+void ProcessRun::dropRoutes(Duration For, bool WithService) {
+  if (this->IsConfiguring || this->LacksStreams)
+    return;
+  this->LacksStreams = true;
+  this->LacksService = WithService;
+  this->configure();
+  this->after(For, [this] { this->restoreRoutes(); });
+}
+
+void ProcessRun::restoreRoutes() {
+  if (this->IsConfiguring) {
+    this->after(ReapPeriod, [this] { this->restoreRoutes(); });
+    return;
+  }
+  this->LacksStreams = this->LacksService = false;
+  this->configure();
+}
+
 void ProcessRun::putConfig() {
   const std::uint64_t Version = this->ConfigVersion;
   struct {
@@ -450,7 +490,9 @@
   } const Kinds[] = {{"safe", "safe", true},
                      {"once", "unsafe", false},
                      {"stream", "stream", true},
-                     {"oncestream", "stream", false}};
+                     {"oncestream", "stream", false},
+                     {"longstream", "stream", true}};
+  const std::size_t Present = this->LacksService ? Services - 1 : Services;
   nlohmann::json Config = {{"version", Version},
                            {"limits",
                             {{"maxHeaderBytes", 16384},
@@ -458,6 +500,9 @@
                              {"headerTimeoutMs", 2000},
                              {"idleTimeoutMs", 2000 + Version * 700 % 2000}}}};
   for (const auto &Each : Kinds) {
+    const bool IsStream = std::string_view(Each.Kind) == "stream";
+    if (IsStream && this->LacksStreams)
+      continue;
     nlohmann::json Route = {
         {"name", Each.Name},
         {"host", "h"},
@@ -469,16 +514,16 @@
         {"service", "d0"},
         {"maxAttempts", Each.MayRepeat ? 2 : 1},
         {"public", true}};
-    if (std::string(Each.Kind) == "stream") {
+    if (IsStream) {
       Route["gapAimMs"] = 200;
       Route["resumable"] = Each.MayRepeat;
     }
-    for (std::size_t I = 0; I < Services; ++I)
+    for (std::size_t I = 0; I < Present; ++I)
       Route["split"].push_back({{"service", "d" + std::to_string(I)},
                                 {"weight", 1 + (Version / (I + 1)) % 3}});
     Config["routes"].push_back(Route);
   }
-  for (std::size_t I = 0; I < Services; ++I)
+  for (std::size_t I = 0; I < Present; ++I)
     Config["services"].push_back(
         {{"name", "d" + std::to_string(I)}, {"maxConns", 400}});
   this->IsConfiguring = true;
@@ -500,7 +545,10 @@
           this->ConfigRevision =
               Body["metadata"].value("revision", std::uint64_t{0});
         if (Result.isSuccess()) {
-          this->note("configuration " + std::to_string(Version));
+          this->note("configuration " + std::to_string(Version) +
+                     (this->LacksService   ? " without streams and a service"
+                      : this->LacksStreams ? " without streams"
+                                           : ""));
           this->IsConfiguring = false;
         } else if (!this->IsEnding) {
           this->after(RestartDelay, [this] { this->putConfig(); });
@@ -551,6 +599,9 @@
   case DeedKind::Configure:
     this->configure();
     return;
+  case DeedKind::DropRoutes:
+    this->dropRoutes(Next.For, Next.Flag);
+    return;
   }
 }
 
@@ -666,8 +717,12 @@
   for (const Deed &Each : drawPlan(this->Settings.Plan))
     this->after(Each.At, [this, Each] { this->act(Each); });
   this->runFor(this->Settings.Plan.Length);
-  this->runFor(this->History.LastFaultAt + this->bounds().Recovery +
-               CountedTime - EventLoop::now());
+  // A fault that comes late, on a busy machine, moves the end.
+  const auto End = [this] {
+    return this->History.LastFaultAt + this->bounds().Recovery + CountedTime;
+  };
+  while (EventLoop::now() < End())
+    this->runFor(End() - EventLoop::now());
   this->History.EndedAt = EventLoop::now();
   this->endMisbehaving();
   this->endCallers();
@@ -748,6 +803,10 @@
   for (const std::string &Each : this->UpstreamIds)
     readUpstream(Each, readJournal(this->pathOf(Each + ".journal")),
                  this->History);
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
+    std::ifstream Log(this->daemonLog(I));
+    readSanitizerReports(I, Log, this->History);
+  }
 }
 
 std::vector<std::string> ProcessRun::linesOf(const std::string &Request) const {
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -30,6 +30,9 @@
   std::size_t Callers = 80;
   std::size_t Misbehaving = 48; ///< Clients, of one connection each.
   std::size_t Versions = 2;     ///< Of the software of upstreams.
+  /// Daemons are built with sanitizers, which need more memory than the limits
+  /// of a machine leave.
+  bool HasSanitizers = false;
 };
 
 /// Thrown by ProcessRun::play() after SIGINT or SIGTERM.
@@ -75,6 +78,9 @@
   std::string pathOf(const std::string &Name) const {
     return this->Folder + "/" + Name;
   }
+  std::string daemonLog(std::size_t Index) const {
+    return this->pathOf("daemon" + std::to_string(Index) + ".log");
+  }
   std::unique_ptr<ChildProcess> startPart(const std::string &Name,
                                           std::vector<std::string> Arguments);
   void startStore();
@@ -99,6 +105,8 @@
   void endUpstream(std::size_t Index, int Number, Duration Away);
   void freezeStore(Duration For);
   void configure();
+  void dropRoutes(Duration For, bool WithService);
+  void restoreRoutes();
   void putConfig();
 
   /// Notices processes that have ended.
@@ -141,6 +149,8 @@
   std::uint64_t ConfigVersion = 0;
   std::uint64_t ConfigRevision = 0;
   bool IsConfiguring = false;
+  bool LacksStreams = false; ///< The configuration has no routes of streams.
+  bool LacksService = false; ///< It has one service less.
 
   ProcessHistory History;
   std::vector<std::string> Timeline;
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -92,20 +92,22 @@
       To.Registered.Address,
       this->Services.Codec.writeRequest(this->Call, Plan, this->Incoming->Body),
       Settings, this->eventsOf(Send));
+  // The latest send shows whether a further upstream is to be tried.
+  for (const auto &Each : this->Live)
+    Each->StallTimer.disconnect();
+  // The handlers of the exchange keep it alive and refer to this run, so that
+  // it has to be listed before memory may be missing for anything else.
+  this->Live.push_back(Send);
+  this->Services.Upstreams.noteSent(Send->UpstreamId, Choice.Work,
+                                    this->callTokens(), Query.Class);
+  if (this->Current == Phase::Waiting)
+    this->Current = Phase::Sent;
   this->UpstreamId = Send->UpstreamId;
   this->Services.Upstreams.noteParts(Send->UpstreamId, Query);
   this->TriedUpstreams.push_back(Send->UpstreamId);
   this->RefusalsConnection.disconnect();
   this->RefusalsConnection = this->Services.RefusalsChanged.connect(
       [this] { this->onRefusalsChanged(); });
-  if (this->Current == Phase::Waiting)
-    this->Current = Phase::Sent;
-  this->Services.Upstreams.noteSent(Send->UpstreamId, Choice.Work,
-                                    this->callTokens(), Query.Class);
-  // The latest send shows whether a further upstream is to be tried.
-  for (const auto &Each : this->Live)
-    Each->StallTimer.disconnect();
-  this->Live.push_back(Send);
   this->Services.Stats.upstreamChosen(
       this->Service->Name, toString(Choice.Kind), Choice.Rank,
       Choice.EstimatedCalls / std::max(1, To.Registered.Slots));
@@ -365,7 +367,9 @@
   if (Send->IsBroken)
     return;
   Send->HeardAt = EventLoop::now();
-  this->Services.Upstreams.noteHeard(Send->UpstreamId, Send->HeardAt);
+  // Bytes that have waited do not show that the upstream still runs.
+  if (!Send->WasPaused)
+    this->Services.Upstreams.noteHeard(Send->UpstreamId, Send->HeardAt);
   if (!this->isStreamAnswer(*Send)) {
     if (!this->addToBody(Send, Bytes))
       this->dropBody(Send);
@@ -448,7 +452,7 @@
 void ForwardRun::pauseUpstream(ForwardSend &Send, const char *Decision) {
   if (Send.IsPaused)
     return;
-  Send.IsPaused = true;
+  Send.IsPaused = Send.WasPaused = true;
   Send.StallTimer.disconnect();
   Send.Exchange->pauseReading();
   this->Services.Stats.decision(Decision);
