--- a/soak/process/Parts.h
+++ b/soak/process/Parts.h
@@ -13,9 +13,11 @@
 /// Events of a whole stream.
 constexpr int EventsOfStream = 12;
 
-/// An event of the stream that answers \p Call. All of a long stream together
-/// exceed what kernels buffer of a connection.
-std::string eventOf(const std::string &Call, int Number, bool IsLong);
+/// An event of the stream that answers \p Call, written by \p Writer, a service
+/// and its version. All of a long stream together exceed what kernels buffer of
+/// a connection.
+std::string eventOf(const std::string &Call, int Number,
+                    const std::string &Writer, bool IsLong);
 
 struct PartOptions {
   std::string JournalPath;
@@ -26,6 +28,7 @@
   // Of an upstream.
   std::string Id;
   std::string Service;
+  std::string Version; ///< Of its software.
   // Of callers.
   std::vector<std::string> Daemons; ///< Addresses.
   std::size_t Count = 0;
--- a/soak/process/ProcessPlan.cpp
+++ b/soak/process/ProcessPlan.cpp
@@ -32,6 +32,7 @@
     {DeedKind::Configure, 500, 3000, 0, 0},
     {DeedKind::KillAndOccupy, 6000, 15000, 200, 1500},
     {DeedKind::KillAndRewrite, 5000, 12000, 20, 300},
+    {DeedKind::KillAll, 6000, 12000, 200, 2500},
     {DeedKind::DropRoutes, 1500, 4000, 50, 800},
 };
 constexpr double UsualDaemons = 5;
@@ -62,6 +63,7 @@
                                           "configure",
                                           "kill_and_occupy",
                                           "kill_and_rewrite",
+                                          "kill_all",
                                           "drop_routes"};
   return Names[static_cast<std::size_t>(Kind)];
 }
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -29,6 +29,7 @@
   PlanSettings Plan;
   std::size_t Callers = 80;
   std::size_t Misbehaving = 48; ///< Clients, of one connection each.
+  std::size_t Versions = 2;     ///< Of the software of upstreams.
   /// Daemons are built with sanitizers, which need more memory than the limits
   /// of a machine leave.
   bool HasSanitizers = false;
@@ -88,9 +89,11 @@
   void startMisbehaving();
   void startDaemon(std::size_t Index);
   void startUpstream(std::size_t Index);
+  std::string drawVersion() const;
 
   void act(const Deed &Next);
   void replaceDaemon(const Deed &Next);
+  void killDaemons(Duration Away);
   void freezeDaemon(std::size_t Index, Duration For);
   void stopDaemon(std::size_t Index);
   void signalDaemon(std::size_t Index, int Number);
--- a/soak/process/UpstreamPart.cpp
+++ b/soak/process/UpstreamPart.cpp
@@ -75,7 +75,7 @@
       Spec = {{"service", this->Options.Service},
               {"address", this->Options.Address},
               {"zone", "z0"},
-              {"version", "1"},
+              {"version", this->Options.Version},
               {"slots", this->Slots},
               {"state", this->State},
               {"sequence", ++this->Sequence},
@@ -397,7 +397,7 @@
     const bool IsLong = this->Connections.at(Of).IsLong;
     std::size_t Length = 0;
     for (int I = Next; I <= EventsOfStream; ++I)
-      Length += eventOf(Call, I, IsLong).size();
+      Length += eventOf(Call, I, this->Writer, IsLong).size();
     this->send(Of,
                this->headOf(this->Connections.at(Of), 200) +
                    "Server-Stamp: " + this->Options.Id +
@@ -418,7 +418,8 @@
       this->finish(Of, HasChunks ? "0\r\n\r\n" : "");
       return;
     }
-    std::string Event = eventOf(Call, Next, this->Connections.at(Of).IsLong);
+    std::string Event =
+        eventOf(Call, Next, this->Writer, this->Connections.at(Of).IsLong);
     if (HasChunks) {
       char Size[24];
       std::snprintf(Size, sizeof Size, "%zx\r\n", Event.size());
@@ -441,6 +442,9 @@
   }
 
   const PartOptions &Options;
+  /// In each event, so that a stream of two versions shows.
+  const std::string Writer =
+      this->Options.Service + "/" + this->Options.Version;
   Journal Log;
   std::mt19937_64 Random;
   std::uint64_t Slots;
@@ -457,9 +461,10 @@
 
 } // namespace
 
-std::string eventOf(const std::string &Call, int Number, bool IsLong) {
-  return "id: " + std::to_string(Number) + "\ndata: " + Call +
-         std::string(IsLong ? LongEventBytes : 0, 'x') + "\n\n";
+std::string eventOf(const std::string &Call, int Number,
+                    const std::string &Writer, bool IsLong) {
+  return "id: " + std::to_string(Number) + "\ndata: " + Call + " " + Writer +
+         (IsLong ? "\ndata: " + std::string(LongEventBytes, 'x') : "") + "\n\n";
 }
 
 void runUpstream(const PartOptions &Options) {
