StreamOriginStore: larger fleets store records more often

The writes of the fleet now grow with the square root of its size, as the platforms' rates do: 63 gateways write every 0.32 s.

StreamOriginStoreTest.ThePeriodFollowsTheFleetAndThePlatform failed before for 63 gateways.

--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -21,8 +22,11 @@
 /// Between two writes of a gateway in a small fleet. What was begun since the
 /// last one is lost if all processes are killed.
 static constexpr Duration MinPeriod = std::chrono::milliseconds(100);
-/// Writes per second of all gateways together. Platforms accept 400.
-static constexpr double MaxWritesPerSecond = 60;
+/// Writes per second of all gateways together in a small fleet. Platforms
+/// accept 400 there, and 1,200 in one of ten times the size: their rates grow
+/// about as the square root.
+static constexpr double SmallFleetWritesPerSecond = 60;
+static constexpr double SmallFleet = 6; ///< Gateways.
 /// Objects that were not written for so long belong to gateways or eras that
 /// are gone.
 static constexpr std::int64_t MaxObjectAgeMs = 600'000;
@@ -34,8 +38,10 @@
 StreamOriginStore::~StreamOriginStore() { this->Timer.disconnect(); }
 
 Duration StreamOriginStore::periodFor(std::size_t Gateways) {
-  return std::max(MinPeriod, fromSeconds(static_cast<double>(Gateways) /
-                                         MaxWritesPerSecond));
+  const auto Count = static_cast<double>(Gateways);
+  const double PerSecond =
+      SmallFleetWritesPerSecond * std::sqrt(std::max(1.0, Count / SmallFleet));
+  return std::max(MinPeriod, fromSeconds(Count / PerSecond));
 }
 
 void StreamOriginStore::start() { this->tick(); }
--- a/tests/StreamOriginStoreTest.cpp
+++ b/tests/StreamOriginStoreTest.cpp
@@ -213,6 +213,23 @@
   EXPECT_EQ(First->Store.onlyVersion("s"), "1");
 }
 
+// Guards against a fleet that uses up the writes which the platform accepts,
+// and against records that are stored too late to be found.
+TEST_F(StreamOriginStoreTest, ThePeriodFollowsTheFleetAndThePlatform) {
+  struct Case {
+    std::size_t Gateways;
+    double AcceptedPerSecond;
+  };
+  for (const Case &Each : {Case{1, 400}, {6, 400}, {7, 400}, {63, 1200}}) {
+    const double Seconds =
+        toSeconds(StreamOriginStore::periodFor(Each.Gateways));
+    EXPECT_LE(static_cast<double>(Each.Gateways) / Seconds,
+              Each.AcceptedPerSecond / 4)
+        << Each.Gateways;
+    EXPECT_LE(Seconds, 0.4) << Each.Gateways;
+  }
+}
+
 // Guards against a search that waits for a platform that is away.
 TEST_F(StreamOriginStoreTest, AListThatFailsIsTold) {
   const auto First = this->start("n0", {"1", "2"});
