--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -350,8 +350,10 @@
         }
       }
     if (Joined != nullptr)
-      Found.push_back({"a stream holds events of one version", Joined->first,
-                       Other + " after " + Origin + " of " + First});
+      Found.push_back(
+          {"a stream holds events of one version", Joined->first,
+           Other.append(" after ").append(Origin).append(" of ").append(
+               First)});
   }
 }
 
--- a/src/request/ForwardResume.cpp
+++ b/src/request/ForwardResume.cpp
@@ -28,7 +28,7 @@
 /// Returns the software version that has begun all streams of the route, or
 /// nothing. Another service of the route may have begun the stream.
 std::optional<std::string> ForwardRun::onlyVersionOfRoute() const {
-  const auto Result = this->Services.OnlyVersion(this->Service->Name);
+  auto Result = this->Services.OnlyVersion(this->Service->Name);
   for (const WeightedService &Each : this->Route->Services)
     if (this->Services.OnlyVersion(Each.Service) != Result)
       return std::nullopt;
--- a/src/request/StreamOrigins.h
+++ b/src/request/StreamOrigins.h
@@ -50,8 +50,8 @@
   static constexpr std::size_t DefaultMaxRecords = 16384;
 
   /// Streams beyond \p MaxRecords are not recorded.
-  explicit StreamOrigins(std::size_t MaxRecords = DefaultMaxRecords)
-      : MaxRecords(MaxRecords) {}
+  explicit StreamOrigins(std::size_t MaxRecords) : MaxRecords(MaxRecords) {}
+  StreamOrigins() : StreamOrigins(DefaultMaxRecords) {}
 
   struct Record {
     StreamOrigin Origin;
--- a/tests/CborDepthTest.cpp
+++ b/tests/CborDepthTest.cpp
@@ -14,13 +14,14 @@
 
 using nlohmann::json;
 
-/// Decodes \p Bytes in a thread with 1 MB of stack. Returns whether they were
+/// Decodes \p Message in a thread with 1 MB of stack. Returns whether they were
 /// refused.
-bool isRefusedWithLittleStack(std::string Bytes) {
+bool isRefusedWithLittleStack(std::string Message) {
   struct Run {
     std::string Bytes;
     bool IsRefused = false;
-  } Given{.Bytes = std::move(Bytes)};
+  } Given;
+  Given.Bytes = std::move(Message);
   pthread_attr_t Attributes;
   pthread_attr_init(&Attributes);
   pthread_attr_setstacksize(&Attributes, 1 << 20);
