ForwardGateway: no views of removed KV stores after a failed configuration

Services.Stores pointed to stores that StoreFollower::follow() removes. If it throws after that, as when memory is short, calls would go on to use the freed views (found by reading in the review of lifetimes; no run showed it). They are dropped before. Nothing changes where follow() succeeds: the views are read again in the next line. 51 tests of runs, stores and restorations pass; none lets follow() throw.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -503,6 +503,8 @@
     PerRoute.insert(std::move(Names));
   }
   this->StreamStore.setServices(std::move(PerRoute));
+  // The views refer to stores that follow() may remove before it fails.
+  this->Services.Stores.clear();
   this->Stores.follow(Config);
   this->Services.Stores = this->Stores.views();
   this->setCustomers(Config);
