--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -9,7 +9,17 @@
 namespace galenaroute {
 namespace {
 
-class ForwardRunTest : public ForwardRunFixture {};
+class ForwardRunTest : public ForwardRunFixture {
+protected:
+  /// Returns an answer that is longer than what is buffered for its caller.
+  std::string longStream() const {
+    std::string Result = this->StreamHead;
+    for (std::size_t I = 1; I <= 480; ++I)
+      Result += chunk("id: " + std::to_string(I) +
+                      "\ndata: " + std::string(32 << 10, 'x') + "\n\n");
+    return Result;
+  }
+};
 
 TEST_F(ForwardRunTest, PassesACallAndItsAnswerOnUnchanged) {
   this->sendCall("/once/a?b=c", "X-Own: 1\r\nTenant: other\r\nHold: 7\r\n");
@@ -643,10 +653,7 @@
   this->Services.Config = std::make_shared<const ForwardConfig>(this->Config);
   this->sendCall("/stream/a");
   const auto Peer = this->waitForArrival();
-  std::string Stream = this->StreamHead;
-  for (std::size_t I = 1; I <= 480; ++I)
-    Stream += chunk("id: " + std::to_string(I) +
-                    "\ndata: " + std::string(32 << 10, 'x') + "\n\n");
+  const std::string Stream = this->longStream();
   std::string_view Unsent = Stream;
   EXPECT_FALSE(this->Loop.runUntil(
       [&] {
@@ -665,10 +672,7 @@
   this->Services.Config = std::make_shared<const ForwardConfig>(this->Config);
   this->sendCall("/stream/a");
   const auto Peer = this->waitForArrival();
-  std::string Stream = this->StreamHead;
-  for (std::size_t I = 1; I <= 480; ++I)
-    Stream += chunk("id: " + std::to_string(I) +
-                    "\ndata: " + std::string(32 << 10, 'x') + "\n\n");
+  const std::string Stream = this->longStream();
   std::string_view Unsent = Stream;
   EXPECT_FALSE(this->Loop.runUntil(
       [&] {
