Review: a stream goes on elsewhere beside a server that falls silent

A server that has just sent bytes of other answers is taken for one that notices a close at once, so that a stream without progress goes on at another server beside it. If the server falls silent then, as a sound one may for a second or so, it still works on the stream when the other one has written most of it.

--- a/review/stand-in-2/Cases.h
+++ b/review/stand-in-2/Cases.h
@@ -21,9 +21,9 @@
 Verdict playVersions(Setting &At);
 /// A tenant that becomes isolated.
 Verdict playIsolated(Setting &At);
-/// Orders around a resignation.
-Verdict playOrders(Setting &At);
 
+/// A stream that goes on elsewhere beside its first server.
+Verdict playTwice(Setting &At);
 /// Answers of a KV store that are not answers.
 Verdict playNested(Setting &At);
 
--- a/review/stand-in-2/Fleet.cpp
+++ b/review/stand-in-2/Fleet.cpp
@@ -55,12 +55,6 @@
   putLocked(Kind, Name, Spec);
 }
 
-json Store::read(const std::string &Kind, const std::string &Name) {
-  const std::lock_guard Lock(Mutex);
-  const auto Found = Objects[Kind].find(Name);
-  return Found == Objects[Kind].end() ? json::object() : Found->second.Spec;
-}
-
 void Store::putLocked(const std::string &Kind, const std::string &Name,
                       const json &Spec) {
   Objects[Kind][Name] = {++Revision, Spec.is_null(), Spec};
--- a/review/stand-in-2/Fleet.h
+++ b/review/stand-in-2/Fleet.h
@@ -41,8 +41,6 @@
   void setSilent(std::size_t Door, bool Enabled);
   /// Writes an object as the operator or a server does; null removes it.
   void put(const std::string &Kind, const std::string &Name, const json &Spec);
-  /// Returns the spec of an object, or an empty one.
-  json read(const std::string &Kind, const std::string &Name);
   void stop();
 
 private:
--- a/review/stand-in-2/Main.cpp
+++ b/review/stand-in-2/Main.cpp
@@ -48,8 +48,8 @@
       Result = playVersions(At);
     else if (Case == "isolated")
       Result = playIsolated(At);
-    else if (Case == "orders")
-      Result = playOrders(At);
+    else if (Case == "twice")
+      Result = playTwice(At);
     else if (Case == "nested")
       Result = playNested(At);
   } catch (const std::exception &Failure) {
