Review: choose the ports of the scripts outside of the kernel's own range

One run of review/6/run.sh ended with 2, since its daemons were not ready; the cause was not traced, a port in use is likely.

--- a/review/stand-in-2/Fleet.cpp
+++ b/review/stand-in-2/Fleet.cpp
@@ -175,9 +175,7 @@
                  Store &Platform, Record &Log)
     : Program(std::move(Program)), Folder(std::move(Folder)), Count(Count),
       Log(Log), Network(64 + ::getpid() % 128), Pids(Count, 0) {
-  // The ports are the same on all machines.
-  for (int &Each : Ports)
-    Each = freePort(host(0));
+  choosePorts();
   std::string Seeds;
   for (std::size_t I = 0; I < std::min<std::size_t>(Count, 3); ++I)
     Seeds +=
@@ -215,6 +213,24 @@
   }
 }
 
+/// Chooses ports that are free and the same on all machines, below those that
+/// the kernel gives to other sockets.
+void Daemons::choosePorts() {
+  int Next = 20000 + ::getpid() % 8000;
+  for (int &Each : Ports) {
+    const auto IsFreeOnAll = [&] {
+      for (std::size_t I = 0; I < Count; ++I)
+        if (!isFree({host(I), Next}))
+          return false;
+      return true;
+    };
+    while (!IsFreeOnAll())
+      ++Next;
+    Each = Next;
+    Next += 20;
+  }
+}
+
 Daemons::~Daemons() {
   for (std::size_t I = 0; I < Count; ++I)
     if (isRunning(I)) {
--- a/review/stand-in-2/Fleet.h
+++ b/review/stand-in-2/Fleet.h
@@ -93,6 +93,8 @@
   std::vector<Address> resolve(std::size_t Index) const;
 
 private:
+  void choosePorts();
+
   std::string Program;
   std::string Folder;
   std::size_t Count;
--- a/review/stand-in-2/Http.cpp
+++ b/review/stand-in-2/Http.cpp
@@ -235,16 +235,13 @@
   return Answer;
 }
 
-int freePort(const std::string &Host) {
+bool isFree(const Address &At) {
   const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Own = socketAddress({Host, 0});
-  socklen_t Size = sizeof Own;
-  int Port = -1;
-  if (::bind(Socket, reinterpret_cast<sockaddr *>(&Own), sizeof Own) == 0 &&
-      ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Own), &Size) == 0)
-    Port = ntohs(Own.sin_port);
+  const sockaddr_in Own = socketAddress(At);
+  const bool IsBound =
+      ::bind(Socket, reinterpret_cast<const sockaddr *>(&Own), sizeof Own) == 0;
   ::close(Socket);
-  return Port;
+  return IsBound;
 }
 
 } // namespace review
--- a/review/stand-in-2/Http.h
+++ b/review/stand-in-2/Http.h
@@ -98,8 +98,8 @@
              const std::string &Target, const Fields &Of = {},
              const std::string &Body = {});
 
-/// Returns a free port of \p Host.
-int freePort(const std::string &Host);
+/// Returns whether nothing is bound to \p At.
+bool isFree(const Address &At);
 
 } // namespace review
 
