review: an entry from before a cut decides where a stream goes on

Cause: a resumed call takes the software version of an upstream from its registry entry, however old that is. A server that starts again under its id with another version, while a daemon is turned away by the store, gets streams of the old one.

--- a/review/stand-in-3/Net.h
+++ b/review/stand-in-3/Net.h
@@ -233,6 +233,13 @@
     Closes = true;
     flush();
   }
+  /// Ends the connection with a reset, as a process that crashes.
+  void reset() {
+    const linger Reset{.l_onoff = 1, .l_linger = 0};
+    if (Socket >= 0)
+      ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof Reset);
+    close();
+  }
   void close() {
     if (Socket < 0)
       return;
@@ -360,11 +367,11 @@
       if (const auto To = Each.lock())
         To->setSilent(Silent);
   }
-  void closeAll() {
+  void resetAll() {
     const auto All = Open;
     for (const auto &Each : All)
       if (const auto To = Each.lock())
-        To->close();
+        To->reset();
     Open.clear();
   }
   const Address &address() const { return At; }
--- a/review/stand-in-3/Streams.h
+++ b/review/stand-in-3/Streams.h
@@ -27,7 +27,14 @@
                     const Message &Of) { onCall(From, Of); }) {
     beat();
   }
-  ~StreamServer() { *Alive = false; }
+  /// The server crashes: it resets its connections and says nothing.
+  ~StreamServer() {
+    *Alive = false;
+    Door.shut();
+    Door.resetAll();
+  }
+
+  const Address &address() const { return Door.address(); }
 
   std::function<void(const std::string &)> Note;
   int Begun = 0;
--- a/review/stand-in-3/TwoVersions.cpp
+++ b/review/stand-in-3/TwoVersions.cpp
@@ -1,16 +1,19 @@
-// Streams of servers with two software versions, whose clients take them up
-// after a daemon was killed. Plays the store, the servers and the clients;
-// starts three daemons.
+// Streams of servers with two software versions that break and go on elsewhere.
+// Plays the store, the servers and the clients; starts three daemons.
 //
-//   order: the store turns one daemon away; 0.3 s later the first servers of a
-//          new version register; 1.5 s later another daemon is killed. Do its
-//          streams go on at the version that began them?
+//   same-id: the store turns one daemon away; a server crashes and starts again
+//          under its id with a new version; then another server crashes. Do the
+//          streams of that daemon go on at the version that began them?
+//   frozen: a daemon stands still as servers of a new version register; another
+//          one is killed meanwhile. Do its streams go on at the version that
+//          began them at the one that wakes?
 //   lost:  both versions serve; the store turns one daemon away, which is
 //          killed 3.5 s later. Do its streams go on?
 //
-//   two-versions PROGRAM FOLDER RECORD TROUBLE order|lost
+//   two-versions PROGRAM FOLDER RECORD TROUBLE same-id|frozen|lost
 //
-// TROUBLE is 1, 0, or cut or kill for one of the two disruptions alone.
+// TROUBLE is 1, 0, or one side of it alone: cut (the cut, the freeze) or kill
+// (the kill, the crashes).
 
 #include "Daemons.h"
 #include "Streams.h"
@@ -18,9 +21,9 @@
 using namespace standin;
 
 static constexpr std::int64_t ClientsFromMs = 6000;
-static constexpr std::int64_t ClientsUntilMs = 15500;
-static constexpr std::int64_t LengthMs = 22000;
-static constexpr std::int64_t ClientEveryMs = 16;
+static constexpr std::int64_t ClientsUntilMs = 19500;
+static constexpr std::int64_t LengthMs = 26000;
+static constexpr std::int64_t ClientEveryMs = 8;
 static constexpr int MaxJoined = 2;
 /// LOST counts take-ups if there are at least so many.
 static constexpr int MinTakenUp = 12;
@@ -32,20 +35,26 @@
   std::size_t CutFront;
   std::int64_t CutAtMs;
   std::int64_t CutMs;
-  std::int64_t ReleaseAtMs;
-  std::int64_t KillAtMs;
 };
-static constexpr std::size_t KilledFront = 0;
-static constexpr Plan OrderPlan = {1, 9000, 5000, 9300, 10800};
-static constexpr Plan LostPlan = {0, 9000, 5000, 7500, 12500};
+static constexpr Plan SameIdPlan = {1, 4500, 9000};
+static constexpr std::int64_t FirstCrashMs = 4700;
+static constexpr std::int64_t SecondCrashMs = 12500;
+static constexpr std::int64_t CrashMs = 1000;
+static constexpr std::int64_t FreezeAtMs = 9000;
+static constexpr std::int64_t FreezeMs = 2000;
+static constexpr Plan LostPlan = {0, 9000, 5000};
+static constexpr std::int64_t NewVersionMs = 7500;
+static constexpr std::int64_t KillAtMs = 12500;
 
 namespace {
 
 class Case {
 public:
   Case(const std::string &Program, const std::string &Folder,
-       const std::string &RecordPath, const std::string &Trouble, bool IsLost)
-      : IsLost(IsLost), When(IsLost ? LostPlan : OrderPlan),
+       const std::string &RecordPath, const std::string &Trouble,
+       const std::string &What)
+      : IsLost(What == "lost"), IsFrozen(What == "frozen"),
+        When(IsLost ? LostPlan : SameIdPlan),
         Cuts(Trouble != "0" && Trouble != "kill"),
         Kills(Trouble != "0" && Trouble != "cut"), Record(RecordPath),
         Store(Events, at(9, 7, 0)), CutDoor(Store.door(at(9, 8, 0))),
@@ -58,41 +67,95 @@
     Store.put("config", "main", config());
     Store.put("versions", "weights-a",
               {{"model", "weights-a"}, {"version", 1}});
-    for (int I = 0; I < 3; ++I)
+    const int FirstServers = IsLost || IsFrozen ? 3 : 4;
+    for (int I = 0; I < FirstServers; ++I)
       addServer(I, "v1");
     for (std::size_t I = 0; I < Fronts.All.size(); ++I)
       Fronts.start(I);
     Events.after(ClientsFromMs, [this] { nextClient(); });
+    if (Cuts && !IsFrozen)
+      planCut();
+    if (IsLost)
+      planKill();
+    else if (IsFrozen)
+      planFreeze();
+    else
+      planCrashes();
+    Events.after(LengthMs, [this] { Events.stop(); });
+    watchProcesses();
+    Events.run();
+    return judge();
+  }
+
+private:
+  /// The store turns a daemon away for some time.
+  void planCut() {
     Events.after(When.CutAtMs, [this] {
-      if (!Cuts)
-        return;
       note("the store turns " + Fronts.All[When.CutFront].Node +
            " away, in silence");
       CutDoor->setSilent(true);
     });
     Events.after(When.CutAtMs + When.CutMs, [this] {
-      if (Cuts)
-        note("the store answers " + Fronts.All[When.CutFront].Node + " again");
+      note("the store answers " + Fronts.All[When.CutFront].Node + " again");
       CutDoor->setSilent(false);
     });
-    Events.after(When.ReleaseAtMs, [this] {
-      note("a release begins: two servers of version v2 register");
+  }
+  /// Servers of a new version come, and the daemon that is cut off is killed.
+  void planKill() {
+    Events.after(NewVersionMs, [this] {
+      note("two servers of version v2 register");
       addServer(3, "v2");
       addServer(4, "v2");
     });
-    Events.after(When.KillAtMs, [this] {
+    Events.after(KillAtMs, [this] {
       if (!Kills)
         return;
-      note(Fronts.All[KilledFront].Node + " is killed");
-      Fronts.signal(KilledFront, SIGKILL);
+      note(Fronts.All[When.CutFront].Node + " is killed");
+      Fronts.signal(When.CutFront, SIGKILL);
+    });
+  }
+  /// A daemon stands still as servers of a new version come, and another one is
+  /// killed.
+  void planFreeze() {
+    Events.after(FreezeAtMs + 100, [this] {
+      note("two servers of version v2 register");
+      addServer(3, "v2");
+      addServer(4, "v2");
+    });
+    if (Cuts) {
+      Events.after(FreezeAtMs, [this] {
+        note(Fronts.All[When.CutFront].Node + " freezes");
+        Fronts.signal(When.CutFront, SIGSTOP);
+      });
+      Events.after(FreezeAtMs + FreezeMs, [this] {
+        note(Fronts.All[When.CutFront].Node + " wakes");
+        Fronts.signal(When.CutFront, SIGCONT);
+      });
+    }
+    if (Kills)
+      Events.after(FreezeAtMs + FreezeMs - 500, [this] {
+        note(Fronts.All[0].Node + " is killed");
+        Fronts.signal(0, SIGKILL);
+      });
+  }
+  /// Two servers crash for a second, one after the other. The first one comes
+  /// back with a new version.
+  void planCrashes() {
+    if (!Kills)
+      return;
+    Events.after(FirstCrashMs, [this] { crash(0, "v2"); });
+    Events.after(SecondCrashMs, [this] { crash(1, "v1"); });
+  }
+  void crash(std::size_t I, const std::string &Next) {
+    note("server i-" + std::to_string(I + 1) + " crashes");
+    const Address Own = Servers[I]->address();
+    Servers[I].reset();
+    Events.after(CrashMs, [this, I, Next, Own] {
+      note("server i-" + std::to_string(I + 1) +
+           " starts again under its id, with version " + Next);
+      Servers[I] = newServer(static_cast<int>(I), Next, Own);
     });
-    Events.after(LengthMs, [this] { Events.stop(); });
-    watchProcesses();
-    Events.run();
-    return judge();
   }
-
-private:
   static int network() {
     static const int Found = freeNetwork();
     return Found;
@@ -143,12 +206,17 @@
   void note(const std::string &Text) {
     Record << nowMs() << " ms  " << Text << '\n';
   }
-  void addServer(int I, const std::string &Version) {
+  std::unique_ptr<StreamServer> newServer(int I, const std::string &Version,
+                                          const Address &Own) {
     static const char *Zones[] = {"derwent", "wellington", "huon"};
-    Servers.push_back(std::make_unique<StreamServer>(
-        Events, Store, "i-" + std::to_string(I + 1), Zones[I % 3], Version,
-        at(8, 10 + I, 0)));
-    Servers.back()->Note = [this](const std::string &Text) { note(Text); };
+    auto Result = std::make_unique<StreamServer>(Events, Store,
+                                                 "i-" + std::to_string(I + 1),
+                                                 Zones[I % 3], Version, Own);
+    Result->Note = [this](const std::string &Text) { note(Text); };
+    return Result;
+  }
+  void addServer(int I, const std::string &Version) {
+    Servers.push_back(newServer(I, Version, at(8, 10 + I, 0)));
   }
   void nextClient() {
     if (nowMs() >= ClientsUntilMs)
@@ -204,7 +272,7 @@
     int New = 0;
     int Begun = 0;
     const auto IsJudged = [&](std::int64_t AtMs) {
-      return AtMs >= When.KillAtMs && AtMs < When.KillAtMs + JudgedMs;
+      return AtMs >= KillAtMs && AtMs < KillAtMs + JudgedMs;
     };
     for (const auto &Each : Clients) {
       if (IsJudged(Each->TakenUpAtMs)) {
@@ -229,6 +297,7 @@
   }
 
   bool IsLost;
+  bool IsFrozen;
   Plan When;
   bool Cuts;
   bool Kills;
@@ -248,7 +317,5 @@
   if (Count != 6)
     return 2;
   std::signal(SIGPIPE, SIG_IGN);
-  return Case(Words[1], Words[2], Words[3], Words[4],
-              std::string(Words[5]) == "lost")
-      .run();
+  return Case(Words[1], Words[2], Words[3], Words[4], Words[5]).run();
 }
