review: a burst of crashing requests shuts out their caller's sound ones

Cause: a part that all of a caller's prompts share is beside six crashes at once. From six on, the part that causes them does not excuse it, and that it was answered is forgotten after 10 to 20 s. Once it is refused, no answer can clear it.

Change: case 11, a script.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for Each in TwoVersions:two-versions; do
+for Each in CrashingPart:crashing-part TwoVersions:two-versions; do
   g++ -std=c++20 -O1 -Wall -Wextra -o "target/review-3/${Each#*:}" "review/stand-in-3/${Each%:*}.cpp"
 done
--- a/review/stand-in-3/Streams.h
+++ b/review/stand-in-3/Streams.h
@@ -16,7 +16,6 @@
 public:
   static constexpr std::int64_t HeartbeatMs = 1200;
   static constexpr std::int64_t EventMs = 100;
-  static constexpr int EventCount = 30;
 
   StreamServer(Loop &Events, Platform &Store, std::string Id, std::string Zone,
                std::string Version, const Address &At)
@@ -37,7 +36,13 @@
   const Address &address() const { return Door.address(); }
 
   std::function<void(const std::string &)> Note;
+  int EventCount = 30;
+  std::int64_t FirstEventMs = 0;
+  /// A part of prompts on which the server crashes when it begins to write.
+  std::string CrashesOn;
+  std::function<void()> OnCrash;
   int Begun = 0;
+  const std::string &id() const { return Id; }
 
 private:
   void beat() {
@@ -92,7 +97,17 @@
                "\r\nServer-Load: 10,0,128,100\r\nWeight-Versions: 1\r\n"
                "Content-Type: text/event-stream\r\n"
                "Transfer-Encoding: chunked\r\n\r\n");
-    write(From, After + 1);
+    const bool IsCrashing =
+        !CrashesOn.empty() &&
+        Of.field("Prompt-Prefix").find(CrashesOn) != std::string::npos;
+    Events.after(FirstEventMs, [this, From, After, IsCrashing, Lives = Alive] {
+      if (!*Lives || !From->isOpen())
+        return;
+      if (IsCrashing)
+        OnCrash();
+      else
+        write(From, After + 1);
+    });
   }
   void write(const std::shared_ptr<Connection> &To, int Number) {
     if (!To->isOpen())
@@ -140,11 +155,14 @@
   std::int64_t BegunAtMs = 0;
   std::int64_t TakenUpAtMs = -1; ///< When it was first taken up.
   bool HasGoneOn = false;        ///< After it was taken up.
-  std::string Seen;              ///< What each part of the stream came from.
+  bool HasBegunAtOnce = false;   ///< At the first attempt.
+  int MaxTries = 5;
+  std::string Prefix; ///< Of the prompt; drawn by the number if it is empty.
+  std::string Key = "key-1";
+  std::string Seen; ///< What each part of the stream came from.
   int number() const { return Number; }
 
 private:
-  static constexpr int MaxTries = 5;
   static constexpr std::int64_t DeadlineMs = 15000;
 
   static std::string hex(std::uint64_t Value) {
@@ -153,6 +171,10 @@
                   static_cast<unsigned long long>(Value));
     return Text;
   }
+  std::string drawnPrefix() const {
+    return hex(static_cast<std::uint64_t>(Number % 40)).substr(8) + ":200," +
+           hex(static_cast<std::uint64_t>(Number) + 1000).substr(8) + ":100";
+  }
   std::int64_t left() const { return DeadlineMs - (nowMs() - BegunAtMs); }
 
   void attempt() {
@@ -181,10 +203,9 @@
         "POST /a/" + std::to_string(Number) +
         " HTTP/1.1\r\nHost: one.example\r\nRequest-Id: " + Id +
         "\r\nModel: weights-a\r\nToken-Usage: 300,60\r\nPrompt-Prefix: " +
-        hex(static_cast<std::uint64_t>(Number % 40)).substr(8) + ":200," +
-        hex(static_cast<std::uint64_t>(Number) + 1000).substr(8) +
-        ":100\r\nDeadline-Ms: " + std::to_string(left()) +
-        "\r\nAuthorization: Bearer key-1\r\n";
+        (Prefix.empty() ? drawnPrefix() : Prefix) +
+        "\r\nDeadline-Ms: " + std::to_string(left()) +
+        "\r\nAuthorization: Bearer " + Key + "\r\n";
     if (LastEvent > 0 && TakenUpAtMs < 0)
       TakenUpAtMs = nowMs();
     if (LastEvent > 0)
@@ -304,6 +325,7 @@
         Seen += " " + std::to_string(LastEvent) + ":" + What + "@front" +
                 std::to_string(At);
       HasGoneOn |= TakenUpAtMs >= 0;
+      HasBegunAtOnce |= Tries == 1;
       Last = What;
     }
   }
