--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -233,6 +233,11 @@
   this->Services.OnlyVersion = [this](std::string_view Service) {
     return this->StreamStore.onlyVersion(Service);
   };
+  this->Services.VersionsViewAge = [this]() -> std::optional<Duration> {
+    if (const auto Until = this->Registry.completeUntil())
+      return BootClock::now() - *Until;
+    return std::nullopt;
+  };
   this->Services.ListStreams = [this] { this->StreamStore.list(); };
   this->StreamStore.Listed.connect([this](const StreamOrigins *Stored) {
     this->Services.StreamsListed.emit(Stored);
--- a/src/request/ForwardResume.cpp
+++ b/src/request/ForwardResume.cpp
@@ -104,13 +104,15 @@
   this->Search.IsFound = true;
   this->Services.Stats.decision("stream.taken_up_by_" +
                                 std::string(toString(Source)));
+  const auto ViewAge = this->Services.VersionsViewAge();
   log(LogLevel::Info, "call.taken_up",
       {{"call", this->Call.Id},
        {"stream", this->Call.Resumes},
        {"service", Found.Service},
        {"software", Found.Version},
        {"known_by", std::string(toString(Source))},
-       {"lists", std::to_string(this->Search.Lists)}});
+       {"lists", std::to_string(this->Search.Lists)},
+       {"view_ms", ViewAge ? std::to_string(toMilliseconds(*ViewAge)) : "-"}});
   const auto Service = this->Config->Services.find(Found.Service);
   const bool IsOnRoute = std::any_of(
       this->Route->Services.begin(), this->Route->Services.end(),
