SoftwareVersionStore: the only version counts while its view is complete

A gateway took the one version that it knew for the origin of a stream without a record as long as the registry had been "confirmed" within 2.5 s. A version that registered since was missing in that view: while the platform turned the gateway away, while it stood still, or, since nothing waited for the version to be stored, after all processes that knew it had been killed. The class: a fact inferred from what was not seen, without saying up to when the view was complete.

Now a stream begins at a version only 3 s after this process has read that the version is stored, and the only version of the stored set answers up to 2.5 s after the moment until which the view of the set is complete, by the clock that counts suspensions. Whatever a view lacks has no stream yet. The sets are objects of a kind of their own, which every gateway watches; they say since when they are complete, so that a restored platform does not answer for versions that it has lost. Streams are recorded meanwhile.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -141,6 +141,7 @@
                .OnRefusalsChanged =
                    [this] { this->Services.RefusalsChanged.emit(); }}),
       Rates(this->Entries, this->rateParts()),
+      SoftwareVersions(this->softwareVersionParts()),
       StreamStore(this->streamStoreParts()) {
   this->Upstreams.OnUnavailable = [this](const SocketAddress &Address) {
     this->Pool.closeIdle(Address);
@@ -217,27 +218,38 @@
           }};
 }
 
-StreamOriginStoreParts ForwardGateway::streamStoreParts() {
+SoftwareVersionStoreParts ForwardGateway::softwareVersionParts() {
   return {.Loop = this->Loop,
           .Api = this->Parts.Api,
-          .Streams = this->Services.Streams,
-          .NodeId = this->Settings.NodeId,
           .RegisteredVersions = [this] { return this->registeredVersions(); },
           .IsRegistryCurrent =
               [this] { return isRecent(this->Registry.confirmedAt()); },
-          .GatewayCount = [this] { return this->gatewayCount(); }};
+          .IsFirstStart = this->Settings.IsFirstStart,
+          .MaxClockError = this->Settings.MaxClockError};
+}
+
+StreamOriginStoreParts ForwardGateway::streamStoreParts() {
+  return {
+      .Loop = this->Loop,
+      .Api = this->Parts.Api,
+      .Streams = this->Services.Streams,
+      .NodeId = this->Settings.NodeId,
+      .NeedsRecords = [this] { return this->SoftwareVersions.needsRecords(); },
+      .GatewayCount = [this] { return this->gatewayCount(); }};
 }
 
 /// Lets calls find where the streams began that their callers take up.
 void ForwardGateway::connectStreams() {
   this->Services.OnlyVersion = [this](std::string_view Service) {
-    return this->StreamStore.onlyVersion(Service);
+    return this->SoftwareVersions.onlyVersion(Service);
+  };
+  this->Services.UnsettledVersions = [this](std::string_view Service) {
+    return this->SoftwareVersions.unsettledVersions(Service);
   };
-  this->Services.VersionsViewAge = [this]() -> std::optional<Duration> {
-    if (const auto Until = this->Registry.completeUntil())
-      return BootClock::now() - *Until;
-    return std::nullopt;
+  this->Services.VersionsViewAge = [this] {
+    return this->SoftwareVersions.viewAge();
   };
+  this->SoftwareVersions.Settled.connect([this] { this->wakeQueues(); });
   this->Services.ListStreams = [this] { this->StreamStore.list(); };
   this->StreamStore.Listed.connect([this](const StreamOrigins *Stored) {
     this->Services.StreamsListed.emit(Stored);
@@ -439,6 +451,7 @@
   if (this->Evacuations)
     this->Evacuations->start();
   this->Crashes.start();
+  this->SoftwareVersions.start();
   this->StreamStore.start();
   this->gossip();
   this->publishStatus();
@@ -470,6 +483,7 @@
   this->EraSince = EventLoop::now();
   this->StoredWeights.clear();
   this->Crashes.onEraChanged();
+  this->SoftwareVersions.onEraChanged();
   this->StreamStore.onEraChanged();
 }
 
@@ -507,7 +521,7 @@
     this->ResumableServices.insert(Names.begin(), Names.end());
     PerRoute.insert(std::move(Names));
   }
-  this->StreamStore.setServices(std::move(PerRoute));
+  this->SoftwareVersions.setServices(std::move(PerRoute));
   // The views refer to stores that follow() may remove before it fails.
   this->Services.Stores.clear();
   this->Stores.follow(Config);
@@ -549,7 +563,7 @@
   if (auto Read = this->Parts.Source.readUpstream(Object)) {
     this->Upstreams.put(*Read, EventLoop::now());
     if (this->ResumableServices.contains(Read->Service))
-      this->StreamStore.noteUpstream(Read->Service, Read->SoftwareVersion);
+      this->SoftwareVersions.noteUpstream(Read->Service, Read->SoftwareVersion);
     this->limitIfCold(*this->Upstreams.find(Read->Id));
   } else {
     // What it named before is no longer registered.
@@ -846,7 +860,8 @@
 /// forward. Every gateway watches configurations itself: they must take effect
 /// everywhere quickly and don't fit into a datagram.
 std::vector<ObjectWatcher *> ForwardGateway::forwardedWatchers() {
-  std::vector<ObjectWatcher *> Result{&this->Registry, &this->WeightNotices};
+  std::vector<ObjectWatcher *> Result{&this->Registry, &this->WeightNotices,
+                                      &this->SoftwareVersions.watcher()};
   if (this->Evacuations)
     Result.push_back(&*this->Evacuations);
   return Result;
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -19,6 +19,7 @@
 #include "process/EntryChannel.h"
 #include "process/MemoryReserve.h"
 #include "process/RateExchange.h"
+#include "process/SoftwareVersionStore.h"
 #include "process/StatusExchange.h"
 #include "process/StoreFollower.h"
 #include "process/StreamOriginStore.h"
@@ -59,6 +60,8 @@
   /// After this time from the announcement of new weights, older ones may not
   /// be used.
   Duration WeightsLimit = std::chrono::seconds(15);
+  /// The whole system starts for the first time.
+  bool IsFirstStart = false;
   /// By how much the times of day of two VMs may differ, also of one VM before
   /// and after a restart.
   Duration MaxClockError = std::chrono::seconds(5);
@@ -160,6 +163,7 @@
   void updateCustomerMetrics();
   void sendToZone(const GossipMessage &Message);
   RateExchangeParts rateParts();
+  SoftwareVersionStoreParts softwareVersionParts();
   StreamOriginStoreParts streamStoreParts();
   void connectStreams();
   VersionsByService registeredVersions() const;
@@ -218,6 +222,7 @@
   StatusExchange Statuses;
   CrashExchange Crashes;
   RateExchange Rates;
+  SoftwareVersionStore SoftwareVersions;
   StreamOriginStore StreamStore;
   /// Whose streams may be taken up, by the configuration in force.
   std::set<std::string, std::less<>> ResumableServices;
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -69,6 +69,7 @@
     this->DoubtedAt = Now;
     Each->refresh();
   }
+  this->SoftwareVersions.watcher().refresh();
   // Permits from before a suspension are dropped before a call uses them.
   if (this->Rates.hasLimits())
     this->updateRateMembers();
--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -4,7 +4,6 @@
 #include "process/ErrorKind.h"
 #include "process/Log.h"
 
-#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
@@ -17,7 +16,6 @@
 
 static constexpr std::string_view StoredKind = "stream-versions";
 static constexpr std::string_view GatewayPrefix = "gateway.";
-static constexpr std::string_view ServicePrefix = "service.";
 
 /// Between two writes of a gateway in a small fleet. What was begun since the
 /// last one is lost if all processes are killed.
@@ -51,65 +49,17 @@
   this->Timer = this->Parts.Loop.timers().after(
       periodFor(this->Parts.GatewayCount()), [this] { this->tick(); });
   this->Parts.Streams.expire(Now);
-  for (const auto &[Service, Versions] : this->Parts.RegisteredVersions())
-    for (const std::string &Each : Versions)
-      noteRegistered(this->Services[Service].Versions, Each, Now);
   if (!this->HasListed) {
     this->list();
     return;
   }
-  this->storeAllVersions();
-  if (this->hasSeveralVersions())
+  if (this->Parts.NeedsRecords())
     this->storeRecords();
 }
 
-void StreamOriginStore::noteUpstream(const std::string &Name,
-                                     const std::string &Version) {
-  Service &Of = this->Services[Name];
-  noteRegistered(Of.Versions, Version, EventLoop::now());
-  if (this->HasListed && !Of.Versions.Stored.contains(Version))
-    this->storeVersions(Name);
-}
-
-void StreamOriginStore::storeAllVersions() {
-  for (const auto &[Name, Each] : this->Services)
-    if (this->versionsToStore(Each) != Each.Versions.Stored)
-      this->storeVersions(Name);
-}
-
-std::set<std::string>
-StreamOriginStore::versionsToStore(const Service &Of) const {
-  return galenaroute::versionsToStore(
-      Of.Versions, this->Parts.IsRegistryCurrent(), StreamOrigins::Retention,
-      EventLoop::now());
-}
-
 void StreamOriginStore::onEraChanged() {
   this->IsOwnUnknown = true;
   this->StoredCount = 0;
-  for (auto &[Name, Each] : this->Services)
-    dropStored(Each.Versions, EventLoop::now());
-}
-
-bool StreamOriginStore::hasSeveralVersions() const {
-  return std::any_of(this->Groups.begin(), this->Groups.end(),
-                     [this](const auto &Group) {
-                       std::set<std::string> All;
-                       for (const std::string &Name : Group)
-                         if (const auto Found = this->Services.find(Name);
-                             Found != this->Services.end())
-                           All.merge(knownVersions(Found->second.Versions));
-                       return All.size() > 1;
-                     });
-}
-
-std::optional<std::string>
-StreamOriginStore::onlyVersion(std::string_view Name) const {
-  const auto Found = this->Services.find(Name);
-  if (!this->HasListed || Found == this->Services.end() ||
-      !this->Parts.IsRegistryCurrent())
-    return std::nullopt;
-  return galenaroute::onlyVersion(Found->second.Versions);
 }
 
 void StreamOriginStore::list() {
@@ -137,10 +87,8 @@
       this->listAfter(Page.lastName());
       return;
     }
-    if (!std::exchange(this->HasListed, true)) {
+    if (!std::exchange(this->HasListed, true))
       this->IsOwnUnknown = false;
-      this->storeAllVersions();
-    }
   }
   this->IsListing = false;
   this->Listed.emit(Page.Status == PlatformStatus::Ok ? &this->ListedStreams
@@ -150,9 +98,7 @@
 
 void StreamOriginStore::readObject(const PlatformObject &Object) {
   try {
-    if (Object.Key.Name.starts_with(ServicePrefix))
-      this->readService(Object);
-    else if (Object.Key.Name.starts_with(GatewayPrefix))
+    if (Object.Key.Name.starts_with(GatewayPrefix))
       this->readRecords(Object);
     if (!this->HasListed)
       this->removeOutdated(Object, Object.Value.at("written_ms"));
@@ -163,18 +109,6 @@
   }
 }
 
-void StreamOriginStore::readService(const PlatformObject &Object) {
-  const std::string Name = Object.Value.at("service");
-  const std::set<std::string> Stored = Object.Value.at("versions");
-  SoftwareVersions &Versions = this->Services[Name].Versions;
-  const TimePoint Now = EventLoop::now();
-  if (Object.Key == this->keyOf(std::string(ServicePrefix) + Name))
-    noteStored(Versions, Stored, StreamOrigins::Retention, Now);
-  else
-    for (const std::string &Each : Stored)
-      noteKnown(Versions, Each, Now);
-}
-
 static StreamKey keyFromText(std::string_view Text) {
   StreamKey Key = 0;
   const auto Read =
@@ -217,12 +151,7 @@
                                        std::int64_t WrittenMs) {
   if (wallMilliseconds() - WrittenMs < MaxObjectAgeMs)
     return;
-  const bool IsService = Object.Key.Name.starts_with(ServicePrefix);
-  if (Object.Key == this->ownKey() ||
-      (IsService &&
-       Object.Key ==
-           this->keyOf(std::string(ServicePrefix) +
-                       Object.Value.at("service").get<std::string>())))
+  if (Object.Key == this->ownKey())
     return;
   this->Parts.Api.remove(
       Object.Key, Object.Version,
@@ -242,65 +171,6 @@
   return this->keyOf(std::string(GatewayPrefix) + this->Parts.NodeId);
 }
 
-/// Stores the versions of a service, unless another gateway has done so.
-void StreamOriginStore::storeVersions(const std::string &Name) {
-  if (std::exchange(this->Services[Name].IsWriting, true))
-    return;
-  const ObjectKey Key = this->keyOf(std::string(ServicePrefix) + Name);
-  this->Parts.Api.get(Key,
-                      [this, Key, Name, Alive = std::weak_ptr(this->Alive)](
-                          const PlatformResult &Read) {
-                        if (Alive.expired())
-                          return;
-                        // A failed attempt is repeated in the next period.
-                        if (Read.Status == PlatformStatus::Ok ||
-                            Read.Status == PlatformStatus::NotFound)
-                          this->writeVersions(Name, Key, Read);
-                        else
-                          this->Services[Name].IsWriting = false;
-                      });
-}
-
-void StreamOriginStore::writeVersions(const std::string &Name,
-                                      const ObjectKey &Key,
-                                      const PlatformResult &Read) {
-  if (Read.Status == PlatformStatus::Ok) {
-    PlatformObject Object = Read.Object;
-    Object.Key = Key;
-    this->readObject(Object);
-  }
-  Service &Of = this->Services[Name];
-  const std::set<std::string> Wanted = this->versionsToStore(Of);
-  if (Wanted == Of.Versions.Stored) {
-    Of.IsWriting = false;
-    return;
-  }
-  this->Parts.Api.put(
-      Key,
-      {{"service", Name},
-       {"versions", Wanted},
-       {"written_ms", wallMilliseconds()}},
-      Read.Status == PlatformStatus::Ok ? Read.Object.Version
-                                        : Platform::MustNotExist,
-      [this, Name, Key, Wanted,
-       Alive = std::weak_ptr(this->Alive)](const PlatformResult &Written) {
-        if (Alive.expired())
-          return;
-        Service &Done = this->Services[Name];
-        Done.IsWriting = false;
-        if (Written.Status != PlatformStatus::Ok ||
-            !(Key == this->keyOf(std::string(ServicePrefix) + Name)))
-          return;
-        noteStored(Done.Versions, Wanted, StreamOrigins::Retention,
-                   EventLoop::now());
-        std::string Text;
-        for (const std::string &Each : Wanted)
-          Text += (Text.empty() ? "" : ",") + Each;
-        log(LogLevel::Info, "streams.versions_stored",
-            {{"service", Name}, {"versions", Text}});
-      });
-}
-
 static std::string keyText(StreamKey Key) {
   char Text[KeyDigits + 1];
   std::snprintf(Text, sizeof Text, "%016llx",
--- a/src/request/ForwardResume.cpp
+++ b/src/request/ForwardResume.cpp
@@ -96,6 +96,12 @@
     this->goOnAt(*Found, OriginSource::Stored);
     return;
   }
+  // What the platform was asked for meanwhile may show the only version.
+  if (const auto Version = this->onlyVersionOfRoute()) {
+    this->StreamsListed.disconnect();
+    this->goOnAt({this->Service->Name, *Version}, OriginSource::OnlyOne);
+    return;
+  }
   this->continueSearch();
 }
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -208,6 +208,9 @@
   Query.Draw = this->Services.Random();
   if (this->Origin)
     Query.SoftwareVersion = this->Origin->Version;
+  else if (this->isResumable())
+    Query.ExcludedSoftware =
+        this->Services.UnsettledVersions(this->Service->Name);
   if (!this->Service->Engine)
     return Query;
   if (const AnnouncedWeights *Named = this->namedWeights()) {
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -116,10 +116,16 @@
   /// nothing if there are several or that is not known.
   std::function<std::optional<std::string>(std::string_view Service)>
       OnlyVersion = [](std::string_view) { return std::string(); };
+  /// Returns the software versions of a service at which no stream may begin
+  /// yet that its caller may take up.
+  std::function<std::span<const std::string>(std::string_view Service)>
+      UnsettledVersions =
+          [](std::string_view) { return std::span<const std::string>(); };
   /// Returns for how long this process may lack changes of the versions that
   /// services have; nothing before they are known.
-  std::function<std::optional<Duration>()> VersionsViewAge =
-      [] { return std::optional<Duration>(); };
+  std::function<std::optional<Duration>()> VersionsViewAge = [] {
+    return std::optional<Duration>();
+  };
   /// Lists the origins of streams that all gateways have stored.
   std::function<void()> ListStreams = [] {};
   /// Emitted with what was listed, or null.
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -181,6 +181,10 @@
   if (Query.SoftwareVersion &&
       Entry.Registered.SoftwareVersion != *Query.SoftwareVersion)
     return false;
+  if (std::find(Query.ExcludedSoftware.begin(), Query.ExcludedSoftware.end(),
+                Entry.Registered.SoftwareVersion) !=
+      Query.ExcludedSoftware.end())
+    return false;
   return std::find(Query.Excluded.begin(), Query.Excluded.end(),
                    Entry.Registered.Id) == Query.Excluded.end();
 }
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -169,6 +169,8 @@
   std::uint64_t MinWeightVersion = 0; ///< Engines with older ones are excluded.
   /// Upstreams with other software are excluded.
   std::optional<std::string_view> SoftwareVersion;
+  /// Upstreams with this software are excluded.
+  std::span<const std::string> ExcludedSoftware;
 };
 
 /// Returns how many of the \p MaxConnections that an upstream accepts from all
--- a/src/version/SoftwareVersions.h
+++ b/src/version/SoftwareVersions.h
@@ -2,15 +2,25 @@
 // whether all streams of the service were begun by one version.
 //
 //   noteRegistered(Versions, "1.4", Now);
-//   if (const auto Only = onlyVersion(Versions)) ...
+//   if (mayBeginStream(Versions, "1.4", Clocks)) ...
+//   if (const auto Only = onlyVersion(Versions, CompleteUntil, Clocks)) ...
 //
-// A version counts until no upstream with it was registered for as long as its
-// streams may be taken up.
+// The platform stores a set of versions for each service. A process begins a
+// stream at a version only SettleTime after it has read that the version is in
+// the set, and takes the only version in the set for the origin of a stream
+// only up to MaxViewAge, which is less, after the moment until which its view
+// of the set is complete. A version that this view lacks was stored after that
+// moment, so that no stream of it can have begun yet, whoever was cut off or
+// stood still meanwhile. Both times are measured by clocks that also advance
+// during a suspension, each within one process.
+//
+// A version stays in the set until no upstream with it was registered for as
+// long as its streams may be taken up.
 
 #ifndef GALENAROUTE_VERSION_SOFTWAREVERSIONS_H
 #define GALENAROUTE_VERSION_SOFTWAREVERSIONS_H
 
-#include "process/Clock.h"
+#include "process/BootClock.h"
 
 #include <map>
 #include <optional>
@@ -19,35 +29,84 @@
 
 namespace galenaroute {
 
+/// The stored set of a service.
+struct StoredVersions {
+  /// When each version was added, in Unix milliseconds; zero for those that no
+  /// view of the set lacks.
+  std::map<std::string, std::int64_t> AddedMs;
+  /// No version is missing whose streams began after this time; zero if none
+  /// can be missing. A platform that was restored from a copy has lost what it
+  /// stored before.
+  std::int64_t CompleteSinceMs = 0;
+
+  bool operator==(const StoredVersions &) const = default;
+};
+
 struct SoftwareVersions {
-  /// What the platform stores, as far as it was read.
-  std::set<std::string> Stored;
-  /// Since when this process knows of each version.
+  /// From reading that a version is stored to its first stream, see above.
+  static constexpr Duration SettleTime = std::chrono::milliseconds(3000);
+  static constexpr Duration MaxViewAge = std::chrono::milliseconds(2500);
+
+  /// The set in the present era of the platform, if there is one.
+  std::optional<StoredVersions> Stored;
+  /// When this process first read that a version is stored.
+  std::map<std::string, BootTime> ReadAt;
+  /// The same as StoredVersions::AddedMs, of earlier eras.
+  std::map<std::string, std::int64_t> EarlierAddedMs;
+  /// Versions that have settled. A restoration of the platform does not change
+  /// that their streams exist.
+  std::set<std::string> Settled;
+  /// Since when this process knows of each version, stored or registered.
   std::map<std::string, TimePoint> KnownSince;
   /// When this process last saw each version registered.
   std::map<std::string, TimePoint> RegisteredAt;
 };
 
+/// The clocks by which decisions on versions are made.
+struct VersionClocks {
+  TimePoint Now;
+  BootTime Boot;
+  std::int64_t WallMs = 0;
+  /// By how much the wall clocks of two processes may differ.
+  Duration MaxClockError = std::chrono::seconds(5);
+};
+
 void noteRegistered(SoftwareVersions &Versions, const std::string &Version,
                     TimePoint Now);
-/// Notes what the platform stores. Other gateways have dropped what is missing.
-void noteStored(SoftwareVersions &Versions, std::set<std::string> Stored,
-                Duration Retention, TimePoint Now);
-/// Notes a version that the platform has stored in an earlier era.
-void noteKnown(SoftwareVersions &Versions, const std::string &Version,
-               TimePoint Now);
-/// Notes that the platform was restored from a copy.
-void dropStored(SoftwareVersions &Versions, TimePoint Now);
+/// Notes the set that the platform stores. Other processes have dropped what is
+/// missing in it.
+void noteStored(SoftwareVersions &Versions, StoredVersions Stored,
+                Duration Retention, const VersionClocks &Clocks);
+/// Notes the set that the platform has stored in an earlier era.
+void noteEarlierStored(SoftwareVersions &Versions, const StoredVersions &Stored,
+                       TimePoint Now);
+/// Notes that the platform was restored from a copy, or lacks the set.
+void dropStored(SoftwareVersions &Versions);
+/// Updates which versions have settled. Returns whether one has now.
+bool updateSettled(SoftwareVersions &Versions, const VersionClocks &Clocks);
 
 /// Returns the versions that may have begun a stream.
 std::set<std::string> knownVersions(const SoftwareVersions &Versions);
-/// Returns the only version that may have begun a stream, or nothing.
-std::optional<std::string> onlyVersion(const SoftwareVersions &Versions);
-/// Returns the versions that the platform should store. None is dropped unless
-/// the registry was read recently.
-std::set<std::string> versionsToStore(const SoftwareVersions &Versions,
-                                      bool IsRegistryCurrent,
-                                      Duration Retention, TimePoint Now);
+/// Returns whether a new stream may be sent to an upstream of \p Version.
+bool mayBeginStream(const SoftwareVersions &Versions,
+                    const std::string &Version);
+/// Returns the only version that may have begun a stream which is still taken
+/// up, or nothing. \p CompleteUntil is the moment until which the view of the
+/// stored set is complete.
+std::optional<std::string> onlyVersion(const SoftwareVersions &Versions,
+                                       std::optional<BootTime> CompleteUntil,
+                                       Duration Retention,
+                                       const VersionClocks &Clocks);
+/// Returns whether onlyVersion() may answer for all streams that began up to
+/// now, in a process with a current view.
+bool isAnsweredByOnlyVersion(const SoftwareVersions &Versions,
+                             Duration Retention, const VersionClocks &Clocks);
+/// Returns the set that the platform should store. No version is dropped from
+/// it unless the registry was read recently. \p IsFirstStart tells that the
+/// platform has never stored a set.
+StoredVersions versionsToStore(const SoftwareVersions &Versions,
+                               bool IsRegistryCurrent, bool IsFirstStart,
+                               Duration Retention, const VersionClocks &Clocks);
 
 } // namespace galenaroute
 
--- a/tests/SoftwareVersionsFleetTest.cpp
+++ b/tests/SoftwareVersionsFleetTest.cpp
@@ -84,6 +84,7 @@
     for (std::size_t I = 0; I < this->Gateways.size(); ++I) {
       GatewaySettings &Each = this->Gateways[I].Settings;
       Each.NodeId = "n" + std::to_string(I);
+      Each.IsFirstStart = true;
       Each.Zone = "z";
       Each.Callers = freeAddress();
       Each.Gossip = freeAddress();
@@ -155,7 +156,7 @@
 
   /// Sends a call for a stream. Returns its id.
   std::string sendStream(std::size_t Index, const std::string &More = "") {
-    const std::string Id = "r" + std::to_string(++this->Sent);
+    std::string Id = "r" + std::to_string(++this->Sent);
     this->Callers.push_back(std::make_unique<RawSocket>(
         RawSocket::connectTo(this->Gateways[Index].Settings.Callers)));
     this->Callers.back()->write("POST /stream/a HTTP/1.1\r\nHost: h\r\n"
--- a/tests/StreamOriginStoreTest.cpp
+++ b/tests/StreamOriginStoreTest.cpp
@@ -2,6 +2,7 @@
 
 #include "process/StreamOriginStore.h"
 #include "FakePlatform.h"
+#include "process/SoftwareVersionStore.h"
 
 #include <gtest/gtest.h>
 
@@ -21,23 +22,28 @@
   Process(EventLoop &Loop, const std::shared_ptr<FakeStore> &Data,
           const std::string &NodeId, std::set<std::string> Versions)
       : Loop(Loop), Api(Data), Versions(std::move(Versions)),
+        Sets({.Loop = Loop,
+              .Api = this->Api,
+              .RegisteredVersions =
+                  [this] {
+                    return VersionsByService{{"s", this->Versions},
+                                             {"t", this->OtherVersions}};
+                  },
+              .IsRegistryCurrent = [] { return true; },
+              .IsFirstStart = true}),
         Store({.Loop = Loop,
                .Api = this->Api,
                .Streams = this->Streams,
                .NodeId = NodeId,
-               .RegisteredVersions =
-                   [this] {
-                     return VersionsByService{{"s", this->Versions},
-                                              {"t", this->OtherVersions}};
-                   },
-               .IsRegistryCurrent = [] { return true; },
+               .NeedsRecords = [this] { return this->Sets.needsRecords(); },
                .GatewayCount = [] { return std::size_t{2}; }}) {
-    this->Store.setServices({{"s", "t"}});
+    this->Sets.setServices({{"s", "t"}});
     this->Drain = Loop.timers().every(2ms, [this] { this->Api.drain(10); });
     this->Store.Listed.connect([this](const StreamOrigins *Stored) {
       this->Found = Stored ? Stored->find(this->Wanted) : std::nullopt;
       ++this->Lists;
     });
+    this->Sets.start();
     this->Store.start();
   }
   ~Process() { this->Drain.disconnect(); }
@@ -55,6 +61,7 @@
   std::set<std::string> Versions;
   std::set<std::string> OtherVersions; ///< Of another service.
   StreamOrigins Streams;
+  SoftwareVersionStore Sets;
   StreamOriginStore Store;
 
 private:
@@ -85,18 +92,18 @@
 TEST_F(StreamOriginStoreTest, AStartedProcessKnowsAVersionThatHasLeft) {
   auto First = this->start("n0", {"1", "2"});
   this->wait(100ms);
-  EXPECT_EQ(First->Store.onlyVersion("s"), std::nullopt);
+  EXPECT_EQ(First->Sets.onlyVersion("s"), std::nullopt);
   First.reset();
   const auto Next = this->start("n1", {"2"});
-  EXPECT_EQ(Next->Store.onlyVersion("s"), std::nullopt) << "not yet read";
+  EXPECT_EQ(Next->Sets.onlyVersion("s"), std::nullopt) << "not yet read";
   this->wait(100ms);
-  EXPECT_EQ(Next->Store.onlyVersion("s"), std::nullopt);
+  EXPECT_EQ(Next->Sets.onlyVersion("s"), std::nullopt);
 }
 
 TEST_F(StreamOriginStoreTest, AServiceOfOneVersionNeedsNoRecords) {
   const auto First = this->start("n0", {"1"});
   this->wait(100ms);
-  EXPECT_EQ(First->Store.onlyVersion("s"), "1");
+  EXPECT_EQ(First->Sets.onlyVersion("s"), "1");
   const int Before = countPuts(*First);
   for (StreamKey Key = 0; Key < 10; ++Key)
     First->Streams.noteBegun(Key, Old, EventLoop::now());
@@ -121,7 +128,7 @@
 // route joins number their versions differently.
 TEST_F(StreamOriginStoreTest, ServicesOfSeparateRoutesNeedNoRecords) {
   const auto First = this->start("n0", {"1"});
-  First->Store.setServices({{"s"}, {"t"}});
+  First->Sets.setServices({{"s"}, {"t"}});
   First->OtherVersions = {"2"};
   this->wait(500ms);
   const int Before = countPuts(*First);
@@ -137,7 +144,7 @@
   this->wait(100ms);
   First->Streams.noteBegun(7, Old, EventLoop::now());
   First->Versions = {"1", "2"};
-  First->Store.noteUpstream("s", "2");
+  First->Sets.noteUpstream("s", "2");
   First->Streams.noteBegun(8, New, EventLoop::now());
   this->wait(500ms);
   First.reset();
@@ -183,10 +190,12 @@
   const auto First = this->start("n0", {"1"});
   this->wait(100ms);
   this->Data->keepCopy();
-  First->Api.Era.Changed.connect(
-      [&](const EraChange &) { First->Store.onEraChanged(); });
+  First->Api.Era.Changed.connect([&](const EraChange &) {
+    First->Sets.onEraChanged();
+    First->Store.onEraChanged();
+  });
   First->Versions = {"1", "2"};
-  First->Store.noteUpstream("s", "2");
+  First->Sets.noteUpstream("s", "2");
   First->Streams.noteBegun(7, Old, EventLoop::now());
   this->wait(500ms);
   this->Data->restore();
@@ -195,13 +204,14 @@
   const auto Other = this->start("n1", {"2"});
   EXPECT_EQ(Other->list(7), Old);
   EXPECT_EQ(Other->list(8), New);
-  EXPECT_EQ(Other->Store.onlyVersion("s"), std::nullopt);
+  EXPECT_EQ(Other->Sets.onlyVersion("s"), std::nullopt);
 }
 
 // Guards against a malformed object that hides the others.
 TEST_F(StreamOriginStoreTest, AMalformedObjectIsSkipped) {
   for (const char *Name : {"gateway.x", "service.s", "other"})
     this->Data->write({"stream-versions", Name}, {{"streams", {{1}}}});
+  this->Data->write({"software-versions", "s"}, {{"versions", {{1}}}});
   this->Data->write(
       {"stream-versions", "gateway.y"},
       {{"written_ms", wallMilliseconds()},
@@ -210,7 +220,7 @@
   const auto First = this->start("n0", {"1"});
   EXPECT_EQ(First->list(7), Old);
   this->wait(300ms);
-  EXPECT_EQ(First->Store.onlyVersion("s"), "1");
+  EXPECT_EQ(First->Sets.onlyVersion("s"), "1");
 }
 
 // Guards against a fleet that uses up the writes which the platform accepts,
--- a/tests/StreamOriginsTest.cpp
+++ b/tests/StreamOriginsTest.cpp
@@ -2,8 +2,6 @@
 
 #include "request/StreamOrigins.h"
 
-#include "version/SoftwareVersions.h"
-
 #include <gtest/gtest.h>
 
 namespace galenaroute {
@@ -76,57 +74,5 @@
       OriginStep::Refuse);
 }
 
-// Guards against a service that counts as one of a single version although the
-// registry or the platform names another one.
-TEST(SoftwareVersionsTest, StoredAndRegisteredVersionsCount) {
-  const TimePoint Now;
-  SoftwareVersions Versions;
-  EXPECT_EQ(onlyVersion(Versions), std::nullopt);
-  noteRegistered(Versions, "1", Now);
-  EXPECT_EQ(onlyVersion(Versions), "1");
-  noteStored(Versions, {"1", "2"}, 60s, Now);
-  EXPECT_EQ(onlyVersion(Versions), std::nullopt);
-  EXPECT_EQ(versionsToStore(Versions, true, 60s, Now),
-            (std::set<std::string>{"1", "2"}));
-}
-
-// Guards against a version that is dropped while its streams may be taken up,
-// or by a process that cannot see the registry.
-TEST(SoftwareVersionsTest, AVersionIsDroppedOnceItsStreamsHaveEnded) {
-  const TimePoint Now;
-  SoftwareVersions Versions;
-  noteRegistered(Versions, "1", Now);
-  noteStored(Versions, {"1"}, 60s, Now);
-  noteRegistered(Versions, "2", Now + 50s);
-  const std::set<std::string> Both{"1", "2"};
-  EXPECT_EQ(versionsToStore(Versions, true, 60s, Now + 60s), Both);
-  EXPECT_EQ(versionsToStore(Versions, true, 60s, Now + 61s),
-            std::set<std::string>{"2"});
-  EXPECT_EQ(versionsToStore(Versions, false, 60s, Now + 61s), Both);
-}
-
-// Guards against two gateways of which one stores again what the other dropped.
-TEST(SoftwareVersionsTest, AVersionThatAnotherGatewayDroppedIsNotStoredAgain) {
-  const TimePoint Now;
-  SoftwareVersions Versions;
-  noteStored(Versions, {"1", "2"}, 60s, Now);
-  noteRegistered(Versions, "2", Now);
-  noteStored(Versions, {"2"}, 60s, Now + 1s);
-  EXPECT_EQ(onlyVersion(Versions), "2");
-  EXPECT_EQ(versionsToStore(Versions, true, 60s, Now + 1s),
-            std::set<std::string>{"2"});
-}
-
-// Guards against a restoration of the platform that hides a version.
-TEST(SoftwareVersionsTest, VersionsAreStoredAgainAfterARestoration) {
-  const TimePoint Now;
-  SoftwareVersions Versions;
-  noteStored(Versions, {"1", "2"}, 60s, Now);
-  dropStored(Versions, Now);
-  EXPECT_EQ(onlyVersion(Versions), std::nullopt);
-  EXPECT_EQ(versionsToStore(Versions, true, 60s, Now),
-            (std::set<std::string>{"1", "2"}));
-}
-
 } // namespace
 } // namespace galenaroute
