SoftwareVersionStore: versions settle after 1 s

A take-up without a record now asks the platform for changes when the view is older than 0.8 s, so that a version need settle for 1 s only; calls for changes are made at most every 0.25 s.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -250,7 +250,10 @@
     return this->SoftwareVersions.viewAge();
   };
   this->SoftwareVersions.Settled.connect([this] { this->wakeQueues(); });
-  this->Services.ListStreams = [this] { this->StreamStore.list(); };
+  this->Services.ListStreams = [this] {
+    this->SoftwareVersions.refresh();
+    this->StreamStore.list();
+  };
   this->StreamStore.Listed.connect([this](const StreamOrigins *Stored) {
     this->Services.StreamsListed.emit(Stored);
   });
--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -15,15 +15,18 @@
 /// Of a platform that was never restored.
 static constexpr std::uint64_t FirstEra = 1;
 static constexpr Duration UpdatePeriod = std::chrono::milliseconds(100);
+/// Each refresh gives up a watch that waits at the platform.
+static constexpr Duration RefreshInterval = std::chrono::milliseconds(250);
 /// Objects that were not written for so long belong to eras that are gone.
 static constexpr std::int64_t MaxObjectAgeMs = 600'000;
 
 SoftwareVersionStore::SoftwareVersionStore(SoftwareVersionStoreParts Given)
     : Parts(std::move(Given)),
-      Watcher(this->Parts.Loop, this->Parts.Api, std::string(StoredKind), {},
-              {.OnObject = [this](const PlatformObject &Object) {
-                this->onObject(Object);
-              }}) {}
+      Watcher(
+          this->Parts.Loop, this->Parts.Api, std::string(StoredKind), {},
+          {.OnObject =
+               [this](const PlatformObject &Object) { this->onObject(Object); },
+           .OnListed = [this](const auto &) { this->tick(); }}) {}
 
 SoftwareVersionStore::~SoftwareVersionStore() { this->Timer.disconnect(); }
 
@@ -85,6 +88,16 @@
   }
 }
 
+void SoftwareVersionStore::refresh() {
+  const BootTime Now = BootClock::now();
+  const auto Age = this->viewAge();
+  if ((Age && *Age < RefreshInterval) ||
+      (this->RefreshedAt && Now - *this->RefreshedAt < RefreshInterval))
+    return;
+  this->RefreshedAt = Now;
+  this->Watcher.refresh();
+}
+
 std::optional<Duration> SoftwareVersionStore::viewAge() const {
   const auto Until = this->Watcher.completeUntil();
   return Until ? std::optional(BootClock::now() - *Until) : std::nullopt;
--- a/src/process/SoftwareVersionStore.h
+++ b/src/process/SoftwareVersionStore.h
@@ -77,6 +77,9 @@
   sigc::signal<void()> Settled;
 
   ObjectWatcher &watcher() { return this->Watcher; }
+  /// Asks the platform for what has changed, so that onlyVersion() may answer.
+  /// One call serves all that are made shortly after one another.
+  void refresh();
   /// Returns for how long the view of the stored sets may lack changes.
   std::optional<Duration> viewAge() const;
 
@@ -108,6 +111,7 @@
   std::map<std::string, Service, std::less<>> Services;
   std::set<std::set<std::string>> Groups; ///< Services by route.
   ObjectWatcher Watcher;
+  std::optional<BootTime> RefreshedAt;
   sigc::connection Timer;
   // Platform callbacks hold a weak pointer to it and do nothing once it has
   // expired.
--- a/src/version/SoftwareVersions.h
+++ b/src/version/SoftwareVersions.h
@@ -44,8 +44,8 @@
 
 struct SoftwareVersions {
   /// From reading that a version is stored to its first stream, see above.
-  static constexpr Duration SettleTime = std::chrono::milliseconds(3000);
-  static constexpr Duration MaxViewAge = std::chrono::milliseconds(2500);
+  static constexpr Duration SettleTime = std::chrono::milliseconds(1000);
+  static constexpr Duration MaxViewAge = std::chrono::milliseconds(800);
 
   /// The set in the present era of the platform, if there is one.
   std::optional<StoredVersions> Stored;
