UpstreamPool: a refused call does not come back to its connection

Asked by the users: an answer too many may be the copy of a refusal, and its id tells nothing when the call is under way again on the same connection.

Cause: a run leaves out the upstreams that it has tried, by their ids. That ends with the run, and an upstream that registers under another id at its address is another one for the run and the same one for the pool.

Now the exchange names its call, and the pool keeps a hash of each call that a connection has refused and takes another connection for it. The connection stays in use for other calls. It is closed with its 32nd refusal, and with the refusal of a call that has no id, so that memory is bounded.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -29,6 +29,9 @@
 static constexpr HttpParserLimits AnswerLimits{.MaxHeadBytes = 64 << 10,
                                                .MaxBodyBytes = 16 << 20};
 
+/// Refusals that one connection may carry; it is closed with the last of them.
+static constexpr std::size_t MaxRefusedCalls = 32;
+
 /// Longer requests may fill the receive window of an upstream that does not
 /// read.
 static constexpr std::size_t LongRequestBytes = 32 << 10;
@@ -98,6 +101,13 @@
   bool isUsable(TimePoint Now, Duration MaxIdle) const {
     return Now < this->KeepUntil && Now - this->IdleSince < MaxIdle;
   }
+  /// Returns whether the connection may carry the call \p Id, which it has not
+  /// refused. Distinct calls may count as one, which costs a new connection.
+  bool mayCarry(const std::string &Id) const {
+    return std::find(this->RefusedCalls.begin(), this->RefusedCalls.end(),
+                     std::hash<std::string>()(Id)) == this->RefusedCalls.end();
+  }
+  void noteRefusal();
   const SocketAddress &address() const { return this->To; }
 
 private:
@@ -136,6 +146,7 @@
   bool IsPaused = false; ///< The answer is not read on.
   bool IsForgotten = false;
   int SkippedAnswers = 0;
+  std::vector<std::size_t> RefusedCalls; ///< Hashes of their ids.
   sigc::connection ConnectTimer;
 };
 
@@ -424,6 +435,15 @@
     bufferevent_trigger(this->Event.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void UpstreamConnection::noteRefusal() {
+  this->RefusedCalls.push_back(std::hash<std::string>()(this->Settings.CallId));
+  // The copy of a refusal cannot be told from another answer to a call without
+  // an id.
+  if (this->Settings.CallId.empty() ||
+      this->RefusedCalls.size() >= MaxRefusedCalls)
+    this->KeepAlive = false;
+}
+
 bool UpstreamConnection::hasUnreadInput() const {
   return this->Connected && galenaroute::hasUnreadInput(this->Event.get());
 }
@@ -438,6 +458,11 @@
   return Open && Open->isSilent();
 }
 
+void UpstreamExchange::noteRefusal() {
+  if (const auto Open = this->Connection.lock())
+    Open->noteRefusal();
+}
+
 void UpstreamExchange::pauseReading() {
   if (const auto Open = this->Connection.lock())
     Open->pauseReading();
@@ -462,23 +487,30 @@
 
 UpstreamPool::~UpstreamPool() { this->SweepTimer.disconnect(); }
 
-/// Returns an idle connection to \p To that may be used, or null. Closes those
-/// that have ended or whose link is silent.
+/// Returns an idle connection to \p To that may be used for the call \p Id, or
+/// null. Closes those that have ended or whose link is silent.
 std::shared_ptr<UpstreamConnection>
-UpstreamPool::takeIdle(const SocketAddress &To, Duration MaxIdle) {
+UpstreamPool::takeIdle(const SocketAddress &To, Duration MaxIdle,
+                       const std::string &Id) {
   const TimePoint Now = EventLoop::now();
   while (true) {
     const auto It = this->Targets.find(To);
-    if (It == this->Targets.end() || It->second.Idle.empty())
+    if (It == this->Targets.end())
       return nullptr;
+    auto &Idle = It->second.Idle;
     // The connection used last is the least likely to be closing.
-    std::shared_ptr<UpstreamConnection> Last = It->second.Idle.back();
+    const auto Found =
+        std::find_if(Idle.rbegin(), Idle.rend(),
+                     [&Id](const auto &Each) { return Each->mayCarry(Id); });
+    if (Found == Idle.rend())
+      return nullptr;
+    std::shared_ptr<UpstreamConnection> Last = *Found;
     if (!Last->isUsable(Now, MaxIdle))
       return nullptr;
     // Its end, or bytes that nothing asked for, may wait for the loop.
     const bool HasUnread = Last->hasUnreadInput();
     if (!HasUnread && !Last->isSilent()) {
-      It->second.Idle.pop_back();
+      std::erase(Idle, Last);
       return Last;
     }
     log(LogLevel::Info,
@@ -494,7 +526,7 @@
                     const UpstreamExchangeSettings &Settings,
                     UpstreamExchangeEvents Events) {
   std::shared_ptr<UpstreamConnection> Connection =
-      this->takeIdle(To, Settings.MaxIdle);
+      this->takeIdle(To, Settings.MaxIdle, Settings.CallId);
   const bool IsNew = !Connection;
   if (IsNew) {
     Connection = std::make_shared<UpstreamConnection>(*this, To);
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -10,7 +10,9 @@
 // caller of start() does not accept in OnHead is read and dropped, and the
 // next one is awaited; a connection is used again only when its last request
 // was written whole, its last answer was complete and its peer has acknowledged
-// the keep-alive probes since. Nothing is called inside start(). OnEnd is
+// the keep-alive probes since; a connection that has carried a refusal of a
+// call never carries that call again, since a copy of the refusal would count
+// as its answer. Nothing is called inside start(). OnEnd is
 // called exactly once unless the exchange is destroyed.
 
 #ifndef GALENAROUTE_CONNECTION_UPSTREAMPOOL_H
@@ -66,6 +68,7 @@
   /// An idle connection older than this is not used.
   Duration MaxIdle = std::chrono::seconds(60);
   bool IsHead = false; ///< The answer to HEAD has no body.
+  std::string CallId;  ///< Names the call, also when it is sent again.
 };
 
 struct UpstreamExchangeEvents {
@@ -91,6 +94,10 @@
   void pauseReading();
   void resumeReading();
 
+  /// Tells, before the exchange ends, that its answer states that the call has
+  /// not run.
+  void noteRefusal();
+
   /// Returns whether bytes of the answer wait to be handled. After a standstill
   /// of the process, timers may run before what arrived meanwhile is read.
   bool hasUnreadInput() const;
@@ -152,8 +159,8 @@
     std::size_t Total = 0;
   };
 
-  std::shared_ptr<UpstreamConnection> takeIdle(const SocketAddress &To,
-                                               Duration MaxIdle);
+  std::shared_ptr<UpstreamConnection>
+  takeIdle(const SocketAddress &To, Duration MaxIdle, const std::string &Id);
   void release(const std::shared_ptr<UpstreamConnection> &Connection);
   void forget(std::shared_ptr<UpstreamConnection> Connection);
   void sweep();
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -72,6 +72,7 @@
   const SendPlan Plan = this->planSend(To, Reuse);
   UpstreamExchangeSettings Settings;
   Settings.IsHead = this->Call.Method == "HEAD";
+  Settings.CallId = this->Call.Id;
   Settings.LongRequestTimeout = this->timeLeft();
   Settings.MaxIdle = this->Route->Repeat == Repeatability::Once
                          ? MaxIdleNonRepeatable
@@ -264,6 +265,8 @@
   }
   Send.Answer = std::move(Read);
   Send.HasAnswer = true;
+  if (Send.Answer.NotRun || Send.Answer.IsMisdirected)
+    Send.Exchange->noteRefusal();
   Send.Length = lengthOf(Head);
   Send.IsFramed = Head.HasFraming || Head.Status == 204 || Head.Status == 304 ||
                   this->Call.Method == "HEAD";
