HttpParser: an answer with a status outside 100 to 599 is malformed

Cause: every status below 200 counted as interim, and no upper bound was checked. Now a status outside 100 to 599 is malformed, and so is 101, which answers an offer that is never made; the call goes on at once as after other malformed bytes.

--- a/src/connection/HttpParser.cpp
+++ b/src/connection/HttpParser.cpp
@@ -237,6 +237,12 @@
   return Used;
 }
 
+/// Returns whether \p Status is that of an answer or of an interim one. 101
+/// answers an offer of another protocol, which is never made.
+static bool isAnswerStatus(int Status) {
+  return Status >= 100 && Status <= 599 && Status != 101;
+}
+
 int HttpParser::onHeadComplete() {
   if (!this->FieldName.empty()) {
     if (this->FieldName.ends_with(':'))
@@ -252,6 +258,10 @@
         http_method_str(static_cast<http_method>(this->Parser.method));
   else
     this->Head.Status = this->Parser.status_code;
+  if (this->Which == Side::Response && !isAnswerStatus(this->Head.Status)) {
+    this->Fault = HttpFault::Malformed;
+    return -1;
+  }
   this->Head.HasFraming = (this->Parser.flags & F_CHUNKED) != 0 ||
                           this->Parser.content_length != ULLONG_MAX;
   // A protocol change is not offered, so what follows is an ordinary body.
--- a/tests/ForwardRunTest.cpp
+++ b/tests/ForwardRunTest.cpp
@@ -485,6 +485,29 @@
   EXPECT_TRUE(this->callerReceives("HTTP/1.1 200 "));
 }
 
+// Guards against calls that wait for their deadline behind an answer whose
+// status has no meaning, and against its body reaching a caller.
+TEST_F(ForwardRunTest, AnAnswerWithAStatusOutsideItsRangeIsBroken) {
+  for (const char *Status : {"000 None", "101 Switching", "600 Odd"}) {
+    const std::string Answer =
+        head(Status, "Server-Stamp: x\r\nContent-Length: 3\r\n") + "odd";
+    const TimePoint From = EventLoop::now();
+    this->sendCall("/once/a");
+    this->waitForArrival()->write(Answer);
+    EXPECT_TRUE(this->callerReceives("HTTP/1.1 502 ")) << Status;
+    EXPECT_TRUE(this->hasNoArrival()) << Status;
+    this->sendCall("/safe/a");
+    this->waitForArrival()->write(Answer);
+    this->waitForArrival()->write(
+        head("200 OK", "Server-Stamp: x\r\nContent-Length: 2\r\n") + "ok");
+    EXPECT_TRUE(this->callerReceives("HTTP/1.1 200 ")) << Status;
+    EXPECT_EQ(this->Caller->text().find("odd"), std::string::npos) << Status;
+    EXPECT_LT(EventLoop::now() - From, 1s) << Status;
+    this->Caller =
+        std::make_unique<RawSocket>(RawSocket::connectTo(this->Address));
+  }
+}
+
 // Guards against a late duplicate of an answer, with or without the id of its
 // call, reaching the next caller on a reused connection.
 TEST_F(ForwardRunTest, ALateDuplicateAnswerReachesNoOtherCaller) {
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -123,6 +123,23 @@
   EXPECT_EQ(Read.Body, "part");
 }
 
+// Guards against an answer without a meaning that counts as an interim one: the
+// call waited for its deadline.
+TEST(HttpParserTest, AStatusOutsideItsRangeIsMalformed) {
+  for (const std::string Status : {"000", "001", "099", "101", "600", "999"}) {
+    Reader Read(HttpParser::Side::Response);
+    Read.feed("HTTP/1.1 " + Status + " A\r\nContent-Length: 0\r\n\r\n", 64);
+    EXPECT_EQ(Read.Parser.fault(), HttpFault::Malformed) << Status;
+    EXPECT_EQ(Read.Complete, 0) << Status;
+  }
+  for (const std::string Status : {"100", "103", "199", "200", "418", "599"}) {
+    Reader Read(HttpParser::Side::Response);
+    Read.feed("HTTP/1.1 " + Status + " A\r\nContent-Length: 0\r\n\r\n", 64);
+    EXPECT_EQ(Read.Parser.fault(), HttpFault::None) << Status;
+    EXPECT_EQ(Read.Complete, 1) << Status;
+  }
+}
+
 TEST(HttpParserTest, AnUpgradeHidesNoBody) {
   Reader Read(HttpParser::Side::Request);
   const std::string Text =
