ForwardRunFixture: hasNoArrival notices a single arrival

EventLoop::runUntil asks its condition once more when it returns. The condition of hasNoArrival accepted a connection and forgot it, so that the second answer was "none": the check passed whenever one connection arrived, and the tests that use it could not fail for a call that was sent once more.

Now the arrival is kept.

--- a/tests/ForwardRunFixture.h
+++ b/tests/ForwardRunFixture.h
@@ -88,10 +88,13 @@
     return Peer;
   }
   bool hasNoArrival() {
+    std::unique_ptr<RawSocket> Arrived;
     return !this->Loop.runUntil(
         [&] {
-          return this->Servers[0].accept() >= 0 ||
-                 this->Servers[1].accept() >= 0;
+          for (const RawListener &Each : this->Servers)
+            if (const int Socket = Each.accept(); Socket >= 0)
+              Arrived = std::make_unique<RawSocket>(Socket);
+          return Arrived != nullptr;
         },
         300ms);
   }
