UpstreamPool: an answer that ends early waits for its request

Cause: an answer without a length was complete at the end of the upstream's side, whatever became of the request that was still being written.

Now such an answer waits while a part of the request is not written or not acknowledged. It is complete once the rest was acknowledged and no reset came for 0.1 s; it is cut by a reset, also one that arrived with the end, and once the upstream has taken nothing for 2 s. Early answers with a length or chunks are complete at once as before. Not told apart: an upstream whose kernel had taken the whole request before the answer ended.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -32,6 +32,16 @@
 /// Refusals that one connection may carry; it is closed with the last of them.
 static constexpr std::size_t MaxRefusedCalls = 32;
 
+/// How long an upstream that has ended an answer without a length may take
+/// nothing of the rest of its request. A sound one may pause for a second or
+/// so.
+static constexpr auto MaxRestPause = std::chrono::seconds(2);
+/// How long such an answer waits for a reset once the rest is acknowledged. The
+/// upstream may not have read what its kernel has taken, and closing the
+/// connection resets it then.
+static constexpr auto RestSettleTime = std::chrono::milliseconds(100);
+static constexpr auto RestCheckInterval = std::chrono::milliseconds(10);
+
 /// Longer requests may fill the receive window of an upstream that does not
 /// read.
 static constexpr std::size_t LongRequestBytes = 32 << 10;
@@ -120,6 +130,11 @@
   void onConnected();
   void onReadable();
   void onEvent(short What);
+  std::size_t untakenBytes() const;
+  void onRestCheck();
+  void armRestCheck();
+  void finishAnswer();
+  void finishExchange();
   bool onHead(HttpHead &Head);
   void onComplete();
   void endComplete();
@@ -147,7 +162,11 @@
   bool IsForgotten = false;
   int SkippedAnswers = 0;
   std::vector<std::size_t> RefusedCalls; ///< Hashes of their ids.
+  /// Of the request, not taken by the upstream after it has ended its answer.
+  std::size_t Rest = 0;
+  TimePoint RestChangedAt;
   sigc::connection ConnectTimer;
+  sigc::connection RestTimer;
 };
 
 UpstreamConnection::UpstreamConnection(UpstreamPool &Pool, SocketAddress To)
@@ -389,11 +408,69 @@
   // What arrived before the end is read first.
   this->IsPaused = false;
   this->onReadable();
-  if (this->Current && (What & BEV_EVENT_EOF) && !(What & BEV_EVENT_ERROR) &&
-      !this->HasFraming && this->Parser.isInMessage())
-    this->Parser.finish();
   if (!this->Current)
     return;
+  const bool EndsAnswer = (What & BEV_EVENT_EOF) && !(What & BEV_EVENT_ERROR) &&
+                          !this->AnswerDone && !this->HasFraming &&
+                          this->Parser.isInMessage();
+  if (!EndsAnswer) {
+    this->finishExchange();
+    return;
+  }
+  this->Rest = this->untakenBytes();
+  this->RestChangedAt = EventLoop::now();
+  // A reset may have arrived behind the end of the answer.
+  if (this->Rest > 0 || isPending(this->Event.get(), 0))
+    this->armRestCheck();
+  else
+    this->finishAnswer();
+}
+
+/// Returns how much of the request is not written or not acknowledged.
+std::size_t UpstreamConnection::untakenBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(this->Event.get())) +
+         unacknowledgedBytes(bufferevent_getfd(this->Event.get())).value_or(0);
+}
+
+void UpstreamConnection::armRestCheck() {
+  this->RestTimer.disconnect();
+  this->RestTimer = this->Pool.Loop.timers().after(RestCheckInterval, [this] {
+    guard(this, "upstream.rest",
+          [](UpstreamConnection &Of) { Of.onRestCheck(); });
+  });
+}
+
+/// Checks whether the upstream takes the rest of the request. It has ended an
+/// answer without a length before, and whether that is whole shows only then.
+void UpstreamConnection::onRestCheck() {
+  if (!this->Current)
+    return;
+  const TimePoint Now = EventLoop::now();
+  const std::size_t Left = this->untakenBytes();
+  if (std::exchange(this->Rest, Left) != Left)
+    this->RestChangedAt = Now;
+  const Duration Since = Now - this->RestChangedAt;
+  const bool HasError = isPending(this->Event.get(), 0);
+  if (HasError || (Left > 0 && Since >= MaxRestPause)) {
+    if (HasError)
+      this->Current->Cause = UpstreamCause::Reset;
+    this->end(UpstreamEnd::Cut, false);
+  } else if (Left == 0 && Since >= RestSettleTime) {
+    this->finishAnswer();
+  } else {
+    this->armRestCheck();
+  }
+}
+
+/// Ends an answer without a length at the end of its connection.
+void UpstreamConnection::finishAnswer() {
+  this->Parser.finish();
+  if (this->Current)
+    this->finishExchange();
+}
+
+/// Ends the exchange, whose connection has ended.
+void UpstreamConnection::finishExchange() {
   if (this->AnswerDone)
     this->endComplete();
   else
@@ -403,6 +480,7 @@
 void UpstreamConnection::end(UpstreamEnd How, bool Reuse) {
   const auto Self = this->shared_from_this();
   this->ConnectTimer.disconnect();
+  this->RestTimer.disconnect();
   UpstreamExchangeEvents Handlers = std::move(this->Events);
   this->Events = {};
   this->Current->Connection.reset();
@@ -418,6 +496,7 @@
 
 void UpstreamConnection::cancel() {
   this->ConnectTimer.disconnect();
+  this->RestTimer.disconnect();
   // The handlers stay, since one of them may be running.
   this->Current = nullptr;
   this->Pool.forget(this->shared_from_this());
--- a/tests/ForwardConnectionsTest.cpp
+++ b/tests/ForwardConnectionsTest.cpp
@@ -396,6 +396,8 @@
   Outcome Good;
   auto A = this->start(Good);
   auto Peer = this->accept();
+  // Closing with an unread request resets the connection.
+  this->Loop.runUntil([&] { return Peer->read().ends_with("\r\n\r\n"); }, 3s);
   Peer->write("HTTP/1.1 200 OK\r\n\r\nab");
   Peer->close();
   ASSERT_TRUE(this->ended(Good));
