UpstreamPool: an idle connection is ended by its own limit

Measured over real sockets whose links go silent: the user timeout decides. The case that tells them apart was a fault: after a request of more than 32 kB, the connection kept the limit of that request while it was idle, and was still counted after 5 s without an answered probe (UserTimeout 15 s, three probes). It was not used for calls, but it took a place among the connections.

Now a connection gets the ordinary limit back when it becomes idle.

--- a/src/connection/BufferedSocket.cpp
+++ b/src/connection/BufferedSocket.cpp
@@ -18,9 +18,9 @@
 namespace galenaroute {
 
 /// Keep-alive probes: the first after this many seconds without traffic, then
-/// one a second. The kernel ends the connection with the first probe that is
-/// due later than the user timeout; where it ignores that, after three
-/// unanswered ones.
+/// one a second. Linux ends the connection with the first probe that is due
+/// later than the user timeout, whatever their count; a kernel that ignores the
+/// timeout does so after three unanswered ones.
 static constexpr int KeepAliveIdleSeconds = 1;
 static constexpr int KeepAliveProbeSeconds = 1;
 static constexpr int KeepAliveProbes = 3;
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -630,6 +630,11 @@
   bufferevent_enable(Connection->Event.get(), EV_READ);
   Connection->IdleSince = EventLoop::now();
   Connection->ServedBefore = true;
+  // The limit of a long request would also decide when unanswered keep-alive
+  // probes end the idle connection.
+  if (const Duration Idle = Connection->Settings.UserTimeout;
+      std::exchange(Connection->UserTimeout, Idle) != Idle)
+    setUserTimeout(bufferevent_getfd(Connection->Event.get()), Idle);
   this->Targets[Connection->To].Idle.push_back(Connection);
 }
 
--- a/tests/ForwardConnectionsTest.cpp
+++ b/tests/ForwardConnectionsTest.cpp
@@ -329,6 +329,39 @@
   EXPECT_EQ(toString(C->cause()), "no_acknowledgment");
 }
 
+// Guards against idle connections that are kept for long after their link has
+// gone silent, also behind a long request, which has a longer limit.
+TEST_F(UpstreamPoolTest, ASilentLinkOfAnIdleConnectionIsNoticed) {
+  for (const std::size_t BodyBytes : {0U, 100U << 10}) {
+    const std::string Text =
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(BodyBytes) +
+        "\r\n\r\n" + std::string(BodyBytes, 'x');
+    std::optional<UpstreamEnd> End;
+    const auto Exchange =
+        this->Pool.start(this->Server.Address, Text, {},
+                         {.OnHead = [](const HttpHead &) { return true; },
+                          .OnBody = [](std::string_view) {},
+                          .OnEnd = [&](UpstreamEnd How) { End = How; }});
+    const auto Peer = this->accept();
+    ASSERT_TRUE(this->Loop.runUntil(
+        [&] { return Peer->read().size() == Text.size(); }, 3s));
+    Peer->write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\n"
+                "Content-Length: 0\r\n\r\n");
+    ASSERT_TRUE(this->Loop.runUntil([&] { return End.has_value(); }, 3s));
+    ASSERT_EQ(this->Pool.connections(this->Server.Address), 1U);
+    Peer->dropArriving();
+    const TimePoint From = EventLoop::now();
+    EXPECT_TRUE(this->Loop.runUntil(
+        [&] { return this->Pool.connections(this->Server.Address) == 0; }, 5s))
+        << BodyBytes;
+    const Duration After = EventLoop::now() - From;
+    EXPECT_GT(After, 3500ms);
+    this->RecordProperty("idle_ms_" + std::to_string(BodyBytes),
+                         std::to_string(toMilliseconds(After)));
+    this->Pool.closeIdle(this->Server.Address);
+  }
+}
+
 // Guards against a connection that counts as failed since the process stood
 // still while it was established, and its timer ran first.
 TEST_F(UpstreamPoolTest, AConnectDuringAStandstillSucceeds) {
