--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -29,6 +29,19 @@
 static constexpr HttpParserLimits AnswerLimits{.MaxHeadBytes = 64 << 10,
                                                .MaxBodyBytes = 16 << 20};
 
+/// Refusals that one connection may carry; it is closed with the last of them.
+static constexpr std::size_t MaxRefusedCalls = 32;
+
+/// How long an upstream that has ended an answer without a length may take
+/// nothing of the rest of its request. A sound one may pause for a second or
+/// so.
+static constexpr auto MaxRestPause = std::chrono::seconds(2);
+/// How long such an answer waits for a reset once the rest is acknowledged. The
+/// upstream may not have read what its kernel has taken, and closing the
+/// connection resets it then.
+static constexpr auto RestSettleTime = std::chrono::milliseconds(100);
+static constexpr auto RestCheckInterval = std::chrono::milliseconds(10);
+
 /// Longer requests may fill the receive window of an upstream that does not
 /// read.
 static constexpr std::size_t LongRequestBytes = 32 << 10;
@@ -98,6 +111,13 @@
   bool isUsable(TimePoint Now, Duration MaxIdle) const {
     return Now < this->KeepUntil && Now - this->IdleSince < MaxIdle;
   }
+  /// Returns whether the connection may carry the call \p Id, which it has not
+  /// refused. Distinct calls may count as one, which costs a new connection.
+  bool mayCarry(const std::string &Id) const {
+    return std::find(this->RefusedCalls.begin(), this->RefusedCalls.end(),
+                     std::hash<std::string>()(Id)) == this->RefusedCalls.end();
+  }
+  void noteRefusal();
   const SocketAddress &address() const { return this->To; }
 
 private:
@@ -110,6 +130,11 @@
   void onConnected();
   void onReadable();
   void onEvent(short What);
+  std::size_t untakenBytes() const;
+  void onRestCheck();
+  void armRestCheck();
+  void finishAnswer();
+  void finishExchange();
   bool onHead(HttpHead &Head);
   void onComplete();
   void endComplete();
@@ -136,7 +161,12 @@
   bool IsPaused = false; ///< The answer is not read on.
   bool IsForgotten = false;
   int SkippedAnswers = 0;
+  std::vector<std::size_t> RefusedCalls; ///< Hashes of their ids.
+  /// Of the request, not taken by the upstream after it has ended its answer.
+  std::size_t Rest = 0;
+  TimePoint RestChangedAt;
   sigc::connection ConnectTimer;
+  sigc::connection RestTimer;
 };
 
 UpstreamConnection::UpstreamConnection(UpstreamPool &Pool, SocketAddress To)
@@ -378,11 +408,69 @@
   // What arrived before the end is read first.
   this->IsPaused = false;
   this->onReadable();
-  if (this->Current && (What & BEV_EVENT_EOF) && !(What & BEV_EVENT_ERROR) &&
-      !this->HasFraming && this->Parser.isInMessage())
-    this->Parser.finish();
   if (!this->Current)
     return;
+  const bool EndsAnswer = (What & BEV_EVENT_EOF) && !(What & BEV_EVENT_ERROR) &&
+                          !this->AnswerDone && !this->HasFraming &&
+                          this->Parser.isInMessage();
+  if (!EndsAnswer) {
+    this->finishExchange();
+    return;
+  }
+  this->Rest = this->untakenBytes();
+  this->RestChangedAt = EventLoop::now();
+  // A reset may have arrived behind the end of the answer.
+  if (this->Rest > 0 || isPending(this->Event.get(), 0))
+    this->armRestCheck();
+  else
+    this->finishAnswer();
+}
+
+/// Returns how much of the request is not written or not acknowledged.
+std::size_t UpstreamConnection::untakenBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(this->Event.get())) +
+         unacknowledgedBytes(bufferevent_getfd(this->Event.get())).value_or(0);
+}
+
+void UpstreamConnection::armRestCheck() {
+  this->RestTimer.disconnect();
+  this->RestTimer = this->Pool.Loop.timers().after(RestCheckInterval, [this] {
+    guard(this, "upstream.rest",
+          [](UpstreamConnection &Of) { Of.onRestCheck(); });
+  });
+}
+
+/// Checks whether the upstream takes the rest of the request. It has ended an
+/// answer without a length before, and whether that is whole shows only then.
+void UpstreamConnection::onRestCheck() {
+  if (!this->Current)
+    return;
+  const TimePoint Now = EventLoop::now();
+  const std::size_t Left = this->untakenBytes();
+  if (std::exchange(this->Rest, Left) != Left)
+    this->RestChangedAt = Now;
+  const Duration Since = Now - this->RestChangedAt;
+  const bool HasError = isPending(this->Event.get(), 0);
+  if (HasError || (Left > 0 && Since >= MaxRestPause)) {
+    if (HasError)
+      this->Current->Cause = UpstreamCause::Reset;
+    this->end(UpstreamEnd::Cut, false);
+  } else if (Left == 0 && Since >= RestSettleTime) {
+    this->finishAnswer();
+  } else {
+    this->armRestCheck();
+  }
+}
+
+/// Ends an answer without a length at the end of its connection.
+void UpstreamConnection::finishAnswer() {
+  this->Parser.finish();
+  if (this->Current)
+    this->finishExchange();
+}
+
+/// Ends the exchange, whose connection has ended.
+void UpstreamConnection::finishExchange() {
   if (this->AnswerDone)
     this->endComplete();
   else
@@ -392,6 +480,7 @@
 void UpstreamConnection::end(UpstreamEnd How, bool Reuse) {
   const auto Self = this->shared_from_this();
   this->ConnectTimer.disconnect();
+  this->RestTimer.disconnect();
   UpstreamExchangeEvents Handlers = std::move(this->Events);
   this->Events = {};
   this->Current->Connection.reset();
@@ -407,6 +496,7 @@
 
 void UpstreamConnection::cancel() {
   this->ConnectTimer.disconnect();
+  this->RestTimer.disconnect();
   // The handlers stay, since one of them may be running.
   this->Current = nullptr;
   this->Pool.forget(this->shared_from_this());
@@ -424,6 +514,15 @@
     bufferevent_trigger(this->Event.get(), EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void UpstreamConnection::noteRefusal() {
+  this->RefusedCalls.push_back(std::hash<std::string>()(this->Settings.CallId));
+  // The copy of a refusal cannot be told from another answer to a call without
+  // an id.
+  if (this->Settings.CallId.empty() ||
+      this->RefusedCalls.size() >= MaxRefusedCalls)
+    this->KeepAlive = false;
+}
+
 bool UpstreamConnection::hasUnreadInput() const {
   return this->Connected && galenaroute::hasUnreadInput(this->Event.get());
 }
@@ -438,6 +537,11 @@
   return Open && Open->isSilent();
 }
 
+void UpstreamExchange::noteRefusal() {
+  if (const auto Open = this->Connection.lock())
+    Open->noteRefusal();
+}
+
 void UpstreamExchange::pauseReading() {
   if (const auto Open = this->Connection.lock())
     Open->pauseReading();
@@ -462,23 +566,30 @@
 
 UpstreamPool::~UpstreamPool() { this->SweepTimer.disconnect(); }
 
-/// Returns an idle connection to \p To that may be used, or null. Closes those
-/// that have ended or whose link is silent.
+/// Returns an idle connection to \p To that may be used for the call \p Id, or
+/// null. Closes those that have ended or whose link is silent.
 std::shared_ptr<UpstreamConnection>
-UpstreamPool::takeIdle(const SocketAddress &To, Duration MaxIdle) {
+UpstreamPool::takeIdle(const SocketAddress &To, Duration MaxIdle,
+                       const std::string &Id) {
   const TimePoint Now = EventLoop::now();
   while (true) {
     const auto It = this->Targets.find(To);
-    if (It == this->Targets.end() || It->second.Idle.empty())
+    if (It == this->Targets.end())
       return nullptr;
+    auto &Idle = It->second.Idle;
     // The connection used last is the least likely to be closing.
-    std::shared_ptr<UpstreamConnection> Last = It->second.Idle.back();
+    const auto Found =
+        std::find_if(Idle.rbegin(), Idle.rend(),
+                     [&Id](const auto &Each) { return Each->mayCarry(Id); });
+    if (Found == Idle.rend())
+      return nullptr;
+    std::shared_ptr<UpstreamConnection> Last = *Found;
     if (!Last->isUsable(Now, MaxIdle))
       return nullptr;
     // Its end, or bytes that nothing asked for, may wait for the loop.
     const bool HasUnread = Last->hasUnreadInput();
     if (!HasUnread && !Last->isSilent()) {
-      It->second.Idle.pop_back();
+      std::erase(Idle, Last);
       return Last;
     }
     log(LogLevel::Info,
@@ -494,7 +605,7 @@
                     const UpstreamExchangeSettings &Settings,
                     UpstreamExchangeEvents Events) {
   std::shared_ptr<UpstreamConnection> Connection =
-      this->takeIdle(To, Settings.MaxIdle);
+      this->takeIdle(To, Settings.MaxIdle, Settings.CallId);
   const bool IsNew = !Connection;
   if (IsNew) {
     Connection = std::make_shared<UpstreamConnection>(*this, To);
@@ -519,6 +630,11 @@
   bufferevent_enable(Connection->Event.get(), EV_READ);
   Connection->IdleSince = EventLoop::now();
   Connection->ServedBefore = true;
+  // The limit of a long request would also decide when unanswered keep-alive
+  // probes end the idle connection.
+  if (const Duration Idle = Connection->Settings.UserTimeout;
+      std::exchange(Connection->UserTimeout, Idle) != Idle)
+    setUserTimeout(bufferevent_getfd(Connection->Event.get()), Idle);
   this->Targets[Connection->To].Idle.push_back(Connection);
 }
 
