tests: free addresses of their own for TCP and UDP

A fleet of a test was not ready within 3 s of its start, or saw no crash, when tests ran beside each other. freeAddress() listened on a TCP port of 127.0.0.1 and closed it again: the port could be in use for UDP, or be taken by another test or an outgoing connection before the gateway bound it. EntryChannelTest.WaitsForAnAddressThatIsInUse used the fixed port 21731.

Each process now takes ports of a loopback address that follows from its process id, outside the range of outgoing connections, bound once for TCP and once for UDP before they are given out, and gives none out twice until all 22,000 were. RawSocket.h, ProcessHarness, ClusterTest and EntryChannelTest use this one function, so soaks no longer share 127.0.0.1 either.

--- a/tests/ClusterTest.cpp
+++ b/tests/ClusterTest.cpp
@@ -2,6 +2,7 @@
 // in one process and one event loop.
 
 #include "EngineEmulator.h"
+#include "FreeAddress.h"
 #include "GeneratedText.h"
 #include "PlatformEmulator.h"
 #include "ServiceEmulator.h"
@@ -94,12 +95,6 @@
         });
   }
 
-  static SocketAddress freeAddress() {
-    EventLoop Loop;
-    HttpServer Server(Loop, {});
-    return {"127.0.0.1", Server.listen(AnyPort)};
-  }
-
   void waitFor(const std::function<bool()> &Done) {
     const TimePoint End = EventLoop::now() + 20s;
     while (!Done())
--- a/tests/RawSocket.h
+++ b/tests/RawSocket.h
@@ -4,6 +4,7 @@
 #ifndef GALENAROUTE_TESTS_RAWSOCKET_H
 #define GALENAROUTE_TESTS_RAWSOCKET_H
 
+#include "FreeAddress.h"
 #include "connection/HttpTypes.h"
 
 #include <algorithm>
@@ -183,9 +184,6 @@
   int Socket;
 };
 
-/// Returns a loopback address with a port that is currently unused.
-inline SocketAddress freeAddress() { return RawListener().Address; }
-
 } // namespace galenaroute
 
 #endif // GALENAROUTE_TESTS_RAWSOCKET_H
--- a/tests/SharedUseTest.cpp
+++ b/tests/SharedUseTest.cpp
@@ -2,6 +2,7 @@
 // that many gateways make with them at the same time.
 
 #include "request/SharedUse.h"
+#include "FreeAddress.h"
 #include "process/EntryChannel.h"
 #include "process/ErrorKind.h"
 #include "request/UpstreamTable.h"
@@ -117,8 +118,8 @@
 // Guards against a process that crashes on a foreign or truncated datagram.
 TEST(EntryChannelTest, DropsMalformedDatagramsAndDeliversOthers) {
   EventLoop Loop;
-  const SocketAddress First{"127.0.0.1", 21731};
-  const SocketAddress Second{"127.0.0.1", 21732};
+  const SocketAddress First = freeAddress();
+  const SocketAddress Second = freeAddress();
   std::vector<std::string> From;
   EntryChannel Here(Loop, First, [&](const GossipMessage &Message) {
     From.push_back(Message.Status.From);
@@ -135,8 +136,8 @@
 // a start that fails while the predecessor still has the address.
 TEST(EntryChannelTest, WaitsForAnAddressThatIsInUse) {
   EventLoop Loop;
-  const SocketAddress Here{"127.0.0.1", 21731};
-  const SocketAddress There{"127.0.0.1", 21732};
+  const SocketAddress Here = freeAddress();
+  const SocketAddress There = freeAddress();
   std::vector<std::string> Before;
   std::vector<std::string> After;
   std::optional<EntryChannel> Predecessor;
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -1,12 +1,13 @@
 #include "process/ProcessHarness.h"
 
+#include "FreeAddress.h"
+
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <netinet/in.h>
-#include <set>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -170,24 +171,7 @@
 }
 
 SocketAddress ProcessHarness::freeAddress() {
-  // The kernel may give out a closed port again at once, so the ports given
-  // out by this process are kept.
-  static std::set<std::uint16_t> Given;
-  while (true) {
-    const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in Bound{};
-    Bound.sin_family = AF_INET;
-    Bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Size = sizeof(Bound);
-    const bool IsBound =
-        bind(Socket, reinterpret_cast<sockaddr *>(&Bound), Size) == 0 &&
-        getsockname(Socket, reinterpret_cast<sockaddr *>(&Bound), &Size) == 0;
-    close(Socket);
-    if (!IsBound)
-      throw std::runtime_error("no free port");
-    if (Given.insert(ntohs(Bound.sin_port)).second)
-      return {"127.0.0.1", ntohs(Bound.sin_port)};
-  }
+  return galenaroute::freeAddress();
 }
 
 Program &ProcessHarness::start(const std::string &Name,
