StreamOriginStore: records outlast a gateway that cannot store them

Only the store told other gateways which version began a stream.

A gateway whose records were not stored for three periods now tells them to two gateways that reach the platform, over the gossip channel, each record twice. These keep them in memory and write them with their own object. Nothing is sent while writes succeed or no records are needed. Records received before a restoration of the platform are written again after it. The functions of ForwardGateway for streams move to a file of their own.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -228,42 +228,6 @@
           .MaxClockError = this->Settings.MaxClockError};
 }
 
-StreamOriginStoreParts ForwardGateway::streamStoreParts() {
-  return {
-      .Loop = this->Loop,
-      .Api = this->Parts.Api,
-      .Streams = this->Services.Streams,
-      .NodeId = this->Settings.NodeId,
-      .NeedsRecords = [this] { return this->SoftwareVersions.needsRecords(); },
-      .GatewayCount = [this] { return this->gatewayCount(); }};
-}
-
-/// Lets calls find where the streams began that their callers take up.
-void ForwardGateway::connectStreams() {
-  this->Services.OnlyVersion = [this](std::string_view Service) {
-    return this->SoftwareVersions.onlyVersion(Service);
-  };
-  this->Services.UnsettledVersions = [this](std::string_view Service) {
-    return this->SoftwareVersions.unsettledVersions(Service);
-  };
-  this->Services.VersionsViewAge = [this] {
-    return this->SoftwareVersions.viewAge();
-  };
-  this->SoftwareVersions.Settled.connect([this] { this->wakeQueues(); });
-  this->Services.ListStreams = [this] { this->StreamStore.list(); };
-  this->StreamStore.Listed.connect([this](const StreamOrigins *Stored) {
-    this->Services.StreamsListed.emit(Stored);
-  });
-}
-
-VersionsByService ForwardGateway::registeredVersions() const {
-  VersionsByService Result;
-  for (const auto &[Id, Entry] : this->Upstreams.entries())
-    if (this->ResumableServices.contains(Entry.Registered.Service))
-      Result[Entry.Registered.Service].insert(Entry.Registered.SoftwareVersion);
-  return Result;
-}
-
 /// Lets calls and the choice of upstreams use the shared rate limits.
 void ForwardGateway::connectRates() {
   this->Upstreams.PermissionOf = [this](const UpstreamEntry &Entry) {
@@ -941,6 +905,8 @@
     this->onWeightNotices(Message.Weights);
   if (!Message.Rates.From.empty())
     this->Rates.receive(Message.Rates);
+  if (!Message.Streams.empty())
+    this->StreamStore.receive(Message.Streams);
   if (Message.Store)
     this->Stores.receive(*Message.Store);
   if (Message.Objects)
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -165,6 +165,7 @@
   RateExchangeParts rateParts();
   SoftwareVersionStoreParts softwareVersionParts();
   StreamOriginStoreParts streamStoreParts();
+  void tellStreams(const StreamRecordNews &News);
   void connectStreams();
   VersionsByService registeredVersions() const;
   void connectRates();
--- /dev/null
+++ b/src/process/ForwardGatewayStreams.cpp
@@ -0,0 +1,55 @@
+// The origins of streams at ForwardGateway: what stores them, and which calls
+// use them. See docs/design/software-versions.md.
+
+#include "process/ForwardGateway.h"
+#include "process/GossipMessages.h"
+
+namespace galenaroute {
+
+StreamOriginStoreParts ForwardGateway::streamStoreParts() {
+  return {
+      .Loop = this->Loop,
+      .Api = this->Parts.Api,
+      .Streams = this->Services.Streams,
+      .NodeId = this->Settings.NodeId,
+      .NeedsRecords = [this] { return this->SoftwareVersions.needsRecords(); },
+      .GatewayCount = [this] { return this->gatewayCount(); },
+      .Tell =
+          [this](const StreamRecordNews &News) { this->tellStreams(News); }};
+}
+
+/// Sends records that cannot be stored to gateways that store them.
+void ForwardGateway::tellStreams(const StreamRecordNews &News) {
+  const std::string Bytes = encodeGossip({.Streams = News});
+  for (const SocketAddress &To : chooseRecordKeepers(
+           this->Entries.alive(EventLoop::now()), this->Settings.NodeId))
+    this->Channel->send(To, Bytes);
+}
+
+/// Lets calls find where the streams began that their callers take up.
+void ForwardGateway::connectStreams() {
+  this->Services.OnlyVersion = [this](std::string_view Service) {
+    return this->SoftwareVersions.onlyVersion(Service);
+  };
+  this->Services.UnsettledVersions = [this](std::string_view Service) {
+    return this->SoftwareVersions.unsettledVersions(Service);
+  };
+  this->Services.VersionsViewAge = [this] {
+    return this->SoftwareVersions.viewAge();
+  };
+  this->SoftwareVersions.Settled.connect([this] { this->wakeQueues(); });
+  this->Services.ListStreams = [this] { this->StreamStore.list(); };
+  this->StreamStore.Listed.connect([this](const StreamOrigins *Stored) {
+    this->Services.StreamsListed.emit(Stored);
+  });
+}
+
+VersionsByService ForwardGateway::registeredVersions() const {
+  VersionsByService Result;
+  for (const auto &[Id, Entry] : this->Upstreams.entries())
+    if (this->ResumableServices.contains(Entry.Registered.Service))
+      Result[Entry.Registered.Service].insert(Entry.Registered.SoftwareVersion);
+  return Result;
+}
+
+} // namespace galenaroute
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -479,6 +479,39 @@
   return Result;
 }
 
+static json toJson(const StreamRecordNews &News) {
+  json Groups = json::array();
+  for (const StreamRecordGroup &Each : News)
+    Groups.push_back({Each.Origin.Service, Each.Origin.Version, Each.Keys});
+  return {{"streams", std::move(Groups)}};
+}
+
+static std::string newsNameFromJson(const json &Value) {
+  std::string Name = Value;
+  if (Name.empty() || Name.size() > MaxNewsNameBytes)
+    throw Error(ErrorKind::BadRequest, "malformed origin of streams");
+  return Name;
+}
+
+static StreamRecordNews streamsFromJson(const json &Value) {
+  StreamRecordNews Result;
+  std::size_t Records = 0;
+  for (const json &Group : Value.at("streams")) {
+    Records += Group.at(2).size();
+    if (Records > MaxNewsRecords || Result.size() >= MaxNewsOrigins)
+      throw Error(ErrorKind::BadRequest, "too many records of streams");
+    StreamRecordGroup Read{.Origin = {newsNameFromJson(Group.at(0)),
+                                      newsNameFromJson(Group.at(1))}};
+    for (const json &Key : Group.at(2)) {
+      if (!Key.is_number_unsigned())
+        throw Error(ErrorKind::BadRequest, "malformed key of a stream");
+      Read.Keys.push_back(Key);
+    }
+    Result.push_back(std::move(Read));
+  }
+  return Result;
+}
+
 std::string encodeGossip(const GossipMessage &Message) {
   json Value = json::array();
   if (Message.Store)
@@ -491,6 +524,8 @@
     Value = toJson(std::span<const WeightNotice>(Message.Weights));
   else if (!Message.Rates.From.empty())
     Value = toJson(Message.Rates);
+  else if (!Message.Streams.empty())
+    Value = toJson(Message.Streams);
   else if (!Message.Digest.From.empty())
     Value = toJson(Message.Digest);
   else if (!Message.Added.From.empty())
@@ -523,6 +558,8 @@
     Result.Weights = weightsFromJson(Value);
   else if (Value.is_object() && Value.contains("rates"))
     Result.Rates = ratesFromJson(Value);
+  else if (Value.is_object() && Value.contains("streams"))
+    Result.Streams = streamsFromJson(Value);
   else if (Value.is_object() && Value.contains("digest"))
     Result.Digest = digestFromJson(Value);
   else if (Value.is_object() && Value.contains("added"))
--- a/src/process/GossipMessages.h
+++ b/src/process/GossipMessages.h
@@ -9,7 +9,8 @@
 // the entries of one availability zone. Crash reports go to a few entries or to
 // all, see CrashExchange. Weight notices go along with entry records, see
 // AnnouncedWeights. Rate messages go to the entry that issues permits for
-// an upstream, and back, see RateShares.
+// an upstream, and back, see RateShares. Records of streams go to two entries
+// that store them, see StreamRecordNews.
 
 #ifndef GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
 #define GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
@@ -18,6 +19,7 @@
 #include "process/RateShares.h"
 #include "process/StatusRelay.h"
 #include "process/StoreFollower.h"
+#include "process/StreamRecordNews.h"
 #include "request/CrashRecord.h"
 #include "version/AnnouncedWeights.h"
 
@@ -40,6 +42,7 @@
   std::vector<CrashReport> Crashes;
   std::vector<WeightNotice> Weights;
   RateMessage Rates; ///< Empty if From is empty.
+  StreamRecordNews Streams;
 };
 
 std::string encodeGossip(const GossipMessage &Message);
--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -49,17 +49,66 @@
   this->Timer = this->Parts.Loop.timers().after(
       periodFor(this->Parts.GatewayCount()), [this] { this->tick(); });
   this->Parts.Streams.expire(Now);
-  if (!this->HasListed) {
+  if (!this->HasListed)
     this->list();
+  if (!this->Parts.NeedsRecords()) {
+    this->Progress.UnstoredSince.reset();
     return;
   }
-  if (this->Parts.NeedsRecords())
+  if (this->HasListed)
     this->storeRecords();
+  this->tellRecords(Now);
+}
+
+bool StreamOriginStore::hasUnstored() const {
+  return this->Progress.Stored != this->Parts.Streams.countBegun() ||
+         this->StoredReceived != this->ReceivedCount;
+}
+
+/// Tells others the records of this process if they could not be stored for
+/// some periods.
+void StreamOriginStore::tellRecords(TimePoint Now) {
+  if (this->Progress.Stored == this->Parts.Streams.countBegun())
+    return;
+  if (!this->Progress.UnstoredSince)
+    this->Progress.UnstoredSince = Now;
+  if (!isStoringLate(this->Progress, Now,
+                     periodFor(this->Parts.GatewayCount())))
+    return;
+  if (!std::exchange(this->IsTelling, true))
+    log(LogLevel::Warn, "streams.told",
+        {{"message", "records cannot be stored; other gateways get them"}});
+  const StreamRecordNews News = takeNews(this->Parts.Streams, this->Progress);
+  if (!News.empty() && this->Parts.Tell)
+    this->Parts.Tell(News);
+}
+
+void StreamOriginStore::onStored(std::uint64_t Begun, std::uint64_t Received) {
+  this->Progress.Stored = Begun;
+  this->Progress.UnstoredSince.reset();
+  this->StoredReceived = Received;
+  if (std::exchange(this->IsTelling, false))
+    log(LogLevel::Info, "streams.stored_again", {});
+}
+
+void StreamOriginStore::receive(const StreamRecordNews &News) {
+  const TimePoint Now = EventLoop::now();
+  for (const StreamRecordGroup &Group : News)
+    for (const StreamKey Key : Group.Keys) {
+      // A repeated message needs no write.
+      const auto &Known = this->Parts.Streams.records();
+      const auto Found = Known.find(Key);
+      const bool IsNews =
+          Found == Known.end() || !(Found->second.Origin == Group.Origin);
+      this->Parts.Streams.add(Key, Group.Origin, Now);
+      this->ReceivedCount += IsNews;
+    }
 }
 
 void StreamOriginStore::onEraChanged() {
   this->IsOwnUnknown = true;
-  this->StoredCount = 0;
+  this->Progress.Stored = 0;
+  this->StoredReceived = 0;
 }
 
 void StreamOriginStore::list() {
@@ -180,7 +229,7 @@
 
 /// Stores the records of this process if there are new ones.
 void StreamOriginStore::storeRecords() {
-  if (this->IsWriting || this->StoredCount == this->Parts.Streams.countBegun())
+  if (this->IsWriting || !this->hasUnstored())
     return;
   if (this->IsOwnUnknown) {
     this->readOwn();
@@ -200,14 +249,15 @@
       this->ownKey(),
       {{"written_ms", wallMilliseconds()}, {"streams", std::move(Groups)}},
       this->OwnRevision,
-      [this, Count = this->Parts.Streams.countBegun(),
+      [this, Begun = this->Parts.Streams.countBegun(),
+       Received = this->ReceivedCount,
        Alive = std::weak_ptr(this->Alive)](const PlatformResult &Written) {
         if (Alive.expired())
           return;
         this->IsWriting = false;
         if (Written.Status == PlatformStatus::Ok) {
           this->OwnRevision = Written.Object.Version;
-          this->StoredCount = Count;
+          this->onStored(Begun, Received);
         } else if (Written.Status != PlatformStatus::Unavailable) {
           this->IsOwnUnknown = true;
         }
--- a/src/process/StreamOriginStore.h
+++ b/src/process/StreamOriginStore.h
@@ -9,7 +9,8 @@
 // Each gateway has an object for each era of the platform (see PlatformEra.h)
 // with the records of the streams that it began. It is written at most once a
 // period, and only while streams are taken up by their records, see
-// SoftwareVersionStore.
+// SoftwareVersionStore. While it cannot be written, the records are told to
+// other gateways, which store them with their own.
 //
 // Guarantees: a process that has just started keeps the records that its
 // predecessor stored; nothing waits for a write. All gateways together make
@@ -20,6 +21,7 @@
 
 #include "connection/PlatformClient.h"
 #include "process/EventLoop.h"
+#include "process/StreamRecordNews.h"
 #include "request/StreamOrigins.h"
 
 #include <functional>
@@ -35,6 +37,8 @@
   /// Returns whether streams are taken up by their records.
   std::function<bool()> NeedsRecords;
   std::function<std::size_t()> GatewayCount;
+  /// Sends records to gateways that store them.
+  std::function<void(const StreamRecordNews &)> Tell;
 };
 
 class StreamOriginStore {
@@ -49,6 +53,9 @@
   /// To be called when the platform was restored from a copy.
   void onEraChanged();
 
+  /// Keeps and stores the records of a gateway that cannot store them.
+  void receive(const StreamRecordNews &News);
+
   /// Reads the stored records of all gateways; one call serves all that wait.
   void list();
   /// Emitted after each list, with null if it failed. The records are valid
@@ -69,7 +76,10 @@
   void readRecords(const PlatformObject &Object);
   void adoptOwn(const PlatformObject &Object);
   void removeOutdated(const PlatformObject &Object, std::int64_t WrittenMs);
+  bool hasUnstored() const;
   void storeRecords();
+  void tellRecords(TimePoint Now);
+  void onStored(std::uint64_t Begun, std::uint64_t Received);
   void readOwn();
   ObjectKey keyOf(const std::string &Name) const;
   ObjectKey ownKey() const;
@@ -83,7 +93,10 @@
   /// The own object may have another revision than OwnRevision.
   bool IsOwnUnknown = true;
   bool IsWriting = false;
-  std::uint64_t StoredCount = 0; ///< Streams begun until the last write.
+  StreamRecordProgress Progress;
+  bool IsTelling = false;           ///< Records are told at present.
+  std::uint64_t ReceivedCount = 0;  ///< Records of other gateways.
+  std::uint64_t StoredReceived = 0; ///< The same until the last write.
   sigc::connection Timer;
   // Platform callbacks hold a weak pointer to it and do nothing once it has
   // expired.
--- a/src/request/StreamOrigins.cpp
+++ b/src/request/StreamOrigins.cpp
@@ -43,7 +43,7 @@
   if (Added == nullptr)
     return false;
   Added->IsOpen = true;
-  ++this->Begun;
+  Added->Number = ++this->Begun;
   return true;
 }
 
--- a/src/request/StreamOrigins.h
+++ b/src/request/StreamOrigins.h
@@ -58,6 +58,9 @@
     TimePoint Until;
     bool IsOpen = false;      ///< A run forwards it.
     bool IsAmbiguous = false; ///< There are records that do not agree.
+    /// The count of begun streams when this process began to forward it last;
+    /// 0 for a stream of another process.
+    std::uint64_t Number = 0;
   };
 
   /// Returns whether the stream is recorded.
--- a/tests/StreamOriginStoreTest.cpp
+++ b/tests/StreamOriginStoreTest.cpp
@@ -2,9 +2,11 @@
 
 #include "process/StreamOriginStore.h"
 #include "FakePlatform.h"
+#include "process/GossipMessages.h"
 #include "process/SoftwareVersionStore.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace galenaroute {
 namespace {
@@ -36,7 +38,13 @@
                .Streams = this->Streams,
                .NodeId = NodeId,
                .NeedsRecords = [this] { return this->Sets.needsRecords(); },
-               .GatewayCount = [] { return std::size_t{2}; }}) {
+               .GatewayCount = [] { return std::size_t{2}; },
+               .Tell =
+                   [this](const StreamRecordNews &News) {
+                     this->Told.push_back(News);
+                     if (this->Keeper)
+                       this->Keeper->Store.receive(News);
+                   }}) {
     this->Sets.setServices({{"s", "t"}});
     this->Drain = Loop.timers().every(2ms, [this] { this->Api.drain(10); });
     this->Store.Listed.connect([this](const StreamOrigins *Stored) {
@@ -61,6 +69,8 @@
   std::set<std::string> Versions;
   std::set<std::string> OtherVersions; ///< Of another service.
   StreamOrigins Streams;
+  std::vector<StreamRecordNews> Told;
+  Process *Keeper = nullptr; ///< Gets what is told.
   SoftwareVersionStore Sets;
   StreamOriginStore Store;
 
@@ -248,5 +258,119 @@
   EXPECT_EQ(First->list(7), std::nullopt);
 }
 
+// Guards against streams that end with a gateway which the platform turned
+// away, since no other process knows their origin.
+TEST_F(StreamOriginStoreTest, RecordsOfAGatewayWithoutPlatformAreStored) {
+  auto Cut = this->start("n0", {"1", "2"});
+  auto Keeper = this->start("n1", {"1", "2"});
+  Cut->Keeper = Keeper.get();
+  this->wait(300ms);
+  Cut->Api.Outage = true;
+  Cut->Streams.noteBegun(7, Old, EventLoop::now());
+  Cut->Streams.noteBegun(8, New, EventLoop::now());
+  this->wait(1200ms);
+  EXPECT_EQ(Keeper->Streams.find(7), Old);
+  EXPECT_EQ(Cut->Told.size(), 2U) << "repeated once";
+  Cut.reset();
+  Keeper.reset();
+  const auto Next = this->start("n2", {"1", "2"});
+  EXPECT_EQ(Next->list(7), Old);
+  EXPECT_EQ(Next->list(8), New);
+}
+
+// Guards against messages for each stream at all times.
+TEST_F(StreamOriginStoreTest, NothingIsToldWhileRecordsAreStored) {
+  const auto First = this->start("n0", {"1", "2"});
+  this->wait(100ms);
+  for (StreamKey Key = 0; Key < 100; ++Key) {
+    First->Streams.noteBegun(Key, Old, EventLoop::now());
+    this->wait(10ms);
+  }
+  EXPECT_TRUE(First->Told.empty());
+}
+
+// Guards against messages for records that no gateway needs.
+TEST_F(StreamOriginStoreTest, NothingIsToldWhileNoRecordsAreNeeded) {
+  const auto First = this->start("n0", {"1"});
+  ASSERT_TRUE(
+      this->Loop.runUntil([&] { return !First->Sets.needsRecords(); }, 2s));
+  First->Api.Outage = true;
+  First->Streams.noteBegun(7, Old, EventLoop::now());
+  this->wait(1s);
+  EXPECT_TRUE(First->Told.empty());
+}
+
+// Guards against messages that are truncated, and records that are left out.
+TEST(StreamRecordNewsTest, NewsFitIntoMessagesAndTellEachRecordTwice) {
+  StreamOrigins Streams;
+  constexpr StreamKey Count = 1500;
+  for (StreamKey Key = 1; Key <= Count; ++Key)
+    Streams.noteBegun(~Key,
+                      {std::string(MaxNewsNameBytes, 's'),
+                       std::string(MaxNewsNameBytes - 1, 'v') +
+                           static_cast<char>('a' + Key * 20 / Count)},
+                      TimePoint(1s));
+  StreamRecordProgress Progress;
+  std::map<StreamKey, int> Told;
+  while (true) {
+    const StreamRecordNews News = takeNews(Streams, Progress);
+    if (News.empty())
+      break;
+    const std::string Bytes = encodeGossip({.Streams = News});
+    ASSERT_LE(Bytes.size(), MaxGossipBytes);
+    EXPECT_EQ(decodeGossip(Bytes).Streams, News);
+    for (const StreamRecordGroup &Each : News)
+      for (const StreamKey Key : Each.Keys)
+        ++Told[Key];
+  }
+  EXPECT_EQ(Told.size(), Count);
+  for (const auto &[Key, Times] : Told)
+    EXPECT_EQ(Times, 2) << Key;
+}
+
+// Guards against a datagram that fills the memory or adds wrong records.
+TEST(StreamRecordNewsTest, MalformedNewsAreDropped) {
+  using nlohmann::json;
+  const auto Decode = [](const json &Streams) {
+    const auto Bytes = json::to_cbor({{"streams", Streams}});
+    return decodeGossip(
+        {reinterpret_cast<const char *>(Bytes.data()), Bytes.size()});
+  };
+  const std::vector<std::uint64_t> TooMany(MaxNewsRecords + 1, 7);
+  const std::string TooLong(MaxNewsNameBytes + 1, 's');
+  for (const json &Group :
+       {json{"s", "1", {-1}}, json{"s", "1", {"7"}}, json{"s", "1", {1.5}},
+        json{"s", "1"}, json{"s", 1, {7}}, json{"", "1", {7}},
+        json{TooLong, "1", {7}}, json{"s", "1", TooMany}, json{7}, json()})
+    EXPECT_THROW(Decode(json::array({Group})), std::exception) << Group;
+  EXPECT_THROW(Decode(json(MaxNewsOrigins + 1, {"s", "1", {7}})),
+               std::exception);
+  const auto Good = Decode(json::array({json{"s", "1", {7}}}));
+  EXPECT_EQ(Good.Streams, (StreamRecordNews{{Old, {7}}}));
+}
+
+// Guards against records that are told to gateways which cannot store them.
+TEST(StreamRecordNewsTest, KeepersReachThePlatform) {
+  std::vector<EntryRecord> All(8);
+  for (std::size_t I = 0; I < All.size(); ++I) {
+    All[I].Id = "n" + std::to_string(I);
+    All[I].Gossip = {All[I].Id, 1};
+    All[I].ReachesPlatform = I != 1;
+    All[I].IsLeaving = I == 2;
+  }
+  std::set<std::string> Chosen;
+  for (const EntryRecord &Self : All) {
+    const auto Keepers = chooseRecordKeepers(All, Self.Id);
+    ASSERT_EQ(Keepers.size(), 2U);
+    for (const SocketAddress &Each : Keepers) {
+      EXPECT_NE(Each.Host, Self.Id);
+      Chosen.insert(Each.Host);
+    }
+  }
+  EXPECT_FALSE(Chosen.contains("n1"));
+  EXPECT_FALSE(Chosen.contains("n2"));
+  EXPECT_GT(Chosen.size(), 2U) << "spread over the others";
+}
+
 } // namespace
 } // namespace galenaroute
