process soak: the store turns single daemons away, versions come in series, refusals are copied

The users' record of streams joined from two software versions has what the soak lacked. Each daemon reaches the store at an address of its own, where single daemons are turned away for 0.2 to 5 s by silence, 503, 429 or resets; new versions register every few seconds, also beside that, beside freezes and kills of all daemons, and old ones leave; upstreams come back under their id with the same version, and register up to 3 s after the daemons' start; 30 in 100 refusals are copied up to 50 ms later; settings files say whether the whole system starts for the first time.

A daemon that is turned away counts as disturbed where take-ups are counted and while it starts, as with a store that stands still.

--- a/soak/process/Parts.h
+++ b/soak/process/Parts.h
@@ -31,13 +31,16 @@
   std::string Version; ///< Of its software.
   // Of callers.
   std::vector<std::string> Daemons; ///< Addresses.
+  /// Of callers or misbehaving clients; of the store, daemons.
   std::size_t Count = 0;
   std::string Prefix; ///< Of the ids of requests.
   /// Of misbehaving clients, in which they open their connections; of the
   /// store, in which another writer changes entries.
   std::int64_t LengthMs = 0;
   // Of the store.
-  std::string AddressFile; ///< To which it writes its address.
+  /// To which it writes its address, the one for control, and those for the
+  /// daemons, one a line.
+  std::string AddressFile;
 };
 
 void runUpstream(const PartOptions &Options);
--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -115,7 +115,8 @@
     const TimePoint From = std::max(Each.StartedAt, *Each.AloneAt);
     const Duration Frozen =
         overlap(spansOf(History.Freezes, Each.Daemon), From, Until) +
-        overlap(History.StoreFreezes, From, Until);
+        overlap(History.StoreFreezes, From, Until) +
+        overlap(spansOf(History.TurnedAway, Each.Daemon), From, Until);
     if (Until - From > Bounds.Recovery + Frozen)
       Found.push_back({"each start ends up serving", "",
                        "daemon " + std::to_string(Each.Daemon) + " process " +
@@ -380,7 +381,9 @@
     const TimePoint From = Request.SentAt - Bounds.Contact;
     const TimePoint Until = Request.FirstEventAt.value_or(Request.EndedAt);
     if (wasDisturbed(History, Request.Daemon, From, Until) ||
-        overlap(History.StoreFreezes, From, Until) > Duration::zero())
+        overlap(History.StoreFreezes, From, Until) > Duration::zero() ||
+        overlap(spansOf(History.TurnedAway, Request.Daemon), From, Until) >
+            Duration::zero())
       continue;
     const bool HasBegun = Request.Status == 200 && Request.FirstEventAt;
     if (Request.First.empty()) {
--- a/soak/process/ProcessHistory.cpp
+++ b/soak/process/ProcessHistory.cpp
@@ -71,6 +71,10 @@
     Open.erase(Found);
   };
   for (const JournalLine &Line : Lines) {
+    if (Line.Event == "copied") {
+      ++History.Copies;
+      continue;
+    }
     if (Line.Event == "accepted") {
       Close(Line.Call);
       Open[Line.Call] = {.Upstream = Upstream,
@@ -99,6 +103,22 @@
     Close(std::string(Open.begin()->first));
 }
 
+void readStore(const std::vector<JournalLine> &Lines, ProcessHistory &History) {
+  std::map<std::size_t, TimePoint> Open;
+  for (const JournalLine &Line : Lines) {
+    const std::size_t Daemon = std::stoul(Line.Call);
+    if (Line.Event == "turned_away") {
+      Open.emplace(Daemon, Line.At);
+    } else if (const auto Found = Open.find(Daemon);
+               Line.Event == "served" && Found != Open.end()) {
+      History.TurnedAway[Daemon].push_back({Found->second, Line.At});
+      Open.erase(Found);
+    }
+  }
+  for (const auto &[Daemon, Since] : Open)
+    History.TurnedAway[Daemon].push_back({Since, History.EndedAt});
+}
+
 void readSanitizerReports(std::size_t Daemon, std::istream &Log,
                           ProcessHistory &History) {
   for (std::string Line; std::getline(Log, Line);)
--- a/soak/process/ProcessHistory.h
+++ b/soak/process/ProcessHistory.h
@@ -108,6 +108,9 @@
   std::vector<LifeView> Lives;
   std::map<std::size_t, std::vector<Span>> Freezes; ///< Of daemons.
   std::vector<Span> StoreFreezes;
+  /// When the store did not serve a daemon.
+  std::map<std::size_t, std::vector<Span>> TurnedAway;
+  std::size_t Copies = 0; ///< Of refusals, that upstreams wrote.
   std::map<std::string, std::vector<Span>> Silences; ///< By upstream.
   std::map<std::string, UpstreamView> Upstreams;
   /// When upstreams were killed or had left.
@@ -122,6 +125,8 @@
 void readUpstream(const std::string &Upstream,
                   const std::vector<JournalLine> &Lines,
                   ProcessHistory &History);
+/// Notes when the store turned daemons away.
+void readStore(const std::vector<JournalLine> &Lines, ProcessHistory &History);
 /// Notes what sanitizers have written to a daemon's log.
 void readSanitizerReports(std::size_t Daemon, std::istream &Log,
                           ProcessHistory &History);
--- a/soak/process/ProcessPlan.cpp
+++ b/soak/process/ProcessPlan.cpp
@@ -1,6 +1,7 @@
 #include "ProcessPlan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 
 namespace galenaroute::process_soak {
@@ -34,18 +35,93 @@
     {DeedKind::KillAndRewrite, 5000, 12000, 20, 300},
     {DeedKind::KillAll, 6000, 12000, 200, 2500},
     {DeedKind::DropRoutes, 1500, 4000, 50, 800},
+    {DeedKind::TurnAway, 1500, 4000, 200, 5000},
+    {DeedKind::RollOut, 2000, 5000, 100, 1000},
+    {DeedKind::ReturnUpstream, 2500, 7000, 100, 1500},
 };
+/// Upstreams register again up to this long after all daemons have started.
+constexpr std::uint64_t LatestReturnMs = 3000;
+/// What comes beside a new version begins at most so much sooner or later.
+constexpr std::int64_t BesideMs = 300;
 constexpr double UsualDaemons = 5;
 constexpr double UsualUpstreams = 6;
 
 bool isForDaemons(DeedKind Kind) {
   return Kind <= DeedKind::RewriteSettings || Kind == DeedKind::KillAndOccupy ||
-         Kind == DeedKind::KillAndRewrite;
+         Kind == DeedKind::KillAndRewrite || Kind == DeedKind::TurnAway;
 }
 bool isForUpstreams(DeedKind Kind) {
-  return Kind >= DeedKind::SilenceUpstream && Kind <= DeedKind::LeaveUpstream;
+  return (Kind >= DeedKind::SilenceUpstream &&
+          Kind <= DeedKind::LeaveUpstream) ||
+         Kind == DeedKind::RollOut || Kind == DeedKind::ReturnUpstream;
 }
 
+/// Draws what comes beside starts of all daemons and new versions.
+class BesideDraws {
+public:
+  BesideDraws(const PlanSettings &Settings, std::vector<Deed> &Plan)
+      : Settings(Settings), Plan(Plan), Random(Settings.Seed * 101 + 50) {}
+
+  /// Upstreams of older and newer versions register late, or again, while the
+  /// daemons start.
+  void addReturns(const Deed &KillAll) {
+    for (std::size_t I = 0; I < this->Settings.Upstreams; ++I) {
+      const Duration Away = this->drawn(
+          0, static_cast<std::uint64_t>(toMilliseconds(KillAll.For)));
+      const Duration Back = KillAll.For + this->drawn(0, LatestReturnMs);
+      const std::uint64_t Drawn = this->Random() % 6;
+      if (Drawn > 2)
+        continue;
+      this->add({.At = KillAll.At + Away,
+                 .Kind = Drawn == 0   ? DeedKind::KillUpstream
+                         : Drawn == 1 ? DeedKind::ReturnUpstream
+                                      : DeedKind::RollOut,
+                 .Target = I,
+                 .For = Back - Away,
+                 .Flag = true});
+    }
+  }
+
+  /// The store turns a daemon away, a daemon stands still, or all are killed
+  /// about when the version registers.
+  void addDisturbance(const Deed &RollOut) {
+    static constexpr DeedKind Kinds[] = {DeedKind::TurnAway, DeedKind::TurnAway,
+                                         DeedKind::TurnAway, DeedKind::Freeze,
+                                         DeedKind::Freeze,   DeedKind::KillAll};
+    const Duration At = RollOut.At + RollOut.For +
+                        this->drawn(0, 2 * BesideMs) - Milliseconds(BesideMs);
+    const DeedKind Kind = Kinds[this->Random() % std::size(Kinds)];
+    const Duration For =
+        this->drawn(200, Kind == DeedKind::TurnAway ? 5000 : 2000);
+    const std::size_t Target = this->Random() % this->Settings.Daemons;
+    const TurnAwayWay Way = this->drawnWay();
+    if (this->Random() % 4 == 0)
+      return;
+    this->add({.At = At,
+               .Kind = Kind,
+               .Target = Kind == DeedKind::KillAll ? 0 : Target,
+               .For = For,
+               .Way = Way});
+  }
+
+  TurnAwayWay drawnWay() {
+    return static_cast<TurnAwayWay>(this->Random() % 4);
+  }
+
+private:
+  Duration drawn(std::uint64_t Least, std::uint64_t Most) {
+    return Milliseconds(Least + this->Random() % (Most - Least + 1));
+  }
+  void add(const Deed &New) {
+    if (New.At >= Duration::zero() && New.At < this->Settings.Length)
+      this->Plan.push_back(New);
+  }
+
+  const PlanSettings &Settings;
+  std::vector<Deed> &Plan;
+  std::mt19937_64 Random;
+};
+
 } // namespace
 
 const char *toString(DeedKind Kind) {
@@ -64,10 +140,27 @@
                                           "kill_and_occupy",
                                           "kill_and_rewrite",
                                           "kill_all",
-                                          "drop_routes"};
+                                          "drop_routes",
+                                          "turn_away",
+                                          "roll_out",
+                                          "return_upstream"};
   return Names[static_cast<std::size_t>(Kind)];
 }
 
+static constexpr const char *WayNames[] = {"silence", "503", "429", "reset"};
+
+const char *toString(TurnAwayWay Way) {
+  return WayNames[static_cast<std::size_t>(Way)];
+}
+
+std::optional<TurnAwayWay> turnAwayWayOf(std::string_view Name) {
+  const auto *const Found =
+      std::find(std::begin(WayNames), std::end(WayNames), Name);
+  if (Found == std::end(WayNames))
+    return std::nullopt;
+  return static_cast<TurnAwayWay>(Found - std::begin(WayNames));
+}
+
 std::vector<Deed> drawPlan(const PlanSettings &Settings) {
   std::vector<Deed> Result;
   for (const DeedPlan &Each : Plans) {
@@ -99,6 +192,17 @@
                         .Flag = Random() % 2 == 0});
     }
   }
+  BesideDraws Beside(Settings, Result);
+  const std::vector<Deed> Drawn = Result;
+  for (Deed &Each : Result)
+    if (Each.Kind == DeedKind::TurnAway)
+      Each.Way = Beside.drawnWay();
+  for (const Deed &Each : Drawn) {
+    if (Each.Kind == DeedKind::KillAll)
+      Beside.addReturns(Each);
+    else if (Each.Kind == DeedKind::RollOut)
+      Beside.addDisturbance(Each);
+  }
   std::stable_sort(
       Result.begin(), Result.end(),
       [](const Deed &One, const Deed &Other) { return One.At < Other.At; });
--- a/soak/process/ProcessPlan.h
+++ b/soak/process/ProcessPlan.h
@@ -8,6 +8,8 @@
 #include "process/Clock.h"
 
 #include <cstdint>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 namespace galenaroute::process_soak {
@@ -29,18 +31,30 @@
   KillAndRewrite,  ///< The successor's settings are half written or missing.
   KillAll,         ///< SIGKILL to all daemons; successors start later.
   DropRoutes, ///< Configurations lack routes, or also a service, meanwhile.
+  TurnAway,   ///< The store does not serve one daemon.
+  RollOut,    ///< An upstream comes back with a new version; old ones leave.
+  ReturnUpstream, ///< SIGKILL; it is back under its id, of the same version.
 };
 
 const char *toString(DeedKind Kind);
 
+/// How the store turns a daemon away.
+enum class TurnAwayWay { Silence, Unavailable, TooManyRequests, Reset };
+
+const char *toString(TurnAwayWay Way);
+/// Returns the way of this name, or nothing.
+std::optional<TurnAwayWay> turnAwayWayOf(std::string_view Name);
+
 struct Deed {
   Duration At{}; ///< Since the faults begin.
   DeedKind Kind = DeedKind::Kill;
   std::size_t Target = 0;
   Duration For{}; ///< How long, or how long until the second part.
   /// Of rewritten settings: followed by SIGHUP, or missing meanwhile. Of
-  /// dropped routes: a service is dropped with them.
+  /// dropped routes: a service is dropped with them. Of a new version: the
+  /// upstream is killed, and does not leave.
   bool Flag = false;
+  TurnAwayWay Way = TurnAwayWay::Silence;
 };
 
 struct PlanSettings {
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -20,16 +20,10 @@
 
 using namespace std::chrono_literals;
 
-/// Time for daemons and upstreams to find one another.
-static constexpr Duration SettleTime = 1500ms;
 /// Requests sent this long after the recovery time are counted.
 static constexpr Duration CountedTime = 3s;
 static constexpr Duration ReapPeriod = 5ms;
 static constexpr Duration ProbePeriod = 250ms;
-static constexpr Duration CallLimit = 1s;
-static constexpr Duration StartLimit = 10s;
-/// A process that ended by itself is started again after this time.
-static constexpr Duration RestartDelay = 300ms;
 /// From the end of the grace time until a process is killed.
 static constexpr Duration KillDelay = 2s;
 /// How often and how long an address is tried to be taken.
@@ -52,10 +46,12 @@
 /// What differs between two settings files of a daemon.
 static constexpr std::string_view ChangedSetting = "budgetSlack = ";
 static constexpr int LeastSlack = 54;
-static constexpr int UpstreamPort = 9000;
+/// Before all other settings, of the first start of the whole system and of
+/// later ones.
+static constexpr std::string_view FirstStart = "bootstrap = true\n";
+static constexpr std::string_view LaterStart = "bootstrap = false\n";
 static constexpr int LockPort = 9999;
 static constexpr int Networks = 200;
-static constexpr std::size_t Services = 2;
 
 static volatile std::sig_atomic_t WasInterrupted = 0;
 
@@ -155,21 +151,6 @@
       this->pathOf(Name + ".out"), ProcessLimits());
 }
 
-void ProcessRun::startStore() {
-  const std::string File = this->pathOf("store.address");
-  this->Store = this->startPart(
-      "store",
-      {"--role", "store", "--address-file", File, "--address",
-       "127." + std::to_string(this->Places.Network) +
-           ".2.1:" + std::to_string(UpstreamPort),
-       "--length-ms",
-       std::to_string(toMilliseconds(SettleTime + this->Settings.Plan.Length)),
-       "--seed", std::to_string(this->Settings.Plan.Seed)});
-  if (!this->waitFor([&] { return std::filesystem::exists(File); }, StartLimit))
-    throw std::runtime_error("the store does not start");
-  this->StoreAddress = SocketAddress::parse(readText(File));
-}
-
 std::string ProcessRun::daemonAddresses() const {
   std::string Result;
   for (std::size_t I = 0; I < this->Daemons.size(); ++I)
@@ -233,44 +214,6 @@
              std::to_string(Life.Process));
 }
 
-/// Draws the software version of the next upstream. With even seeds all have
-/// one version until the first of them is started again.
-std::string ProcessRun::drawVersion() const {
-  const std::uint64_t Seed = this->Settings.Plan.Seed;
-  const std::size_t Started = this->UpstreamIds.size();
-  if (Seed % 2 == 0 && Started <= this->Upstreams.size())
-    return "1";
-  std::mt19937_64 Random(Seed * 1000 + Started);
-  return std::to_string(1 + Random() % this->Settings.Versions);
-}
-
-void ProcessRun::startUpstream(std::size_t Index) {
-  UpstreamPart &Part = this->Upstreams[Index];
-  if (Part.Child || this->IsEnding)
-    return;
-  Part.Id = this->Name + "u" + std::to_string(Index) + "-" +
-            std::to_string(this->UpstreamIds.size());
-  this->UpstreamIds.push_back(Part.Id);
-  Part.IsLeaving = false;
-  Part.SilentUntil = {};
-  const std::string Service = "d" + std::to_string(Index % Services);
-  const std::string Version = this->drawVersion();
-  this->History.Upstreams[Part.Id] = {.Version = Service + "/" + Version,
-                                      .StartedAt = EventLoop::now()};
-  this->note("upstream " + Part.Id + " starts with version " + Service + "/" +
-             Version);
-  Part.Child = this->startPart(
-      Part.Id,
-      {"--role", "upstream", "--id", Part.Id, "--store",
-       this->StoreAddress.toString(), "--service", Service, "--version",
-       Version, "--address",
-       "127." + std::to_string(this->Places.Network) + ".1." +
-           std::to_string(Index + 2) + ":" + std::to_string(UpstreamPort),
-       "--seed",
-       std::to_string(this->Settings.Plan.Seed * 1000 +
-                      this->UpstreamIds.size())});
-}
-
 void ProcessRun::signalDaemon(std::size_t Index, int Number) {
   DaemonPart &Part = this->Daemons[Index];
   if (Part.Running.empty())
@@ -415,45 +358,6 @@
   });
 }
 
-void ProcessRun::silenceUpstream(std::size_t Index, Duration For) {
-  UpstreamPart &Part = this->Upstreams[Index];
-  const TimePoint From = EventLoop::now();
-  // Silences that overlap would be longer than the longest that is drawn.
-  if (!Part.Child || From < Part.SilentUntil)
-    return;
-  Part.SilentUntil = From + For;
-  Part.Child->signal(SIGSTOP);
-  this->after(For, [this, Index, From, Id = Part.Id] {
-    UpstreamPart &Again = this->Upstreams[Index];
-    if (Again.Id == Id && Again.Child)
-      Again.Child->signal(SIGCONT);
-    this->History.Silences[Id].push_back({From, EventLoop::now()});
-  });
-}
-
-void ProcessRun::endUpstream(std::size_t Index, int Number, Duration Away) {
-  UpstreamPart &Part = this->Upstreams[Index];
-  if (!Part.Child || Part.IsLeaving)
-    return;
-  Part.IsLeaving = true;
-  this->History.Upstreams[Part.Id].EndsAt = EventLoop::now();
-  if (Number == SIGKILL)
-    this->History.UpstreamEnds[Part.Id] = EventLoop::now();
-  Part.Child->signal(Number);
-  this->after(Away, [this, Index] { this->startUpstream(Index); });
-}
-
-void ProcessRun::freezeStore(Duration For) {
-  const TimePoint From = EventLoop::now();
-  this->StoreFrozenUntil = std::max(this->StoreFrozenUntil, From + For);
-  this->Store->signal(SIGSTOP);
-  this->after(For, [this, From] {
-    if (EventLoop::now() >= this->StoreFrozenUntil)
-      this->Store->signal(SIGCONT);
-    this->History.StoreFreezes.push_back({From, EventLoop::now()});
-  });
-}
-
 /// Writes a configuration that differs from the one before.
 void ProcessRun::configure() {
   if (this->IsConfiguring)
@@ -602,6 +506,15 @@
   case DeedKind::DropRoutes:
     this->dropRoutes(Next.For, Next.Flag);
     return;
+  case DeedKind::TurnAway:
+    this->turnAway(Next);
+    return;
+  case DeedKind::RollOut:
+    this->rollOut(Next.Target, Next.Flag, Next.For);
+    return;
+  case DeedKind::ReturnUpstream:
+    this->returnUpstream(Next.Target, Next.For);
+    return;
   }
 }
 
@@ -635,22 +548,6 @@
   this->reapUpstreams();
 }
 
-void ProcessRun::reapUpstreams() {
-  for (std::size_t I = 0; I < this->Upstreams.size(); ++I) {
-    UpstreamPart &Part = this->Upstreams[I];
-    if (!Part.Child || !Part.Child->poll())
-      continue;
-    this->History.UpstreamEnds.try_emplace(Part.Id, EventLoop::now());
-    auto &EndsAt = this->History.Upstreams[Part.Id].EndsAt;
-    EndsAt = EndsAt.value_or(EventLoop::now());
-    if (Part.Child->exitCode() != 0 && Part.Child->exitCode() != -SIGKILL)
-      this->note("upstream " + Part.Id + " ended with " +
-                 std::to_string(Part.Child->exitCode()));
-    Part.Child.reset();
-    this->after(RestartDelay, [this, I] { this->startUpstream(I); });
-  }
-}
-
 /// Asks daemons that run alone at their address whether they are ready.
 void ProcessRun::probe() {
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
@@ -683,15 +580,16 @@
 void ProcessRun::play() {
   this->startStore();
   this->configure();
-  for (std::size_t I = 0; I < this->Upstreams.size(); ++I)
-    this->startUpstream(I);
   if (!this->waitFor([this] { return !this->IsConfiguring; }, StartLimit))
     throw std::runtime_error("the store takes no configuration");
+  this->startUpstreams();
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     std::string &Path = this->Daemons[I].Settings;
     Path =
-        this->Places.writeSettings(this->Folder, I, "z0", this->StoreAddress);
-    std::filesystem::copy_file(Path, Path + ".whole");
+        this->Places.writeSettings(this->Folder, I, "z0", this->StoreDoors[I]);
+    const std::string Text = readText(Path);
+    std::ofstream(Path + ".whole") << LaterStart << Text;
+    std::ofstream(Path) << FirstStart << Text;
     this->startDaemon(I);
   }
   this->Timers.push_back(
@@ -709,6 +607,8 @@
       StartLimit);
   if (!AreReady)
     throw std::runtime_error("the daemons do not start; see " + this->Folder);
+  for (const DaemonPart &Each : this->Daemons)
+    std::ofstream(Each.Settings) << readText(Each.Settings + ".whole");
   this->startCallers();
   this->startMisbehaving();
   this->runFor(SettleTime);
@@ -803,6 +703,7 @@
   for (const std::string &Each : this->UpstreamIds)
     readUpstream(Each, readJournal(this->pathOf(Each + ".journal")),
                  this->History);
+  readStore(readJournal(this->pathOf("store.journal")), this->History);
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     std::ifstream Log(this->daemonLog(I));
     readSanitizerReports(I, Log, this->History);
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -24,12 +24,23 @@
 
 namespace galenaroute::process_soak {
 
+/// Time for daemons and upstreams to find one another.
+constexpr Duration SettleTime = std::chrono::milliseconds(1500);
+constexpr Duration StartLimit = std::chrono::seconds(10);
+constexpr Duration CallLimit = std::chrono::seconds(1);
+/// A process that ended by itself is started again after this time.
+constexpr Duration RestartDelay = std::chrono::milliseconds(300);
+/// After the start of the daemons.
+constexpr Duration LatestRegistration = std::chrono::seconds(3);
+constexpr std::size_t Services = 2;
+
 struct RunSettings {
   std::string BuildDir;
   PlanSettings Plan;
   std::size_t Callers = 80;
   std::size_t Misbehaving = 48; ///< Clients, of one connection each.
-  std::size_t Versions = 2;     ///< Of the software of upstreams.
+  /// Of the software of upstreams, side by side.
+  std::size_t Versions = 2;
   /// Daemons are built with sanitizers, which need more memory than the limits
   /// of a machine leave.
   bool HasSanitizers = false;
@@ -70,7 +81,11 @@
   };
   struct UpstreamPart {
     std::unique_ptr<ChildProcess> Child;
-    std::string Id;
+    std::string Id;      ///< Of the process.
+    std::string EntryId; ///< Of its entry in the store.
+    std::uint64_t Version = 1;
+    std::optional<std::uint64_t> NextVersion; ///< When it comes back.
+    bool Returns = false; ///< It comes back under its id, of its version.
     TimePoint SilentUntil;
     bool IsLeaving = false;
   };
@@ -89,7 +104,9 @@
   void startMisbehaving();
   void startDaemon(std::size_t Index);
   void startUpstream(std::size_t Index);
-  std::string drawVersion() const;
+  void startUpstreams();
+  std::uint64_t oldestVersion() const;
+  std::uint64_t drawVersion() const;
 
   void act(const Deed &Next);
   void replaceDaemon(const Deed &Next);
@@ -103,7 +120,10 @@
   void occupyAddress(std::size_t Index, Duration For, TimePoint Until);
   void silenceUpstream(std::size_t Index, Duration For);
   void endUpstream(std::size_t Index, int Number, Duration Away);
+  void returnUpstream(std::size_t Index, Duration Away);
+  void rollOut(std::size_t Index, bool Kills, Duration Away);
   void freezeStore(Duration For);
+  void turnAway(const Deed &Next);
   void configure();
   void dropRoutes(Duration For, bool WithService);
   void restoreRoutes();
@@ -137,7 +157,9 @@
   bool IsEnding = false;
 
   std::unique_ptr<ChildProcess> Store;
-  SocketAddress StoreAddress;
+  SocketAddress StoreAddress; ///< For all but the daemons.
+  SocketAddress StoreControl;
+  std::vector<SocketAddress> StoreDoors; ///< For each daemon.
   TimePoint StoreFrozenUntil;
   std::vector<std::unique_ptr<ChildProcess>> Callers;
   std::unique_ptr<ChildProcess> Misbehaving;
@@ -145,6 +167,9 @@
   std::vector<DaemonPart> Daemons;
   std::vector<UpstreamPart> Upstreams;
   std::vector<std::string> UpstreamIds;
+  /// With even seeds all begin with one version, as before a rollout.
+  std::uint64_t NewestVersion =
+      this->Settings.Plan.Seed % 2 == 0 ? 1 : this->Settings.Versions;
   int Rewrites = 0; ///< Of settings files.
   std::uint64_t ConfigVersion = 0;
   std::uint64_t ConfigRevision = 0;
--- a/soak/process/ProcessSoakMain.cpp
+++ b/soak/process/ProcessSoakMain.cpp
@@ -29,6 +29,13 @@
   return Result;
 }
 
+static std::size_t countTurnedAway(const ProcessHistory &History) {
+  std::size_t Result = 0;
+  for (const auto &[Daemon, Spans] : History.TurnedAway)
+    Result += Spans.size();
+  return Result;
+}
+
 static void printCounts(std::uint64_t Seed, const ProcessHistory &History,
                         const ProcessBounds &Bounds) {
   const BeginCounts Begins = countBegins(History, Bounds);
@@ -47,7 +54,9 @@
             << countHandovers(History) << " streams begun elsewhere, "
             << Begins.NewBegun << " of " << Begins.New << " begun and "
             << Begins.WentOn << " of " << Begins.TakenUp
-            << " taken up where nothing excuses it, at most "
+            << " taken up where nothing excuses it, " << History.Copies
+            << " refusals copied, " << countTurnedAway(History)
+            << " times a daemon was turned away, at most "
             << mostOf(History, &LifeView::MostMemory) / 1024 << " KiB and "
             << mostOf(History, &LifeView::MostDescriptors)
             << " descriptors in a daemon";
@@ -126,7 +135,7 @@
                  "Number of misbehaving clients, of one connection each")
       ->check(CLI::Range(0, 500));
   App.add_option("--versions", Settings.Versions,
-                 "Number of software versions of upstreams")
+                 "Number of software versions of upstreams side by side")
       ->check(CLI::Range(1, 9));
   App.add_flag("--sanitizers", Settings.HasSanitizers,
                "Daemons are built with AddressSanitizer and "
--- a/soak/process/StorePart.cpp
+++ b/soak/process/StorePart.cpp
@@ -2,6 +2,7 @@
 
 #include "PollLoop.h"
 #include "SoakForeignEntries.h"
+#include "StoreDoors.h"
 #include "process/FakePlatformServer.h"
 
 #include <csignal>
@@ -67,13 +68,22 @@
   EventLoop Loop;
   testing_support::FakePlatformServer Server(Loop);
   const Lapses Removal(Loop, Server);
+  const Journal Log(Options.JournalPath);
+  const StoreDoors Doors(Loop, Server, Log,
+                         {.Count = Options.Count, .Seed = Options.Seed});
   soak::SoakForeignEntries Foreign(Loop, Server, Options.Seed, "d0");
   listenInSilence(Options.Address);
   for (int I = 0; I < SilentShare; ++I)
     Foreign.addAddress(Options.Address);
   Foreign.playFor(Milliseconds(Options.LengthMs));
   Loop.onSignal(SIGTERM, [&Loop] { Loop.stop(); });
-  std::ofstream(Options.AddressFile + ".new") << Server.address().toString();
+  {
+    std::ofstream File(Options.AddressFile + ".new");
+    File << Server.address().toString() << '\n'
+         << Doors.controlAddress().toString() << '\n';
+    for (std::size_t I = 0; I < Options.Count; ++I)
+      File << Doors.address(I).toString() << '\n';
+  }
   std::rename((Options.AddressFile + ".new").c_str(),
               Options.AddressFile.c_str());
   Loop.run();
--- a/soak/process/UpstreamPart.cpp
+++ b/soak/process/UpstreamPart.cpp
@@ -21,6 +21,12 @@
 static constexpr Duration DrainTime = 2s;
 static constexpr Duration LongestLeaving = 6s;
 static constexpr std::uint64_t RefusedOneIn = 50;
+/// Requests in 100 that are refused beside those, for some seconds at a time.
+static constexpr std::uint64_t LeastRefused = 5;
+static constexpr std::uint64_t MostRefused = 35;
+/// Refusals in 100 that are copied later on the same connection.
+static constexpr std::uint64_t CopiedInHundred = 30;
+static constexpr std::uint64_t LatestCopyMs = 50;
 static constexpr std::uint64_t BrokenOneIn = 150;
 static constexpr std::uint64_t ClosingOneIn = 30;
 /// Incarnations that answer 500 to half of their requests.
@@ -162,6 +168,7 @@
         Listener(listenAt(Options.Address)),
         Entry(this->Loop, Options, this->Slots) {
     this->Loop.watch(this->Listener, [this](bool, bool) { this->accept(); });
+    this->changeRefusals(this->drawn(0, 2) == 0);
   }
 
   void run() {
@@ -177,7 +184,8 @@
     std::string Out;
     std::string Call; ///< Of the request at work, or empty.
     bool IsLast = false;
-    bool IsLong = false; ///< A long stream.
+    bool IsLong = false;   ///< A long stream.
+    bool HasBegun = false; ///< Bytes of the answer at work were written.
     /// Written to the journal once Out, with the rest of the answer, is sent.
     std::string_view Ending;
   };
@@ -222,6 +230,15 @@
     });
   }
 
+  /// Refuses more requests for some seconds at a time.
+  void changeRefusals(bool RefusesMore) {
+    this->RefusedInHundred =
+        RefusesMore ? this->drawn(LeastRefused, MostRefused) : 0;
+    this->Loop.after(
+        RefusesMore ? this->drawnMs(1000, 3000) : this->drawnMs(2000, 8000),
+        [this, RefusesMore] { this->changeRefusals(!RefusesMore); });
+  }
+
   void onSocket(Id Of, bool CanRead) {
     Connection &Peer = this->Connections.at(Of);
     if (!this->flush(Of) || !CanRead)
@@ -248,6 +265,7 @@
     if (Peer.Out.empty() && !Peer.Ending.empty()) {
       this->Log.write(std::exchange(Peer.Ending, {}), Peer.Call);
       Peer.Call.clear();
+      Peer.HasBegun = false;
       --this->Running;
     }
     if (Peer.Out.empty() && Peer.IsLast && Peer.Call.empty()) {
@@ -284,6 +302,21 @@
            "\r\nKeep-Alive: timeout=10\r\n";
   }
 
+  void copyLater(Id Of, const std::string &Call, const std::string &Refusal) {
+    if (this->drawn(1, 100) > CopiedInHundred)
+      return;
+    this->Loop.after(this->drawnMs(0, LatestCopyMs), [this, Of, Call, Refusal] {
+      const auto Found = this->Connections.find(Of);
+      // A copy takes the place of an answer; it is not written into one.
+      if (Found == this->Connections.end() || Found->second.HasBegun ||
+          !Found->second.Out.empty())
+        return;
+      this->Log.write("copied", Call,
+                      Found->second.Call.empty() ? "-" : Found->second.Call);
+      this->send(Of, Refusal);
+    });
+  }
+
   void onRequest(Id Of) {
     Connection &Peer = this->Connections.at(Of);
     const MessageHead Head = Peer.Reader.head();
@@ -300,7 +333,9 @@
       Refusal = 421;
     else if (Call.empty())
       Refusal = 400;
-    else if (this->Running >= this->Slots || this->drawn(1, RefusedOneIn) == 1)
+    else if (this->Running >= this->Slots ||
+             this->drawn(1, RefusedOneIn) == 1 ||
+             this->drawn(1, 100) <= this->RefusedInHundred)
       Refusal = 503;
     if (Refusal != 0) {
       this->Log.write("refused", Call.empty() ? "-" : Call,
@@ -309,7 +344,10 @@
                                "Not-Executed: 1\r\nContent-Length: 0"
                                "\r\n\r\n";
       Peer.Call.clear();
+      const bool IsLast = Peer.IsLast;
       this->send(Of, Text);
+      if (!IsLast && !Call.empty())
+        this->copyLater(Of, Call, Text);
       return;
     }
     ++this->Running;
@@ -382,6 +420,7 @@
   void finish(Id Of, const std::string &Text,
               std::string_view Ending = "ended") {
     Connection &Peer = this->Connections.at(Of);
+    Peer.HasBegun = true;
     Peer.Ending = Ending;
     this->send(Of, Text);
     // The next request may have been read meanwhile.
@@ -395,6 +434,7 @@
     if (!this->isAtWork(Of, Call))
       return;
     const bool IsLong = this->Connections.at(Of).IsLong;
+    this->Connections.at(Of).HasBegun = true;
     std::size_t Length = 0;
     for (int I = Next; I <= EventsOfStream; ++I)
       Length += eventOf(Call, I, this->Writer, IsLong).size();
@@ -455,6 +495,7 @@
   std::map<Id, Connection> Connections;
   Id LastId = 0;
   std::uint64_t Running = 0;
+  std::uint64_t RefusedInHundred = 0;
   std::optional<TimePoint> LeavingSince;
   bool IsRemoved = false;
 };
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -6,6 +6,8 @@
 #include "PlainHttp.h"
 #include "ProcessChecks.h"
 #include "ProcessPlan.h"
+#include "StoreDoors.h"
+#include "connection/HttpClient.h"
 
 #include <algorithm>
 #include <csignal>
@@ -339,6 +341,11 @@
   EXPECT_EQ(this->broken(checkTakeUps), "0");
   this->History.StoreFreezes = {{Start - 6s, Start - 4s}};
   EXPECT_EQ(this->broken(checkTakeUps), Broken);
+  this->History.TurnedAway[0] = {{Start - 2s, Start - 1s}};
+  EXPECT_EQ(this->broken(checkTakeUps), "0");
+  this->History.TurnedAway = {{0, {{Start - 6s, Start - 4s}}},
+                              {1, {{Start - 2s, Start - 1s}}}};
+  EXPECT_EQ(this->broken(checkTakeUps), Broken);
   this->History.Freezes[0] = {{Start - 2s, Start - 1s}};
   EXPECT_EQ(this->broken(checkTakeUps), "0");
   this->History.Freezes.clear();
@@ -427,6 +434,79 @@
   EXPECT_FALSE(Works[1].OverAt);
 }
 
+// Guards against a copied refusal that counts as work on the request.
+TEST_F(ProcessSoakChecksTest, CopiesAreNoWork) {
+  std::vector<JournalLine> Lines;
+  for (const char *Text : {"1000 refused a 503", "2000 accepted a 0",
+                           "3000 event a 1", "9000 copied a a"})
+    Lines.push_back(*parseJournalLine(Text));
+  ProcessHistory Read;
+  readUpstream("u1", Lines, Read);
+  EXPECT_EQ(Read.Copies, 1U);
+  ASSERT_EQ(Read.Works.at("a").size(), 1U);
+  EXPECT_EQ(Read.Works.at("a")[0].LastAt, TimePoint(3ms));
+}
+
+TEST_F(ProcessSoakChecksTest, TheStoreTurnsDaemonsAway) {
+  std::vector<JournalLine> Lines;
+  for (const char *Text :
+       {"1000 turned_away 2 silence", "2000 turned_away 2 503", "3000 served 2",
+        "4000 turned_away 1 reset", "5000 turned_away 2 429", "6000 served 2"})
+    Lines.push_back(*parseJournalLine(Text));
+  ProcessHistory Read;
+  Read.EndedAt = TimePoint(9ms);
+  readStore(Lines, Read);
+  ASSERT_EQ(Read.TurnedAway.at(2).size(), 2U);
+  EXPECT_EQ(Read.TurnedAway.at(2)[0].From, TimePoint(1ms));
+  EXPECT_EQ(Read.TurnedAway.at(2)[0].Until, TimePoint(3ms));
+  ASSERT_EQ(Read.TurnedAway.at(1).size(), 1U);
+  EXPECT_EQ(Read.TurnedAway.at(1)[0].Until, TimePoint(9ms));
+}
+
+// Guards against daemons that are served although they are turned away.
+TEST_F(ProcessSoakChecksTest, ADoorClosesForOneDaemon) {
+  EventLoop Loop;
+  testing_support::FakePlatformServer Store(Loop);
+  Store.put("servers", "u1", {{"slots", 1}});
+  const std::string Path = "/tmp/soak-doors-" + std::to_string(getpid());
+  const Journal Log(Path);
+  StoreDoors Doors(Loop, Store, Log, {.Count = 2, .Seed = 1});
+  HttpClient Client(Loop);
+  const auto StatusAt = [&](const SocketAddress &At) {
+    std::optional<int> Status;
+    Client.startDetached(
+        HttpCallBuilder(At)
+            .get("/api/objects/servers")
+            .totalTimeout(100ms)
+            .newConnection()
+            .build(),
+        [&](const HttpResult &Result) { Status = Result.Status; });
+    Loop.runUntil([&] { return Status.has_value(); }, 2s);
+    return Status.value_or(-1);
+  };
+  const auto TurnAway = [&](const char *How) {
+    bool IsDone = false;
+    Client.startDetached(
+        HttpCallBuilder(Doors.controlAddress())
+            .put("/doors/1",
+                 nlohmann::json{{"how", How}, {"forMs", 300}}.dump())
+            .newConnection()
+            .build(),
+        [&](const HttpResult &Result) { IsDone = Result.isSuccess(); });
+    EXPECT_TRUE(Loop.runUntil([&] { return IsDone; }, 2s)) << How;
+  };
+  const std::map<std::string, int> Expected = {
+      {"silence", 0}, {"503", 503}, {"429", 429}, {"reset", 0}};
+  for (const auto &[How, Status] : Expected) {
+    TurnAway(How.c_str());
+    EXPECT_EQ(StatusAt(Doors.address(1)), Status) << How;
+    EXPECT_EQ(StatusAt(Doors.address(0)), 200) << How;
+    Loop.runUntil([] { return false; }, 350ms);
+    EXPECT_EQ(StatusAt(Doors.address(1)), 200) << How;
+  }
+  std::filesystem::remove(Path);
+}
+
 // Guards against a reader that takes part of a message for all of it.
 TEST_F(ProcessSoakChecksTest, MessagesAreReadInPieces) {
   const std::string Chunked = "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n"
@@ -537,7 +617,7 @@
   EXPECT_EQ(Times(1), Times(1));
   EXPECT_NE(Times(1), Times(2));
   const auto Plan = drawPlan({.Seed = 3, .Length = 60s});
-  for (int I = 0; I <= static_cast<int>(DeedKind::DropRoutes); ++I)
+  for (int I = 0; I <= static_cast<int>(DeedKind::ReturnUpstream); ++I)
     EXPECT_TRUE(std::any_of(Plan.begin(), Plan.end(), [&](const Deed &Each) {
       return static_cast<int>(Each.Kind) == I;
     })) << I;
--- a/tests/process/FakePlatformServer.h
+++ b/tests/process/FakePlatformServer.h
@@ -80,6 +80,26 @@
     return Result;
   }
 
+  /// Answers a request that reached another listener.
+  void answer(const HttpRequest &Request,
+              const std::shared_ptr<HttpReply> &Reply) {
+    if (this->IsSilent) {
+      this->Unanswered.push_back(Reply);
+      return;
+    }
+    static const std::string Prefix = "/api/objects/";
+    const std::string Rest =
+        Request.Path.substr(std::min(Request.Path.size(), Prefix.size()));
+    const std::size_t Slash = Rest.find('/');
+    const std::string Kind = Rest.substr(0, Slash);
+    if (Slash == std::string::npos && Request.Method == "GET")
+      this->answerList(Kind, Request, Reply);
+    else
+      this->answerObject(
+          Kind, Slash == std::string::npos ? "" : Rest.substr(Slash + 1),
+          Request, *Reply);
+  }
+
 private:
   struct Object {
     std::uint64_t Revision = 0;
@@ -113,25 +133,6 @@
     this->send(*To.Reply, 200, {{"events", Events}, {"asOf", this->Revision}});
   }
 
-  void answer(const HttpRequest &Request,
-              const std::shared_ptr<HttpReply> &Reply) {
-    if (this->IsSilent) {
-      this->Unanswered.push_back(Reply);
-      return;
-    }
-    static const std::string Prefix = "/api/objects/";
-    const std::string Rest =
-        Request.Path.substr(std::min(Request.Path.size(), Prefix.size()));
-    const std::size_t Slash = Rest.find('/');
-    const std::string Kind = Rest.substr(0, Slash);
-    if (Slash == std::string::npos && Request.Method == "GET")
-      this->answerList(Kind, Request, Reply);
-    else
-      this->answerObject(
-          Kind, Slash == std::string::npos ? "" : Rest.substr(Slash + 1),
-          Request, *Reply);
-  }
-
   void answerList(const std::string &Kind, const HttpRequest &Request,
                   const std::shared_ptr<HttpReply> &Reply) {
     const auto Since = queryValue(Request.Query, "watch");
