process soak: daemons are turned away over the first new version

Streams can be joined by a daemon that knows one version only until the first new one is stored, once a run; two daemons are turned away over that moment and two others are killed, so that their streams are taken up elsewhere.

--- a/soak/process/ProcessPlan.cpp
+++ b/soak/process/ProcessPlan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <random>
+#include <utility>
 
 namespace galenaroute::process_soak {
 
@@ -104,6 +105,25 @@
                .Way = Way});
   }
 
+  /// With even seeds, daemons know one version until the first new one
+  /// registers. Two of them are turned away just before, and another one is
+  /// killed meanwhile, so that its streams are taken up elsewhere.
+  void addFirstDisturbance(const Deed &RollOut) {
+    const Duration Registers = RollOut.At + RollOut.For;
+    const std::size_t First = this->Random() % this->Settings.Daemons;
+    for (std::size_t I = 0; I < 2; ++I)
+      this->add({.At = Registers - this->drawn(0, BesideMs),
+                 .Kind = DeedKind::TurnAway,
+                 .Target = (First + I) % this->Settings.Daemons,
+                 .For = this->drawn(2000, 5000),
+                 .Way = this->drawnWay()});
+    for (std::size_t I = 2; I < 4; ++I)
+      this->add({.At = Registers + this->drawn(200, 2000),
+                 .Kind = DeedKind::Kill,
+                 .Target = (First + I) % this->Settings.Daemons,
+                 .For = this->drawn(0, 60)});
+  }
+
   TurnAwayWay drawnWay() {
     return static_cast<TurnAwayWay>(this->Random() % 4);
   }
@@ -194,12 +214,19 @@
   }
   BesideDraws Beside(Settings, Result);
   const std::vector<Deed> Drawn = Result;
-  for (Deed &Each : Result)
+  bool IsFirst = true;
+  for (Deed &Each : Result) {
     if (Each.Kind == DeedKind::TurnAway)
       Each.Way = Beside.drawnWay();
+    else if (Each.Kind == DeedKind::RollOut && std::exchange(IsFirst, false))
+      Each.Flag = true;
+  }
+  bool HasVersion = false;
   for (const Deed &Each : Drawn) {
     if (Each.Kind == DeedKind::KillAll)
       Beside.addReturns(Each);
+    else if (Each.Kind == DeedKind::RollOut && !std::exchange(HasVersion, true))
+      Beside.addFirstDisturbance(Each);
     else if (Each.Kind == DeedKind::RollOut)
       Beside.addDisturbance(Each);
   }
--- a/soak/process/ProcessRunUpstreams.cpp
+++ b/soak/process/ProcessRunUpstreams.cpp
@@ -15,6 +15,8 @@
 /// Longer than the store stands still.
 static constexpr Duration ControlLimit = 5s;
 static constexpr int UpstreamPort = 9000;
+/// Upstreams that come back with a new version at the same time as the first.
+static constexpr std::uint64_t FollowsOneIn = 4;
 
 void ProcessRun::startStore() {
   const std::string File = this->pathOf("store.address");
@@ -166,9 +168,14 @@
   if (this->Settings.Versions < 2)
     return;
   ++this->NewestVersion;
-  UpstreamPart &Part = this->Upstreams[Index];
-  Part.NextVersion = this->NewestVersion;
-  this->endUpstream(Index, Kills ? SIGKILL : SIGTERM, Away);
+  std::mt19937_64 Random(this->Settings.Plan.Seed * 1000 + this->NewestVersion);
+  for (std::size_t I = 0; I < this->Upstreams.size(); ++I) {
+    // Others follow with the same version.
+    if (I != Index && Random() % FollowsOneIn != 0)
+      continue;
+    this->Upstreams[I].NextVersion = this->NewestVersion;
+    this->endUpstream(I, Kills ? SIGKILL : SIGTERM, Away);
+  }
   for (std::size_t I = 0; I < this->Upstreams.size(); ++I)
     if (this->Upstreams[I].Version < this->oldestVersion())
       this->endUpstream(I, SIGTERM, Away);
