--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -115,8 +115,7 @@
     const TimePoint From = std::max(Each.StartedAt, *Each.AloneAt);
     const Duration Frozen =
         overlap(spansOf(History.Freezes, Each.Daemon), From, Until) +
-        overlap(History.StoreFreezes, From, Until) +
-        overlap(spansOf(History.TurnedAway, Each.Daemon), From, Until);
+        overlap(History.StoreFreezes, From, Until);
     if (Until - From > Bounds.Recovery + Frozen)
       Found.push_back({"each start ends up serving", "",
                        "daemon " + std::to_string(Each.Daemon) + " process " +
