--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -380,7 +380,9 @@
     const TimePoint From = Request.SentAt - Bounds.Contact;
     const TimePoint Until = Request.FirstEventAt.value_or(Request.EndedAt);
     if (wasDisturbed(History, Request.Daemon, From, Until) ||
-        overlap(History.StoreFreezes, From, Until) > Duration::zero())
+        overlap(History.StoreFreezes, From, Until) > Duration::zero() ||
+        overlap(spansOf(History.TurnedAway, Request.Daemon), From, Until) >
+            Duration::zero())
       continue;
     const bool HasBegun = Request.Status == 200 && Request.FirstEventAt;
     if (Request.First.empty()) {
