--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -53,6 +53,8 @@
     return "body_too_large";
   case UpstreamCause::MemoryShort:
     return "memory_short";
+  case UpstreamCause::RelayFailed:
+    return "relay_failed";
   case UpstreamCause::Other:
     return "other";
   }
@@ -81,7 +83,8 @@
 class UpstreamConnection
     : public std::enable_shared_from_this<UpstreamConnection> {
 public:
-  UpstreamConnection(UpstreamPool &Pool, SocketAddress To);
+  UpstreamConnection(UpstreamPool &Pool, SocketAddress To,
+                     std::optional<RelayHelper> Helper);
 
   bool connect();
   void begin(UpstreamExchange &For, std::string Request,
@@ -98,7 +101,10 @@
   bool isUsable(TimePoint Now, Duration MaxIdle) const {
     return Now < this->KeepUntil && Now - this->IdleSince < MaxIdle;
   }
-  const SocketAddress &address() const { return this->To; }
+  /// See UpstreamPool::Path.
+  std::pair<SocketAddress, SocketAddress> path() const {
+    return {this->To, this->Helper ? this->Helper->Address : SocketAddress()};
+  }
 
 private:
   friend class UpstreamPool;
@@ -107,8 +113,14 @@
   static void guard(void *Self, std::string_view Where, Function Action);
   enum class ConnectCheck { First, Repeated };
   void onConnectTimeout(ConnectCheck Check);
+  void onLinkConnected();
   void onConnected();
   void onReadable();
+  std::size_t feed(std::string_view Bytes);
+  std::size_t parse(std::string_view Bytes);
+  void onFrame(RelayFrame Frame, std::string_view Bytes);
+  bool isBadAnswer() const;
+  void onEndOfUpstream(UpstreamCause Cause, bool IsOrderly);
   void onEvent(short What);
   bool onHead(HttpHead &Head);
   void onComplete();
@@ -118,6 +130,8 @@
 
   UpstreamPool &Pool;
   SocketAddress To;
+  std::optional<RelayHelper> Helper;
+  RelayReader Frames; ///< Of a relayed connection.
   BufferEventPtr Event;
   HttpParser Parser;
   UpstreamExchange *Current = nullptr;
@@ -135,12 +149,15 @@
   bool AnswerDone = false;
   bool IsPaused = false; ///< The answer is not read on.
   bool IsForgotten = false;
+  /// Bytes followed a complete answer in the same frame.
+  bool HasSurplus = false;
   int SkippedAnswers = 0;
   sigc::connection ConnectTimer;
 };
 
-UpstreamConnection::UpstreamConnection(UpstreamPool &Pool, SocketAddress To)
-    : Pool(Pool), To(std::move(To)),
+UpstreamConnection::UpstreamConnection(UpstreamPool &Pool, SocketAddress To,
+                                       std::optional<RelayHelper> Helper)
+    : Pool(Pool), To(std::move(To)), Helper(std::move(Helper)),
       Event(newBufferEvent(Pool.Loop.base(), -1)),
       Parser(HttpParser::Side::Response, AnswerLimits,
              {.OnHead = [this](HttpHead &Head) { return this->onHead(Head); },
@@ -180,7 +197,8 @@
               [What](UpstreamConnection &Of) { Of.onEvent(What); });
       },
       this);
-  const sockaddr_in Address = socketAddressOf(this->To);
+  const sockaddr_in Address =
+      socketAddressOf(this->Helper ? this->Helper->Address : this->To);
   const bool IsStarted =
       bufferevent_socket_connect(this->Event.get(),
                                  reinterpret_cast<const sockaddr *>(&Address),
@@ -226,6 +244,21 @@
   this->end(UpstreamEnd::ConnectFailed, false);
 }
 
+/// The connection is established, to the helper if it is relayed.
+void UpstreamConnection::onLinkConnected() {
+  if (!this->Helper) {
+    this->onConnected();
+    return;
+  }
+  const int Socket = bufferevent_getfd(this->Event.get());
+  setSocketLimits(Socket, this->Settings.UserTimeout);
+  const std::string Asked =
+      encodeRelayRequest({.Upstream = this->Helper->Upstream, .To = this->To});
+  bufferevent_write(this->Event.get(), Asked.data(), Asked.size());
+  bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
+}
+
+/// The connection to the upstream is established.
 void UpstreamConnection::onConnected() {
   this->ConnectTimer.disconnect();
   const Duration Timeout = this->Request.size() > LongRequestBytes
@@ -251,6 +284,11 @@
   bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
 }
 
+bool UpstreamConnection::isBadAnswer() const {
+  return this->Parser.fault() != HttpFault::None ||
+         this->SkippedAnswers > MaxSkippedAnswers;
+}
+
 void UpstreamConnection::onReadable() {
   evbuffer *Input = bufferevent_get_input(this->Event.get());
   while (this->Current && !this->AnswerDone) {
@@ -259,13 +297,12 @@
     const std::string_view Bytes = firstBytes(Input);
     if (Bytes.empty())
       return;
-    const std::size_t Used = this->Parser.feed(Bytes);
+    const std::size_t Used = this->feed(Bytes);
     evbuffer_drain(Input, Used);
-    // The call may have been cancelled while it was handed the answer.
+    // The call may have ended or been cancelled while it was handed the answer.
     if (!this->Current)
       return;
-    if (this->Parser.fault() != HttpFault::None ||
-        this->SkippedAnswers > MaxSkippedAnswers) {
+    if (this->isBadAnswer()) {
       this->Current->Cause = causeOf(this->Parser.fault());
       this->end(UpstreamEnd::Malformed, false);
       return;
@@ -277,13 +314,56 @@
   }
   // Bytes that nothing asked for belong to no request.
   if (!this->Current && evbuffer_get_length(Input) > 0) {
-    log(LogLevel::Warn, "upstream.unexpected_bytes",
-        {{"upstream", this->To.toString()},
-         {"bytes", std::to_string(evbuffer_get_length(Input))}});
+    if (!this->Helper)
+      log(LogLevel::Warn, "upstream.unexpected_bytes",
+          {{"upstream", this->To.toString()},
+           {"bytes", std::to_string(evbuffer_get_length(Input))}});
     this->Pool.forget(this->shared_from_this());
   }
 }
 
+/// Handles the first of \p Bytes. Returns how many.
+std::size_t UpstreamConnection::feed(std::string_view Bytes) {
+  if (!this->Helper)
+    return this->Parser.feed(Bytes);
+  return this->Frames.feed(Bytes,
+                           [this](RelayFrame Frame, std::string_view Data) {
+                             this->onFrame(Frame, Data);
+                           });
+}
+
+/// Hands bytes of the upstream to the parser until the answer is complete.
+/// Returns how many.
+std::size_t UpstreamConnection::parse(std::string_view Bytes) {
+  std::size_t Used = 0;
+  while (Used < Bytes.size() && this->Current && !this->AnswerDone &&
+         !this->isBadAnswer())
+    Used += this->Parser.feed(Bytes.substr(Used));
+  return Used;
+}
+
+/// Handles what the helper of a relayed connection reports.
+void UpstreamConnection::onFrame(RelayFrame Frame, std::string_view Bytes) {
+  switch (Frame) {
+  case RelayFrame::Connected:
+    this->onConnected();
+    return;
+  case RelayFrame::Failed:
+    this->Current->Cause = UpstreamCause::RelayFailed;
+    this->end(UpstreamEnd::ConnectFailed, false);
+    return;
+  case RelayFrame::Data:
+    this->HasSurplus |= this->parse(Bytes) < Bytes.size();
+    return;
+  case RelayFrame::Finished:
+    this->onEndOfUpstream(UpstreamCause::Closed, /*IsOrderly=*/true);
+    return;
+  case RelayFrame::Reset:
+    this->onEndOfUpstream(UpstreamCause::Reset, /*IsOrderly=*/false);
+    return;
+  }
+}
+
 void UpstreamConnection::noteKeepTime(const HttpHead &Head) {
   Duration Keep = DefaultKeepTime;
   if (const auto Text = Head.Headers.find("Keep-Alive")) {
@@ -363,7 +443,7 @@
   const int Error = EVUTIL_SOCKET_ERROR();
   if (What & BEV_EVENT_CONNECTED) {
     if (this->Current)
-      this->onConnected();
+      this->onLinkConnected();
     return;
   }
   if (!this->Current) {
@@ -378,8 +458,17 @@
   // What arrived before the end is read first.
   this->IsPaused = false;
   this->onReadable();
-  if (this->Current && (What & BEV_EVENT_EOF) && !(What & BEV_EVENT_ERROR) &&
-      !this->HasFraming && this->Parser.isInMessage())
+  // A helper that ends without a frame for the end was itself ended.
+  if (this->Current)
+    this->onEndOfUpstream(this->Current->Cause, !this->Helper &&
+                                                    (What & BEV_EVENT_EOF) &&
+                                                    !(What & BEV_EVENT_ERROR));
+}
+
+/// Ends the exchange, whose upstream has closed its side in good order or not.
+void UpstreamConnection::onEndOfUpstream(UpstreamCause Cause, bool IsOrderly) {
+  this->Current->Cause = Cause;
+  if (IsOrderly && !this->HasFraming && this->Parser.isInMessage())
     this->Parser.finish();
   if (!this->Current)
     return;
@@ -397,6 +486,7 @@
   this->Current->Connection.reset();
   this->Current = nullptr;
   const bool HasRest =
+      this->HasSurplus ||
       evbuffer_get_length(bufferevent_get_input(this->Event.get())) > 0;
   if (Reuse && !HasRest)
     this->Pool.release(Self);
@@ -464,11 +554,11 @@
 
 /// Returns an idle connection to \p To that may be used, or null. Closes those
 /// that have ended or whose link is silent.
-std::shared_ptr<UpstreamConnection>
-UpstreamPool::takeIdle(const SocketAddress &To, Duration MaxIdle) {
+std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Path &By,
+                                                           Duration MaxIdle) {
   const TimePoint Now = EventLoop::now();
   while (true) {
-    const auto It = this->Targets.find(To);
+    const auto It = this->Targets.find(By);
     if (It == this->Targets.end() || It->second.Idle.empty())
       return nullptr;
     // The connection used last is the least likely to be closing.
@@ -483,7 +573,7 @@
     }
     log(LogLevel::Info,
         HasUnread ? "upstream.idle_ended" : "upstream.idle_silent",
-        {{"upstream", To.toString()},
+        {{"upstream", By.first.toString()},
          {"idle_ms", std::to_string(toMilliseconds(Now - Last->IdleSince))}});
     this->forget(Last);
   }
@@ -493,12 +583,15 @@
 UpstreamPool::start(const SocketAddress &To, std::string Request,
                     const UpstreamExchangeSettings &Settings,
                     UpstreamExchangeEvents Events) {
+  const Path By{To,
+                Settings.Helper ? Settings.Helper->Address : SocketAddress()};
   std::shared_ptr<UpstreamConnection> Connection =
-      this->takeIdle(To, Settings.MaxIdle);
+      this->takeIdle(By, Settings.MaxIdle);
   const bool IsNew = !Connection;
   if (IsNew) {
-    Connection = std::make_shared<UpstreamConnection>(*this, To);
-    ++this->Targets[To].Total;
+    Connection =
+        std::make_shared<UpstreamConnection>(*this, To, Settings.Helper);
+    ++this->Targets[By].Total;
     ++this->Opened;
   }
   this->Busy[Connection.get()] = Connection;
@@ -519,7 +612,7 @@
   bufferevent_enable(Connection->Event.get(), EV_READ);
   Connection->IdleSince = EventLoop::now();
   Connection->ServedBefore = true;
-  this->Targets[Connection->To].Idle.push_back(Connection);
+  this->Targets[Connection->path()].Idle.push_back(Connection);
 }
 
 void UpstreamPool::forget(std::shared_ptr<UpstreamConnection> Connection) {
@@ -531,7 +624,7 @@
   bufferevent_setcb(Connection->Event.get(), nullptr, nullptr, nullptr,
                     nullptr);
   this->Busy.erase(Connection.get());
-  const auto It = this->Targets.find(Connection->To);
+  const auto It = this->Targets.find(Connection->path());
   if (It == this->Targets.end())
     return;
   Target &At = It->second;
@@ -544,21 +637,25 @@
 }
 
 std::size_t UpstreamPool::connections(const SocketAddress &To) const {
-  const auto It = this->Targets.find(To);
-  return It == this->Targets.end() ? 0 : It->second.Total;
+  std::size_t Result = 0;
+  for (auto It = this->Targets.lower_bound({To, {}});
+       It != this->Targets.end() && It->first.first == To; ++It)
+    Result += It->second.Total;
+  return Result;
 }
 
-bool UpstreamPool::hasIdle(const SocketAddress &To, Duration MaxIdle) const {
-  const auto It = this->Targets.find(To);
+bool UpstreamPool::hasIdle(const SocketAddress &To, Duration MaxIdle,
+                           const SocketAddress *Helper) const {
+  const auto It = this->Targets.find({To, Helper ? *Helper : SocketAddress()});
   return It != this->Targets.end() && !It->second.Idle.empty() &&
          It->second.Idle.back()->isUsable(EventLoop::now(), MaxIdle);
 }
 
 void UpstreamPool::closeIdle(const SocketAddress &To) {
-  const auto It = this->Targets.find(To);
-  if (It == this->Targets.end())
-    return;
-  const auto Idle = It->second.Idle;
+  std::vector<std::shared_ptr<UpstreamConnection>> Idle;
+  for (auto It = this->Targets.lower_bound({To, {}});
+       It != this->Targets.end() && It->first.first == To; ++It)
+    Idle.insert(Idle.end(), It->second.Idle.begin(), It->second.Idle.end());
   for (const auto &Each : Idle)
     this->forget(Each);
 }
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -17,11 +17,14 @@
 #define GALENAROUTE_CONNECTION_UPSTREAMPOOL_H
 
 #include "connection/HttpParser.h"
+#include "connection/RelayProtocol.h"
 #include "connection/ResponseBudget.h"
 #include "process/EventLoop.h"
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace galenaroute {
@@ -45,6 +48,7 @@
   HeadTooLarge,     ///< The head of the answer exceeded its limit.
   BodyTooLarge,     ///< The body of the answer exceeded its limit.
   MemoryShort,      ///< The answers in flight exceeded their common limit.
+  RelayFailed,      ///< The helper has no connection to the upstream.
   Other,            ///< Another error of the socket; it is logged.
 };
 
@@ -54,6 +58,13 @@
 /// Returns whether the answer was dropped because of its size.
 bool isTooLarge(UpstreamCause Cause);
 
+/// A gateway that opens connections to upstreams on behalf of this one, see
+/// RelayListener.
+struct RelayHelper {
+  SocketAddress Address;
+  std::string Upstream; ///< Id of the upstream.
+};
+
 struct UpstreamExchangeSettings {
   Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// How long data to the upstream may stay unacknowledged. Probes are due each
@@ -66,6 +77,8 @@
   /// An idle connection older than this is not used.
   Duration MaxIdle = std::chrono::seconds(60);
   bool IsHead = false; ///< The answer to HEAD has no body.
+  /// Nothing for a direct connection.
+  std::optional<RelayHelper> Helper;
 };
 
 struct UpstreamExchangeEvents {
@@ -132,11 +145,14 @@
         const UpstreamExchangeSettings &Settings,
         UpstreamExchangeEvents Events);
 
-  /// Connections to \p To, idle ones included.
+  /// Connections to \p To, idle and relayed ones included.
   std::size_t connections(const SocketAddress &To) const;
-  bool hasIdle(const SocketAddress &To, Duration MaxIdle) const;
+  /// Returns whether a connection to \p To over the helper, or a direct one if
+  /// that is null, is idle.
+  bool hasIdle(const SocketAddress &To, Duration MaxIdle,
+               const SocketAddress *Helper = nullptr) const;
 
-  /// Closes the idle connections to \p To.
+  /// Closes the idle connections to \p To, relayed ones included.
   void closeIdle(const SocketAddress &To);
 
   const std::shared_ptr<ResponseBudget> &budget() const { return this->Budget; }
@@ -147,12 +163,15 @@
 private:
   friend class UpstreamConnection;
   friend class UpstreamExchange;
+  /// The address of an upstream and that of the helper, which is empty for
+  /// direct connections.
+  using Path = std::pair<SocketAddress, SocketAddress>;
   struct Target {
     std::vector<std::shared_ptr<UpstreamConnection>> Idle;
     std::size_t Total = 0;
   };
 
-  std::shared_ptr<UpstreamConnection> takeIdle(const SocketAddress &To,
+  std::shared_ptr<UpstreamConnection> takeIdle(const Path &By,
                                                Duration MaxIdle);
   void release(const std::shared_ptr<UpstreamConnection> &Connection);
   void forget(std::shared_ptr<UpstreamConnection> Connection);
@@ -160,7 +179,7 @@
 
   EventLoop &Loop;
   std::shared_ptr<ResponseBudget> Budget;
-  std::map<SocketAddress, Target> Targets;
+  std::map<Path, Target> Targets;
   // Owns busy connections; idle ones are owned by their target.
   std::map<UpstreamConnection *, std::shared_ptr<UpstreamConnection>> Busy;
   std::uint64_t Opened = 0;
