RelayListener: connections that a gateway opens for another one

A side whose full window may be that of a slow reader has 15 s; with 3.5 s, the kernel would end a sound connection.

--- a/src/connection/RelayListener.h
+++ b/src/connection/RelayListener.h
@@ -1,6 +1,6 @@
 // Connects other gateways to upstreams that they cannot reach themselves.
 //
-//   RelayListener Relays(Loop, Address, {.MayUse = ..., .MayConnect = ...});
+//   RelayListener Relays(Loop, Address, {.MayUse = ..., .AddressOf = ...});
 //   Relays.setLimits({.MaxConnections = 200});
 //   Relays.stop();
 //
@@ -45,6 +45,9 @@
   Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// See UpstreamExchangeSettings::UserTimeout.
   Duration UserTimeout = std::chrono::milliseconds(3500);
+  /// For a side whose full window may be that of a sound reader: an upstream
+  /// that reads a long request, and a gateway whose caller reads slowly.
+  Duration LongTimeout = std::chrono::seconds(15);
 };
 
 class RelayListener {
--- a/src/connection/RelayProtocol.cpp
+++ b/src/connection/RelayProtocol.cpp
@@ -71,6 +71,7 @@
   switch (Kind) {
   case RelayFrame::Connected:
   case RelayFrame::Failed:
+  case RelayFrame::Refused:
     if (this->Connected)
       throw malformed("connected twice");
     return;
--- a/src/connection/RelayProtocol.h
+++ b/src/connection/RelayProtocol.h
@@ -50,6 +50,7 @@
   Data = 3,      ///< Bytes of the upstream.
   Finished = 4,  ///< The upstream has closed the connection in good order.
   Reset = 5,     ///< The connection has broken.
+  Refused = 6,   ///< The helper opens none; nothing follows.
 };
 
 /// Bytes before those of a frame: its kind and the length of its bytes.
--- a/src/connection/RelayedConnection.cpp
+++ b/src/connection/RelayedConnection.cpp
@@ -10,12 +10,13 @@
 
 namespace galenaroute {
 
-/// A side whose last bytes are not taken within this time is closed.
-static constexpr Duration EndTimeout = std::chrono::seconds(5);
+/// Longer requests may fill the receive window of an upstream that does not
+/// read.
+static constexpr std::size_t LongRequestBytes = 32 << 10;
 
 RelayedConnection::RelayedConnection(RelayListener &Owner, int Socket)
     : Owner(Owner), Gateway(newBufferEvent(Owner.Loop.base(), Socket)) {
-  setSocketLimits(Socket, Owner.Limits.UserTimeout);
+  setSocketLimits(Socket, Owner.Limits.LongTimeout);
 }
 
 RelayedConnection::~RelayedConnection() { this->Timer.disconnect(); }
@@ -78,7 +79,7 @@
   this->Timer = this->Owner.Loop.timers().after(Delay, [this] {
     const auto Self = this->shared_from_this();
     if (this->Current == Phase::Connecting)
-      this->fail();
+      this->endWithoutUpstream(RelayFrame::Failed);
     else
       this->close();
   });
@@ -91,6 +92,8 @@
     this->readRequest();
   else if (this->Current == Phase::Open)
     this->forwardToUpstream();
+  else if (this->Current == Phase::Ending)
+    this->dropRequest();
 }
 
 void RelayedConnection::readRequest() {
@@ -120,7 +123,7 @@
   if (!Found) {
     log(LogLevel::Info, "relay.refused",
         {{"upstream", this->Request.Upstream}});
-    this->fail();
+    this->endWithoutUpstream(RelayFrame::Refused);
     return;
   }
   this->To = *Found;
@@ -132,7 +135,7 @@
   if (bufferevent_socket_connect(this->Upstream.get(),
                                  reinterpret_cast<const sockaddr *>(&Address),
                                  sizeof Address) != 0) {
-    this->fail();
+    this->endWithoutUpstream(RelayFrame::Failed);
     return;
   }
   allowListeningOnLocalPort(bufferevent_getfd(this->Upstream.get()));
@@ -150,14 +153,21 @@
 }
 
 /// Reports that there is no connection to the upstream.
-void RelayedConnection::fail() {
+void RelayedConnection::endWithoutUpstream(RelayFrame Why) {
   this->Upstream.reset();
-  this->endGateway(RelayFrame::Failed);
+  this->endGateway(Why);
 }
 
 void RelayedConnection::forwardToUpstream() {
   evbuffer *Output = bufferevent_get_output(this->Upstream.get());
+  const std::size_t Length =
+      evbuffer_get_length(bufferevent_get_input(this->Gateway.get()));
   bufferevent_read_buffer(this->Gateway.get(), Output);
+  const std::size_t Before = this->SentSinceHeard;
+  this->SentSinceHeard += Length;
+  if (Before <= LongRequestBytes && this->SentSinceHeard > LongRequestBytes)
+    setUserTimeout(bufferevent_getfd(this->Upstream.get()),
+                   this->Owner.Limits.LongTimeout);
   if (evbuffer_get_length(Output) >= RelayListener::MaxBacklog)
     bufferevent_disable(this->Gateway.get(), EV_READ);
 }
@@ -167,6 +177,9 @@
     return;
   evbuffer *Input = bufferevent_get_input(this->Upstream.get());
   evbuffer *Output = bufferevent_get_output(this->Gateway.get());
+  if (std::exchange(this->SentSinceHeard, 0) > LongRequestBytes)
+    setUserTimeout(bufferevent_getfd(this->Upstream.get()),
+                   this->Owner.Limits.UserTimeout);
   while (const std::size_t Length =
              std::min(evbuffer_get_length(Input), MaxRelayFrameBytes)) {
     const std::string Head = relayFrameHead(RelayFrame::Data, Length);
@@ -178,11 +191,6 @@
 }
 
 void RelayedConnection::onWritten(Side To) {
-  if (this->Current == Phase::Ending) {
-    if (evbuffer_get_length(bufferevent_get_output(this->Gateway.get())) == 0)
-      this->close();
-    return;
-  }
   if (this->Current != Phase::Open)
     return;
   bufferevent_enable(
@@ -201,7 +209,7 @@
     return;
   }
   if (this->Current == Phase::Connecting) {
-    this->fail();
+    this->endWithoutUpstream(RelayFrame::Failed);
     return;
   }
   if (this->Current != Phase::Open)
@@ -213,15 +221,22 @@
                                           : RelayFrame::Finished);
 }
 
-/// Reports the end of the connection to the upstream, and closes the other side
-/// once that is written.
+/// Reports the end of the connection to the upstream. The gateway then closes
+/// its side. Closing it here would discard what the gateway has not read yet if
+/// a part of its request is still unread.
 void RelayedConnection::endGateway(RelayFrame How) {
   this->Current = Phase::Ending;
-  bufferevent_disable(this->Gateway.get(), EV_READ);
-  bufferevent_setwatermark(this->Gateway.get(), EV_WRITE, 0, 0);
   const std::string Head = relayFrameHead(How);
   bufferevent_write(this->Gateway.get(), Head.data(), Head.size());
-  this->armTimer(EndTimeout);
+  this->dropRequest();
+  bufferevent_enable(this->Gateway.get(), EV_READ);
+  this->armTimer(this->Owner.Limits.LongTimeout);
+}
+
+/// Reads and drops what the gateway still sends.
+void RelayedConnection::dropRequest() {
+  evbuffer *Input = bufferevent_get_input(this->Gateway.get());
+  evbuffer_drain(Input, evbuffer_get_length(Input));
 }
 
 static void reset(bufferevent *Event) {
--- a/src/connection/RelayedConnection.h
+++ b/src/connection/RelayedConnection.h
@@ -36,10 +36,11 @@
   void readRequest();
   void connect();
   void onConnected();
-  void fail();
+  void endWithoutUpstream(RelayFrame Why);
   void forwardToUpstream();
   void forwardToGateway();
   void endGateway(RelayFrame How);
+  void dropRequest();
   void close();
   void armTimer(Duration Delay);
 
@@ -49,6 +50,8 @@
   RelayRequest Request;
   SocketAddress To;
   Phase Current = Phase::Request;
+  /// Bytes for the upstream since it was last heard.
+  std::size_t SentSinceHeard = 0;
   sigc::connection Timer;
 };
 
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -55,6 +55,8 @@
     return "memory_short";
   case UpstreamCause::RelayFailed:
     return "relay_failed";
+  case UpstreamCause::HelperFailed:
+    return "helper_failed";
   case UpstreamCause::Other:
     return "other";
   }
@@ -240,7 +242,8 @@
         });
     return;
   }
-  this->Current->Cause = UpstreamCause::ConnectTimeout;
+  this->Current->Cause = this->Helper ? UpstreamCause::HelperFailed
+                                      : UpstreamCause::ConnectTimeout;
   this->end(UpstreamEnd::ConnectFailed, false);
 }
 
@@ -253,7 +256,7 @@
   const int Socket = bufferevent_getfd(this->Event.get());
   setSocketLimits(Socket, this->Settings.UserTimeout);
   const std::string Asked =
-      encodeRelayRequest({.Upstream = this->Helper->Upstream, .To = this->To});
+      encodeRelayRequest({.Upstream = this->Helper->Upstream});
   bufferevent_write(this->Event.get(), Asked.data(), Asked.size());
   bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
 }
@@ -352,6 +355,10 @@
     this->Current->Cause = UpstreamCause::RelayFailed;
     this->end(UpstreamEnd::ConnectFailed, false);
     return;
+  case RelayFrame::Refused:
+    this->Current->Cause = UpstreamCause::HelperFailed;
+    this->end(UpstreamEnd::ConnectFailed, false);
+    return;
   case RelayFrame::Data:
     this->HasSurplus |= this->parse(Bytes) < Bytes.size();
     return;
@@ -450,7 +457,9 @@
     this->Pool.forget(this->shared_from_this());
     return;
   }
-  this->Current->Cause = causeOf(What, Error, this->To);
+  // A helper that ends without a frame for the end was itself ended.
+  this->Current->Cause = this->Helper ? UpstreamCause::HelperFailed
+                                      : causeOf(What, Error, this->To);
   if (!this->Connected) {
     this->end(UpstreamEnd::ConnectFailed, false);
     return;
@@ -458,7 +467,6 @@
   // What arrived before the end is read first.
   this->IsPaused = false;
   this->onReadable();
-  // A helper that ends without a frame for the end was itself ended.
   if (this->Current)
     this->onEndOfUpstream(this->Current->Cause, !this->Helper &&
                                                     (What & BEV_EVENT_EOF) &&
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -48,7 +48,8 @@
   HeadTooLarge,     ///< The head of the answer exceeded its limit.
   BodyTooLarge,     ///< The body of the answer exceeded its limit.
   MemoryShort,      ///< The answers in flight exceeded their common limit.
-  RelayFailed,      ///< The helper has no connection to the upstream.
+  RelayFailed,      ///< The helper could not connect to the upstream.
+  HelperFailed,     ///< The helper refused, was not reached or has ended.
   Other,            ///< Another error of the socket; it is logged.
 };
 
