ForwardGateway: calls of a cut gateway go over its neighbours

Change: what direct connections show and what the others hear (a list in each gossip record) decides per service whether the path is cut (UpstreamPaths). While it is, sends go over relayed connections of ready gateways that hear the service, those of the own zone first (GatewayPaths); each gateway relays for others at its gossip address over TCP (RelayListener).

PartitionedGatewayTest now keeps the neighbour busy with a timer.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -179,10 +179,13 @@
   if (runGuarded(Where, [&] { Action(*Kept); }))
     return;
   runGuarded("upstream.end", [&] {
-    if (Kept->Current)
-      Kept->end(UpstreamEnd::Malformed, false);
-    else
+    if (!Kept->Current) {
       Kept->Pool.forget(Kept);
+      return;
+    }
+    if (Kept->Helper)
+      Kept->Current->Cause = UpstreamCause::HelperFailed;
+    Kept->end(UpstreamEnd::Malformed, false);
   });
 }
 
@@ -264,6 +267,8 @@
 /// The connection to the upstream is established.
 void UpstreamConnection::onConnected() {
   this->ConnectTimer.disconnect();
+  if (!this->Connected)
+    this->Events.OnConnected();
   const Duration Timeout = this->Request.size() > LongRequestBytes
                                ? std::max(this->Settings.UserTimeout,
                                           this->Settings.LongRequestTimeout)
@@ -659,6 +664,16 @@
          It->second.Idle.back()->isUsable(EventLoop::now(), MaxIdle);
 }
 
+bool UpstreamPool::hasAnyIdle(const SocketAddress &To, Duration MaxIdle) const {
+  const TimePoint Now = EventLoop::now();
+  for (auto It = this->Targets.lower_bound({To, {}});
+       It != this->Targets.end() && It->first.first == To; ++It)
+    if (!It->second.Idle.empty() &&
+        It->second.Idle.back()->isUsable(Now, MaxIdle))
+      return true;
+  return false;
+}
+
 void UpstreamPool::closeIdle(const SocketAddress &To) {
   std::vector<std::shared_ptr<UpstreamConnection>> Idle;
   for (auto It = this->Targets.lower_bound({To, {}});
@@ -668,6 +683,16 @@
     this->forget(Each);
 }
 
+void UpstreamPool::closeIdleRelayed(
+    const std::function<bool(const SocketAddress &Helper)> &Keeps) {
+  std::vector<std::shared_ptr<UpstreamConnection>> Idle;
+  for (const auto &[By, At] : this->Targets)
+    if (By.second != SocketAddress() && !Keeps(By.second))
+      Idle.insert(Idle.end(), At.Idle.begin(), At.Idle.end());
+  for (const auto &Each : Idle)
+    this->forget(Each);
+}
+
 void UpstreamPool::sweep() {
   const TimePoint Now = EventLoop::now();
   std::vector<std::shared_ptr<UpstreamConnection>> Old;
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -66,6 +66,12 @@
   std::string Upstream; ///< Id of the upstream.
 };
 
+/// How a send reaches its upstream.
+struct UpstreamPath {
+  std::optional<RelayHelper> Helper; ///< Nothing for a direct connection.
+  bool IsTrial = false; ///< On a new connection, to find out if the path works.
+};
+
 struct UpstreamExchangeSettings {
   Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// How long data to the upstream may stay unacknowledged. Probes are due each
@@ -83,6 +89,9 @@
 };
 
 struct UpstreamExchangeEvents {
+  /// Called when a new connection to the upstream is established. Must not end
+  /// the exchange.
+  std::function<void()> OnConnected = [] {};
   /// Returns whether this is the answer to the request.
   std::function<bool(const HttpHead &Head)> OnHead;
   std::function<void(std::string_view Bytes)> OnBody;
@@ -153,8 +162,14 @@
   bool hasIdle(const SocketAddress &To, Duration MaxIdle,
                const SocketAddress *Helper = nullptr) const;
 
+  /// Returns whether any connection to \p To is idle, relayed or not.
+  bool hasAnyIdle(const SocketAddress &To, Duration MaxIdle) const;
+
   /// Closes the idle connections to \p To, relayed ones included.
   void closeIdle(const SocketAddress &To);
+  /// Closes the idle connections over helpers that \p Keeps does not accept.
+  void closeIdleRelayed(
+      const std::function<bool(const SocketAddress &Helper)> &Keeps);
 
   const std::shared_ptr<ResponseBudget> &budget() const { return this->Budget; }
 
--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -26,6 +26,9 @@
 
 namespace galenaroute {
 
+/// Maximum of EntryRecord::Heard.
+inline constexpr std::size_t MaxHeardServices = 16;
+
 /// An entry's state as it gossips it; other entries forward it.
 struct EntryRecord {
   std::string Id;
@@ -44,6 +47,9 @@
   std::uint64_t KnownEntries = 1;
   /// Version of the configuration in force, zero before the first one.
   std::uint64_t ConfigVersion = 0;
+  /// useKey() of services whose upstreams it has heard directly within the last
+  /// second.
+  std::vector<std::uint32_t> Heard;
 };
 
 struct EntryGossipSettings {
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -120,6 +120,11 @@
                            this->onWeights(Object);
                          }}),
       Entries(localRecord(this->Settings), {}),
+      Paths({.Pool = Pool,
+             .Upstreams = Upstreams,
+             .Entries = Entries,
+             .Stats = Stats,
+             .OnChanged = [this](const std::string &) { this->wakeQueues(); }}),
       Statuses(
           this->Entries,
           [this](const SocketAddress &To, const std::string &Bytes) {
@@ -173,6 +178,7 @@
   };
   this->connectRates();
   this->connectStreams();
+  this->connectPaths();
   this->Services.OnSent = [this](const UpstreamEntry &To,
                                  std::uint32_t Tokens) {
     if (this->Rates.limitOf(To.Incarnation))
@@ -341,6 +347,7 @@
   this->Memory.setLimits(memoryLimits(this->usableMemory()));
   this->Parts.Answers->setWaitBytes(this->Memory.limit(MemoryPart::Upstreams));
   this->updateDescriptorShares();
+  this->updateRelayLimits();
   this->updateRetryBudgets();
   this->Services.WeightsLimit = this->Settings.WeightsLimit - WeightsMargin;
   this->Services.PartTimes = partLeaseTimes(this->Settings.WeightsLimit);
@@ -439,6 +446,7 @@
   this->Channel = std::make_unique<EntryChannel>(
       this->Loop, this->Settings.Gossip,
       [this](GossipMessage Message) { this->onMessage(std::move(Message)); });
+  this->startRelays();
   this->AnswersExceeded =
       this->Parts.Answers->Exceeded.connect([this](std::string_view Reason) {
         this->Stats.decision("answer." + std::string(Reason));
@@ -459,6 +467,7 @@
       this->Loop.timers().every(GossipPeriod, [this] { this->gossip(); }));
   this->Timers.push_back(this->Loop.timers().every(HousekeepingPeriod, [this] {
     this->detectStall();
+    this->Paths.update();
     const auto At = this->Registry.confirmedAt();
     // Without contact to the platform, a missing upstream can't be
     // distinguished from an outage, so none is expired.
@@ -628,7 +637,9 @@
 ForwardGateway::connectionRoom(const UpstreamEntry &Entry) const {
   UpstreamTable::ConnectionCapacity Result;
   const SocketAddress &To = Entry.Registered.Address;
-  Result.HasIdle = this->Pool.hasIdle(To, MaxIdleRepeatable);
+  Result.HasIdle = this->Paths.isCut(Entry.Registered.Service)
+                       ? this->Pool.hasAnyIdle(To, MaxIdleRepeatable)
+                       : this->Pool.hasIdle(To, MaxIdleRepeatable);
   if (!this->Services.Config)
     return Result;
   const auto Found =
@@ -698,6 +709,7 @@
       this->Services.Config ? this->Services.Config->Version : 0;
   Self.ReachesPlatform = this->reachesPlatform();
   Self.IsLeaving = this->StopRequestedAt.has_value();
+  Self.Heard = this->Paths.heardServices();
   Self.Busy = std::min(1.0, static_cast<double>(this->Services.OpenRuns) /
                                 (CallsPerCore * this->Settings.Cores));
   this->GatewayCount = this->Entries.countAlive(Now) + 1;
@@ -827,7 +839,8 @@
   // The registry also announces a leaving server to the other gateways, but
   // later.
   for (const auto &[Id, Entry] : this->Upstreams.entries())
-    if (Entry.AnnouncedLeaving && !Entry.Registered.IsLeaving)
+    if ((Entry.AnnouncedLeaving && !Entry.Registered.IsLeaving) ||
+        this->sharesPauseOf(Entry, Now))
       Status.Withheld.push_back(Id);
   for (ObjectWatcher *Each : this->watchers())
     Each->check(Now);
@@ -961,6 +974,7 @@
   if (!this->Listener->isBound())
     this->Listener->stopAccepting();
   this->Listener->closeAfterAnswers();
+  this->Relays->stop();
   this->Orders->resign();
   this->Rates.leave();
   this->gossip();
@@ -980,7 +994,8 @@
   // The time for late requests counts from the end of accepting, which comes
   // late if the process stood still.
   const bool IsIdle =
-      this->Services.OpenRuns == 0 && this->RefusingSince &&
+      this->Services.OpenRuns == 0 && this->Relays->connections() == 0 &&
+      this->RefusingSince &&
       EventLoop::now() - *this->RefusingSince >= LateRequestTime &&
       this->Listener->isQuiet();
   if (!IsIdle) {
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -14,9 +14,11 @@
 #ifndef GALENAROUTE_PROCESS_FORWARDGATEWAY_H
 #define GALENAROUTE_PROCESS_FORWARDGATEWAY_H
 
+#include "connection/RelayListener.h"
 #include "process/CrashExchange.h"
 #include "process/Descriptors.h"
 #include "process/EntryChannel.h"
+#include "process/GatewayPaths.h"
 #include "process/MemoryReserve.h"
 #include "process/RateExchange.h"
 #include "process/SoftwareVersionStore.h"
@@ -190,6 +192,12 @@
   UpstreamTable::ConnectionCapacity
   connectionRoom(const UpstreamEntry &Entry) const;
   std::size_t gatewayCount() const;
+  void connectPaths();
+  void startRelays();
+  void updateRelayLimits();
+  bool isGateway(std::string_view Host) const;
+  bool sharesPauseOf(const UpstreamEntry &Entry, TimePoint Now) const;
+  std::optional<SocketAddress> relayTarget(std::string_view Upstream) const;
   bool mayPlatformLackObjects() const;
   bool isConfigOutdated() const;
   void logConfigOutdated();
@@ -219,6 +227,7 @@
   /// Evacuated zones that a restored platform does not list.
   std::set<std::string> UnlistedEvacuations;
   EntryGossip Entries;
+  GatewayPaths Paths;
   StatusExchange Statuses;
   CrashExchange Crashes;
   RateExchange Rates;
@@ -234,6 +243,7 @@
   std::unique_ptr<OrderController> Orders;
   std::unique_ptr<CallListener> Listener;
   std::unique_ptr<EntryChannel> Channel;
+  std::unique_ptr<RelayListener> Relays;
   /// When this process started or noticed that the platform was restored.
   TimePoint EraSince = EventLoop::now();
   bool WasConfigOutdated = false; ///< In the last gossip round.
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -73,6 +73,7 @@
   // Permits from before a suspension are dropped before a call uses them.
   if (this->Rates.hasLimits())
     this->updateRateMembers();
+  this->Paths.notePause();
   this->Upstreams.noteStandstill();
   noteStandstill(this->Services.Backlog, EventLoop::now());
   this->Services.WeightsChanged.emit();
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -20,7 +20,16 @@
                       Record.Zone, Record.Capacity, Record.Busy, Record.IsReady,
                       Record.IsLeaving, Record.ReachesPlatform,
                       Record.IssuesPermits, Record.KnownEntries,
-                      Record.ConfigVersion});
+                      Record.ConfigVersion, Record.Heard});
+}
+
+/// Reads at most MaxHeardServices keys.
+static std::vector<std::uint32_t> heardFromJson(const json &Value) {
+  std::vector<std::uint32_t> Result;
+  for (const json &Each : Value)
+    if (Result.size() < MaxHeardServices)
+      Result.push_back(Each);
+  return Result;
 }
 
 static EntryRecord recordFromJson(const json &Value) {
@@ -42,6 +51,8 @@
     Record.KnownEntries = Value.at(12);
   if (Value.size() > 13)
     Record.ConfigVersion = Value.at(13);
+  if (Value.size() > 14)
+    Record.Heard = heardFromJson(Value.at(14));
   return Record;
 }
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -345,6 +345,7 @@
   if (this->Live.empty() &&
       (this->endIfEvacuated() || this->endIfNoUpstreamOfVersion()))
     return true;
+  this->retryUnreached();
   const UpstreamQuery Query = this->query();
   this->Services.Upstreams.noteWanted(Query, EventLoop::now());
   const UpstreamTable::Chosen To =
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -40,6 +40,7 @@
 #include "request/RetryBudget.h"
 #include "request/StreamOrigins.h"
 #include "request/UnansweredSends.h"
+#include "request/UpstreamPaths.h"
 #include "request/UpstreamTable.h"
 #include "request/WaitingRuns.h"
 #include "version/AnnouncedWeights.h"
@@ -105,6 +106,22 @@
   /// Requests permission for \p Calls calls to an upstream with a rate limit.
   std::function<void(const UpstreamEntry &To, std::uint32_t Calls)>
       RequestPermits = [](const UpstreamEntry &, std::uint32_t) {};
+  /// Returns how a call reaches an upstream. Idle connections older than
+  /// \p MaxIdle are not used; \p MayTry allows a connection that may fail.
+  std::function<UpstreamPath(const UpstreamEntry &To, Duration MaxIdle,
+                             bool MayTry)>
+      PathTo =
+          [](const UpstreamEntry &, Duration, bool) { return UpstreamPath{}; };
+  /// Returns whether this process is cut off from the upstreams of a service.
+  std::function<bool(const std::string &Service)> IsPathCut =
+      [](const std::string &) { return false; };
+  /// Called with what a direct connection has shown.
+  std::function<void(const std::string &Service, std::string_view Upstream,
+                     PathEvent Event)>
+      OnPath = [](const std::string &, std::string_view, PathEvent) {};
+  /// Called when a relayed connection was refused or broken by its helper.
+  std::function<void(const SocketAddress &Helper)> OnHelperFailed =
+      [](const SocketAddress &) {};
   /// Engines with older weights get no calls from this time after a newer
   /// version was named.
   Duration OldWeightsLimit = std::chrono::seconds(10);
@@ -230,6 +247,9 @@
   SendOutcome outcomeOf(const ForwardSend &Send, UpstreamEnd End) const;
   void onOutcome(const std::shared_ptr<ForwardSend> &Send, SendOutcome Outcome);
   void noteOutcome(ForwardSend &Send, SendOutcome Outcome);
+  void notePath(const ForwardSend &Send, PathEvent Event);
+  void notePathOfOutcome(const ForwardSend &Send, SendOutcome Outcome);
+  void retryUnreached();
   void continueOthers(const std::shared_ptr<ForwardSend> &Ended,
                       SendOutcome Outcome, bool WasLatest);
   std::string_view nextName(ForwardStep Step) const;
@@ -308,6 +328,8 @@
   std::shared_ptr<ForwardSend> ServerError;
   std::string UpstreamId; ///< Of the latest send.
   std::vector<std::string> TriedUpstreams;
+  /// Of TriedUpstreams, those that were not reached directly.
+  std::vector<std::string> UnreachedUpstreams;
   bool IsQueued = false; ///< Waits for an upstream, see WaitingRuns.
   std::optional<WaitEstimate> WaitExpected; ///< If refused for it.
   std::optional<std::uint64_t> LastEvent;
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -16,6 +16,10 @@
 static constexpr Duration MaxIdleNonRepeatable = std::chrono::milliseconds(900);
 /// Minimum deadline passed to an upstream; it could not use less.
 static constexpr Duration MinSendTime = std::chrono::milliseconds(5);
+/// Added to the time to connect over another gateway.
+static constexpr Duration RelayConnectTime = std::chrono::milliseconds(200);
+/// Enough to connect to an upstream that is reached.
+static constexpr Duration TrialConnectTime = std::chrono::milliseconds(200);
 /// Bytes of a stream that wait for its caller before the upstream has to wait.
 static constexpr std::size_t MaxStreamBacklog = 1 << 20;
 /// Memory for a longer body is not reserved at once.
@@ -47,7 +51,9 @@
 
 UpstreamExchangeEvents
 ForwardRun::eventsOf(const std::shared_ptr<ForwardSend> &Send) {
-  return {.OnHead =
+  return {.OnConnected =
+              [this, Send] { this->notePath(*Send, PathEvent::Connected); },
+          .OnHead =
               [this, Send](const HttpHead &Head) {
                 const RunningCall Scope(this->Call.Id);
                 return this->onHead(*Send, Head);
@@ -77,6 +83,15 @@
                          ? MaxIdleNonRepeatable
                          : MaxIdleRepeatable;
   const auto Send = std::make_shared<ForwardSend>();
+  Send->Path = this->Services.PathTo(
+      To, Settings.MaxIdle, this->Route->Repeat != Repeatability::Once);
+  Settings.Helper = Send->Path.Helper;
+  if (Send->Path.Helper)
+    Settings.ConnectTimeout += RelayConnectTime;
+  if (Send->Path.IsTrial) {
+    Settings.ConnectTimeout = TrialConnectTime;
+    Settings.MaxIdle = Duration::zero();
+  }
   Send->UpstreamId = To.Registered.Id;
   Send->Incarnation = To.Incarnation;
   Send->SoftwareVersion = To.Registered.SoftwareVersion;
@@ -130,6 +145,9 @@
        {"content", keyName(this->Signature)},
        {"route", this->Route->Name},
        {"upstream", Send.UpstreamId},
+       {"helper", Send.Path.Helper    ? Send.Path.Helper->Address.toString()
+                  : Send.Path.IsTrial ? "trial"
+                                      : "-"},
        {"send",
         std::to_string(this->Sends + static_cast<int>(this->Live.size()))},
        {"left_ms", std::to_string(toMilliseconds(this->timeLeft()))},
@@ -270,6 +288,7 @@
   UpstreamTable &Upstreams = this->Services.Upstreams;
   const TimePoint Now = EventLoop::now();
   Send.ProgressAt = Send.HeardAt = Now;
+  this->notePath(Send, PathEvent::Heard);
   if (Send.Answer.IsLeaving)
     Upstreams.noteLeaving(Send.UpstreamId, Send.Incarnation, Now);
   if (Send.Answer.PauseFor)
@@ -368,8 +387,10 @@
     return;
   Send->HeardAt = EventLoop::now();
   // Bytes that have waited do not show that the upstream still runs.
-  if (!Send->WasPaused)
+  if (!Send->WasPaused) {
     this->Services.Upstreams.noteHeard(Send->UpstreamId, Send->HeardAt);
+    this->notePath(*Send, PathEvent::Heard);
+  }
   if (!this->isStreamAnswer(*Send)) {
     if (!this->addToBody(Send, Bytes))
       this->dropBody(Send);
--- a/src/request/ForwardSend.h
+++ b/src/request/ForwardSend.h
@@ -34,6 +34,7 @@
   }
 
   std::unique_ptr<UpstreamExchange> Exchange; ///< Null once it has ended.
+  UpstreamPath Path;                          ///< To the upstream.
   UpstreamCause Cause = UpstreamCause::None;  ///< Of the end of its connection.
   std::string UpstreamId;
   std::uint64_t Incarnation = 0; ///< Of the upstream, see incarnationKey().
--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -153,6 +153,43 @@
                                        Send.Class);
 }
 
+/// Notes what a direct connection has shown.
+void ForwardRun::notePath(const ForwardSend &Send, PathEvent Event) {
+  if (!Send.Path.Helper)
+    this->Services.OnPath(this->Service->Name, Send.UpstreamId, Event);
+}
+
+/// Notes what the end of \p Send shows of its path.
+void ForwardRun::notePathOfOutcome(const ForwardSend &Send,
+                                   SendOutcome Outcome) {
+  if (Send.Path.Helper) {
+    if (Send.Cause == UpstreamCause::HelperFailed)
+      this->Services.OnHelperFailed(Send.Path.Helper->Address);
+    return;
+  }
+  // Other causes are faults of this machine, such as a lack of descriptors.
+  if (Outcome == SendOutcome::NotSent && Send.Cause != UpstreamCause::None &&
+      Send.Cause != UpstreamCause::Other) {
+    this->UnreachedUpstreams.push_back(Send.UpstreamId);
+    this->notePath(Send, PathEvent::ConnectFailed);
+  } else if (Outcome == SendOutcome::Broken &&
+             (Send.Cause == UpstreamCause::Reset ||
+              Send.Cause == UpstreamCause::NoAcknowledgment)) {
+    this->notePath(Send, PathEvent::LinkLost);
+  }
+}
+
+/// Lets the call try again the upstreams that it did not reach directly once
+/// other gateways are used.
+void ForwardRun::retryUnreached() {
+  if (this->UnreachedUpstreams.empty() ||
+      !this->Services.IsPathCut(this->Service->Name))
+    return;
+  for (const std::string &Each : this->UnreachedUpstreams)
+    std::erase(this->TriedUpstreams, Each);
+  this->UnreachedUpstreams.clear();
+}
+
 /// Updates the shared records with the outcome of \p Send.
 void ForwardRun::noteOutcome(ForwardSend &Send, SendOutcome Outcome) {
   UpstreamTable &Upstreams = this->Services.Upstreams;
@@ -164,6 +201,7 @@
   if (Outcome != SendOutcome::NotRun && Outcome != SendOutcome::NotSent)
     this->noteEngineTime(Send);
   this->queue().wake();
+  this->notePathOfOutcome(Send, Outcome);
   switch (Outcome) {
   case SendOutcome::Succeeded:
     Upstreams.noteSuccess(Send.UpstreamId);
@@ -190,6 +228,10 @@
     Upstreams.suspendUntil(Send.UpstreamId, Now + RefusalBackoff);
     return;
   case SendOutcome::NotSent:
+    // The upstream may be sound.
+    if (Send.Cause == UpstreamCause::HelperFailed ||
+        (!Send.Path.Helper && this->Services.IsPathCut(this->Service->Name)))
+      return;
     Upstreams.noteFailure(Send.UpstreamId, NotSentFailureWeight, Now);
     return;
   case SendOutcome::Stalled:
@@ -201,12 +243,15 @@
     // An upstream whose answer was dropped has not ended.
     if (isTooLarge(Send.Cause))
       this->Services.Pool.budget()->Exceeded.emit(toString(Send.Cause));
-    // A silent link does not show that the upstream has ended.
-    else if (Send.Cause == UpstreamCause::NoAcknowledgment)
+    // A silent link does not show that the upstream has ended, nor does the end
+    // of a helper.
+    else if (Send.Cause == UpstreamCause::NoAcknowledgment ||
+             Send.Cause == UpstreamCause::HelperFailed)
       this->noteUnansweredSend(Send, Now);
     else
       this->recordSendCrash(Send, Now);
-    Upstreams.noteFailure(Send.UpstreamId, BrokenFailureWeight, Now);
+    if (Send.Cause != UpstreamCause::HelperFailed)
+      Upstreams.noteFailure(Send.UpstreamId, BrokenFailureWeight, Now);
     return;
   }
 }
@@ -492,6 +537,8 @@
 void ForwardRun::noteStalled(ForwardSend &Send, std::string_view Other) {
   const TimePoint Now = EventLoop::now();
   Send.StalledBy = this->silenceOf(Send);
+  if (Send.StalledBy == Silence::Link)
+    this->notePath(Send, PathEvent::LinkLost);
   if (!std::exchange(Send.IsStalled, true)) {
     this->Services.Upstreams.noteFailure(Send.UpstreamId, StalledFailureWeight,
                                          Now);
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -519,6 +519,12 @@
   Entry->FailureAt = Now;
 }
 
+void UpstreamTable::clearFailures(std::string_view Service) {
+  for (auto &[Id, Entry] : this->Entries)
+    if (Entry.Registered.Service == Service)
+      Entry.FailureScore = 0;
+}
+
 void UpstreamTable::noteProgress(std::string_view Id, TimePoint Now) {
   if (UpstreamEntry *Entry = this->findMutable(Id))
     Entry->ProgressAt = Now;
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -324,6 +324,8 @@
   std::optional<TimePoint> availableAt(std::string_view Service) const;
   void noteLoad(std::string_view Id, const UpstreamLoad &Load, TimePoint Now);
   void noteFailure(std::string_view Id, double Weight, TimePoint Now);
+  /// Forgets the failures of the upstreams of a service.
+  void clearFailures(std::string_view Service);
   void noteProgress(std::string_view Id, TimePoint Now);
   void noteHeard(std::string_view Id, TimePoint Now);
   void noteSuccess(std::string_view Id);
--- a/tests/PartitionedGatewayTest.cpp
+++ b/tests/PartitionedGatewayTest.cpp
@@ -103,7 +103,10 @@
         Each.Api->drain(40);
     });
   }
-  ~PartitionedGatewayTest() override { this->PlatformTimer.disconnect(); }
+  ~PartitionedGatewayTest() override {
+    this->PlatformTimer.disconnect();
+    this->NeighbourTimer.disconnect();
+  }
 
   void addUpstream(const std::string &Id) {
     const SocketAddress Address = freeAddress();
@@ -133,27 +136,36 @@
     this->Loop.runUntil([] { return false; }, Time);
   }
 
-  /// Sends a call to each gateway every 50 ms. Returns how many of those to the
-  /// cut one were served, and how many were sent there.
+  std::unique_ptr<RawSocket> send(std::size_t Index, const std::string &Path) {
+    auto Caller = std::make_unique<RawSocket>(
+        RawSocket::connectTo(this->Gateways[Index].Settings.Callers));
+    Caller->write("POST " + Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r" +
+                  std::to_string(++this->Sent) +
+                  "\r\nContent-Length: 0\r\n\r\n");
+    return Caller;
+  }
+  /// Lets the neighbour have calls of its own, so that it hears the upstreams.
+  void keepNeighbourBusy() {
+    this->NeighbourTimer = this->Loop.timers().every(50ms, [this] {
+      this->NeighbourCaller = this->send(1 - Cut, "/safe/n");
+    });
+  }
+
+  /// Sends calls to the cut gateway. Returns how many were served, and how many
+  /// were sent.
   std::pair<int, int> play(const std::string &Path, Duration Time) {
     std::vector<std::unique_ptr<RawSocket>> Callers;
     const TimePoint End = EventLoop::now() + Time;
     while (EventLoop::now() < End) {
-      for (const Gateway &Each : this->Gateways) {
-        Callers.push_back(std::make_unique<RawSocket>(
-            RawSocket::connectTo(Each.Settings.Callers)));
-        Callers.back()->write(
-            "POST " + Path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r" +
-            std::to_string(++this->Sent) + "\r\nContent-Length: 0\r\n\r\n");
-      }
+      Callers.push_back(this->send(Cut, Path));
       this->wait(50ms);
     }
     this->wait(1500ms);
     int Served = 0;
-    for (std::size_t I = Cut; I < Callers.size(); I += this->Gateways.size())
-      Served += Callers[I]->read().starts_with("HTTP/1.1 200") &&
-                Callers[I]->text().find("answer") != std::string::npos;
-    return {Served, static_cast<int>(Callers.size() / this->Gateways.size())};
+    for (const auto &Each : Callers)
+      Served += Each->read().starts_with("HTTP/1.1 200") &&
+                Each->text().find("answer") != std::string::npos;
+    return {Served, static_cast<int>(Callers.size())};
   }
 
   EventLoop Loop;
@@ -169,7 +181,9 @@
   NoOrders Orders;
   std::vector<std::unique_ptr<CallListener>> Upstreams;
   int Sent = 0;
+  std::unique_ptr<RawSocket> NeighbourCaller;
   sigc::connection PlatformTimer;
+  sigc::connection NeighbourTimer;
 };
 
 // Guards against callers who are not served by a gateway that is cut off while
@@ -181,6 +195,7 @@
                this->Gateways[1].Process->isReady();
       },
       3s));
+  this->keepNeighbourBusy();
   this->play("/safe/a", 1500ms);
   for (const char *Path : {"/safe/a", "/once/a"}) {
     const auto [Served, Calls] = this->play(Path, 1500ms);
