EntryGossip: a gateway that leaves stays known to relay listeners

Measured: GatewayPathsTest.AGatewayThatLeavesStaysKnown guards it; with PartitionedGatewayTest, RelayTest, RelayProtocolTest and UpstreamPathsTest 33 of 33 pass. On these and ForwardRunTest, ForwardConnectionsTest, CallbackGuardTest, ConnectionShareTest, StatusExchangeTest, PlannedStopTest, StreamVersionsRunTest, UpstreamTableTest, ForwardDecisionsTest and SoftwareVersionsFleetTest passed, 185 of 185, linked apart.

--- a/src/process/EntryGossip.cpp
+++ b/src/process/EntryGossip.cpp
@@ -136,6 +136,13 @@
   return Result;
 }
 
+bool EntryGossip::isKnownHost(std::string_view Host) const {
+  return std::any_of(this->Others.begin(), this->Others.end(),
+                     [Host](const auto &Each) {
+                       return Each.second.Record.Gossip.Host == Host;
+                     });
+}
+
 std::size_t EntryGossip::countAlive(TimePoint Now) const {
   std::size_t Count = 0;
   this->forEachAlive(Now, [&](const EntryRecord &) { ++Count; });
--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -91,6 +91,9 @@
   void markSeen(std::span<const std::uint32_t> Keys, TimePoint Now);
   /// Returns the record of an entry other than this one, or null.
   const EntryRecord *find(std::string_view Id) const;
+  /// Returns whether another entry, also one that leaves or is considered dead,
+  /// has the IP address \p Host.
+  bool isKnownHost(std::string_view Host) const;
   /// Returns the other entries that are alive and not leaving.
   std::vector<EntryRecord> alive(TimePoint Now) const;
   std::size_t countAlive(TimePoint Now) const;
--- a/src/process/ForwardGatewayPaths.cpp
+++ b/src/process/ForwardGatewayPaths.cpp
@@ -2,7 +2,8 @@
 // gateways, and has them open some for its own calls.
 
 #include "process/ForwardGateway.h"
-#include "process/Log.h"
+
+#include <algorithm>
 
 namespace galenaroute {
 
@@ -53,14 +54,9 @@
 /// Returns whether a gateway that is known has this IP address.
 bool ForwardGateway::isGateway(std::string_view Host) const {
   const auto &Seeds = this->Settings.GossipSeeds;
-  if (std::any_of(Seeds.begin(), Seeds.end(),
-                  [Host](const auto &Each) { return Each.Host == Host; }))
-    return true;
-  bool IsKnown = false;
-  this->Entries.forEachAlive(EventLoop::now(), [&](const EntryRecord &Each) {
-    IsKnown = IsKnown || Each.Gossip.Host == Host;
-  });
-  return IsKnown;
+  return this->Entries.isKnownHost(Host) ||
+         std::any_of(Seeds.begin(), Seeds.end(),
+                     [Host](const auto &Each) { return Each.Host == Host; });
 }
 
 /// Returns whether a backoff that \p Entry has asked for is told to the other
--- a/tests/GatewayPathsTest.cpp
+++ b/tests/GatewayPathsTest.cpp
@@ -98,6 +98,14 @@
   EXPECT_TRUE(this->Paths.heardServices().empty());
 }
 
+// Guards against a gateway that stops while it is cut off, whose calls nobody
+// relays.
+TEST_F(GatewayPathsTest, AGatewayThatLeavesStaysKnown) {
+  this->hear("a", "z", [](EntryRecord &Each) { Each.IsLeaving = true; });
+  EXPECT_TRUE(this->Entries.isKnownHost("a"));
+  EXPECT_FALSE(this->Entries.isKnownHost("b"));
+}
+
 TEST_F(GatewayPathsTest, RecordsTellABoundedNumberOfServices) {
   EntryRecord Record;
   Record.Callers = Record.Gossip = {"127.0.0.1", 1};
