--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -19,11 +19,14 @@
 #define GALENAROUTE_CONNECTION_UPSTREAMPOOL_H
 
 #include "connection/HttpParser.h"
+#include "connection/RelayProtocol.h"
 #include "connection/ResponseBudget.h"
 #include "process/EventLoop.h"
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace galenaroute {
@@ -47,6 +50,8 @@
   HeadTooLarge,     ///< The head of the answer exceeded its limit.
   BodyTooLarge,     ///< The body of the answer exceeded its limit.
   MemoryShort,      ///< The answers in flight exceeded their common limit.
+  RelayFailed,      ///< The helper could not connect to the upstream.
+  HelperFailed,     ///< The helper refused, was not reached or has ended.
   Other,            ///< Another error of the socket; it is logged.
 };
 
@@ -56,6 +61,19 @@
 /// Returns whether the answer was dropped because of its size.
 bool isTooLarge(UpstreamCause Cause);
 
+/// A gateway that opens connections to upstreams on behalf of this one, see
+/// RelayListener.
+struct RelayHelper {
+  SocketAddress Address;
+  std::string Upstream; ///< Id of the upstream.
+};
+
+/// How a send reaches its upstream.
+struct UpstreamPath {
+  std::optional<RelayHelper> Helper; ///< Nothing for a direct connection.
+  bool IsTrial = false; ///< On a new connection, to find out if the path works.
+};
+
 struct UpstreamExchangeSettings {
   Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// How long data to the upstream may stay unacknowledged. Probes are due each
@@ -69,9 +87,14 @@
   Duration MaxIdle = std::chrono::seconds(60);
   bool IsHead = false; ///< The answer to HEAD has no body.
   std::string CallId;  ///< Names the call, also when it is sent again.
+  /// Nothing for a direct connection.
+  std::optional<RelayHelper> Helper;
 };
 
 struct UpstreamExchangeEvents {
+  /// Called when a new connection to the upstream is established. Must not end
+  /// the exchange.
+  std::function<void()> OnConnected = [] {};
   /// Returns whether this is the answer to the request.
   std::function<bool(const HttpHead &Head)> OnHead;
   std::function<void(std::string_view Bytes)> OnBody;
@@ -139,12 +162,21 @@
         const UpstreamExchangeSettings &Settings,
         UpstreamExchangeEvents Events);
 
-  /// Connections to \p To, idle ones included.
+  /// Connections to \p To, idle and relayed ones included.
   std::size_t connections(const SocketAddress &To) const;
-  bool hasIdle(const SocketAddress &To, Duration MaxIdle) const;
+  /// Returns whether a connection to \p To over the helper, or a direct one if
+  /// that is null, is idle.
+  bool hasIdle(const SocketAddress &To, Duration MaxIdle,
+               const SocketAddress *Helper = nullptr) const;
+
+  /// Returns whether any connection to \p To is idle, relayed or not.
+  bool hasAnyIdle(const SocketAddress &To, Duration MaxIdle) const;
 
-  /// Closes the idle connections to \p To.
+  /// Closes the idle connections to \p To, relayed ones included.
   void closeIdle(const SocketAddress &To);
+  /// Closes the idle connections over helpers that \p Keeps does not accept.
+  void closeIdleRelayed(
+      const std::function<bool(const SocketAddress &Helper)> &Keeps);
 
   const std::shared_ptr<ResponseBudget> &budget() const { return this->Budget; }
 
@@ -154,20 +186,23 @@
 private:
   friend class UpstreamConnection;
   friend class UpstreamExchange;
+  /// The address of an upstream and that of the helper, which is empty for
+  /// direct connections.
+  using Path = std::pair<SocketAddress, SocketAddress>;
   struct Target {
     std::vector<std::shared_ptr<UpstreamConnection>> Idle;
     std::size_t Total = 0;
   };
 
-  std::shared_ptr<UpstreamConnection>
-  takeIdle(const SocketAddress &To, Duration MaxIdle, const std::string &Id);
+  std::shared_ptr<UpstreamConnection> takeIdle(const Path &By, Duration MaxIdle,
+                                               const std::string &Id);
   void release(const std::shared_ptr<UpstreamConnection> &Connection);
   void forget(std::shared_ptr<UpstreamConnection> Connection);
   void sweep();
 
   EventLoop &Loop;
   std::shared_ptr<ResponseBudget> Budget;
-  std::map<SocketAddress, Target> Targets;
+  std::map<Path, Target> Targets;
   // Owns busy connections; idle ones are owned by their target.
   std::map<UpstreamConnection *, std::shared_ptr<UpstreamConnection>> Busy;
   std::uint64_t Opened = 0;
