--- a/tests/LimitedUpstreams.h
+++ b/tests/LimitedUpstreams.h
@@ -114,6 +114,10 @@
   }
   int sent() const { return this->Sent; }
 
+  /// Whether no two calls have the same body. A body that comes again is
+  /// refused once upstreams have fallen with it.
+  bool HasOwnBodies = false;
+
 private:
   struct Open {
     std::unique_ptr<RawSocket> Socket;
@@ -124,12 +128,14 @@
     const std::size_t To =
         static_cast<std::size_t>(this->Sent) % this->Gateways;
     const std::string Id = callIdOf(To, ++this->Sent);
+    const std::string Body = this->HasOwnBodies ? Id : "body";
     try {
       auto Socket =
           std::make_unique<RawSocket>(RawSocket::connectTo(this->At(To)));
       Socket->writeSome("POST /safe/a HTTP/1.1\r\nHost: h\r\nConnection: "
                         "close\r\nRequest-Id: " +
-                        Id + "\r\nContent-Length: 4\r\n\r\nbody");
+                        Id + "\r\nContent-Length: " +
+                        std::to_string(Body.size()) + "\r\n\r\n" + Body);
       this->Calls.push_back({std::move(Socket), EventLoop::now()});
     } catch (const std::exception &) {
       // The gateway is down; a caller would choose another one.
