UpstreamTable: bound the refusals of brittle upstreams

All gateways sent to the same free slots, so that each upstream fell as soon as it was back.

Each gateway now bounds the calls at such an upstream that may still be refused by its part of 0.7 N, or, where there are more gateways than that, its calls in flight by its share of the slots (BrittleUpstreams). CallHeaders reads the header into CallAnswer::MaxRefusalsPerSecond.

--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -95,6 +95,12 @@
   /// heard, as this entry or a live one knows it. An entry that starts in a
   /// partition learns it from the others of its side.
   std::size_t fleetSize(TimePoint Now) const;
+  /// Visits the entries that countKnown() counts.
+  template <typename Visitor> void forEachKnown(Visitor Visit) const {
+    for (const auto &[Id, Each] : this->Others)
+      if (!Each.Record.IsLeaving)
+        Visit(Each.Record);
+  }
   /// Visits the same entries as alive() without copying them.
   template <typename Visitor>
   void forEachAlive(TimePoint Now, Visitor Visit) const {
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -711,6 +711,7 @@
   this->assignWatchers();
   const std::size_t Count = this->gatewayCount();
   this->Upstreams.setGatewayCount(Count);
+  this->updateFleet();
   this->Stores.setFollowers(Count > MaxPrimaryWatchers
                                 ? this->Services.Reuse.Zones.size() + 1
                                 : Count);
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -169,6 +169,7 @@
   VersionsByService registeredVersions() const;
   void connectRates();
   void updateRateMembers();
+  void updateFleet();
   void limitIfCold(const UpstreamEntry &Entry);
   void limitCold(const UpstreamEntry &Entry, TimePoint Until);
   UpstreamTable::CallPermission
--- a/src/request/ForwardCall.h
+++ b/src/request/ForwardCall.h
@@ -103,6 +103,9 @@
   /// Calls per second that the upstream accepts from all gateways together;
   /// nothing if it states no limit.
   std::optional<double> RateLimit;
+  /// The upstream is brittle: it fails if it has to refuse more calls in a
+  /// second for lack of room, counted over all gateways.
+  std::optional<int> MaxRefusalsPerSecond;
   HttpHeaders
       ForwardedHeaders; ///< Fields that are returned to the caller unchanged.
 };
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -100,6 +100,7 @@
   this->Live.push_back(Send);
   this->Services.Upstreams.noteSent(Send->UpstreamId, Choice.Work,
                                     this->callTokens(), Query.Class);
+  this->Services.Upstreams.noteAwaited(Send->UpstreamId, Send->SentAt);
   if (this->Current == Phase::Waiting)
     this->Current = Phase::Sent;
   this->UpstreamId = Send->UpstreamId;
@@ -282,6 +283,13 @@
   Upstreams.noteProgress(Send.UpstreamId, Now);
   Upstreams.noteHeard(Send.UpstreamId, Now);
   this->Services.OnRateLimit(*From, Send.Answer.RateLimit);
+  Upstreams.noteBrittle(Send.UpstreamId, Send.Answer.MaxRefusalsPerSecond, Now);
+  if (!From->Place || Send.Answer.Status != 503 || !Send.Answer.NotRun) {
+    Upstreams.noteAccepted(Send.UpstreamId, Send.SentAt);
+  } else {
+    Upstreams.noteRefused(Send.UpstreamId, Send.SentAt, Now);
+    this->Services.Stats.decision("brittle.refused");
+  }
   if (Send.Answer.Load)
     Upstreams.noteLoad(Send.UpstreamId, *Send.Answer.Load, Now);
   if (Send.Answer.WeightVersion)
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -60,6 +60,8 @@
   if (!Upstream.WeightVersions.empty())
     Entry.WeightVersion = std::max(Upstream.WeightVersions.begin()->second,
                                    Entry.WeightVersion.value_or(0));
+  if (Changed && this->Brittle.contains(Upstream.Service))
+    this->updatePlaces(Upstream.Service);
   if (Changed)
     log(LogLevel::Info, "upstream.registered",
         {{"upstream", Upstream.Id},
@@ -107,6 +109,12 @@
       Expired.push_back(Id);
   for (const std::string &Id : Expired)
     this->remove(Id, Now);
+  std::vector<std::string> Forgotten;
+  for (const auto &[Service, Statement] : this->Brittle)
+    if (Statement && isForgotten(*Statement, Now, this->Settings.Brittle))
+      Forgotten.push_back(Service);
+  for (const std::string &Service : Forgotten)
+    this->endBrittle(Service, "not_heard");
 }
 
 bool UpstreamTable::setEvacuated(std::string_view Zone, bool Evacuated) {
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -12,6 +12,7 @@
 #ifndef GALENAROUTE_REQUEST_UPSTREAMTABLE_H
 #define GALENAROUTE_REQUEST_UPSTREAMTABLE_H
 
+#include "request/BrittleUpstreams.h"
 #include "request/EngineMemory.h"
 #include "request/EngineRoom.h"
 #include "request/PrefillQueue.h"
@@ -73,6 +74,9 @@
     return this->Registered.IsLeaving || this->AnnouncedLeaving;
   }
   std::optional<TimePoint> MissingSince; ///< Set if missing in the last list.
+  /// Set while its service is brittle.
+  std::optional<BrittlePlace> Place;
+  BrittleSends RecentSends; ///< Counted while Place is set.
 };
 
 struct UpstreamTableSettings {
@@ -101,6 +105,7 @@
   int MaxWaiting = 1;
   int MaxWaitingUrgent = 6;
   EngineRoomSettings Room;
+  BrittleSettings Brittle;
   Duration MaxReportAge = std::chrono::milliseconds(400);
   /// Limit on the prompt tokens of all gateways together, applied when the
   /// other gateways have reported their use. An engine prefills about 100
@@ -241,6 +246,8 @@
     /// Upstreams that were left out only because they may not be called at this
     /// time, see CallPermission.
     std::vector<const UpstreamEntry *> WithoutPermit;
+    /// How many were left out only because they are brittle, see mayCall().
+    std::size_t WithoutPlace = 0;
     /// Keys and shares of the candidates, and the index of Entry among them.
     std::vector<std::uint32_t> Keys;
     std::vector<double> Shares;
@@ -306,6 +313,18 @@
   }
   /// Sets the number of gateways that send calls, including this one.
   void setGatewayCount(std::size_t Count) { this->GatewayCount = Count; }
+  /// Sets the gateways among which the room of brittle upstreams is divided:
+  /// \p Known counts this one and the others, including those that are not
+  /// heard; \p Others are the stableHash() of their ids, as far as known.
+  void setFleet(std::size_t Known, std::vector<std::uint64_t> Others);
+  /// Notes what an answer of the upstream states, see CallAnswer.
+  void noteBrittle(std::string_view Id, std::optional<int> MaxRefusals,
+                   TimePoint Now);
+  /// Notes a call that a brittle upstream may refuse, and that it did or did
+  /// not. \p SentAt identifies the call.
+  void noteAwaited(std::string_view Id, TimePoint SentAt);
+  void noteAccepted(std::string_view Id, TimePoint SentAt);
+  void noteRefused(std::string_view Id, TimePoint SentAt, TimePoint Now);
   /// Notes that a call uses the parts of \p Query at the engine.
   void noteParts(std::string_view Id, const UpstreamQuery &Query);
   /// Sends no calls to the upstream until \p Until, as after a refusal.
@@ -372,11 +391,14 @@
     std::size_t Upstreams = 0;
   };
 
-  /// Adds the upstreams that lack a permit to \p WithoutPermit.
-  Selection
-  selectCandidates(const UpstreamQuery &Query, SharedParts &Parts,
-                   TimePoint Now,
-                   std::vector<const UpstreamEntry *> &WithoutPermit) const;
+  /// Notes in \p Result which upstreams lack a permit or a place.
+  Selection selectCandidates(const UpstreamQuery &Query, SharedParts &Parts,
+                             TimePoint Now, Chosen &Result) const;
+  bool hasPlace(const UpstreamEntry &Entry, TimePoint Now) const;
+  /// Returns the position of this gateway in the upstream's order of them.
+  std::size_t positionAt(const UpstreamEntry &Entry) const;
+  void updatePlaces(std::string_view Service);
+  void endBrittle(std::string_view Service, std::string_view Reason);
   /// Moves the \p Count best entries in [From, end) by \p KeyOf to \p From.
   template <typename Function>
   static void sortFirst(std::vector<const UpstreamEntry *> &Entries,
@@ -421,6 +443,10 @@
   UpstreamTableSettings Settings;
   ConnectionCapacityOf CapacityOf;
   std::size_t GatewayCount = 1;
+  std::size_t KnownGateways = 1;
+  std::vector<std::uint64_t> OtherGateways; ///< See setFleet().
+  /// By service that is brittle.
+  std::map<std::string, std::optional<BrittleStatement>, std::less<>> Brittle;
   SharedUse PeerUse{std::chrono::milliseconds(500)};
   std::set<std::string, std::less<>> EvacuatedZones;
   /// What an incarnation has announced of itself. Outlives its entry.
--- a/src/request/UpstreamTableChoice.cpp
+++ b/src/request/UpstreamTableChoice.cpp
@@ -189,9 +189,9 @@
     Entries[I] = Keyed[I - From].second;
 }
 
-UpstreamTable::Selection UpstreamTable::selectCandidates(
-    const UpstreamQuery &Query, SharedParts &Parts, TimePoint Now,
-    std::vector<const UpstreamEntry *> &WithoutPermit) const {
+UpstreamTable::Selection
+UpstreamTable::selectCandidates(const UpstreamQuery &Query, SharedParts &Parts,
+                                TimePoint Now, Chosen &Choice) const {
   Selection Result;
   std::vector<const UpstreamEntry *> &All = Result.Candidates;
   std::vector<const UpstreamEntry *> Holders;
@@ -206,8 +206,12 @@
       if (HoldsAll)
         Holders.push_back(&Entry);
     }
-    if (this->isEligible(Entry, Query, Now))
-      (this->PermissionOf(Entry).MayCall ? All : WithoutPermit)
+    if (!this->isEligible(Entry, Query, Now))
+      continue;
+    if (!this->hasPlace(Entry, Now))
+      ++Choice.WithoutPlace;
+    else
+      (this->PermissionOf(Entry).MayCall ? All : Choice.WithoutPermit)
           .push_back(&Entry);
   }
   Result.Upstreams = All.size();
@@ -326,8 +330,7 @@
   std::vector<UpstreamCandidate> Candidates;
   SharedParts Parts;
   Chosen Result;
-  const Selection Selected =
-      this->selectCandidates(Query, Parts, Now, Result.WithoutPermit);
+  const Selection Selected = this->selectCandidates(Query, Parts, Now, Result);
   if (this->isPaced(Query, Selected.Candidates, Now))
     return Result;
   for (std::size_t I = 0; I < Selected.Candidates.size(); ++I) {
--- a/tests/BrittleUpstreams.h
+++ b/tests/BrittleUpstreams.h
@@ -13,7 +13,7 @@
   std::size_t Slots = 6;
   std::size_t MaxQueue = 4;
   std::size_t MaxQueueWhileBrittle = 0;
-  Duration RunTime = std::chrono::milliseconds(200);
+  Duration RunTime = std::chrono::milliseconds(400);
   int MaxRefusalsPerSecond = 6; ///< Stated while brittle.
   Duration DownTime = std::chrono::seconds(3);
   /// From the first statement until refusals make it fall.
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -457,6 +457,22 @@
   EXPECT_EQ(Codec.readAnswer(headOf({})).RateLimit, std::nullopt);
 }
 
+// Guards against ignoring that an upstream is brittle, passing it on to
+// callers, and a bound from a garbled number.
+TEST(CallHeadersTest, ReadsThatAnUpstreamIsBrittle) {
+  const CallHeaders Codec;
+  const auto Read = [&](const std::string &Value) {
+    return Codec.readAnswer(headOf({{"Server-Brittle", Value}}));
+  };
+  EXPECT_EQ(Read("6").MaxRefusalsPerSecond, 6);
+  EXPECT_EQ(Read("0").MaxRefusalsPerSecond, 0);
+  EXPECT_EQ(Read("1e300").MaxRefusalsPerSecond, 1000000);
+  EXPECT_FALSE(Read("6").ForwardedHeaders.find("Server-Brittle"));
+  for (const char *Garbled : {"", "nan", "-1", "many"})
+    EXPECT_EQ(Read(Garbled).MaxRefusalsPerSecond, std::nullopt) << Garbled;
+  EXPECT_EQ(Codec.readAnswer(headOf({})).MaxRefusalsPerSecond, std::nullopt);
+}
+
 TEST(CallHeadersTest, AHugeDeadlineDoesNotOverflow) {
   const CallHeaders Codec;
   EXPECT_EQ(Codec.readRequest(headOf({{"Deadline-Ms", "1e300"}})).TimeLeft,
--- a/tests/process/BrittleUpstreamsProcessTest.cpp
+++ b/tests/process/BrittleUpstreamsProcessTest.cpp
@@ -26,14 +26,14 @@
   /// fits.
   void start() {
     for (std::size_t I = 0; I < UpstreamCount; ++I) {
-      this->Upstreams.push_back(
-          std::make_unique<BrittleUpstream>(this->Harness.loop(), Settings));
+      this->Upstreams.push_back(std::make_unique<BrittleUpstream>(
+          this->Harness.loop(), this->Settings));
       this->Api.put("servers", "u" + std::to_string(I),
                     {{"service", "d"},
                      {"address", this->Upstreams[I]->address().toString()},
                      {"zone", "z"},
                      {"version", "1"},
-                     {"slots", Settings.Slots},
+                     {"slots", this->Settings.Slots},
                      {"state", "ready"},
                      {"sequence", 1},
                      {"born", 1}});
@@ -51,7 +51,7 @@
     this->wait(2s);
     for (const auto &Each : this->Upstreams)
       Each->setBrittle(true);
-    this->wait(Settings.Contact);
+    this->wait(this->Settings.Contact);
     this->ServedBefore = this->served();
     this->BoundedSince = EventLoop::now();
   }
@@ -77,10 +77,11 @@
       std::printf("upstream %zu: %d falls, %d refused, at most %zu in 1 s\n", I,
                   Each.falls(), Each.refused(), Each.maxRefusedInASecond());
     }
-    const double Used = (this->served() - this->ServedBefore) *
-                        toSeconds(Settings.RunTime) /
-                        (toSeconds(EventLoop::now() - this->BoundedSince) *
-                         static_cast<double>(Settings.Slots * UpstreamCount));
+    const double Used =
+        (this->served() - this->ServedBefore) *
+        toSeconds(this->Settings.RunTime) /
+        (toSeconds(EventLoop::now() - this->BoundedSince) *
+         static_cast<double>(this->Settings.Slots * UpstreamCount));
     std::printf("used: %.2f of the slots; %zu of %d calls served\n", Used,
                 this->Callers.count("200"), this->Callers.sent());
     EXPECT_LE(Falls, 2 + static_cast<double>(UpstreamCount) / 10);
@@ -92,17 +93,18 @@
 
   static constexpr std::size_t DaemonCount = 6;
   static constexpr std::size_t UpstreamCount = 4;
-  static constexpr BrittleUpstreamSettings Settings = {};
   static constexpr Duration CallGap = 5ms;
   const PlatformDaemons Places{.Count = DaemonCount, .Network = 4};
+  BrittleUpstreamSettings Settings;
+  std::size_t BusyDaemons = DaemonCount; ///< That get calls.
   ProcessHarness Harness{GALENAROUTE_BUILD_DIR};
   FakePlatformServer Api{this->Harness.loop()};
   Program *Daemons[DaemonCount] = {};
   std::vector<std::unique_ptr<BrittleUpstream>> Upstreams;
-  SteadyCallers Callers{this->Harness.loop(), DaemonCount,
-                        [this](std::size_t Daemon) {
-                          return this->Places.callerAddress(Daemon);
-                        }};
+  SteadyCallers Callers{
+      this->Harness.loop(), DaemonCount, [this](std::size_t Daemon) {
+        return this->Places.callerAddress(Daemon % this->BusyDaemons);
+      }};
   int ServedBefore = 0;
   TimePoint BoundedSince;
 };
@@ -119,6 +121,16 @@
     }
 }
 
+// Guards against room that is lost while some gateways have no calls.
+TEST_F(BrittleUpstreamsProcessTest, TwoBusyDaemonsUseTheRoomOfIdleOnes) {
+  this->Settings.MaxRefusalsPerSecond = 12;
+  this->BusyDaemons = 2;
+  this->start();
+  this->wait(8s);
+  // Their shares alone are a third.
+  this->expectStanding(0.5);
+}
+
 // Guards against bounds that widen when a gateway restarts or stands still.
 TEST_F(BrittleUpstreamsProcessTest, TheyStandWhileDaemonsFreezeAndRestart) {
   this->start();
