--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -19,6 +19,8 @@
 /// Taken off the time that an upstream tells, since its close may be under
 /// way when a request is sent.
 static constexpr auto KeepTimeMargin = std::chrono::milliseconds(400);
+/// An idle connection over a helper takes two descriptors there.
+static constexpr auto MaxRelayedKeepTime = std::chrono::seconds(1);
 static constexpr auto SweepPeriod = std::chrono::milliseconds(500);
 /// Enough for the loop to handle a connection that is established.
 static constexpr auto PendingConnectDelay = std::chrono::milliseconds(20);
@@ -417,6 +419,8 @@
                 .ec == std::errc())
       Keep = std::chrono::seconds(Seconds) - KeepTimeMargin;
   }
+  if (this->Helper)
+    Keep = std::min<Duration>(Keep, MaxRelayedKeepTime);
   this->KeepUntil = EventLoop::now() + Keep;
 }
 
