SoftwareVersionStore: a peer's report does not make the view younger

A gateway that is cut off from the platform took the age that a peer reports of its view, counted from the moment at which the report was read. A report that waits for a gateway which stands still for less than the second that StallDetector notices (or in a busy loop, or under way) is older by that wait. With a wait over 0.2 s the view could count as younger than 0.8 s while a version stored after it had streams already, which were then joined with the only known version.

The view is now complete up to the last answered call of this process alone; its times are of one clock. Completeness by peers is kept for the rights to parts, whose margin is 2 s. Nothing is lost in practice: a take-up refreshes an older view by a call of its own.

--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -99,7 +99,7 @@
 }
 
 std::optional<Duration> SoftwareVersionStore::viewAge() const {
-  const auto Until = this->Watcher.completeUntil();
+  const auto Until = this->Watcher.ownCompleteUntil();
   return Until ? std::optional(BootClock::now() - *Until) : std::nullopt;
 }
 
@@ -109,7 +109,7 @@
   if (Found == this->Services.end())
     return std::nullopt;
   return galenaroute::onlyVersion(Found->second.Versions,
-                                  this->Watcher.completeUntil(),
+                                  this->Watcher.ownCompleteUntil(),
                                   StreamOrigins::Retention, this->clocks());
 }
 
--- a/src/version/ObjectWatcher.h
+++ b/src/version/ObjectWatcher.h
@@ -116,6 +116,11 @@
   /// answered call was sent, by this process or by a peer whose view is the
   /// same; nothing before the first list of an era.
   std::optional<BootTime> completeUntil() const { return this->CompleteUntil; }
+  /// The same by calls of this process only. The age that a peer reports is too
+  /// short by the time that the report was under way or waited to be read.
+  std::optional<BootTime> ownCompleteUntil() const {
+    return this->OwnCompleteUntil;
+  }
   const std::string &kind() const { return this->Kind; }
 
   /// Makes this a secondary or a primary watcher from the next call on.
