EarlyAnswerTest: a reader that pauses while the upstream closes

Checks the suspicion that UpstreamPool finishes an answer without a length while bytes of it wait in the buffer of a paused reader. It does not: reading is disabled during a pause, so the end of the connection is seen only once the buffer is empty. Passes on the code as it is (300 KB, a pause at each piece).

--- a/tests/EarlyAnswerTest.cpp
+++ b/tests/EarlyAnswerTest.cpp
@@ -29,7 +29,11 @@
     this->Exchange = this->Pool.start(
         this->Server.Address, Head + std::string(BodyBytes, 'x'), {},
         {.OnHead = [](const HttpHead &) { return true; },
-         .OnBody = [this](std::string_view Bytes) { this->Body += Bytes; },
+         .OnBody =
+             [this](std::string_view Bytes) {
+               this->Body += Bytes;
+               this->OnBytes(Bytes.size());
+             },
          .OnEnd = [this](UpstreamEnd How) { this->End = How; }});
     int Socket = -1;
     ASSERT_TRUE(this->Loop.runUntil(
@@ -68,6 +72,7 @@
   std::unique_ptr<RawSocket> Peer;
   std::size_t Rest = 0; ///< Of the request, not read by the upstream.
   std::string Body;
+  std::function<void(std::size_t Count)> OnBytes = [](std::size_t) {};
   std::optional<UpstreamEnd> End;
 };
 
@@ -162,5 +167,35 @@
   }
 }
 
+// Guards against an answer without a length that is finished while bytes of it
+// wait for a slow reader.
+TEST_F(EarlyAnswerTest, AReaderThatPausesOftenGetsAllOfAnAnswerWithoutLength) {
+  ASSERT_NO_FATAL_FAILURE(this->send(0));
+  std::size_t Received = 0;
+  const std::size_t Bytes = 300U << 10;
+  this->OnBytes = [&](std::size_t Count) {
+    Received += Count;
+    this->Exchange->pauseReading();
+    this->Loop.timers().after(1ms, [this] {
+      if (!this->End)
+        this->Exchange->resumeReading();
+    });
+  };
+  const std::string Answer =
+      "HTTP/1.1 200 OK\r\n\r\n" + std::string(Bytes, 'x');
+  std::size_t Written = 0;
+  ASSERT_TRUE(this->Loop.runUntil(
+      [&] {
+        Written +=
+            this->Peer->writeSome(std::string_view(Answer).substr(Written));
+        return Written == Answer.size();
+      },
+      10s));
+  this->Peer->endWriting();
+  ASSERT_TRUE(this->ended(10s));
+  EXPECT_EQ(*this->End, UpstreamEnd::Complete);
+  EXPECT_EQ(Received, Bytes);
+}
+
 } // namespace
 } // namespace galenaroute
