SoftwareVersions: a write may take effect seconds after its time

A version settled at once where its stored time was more than 6 s old. That time is when the write was sent; a write without an answer may be executed seconds later, so the version may have been stored only just now, and another process may join its streams by a view without it. The stored time now counts only 30 s later; a process that reads a younger version waits the 1 s of its own clock.

AWriteThatTookEffectLateDoesNotSettleAVersion failed before (read 8 s after the stated time: settled at once). In AVersionSettlesAfterTheLastViewThatLacksIt the process that starts later and does not wait now starts 36 s after the write, not 6 s: the old time assumed that a write takes effect when it is sent. The bound is exact as before.

--- a/src/version/SoftwareVersions.cpp
+++ b/src/version/SoftwareVersions.cpp
@@ -72,7 +72,9 @@
   return AddedMs == 0 ||
          Versions.ReadAt.at(Version) + SoftwareVersions::SettleTime <=
              Clocks.Boot ||
-         SinceAdded >= SoftwareVersions::SettleTime + Clocks.MaxClockError;
+         SinceAdded >= SoftwareVersions::SettleTime +
+                           SoftwareVersions::MaxWriteDelay +
+                           Clocks.MaxClockError;
 }
 
 bool updateSettled(SoftwareVersions &Versions, const VersionClocks &Clocks) {
--- a/src/version/SoftwareVersions.h
+++ b/src/version/SoftwareVersions.h
@@ -46,6 +46,9 @@
   /// From reading that a version is stored to its first stream, see above.
   static constexpr Duration SettleTime = std::chrono::milliseconds(1000);
   static constexpr Duration MaxViewAge = std::chrono::milliseconds(800);
+  /// A write without an answer may take effect so much later than the time at
+  /// which it says that a version was added.
+  static constexpr Duration MaxWriteDelay = std::chrono::seconds(30);
 
   /// The set in the present era of the platform, if there is one.
   std::optional<StoredVersions> Stored;
--- a/tests/SoftwareVersionsTest.cpp
+++ b/tests/SoftwareVersionsTest.cpp
@@ -145,10 +145,22 @@
   // One that starts later does not.
   SoftwareVersions Later;
   noteStored(Later, Both, Retention,
-             at(10s + SoftwareVersions::SettleTime + 5s));
+             at(10s + SoftwareVersions::SettleTime +
+                SoftwareVersions::MaxWriteDelay + 5s));
   EXPECT_TRUE(mayBeginStream(Later, "2"));
 }
 
+// Guards against a version that settles at once when its set is read, since the
+// write took effect long after the time that it states.
+TEST(SoftwareVersionsTest, AWriteThatTookEffectLateDoesNotSettleAVersion) {
+  SoftwareVersions Versions;
+  noteStored(Versions, setOf({{"1", 0}}), Retention, at(0s));
+  noteStored(Versions, setOf({{"1", 0}, {"2", StartMs}}), Retention, at(8s));
+  EXPECT_FALSE(mayBeginStream(Versions, "2"));
+  updateSettled(Versions, at(8s + SoftwareVersions::SettleTime));
+  EXPECT_TRUE(mayBeginStream(Versions, "2"));
+}
+
 // Guards against streams that no upstream takes after a restoration.
 TEST(SoftwareVersionsTest, ARestorationDoesNotStopAVersionThatSettled) {
   SoftwareVersions Versions;
