SoftwareVersionStore: a set that replaces a lost one is not complete

A process of the first start stored a set that was deleted once more as one that is complete since ever, although it may lack versions that were in the deleted one, and answered by it at once. "First start" was inferred from a setting that holds as long as the process runs. It now also requires that the process has seen no set of the service.

SoftwareVersionStoreTest.ASetThatReplacesALostOneAnswersNothing failed before ("1" in place of nothing) and passes now.

--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -185,6 +185,7 @@
 
 void SoftwareVersionStore::noteStoredSet(const std::string &Name, Service &Of,
                                          StoredVersions Stored) {
+  Of.WasStored = true;
   const std::size_t Before = Of.Versions.Settled.size();
   noteStored(Of.Versions, std::move(Stored), StreamOrigins::Retention,
              this->clocks());
@@ -212,10 +213,11 @@
           eraName(Service, this->Parts.Api.Era.current())};
 }
 
-/// Returns whether the platform has never stored a set. A platform that was
-/// restored from a copy may have lost one.
-bool SoftwareVersionStore::isFirstStart() const {
-  return this->Parts.IsFirstStart && this->Parts.Api.Era.current() <= FirstEra;
+/// Returns whether the platform has never stored a set of the service. A
+/// platform that was restored from a copy may have lost one.
+bool SoftwareVersionStore::isFirstStart(const Service &Of) const {
+  return this->Parts.IsFirstStart && !Of.WasStored &&
+         this->Parts.Api.Era.current() <= FirstEra;
 }
 
 /// Stores the versions of a service, unless that is done already. A write that
@@ -225,7 +227,7 @@
   if (!this->Watcher.hasProgress() || Of.IsWriting)
     return;
   const StoredVersions Wanted = versionsToStore(
-      Of.Versions, this->Parts.IsRegistryCurrent(), this->isFirstStart(),
+      Of.Versions, this->Parts.IsRegistryCurrent(), this->isFirstStart(Of),
       StreamOrigins::Retention, this->clocks());
   if (Wanted.AddedMs.empty() ||
       (Of.Versions.Stored && Wanted == *Of.Versions.Stored))
--- a/src/process/SoftwareVersionStore.h
+++ b/src/process/SoftwareVersionStore.h
@@ -89,6 +89,7 @@
     std::vector<std::string> Unsettled; ///< See unsettledVersions().
     /// Of the stored object of the present era.
     std::uint64_t Revision = Platform::MustNotExist;
+    bool WasStored = false; ///< A set was stored since the start.
     bool IsWriting = false;
   };
 
@@ -103,7 +104,7 @@
   void onWritten(const std::string &Name, const ObjectKey &Key,
                  const StoredVersions &Wanted, const PlatformResult &Written);
   void removeOutdated(const PlatformObject &Object);
-  bool isFirstStart() const;
+  bool isFirstStart(const Service &Of) const;
   ObjectKey keyOf(const std::string &Service) const;
   VersionClocks clocks() const;
 
--- a/tests/SoftwareVersionStoreTest.cpp
+++ b/tests/SoftwareVersionStoreTest.cpp
@@ -114,5 +114,19 @@
   EXPECT_EQ(Cut.Sets.onlyVersion("s"), std::nullopt);
 }
 
+// Guards against a set that answers for all streams although one was stored
+// before it, whose versions are not known.
+TEST_F(SoftwareVersionStoreTest, ASetThatReplacesALostOneAnswersNothing) {
+  Process One(this->Loop, this->Data);
+  this->wait(300ms);
+  ASSERT_EQ(One.Sets.onlyVersion("s"), "1");
+  PlatformObject &Stored = this->Data->Objects["software-versions"]["s"];
+  Stored.Deleted = true;
+  Stored.Version = ++this->Data->Revision;
+  this->wait(300ms);
+  ASSERT_EQ(One.Api.read(this->key()).Status, PlatformStatus::Ok);
+  EXPECT_EQ(One.Sets.onlyVersion("s"), std::nullopt);
+}
+
 } // namespace
 } // namespace galenaroute
