SoftwareVersionStore: a malformed set answers nothing

A stored set that cannot be read left the set before it in force, while the view counted as complete: a version that the unreadable one names could be joined with the only known one. Since the old set was also what the process wanted to store, the malformed object stayed for good. The old set is now dropped, and the object replaced.

AMalformedSetAnswersNothingAndIsReplaced failed before ("1" in place of nothing; the object unchanged after 300 ms) and passes now.

--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -146,6 +146,18 @@
     // The next write replaces a malformed object of this era.
     log(LogLevel::Warn, "streams.stored_malformed",
         {{"name", Object.Key.Name}, {"message", Failure.what()}});
+    this->dropMalformed(Object);
+  }
+}
+
+/// Drops the set that a malformed object has replaced, which may have named
+/// further versions.
+void SoftwareVersionStore::dropMalformed(const PlatformObject &Object) {
+  for (auto &[Name, Each] : this->Services) {
+    if (!(Object.Key == this->keyOf(Name)))
+      continue;
+    dropStored(Each.Versions);
+    this->update(Name, Each);
   }
 }
 
--- a/src/process/SoftwareVersionStore.h
+++ b/src/process/SoftwareVersionStore.h
@@ -97,6 +97,7 @@
   void onObject(const PlatformObject &Object);
   void noteRevision(const PlatformObject &Object);
   void readObject(const PlatformObject &Object);
+  void dropMalformed(const PlatformObject &Object);
   void noteStoredSet(const std::string &Name, Service &Of,
                      StoredVersions Stored);
   void update(const std::string &Name, Service &Of);
--- a/tests/SoftwareVersionStoreTest.cpp
+++ b/tests/SoftwareVersionStoreTest.cpp
@@ -128,5 +128,18 @@
   EXPECT_EQ(One.Sets.onlyVersion("s"), std::nullopt);
 }
 
+// Guards against a set that goes on to answer after a stored one that cannot be
+// read, which may name a further version, and is never written again.
+TEST_F(SoftwareVersionStoreTest, AMalformedSetAnswersNothingAndIsReplaced) {
+  Process One(this->Loop, this->Data);
+  this->wait(300ms);
+  ASSERT_EQ(One.Sets.onlyVersion("s"), "1");
+  const nlohmann::json Malformed = {{"service", "s"}, {"versions", "?"}};
+  this->Data->write(this->key(), Malformed);
+  this->wait(300ms);
+  EXPECT_EQ(One.Sets.onlyVersion("s"), std::nullopt);
+  EXPECT_NE(One.Api.read(this->key()).Object.Value, Malformed);
+}
+
 } // namespace
 } // namespace galenaroute
