SoftwareVersionStore: refused writes are repeated less often

While the platform refused writes at once, as it does for single machines and beyond its rate, each gateway repeated them every 100 ms for each service, whatever the size of the fleet. Refused calls are priced. A write that fails is now repeated after 200 ms, doubled up to 1.6 s, and at once when the watch shows another revision.

RefusedWritesAreRepeatedLessAndLessOften: 40 refused writes in 4 s before (the bound is 10); passes now.

--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -168,6 +168,7 @@
     if (!(Object.Key == this->keyOf(Name)))
       continue;
     Each.Revision = Object.Deleted ? Platform::MustNotExist : Object.Version;
+    Each.RetryAt.reset();
     if (!Object.Deleted)
       continue;
     dropStored(Each.Versions);
@@ -233,10 +234,11 @@
 }
 
 /// Stores the versions of a service, unless that is done already. A write that
-/// fails is repeated once the watch or the next period shows that it is still
-/// needed.
+/// fails is repeated, less and less often, while it is still needed, and at
+/// once when the watch shows another revision.
 void SoftwareVersionStore::store(const std::string &Name, Service &Of) {
-  if (!this->Watcher.hasProgress() || Of.IsWriting)
+  if (!this->Watcher.hasProgress() || Of.IsWriting ||
+      (Of.RetryAt && EventLoop::now() < *Of.RetryAt))
     return;
   const StoredVersions Wanted = versionsToStore(
       Of.Versions, this->Parts.IsRegistryCurrent(), this->isFirstStart(Of),
@@ -269,6 +271,12 @@
                                      const PlatformResult &Written) {
   Service &Of = this->Services[Name];
   Of.IsWriting = false;
+  if (Written.Status == PlatformStatus::Ok) {
+    Of.NextRetry = MinRetry;
+  } else {
+    Of.RetryAt = EventLoop::now() + Of.NextRetry;
+    Of.NextRetry = std::min(Of.NextRetry * 2, MaxRetry);
+  }
   if (Written.Status != PlatformStatus::Ok || !(Key == this->keyOf(Name)) ||
       Written.Object.Version <= Of.Revision)
     return;
--- a/src/process/SoftwareVersionStore.h
+++ b/src/process/SoftwareVersionStore.h
@@ -84,6 +84,11 @@
   std::optional<Duration> viewAge() const;
 
 private:
+  /// Between writes that fail, doubled each time. The platform prices refused
+  /// calls, too.
+  static constexpr Duration MinRetry = std::chrono::milliseconds(200);
+  static constexpr Duration MaxRetry = std::chrono::milliseconds(1600);
+
   struct Service {
     SoftwareVersions Versions;
     std::vector<std::string> Unsettled; ///< See unsettledVersions().
@@ -91,6 +96,9 @@
     std::uint64_t Revision = Platform::MustNotExist;
     bool WasStored = false; ///< A set was stored since the start.
     bool IsWriting = false;
+    /// After a write that failed.
+    std::optional<TimePoint> RetryAt;
+    Duration NextRetry = MinRetry;
   };
 
   void tick();
--- a/tests/SoftwareVersionStoreTest.cpp
+++ b/tests/SoftwareVersionStoreTest.cpp
@@ -141,5 +141,18 @@
   EXPECT_NE(One.Api.read(this->key()).Object.Value, Malformed);
 }
 
+// Guards against writes that use up the platform's rate while it refuses them:
+// one gateway made ten a second for each service.
+TEST_F(SoftwareVersionStoreTest, RefusedWritesAreRepeatedLessAndLessOften) {
+  Process One(this->Loop, this->Data);
+  One.Api.RefusesWrites = true;
+  this->wait(4s);
+  EXPECT_GE(One.Api.RefusedWrites, 2);
+  EXPECT_LE(One.Api.RefusedWrites, 10);
+  One.Api.RefusesWrites = false;
+  EXPECT_TRUE(this->Loop.runUntil(
+      [&] { return One.Sets.onlyVersion("s").has_value(); }, 3s));
+}
+
 } // namespace
 } // namespace galenaroute
