SoftwareVersionStore: a refresh waits for the one before

Each refresh gives up the watch before it. While the platform took over 250 ms to answer, take-ups that came more often than that gave up every refresh and every watch: the view was not confirmed, and no change was read, as long as they came. A refresh without an answer is now left alone for 800 ms, the longest that a call takes.

RefreshesDoNotOvertakeASlowPlatform (answers after 400 ms, a refresh each 20 ms): the view was 2.5 s old after 2.5 s before; passes now (the bound is 1.5 s).

--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -17,6 +17,9 @@
 static constexpr Duration UpdatePeriod = std::chrono::milliseconds(100);
 /// Each refresh gives up a watch that waits at the platform.
 static constexpr Duration RefreshInterval = std::chrono::milliseconds(250);
+/// A refresh is not given up for another one within this time, so that the view
+/// is confirmed also while the platform answers slowly.
+static constexpr Duration MaxRefreshTime = std::chrono::milliseconds(800);
 /// Objects that were not written for so long belong to eras that are gone.
 static constexpr std::int64_t MaxObjectAgeMs = 600'000;
 
@@ -90,9 +93,12 @@
 
 void SoftwareVersionStore::refresh() {
   const BootTime Now = BootClock::now();
-  const auto Age = this->viewAge();
-  if ((Age && *Age < RefreshInterval) ||
-      (this->RefreshedAt && Now - *this->RefreshedAt < RefreshInterval))
+  const auto Until = this->Watcher.ownCompleteUntil();
+  const bool IsAnswered =
+      Until && this->RefreshedAt && *Until >= *this->RefreshedAt;
+  const Duration Interval = IsAnswered ? RefreshInterval : MaxRefreshTime;
+  if ((Until && Now - *Until < RefreshInterval) ||
+      (this->RefreshedAt && Now - *this->RefreshedAt < Interval))
     return;
   this->RefreshedAt = Now;
   this->Watcher.refresh();
--- a/tests/SoftwareVersionStoreTest.cpp
+++ b/tests/SoftwareVersionStoreTest.cpp
@@ -154,5 +154,18 @@
       [&] { return One.Sets.onlyVersion("s").has_value(); }, 3s));
 }
 
+// Guards against a view that is never confirmed, since each refresh gives up
+// the one before while the platform answers slowly.
+TEST_F(SoftwareVersionStoreTest, RefreshesDoNotOvertakeASlowPlatform) {
+  Process One(this->Loop, this->Data);
+  this->wait(300ms);
+  One.Api.WatchTime = 400ms;
+  const auto Refresh =
+      this->Loop.timers().every(20ms, [&] { One.Sets.refresh(); });
+  this->wait(2500ms);
+  EXPECT_LT(*One.Sets.viewAge(), 1500ms);
+  sigc::connection(Refresh).disconnect();
+}
+
 } // namespace
 } // namespace galenaroute
