--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -17,6 +17,9 @@
 static constexpr Duration UpdatePeriod = std::chrono::milliseconds(100);
 /// Each refresh gives up a watch that waits at the platform.
 static constexpr Duration RefreshInterval = std::chrono::milliseconds(250);
+/// A refresh is not given up for another one within this time, so that the view
+/// is confirmed also while the platform answers slowly.
+static constexpr Duration MaxRefreshTime = std::chrono::milliseconds(800);
 /// Objects that were not written for so long belong to eras that are gone.
 static constexpr std::int64_t MaxObjectAgeMs = 600'000;
 
@@ -90,16 +93,19 @@
 
 void SoftwareVersionStore::refresh() {
   const BootTime Now = BootClock::now();
-  const auto Age = this->viewAge();
-  if ((Age && *Age < RefreshInterval) ||
-      (this->RefreshedAt && Now - *this->RefreshedAt < RefreshInterval))
+  const auto Until = this->Watcher.ownCompleteUntil();
+  const bool IsAnswered =
+      Until && this->RefreshedAt && *Until >= *this->RefreshedAt;
+  const Duration Interval = IsAnswered ? RefreshInterval : MaxRefreshTime;
+  if ((Until && Now - *Until < RefreshInterval) ||
+      (this->RefreshedAt && Now - *this->RefreshedAt < Interval))
     return;
   this->RefreshedAt = Now;
   this->Watcher.refresh();
 }
 
 std::optional<Duration> SoftwareVersionStore::viewAge() const {
-  const auto Until = this->Watcher.completeUntil();
+  const auto Until = this->Watcher.ownCompleteUntil();
   return Until ? std::optional(BootClock::now() - *Until) : std::nullopt;
 }
 
@@ -109,7 +115,7 @@
   if (Found == this->Services.end())
     return std::nullopt;
   return galenaroute::onlyVersion(Found->second.Versions,
-                                  this->Watcher.completeUntil(),
+                                  this->Watcher.ownCompleteUntil(),
                                   StreamOrigins::Retention, this->clocks());
 }
 
@@ -146,6 +152,18 @@
     // The next write replaces a malformed object of this era.
     log(LogLevel::Warn, "streams.stored_malformed",
         {{"name", Object.Key.Name}, {"message", Failure.what()}});
+    this->dropMalformed(Object);
+  }
+}
+
+/// Drops the set that a malformed object has replaced, which may have named
+/// further versions.
+void SoftwareVersionStore::dropMalformed(const PlatformObject &Object) {
+  for (auto &[Name, Each] : this->Services) {
+    if (!(Object.Key == this->keyOf(Name)))
+      continue;
+    dropStored(Each.Versions);
+    this->update(Name, Each);
   }
 }
 
@@ -156,6 +174,7 @@
     if (!(Object.Key == this->keyOf(Name)))
       continue;
     Each.Revision = Object.Deleted ? Platform::MustNotExist : Object.Version;
+    Each.RetryAt.reset();
     if (!Object.Deleted)
       continue;
     dropStored(Each.Versions);
@@ -185,6 +204,7 @@
 
 void SoftwareVersionStore::noteStoredSet(const std::string &Name, Service &Of,
                                          StoredVersions Stored) {
+  Of.WasStored = true;
   const std::size_t Before = Of.Versions.Settled.size();
   noteStored(Of.Versions, std::move(Stored), StreamOrigins::Retention,
              this->clocks());
@@ -212,20 +232,22 @@
           eraName(Service, this->Parts.Api.Era.current())};
 }
 
-/// Returns whether the platform has never stored a set. A platform that was
-/// restored from a copy may have lost one.
-bool SoftwareVersionStore::isFirstStart() const {
-  return this->Parts.IsFirstStart && this->Parts.Api.Era.current() <= FirstEra;
+/// Returns whether the platform has never stored a set of the service. A
+/// platform that was restored from a copy may have lost one.
+bool SoftwareVersionStore::isFirstStart(const Service &Of) const {
+  return this->Parts.IsFirstStart && !Of.WasStored &&
+         this->Parts.Api.Era.current() <= FirstEra;
 }
 
 /// Stores the versions of a service, unless that is done already. A write that
-/// fails is repeated once the watch or the next period shows that it is still
-/// needed.
+/// fails is repeated, less and less often, while it is still needed, and at
+/// once when the watch shows another revision.
 void SoftwareVersionStore::store(const std::string &Name, Service &Of) {
-  if (!this->Watcher.hasProgress() || Of.IsWriting)
+  if (!this->Watcher.hasProgress() || Of.IsWriting ||
+      (Of.RetryAt && EventLoop::now() < *Of.RetryAt))
     return;
   const StoredVersions Wanted = versionsToStore(
-      Of.Versions, this->Parts.IsRegistryCurrent(), this->isFirstStart(),
+      Of.Versions, this->Parts.IsRegistryCurrent(), this->isFirstStart(Of),
       StreamOrigins::Retention, this->clocks());
   if (Wanted.AddedMs.empty() ||
       (Of.Versions.Stored && Wanted == *Of.Versions.Stored))
@@ -255,6 +277,12 @@
                                      const PlatformResult &Written) {
   Service &Of = this->Services[Name];
   Of.IsWriting = false;
+  if (Written.Status == PlatformStatus::Ok) {
+    Of.NextRetry = MinRetry;
+  } else {
+    Of.RetryAt = EventLoop::now() + Of.NextRetry;
+    Of.NextRetry = std::min(Of.NextRetry * 2, MaxRetry);
+  }
   if (Written.Status != PlatformStatus::Ok || !(Key == this->keyOf(Name)) ||
       Written.Object.Version <= Of.Revision)
     return;
--- a/src/process/SoftwareVersionStore.h
+++ b/src/process/SoftwareVersionStore.h
@@ -84,18 +84,28 @@
   std::optional<Duration> viewAge() const;
 
 private:
+  /// Between writes that fail, doubled each time. The platform prices refused
+  /// calls, too.
+  static constexpr Duration MinRetry = std::chrono::milliseconds(200);
+  static constexpr Duration MaxRetry = std::chrono::milliseconds(1600);
+
   struct Service {
     SoftwareVersions Versions;
     std::vector<std::string> Unsettled; ///< See unsettledVersions().
     /// Of the stored object of the present era.
     std::uint64_t Revision = Platform::MustNotExist;
+    bool WasStored = false; ///< A set was stored since the start.
     bool IsWriting = false;
+    /// After a write that failed.
+    std::optional<TimePoint> RetryAt;
+    Duration NextRetry = MinRetry;
   };
 
   void tick();
   void onObject(const PlatformObject &Object);
   void noteRevision(const PlatformObject &Object);
   void readObject(const PlatformObject &Object);
+  void dropMalformed(const PlatformObject &Object);
   void noteStoredSet(const std::string &Name, Service &Of,
                      StoredVersions Stored);
   void update(const std::string &Name, Service &Of);
@@ -103,7 +113,7 @@
   void onWritten(const std::string &Name, const ObjectKey &Key,
                  const StoredVersions &Wanted, const PlatformResult &Written);
   void removeOutdated(const PlatformObject &Object);
-  bool isFirstStart() const;
+  bool isFirstStart(const Service &Of) const;
   ObjectKey keyOf(const std::string &Service) const;
   VersionClocks clocks() const;
 
