--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -167,7 +167,7 @@
   RateExchangeParts rateParts();
   SoftwareVersionStoreParts softwareVersionParts();
   StreamOriginStoreParts streamStoreParts();
-  void tellStreams(const StreamRecordNews &News);
+  void tellStreams(const StreamRecordUpdates &News);
   void connectStreams();
   VersionsByService registeredVersions() const;
   void connectRates();
--- a/src/process/ForwardGatewayStreams.cpp
+++ b/src/process/ForwardGatewayStreams.cpp
@@ -15,13 +15,13 @@
       .NeedsRecords = [this] { return this->SoftwareVersions.needsRecords(); },
       .GatewayCount = [this] { return this->gatewayCount(); },
       .Tell =
-          [this](const StreamRecordNews &News) { this->tellStreams(News); }};
+          [this](const StreamRecordUpdates &News) { this->tellStreams(News); }};
 }
 
 /// Sends records that cannot be stored to gateways that store them.
-void ForwardGateway::tellStreams(const StreamRecordNews &News) {
+void ForwardGateway::tellStreams(const StreamRecordUpdates &News) {
   const std::string Bytes = encodeGossip({.Streams = News});
-  for (const SocketAddress &To : chooseRecordKeepers(
+  for (const SocketAddress &To : chooseRecordReceivers(
            this->Entries.alive(EventLoop::now()), this->Settings.NodeId))
     this->Channel->send(To, Bytes);
 }
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -490,29 +490,29 @@
   return Result;
 }
 
-static json toJson(const StreamRecordNews &News) {
+static json toJson(const StreamRecordUpdates &News) {
   json Groups = json::array();
   for (const StreamRecordGroup &Each : News)
     Groups.push_back({Each.Origin.Service, Each.Origin.Version, Each.Keys});
   return {{"streams", std::move(Groups)}};
 }
 
-static std::string newsNameFromJson(const json &Value) {
+static std::string originNameFromJson(const json &Value) {
   std::string Name = Value;
-  if (Name.empty() || Name.size() > MaxNewsNameBytes)
+  if (Name.empty() || Name.size() > MaxOriginNameBytes)
     throw Error(ErrorKind::BadRequest, "malformed origin of streams");
   return Name;
 }
 
-static StreamRecordNews streamsFromJson(const json &Value) {
-  StreamRecordNews Result;
+static StreamRecordUpdates streamsFromJson(const json &Value) {
+  StreamRecordUpdates Result;
   std::size_t Records = 0;
   for (const json &Group : Value.at("streams")) {
     Records += Group.at(2).size();
-    if (Records > MaxNewsRecords || Result.size() >= MaxNewsOrigins)
+    if (Records > MaxUpdateRecords || Result.size() >= MaxUpdateOrigins)
       throw Error(ErrorKind::BadRequest, "too many records of streams");
-    StreamRecordGroup Read{.Origin = {newsNameFromJson(Group.at(0)),
-                                      newsNameFromJson(Group.at(1))}};
+    StreamRecordGroup Read{.Origin = {originNameFromJson(Group.at(0)),
+                                      originNameFromJson(Group.at(1))}};
     for (const json &Key : Group.at(2)) {
       if (!Key.is_number_unsigned())
         throw Error(ErrorKind::BadRequest, "malformed key of a stream");
--- a/src/process/GossipMessages.h
+++ b/src/process/GossipMessages.h
@@ -10,7 +10,7 @@
 // all, see CrashExchange. Weight notices go along with entry records, see
 // AnnouncedWeights. Rate messages go to the entry that issues permits for
 // an upstream, and back, see RateShares. Records of streams go to two entries
-// that store them, see StreamRecordNews.
+// that store them, see StreamRecordUpdates.
 
 #ifndef GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
 #define GALENAROUTE_PROCESS_GOSSIPMESSAGES_H
@@ -19,7 +19,7 @@
 #include "process/RateShares.h"
 #include "process/StatusRelay.h"
 #include "process/StoreFollower.h"
-#include "process/StreamRecordNews.h"
+#include "process/StreamRecordUpdates.h"
 #include "request/CrashRecord.h"
 #include "version/AnnouncedWeights.h"
 
@@ -42,7 +42,7 @@
   std::vector<CrashReport> Crashes;
   std::vector<WeightNotice> Weights;
   RateMessage Rates; ///< Empty if From is empty.
-  StreamRecordNews Streams;
+  StreamRecordUpdates Streams;
 };
 
 std::string encodeGossip(const GossipMessage &Message);
--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -78,7 +78,8 @@
   if (!std::exchange(this->IsTelling, true))
     log(LogLevel::Warn, "streams.told",
         {{"message", "records cannot be stored; other gateways get them"}});
-  const StreamRecordNews News = takeNews(this->Parts.Streams, this->Progress);
+  const StreamRecordUpdates News =
+      takeUpdates(this->Parts.Streams, this->Progress);
   if (!News.empty() && this->Parts.Tell)
     this->Parts.Tell(News);
 }
@@ -91,17 +92,17 @@
     log(LogLevel::Info, "streams.stored_again", {});
 }
 
-void StreamOriginStore::receive(const StreamRecordNews &News) {
+void StreamOriginStore::receive(const StreamRecordUpdates &News) {
   const TimePoint Now = EventLoop::now();
   for (const StreamRecordGroup &Group : News)
     for (const StreamKey Key : Group.Keys) {
       // A repeated message needs no write.
       const auto &Known = this->Parts.Streams.records();
       const auto Found = Known.find(Key);
-      const bool IsNews =
+      const bool IsNew =
           Found == Known.end() || !(Found->second.Origin == Group.Origin);
       this->Parts.Streams.add(Key, Group.Origin, Now);
-      this->ReceivedCount += IsNews;
+      this->ReceivedCount += IsNew;
     }
 }
 
--- a/src/process/StreamOriginStore.h
+++ b/src/process/StreamOriginStore.h
@@ -21,7 +21,7 @@
 
 #include "connection/PlatformClient.h"
 #include "process/EventLoop.h"
-#include "process/StreamRecordNews.h"
+#include "process/StreamRecordUpdates.h"
 #include "request/StreamOrigins.h"
 
 #include <functional>
@@ -38,7 +38,7 @@
   std::function<bool()> NeedsRecords;
   std::function<std::size_t()> GatewayCount;
   /// Sends records to gateways that store them.
-  std::function<void(const StreamRecordNews &)> Tell;
+  std::function<void(const StreamRecordUpdates &)> Tell;
 };
 
 class StreamOriginStore {
@@ -54,7 +54,7 @@
   void onEraChanged();
 
   /// Keeps and stores the records of a gateway that cannot store them.
-  void receive(const StreamRecordNews &News);
+  void receive(const StreamRecordUpdates &News);
 
   /// Reads the stored records of all gateways; one call serves all that wait.
   void list();
--- a/src/process/StreamRecordNews.cpp
+++ b/src/process/StreamRecordUpdates.cpp
@@ -1,4 +1,4 @@
-#include "process/StreamRecordNews.h"
+#include "process/StreamRecordUpdates.h"
 
 #include "process/Rendezvous.h"
 
@@ -9,7 +9,7 @@
 /// A write takes less than a period while the platform answers as usual.
 static constexpr int LatePeriods = 3;
 /// One of them may end, or lose its path to the platform, at the same time.
-static constexpr std::size_t KeeperCount = 2;
+static constexpr std::size_t ReceiverCount = 2;
 
 bool isStoringLate(const StreamRecordProgress &Progress, TimePoint Now,
                    Duration Period) {
@@ -19,13 +19,13 @@
 
 /// Adds the record to \p News. Returns false if there is no room for its
 /// origin.
-static bool addToNews(StreamRecordNews &News, StreamKey Key,
-                      const StreamOrigin &Origin) {
+static bool addToUpdates(StreamRecordUpdates &News, StreamKey Key,
+                         const StreamOrigin &Origin) {
   auto Group = std::find_if(
       News.begin(), News.end(),
       [&](const StreamRecordGroup &Each) { return Each.Origin == Origin; });
   if (Group == News.end()) {
-    if (News.size() >= MaxNewsOrigins)
+    if (News.size() >= MaxUpdateOrigins)
       return false;
     Group = News.insert(News.end(), {.Origin = Origin});
   }
@@ -33,34 +33,35 @@
   return true;
 }
 
-StreamRecordNews takeNews(const StreamOrigins &Streams,
-                          StreamRecordProgress &Progress) {
-  const std::uint64_t After = std::max(Progress.Stored, Progress.ToldTwice);
+StreamRecordUpdates takeUpdates(const StreamOrigins &Streams,
+                                StreamRecordProgress &Progress) {
+  const std::uint64_t After = std::max(Progress.Stored, Progress.SentTwice);
   std::vector<std::pair<StreamKey, const StreamOrigins::Record *>> Untold;
   for (const auto &[Key, Each] : Streams.records())
     if (Each.Number > After && !Each.IsAmbiguous &&
-        Each.Origin.Service.size() <= MaxNewsNameBytes &&
-        Each.Origin.Version.size() <= MaxNewsNameBytes)
+        Each.Origin.Service.size() <= MaxOriginNameBytes &&
+        Each.Origin.Version.size() <= MaxOriginNameBytes)
       Untold.emplace_back(Key, &Each);
   std::sort(Untold.begin(), Untold.end(), [](const auto &A, const auto &B) {
     return A.second->Number < B.second->Number;
   });
-  if (Untold.size() > MaxNewsRecords)
-    Untold.resize(MaxNewsRecords);
-  StreamRecordNews Result;
+  if (Untold.size() > MaxUpdateRecords)
+    Untold.resize(MaxUpdateRecords);
+  StreamRecordUpdates Result;
   std::uint64_t Last = After;
   for (const auto &[Key, Each] : Untold) {
-    if (!addToNews(Result, Key, Each->Origin))
+    if (!addToUpdates(Result, Key, Each->Origin))
       break;
     Last = Each->Number;
   }
-  Progress.ToldTwice = std::max(After, std::min(Progress.ToldOnce, Last));
-  Progress.ToldOnce = std::max(Progress.ToldOnce, Last);
+  Progress.SentTwice = std::max(After, std::min(Progress.SentOnce, Last));
+  Progress.SentOnce = std::max(Progress.SentOnce, Last);
   return Result;
 }
 
 std::vector<SocketAddress>
-chooseRecordKeepers(std::span<const EntryRecord> Alive, std::string_view Self) {
+chooseRecordReceivers(std::span<const EntryRecord> Alive,
+                      std::string_view Self) {
   std::vector<const EntryRecord *> Able;
   for (const EntryRecord &Each : Alive)
     if (Each.Id != Self && Each.ReachesPlatform && !Each.IsLeaving)
@@ -71,7 +72,7 @@
   });
   std::vector<SocketAddress> Result;
   for (const EntryRecord *Each : Able)
-    if (Result.size() < KeeperCount)
+    if (Result.size() < ReceiverCount)
       Result.push_back(Each->Gossip);
   return Result;
 }
--- a/src/process/StreamRecordNews.h
+++ b/src/process/StreamRecordUpdates.h
@@ -1,13 +1,13 @@
 // Records of streams that a gateway tells to others while it cannot store them.
 //
 //   if (isStoringLate(Progress, Now, Period))
-//     Tell(takeNews(Streams, Progress));
+//     Tell(takeUpdates(Streams, Progress));
 //
 // Guarantees: news fit into one gossip message; each record is told at most
 // twice, since datagrams are lost; records that are stored are not told.
 
-#ifndef GALENAROUTE_PROCESS_STREAMRECORDNEWS_H
-#define GALENAROUTE_PROCESS_STREAMRECORDNEWS_H
+#ifndef GALENAROUTE_PROCESS_STREAMRECORDUPDATES_H
+#define GALENAROUTE_PROCESS_STREAMRECORDUPDATES_H
 
 #include "process/EntryGossip.h"
 #include "request/StreamOrigins.h"
@@ -24,21 +24,21 @@
   std::vector<StreamKey> Keys;
   bool operator==(const StreamRecordGroup &) const = default;
 };
-using StreamRecordNews = std::vector<StreamRecordGroup>;
+using StreamRecordUpdates = std::vector<StreamRecordGroup>;
 
 /// Records of one message, all groups together.
-inline constexpr std::size_t MaxNewsRecords = 512;
+inline constexpr std::size_t MaxUpdateRecords = 512;
 /// Longer names of services and versions are not told.
-inline constexpr std::size_t MaxNewsNameBytes = 256;
+inline constexpr std::size_t MaxOriginNameBytes = 256;
 /// The origins of one message.
-inline constexpr std::size_t MaxNewsOrigins = 16;
+inline constexpr std::size_t MaxUpdateOrigins = 16;
 
 /// How far the records of this process are stored and told, as numbers of
 /// StreamOrigins::Record.
 struct StreamRecordProgress {
   std::uint64_t Stored = 0;
-  std::uint64_t ToldOnce = 0;
-  std::uint64_t ToldTwice = 0;
+  std::uint64_t SentOnce = 0;
+  std::uint64_t SentTwice = 0;
   /// Since when there are records that are not stored.
   std::optional<TimePoint> UnstoredSince;
 };
@@ -50,14 +50,15 @@
 
 /// Returns the oldest records of \p Streams that are neither stored nor told
 /// twice, and notes in \p Progress that they are told.
-StreamRecordNews takeNews(const StreamOrigins &Streams,
-                          StreamRecordProgress &Progress);
+StreamRecordUpdates takeUpdates(const StreamOrigins &Streams,
+                                StreamRecordProgress &Progress);
 
 /// Returns the two gateways of \p Alive that store records for \p Self: they
 /// reach the platform and are not about to end.
 std::vector<SocketAddress>
-chooseRecordKeepers(std::span<const EntryRecord> Alive, std::string_view Self);
+chooseRecordReceivers(std::span<const EntryRecord> Alive,
+                      std::string_view Self);
 
 } // namespace galenaroute
 
-#endif // GALENAROUTE_PROCESS_STREAMRECORDNEWS_H
+#endif // GALENAROUTE_PROCESS_STREAMRECORDUPDATES_H
--- a/src/request/BrittleUpstreams.cpp
+++ b/src/request/BrittleUpstreams.cpp
@@ -40,10 +40,10 @@
       std::max(1.0, std::floor(MaxRefusals * Settings.RefusalShare)));
 }
 
-BrittlePlace placeAt(const BrittleShare &Share,
-                     const BrittleSettings &Settings) {
+BrittleAllowance allowanceAt(const BrittleShare &Share,
+                             const BrittleSettings &Settings) {
   const std::size_t Refusals = usableRefusals(Share.MaxRefusals, Settings);
-  BrittlePlace Result;
+  BrittleAllowance Result;
   Result.RefusalLock = Settings.RefusalWindow;
   Result.MaxCalls = dealtPart(Share.Slots, Share.Gateways, Share.Position);
   Result.IsPooled = Share.Gateways <= Refusals;
@@ -57,19 +57,20 @@
   return Result;
 }
 
-BrittlePlace visitorPlace(const BrittleShare &Share, std::size_t Upstreams,
-                          const BrittleSettings &Settings) {
+BrittleAllowance allowanceWithoutShare(const BrittleShare &Share,
+                                       std::size_t Upstreams,
+                                       const BrittleSettings &Settings) {
   const std::size_t Refusals = usableRefusals(Share.MaxRefusals, Settings);
   if (Refusals == 0)
     return {};
-  const double Visitors =
+  const double GatewaysPerUpstream =
       static_cast<double>(Share.Gateways) /
       static_cast<double>(std::max<std::size_t>(1, Upstreams));
   return {.MaxAwaited = 1,
           .MaxCalls = 1,
-          .RefusalLock = std::max(
-              Settings.RefusalWindow,
-              fromSeconds(2 * Visitors / static_cast<double>(Refusals)))};
+          .RefusalLock = std::max(Settings.RefusalWindow,
+                                  fromSeconds(2 * GatewaysPerUpstream /
+                                              static_cast<double>(Refusals)))};
 }
 
 static std::size_t countAwaited(const BrittleSends &Sends, TimePoint Now,
@@ -86,10 +87,11 @@
 }
 
 /// Returns how many calls may be in flight.
-static double maxCalls(const BrittlePlace &Place, const BrittleSends &Sends,
-                       TimePoint Now, const BrittleSettings &Settings) {
-  const auto Share = static_cast<double>(Place.MaxCalls);
-  if (!Place.IsPooled)
+static double maxCalls(const BrittleAllowance &Allowance,
+                       const BrittleSends &Sends, TimePoint Now,
+                       const BrittleSettings &Settings) {
+  const auto Share = static_cast<double>(Allowance.MaxCalls);
+  if (!Allowance.IsPooled)
     return Share;
   if (!Sends.RefusedAt)
     return std::numeric_limits<double>::infinity();
@@ -98,11 +100,11 @@
                                               toSeconds(Settings.GrowthTime)));
 }
 
-bool mayCall(const BrittlePlace &Place, const BrittleSends &Sends, int OwnCalls,
-             TimePoint Now, const BrittleSettings &Settings) {
-  return OwnCalls < maxCalls(Place, Sends, Now, Settings) &&
+bool mayCall(const BrittleAllowance &Allowance, const BrittleSends &Sends,
+             int OwnCalls, TimePoint Now, const BrittleSettings &Settings) {
+  return OwnCalls < maxCalls(Allowance, Sends, Now, Settings) &&
          countAwaited(Sends, Now, Settings) + countLocked(Sends, Now) <
-             Place.MaxAwaited;
+             Allowance.MaxAwaited;
 }
 
 void noteAwaited(BrittleSends &Sends, TimePoint Now,
@@ -120,13 +122,13 @@
     Sends.AwaitedSince.erase(Found);
 }
 
-void noteRefused(BrittleSends &Sends, const BrittlePlace &Place,
+void noteRefused(BrittleSends &Sends, const BrittleAllowance &Allowance,
                  TimePoint SentAt, int OwnCalls, TimePoint Now,
                  const BrittleSettings &Settings) {
   noteAnswered(Sends, SentAt);
   std::erase_if(Sends.LockedUntil,
                 [Now](TimePoint Each) { return Each <= Now; });
-  Sends.LockedUntil.push_back(Now + Place.RefusalLock);
+  Sends.LockedUntil.push_back(Now + Allowance.RefusalLock);
   Sends.KeptCalls = OwnCalls * Settings.KeptShare;
   Sends.RefusedAt = Now;
 }
--- a/src/request/BrittleUpstreams.h
+++ b/src/request/BrittleUpstreams.h
@@ -1,11 +1,12 @@
 // Bounds the calls that the upstreams of a brittle service refuse.
 //
 //   if (noteStatement(Statement, Answer.MaxRefusalsPerSecond, Now, Settings))
-//     Place = placeAt({Slots, Statement->MaxRefusals, Gateways, Position}, {});
-//   if (mayCall(Place, Sends, OwnCalls, Now, Settings))
+//     Allowance = allowanceAt({Slots, Statement->MaxRefusals, Gateways,
+//     Position}, {});
+//   if (mayCall(Allowance, Sends, OwnCalls, Now, Settings))
 //     noteAwaited(Sends, Now, Settings);
 //   noteAnswered(Sends, SentAt) or
-//   noteRefused(Sends, Place, SentAt, OwnCalls, Now, Settings);
+//   noteRefused(Sends, Allowance, SentAt, OwnCalls, Now, Settings);
 //
 // A brittle upstream falls over when it refuses more than a stated number of
 // calls in a second, counted over all gateways. Refusals come at once, so each
@@ -76,7 +77,7 @@
 };
 
 /// What a gateway may send to a brittle upstream.
-struct BrittlePlace {
+struct BrittleAllowance {
   std::size_t MaxAwaited = 0; ///< Calls that may still be refused.
   std::size_t MaxCalls = 0;   ///< In flight; more if IsPooled.
   /// There are refusals for each gateway, so that all slots are for all.
@@ -88,13 +89,14 @@
 /// \p Gateways; the first ones get what remains.
 std::size_t dealtPart(std::size_t Total, std::size_t Gateways,
                       std::size_t Position);
-BrittlePlace placeAt(const BrittleShare &Share,
-                     const BrittleSettings &Settings);
+BrittleAllowance allowanceAt(const BrittleShare &Share,
+                             const BrittleSettings &Settings);
 /// Returns the place of a gateway without a share of any slot of its service,
 /// at the one upstream that it may try. \p Upstreams are those of the service.
 /// The refusals of all such gateways stay below the stated number on average.
-BrittlePlace visitorPlace(const BrittleShare &Share, std::size_t Upstreams,
-                          const BrittleSettings &Settings);
+BrittleAllowance allowanceWithoutShare(const BrittleShare &Share,
+                                       std::size_t Upstreams,
+                                       const BrittleSettings &Settings);
 
 /// The recent calls of this gateway to one brittle upstream.
 struct BrittleSends {
@@ -105,14 +107,14 @@
   std::optional<TimePoint> RefusedAt; ///< The last refusal.
 };
 
-bool mayCall(const BrittlePlace &Place, const BrittleSends &Sends, int OwnCalls,
-             TimePoint Now, const BrittleSettings &Settings);
+bool mayCall(const BrittleAllowance &Allowance, const BrittleSends &Sends,
+             int OwnCalls, TimePoint Now, const BrittleSettings &Settings);
 void noteAwaited(BrittleSends &Sends, TimePoint Now,
                  const BrittleSettings &Settings);
 /// Notes that the call sent at \p SentAt was accepted.
 void noteAnswered(BrittleSends &Sends, TimePoint SentAt);
 /// Notes that the call was refused. \p OwnCalls are in flight without it.
-void noteRefused(BrittleSends &Sends, const BrittlePlace &Place,
+void noteRefused(BrittleSends &Sends, const BrittleAllowance &Allowance,
                  TimePoint SentAt, int OwnCalls, TimePoint Now,
                  const BrittleSettings &Settings);
 
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -351,8 +351,8 @@
   const UpstreamTable::Chosen To =
       this->Services.Upstreams.choose(Query, EventLoop::now());
   this->requestPermits(To);
-  if (!To.Entry && To.WithoutPlace > 0)
-    this->Services.Stats.decision("brittle.no_place");
+  if (!To.Entry && To.WithoutAllowance > 0)
+    this->Services.Stats.decision("brittle.no_allowance");
   if (!To.Entry)
     return false;
   this->Services.Upstreams.noteChoice(To, Query.Service, EventLoop::now());
--- a/src/request/ForwardSend.cpp
+++ b/src/request/ForwardSend.cpp
@@ -306,7 +306,7 @@
   Upstreams.noteHeard(Send.UpstreamId, Now);
   this->Services.OnRateLimit(*From, Send.Answer.RateLimit);
   Upstreams.noteBrittle(Send.UpstreamId, Send.Answer.MaxRefusalsPerSecond, Now);
-  if (!From->Place || Send.Answer.Status != 503 || !Send.Answer.NotRun) {
+  if (!From->Allowance || Send.Answer.Status != 503 || !Send.Answer.NotRun) {
     Upstreams.noteAccepted(Send.UpstreamId, Send.SentAt);
   } else {
     Upstreams.noteRefused(Send.UpstreamId, Send.SentAt, Now);
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/UpstreamTable.cpp
@@ -61,7 +61,7 @@
     Entry.WeightVersion = std::max(Upstream.WeightVersions.begin()->second,
                                    Entry.WeightVersion.value_or(0));
   if (Changed && this->Brittle.contains(Upstream.Service))
-    this->updatePlaces(Upstream.Service);
+    this->updateAllowances(Upstream.Service);
   if (Changed)
     log(LogLevel::Info, "upstream.registered",
         {{"upstream", Upstream.Id},
--- a/src/request/UpstreamTable.h
+++ b/src/request/UpstreamTable.h
@@ -75,8 +75,8 @@
   }
   std::optional<TimePoint> MissingSince; ///< Set if missing in the last list.
   /// Set while its service is brittle.
-  std::optional<BrittlePlace> Place;
-  BrittleSends RecentSends; ///< Counted while Place is set.
+  std::optional<BrittleAllowance> Allowance;
+  BrittleSends RecentSends; ///< Counted while Allowance is set.
 };
 
 struct UpstreamTableSettings {
@@ -247,7 +247,7 @@
     /// time, see CallPermission.
     std::vector<const UpstreamEntry *> WithoutPermit;
     /// How many were left out only because they are brittle, see mayCall().
-    std::size_t WithoutPlace = 0;
+    std::size_t WithoutAllowance = 0;
     /// Keys and shares of the candidates, and the index of Entry among them.
     std::vector<std::uint32_t> Keys;
     std::vector<double> Shares;
@@ -393,13 +393,13 @@
     std::size_t Upstreams = 0;
   };
 
-  /// Notes in \p Result which upstreams lack a permit or a place.
+  /// Notes in \p Result which upstreams lack a permit or an allowance.
   Selection selectCandidates(const UpstreamQuery &Query, SharedParts &Parts,
                              TimePoint Now, Chosen &Result) const;
-  bool hasPlace(const UpstreamEntry &Entry, TimePoint Now) const;
+  bool hasAllowance(const UpstreamEntry &Entry, TimePoint Now) const;
   /// Returns the position of this gateway in the upstream's order of them.
   std::size_t positionAt(const UpstreamEntry &Entry) const;
-  void updatePlaces(std::string_view Service);
+  void updateAllowances(std::string_view Service);
   void endBrittle(std::string_view Service, std::string_view Reason);
   /// Moves the \p Count best entries in [From, end) by \p KeyOf to \p From.
   template <typename Function>
--- a/src/request/UpstreamTableBrittle.cpp
+++ b/src/request/UpstreamTableBrittle.cpp
@@ -18,7 +18,7 @@
   this->KnownGateways = Known;
   this->OtherGateways = std::move(Others);
   for (const auto &[Service, Statement] : this->Brittle)
-    this->updatePlaces(Service);
+    this->updateAllowances(Service);
 }
 
 void UpstreamTable::noteBrittle(std::string_view Id,
@@ -43,7 +43,7 @@
        {"upstream", std::string(Id)},
        {"max_refusals", std::to_string(Statement->MaxRefusals)},
        {"gateways", std::to_string(this->KnownGateways)}});
-  this->updatePlaces(Service);
+  this->updateAllowances(Service);
 }
 
 void UpstreamTable::endBrittle(std::string_view Service,
@@ -53,7 +53,7 @@
   for (auto &[Id, Entry] : this->Entries) {
     if (Entry.Registered.Service != Name)
       continue;
-    Entry.Place.reset();
+    Entry.Allowance.reset();
     Entry.RecentSends = {};
   }
   log(LogLevel::Info, "service.brittle_ended",
@@ -74,7 +74,7 @@
          (this->KnownGateways > Counted ? this->KnownGateways - Counted : 0);
 }
 
-void UpstreamTable::updatePlaces(std::string_view Service) {
+void UpstreamTable::updateAllowances(std::string_view Service) {
   const auto Found = this->Brittle.find(Service);
   if (Found == this->Brittle.end() || !Found->second)
     return;
@@ -87,7 +87,7 @@
             std::max(this->KnownGateways, this->OtherGateways.size() + 1),
         .Position = this->positionAt(Entry)};
   };
-  bool HasPlace = false;
+  bool HasAllowance = false;
   std::size_t Upstreams = 0;
   UpstreamEntry *First = nullptr;
   std::uint64_t FirstWeight = 0;
@@ -95,38 +95,40 @@
   for (auto &[Id, Entry] : this->Entries) {
     if (Entry.Registered.Service != Service)
       continue;
-    Entry.Place = placeAt(ShareAt(Entry), Brittle);
+    Entry.Allowance = allowanceAt(ShareAt(Entry), Brittle);
     if (Entry.isLeaving())
       continue;
     ++Upstreams;
-    HasPlace |= Entry.Place->MaxAwaited > 0;
+    HasAllowance |= Entry.Allowance->MaxAwaited > 0;
     const std::uint64_t Weight = rendezvousWeight(Self, Entry.UseKey);
     if (!First || Weight > FirstWeight) {
       First = &Entry;
       FirstWeight = Weight;
     }
   }
-  if (HasPlace || !First)
+  if (HasAllowance || !First)
     return;
   const BrittleShare Share = ShareAt(*First);
-  First->Place = visitorPlace(Share, Upstreams, Brittle);
+  First->Allowance = allowanceWithoutShare(Share, Upstreams, Brittle);
   // Such gateways begin one after another.
   if (First->RecentSends.LockedUntil.empty())
     First->RecentSends.LockedUntil.push_back(
         Found->second->StatedAt +
-        scaled(First->Place->RefusalLock,
+        scaled(First->Allowance->RefusalLock,
                static_cast<double>(Share.Position) /
                    static_cast<double>(Share.Gateways)));
 }
 
-bool UpstreamTable::hasPlace(const UpstreamEntry &Entry, TimePoint Now) const {
-  return !Entry.Place || mayCall(*Entry.Place, Entry.RecentSends,
-                                 Entry.OwnCalls, Now, this->Settings.Brittle);
+bool UpstreamTable::hasAllowance(const UpstreamEntry &Entry,
+                                 TimePoint Now) const {
+  return !Entry.Allowance ||
+         mayCall(*Entry.Allowance, Entry.RecentSends, Entry.OwnCalls, Now,
+                 this->Settings.Brittle);
 }
 
 void UpstreamTable::noteAwaited(std::string_view Id, TimePoint SentAt) {
   UpstreamEntry *Entry = this->findMutable(Id);
-  if (Entry && Entry->Place)
+  if (Entry && Entry->Allowance)
     galenaroute::noteAwaited(Entry->RecentSends, SentAt,
                              this->Settings.Brittle);
 }
@@ -139,8 +141,8 @@
 void UpstreamTable::noteRefused(std::string_view Id, TimePoint SentAt,
                                 TimePoint Now) {
   UpstreamEntry *Entry = this->findMutable(Id);
-  if (Entry && Entry->Place)
-    galenaroute::noteRefused(Entry->RecentSends, *Entry->Place, SentAt,
+  if (Entry && Entry->Allowance)
+    galenaroute::noteRefused(Entry->RecentSends, *Entry->Allowance, SentAt,
                              std::max(0, Entry->OwnCalls - 1), Now,
                              this->Settings.Brittle);
 }
--- a/src/request/UpstreamTableChoice.cpp
+++ b/src/request/UpstreamTableChoice.cpp
@@ -208,8 +208,8 @@
     }
     if (!this->isEligible(Entry, Query, Now))
       continue;
-    if (!this->hasPlace(Entry, Now))
-      ++Choice.WithoutPlace;
+    if (!this->hasAllowance(Entry, Now))
+      ++Choice.WithoutAllowance;
     else
       (this->PermissionOf(Entry).MayCall ? All : Choice.WithoutPermit)
           .push_back(&Entry);
--- a/tests/BrittleUpstreamsTest.cpp
+++ b/tests/BrittleUpstreamsTest.cpp
@@ -32,7 +32,7 @@
 }
 
 // Guards against shares that together exceed what is divided.
-TEST(BrittlePlaceTest, SharesAddUpToTheSlotsOrTheRefusals) {
+TEST(BrittleAllowanceTest, SharesAddUpToTheSlotsOrTheRefusals) {
   for (const std::size_t Gateways : {1U, 6U, 7U, 96U, 960U})
     for (const int MaxRefusals : {0, 1, 6, 12, 200})
       for (const std::size_t Slots : {1U, 6U, 128U}) {
@@ -40,11 +40,11 @@
         std::size_t Awaited = 0;
         bool IsPooled = false;
         for (std::size_t I = 0; I < Gateways; ++I) {
-          const BrittlePlace Place =
-              placeAt({Slots, MaxRefusals, Gateways, I}, Settings);
-          Calls += Place.MaxCalls;
-          Awaited += Place.MaxAwaited;
-          IsPooled = Place.IsPooled;
+          const BrittleAllowance Allowance =
+              allowanceAt({Slots, MaxRefusals, Gateways, I}, Settings);
+          Calls += Allowance.MaxCalls;
+          Awaited += Allowance.MaxAwaited;
+          IsPooled = Allowance.IsPooled;
         }
         if (IsPooled)
           EXPECT_LE(Awaited, static_cast<std::size_t>(MaxRefusals));
@@ -55,19 +55,19 @@
 
 // Guards against calls that are sent before the last one may be accepted, and
 // against refusals that are forgotten within a second.
-TEST(BrittlePlaceTest, ARefusalUsesUpACallForMoreThanASecond) {
-  const BrittlePlace Place = placeAt({6, 12, 6, 5}, Settings);
-  ASSERT_EQ(Place.MaxAwaited, 1U);
+TEST(BrittleAllowanceTest, ARefusalUsesUpACallForMoreThanASecond) {
+  const BrittleAllowance Allowance = allowanceAt({6, 12, 6, 5}, Settings);
+  ASSERT_EQ(Allowance.MaxAwaited, 1U);
   BrittleSends Sends;
-  EXPECT_TRUE(mayCall(Place, Sends, 3, Start, Settings));
+  EXPECT_TRUE(mayCall(Allowance, Sends, 3, Start, Settings));
   noteAwaited(Sends, Start, Settings);
-  EXPECT_FALSE(mayCall(Place, Sends, 4, Start + 50ms, Settings));
-  EXPECT_TRUE(mayCall(Place, Sends, 4, Start + 100ms, Settings));
-  noteRefused(Sends, Place, Start, 4, Start + 50ms, Settings);
-  EXPECT_FALSE(mayCall(Place, Sends, 0, Start + 1200ms, Settings));
-  EXPECT_FALSE(mayCall(Place, Sends, 4, Start + 1300ms, Settings));
-  EXPECT_TRUE(mayCall(Place, Sends, 3, Start + 1300ms, Settings));
-  EXPECT_TRUE(mayCall(Place, Sends, 4, Start + 2100ms, Settings));
+  EXPECT_FALSE(mayCall(Allowance, Sends, 4, Start + 50ms, Settings));
+  EXPECT_TRUE(mayCall(Allowance, Sends, 4, Start + 100ms, Settings));
+  noteRefused(Sends, Allowance, Start, 4, Start + 50ms, Settings);
+  EXPECT_FALSE(mayCall(Allowance, Sends, 0, Start + 1200ms, Settings));
+  EXPECT_FALSE(mayCall(Allowance, Sends, 4, Start + 1300ms, Settings));
+  EXPECT_TRUE(mayCall(Allowance, Sends, 3, Start + 1300ms, Settings));
+  EXPECT_TRUE(mayCall(Allowance, Sends, 4, Start + 2100ms, Settings));
 }
 
 /// A fleet whose gateways always have a call for the one upstream.
@@ -86,7 +86,7 @@
   void play(Duration Time) {
     static constexpr Duration Latency = 5ms;
     struct Gateway {
-      BrittlePlace Place;
+      BrittleAllowance Allowance;
       BrittleSends Sends;
       int Calls = 0;
     };
@@ -99,14 +99,14 @@
     };
     std::vector<Gateway> All(this->Gateways);
     for (std::size_t I = 0; I < this->Gateways; ++I) {
-      All[I].Place = placeAt(
+      All[I].Allowance = allowanceAt(
           {this->Slots, this->MaxRefusals, this->Gateways, I}, Settings);
-      if (this->Gateways > this->Slots && !All[I].Place.MaxAwaited &&
+      if (this->Gateways > this->Slots && !All[I].Allowance.MaxAwaited &&
           I >= this->Slots) {
-        All[I].Place = visitorPlace(
+        All[I].Allowance = allowanceWithoutShare(
             {this->Slots, this->MaxRefusals, this->Gateways, I}, 1, Settings);
         All[I].Sends.LockedUntil.push_back(
-            Start + All[I].Place.RefusalLock * static_cast<int>(I) /
+            Start + All[I].Allowance.RefusalLock * static_cast<int>(I) /
                         static_cast<int>(this->Gateways));
       }
     }
@@ -131,8 +131,8 @@
         } else {
           From.Calls = std::max(0, From.Calls - 1);
           if (Next.What == Event::Refused) {
-            noteRefused(From.Sends, From.Place, Next.SentAt, From.Calls, Now,
-                        Settings);
+            noteRefused(From.Sends, From.Allowance, Next.SentAt, From.Calls,
+                        Now, Settings);
           } else {
             --Running;
             noteAnswered(From.Sends, Next.SentAt);
@@ -146,8 +146,8 @@
         Restarted.Calls = 0;
       }
       for (std::size_t I = 0; I < this->Active; ++I)
-        while (
-            mayCall(All[I].Place, All[I].Sends, All[I].Calls, Now, Settings)) {
+        while (mayCall(All[I].Allowance, All[I].Sends, All[I].Calls, Now,
+                       Settings)) {
           noteAwaited(All[I].Sends, Now, Settings);
           ++All[I].Calls;
           Events.push({Now + Latency, I, Now, Event::Arrives});
@@ -251,7 +251,7 @@
   EXPECT_NE(this->send(Start), "");
   EXPECT_NE(this->send(Start), "");
   EXPECT_EQ(this->send(Start), "");
-  EXPECT_EQ(this->choose(Start).WithoutPlace, 2U);
+  EXPECT_EQ(this->choose(Start).WithoutAllowance, 2U);
   this->Table.noteBrittle("u1", std::nullopt, Start + 3s);
   EXPECT_NE(this->send(Start + 3s), "");
 }
@@ -271,11 +271,11 @@
 TEST_F(BrittleTableTest, GatewaysThatAreNotHeardKeepTheirShare) {
   this->Table.noteBrittle("u0", 6, Start);
   this->Table.setFleet(6, {});
-  EXPECT_EQ(this->Table.find("u0")->Place->MaxCalls, 1U);
+  EXPECT_EQ(this->Table.find("u0")->Allowance->MaxCalls, 1U);
   this->Table.setFleet(7, {});
   // This one is taken for the last, and tries one upstream.
-  EXPECT_EQ(this->Table.find("u0")->Place->MaxCalls +
-                this->Table.find("u1")->Place->MaxCalls,
+  EXPECT_EQ(this->Table.find("u0")->Allowance->MaxCalls +
+                this->Table.find("u1")->Allowance->MaxCalls,
             1U);
 }
 
--- a/tests/PartitionedGatewayTest.cpp
+++ b/tests/PartitionedGatewayTest.cpp
@@ -1,12 +1,7 @@
 // Two gateways, one of which is cut off from the upstreams: its registry names
 // them at addresses where nothing answers.
 
-#include "FakePlatform.h"
-#include "PlainConfig.h"
-#include "RawSocket.h"
-#include "platform/CallHeaders.h"
-#include "platform/ObjectReader.h"
-#include "process/ForwardGateway.h"
+#include "GatewayFleet.h"
 
 #include <gtest/gtest.h>
 
@@ -16,21 +11,6 @@
 using namespace std::chrono_literals;
 using namespace testing_support;
 
-class NoStores : public CacheFeed {
-public:
-  void events(const SocketAddress &, std::uint64_t, Duration,
-              OnBatch) override {}
-  void list(const SocketAddress &, OnBatch) override {}
-  void free(const SocketAddress &, std::uint64_t,
-            std::span<const std::pair<std::string, std::string>>) override {}
-};
-
-class NoOrders : public UpstreamOrders {
-public:
-  void observe(const SocketAddress &, OnObservation) override {}
-  void send(const Order &, OnAnswer) override {}
-};
-
 /// Replaces the addresses of upstreams.
 class MovedPlatform : public FakePlatform {
 public:
--- a/tests/StreamOriginStoreTest.cpp
+++ b/tests/StreamOriginStoreTest.cpp
@@ -40,7 +40,7 @@
                .NeedsRecords = [this] { return this->Sets.needsRecords(); },
                .GatewayCount = [] { return std::size_t{2}; },
                .Tell =
-                   [this](const StreamRecordNews &News) {
+                   [this](const StreamRecordUpdates &News) {
                      this->Told.push_back(News);
                      if (this->Keeper)
                        this->Keeper->Store.receive(News);
@@ -69,7 +69,7 @@
   std::set<std::string> Versions;
   std::set<std::string> OtherVersions; ///< Of another service.
   StreamOrigins Streams;
-  std::vector<StreamRecordNews> Told;
+  std::vector<StreamRecordUpdates> Told;
   Process *Keeper = nullptr; ///< Gets what is told.
   SoftwareVersionStore Sets;
   StreamOriginStore Store;
@@ -301,19 +301,19 @@
 }
 
 // Guards against messages that are truncated, and records that are left out.
-TEST(StreamRecordNewsTest, NewsFitIntoMessagesAndTellEachRecordTwice) {
+TEST(StreamRecordUpdatesTest, NewsFitIntoMessagesAndTellEachRecordTwice) {
   StreamOrigins Streams;
   constexpr StreamKey Count = 1500;
   for (StreamKey Key = 1; Key <= Count; ++Key)
     Streams.noteBegun(~Key,
-                      {std::string(MaxNewsNameBytes, 's'),
-                       std::string(MaxNewsNameBytes - 1, 'v') +
+                      {std::string(MaxOriginNameBytes, 's'),
+                       std::string(MaxOriginNameBytes - 1, 'v') +
                            static_cast<char>('a' + Key * 20 / Count)},
                       TimePoint(1s));
   StreamRecordProgress Progress;
   std::map<StreamKey, int> Told;
   while (true) {
-    const StreamRecordNews News = takeNews(Streams, Progress);
+    const StreamRecordUpdates News = takeUpdates(Streams, Progress);
     if (News.empty())
       break;
     const std::string Bytes = encodeGossip({.Streams = News});
@@ -329,28 +329,28 @@
 }
 
 // Guards against a datagram that fills the memory or adds wrong records.
-TEST(StreamRecordNewsTest, MalformedNewsAreDropped) {
+TEST(StreamRecordUpdatesTest, MalformedNewsAreDropped) {
   using nlohmann::json;
   const auto Decode = [](const json &Streams) {
     const auto Bytes = json::to_cbor({{"streams", Streams}});
     return decodeGossip(
         {reinterpret_cast<const char *>(Bytes.data()), Bytes.size()});
   };
-  const std::vector<std::uint64_t> TooMany(MaxNewsRecords + 1, 7);
-  const std::string TooLong(MaxNewsNameBytes + 1, 's');
+  const std::vector<std::uint64_t> TooMany(MaxUpdateRecords + 1, 7);
+  const std::string TooLong(MaxOriginNameBytes + 1, 's');
   for (const json &Group :
        {json{"s", "1", {-1}}, json{"s", "1", {"7"}}, json{"s", "1", {1.5}},
         json{"s", "1"}, json{"s", 1, {7}}, json{"", "1", {7}},
         json{TooLong, "1", {7}}, json{"s", "1", TooMany}, json{7}, json()})
     EXPECT_THROW(Decode(json::array({Group})), std::exception) << Group;
-  EXPECT_THROW(Decode(json(MaxNewsOrigins + 1, {"s", "1", {7}})),
+  EXPECT_THROW(Decode(json(MaxUpdateOrigins + 1, {"s", "1", {7}})),
                std::exception);
   const auto Good = Decode(json::array({json{"s", "1", {7}}}));
-  EXPECT_EQ(Good.Streams, (StreamRecordNews{{Old, {7}}}));
+  EXPECT_EQ(Good.Streams, (StreamRecordUpdates{{Old, {7}}}));
 }
 
 // Guards against records that are told to gateways which cannot store them.
-TEST(StreamRecordNewsTest, KeepersReachThePlatform) {
+TEST(StreamRecordUpdatesTest, KeepersReachThePlatform) {
   std::vector<EntryRecord> All(8);
   for (std::size_t I = 0; I < All.size(); ++I) {
     All[I].Id = "n" + std::to_string(I);
@@ -360,7 +360,7 @@
   }
   std::set<std::string> Chosen;
   for (const EntryRecord &Self : All) {
-    const auto Keepers = chooseRecordKeepers(All, Self.Id);
+    const auto Keepers = chooseRecordReceivers(All, Self.Id);
     ASSERT_EQ(Keepers.size(), 2U);
     for (const SocketAddress &Each : Keepers) {
       EXPECT_NE(Each.Host, Self.Id);
