ForwardRun: a call that reached no upstream is not refused by upstreams

The log of a partitioned gateway said "upstreams refused the call" of calls whose connections were all refused or timed out, which misled the reading of the incident. The reason is now "no upstream was reached" when no upstream was sent the call. No change of behaviour.

--- a/src/request/ForwardSendEnd.cpp
+++ b/src/request/ForwardSendEnd.cpp
@@ -314,7 +314,9 @@
     this->attempt();
     return;
   case ForwardStep::Refuse:
-    this->refuse("upstreams refused the call", this->retryAfter());
+    this->refuse(this->Sends > 0 ? "upstreams refused the call"
+                                 : "no upstream was reached",
+                 this->retryAfter());
     return;
   case ForwardStep::Fail:
     this->fail(ErrorKind::UpstreamFailed, toString(Outcome));
