--- a/soak/ConnectionChecks.cpp
+++ b/soak/ConnectionChecks.cpp
@@ -31,13 +31,18 @@
   return smallestLimitIn(History.IdleLimits, From, To, ApplyTime);
 }
 
-/// Returns whether the daemon was killed, or began again, around a call.
+/// Returns whether a call passes a daemon.
+static bool passes(const KeptCallView &Call, std::size_t Daemon) {
+  return Call.Daemon == Daemon || Call.Helpers.contains(Daemon);
+}
+
+/// Returns whether a daemon of the call was killed, or began again, around it.
 static bool wasKilled(const SoakHistory &History, const SoakBounds &Bounds,
                       const KeptCallView &Call) {
   return std::any_of(History.Disturbances.begin(), History.Disturbances.end(),
                      [&](const Disturbance &Each) {
                        return Each.Kind == DisturbanceKind::Kill &&
-                              (!Each.Daemon || *Each.Daemon == Call.Daemon) &&
+                              (!Each.Daemon || passes(Call, *Each.Daemon)) &&
                               Each.From <= *Call.EndedAt &&
                               Call.SentAt <= Each.Until + Bounds.Contact;
                      });
@@ -49,7 +54,7 @@
                        const KeptCallView &Call) {
   return std::any_of(
       History.Stops.begin(), History.Stops.end(), [&](const StopView &Each) {
-        if (Each.Daemon != Call.Daemon || Each.At > *Call.EndedAt)
+        if (!passes(Call, Each.Daemon) || Each.At > *Call.EndedAt)
           return false;
         const bool EndsLate =
             *Call.EndedAt >= Each.At + Bounds.Grace * StopShare;
--- a/soak/ConnectionChecks.h
+++ b/soak/ConnectionChecks.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,10 +27,11 @@
   std::optional<TimePoint> EndedAt; ///< By an answer, an end or the caller.
   int Status = 0;                   ///< 0: no head of an answer was read.
   std::size_t ReadBytes = 0;
-  bool IsWhole = false;      ///< The answer ended as its head said.
-  bool IsOwn = false;        ///< The answer names the call.
-  bool HasGivenUp = false;   ///< The caller closed the connection.
-  bool HasBrokenOff = false; ///< The upstream broke off its answer.
+  bool IsWhole = false;          ///< The answer ended as its head said.
+  bool IsOwn = false;            ///< The answer names the call.
+  bool HasGivenUp = false;       ///< The caller closed the connection.
+  bool HasBrokenOff = false;     ///< The upstream broke off its answer.
+  std::set<std::size_t> Helpers; ///< Daemons that relayed it to upstreams.
 };
 
 /// A limit of the configuration that the store has acknowledged.
@@ -51,7 +53,7 @@
                      TimePoint To, Duration ApplyTime);
 
 /// Returns whether a call was cut by its upstream, by a kill of the daemon or
-/// by the end of a planned stop.
+/// of one that relayed it, or by the end of a planned stop of these.
 bool hasExcuse(const SoakHistory &History, const SoakBounds &Bounds,
                const KeptCallView &Call);
 /// Returns whether a call lasted until its deadline.
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -107,6 +107,7 @@
   void send(const std::string &Id, CallerView Call);
   void readAnswers();
   void watchStops();
+  void noteHelpers();
   void note(const std::string &Line);
   void after(Duration Delay, const std::function<void()> &Action);
   std::uint64_t below(std::uint64_t Bound) { return this->Random() % Bound; }
--- a/tests/SoakHistoryTest.cpp
+++ b/tests/SoakHistoryTest.cpp
@@ -379,6 +379,25 @@
   EXPECT_EQ(this->broken(), "0");
 }
 
+// Guards against reports of calls that ended with the helper that relayed them,
+// and against excuses by the end of any other daemon.
+TEST_F(SoakHistoryTest, TheEndOfAHelperExcusesTheCallsThatItRelayed) {
+  KeptCallView &Call = keptCall(this->History, 200);
+  Call.Helpers = {2};
+  this->History.Disturbances.push_back(
+      {1, Start - 1s, Start, false, DisturbanceKind::Kill});
+  EXPECT_EQ(this->broken(), "a begun answer is carried to its end");
+  this->History.Disturbances[0].Daemon = 2;
+  EXPECT_EQ(this->broken(), "0");
+  this->History.Disturbances[0].Kind = DisturbanceKind::Freeze;
+  EXPECT_EQ(this->broken(), "a begun answer is carried to its end");
+  this->History.Stops.push_back(
+      {.Daemon = 2, .At = Start - SoakBounds().Grace, .EndedAt = Start});
+  EXPECT_EQ(this->broken(), "0") << "the stop has ended the call";
+  this->History.Stops[0].Daemon = 1;
+  EXPECT_EQ(this->broken(), "a begun answer is carried to its end");
+}
+
 TEST_F(SoakHistoryTest, ACutAnswerIsFound) {
   KeptCallView &Call = keptCall(this->History, 200);
   Call.IdleSince = Start - 1h;
