soak: a deadline may come before a dead link is given up

A link without traffic is given up after 4.1 s, and no third upstream is allowed, so that nothing else could end the call in time. The timeouts of the routes were drawn to be longer than two silences in a row, but not than a dead link after one.

The check now takes the bound of a dead link, 4.5 s: it leaves out a call that may run nowhere else and whose machine fell silent for good within that time. A call that may still go on elsewhere, or whose machine was silent for longer, is reported as before. SoakHistoryTest shows all three.

--- a/soak/SilenceChecks.cpp
+++ b/soak/SilenceChecks.cpp
@@ -8,6 +8,8 @@
 
 /// A machine that is silent for longer may be taken for gone.
 static constexpr Duration LongestSilence = std::chrono::milliseconds(1800);
+/// A link to a machine that is silent for good is given up within this time.
+static constexpr Duration DeadLinkLimit = std::chrono::milliseconds(4500);
 /// Calls beside a machine that is silent for good are judged over at least this
 /// many.
 static constexpr std::size_t LeastCallsBesideGone = 20;
@@ -25,6 +27,21 @@
       });
 }
 
+/// Returns whether a call that may run nowhere else ended on a machine that was
+/// silent for good for less time than it takes to give its link up.
+static bool endedBesideNewSilence(const SilenceHistory &History,
+                                  const SoakBounds &Bounds,
+                                  const SilenceCallView &Call) {
+  const std::size_t MaxUpstreams = Call.MayRepeat ? Bounds.MaxUpstreams : 1;
+  return Call.Ran.size() >= MaxUpstreams &&
+         std::any_of(History.Gone.begin(), History.Gone.end(),
+                     [&](const GoneView &Each) {
+                       return Call.Ran.contains(Each.Upstream) &&
+                              Each.From <= *Call.EndedAt &&
+                              *Call.EndedAt < Each.From + DeadLinkLimit;
+                     });
+}
+
 /// Returns whether the daemon stood still during a call.
 static bool wasFrozen(const SoakHistory &History, const KeptCallView &Call) {
   return std::any_of(History.Disturbances.begin(), History.Disturbances.end(),
@@ -117,7 +134,8 @@
       Found.push_back({"silence is no failure", Id, describe(Call, Limit)});
     const bool IsServed = Call.IsWhole && Call.Status == 200;
     const bool WasHeld = hasReachedDeadline(Call) && !IsServed;
-    if (WasHeld && !wasFrozen(History, Call))
+    if (WasHeld && !wasFrozen(History, Call) &&
+        !endedBesideNewSilence(History.Silences, Bounds, Call))
       Found.push_back(
           {"no call is held until its deadline", Id, describe(Call, Limit)});
   }
--- a/tests/SoakHistoryTest.cpp
+++ b/tests/SoakHistoryTest.cpp
@@ -536,6 +536,33 @@
   EXPECT_EQ(this->broken(), "0");
 }
 
+// Guards against a report of calls whose last upstream fell silent too late for
+// its link to be given up before the deadline, and against excuses of calls
+// that could have gone on elsewhere or whose link was silent for longer.
+TEST_F(SoakHistoryTest, ADeadlineMayComeBeforeADeadLinkIsGivenUp) {
+  const std::string Promise = "no call is held until its deadline";
+  for (const bool MayRepeat : {true, false}) {
+    SilenceCallView &Call = silenceCall(this->History, MayRepeat, 200);
+    Call.IsWhole = false;
+    Call.EndedAt = Start + 6s;
+    Call.Ran = {"u0"};
+    if (MayRepeat)
+      Call.Ran.insert("u1");
+    this->History.Silences.Gone = {{"u0", Start + 1501ms, Start + 13s}};
+    EXPECT_EQ(this->broken(), "0");
+    this->History.Silences.Gone[0].Upstream = "u2";
+    EXPECT_EQ(this->broken(), Promise) << "it did not run there";
+    this->History.Silences.Gone[0] = {"u0", Start + 1500ms, Start + 13s};
+    EXPECT_EQ(this->broken(), Promise) << "the link was silent for long enough";
+  }
+  SilenceCallView &Call = silenceCall(this->History, true, 200);
+  Call.IsWhole = false;
+  Call.EndedAt = Start + 6s;
+  Call.Ran = {"u0"};
+  this->History.Silences.Gone[0].From = Start + 5s;
+  EXPECT_EQ(this->broken(), Promise) << "another upstream was allowed";
+}
+
 TEST_F(SoakHistoryTest, EventsThatASilenceLosesOrRepeatsAreFound) {
   const auto Broken = [this](std::vector<int> Events, bool IsWhole) {
     SilenceCallView &Call = silenceCall(this->History, true, 200);
