--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -2,6 +2,7 @@
 
 #include "LimitedUpstreams.h"
 #include "PlainConfig.h"
+#include "RelayedCalls.h"
 
 #include <algorithm>
 #include <csignal>
@@ -605,28 +606,19 @@
   this->noteHelpers();
 }
 
-/// Returns the value of \p Field in a line of a log, or nothing.
-static std::string_view valueIn(std::string_view Line, std::string_view Field) {
-  const std::size_t At = Line.find(Field);
-  if (At == std::string_view::npos)
-    return {};
-  const std::string_view Rest = Line.substr(At + Field.size());
-  return Rest.substr(0, Rest.find(' '));
-}
-
 /// Notes which daemons relayed the kept calls to upstreams. Only the logs of
 /// the daemons tell.
 void SoakRun::noteHelpers() {
-  for (const std::string &Line : this->linesWith(" helper=127.")) {
-    const std::string Call(valueIn(Line, " call="));
-    const std::string_view Address = valueIn(Line, " helper=");
-    const std::string_view Host = Address.substr(0, Address.find(':'));
+  for (const std::string &Line : this->linesWith(" event=call.sent ")) {
+    const auto Relayed = relayedCallIn(Line);
+    if (!Relayed)
+      continue;
     const auto Note = [&](auto &Calls) {
-      const auto Found = Calls.find(Call);
+      const auto Found = Calls.find(std::string(Relayed->Id));
       if (Found == Calls.end())
         return;
       for (std::size_t I = 0; I < this->Daemons.size(); ++I)
-        if (this->Places.hostOf(I) == Host)
+        if (this->Places.hostOf(I) == Relayed->HelperHost)
           Found->second.Helpers.insert(I);
     };
     Note(this->History.Connections.Calls);
--- a/soak/process/ProcessChecks.cpp
+++ b/soak/process/ProcessChecks.cpp
@@ -231,12 +231,15 @@
   });
 }
 
-/// Whether a process of the daemon was killed, or used up its grace time.
+/// Whether a process of the daemon, or of one that relayed the request, was
+/// killed or used up its grace time.
 static bool mayBeKilled(const ProcessHistory &History,
                         const ProcessBounds &Bounds, const RequestView &Of) {
   return std::any_of(
       History.Lives.begin(), History.Lives.end(), [&](const LifeView &Each) {
-        if (Each.Daemon != Of.Daemon || Each.StartedAt > Of.EndedAt)
+        const bool IsPassed =
+            Each.Daemon == Of.Daemon || Of.Helpers.contains(Each.Daemon);
+        if (!IsPassed || Each.StartedAt > Of.EndedAt)
           return false;
         const auto Kill = firstSignal(Each, SIGKILL);
         const auto Term = firstSignal(Each, SIGTERM);
--- a/soak/process/ProcessHistory.cpp
+++ b/soak/process/ProcessHistory.cpp
@@ -1,5 +1,7 @@
 #include "ProcessHistory.h"
 
+#include "RelayedCalls.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -128,4 +130,18 @@
                                          ": " + Line);
 }
 
+void readHelpers(std::istream &Log,
+                 const std::map<std::string, std::size_t> &DaemonsByHost,
+                 ProcessHistory &History) {
+  for (std::string Line; std::getline(Log, Line);) {
+    const auto Relayed = soak::relayedCallIn(Line);
+    if (!Relayed)
+      continue;
+    const auto Request = History.Requests.find(std::string(Relayed->Id));
+    const auto Helper = DaemonsByHost.find(std::string(Relayed->HelperHost));
+    if (Request != History.Requests.end() && Helper != DaemonsByHost.end())
+      Request->second.Helpers.insert(Helper->second);
+  }
+}
+
 } // namespace galenaroute::process_soak
--- a/soak/process/ProcessHistory.h
+++ b/soak/process/ProcessHistory.h
@@ -15,6 +15,7 @@
 #include <istream>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,7 +49,8 @@
   int After = 0;     ///< Last-Event-Id.
   /// Deadline-Ms.
   Duration Limit = std::chrono::hours(1);
-  std::string Foreign; ///< What of the answer was not its own.
+  std::string Foreign;           ///< What of the answer was not its own.
+  std::set<std::size_t> Helpers; ///< Daemons that relayed it to upstreams.
   bool isStream() const { return this->Route.ends_with("stream"); }
   bool mayRepeat() const { return !this->Route.starts_with("once"); }
 };
@@ -130,6 +132,10 @@
 /// Notes what sanitizers have written to a daemon's log.
 void readSanitizerReports(std::size_t Daemon, std::istream &Log,
                           ProcessHistory &History);
+/// Notes which daemons relayed requests for the daemon that wrote \p Log.
+void readHelpers(std::istream &Log,
+                 const std::map<std::string, std::size_t> &DaemonsByHost,
+                 ProcessHistory &History);
 
 } // namespace galenaroute::process_soak
 
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -704,9 +704,14 @@
     readUpstream(Each, readJournal(this->pathOf(Each + ".journal")),
                  this->History);
   readStore(readJournal(this->pathOf("store.journal")), this->History);
+  std::map<std::string, std::size_t> DaemonsByHost;
+  for (std::size_t I = 0; I < this->Daemons.size(); ++I)
+    DaemonsByHost[this->Places.hostOf(I)] = I;
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
     std::ifstream Log(this->daemonLog(I));
     readSanitizerReports(I, Log, this->History);
+    std::ifstream Again(this->daemonLog(I));
+    readHelpers(Again, DaemonsByHost, this->History);
   }
 }
 
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -585,6 +585,25 @@
   EXPECT_EQ(this->broken(checkAnswers), "an answer is carried to its end");
 }
 
+// Guards against reports of answers that ended with the helper that relayed
+// them, and against excuses by the end of any other daemon.
+TEST_F(ProcessSoakChecksTest, TheEndOfAHelperExcusesTheCutsThatItCauses) {
+  this->request("a", "stream").End = RequestEnd::Cut;
+  LifeView &Life = this->life();
+  Life.Daemon = 2;
+  Life.Signals = {{Start + 500ms, SIGKILL}};
+  std::istringstream Log(
+      "time=1 level=INFO event=call.sent call=a helper=- send=1\n"
+      "time=1 level=INFO event=call.sent call=a helper=trial send=2\n"
+      "time=1 level=INFO event=call.sent call=a helper=127.1.0.3:1 send=3\n");
+  readHelpers(Log, {{"127.1.0.3", 1}, {"127.1.0.4", 2}}, this->History);
+  EXPECT_EQ(this->broken(checkAnswers), "an answer is carried to its end");
+  Life.Daemon = 1;
+  EXPECT_EQ(this->broken(checkAnswers), "0");
+  Life.Signals = {{Start + 500ms, SIGSTOP}};
+  EXPECT_EQ(this->broken(checkAnswers), "an answer is carried to its end");
+}
+
 // Guards against reports that a log holds and no check sees.
 TEST_F(ProcessSoakChecksTest, ASanitizerReports) {
   std::istringstream Sound("INFO - process.started errors=0\n");
