process soak: an upstream has left when it says so

The check excuses the end of the upstream, but takes the time at which the run reaped its process, up to 5 ms later than the caller saw the cut. It now takes the time at which the upstream wrote that it leaves, if that is earlier. ProcessSoakChecksTest shows both times.

--- a/soak/process/ProcessHistory.cpp
+++ b/soak/process/ProcessHistory.cpp
@@ -77,6 +77,13 @@
       ++History.Copies;
       continue;
     }
+    if (Line.Event == "left") {
+      // The run learns of it only when it reaps the process.
+      TimePoint &End =
+          History.UpstreamEnds.try_emplace(Upstream, Line.At).first->second;
+      End = std::min(End, Line.At);
+      continue;
+    }
     if (Line.Event == "accepted") {
       Close(Line.Call);
       Open[Line.Call] = {.Upstream = Upstream,
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -585,6 +585,22 @@
   EXPECT_EQ(this->broken(checkAnswers), "an answer is carried to its end");
 }
 
+// Guards against reports of answers that an upstream cuts as it leaves, when
+// its process is reaped after the caller has seen the cut.
+TEST_F(ProcessSoakChecksTest, AnUpstreamThatLeavesExcusesTheCutAtOnce) {
+  RequestView &Request = this->request("a", "stream");
+  Request.End = RequestEnd::Cut;
+  this->History.UpstreamEnds["u1"] = Request.EndedAt + 5ms;
+  std::vector<JournalLine> Lines = {
+      {.At = Start, .Event = "accepted", .Call = "a", .Detail = "0"}};
+  readUpstream("u1", Lines, this->History);
+  EXPECT_EQ(this->broken(checkAnswers), "an answer is carried to its end");
+  this->History.Works.clear();
+  Lines.push_back({.At = Request.EndedAt, .Event = "left", .Call = "u1"});
+  readUpstream("u1", Lines, this->History);
+  EXPECT_EQ(this->broken(checkAnswers), "0");
+}
+
 // Guards against reports of answers that ended with the helper that relayed
 // them, and against excuses by the end of any other daemon.
 TEST_F(ProcessSoakChecksTest, TheEndOfAHelperExcusesTheCutsThatItCauses) {
