RelayedConnection: an early answer waits for the rest of its request

An answer without a length whose upstream closes its side early is complete only if the upstream takes the rest of the request. UpstreamConnection checks that on direct connections. A part of an answer counted as a whole one, and an upstream that reads on after its answer lost the rest.

The check is one piece of code for both, RequestRest. A gateway that has bytes left then takes the answer for cut.

--- a/src/connection/RelayProtocol.h
+++ b/src/connection/RelayProtocol.h
@@ -29,7 +29,8 @@
 namespace galenaroute {
 
 /// Names the upstream to connect to, by its id in the registry, from which the
-/// helper takes its address.
+/// helper takes its address. An upstream that has started again under its id
+/// may have other software than the gateway knows of.
 struct RelayRequest {
   std::string Upstream;
   bool operator==(const RelayRequest &) const = default;
@@ -48,9 +49,11 @@
   Connected = 1, ///< The connection to the upstream is established.
   Failed = 2,    ///< It is not, and no byte was sent; nothing follows.
   Data = 3,      ///< Bytes of the upstream.
-  Finished = 4,  ///< The upstream has closed the connection in good order.
-  Reset = 5,     ///< The connection has broken.
-  Refused = 6,   ///< The helper opens none; nothing follows.
+  /// The upstream has closed its side in good order and has taken all bytes
+  /// that reached the helper.
+  Finished = 4,
+  Reset = 5,   ///< The connection has broken.
+  Refused = 6, ///< The helper opens none; nothing follows.
 };
 
 /// Bytes before those of a frame: its kind and the length of its bytes.
--- a/src/connection/RelayedConnection.cpp
+++ b/src/connection/RelayedConnection.cpp
@@ -90,7 +90,7 @@
     this->forwardToGateway();
   else if (this->Current == Phase::Request)
     this->readRequest();
-  else if (this->Current == Phase::Open)
+  else if (this->Current == Phase::Open || this->Current == Phase::Finishing)
     this->forwardToUpstream();
   else if (this->Current == Phase::Ending)
     this->dropRequest();
@@ -154,8 +154,7 @@
 
 /// Reports that there is no connection to the upstream.
 void RelayedConnection::endWithoutUpstream(RelayFrame Why) {
-  this->Upstream.reset();
-  this->endGateway(Why);
+  this->endUpstream(Why);
 }
 
 void RelayedConnection::forwardToUpstream() {
@@ -165,6 +164,7 @@
   bufferevent_read_buffer(this->Gateway.get(), Output);
   const std::size_t Before = this->SentSinceHeard;
   this->SentSinceHeard += Length;
+  this->Rest.ChangedAt = EventLoop::now();
   if (Before <= LongRequestBytes && this->SentSinceHeard > LongRequestBytes)
     setUserTimeout(bufferevent_getfd(this->Upstream.get()),
                    this->Owner.Limits.LongTimeout);
@@ -191,7 +191,10 @@
 }
 
 void RelayedConnection::onWritten(Side To) {
-  if (this->Current != Phase::Open)
+  const bool IsRead =
+      this->Current == Phase::Open ||
+      (this->Current == Phase::Finishing && To == Side::Upstream);
+  if (!IsRead)
     return;
   bufferevent_enable(
       (To == Side::Gateway ? this->Upstream : this->Gateway).get(), EV_READ);
@@ -212,13 +215,46 @@
     this->endWithoutUpstream(RelayFrame::Failed);
     return;
   }
-  if (this->Current != Phase::Open)
+  if (this->Current != Phase::Open && this->Current != Phase::Finishing)
     return;
   // What arrived before the end is forwarded first.
   this->forwardToGateway();
+  if (What & BEV_EVENT_ERROR) {
+    this->endUpstream(RelayFrame::Reset);
+    return;
+  }
+  this->Current = Phase::Finishing;
+  this->Rest = {untakenBytes(this->Upstream.get()), EventLoop::now()};
+  this->armRestCheck();
+}
+
+void RelayedConnection::armRestCheck() {
+  this->Timer.disconnect();
+  this->Timer = this->Owner.Loop.timers().after(RestCheckInterval, [this] {
+    guard(this, "relay.rest", [](auto &At) { At.onRestCheck(); });
+  });
+}
+
+/// Checks whether the upstream, which has closed its side, takes the rest of
+/// the request. How long the request is, only the gateway knows.
+void RelayedConnection::onRestCheck() {
+  switch (updateRest(this->Rest, this->Upstream.get(), EventLoop::now())) {
+  case RestState::Pending:
+    this->armRestCheck();
+    return;
+  case RestState::Taken:
+    this->endUpstream(RelayFrame::Finished);
+    return;
+  case RestState::Stuck:
+  case RestState::Reset:
+    this->endUpstream(RelayFrame::Reset);
+    return;
+  }
+}
+
+void RelayedConnection::endUpstream(RelayFrame How) {
   this->Upstream.reset();
-  this->endGateway(What & BEV_EVENT_ERROR ? RelayFrame::Reset
-                                          : RelayFrame::Finished);
+  this->endGateway(How);
 }
 
 /// Reports the end of the connection to the upstream. The gateway then closes
--- a/src/connection/RelayedConnection.h
+++ b/src/connection/RelayedConnection.h
@@ -6,6 +6,7 @@
 
 #include "connection/BufferedSocket.h"
 #include "connection/RelayListener.h"
+#include "connection/RequestRest.h"
 
 namespace galenaroute {
 
@@ -25,7 +26,7 @@
 
 private:
   enum class Side { Gateway, Upstream };
-  enum class Phase { Request, Connecting, Open, Ending };
+  enum class Phase { Request, Connecting, Open, Finishing, Ending };
 
   void setCallbacks(bufferevent *Event, Side Of);
   template <typename Function>
@@ -39,7 +40,10 @@
   void endWithoutUpstream(RelayFrame Why);
   void forwardToUpstream();
   void forwardToGateway();
+  void endUpstream(RelayFrame How);
   void endGateway(RelayFrame How);
+  void armRestCheck();
+  void onRestCheck();
   void dropRequest();
   void close();
   void armTimer(Duration Delay);
@@ -52,6 +56,7 @@
   Phase Current = Phase::Request;
   /// Bytes for the upstream since it was last heard.
   std::size_t SentSinceHeard = 0;
+  RequestRest Rest; ///< After the upstream has closed its side.
   sigc::connection Timer;
 };
 
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -32,16 +32,6 @@
 /// Refusals that one connection may carry; it is closed with the last of them.
 static constexpr std::size_t MaxRefusedCalls = 32;
 
-/// How long an upstream that has ended an answer without a length may take
-/// nothing of the rest of its request. A sound one may pause for a second or
-/// so.
-static constexpr auto MaxRestPause = std::chrono::seconds(2);
-/// How long such an answer waits for a reset once the rest is acknowledged. The
-/// upstream may not have read what its kernel has taken, and closing the
-/// connection resets it then.
-static constexpr auto RestSettleTime = std::chrono::milliseconds(100);
-static constexpr auto RestCheckInterval = std::chrono::milliseconds(10);
-
 /// Longer requests may fill the receive window of an upstream that does not
 /// read.
 static constexpr std::size_t LongRequestBytes = 32 << 10;
@@ -393,21 +383,22 @@
     this->finishExchange();
     return;
   }
-  this->Rest = this->untakenBytes();
-  this->RestChangedAt = EventLoop::now();
+  this->Rest = {untakenBytes(this->Event.get()), EventLoop::now()};
+  if (this->Helper && this->Rest.Bytes > 0) {
+    // The helper reports the end once the upstream has taken all bytes that
+    // have reached the helper, and drops later ones.
+    this->Current->Cause = UpstreamCause::HelperFailed;
+    this->end(UpstreamEnd::Cut, false);
+    return;
+  }
   // A reset may have arrived behind the end of the answer.
-  if (this->Rest > 0 || isPending(this->Event.get(), 0))
+  if (!this->Helper &&
+      (this->Rest.Bytes > 0 || isPending(this->Event.get(), 0)))
     this->armRestCheck();
   else
     this->finishAnswer();
 }
 
-/// Returns how much of the request is not written or not acknowledged.
-std::size_t UpstreamConnection::untakenBytes() const {
-  return evbuffer_get_length(bufferevent_get_output(this->Event.get())) +
-         unacknowledgedBytes(bufferevent_getfd(this->Event.get())).value_or(0);
-}
-
 void UpstreamConnection::armRestCheck() {
   this->RestTimer.disconnect();
   this->RestTimer = this->Pool.Loop.timers().after(RestCheckInterval, [this] {
@@ -421,21 +412,21 @@
 void UpstreamConnection::onRestCheck() {
   if (!this->Current)
     return;
-  const TimePoint Now = EventLoop::now();
-  const std::size_t Left = this->untakenBytes();
-  if (std::exchange(this->Rest, Left) != Left)
-    this->RestChangedAt = Now;
-  const Duration Since = Now - this->RestChangedAt;
-  const bool HasError = isPending(this->Event.get(), 0);
-  if (HasError || (Left > 0 && Since >= MaxRestPause)) {
-    if (HasError)
-      this->Current->Cause = UpstreamCause::Reset;
-    this->end(UpstreamEnd::Cut, false);
-  } else if (Left == 0 && Since >= RestSettleTime) {
-    this->finishAnswer();
-  } else {
+  switch (updateRest(this->Rest, this->Event.get(), EventLoop::now())) {
+  case RestState::Pending:
     this->armRestCheck();
   }
+    return;
+  case RestState::Taken:
+    this->finishAnswer();
+    return;
+  case RestState::Reset:
+    this->Current->Cause = UpstreamCause::Reset;
+    this->end(UpstreamEnd::Cut, false);
+    return;
+  case RestState::Stuck:
+    this->end(UpstreamEnd::Cut, false);
+    return;
 }
 
 /// Ends an answer without a length at the end of its connection.
--- a/src/connection/UpstreamConnection.h
+++ b/src/connection/UpstreamConnection.h
@@ -4,6 +4,7 @@
 #define GALENAROUTE_CONNECTION_UPSTREAMCONNECTION_H
 
 #include "connection/BufferedSocket.h"
+#include "connection/RequestRest.h"
 #include "connection/UpstreamPool.h"
 
 #include <algorithm>
@@ -61,7 +62,6 @@
   bool isBadAnswer() const;
   void onEndOfUpstream(UpstreamCause Cause, bool IsOrderly);
   void onEvent(short What);
-  std::size_t untakenBytes() const;
   void onRestCheck();
   void armRestCheck();
   void finishAnswer();
@@ -97,9 +97,7 @@
   bool HasSurplus = false;
   int SkippedAnswers = 0;
   std::vector<std::size_t> RefusedCalls; ///< Hashes of their ids.
-  /// Of the request, not taken by the upstream after it has ended its answer.
-  std::size_t Rest = 0;
-  TimePoint RestChangedAt;
+  RequestRest Rest; ///< After the upstream has ended its answer.
   sigc::connection ConnectTimer;
   sigc::connection RestTimer;
 };
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -177,6 +177,58 @@
 
 // Guards against an answer that is lost because the rest of its request is
 // still being sent.
+// Guards against a part of an answer that counts as complete over a helper,
+// since its upstream ended its side just before it reset the connection.
+TEST_F(RelayTest, AResetBehindTheEndOfAnAnswerWithoutLengthCutsIt) {
+  const int Bytes = 32 << 10;
+  setsockopt(this->Upstream.id(), SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof Bytes);
+  for (const std::size_t BodyBytes : {20U << 10, 400U << 10, 3U << 20}) {
+    this->send(
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(BodyBytes) +
+        "\r\n\r\n" + std::string(BodyBytes, 'x'));
+    const auto Peer = this->accept();
+    this->wait(50ms);
+    Peer->write("HTTP/1.1 200 OK\r\n\r\npart");
+    Peer->endWriting();
+    this->wait(20ms);
+    EXPECT_FALSE(this->End) << BodyBytes;
+    Peer->reset();
+    EXPECT_TRUE(this->hasEnded(UpstreamEnd::Cut)) << BodyBytes;
+  }
+}
+
+// Guards against losing a sound answer over a helper: its upstream ends its
+// side early and reads the rest of the request with a pause.
+TEST_F(RelayTest, AnEarlyAnswerWithoutLengthIsCompleteOnceTheRestIsTaken) {
+  std::size_t Rest = 3U << 20;
+  const std::string Head =
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(Rest) + "\r\n\r\n";
+  this->send(Head + std::string(Rest, 'x'));
+  Rest += Head.size();
+  const auto Peer = this->accept();
+  Peer->write("HTTP/1.1 200 OK\r\n\r\nwhole");
+  Peer->endWriting();
+  this->wait(800ms);
+  EXPECT_FALSE(this->End);
+  EXPECT_TRUE(this->waitUntil([&] {
+    Rest -= Peer->readSome(64 << 10);
+    return Rest == 0;
+  }));
+  EXPECT_TRUE(this->hasEnded(UpstreamEnd::Complete));
+  EXPECT_EQ(this->Body, "whole");
+}
+
+// Guards against a call that waits without end for the rest of its request.
+TEST_F(RelayTest, ARestThatIsNotTakenCutsTheAnswerAfterTwoSeconds) {
+  this->send("POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" +
+             std::string(4'000'000, 'x'));
+  const auto Peer = this->accept();
+  Peer->write("HTTP/1.1 200 OK\r\n\r\npart");
+  Peer->endWriting();
+  EXPECT_FALSE(this->waitUntil([&] { return this->End.has_value(); }, 1500ms));
+  EXPECT_TRUE(this->hasEnded(UpstreamEnd::Cut));
+}
+
 TEST_F(RelayTest, AnEarlyAnswerToALongRequestArrives) {
   this->send("POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" +
              std::string(4'000'000, 'x'));
