--- a/src/process/GatewayPaths.cpp
+++ b/src/process/GatewayPaths.cpp
@@ -51,14 +51,16 @@
   std::erase_if(this->FailedHelpers,
                 [Now](const auto &Each) { return Each.second <= Now; });
   std::set<std::uint32_t> Heard;
-  std::set<SocketAddress> Helpers;
   this->Parts.Entries.forEachAlive(Now, [&](const EntryRecord &Each) {
     Heard.insert(Each.Heard.begin(), Each.Heard.end());
-    Helpers.insert(Each.Gossip);
   });
   // A gateway that leaves waits for the connections that it has relayed.
-  this->Parts.Pool.closeIdleRelayed([&Helpers](const SocketAddress &Helper) {
-    return Helpers.contains(Helper);
+  this->Parts.Pool.closeIdleRelayed([this, Now](const SocketAddress &Helper) {
+    bool IsAlive = false;
+    this->Parts.Entries.forEachAlive(Now, [&](const EntryRecord &Each) {
+      IsAlive = IsAlive || Each.Gossip == Helper;
+    });
+    return IsAlive;
   });
   for (auto &[Service, Evidence] : this->Services) {
     if (Heard.contains(useKey(Service)))
