RelayProtocol: a relayed request names the incarnation of its upstream

If the upstream had started again, with other software or at another address, and the gateway of the call did not know that yet, the call ran at an upstream that the gateway had not chosen: a stream could go on at another software version.

--- a/src/connection/RelayProtocol.cpp
+++ b/src/connection/RelayProtocol.cpp
@@ -28,7 +28,8 @@
 }
 
 std::string encodeRelayRequest(const RelayRequest &Request) {
-  const json Value = {{"upstream", Request.Upstream}};
+  const json Value = {{"upstream", Request.Upstream},
+                      {"incarnation", Request.Incarnation}};
   const std::vector<std::uint8_t> Encoded = json::to_cbor(Value);
   if (LengthBytes + Encoded.size() > MaxRelayRequestBytes)
     throw malformed("the id of the upstream is too long");
@@ -51,9 +52,9 @@
   if (!isBoundedCbor(Encoded, MaxRequestDepth))
     throw malformed("the request nests too deeply");
   try {
-    return RelayRequest{
-        .Upstream =
-            json::from_cbor(Encoded.begin(), Encoded.end()).at("upstream")};
+    const json Value = json::from_cbor(Encoded.begin(), Encoded.end());
+    return RelayRequest{.Upstream = Value.at("upstream"),
+                        .Incarnation = Value.at("incarnation")};
   } catch (const json::exception &Failure) {
     throw malformed(Failure.what());
   }
--- a/src/connection/RelayProtocol.h
+++ b/src/connection/RelayProtocol.h
@@ -1,7 +1,7 @@
 // The bytes of a relayed connection: one to an upstream that another gateway
 // opens on behalf of this one.
 //
-//   Out = encodeRelayRequest({.Upstream = Id});   // once
+//   Out = encodeRelayRequest({.Upstream = Id, .Incarnation = Key});   // once
 //   RelayReader Reader;
 //   while (!Input.empty())
 //     Used = Reader.feed(Input, [&](RelayFrame Frame, std::string_view Bytes) {
@@ -33,6 +33,7 @@
 /// may have other software than the gateway knows of.
 struct RelayRequest {
   std::string Upstream;
+  std::uint64_t Incarnation = 0; ///< See incarnationKey().
   bool operator==(const RelayRequest &) const = default;
 };
 
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -153,7 +153,8 @@
   const int Socket = bufferevent_getfd(this->Event.get());
   setSocketLimits(Socket, this->Settings.UserTimeout);
   const std::string Asked =
-      encodeRelayRequest({.Upstream = this->Helper->Upstream});
+      encodeRelayRequest({.Upstream = this->Helper->Upstream,
+                          .Incarnation = this->Helper->Incarnation});
   bufferevent_write(this->Event.get(), Asked.data(), Asked.size());
   bufferevent_enable(this->Event.get(), EV_READ | EV_WRITE);
 }
@@ -415,7 +416,6 @@
   switch (updateRest(this->Rest, this->Event.get(), EventLoop::now())) {
   case RestState::Pending:
     this->armRestCheck();
-  }
     return;
   case RestState::Taken:
     this->finishAnswer();
@@ -427,6 +427,7 @@
   case RestState::Stuck:
     this->end(UpstreamEnd::Cut, false);
     return;
+  }
 }
 
 /// Ends an answer without a length at the end of its connection.
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -67,7 +67,8 @@
   SocketAddress Address;
   /// The own IP address, by which the helper knows this gateway.
   std::string SourceHost;
-  std::string Upstream; ///< Id of the upstream.
+  std::string Upstream;          ///< Id of the upstream.
+  std::uint64_t Incarnation = 0; ///< Of the upstream, see incarnationKey().
 };
 
 /// How a send reaches its upstream.
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -199,7 +199,7 @@
   void updateRelayLimits();
   bool isGateway(std::string_view Host) const;
   bool sharesPauseOf(const UpstreamEntry &Entry, TimePoint Now) const;
-  std::optional<SocketAddress> relayTarget(std::string_view Upstream) const;
+  std::optional<SocketAddress> relayTarget(const RelayRequest &Request) const;
   bool mayPlatformLackObjects() const;
   bool isConfigOutdated() const;
   void logConfigOutdated();
--- a/src/process/ForwardGatewayPaths.cpp
+++ b/src/process/ForwardGatewayPaths.cpp
@@ -37,7 +37,7 @@
               [this](std::string_view Host) { return this->isGateway(Host); },
           .AddressOf =
               [this](const RelayRequest &Request) {
-                return this->relayTarget(Request.Upstream);
+                return this->relayTarget(Request);
               }});
   this->updateRelayLimits();
 }
@@ -72,11 +72,11 @@
 /// Returns the address of an upstream that this gateway may connect to for
 /// another one.
 std::optional<SocketAddress>
-ForwardGateway::relayTarget(std::string_view Upstream) const {
-  const UpstreamEntry *To = this->Upstreams.find(Upstream);
-  if (!To || To->isLeaving() || To->PausedUntil > EventLoop::now() ||
-      this->Upstreams.isEvacuated(*To) || !this->Services.Config ||
-      this->Paths.isCut(To->Registered.Service))
+ForwardGateway::relayTarget(const RelayRequest &Request) const {
+  const UpstreamEntry *To = this->Upstreams.find(Request.Upstream);
+  if (!To || To->Incarnation != Request.Incarnation || To->isLeaving() ||
+      To->PausedUntil > EventLoop::now() || this->Upstreams.isEvacuated(*To) ||
+      !this->Services.Config || this->Paths.isCut(To->Registered.Service))
     return std::nullopt;
   const auto Service =
       this->Services.Config->Services.find(To->Registered.Service);
--- a/src/process/GatewayPaths.cpp
+++ b/src/process/GatewayPaths.cpp
@@ -120,7 +120,8 @@
     return std::nullopt;
   return RelayHelper{.Address = Best->Gossip,
                      .SourceHost = Self.Gossip.Host,
-                     .Upstream = To.Registered.Id};
+                     .Upstream = To.Registered.Id,
+                     .Incarnation = To.Incarnation};
 }
 
 std::vector<std::uint32_t> GatewayPaths::heardServices() const {
--- a/tests/PartitionedGatewayTest.cpp
+++ b/tests/PartitionedGatewayTest.cpp
@@ -11,11 +11,12 @@
 using namespace std::chrono_literals;
 using namespace testing_support;
 
-/// Replaces the addresses of upstreams.
+/// Replaces the addresses of upstreams, and when they started.
 class MovedPlatform : public FakePlatform {
 public:
   using FakePlatform::FakePlatform;
   std::map<std::string, std::string> Addresses; ///< New ones by old ones.
+  std::optional<int> Born;
 
   void list(const std::string &Kind, const std::string &Prefix,
             const std::string &After, OnList Done) override {
@@ -35,6 +36,9 @@
           if (const auto New = this->Addresses.find(Each.Value["address"]);
               New != this->Addresses.end())
             Each.Value["address"] = New->second;
+      for (PlatformObject &Each : Moved.Objects)
+        if (this->Born && Each.Value.contains("born"))
+          Each.Value["born"] = *this->Born;
       Done(Moved);
     };
   }
@@ -185,6 +189,24 @@
     EXPECT_EQ(Count, 1) << Id;
 }
 
+// Guards against calls that run at another incarnation of an upstream than
+// their gateway has chosen, whose software may differ: the helper knows a later
+// one.
+TEST_P(PartitionedGatewayTest, AnotherIncarnationOfAnUpstreamIsNotUsed) {
+  this->Gateways[Cut].Api->Born = 0;
+  ASSERT_TRUE(this->Loop.runUntil(
+      [this] {
+        return this->Gateways[0].Process->isReady() &&
+               this->Gateways[1].Process->isReady();
+      },
+      3s));
+  this->keepNeighbourBusy();
+  this->play("/safe/a", 1500ms);
+  const auto [Served, Calls] = this->play("/safe/a", 1500ms);
+  EXPECT_GT(Calls, 0);
+  EXPECT_EQ(Served, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Cuts, PartitionedGatewayTest,
                          testing::Values(CutKind::Refused, CutKind::Silent),
                          [](const auto &Info) {
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -14,13 +14,15 @@
 using namespace std::chrono_literals;
 
 TEST(RelayProtocolTest, ARequestIsReadOnceItIsWhole) {
-  const std::string Bytes = encodeRelayRequest({.Upstream = "u"}) + "rest";
+  const std::string Bytes =
+      encodeRelayRequest({.Upstream = "u", .Incarnation = ~0ULL}) + "rest";
   for (std::size_t Length = 0; Length < Bytes.size() - 4; ++Length) {
     std::string_view Part = std::string_view(Bytes).substr(0, Length);
     EXPECT_FALSE(takeRelayRequest(Part));
   }
   std::string_view All = Bytes;
-  EXPECT_EQ(takeRelayRequest(All), RelayRequest{.Upstream = "u"});
+  EXPECT_EQ(takeRelayRequest(All),
+            (RelayRequest{.Upstream = "u", .Incarnation = ~0ULL}));
   EXPECT_EQ(All, "rest");
 }
 
@@ -175,8 +177,6 @@
   EXPECT_EQ(this->Exchange->cause(), UpstreamCause::Reset);
 }
 
-// Guards against an answer that is lost because the rest of its request is
-// still being sent.
 // Guards against a part of an answer that counts as complete over a helper,
 // since its upstream ended its side just before it reset the connection.
 TEST_F(RelayTest, AResetBehindTheEndOfAnAnswerWithoutLengthCutsIt) {
@@ -229,6 +229,8 @@
   EXPECT_TRUE(this->hasEnded(UpstreamEnd::Cut));
 }
 
+// Guards against an answer that is lost because the rest of its request is
+// still being sent.
 TEST_F(RelayTest, AnEarlyAnswerToALongRequestArrives) {
   this->send("POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n" +
              std::string(4'000'000, 'x'));
