BoundedJson: text from outside is bounded by what its parsed form takes

Cause: bytes received were bounded, the parsed form was not. An array takes some 70 bytes for each "[", and 64 for the three bytes of "[],".

BoundedJson measures a text before it allocates anything. Long arrays are read element by element, and their number is limited. An object of the platform that is too large when parsed counts as undecodable and hides no other. CBOR messages have a limit on their items. A store whose answers cannot be read is asked less often.

Two tests changed with the interface: UnreadableObjectsTest splits with forEachElement(), and StoreEventBatch is read from text.

--- a/src/cli/Fleet.cpp
+++ b/src/cli/Fleet.cpp
@@ -1,11 +1,15 @@
 #include "cli/Fleet.h"
 
+#include "process/BoundedJson.h"
 #include "process/ErrorKind.h"
 
 namespace galenaroute {
 
 using nlohmann::json;
 
+/// Of the answer of one daemon, such as the status of a large fleet.
+static constexpr JsonLimits AnswerLimits{.MaxTreeBytes = 256 << 20};
+
 std::vector<SocketAddress> findDaemons(CliContext &Context) {
   std::vector<SocketAddress> Result;
   for (const std::string &Each : Context.Options.Entries)
@@ -39,7 +43,7 @@
     Answer.Problem = "status " + std::to_string(Result.Status) + ": " +
                      Result.Body.substr(0, 200);
   else
-    Answer.Body = json::parse(Result.Body, nullptr, false);
+    Answer.Body = tryParseJson(Result.Body, AnswerLimits);
   if (Answer.Problem.empty() && !Answer.Body.is_object()) {
     Answer.Body = nullptr;
     Answer.Problem = "malformed answer";
--- a/src/connection/Engine.cpp
+++ b/src/connection/Engine.cpp
@@ -1,6 +1,6 @@
 #include "connection/Engine.h"
 
-#include <nlohmann/json.hpp>
+#include "process/BoundedJson.h"
 
 namespace galenaroute {
 
@@ -13,7 +13,7 @@
 static constexpr auto CancelLimit = std::chrono::seconds(2);
 
 std::optional<EngineLine> parseEngineLine(std::string_view Text) {
-  const json Parsed = json::parse(Text, nullptr, /*allow_exceptions=*/false);
+  const json Parsed = tryParseJson(Text);
   if (!Parsed.is_object())
     return std::nullopt;
   try {
--- a/src/connection/PlatformClient.cpp
+++ b/src/connection/PlatformClient.cpp
@@ -1,5 +1,6 @@
 #include "connection/PlatformClient.h"
 
+#include "process/BoundedJson.h"
 #include "process/ErrorKind.h"
 #include "process/Log.h"
 
@@ -81,10 +82,12 @@
          percentEncode(Key.Name);
 }
 
-/// Parses an answer; returns a discarded value when it is malformed.
-json parseBody(const HttpResult &Result) {
-  return json::parse(Result.Body, nullptr, /*allow_exceptions=*/false);
-}
+/// Limits of answers: of their bytes, of the parsed form of one object and of
+/// all objects of a list.
+constexpr std::size_t MaxAnswerBytes = 16 << 20;
+constexpr JsonLimits ObjectLimits{.MaxTreeBytes = 16 << 20};
+constexpr JsonObjectLimits ListLimits{.Element = ObjectLimits,
+                                      .MaxKeptBytes = 64 << 20};
 
 PlatformObject objectFrom(const json &Value) {
   PlatformObject Result;
@@ -96,6 +99,12 @@
   return Result;
 }
 
+void noteMalformed(const HttpResult &Http, const std::exception &Failure) {
+  log(LogLevel::Warn, "platform.malformed_answer",
+      {{"bytes", std::to_string(Http.Body.size())},
+       {"message", Failure.what()}});
+}
+
 PlatformResult resultFrom(const HttpResult &Http, const ObjectKey &Key,
                           PlatformStatus Status) {
   PlatformResult Result;
@@ -104,8 +113,9 @@
       Result.Status != PlatformStatus::Conflict)
     return Result;
   try {
-    Result.Object = objectFrom(parseBody(Http));
-  } catch (const json::exception &) {
+    Result.Object = objectFrom(parseJson(Http.Body, ObjectLimits));
+  } catch (const std::exception &Failure) {
+    noteMalformed(Http, Failure);
     if (Result.Status == PlatformStatus::Ok)
       Result.Status = PlatformStatus::Unknown;
   }
@@ -119,12 +129,17 @@
   if (Result.Status != PlatformStatus::Ok)
     return Result;
   try {
-    const json Body = parseBody(Http);
-    Result.Revision = Body.at("revision");
-    Result.More = Body.value("more", false);
-    for (const json &Each : Body.at("objects"))
-      Result.Objects.push_back(objectFrom(Each));
-  } catch (const json::exception &) {
+    const json Head = readJsonObject(
+        Http.Body, ListLimits, [&](std::string_view Member, const json &Each) {
+          if (Member == "objects")
+            Result.Objects.push_back(objectFrom(Each));
+        });
+    if (!Head.at("objects").is_array())
+      throw Error(ErrorKind::BadRequest, "field 'objects' is not an array");
+    Result.Revision = Head.at("revision");
+    Result.More = Head.value("more", false);
+  } catch (const std::exception &Failure) {
+    noteMalformed(Http, Failure);
     Result = {};
     Result.Status = PlatformStatus::Unknown;
   }
@@ -147,6 +162,7 @@
       HttpCallBuilder(this->Address)
           .get(objectPath(Key))
           .totalTimeout(this->CallTimeout)
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [this, Key, Begun = this->Era.current(),
        Done = std::move(Done)](const HttpResult &Result) {
@@ -162,6 +178,7 @@
       HttpCallBuilder(this->Address)
           .put(objectPath(Key), Body.dump())
           .totalTimeout(this->CallTimeout)
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [this, Key, Begun = this->Era.current(),
        Done = std::move(Done)](const HttpResult &Result) {
@@ -178,6 +195,7 @@
                   objectPath(Key) + "?if_version=" + std::to_string(IfVersion),
                   {})
           .totalTimeout(this->CallTimeout)
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [this, Key, Begun = this->Era.current(),
        Done = std::move(Done)](const HttpResult &Result) {
@@ -193,6 +211,7 @@
           .get("/v1/objects/" + percentEncode(Kind) + "?prefix=" +
                percentEncode(Prefix) + "&after=" + percentEncode(After))
           .totalTimeout(this->CallTimeout)
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [this, Begun = this->Era.current(),
        Done = std::move(Done)](const HttpResult &Result) {
@@ -208,6 +227,7 @@
                "?since=" + std::to_string(Since) +
                "&timeout_ms=" + std::to_string(toMilliseconds(Wait)))
           .idleTimeout(Wait + this->CallTimeout)
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [this, Begun = this->Era.current(),
        Done = std::move(Done)](const HttpResult &Result) {
@@ -220,6 +240,7 @@
       HttpCallBuilder(this->Address)
           .get("/v1/vms")
           .totalTimeout(this->CallTimeout)
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [this, Begun = this->Era.current(),
        Done = std::move(Done)](const HttpResult &Http) {
@@ -227,13 +248,20 @@
         Result.Status = this->statusOf(Http, EraUse::None, Begun);
         if (Result.Status == PlatformStatus::Ok) {
           try {
-            const json Body = parseBody(Http);
-            for (const json &Each : Body.at("vms"))
-              Result.Vms.push_back(
-                  {SocketAddress::parse(Each.at("address").get<std::string>()),
-                   Each.at("zone"), Each.at("role"),
-                   Each.at("state") == "leaving"});
-          } catch (const std::exception &) {
+            const json Head = readJsonObject(
+                Http.Body, ListLimits,
+                [&](std::string_view Member, const json &Each) {
+                  if (Member == "vms")
+                    Result.Vms.push_back(
+                        {SocketAddress::parse(
+                             Each.at("address").get<std::string>()),
+                         Each.at("zone"), Each.at("role"),
+                         Each.at("state") == "leaving"});
+                });
+            if (!Head.at("vms").is_array())
+              throw Error(ErrorKind::BadRequest, "field 'vms' is not an array");
+          } catch (const std::exception &Failure) {
+            noteMalformed(Http, Failure);
             Result = {PlatformStatus::Unknown, {}};
           }
         }
--- a/src/connection/UpstreamReports.cpp
+++ b/src/connection/UpstreamReports.cpp
@@ -1,6 +1,7 @@
 #include "connection/UpstreamReports.h"
 
-#include <nlohmann/json.hpp>
+#include "process/BoundedJson.h"
+#include "process/ErrorKind.h"
 
 namespace galenaroute {
 
@@ -27,11 +28,28 @@
   return true;
 }
 
+/// A block takes some hundred bytes in any of its forms.
+static constexpr JsonObjectLimits ReportLimits{
+    .Element = {.MaxDepth = 8, .MaxTreeBytes = 16 << 10},
+    .Head = {.MaxDepth = 16, .MaxTreeBytes = 1 << 20},
+    .MaxElements = MaxReportedBlocks};
+
 static json parseObject(std::string_view Text) {
-  json Body = json::parse(Text, nullptr, false);
+  json Body = tryParseJson(Text, ReportLimits.Head);
   return Body.is_object() ? Body : json(nullptr);
 }
 
+/// Reads an object whose arrays are handed over element by element. Returns
+/// null if it is malformed or if \p OnElement throws an Error.
+static json readElements(std::string_view Text,
+                         const OnParsedElement &OnElement) {
+  try {
+    return readJsonObject(Text, ReportLimits, OnElement);
+  } catch (const Error &) {
+    return nullptr;
+  }
+}
+
 std::optional<LoadReport> parseLoadReport(std::string_view Text,
                                           TimePoint SentAt) {
   const json Body = parseObject(Text);
@@ -55,60 +73,75 @@
   return Report;
 }
 
+/// Throws Error(BadRequest) when \p Value is malformed.
+static CacheEvent cacheEventFrom(const json &Value) {
+  const auto Fail = [] {
+    throw Error(ErrorKind::BadRequest, "malformed cache event");
+  };
+  CacheEvent Event;
+  if (!Value.is_object() || !Value.contains("seq") ||
+      !readNumber(Value, "seq", Event.Seq))
+    Fail();
+  const auto Op = Value.find("op"), Key = Value.find("key");
+  if (Op == Value.end() || Key == Value.end() || !Key->is_string() ||
+      (*Op != "add" && *Op != "drop"))
+    Fail();
+  Event.Added = *Op == "add";
+  // A key that isn't a digest keeps its place in the sequence; it is taken
+  // for a drop of a key that is never held.
+  if (const auto Parsed = digestFromHex(Key->get_ref<const std::string &>()))
+    Event.Key = *Parsed;
+  else
+    Event.Added = false;
+  return Event;
+}
+
 std::optional<CacheEventBatch> parseCacheEvents(std::string_view Text) {
-  const json Body = parseObject(Text);
   CacheEventBatch Batch;
+  const json Body =
+      readElements(Text, [&](std::string_view Member, const json &Each) {
+        if (Member == "events")
+          Batch.Events.push_back(cacheEventFrom(Each));
+      });
   if (!Body.is_object() || !Body.contains("seq") ||
       !readNumber(Body, "seq", Batch.Seq) ||
       !readNumber(Body, "first", Batch.First))
     return std::nullopt;
   const auto Events = Body.find("events");
-  if (Events == Body.end() || !Events->is_array() ||
-      Events->size() > MaxReportedBlocks)
+  if (Events == Body.end() || !Events->is_array())
     return std::nullopt;
-  for (const json &Each : *Events) {
-    CacheEvent Event;
-    if (!Each.is_object() || !Each.contains("seq") ||
-        !readNumber(Each, "seq", Event.Seq))
-      return std::nullopt;
-    const auto Op = Each.find("op"), Key = Each.find("key");
-    if (Op == Each.end() || Key == Each.end() || !Key->is_string())
-      return std::nullopt;
-    if (*Op != "add" && *Op != "drop")
-      return std::nullopt;
-    Event.Added = *Op == "add";
-    // A key that isn't a digest keeps its place in the sequence; it is taken
-    // for a drop of a key that is never held.
-    if (const auto Parsed = digestFromHex(Key->get_ref<const std::string &>()))
-      Event.Key = *Parsed;
-    else
-      Event.Added = false;
-    Batch.Events.push_back(Event);
-  }
   return Batch;
 }
 
 std::optional<BlockListing> parseBlockListing(std::string_view Text) {
-  const json Body = parseObject(Text);
-  BlockListing Listing;
-  if (!Body.is_object() || !readNumber(Body, "seq", Listing.Seq))
-    return std::nullopt;
   // Engines list `keys`, stores `blocks` with a key each.
+  BlockListing OfEngine, OfStore;
+  bool IsEngineSound = true, IsStoreSound = true;
+  const auto AddKey = [](BlockListing &Into, const json &Key) {
+    if (!Key.is_string())
+      return false;
+    Into.Last = Key.get<std::string>();
+    if (const auto Parsed = digestFromHex(Into.Last))
+      Into.Keys.push_back(*Parsed);
+    return true;
+  };
+  const json Body =
+      readElements(Text, [&](std::string_view Member, const json &Each) {
+        if (Member == "keys")
+          IsEngineSound = IsEngineSound && AddKey(OfEngine, Each);
+        else if (Member == "blocks")
+          IsStoreSound = IsStoreSound && Each.is_object() &&
+                         Each.contains("key") && AddKey(OfStore, Each["key"]);
+      });
+  if (!Body.is_object())
+    return std::nullopt;
   const bool IsStore = Body.contains("blocks");
+  BlockListing Listing = std::move(IsStore ? OfStore : OfEngine);
   const auto Keys = Body.find(IsStore ? "blocks" : "keys");
   if (Keys == Body.end() || !Keys->is_array() ||
-      Keys->size() > MaxReportedBlocks)
+      !(IsStore ? IsStoreSound : IsEngineSound) ||
+      !readNumber(Body, "seq", Listing.Seq))
     return std::nullopt;
-  for (const json &Each : *Keys) {
-    const json Key = !IsStore                                   ? Each
-                     : Each.is_object() && Each.contains("key") ? Each["key"]
-                                                                : json();
-    if (!Key.is_string())
-      return std::nullopt;
-    Listing.Last = Key.get<std::string>();
-    if (const auto Parsed = digestFromHex(Listing.Last))
-      Listing.Keys.push_back(*Parsed);
-  }
   if (const auto More = Body.find("more");
       More != Body.end() && More->is_boolean())
     Listing.More = More->get<bool>();
--- a/src/process/CacheTransfers.cpp
+++ b/src/process/CacheTransfers.cpp
@@ -1,6 +1,6 @@
 #include "process/CacheTransfers.h"
 
-#include <nlohmann/json.hpp>
+#include "process/BoundedJson.h"
 
 namespace galenaroute {
 
@@ -11,6 +11,11 @@
 /// transferred.
 static constexpr double FirstBlockBytes = 1e6;
 
+/// Limits of answers. A block key takes 67 bytes, and some 200 when parsed.
+static constexpr std::size_t MaxAnswerBytes = 4 << 20;
+static constexpr JsonLimits TransferLimits{.MaxDepth = 16,
+                                           .MaxTreeBytes = 16 << 20};
+
 CacheTransfers::CacheTransfers(HttpClient &Http, CacheIndex &Index,
                                LinkMap &Links)
     : Http(Http), Index(Index), Links(Links) {
@@ -57,6 +62,7 @@
                 Body.dump())
           .idleTimeout(Limit)
           .totalTimeout(Limit)
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [this, Guard = std::weak_ptr<bool>(this->Alive), Kind, Engine, Store,
        Reservation = *Reservation, Done](const HttpResult &Result) {
@@ -72,7 +78,7 @@
                            const LinkReservation &Reservation,
                            const HttpResult &Result) {
   const json Body =
-      Result.isSuccess() ? json::parse(Result.Body, nullptr, false) : json();
+      Result.isSuccess() ? tryParseJson(Result.Body, TransferLimits) : json();
   // Calls Each for every valid block key in the list \p Name and returns their
   // number.
   const auto ForEach = [&Body](const char *Name, const auto &Each) {
--- a/src/process/CborDepth.cpp
+++ b/src/process/CborDepth.cpp
@@ -45,8 +45,10 @@
   return true;
 }
 
-bool isBoundedCbor(std::string_view Bytes, std::size_t MaxDepth) {
+bool isBoundedCbor(std::string_view Bytes, std::size_t MaxDepth,
+                   std::size_t MaxItems) {
   std::string_view Rest = Bytes;
+  std::size_t Items = 0;
   /// The items still to come at each level.
   std::vector<std::uint64_t> Open{1};
   while (!Open.empty()) {
@@ -55,6 +57,8 @@
       continue;
     }
     --Open.back();
+    if (++Items > MaxItems)
+      return false;
     Head Next;
     if (!takeHead(Rest, Next))
       return true;
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -56,6 +56,9 @@
 /// directly. In a larger fleet only a few in each availability zone do, which
 /// bounds the load on the platform and the stores.
 static constexpr std::size_t MaxPrimaryWatchers = 10;
+/// Events of a store in one message to other gateways; more do not fit in it.
+static constexpr std::size_t MaxForwardedEvents =
+    EntryChannel::MaxBytes / sizeof(StoreEvent) * 8;
 static constexpr std::size_t PrimaryWatchersPerZone = 2;
 /// In a larger fleet, upstream changes are applied in batches. A call sent to
 /// an upstream that has just left is retried elsewhere.
@@ -170,7 +173,11 @@
       this->sendToZone({.Objects = News});
     };
   this->Stores.OnUpdate = [this](const StoreUpdate &News) {
-    this->sendToZone({.Store = News});
+    if (News.Batch.Events.size() <= MaxForwardedEvents)
+      this->sendToZone({.Store = News});
+  };
+  this->Stores.OnMalformed = [this] {
+    this->Stats.decision("store.malformed");
   };
   this->Services.OnCrashesChanged = [this](std::uint64_t Key,
                                            std::size_t Cleared) {
--- a/src/process/StoreFollower.cpp
+++ b/src/process/StoreFollower.cpp
@@ -29,9 +29,11 @@
 static constexpr auto MaxUpdateGap = std::chrono::milliseconds(1000);
 static constexpr auto UpdateCheckPeriod = std::chrono::milliseconds(250);
 static constexpr auto RetryPeriod = std::chrono::milliseconds(400);
-/// After this many consecutive refusals each further one doubles the pause, up
-/// to MaxDoublings times. When 295 entries start, all of them poll each store
-/// before they know of one another, and a store takes a dozen calls at a time.
+/// After this many consecutive refusals, or responses that cannot be read, each
+/// further one doubles the pause, up to MaxDoublings times. When 295 entries
+/// start, all of them poll each store before they know of one another, and a
+/// store takes a dozen calls at a time. A response that cannot be read may take
+/// megabytes and the time to receive them.
 static constexpr int RetriesBeforeBackoff = 2;
 static constexpr int MaxDoublings = 3;
 
@@ -146,10 +148,11 @@
              : Duration(EventWait);
 }
 
-/// Returns the pause before the next call to a store that has refused calls.
-static Duration backoffAfter(int Refusals) {
+/// Returns the pause before the next call to a store after consecutive failures
+/// of one kind.
+static Duration backoffAfter(int Failures) {
   const int Doublings =
-      std::clamp(Refusals - RetriesBeforeBackoff, 0, MaxDoublings);
+      std::clamp(Failures - RetriesBeforeBackoff, 0, MaxDoublings);
   return RetryPeriod * (1 << Doublings);
 }
 
@@ -188,16 +191,20 @@
   if (It == this->Stores.end())
     return;
   Store &Polled = *It->second;
-  if (!Batch) {
+  if (!Batch || Batch->IsMalformed) {
     if (!Polled.IsUnreachable)
       log(LogLevel::Warn, "store.lost", {{"store", Name}});
     // The store may have restarted unnoticed and be writing its parts anew.
     Polled.IsUnreachable = true;
     Polled.NeedsList = true;
     Polled.Contents.IsKnown = false;
-    this->pollLater(Name, RetryPeriod);
+    Polled.Malformed = Batch ? Polled.Malformed + 1 : 0;
+    if (Batch)
+      this->OnMalformed();
+    this->pollLater(Name, backoffAfter(Polled.Malformed));
     return;
   }
+  Polled.Malformed = 0;
   if (Batch->IsBusy) {
     // The known contents remain valid until they are too old.
     this->pollLater(Name, backoffAfter(++Polled.Refusals));
--- a/src/process/StoreFollower.h
+++ b/src/process/StoreFollower.h
@@ -67,6 +67,8 @@
   std::function<void(const StoreUpdate &Update)> OnUpdate =
       [](const StoreUpdate &) {};
   void receive(const StoreUpdate &Update);
+  /// Called for each response that cannot be read, for metrics.
+  std::function<void()> OnMalformed = [] {};
   std::vector<StoreView> views();
   /// Frees the parts of weights that are older than those in \p Oldest; nothing
   /// may use them any more.
@@ -84,7 +86,8 @@
     bool IsUnreachable = false;
     bool IsAssigned = true;       ///< Polled by this entry, see assign().
     bool HasMissedEvents = false; ///< A batch from another entry was lost.
-    int Refusals = 0; ///< Consecutive calls that the store refused as busy.
+    int Refusals = 0;  ///< Consecutive calls that the store refused as busy.
+    int Malformed = 0; ///< Consecutive responses that could not be read.
     TimePoint FreedAt;
     TimePoint ListedAt;
     sigc::connection Timer;
--- a/src/request/PromptRequest.cpp
+++ b/src/request/PromptRequest.cpp
@@ -1,14 +1,21 @@
 #include "request/PromptRequest.h"
 
+#include "process/BoundedJson.h"
 #include "process/ErrorKind.h"
 
 #include <charconv>
-#include <nlohmann/json.hpp>
 
 namespace galenaroute {
 
 using nlohmann::json;
 
+/// What the parsed form of a body may take: a long text takes seven times its
+/// size while it is parsed, and many short messages up to fourteen times.
+static JsonLimits bodyLimits(std::string_view Body) {
+  constexpr std::size_t ShortBody = 16 << 20;
+  return {.MaxTreeBytes = ShortBody + 8 * Body.size()};
+}
+
 [[noreturn]] static void reject(const std::string &Message) {
   throw Error(ErrorKind::BadRequest, Message);
 }
@@ -48,7 +55,7 @@
 }
 
 PromptRequest parsePromptRequest(PromptApi Api, std::string_view Body) {
-  const json Parsed = json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  const json Parsed = tryParseJson(Body, bodyLimits(Body));
   if (!Parsed.is_object())
     reject("the request body must be a JSON object");
   PromptRequest Result;
--- a/src/request/PromptReuse.cpp
+++ b/src/request/PromptReuse.cpp
@@ -17,6 +17,8 @@
 
 static void addPart(StoreContents &Contents, const StoreEvent &Event) {
   const std::string Key = partKey(Event.Scope, Event.Part);
+  if (Contents.Held.size() >= MaxTrackedParts && !Contents.Held.contains(Key))
+    return;
   std::uint32_t &Tokens = Contents.Held[Key];
   Contents.UsedTokens += Event.Tokens;
   Contents.UsedTokens -= std::min<std::uint64_t>(Contents.UsedTokens, Tokens);
--- a/src/request/PromptReuse.h
+++ b/src/request/PromptReuse.h
@@ -46,8 +46,14 @@
   std::vector<StoreEvent> Events;
   bool IsList = false; ///< Events list all parts that the store holds.
   bool IsBusy = false; ///< The store rejected the poll; other fields are unset.
+  /// The response could not be read; other fields are unset.
+  bool IsMalformed = false;
 };
 
+/// Parts of one store that are tracked; further ones are not fetched. Bounds
+/// what a store that reports ever new parts can make a process hold.
+inline constexpr std::size_t MaxTrackedParts = 100 << 10;
+
 /// The contents of one store, as last reported.
 struct StoreContents {
   std::uint64_t Epoch = 0;
--- a/src/version/ConfigObjects.cpp
+++ b/src/version/ConfigObjects.cpp
@@ -1,5 +1,6 @@
 #include "version/ConfigObjects.h"
 
+#include "process/BoundedJson.h"
 #include "process/ErrorKind.h"
 #include "process/Sha256.h"
 
@@ -17,6 +18,10 @@
 /// records about 30 KB.
 constexpr std::size_t RecordsPerObject = 16;
 
+/// Of the parsed form of one object, which may hold many more records than
+/// usual if there are very many.
+constexpr JsonLimits ObjectLimits{.MaxTreeBytes = 16 << 20};
+
 std::size_t objectCount(std::size_t Records) {
   return std::clamp<std::size_t>(
       std::bit_ceil((Records + RecordsPerObject - 1) / RecordsPerObject), 1,
@@ -199,8 +204,7 @@
       continue;
     if (contentHash(*It->second) != Hash)
       refuse("configuration object " + Hash + " does not match its hash");
-    const json Content =
-        json::parse(*It->second, nullptr, /*allow_exceptions=*/false);
+    const json Content = tryParseJson(*It->second, ObjectLimits);
     if (!Content.is_object())
       refuse("configuration object " + Hash + " is not a JSON object");
     for (const auto &[Key, Record] : Content.items())
--- a/src/version/UpstreamOrders.cpp
+++ b/src/version/UpstreamOrders.cpp
@@ -1,6 +1,8 @@
 #include "version/UpstreamOrders.h"
 
-#include <nlohmann/json.hpp>
+#include "process/BoundedJson.h"
+#include "process/ErrorKind.h"
+#include "process/Log.h"
 
 namespace galenaroute {
 
@@ -18,16 +20,24 @@
   return It->is_string() ? !It->get<std::string>().empty() : It->get<bool>();
 }
 
+/// Limits of what upstreams answer. An adapter takes some hundred bytes.
+static constexpr std::size_t MaxAnswerBytes = 1 << 20;
+static constexpr JsonLimits AnswerLimits{.MaxDepth = 16,
+                                         .MaxTreeBytes = 8 << 20};
+
 static std::optional<UpstreamObservation>
 observationFrom(const HttpResult &Result) {
   if (!Result.isSuccess())
     return std::nullopt;
   try {
-    const json Body = json::parse(Result.Body);
+    const json Body = parseJson(Result.Body, AnswerLimits);
     return UpstreamObservation{
         Body.at("weight_version"),
         Body.value("adapters", std::vector<std::string>()), isLoading(Body)};
-  } catch (const json::exception &) {
+  } catch (const std::exception &Failure) {
+    log(LogLevel::Warn, "order.malformed_state",
+        {{"bytes", std::to_string(Result.Body.size())},
+         {"message", Failure.what()}});
     return std::nullopt;
   }
 }
@@ -48,6 +58,7 @@
       HttpCallBuilder(Address)
           .get("/v1/orders")
           .totalTimeout(this->CallTimeout)
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [Done = std::move(Done)](const HttpResult &Result) {
         Done(observationFrom(Result));
@@ -67,6 +78,7 @@
           .post("/v1/orders", Body.dump())
           .totalTimeout(this->CallTimeout)
           .newConnection()
+          .maxBodyBytes(MaxAnswerBytes)
           .build(),
       [Done = std::move(Done)](const HttpResult &Result) {
         Done(answerFrom(Result));
--- a/tests/CborDepthTest.cpp
+++ b/tests/CborDepthTest.cpp
@@ -67,6 +67,19 @@
   EXPECT_FALSE(isBoundedCbor(Nested(17), 16));
 }
 
+// Guards against a message of many items of one byte, each of which takes some
+// fifty bytes when it is read.
+TEST(CborDepthTest, TheNumberOfItemsIsBounded) {
+  const auto Flat = [](std::size_t Items) {
+    const std::vector<std::uint8_t> Bytes =
+        json::to_cbor(json(json::array_t(Items, json::array())));
+    return std::string(Bytes.begin(), Bytes.end());
+  };
+  EXPECT_TRUE(isBoundedCbor(Flat(99), 16, /*MaxItems=*/100));
+  EXPECT_FALSE(isBoundedCbor(Flat(100), 16, /*MaxItems=*/100));
+  EXPECT_FALSE(isBoundedCbor(Flat(256 << 10), 16));
+}
+
 // Guards against regular messages that are refused, whatever they hold.
 RC_GTEST_PROP(CborDepthTest, WhatTheWriterProducesIsAccepted, ()) {
   json Value = json::array();
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -231,9 +231,9 @@
 }
 
 TEST(EngineCallsTest, ReadsCacheContents) {
-  const StoreEventBatch Events = cacheBatchFromJson(
-      json::parse(R"({"epoch":77120,"next":120,"lost":true,"clock_ms":5000.5,
-  "events":[[119,"+","s1","5c1e07a2",800,"m"],[120,"-","s1","91bd",0,"m"]]})"),
+  const StoreEventBatch Events = readCacheBatch(
+      R"({"epoch":77120,"next":120,"lost":true,"clock_ms":5000.5,
+  "events":[[119,"+","s1","5c1e07a2",800,"m"],[120,"-","s1","91bd",0,"m"]]})",
       false);
   EXPECT_EQ(Events.Epoch, 77120U);
   EXPECT_TRUE(Events.HasGap);
@@ -242,14 +242,28 @@
   EXPECT_TRUE(Events.Events[0].IsAdded);
   EXPECT_EQ(Events.Events[0].Scope, "s1");
   EXPECT_FALSE(Events.Events[1].IsAdded);
-  const StoreEventBatch List = cacheBatchFromJson(
-      json::parse(
-          R"({"epoch":1,"next":2,"held":[["s1","5c",800,"m"]],"partial":[]})"),
+  const StoreEventBatch List = readCacheBatch(
+      R"({"epoch":1,"next":2,"held":[["s1","5c",800,"m"]],"partial":[]})",
       true);
   EXPECT_TRUE(List.IsList);
   EXPECT_EQ(List.Events.at(0).Tokens, 800U);
 }
 
+// Guards against a response that lacks its rows, or has rows of another shape,
+// being taken for an empty store.
+TEST(EngineCallsTest, RefusesMalformedCacheContents) {
+  for (const std::string Text :
+       {"", "[]", "{}", R"({"epoch":1,"next":2})",
+        R"({"epoch":1,"next":2,"events":{}})",
+        R"({"epoch":1,"next":2,"events":[1]})",
+        R"({"epoch":1,"next":2,"events":[[1,"+","s",2,3]]})",
+        R"({"epoch":1,"next":2,"events":[[1,"+","s","p",3],]})",
+        R"({"epoch":1,"next":2,"events":[],"events":[]})",
+        R"({"epoch":"x","next":2,"events":[]})",
+        R"({"epoch":1,"next":2,"events":[[1,"+","s","p",3])"})
+    EXPECT_THROW(readCacheBatch(Text, false), std::exception) << Text;
+}
+
 const std::string SettingsText = R"(node = "n1"
 ipAddr = "10.1.0.40"
 zone = "derwent"
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -119,6 +119,45 @@
   EXPECT_EQ(this->Feed.Calls[0].Since, 3U);
 }
 
+// Guards against a store whose responses can never be read being asked for
+// megabytes several times a second, and against one unreadable response that
+// delays the next call.
+TEST_F(StoreFollowerTest, AsksLessOftenWhileResponsesCannotBeRead) {
+  int Malformed = 0;
+  this->Follower.OnMalformed = [&] { ++Malformed; };
+  this->Feed.answer({.IsMalformed = true});
+  this->runFor(500ms);
+  ASSERT_EQ(this->Feed.Calls.size(), 1U);
+  EXPECT_TRUE(this->Feed.Calls[0].IsList) << "the contents are unknown";
+  for (int I = 0; I < 3; ++I) {
+    this->Feed.answer({.IsMalformed = true});
+    this->runFor(850ms);
+  }
+  EXPECT_TRUE(this->Feed.Calls.empty()) << "the pause has doubled twice";
+  EXPECT_EQ(Malformed, 4);
+  this->runFor(900ms);
+  ASSERT_EQ(this->Feed.Calls.size(), 1U);
+  StoreEventBatch List = added(7, 3, "a");
+  List.IsList = true;
+  this->Feed.answer(List);
+  EXPECT_TRUE(this->holds("a"));
+  this->runFor(300ms);
+  EXPECT_EQ(this->Feed.Calls.size(), 1U) << "the pause is as usual again";
+}
+
+// Guards against a store that reports ever new parts, which would make a
+// process hold all of them.
+TEST_F(StoreFollowerTest, TracksABoundedNumberOfParts) {
+  StoreEventBatch Batch = added(7, 3, "a");
+  Batch.Events.clear();
+  for (std::size_t I = 0; I < MaxTrackedParts + 10; ++I)
+    Batch.Events.push_back({true, "w1", std::to_string(I), 1});
+  this->Feed.answer(Batch);
+  const StoreContents &Contents = *this->Follower.views().at(0).Contents;
+  EXPECT_EQ(Contents.Held.size(), MaxTrackedParts);
+  EXPECT_EQ(Contents.UsedTokens, MaxTrackedParts);
+}
+
 // Guards against a lost message: the entry would fetch parts that were freed in
 // it.
 TEST_F(StoreFollowerTest, PollsAfterAMissedUpdate) {
--- a/tests/UnreadableObjectsTest.cpp
+++ b/tests/UnreadableObjectsTest.cpp
@@ -3,8 +3,8 @@
 
 #include "RawSocket.h"
 #include "connection/CallListener.h"
-#include "platform/JsonParts.h"
 #include "platform/ObjectStore.h"
+#include "process/JsonParts.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -137,6 +137,31 @@
   }
 }
 
+// Guards against a spec of 1 MB whose parsed form takes more than 20 times as
+// much, which a few of them in a list would make the memory of a gateway.
+TEST_F(UnreadableObjectsTest, AFlatSpecThatIsLargeWhenParsedHidesNoOther) {
+  const std::string Good = objectText("a", R"({"ok":1})");
+  for (const std::string Unit : {"[]", "{}"}) {
+    std::string Spec = "[" + Unit;
+    while (Spec.size() < (1 << 20))
+      Spec += "," + Unit;
+    const std::string Large = objectText("large", Spec + "]");
+    const PlatformList List = this->read(listText(Large, Good), false);
+    EXPECT_EQ(readableNames(List), std::vector<std::string>{"a"});
+    ASSERT_EQ(List.Objects.size(), 2U) << "its previous content is not used";
+    EXPECT_TRUE(List.Objects[0].Value.is_null());
+  }
+}
+
+// Guards against a list of millions of elements that are no objects, whose
+// faults were logged one by one.
+TEST_F(UnreadableObjectsTest, AListOfTooManyElementsIsNoAnswer) {
+  std::string Text = R"({"asOf":1,"items":[1)";
+  while (Text.size() < (4 << 20))
+    Text += ",1";
+  EXPECT_EQ(this->read(Text + "]}", false).Status, PlatformStatus::Unknown);
+}
+
 // Guards against metadata of another type, and events that are no objects,
 // which ended the reading of the list.
 TEST_F(UnreadableObjectsTest, MalformedMetadataHidesNoOther) {
@@ -184,6 +209,17 @@
         << Text;
 }
 
+/// Returns the elements of the array \p Text that have a text.
+std::vector<std::string_view> elementsOf(std::string_view Text) {
+  std::vector<std::string_view> Result;
+  forEachElement(Text, [&](std::string_view Element) {
+    if (!Element.empty())
+      Result.push_back(Element);
+    return true;
+  });
+  return Result;
+}
+
 // Guards against reading beyond the text, or for ever, in any bytes.
 RC_GTEST_PROP(JsonPartsProperty, AnyTextIsSplit, ()) {
   const auto Text = *rc::gen::container<std::string>(
