Lease: holders that never act don't prolong the wait of the next one

Cause: where servers don't check fencing numbers, a new holder of the orders waits until a term has passed since the one before may have acted. The record of a lease told only whether it was idle. A holder that had acquired it within the wait left a record that wasn't, so that the next one waited a whole term again, though nobody had acted in between.

The record now tells how long actions of earlier holders still count (settles_in_ms), and a holder that waits for them stays passive. `idle` is written as before for processes of earlier builds, which read only that; a record of theirs counts as they mean it.

The record has no field `idle` any more, so two assertions on it are on SettlesIn; the test of an unconfirmed acquisition now checks the time that the record declares, which is stricter.

--- a/src/version/Lease.cpp
+++ b/src/version/Lease.cpp
@@ -8,17 +8,35 @@
 
 using nlohmann::json;
 
+/// Longer times in a record come from a fault and would overflow a time.
+static constexpr Milliseconds MaxSettlesIn = std::chrono::hours(1);
+
 json toJson(const LeaseRecord &Record) {
-  return {{"holder", Record.Holder},
-          {"fence", Record.Fence},
-          {"renewals", Record.Renewals},
-          {"idle", Record.Idle}};
+  // Processes of earlier builds read `idle` only.
+  json Result = {{"holder", Record.Holder},
+                 {"fence", Record.Fence},
+                 {"renewals", Record.Renewals},
+                 {"idle", Record.SettlesIn == Milliseconds(0)}};
+  if (Record.SettlesIn)
+    Result["settles_in_ms"] = Record.SettlesIn->count();
+  return Result;
+}
+
+/// Returns the time that \p Value states, or nothing.
+static std::optional<Milliseconds> settlesInFrom(const json &Value) {
+  if (Value.value("idle", false))
+    return Milliseconds(0);
+  const auto It = Value.find("settles_in_ms");
+  if (It == Value.end())
+    return std::nullopt;
+  return std::clamp(Milliseconds(It->get<std::int64_t>()), Milliseconds(0),
+                    MaxSettlesIn);
 }
 
 LeaseRecord leaseFromJson(const json &Value) {
   try {
     return {Value.at("holder"), Value.at("fence"), Value.at("renewals"),
-            Value.value("idle", false)};
+            settlesInFrom(Value)};
   } catch (const json::exception &Failure) {
     throw Error(ErrorKind::BadRequest,
                 std::string("malformed lease object: ") + Failure.what());
@@ -47,9 +65,10 @@
 /// number: a delayed write that takes effect late must not be mistaken for a
 /// newer one, whose term would end later.
 static LeaseAction write(LeaseState &State, std::string Holder,
-                         std::uint64_t Fence, bool Idle, TimePoint Now) {
-  State.Written = {std::move(Holder), Fence, ++State.Writes, Idle};
-  State.Active &= !Idle;
+                         std::uint64_t Fence,
+                         std::optional<Milliseconds> SettlesIn, TimePoint Now) {
+  State.Written = {std::move(Holder), Fence, ++State.Writes, SettlesIn};
+  State.Active &= !SettlesIn;
   State.WriteStarted = Now;
   State.CallPending = true;
   return LeaseAction::Write;
@@ -60,17 +79,44 @@
   return LeaseAction::Read;
 }
 
-/// Returns whether nobody can have acted in the term before \p Now, going by
-/// the known record.
-static bool isKnownIdle(const LeaseState &State, TimePoint Now) {
-  return State.Version == 0 ? Now >= State.EraActsFrom : State.Record.Idle;
+/// Returns a term after the last time at which the holder of the known record,
+/// or one before it, can have acted, if no other process holds the lease
+/// between that record and a write of this process.
+static TimePoint actsAfterKnown(const LeaseState &State) {
+  const LeaseSettings &Settings = State.Settings;
+  if (State.Version == 0)
+    return State.EraActsFrom;
+  // The record was written before it was first seen.
+  if (State.Record.SettlesIn)
+    return State.VersionSince + *State.Record.SettlesIn;
+  // A holder that resigned stopped before that write, any other one a margin
+  // before the end of the term that its last write started.
+  const TimePoint Stopped =
+      State.Record.Holder.empty()
+          ? State.VersionSince
+          : State.VersionSince + Settings.Term - Settings.Margin;
+  return Stopped + Settings.Term;
+}
+
+/// Returns the time from \p Now until \p Settled, rounded up.
+static Milliseconds timeUntil(TimePoint Settled, TimePoint Now) {
+  return std::max(Milliseconds(0),
+                  std::chrono::ceil<Milliseconds>(Settled - Now));
 }
 
-/// Returns whether the holder may declare that nobody has acted for a term. An
-/// acquisition that was not confirmed has left ActsFrom unchanged.
-static bool mayBecomeIdle(const LeaseState &State, TimePoint Now) {
-  return State.Record.Idle ||
-         (State.Record.Fence == State.Fence && Now >= State.ActsFrom);
+/// Returns what a holder that does not act until its next write declares, or
+/// nothing if its last write allowed it to act and it may have acted within a
+/// term.
+static std::optional<Milliseconds> settlesIn(const LeaseState &State,
+                                             TimePoint Now, bool HasStopped) {
+  // An acquisition that was not confirmed has left ActsFrom unchanged.
+  if (State.Record.Fence != State.Fence)
+    return State.Record.SettlesIn
+               ? std::optional(timeUntil(actsAfterKnown(State), Now))
+               : std::nullopt;
+  if (!State.Record.SettlesIn && !HasStopped)
+    return std::nullopt;
+  return timeUntil(State.ActsFrom, Now);
 }
 
 LeaseAction nextLeaseAction(LeaseState &State, TimePoint Now,
@@ -92,47 +138,36 @@
       // No order may be sent once the resignation is in flight, because the
       // next holder does not wait for the end of this term.
       State.HeldUntil = Now;
-      return write(State, "", State.Record.Fence, State.Record.Idle, Now);
+      return write(State, "", State.Record.Fence,
+                   settlesIn(State, Now, /*HasStopped=*/false), Now);
     }
     const bool IsActivationDue =
-        Acts && State.Record.Idle && State.Written.Idle;
+        Acts && State.Record.SettlesIn && State.Written.SettlesIn;
     if (!IsActivationDue && Now < State.WriteStarted + Settings.RenewEvery)
       return LeaseAction::Wait;
-    return write(State, Settings.Self, State.Record.Fence,
-                 !Acts && mayBecomeIdle(State, Now), Now);
+    // Without LeaseInterest::Act, its own last action is a term ago.
+    return write(
+        State, Settings.Self, State.Record.Fence,
+        Acts ? std::nullopt : settlesIn(State, Now, /*HasStopped=*/true), Now);
   }
 
   if (!Wanted)
     return LeaseAction::Wait;
   const bool Free = State.Version == 0 || State.Record.Holder.empty();
-  const bool IsIdle = isKnownIdle(State, Now);
-  const bool Lapsed = Now >= State.VersionSince + Settings.Term -
-                                 (IsIdle ? Settings.Margin : Duration::zero());
+  const bool IsPassive = State.Record.SettlesIn.has_value();
+  const bool Lapsed =
+      Now >= State.VersionSince + Settings.Term -
+                 (IsPassive ? Settings.Margin : Duration::zero());
   if (!Free && !Lapsed)
     return IsReadDue ? read(State) : LeaseAction::Wait;
   // If the version has changed since the last read, the write fails and the
   // object is read again.
   const std::uint64_t Last =
       std::max(State.Record.Fence, State.Era * FencesPerEra);
-  return write(State, Settings.Self, Last + 1, IsIdle && !Acts, Now);
-}
-
-/// Returns a term after the last time at which the holder of the known record,
-/// or one before it, can have acted, if no other process holds the lease
-/// between that record and a write of this process.
-static TimePoint actsAfterKnown(const LeaseState &State) {
-  const LeaseSettings &Settings = State.Settings;
-  if (State.Version == 0)
-    return State.EraActsFrom;
-  if (State.Record.Idle)
-    return {};
-  // A holder that resigned stopped before that write, any other one a margin
-  // before the end of the term that its last write started.
-  const TimePoint Stopped =
-      State.Record.Holder.empty()
-          ? State.VersionSince
-          : State.VersionSince + Settings.Term - Settings.Margin;
-  return Stopped + Settings.Term;
+  return write(State, Settings.Self, Last + 1,
+               Acts ? std::nullopt
+                    : std::optional(timeUntil(actsAfterKnown(State), Now)),
+               Now);
 }
 
 /// Adopts the stored record. If it equals a write of this process that is in
@@ -153,7 +188,7 @@
   }
   if (!Confirmed)
     return;
-  State.Active = !Record.Idle;
+  State.Active = !Record.SettlesIn;
   if (Record.Fence != State.Fence) {
     State.Fence = Record.Fence;
     State.ActsFrom = ActsFrom;
@@ -198,12 +233,16 @@
   return isOwnRecord(State) && Now < State.HeldUntil;
 }
 
+bool isSettled(const LeaseState &State, TimePoint Now) {
+  return Now >= State.ActsFrom;
+}
+
 bool mayAct(const LeaseState &State, TimePoint Now, bool AfterOthers) {
   // A holder of an earlier era that has not learned of the restoration may act
   // until a term before EraActsFrom.
   return holdsLease(State, Now) && State.Active &&
          Now >= State.EraActsFrom - State.Settings.Term &&
-         (!AfterOthers || Now >= State.ActsFrom);
+         (!AfterOthers || isSettled(State, Now));
 }
 
 } // namespace galenaroute
--- a/src/version/Lease.h
+++ b/src/version/Lease.h
@@ -12,10 +12,13 @@
 //   onLeaseWritten(State, Result, Now);
 //   if (mayAct(State, Now)) sendOrder(State.Fence);
 //
-// A record tells whether its holder may act or is idle. An idle holder writes
-// the record once more before it acts, and that write fails if another process
-// has acquired the lease meanwhile. So an idle lease can be acquired sooner,
-// and its next holder need not wait for orders of the previous one.
+// A record tells whether its holder may act or is passive. A passive holder
+// writes the record once more before it acts, and that write fails if another
+// process has acquired the lease meanwhile. So a passive lease can be acquired
+// sooner. Its record also tells how long actions of earlier holders still
+// count, so that the next holder waits for them and not for a holder that has
+// never acted; without that, a lease that changes hands more often than once
+// per term would allow nobody to act.
 //
 // The platform may be restored from an old copy, see PlatformEra.h. Then the
 // record and its version mean nothing any more, so each era has an object of
@@ -42,6 +45,7 @@
 #include "process/Clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace galenaroute {
@@ -51,9 +55,9 @@
   std::string Holder; ///< Node and incarnation; empty after a resignation.
   std::uint64_t Fence = 0;
   std::uint64_t Renewals = 0; ///< Unique for each write of one holder.
-  /// Whether no holder has acted in the term before this write, and none acts
-  /// until the next one.
-  bool Idle = false;
+  /// Time after this write until a whole term has passed since the last action
+  /// of any holder. Set only if nobody acts until the next write.
+  std::optional<Milliseconds> SettlesIn;
   bool operator==(const LeaseRecord &) const = default;
 };
 
@@ -98,7 +102,7 @@
   bool InDoubt = false; ///< The result of the last write is unknown.
   TimePoint HeldUntil;  ///< The holder may act only before this time.
   /// Whether the last confirmed write allows this holder to act, and no later
-  /// one that makes it idle was started.
+  /// one that makes it passive was started.
   bool Active = false;
   /// A term after the last time at which an earlier holder can have acted.
   TimePoint ActsFrom;
@@ -124,8 +128,8 @@
 /// State.Version are the value and the condition. A lease is acquired only with
 /// LeaseInterest::Hold or Act, and from another holder only when it has been
 /// seen unchanged for a term, or until the holder's right to act has ended if
-/// it is idle. After its last action, a holder must keep LeaseInterest::Act for
-/// a term.
+/// it is passive. After its last action, a holder must keep LeaseInterest::Act
+/// for a term.
 LeaseAction nextLeaseAction(LeaseState &State, TimePoint Now,
                             LeaseInterest Interest);
 
@@ -140,6 +144,9 @@
 /// Returns whether this process holds the lease at \p Now.
 bool holdsLease(const LeaseState &State, TimePoint Now);
 
+/// Returns whether actions of earlier holders are a term ago at \p Now.
+bool isSettled(const LeaseState &State, TimePoint Now);
+
 /// Returns whether this process holds the lease and may act at \p Now. Without
 /// \p AfterOthers, actions of earlier holders need not be a term ago, since
 /// their receivers check the fencing number.
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -109,8 +109,14 @@
   const bool HasOrdered =
       State.LastOrderAt &&
       Now < *State.LastOrderAt + this->Settings.Term + this->Settings.Margin;
-  return HasOrdered || State.Rollout.IsOrderDue ? LeaseInterest::Act
-                                                : LeaseInterest::Hold;
+  // A holder that still waits for the orders of others stays passive, so that
+  // the next one need not wait for it.
+  const ServiceConfig *Config = this->Current->findService(Service);
+  const bool MayOrder =
+      (Config && Config->ChecksFence) || isSettled(State.Lease, Now);
+  return HasOrdered || (State.Rollout.IsOrderDue && MayOrder)
+             ? LeaseInterest::Act
+             : LeaseInterest::Hold;
 }
 
 /// Drops a lease that belongs to an earlier era of the platform.
--- a/tests/LeaseTest.cpp
+++ b/tests/LeaseTest.cpp
@@ -319,13 +319,13 @@
   EXPECT_FALSE(mayAct(Only.State, History.Now));
   History.Store.drain();
   EXPECT_TRUE(mayAct(Only.State, History.Now));
-  EXPECT_FALSE(Only.State.Record.Idle);
+  EXPECT_FALSE(Only.State.Record.SettlesIn);
   Only.Interest = LeaseInterest::Hold;
   History.Now += Only.State.Settings.RenewEvery;
   History.act(0);
   EXPECT_FALSE(mayAct(Only.State, History.Now));
   History.Store.drain();
-  EXPECT_TRUE(Only.State.Record.Idle);
+  EXPECT_EQ(Only.State.Record.SettlesIn, 0ms);
 }
 
 // Guards against an acquisition that takes effect late, so that no reply
@@ -337,6 +337,7 @@
   Next.Interest = LeaseInterest::Observe;
   History.run(0, 4);
   ASSERT_TRUE(mayAct(History.Contenders[0].State, History.Now));
+  const TimePoint ActedAt = History.Now;
   History.run(1, 1);
   Next.Interest = LeaseInterest::Hold;
   History.Now += Next.State.Settings.Term;
@@ -348,17 +349,95 @@
   History.Store.drain(); // The first write, then the second, which conflicts.
   History.run(1, 1);
   ASSERT_EQ(Next.State.Record.Holder, Next.State.Settings.Self);
-  ASSERT_FALSE(Next.State.Record.Idle);
+  const TimePoint Settled =
+      ActedAt + 2 * Next.State.Settings.Term - Next.State.Settings.Margin;
+  const auto DeclaredSettled = [&] {
+    return History.Now + Next.State.Record.SettlesIn.value_or(24h);
+  };
+  EXPECT_GE(DeclaredSettled(), Settled);
   History.Now += Next.State.Settings.RenewEvery;
   History.run(1, 1);
   EXPECT_TRUE(holdsLease(Next.State, History.Now));
-  EXPECT_FALSE(Next.State.Record.Idle);
+  EXPECT_GE(DeclaredSettled(), Settled);
+  EXPECT_FALSE(mayAct(Next.State, History.Now));
+}
+
+// Guards against a wait that begins anew with each holder, though only the
+// first one has acted: a lease that changes hands more often than once per term
+// allowed nobody to act.
+TEST(LeaseTest, HoldersThatDoNotActDoNotProlongTheWait) {
+  constexpr std::size_t Count = 6;
+  LeaseHistory History(Count);
+  for (Contender &Each : History.Contenders)
+    Each.Interest = LeaseInterest::None;
+  History.Contenders[0].Interest = LeaseInterest::Act;
+  History.run(0, 4);
+  ASSERT_TRUE(mayAct(History.Contenders[0].State, History.Now));
+  const Duration Term = History.Contenders[0].State.Settings.Term;
+  const TimePoint Resigned = History.Now;
+  for (std::size_t I = 0; I + 1 < Count; ++I) {
+    History.Contenders[I].Interest = LeaseInterest::None;
+    History.run(I, 1);
+    History.Contenders[I + 1].Interest = LeaseInterest::Hold;
+    History.Now += 100ms;
+    History.run(I + 1, 2);
+    ASSERT_TRUE(holdsLease(History.Contenders[I + 1].State, History.Now));
+    History.Now += Term / 8;
+  }
+  Contender &Last = History.Contenders.back();
+  Last.Interest = LeaseInterest::Act;
+  History.Now = Resigned + Term;
+  History.run(Count - 1, 2);
+  EXPECT_FALSE(mayAct(Last.State, History.Now));
+  // Each resignation was first seen 100 ms after it.
+  EXPECT_TRUE(mayAct(Last.State, Resigned + Term + (Count - 1) * 100ms));
+}
+
+// Guards against a passive holder that is killed: its successor waits for the
+// holder before, not for it.
+TEST(LeaseTest, APassiveHolderThatIsKilledDoesNotProlongTheWait) {
+  LeaseHistory History(3);
+  History.Contenders[1].Interest = LeaseInterest::Hold;
+  History.Contenders[2].Interest = LeaseInterest::Observe;
+  History.run(0, 4);
+  ASSERT_TRUE(mayAct(History.Contenders[0].State, History.Now));
+  const LeaseSettings Settings = History.Contenders[0].State.Settings;
+  History.Contenders[0].Interest = LeaseInterest::None;
+  History.run(0, 1);
+  const TimePoint Resigned = History.Now;
+  History.run(1, 2);
+  ASSERT_TRUE(holdsLease(History.Contenders[1].State, History.Now));
+  History.run(2, 1);
+  Contender &Last = History.Contenders[2];
+  Last.Interest = LeaseInterest::Act;
+  History.Now = Resigned + Settings.Term - Settings.Margin;
+  History.run(2, 1);
+  ASSERT_TRUE(holdsLease(Last.State, History.Now));
+  EXPECT_FALSE(mayAct(Last.State, Resigned + Settings.Term - 1ms));
+  EXPECT_TRUE(mayAct(Last.State, Resigned + Settings.Term));
 }
 
 // Guards against a record without the field: its holder may be acting.
 TEST(LeaseTest, ARecordWithoutIdleIsNotIdle) {
-  EXPECT_FALSE(
-      leaseFromJson({{"holder", "a"}, {"fence", 3}, {"renewals", 1}}).Idle);
+  EXPECT_FALSE(leaseFromJson({{"holder", "a"}, {"fence", 3}, {"renewals", 1}})
+                   .SettlesIn);
+}
+
+// Guards against records of builds that know `idle` only, and against records
+// that such builds take for idle too early.
+TEST(LeaseTest, RecordsAreReadByEarlierBuilds) {
+  const nlohmann::json Earlier = {
+      {"holder", "a"}, {"fence", 3}, {"renewals", 1}, {"idle", true}};
+  EXPECT_EQ(leaseFromJson(Earlier).SettlesIn, 0ms);
+  LeaseRecord Record{"a", 3, 1, 0ms};
+  EXPECT_EQ(toJson(Record).at("idle"), true);
+  EXPECT_EQ(leaseFromJson(toJson(Record)), Record);
+  Record.SettlesIn = 1ms;
+  EXPECT_EQ(toJson(Record).at("idle"), false);
+  EXPECT_EQ(leaseFromJson(toJson(Record)), Record);
+  Record.SettlesIn.reset();
+  EXPECT_EQ(toJson(Record).at("idle"), false);
+  EXPECT_EQ(leaseFromJson(toJson(Record)), Record);
 }
 
 // Guards against a weight rollout that misses its time limit when the holder
