ForwardGateway: a gateway that stops goes on with its rollout

In a fleet that is replaced in turn its successor is often the next one to stop.

A gateway that stops keeps the lease of a rollout that is under way until 1.5 s before the platform would kill it, and exits only once it has resigned. Statuses are also sent to gateways that are leaving, so that the holder knows the calls of the others at the upstreams that it drains.

--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -118,6 +118,14 @@
         Visit(Each.Record);
   }
 
+  /// Visits the entries that are alive, also those that are leaving.
+  template <typename Visitor>
+  void forEachHeard(TimePoint Now, Visitor Visit) const {
+    for (const auto &[Id, Each] : this->Others)
+      if (this->isAlive(Each, Now))
+        Visit(Each.Record);
+  }
+
 private:
   struct KnownEntry {
     EntryRecord Record;
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -949,7 +949,8 @@
     this->Listener->stopAccepting();
   this->Listener->closeAfterAnswers();
   this->Relays->stop();
-  this->Orders->resign();
+  // Resigns the leases of rollouts that have ended.
+  this->Orders->tick(EventLoop::now());
   this->Rates.leave();
   this->gossip();
 }
@@ -969,7 +970,7 @@
   // late if the process stood still.
   const bool IsIdle =
       this->Services.OpenRuns == 0 && this->Relays->connections() == 0 &&
-      this->RefusingSince &&
+      this->Orders->hasResigned() && this->RefusingSince &&
       EventLoop::now() - *this->RefusingSince >= LateRequestTime &&
       this->Listener->isQuiet();
   if (!IsIdle) {
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -32,6 +32,10 @@
 /// Between attempts to read a history while the platform does not answer.
 static constexpr Duration HistoryRetry = std::chrono::milliseconds(500);
 
+/// A gateway that is stopping resigns its leases this long before the platform
+/// would kill it. A lease that was not resigned is acquired a term later.
+static constexpr Duration HandoverTime = std::chrono::milliseconds(1500);
+
 void ForwardGateway::onWeights(const PlatformObject &Object) {
   if (Object.Deleted)
     return;
@@ -348,11 +352,23 @@
   return false;
 }
 
+/// Returns whether this gateway, which is stopping, may still send orders.
+bool ForwardGateway::mayFinishOrders() const {
+  const Duration Left =
+      *this->StopRequestedAt + this->Settings.Grace - EventLoop::now();
+  return Left > HandoverTime;
+}
+
 /// Returns whether this gateway should hold the lease of \p Service: it already
-/// does, or orders are pending and it ranks first among the live gateways.
+/// does, or orders are pending and it ranks first among the live gateways. A
+/// gateway that is stopping keeps the lease for as long as it may finish a
+/// rollout: its successor waits a lease term, and may be the next one to stop.
 bool ForwardGateway::isPreferredFor(std::string_view Service) {
-  if (this->StopRequestedAt || !this->Services.Config)
+  if (!this->Services.Config)
     return false;
+  if (this->StopRequestedAt)
+    return this->mayFinishOrders() && this->Orders &&
+           this->Orders->holds(Service) && this->needsOrders(Service);
   return (this->Orders && this->Orders->holds(Service)) ||
          this->isLeaseCandidate(Service, /*Count=*/1);
 }
--- a/src/process/StatusExchange.cpp
+++ b/src/process/StatusExchange.cpp
@@ -161,7 +161,8 @@
 
 void StatusExchange::sendToAll(const EntryStatus &Own, TimePoint Now) {
   const std::string Bytes = encodeGossip({.Status = Own});
-  this->Entries.forEachAlive(
+  // An entry that is leaving still sends calls and may finish a rollout.
+  this->Entries.forEachHeard(
       Now, [&](const EntryRecord &Each) { this->Send(Each.Gossip, Bytes); });
 }
 
--- a/src/version/OrderController.cpp
+++ b/src/version/OrderController.cpp
@@ -47,6 +47,14 @@
   this->tick(EventLoop::now());
 }
 
+bool OrderController::hasResigned() const {
+  return std::none_of(
+      this->Services.begin(), this->Services.end(), [](const auto &Each) {
+        const LeaseState &Lease = Each.second.Lease;
+        return Lease.CallPending || holdsLease(Lease, EventLoop::now());
+      });
+}
+
 void OrderController::record(std::string_view Kind, std::string_view Detail) {
   log(LogLevel::Info, Kind, {{"detail", std::string(Detail)}});
   if (this->Events)
--- a/src/version/OrderController.h
+++ b/src/version/OrderController.h
@@ -44,6 +44,9 @@
   /// Resigns all leases and sends no more orders.
   void resign();
 
+  /// Returns whether no lease is held and no call about one is pending.
+  bool hasResigned() const;
+
   /// Returns whether this process currently holds the lease of \p Service.
   bool holds(std::string_view Service) const;
 
--- a/tests/process/WeightsProcessTest.cpp
+++ b/tests/process/WeightsProcessTest.cpp
@@ -4,17 +4,20 @@
 #include "PlatformDaemons.h"
 #include "ProcessHarness.h"
 #include "WeightedEngines.h"
+#include "connection/PlatformEra.h"
 #include "process/Rendezvous.h"
 
 #include <csignal>
 #include <gtest/gtest.h>
 #include <map>
+#include <set>
 
 namespace galenaroute {
 namespace {
 
 using namespace std::chrono_literals;
 using namespace testing_support;
+using nlohmann::json;
 
 class WeightsProcessTest : public testing::Test {
 protected:
@@ -47,7 +50,14 @@
   void addEngine(std::size_t Index) {
     this->Engines.push_back(std::make_unique<WeightedEngine>(
         this->Harness.loop(), this->Seen,
-        WeightedEngineSettings{.Slots = Slots, .RunTime = RunTime},
+        WeightedEngineSettings{
+            .Slots = Slots,
+            .RunTime = RunTime,
+            .LoadTime = this->LoadTime,
+            .OnOrder =
+                [this](const std::string &Holder, std::uint64_t) {
+                  this->Orders.push_back({EventLoop::now(), Holder});
+                }},
         [this, Index](const SocketAddress &At, std::uint64_t Version) {
           this->Api.put("servers", "e" + std::to_string(Index),
                         {{"service", "m"},
@@ -114,6 +124,36 @@
     return Best;
   }
 
+  /// Stops the daemon that holds the lease, unless it is being stopped, and
+  /// starts those again that have ended.
+  void stopHolder() {
+    for (std::size_t I = 0; I < DaemonCount; ++I)
+      if (this->IsDown[I] && !this->Daemons[I]->isRunning())
+        this->startDaemon(I);
+    const json Lease = this->Api.read("lease", eraName("m", this->Api.era()));
+    const std::string Holder =
+        Lease.is_object() ? Lease.value("holder", "") : "";
+    for (std::size_t I = 0; I < DaemonCount; ++I)
+      if (!this->IsDown[I] && Holder.starts_with(Places.nameOf(I) + "#")) {
+        this->Daemons[I]->signal(SIGTERM);
+        this->IsDown[I] = true;
+      }
+  }
+  std::size_t enginesWith(std::uint64_t Version) const {
+    return static_cast<std::size_t>(std::count_if(
+        this->Engines.begin(), this->Engines.end(),
+        [&](const auto &Each) { return Each->version() == Version; }));
+  }
+  /// Expects that orders of two holders are a lease term apart.
+  void expectNoTurns() const {
+    for (std::size_t I = 1; I < this->Orders.size(); ++I)
+      if (this->Orders[I].Holder != this->Orders[I - 1].Holder) {
+        EXPECT_GE(this->Orders[I].At - this->Orders[I - 1].At, LeaseTerm)
+            << this->Orders[I - 1].Holder << ", then "
+            << this->Orders[I].Holder;
+      }
+  }
+
   void expectNothingOutdated() {
     const auto Found = findOutdated(this->Seen, Bounds);
     std::map<std::size_t, std::size_t> ByDaemon;
@@ -176,16 +216,24 @@
   /// In touch again, a daemon that was frozen over the naming has more than the
   /// limit behind it, and would use older weights for 3 s more.
   static constexpr WeightsBounds Bounds{.Limit = 8s};
-  const PlatformDaemons Places{
-      .Count = DaemonCount,
-      .Network = 6,
-      .VersionMs = static_cast<int>(toMilliseconds(Bounds.Limit))};
+  /// `leaseMs` of the daemons' settings.
+  static constexpr Duration LeaseTerm = 3s;
+  struct SeenOrder {
+    TimePoint At;
+    std::string Holder;
+  };
+  PlatformDaemons Places{.Count = DaemonCount,
+                         .Network = 6,
+                         .VersionMs =
+                             static_cast<int>(toMilliseconds(Bounds.Limit))};
   ProcessHarness Harness{GALENAROUTE_BUILD_DIR};
   FakePlatformServer Api{this->Harness.loop()};
   Program *Daemons[DaemonCount] = {};
   bool IsDown[DaemonCount] = {};
   TimePoint DownSince[DaemonCount] = {};
   TimePoint NamedAt;
+  std::optional<Duration> LoadTime; ///< Engines refuse orders without it.
+  std::vector<SeenOrder> Orders;
   WeightsHistory Seen;
   std::vector<std::unique_ptr<WeightedEngine>> Engines;
   std::vector<std::unique_ptr<RawSocket>> OnceCalls;
@@ -322,5 +370,29 @@
   this->expectServedByNewest(3, Loading);
 }
 
+// Guards against a rollout that stands still while the daemons are stopped in
+// turn: each holder of the lease is asked to stop 0.4 s after it has acquired
+// it, and none but the first ever sent an order.
+TEST_F(WeightsProcessTest, ARolloutGoesOnWhileHoldersAreStopped) {
+  this->Places.GraceSeconds = 8;
+  this->LoadTime = 2500ms;
+  this->start();
+  this->name(2);
+  for (int I = 0; I < 30 * 5 && this->enginesWith(2) < EngineCount; ++I) {
+    this->wait(200ms);
+    if (I % 2 == 0)
+      this->stopHolder();
+  }
+  EXPECT_EQ(this->enginesWith(2), EngineCount);
+  std::set<std::string> Holders;
+  for (const SeenOrder &Each : this->Orders)
+    Holders.insert(Each.Holder);
+  RecordProperty("holders", std::to_string(Holders.size()));
+  RecordProperty("took_ms", std::to_string(toMilliseconds(EventLoop::now() -
+                                                          this->NamedAt)));
+  EXPECT_GE(Holders.size(), 2U) << "the rollout was handed over";
+  this->expectNoTurns();
+}
+
 } // namespace
 } // namespace galenaroute
