AnnouncedWeights: a version read after a cut isn't dated by its end

Callers got work on replaced weights (VERSION). In the users' record two gateways send calls to servers with version 2 until 15.0 s after version 3 was acknowledged, while the others refuse them from 11.3 s on. That fits a date that is 3.75 s late; that this is what happened there is suspected, not shown.

Cause: a gateway that the platform does not answer while a version is named reads it when it is answered again, and called that moment observed. Observed dates go before assumed and stored ones, and gateways tell them to each other. Where the gateways that had seen the naming have ended since, the late date replaced the others' cautious ones everywhere.

A version that an answer shows at once, after none for longer than a watch takes, is now dated by the last answer and counts as assumed, if the platform has answered peers meanwhile or no peer is heard. During an outage for all nothing is named, so that its end counts as before.

Evidence: WeightsFleetTest.GatewaysCutFromTheStoreOverANamingKeepTheLimit, two gateways cut off for 8.5 s, the others restarted, no history: with dates as before, all six gateways allow older weights 12.2 s after the naming (limit 12 s); it passes with the change. AVersionNamedAfterAnOutageIsDatedByItsNaming guards the other side.

--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -188,6 +188,7 @@
   void freeOutdatedParts();
   void updateZones();
   bool needsOrders(std::string_view Service) const;
+  std::optional<BootTime> weightsMissedSince(BootTime Now) const;
   bool mayFinishOrders() const;
   bool isPreferredFor(std::string_view Service);
   bool isLeaseCandidate(std::string_view Service, std::size_t Count);
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -36,6 +36,23 @@
 /// would kill it. A lease that was not resigned is acquired a term later.
 static constexpr Duration HandoverTime = std::chrono::milliseconds(1500);
 
+/// Returns since when weights that are read now may have been announced without
+/// this process noticing, or nothing. Nothing is announced while the platform
+/// answers nobody.
+std::optional<BootTime> ForwardGateway::weightsMissedSince(BootTime Now) const {
+  if (const auto Stalled = this->Stalls.recentStall(Now, CatchUpTime))
+    return Stalled;
+  const auto Since = this->WeightNotices.unnoticedSince();
+  if (!Since)
+    return std::nullopt;
+  const bool HearsNobody =
+      this->KnownCount > 1 && this->Entries.countAlive(EventLoop::now()) == 0;
+  const auto PeerAt = this->WeightNotices.peerAnsweredAt();
+  const bool WasPeerAnswered =
+      PeerAt && *PeerAt - *Since > this->WeightNotices.maxWatchTime();
+  return HearsNobody || WasPeerAnswered ? Since : std::nullopt;
+}
+
 void ForwardGateway::onWeights(const PlatformObject &Object) {
   if (Object.Deleted)
     return;
@@ -48,7 +65,7 @@
   const auto Seen =
       noteNamed(this->Services.Weights[Read->Model], Read->Version,
                 {.IsFirst = !this->WeightNotices.confirmedAt(),
-                 .StalledSince = this->Stalls.recentStall(Now, CatchUpTime)},
+                 .MissedSince = this->weightsMissedSince(Now)},
                 this->Settings.WeightsLimit, Now);
   if (!Seen)
     return;
--- a/src/version/AnnouncedWeights.cpp
+++ b/src/version/AnnouncedWeights.cpp
@@ -17,8 +17,8 @@
   Announcement Seen{Now, AnnouncementSource::Observed};
   if (Reading.IsFirst)
     Seen = {Now - Limit, AnnouncementSource::Assumed};
-  else if (Reading.StalledSince)
-    Seen = {*Reading.StalledSince, AnnouncementSource::Assumed};
+  else if (Reading.MissedSince)
+    Seen = {*Reading.MissedSince, AnnouncementSource::Assumed};
   noteAnnounced(Weights, Version, Seen);
   return Seen;
 }
--- a/src/version/AnnouncedWeights.h
+++ b/src/version/AnnouncedWeights.h
@@ -72,17 +72,17 @@
 /// What a process knows of the time before it read a version on the platform.
 struct WeightsReading {
   bool IsFirst = false; ///< Nothing was read before: the process has started.
-  /// When the process began to stand still, if it may have done so at the
-  /// announcement.
-  std::optional<BootTime> StalledSince;
+  /// Since when the process may have missed the announcement: it stood still,
+  /// or the platform answered other processes only.
+  std::optional<BootTime> MissedSince;
 };
 
 /// Records a version that the platform names at \p Now. One that was found at
-/// the start, or that may have been announced while the process stood still, is
-/// dated as early as possible; \p Limit is the age at which older weights are
-/// out of use. A version that is not newer than the known ones keeps its date,
-/// since the platform also lists unchanged objects again. Returns the date of a
-/// new version.
+/// the start, or whose announcement may have been missed, is dated as early as
+/// possible, since that date must not replace one that another process stored;
+/// \p Limit is the age at which older weights are out of use. A version that is
+/// not newer than the known ones keeps its date, since the platform also lists
+/// unchanged objects again. Returns the date of a new version.
 std::optional<Announcement> noteNamed(AnnouncedWeights &Weights,
                                       std::uint64_t Version,
                                       const WeightsReading &Reading,
--- a/src/version/ObjectWatcher.cpp
+++ b/src/version/ObjectWatcher.cpp
@@ -9,6 +9,9 @@
 /// Wait of a watch that is to be answered at once.
 static constexpr Duration MinWait = std::chrono::milliseconds(1);
 
+/// A watch that is answered sooner had a change to report when it arrived.
+static constexpr Duration PromptAnswer = std::chrono::milliseconds(500);
+
 static std::uint64_t digestOf(std::string_view Name, std::uint64_t Version) {
   return stableHash(Name, Version);
 }
@@ -69,6 +72,20 @@
   this->IsDisconnected = false;
 }
 
+Duration ObjectWatcher::maxWatchTime() const {
+  return this->Settings.Wait + this->BatchDelay + PromptAnswer;
+}
+
+/// To be called before the objects of an answer are applied.
+void ObjectWatcher::noteAnswer(BootTime SentAt) {
+  const BootTime Now = BootClock::now();
+  const bool HasWaited = Now - SentAt > PromptAnswer;
+  this->UnnoticedSince.reset();
+  if (!HasWaited && this->CompleteUntil &&
+      Now - *this->CompleteUntil > this->maxWatchTime())
+    this->UnnoticedSince = this->CompleteUntil;
+}
+
 void ObjectWatcher::noteComplete(BootTime Until) {
   this->OwnCompleteUntil = Until;
   this->CompleteUntil = std::max(this->CompleteUntil, this->OwnCompleteUntil);
@@ -116,6 +133,7 @@
   // made while later pages were read. Its objects may all be unreadable.
   if (this->IsFirstPage)
     this->Revision = this->UnchangedSince = Result.Revision;
+  this->noteAnswer(this->ListSentAt);
   for (const PlatformObject &Each : Result.Objects) {
     this->Listed.insert(Each.Key.Name);
     this->applyObject(Each);
@@ -206,6 +224,7 @@
     this->Revision = Result.Revision;
   if (!Result.Objects.empty())
     this->UnchangedSince = this->Revision;
+  this->noteAnswer(SentAt);
   for (const PlatformObject &Each : Result.Objects)
     this->applyObject(Each);
   this->noteComplete(SentAt);
@@ -225,6 +244,7 @@
       Updates.Since > this->Revision || Updates.Revision <= this->Revision)
     return;
   this->Revision = this->UnchangedSince = Updates.Revision;
+  this->UnnoticedSince.reset();
   for (const PlatformObject &Each : Updates.Objects) {
     const auto It = this->Known.find(Each.Key.Name);
     if (It == this->Known.end() || It->second < Each.Version)
@@ -262,6 +282,8 @@
 
 void ObjectWatcher::notePeerProgress(const WatchProgress &Peer, TimePoint Now) {
   const std::uint64_t Era = this->Api.Era.current();
+  this->PeerAnsweredAt = std::max(this->PeerAnsweredAt,
+                                  std::optional(BootClock::now() - Peer.Age));
   if (!this->HasRevision || Peer.Era < Era)
     return;
   this->IsEraDoubted |= Peer.Era > Era;
--- a/src/version/ObjectWatcher.h
+++ b/src/version/ObjectWatcher.h
@@ -121,6 +121,18 @@
   std::optional<BootTime> ownCompleteUntil() const {
     return this->OwnCompleteUntil;
   }
+  /// While objects are applied: the moment since which their changes may have
+  /// gone unnoticed, because this process had no answer of the platform for
+  /// longer than a watch takes.
+  std::optional<BootTime> unnoticedSince() const {
+    return this->UnnoticedSince;
+  }
+  /// Returns when the platform last answered a peer, as far as peers tell.
+  std::optional<BootTime> peerAnsweredAt() const {
+    return this->PeerAnsweredAt;
+  }
+  /// The longest time from one answer to the next of undisturbed watches.
+  Duration maxWatchTime() const;
   const std::string &kind() const { return this->Kind; }
 
   /// Makes this a secondary or a primary watcher from the next call on.
@@ -160,6 +172,7 @@
   void retry();
   void onResponse();
   void noteComplete(BootTime Until);
+  void noteAnswer(BootTime SentAt);
   void listAnew();
   void dropEra(const EraChange &Change);
   bool isCurrent() const;
@@ -185,6 +198,8 @@
   /// The same by own calls only. Peers are told no more than this, since times
   /// that are passed on in circles would grow with each transit.
   std::optional<BootTime> OwnCompleteUntil;
+  std::optional<BootTime> UnnoticedSince;
+  std::optional<BootTime> PeerAnsweredAt;
   BootTime ListSentAt; ///< Of the first page.
   bool IsSecondary = false;
   Duration BatchDelay{};
--- a/tests/AnnouncedWeightsTest.cpp
+++ b/tests/AnnouncedWeightsTest.cpp
@@ -96,7 +96,7 @@
   EXPECT_FALSE(noteNamed(Weights, 2, {}, 10s, Start + 3s));
   EXPECT_EQ(supersededAt(Weights, 1), Start - 10s);
   EXPECT_EQ(
-      noteNamed(Weights, 3, {.StalledSince = Start + 1s}, 10s, Start + 6s)->At,
+      noteNamed(Weights, 3, {.MissedSince = Start + 1s}, 10s, Start + 6s)->At,
       Start + 1s);
   EXPECT_EQ(noteNamed(Weights, 4, {}, 10s, Start + 9s)->Source, Observed);
   EXPECT_EQ(supersededAt(Weights, 3), Start + 9s);
--- a/tests/ObjectWatcherTest.cpp
+++ b/tests/ObjectWatcherTest.cpp
@@ -82,6 +82,39 @@
   EXPECT_EQ(Here.Api.LastSince, 9U);
 }
 
+// Guards against a change that is taken for one that has just been made though
+// the platform did not answer this process when it was, and against one that is
+// dated early though a watch waited for it.
+TEST_F(ObjectWatcherTest, TellsSinceWhenAChangeMayHaveGoneUnnoticed) {
+  HeldPlatform Api;
+  std::optional<BootTime> Unnoticed;
+  const ObjectWatcher *Self = nullptr;
+  ObjectWatcher Watcher(this->Loop, Api, "k", {.Wait = 20ms},
+                        {.OnObject = [&](const PlatformObject &) {
+                          Unnoticed = Self->unnoticedSince();
+                        }});
+  Self = &Watcher;
+  Watcher.start();
+  Api.drain();
+  const auto Wait = [this](Duration Time) {
+    this->Loop.runUntil([] { return false; }, Time);
+  };
+  Api.respond("a", 2, false);
+  EXPECT_FALSE(Unnoticed) << "the answer before is recent";
+  Wait(Watcher.maxWatchTime() + 100ms);
+  Api.respond("a", 3, false);
+  EXPECT_FALSE(Unnoticed) << "the watch has waited for the change";
+  const BootTime Before = BootClock::now();
+  Wait(Watcher.maxWatchTime() + 100ms);
+  Api.Watches.back().Done({.Status = PlatformStatus::Unavailable});
+  Wait(400ms);
+  Api.respond("a", 4, false);
+  ASSERT_TRUE(Unnoticed);
+  EXPECT_LE(*Unnoticed, Before);
+  Api.respond("a", 5, false);
+  EXPECT_FALSE(Unnoticed);
+}
+
 /// Lists two pages, of which the first has no readable object.
 class UnreadablePage : public HeldPlatform {
 public:
--- a/tests/WeightsFleet.h
+++ b/tests/WeightsFleet.h
@@ -27,6 +27,7 @@
 #include "process/Rendezvous.h"
 #include "version/AnnouncedWeights.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -134,6 +135,13 @@
       this->excuse(I, For);
   }
 
+  /// Returns how many gateways allow older weights than the newest now.
+  std::size_t countAllowingOlder() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->All.begin(), this->All.end(), [&](const auto &Of) {
+          return this->oldestAllowedBy(Of) < this->Newest;
+        }));
+  }
   std::size_t gatewayCount() const { return this->All.size(); }
   /// Descriptions of what was wrong, at most MaxProblems.
   const std::vector<std::string> &problems() const { return this->Problems; }
@@ -145,6 +153,8 @@
   static constexpr Duration GossipPeriod = std::chrono::milliseconds(500);
   static constexpr Duration HousekeepingPeriod = std::chrono::milliseconds(100);
   static constexpr Duration WatchPeriod = std::chrono::milliseconds(1500);
+  static constexpr Duration MaxWatchTime =
+      WatchPeriod + std::chrono::milliseconds(500);
   static constexpr Duration CheckPeriod = std::chrono::milliseconds(200);
   static constexpr Duration Contact = std::chrono::seconds(3);
   /// Gateways of a larger fleet learn of objects in batches.
@@ -174,8 +184,10 @@
     std::optional<StallDetector> Stalls;
     /// The version that the store named last, or 0 before the first list.
     std::uint64_t LastRead = 0;
-    std::uint64_t Stored = 0; ///< Newest version in the history.
-    Duration ClockError{};    ///< Of its time of day.
+    BootTime ReadAt{};         ///< When the store last answered.
+    BootTime PeerAnsweredAt{}; ///< As far as peers have told.
+    std::uint64_t Stored = 0;  ///< Newest version in the history.
+    Duration ClockError{};     ///< Of its time of day.
     std::uint64_t Starts = 0;
     TimePoint FrozenUntil;
     TimePoint CutUntil;
@@ -235,6 +247,7 @@
     Of.FrozenUntil = {};
     Of.Weights.clear();
     Of.LastRead = 0;
+    Of.ReadAt = Of.PeerAnsweredAt = {};
     Of.Stored = 0;
     // The times of day of two VMs, or of one before and after a restart, differ
     // by the allowed error at most.
@@ -277,18 +290,29 @@
               [this, Index, Lists, Version = this->Newest](Gateway &Of) {
                 if (Version > Of.LastRead || (Lists && Version == Of.LastRead))
                   this->onWeights(Index, Version);
+                Of.ReadAt = this->bootNow();
               });
         });
   }
+  /// As ForwardGateway::weightsMissedSince().
+  std::optional<BootTime> missedSince(const Gateway &Of, BootTime Time) const {
+    if (const auto Stalled = Of.Stalls->recentStall(Time, CatchUpTime))
+      return Stalled;
+    if (Time - Of.ReadAt <= MaxWatchTime)
+      return std::nullopt;
+    const bool HearsNobody = Of.Gossip->countAlive(this->Now) == 0;
+    const bool WasPeerAnswered = Of.PeerAnsweredAt - Of.ReadAt > MaxWatchTime;
+    return HearsNobody || WasPeerAnswered ? std::optional(Of.ReadAt)
+                                          : std::nullopt;
+  }
   void onWeights(std::size_t Index, std::uint64_t Version) {
     Gateway &Of = this->All[Index];
     const BootTime Time = this->bootNow();
     Of.Stalls->observe(Time);
-    const auto Date =
-        noteNamed(Of.Weights[std::string(Model)], Version,
-                  {.IsFirst = Of.LastRead == 0,
-                   .StalledSince = Of.Stalls->recentStall(Time, CatchUpTime)},
-                  this->Settings.Limit, Time);
+    const auto Date = noteNamed(Of.Weights[std::string(Model)], Version,
+                                {.IsFirst = Of.LastRead == 0,
+                                 .MissedSince = this->missedSince(Of, Time)},
+                                this->Settings.Limit, Time);
     Of.LastRead = Version;
     if (!Date || Date->Source == AnnouncementSource::Observed)
       return;
@@ -308,6 +332,7 @@
   struct Message {
     std::vector<EntryRecord> Records;
     std::vector<WeightNotice> Notices;
+    BootTime AnsweredAt{}; ///< When the store last answered the sender.
   };
   void send(std::size_t From, std::size_t To, Message Text) {
     if (To >= this->All.size() || this->draw() < this->Settings.LossShare ||
@@ -322,6 +347,7 @@
         return;
       this->atGateway(To, this->Now, [this, Text](Gateway &Of) {
         Of.Gossip->receive(Text.Records, this->Now);
+        Of.PeerAnsweredAt = std::max(Of.PeerAnsweredAt, Text.AnsweredAt);
         mergeNotices(Of.Weights, Text.Notices, this->bootNow());
       });
     });
@@ -337,7 +363,7 @@
                                            addressOf(2)};
     for (const SocketAddress &To :
          Of.Gossip->targets(Seeds, this->Now, this->Random)) {
-      this->send(Index, To.Port, {.Records = Records});
+      this->send(Index, To.Port, {.Records = Records, .AnsweredAt = Of.ReadAt});
       if (!Notices.empty())
         this->send(Index, To.Port, {.Notices = Notices});
     }
@@ -382,14 +408,17 @@
         this->check(I);
     this->schedule(this->Now + CheckPeriod, [this] { this->checkAll(); });
   }
-  void check(std::size_t Index) {
-    const Gateway &Of = this->All[Index];
+  std::uint64_t oldestAllowedBy(const Gateway &Of) const {
     const auto Found = Of.Weights.find(std::string(Model));
+    if (Found == Of.Weights.end())
+      return 0;
+    return oldestAllowed(Found->second,
+                         scaled(this->Settings.Limit, OldWeightsShare),
+                         this->bootNow());
+  }
+  void check(std::size_t Index) {
+    const std::uint64_t Oldest = this->oldestAllowedBy(this->All[Index]);
     const Duration Use = scaled(this->Settings.Limit, OldWeightsShare);
-    const std::uint64_t Oldest =
-        Found == Of.Weights.end()
-            ? 0
-            : oldestAllowed(Found->second, Use, this->bootNow());
     const bool IsInTouch = this->Seen.isInTouch(Index, this->Now, Contact);
     for (const WeightsHistory::Named &Each : this->Seen.namings()) {
       if (Each.Version == 1)
--- a/tests/WeightsFleetPropertyTest.cpp
+++ b/tests/WeightsFleetPropertyTest.cpp
@@ -57,6 +57,42 @@
   EXPECT_EQ(textOf(Fleet), "");
 }
 
+// Guards against gateways that the store does not answer when a version is
+// named, and that date it by the end of that: where the others have started
+// since and have no date of their own, all use older weights too long.
+TEST(WeightsFleetTest, GatewaysCutFromTheStoreOverANamingKeepTheLimit) {
+  for (const std::size_t Gateways : {6, 36})
+    for (const bool HearPeers : {false, true}) {
+      WeightsFleet Fleet({.Gateways = Gateways, .WriteLossShare = 1});
+      for (const std::size_t Each : {0, 1})
+        Fleet.at(3500ms, [&Fleet, Each, HearPeers] {
+          Fleet.cutFromStore(Each, 8500ms);
+          Fleet.cut(Each, HearPeers ? 4s : 8500ms);
+        });
+      Fleet.at(4s, [&] { Fleet.name(); });
+      Fleet.at(6s, [&] {
+        for (std::size_t I = 2; I < Fleet.gatewayCount(); ++I)
+          Fleet.restart(I, 300ms);
+      });
+      Fleet.run(30s);
+      EXPECT_EQ(textOf(Fleet), "") << Gateways << " gateways";
+    }
+}
+
+// Guards against a date at the begin of an outage of the store for a version
+// that is named when it is back, with which all older weights would be refused
+// before others are loaded.
+TEST(WeightsFleetTest, AVersionNamedAfterAnOutageIsDatedByItsNaming) {
+  WeightsFleet Fleet({});
+  Fleet.at(4s, [&] { Fleet.endStore(9s); });
+  Fleet.at(13100ms, [&] { Fleet.name(); });
+  Fleet.run(17s);
+  EXPECT_EQ(Fleet.countAllowingOlder(), Fleet.gatewayCount());
+  Fleet.run(30s);
+  EXPECT_EQ(textOf(Fleet), "");
+  EXPECT_EQ(Fleet.countAllowingOlder(), 0U);
+}
+
 /// One random fault of a fleet.
 struct FleetFault {
   Duration At{};
