ObjectWatcher: a slow list isn't taken for a watch that has waited

A list doesn't wait, but was judged alike: after lost history, a list that takes long to arrive dated a version late again. Found by reading the change once more.

ObjectWatcherTest.ASlowListTellsSinceWhenAChangeMayHaveGoneUnnoticed failed before and passes now, 1 of 1 runs each; 69 tests of watchers, weights, leases and orders pass.

--- a/src/version/ObjectWatcher.cpp
+++ b/src/version/ObjectWatcher.cpp
@@ -133,7 +133,8 @@
   // made while later pages were read. Its objects may all be unreadable.
   if (this->IsFirstPage)
     this->Revision = this->UnchangedSince = Result.Revision;
-  this->noteAnswer(this->ListSentAt);
+  // A list does not wait for changes, however long its answer takes.
+  this->noteAnswer(BootClock::now());
   for (const PlatformObject &Each : Result.Objects) {
     this->Listed.insert(Each.Key.Name);
     this->applyObject(Each);
--- a/tests/ObjectWatcherTest.cpp
+++ b/tests/ObjectWatcherTest.cpp
@@ -115,6 +115,33 @@
   EXPECT_FALSE(Unnoticed);
 }
 
+// Guards against a list that takes long to arrive being taken for a watch that
+// has waited for the change.
+TEST_F(ObjectWatcherTest, ASlowListTellsSinceWhenAChangeMayHaveGoneUnnoticed) {
+  HeldPlatform Api;
+  std::optional<BootTime> Unnoticed;
+  const ObjectWatcher *Self = nullptr;
+  ObjectWatcher Watcher(this->Loop, Api, "k", {.Wait = 20ms},
+                        {.OnObject = [&](const PlatformObject &) {
+                          Unnoticed = Self->unnoticedSince();
+                        }});
+  Self = &Watcher;
+  Watcher.start();
+  Api.drain();
+  const auto Wait = [this](Duration Time) {
+    this->Loop.runUntil([] { return false; }, Time);
+  };
+  const BootTime Before = BootClock::now();
+  Wait(Watcher.maxWatchTime() + 100ms);
+  Api.put({"k", "a"}, 1, Platform::MustNotExist, [](const PlatformResult &) {});
+  Api.drain();
+  Api.Watches.back().Done({.Status = PlatformStatus::Expired});
+  Wait(600ms);
+  Api.drain();
+  ASSERT_TRUE(Unnoticed);
+  EXPECT_LE(*Unnoticed, Before);
+}
+
 /// Lists two pages, of which the first has no readable object.
 class UnreadablePage : public HeldPlatform {
 public:
