soaks: daemons of two builds, replaced in turn there and back

`--old-daemon PATH` of both soaks names the daemon of an earlier build, which tools/build-daemon-of builds from a commit of this repository's history and keeps. All daemons start with it; in the first half of the time with faults each is replaced once by the present build, in the second half once by the old one, half of them by SIGKILL and half by SIGTERM, in orders drawn from the seed. All other faults and all promises are as without it.

--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -134,6 +134,11 @@
   App.add_option("--upstreams", Settings.Faults.Upstreams,
                  "Number of upstreams")
       ->check(CLI::Range(1, 100));
+  App.add_option("--old-daemon", Settings.OldDaemon,
+                 "Executable of an earlier build (tools/build-daemon-of), by "
+                 "an absolute path. Daemons start with it and are replaced in "
+                 "turn, there and back")
+      ->check(CLI::ExistingFile);
   CLI11_PARSE(App, Argc, Argv);
   Settings.Faults.Length = fromSeconds(Seconds);
   Settings.Faults.Gap = fromSeconds(GapMs / 1000);
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -125,10 +125,22 @@
   Part.Stop.reset();
   Part.FrozenUntil = {};
   ++Part.Starts;
-  Part.Process = &this->Harness.start("galenaroute-platform",
+  Part.Process = &this->Harness.start(Part.IsOld ? this->Settings.OldDaemon
+                                                 : "galenaroute-platform",
                                       {"--settings", Part.SettingsPath});
 }
 
+/// The successor of the daemon, and those that follow it, are of the other
+/// build.
+void SoakRun::replaceBuild(const BuildReplacement &Next) {
+  this->Daemons[Next.Daemon].IsOld = !Next.IsToNew;
+  this->note("daemon " + std::to_string(Next.Daemon) + " gets the " +
+             (Next.IsToNew ? "new" : "old") + " build");
+  this->strike({.For = Next.Away,
+                .Kind = Next.Kills ? FaultKind::Kill : FaultKind::Stop,
+                .Target = Next.Daemon});
+}
+
 void SoakRun::registerUpstream(const UpstreamPart &Part,
                                std::string_view State) {
   this->Store.put("servers", Part.Id,
@@ -562,6 +574,7 @@
     this->Daemons[I].SettingsPath = this->Places.writeSettings(
         this->Harness.folder(), I, "z" + std::to_string(I % 3),
         this->Daemons[I].ToStore->address());
+    this->Daemons[I].IsOld = !this->Settings.OldDaemon.empty();
     this->startDaemon(I);
   }
   for (std::size_t I = 0; I < this->Upstreams.size(); ++I)
@@ -585,6 +598,10 @@
     this->after(Each.At, [this, Each] { this->strike(Each); });
     Last = std::max(Last, Each.At + Each.For);
   }
+  if (!this->Settings.OldDaemon.empty())
+    for (const BuildReplacement &Each :
+         drawReplacements(this->Settings.Seed, this->Daemons.size(), Last))
+      this->after(Each.At, [this, Each] { this->replaceBuild(Each); });
   this->Weights.nameUntil(this->Begun + Last);
   this->Configs.play(this->Begun + Last);
   this->Foreign.playFor(Last);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -11,6 +11,7 @@
 #ifndef GALENAROUTE_SOAK_SOAKRUN_H
 #define GALENAROUTE_SOAK_SOAKRUN_H
 
+#include "BuildReplacements.h"
 #include "Faults.h"
 #include "FaultyLink.h"
 #include "History.h"
@@ -39,6 +40,8 @@
   /// Second byte of the daemons' loopback addresses; differs between runs that
   /// overlap, since all daemons use the same ports.
   int Network = 1;
+  /// The executable of the daemon's old build; empty if there is only one.
+  std::string OldDaemon;
 };
 
 class SoakRun {
@@ -70,6 +73,7 @@
     TimePoint StoreAwayUntil;
     std::optional<std::size_t> Stop; ///< The planned stop under way.
     int Starts = 0;
+    bool IsOld = false; ///< Processes that start are of the old build.
   };
   struct UpstreamPart {
     std::shared_ptr<CallListener> Listener;
@@ -85,6 +89,7 @@
   };
 
   void startDaemon(std::size_t Daemon);
+  void replaceBuild(const BuildReplacement &Next);
   void startUpstream(std::size_t Index);
   void endUpstream(std::size_t Index, bool Resets);
   void changeRateLimit(std::size_t Index, const std::string &Id);
--- a/soak/process/ProcessPlan.cpp
+++ b/soak/process/ProcessPlan.cpp
@@ -1,5 +1,7 @@
 #include "ProcessPlan.h"
 
+#include "BuildReplacements.h"
+
 #include <algorithm>
 #include <iterator>
 #include <random>
@@ -163,7 +165,9 @@
                                           "drop_routes",
                                           "turn_away",
                                           "roll_out",
-                                          "return_upstream"};
+                                          "return_upstream",
+                                          "upgrade",
+                                          "go_back"};
   return Names[static_cast<std::size_t>(Kind)];
 }
 
@@ -181,6 +185,18 @@
   return static_cast<TurnAwayWay>(Found - std::begin(WayNames));
 }
 
+/// Adds the replacements of all daemons, there and back.
+static void addReplacements(const PlanSettings &Settings,
+                            std::vector<Deed> &Plan) {
+  for (const soak::BuildReplacement &Each :
+       soak::drawReplacements(Settings.Seed, Settings.Daemons, Settings.Length))
+    Plan.push_back({.At = Each.At,
+                    .Kind = Each.IsToNew ? DeedKind::Upgrade : DeedKind::GoBack,
+                    .Target = Each.Daemon,
+                    .For = Each.Away,
+                    .Flag = Each.Kills});
+}
+
 std::vector<Deed> drawPlan(const PlanSettings &Settings) {
   std::vector<Deed> Result;
   for (const DeedPlan &Each : Plans) {
@@ -230,6 +246,8 @@
     else if (Each.Kind == DeedKind::RollOut)
       Beside.addDisturbance(Each);
   }
+  if (Settings.ReplacesBuilds)
+    addReplacements(Settings, Result);
   std::stable_sort(
       Result.begin(), Result.end(),
       [](const Deed &One, const Deed &Other) { return One.At < Other.At; });
--- a/soak/process/ProcessPlan.h
+++ b/soak/process/ProcessPlan.h
@@ -34,6 +34,8 @@
   TurnAway,   ///< The store does not serve one daemon.
   RollOut,    ///< An upstream comes back with a new version; old ones leave.
   ReturnUpstream, ///< SIGKILL; it is back under its id, of the same version.
+  Upgrade,        ///< A daemon is replaced by one of the new build.
+  GoBack,         ///< A daemon is replaced by one of the old build.
 };
 
 const char *toString(DeedKind Kind);
@@ -52,7 +54,8 @@
   Duration For{}; ///< How long, or how long until the second part.
   /// Of rewritten settings: followed by SIGHUP, or missing meanwhile. Of
   /// dropped routes: a service is dropped with them. Of a new version: the
-  /// upstream is killed, and does not leave.
+  /// upstream is killed, and does not leave. Of a replaced daemon: it is
+  /// killed, and does not drain.
   bool Flag = false;
   TurnAwayWay Way = TurnAwayWay::Silence;
 };
@@ -62,6 +65,9 @@
   Duration Length = std::chrono::seconds(20);
   std::size_t Daemons = 5;
   std::size_t Upstreams = 6;
+  /// Whether daemons begin with an old build, are replaced in turn by the new
+  /// one, and then by the old one again.
+  bool ReplacesBuilds = false;
 };
 
 /// Returns the plan in order of time.
--- a/soak/process/ProcessRun.cpp
+++ b/soak/process/ProcessRun.cpp
@@ -199,7 +199,8 @@
   }
   LifeView Life{.Daemon = Index, .StartedAt = EventLoop::now()};
   auto Child = std::make_unique<ChildProcess>(
-      this->Settings.BuildDir + "/galenaroute-platform",
+      Part.IsOld ? this->Settings.OldDaemon
+                 : this->Settings.BuildDir + "/galenaroute-platform",
       std::vector<std::string>{"--settings", Part.Settings},
       this->daemonLog(Index),
       ProcessLimits{.Files = MachineFiles,
@@ -211,7 +212,8 @@
   Part.Running.push_back({std::move(Child), this->History.Lives.size()});
   this->History.Lives.push_back(Life);
   this->note("daemon " + std::to_string(Index) + " starts as process " +
-             std::to_string(Life.Process));
+             std::to_string(Life.Process) +
+             (Part.IsOld ? " of the old build" : ""));
 }
 
 void ProcessRun::signalDaemon(std::size_t Index, int Number) {
@@ -285,6 +287,14 @@
   });
 }
 
+/// The successor, and those that follow it, are of the other build.
+void ProcessRun::replaceBuild(const Deed &Next) {
+  this->Daemons[Next.Target].IsOld = Next.Kind == DeedKind::GoBack;
+  Deed Replacement = Next;
+  Replacement.Kind = Next.Flag ? DeedKind::Kill : DeedKind::Stop;
+  this->replaceDaemon(Replacement);
+}
+
 /// Kills the processes of all daemons, also those that drain.
 void ProcessRun::killDaemons(Duration Away) {
   for (std::size_t I = 0; I < this->Daemons.size(); ++I) {
@@ -515,6 +525,10 @@
   case DeedKind::ReturnUpstream:
     this->returnUpstream(Next.Target, Next.For);
     return;
+  case DeedKind::Upgrade:
+  case DeedKind::GoBack:
+    this->replaceBuild(Next);
+    return;
   }
 }
 
@@ -590,6 +604,7 @@
     const std::string Text = readText(Path);
     std::ofstream(Path + ".whole") << LaterStart << Text;
     std::ofstream(Path) << FirstStart << Text;
+    this->Daemons[I].IsOld = this->Settings.Plan.ReplacesBuilds;
     this->startDaemon(I);
   }
   this->Timers.push_back(
--- a/soak/process/ProcessRun.h
+++ b/soak/process/ProcessRun.h
@@ -44,6 +44,8 @@
   /// Daemons are built with sanitizers, which need more memory than the limits
   /// of a machine leave.
   bool HasSanitizers = false;
+  /// The executable of the daemon's old build; empty if there is only one.
+  std::string OldDaemon;
 };
 
 /// Thrown by ProcessRun::play() after SIGINT or SIGTERM.
@@ -78,6 +80,7 @@
     };
     std::vector<Process> Running; ///< The newest is last.
     TimePoint FrozenUntil;
+    bool IsOld = false; ///< Processes that start are of the old build.
   };
   struct UpstreamPart {
     std::unique_ptr<ChildProcess> Child;
@@ -110,6 +113,7 @@
 
   void act(const Deed &Next);
   void replaceDaemon(const Deed &Next);
+  void replaceBuild(const Deed &Next);
   void killDaemons(Duration Away);
   void freezeDaemon(std::size_t Index, Duration For);
   void stopDaemon(std::size_t Index);
--- a/soak/process/ProcessSoakMain.cpp
+++ b/soak/process/ProcessSoakMain.cpp
@@ -140,8 +140,14 @@
   App.add_flag("--sanitizers", Settings.HasSanitizers,
                "Daemons are built with AddressSanitizer and "
                "UndefinedBehaviorSanitizer");
+  App.add_option("--old-daemon", Settings.OldDaemon,
+                 "Executable of an earlier build (tools/build-daemon-of). "
+                 "Daemons start with it and are replaced in turn, there and "
+                 "back")
+      ->check(CLI::ExistingFile);
   CLI11_PARSE(App, Argc, Argv);
   Settings.Plan.Length = fromSeconds(Seconds);
+  Settings.Plan.ReplacesBuilds = !Settings.OldDaemon.empty();
   if (Settings.HasSanitizers)
     setSanitizerOptions();
   catchInterrupts();
--- a/tests/ProcessSoakChecksTest.cpp
+++ b/tests/ProcessSoakChecksTest.cpp
@@ -651,12 +651,29 @@
   };
   EXPECT_EQ(Times(1), Times(1));
   EXPECT_NE(Times(1), Times(2));
-  const auto Plan = drawPlan({.Seed = 3, .Length = 60s});
-  for (int I = 0; I <= static_cast<int>(DeedKind::ReturnUpstream); ++I)
+  const auto Plan =
+      drawPlan({.Seed = 3, .Length = 60s, .ReplacesBuilds = true});
+  for (int I = 0; I <= static_cast<int>(DeedKind::GoBack); ++I)
     EXPECT_TRUE(std::any_of(Plan.begin(), Plan.end(), [&](const Deed &Each) {
       return static_cast<int>(Each.Kind) == I;
     })) << I;
 }
 
+// Guards against runs of two builds in which a daemon stays as it is.
+TEST_F(ProcessSoakChecksTest, EachDaemonIsReplacedThereAndBack) {
+  std::map<std::size_t, std::vector<DeedKind>> Seen;
+  for (const Deed &Each : drawPlan(
+           {.Seed = 3, .Length = 10s, .Daemons = 7, .ReplacesBuilds = true}))
+    if (Each.Kind == DeedKind::Upgrade || Each.Kind == DeedKind::GoBack)
+      Seen[Each.Target].push_back(Each.Kind);
+  EXPECT_EQ(Seen.size(), 7U);
+  for (const auto &[Daemon, Kinds] : Seen)
+    EXPECT_EQ(Kinds,
+              (std::vector<DeedKind>{DeedKind::Upgrade, DeedKind::GoBack}))
+        << Daemon;
+  for (const Deed &Each : drawPlan({.Seed = 3, .Length = 10s}))
+    EXPECT_LT(Each.Kind, DeedKind::Upgrade);
+}
+
 } // namespace
 } // namespace galenaroute::process_soak
--- a/tests/process/ProcessHarness.cpp
+++ b/tests/process/ProcessHarness.cpp
@@ -176,11 +176,13 @@
 
 Program &ProcessHarness::start(const std::string &Name,
                                const std::vector<std::string> &Arguments) {
+  const std::filesystem::path Path =
+      std::filesystem::path(this->BuildDir) / Name;
   const std::string Log = this->Folder + "/" +
-                          std::to_string(this->Programs.size()) + "-" + Name +
-                          ".log";
+                          std::to_string(this->Programs.size()) + "-" +
+                          Path.filename().string() + ".log";
   this->Programs.push_back(
-      std::make_unique<Program>(this->BuildDir + "/" + Name, Arguments, Log));
+      std::make_unique<Program>(Path.string(), Arguments, Log));
   return *this->Programs.back();
 }
 
--- a/tests/process/ProcessHarness.h
+++ b/tests/process/ProcessHarness.h
@@ -87,7 +87,8 @@
   /// Returns an address on loopback whose port is free.
   static SocketAddress freeAddress();
 
-  /// Starts a program of the build folder without waiting for it.
+  /// Starts a program of the build folder, or of an absolute path, without
+  /// waiting for it.
   Program &start(const std::string &Name,
                  const std::vector<std::string> &Arguments);
 
