FleetRules: what a gateway tells others goes only to builds that keep it

Cause: records of streams were told to gateways that drop the message as malformed, and counted as told. The class: a rule that holds only if every gateway keeps it, used without knowing whether the others do.

Each gateway now gossips the level of its build, a number that grows with each rule that others rely on. What builds before do follows from the number of fields of a record that its own gateway sent. Records are told only to gateways that keep them, and stay untold until there is one. While there is none, but others reach the platform, a gateway that cannot store its records refuses new streams that need one, so that their callers go elsewhere.

RecordsTellABoundedNumberOfServices dropped fields of a record by number; they now drop all from that field on, as an older build sends it.

--- a/src/process/EntryGossip.cpp
+++ b/src/process/EntryGossip.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <unordered_set>
+#include <utility>
 
 namespace galenaroute {
 
@@ -86,9 +87,15 @@
       continue;
     const bool Left = It->second.Record.IsLeaving &&
                       It->second.Record.Incarnation == Each.Incarnation;
-    It->second.Record = Each;
+    const EntryRecord Known = std::exchange(It->second.Record, Each);
     It->second.At = Now;
     It->second.Record.IsLeaving |= Left;
+    // A gateway of an earlier build forwards records without their levels.
+    if (Known.Incarnation != Each.Incarnation)
+      continue;
+    It->second.Record.Level = std::max(Each.Level, Known.Level);
+    It->second.Record.LeastPeerLevel =
+        std::max(Each.LeastPeerLevel, Known.LeastPeerLevel);
   }
   std::erase_if(this->Others, [&](const auto &Each) {
     return Now - Each.second.At > this->Settings.ForgetAfter;
@@ -143,6 +150,13 @@
                      });
 }
 
+bool EntryGossip::doAllKeep(FleetRule Rule) const {
+  return std::all_of(this->Others.begin(), this->Others.end(),
+                     [Rule](const auto &Each) {
+                       return keeps(Each.second.Record.Level, Rule);
+                     });
+}
+
 std::size_t EntryGossip::countAlive(TimePoint Now) const {
   std::size_t Count = 0;
   this->forEachAlive(Now, [&](const EntryRecord &) { ++Count; });
--- a/src/process/EntryGossip.h
+++ b/src/process/EntryGossip.h
@@ -16,6 +16,7 @@
 
 #include "connection/HttpTypes.h"
 #include "process/Clock.h"
+#include "process/FleetRules.h"
 
 #include <cstdint>
 #include <map>
@@ -50,6 +51,9 @@
   /// useKey() of services whose upstreams it has heard directly within the last
   /// second.
   std::vector<std::uint32_t> Heard;
+  /// Of its build, see FleetRules.h.
+  BuildLevel Level = 0;
+  BuildLevel LeastPeerLevel = 0;
 };
 
 struct EntryGossipSettings {
@@ -110,6 +114,9 @@
       if (!Each.Record.IsLeaving)
         Visit(Each.Record);
   }
+  /// Returns whether all other entries keep \p Rule, also those that leave or
+  /// are considered dead, until they are removed.
+  bool doAllKeep(FleetRule Rule) const;
   /// Visits the same entries as alive() without copying them.
   template <typename Visitor>
   void forEachAlive(TimePoint Now, Visitor Visit) const {
--- /dev/null
+++ b/src/process/FleetRules.cpp
@@ -0,0 +1,22 @@
+#include "process/FleetRules.h"
+
+namespace galenaroute {
+
+/// Builds that keep these rules send records of at least these fields.
+static constexpr BuildLevel StreamRulesLevel = 1;
+static constexpr std::size_t StreamRulesFields = 15;
+
+bool keeps(BuildLevel Level, FleetRule Rule) {
+  switch (Rule) {
+  case FleetRule::StreamRecords:
+  case FleetRule::SettledVersions:
+    return Level >= StreamRulesLevel;
+  }
+  return false;
+}
+
+BuildLevel unstatedLevel(std::size_t Fields) {
+  return Fields >= StreamRulesFields ? StreamRulesLevel : 0;
+}
+
+} // namespace galenaroute
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -85,6 +85,8 @@
   Self.Gossip = Settings.Gossip;
   Self.Zone = Settings.Zone;
   Self.Capacity = Settings.Cores;
+  Self.Level = OwnLevel;
+  Self.LeastPeerLevel = LeastPeerLevel;
   return Self;
 }
 
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -167,7 +167,8 @@
   RateExchangeParts rateParts();
   SoftwareVersionStoreParts softwareVersionParts();
   StreamOriginStoreParts streamStoreParts();
-  void tellStreams(const StreamRecordUpdates &News);
+  bool tellStreams(const StreamRecordUpdates &News);
+  bool lacksRecordKeepers() const;
   void connectStreams();
   VersionsByService registeredVersions() const;
   void connectRates();
--- a/src/process/ForwardGatewayStreams.cpp
+++ b/src/process/ForwardGatewayStreams.cpp
@@ -15,15 +15,36 @@
       .NeedsRecords = [this] { return this->SoftwareVersions.needsRecords(); },
       .GatewayCount = [this] { return this->gatewayCount(); },
       .Tell =
-          [this](const StreamRecordUpdates &News) { this->tellStreams(News); }};
+          [this](const StreamRecordUpdates &News) {
+            return this->tellStreams(News);
+          }};
 }
 
-/// Sends records that cannot be stored to gateways that store them.
-void ForwardGateway::tellStreams(const StreamRecordUpdates &News) {
+/// Sends records that cannot be stored to gateways that store them. Returns
+/// whether there are any.
+bool ForwardGateway::tellStreams(const StreamRecordUpdates &News) {
   const std::string Bytes = encodeGossip({.Streams = News});
-  for (const SocketAddress &To : chooseRecordReceivers(
-           this->Entries.alive(EventLoop::now()), this->Settings.NodeId))
+  const std::vector<SocketAddress> Receivers = chooseRecordReceivers(
+      this->Entries.alive(EventLoop::now()), this->Settings.NodeId);
+  for (const SocketAddress &To : Receivers)
     this->Channel->send(To, Bytes);
+  return !Receivers.empty();
+}
+
+/// Returns whether no gateway would keep the records of new streams of this
+/// one, while others could store those of theirs: all that reach the platform
+/// are of earlier builds. While none reaches it, no gateway is better.
+bool ForwardGateway::lacksRecordKeepers() const {
+  if (!this->StreamStore.isLate())
+    return false;
+  bool IsStoredElsewhere = false;
+  bool IsKept = false;
+  this->Entries.forEachAlive(EventLoop::now(), [&](const EntryRecord &Each) {
+    IsStoredElsewhere |= Each.ReachesPlatform;
+    IsKept |=
+        Each.ReachesPlatform && keeps(Each.Level, FleetRule::StreamRecords);
+  });
+  return IsStoredElsewhere && !IsKept;
 }
 
 /// Lets calls find where the streams began that their callers take up.
@@ -37,6 +58,9 @@
   this->Services.VersionsViewAge = [this] {
     return this->SoftwareVersions.viewAge();
   };
+  this->Services.LacksRecordKeepers = [this] {
+    return this->lacksRecordKeepers();
+  };
   this->SoftwareVersions.Settled.connect([this] { this->wakeQueues(); });
   this->Services.ListStreams = [this] {
     this->SoftwareVersions.refresh();
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -20,7 +20,8 @@
                       Record.Zone, Record.Capacity, Record.Busy, Record.IsReady,
                       Record.IsLeaving, Record.ReachesPlatform,
                       Record.IssuesPermits, Record.KnownEntries,
-                      Record.ConfigVersion, Record.Heard});
+                      Record.ConfigVersion, Record.Heard, Record.Level,
+                      Record.LeastPeerLevel});
 }
 
 /// Reads at most MaxHeardServices keys.
@@ -32,7 +33,8 @@
   return Result;
 }
 
-static EntryRecord recordFromJson(const json &Value) {
+/// Reads a record; \p IsSenders tells that it is the sender's own.
+static EntryRecord recordFromJson(const json &Value, bool IsSenders) {
   EntryRecord Record;
   Record.Id = Value.at(0);
   Record.Incarnation = Value.at(1);
@@ -53,6 +55,14 @@
     Record.ConfigVersion = Value.at(13);
   if (Value.size() > 14)
     Record.Heard = heardFromJson(Value.at(14));
+  // A build forwards the records of others with the fields that it knows
+  // itself.
+  if (Value.size() > 15)
+    Record.Level = Value.at(15);
+  else if (IsSenders)
+    Record.Level = unstatedLevel(Value.size());
+  if (Value.size() > 16)
+    Record.LeastPeerLevel = Value.at(16);
   return Record;
 }
 
@@ -579,7 +589,8 @@
     Result.Status = statusFromJson(Value);
   else
     for (const json &Each : Value)
-      Result.Records.push_back(recordFromJson(Each));
+      Result.Records.push_back(
+          recordFromJson(Each, /*IsSenders=*/Result.Records.empty()));
   return Result;
 }
 
--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -72,16 +72,25 @@
     return;
   if (!this->Progress.UnstoredSince)
     this->Progress.UnstoredSince = Now;
-  if (!isStoringLate(this->Progress, Now,
-                     periodFor(this->Parts.GatewayCount())))
+  if (!this->isLate())
     return;
+  StreamRecordProgress Next = this->Progress;
+  const StreamRecordUpdates News = takeUpdates(this->Parts.Streams, Next);
+  if (News.empty())
+    return;
+  // What nobody keeps is told once somebody does.
+  const bool IsKept = this->Parts.Tell && this->Parts.Tell(News);
+  if (IsKept)
+    this->Progress = Next;
   if (!std::exchange(this->IsTelling, true))
     log(LogLevel::Warn, "streams.told",
-        {{"message", "records cannot be stored; other gateways get them"}});
-  const StreamRecordUpdates News =
-      takeUpdates(this->Parts.Streams, this->Progress);
-  if (!News.empty() && this->Parts.Tell)
-    this->Parts.Tell(News);
+        {{"message", "records cannot be stored; other gateways get them"},
+         {"kept", IsKept ? "yes" : "no"}});
+}
+
+bool StreamOriginStore::isLate() const {
+  return isStoringLate(this->Progress, EventLoop::now(),
+                       periodFor(this->Parts.GatewayCount()));
 }
 
 void StreamOriginStore::onStored(std::uint64_t Begun, std::uint64_t Received) {
--- a/src/process/StreamOriginStore.h
+++ b/src/process/StreamOriginStore.h
@@ -37,8 +37,9 @@
   /// Returns whether streams are taken up by their records.
   std::function<bool()> NeedsRecords;
   std::function<std::size_t()> GatewayCount;
-  /// Sends records to gateways that store them.
-  std::function<void(const StreamRecordUpdates &)> Tell;
+  /// Sends records to gateways that store them. Returns whether there are any.
+  std::function<bool(const StreamRecordUpdates &)> Tell;
+};
 };
 
 class StreamOriginStore {
@@ -56,6 +57,9 @@
   /// Keeps and stores the records of a gateway that cannot store them.
   void receive(const StreamRecordUpdates &News);
 
+  /// Returns whether records that are needed were not stored for some periods.
+  bool isLate() const;
+
   /// Reads the stored records of all gateways; one call serves all that wait.
   void list();
   /// Emitted after each list, with null if it failed. The records are valid
--- a/src/process/StreamRecordUpdates.cpp
+++ b/src/process/StreamRecordUpdates.cpp
@@ -64,7 +64,8 @@
                       std::string_view Self) {
   std::vector<const EntryRecord *> Able;
   for (const EntryRecord &Each : Alive)
-    if (Each.Id != Self && Each.ReachesPlatform && !Each.IsLeaving)
+    if (Each.Id != Self && Each.ReachesPlatform && !Each.IsLeaving &&
+        keeps(Each.Level, FleetRule::StreamRecords))
       Able.push_back(&Each);
   // The weights spread gateways that are cut off together over the others.
   std::sort(Able.begin(), Able.end(), [&](const auto *A, const auto *B) {
--- a/src/process/StreamRecordUpdates.h
+++ b/src/process/StreamRecordUpdates.h
@@ -4,7 +4,8 @@
 //     Tell(takeUpdates(Streams, Progress));
 //
 // Guarantees: news fit into one gossip message; each record is told at most
-// twice, since datagrams are lost; records that are stored are not told.
+// twice, since datagrams are lost, and only while somebody keeps it; records
+// that are stored are not told.
 
 #ifndef GALENAROUTE_PROCESS_STREAMRECORDUPDATES_H
 #define GALENAROUTE_PROCESS_STREAMRECORDUPDATES_H
@@ -54,7 +55,8 @@
                                 StreamRecordProgress &Progress);
 
 /// Returns the two gateways of \p Alive that store records for \p Self: they
-/// reach the platform and are not about to end.
+/// reach the platform, are not about to end, and are of builds that keep such
+/// records.
 std::vector<SocketAddress>
 chooseRecordReceivers(std::span<const EntryRecord> Alive,
                       std::string_view Self);
--- a/src/request/ForwardRun.cpp
+++ b/src/request/ForwardRun.cpp
@@ -83,6 +83,10 @@
       this->timeLeft(), [Self] { Self->onTimeout(); });
   if (this->isResumable() && this->Call.takesUpStream())
     this->findOrigin();
+  else if (this->isResumable() && this->Services.LacksRecordKeepers())
+    this->refuse("no gateway would know which software version began the "
+                 "stream if this one ended",
+                 DefaultRetryAfter);
   else
     this->beginForwarding();
 }
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -143,6 +143,9 @@
   std::function<std::optional<Duration>()> VersionsViewAge = [] {
     return std::optional<Duration>();
   };
+  /// Returns whether the origins of new streams would end with this process,
+  /// but not with another one.
+  std::function<bool()> LacksRecordKeepers = [] { return false; };
   /// Lists the origins of streams that all gateways have stored.
   std::function<void()> ListStreams = [] {};
   /// Emitted with what was listed, or null.
--- a/tests/GatewayPathsTest.cpp
+++ b/tests/GatewayPathsTest.cpp
@@ -115,7 +115,8 @@
             std::vector<std::uint32_t>(MaxHeardServices, 7));
   nlohmann::json Older =
       nlohmann::json::from_cbor(encodeGossip({.Records = {Record}}));
-  Older.at(0).erase(14);
+  while (Older.at(0).size() > 14)
+    Older.at(0).erase(Older.at(0).size() - 1);
   const auto Bytes = nlohmann::json::to_cbor(Older);
   EXPECT_TRUE(
       decodeGossip({reinterpret_cast<const char *>(Bytes.data()), Bytes.size()})
--- a/tests/RateSharesTest.cpp
+++ b/tests/RateSharesTest.cpp
@@ -274,10 +274,8 @@
   EXPECT_EQ(decodeGossip(Bytes).Records.at(0).KnownEntries, 6U);
   EXPECT_EQ(decodeGossip(Bytes).Records.at(0).ConfigVersion, 7U);
   nlohmann::json Older = nlohmann::json::from_cbor(Bytes.begin(), Bytes.end());
-  Older.at(0).erase(14);
-  Older.at(0).erase(13);
-  Older.at(0).erase(12);
-  Older.at(0).erase(11);
+  while (Older.at(0).size() > 11)
+    Older.at(0).erase(Older.at(0).size() - 1);
   const std::vector<std::uint8_t> OlderBytes = nlohmann::json::to_cbor(Older);
   const EntryRecord Read =
       decodeGossip({reinterpret_cast<const char *>(OlderBytes.data()),
--- a/tests/StreamOriginStoreTest.cpp
+++ b/tests/StreamOriginStoreTest.cpp
@@ -41,9 +41,12 @@
                .GatewayCount = [] { return std::size_t{2}; },
                .Tell =
                    [this](const StreamRecordUpdates &News) {
+                     if (!this->HasReceivers)
+                       return false;
                      this->Told.push_back(News);
                      if (this->Keeper)
                        this->Keeper->Store.receive(News);
+                     return true;
                    }}) {
     this->Sets.setServices({{"s", "t"}});
     this->Drain = Loop.timers().every(2ms, [this] { this->Api.drain(10); });
@@ -71,6 +74,7 @@
   StreamOrigins Streams;
   std::vector<StreamRecordUpdates> Told;
   Process *Keeper = nullptr; ///< Gets what is told.
+  bool HasReceivers = true;
   SoftwareVersionStore Sets;
   StreamOriginStore Store;
 
@@ -278,6 +282,27 @@
   EXPECT_EQ(Next->list(8), New);
 }
 
+// Guards against records that count as told while all gateways that could store
+// them drop the message, since they are of an earlier build.
+TEST_F(StreamOriginStoreTest, RecordsThatNobodyKeepsAreToldLater) {
+  auto Cut = this->start("n0", {"1", "2"});
+  auto Keeper = this->start("n1", {"1", "2"});
+  Cut->Keeper = Keeper.get();
+  Cut->HasReceivers = false;
+  this->wait(300ms);
+  Cut->Api.Outage = true;
+  Cut->Streams.noteBegun(7, Old, EventLoop::now());
+  this->wait(1200ms);
+  EXPECT_TRUE(Cut->Store.isLate());
+  EXPECT_EQ(Keeper->Streams.find(7), std::nullopt);
+  Cut->HasReceivers = true;
+  this->wait(1200ms);
+  EXPECT_EQ(Keeper->Streams.find(7), Old);
+  EXPECT_EQ(Cut->Told.size(), 2U) << "repeated once";
+  Cut->Api.Outage = false;
+  EXPECT_TRUE(this->Loop.runUntil([&] { return !Cut->Store.isLate(); }, 4s));
+}
+
 // Guards against messages for each stream at all times.
 TEST_F(StreamOriginStoreTest, NothingIsToldWhileRecordsAreStored) {
   const auto First = this->start("n0", {"1", "2"});
@@ -349,7 +374,8 @@
   EXPECT_EQ(Good.Streams, (StreamRecordUpdates{{Old, {7}}}));
 }
 
-// Guards against records that are told to gateways which cannot store them.
+// Guards against records that are told to gateways which cannot store them, or
+// drop them.
 TEST(StreamRecordUpdatesTest, KeepersReachThePlatform) {
   std::vector<EntryRecord> All(8);
   for (std::size_t I = 0; I < All.size(); ++I) {
@@ -357,6 +383,7 @@
     All[I].Gossip = {All[I].Id, 1};
     All[I].ReachesPlatform = I != 1;
     All[I].IsLeaving = I == 2;
+    All[I].Level = I == 3 ? 0 : OwnLevel;
   }
   std::set<std::string> Chosen;
   for (const EntryRecord &Self : All) {
@@ -369,6 +396,7 @@
   }
   EXPECT_FALSE(Chosen.contains("n1"));
   EXPECT_FALSE(Chosen.contains("n2"));
+  EXPECT_FALSE(Chosen.contains("n3"));
   EXPECT_GT(Chosen.size(), 2U) << "spread over the others";
 }
 
--- a/tests/StreamVersionsRunTest.cpp
+++ b/tests/StreamVersionsRunTest.cpp
@@ -49,6 +49,22 @@
   int Lists = 0;
 };
 
+// Guards against streams that end with this gateway, because it cannot store
+// their origin and all others are of a build that drops it.
+TEST_F(StreamVersionsRunTest, AStreamThatNobodyCouldGoOnWithIsRefused) {
+  bool LacksKeepers = true;
+  this->Services.LacksRecordKeepers = [&] { return LacksKeepers; };
+  this->sendCall("/stream/a");
+  EXPECT_TRUE(this->callerReceives("HTTP/1.1 503 "));
+  EXPECT_TRUE(this->hasNoArrival());
+  LacksKeepers = false;
+  this->renewCaller();
+  this->sendCall("/stream/a");
+  auto Peer = this->waitForArrival();
+  Peer->write(this->StreamHead + chunk("id: 1\ndata: a\n\n"));
+  EXPECT_TRUE(this->callerReceives("data: a"));
+}
+
 // Guards against a text that is joined within one answer.
 TEST_F(StreamVersionsRunTest, ABrokenStreamIsNotContinuedAtAnotherVersion) {
   this->sendCall("/stream/a");
