SoftwareVersions: streams of a build that stores its sets elsewhere

What callers would see: in a fleet of with one software version that is upgraded, all streams that old gateways had begun are refused at new ones for 65 s.

Cause: earlier builds store their sets of versions under another kind and keep no records while there is one version. The first set of this build counted as complete only from its creation.

The old set of the present era is read before the first new one is created, which then has no gap. And beside gateways that begin streams at a version before it is stored, a view counts for the only version only if it is at most 250 ms older than the attempt that takes up a stream, instead of 800 ms; else the platform is asked first.

--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -240,7 +240,8 @@
           .IsRegistryCurrent =
               [this] { return isRecent(this->Registry.confirmedAt()); },
           .IsFirstStart = this->Settings.IsFirstStart,
-          .MaxClockError = this->Settings.MaxClockError};
+          .MaxClockError = this->Settings.MaxClockError,
+          .HasEarlierSets = [this] { return this->StreamStore.hasListed(); }};
 }
 
 /// Lets calls and the choice of upstreams use the shared rate limits.
--- a/src/process/ForwardGatewayStreams.cpp
+++ b/src/process/ForwardGatewayStreams.cpp
@@ -17,6 +17,11 @@
       .Tell =
           [this](const StreamRecordUpdates &News) {
             return this->tellStreams(News);
+          },
+      .OnEarlierSet =
+          [this](const std::string &Service,
+                 const std::set<std::string> &Versions) {
+            this->SoftwareVersions.noteEarlierSet(Service, Versions);
           }};
 }
 
@@ -58,6 +63,9 @@
   this->Services.VersionsViewAge = [this] {
     return this->SoftwareVersions.viewAge();
   };
+  this->Services.AreVersionsSettled = [this] {
+    return this->Entries.doAllKeep(FleetRule::SettledVersions);
+  };
   this->Services.LacksRecordKeepers = [this] {
     return this->lacksRecordKeepers();
   };
--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -16,7 +16,8 @@
 static constexpr std::uint64_t FirstEra = 1;
 static constexpr Duration UpdatePeriod = std::chrono::milliseconds(100);
 /// Each refresh gives up a watch that waits at the platform.
-static constexpr Duration RefreshInterval = std::chrono::milliseconds(250);
+static constexpr Duration RefreshInterval =
+    SoftwareVersions::MaxUnsettledViewAge;
 /// A refresh is not given up for another one within this time, so that the view
 /// is confirmed also while the platform answers slowly.
 static constexpr Duration MaxRefreshTime = std::chrono::milliseconds(800);
@@ -84,6 +85,13 @@
   this->store(Name, Of);
 }
 
+void SoftwareVersionStore::noteEarlierSet(
+    const std::string &Name, const std::set<std::string> &Versions) {
+  Service &Of = this->Services[Name];
+  if (!Of.WasStored)
+    galenaroute::noteEarlierSet(Of.Versions, Versions, EventLoop::now());
+}
+
 void SoftwareVersionStore::onEraChanged() {
   for (auto &[Name, Each] : this->Services) {
     dropStored(Each.Versions);
@@ -243,8 +251,8 @@
 /// fails is repeated, less and less often, while it is still needed, and at
 /// once when the watch shows another revision.
 void SoftwareVersionStore::store(const std::string &Name, Service &Of) {
-  if (!this->Watcher.hasProgress() || Of.IsWriting ||
-      (Of.RetryAt && EventLoop::now() < *Of.RetryAt))
+  if (!this->Watcher.hasProgress() || !this->Parts.HasEarlierSets() ||
+      Of.IsWriting || (Of.RetryAt && EventLoop::now() < *Of.RetryAt))
     return;
   const StoredVersions Wanted = versionsToStore(
       Of.Versions, this->Parts.IsRegistryCurrent(), this->isFirstStart(Of),
--- a/src/process/SoftwareVersionStore.h
+++ b/src/process/SoftwareVersionStore.h
@@ -44,6 +44,9 @@
   /// the first time.
   bool IsFirstStart = false;
   Duration MaxClockError = std::chrono::seconds(5);
+  /// Returns whether noteEarlierSet() has been called for all sets that earlier
+  /// builds have stored. No set is created before.
+  std::function<bool()> HasEarlierSets = [] { return true; };
 };
 
 class SoftwareVersionStore {
@@ -60,6 +63,10 @@
   /// To be called when an upstream of a service whose streams may be taken up
   /// is registered.
   void noteUpstream(const std::string &Service, const std::string &Version);
+  /// To be called with each set that a gateway of an earlier build has stored
+  /// in the present era. It counts only until this build has stored one.
+  void noteEarlierSet(const std::string &Service,
+                      const std::set<std::string> &Versions);
   /// To be called when the platform was restored from a copy.
   void onEraChanged();
 
--- a/src/process/StreamOriginStore.cpp
+++ b/src/process/StreamOriginStore.cpp
@@ -16,6 +16,9 @@
 
 static constexpr std::string_view StoredKind = "stream-versions";
 static constexpr std::string_view GatewayPrefix = "gateway.";
+/// Of the sets of software versions that builds before SoftwareVersionStore
+/// store here.
+static constexpr std::string_view ServicePrefix = "service.";
 
 /// Between two writes of a gateway in a small fleet. What was begun since the
 /// last one is lost if all processes are killed.
@@ -159,6 +162,8 @@
   try {
     if (Object.Key.Name.starts_with(GatewayPrefix))
       this->readRecords(Object);
+    else if (Object.Key.Name.starts_with(ServicePrefix))
+      this->readEarlierSet(Object);
     if (!this->HasListed)
       this->removeOutdated(Object, Object.Value.at("written_ms"));
   } catch (const std::exception &Failure) {
@@ -194,6 +199,12 @@
     this->adoptOwn(Object);
 }
 
+void StreamOriginStore::readEarlierSet(const PlatformObject &Object) {
+  const std::string Service = Object.Value.at("service");
+  if (Object.Key == this->keyOf(std::string(ServicePrefix) + Service))
+    this->Parts.OnEarlierSet(Service, Object.Value.at("versions"));
+}
+
 /// Takes over the records that a predecessor of this process has stored, which
 /// the next write would replace.
 void StreamOriginStore::adoptOwn(const PlatformObject &Object) {
--- a/src/process/StreamOriginStore.h
+++ b/src/process/StreamOriginStore.h
@@ -26,6 +26,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace galenaroute {
 
@@ -39,7 +40,11 @@
   std::function<std::size_t()> GatewayCount;
   /// Sends records to gateways that store them. Returns whether there are any.
   std::function<bool(const StreamRecordUpdates &)> Tell;
-};
+  /// Called with each set of software versions that a gateway of an earlier
+  /// build has stored in the present era, see docs/compatibility.md.
+  std::function<void(const std::string &Service,
+                     const std::set<std::string> &Versions)>
+      OnEarlierSet = [](const std::string &, const std::set<std::string> &) {};
 };
 
 class StreamOriginStore {
@@ -57,6 +62,8 @@
   /// Keeps and stores the records of a gateway that cannot store them.
   void receive(const StreamRecordUpdates &News);
 
+  /// Returns whether what is stored was read since the start.
+  bool hasListed() const { return this->HasListed; }
   /// Returns whether records that are needed were not stored for some periods.
   bool isLate() const;
 
@@ -78,6 +85,7 @@
   void onPage(const PlatformList &Page);
   void readObject(const PlatformObject &Object);
   void readRecords(const PlatformObject &Object);
+  void readEarlierSet(const PlatformObject &Object);
   void adoptOwn(const PlatformObject &Object);
   void removeOutdated(const PlatformObject &Object, std::int64_t WrittenMs);
   bool hasUnstored() const;
--- a/src/request/ForwardResume.cpp
+++ b/src/request/ForwardResume.cpp
@@ -4,6 +4,7 @@
 #include "process/FatalSignals.h"
 #include "process/Log.h"
 #include "request/ForwardRun.h"
+#include "version/SoftwareVersions.h"
 
 #include <algorithm>
 
@@ -28,6 +29,13 @@
 /// Returns the software version that has begun all streams of the route, or
 /// nothing. Another service of the route may have begun the stream.
 std::optional<std::string> ForwardRun::onlyVersionOfRoute() const {
+  if (!this->Services.AreVersionsSettled()) {
+    const auto Age = this->Services.VersionsViewAge();
+    const TimePoint NeededUntil =
+        this->Incoming->Arrived - SoftwareVersions::MaxUnsettledViewAge;
+    if (!Age || EventLoop::now() - *Age < NeededUntil)
+      return std::nullopt;
+  }
   auto Result = this->Services.OnlyVersion(this->Service->Name);
   for (const WeightedService &Each : this->Route->Services)
     if (this->Services.OnlyVersion(Each.Service) != Result)
--- a/src/request/ForwardRun.h
+++ b/src/request/ForwardRun.h
@@ -143,6 +143,9 @@
   std::function<std::optional<Duration>()> VersionsViewAge = [] {
     return std::optional<Duration>();
   };
+  /// Returns whether no stream begins at a software version before it is stored
+  /// and has settled. Else only younger views count, see SoftwareVersions.
+  std::function<bool()> AreVersionsSettled = [] { return true; };
   /// Returns whether the origins of new streams would end with this process,
   /// but not with another one.
   std::function<bool()> LacksRecordKeepers = [] { return false; };
--- a/src/version/SoftwareVersions.cpp
+++ b/src/version/SoftwareVersions.cpp
@@ -19,6 +19,16 @@
   }
 }
 
+void noteEarlierSet(SoftwareVersions &Versions,
+                    const std::set<std::string> &Stored, TimePoint Now) {
+  Versions.HasEarlierSet = true;
+  for (const std::string &Each : Stored) {
+    Versions.KnownSince.try_emplace(Each, Now);
+    // Its streams may have begun long ago.
+    Versions.EarlierAddedMs.try_emplace(Each, 0);
+  }
+}
+
 static bool isStored(const SoftwareVersions &Versions,
                      const std::string &Version) {
   return Versions.Stored && Versions.Stored->AddedMs.contains(Version);
@@ -60,6 +70,7 @@
     for (const auto &[Each, AddedMs] : Versions.Stored->AddedMs)
       Versions.EarlierAddedMs[Each] = AddedMs;
   Versions.Stored.reset();
+  Versions.HasEarlierSet = false;
   Versions.ReadAt.clear();
 }
 
@@ -141,7 +152,7 @@
   StoredVersions Result;
   if (Versions.Stored)
     Result = *Versions.Stored;
-  else if (!IsFirstStart)
+  else if (!IsFirstStart && !Versions.HasEarlierSet)
     Result.CompleteSinceMs = Clocks.WallMs;
   for (const auto &[Each, Since] : Versions.KnownSince)
     if (!Result.AddedMs.contains(Each))
--- a/src/version/SoftwareVersions.h
+++ b/src/version/SoftwareVersions.h
@@ -46,6 +46,12 @@
   /// From reading that a version is stored to its first stream, see above.
   static constexpr Duration SettleTime = std::chrono::milliseconds(1000);
   static constexpr Duration MaxViewAge = std::chrono::milliseconds(800);
+  /// The same beside gateways of an earlier build, which begin streams at a
+  /// version as soon as it registers; counted from the attempt that takes up a
+  /// stream. Such a stream would have to begin, break off and be taken up
+  /// within this time.
+  static constexpr Duration MaxUnsettledViewAge =
+      std::chrono::milliseconds(250);
   /// A write without an answer may take effect so much later than the time at
   /// which it says that a version was added.
   static constexpr Duration MaxWriteDelay = std::chrono::seconds(30);
@@ -59,6 +65,8 @@
   /// Versions that have settled. A restoration of the platform does not change
   /// that their streams exist.
   std::set<std::string> Settled;
+  /// An earlier build has stored a set, in which no version is missing.
+  bool HasEarlierSet = false;
   /// Since when this process knows of each version, stored or registered.
   std::map<std::string, TimePoint> KnownSince;
   /// When this process last saw each version registered.
@@ -83,6 +91,10 @@
 /// Notes the set that the platform has stored in an earlier era.
 void noteEarlierStored(SoftwareVersions &Versions, const StoredVersions &Stored,
                        TimePoint Now);
+/// Notes the set that an earlier build has stored in the present era. It does
+/// not replace what is known.
+void noteEarlierSet(SoftwareVersions &Versions,
+                    const std::set<std::string> &Stored, TimePoint Now);
 /// Notes that the platform was restored from a copy, or lacks the set.
 void dropStored(SoftwareVersions &Versions);
 /// Updates which versions have settled. Returns whether one has now.
--- a/tests/SoftwareVersionsFleetTest.cpp
+++ b/tests/SoftwareVersionsFleetTest.cpp
@@ -229,6 +229,21 @@
   EXPECT_TRUE(this->beginStreamAt(0, "2", 4s));
 }
 
+// Guards against streams that gateways of a build which stores its sets
+// elsewhere, and no records of a single version, began before a gateway of this
+// build starts: all were refused for 65 s.
+TEST_F(SoftwareVersionsFleetTest, AStreamOfAnEarlierBuildIsTakenUp) {
+  this->Data->write({"stream-versions", eraName("service.d", 0)},
+                    {{"service", "d"}, {"versions", {"1"}}, {"written_ms", 1}});
+  for (std::size_t I = 0; I < this->Gateways.size(); ++I) {
+    this->Gateways[I].Settings.IsFirstStart = false;
+    this->start(I);
+  }
+  this->addUpstream("u1", "1");
+  this->awaitReady();
+  EXPECT_EQ(this->takeUp(1, "begun-before"), "1");
+}
+
 // Guards against a stream that is refused although one version serves.
 TEST_F(SoftwareVersionsFleetTest, AStreamOfTheOnlyVersionIsTakenUpAnywhere) {
   this->addUpstream("u1", "1");
--- a/tests/SoftwareVersionsTest.cpp
+++ b/tests/SoftwareVersionsTest.cpp
@@ -105,6 +105,33 @@
   EXPECT_TRUE(mayBeginStream(Versions, "1")) << "it serves meanwhile";
 }
 
+// Guards against streams of a fleet of an earlier build that are refused for as
+// long as a set which may be incomplete does not answer.
+TEST(SoftwareVersionsTest, TheSetOfAnEarlierBuildIsComplete) {
+  SoftwareVersions Versions;
+  noteEarlierSet(Versions, {"1"}, TimePoint(0s));
+  noteRegistered(Versions, "1", TimePoint(0s));
+  const StoredVersions First = versionsToStore(
+      Versions, true, /*IsFirstStart=*/false, Retention, at(0s));
+  EXPECT_EQ(First, setOf({{"1", 0}}));
+  noteStored(Versions, First, Retention, at(0s));
+  EXPECT_EQ(onlyAt(Versions, 0s, 0s), "1");
+}
+
+// Guards against a version that an earlier build has dropped from its set, or
+// one of an earlier era, which hide nothing.
+TEST(SoftwareVersionsTest, TheSetOfAnEarlierBuildAddsToWhatIsKnown) {
+  SoftwareVersions Versions;
+  noteRegistered(Versions, "2", TimePoint(0s));
+  noteEarlierSet(Versions, {"1"}, TimePoint(0s));
+  EXPECT_EQ(versionsToStore(Versions, true, false, Retention, at(0s)),
+            setOf({{"1", 0}, {"2", StartMs}}));
+  dropStored(Versions);
+  EXPECT_EQ(
+      versionsToStore(Versions, true, false, Retention, at(1s)).CompleteSinceMs,
+      StartMs + 1000);
+}
+
 // Guards against a process that takes the version that it knows for the only
 // one after it was cut off or stood still.
 TEST(SoftwareVersionsTest, AnOldViewDoesNotAnswer) {
--- a/tests/StreamVersionsRunTest.cpp
+++ b/tests/StreamVersionsRunTest.cpp
@@ -2,6 +2,7 @@
 // sockets.
 
 #include "ForwardRunFixture.h"
+#include "version/SoftwareVersions.h"
 
 namespace galenaroute {
 namespace {
@@ -203,6 +204,26 @@
   EXPECT_EQ(this->Lists, 0);
 }
 
+// Guards against a stream that an earlier build began at a version before it
+// was stored, and that goes on at the only version of an older view.
+TEST_F(StreamVersionsRunTest, BesideAnEarlierBuildOnlyYoungerViewsCount) {
+  this->setVersion(1, "1");
+  this->Services.OnlyVersion = [](std::string_view) {
+    return std::optional<std::string>("1");
+  };
+  this->Services.AreVersionsSettled = [] { return false; };
+  Duration Age = SoftwareVersions::MaxViewAge;
+  this->Services.VersionsViewAge = [&] { return std::optional(Age); };
+  this->takeUp("first");
+  EXPECT_TRUE(this->callerReceives("HTTP/1.1 503 "));
+  EXPECT_EQ(this->Lists, 2);
+  Age = 100ms;
+  this->renewCaller();
+  this->takeUp("first");
+  this->finishStream(*this->waitForArrival());
+  EXPECT_EQ(this->Lists, 2);
+}
+
 // Guards against a stream that another service of its route has begun, at a
 // version that the service which is drawn now has never had.
 TEST_F(StreamVersionsRunTest, AllServicesOfTheRouteCount) {
