Metrics, log, galenaroute status: which builds a fleet runs

Operators could not see which build a daemon runs, nor whether an upgrade has reached all gateways.

WholePathTest.TheToolShowsTheBuildOfEachDaemon and FleetRulesTest.MetricsTellTheBuildAndTheLevelsOfTheFleet pass.

--- a/src/cli/FleetCommands.cpp
+++ b/src/cli/FleetCommands.cpp
@@ -49,6 +49,7 @@
                        const std::vector<DaemonAnswer> &Answers) {
   Context.Out << std::left << std::setw(22) << "ADDRESS" << std::setw(14)
               << "ZONE" << std::setw(11) << "STATE" << std::setw(8) << "EPOCH"
+              << std::setw(14) << "BUILD"
               << "REQUESTS\n";
   for (const DaemonAnswer &Each : Answers) {
     Context.Out << std::left << std::setw(22) << Each.Address.toString();
@@ -57,7 +58,8 @@
     else
       Context.Out << std::setw(14) << textOf(Each.Body, "zone") << std::setw(11)
                   << textOf(Each.Body, "state") << std::setw(8)
-                  << textOf(Each.Body, "epoch")
+                  << textOf(Each.Body, "epoch") << std::setw(14)
+                  << textOf(Each.Body, "build")
                   << textOf(Each.Body, "open_requests") << "\n";
   }
 }
--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "process/Daemon.h"
 
+#include "process/BuildVersion.h"
 #include "process/Log.h"
 
 #include <nlohmann/json.hpp>
@@ -102,6 +103,7 @@
   const DaemonSettings &Settings = this->Deps.Settings;
   log(LogLevel::Info, "daemon.started",
       {{"node", Settings.NodeId},
+       {"build", std::string(buildVersion())},
        {"zone", Settings.Zone},
        {"listen",
         Settings.Listen.Host + ":" + std::to_string(this->Server.port())}});
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -698,6 +698,7 @@
   const std::size_t Count = this->gatewayCount();
   this->Upstreams.setGatewayCount(Count);
   this->updateFleet();
+  this->reportBuilds();
   this->Stores.setFollowers(Count > MaxPrimaryWatchers
                                 ? this->Services.Reuse.Zones.size() + 1
                                 : Count);
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -169,6 +169,7 @@
   StreamOriginStoreParts streamStoreParts();
   bool tellStreams(const StreamRecordUpdates &News);
   bool lacksRecordKeepers() const;
+  void reportBuilds();
   void connectStreams();
   VersionsByService registeredVersions() const;
   void connectRates();
@@ -249,6 +250,7 @@
   std::unique_ptr<CallListener> Listener;
   std::unique_ptr<EntryChannel> Channel;
   std::unique_ptr<RelayListener> Relays;
+  std::string ReportedLevels; ///< Of builds, when reported last.
   /// When this process started or noticed that the platform was restored.
   TimePoint EraSince = EventLoop::now();
   bool WasConfigOutdated = false; ///< In the last gossip round.
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -1,5 +1,7 @@
 #include "process/Metrics.h"
 
+#include "process/BuildVersion.h"
+
 #include <prometheus/text_serializer.h>
 #include <sstream>
 
@@ -92,6 +94,10 @@
               .Name("galenaroute_customer_engine_ms")
               .Help("Recent engine time by customer, of the largest ones")
               .Register(*Given)),
+      Gateways(BuildGauge()
+                   .Name("galenaroute_gateways")
+                   .Help("Live gateways, by the level of their build")
+                   .Register(*Given)),
       Choices(BuildCounter()
                   .Name("galenaroute_upstream_choices_total")
                   .Help("Calls sent, by the kind of the chosen upstream")
@@ -105,7 +111,14 @@
                      .Name("galenaroute_upstream_choice_load")
                      .Help("Calls per slot that were expected at the chosen "
                            "upstream")
-                     .Register(*Given)) {}
+                     .Register(*Given)) {
+  BuildGauge()
+      .Name("galenaroute_build_info")
+      .Help("1, with the commit that the daemon was built from")
+      .Register(*Given)
+      .Add({{"build", std::string(buildVersion())}})
+      .Set(1);
+}
 
 void Metrics::refused(const std::string &Reason) {
   this->Refusals.Add({{"reason", Reason}}).Increment();
@@ -161,6 +174,18 @@
   }
 }
 
+void Metrics::gatewaysByLevel(
+    const std::map<std::uint32_t, std::size_t> &Counts) {
+  for (const auto &[Level, Gauge] : this->GatewayGauges)
+    Gauge->Set(0);
+  for (const auto &[Level, Count] : Counts) {
+    auto &Gauge = this->GatewayGauges[Level];
+    if (!Gauge)
+      Gauge = &this->Gateways.Add({{"level", std::to_string(Level)}});
+    Gauge->Set(static_cast<double>(Count));
+  }
+}
+
 void Metrics::upstreamChosen(const std::string &Service, std::string_view Kind,
                              std::optional<std::size_t> Rank,
                              double CallsPerSlot) {
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -46,6 +46,8 @@
                       std::optional<std::size_t> Rank, double CallsPerSlot);
   /// Counts a timeline event, such as `retry` or `line.foreign`.
   void decision(const std::string &Kind);
+  /// Replaces the numbers of live gateways by the level of their build.
+  void gatewaysByLevel(const std::map<std::uint32_t, std::size_t> &Counts);
   /// Replaces the engine times by name of customer.
   void customerTimes(const std::map<std::string, double> &Milliseconds);
 
@@ -72,10 +74,12 @@
   prometheus::Family<prometheus::Counter> &Refusals;
   prometheus::Family<prometheus::Gauge> &BacklogMs;
   prometheus::Family<prometheus::Gauge> &CustomerMs;
+  prometheus::Family<prometheus::Gauge> &Gateways;
   prometheus::Family<prometheus::Counter> &Choices;
   prometheus::Family<prometheus::Histogram> &ChoiceRank;
   prometheus::Family<prometheus::Histogram> &ChoiceLoad;
-  std::map<std::string, prometheus::Gauge *> CustomerGauges; ///< By name.
+  std::map<std::string, prometheus::Gauge *> CustomerGauges;  ///< By name.
+  std::map<std::uint32_t, prometheus::Gauge *> GatewayGauges; ///< By level.
 };
 
 } // namespace galenaroute
--- a/src/request/CallerApi.cpp
+++ b/src/request/CallerApi.cpp
@@ -1,5 +1,6 @@
 #include "request/CallerApi.h"
 
+#include "process/BuildVersion.h"
 #include "process/Log.h"
 #include "process/Sha256.h"
 
@@ -266,6 +267,7 @@
       {"zone", this->Context.Settings.Zone},
       {"state", toString(this->Hooks.State())},
       {"ready", Current != nullptr},
+      {"build", buildVersion()},
       {"epoch", Current ? Current->Epoch : 0},
       {"open_requests", this->Context.Open.count()},
       {"uptime_ms", toMilliseconds(EventLoop::now() - this->Started)}};
--- a/tests/FleetRulesTest.cpp
+++ b/tests/FleetRulesTest.cpp
@@ -1,8 +1,11 @@
 // Tests of what gateways of other builds are known to do.
 
+#include "process/BuildVersion.h"
 #include "process/EntryGossip.h"
 #include "process/GossipMessages.h"
+#include "process/Metrics.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -11,6 +14,7 @@
 
 using namespace std::chrono_literals;
 using nlohmann::json;
+using testing::HasSubstr;
 
 EntryRecord recordOf(const std::string &Id, std::uint64_t Heartbeat) {
   EntryRecord Result;
@@ -74,5 +78,20 @@
   EXPECT_EQ(Gossip.find("n1")->Level, 0U);
 }
 
+// Guards against a count that stays after the last gateway of a build has gone.
+TEST(FleetRulesTest, MetricsTellTheBuildAndTheLevelsOfTheFleet) {
+  Metrics Stats;
+  EXPECT_THAT(Stats.toText(), HasSubstr("galenaroute_build_info{build=\"" +
+                                        std::string(buildVersion()) + "\"} 1"));
+  Stats.gatewaysByLevel({{0, 3}, {2, 1}});
+  EXPECT_THAT(Stats.toText(),
+              HasSubstr("galenaroute_gateways{level=\"0\"} 3\n"));
+  Stats.gatewaysByLevel({{2, 4}});
+  EXPECT_THAT(Stats.toText(),
+              HasSubstr("galenaroute_gateways{level=\"0\"} 0\n"));
+  EXPECT_THAT(Stats.toText(),
+              HasSubstr("galenaroute_gateways{level=\"2\"} 4\n"));
+}
+
 } // namespace
 } // namespace galenaroute
--- a/tests/process/WholePathTest.cpp
+++ b/tests/process/WholePathTest.cpp
@@ -1,10 +1,12 @@
 // End-to-end tests with real daemons and emulators.
 
 #include "GeneratedText.h"
+#include "process/BuildVersion.h"
 #include "process/ListingText.h"
 #include "process/ProcessHarness.h"
 
 #include <csignal>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace galenaroute::testing_support {
@@ -13,6 +15,7 @@
 using namespace std::chrono_literals;
 using emulator::wholeAnswer;
 using nlohmann::json;
+using testing::HasSubstr;
 
 class WholePathTest : public testing::Test {
 protected:
@@ -198,5 +201,22 @@
             wholeAnswer("the handbook", 200));
 }
 
+// Guards against an upgrade whose progress nobody can see.
+TEST_F(WholePathTest, TheToolShowsTheBuildOfEachDaemon) {
+  this->deploy();
+  std::string Entries;
+  for (const Program *Each : this->Daemons)
+    Entries += (Entries.empty() ? "" : ",") + Each->address().toString();
+  const auto [Code, Text] =
+      this->Harness.run("galenaroute", {"status", "--entries", Entries});
+  EXPECT_EQ(Code, 0);
+  EXPECT_THAT(Text, HasSubstr("BUILD"));
+  std::size_t Shown = 0;
+  for (std::size_t At = 0;
+       (At = Text.find(buildVersion(), At)) != std::string::npos; ++At)
+    ++Shown;
+  EXPECT_EQ(Shown, this->Daemons.size()) << Text;
+}
+
 } // namespace
 } // namespace galenaroute::testing_support
