--- a/src/process/SoftwareVersionStore.cpp
+++ b/src/process/SoftwareVersionStore.cpp
@@ -251,8 +251,10 @@
 /// fails is repeated, less and less often, while it is still needed, and at
 /// once when the watch shows another revision.
 void SoftwareVersionStore::store(const std::string &Name, Service &Of) {
-  if (!this->Watcher.hasProgress() || !this->Parts.HasEarlierSets() ||
-      Of.IsWriting || (Of.RetryAt && EventLoop::now() < *Of.RetryAt))
+  if (!this->Watcher.hasProgress() || Of.IsWriting ||
+      (Of.RetryAt && EventLoop::now() < *Of.RetryAt))
+    return;
+  if (!Of.Versions.Stored && !this->Parts.HasEarlierSets())
     return;
   const StoredVersions Wanted = versionsToStore(
       Of.Versions, this->Parts.IsRegistryCurrent(), this->isFirstStart(Of),
