AnnouncedWeights: a date that an earlier build tells may be late

Messages on weights state the level of their sender's build. A date from a build below level 2 counts as assumed: it replaces no stored or observed date, nor an earlier one, and is not told on. The level of this build, which no landed one had, covers the rule.

--- a/src/process/FleetRules.h
+++ b/src/process/FleetRules.h
@@ -29,6 +29,10 @@
   StreamRecords,
   /// A stream begins only at a software version that is stored and settled.
   SettledVersions,
+  /// A version of weights whose naming may have been missed is dated as early
+  /// as
+  /// possible, and that date is not told.
+  CautiousDates,
 };
 
 /// Returns whether builds of \p Level keep \p Rule.
--- a/src/process/ForwardGateway.cpp
+++ b/src/process/ForwardGateway.cpp
@@ -927,7 +927,7 @@
   this->scheduleFlush();
   this->Crashes.receive(Message.Crashes);
   if (!Message.Weights.empty())
-    this->onWeightNotices(Message.Weights);
+    this->onWeightNotices(Message.Weights, Message.WeightsLevel);
   if (!Message.Rates.From.empty())
     this->Rates.receive(Message.Rates);
   if (!Message.Streams.empty())
--- a/src/process/ForwardGateway.h
+++ b/src/process/ForwardGateway.h
@@ -144,7 +144,7 @@
   void storeWeightHistories();
   void storeWeightHistory(const std::string &Model, std::uint64_t Version);
   void sendWeightNotices(std::span<const SocketAddress> Targets);
-  void onWeightNotices(std::span<const WeightNotice> Notices);
+  void onWeightNotices(std::span<const WeightNotice> Notices, BuildLevel Level);
   void detectStall();
   void watchEvacuations();
   void onEvacuation(const PlatformObject &Object);
--- a/src/process/ForwardGatewayWeights.cpp
+++ b/src/process/ForwardGatewayWeights.cpp
@@ -115,18 +115,25 @@
                     BootClock::now());
   if (Notices.empty())
     return;
-  const std::string Message = encodeGossip({.Weights = Notices});
+  const std::string Message =
+      encodeGossip({.Weights = Notices, .WeightsLevel = OwnLevel});
   for (const SocketAddress &To : Targets)
     this->Channel->send(To, Message);
 }
 
-void ForwardGateway::onWeightNotices(std::span<const WeightNotice> Notices) {
+void ForwardGateway::onWeightNotices(std::span<const WeightNotice> Notices,
+                                     BuildLevel Level) {
   if (this->mayHoldStaleMessages())
     return;
   for (const WeightNotice &Each : Notices)
     noteVersion(this->Services.PartRights, Each.Model, Each.Version,
                 BootClock::now());
-  if (!mergeNotices(this->Services.Weights, Notices, BootClock::now()))
+  // A gateway of an earlier build may have observed a version only after it was
+  // cut off from the platform.
+  const AnnouncementSource Source = keeps(Level, FleetRule::CautiousDates)
+                                        ? AnnouncementSource::Observed
+                                        : AnnouncementSource::Assumed;
+  if (!mergeNotices(this->Services.Weights, Notices, BootClock::now(), Source))
     return;
   for (const WeightNotice &Each : Notices)
     log(LogLevel::Info, "weights.told",
--- a/src/process/GossipMessages.cpp
+++ b/src/process/GossipMessages.cpp
@@ -485,11 +485,14 @@
   return Message;
 }
 
-static json toJson(std::span<const WeightNotice> Notices) {
+/// Name of the level of the build that sends notices on weights.
+static constexpr const char *LevelField = "level";
+
+static json toJson(std::span<const WeightNotice> Notices, BuildLevel Level) {
   json Result = json::array();
   for (const WeightNotice &Each : Notices)
     Result.push_back({Each.Model, Each.Version, Each.Age.count()});
-  return {{"weights", std::move(Result)}};
+  return {{"weights", std::move(Result)}, {LevelField, Level}};
 }
 
 static std::vector<WeightNotice> weightsFromJson(const json &Value) {
@@ -542,7 +545,8 @@
   else if (!Message.Crashes.empty())
     Value = toJson(Message.Crashes);
   else if (!Message.Weights.empty())
-    Value = toJson(std::span<const WeightNotice>(Message.Weights));
+    Value = toJson(std::span<const WeightNotice>(Message.Weights),
+                   Message.WeightsLevel);
   else if (!Message.Rates.From.empty())
     Value = toJson(Message.Rates);
   else if (!Message.Streams.empty())
@@ -575,9 +579,10 @@
     Result.Objects = objectNewsFromJson(Value);
   else if (Value.is_object() && Value.contains("crashes"))
     Result.Crashes = crashesFromJson(Value);
-  else if (Value.is_object() && Value.contains("weights"))
+  else if (Value.is_object() && Value.contains("weights")) {
     Result.Weights = weightsFromJson(Value);
-  else if (Value.is_object() && Value.contains("rates"))
+    Result.WeightsLevel = Value.value(LevelField, BuildLevel{0});
+  } else if (Value.is_object() && Value.contains("rates"))
     Result.Rates = ratesFromJson(Value);
   else if (Value.is_object() && Value.contains("streams"))
     Result.Streams = streamsFromJson(Value);
--- a/src/process/GossipMessages.h
+++ b/src/process/GossipMessages.h
@@ -41,7 +41,8 @@
   std::optional<ObjectUpdates> Objects;
   std::vector<CrashReport> Crashes;
   std::vector<WeightNotice> Weights;
-  RateMessage Rates; ///< Empty if From is empty.
+  BuildLevel WeightsLevel = 0; ///< Of the sender of Weights.
+  RateMessage Rates;           ///< Empty if From is empty.
   StreamRecordUpdates Streams;
 };
 
--- a/src/version/AnnouncedWeights.cpp
+++ b/src/version/AnnouncedWeights.cpp
@@ -94,15 +94,16 @@
 }
 
 bool mergeNotices(AnnouncedWeightsByModel &All,
-                  std::span<const WeightNotice> Notices, BootTime Now) {
+                  std::span<const WeightNotice> Notices, BootTime Now,
+                  AnnouncementSource Source) {
   bool Changed = false;
   for (const WeightNotice &Each : Notices) {
     if (!All.contains(Each.Model) && All.size() >= MaxNoticedModels)
       continue;
     const Milliseconds Age =
         std::clamp(Each.Age, Milliseconds(0), MaxReportedAge);
-    Changed |= noteAnnounced(All[Each.Model], Each.Version,
-                             {Now - Age, AnnouncementSource::Observed});
+    Changed |=
+        noteAnnounced(All[Each.Model], Each.Version, {Now - Age, Source});
   }
   return Changed;
 }
--- a/src/version/AnnouncedWeights.h
+++ b/src/version/AnnouncedWeights.h
@@ -120,9 +120,11 @@
 std::vector<WeightNotice> weightNotices(const AnnouncedWeightsByModel &All,
                                         Duration MaxAge, BootTime Now);
 
-/// Merges the notices of another process. Returns whether anything changed.
+/// Merges the notices of another process. Their dates count as \p Source: one
+/// that may be late is assumed. Returns whether anything changed.
 bool mergeNotices(AnnouncedWeightsByModel &All,
-                  std::span<const WeightNotice> Notices, BootTime Now);
+                  std::span<const WeightNotice> Notices, BootTime Now,
+                  AnnouncementSource Source = AnnouncementSource::Observed);
 
 /// Returns the form of \p Source that log lines use.
 std::string_view toString(AnnouncementSource Source);
--- a/tests/AnnouncedWeightsTest.cpp
+++ b/tests/AnnouncedWeightsTest.cpp
@@ -69,6 +69,27 @@
   EXPECT_EQ(oldestAllowed(Unaware["m"], 6s, Start + 7s), 2U);
 }
 
+// Guards against a date of an earlier build that was cut off over the naming,
+// and that replaces the cautious dates of all gateways that have started since.
+TEST(AnnouncedWeightsTest, ADateThatMayBeLateOnlyMakesOthersEarlier) {
+  const auto Late = weightNotices(observed(2, Start + 6s), 60s, Start + 7s);
+  const auto Merge = [&](AnnouncedWeightsByModel All) {
+    mergeNotices(All, Late, Start + 7s, AnnouncementSource::Assumed);
+    return supersededAt(All["m"], 1);
+  };
+  AnnouncedWeightsByModel Stored;
+  restoreAnnounced(Stored["m"], {{2, 10000}}, 14000, 1s, Start + 4s);
+  EXPECT_EQ(Merge(Stored), Start - 1s);
+  AnnouncedWeightsByModel Started;
+  noteNamed(Started["m"], 2, {.IsFirst = true}, 10s, Start + 4s);
+  EXPECT_EQ(Merge(Started), Start - 6s);
+  EXPECT_EQ(Merge(observed(2, Start)), Start);
+  EXPECT_EQ(Merge({}), Start + 6s);
+  AnnouncedWeightsByModel Told;
+  mergeNotices(Told, Late, Start + 7s, AnnouncementSource::Assumed);
+  EXPECT_TRUE(weightNotices(Told, 60s, Start + 7s).empty()) << "told on";
+}
+
 // Guards against replacing what a running process has seen by an assumption of
 // one that has just started, and against passing assumptions on.
 TEST(AnnouncedWeightsTest, StrongerSourcesReplaceWeakerOnes) {
@@ -127,8 +148,9 @@
 }
 
 TEST(AnnouncedWeightsTest, NoticesSurviveEncoding) {
-  const GossipMessage Read =
-      decodeGossip(encodeGossip({.Weights = {{"m", 7, 1234ms}}}));
+  const GossipMessage Read = decodeGossip(
+      encodeGossip({.Weights = {{"m", 7, 1234ms}}, .WeightsLevel = OwnLevel}));
+  EXPECT_EQ(Read.WeightsLevel, OwnLevel);
   ASSERT_EQ(Read.Weights.size(), 1U);
   EXPECT_EQ(Read.Weights[0].Model, "m");
   EXPECT_EQ(Read.Weights[0].Version, 7U);
--- a/tests/CompatibilityTest.cpp
+++ b/tests/CompatibilityTest.cpp
@@ -79,6 +79,11 @@
     EXPECT_EQ(keeps(Sender.Level, FleetRule::SettledVersions),
               Recorded.at("objects").contains("software-versions"))
         << Build;
+    // Both builds date late what they missed while they were cut off.
+    EXPECT_FALSE(
+        keeps(decodeGossip(bytesOf(Messages.at("weights"))).WeightsLevel,
+              FleetRule::CautiousDates))
+        << Build;
   }
 }
 
@@ -124,8 +129,9 @@
             }});
     std::size_t Found = 0;
     Store->Listed.connect([&](const StreamOrigins *Listed) {
-      for (const auto &[Key, Each] :
-           Listed ? Listed->records() : StreamOrigins().records())
+      if (!Listed)
+        return;
+      for (const auto &[Key, Each] : Listed->records())
         Found += Each.Origin.Service == "d";
     });
     Sets.setServices({{"d"}});
