ForwardGatewayFleet: levels of later builds count as one

Levels above that of this build count as one now. RecordMain uses socketAddressOf() instead of a copy of it.

--- a/soak/RecordMain.cpp
+++ b/soak/RecordMain.cpp
@@ -9,15 +9,16 @@
 #include "PlainConfig.h"
 #include "RawSocket.h"
 #include "WeightedEngines.h"
+#include "connection/BufferedSocket.h"
 #include "process/EntryChannel.h"
 #include "process/FakePlatformServer.h"
 #include "process/PlatformDaemons.h"
 #include "process/ProcessHarness.h"
 
 #include <CLI/CLI.hpp>
-#include <arpa/inet.h>
 #include <fstream>
 #include <iostream>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -56,7 +57,7 @@
     this->Self.ReachesPlatform = true;
     this->Self.IssuesPermits = true;
     this->Socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
-    const sockaddr_in At = addressOf(Own);
+    const sockaddr_in At = socketAddressOf(Own);
     if (::bind(this->Socket, reinterpret_cast<const sockaddr *>(&At),
                sizeof At) != 0)
       throw std::runtime_error("cannot bind " + Own.toString());
@@ -68,7 +69,7 @@
   void sendTo(const SocketAddress &Gateway) {
     ++this->Self.Heartbeat;
     const std::string Bytes = encodeGossip({.Records = {this->Self}});
-    const sockaddr_in To = addressOf(Gateway);
+    const sockaddr_in To = socketAddressOf(Gateway);
     ::sendto(this->Socket, Bytes.data(), Bytes.size(), 0,
              reinterpret_cast<const sockaddr *>(&To), sizeof To);
   }
@@ -83,13 +84,6 @@
   }
 
 private:
-  static sockaddr_in addressOf(const SocketAddress &Of) {
-    sockaddr_in Result{};
-    Result.sin_family = AF_INET;
-    Result.sin_port = htons(Of.Port);
-    inet_pton(AF_INET, Of.Host.c_str(), &Result.sin_addr);
-    return Result;
-  }
   void keep(std::string_view Bytes) {
     const json Value = json::from_cbor(Bytes);
     std::string Kind = "records";
--- a/src/process/ForwardGatewayFleet.cpp
+++ b/src/process/ForwardGatewayFleet.cpp
@@ -4,6 +4,8 @@
 #include "process/ForwardGateway.h"
 #include "process/Log.h"
 
+#include <algorithm>
+
 namespace galenaroute {
 
 /// Reports the levels of the live gateways, with this one.
@@ -11,7 +13,8 @@
   std::map<BuildLevel, std::size_t> Counts{{OwnLevel, 1}};
   BuildLevel Needed = 0;
   this->Entries.forEachAlive(EventLoop::now(), [&](const EntryRecord &Each) {
-    ++Counts[Each.Level];
+    // Later builds count as one, so that what others send adds no time series.
+    ++Counts[std::min(Each.Level, OwnLevel + 1)];
     Needed = std::max(Needed, Each.LeastPeerLevel);
   });
   this->Stats.gatewaysByLevel(Counts);
